model: set down the workspace and the core types

Ruled out: one module for all, because a decision module must not be able to reach a codec or a transport by accident.

--- /dev/null
+++ b/internal/model/ctconfig/change.go
@@ -0,0 +1,36 @@
+package ctconfig
+
+import (
+	"time"
+
+	"github.com/cherviltrestle/cherviltrestle/internal/model/cterror"
+	"github.com/cherviltrestle/cherviltrestle/internal/model/ctid"
+)
+
+// Change is an operator's request to replace the configuration.
+type Change struct {
+	ID ctid.Change `json:"id" cbor:"id"`
+	// Base is the revision that the operator saw. The change is refused where
+	// another one has been accepted since.
+	Base     ctid.Revision `json:"base" cbor:"base"`
+	Author   string        `json:"author" cbor:"author"`
+	Document Document      `json:"document" cbor:"document"`
+}
+
+// Check reports the first fault of the change.
+func (c *Change) Check() error {
+	if err := c.ID.Check(); err != nil {
+		return err
+	}
+	if c.Author == "" {
+		return cterror.New(cterror.Invalid, "change has no author", "name the operator with --author")
+	}
+	return c.Document.Check()
+}
+
+// Accepted is a change that was accepted, with the revision that it got.
+type Accepted struct {
+	Revision ctid.Revision `json:"revision" cbor:"revision"`
+	At       time.Time     `json:"at" cbor:"at"`
+	Change   Change        `json:"change" cbor:"change"`
+}
--- /dev/null
+++ b/internal/model/ctconfig/document.go
@@ -0,0 +1,109 @@
+package ctconfig
+
+import (
+	"strings"
+	"time"
+
+	"github.com/cherviltrestle/cherviltrestle/internal/model/cterror"
+	"github.com/cherviltrestle/cherviltrestle/internal/model/ctid"
+	"github.com/cherviltrestle/cherviltrestle/internal/model/ctset"
+)
+
+// maxGroupSize is how many members a group may have.
+const maxGroupSize = 9
+
+// Group declares a database group.
+type Group struct {
+	Name ctid.Group `json:"name" cbor:"name"`
+	// Size is how many members the group has. Confirmations and promotions
+	// need a majority of it.
+	Size int `json:"size" cbor:"size"`
+}
+
+// Exception replaces some defaults for one group.
+type Exception struct {
+	Group ctid.Group `json:"group" cbor:"group"`
+	// Reason says in words why the exception stands.
+	Reason string `json:"reason" cbor:"reason"`
+	// Until ends the exception; absent, it stands until it is removed.
+	Until    *time.Time `json:"until,omitempty" cbor:"until,omitempty"`
+	Settings Settings   `json:"settings" cbor:"settings"`
+}
+
+// Document is a whole configuration.
+type Document struct {
+	Defaults   Settings    `json:"defaults,omitzero" cbor:"defaults,omitzero"`
+	Groups     []Group     `json:"groups" cbor:"groups"`
+	Exceptions []Exception `json:"exceptions,omitempty" cbor:"exceptions,omitempty"`
+}
+
+// Check reports the first fault of the document.
+func (d *Document) Check() error {
+	if err := d.Defaults.Check(); err != nil {
+		return err
+	}
+	known, err := d.checkGroups()
+	if err != nil {
+		return err
+	}
+	return d.checkExceptions(known)
+}
+
+func (d *Document) checkGroups() (ctset.Set[ctid.Group], error) {
+	var known ctset.Set[ctid.Group]
+	for _, g := range d.Groups {
+		if err := g.Name.Check(); err != nil {
+			return known, err
+		}
+		if g.Size < 1 || g.Size > maxGroupSize {
+			return known, cterror.Newf(cterror.Invalid, "give a size from 1 to 9", "group %s has size %d", g.Name, g.Size)
+		}
+		if !known.Add(g.Name) {
+			return known, cterror.Newf(cterror.Invalid, "remove one of them", "group %s is declared twice", g.Name)
+		}
+	}
+	return known, nil
+}
+
+func (d *Document) checkExceptions(known ctset.Set[ctid.Group]) error {
+	var excepted ctset.Set[ctid.Group]
+	for i := range d.Exceptions {
+		e := &d.Exceptions[i]
+		if !known.Has(e.Group) {
+			return cterror.Newf(cterror.Invalid, "declare the group or remove the exception",
+				"exception for group %q, which is not declared", e.Group)
+		}
+		if strings.TrimSpace(e.Reason) == "" {
+			return cterror.Newf(cterror.Invalid, "write down why the group needs it",
+				"exception for group %s has no reason", e.Group)
+		}
+		if !excepted.Add(e.Group) {
+			return cterror.Newf(cterror.Invalid, "join them into one", "group %s has two exceptions", e.Group)
+		}
+		if err := e.Settings.Check(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// Group returns the declaration of the named group.
+func (d *Document) Group(name ctid.Group) (Group, bool) {
+	for _, g := range d.Groups {
+		if g.Name == name {
+			return g, true
+		}
+	}
+	return Group{}, false
+}
+
+// Effective returns the settings that hold for a group at the time now.
+func (d *Document) Effective(name ctid.Group, now time.Time) Settings {
+	for i := range d.Exceptions {
+		e := &d.Exceptions[i]
+		if e.Group == name && (e.Until == nil || now.Before(*e.Until)) {
+			return e.Settings.Over(d.Defaults)
+		}
+	}
+	return d.Defaults
+}
--- /dev/null
+++ b/internal/model/ctserver/announcement.go
@@ -0,0 +1,79 @@
+package ctserver
+
+import (
+	"net/netip"
+
+	"github.com/cherviltrestle/cherviltrestle/internal/model/cterror"
+	"github.com/cherviltrestle/cherviltrestle/internal/model/ctid"
+	"github.com/cherviltrestle/cherviltrestle/internal/model/ctposition"
+)
+
+// reservedConnections is how many of a member's connections the system keeps
+// for its own status queries.
+const reservedConnections = 2
+
+// Announcement is what a backend server says of itself.
+type Announcement struct {
+	Group         ctid.Group         `json:"group" cbor:"group"`
+	Member        ctid.Member        `json:"member" cbor:"member"`
+	FailureDomain ctid.FailureDomain `json:"failure_domain" cbor:"failure_domain"`
+	// Address is where the backend server speaks the PostgreSQL protocol.
+	Address     netip.AddrPort   `json:"address" cbor:"address"`
+	Incarnation ctid.Incarnation `json:"incarnation" cbor:"incarnation"`
+	Role        Role             `json:"role" cbor:"role"`
+	State       State            `json:"state" cbor:"state"`
+	Term        ctposition.Term  `json:"term" cbor:"term"`
+	// Slots is how many statements the member runs at once.
+	Slots int `json:"slots" cbor:"slots"`
+	// Connections is how many connections the member accepts.
+	Connections int `json:"connections" cbor:"connections"`
+}
+
+// Check reports the first contradiction in the announcement.
+func (a *Announcement) Check() error {
+	if err := a.checkNames(); err != nil {
+		return err
+	}
+	switch {
+	case !a.Address.IsValid() || a.Address.Port() == 0:
+		return invalid("address is missing", "give the IP number and port of the PostgreSQL listener")
+	case a.Incarnation == 0:
+		return invalid("incarnation is 0", "give a number that grows with each start of the backend server")
+	case a.Role != RolePrimary && a.Role != RoleReplica:
+		return invalid("role is missing", "give primary or replica")
+	case a.State != StateReady && a.State != StateLeaving:
+		return invalid("state is missing", "give ready or leaving")
+	case a.Term == 0:
+		return invalid("term is 0", "give the term that the member is in, from 1")
+	case a.Slots < 1:
+		return invalid("slots is below 1", "give the number of statements that the member runs at once")
+	case a.Connections < a.Slots+reservedConnections:
+		return invalid("connections is below slots plus 2", "allow 2 connections more than slots, for status queries")
+	}
+	return nil
+}
+
+// Budget returns how many connections callers' transactions may use.
+func (a *Announcement) Budget() int {
+	return a.Connections - reservedConnections
+}
+
+func (a *Announcement) checkNames() error {
+	if err := a.Group.Check(); err != nil {
+		return err
+	}
+	if err := a.Member.Check(); err != nil {
+		return err
+	}
+	return a.FailureDomain.Check()
+}
+
+// Supersedes reports whether the announcement replaces the earlier one of the
+// same member.
+func (a *Announcement) Supersedes(earlier *Announcement) bool {
+	return a.Incarnation >= earlier.Incarnation
+}
+
+func invalid(message string, remedy string) error {
+	return cterror.New(cterror.Invalid, "announcement: "+message, remedy)
+}
--- /dev/null
+++ b/internal/model/ctserver/status.go
@@ -0,0 +1,22 @@
+package ctserver
+
+import (
+	"github.com/cherviltrestle/cherviltrestle/internal/model/ctid"
+	"github.com/cherviltrestle/cherviltrestle/internal/model/ctposition"
+)
+
+// StatusQuery is the statement that reads a member's status. It is the only
+// statement of the system's own that every database group must answer.
+const StatusQuery = "SELECT role, term, received, applied, fence, incarnation FROM group_status"
+
+// Status is a member's answer to StatusQuery.
+type Status struct {
+	Role Role `json:"role" cbor:"role"`
+	// Received is the point up to which the member holds the log durably.
+	Received ctposition.Point `json:"received" cbor:"received"`
+	// Applied is the point up to which the member's reads show the log.
+	Applied ctposition.Point `json:"applied" cbor:"applied"`
+	// Fence is the lowest term of which the member still takes anything.
+	Fence       ctposition.Term  `json:"fence" cbor:"fence"`
+	Incarnation ctid.Incarnation `json:"incarnation" cbor:"incarnation"`
+}
--- /dev/null
+++ b/internal/model/ctset/option.go
@@ -0,0 +1,25 @@
+package ctset
+
+// Option is a value that may be absent. The zero value is absent.
+type Option[T any] struct {
+	value   T
+	present bool
+}
+
+// Some returns an option that holds value.
+func Some[T any](value T) Option[T] {
+	return Option[T]{value: value, present: true}
+}
+
+// Get returns the value and whether it is present.
+func (o Option[T]) Get() (T, bool) {
+	return o.value, o.present
+}
+
+// Or returns the value, or other where it is absent.
+func (o Option[T]) Or(other T) T {
+	if o.present {
+		return o.value
+	}
+	return other
+}
--- /dev/null
+++ b/internal/model/ctset/set.go
@@ -0,0 +1,54 @@
+package ctset
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+)
+
+// Set is a set of values. The zero value is an empty set, ready for use.
+type Set[T cmp.Ordered] struct {
+	members map[T]struct{}
+}
+
+// Of returns a set of the stated values.
+func Of[T cmp.Ordered](values ...T) Set[T] {
+	var set Set[T]
+	for _, v := range values {
+		set.Add(v)
+	}
+	return set
+}
+
+// Add puts value into the set and reports whether it was absent.
+func (s *Set[T]) Add(value T) bool {
+	if s.Has(value) {
+		return false
+	}
+	if s.members == nil {
+		s.members = make(map[T]struct{})
+	}
+	s.members[value] = struct{}{}
+	return true
+}
+
+// Remove takes value out of the set.
+func (s *Set[T]) Remove(value T) {
+	delete(s.members, value)
+}
+
+// Has reports whether value is in the set.
+func (s *Set[T]) Has(value T) bool {
+	_, ok := s.members[value]
+	return ok
+}
+
+// Len returns the number of values.
+func (s *Set[T]) Len() int {
+	return len(s.members)
+}
+
+// Sorted returns the values in ascending order.
+func (s *Set[T]) Sorted() []T {
+	return slices.Sorted(maps.Keys(s.members))
+}
--- /dev/null
+++ b/internal/model/ctview/group.go
@@ -0,0 +1,30 @@
+package ctview
+
+import (
+	"github.com/cherviltrestle/cherviltrestle/internal/model/ctid"
+	"github.com/cherviltrestle/cherviltrestle/internal/model/ctposition"
+)
+
+// Group is what control has decided on a database group.
+type Group struct {
+	Name ctid.Group `json:"name" cbor:"name"`
+	// Term is the term of the primary. It is 0 until a primary is known.
+	Term    ctposition.Term    `json:"term" cbor:"term"`
+	Primary ctid.Member        `json:"primary" cbor:"primary"`
+	History ctposition.History `json:"history" cbor:"history"`
+	// Fence is the term that the group is being moved to: its members are to
+	// take nothing of earlier terms any more. It is 0 while no change of
+	// primary is under way.
+	Fence ctposition.Term `json:"fence,omitempty" cbor:"fence,omitempty"`
+}
+
+// Check reports the first fault of the group.
+func (g *Group) Check() error {
+	if err := g.Name.Check(); err != nil {
+		return err
+	}
+	if g.Primary == "" {
+		return nil
+	}
+	return g.Primary.Check()
+}
--- /dev/null
+++ b/internal/model/ctview/report.go
@@ -0,0 +1,103 @@
+package ctview
+
+import (
+	"net/netip"
+
+	"github.com/cherviltrestle/cherviltrestle/internal/model/ctconfig"
+	"github.com/cherviltrestle/cherviltrestle/internal/model/cterror"
+	"github.com/cherviltrestle/cherviltrestle/internal/model/ctid"
+	"github.com/cherviltrestle/cherviltrestle/internal/model/ctposition"
+	"github.com/cherviltrestle/cherviltrestle/internal/model/ctserver"
+)
+
+// maxReported is how many entries a list of a report may have.
+const maxReported = 4096
+
+// Health is what a holder finds of a member that it holds.
+type Health string
+
+// The healths.
+const (
+	// HealthUp means that the member answers its status query.
+	HealthUp Health = "up"
+	// HealthSilent means that the member does not answer in time.
+	HealthSilent Health = "silent"
+	// HealthDown means that the member's VM refuses connections, so the process is gone.
+	HealthDown Health = "down"
+)
+
+// Held is a holder's account of a member that it holds.
+type Held struct {
+	Group  ctid.Group      `json:"group" cbor:"group"`
+	Member ctid.Member     `json:"member" cbor:"member"`
+	Health Health          `json:"health" cbor:"health"`
+	Status ctserver.Status `json:"status" cbor:"status"`
+	// Draining reports whether the holder only ends what it has begun, because
+	// the member has another holder now.
+	Draining bool `json:"draining,omitempty" cbor:"draining,omitempty"`
+	// Surrendered is the highest term whose lease the holder has given up for
+	// good: nothing of that term is acknowledged any more.
+	Surrendered ctposition.Term `json:"surrendered,omitempty" cbor:"surrendered,omitempty"`
+}
+
+// Report is what a proxy tells control at each heartbeat.
+type Report struct {
+	// Number counts the reports of the proxy's run. The reply repeats it.
+	Number uint64 `json:"number" cbor:"number"`
+	Proxy  Proxy  `json:"proxy" cbor:"proxy"`
+	// Seen lists the announcements that are new or changed since the last
+	// report that control answered.
+	Seen []ctserver.Announcement `json:"seen,omitempty" cbor:"seen,omitempty"`
+	// Held lists the members that the proxy holds.
+	Held []Held `json:"held,omitempty" cbor:"held,omitempty"`
+	// Version is the view that the proxy has.
+	Version Version `json:"version" cbor:"version"`
+	// Revision is the configuration that the proxy has in force.
+	Revision ctid.Revision `json:"revision" cbor:"revision"`
+}
+
+// Check reports the first fault of the report.
+func (r *Report) Check() error {
+	if err := r.Proxy.Check(); err != nil {
+		return err
+	}
+	if len(r.Seen) > maxReported || len(r.Held) > maxReported {
+		return cterror.New(cterror.Invalid, "report lists more than 4096 entries", "split the report")
+	}
+	for i := range r.Seen {
+		if err := r.Seen[i].Check(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// Lease grants a holder the right to acknowledge writes of a group's term. It
+// counts from the moment at which the holder sent the report that asked for
+// it, so that the two clocks need not agree.
+type Lease struct {
+	Group ctid.Group      `json:"group" cbor:"group"`
+	Term  ctposition.Term `json:"term" cbor:"term"`
+	// Time is how long the lease lasts.
+	Time ctconfig.Duration `json:"time" cbor:"time"`
+}
+
+// Reply is control's answer to a report.
+type Reply struct {
+	// Number is that of the report.
+	Number uint64 `json:"number" cbor:"number"`
+	// Delta is absent where the proxy's view is the newest.
+	Delta  *Delta  `json:"delta,omitempty" cbor:"delta,omitempty"`
+	Leases []Lease `json:"leases,omitempty" cbor:"leases,omitempty"`
+	// Leader is where the leader of control can be reached, where another
+	// control process answers.
+	Leader *netip.AddrPort `json:"leader,omitempty" cbor:"leader,omitempty"`
+}
+
+// Check reports the first fault of the reply.
+func (r *Reply) Check() error {
+	if r.Delta == nil {
+		return nil
+	}
+	return r.Delta.Check()
+}
--- /dev/null
+++ b/internal/model/ctview/view.go
@@ -0,0 +1,146 @@
+package ctview
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+
+	"github.com/cherviltrestle/cherviltrestle/internal/model/cterror"
+	"github.com/cherviltrestle/cherviltrestle/internal/model/ctid"
+	"github.com/cherviltrestle/cherviltrestle/internal/model/ctserver"
+)
+
+// View is the state of the fleet at one version. Its zero value is the view
+// before anything is known. A view is not changed once made.
+type View struct {
+	Version Version
+	Proxies map[ctid.Proxy]Proxy
+	Members map[ctid.Member]ctserver.Announcement
+	Groups  map[ctid.Group]Group
+	Config  Config
+
+	byGroup  map[ctid.Group][]ctid.Member
+	byDomain map[ctid.FailureDomain][]ctid.Proxy
+}
+
+// Apply returns the view that the delta leads to. A delta to a version that
+// the view has reached already returns the view as it is. A delta that builds
+// on a version that the view has not reached is refused.
+func (v *View) Apply(delta *Delta) (*View, error) {
+	if delta.To <= v.Version {
+		return v, nil
+	}
+	if delta.From > v.Version {
+		return v, cterror.Newf(cterror.Conflict, "ask for a delta from the version in hand",
+			"view delta builds on version %d, version %d is in hand", delta.From, v.Version)
+	}
+	next := v.copy()
+	if delta.From == 0 {
+		next = &View{
+			Proxies: make(map[ctid.Proxy]Proxy),
+			Members: make(map[ctid.Member]ctserver.Announcement),
+			Groups:  make(map[ctid.Group]Group),
+			Config:  v.Config,
+		}
+	}
+	next.Version = delta.To
+	next.take(delta)
+	next.index()
+	return next, nil
+}
+
+func (v *View) copy() *View {
+	next := &View{
+		Proxies: maps.Clone(v.Proxies),
+		Members: maps.Clone(v.Members),
+		Groups:  maps.Clone(v.Groups),
+		Config:  v.Config,
+	}
+	if next.Proxies == nil {
+		next.Proxies = make(map[ctid.Proxy]Proxy)
+		next.Members = make(map[ctid.Member]ctserver.Announcement)
+		next.Groups = make(map[ctid.Group]Group)
+	}
+	return next
+}
+
+func (v *View) take(delta *Delta) {
+	for _, p := range delta.Proxies {
+		v.Proxies[p.Name] = p
+	}
+	for _, p := range delta.GoneProxies {
+		delete(v.Proxies, p)
+	}
+	for _, m := range delta.Members {
+		v.Members[m.Member] = m
+	}
+	for _, m := range delta.GoneMembers {
+		delete(v.Members, m)
+	}
+	for _, g := range delta.Groups {
+		v.takeGroup(g)
+	}
+	for _, g := range delta.GoneGroups {
+		delete(v.Groups, g)
+	}
+	if delta.Config != nil && delta.Config.Revision > v.Config.Revision {
+		v.Config = *delta.Config
+	}
+}
+
+// takeGroup replaces a group unless that would bring back an earlier term.
+func (v *View) takeGroup(g Group) {
+	if g.Term >= v.Groups[g.Name].Term {
+		v.Groups[g.Name] = g
+	}
+}
+
+func (v *View) index() {
+	v.byGroup = make(map[ctid.Group][]ctid.Member)
+	for name, m := range v.Members {
+		v.byGroup[m.Group] = append(v.byGroup[m.Group], name)
+	}
+	for _, members := range v.byGroup {
+		slices.Sort(members)
+	}
+	v.byDomain = make(map[ctid.FailureDomain][]ctid.Proxy)
+	for name, p := range v.Proxies {
+		v.byDomain[p.FailureDomain] = append(v.byDomain[p.FailureDomain], name)
+	}
+	for _, proxies := range v.byDomain {
+		slices.Sort(proxies)
+	}
+}
+
+// MembersOf returns the names of a group's members in ascending order. The
+// slice is shared and must not be changed.
+func (v *View) MembersOf(group ctid.Group) []ctid.Member {
+	return v.byGroup[group]
+}
+
+// ProxiesOf returns the names of a failure domain's proxies in ascending order.
+// The slice is shared and must not be changed.
+func (v *View) ProxiesOf(domain ctid.FailureDomain) []ctid.Proxy {
+	return v.byDomain[domain]
+}
+
+// Whole returns the delta that leads from nothing to the view.
+func (v *View) Whole() *Delta {
+	delta := &Delta{
+		To:      v.Version,
+		Proxies: sortedBy(v.Proxies, func(p Proxy) ctid.Proxy { return p.Name }),
+		Members: sortedBy(v.Members, func(m ctserver.Announcement) ctid.Member { return m.Member }),
+		Groups:  sortedBy(v.Groups, func(g Group) ctid.Group { return g.Name }),
+	}
+	if v.Config.Revision > 0 {
+		config := v.Config
+		delta.Config = &config
+	}
+	return delta
+}
+
+func sortedBy[K cmp.Ordered, V any](rows map[K]V, key func(V) K) []V {
+	values := slices.Collect(maps.Values(rows))
+	slices.SortFunc(values, func(a, b V) int { return cmp.Compare(key(a), key(b)) })
+	return values
+}
