--- /dev/null
+++ b/internal/work/ctlock/rank.go
@@ -0,0 +1,33 @@
+package ctlock
+
+// Rank is a table's place in the lock order.
+type Rank uint8
+
+// The lock order. A table is locked only while all the locks held are of lower
+// ranks.
+const (
+	// RankNone is the rank of a mutex that was not set up; it can't be locked.
+	RankNone Rank = iota
+	// RankLedger guards what the leader of control knows.
+	RankLedger
+	// RankAnnouncements guards the announcements that a proxy heard.
+	RankAnnouncements
+	// RankSelf guards what a proxy says of itself.
+	RankSelf
+	// RankView guards the fleet's view and the configuration.
+	RankView
+	// RankLeases guards the write leases.
+	RankLeases
+	// RankHints guards what answers told of the members.
+	RankHints
+	// RankSessions guards the callers' sessions.
+	RankSessions
+	// RankBudget guards the retries that are still allowed.
+	RankBudget
+	// RankMembers guards the members' queues and connections.
+	RankMembers
+	// RankLog guards a stand-in's log of writes.
+	RankLog
+	// RankCounters guards counts that others read.
+	RankCounters
+)
