decide: add the decisions of routing, admission, sessions and failover

Cause: decisions have to stay apart from encoding and transport. Change: deterministic packages over sealed events and effects: statement classes, routing, the session, the queue of a member, guards, ages, confirmations, write leases and promotion, reconciliation of members, the register of control, and in fleet the holders by rendezvous hashing and the versioned roster. Ruled out: an equal share of connections per proxy: 75 connections of a member over 3,000 daemons are less than one each (docs/DESIGN.md has the sums).

--- /dev/null
+++ b/internal/decide/ctfailover/decide.go
@@ -0,0 +1,123 @@
+package ctfailover
+
+import (
+	"slices"
+	"time"
+
+	"github.com/cherviltrestle/cherviltrestle/internal/model/ctposition"
+	"github.com/cherviltrestle/cherviltrestle/internal/model/ctserver"
+	"github.com/cherviltrestle/cherviltrestle/internal/model/ctset"
+	"github.com/cherviltrestle/cherviltrestle/internal/model/ctview"
+)
+
+// Why tells the ground of a decision, or what stands in its way.
+type Why string
+
+// The grounds of decisions.
+const (
+	WhyAdopted     Why = "majority_announced"
+	WhyPrimaryDown Why = "primary_down"
+	WhyPrimaryLost Why = "primary_silent"
+	WhyHoldsMost   Why = "holds_most_of_a_fenced_majority"
+)
+
+// What stands in the way of a decision.
+const (
+	BlockedNone     Why = ""
+	BlockedMajority Why = "fewer_members_than_a_majority_answer"
+	BlockedLease    Why = "write_lease_may_still_be_in_use"
+	BlockedFence    Why = "majority_not_fenced_yet"
+)
+
+// Proposal is a decision that control is to make durable.
+type Proposal struct {
+	Group ctview.Group
+	Why   Why
+}
+
+// Decide returns the next decision on the group, if one is due.
+func (m *Machine) Decide(now time.Time, group ctview.Group) ctset.Option[Proposal] {
+	proposal, _ := m.decide(now, group)
+	return proposal
+}
+
+// Blocked tells what stands in the way of a change that is wanted, or
+// BlockedNone.
+func (m *Machine) Blocked(now time.Time, group ctview.Group) Why {
+	_, blocked := m.decide(now, group)
+	return blocked
+}
+
+func (m *Machine) decide(now time.Time, group ctview.Group) (ctset.Option[Proposal], Why) {
+	switch {
+	case group.Term == 0 && group.Fence == 0:
+		return m.adopt(now, group)
+	case group.Fence > group.Term:
+		return m.promote(now, group)
+	}
+	return m.watch(now, group)
+}
+
+// adopt takes over a group that control knows nothing of: from the member that
+// says it is the primary, where a majority answers.
+func (m *Machine) adopt(now time.Time, group ctview.Group) (ctset.Option[Proposal], Why) {
+	_, highest, count := m.best(func(a account) bool { return m.alive(now, a) })
+	if count < m.majority() {
+		return none(), BlockedMajority
+	}
+	primary, point, primaries := m.best(func(a account) bool {
+		return m.alive(now, a) && a.held.Status.Role == ctserver.RolePrimary
+	})
+	if primaries == 0 || point.Term < highest.Term {
+		group.Fence = highest.Term + 1
+		return ctset.Some(Proposal{Group: group, Why: WhyPrimaryLost}), BlockedNone
+	}
+	group.Term = point.Term
+	group.Primary = primary
+	return ctset.Some(Proposal{Group: group, Why: WhyAdopted}), BlockedNone
+}
+
+// watch begins a change where the primary is gone.
+func (m *Machine) watch(now time.Time, group ctview.Group) (ctset.Option[Proposal], Why) {
+	primary := m.accounts[group.Primary]
+	if m.alive(now, primary) {
+		return none(), BlockedNone
+	}
+	why := WhyPrimaryLost
+	if primary.held.Health == ctview.HealthDown {
+		why = WhyPrimaryDown
+	}
+	if !m.leaseOver(now, group) {
+		return none(), BlockedLease
+	}
+	_, _, others := m.best(func(a account) bool { return m.alive(now, a) && a.held.Member != group.Primary })
+	if others < m.majority() {
+		return none(), BlockedMajority
+	}
+	group.Fence = group.Term + 1
+	return ctset.Some(Proposal{Group: group, Why: why}), BlockedNone
+}
+
+// promote ends a change: the member that holds most of a fenced majority becomes
+// the primary.
+func (m *Machine) promote(now time.Time, group ctview.Group) (ctset.Option[Proposal], Why) {
+	if !m.leaseOver(now, group) {
+		return none(), BlockedLease
+	}
+	best, point, count := m.best(func(a account) bool {
+		return m.alive(now, a) && a.held.Status.Fence >= group.Fence
+	})
+	if count < m.majority() {
+		return none(), BlockedFence
+	}
+	group.Term = group.Fence
+	group.Fence = 0
+	group.Primary = best
+	start := ctposition.Start{Term: group.Term, Position: point.Position}
+	group.History = append(slices.Clone(group.History), start)
+	return ctset.Some(Proposal{Group: group, Why: WhyHoldsMost}), BlockedNone
+}
+
+func none() ctset.Option[Proposal] {
+	return ctset.Option[Proposal]{}
+}
--- /dev/null
+++ b/internal/decide/ctfailover/doc.go
@@ -0,0 +1,31 @@
+/*
+Package ctfailover decides on the changes of a group's primary. It runs on the
+leader of control.
+
+# Steps of a change
+
+A change begins when the primary is gone: its holder says that the process is
+down and gives the lease up, or nothing is heard of it and the lease has ended.
+The group is then fenced: its members are told to take nothing of earlier terms.
+When a majority has confirmed the fence, the one that holds most becomes the
+primary of the new term. A write is acknowledged only after a majority has
+received it, so that member holds every acknowledged write.
+
+No change is made while fewer members than a majority answer; Why tells so.
+
+# Leases
+
+The leader grants a write lease only while the group is not being changed and
+the member that asks is the primary of the term. It remembers until when the
+last lease may be in use, with an allowance for clocks of other rates, and a new
+leader waits as if it had granted one when it began.
+
+# Usage
+
+	machine := ctfailover.New(declared, leaseTime, now)
+	machine.Report(now, held)
+	if proposal, ok := machine.Decide(now, group).Get(); ok {
+		...
+	}
+*/
+package ctfailover
--- /dev/null
+++ b/internal/decide/ctfailover/machine.go
@@ -0,0 +1,111 @@
+package ctfailover
+
+import (
+	"time"
+
+	"github.com/cherviltrestle/cherviltrestle/internal/model/ctid"
+	"github.com/cherviltrestle/cherviltrestle/internal/model/ctposition"
+	"github.com/cherviltrestle/cherviltrestle/internal/model/ctserver"
+	"github.com/cherviltrestle/cherviltrestle/internal/model/ctview"
+)
+
+// driftFraction bounds how much the rates of two clocks differ: by one part in
+// so many.
+const driftFraction = 100
+
+// Machine decides on one group. Its exported fields are set at its start.
+type Machine struct {
+	// Size is how many members the group has.
+	Size int
+	// LeaseTime is how long a write lease lasts.
+	LeaseTime time.Duration
+	// SilenceTime is how long a member may go unheard of before it counts as
+	// gone.
+	SilenceTime time.Duration
+
+	leasedUntil time.Time
+	accounts    map[ctid.Member]account
+}
+
+// account is what is known of a member.
+type account struct {
+	held  ctview.Held
+	heard time.Time
+}
+
+// Begin starts the machine on a new leader, which does not know what leases
+// the earlier one granted: none of them lasts longer than longest.
+func (m *Machine) Begin(now time.Time, longest time.Duration) {
+	m.leasedUntil = now.Add(allowance(longest))
+	m.accounts = make(map[ctid.Member]account)
+}
+
+// Report takes a holder's account of a member.
+func (m *Machine) Report(now time.Time, held ctview.Held) {
+	if held.Draining {
+		return
+	}
+	m.accounts[held.Member] = account{held: held, heard: now}
+}
+
+// Lease grants a write lease to the holder of the member, and reports whether
+// it does.
+func (m *Machine) Lease(now time.Time, group ctview.Group, held ctview.Held) bool {
+	status := held.Status
+	switch {
+	case group.Fence > group.Term, group.Primary != held.Member, group.Term == 0:
+		return false
+	case status.Role != ctserver.RolePrimary, status.Received.Term != group.Term:
+		return false
+	case held.Surrendered >= group.Term, held.Health != ctview.HealthUp:
+		return false
+	}
+	until := now.Add(allowance(m.LeaseTime))
+	if until.After(m.leasedUntil) {
+		m.leasedUntil = until
+	}
+	return true
+}
+
+// allowance returns how long this clock may run while another one measures d.
+func allowance(d time.Duration) time.Duration {
+	return d + d/driftFraction
+}
+
+// majority returns how many members make a majority of the group.
+func (m *Machine) majority() int {
+	return m.Size/2 + 1
+}
+
+// alive reports whether the member was heard of lately and answers its holder.
+func (m *Machine) alive(now time.Time, a account) bool {
+	return a.held.Health == ctview.HealthUp && now.Sub(a.heard) <= m.SilenceTime
+}
+
+// leaseOver reports whether no holder can still acknowledge a write of the
+// group's term.
+func (m *Machine) leaseOver(now time.Time, group ctview.Group) bool {
+	if !now.Before(m.leasedUntil) {
+		return true
+	}
+	return m.accounts[group.Primary].held.Surrendered >= group.Term && group.Term > 0
+}
+
+// best returns the member that holds most of those that match.
+func (m *Machine) best(match func(account) bool) (ctid.Member, ctposition.Point, int) {
+	var best ctid.Member
+	var point ctposition.Point
+	count := 0
+	for name, a := range m.accounts {
+		if !match(a) {
+			continue
+		}
+		count++
+		received := a.held.Status.Received
+		later := ctposition.Later(received, point) == received && received != point
+		if best == "" || later || (received == point && name < best) {
+			best, point = name, received
+		}
+	}
+	return best, point, count
+}
--- /dev/null
+++ b/internal/decide/ctreconcile/deed.go
@@ -0,0 +1,84 @@
+package ctreconcile
+
+import (
+	"github.com/cherviltrestle/cherviltrestle/internal/model/ctid"
+	"github.com/cherviltrestle/cherviltrestle/internal/model/ctposition"
+	"github.com/cherviltrestle/cherviltrestle/internal/model/ctserver"
+	"github.com/cherviltrestle/cherviltrestle/internal/model/ctview"
+)
+
+// Deed is one of Nothing, Fence, Promote and Follow.
+type Deed interface {
+	isDeed()
+}
+
+// Nothing means that the member is what it should be.
+type Nothing struct{}
+
+// Fence asks to make the member take nothing of terms before Term.
+type Fence struct {
+	Term ctposition.Term
+}
+
+// Promote asks to make the member the primary of Term.
+type Promote struct {
+	Term ctposition.Term
+}
+
+// Follow asks to make the member follow Primary in Term, from Start of which it drops
+// what it holds beyond.
+type Follow struct {
+	Term    ctposition.Term
+	Start   ctposition.Position
+	Primary ctid.Member
+}
+
+func (Nothing) isDeed() {}
+func (Fence) isDeed()   {}
+func (Promote) isDeed() {}
+func (Follow) isDeed()  {}
+
+// Next returns what must be done to the member now.
+func Next(member ctid.Member, status ctserver.Status, group ctview.Group) Deed {
+	switch {
+	case group.Term == 0:
+		return Nothing{}
+	case group.Fence > status.Fence:
+		return Fence{Term: group.Fence}
+	case group.Fence > group.Term:
+		return Nothing{}
+	case group.Primary == member:
+		return asPrimary(status, group)
+	}
+	return asReplica(status, group)
+}
+
+func asPrimary(status ctserver.Status, group ctview.Group) Deed {
+	if status.Role == ctserver.RolePrimary && status.Received.Term == group.Term {
+		return Nothing{}
+	}
+	if status.Received.Term > group.Term || status.Fence > group.Term {
+		return Nothing{}
+	}
+	return Promote{Term: group.Term}
+}
+
+func asReplica(status ctserver.Status, group ctview.Group) Deed {
+	if status.Received.Term > group.Term {
+		return Nothing{}
+	}
+	if status.Role == ctserver.RoleReplica && status.Received.Term == group.Term {
+		return Nothing{}
+	}
+	return Follow{Term: group.Term, Start: startOf(group), Primary: group.Primary}
+}
+
+// startOf returns where the group's term began.
+func startOf(group ctview.Group) ctposition.Position {
+	for _, s := range group.History {
+		if s.Term == group.Term {
+			return s.Position
+		}
+	}
+	return 0
+}
--- /dev/null
+++ b/internal/decide/ctregister/command.go
@@ -0,0 +1,69 @@
+package ctregister
+
+import (
+	"time"
+
+	"github.com/cherviltrestle/cherviltrestle/internal/model/ctconfig"
+	"github.com/cherviltrestle/cherviltrestle/internal/model/ctid"
+	"github.com/cherviltrestle/cherviltrestle/internal/model/ctposition"
+	"github.com/cherviltrestle/cherviltrestle/internal/model/ctview"
+)
+
+// Command is one of Configure and SetGroup.
+type Command interface {
+	isCommand()
+}
+
+// Configure replaces the configuration.
+type Configure struct {
+	Change ctconfig.Change `json:"change" cbor:"change"`
+	// At is when the change was asked for, on the clock of control's leader.
+	At time.Time `json:"at" cbor:"at"`
+}
+
+// SetGroup replaces what is decided on a group, if nothing was decided since.
+type SetGroup struct {
+	Group ctview.Group `json:"group" cbor:"group"`
+	// Term and Fence are those that the decision was based on.
+	Term  ctposition.Term `json:"term" cbor:"term"`
+	Fence ctposition.Term `json:"fence" cbor:"fence"`
+	// Why tells the ground of the decision, and At when it was made.
+	Why string    `json:"why" cbor:"why"`
+	At  time.Time `json:"at" cbor:"at"`
+}
+
+func (Configure) isCommand() {}
+func (SetGroup) isCommand()  {}
+
+// Result is one of Configured, Resent, Overtaken and GroupSet.
+type Result interface {
+	isResult()
+}
+
+// Configured reports that the change is accepted.
+type Configured struct {
+	Accepted ctconfig.Accepted
+}
+
+// Resent reports that the change was accepted before, under the same id.
+type Resent struct {
+	Accepted ctconfig.Accepted
+}
+
+// Overtaken reports that the change is refused, because Winner was accepted first.
+type Overtaken struct {
+	Winner ctconfig.Accepted
+	// SameID reports whether the winner has the change's id and other content.
+	SameID bool
+}
+
+// GroupSet tells whether a SetGroup took effect.
+type GroupSet struct {
+	Name  ctid.Group
+	Taken bool
+}
+
+func (Configured) isResult() {}
+func (Resent) isResult()     {}
+func (Overtaken) isResult()  {}
+func (GroupSet) isResult()   {}
--- /dev/null
+++ b/internal/decide/ctregister/register.go
@@ -0,0 +1,135 @@
+package ctregister
+
+import (
+	"reflect"
+	"time"
+
+	"github.com/cherviltrestle/cherviltrestle/internal/model/ctconfig"
+	"github.com/cherviltrestle/cherviltrestle/internal/model/ctid"
+	"github.com/cherviltrestle/cherviltrestle/internal/model/ctposition"
+	"github.com/cherviltrestle/cherviltrestle/internal/model/ctview"
+)
+
+// The bounds of what is kept for operators.
+const (
+	// maxHistory is how many accepted configurations are kept.
+	maxHistory = 1000
+	// maxDeeds is how many decisions on groups are kept.
+	maxDeeds = 1000
+)
+
+// Register is the state that control keeps for good. Its zero value is empty.
+type Register struct {
+	// History lists the accepted configurations, the newest last.
+	History []ctconfig.Accepted `json:"history" cbor:"history"`
+	// Groups holds what is decided on the groups.
+	Groups map[ctid.Group]ctview.Group `json:"groups" cbor:"groups"`
+	// Deeds lists the decisions on groups, the newest last.
+	Deeds []Deed `json:"deeds" cbor:"deeds"`
+}
+
+// Deed is a decision on a group that took effect.
+type Deed struct {
+	At    time.Time    `json:"at" cbor:"at"`
+	Why   string       `json:"why" cbor:"why"`
+	Group ctview.Group `json:"group" cbor:"group"`
+}
+
+// Apply applies a command.
+func (r *Register) Apply(command Command) Result {
+	switch c := command.(type) {
+	case Configure:
+		return r.configure(c)
+	case SetGroup:
+		return r.setGroup(c)
+	}
+	return nil
+}
+
+// Current returns the newest configuration, the zero value before the first.
+func (r *Register) Current() ctconfig.Accepted {
+	if len(r.History) == 0 {
+		return ctconfig.Accepted{}
+	}
+	return r.History[len(r.History)-1]
+}
+
+func (r *Register) configure(c Configure) Result {
+	if earlier, ok := r.find(c.Change.ID); ok {
+		if sameContent(earlier.Change, c.Change) {
+			return Resent{Accepted: earlier}
+		}
+		return Overtaken{Winner: earlier, SameID: true}
+	}
+	current := r.Current()
+	if c.Change.Base != current.Revision {
+		return Overtaken{Winner: r.after(c.Change.Base)}
+	}
+	accepted := ctconfig.Accepted{Revision: current.Revision + 1, At: c.At, Change: c.Change}
+	r.History = append(r.History, accepted)
+	if len(r.History) > maxHistory {
+		r.History = r.History[len(r.History)-maxHistory:]
+	}
+	r.dropGroups(&c.Change.Document)
+	return Configured{Accepted: accepted}
+}
+
+// dropGroups forgets the groups that the document does not declare.
+func (r *Register) dropGroups(document *ctconfig.Document) {
+	for name := range r.Groups {
+		if _, ok := document.Group(name); !ok {
+			delete(r.Groups, name)
+		}
+	}
+}
+
+func (r *Register) find(id ctid.Change) (ctconfig.Accepted, bool) {
+	for _, a := range r.History {
+		if a.Change.ID == id {
+			return a, true
+		}
+	}
+	return ctconfig.Accepted{}, false
+}
+
+// after returns the change that was accepted on top of a revision, or the
+// newest one where it is not kept or does not exist.
+func (r *Register) after(base ctid.Revision) ctconfig.Accepted {
+	for _, a := range r.History {
+		if a.Revision == base+1 {
+			return a
+		}
+	}
+	return r.Current()
+}
+
+func sameContent(a, b ctconfig.Change) bool {
+	return a.Base == b.Base && reflect.DeepEqual(a.Document, b.Document)
+}
+
+func (r *Register) setGroup(c SetGroup) Result {
+	name := c.Group.Name
+	document := r.Current().Change.Document
+	if _, declared := document.Group(name); !declared {
+		return GroupSet{Name: name}
+	}
+	current := r.Groups[name]
+	if current.Term != c.Term || current.Fence != c.Fence {
+		return GroupSet{Name: name}
+	}
+	if r.Groups == nil {
+		r.Groups = make(map[ctid.Group]ctview.Group)
+	}
+	r.Groups[name] = c.Group
+	r.Deeds = append(r.Deeds, Deed{At: c.At, Why: c.Why, Group: c.Group})
+	if len(r.Deeds) > maxDeeds {
+		r.Deeds = r.Deeds[len(r.Deeds)-maxDeeds:]
+	}
+	return GroupSet{Name: name, Taken: true}
+}
+
+// Terms returns the highest term that is decided on the group, be it in force
+// or being moved to.
+func Terms(group ctview.Group) ctposition.Term {
+	return max(group.Term, group.Fence)
+}
--- /dev/null
+++ b/internal/decide/ctretry/budget.go
@@ -0,0 +1,31 @@
+package ctretry
+
+// The terms of a budget, in hundredths of a retry.
+const (
+	// earnedPerRequest allows one retry for five requests.
+	earnedPerRequest = 20
+	// costOfRetry is one retry.
+	costOfRetry = 100
+	// maxSaved is what a quiet proxy saves up at most.
+	maxSaved = 100 * costOfRetry
+)
+
+// Budget counts the retries that are still allowed. Its zero value allows
+// maxSaved, as after a long quiet time.
+type Budget struct {
+	spent int
+}
+
+// Earn counts one request.
+func (b *Budget) Earn() {
+	b.spent = max(0, b.spent-earnedPerRequest)
+}
+
+// Spend takes one retry and reports whether the budget allows it.
+func (b *Budget) Spend() bool {
+	if b.spent+costOfRetry > maxSaved {
+		return false
+	}
+	b.spent += costOfRetry
+	return true
+}
--- /dev/null
+++ b/internal/decide/ctretry/wait.go
@@ -0,0 +1,27 @@
+package ctretry
+
+import "time"
+
+// The bounds of a wait.
+const (
+	firstWait = 10 * time.Millisecond
+	maxWait   = 160 * time.Millisecond
+)
+
+// Random gives random numbers.
+type Random interface {
+	// Int64N returns a number from 0 to n-1.
+	Int64N(n int64) int64
+}
+
+// Wait returns how long to wait before the retry that follows the stated
+// number of tries, from 1. The wait doubles with each try, up to a bound, and
+// lies between half of that and all of it.
+func Wait(tries int, random Random) time.Duration {
+	limit := maxWait
+	if shift := max(tries-1, 0); shift < 4 {
+		limit = firstWait << shift
+	}
+	half := int64(limit / 2)
+	return time.Duration(half + random.Int64N(half+1))
+}
--- /dev/null
+++ b/internal/decide/ctroute/choose.go
@@ -0,0 +1,125 @@
+package ctroute
+
+import (
+	"time"
+
+	"github.com/cherviltrestle/cherviltrestle/internal/fleet/ctholder"
+	"github.com/cherviltrestle/cherviltrestle/internal/model/ctid"
+	"github.com/cherviltrestle/cherviltrestle/internal/model/ctoutcome"
+	"github.com/cherviltrestle/cherviltrestle/internal/model/ctposition"
+	"github.com/cherviltrestle/cherviltrestle/internal/model/ctserver"
+	"github.com/cherviltrestle/cherviltrestle/internal/model/ctset"
+	"github.com/cherviltrestle/cherviltrestle/internal/model/ctview"
+)
+
+// remoteDelay is what a replica of another failure domain costs more than one
+// of the proxy's own.
+const remoteDelay = 3 * time.Millisecond
+
+// behindDelay is what a replica costs more that was last heard to lack what
+// the session has seen: it is tried after the others.
+const behindDelay = 250 * time.Millisecond
+
+// Query is what a choice depends on.
+type Query struct {
+	Group ctid.Group
+	// Replica reports whether a replica may serve the request.
+	Replica bool
+	// Seen is what the session has seen of the group.
+	Seen ctposition.Point
+	// Domain is the failure domain of the proxy that asks.
+	Domain ctid.FailureDomain
+	// Tried lists the members that refused the request already.
+	Tried ctset.Set[ctid.Member]
+	// Attempt counts the tries before this one; it spreads tries over the
+	// holders that may have taken over.
+	Attempt int
+}
+
+// Choose chooses the member that serves a request.
+func Choose(view *ctview.View, hints Hints, query Query) Choice {
+	group, ok := view.Groups[query.Group]
+	if !ok {
+		return refuseUnknown(view, query.Group)
+	}
+	if !query.Replica {
+		return primary(view, group, query, WhyWrite)
+	}
+	if send, ok := replica(view, hints, group, query); ok {
+		return send
+	}
+	return primary(view, group, query, WhyNoReplicaLeft)
+}
+
+// refuseUnknown tells a group that is declared but has no primary yet from one
+// that is not declared.
+func refuseUnknown(view *ctview.View, name ctid.Group) Choice {
+	if _, ok := view.Config.Document.Group(name); ok || view.Version == 0 {
+		return Refuse{Reason: ctoutcome.ReasonNoPrimary, Wait: true}
+	}
+	return Refuse{Reason: ctoutcome.ReasonNoGroup}
+}
+
+func primary(view *ctview.View, group ctview.Group, query Query, why Why) Choice {
+	if _, ok := view.Members[group.Primary]; !ok {
+		return Refuse{Reason: ctoutcome.ReasonNoPrimary, Wait: true}
+	}
+	holder, ok := holderOf(view, group.Primary, query.Attempt)
+	if !ok {
+		return Refuse{Reason: ctoutcome.ReasonNoHolder, Wait: true}
+	}
+	return Send{Member: group.Primary, Role: ctserver.RolePrimary, Holder: holder, Term: group.Term, Why: why}
+}
+
+// replica returns the replica with the lowest expected delay.
+func replica(view *ctview.View, hints Hints, group ctview.Group, query Query) (Send, bool) {
+	var best Send
+	var bestCost time.Duration
+	found := false
+	for _, name := range view.MembersOf(group.Name) {
+		member := view.Members[name]
+		if name == group.Primary || member.State != ctserver.StateReady || query.Tried.Has(name) {
+			continue
+		}
+		holder, ok := ctholder.Of(view, name)
+		if !ok {
+			continue
+		}
+		cost, why := price(hints, group, member, query)
+		if !found || cost < bestCost {
+			best = Send{Member: name, Role: ctserver.RoleReplica, Holder: holder, Term: group.Term, Why: why}
+			bestCost, found = cost, true
+		}
+	}
+	return best, found
+}
+
+// price returns the delay that is expected of a replica.
+func price(hints Hints, group ctview.Group, member ctserver.Announcement, query Query) (time.Duration, Why) {
+	cost, why := time.Duration(0), WhyLocalReplica
+	if member.FailureDomain != query.Domain {
+		cost, why = remoteDelay, WhyRemoteReplica
+	}
+	hint, ok := hints.Hint(member.Member)
+	if !ok {
+		return cost, why
+	}
+	cost += hint.Wait
+	if !group.History.Covers(hint.Applied, query.Seen) {
+		cost += behindDelay
+	}
+	return cost, why
+}
+
+// holderOf returns the holder of a member, and after failed tries the proxies
+// that take over from it in turn.
+func holderOf(view *ctview.View, member ctid.Member, attempt int) (ctview.Proxy, bool) {
+	if attempt == 0 {
+		return ctholder.Of(view, member)
+	}
+	ranked := ctholder.Rank(view, member)
+	if len(ranked) == 0 {
+		return ctview.Proxy{}, false
+	}
+	return ranked[attempt%len(ranked)], true
+}
--- /dev/null
+++ b/internal/decide/ctsession/step.go
@@ -0,0 +1,307 @@
+package ctsession
+
+import (
+	"github.com/cherviltrestle/cherviltrestle/internal/decide/ctretry"
+	"github.com/cherviltrestle/cherviltrestle/internal/decide/ctroute"
+	"github.com/cherviltrestle/cherviltrestle/internal/decide/ctstatement"
+	"github.com/cherviltrestle/cherviltrestle/internal/model/ctconfig"
+	"github.com/cherviltrestle/cherviltrestle/internal/model/ctoutcome"
+	"github.com/cherviltrestle/cherviltrestle/internal/model/ctposition"
+	"github.com/cherviltrestle/cherviltrestle/internal/model/ctserver"
+)
+
+// Step takes one event and returns the effects to perform, in order.
+func (s *Session) Step(world *World, event Event) []Effect {
+	if s.stage == stageEnded {
+		return nil
+	}
+	switch e := event.(type) {
+	case Opened:
+		return []Effect{s.armIdle(world)}
+	case Asked:
+		return s.ask(world, e)
+	case Answered:
+		return s.answer(world, e)
+	case Refused:
+		return s.refuse(world, e)
+	case Broken:
+		return s.breakOff(world, e)
+	case Woken:
+		return s.wake(world)
+	case Idled:
+		return s.idle(world)
+	case Left:
+		return s.leave()
+	case Drained:
+		return s.drain(world)
+	}
+	return nil
+}
+
+func (s *Session) ask(world *World, e Asked) []Effect {
+	s.sequence++
+	settings := s.settings(world)
+	s.asked = request{
+		class:    e.Class,
+		deadline: world.Now.Add(settings.Sessions.RequestTimeout.Or(ctconfig.DefaultRequestTimeout)),
+		age:      s.MaxAge.Or(settings.Reads.MaxAge.Or(ctconfig.DefaultMaxAge)),
+		primary:  settings.Reads.PlainSelects == ctconfig.PlainPrimary && !s.ReadOnly && e.Class == ctstatement.Select,
+	}
+	if reason := refusedClass(e.Class); reason != ctoutcome.ReasonNone {
+		return s.fail(world, ctoutcome.NotRun{Reason: reason})
+	}
+	if s.transaction {
+		return s.proceed(world)
+	}
+	world.Budget.Earn()
+	return s.dispatch(world)
+}
+
+// refusedClass returns why a class of request is never carried.
+func refusedClass(class ctstatement.Class) ctoutcome.Reason {
+	switch class {
+	case ctstatement.Copy:
+		return ctoutcome.ReasonCopy
+	case ctstatement.SessionState:
+		return ctoutcome.ReasonSessionState
+	default:
+		return ctoutcome.ReasonNone
+	}
+}
+
+// proceed sends the next request of an open transaction.
+func (s *Session) proceed(world *World) []Effect {
+	s.stage = stageRunning
+	return []Effect{Send{
+		Request:   s.request(world),
+		Choice:    s.route,
+		ReadOnly:  s.readOnly(),
+		Remaining: s.asked.deadline.Sub(world.Now),
+		Continue:  true,
+	}}
+}
+
+// dispatch chooses a member for the request in hand and sends it.
+func (s *Session) dispatch(world *World) []Effect {
+	choice := ctroute.Choose(world.View, world.Hints, ctroute.Query{
+		Group:   s.Group,
+		Replica: s.mayUseReplica(),
+		Seen:    s.Seen,
+		Domain:  world.Domain,
+		Tried:   s.asked.tried,
+		Attempt: s.asked.tries,
+	})
+	switch c := choice.(type) {
+	case ctroute.Send:
+		return s.send(world, c)
+	case ctroute.Refuse:
+		if c.Wait {
+			return s.wait(world, c.Reason)
+		}
+		return s.fail(world, ctoutcome.NotRun{Reason: c.Reason})
+	}
+	return nil
+}
+
+func (s *Session) send(world *World, route Route) []Effect {
+	s.stage = stageRunning
+	s.route = route
+	send := Send{
+		Request:   s.request(world),
+		Choice:    route,
+		ReadOnly:  s.readOnly(),
+		Need:      s.Seen,
+		Remaining: s.asked.deadline.Sub(world.Now),
+	}
+	if s.onReplica() {
+		send.MaxAge = s.asked.age
+	}
+	return []Effect{send}
+}
+
+// mayUseReplica reports whether the request in hand may be tried on a replica.
+func (s *Session) mayUseReplica() bool {
+	if s.asked.primary {
+		return false
+	}
+	switch s.asked.class {
+	case ctstatement.Select, ctstatement.BeginReadOnly, ctstatement.Empty:
+		return true
+	default:
+		return s.ReadOnly
+	}
+}
+
+// wait puts the request in hand off until a member may be found for it.
+func (s *Session) wait(world *World, reason ctoutcome.Reason) []Effect {
+	wait := ctretry.Wait(s.asked.tries, world.Random)
+	if !world.Now.Add(wait).Before(s.asked.deadline) {
+		return s.fail(world, ctoutcome.NotRun{Reason: reason})
+	}
+	s.stage = stageWaiting
+	return []Effect{Wait{For: wait}}
+}
+
+func (s *Session) wake(world *World) []Effect {
+	if s.stage != stageWaiting {
+		return nil
+	}
+	return s.dispatch(world)
+}
+
+func (s *Session) answer(world *World, e Answered) []Effect {
+	if s.stage != stageRunning {
+		return nil
+	}
+	s.transaction = e.Transaction
+	s.Seen = ctposition.Later(s.Seen, e.Point)
+	finish := Finish{Request: s.request(world), Outcome: ctoutcome.Ran{Point: e.Point}, Seen: s.Seen}
+	if e.Transaction {
+		s.stage = stageOpen
+		return []Effect{finish, s.armTransaction(world)}
+	}
+	return append([]Effect{finish, Release{}}, s.rest(world)...)
+}
+
+// refuse handles a refusal: nothing of the request ran.
+func (s *Session) refuse(world *World, e Refused) []Effect {
+	if s.stage != stageRunning {
+		return nil
+	}
+	if s.transaction {
+		return s.hangup(world, ctoutcome.NotRun{Reason: e.Reason}, HangupTransactionLost)
+	}
+	return append([]Effect{Release{}}, s.again(world, e.Reason)...)
+}
+
+// again tries the request in hand elsewhere, or later, or gives it up.
+func (s *Session) again(world *World, reason ctoutcome.Reason) []Effect {
+	s.asked.tries++
+	if reason == ctoutcome.ReasonReadOnly {
+		return s.needPrimary(world)
+	}
+	if s.onReplica() {
+		s.asked.tried.Add(s.route.Member)
+		return s.dispatch(world)
+	}
+	if !mayPass(reason) || !world.Budget.Spend() {
+		return s.fail(world, ctoutcome.NotRun{Reason: reason})
+	}
+	return s.wait(world, reason)
+}
+
+// needPrimary sends a request that proved to write to the primary, unless the
+// caller declared that it would not write.
+func (s *Session) needPrimary(world *World) []Effect {
+	if s.ReadOnly {
+		return s.fail(world, ctoutcome.NotRun{Reason: ctoutcome.ReasonReadOnly})
+	}
+	s.asked.primary = true
+	return s.dispatch(world)
+}
+
+// mayPass reports whether a refusal for the stated reason may pass by itself
+// before the request's deadline.
+func mayPass(reason ctoutcome.Reason) bool {
+	switch reason {
+	case ctoutcome.ReasonNotHolder, ctoutcome.ReasonHolderUnreachable, ctoutcome.ReasonNoLease,
+		ctoutcome.ReasonLeaving, ctoutcome.ReasonConnect, ctoutcome.ReasonNoPrimary:
+		return true
+	default:
+		return false
+	}
+}
+
+// breakOff handles a way that failed before the answer was complete.
+func (s *Session) breakOff(world *World, e Broken) []Effect {
+	if s.stage != stageRunning {
+		return nil
+	}
+	switch {
+	case !e.Sent:
+		return s.refuse(world, Refused{Reason: e.Reason})
+	case s.transaction:
+		return s.hangup(world, ctoutcome.Unknown{Reason: e.Reason}, HangupTransactionLost)
+	case s.harmless() && !e.Relayed:
+		return append([]Effect{Release{}}, s.again(world, e.Reason)...)
+	}
+	return append([]Effect{Release{}}, s.fail(world, ctoutcome.Unknown{Reason: e.Reason})...)
+}
+
+// harmless reports whether the request in hand can be sent again after it was
+// sent once: it can't have written anything.
+func (s *Session) harmless() bool {
+	switch s.asked.class {
+	case ctstatement.Begin, ctstatement.BeginReadOnly, ctstatement.Empty:
+		return true
+	default:
+		return s.onReplica()
+	}
+}
+
+// fail ends the request in hand with an outcome other than Ran.
+func (s *Session) fail(world *World, outcome ctoutcome.Outcome) []Effect {
+	if s.transaction {
+		return s.hangup(world, outcome, HangupTransactionLost)
+	}
+	finish := Finish{Request: s.request(world), Outcome: outcome, Seen: s.Seen}
+	return append([]Effect{finish}, s.rest(world)...)
+}
+
+// rest returns the session to idleness, or ends it where the proxy is to stop.
+func (s *Session) rest(world *World) []Effect {
+	s.stage = stageIdle
+	if s.draining {
+		return s.hangup(world, ctoutcome.NotRun{Reason: ctoutcome.ReasonLeaving}, HangupDrain)
+	}
+	return []Effect{s.armIdle(world)}
+}
+
+func (s *Session) hangup(world *World, outcome ctoutcome.Outcome, why HangupReason) []Effect {
+	s.stage = stageEnded
+	return []Effect{Release{}, Hangup{Request: s.request(world), Outcome: outcome, Why: why}}
+}
+
+// idle ends a session whose deadline passed between requests.
+func (s *Session) idle(world *World) []Effect {
+	switch s.stage {
+	case stageIdle:
+		return s.hangup(world, ctoutcome.NotRun{Reason: ctoutcome.ReasonIdle}, HangupIdle)
+	case stageOpen:
+		return s.hangup(world, ctoutcome.NotRun{Reason: ctoutcome.ReasonIdle}, HangupTransactionIdle)
+	default:
+		return nil
+	}
+}
+
+func (s *Session) leave() []Effect {
+	s.stage = stageEnded
+	return []Effect{Release{}}
+}
+
+// drain ends an idle session; one with work in hand ends after it.
+func (s *Session) drain(world *World) []Effect {
+	s.draining = true
+	if s.stage != stageIdle {
+		return nil
+	}
+	return s.hangup(world, ctoutcome.NotRun{Reason: ctoutcome.ReasonLeaving}, HangupDrain)
+}
+
+func (s *Session) armIdle(world *World) Effect {
+	return Arm{For: s.settings(world).Sessions.IdleTimeout.Or(ctconfig.DefaultIdleTimeout)}
+}
+
+func (s *Session) armTransaction(world *World) Effect {
+	return Arm{For: s.settings(world).Sessions.TransactionTimeout.Or(ctconfig.DefaultTransaction)}
+}
+
+// onReplica reports whether the request in hand was sent to a replica.
+func (s *Session) onReplica() bool {
+	return s.route.Role == ctserver.RoleReplica
+}
+
+// readOnly reports whether the request in hand must not write.
+func (s *Session) readOnly() bool {
+	return s.ReadOnly || s.onReplica()
+}
--- /dev/null
+++ b/internal/fleet/ctroster/roster.go
@@ -0,0 +1,198 @@
+package ctroster
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/cherviltrestle/cherviltrestle/internal/model/ctid"
+	"github.com/cherviltrestle/cherviltrestle/internal/model/ctserver"
+	"github.com/cherviltrestle/cherviltrestle/internal/model/ctview"
+)
+
+// epochShift leaves room for 2^40 versions in each epoch of control.
+const epochShift = 40
+
+// maxGone is how many entries that went away are remembered. A proxy that
+// missed more gets the whole view.
+const maxGone = 4096
+
+// Epoch numbers the leaders of control.
+type Epoch uint64
+
+// Roster is the soft state of control's leader, which reports rebuild.
+type Roster struct {
+	version ctview.Version
+	first   ctview.Version
+	proxies map[ctid.Proxy]*proxy
+	members map[ctid.Member]*member
+	groups  map[ctid.Group]*group
+	config  ctview.Config
+	// configured is the version at which the configuration changed.
+	configured ctview.Version
+	gone       []gone
+}
+
+type proxy struct {
+	entry   ctview.Proxy
+	version ctview.Version
+	heard   time.Time
+	// revision is the configuration that the proxy has in force.
+	revision ctid.Revision
+	inForce  ctview.Version
+}
+
+type member struct {
+	entry   ctserver.Announcement
+	version ctview.Version
+	heard   time.Time
+}
+
+type group struct {
+	entry   ctview.Group
+	version ctview.Version
+}
+
+// gone is an entry that went away: one of its names is set.
+type gone struct {
+	version ctview.Version
+	proxy   ctid.Proxy
+	member  ctid.Member
+	group   ctid.Group
+}
+
+// Begin empties the roster for the leader of an epoch.
+func (r *Roster) Begin(epoch Epoch) {
+	first := ctview.Version(epoch) << epochShift
+	*r = Roster{
+		version: first,
+		first:   first,
+		proxies: make(map[ctid.Proxy]*proxy),
+		members: make(map[ctid.Member]*member),
+		groups:  make(map[ctid.Group]*group),
+	}
+}
+
+// Version returns the newest version.
+func (r *Roster) Version() ctview.Version {
+	return r.version
+}
+
+// Hear takes a proxy's report and reports whether the view has changed.
+func (r *Roster) Hear(now time.Time, report *ctview.Report) bool {
+	before := r.version
+	r.hearProxy(now, report)
+	for i := range report.Seen {
+		r.hearMember(now, &report.Seen[i])
+	}
+	return r.version != before
+}
+
+func (r *Roster) hearProxy(now time.Time, report *ctview.Report) {
+	row, ok := r.proxies[report.Proxy.Name]
+	if !ok {
+		row = &proxy{}
+		r.proxies[report.Proxy.Name] = row
+	}
+	if ok && report.Proxy.Incarnation < row.entry.Incarnation {
+		return
+	}
+	row.heard = now
+	row.revision = report.Revision
+	row.inForce = report.Version
+	if row.entry != report.Proxy {
+		row.entry = report.Proxy
+		row.version = r.next()
+	}
+}
+
+// hearMember takes an announcement. One of an earlier run of the member's
+// process is out of date and changes nothing.
+func (r *Roster) hearMember(now time.Time, announced *ctserver.Announcement) {
+	row, ok := r.members[announced.Member]
+	if !ok {
+		row = &member{}
+		r.members[announced.Member] = row
+	}
+	if ok && !announced.Supersedes(&row.entry) {
+		return
+	}
+	row.heard = now
+	if row.entry != *announced {
+		row.entry = *announced
+		row.version = r.next()
+	}
+}
+
+// SetGroup takes what is decided on a group.
+func (r *Roster) SetGroup(entry ctview.Group) {
+	row, ok := r.groups[entry.Name]
+	if !ok {
+		row = &group{}
+		r.groups[entry.Name] = row
+	}
+	row.entry = entry
+	row.version = r.next()
+}
+
+// DropGroup forgets a group that is not declared any more.
+func (r *Roster) DropGroup(name ctid.Group) {
+	if _, ok := r.groups[name]; !ok {
+		return
+	}
+	delete(r.groups, name)
+	r.leave(gone{group: name})
+}
+
+// SetConfig takes an accepted configuration.
+func (r *Roster) SetConfig(config ctview.Config) {
+	if config.Revision <= r.config.Revision {
+		return
+	}
+	r.config = config
+	r.configured = r.next()
+}
+
+// Expire drops the proxies and members that were not heard of since the stated
+// times, and returns the names of the proxies.
+func (r *Roster) Expire(proxySince, memberSince time.Time) []ctid.Proxy {
+	var expired []ctid.Proxy
+	for _, name := range slices.Sorted(maps.Keys(r.proxies)) {
+		if r.proxies[name].heard.Before(proxySince) {
+			delete(r.proxies, name)
+			r.leave(gone{proxy: name})
+			expired = append(expired, name)
+		}
+	}
+	for _, name := range slices.Sorted(maps.Keys(r.members)) {
+		if r.members[name].heard.Before(memberSince) {
+			delete(r.members, name)
+			r.leave(gone{member: name})
+		}
+	}
+	return expired
+}
+
+// Unconfirmed returns the proxies that do not have the revision in force yet.
+func (r *Roster) Unconfirmed(revision ctid.Revision) []ctid.Proxy {
+	var names []ctid.Proxy
+	for _, name := range slices.Sorted(maps.Keys(r.proxies)) {
+		if r.proxies[name].revision < revision {
+			names = append(names, name)
+		}
+	}
+	return names
+}
+
+func (r *Roster) leave(entry gone) {
+	entry.version = r.next()
+	r.gone = append(r.gone, entry)
+	if len(r.gone) > maxGone {
+		r.gone = r.gone[len(r.gone)-maxGone:]
+	}
+}
+
+func (r *Roster) next() ctview.Version {
+	r.version++
+	return r.version
+}
--- /dev/null
+++ b/internal/fleet/ctroster/since.go
@@ -0,0 +1,101 @@
+package ctroster
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/cherviltrestle/cherviltrestle/internal/model/ctid"
+	"github.com/cherviltrestle/cherviltrestle/internal/model/ctserver"
+	"github.com/cherviltrestle/cherviltrestle/internal/model/ctview"
+)
+
+// Since returns the delta from a version to the newest one, or nil where there
+// is nothing newer. A version of another leader, or one that lies too far back,
+// gets the whole view.
+func (r *Roster) Since(version ctview.Version) *ctview.Delta {
+	if version == r.version {
+		return nil
+	}
+	if version < r.first || version > r.version || r.forgotten(version) {
+		version = 0
+	}
+	delta := &ctview.Delta{From: version, To: r.version}
+	r.addProxies(delta)
+	r.addMembers(delta)
+	r.addGroups(delta)
+	if r.configured > version || version == 0 {
+		config := r.config
+		delta.Config = &config
+	}
+	if version > 0 {
+		r.addGone(delta)
+	}
+	return delta
+}
+
+// forgotten reports whether entries that went away after the version are not
+// remembered any more.
+func (r *Roster) forgotten(version ctview.Version) bool {
+	return len(r.gone) >= maxGone && version < r.gone[0].version
+}
+
+func (r *Roster) addProxies(delta *ctview.Delta) {
+	for _, row := range r.proxies {
+		if row.version > delta.From {
+			delta.Proxies = append(delta.Proxies, row.entry)
+		}
+	}
+	slices.SortFunc(delta.Proxies, func(a, b ctview.Proxy) int { return cmp.Compare(a.Name, b.Name) })
+}
+
+func (r *Roster) addMembers(delta *ctview.Delta) {
+	for _, row := range r.members {
+		if row.version > delta.From {
+			delta.Members = append(delta.Members, row.entry)
+		}
+	}
+	slices.SortFunc(delta.Members, func(a, b ctserver.Announcement) int { return cmp.Compare(a.Member, b.Member) })
+}
+
+func (r *Roster) addGroups(delta *ctview.Delta) {
+	for _, row := range r.groups {
+		if row.version > delta.From {
+			delta.Groups = append(delta.Groups, row.entry)
+		}
+	}
+	slices.SortFunc(delta.Groups, func(a, b ctview.Group) int { return cmp.Compare(a.Name, b.Name) })
+}
+
+// addGone lists the entries that went away after the version and did not come
+// back.
+func (r *Roster) addGone(delta *ctview.Delta) {
+	for _, entry := range r.gone {
+		if entry.version <= delta.From {
+			continue
+		}
+		if r.wentProxy(entry.proxy) {
+			delta.GoneProxies = append(delta.GoneProxies, entry.proxy)
+		}
+		if r.wentMember(entry.member) {
+			delta.GoneMembers = append(delta.GoneMembers, entry.member)
+		}
+		if r.wentGroup(entry.group) {
+			delta.GoneGroups = append(delta.GoneGroups, entry.group)
+		}
+	}
+}
+
+func (r *Roster) wentProxy(name ctid.Proxy) bool {
+	_, back := r.proxies[name]
+	return name != "" && !back
+}
+
+func (r *Roster) wentMember(name ctid.Member) bool {
+	_, back := r.members[name]
+	return name != "" && !back
+}
+
+func (r *Roster) wentGroup(name ctid.Group) bool {
+	_, back := r.groups[name]
+	return name != "" && !back
+}
