link: speak to callers, backend servers, peers and disks

Cause: the path needs the PostgreSQL protocol on both sides, frames between our processes, keys, and a synced store. Conclusion: builds; codecs and protocols come from libraries.

--- /dev/null
+++ b/internal/link/ctbackend/query.go
@@ -0,0 +1,105 @@
+package ctbackend
+
+import (
+	"context"
+	"strconv"
+
+	"github.com/jackc/pgx/v5/pgproto3"
+	"github.com/pkg/errors"
+
+	"github.com/cherviltrestle/cherviltrestle/internal/model/cterror"
+	"github.com/cherviltrestle/cherviltrestle/internal/model/ctid"
+	"github.com/cherviltrestle/cherviltrestle/internal/model/ctposition"
+	"github.com/cherviltrestle/cherviltrestle/internal/model/ctserver"
+)
+
+// statusColumns is the number of columns that ctserver.StatusQuery returns.
+const statusColumns = 6
+
+// rows collects the rows of an answer as text.
+type rows struct {
+	values [][]string
+	failed *pgproto3.ErrorResponse
+}
+
+// Message takes one message of the answer.
+func (r *rows) Message(message Message) error {
+	switch message.Type() {
+	case 'D':
+		return r.row(message)
+	case TypeErrorResponse:
+		r.failed = &pgproto3.ErrorResponse{}
+		return r.failed.Decode(message[HeaderBytes:])
+	}
+	return nil
+}
+
+func (r *rows) row(message Message) error {
+	var row pgproto3.DataRow
+	if err := row.Decode(message[HeaderBytes:]); err != nil {
+		return errors.Wrap(err, "decode a row")
+	}
+	values := make([]string, len(row.Values))
+	for i, v := range row.Values {
+		values[i] = string(v)
+	}
+	r.values = append(r.values, values)
+	return nil
+}
+
+// Query runs a statement of the system's own and returns its rows as text. An
+// error that the backend server answers has the kind cterror.Unavailable and
+// leaves the connection usable.
+func (c *Conn) Query(ctx context.Context, text string) ([][]string, error) {
+	payload, err := (&pgproto3.Query{String: text}).Encode(nil)
+	if err != nil {
+		return nil, errors.Wrap(err, "encode a query")
+	}
+	var result rows
+	if _, err := c.Run(ctx, payload, &result); err != nil {
+		return nil, err
+	}
+	if result.failed != nil {
+		return nil, cterror.Newf(cterror.Unavailable, "check the backend server's log",
+			"the backend server refused %q: %s (%s)", text, result.failed.Message, result.failed.Code)
+	}
+	return result.values, nil
+}
+
+// Status asks the member for its status.
+func (c *Conn) Status(ctx context.Context) (ctserver.Status, error) {
+	values, err := c.Query(ctx, ctserver.StatusQuery)
+	if err != nil {
+		return ctserver.Status{}, err
+	}
+	if len(values) != 1 || len(values[0]) != statusColumns {
+		return ctserver.Status{}, badStatus("it is not one row of six columns")
+	}
+	return parseStatus(values[0])
+}
+
+func parseStatus(columns []string) (ctserver.Status, error) {
+	var status ctserver.Status
+	if err := status.Role.UnmarshalText([]byte(columns[0])); err != nil {
+		return status, err
+	}
+	numbers := make([]uint64, 0, statusColumns-1)
+	for _, text := range columns[1:] {
+		number, err := strconv.ParseUint(text, 10, 64)
+		if err != nil {
+			return status, badStatus("a number can't be read")
+		}
+		numbers = append(numbers, number)
+	}
+	term := ctposition.Term(numbers[0])
+	status.Received = ctposition.Point{Term: term, Position: ctposition.Position(numbers[1])}
+	status.Applied = ctposition.Point{Term: term, Position: ctposition.Position(numbers[2])}
+	status.Fence = ctposition.Term(numbers[3])
+	status.Incarnation = ctid.Incarnation(numbers[4])
+	return status, nil
+}
+
+func badStatus(what string) error {
+	return cterror.New(cterror.Invalid, "the member's status can't be used: "+what,
+		"install the view group_status on every member")
+}
--- /dev/null
+++ b/internal/link/ctbackend/run.go
@@ -0,0 +1,137 @@
+package ctbackend
+
+import (
+	"context"
+	"encoding/binary"
+	"io"
+	"time"
+
+	"github.com/jackc/pgx/v5/pgproto3"
+	"github.com/pkg/errors"
+
+	"github.com/cherviltrestle/cherviltrestle/internal/model/cterror"
+)
+
+// The transaction states that ReadyForQuery tells.
+const (
+	TransactionIdle   = 'I'
+	TransactionOpen   = 'T'
+	TransactionFailed = 'E'
+)
+
+// The types of messages that the proxy looks at.
+const (
+	TypeCommandComplete = 'C'
+	TypeErrorResponse   = 'E'
+	TypeReadyForQuery   = 'Z'
+	TypeParseComplete   = '1'
+	TypeCopyIn          = 'G'
+	TypeCopyOut         = 'H'
+	TypeCopyBoth        = 'W'
+)
+
+// HeaderBytes is the size of a message's type and length.
+const HeaderBytes = 5
+
+// maxMessage is the largest message that is passed on, in bytes.
+const maxMessage = 16 << 20
+
+// Message is one whole message of the PostgreSQL protocol, with its header.
+type Message []byte
+
+// Type returns the message's type.
+func (m Message) Type() byte {
+	return m[0]
+}
+
+// Sink takes the messages of an answer. The message is valid during the call.
+type Sink interface {
+	Message(message Message) error
+}
+
+// End tells how a request's answer ended.
+type End struct {
+	// Transaction is one of TransactionIdle, TransactionOpen and
+	// TransactionFailed.
+	Transaction byte
+	// Sent reports whether any byte of the request may have reached the
+	// backend server.
+	Sent bool
+}
+
+// Run sends a request and hands the answer to sink, up to the ReadyForQuery
+// that ends it. An error leaves the connection broken.
+func (c *Conn) Run(ctx context.Context, payload []byte, sink Sink) (End, error) {
+	stop := c.watch(ctx)
+	defer stop()
+	if count, err := c.socket.Write(payload); err != nil {
+		c.broken = true
+		return End{Sent: count > 0}, errors.Wrap(err, "send the request")
+	}
+	c.used = true
+	end, err := c.relay(sink)
+	c.status = end.Transaction
+	if err != nil {
+		c.broken = true
+	}
+	return end, err
+}
+
+// watch breaks the connection's input and output when ctx ends.
+func (c *Conn) watch(ctx context.Context) func() {
+	if deadline, ok := ctx.Deadline(); ok {
+		_ = c.socket.SetDeadline(deadline)
+	} else {
+		_ = c.socket.SetDeadline(time.Time{})
+	}
+	stop := context.AfterFunc(ctx, func() {
+		_ = c.socket.SetDeadline(time.Unix(1, 0))
+	})
+	return func() { stop() }
+}
+
+func (c *Conn) relay(sink Sink) (End, error) {
+	var buffer []byte
+	for {
+		message, err := c.read(buffer)
+		if err != nil {
+			return End{Sent: true}, err
+		}
+		buffer = message
+		if err := sink.Message(message); err != nil {
+			return End{Sent: true}, err
+		}
+		if message.Type() == TypeReadyForQuery && len(message) > HeaderBytes {
+			return End{Sent: true, Transaction: message[HeaderBytes]}, nil
+		}
+	}
+}
+
+// read reads one message, into buffer where it fits.
+func (c *Conn) read(buffer []byte) (Message, error) {
+	header, err := c.reader.Peek(HeaderBytes)
+	if err != nil {
+		return nil, errors.Wrap(err, "read from the backend server")
+	}
+	size := int(binary.BigEndian.Uint32(header[1:])) + 1
+	if size < HeaderBytes || size > maxMessage {
+		return nil, cterror.Newf(cterror.Invalid, "ask for smaller rows", "a message of %d bytes is over the limit", size)
+	}
+	if cap(buffer) < size {
+		buffer = make([]byte, size)
+	}
+	buffer = buffer[:size]
+	if _, err := io.ReadFull(c.reader, buffer); err != nil {
+		return nil, errors.Wrap(err, "read from the backend server")
+	}
+	return Message(buffer), nil
+}
+
+// ErrorCode returns the SQLSTATE of an ErrorResponse.
+func ErrorCode(message Message) string {
+	var response pgproto3.ErrorResponse
+	if err := response.Decode(message[HeaderBytes:]); err != nil {
+		return ""
+	}
+	return response.Code
+}
--- /dev/null
+++ b/internal/link/ctframe/fleet.go
@@ -0,0 +1,87 @@
+package ctframe
+
+import (
+	"time"
+
+	"github.com/cherviltrestle/cherviltrestle/internal/model/ctid"
+	"github.com/cherviltrestle/cherviltrestle/internal/model/ctposition"
+	"github.com/cherviltrestle/cherviltrestle/internal/model/ctview"
+)
+
+// Report is a proxy's heartbeat to control.
+type Report struct {
+	ctview.Report
+}
+
+// Reply is control's answer to a heartbeat.
+type Reply struct {
+	ctview.Reply
+}
+
+// Position asks a primary's holder for the group's position.
+type Position struct {
+	Group ctid.Group `cbor:"group"`
+}
+
+// At answers Position. Its point is zero where the holder has no valid lease.
+type At struct {
+	Group ctid.Group       `cbor:"group"`
+	Point ctposition.Point `cbor:"point"`
+	// Ago is how long before the answer the member was asked, on the clock of
+	// the primary's holder.
+	Ago time.Duration `cbor:"ago,omitempty"`
+}
+
+// Await asks a replica's holder to tell when the replica has received the log
+// up to a point.
+type Await struct {
+	Member ctid.Member      `cbor:"member"`
+	Point  ctposition.Point `cbor:"point"`
+}
+
+// Received tells up to which point a replica holds the log.
+type Received struct {
+	Member ctid.Member      `cbor:"member"`
+	Point  ctposition.Point `cbor:"point"`
+}
+
+// Watch asks control to answer as soon as there is a view newer than Version.
+type Watch struct {
+	Version ctview.Version `cbor:"version"`
+}
+
+// Fetch asks a peer for its view, where control can't be reached.
+type Fetch struct {
+	Version ctview.Version `cbor:"version"`
+}
+
+// Fetched answers Fetch.
+type Fetched struct {
+	Delta *ctview.Delta `cbor:"delta,omitempty"`
+}
+
+// Check reports the first fault of the frame.
+func (f *Fetched) Check() error {
+	if f.Delta == nil {
+		return nil
+	}
+	return f.Delta.Check()
+}
+
+// Fault answers a frame that can't be served.
+type Fault struct {
+	Kind    string `cbor:"kind"`
+	Message string `cbor:"message"`
+	Remedy  string `cbor:"remedy"`
+}
+
+func (*Report) kind() kind   { return kindReport }
+func (*Reply) kind() kind    { return kindReply }
+func (*Position) kind() kind { return kindPosition }
+func (*At) kind() kind       { return kindAt }
+func (*Await) kind() kind    { return kindAwait }
+func (*Received) kind() kind { return kindReceived }
+func (*Watch) kind() kind    { return kindWatch }
+func (*Fetch) kind() kind    { return kindFetch }
+func (*Fetched) kind() kind  { return kindFetched }
+func (*Fault) kind() kind    { return kindFault }
--- /dev/null
+++ b/internal/link/cthttp/http.go
@@ -0,0 +1,113 @@
+package cthttp
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+
+	"github.com/pkg/errors"
+
+	"github.com/cherviltrestle/cherviltrestle/internal/model/cterror"
+)
+
+// maxBody is the largest body that is read, in bytes.
+const maxBody = 8 << 20
+
+// Failure is the body of an answer that tells an error.
+type Failure struct {
+	Kind    string `json:"kind"`
+	Message string `json:"message"`
+	Remedy  string `json:"remedy"`
+}
+
+// Read decodes the body of a request. Fields that are not known are an error,
+// so that a misspelt one is not passed over.
+func Read(w http.ResponseWriter, r *http.Request, value any) error {
+	decoder := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxBody))
+	decoder.DisallowUnknownFields()
+	if err := decoder.Decode(value); err != nil {
+		return cterror.Wrap(cterror.Invalid, err, "read the body", "send one JSON object with the documented fields")
+	}
+	return nil
+}
+
+// Write answers with a value as JSON.
+func Write(w http.ResponseWriter, status int, value any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(value)
+}
+
+// Fail answers with an error.
+func Fail(w http.ResponseWriter, err error) {
+	failure := Failure{Kind: cterror.KindOf(err).String(), Message: err.Error()}
+	var typed *cterror.Error
+	if errors.As(err, &typed) {
+		failure.Message, failure.Remedy = typed.Message, typed.Remedy
+	}
+	Write(w, statusOf(cterror.KindOf(err)), failure)
+}
+
+func statusOf(kind cterror.Kind) int {
+	switch kind {
+	case cterror.Invalid:
+		return http.StatusBadRequest
+	case cterror.Conflict:
+		return http.StatusConflict
+	case cterror.Denied:
+		return http.StatusForbidden
+	case cterror.Exhausted:
+		return http.StatusTooManyRequests
+	case cterror.Unavailable, cterror.Expired:
+		return http.StatusServiceUnavailable
+	case cterror.Internal:
+		return http.StatusInternalServerError
+	}
+	return http.StatusInternalServerError
+}
+
+// kindOf returns the kind that a failure names.
+func kindOf(name string) cterror.Kind {
+	for k := cterror.Internal; k <= cterror.Expired; k++ {
+		if k.String() == name {
+			return k
+		}
+	}
+	return cterror.Internal
+}
+
+// Call sends a request with a JSON body, or none where body is nil, and decodes
+// the answer into answer. An answer that tells an error is returned as one.
+func Call(ctx context.Context, client *http.Client, method, url string, body, answer any) error {
+	var reader io.Reader
+	if body != nil {
+		data, err := json.Marshal(body)
+		if err != nil {
+			return errors.Wrap(err, "encode the request")
+		}
+		reader = bytes.NewReader(data)
+	}
+	request, err := http.NewRequestWithContext(ctx, method, url, reader)
+	if err != nil {
+		return errors.Wrap(err, "prepare the request")
+	}
+	response, err := client.Do(request)
+	if err != nil {
+		return cterror.Wrap(cterror.Unavailable, err, "call "+url, "check the address and that the process runs")
+	}
+	defer func() { _ = response.Body.Close() }()
+	decoder := json.NewDecoder(io.LimitReader(response.Body, maxBody))
+	if response.StatusCode >= http.StatusBadRequest {
+		var failure Failure
+		if err := decoder.Decode(&failure); err != nil {
+			return cterror.Newf(cterror.Unavailable, "check the address", "%s answered %s", url, response.Status)
+		}
+		return cterror.New(kindOf(failure.Kind), failure.Message, failure.Remedy)
+	}
+	if answer == nil || response.StatusCode == http.StatusNoContent {
+		return nil
+	}
+	return errors.Wrap(decoder.Decode(answer), "decode the answer")
+}
--- /dev/null
+++ b/internal/link/ctkey/create.go
@@ -0,0 +1,171 @@
+package ctkey
+
+import (
+	"crypto/ecdsa"
+	"crypto/elliptic"
+	"crypto/rand"
+	"crypto/x509"
+	"crypto/x509/pkix"
+	"encoding/pem"
+	"math/big"
+	"os"
+	"path/filepath"
+	"time"
+
+	"github.com/cherviltrestle/cherviltrestle/internal/model/cterror"
+)
+
+// PeerName is the DNS name in every certificate that Issue makes. Processes are
+// reached by IP numbers, which change; the name is what peers check.
+const PeerName = "peer.cherviltrestle.internal"
+
+// The lifetimes of certificates.
+const (
+	authorityLifetime = 10 * 365 * 24 * time.Hour
+	nodeLifetime      = 2 * 365 * 24 * time.Hour
+	// backdated allows for clocks that run behind.
+	backdated = time.Hour
+)
+
+const (
+	serialBits = 120
+	folderMode = 0o700
+	secretMode = 0o600
+	publicMode = 0o644
+)
+
+// Create makes the authority and the token key of a new fleet in the folder.
+// It refuses a folder that has an authority already.
+func Create(folder string, fleet string, now time.Time) error {
+	if _, err := os.Stat(filepath.Join(folder, fileAuthorityKey)); err == nil {
+		return cterror.Newf(cterror.Conflict, "name another folder, or issue certificates from this one",
+			"%s holds an authority already", folder)
+	}
+	if err := os.MkdirAll(folder, folderMode); err != nil {
+		return keyError(err, "create the key folder")
+	}
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	if err != nil {
+		return keyError(err, "create the authority's key")
+	}
+	template, err := newTemplate(fleet+" authority", now, authorityLifetime)
+	if err != nil {
+		return err
+	}
+	template.IsCA = true
+	template.BasicConstraintsValid = true
+	template.KeyUsage = x509.KeyUsageCertSign
+	der, err := x509.CreateCertificate(rand.Reader, template, template, key.Public(), key)
+	if err != nil {
+		return keyError(err, "sign the authority's certificate")
+	}
+	if err := writePair(folder, fileAuthority, fileAuthorityKey, der, key); err != nil {
+		return err
+	}
+	return AddToken(folder)
+}
+
+// Issue makes the key folder of a process, signed by the authority in folder.
+func Issue(folder string, target string, process string, now time.Time) error {
+	authority, signer, err := loadAuthority(folder)
+	if err != nil {
+		return err
+	}
+	if err := os.MkdirAll(target, folderMode); err != nil {
+		return keyError(err, "create the target folder")
+	}
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	if err != nil {
+		return keyError(err, "create the process's key")
+	}
+	template, err := newTemplate(process, now, nodeLifetime)
+	if err != nil {
+		return err
+	}
+	template.DNSNames = []string{PeerName}
+	template.KeyUsage = x509.KeyUsageDigitalSignature
+	template.ExtKeyUsage = []x509.ExtKeyUsage{x509.ExtKeyUsageServerAuth, x509.ExtKeyUsageClientAuth}
+	der, err := x509.CreateCertificate(rand.Reader, template, authority, key.Public(), signer)
+	if err != nil {
+		return keyError(err, "sign the process's certificate")
+	}
+	if err := writePair(target, fileNode, fileNodeKey, der, key); err != nil {
+		return err
+	}
+	if err := copyFile(folder, target, fileAuthority, publicMode); err != nil {
+		return err
+	}
+	return copyFile(folder, target, fileToken, secretMode)
+}
+
+func newTemplate(name string, now time.Time, lifetime time.Duration) (*x509.Certificate, error) {
+	serial, err := rand.Int(rand.Reader, new(big.Int).Lsh(big.NewInt(1), serialBits))
+	if err != nil {
+		return nil, keyError(err, "choose a serial number")
+	}
+	return &x509.Certificate{
+		SerialNumber: serial,
+		Subject:      pkix.Name{CommonName: name},
+		NotBefore:    now.Add(-backdated),
+		NotAfter:     now.Add(lifetime),
+	}, nil
+}
+
+func loadAuthority(folder string) (*x509.Certificate, *ecdsa.PrivateKey, error) {
+	certificateBlock, err := readPEM(filepath.Join(folder, fileAuthority))
+	if err != nil {
+		return nil, nil, err
+	}
+	certificate, err := x509.ParseCertificate(certificateBlock)
+	if err != nil {
+		return nil, nil, keyError(err, "read the authority's certificate")
+	}
+	keyBlock, err := readPEM(filepath.Join(folder, fileAuthorityKey))
+	if err != nil {
+		return nil, nil, err
+	}
+	key, err := x509.ParseECPrivateKey(keyBlock)
+	if err != nil {
+		return nil, nil, keyError(err, "read the authority's key")
+	}
+	return certificate, key, nil
+}
+
+func readPEM(path string) ([]byte, error) {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return nil, keyError(err, "read a key file")
+	}
+	block, _ := pem.Decode(data)
+	if block == nil {
+		return nil, cterror.Newf(cterror.Invalid, remedy, "%s is not a PEM file", filepath.Base(path))
+	}
+	return block.Bytes, nil
+}
+
+func writePair(folder, certificateFile, keyFile string, der []byte, key *ecdsa.PrivateKey) error {
+	keyDER, err := x509.MarshalECPrivateKey(key)
+	if err != nil {
+		return keyError(err, "encode a key")
+	}
+	secret := pem.EncodeToMemory(&pem.Block{Type: "EC PRIVATE KEY", Bytes: keyDER})
+	if err := os.WriteFile(filepath.Join(folder, keyFile), secret, secretMode); err != nil {
+		return keyError(err, "write a key")
+	}
+	public := pem.EncodeToMemory(&pem.Block{Type: "CERTIFICATE", Bytes: der})
+	if err := os.WriteFile(filepath.Join(folder, certificateFile), public, publicMode); err != nil {
+		return keyError(err, "write a certificate")
+	}
+	return nil
+}
+
+func copyFile(from, to, name string, mode os.FileMode) error {
+	data, err := os.ReadFile(filepath.Join(from, name))
+	if err != nil {
+		return keyError(err, "read "+name)
+	}
+	if err := os.WriteFile(filepath.Join(to, name), data, mode); err != nil {
+		return keyError(err, "write "+name)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/link/ctkey/token.go
@@ -0,0 +1,55 @@
+package ctkey
+
+import (
+	"crypto/rand"
+	"encoding/hex"
+	"os"
+	"path/filepath"
+	"strings"
+
+	"github.com/cherviltrestle/cherviltrestle/internal/model/cterror"
+)
+
+// tokenKeyBytes is the size of a token key.
+const tokenKeyBytes = 32
+
+// TokenKey seals session tokens.
+type TokenKey [tokenKeyBytes]byte
+
+// AddToken puts a new token key in front of those in the folder. Processes that
+// load it seal with it and still open what the earlier keys sealed.
+func AddToken(folder string) error {
+	var key TokenKey
+	if _, err := rand.Read(key[:]); err != nil {
+		return keyError(err, "create a token key")
+	}
+	path := filepath.Join(folder, fileToken)
+	earlier, err := os.ReadFile(path)
+	if err != nil && !os.IsNotExist(err) {
+		return keyError(err, "read the token keys")
+	}
+	data := hex.EncodeToString(key[:]) + "\n" + string(earlier)
+	if err := os.WriteFile(path, []byte(data), secretMode); err != nil {
+		return keyError(err, "write the token keys")
+	}
+	return nil
+}
+
+func loadTokens(path string) ([]TokenKey, error) {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return nil, keyError(err, "load the token keys")
+	}
+	var keys []TokenKey
+	for _, line := range strings.Fields(string(data)) {
+		raw, err := hex.DecodeString(line)
+		if err != nil || len(raw) != tokenKeyBytes {
+			return nil, cterror.New(cterror.Invalid, fileToken+" has a line that is not 64 hexadecimal digits", remedy)
+		}
+		keys = append(keys, TokenKey(raw))
+	}
+	if len(keys) == 0 {
+		return nil, cterror.New(cterror.Invalid, fileToken+" holds no key", remedy)
+	}
+	return keys, nil
+}
--- /dev/null
+++ b/internal/link/ctrecord/record.go
@@ -0,0 +1,105 @@
+package ctrecord
+
+import (
+	"github.com/fxamacker/cbor/v2"
+	"github.com/pkg/errors"
+
+	"github.com/cherviltrestle/cherviltrestle/internal/decide/ctregister"
+	"github.com/cherviltrestle/cherviltrestle/internal/model/cterror"
+)
+
+// The kinds of commands. Their numbers are part of the format and are not used
+// again.
+const (
+	kindConfigure byte = iota + 1
+	kindSetGroup
+)
+
+var (
+	encoder = newEncoder()
+	decoder = newDecoder()
+)
+
+func newEncoder() cbor.EncMode {
+	mode, err := cbor.EncOptions{
+		TextMarshaler: cbor.TextMarshalerTextString,
+		Time:          cbor.TimeRFC3339Nano,
+	}.EncMode()
+	if err != nil {
+		panic(err)
+	}
+	return mode
+}
+
+func newDecoder() cbor.DecMode {
+	mode, err := cbor.DecOptions{
+		TextUnmarshaler: cbor.TextUnmarshalerTextString,
+		DupMapKey:       cbor.DupMapKeyEnforcedAPF,
+		IndefLength:     cbor.IndefLengthForbidden,
+	}.DecMode()
+	if err != nil {
+		panic(err)
+	}
+	return mode
+}
+
+// EncodeCommand returns a command as bytes.
+func EncodeCommand(command ctregister.Command) ([]byte, error) {
+	body, err := encoder.Marshal(command)
+	if err != nil {
+		return nil, errors.Wrap(err, "encode a command")
+	}
+	var kind byte
+	switch command.(type) {
+	case ctregister.Configure:
+		kind = kindConfigure
+	case ctregister.SetGroup:
+		kind = kindSetGroup
+	}
+	return append([]byte{kind}, body...), nil
+}
+
+// DecodeCommand decodes and checks a command.
+func DecodeCommand(data []byte) (ctregister.Command, error) {
+	if len(data) == 0 {
+		return nil, damaged(nil)
+	}
+	switch data[0] {
+	case kindConfigure:
+		var c ctregister.Configure
+		if err := decoder.Unmarshal(data[1:], &c); err != nil {
+			return nil, damaged(err)
+		}
+		return c, c.Change.Check()
+	case kindSetGroup:
+		var c ctregister.SetGroup
+		if err := decoder.Unmarshal(data[1:], &c); err != nil {
+			return nil, damaged(err)
+		}
+		return c, c.Group.Check()
+	}
+	return nil, cterror.Newf(cterror.Invalid, "upgrade this process", "command kind %d is unknown", data[0])
+}
+
+// EncodeRegister returns a snapshot of the register.
+func EncodeRegister(register *ctregister.Register) ([]byte, error) {
+	data, err := encoder.Marshal(register)
+	return data, errors.Wrap(err, "encode a snapshot")
+}
+
+// DecodeRegister decodes a snapshot of the register.
+func DecodeRegister(data []byte) (*ctregister.Register, error) {
+	var register ctregister.Register
+	if err := decoder.Unmarshal(data, &register); err != nil {
+		return nil, damaged(err)
+	}
+	return &register, nil
+}
+
+func damaged(err error) error {
+	const remedy = "remove the data folder of this process; it then catches up from the others"
+	if err == nil {
+		return cterror.New(cterror.Invalid, "a record is empty", remedy)
+	}
+	return cterror.Wrap(cterror.Invalid, err, "decode a record", remedy)
+}
--- /dev/null
+++ b/internal/link/cttoken/sealer.go
@@ -0,0 +1,68 @@
+package cttoken
+
+import (
+	"crypto/hmac"
+	"crypto/sha256"
+	"encoding/base64"
+	"encoding/binary"
+
+	"github.com/cherviltrestle/cherviltrestle/internal/link/ctkey"
+	"github.com/cherviltrestle/cherviltrestle/internal/model/cterror"
+	"github.com/cherviltrestle/cherviltrestle/internal/model/ctid"
+	"github.com/cherviltrestle/cherviltrestle/internal/model/ctposition"
+)
+
+// The layout of a token: a version, a term, a position and a seal.
+const (
+	version    = 1
+	termAt     = 1
+	positionAt = 9
+	sealAt     = 17
+	sealBytes  = 16
+	tokenBytes = sealAt + sealBytes
+)
+
+// Sealer makes and checks tokens.
+type Sealer struct {
+	// Keys are the keys of the fleet. The first one seals, all of them open.
+	Keys []ctkey.TokenKey
+}
+
+// Seal returns the token for a point in a group's log.
+func (s *Sealer) Seal(group ctid.Group, point ctposition.Point) string {
+	data := make([]byte, sealAt, tokenBytes)
+	data[0] = version
+	binary.BigEndian.PutUint64(data[termAt:], uint64(point.Term))
+	binary.BigEndian.PutUint64(data[positionAt:], uint64(point.Position))
+	data = append(data, seal(&s.Keys[0], group, data)...)
+	return base64.RawURLEncoding.EncodeToString(data)
+}
+
+// Open returns the point of a token that was sealed for the group.
+func (s *Sealer) Open(group ctid.Group, token string) (ctposition.Point, error) {
+	data, err := base64.RawURLEncoding.DecodeString(token)
+	if err != nil || len(data) != tokenBytes || data[0] != version {
+		return ctposition.Point{}, invalid("can't be read")
+	}
+	for i := range s.Keys {
+		if hmac.Equal(data[sealAt:], seal(&s.Keys[i], group, data[:sealAt])) {
+			return ctposition.Point{
+				Term:     ctposition.Term(binary.BigEndian.Uint64(data[termAt:])),
+				Position: ctposition.Position(binary.BigEndian.Uint64(data[positionAt:])),
+			}, nil
+		}
+	}
+	return ctposition.Point{}, invalid("is not sealed by this fleet for this group")
+}
+
+func invalid(what string) error {
+	return cterror.New(cterror.Invalid, "session token "+what,
+		"present the last cherviltrestle.token that a proxy of this fleet gave for the group, or none")
+}
+
+func seal(key *ctkey.TokenKey, group ctid.Group, data []byte) []byte {
+	mac := hmac.New(sha256.New, key[:])
+	mac.Write(data)
+	mac.Write([]byte(group))
+	return mac.Sum(nil)[:sealBytes]
+}
--- /dev/null
+++ b/internal/state/ctstore/store.go
@@ -0,0 +1,174 @@
+package ctstore
+
+import (
+	"encoding/binary"
+	"hash/crc32"
+	"os"
+	"path/filepath"
+	"time"
+
+	"github.com/pkg/errors"
+	"go.etcd.io/bbolt"
+	bolterrors "go.etcd.io/bbolt/errors"
+
+	"github.com/cherviltrestle/cherviltrestle/internal/model/cterror"
+)
+
+const (
+	fileName    = "state.db"
+	folderMode  = 0o700
+	fileMode    = 0o600
+	lockTimeout = 2 * time.Second
+	sumBytes    = 4
+)
+
+var (
+	bucket   = []byte("state")
+	ownerKey = []byte("\x00owner")
+	checksum = crc32.MakeTable(crc32.Castagnoli)
+)
+
+// Store is a process's durable state.
+type Store struct {
+	database *bbolt.DB
+}
+
+// Write is a change of one key. A nil value removes the key.
+type Write struct {
+	Key   []byte
+	Value []byte
+}
+
+// Open opens the state in the data folder and creates it where there is none.
+// The owner is the process that the folder belongs to.
+func Open(folder string, owner string) (*Store, error) {
+	if err := os.MkdirAll(folder, folderMode); err != nil {
+		return nil, cterror.Wrap(cterror.Unavailable, err, "create the data folder", "check the path and its rights")
+	}
+	path := filepath.Join(folder, fileName)
+	database, err := bbolt.Open(path, fileMode, &bbolt.Options{Timeout: lockTimeout})
+	if err != nil {
+		return nil, openError(err)
+	}
+	store := &Store{database: database}
+	if err := store.own(owner); err != nil {
+		_ = database.Close()
+		return nil, err
+	}
+	return store, nil
+}
+
+func openError(err error) error {
+	if errors.Is(err, bolterrors.ErrTimeout) {
+		return cterror.Wrap(cterror.Conflict, err, "open the state file",
+			"stop the other process that uses this data folder")
+	}
+	return cterror.Wrap(cterror.Invalid, err, "open the state file",
+		"move the file away; this process then starts with an empty disk and catches up from the others")
+}
+
+// own checks whose the file is, and marks a new one.
+func (s *Store) own(owner string) error {
+	found, err := s.Get(ownerKey)
+	if err != nil {
+		return err
+	}
+	if found == nil {
+		return s.Put(Write{Key: ownerKey, Value: []byte(owner)})
+	}
+	if string(found) != owner {
+		return cterror.Newf(cterror.Conflict, "give each process a data folder of its own",
+			"the data folder belongs to %s and not to %s", found, owner)
+	}
+	return nil
+}
+
+// Put makes the writes durable, all or none. It returns once they are synced.
+func (s *Store) Put(writes ...Write) error {
+	err := s.database.Update(func(tx *bbolt.Tx) error {
+		b, err := tx.CreateBucketIfNotExists(bucket)
+		if err != nil {
+			return err
+		}
+		for _, w := range writes {
+			if err := put(b, w); err != nil {
+				return err
+			}
+		}
+		return nil
+	})
+	if err != nil {
+		return cterror.Wrap(cterror.Unavailable, err, "write the state", "check the disk's space and health")
+	}
+	return nil
+}
+
+func put(b *bbolt.Bucket, w Write) error {
+	if w.Value == nil {
+		return b.Delete(w.Key)
+	}
+	value := make([]byte, sumBytes, sumBytes+len(w.Value))
+	binary.BigEndian.PutUint32(value, crc32.Checksum(w.Value, checksum))
+	return b.Put(w.Key, append(value, w.Value...))
+}
+
+// Get returns the value of a key, or nil where there is none.
+func (s *Store) Get(key []byte) ([]byte, error) {
+	var value []byte
+	err := s.database.View(func(tx *bbolt.Tx) error {
+		b := tx.Bucket(bucket)
+		if b == nil {
+			return nil
+		}
+		var err error
+		value, err = open(key, b.Get(key))
+		return err
+	})
+	return value, err
+}
+
+// Range calls visit for the keys from first on that begin with prefix, in
+// order.
+func (s *Store) Range(prefix []byte, visit func(key, value []byte) error) error {
+	return s.database.View(func(tx *bbolt.Tx) error {
+		b := tx.Bucket(bucket)
+		if b == nil {
+			return nil
+		}
+		cursor := b.Cursor()
+		for k, v := cursor.Seek(prefix); hasPrefix(k, prefix); k, v = cursor.Next() {
+			value, err := open(k, v)
+			if err != nil {
+				return err
+			}
+			if err := visit(k, value); err != nil {
+				return err
+			}
+		}
+		return nil
+	})
+}
+
+func hasPrefix(key, prefix []byte) bool {
+	return len(key) >= len(prefix) && string(key[:len(prefix)]) == string(prefix)
+}
+
+// open checks a stored value and returns a copy of its content.
+func open(key, stored []byte) ([]byte, error) {
+	if stored == nil {
+		return nil, nil
+	}
+	if len(stored) < sumBytes || binary.BigEndian.Uint32(stored) != crc32.Checksum(stored[sumBytes:], checksum) {
+		return nil, cterror.Newf(cterror.Invalid,
+			"move the file away; this process then starts with an empty disk and catches up from the others",
+			"the state file is damaged at key %x", key)
+	}
+	value := make([]byte, len(stored)-sumBytes)
+	copy(value, stored[sumBytes:])
+	return value, nil
+}
+
+// Close closes the file.
+func (s *Store) Close() error {
+	return errors.Wrap(s.database.Close(), "close the state file")
+}
