--- /dev/null
+++ b/cmd/ctlab/main.go
@@ -0,0 +1,13 @@
+// Command ctlab runs the stand-ins and tools by which cherviltrestle is tried
+// out and measured.
+package main
+
+import (
+	"os"
+
+	"github.com/cherviltrestle/cherviltrestle/internal/lab/ctlabcommand"
+)
+
+func main() {
+	os.Exit(ctlabcommand.Main(os.Args[1:], os.Stdout, os.Stderr))
+}
--- /dev/null
+++ b/internal/lab/ctlabcommand/main.go
@@ -0,0 +1,32 @@
+package ctlabcommand
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os/signal"
+	"syscall"
+
+	"github.com/spf13/cobra"
+)
+
+// Main runs the command line and returns the exit code.
+func Main(arguments []string, out, errors io.Writer) int {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
+	defer stop()
+	root := &cobra.Command{
+		Use:           "ctlab",
+		Short:         "Stand-ins and tools to try cherviltrestle out",
+		SilenceUsage:  true,
+		SilenceErrors: true,
+	}
+	root.SetOut(out)
+	root.SetErr(errors)
+	root.SetArgs(arguments)
+	root.AddCommand(newStandin(errors), newSession())
+	if err := root.ExecuteContext(ctx); err != nil {
+		_, _ = fmt.Fprintf(errors, "ctlab: %v\n", err)
+		return 1
+	}
+	return 0
+}
--- /dev/null
+++ b/internal/lab/ctlabcommand/standin.go
@@ -0,0 +1,119 @@
+package ctlabcommand
+
+import (
+	"io"
+	"net/netip"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/spf13/cobra"
+
+	"github.com/cherviltrestle/cherviltrestle/internal/lab/ctstandin"
+	"github.com/cherviltrestle/cherviltrestle/internal/model/cterror"
+	"github.com/cherviltrestle/cherviltrestle/internal/model/ctid"
+	"github.com/cherviltrestle/cherviltrestle/internal/model/ctserver"
+	"github.com/cherviltrestle/cherviltrestle/internal/work/ctclock"
+)
+
+// The defaults of a stand-in.
+const (
+	defaultSlots       = 5
+	defaultConnections = 75
+	defaultInterval    = 500 * time.Millisecond
+)
+
+// standin holds the flags of the stand-in command.
+type standin struct {
+	group, member, domain, role   string
+	listen, admin, primary        string
+	announce                      []string
+	slots, connections            int
+	connect, interval             time.Duration
+	service, receiveLag, applyLag time.Duration
+}
+
+func newStandin(errors io.Writer) *cobra.Command {
+	var s standin
+	command := &cobra.Command{
+		Use:   "standin",
+		Short: "Run a stand-in backend server",
+		Args:  cobra.NoArgs,
+		RunE: func(command *cobra.Command, _ []string) error {
+			options, err := s.options()
+			if err != nil {
+				return err
+			}
+			options.Logger = zerolog.New(errors).With().Timestamp().Str("role", "standin").
+				Str("process", s.member).Logger()
+			return ctstandin.New(options).Run(command.Context())
+		},
+	}
+	flags := command.Flags()
+	flags.StringVar(&s.group, "group", "", "database group")
+	flags.StringVar(&s.member, "member", "", "name of the member")
+	flags.StringVar(&s.domain, "failure-domain", "", "failure domain")
+	flags.StringVar(&s.role, "role", string(ctserver.RoleReplica), "primary or replica")
+	flags.StringVar(&s.listen, "listen", "", "TCP address of the PostgreSQL protocol")
+	flags.StringVar(&s.admin, "admin-listen", "", "TCP address for faults and counters")
+	flags.StringVar(&s.primary, "primary", "", "address of the primary that a replica follows")
+	flags.StringSliceVar(&s.announce, "announce", nil, "HTTP addresses of proxies")
+	flags.IntVar(&s.slots, "slots", defaultSlots, "statements at once")
+	flags.IntVar(&s.connections, "connections", defaultConnections, "connections at once")
+	flags.DurationVar(&s.connect, "connect-time", 0, "time that a new connection takes")
+	flags.DurationVar(&s.interval, "interval", defaultInterval, "time between announcements")
+	flags.DurationVar(&s.service, "service-time", 0, "time that a statement takes")
+	flags.DurationVar(&s.receiveLag, "receive-lag", 0, "how much later a replica receives the log")
+	flags.DurationVar(&s.applyLag, "apply-lag", 0, "how much later a replica shows what it received")
+	return command
+}
+
+func (s *standin) options() (ctstandin.Options, error) {
+	options := ctstandin.Options{
+		Group:         ctid.Group(s.group),
+		Member:        ctid.Member(s.member),
+		FailureDomain: ctid.FailureDomain(s.domain),
+		Role:          ctserver.Role(s.role),
+		Interval:      s.interval,
+		Slots:         s.slots,
+		Connections:   s.connections,
+		Connect:       s.connect,
+		Clock:         ctclock.System{},
+		Faults: ctstandin.Faults{
+			Service:    milliseconds(s.service),
+			ReceiveLag: milliseconds(s.receiveLag),
+			ApplyLag:   milliseconds(s.applyLag),
+		},
+	}
+	var err error
+	if options.Listen, err = address(s.listen, "listen"); err != nil {
+		return options, err
+	}
+	if options.Admin, err = address(s.admin, "admin-listen"); err != nil {
+		return options, err
+	}
+	if s.primary != "" {
+		if options.Primary, err = address(s.primary, "primary"); err != nil {
+			return options, err
+		}
+	}
+	for _, a := range s.announce {
+		parsed, err := address(a, "announce")
+		if err != nil {
+			return options, err
+		}
+		options.Announce = append(options.Announce, parsed)
+	}
+	return options, nil
+}
+
+func milliseconds(d time.Duration) ctstandin.Milliseconds {
+	return ctstandin.Milliseconds(d / time.Millisecond)
+}
+
+func address(text, flag string) (netip.AddrPort, error) {
+	parsed, err := netip.ParseAddrPort(text)
+	if err != nil {
+		return parsed, cterror.Newf(cterror.Invalid, "write an IP number and a port", "--%s %q can't be read", flag, text)
+	}
+	return parsed, nil
+}
--- /dev/null
+++ b/internal/lab/ctstandin/admin.go
@@ -0,0 +1,43 @@
+package ctstandin
+
+import (
+	"net/http"
+
+	"github.com/cherviltrestle/cherviltrestle/internal/lab/ctwal"
+	"github.com/cherviltrestle/cherviltrestle/internal/link/cthttp"
+	"github.com/cherviltrestle/cherviltrestle/internal/work/ctlock"
+)
+
+// routes serves the setting of faults and the reading of what was counted.
+func (s *Server) routes() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /v1/faults", s.setFaults)
+	mux.HandleFunc("GET /v1/counters", s.showCounters)
+	mux.HandleFunc("GET /v1/log", s.showLog)
+	return mux
+}
+
+func (s *Server) setFaults(w http.ResponseWriter, r *http.Request) {
+	var faults Faults
+	if err := cthttp.Read(w, r, &faults); err != nil {
+		cthttp.Fail(w, err)
+		return
+	}
+	var held ctlock.Held
+	s.database.With(&held, func(d *database) { d.faults = faults })
+	w.WriteHeader(http.StatusNoContent)
+}
+
+func (s *Server) showCounters(w http.ResponseWriter, _ *http.Request) {
+	var held ctlock.Held
+	var counters Counters
+	s.database.With(&held, func(d *database) { counters = d.counters })
+	cthttp.Write(w, http.StatusOK, counters)
+}
+
+func (s *Server) showLog(w http.ResponseWriter, _ *http.Request) {
+	var held ctlock.Held
+	var entries []ctwal.Entry
+	s.database.With(&held, func(d *database) { entries = d.log.Entries() })
+	cthttp.Write(w, http.StatusOK, entries)
+}
--- /dev/null
+++ b/internal/lab/ctstandin/announce.go
@@ -0,0 +1,59 @@
+package ctstandin
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/cherviltrestle/cherviltrestle/internal/link/cthttp"
+	"github.com/cherviltrestle/cherviltrestle/internal/model/ctposition"
+	"github.com/cherviltrestle/cherviltrestle/internal/model/ctserver"
+	"github.com/cherviltrestle/cherviltrestle/internal/work/ctlock"
+)
+
+// announceTime bounds one announcement.
+const announceTime = time.Second
+
+// announceAll announces the member again and again, to the addresses in turn.
+func (s *Server) announceAll(ctx context.Context) {
+	if len(s.Announce) == 0 {
+		return
+	}
+	client := &http.Client{Timeout: announceTime}
+	var held ctlock.Held
+	for turn := 0; ctx.Err() == nil; turn++ {
+		if !s.faults(&held).Mute {
+			address := s.Announce[turn%len(s.Announce)]
+			err := cthttp.Call(ctx, client, http.MethodPost, "http://"+address.String()+"/v1/announcements",
+				s.announcement(&held), nil)
+			if err != nil {
+				s.Logger.Debug().Str("event", "announcement_failed").Str("error", err.Error()).Send()
+			}
+		}
+		select {
+		case <-ctx.Done():
+		case <-s.Clock.After(s.Interval):
+		}
+	}
+}
+
+func (s *Server) announcement(held *ctlock.Held) ctserver.Announcement {
+	announcement := ctserver.Announcement{
+		Group:         s.Group,
+		Member:        s.Member,
+		FailureDomain: s.FailureDomain,
+		Address:       s.Listen,
+		State:         ctserver.StateReady,
+		Slots:         s.Slots,
+		Connections:   s.Connections,
+	}
+	s.database.With(held, func(d *database) {
+		announcement.Incarnation = d.incarnation
+		announcement.Role = d.role
+		announcement.Term = ctposition.Term(d.term)
+		if d.faults.Leaving {
+			announcement.State = ctserver.StateLeaving
+		}
+	})
+	return announcement
+}
--- /dev/null
+++ b/internal/lab/ctstandin/conversation.go
@@ -0,0 +1,163 @@
+package ctstandin
+
+import (
+	"encoding/binary"
+	"math/rand/v2"
+	"net"
+
+	"github.com/jackc/pgx/v5/pgproto3"
+	"github.com/pkg/errors"
+
+	"github.com/cherviltrestle/cherviltrestle/internal/work/ctlock"
+)
+
+// serve serves one connection.
+func (s *Server) serve(socket net.Conn) {
+	defer func() { _ = socket.Close() }()
+	protocol := pgproto3.NewBackend(socket, socket)
+	startup, err := s.negotiate(socket, protocol)
+	if err != nil || startup == nil {
+		return
+	}
+	id := sessionID(s.last.Add(1))
+	to := &session{
+		id:      id,
+		secret:  rand.Uint32(),
+		label:   startup.Parameters["application_name"],
+		answers: make(chan answer, 1),
+	}
+	var held ctlock.Held
+	if !s.connect(&held, to, socket, protocol) {
+		return
+	}
+	defer s.disconnect(&held, to)
+	if err := s.welcome(to, protocol); err != nil {
+		return
+	}
+	for {
+		r, err := receive(protocol)
+		if err != nil {
+			return
+		}
+		s.put(event{session: id, request: r})
+		a := <-to.answers
+		if _, err := socket.Write(a.data); err != nil || a.close {
+			return
+		}
+	}
+}
+
+// negotiate reads the start of a connection. It returns nothing for a cancel.
+func (s *Server) negotiate(socket net.Conn, protocol *pgproto3.Backend) (*pgproto3.StartupMessage, error) {
+	for {
+		message, err := protocol.ReceiveStartupMessage()
+		if err != nil {
+			return nil, errors.Wrap(err, "read the start")
+		}
+		switch m := message.(type) {
+		case *pgproto3.StartupMessage:
+			return m, nil
+		case *pgproto3.CancelRequest:
+			s.cancel(m)
+			return nil, nil
+		}
+		if _, err := socket.Write([]byte{'N'}); err != nil {
+			return nil, errors.Wrap(err, "decline encryption")
+		}
+	}
+}
+
+func (s *Server) cancel(m *pgproto3.CancelRequest) {
+	if len(m.SecretKey) != 4 {
+		return
+	}
+	var held ctlock.Held
+	secret := binary.BigEndian.Uint32(m.SecretKey)
+	found := false
+	s.sessions.With(&held, func(rows map[sessionID]*session) {
+		to, ok := rows[sessionID(m.ProcessID)]
+		found = ok && to.secret == secret
+	})
+	if found {
+		s.put(event{session: sessionID(m.ProcessID), cancel: true})
+	}
+}
+
+// connect takes the time that a connection takes and counts it.
+func (s *Server) connect(held *ctlock.Held, to *session, socket net.Conn, protocol *pgproto3.Backend) bool {
+	if s.Connect > 0 && to.label != replicationLabel {
+		<-s.Clock.After(s.Connect)
+	}
+	allowed := false
+	s.database.With(held, func(d *database) {
+		allowed = d.connect(to.id, connection{label: to.label, socket: socket}, s.Connections)
+	})
+	if !allowed {
+		protocol.Send(&pgproto3.ErrorResponse{
+			Severity: "FATAL", SeverityUnlocalized: "FATAL", Code: "53300", Message: "too many connections",
+		})
+		_ = protocol.Flush()
+		return false
+	}
+	s.sessions.With(held, func(rows map[sessionID]*session) { rows[to.id] = to })
+	return true
+}
+
+func (s *Server) disconnect(held *ctlock.Held, to *session) {
+	s.sessions.With(held, func(rows map[sessionID]*session) { delete(rows, to.id) })
+	s.database.With(held, func(d *database) { d.disconnect(to.id) })
+}
+
+func (s *Server) welcome(to *session, protocol *pgproto3.Backend) error {
+	secret := binary.BigEndian.AppendUint32(nil, to.secret)
+	protocol.Send(&pgproto3.AuthenticationOk{})
+	protocol.Send(&pgproto3.ParameterStatus{Name: "server_version", Value: "16.0 (stand-in)"})
+	protocol.Send(&pgproto3.ParameterStatus{Name: "client_encoding", Value: "UTF8"})
+	protocol.Send(&pgproto3.ParameterStatus{Name: "standard_conforming_strings", Value: "on"})
+	protocol.Send(&pgproto3.BackendKeyData{ProcessID: uint32(to.id), SecretKey: secret})
+	protocol.Send(&pgproto3.ReadyForQuery{TxStatus: 'I'})
+	return errors.Wrap(protocol.Flush(), "welcome a connection")
+}
+
+// receive reads one request.
+func receive(protocol *pgproto3.Backend) (*request, error) {
+	r := &request{}
+	for {
+		message, err := protocol.Receive()
+		if err != nil {
+			return nil, errors.Wrap(err, "read a request")
+		}
+		switch m := message.(type) {
+		case *pgproto3.Query:
+			return &request{simple: true, text: m.String}, nil
+		case *pgproto3.Sync:
+			return r, nil
+		case *pgproto3.Terminate:
+			return nil, errors.New("the connection was ended")
+		case *pgproto3.Parse:
+			copied := *m
+			r.messages = append(r.messages, &copied)
+		case *pgproto3.Bind:
+			r.messages = append(r.messages, copyBind(m))
+		case *pgproto3.Describe:
+			copied := *m
+			r.messages = append(r.messages, &copied)
+		case *pgproto3.Execute:
+			copied := *m
+			r.messages = append(r.messages, &copied)
+		case *pgproto3.Close:
+			copied := *m
+			r.messages = append(r.messages, &copied)
+		}
+	}
+}
+
+// copyBind copies a Bind, whose parameters lie in the reader's buffer.
+func copyBind(m *pgproto3.Bind) *pgproto3.Bind {
+	copied := *m
+	copied.Parameters = make([][]byte, len(m.Parameters))
+	for i, p := range m.Parameters {
+		copied.Parameters[i] = append([]byte(nil), p...)
+	}
+	return &copied
+}
--- /dev/null
+++ b/internal/lab/ctstandin/execute.go
@@ -0,0 +1,264 @@
+package ctstandin
+
+import (
+	"encoding/json"
+	"fmt"
+	"strconv"
+
+	"github.com/cherviltrestle/cherviltrestle/internal/lab/ctsql"
+	"github.com/cherviltrestle/cherviltrestle/internal/lab/ctwal"
+)
+
+// streamLimit is how many log entries one answer carries at most.
+const streamLimit = 500
+
+// result is what a statement returns.
+type result struct {
+	columns []string
+	rows    [][]string
+	tag     string
+	// wait reports that there is nothing to return yet.
+	wait bool
+}
+
+// failure is an error that the backend server answers.
+type failure struct {
+	code    string
+	message string
+}
+
+// Error returns the failure's message.
+func (f *failure) Error() string {
+	return f.message
+}
+
+// execute runs one statement over the locked database.
+func (s *session) execute(d *database, statement ctsql.Statement, parameters []string) (result, error) {
+	if s.failed {
+		return s.executeFailed(statement)
+	}
+	switch st := statement.(type) {
+	case ctsql.Begin:
+		s.open, s.readOnly = true, st.ReadOnly
+		return result{tag: "BEGIN"}, nil
+	case ctsql.Commit:
+		return s.commit(d)
+	case ctsql.Rollback:
+		s.end()
+		return result{tag: "ROLLBACK"}, nil
+	case ctsql.Set:
+		return s.set(st)
+	case ctsql.Discard:
+		s.reset()
+		return result{tag: "DISCARD ALL"}, nil
+	}
+	if ctsql.Writes(statement) {
+		return s.write(d, statement, parameters)
+	}
+	return s.read(d, statement, parameters)
+}
+
+// executeFailed runs a statement in a failed transaction.
+func (s *session) executeFailed(statement ctsql.Statement) (result, error) {
+	switch statement.(type) {
+	case ctsql.Commit, ctsql.Rollback:
+		s.end()
+		return result{tag: "ROLLBACK"}, nil
+	}
+	return result{}, &failure{"25P02", "current transaction is aborted, commands ignored until end of transaction block"}
+}
+
+func (s *session) set(st ctsql.Set) (result, error) {
+	if s.settings == nil {
+		s.settings = make(map[string]string)
+	}
+	s.settings[st.Name] = st.Value
+	return result{tag: "SET"}, nil
+}
+
+func (s *session) commit(d *database) (result, error) {
+	writes := s.writes
+	s.end()
+	if len(writes) > 0 && !d.commit(writes) {
+		return result{}, &failure{"40001", "the member is not the primary any more"}
+	}
+	return result{tag: "COMMIT"}, nil
+}
+
+// write adds a change to the transaction, or commits it where none is open.
+func (s *session) write(d *database, statement ctsql.Statement, parameters []string) (result, error) {
+	entry, verb := entryOf(statement, parameters)
+	if !d.primary() || !s.mayWrite() {
+		return result{}, &failure{"25006", "cannot execute " + verb + " in a read-only transaction"}
+	}
+	count := 1
+	if entry.Operation != ctwal.OperationInsert {
+		count = len(matching(s.rows(d, entry.Table), entry.Key))
+	}
+	tag := fmt.Sprintf("%s %d", verb, count)
+	if verb == "INSERT" {
+		tag = fmt.Sprintf("INSERT 0 %d", count)
+	}
+	if count == 0 {
+		return result{tag: tag}, nil
+	}
+	s.writes = append(s.writes, entry)
+	return result{tag: tag}, nil
+}
+
+// finish commits what the statements outside a transaction wrote.
+func (s *session) finish(d *database) error {
+	if s.open || len(s.writes) == 0 {
+		return nil
+	}
+	_, err := s.commit(d)
+	return err
+}
+
+func entryOf(statement ctsql.Statement, parameters []string) (ctwal.Entry, string) {
+	switch st := statement.(type) {
+	case ctsql.Insert:
+		return ctwal.Entry{
+			Operation: ctwal.OperationInsert, Table: st.Table,
+			Key: bound(st.Key, parameters), Value: bound(st.Value, parameters),
+		}, "INSERT"
+	case ctsql.Update:
+		return ctwal.Entry{
+			Operation: ctwal.OperationUpdate, Table: st.Table,
+			Key: bound(st.Key, parameters), Value: bound(st.Value, parameters),
+		}, "UPDATE"
+	case ctsql.Delete:
+		return ctwal.Entry{
+			Operation: ctwal.OperationDelete, Table: st.Table, Key: bound(st.Key, parameters),
+		}, "DELETE"
+	}
+	return ctwal.Entry{}, ""
+}
+
+// read runs a statement that returns rows.
+func (s *session) read(d *database, statement ctsql.Statement, parameters []string) (result, error) {
+	switch st := statement.(type) {
+	case ctsql.Select:
+		return values("value", valuesOf(matching(s.rows(d, st.Table), bound(st.Key, parameters)))...), nil
+	case ctsql.SelectAll:
+		return s.selectAll(d, st), nil
+	case ctsql.Count:
+		return values("count", strconv.Itoa(s.count(d, st, parameters))), nil
+	case ctsql.Literal:
+		return values("?column?", bound(st.Value, parameters)), nil
+	case ctsql.Sleep:
+		return values("pg_sleep", ""), nil
+	case ctsql.DivideByZero:
+		return result{}, &failure{"22012", "division by zero"}
+	case ctsql.Status:
+		return status(d), nil
+	case ctsql.Stream:
+		return stream(d, st)
+	}
+	return result{}, &failure{"0A000", "the statement is not supported"}
+}
+
+func (s *session) selectAll(d *database, st ctsql.SelectAll) result {
+	r := result{columns: []string{"key", "value"}}
+	for _, row := range s.rows(d, st.Table) {
+		r.rows = append(r.rows, []string{row.Key, row.Value})
+	}
+	r.tag = fmt.Sprintf("SELECT %d", len(r.rows))
+	return r
+}
+
+func (s *session) count(d *database, st ctsql.Count, parameters []string) int {
+	rows := s.rows(d, st.Table)
+	if !st.Keyed {
+		return len(rows)
+	}
+	return len(matching(rows, bound(st.Key, parameters)))
+}
+
+// rows returns a table's rows as the session's transaction sees them.
+func (s *session) rows(d *database, table string) []ctwal.Row {
+	rows := d.log.Rows(table)
+	for _, w := range s.writes {
+		if w.Table == table {
+			rows = ctwal.Change(rows, w)
+		}
+	}
+	return rows
+}
+
+func status(d *database) result {
+	return result{
+		columns: []string{"role", "term", "received", "applied", "fence", "incarnation"},
+		rows: [][]string{{
+			string(d.role),
+			strconv.FormatUint(d.term, 10),
+			strconv.Itoa(d.log.Received() * ctwal.EntryBytes),
+			strconv.Itoa(d.log.Applied() * ctwal.EntryBytes),
+			strconv.FormatUint(d.fence, 10),
+			strconv.FormatUint(uint64(d.incarnation), 10),
+		}},
+		tag: "SELECT 1",
+	}
+}
+
+// stream returns entries of the log to a replica.
+func stream(d *database, st ctsql.Stream) (result, error) {
+	if !d.primary() || d.term != st.Term {
+		return result{}, &failure{"55000", "the member is not the primary of the term"}
+	}
+	if st.From > uint64(d.log.Received()) {
+		return result{}, &failure{"55000", "the replica holds more than the primary"}
+	}
+	entries := d.log.From(int(st.From), streamLimit)
+	if len(entries) == 0 {
+		empty := values("entry")
+		empty.wait = true
+		return empty, nil
+	}
+	texts := make([]string, len(entries))
+	for i, e := range entries {
+		data, err := json.Marshal(e)
+		if err != nil {
+			return result{}, err
+		}
+		texts[i] = string(data)
+	}
+	return values("entry", texts...), nil
+}
+
+func values(column string, texts ...string) result {
+	r := result{columns: []string{column}, tag: fmt.Sprintf("SELECT %d", len(texts))}
+	for _, t := range texts {
+		r.rows = append(r.rows, []string{t})
+	}
+	return r
+}
+
+func valuesOf(rows []ctwal.Row) []string {
+	texts := make([]string, len(rows))
+	for i, r := range rows {
+		texts[i] = r.Value
+	}
+	return texts
+}
+
+func matching(rows []ctwal.Row, key string) []ctwal.Row {
+	var found []ctwal.Row
+	for _, r := range rows {
+		if r.Key == key {
+			found = append(found, r)
+		}
+	}
+	return found
+}
+
+// bound returns a value with its parameter filled in.
+func bound(value ctsql.Value, parameters []string) string {
+	if value.Parameter == 0 {
+		return value.Text
+	}
+	if value.Parameter > len(parameters) {
+		return ""
+	}
+	return parameters[value.Parameter-1]
+}
--- /dev/null
+++ b/internal/lab/ctstandin/session.go
@@ -0,0 +1,157 @@
+package ctstandin
+
+import (
+	"strconv"
+	"time"
+
+	"github.com/jackc/pgx/v5/pgproto3"
+
+	"github.com/cherviltrestle/cherviltrestle/internal/lab/ctsql"
+	"github.com/cherviltrestle/cherviltrestle/internal/lab/ctwal"
+)
+
+// sessionID numbers the connections of a stand-in.
+type sessionID uint32
+
+// session is the state of one connection. It belongs to the worker of its key,
+// but for the fields that do not change.
+type session struct {
+	id     sessionID
+	secret uint32
+	label  string
+	// answers takes the bytes of each request's answer.
+	answers chan answer
+
+	request    *request
+	cancelled  bool
+	prepared   map[string]ctsql.Statement
+	portals    map[string]portal
+	settings   map[string]string
+	open       bool
+	failed     bool
+	readOnly   bool
+	writes     []ctwal.Entry
+	terminated bool
+}
+
+// answer is what a connection sends for a request.
+type answer struct {
+	data  []byte
+	close bool
+}
+
+// portal is a statement with its parameters.
+type portal struct {
+	statement  ctsql.Statement
+	parameters []string
+}
+
+// request is one request: a Query's text, or messages up to a Sync.
+type request struct {
+	text     string
+	simple   bool
+	messages []pgproto3.FrontendMessage
+	// counted reports whether the request takes a slot.
+	counted bool
+	// waited reports whether the request has waited for more of the log.
+	waited bool
+}
+
+// statements returns the statements that the request runs.
+func (r *request) statements(s *session) []ctsql.Statement {
+	if r.simple {
+		statements, err := ctsql.Parse(r.text)
+		if err != nil {
+			return nil
+		}
+		return statements
+	}
+	return r.executed(s)
+}
+
+// executed returns the statements that an extended request executes.
+func (r *request) executed(s *session) []ctsql.Statement {
+	parsed := make(map[string]ctsql.Statement)
+	portals := make(map[string]ctsql.Statement)
+	var executed []ctsql.Statement
+	for _, message := range r.messages {
+		switch m := message.(type) {
+		case *pgproto3.Parse:
+			if statements, err := ctsql.Parse(m.Query); err == nil && len(statements) > 0 {
+				parsed[m.Name] = statements[0]
+			}
+		case *pgproto3.Bind:
+			statement, ok := parsed[m.PreparedStatement]
+			if !ok {
+				statement = s.prepared[m.PreparedStatement]
+			}
+			portals[m.DestinationPortal] = statement
+		case *pgproto3.Execute:
+			if statement := portals[m.Portal]; statement != nil {
+				executed = append(executed, statement)
+			}
+		}
+	}
+	return executed
+}
+
+// system reports whether a statement is one of the system's own, which takes no
+// slot.
+func system(statement ctsql.Statement) bool {
+	switch statement.(type) {
+	case ctsql.Status, ctsql.Lock, ctsql.Others, ctsql.Evict, ctsql.Fence, ctsql.Promote, ctsql.Follow,
+		ctsql.Stream, ctsql.Discard, ctsql.Set:
+		return true
+	}
+	return false
+}
+
+// sleepOf returns how long a statement sleeps.
+func sleepOf(statement ctsql.Statement) time.Duration {
+	sleep, ok := statement.(ctsql.Sleep)
+	if !ok {
+		return 0
+	}
+	seconds, err := strconv.ParseFloat(sleep.Seconds.Text, 64)
+	if err != nil {
+		return 0
+	}
+	return time.Duration(seconds * float64(time.Second))
+}
+
+// cancelledAnswer returns the answer to a request that was cancelled.
+func (s *session) cancelledAnswer() []byte {
+	var w writer
+	w.fail(&failure{"57014", "canceling statement due to user request"})
+	s.abort()
+	w.ready(s.status())
+	return w.data
+}
+
+// status returns the transaction status that ReadyForQuery tells.
+func (s *session) status() byte {
+	switch {
+	case s.failed:
+		return 'E'
+	case s.open:
+		return 'T'
+	}
+	return 'I'
+}
+
+// end leaves the transaction.
+func (s *session) end() {
+	s.open, s.failed, s.readOnly, s.writes = false, false, false, nil
+}
+
+// reset returns the session to its first state.
+func (s *session) reset() {
+	s.prepared = nil
+	s.portals = nil
+	s.settings = nil
+}
+
+// mayWrite reports whether the session's transaction may write.
+func (s *session) mayWrite() bool {
+	return !s.readOnly && s.settings["default_transaction_read_only"] != "on"
+}
--- /dev/null
+++ b/internal/lab/ctwal/log.go
@@ -0,0 +1,130 @@
+package ctwal
+
+import "slices"
+
+// EntryBytes is the size by which each entry moves the position.
+const EntryBytes = 64
+
+// Operation is what an entry does.
+type Operation string
+
+// The operations.
+const (
+	OperationInsert Operation = "insert"
+	OperationUpdate Operation = "update"
+	OperationDelete Operation = "delete"
+)
+
+// Entry is one change of a row.
+type Entry struct {
+	Term      uint64    `json:"term"`
+	Operation Operation `json:"operation"`
+	Table     string    `json:"table"`
+	Key       string    `json:"key"`
+	Value     string    `json:"value"`
+	// Last reports whether the entry is the last of its transaction.
+	Last bool `json:"last"`
+}
+
+// Row is a row of a table.
+type Row struct {
+	Key   string `json:"key"`
+	Value string `json:"value"`
+}
+
+// Log is a member's log with its tables. Its zero value is empty.
+type Log struct {
+	entries []Entry
+	applied int
+	tables  map[string][]Row
+}
+
+// Append adds entries to what is received.
+func (l *Log) Append(entries ...Entry) {
+	l.entries = append(l.entries, entries...)
+}
+
+// Received returns how many entries are received.
+func (l *Log) Received() int {
+	return len(l.entries)
+}
+
+// Applied returns how many entries are applied.
+func (l *Log) Applied() int {
+	return l.applied
+}
+
+// From returns the entries from a number on, at most limit of them.
+func (l *Log) From(first int, limit int) []Entry {
+	if first >= len(l.entries) {
+		return nil
+	}
+	return slices.Clone(l.entries[first:min(len(l.entries), first+limit)])
+}
+
+// ApplyTo applies the entries up to a number, but never part of a transaction.
+func (l *Log) ApplyTo(count int) {
+	count = min(count, len(l.entries))
+	for count > l.applied && !l.entries[count-1].Last {
+		count--
+	}
+	for l.applied < count {
+		l.apply(l.entries[l.applied])
+		l.applied++
+	}
+}
+
+// ApplyAll applies all whole transactions that are received.
+func (l *Log) ApplyAll() {
+	l.ApplyTo(len(l.entries))
+}
+
+// Truncate drops the entries beyond a number and reports whether there were
+// any.
+func (l *Log) Truncate(count int) bool {
+	if count >= len(l.entries) {
+		return false
+	}
+	l.entries = l.entries[:count:count]
+	if l.applied > count {
+		l.applied = 0
+		l.tables = nil
+		l.ApplyTo(count)
+	}
+	return true
+}
+
+// Rows returns a copy of a table's rows.
+func (l *Log) Rows(table string) []Row {
+	return slices.Clone(l.tables[table])
+}
+
+// Entries returns a copy of all received entries.
+func (l *Log) Entries() []Entry {
+	return slices.Clone(l.entries)
+}
+
+func (l *Log) apply(e Entry) {
+	if l.tables == nil {
+		l.tables = make(map[string][]Row)
+	}
+	l.tables[e.Table] = Change(l.tables[e.Table], e)
+}
+
+// Change returns the rows after an entry.
+func Change(rows []Row, e Entry) []Row {
+	switch e.Operation {
+	case OperationInsert:
+		return append(rows, Row{Key: e.Key, Value: e.Value})
+	case OperationUpdate:
+		for i := range rows {
+			if rows[i].Key == e.Key {
+				rows[i].Value = e.Value
+			}
+		}
+		return rows
+	case OperationDelete:
+		return slices.DeleteFunc(rows, func(r Row) bool { return r.Key == e.Key })
+	}
+	return rows
+}
--- /dev/null
+++ b/internal/program/ctcommand/client.go
@@ -0,0 +1,69 @@
+package ctcommand
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"time"
+
+	"github.com/spf13/cobra"
+	"github.com/spf13/pflag"
+
+	"github.com/cherviltrestle/cherviltrestle/internal/link/cthttp"
+	"github.com/cherviltrestle/cherviltrestle/internal/model/cterror"
+	"github.com/cherviltrestle/cherviltrestle/internal/program/ctsettings"
+)
+
+// callTime bounds one call of an operator.
+const callTime = 10 * time.Second
+
+// The forms of output.
+const (
+	outputText = "text"
+	outputJSON = "json"
+)
+
+// client calls control for an operator.
+type client struct {
+	control ctsettings.Address
+	output  string
+}
+
+// register declares the client's flags.
+func (c *client) register(flags *pflag.FlagSet) {
+	flags.Var(ctsettings.TextValue(&c.control, "address"), "control-http", "HTTP address of a control process")
+	flags.StringVar(&c.output, "output", outputText, "text or json")
+}
+
+// check reports the first flag that is missing or out of bounds.
+func (c *client) check() error {
+	if !c.control.IsValid() {
+		return cterror.New(cterror.Invalid, "--control-http is missing", "give the HTTP address of a control process")
+	}
+	if c.output != outputText && c.output != outputJSON {
+		return cterror.Newf(cterror.Invalid, "use text or json", "--output %q is unknown", c.output)
+	}
+	return nil
+}
+
+// call calls control and decodes its answer.
+func (c *client) call(ctx context.Context, method, path string, body, answer any) error {
+	if err := c.check(); err != nil {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(ctx, callTime)
+	defer cancel()
+	return cthttp.Call(ctx, http.DefaultClient, method, "http://"+c.control.String()+path, body, answer)
+}
+
+// print writes a value as JSON where that was asked for, and as text by show
+// otherwise.
+func (c *client) print(command *cobra.Command, value any, show func()) error {
+	if c.output != outputJSON {
+		show()
+		return nil
+	}
+	encoder := json.NewEncoder(command.OutOrStdout())
+	encoder.SetIndent("", "  ")
+	return encoder.Encode(value)
+}
--- /dev/null
+++ b/internal/program/ctcommand/status.go
@@ -0,0 +1,77 @@
+package ctcommand
+
+import (
+	"net/http"
+
+	"github.com/spf13/cobra"
+
+	"github.com/cherviltrestle/cherviltrestle/internal/decide/ctregister"
+	"github.com/cherviltrestle/cherviltrestle/internal/program/ctcontrol"
+)
+
+func newStatus(environment Environment) *cobra.Command {
+	var c client
+	command := &cobra.Command{
+		Use:   "status",
+		Short: "Show the fleet: proxies, members, groups and the configuration in force",
+		Args:  cobra.NoArgs,
+		RunE: func(command *cobra.Command, _ []string) error {
+			var status ctcontrol.Status
+			if err := c.call(command.Context(), http.MethodGet, "/v1/status", nil, &status); err != nil {
+				return err
+			}
+			return c.print(command, status, func() { showStatus(command, &status) })
+		},
+	}
+	c.register(command.Flags())
+	command.SetOut(environment.Out)
+	return command
+}
+
+func showStatus(command *cobra.Command, status *ctcontrol.Status) {
+	command.Printf("configuration: revision %s, not confirmed by %d proxies\n",
+		status.Revision, len(status.Unconfirmed))
+	for _, name := range status.Unconfirmed {
+		command.Printf("  not confirmed: %s\n", name)
+	}
+	if status.View == nil {
+		return
+	}
+	for _, g := range status.View.Groups {
+		command.Printf("group %s: primary %s, term %d", g.Name, g.Primary, g.Term)
+		if why := status.Blocked[g.Name]; why != "" {
+			command.Printf(", waits: %s", why)
+		}
+		command.Println()
+	}
+	for _, m := range status.View.Members {
+		command.Printf("member %s: group %s, %s, %s, %s\n", m.Member, m.Group, m.FailureDomain, m.Role, m.State)
+	}
+	for _, p := range status.View.Proxies {
+		command.Printf("proxy %s: %s, %s, %s\n", p.Name, p.FailureDomain, p.Address, p.State)
+	}
+}
+
+func newDeeds(environment Environment) *cobra.Command {
+	var c client
+	command := &cobra.Command{
+		Use:   "deeds",
+		Short: "List the decisions on groups: changes of primaries and why they were made",
+		Args:  cobra.NoArgs,
+		RunE: func(command *cobra.Command, _ []string) error {
+			var deeds []ctregister.Deed
+			if err := c.call(command.Context(), http.MethodGet, "/v1/deeds", nil, &deeds); err != nil {
+				return err
+			}
+			return c.print(command, deeds, func() {
+				for _, d := range deeds {
+					command.Printf("%s\t%s\tterm %d\tfence %d\tprimary %s\t%s\n", d.At.Format("15:04:05.000"),
+						d.Group.Name, d.Group.Term, d.Group.Fence, d.Group.Primary, d.Why)
+				}
+			})
+		},
+	}
+	c.register(command.Flags())
+	command.SetOut(environment.Out)
+	return command
+}
--- /dev/null
+++ b/internal/program/ctcontrol/ledger.go
@@ -0,0 +1,79 @@
+package ctcontrol
+
+import (
+	"time"
+
+	"github.com/cherviltrestle/cherviltrestle/internal/decide/ctfailover"
+	"github.com/cherviltrestle/cherviltrestle/internal/decide/ctregister"
+	"github.com/cherviltrestle/cherviltrestle/internal/fleet/ctroster"
+	"github.com/cherviltrestle/cherviltrestle/internal/model/ctconfig"
+	"github.com/cherviltrestle/cherviltrestle/internal/model/ctid"
+	"github.com/cherviltrestle/cherviltrestle/internal/model/ctview"
+)
+
+// ledger is all that the leader knows.
+type ledger struct {
+	register ctregister.Register
+	roster   ctroster.Roster
+	machines map[ctid.Group]*ctfailover.Machine
+	blocked  map[ctid.Group]ctfailover.Why
+	began    time.Time
+	settled  bool
+	silence  time.Duration
+	watchers []chan struct{}
+}
+
+// lead starts the ledger of a new leader.
+func (l *ledger) lead(now time.Time, epoch ctroster.Epoch, silence time.Duration) {
+	l.roster.Begin(epoch)
+	l.machines = make(map[ctid.Group]*ctfailover.Machine)
+	l.blocked = make(map[ctid.Group]ctfailover.Why)
+	l.began = now
+	l.settled = false
+	l.silence = silence
+	for _, g := range l.register.Groups {
+		l.roster.SetGroup(g)
+	}
+	l.configure(now, l.register.Current())
+}
+
+// configure takes an accepted configuration into force.
+func (l *ledger) configure(now time.Time, accepted ctconfig.Accepted) {
+	document := accepted.Change.Document
+	l.roster.SetConfig(ctview.Config{Revision: accepted.Revision, Document: document})
+	for _, g := range document.Groups {
+		machine, ok := l.machines[g.Name]
+		if !ok {
+			machine = &ctfailover.Machine{}
+			machine.Begin(now, longestLease)
+			l.machines[g.Name] = machine
+		}
+		machine.Size = g.Size
+		machine.SilenceTime = l.silence
+		settings := document.Effective(g.Name, now)
+		machine.LeaseTime = settings.Failovers.LeaseTime.Or(ctconfig.DefaultLeaseTime)
+	}
+	for name := range l.machines {
+		if _, declared := document.Group(name); !declared {
+			delete(l.machines, name)
+			l.roster.DropGroup(name)
+		}
+	}
+	l.notify()
+}
+
+// delta returns the delta from a version, or nil where there is none to give.
+func (l *ledger) delta(now time.Time, version ctview.Version) *ctview.Delta {
+	if now.Sub(l.began) < settleTime {
+		return nil
+	}
+	return l.roster.Since(version)
+}
+
+// notify wakes those who wait for a newer view.
+func (l *ledger) notify() {
+	for _, w := range l.watchers {
+		close(w)
+	}
+	l.watchers = nil
+}
--- /dev/null
+++ b/internal/program/ctcontrol/operators.go
@@ -0,0 +1,66 @@
+package ctcontrol
+
+import (
+	"net/http"
+
+	"github.com/cherviltrestle/cherviltrestle/internal/decide/ctregister"
+	"github.com/cherviltrestle/cherviltrestle/internal/link/cthttp"
+	"github.com/cherviltrestle/cherviltrestle/internal/model/ctconfig"
+	"github.com/cherviltrestle/cherviltrestle/internal/model/cterror"
+	"github.com/cherviltrestle/cherviltrestle/internal/work/ctlock"
+)
+
+// operators serves the operators' command line over HTTP.
+type operators struct {
+	control *Control
+}
+
+// change takes a change of the configuration. A change that was sent again gets
+// the answer of the first time; one that lost a race is told the winner.
+func (o operators) change(w http.ResponseWriter, r *http.Request) {
+	var change ctconfig.Change
+	if err := cthttp.Read(w, r, &change); err != nil {
+		cthttp.Fail(w, err)
+		return
+	}
+	var held ctlock.Held
+	result, err := o.control.Change(&held, change)
+	if err != nil {
+		cthttp.Fail(w, err)
+		return
+	}
+	switch c := result.(type) {
+	case ctregister.Configured:
+		cthttp.Write(w, http.StatusCreated, c.Accepted)
+	case ctregister.Resent:
+		cthttp.Write(w, http.StatusOK, c.Accepted)
+	case ctregister.Overtaken:
+		cthttp.Fail(w, overtaken(c))
+	}
+}
+
+func overtaken(c ctregister.Overtaken) error {
+	winner := c.Winner
+	if c.SameID {
+		return cterror.Newf(cterror.Conflict, "give this change an id of its own",
+			"change id %s was used before, for other content, by %s (revision %s)",
+			winner.Change.ID, winner.Change.Author, winner.Revision)
+	}
+	return cterror.Newf(cterror.Conflict, "get the newest configuration, make the change on it and apply that",
+		"change %s by %s was accepted first (revision %s)", winner.Change.ID, winner.Change.Author, winner.Revision)
+}
+
+func (o operators) history(w http.ResponseWriter, _ *http.Request) {
+	var held ctlock.Held
+	cthttp.Write(w, http.StatusOK, o.control.History(&held))
+}
+
+func (o operators) status(w http.ResponseWriter, _ *http.Request) {
+	var held ctlock.Held
+	cthttp.Write(w, http.StatusOK, o.control.Status(&held))
+}
+
+func (o operators) deeds(w http.ResponseWriter, _ *http.Request) {
+	var held ctlock.Held
+	cthttp.Write(w, http.StatusOK, o.control.Deeds(&held))
+}
--- /dev/null
+++ b/internal/program/ctcontrol/process.go
@@ -0,0 +1,101 @@
+package ctcontrol
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+	"github.com/rs/zerolog"
+
+	"github.com/cherviltrestle/cherviltrestle/internal/link/ctframe"
+	"github.com/cherviltrestle/cherviltrestle/internal/link/ctquic"
+	"github.com/cherviltrestle/cherviltrestle/internal/model/cterror"
+	"github.com/cherviltrestle/cherviltrestle/internal/program/ctsettings"
+	"github.com/cherviltrestle/cherviltrestle/internal/program/ctstream"
+	"github.com/cherviltrestle/cherviltrestle/internal/state/ctstore"
+	"github.com/cherviltrestle/cherviltrestle/internal/work/ctlock"
+)
+
+// The times of the process's servers.
+const (
+	// watchTime is how long a watch waits before it is answered with nothing.
+	watchTime = 4 * time.Second
+	// httpTime bounds the header of an HTTP request.
+	httpTime = 5 * time.Second
+)
+
+// Process is a control process with its servers.
+type Process struct {
+	settings ctsettings.Control
+	control  *Control
+	store    *ctstore.Store
+	endpoint *ctquic.Endpoint
+	logger   zerolog.Logger
+}
+
+// Run serves until ctx ends.
+func (p *Process) Run(ctx context.Context) error {
+	operators, err := net.Listen("tcp", p.settings.HTTP.String())
+	if err != nil {
+		return cterror.Wrap(cterror.Unavailable, err, "open the HTTP address", "choose a free TCP port")
+	}
+	server := &http.Server{Handler: p.routes(), ReadHeaderTimeout: httpTime}
+	go func() { _ = server.Serve(operators) }()
+	go p.control.Run(ctx)
+	go func() { _ = p.endpoint.Serve(ctx, p.serve) }()
+	p.logger.Info().Str("event", "started").
+		Stringer("peer", p.endpoint.Address()).
+		Str("http", operators.Addr().String()).
+		Send()
+	<-ctx.Done()
+	_ = server.Close()
+	_ = p.endpoint.Close()
+	p.logger.Info().Str("event", "stopped").Send()
+	return p.store.Close()
+}
+
+// serve serves one stream of a proxy.
+func (p *Process) serve(ctx context.Context, stream *ctquic.Stream) {
+	way := ctstream.New(stream)
+	defer way.Close()
+	var held ctlock.Held
+	for {
+		frame, err := way.Read()
+		if err != nil {
+			return
+		}
+		answer := p.answer(ctx, &held, frame)
+		if answer == nil || way.Write(answer) != nil {
+			return
+		}
+	}
+}
+
+func (p *Process) answer(ctx context.Context, held *ctlock.Held, frame ctframe.Frame) ctframe.Frame {
+	switch f := frame.(type) {
+	case *ctframe.Report:
+		return &ctframe.Reply{Reply: *p.control.Report(held, &f.Report)}
+	case *ctframe.Watch:
+		ctx, cancel := context.WithTimeout(ctx, watchTime)
+		defer cancel()
+		reply := &ctframe.Reply{}
+		reply.Delta = p.control.Watch(ctx, held, f.Version)
+		return reply
+	}
+	return &ctframe.Fault{Kind: cterror.Invalid.String(), Message: "control does not serve this frame"}
+}
+
+// routes serves operators, health and metrics.
+func (p *Process) routes() http.Handler {
+	mux := http.NewServeMux()
+	o := operators{control: p.control}
+	mux.HandleFunc("GET /v1/config", o.history)
+	mux.HandleFunc("POST /v1/config", o.change)
+	mux.HandleFunc("GET /v1/status", o.status)
+	mux.HandleFunc("GET /v1/deeds", o.deeds)
+	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
+	mux.Handle("GET /metrics", promhttp.Handler())
+	return mux
+}
--- /dev/null
+++ b/internal/program/ctentry/entry.go
@@ -0,0 +1,242 @@
+package ctentry
+
+import (
+	"context"
+	"crypto/tls"
+	"net"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/rs/zerolog"
+
+	"github.com/cherviltrestle/cherviltrestle/internal/decide/ctretry"
+	"github.com/cherviltrestle/cherviltrestle/internal/decide/ctsession"
+	"github.com/cherviltrestle/cherviltrestle/internal/link/ctframe"
+	"github.com/cherviltrestle/cherviltrestle/internal/link/ctpg"
+	"github.com/cherviltrestle/cherviltrestle/internal/link/cttoken"
+	"github.com/cherviltrestle/cherviltrestle/internal/model/ctid"
+	"github.com/cherviltrestle/cherviltrestle/internal/model/ctoutcome"
+	"github.com/cherviltrestle/cherviltrestle/internal/program/ctmetric"
+	"github.com/cherviltrestle/cherviltrestle/internal/program/ctstate"
+	"github.com/cherviltrestle/cherviltrestle/internal/work/ctclock"
+	"github.com/cherviltrestle/cherviltrestle/internal/work/ctdeadline"
+	"github.com/cherviltrestle/cherviltrestle/internal/work/ctlock"
+	"github.com/cherviltrestle/cherviltrestle/internal/work/ctpool"
+	"github.com/cherviltrestle/cherviltrestle/internal/work/cttable"
+)
+
+// Way is a two-way stream of frames to a member's holder.
+type Way interface {
+	Write(frame ctframe.Frame) error
+	Read() (ctframe.Frame, error)
+	Close()
+}
+
+// Ways opens ways to holders.
+type Ways interface {
+	Open(ctx context.Context, holder netip.AddrPort) (Way, error)
+}
+
+// Options are the parts and settings of an Entry.
+type Options struct {
+	Proxy       ctid.Proxy
+	Incarnation ctid.Incarnation
+	Domain      ctid.FailureDomain
+	State       *ctstate.State
+	Ways        Ways
+	Sealer      *cttoken.Sealer
+	Clock       ctclock.Clock
+	Random      ctretry.Random
+	Logger      zerolog.Logger
+	Metrics     *ctmetric.Metrics
+	// TLS encrypts callers' connections; nil serves them without.
+	TLS *tls.Config
+	// Workers is the number of workers; one a processor where it is 0.
+	Workers int
+}
+
+// Entry serves callers.
+type Entry struct {
+	Options
+
+	sessions cttable.Table[ctid.Session, conversation]
+	budget   cttable.Cell[ctretry.Budget]
+	pool     ctpool.Pool[happening]
+	timers   ctdeadline.Queue[timer]
+	last     atomic.Uint64
+	draining atomic.Bool
+	open     sync.WaitGroup
+}
+
+// happening is an event of a session.
+type happening struct {
+	session ctid.Session
+	event   ctsession.Event
+}
+
+// timer is a deadline of a session: for its next try, or for its idleness.
+type timer struct {
+	session ctid.Session
+	retry   bool
+}
+
+// New returns an entry that is ready to serve.
+func New(options Options) *Entry {
+	e := &Entry{
+		Options:  options,
+		sessions: cttable.Table[ctid.Session, conversation]{Rank: ctlock.RankSessions},
+		budget:   cttable.Cell[ctretry.Budget]{Rank: ctlock.RankBudget},
+	}
+	e.pool = ctpool.Pool[happening]{Workers: options.Workers, Handle: e.handle}
+	e.timers = ctdeadline.Queue[timer]{Clock: options.Clock, Due: e.due}
+	return e
+}
+
+// Start starts the workers and the timers, which run until ctx ends.
+func (e *Entry) Start(ctx context.Context) {
+	e.pool.Start()
+	go e.timers.Run(ctx)
+}
+
+// Serve accepts callers until the listener is closed.
+func (e *Entry) Serve(listener net.Listener) error {
+	for {
+		socket, err := listener.Accept()
+		if err != nil {
+			if e.draining.Load() || errors.Is(err, net.ErrClosed) {
+				return nil
+			}
+			return errors.Wrap(err, "accept a caller")
+		}
+		e.open.Add(1)
+		go func() {
+			defer e.open.Done()
+			e.serve(socket)
+		}()
+	}
+}
+
+// Drain ends idle sessions now and the others after their work, and waits for
+// them until ctx ends. It reports whether all have ended.
+func (e *Entry) Drain(ctx context.Context) bool {
+	e.draining.Store(true)
+	for _, s := range e.all() {
+		e.put(s, ctsession.Drained{})
+	}
+	done := make(chan struct{})
+	go func() {
+		e.open.Wait()
+		close(done)
+	}()
+	select {
+	case <-done:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+func (e *Entry) all() []ctid.Session {
+	var held ctlock.Held
+	var sessions []ctid.Session
+	e.sessions.With(&held, func(rows map[ctid.Session]*conversation) {
+		for s := range rows {
+			sessions = append(sessions, s)
+		}
+	})
+	return sessions
+}
+
+// put hands an event of a session to the workers.
+func (e *Entry) put(session ctid.Session, event ctsession.Event) {
+	e.pool.Put(ctpool.Key(session), happening{session: session, event: event})
+}
+
+// due turns a deadline that has passed into an event.
+func (e *Entry) due(t timer) {
+	if t.retry {
+		e.put(t.session, ctsession.Woken{})
+		return
+	}
+	e.put(t.session, ctsession.Idled{})
+}
+
+// handle lets a session decide on an event and hands the effects over. The
+// conversation performs those that need its connections.
+func (e *Entry) handle(held *ctlock.Held, h happening) {
+	view := e.State.View(held)
+	world := &ctsession.World{
+		Now:         e.Clock.Now(),
+		View:        view,
+		Random:      e.Random,
+		Proxy:       e.Proxy,
+		Incarnation: e.Incarnation,
+		Domain:      e.Domain,
+	}
+	var to *conversation
+	var effects []ctsession.Effect
+	e.sessions.With(held, func(rows map[ctid.Session]*conversation) {
+		to = rows[h.session]
+	})
+	if to == nil {
+		return
+	}
+	world.Hints = e.State.Hints(held, view.MembersOf(to.session.Group))
+	e.budget.With(held, func(budget *ctretry.Budget) {
+		world.Budget = budget
+		effects = to.session.Step(world, h.event)
+	})
+	e.deliver(to, effects)
+}
+
+// deliver sets the timers that the effects ask for, logs the decisions and
+// passes the rest to the conversation.
+func (e *Entry) deliver(to *conversation, effects []ctsession.Effect) {
+	session := to.session.ID
+	rest := make([]ctsession.Effect, 0, len(effects))
+	hangup := false
+	for _, effect := range effects {
+		switch f := effect.(type) {
+		case ctsession.Wait:
+			e.timers.Set(timer{session: session, retry: true}, e.Clock.Now().Add(f.For))
+		case ctsession.Arm:
+			e.timers.Set(timer{session: session}, e.Clock.Now().Add(f.For))
+		case ctsession.Hangup:
+			hangup = true
+			rest = append(rest, f)
+		default:
+			rest = append(rest, f)
+		}
+	}
+	if len(rest) == 0 {
+		return
+	}
+	e.logDecisions(to, rest)
+	to.orders <- rest
+	if hangup {
+		to.interrupt()
+	}
+}
+
+// Count returns how many sessions are open.
+func (e *Entry) Count() int {
+	var held ctlock.Held
+	count := 0
+	e.sessions.With(&held, func(rows map[ctid.Session]*conversation) { count = len(rows) })
+	return count
+}
+
+// observe counts an ended request.
+func (e *Entry) observe(c *conversation, outcome ctoutcome.Outcome, began time.Time) {
+	role := string(c.role)
+	e.Metrics.Requests.WithLabelValues(string(c.session.Group), role, ctoutcome.Name(outcome)).Inc()
+	e.Metrics.Seconds.WithLabelValues(role).Observe(e.Clock.Now().Sub(began).Seconds())
+}
+
+// options returns the settings of a caller's connection.
+func (e *Entry) options(session ctid.Session) ctpg.Options {
+	return ctpg.Options{TLS: e.TLS, Process: uint32(session)}
+}
--- /dev/null
+++ b/internal/program/ctentry/log.go
@@ -0,0 +1,53 @@
+package ctentry
+
+import (
+	"github.com/cherviltrestle/cherviltrestle/internal/decide/ctsession"
+	"github.com/cherviltrestle/cherviltrestle/internal/model/ctoutcome"
+	"github.com/cherviltrestle/cherviltrestle/internal/program/ctlog"
+)
+
+// logDecisions writes a line for each decision among the effects.
+func (e *Entry) logDecisions(c *conversation, effects []ctsession.Effect) {
+	for _, effect := range effects {
+		switch f := effect.(type) {
+		case ctsession.Send:
+			e.logRoute(c, f)
+		case ctsession.Finish:
+			e.logOutcome(f)
+		case ctsession.Hangup:
+			ctlog.Decision(&e.Logger, "hangup").
+				Stringer("request", f.Request).
+				Str("why", string(f.Why)).
+				Str("outcome", ctoutcome.Name(f.Outcome)).
+				Str("reason", string(ctoutcome.ReasonOf(f.Outcome))).
+				Send()
+		}
+	}
+}
+
+func (e *Entry) logRoute(c *conversation, send ctsession.Send) {
+	if send.Continue {
+		return
+	}
+	ctlog.Decision(&e.Logger, "route").
+		Stringer("request", send.Request).
+		Str("group", string(c.session.Group)).
+		Str("caller", string(c.session.Caller)).
+		Str("member", string(send.Choice.Member)).
+		Str("holder", string(send.Choice.Holder.Name)).
+		Str("to", string(send.Choice.Role)).
+		Stringer("need", send.Need).
+		Str("why", string(send.Choice.Why)).
+		Send()
+}
+
+func (e *Entry) logOutcome(finish ctsession.Finish) {
+	line := ctlog.Decision(&e.Logger, "outcome").
+		Stringer("request", finish.Request).
+		Str("outcome", ctoutcome.Name(finish.Outcome))
+	if ran, ok := finish.Outcome.(ctoutcome.Ran); ok {
+		line.Stringer("point", ran.Point).Send()
+		return
+	}
+	line.Str("why", string(ctoutcome.ReasonOf(finish.Outcome))).Send()
+}
--- /dev/null
+++ b/internal/program/ctholding/holding.go
@@ -0,0 +1,223 @@
+package ctholding
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/cherviltrestle/cherviltrestle/internal/decide/ctadmit"
+	"github.com/cherviltrestle/cherviltrestle/internal/fleet/ctholder"
+	"github.com/cherviltrestle/cherviltrestle/internal/link/ctbackend"
+	"github.com/cherviltrestle/cherviltrestle/internal/model/ctid"
+	"github.com/cherviltrestle/cherviltrestle/internal/model/ctserver"
+	"github.com/cherviltrestle/cherviltrestle/internal/model/ctview"
+	"github.com/cherviltrestle/cherviltrestle/internal/program/ctlog"
+	"github.com/cherviltrestle/cherviltrestle/internal/program/ctmetric"
+	"github.com/cherviltrestle/cherviltrestle/internal/program/ctstate"
+	"github.com/cherviltrestle/cherviltrestle/internal/work/ctclock"
+	"github.com/cherviltrestle/cherviltrestle/internal/work/ctlock"
+	"github.com/cherviltrestle/cherviltrestle/internal/work/ctpool"
+	"github.com/cherviltrestle/cherviltrestle/internal/work/cttable"
+)
+
+// tickInterval is how often deadlines of held members are looked at.
+const tickInterval = 10 * time.Millisecond
+
+// Dialer opens connections to backend servers.
+type Dialer interface {
+	Dial(ctx context.Context, announcement ctserver.Announcement, label string) (*ctbackend.Conn, error)
+}
+
+// Options are the parts and settings of a Holding.
+type Options struct {
+	Proxy       ctid.Proxy
+	Incarnation ctid.Incarnation
+	State       *ctstate.State
+	Dialer      Dialer
+	Peers       Peers
+	Clock       ctclock.Clock
+	Logger      zerolog.Logger
+	Metrics     *ctmetric.Metrics
+	// Workers is the number of workers; one a processor where it is 0.
+	Workers int
+}
+
+// Holding serves the members that this proxy holds.
+type Holding struct {
+	Options
+
+	members cttable.Table[ctid.Member, member]
+	pool    ctpool.Pool[happening]
+	last    atomic.Uint64
+	running context.Context
+	news    func()
+
+	draining atomic.Bool
+}
+
+// happening is an event of a held member.
+type happening struct {
+	member ctid.Member
+	event  event
+}
+
+// New returns a holding without members.
+func New(options Options) *Holding {
+	h := &Holding{
+		Options: options,
+		news:    func() {},
+		members: cttable.Table[ctid.Member, member]{Rank: ctlock.RankMembers},
+	}
+	h.pool = ctpool.Pool[happening]{Workers: options.Workers, Handle: h.handle}
+	return h
+}
+
+// Start starts the workers, which run until ctx ends.
+func (h *Holding) Start(ctx context.Context) {
+	h.running = ctx
+	h.pool.Start()
+	go h.tickAll(ctx)
+}
+
+// tickAll makes the members look at their deadlines again and again.
+func (h *Holding) tickAll(ctx context.Context) {
+	var held ctlock.Held
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-h.Clock.After(tickInterval):
+		}
+		for _, m := range h.names(&held) {
+			h.put(m, ticked{})
+		}
+	}
+}
+
+// OnNews sets what to call when something happened that control should know at
+// once. It is called before Start.
+func (h *Holding) OnNews(news func()) {
+	h.news = news
+}
+
+// Drain lets go of all members and reports whether their last requests ended
+// before ctx did.
+func (h *Holding) Drain(ctx context.Context) bool {
+	var held ctlock.Held
+	h.draining.Store(true)
+	h.Follow(&held, h.State.View(&held))
+	for {
+		if len(h.names(&held)) == 0 {
+			return true
+		}
+		select {
+		case <-ctx.Done():
+			return false
+		case <-h.Clock.After(tickInterval):
+		}
+	}
+}
+
+// Follow starts to hold the members that the view names this proxy for, and
+// lets go of the others.
+func (h *Holding) Follow(held *ctlock.Held, view *ctview.View) {
+	wanted := h.wanted(view)
+	var started, kept []*member
+	var ended []ctid.Member
+	h.members.With(held, func(rows map[ctid.Member]*member) {
+		for name, announced := range wanted {
+			if row, ok := rows[name]; ok {
+				row.update(announced)
+				kept = append(kept, row)
+				continue
+			}
+			row := newMember(h, announced, view)
+			rows[name] = row
+			started = append(started, row)
+		}
+		for name, row := range rows {
+			if _, ok := wanted[name]; !ok && !row.leaving {
+				row.leaving = true
+				ended = append(ended, name)
+			}
+		}
+	})
+	for _, m := range kept {
+		m.hasten()
+	}
+	for _, m := range started {
+		h.logPlacement(m, "hold", "highest_rank_in_failure_domain")
+		go m.monitor()
+		go m.meter()
+	}
+	for _, name := range ended {
+		h.put(name, queued{event: ctadmit.Close{}})
+	}
+}
+
+// wanted returns the members that the view names this proxy for.
+func (h *Holding) wanted(view *ctview.View) map[ctid.Member]ctserver.Announcement {
+	wanted := make(map[ctid.Member]ctserver.Announcement)
+	self, ok := view.Proxies[h.Proxy]
+	if !ok || h.draining.Load() {
+		return wanted
+	}
+	for name, announced := range view.Members {
+		if announced.FailureDomain != self.FailureDomain {
+			continue
+		}
+		if holder, ok := ctholder.Of(view, name); ok && holder.Name == h.Proxy {
+			wanted[name] = announced
+		}
+	}
+	return wanted
+}
+
+func (h *Holding) logPlacement(m *member, decision string, why string) {
+	ctlog.Decision(&h.Logger, decision).
+		Str("group", string(m.announced.Group)).
+		Str("member", string(m.announced.Member)).
+		Str("why", why).
+		Send()
+}
+
+func (h *Holding) names(held *ctlock.Held) []ctid.Member {
+	var names []ctid.Member
+	h.members.With(held, func(rows map[ctid.Member]*member) {
+		for name := range rows {
+			names = append(names, name)
+		}
+	})
+	return names
+}
+
+// put hands an event of a member to the workers.
+func (h *Holding) put(member ctid.Member, event event) {
+	h.pool.Put(ctpool.KeyOf(member), happening{member: member, event: event})
+}
+
+// Held returns the account of the held members that a report carries.
+func (h *Holding) Held(held *ctlock.Held) []ctview.Held {
+	var accounts []ctview.Held
+	h.members.With(held, func(rows map[ctid.Member]*member) {
+		for _, m := range rows {
+			if !m.leaving && !m.locked {
+				continue
+			}
+			accounts = append(accounts, ctview.Held{
+				Group:  m.announced.Group,
+				Member: m.announced.Member,
+				Health: m.health,
+				Status: m.status,
+
+				Draining: m.leaving,
+			})
+		}
+	})
+	for i := range accounts {
+		accounts[i].Surrendered = h.State.Surrendered(held, accounts[i].Group)
+	}
+	return accounts
+}
--- /dev/null
+++ b/internal/program/ctholding/member.go
@@ -0,0 +1,115 @@
+package ctholding
+
+import (
+	"context"
+	"time"
+
+	"github.com/cherviltrestle/cherviltrestle/internal/decide/ctadmit"
+	"github.com/cherviltrestle/cherviltrestle/internal/decide/ctage"
+	"github.com/cherviltrestle/cherviltrestle/internal/decide/ctconfirm"
+	"github.com/cherviltrestle/cherviltrestle/internal/decide/ctwatch"
+	"github.com/cherviltrestle/cherviltrestle/internal/link/ctbackend"
+	"github.com/cherviltrestle/cherviltrestle/internal/model/ctconfig"
+	"github.com/cherviltrestle/cherviltrestle/internal/model/ctid"
+	"github.com/cherviltrestle/cherviltrestle/internal/model/ctserver"
+	"github.com/cherviltrestle/cherviltrestle/internal/model/ctset"
+	"github.com/cherviltrestle/cherviltrestle/internal/model/ctview"
+)
+
+// member is a held member. Its fields are read and changed only while the table
+// of members is locked, but for those that do not change after newMember.
+type member struct {
+	holding *Holding
+	// wake makes the monitor ask for the status at once.
+	wake chan struct{}
+	// stop ends the monitor; watching ends with it.
+	stop     context.CancelFunc
+	watching context.Context
+	// finish ends all that is done for the member; serving ends with it.
+	finish  context.CancelFunc
+	serving context.Context
+	// confirmers are woken when a commit waits for its confirmation.
+	confirmers map[ctid.Member]chan struct{}
+
+	name  ctid.Member
+	group ctid.Group
+
+	announced ctserver.Announcement
+	leaving   bool
+	locked    bool
+	health    ctview.Health
+	status    ctserver.Status
+	sampledAt time.Time
+	others    int
+	age       ctage.Meter
+	queue     ctadmit.Queue
+	watch     ctwatch.List
+	board     ctconfirm.Board
+	idle      []*ctbackend.Conn
+	exchanges map[ctadmit.Exchange]*exchange
+	waiters   map[ctwatch.Key]waiter
+	lastKey   ctwatch.Key
+}
+
+func newMember(h *Holding, announced ctserver.Announcement, view *ctview.View) *member {
+	serving, finish := context.WithCancel(h.running)
+	watching, stop := context.WithCancel(serving)
+	settings := view.Config.Document.Effective(announced.Group, h.Clock.Now())
+	declared, _ := view.Config.Document.Group(announced.Group)
+	depth := settings.Sessions.QueueDepth
+	if depth == 0 {
+		depth = ctconfig.DefaultQueueDepth
+	}
+	return &member{
+		holding:   h,
+		wake:      make(chan struct{}, 1),
+		stop:      stop,
+		watching:  watching,
+		finish:    finish,
+		serving:   serving,
+		name:      announced.Member,
+		group:     announced.Group,
+		announced: announced,
+		health:    ctview.HealthSilent,
+		queue:     ctadmit.Queue{Slots: 0, Budget: 0, Depth: depth},
+		board:     ctconfirm.Board{Size: max(declared.Size, 1)},
+		exchanges: make(map[ctadmit.Exchange]*exchange),
+		waiters:   make(map[ctwatch.Key]waiter),
+
+		confirmers: make(map[ctid.Member]chan struct{}),
+	}
+}
+
+// update takes a newer announcement of the member.
+func (m *member) update(announced ctserver.Announcement) {
+	m.announced = announced
+	m.leaving = false
+}
+
+// hasten makes the monitor ask for the status at once.
+func (m *member) hasten() {
+	select {
+	case m.wake <- struct{}{}:
+	default:
+	}
+}
+
+// knownAge returns the age of the member's data as an option.
+func (m *member) knownAge(now time.Time) ctset.Option[time.Duration] {
+	if age, known := m.age.Age(now); known {
+		return ctset.Some(age)
+	}
+	return ctset.Option[time.Duration]{}
+}
+
+// limits returns the slots and connections that this holder may use, less what
+// an earlier holder still has.
+func (m *member) limits() ctadmit.Resize {
+	if !m.locked {
+		return ctadmit.Resize{}
+	}
+	return ctadmit.Resize{
+		Slots:  max(0, m.announced.Slots-m.others),
+		Budget: max(0, m.announced.Budget()-m.others),
+	}
+}
--- /dev/null
+++ b/internal/program/ctholding/monitor.go
@@ -0,0 +1,199 @@
+package ctholding
+
+import (
+	"context"
+	"errors"
+	"strconv"
+	"syscall"
+	"time"
+
+	"github.com/cherviltrestle/cherviltrestle/internal/link/ctbackend"
+	"github.com/cherviltrestle/cherviltrestle/internal/model/ctid"
+	"github.com/cherviltrestle/cherviltrestle/internal/model/ctserver"
+	"github.com/cherviltrestle/cherviltrestle/internal/work/ctlock"
+)
+
+// The times of a monitor.
+const (
+	// pollInterval is the time between two status queries.
+	pollInterval = 50 * time.Millisecond
+	// hastyInterval is the time between two while someone waits for the member.
+	hastyInterval = 2 * time.Millisecond
+	// pollTimeout is how long a status query may take.
+	pollTimeout = 500 * time.Millisecond
+	// lockInterval is the time between two tries to take the holder's lock.
+	lockInterval = 20 * time.Millisecond
+	// lockPatience is how long an earlier holder may keep the lock before its
+	// connections are ended on the member.
+	lockPatience = 3 * time.Second
+	// redialInterval is the time between two tries to reach a silent member.
+	redialInterval = 50 * time.Millisecond
+)
+
+// The statements of a holder.
+const (
+	lockQuery   = "SELECT pg_try_advisory_lock(1667527521)"
+	othersQuery = "SELECT count(*) FROM pg_stat_activity WHERE application_name LIKE 'cherviltrestle/%'" +
+		" AND application_name <> '"
+	evictQuery = "SELECT count(pg_terminate_backend(pid)) FROM pg_stat_activity" +
+		" WHERE application_name LIKE 'cherviltrestle%' AND application_name <> '"
+)
+
+// labelPrefix begins the names under which holders' connections are shown by
+// backend servers.
+const (
+	labelPrefix   = "cherviltrestle/"
+	monitorPrefix = "cherviltrestle-monitor/"
+)
+
+// monitor watches a member until its context ends: it takes the holder's lock
+// and reads the status again and again.
+func (m *member) monitor() {
+	defer m.put(locked{})
+	for m.watching.Err() == nil {
+		connection, err := m.dialMonitor()
+		if err != nil {
+			m.put(silent{down: errors.Is(err, syscall.ECONNREFUSED)})
+			m.pause(redialInterval)
+			continue
+		}
+		m.watchOver(connection)
+		connection.Close()
+	}
+}
+
+func (m *member) dialMonitor() (*ctbackend.Conn, error) {
+	ctx, cancel := context.WithTimeout(m.watching, pollTimeout)
+	defer cancel()
+	var held ctlock.Held
+	announced, _ := m.holding.announced(&held, m.name)
+	return m.holding.Dialer.Dial(ctx, announced, monitorPrefix+m.holding.label())
+}
+
+// watchOver serves one connection of the monitor until it fails.
+func (m *member) watchOver(connection *ctbackend.Conn) {
+	if !m.takeLock(connection) {
+		return
+	}
+	others, err := m.countOthers(connection)
+	if err != nil {
+		return
+	}
+	m.put(locked{held: true, others: others})
+	defer m.put(locked{})
+	for m.watching.Err() == nil {
+		if others > 0 {
+			if others, err = m.countOthers(connection); err != nil {
+				return
+			}
+		}
+		status, ok := m.poll(connection, others)
+		if !ok {
+			return
+		}
+		if m.reconcile(connection, status) {
+			continue
+		}
+		m.pause(m.interval())
+	}
+}
+
+// poll reads the status once and reports whether the connection still works.
+func (m *member) poll(connection *ctbackend.Conn, others int) (ctserver.Status, bool) {
+	ctx, cancel := context.WithTimeout(m.watching, pollTimeout)
+	defer cancel()
+	asked := m.holding.Clock.Now()
+	status, err := connection.Status(ctx)
+	if err != nil {
+		m.put(silent{down: errors.Is(err, syscall.ECONNREFUSED)})
+		return status, false
+	}
+	m.put(sampled{status: status, asked: asked, others: others})
+	return status, true
+}
+
+// takeLock waits for the holder's lock and reports whether it has it.
+func (m *member) takeLock(connection *ctbackend.Conn) bool {
+	patience := m.holding.Clock.Now().Add(lockPatience)
+	for m.watching.Err() == nil {
+		rows, err := m.query(connection, lockQuery)
+		if err != nil {
+			return false
+		}
+		if len(rows) == 1 && len(rows[0]) == 1 && rows[0][0] == "t" {
+			return true
+		}
+		if m.holding.Clock.Now().After(patience) {
+			m.holding.Logger.Warn().Str("event", "evict").Str("member", string(m.name)).
+				Str("why", "earlier_holder_keeps_lock").Send()
+			if _, err := m.query(connection, evictQuery+monitorPrefix+m.holding.label()+"'"); err != nil {
+				return false
+			}
+		}
+		m.pause(lockInterval)
+	}
+	return false
+}
+
+// countOthers returns how many connections of earlier holders are open.
+func (m *member) countOthers(connection *ctbackend.Conn) (int, error) {
+	rows, err := m.query(connection, othersQuery+labelPrefix+m.holding.label()+"'")
+	if err != nil {
+		return 0, err
+	}
+	if len(rows) != 1 || len(rows[0]) != 1 {
+		return 0, nil
+	}
+	return strconv.Atoi(rows[0][0])
+}
+
+func (m *member) query(connection *ctbackend.Conn, text string) ([][]string, error) {
+	ctx, cancel := context.WithTimeout(m.watching, pollTimeout)
+	defer cancel()
+	return connection.Query(ctx, text)
+}
+
+// interval returns how long to wait before the next status query.
+func (m *member) interval() time.Duration {
+	var held ctlock.Held
+	interval := pollInterval
+	m.holding.members.With(&held, func(map[ctid.Member]*member) {
+		if m.watch.Len() > 0 {
+			interval = hastyInterval
+		}
+	})
+	return interval
+}
+
+// pause waits, or less where the monitor is hastened.
+func (m *member) pause(d time.Duration) {
+	select {
+	case <-m.watching.Done():
+	case <-m.wake:
+	case <-m.holding.Clock.After(d):
+	}
+}
+
+func (m *member) put(e event) {
+	m.holding.put(m.name, e)
+}
+
+// connect opens a connection for callers' requests.
+func (h *Holding) connect(ctx context.Context, announced ctserver.Announcement) (*ctbackend.Conn, error) {
+	connection, err := h.Dialer.Dial(ctx, announced, labelPrefix+h.label())
+	if err != nil {
+		return nil, err
+	}
+	status, err := connection.Status(ctx)
+	if err != nil {
+		connection.Close()
+		return nil, err
+	}
+	connection.Incarnation = status.Incarnation
+	return connection, nil
+}
+
+// label names this run of the proxy to backend servers.
+func (h *Holding) label() string {
+	return string(h.Proxy) + "/" + strconv.FormatUint(uint64(h.Incarnation), 16)
+}
--- /dev/null
+++ b/internal/program/ctproxy/build.go
@@ -0,0 +1,210 @@
+package ctproxy
+
+import (
+	"context"
+	"crypto/tls"
+	"math/rand/v2"
+	"net/netip"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/rs/zerolog"
+
+	"github.com/cherviltrestle/cherviltrestle/internal/decide/ctretry"
+	"github.com/cherviltrestle/cherviltrestle/internal/link/ctbackend"
+	"github.com/cherviltrestle/cherviltrestle/internal/link/ctkey"
+	"github.com/cherviltrestle/cherviltrestle/internal/link/ctquic"
+	"github.com/cherviltrestle/cherviltrestle/internal/link/cttoken"
+	"github.com/cherviltrestle/cherviltrestle/internal/model/cterror"
+	"github.com/cherviltrestle/cherviltrestle/internal/model/ctid"
+	"github.com/cherviltrestle/cherviltrestle/internal/model/ctserver"
+	"github.com/cherviltrestle/cherviltrestle/internal/model/ctview"
+	"github.com/cherviltrestle/cherviltrestle/internal/program/ctentry"
+	"github.com/cherviltrestle/cherviltrestle/internal/program/ctholding"
+	"github.com/cherviltrestle/cherviltrestle/internal/program/ctmetric"
+	"github.com/cherviltrestle/cherviltrestle/internal/program/ctsettings"
+	"github.com/cherviltrestle/cherviltrestle/internal/program/ctstate"
+	"github.com/cherviltrestle/cherviltrestle/internal/program/ctstream"
+	"github.com/cherviltrestle/cherviltrestle/internal/program/ctuplink"
+	"github.com/cherviltrestle/cherviltrestle/internal/work/ctclock"
+)
+
+// The providers below are what wire puts a Proxy together from.
+
+func newIncarnation(clock ctclock.Clock) ctid.Incarnation {
+	return ctid.Incarnation(clock.Now().UnixNano())
+}
+
+func newKeys(settings ctsettings.Proxy) (*ctkey.Bundle, error) {
+	return ctkey.Load(settings.Keys)
+}
+
+func newEndpoint(settings ctsettings.Proxy, keys *ctkey.Bundle) (*ctquic.Endpoint, error) {
+	return ctquic.Listen(settings.Peer.AddrPort, keys)
+}
+
+func newMetrics() *ctmetric.Metrics {
+	return ctmetric.New(prometheus.NewRegistry())
+}
+
+func newSealer(keys *ctkey.Bundle) *cttoken.Sealer {
+	return &cttoken.Sealer{Keys: keys.Tokens}
+}
+
+// random is the machine's random source.
+type random struct{}
+
+// Int64N returns a number from 0 to n-1.
+func (random) Int64N(n int64) int64 {
+	return rand.Int64N(n)
+}
+
+func newRandom() ctretry.Random {
+	return random{}
+}
+
+// callerTLS is the encryption of callers' connections; nil for none.
+type callerTLS *tls.Config
+
+func newCallerTLS(settings ctsettings.Proxy) (callerTLS, error) {
+	if settings.CallerCert == "" {
+		return nil, nil
+	}
+	certificate, err := tls.LoadX509KeyPair(settings.CallerCert, settings.CallerKey)
+	if err != nil {
+		return nil, cterror.Wrap(cterror.Invalid, err, "load the caller certificate",
+			"give a PEM certificate and its key")
+	}
+	return &tls.Config{Certificates: []tls.Certificate{certificate}, MinVersion: tls.VersionTLS12}, nil
+}
+
+// dialer opens connections to backend servers with the proxy's user.
+type dialer struct {
+	user     string
+	password string
+}
+
+// Dial opens a connection to the member that announced itself.
+func (d dialer) Dial(
+	ctx context.Context, announced ctserver.Announcement, label string,
+) (*ctbackend.Conn, error) {
+	return ctbackend.Dial(ctx, ctbackend.Target{
+		Address:  announced.Address,
+		Database: string(announced.Group),
+		User:     d.user,
+		Password: d.password,
+		Label:    label,
+	})
+}
+
+func newDialer(settings ctsettings.Proxy) ctholding.Dialer {
+	return dialer{user: settings.BackendUser, password: settings.BackendSecret}
+}
+
+// The parts of the proxy each state the ways that they need; these adapt the
+// one kind of way that there is.
+type (
+	entryWays   struct{ ways *ctstream.Ways }
+	holdingWays struct{ ways *ctstream.Ways }
+	uplinkWays  struct{ ways *ctstream.Ways }
+)
+
+// Open opens a way to a holder.
+func (w entryWays) Open(ctx context.Context, address netip.AddrPort) (ctentry.Way, error) {
+	return w.ways.Open(ctx, address)
+}
+
+// Open opens a way to another holder.
+func (w holdingWays) Open(ctx context.Context, address netip.AddrPort) (ctholding.Way, error) {
+	return w.ways.Open(ctx, address)
+}
+
+// Open opens a way to control or to a peer.
+func (w uplinkWays) Open(ctx context.Context, address netip.AddrPort) (ctuplink.Way, error) {
+	return w.ways.Open(ctx, address)
+}
+
+func newWays(endpoint *ctquic.Endpoint) *ctstream.Ways {
+	return &ctstream.Ways{Endpoint: endpoint}
+}
+
+func newHolding(
+	settings ctsettings.Proxy, incarnation ctid.Incarnation, state *ctstate.State, dialer ctholding.Dialer,
+	ways *ctstream.Ways, clock ctclock.Clock, logger zerolog.Logger, metrics *ctmetric.Metrics,
+) *ctholding.Holding {
+	return ctholding.New(ctholding.Options{
+		Proxy:       settings.Name,
+		Incarnation: incarnation,
+		State:       state,
+		Dialer:      dialer,
+		Peers:       holdingWays{ways: ways},
+		Clock:       clock,
+		Logger:      logger,
+		Metrics:     metrics,
+		Workers:     settings.Workers,
+	})
+}
+
+func newEntry(
+	settings ctsettings.Proxy, incarnation ctid.Incarnation, state *ctstate.State, ways *ctstream.Ways,
+	sealer *cttoken.Sealer, clock ctclock.Clock, random ctretry.Random, logger zerolog.Logger,
+	metrics *ctmetric.Metrics, encryption callerTLS,
+) *ctentry.Entry {
+	return ctentry.New(ctentry.Options{
+		Proxy:       settings.Name,
+		Incarnation: incarnation,
+		Domain:      settings.FailureDomain,
+		State:       state,
+		Ways:        entryWays{ways: ways},
+		Sealer:      sealer,
+		Clock:       clock,
+		Random:      random,
+		Logger:      logger,
+		Metrics:     metrics,
+		TLS:         encryption,
+		Workers:     settings.Workers,
+	})
+}
+
+func newUplink(
+	settings ctsettings.Proxy, incarnation ctid.Incarnation, endpoint *ctquic.Endpoint, state *ctstate.State,
+	holding *ctholding.Holding, ways *ctstream.Ways, clock ctclock.Clock, logger zerolog.Logger,
+	metrics *ctmetric.Metrics,
+) *ctuplink.Uplink {
+	uplink := ctuplink.New(ctuplink.Options{
+		Self: ctview.Proxy{
+			Name:          settings.Name,
+			FailureDomain: settings.FailureDomain,
+			Address:       endpoint.Address(),
+			Incarnation:   incarnation,
+		},
+		Control:   settings.Control,
+		Peers:     settings.Peers,
+		Heartbeat: settings.Heartbeat,
+		State:     state,
+		Members:   holding,
+		Ways:      uplinkWays{ways: ways},
+		Clock:     clock,
+		Logger:    logger,
+		Metrics:   metrics,
+	})
+	holding.OnNews(uplink.Hasten)
+	return uplink
+}
+
+func newProxy(
+	settings ctsettings.Proxy, state *ctstate.State, endpoint *ctquic.Endpoint, entry *ctentry.Entry,
+	holding *ctholding.Holding, uplink *ctuplink.Uplink, metrics *ctmetric.Metrics, clock ctclock.Clock,
+	logger zerolog.Logger,
+) *Proxy {
+	return &Proxy{
+		settings: settings,
+		state:    state,
+		endpoint: endpoint,
+		entry:    entry,
+		holding:  holding,
+		uplink:   uplink,
+		metrics:  metrics,
+		clock:    clock,
+		logger:   logger,
+	}
+}
--- /dev/null
+++ b/internal/program/ctproxy/http.go
@@ -0,0 +1,49 @@
+package ctproxy
+
+import (
+	"encoding/json"
+	"net/http"
+
+	"github.com/cherviltrestle/cherviltrestle/internal/link/cthttp"
+	"github.com/cherviltrestle/cherviltrestle/internal/model/ctserver"
+	"github.com/cherviltrestle/cherviltrestle/internal/work/ctlock"
+)
+
+// routes serves announcements, health and metrics.
+func (p *Proxy) routes() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /v1/announcements", p.announce)
+	mux.HandleFunc("GET /v1/view", p.showView)
+	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
+	mux.HandleFunc("GET /readyz", p.showReady)
+	mux.Handle("GET /metrics", p.metrics.Handler())
+	return mux
+}
+
+func (p *Proxy) announce(w http.ResponseWriter, r *http.Request) {
+	var announcement ctserver.Announcement
+	if err := cthttp.Read(w, r, &announcement); err != nil {
+		cthttp.Fail(w, err)
+		return
+	}
+	if err := p.uplink.Announce(announcement); err != nil {
+		cthttp.Fail(w, err)
+		return
+	}
+	w.WriteHeader(http.StatusNoContent)
+}
+
+// showReady tells the balancer whether to send callers here.
+func (p *Proxy) showReady(w http.ResponseWriter, _ *http.Request) {
+	if !p.ready.Load() {
+		http.Error(w, "stopping", http.StatusServiceUnavailable)
+		return
+	}
+	w.WriteHeader(http.StatusOK)
+}
+
+func (p *Proxy) showView(w http.ResponseWriter, _ *http.Request) {
+	var held ctlock.Held
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(p.state.View(&held).Whole())
+}
--- /dev/null
+++ b/internal/program/ctproxy/peers.go
@@ -0,0 +1,77 @@
+package ctproxy
+
+import (
+	"context"
+
+	"github.com/cherviltrestle/cherviltrestle/internal/link/ctframe"
+	"github.com/cherviltrestle/cherviltrestle/internal/link/ctquic"
+	"github.com/cherviltrestle/cherviltrestle/internal/model/cterror"
+	"github.com/cherviltrestle/cherviltrestle/internal/model/ctview"
+	"github.com/cherviltrestle/cherviltrestle/internal/program/ctstream"
+	"github.com/cherviltrestle/cherviltrestle/internal/work/ctlock"
+)
+
+// servePeers serves the streams that other processes open.
+func (p *Proxy) servePeers(ctx context.Context) {
+	err := p.endpoint.Serve(ctx, func(ctx context.Context, stream *ctquic.Stream) {
+		p.servePeer(ctx, ctstream.New(stream))
+	})
+	if ctx.Err() == nil {
+		p.logger.Error().Str("event", "peers_failed").Str("error", err.Error()).Send()
+	}
+}
+
+// servePeer serves one stream: an exchange, or questions of other holders.
+func (p *Proxy) servePeer(ctx context.Context, way *ctstream.Way) {
+	defer way.Close()
+	var held ctlock.Held
+	for {
+		frame, err := way.Read()
+		if err != nil {
+			p.refuseFrame(way, err)
+			return
+		}
+		if open, ok := frame.(*ctframe.Open); ok {
+			p.holding.Serve(ctx, way, open)
+			return
+		}
+		answer := p.answer(&held, frame)
+		if answer == nil || way.Write(answer) != nil {
+			return
+		}
+	}
+}
+
+// answer answers a question of another process, or returns nil where the frame
+// is none.
+func (p *Proxy) answer(held *ctlock.Held, frame ctframe.Frame) ctframe.Frame {
+	switch f := frame.(type) {
+	case *ctframe.Await:
+		return p.holding.ServeAwait(f)
+	case *ctframe.Position:
+		return p.holding.ServePosition(held, f)
+	case *ctframe.Cancel:
+		p.holding.ServeCancel(held, f)
+		return f
+	case *ctframe.Fetch:
+		return &ctframe.Fetched{Delta: newer(p.state.View(held), f.Version)}
+	}
+	return nil
+}
+
+// newer returns the whole view, or nil where the asker has it.
+func newer(view *ctview.View, version ctview.Version) *ctview.Delta {
+	if view.Version <= version {
+		return nil
+	}
+	return view.Whole()
+}
+
+// refuseFrame answers a malformed frame.
+func (p *Proxy) refuseFrame(way *ctstream.Way, err error) {
+	if cterror.KindOf(err) != cterror.Invalid {
+		return
+	}
+	p.logger.Warn().Str("event", "bad_frame").Str("error", err.Error()).Send()
+	_ = way.Write(&ctframe.Fault{Kind: cterror.Invalid.String(), Message: err.Error()})
+}
--- /dev/null
+++ b/internal/program/ctproxy/proxy.go
@@ -0,0 +1,110 @@
+package ctproxy
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/rs/zerolog"
+
+	"github.com/cherviltrestle/cherviltrestle/internal/link/ctquic"
+	"github.com/cherviltrestle/cherviltrestle/internal/model/cterror"
+	"github.com/cherviltrestle/cherviltrestle/internal/model/ctserver"
+	"github.com/cherviltrestle/cherviltrestle/internal/program/ctentry"
+	"github.com/cherviltrestle/cherviltrestle/internal/program/ctholding"
+	"github.com/cherviltrestle/cherviltrestle/internal/program/ctmetric"
+	"github.com/cherviltrestle/cherviltrestle/internal/program/ctsettings"
+	"github.com/cherviltrestle/cherviltrestle/internal/program/ctstate"
+	"github.com/cherviltrestle/cherviltrestle/internal/program/ctuplink"
+	"github.com/cherviltrestle/cherviltrestle/internal/work/ctclock"
+)
+
+// The times of a planned stop.
+const (
+	// balancerTime is how long the proxy still accepts callers after it has
+	// become unready, so that the balancer notices.
+	balancerTime = 200 * time.Millisecond
+	// handoverTime is how long the proxy stays for its peers after its callers
+	// have gone.
+	handoverTime = 300 * time.Millisecond
+	// httpTime bounds the header of an HTTP request.
+	httpTime = 5 * time.Second
+)
+
+// Proxy is a proxy process.
+type Proxy struct {
+	settings ctsettings.Proxy
+	state    *ctstate.State
+	endpoint *ctquic.Endpoint
+	entry    *ctentry.Entry
+	holding  *ctholding.Holding
+	uplink   *ctuplink.Uplink
+	metrics  *ctmetric.Metrics
+	clock    ctclock.Clock
+	logger   zerolog.Logger
+	ready    atomic.Bool
+}
+
+// Run serves until ctx ends, and then stops as planned. Work that is not done
+// within the stop time is cut, and Run returns an error.
+func (p *Proxy) Run(ctx context.Context) error {
+	callers, err := net.Listen("tcp", p.settings.Listen.String())
+	if err != nil {
+		return cterror.Wrap(cterror.Unavailable, err, "open the callers' address", "choose a free TCP port")
+	}
+	operators, err := net.Listen("tcp", p.settings.HTTP.String())
+	if err != nil {
+		return cterror.Wrap(cterror.Unavailable, err, "open the HTTP address", "choose a free TCP port")
+	}
+	running, end := context.WithCancel(context.WithoutCancel(ctx))
+	defer end()
+	p.holding.Start(running)
+	p.entry.Start(running)
+	go p.uplink.Run(running)
+	go p.servePeers(running)
+	server := &http.Server{Handler: p.routes(), ReadHeaderTimeout: httpTime}
+	go func() { _ = server.Serve(operators) }()
+	go func() { _ = p.entry.Serve(callers) }()
+	p.ready.Store(true)
+	p.logger.Info().Str("event", "started").
+		Str("listen", callers.Addr().String()).
+		Stringer("peer", p.endpoint.Address()).
+		Str("http", operators.Addr().String()).
+		Send()
+	<-ctx.Done()
+	err = p.stop(running, callers)
+	_ = server.Close()
+	end()
+	_ = p.endpoint.Close()
+	return err
+}
+
+// stop performs a planned stop.
+func (p *Proxy) stop(ctx context.Context, callers net.Listener) error {
+	p.logger.Info().Str("event", "decision").Str("decision", "drain").Str("why", "planned_stop").Send()
+	ctx, cancel := context.WithTimeout(ctx, p.settings.StopTime)
+	defer cancel()
+	p.ready.Store(false)
+	p.uplink.SetState(ctserver.StateLeaving)
+	p.pause(ctx, balancerTime)
+	_ = callers.Close()
+	drained := p.entry.Drain(ctx)
+	handed := p.holding.Drain(ctx)
+	p.pause(ctx, handoverTime)
+	p.logger.Info().Str("event", "stopped").Bool("drained", drained).Bool("handed_over", handed).Send()
+	if !drained || !handed {
+		return errors.WithMessage(cterror.New(cterror.Expired, "some work was not done in time",
+			"raise --stop-time, or lower the transaction timeout"), "stop")
+	}
+	return nil
+}
+
+func (p *Proxy) pause(ctx context.Context, d time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-p.clock.After(d):
+	}
+}
--- /dev/null
+++ b/internal/program/ctproxy/wire.go
@@ -0,0 +1,20 @@
+//go:build wireinject
+
+package ctproxy
+
+import (
+	"github.com/google/wire"
+	"github.com/rs/zerolog"
+
+	"github.com/cherviltrestle/cherviltrestle/internal/program/ctsettings"
+	"github.com/cherviltrestle/cherviltrestle/internal/program/ctstate"
+	"github.com/cherviltrestle/cherviltrestle/internal/work/ctclock"
+)
+
+// Build puts a proxy together from its settings.
+func Build(settings ctsettings.Proxy, clock ctclock.Clock, logger zerolog.Logger) (*Proxy, error) {
+	panic(wire.Build(
+		newIncarnation, newKeys, newEndpoint, newMetrics, newSealer, newRandom, newCallerTLS, newDialer, newWays,
+		newHolding, newEntry, newUplink, newProxy, ctstate.New,
+	))
+}
--- /dev/null
+++ b/internal/program/ctsettings/common.go
@@ -0,0 +1,36 @@
+package ctsettings
+
+import (
+	"github.com/rs/zerolog"
+	"github.com/spf13/pflag"
+
+	"github.com/cherviltrestle/cherviltrestle/internal/model/cterror"
+)
+
+// Common holds the settings that every process has.
+type Common struct {
+	HTTP     Address
+	Keys     string
+	LogLevel string
+}
+
+// Register declares the settings as flags.
+func (c *Common) Register(flags *pflag.FlagSet) {
+	textVar(flags, &c.HTTP, "http-listen", "address", "TCP address for announcements, health, metrics and operators")
+	flags.StringVar(&c.Keys, "keys", "", "key folder of this process")
+	flags.StringVar(&c.LogLevel, "log-level", "info", "debug, info, warn or error; decisions are logged at info")
+}
+
+// Check reports the first setting that is missing or out of bounds.
+func (c *Common) Check() error {
+	if !c.HTTP.IsValid() {
+		return missing("http-listen")
+	}
+	if c.Keys == "" {
+		return missing("keys")
+	}
+	if _, err := zerolog.ParseLevel(c.LogLevel); err != nil || c.LogLevel == "" {
+		return cterror.Newf(cterror.Invalid, "use debug, info, warn or error", "--log-level %q is unknown", c.LogLevel)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/program/ctsettings/control.go
@@ -0,0 +1,55 @@
+package ctsettings
+
+import (
+	"time"
+
+	"github.com/spf13/pflag"
+
+	"github.com/cherviltrestle/cherviltrestle/internal/model/ctid"
+)
+
+// The default and the bounds of a control process's settings.
+const (
+	defaultSilence = 900 * time.Millisecond
+	minSilence     = 100 * time.Millisecond
+	maxSilence     = 30 * time.Second
+)
+
+// Control holds the settings of a control process.
+type Control struct {
+	Common
+	Name ctid.Control
+	Peer Address
+	Data string
+	// SilenceTime is how long a proxy or a member may go unheard of before it
+	// counts as gone.
+	SilenceTime time.Duration
+}
+
+// Register declares the settings as flags.
+func (c *Control) Register(flags *pflag.FlagSet) {
+	c.Common.Register(flags)
+	textVar(flags, &c.Name, "name", "name", "name of this control process, unique in the fleet")
+	textVar(flags, &c.Peer, "peer-listen", "address", "UDP address for the system's other processes")
+	flags.DurationVar(&c.SilenceTime, "silence-time", defaultSilence,
+		"how long a proxy or a member may go unheard of before it counts as gone")
+	flags.StringVar(&c.Data, "data", "", "data folder, on a disk")
+}
+
+// Check reports the first setting that is missing or out of bounds.
+func (c *Control) Check() error {
+	if err := c.Common.Check(); err != nil {
+		return err
+	}
+	switch {
+	case c.Name == "":
+		return missing("name")
+	case !c.Peer.IsValid():
+		return missing("peer-listen")
+	case c.Data == "":
+		return missing("data")
+	case c.SilenceTime < minSilence || c.SilenceTime > maxSilence:
+		return bounds("silence-time", "100ms to 30s")
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/program/ctsettings/proxy.go
@@ -0,0 +1,97 @@
+package ctsettings
+
+import (
+	"time"
+
+	"github.com/spf13/pflag"
+
+	"github.com/cherviltrestle/cherviltrestle/internal/model/cterror"
+	"github.com/cherviltrestle/cherviltrestle/internal/model/ctid"
+)
+
+// The defaults of a proxy's settings.
+const (
+	defaultHeartbeat = 250 * time.Millisecond
+	defaultStopTime  = 20 * time.Second
+	defaultUser      = "cherviltrestle"
+)
+
+// The bounds of a proxy's settings.
+const (
+	minHeartbeat = 20 * time.Millisecond
+	maxHeartbeat = 5 * time.Second
+)
+
+// Proxy holds the settings of a proxy process.
+type Proxy struct {
+	Common
+	Name          ctid.Proxy
+	FailureDomain ctid.FailureDomain
+	Listen        Address
+	Peer          Address
+	Control       Addresses
+	Peers         Addresses
+	Heartbeat     time.Duration
+	StopTime      time.Duration
+	BackendUser   string
+	BackendSecret string
+	Workers       int
+	CallerCert    string
+	CallerKey     string
+}
+
+// Register declares the settings as flags.
+func (p *Proxy) Register(flags *pflag.FlagSet) {
+	p.Common.Register(flags)
+	textVar(flags, &p.Name, "name", "name", "name of this proxy, unique in the fleet")
+	textVar(flags, &p.FailureDomain, "failure-domain", "name", "failure domain of this VM")
+	textVar(flags, &p.Listen, "listen", "address", "TCP address for callers")
+	textVar(flags, &p.Peer, "peer-listen", "address", "UDP address for the system's other processes")
+	textVar(flags, &p.Control, "control-address", "addresses", "UDP addresses of the control processes, with commas")
+	textVar(flags, &p.Peers, "peer-address", "addresses",
+		"UDP addresses of proxies in this failure domain to ask when control can't be reached")
+	flags.DurationVar(&p.Heartbeat, "heartbeat", defaultHeartbeat, "time between reports to control")
+	flags.DurationVar(&p.StopTime, "stop-time", defaultStopTime, "how long a planned stop waits for transactions")
+	flags.StringVar(&p.BackendUser, "backend-user", defaultUser, "user on backend servers")
+	flags.StringVar(&p.BackendSecret, "backend-password", "", "password on backend servers; better as a variable")
+	flags.IntVar(&p.Workers, "workers", 0, "worker goroutines; 0 for one a processor")
+	flags.StringVar(&p.CallerCert, "caller-certificate", "", "PEM file with the certificate shown to callers")
+	flags.StringVar(&p.CallerKey, "caller-key", "", "PEM file with the key of the caller certificate")
+}
+
+// Check reports the first setting that is missing or out of bounds.
+func (p *Proxy) Check() error {
+	if err := p.Common.Check(); err != nil {
+		return err
+	}
+	switch {
+	case p.Name == "":
+		return missing("name")
+	case p.FailureDomain == "":
+		return missing("failure-domain")
+	case !p.Listen.IsValid():
+		return missing("listen")
+	case !p.Peer.IsValid():
+		return missing("peer-listen")
+	case len(p.Control) == 0:
+		return missing("control-address")
+	case p.Heartbeat < minHeartbeat || p.Heartbeat > maxHeartbeat:
+		return bounds("heartbeat", "20ms to 5s")
+	case p.StopTime < 0:
+		return bounds("stop-time", "0s or more")
+	case p.Workers < 0:
+		return bounds("workers", "0 or more")
+	case (p.CallerCert == "") != (p.CallerKey == ""):
+		return cterror.New(cterror.Invalid, "one of --caller-certificate and --caller-key is missing",
+			"give both, or neither to serve callers without encryption")
+	}
+	return nil
+}
+
+func missing(flag string) error {
+	return cterror.Newf(cterror.Invalid, "give the flag or the variable "+VariableOf(flag), "--%s is missing", flag)
+}
+
+func bounds(flag string, allowed string) error {
+	return cterror.Newf(cterror.Invalid, "give "+allowed, "--%s is out of bounds", flag)
+}
--- /dev/null
+++ b/internal/program/ctsettings/values.go
@@ -0,0 +1,77 @@
+package ctsettings
+
+import (
+	"encoding"
+	"net/netip"
+	"strings"
+
+	"github.com/spf13/pflag"
+
+	"github.com/cherviltrestle/cherviltrestle/internal/model/cterror"
+)
+
+// text is a flag whose value checks itself when it is decoded.
+type text struct {
+	value encoding.TextUnmarshaler
+	shown string
+	sort  string
+}
+
+// TextValue returns a flag's value for one that decodes itself.
+func TextValue(value encoding.TextUnmarshaler, sort string) pflag.Value {
+	return &text{value: value, sort: sort}
+}
+
+// textVar registers a flag for a value that decodes itself.
+func textVar(flags *pflag.FlagSet, value encoding.TextUnmarshaler, name, sort, usage string) {
+	flags.Var(TextValue(value, sort), name, usage)
+}
+
+// String returns the value as it was given.
+func (t *text) String() string {
+	return t.shown
+}
+
+// Set decodes the value.
+func (t *text) Set(shown string) error {
+	t.shown = shown
+	return t.value.UnmarshalText([]byte(shown))
+}
+
+// Type names the sort of value in help texts.
+func (t *text) Type() string {
+	return t.sort
+}
+
+// Address is an IP number and a port.
+type Address struct {
+	netip.AddrPort
+}
+
+// UnmarshalText decodes an address. Host names are refused, because the
+// processes of the system reach each other by IP numbers.
+func (a *Address) UnmarshalText(data []byte) error {
+	address, err := netip.ParseAddrPort(string(data))
+	if err != nil {
+		return cterror.Newf(cterror.Invalid, "write an IP number and a port, such as 10.0.0.7:6432",
+			"address %q can't be read", data)
+	}
+	a.AddrPort = address
+	return nil
+}
+
+// Addresses is a list of addresses, written with commas.
+type Addresses []netip.AddrPort
+
+// UnmarshalText decodes a list of addresses.
+func (a *Addresses) UnmarshalText(data []byte) error {
+	*a = nil
+	for part := range strings.SplitSeq(string(data), ",") {
+		var address Address
+		if err := address.UnmarshalText([]byte(strings.TrimSpace(part))); err != nil {
+			return err
+		}
+		*a = append(*a, address.AddrPort)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/program/ctuplink/link.go
@@ -0,0 +1,72 @@
+package ctuplink
+
+import (
+	"context"
+	"net/netip"
+
+	"github.com/cherviltrestle/cherviltrestle/internal/link/ctframe"
+)
+
+// link is a way to the leader of control, which is opened again when it fails.
+type link struct {
+	uplink *Uplink
+	way    Way
+	// next is the place in the list of control's addresses to try next.
+	next int
+	// leader is the address that control told, where it did.
+	leader *netip.AddrPort
+}
+
+// ask sends a frame and returns the answer.
+func (l *link) ask(ctx context.Context, frame ctframe.Frame) (ctframe.Frame, error) {
+	if l.way == nil {
+		way, err := l.uplink.Ways.Open(ctx, l.address())
+		if err != nil {
+			return nil, err
+		}
+		l.way = way
+	}
+	answer, err := exchange(ctx, l.way, frame)
+	if err != nil {
+		l.close()
+	}
+	return answer, err
+}
+
+// address returns the address to try: the leader's, or the next of the list.
+func (l *link) address() netip.AddrPort {
+	if l.leader != nil {
+		leader := *l.leader
+		l.leader = nil
+		return leader
+	}
+	address := l.uplink.Control[l.next%len(l.uplink.Control)]
+	l.next++
+	return address
+}
+
+// redirect goes to the leader that another control process named.
+func (l *link) redirect(leader *netip.AddrPort) {
+	if leader == nil {
+		return
+	}
+	l.close()
+	l.leader = leader
+}
+
+func (l *link) close() {
+	if l.way != nil {
+		l.way.Close()
+		l.way = nil
+	}
+}
+
+// exchange writes a frame and reads the answer, until ctx ends.
+func exchange(ctx context.Context, way Way, frame ctframe.Frame) (ctframe.Frame, error) {
+	stop := context.AfterFunc(ctx, way.Close)
+	defer stop()
+	if err := way.Write(frame); err != nil {
+		return nil, err
+	}
+	return way.Read()
+}
--- /dev/null
+++ b/internal/program/ctuplink/uplink.go
@@ -0,0 +1,295 @@
+package ctuplink
+
+import (
+	"context"
+	"net/netip"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/cherviltrestle/cherviltrestle/internal/link/ctframe"
+	"github.com/cherviltrestle/cherviltrestle/internal/model/cterror"
+	"github.com/cherviltrestle/cherviltrestle/internal/model/ctid"
+	"github.com/cherviltrestle/cherviltrestle/internal/model/ctserver"
+	"github.com/cherviltrestle/cherviltrestle/internal/model/ctview"
+	"github.com/cherviltrestle/cherviltrestle/internal/program/ctmetric"
+	"github.com/cherviltrestle/cherviltrestle/internal/program/ctstate"
+	"github.com/cherviltrestle/cherviltrestle/internal/work/ctclock"
+	"github.com/cherviltrestle/cherviltrestle/internal/work/ctlock"
+	"github.com/cherviltrestle/cherviltrestle/internal/work/cttable"
+)
+
+// The times of the uplink.
+const (
+	// askTime bounds a report and its answer.
+	askTime = time.Second
+	// watchTime is how long control may keep a watch waiting.
+	watchTime = 5 * time.Second
+	// retryPause is the pause after control could not be reached.
+	retryPause = 50 * time.Millisecond
+	// repeatTime is how long an announcement counts after it was heard: it is
+	// reported again until then, so that control knows that the member lives.
+	repeatTime = 3 * time.Second
+	// driftFraction bounds how much the rates of two clocks differ: by one
+	// part in so many.
+	driftFraction = 100
+)
+
+// Way is a stream of frames to another process.
+type Way interface {
+	Write(frame ctframe.Frame) error
+	Read() (ctframe.Frame, error)
+	Close()
+}
+
+// Ways opens ways to other processes.
+type Ways interface {
+	Open(ctx context.Context, address netip.AddrPort) (Way, error)
+}
+
+// Members gives the account of the held members and follows the view.
+type Members interface {
+	Held(held *ctlock.Held) []ctview.Held
+	Follow(held *ctlock.Held, view *ctview.View)
+}
+
+// Options are the parts and settings of an Uplink.
+type Options struct {
+	Self      ctview.Proxy
+	Control   []netip.AddrPort
+	Peers     []netip.AddrPort
+	Heartbeat time.Duration
+	State     *ctstate.State
+	Members   Members
+	Ways      Ways
+	Clock     ctclock.Clock
+	Logger    zerolog.Logger
+	Metrics   *ctmetric.Metrics
+}
+
+// Uplink keeps a proxy in touch with control.
+type Uplink struct {
+	Options
+
+	heard cttable.Table[ctid.Member, heard]
+	wake  chan struct{}
+	state cttable.Cell[ctserver.State]
+}
+
+// heard is an announcement with the time at which it was last heard.
+type heard struct {
+	announcement ctserver.Announcement
+	at           time.Time
+}
+
+// New returns an uplink that is ready to run.
+func New(options Options) *Uplink {
+	u := &Uplink{
+		Options: options,
+		heard:   cttable.Table[ctid.Member, heard]{Rank: ctlock.RankAnnouncements},
+		state:   cttable.Cell[ctserver.State]{Rank: ctlock.RankSelf},
+		wake:    make(chan struct{}, 1),
+	}
+	u.SetState(ctserver.StateReady)
+	return u
+}
+
+// Run reports and follows the view until ctx ends.
+func (u *Uplink) Run(ctx context.Context) {
+	go u.follow(ctx)
+	u.report(ctx)
+}
+
+// Hasten makes the next report go out at once.
+func (u *Uplink) Hasten() {
+	select {
+	case u.wake <- struct{}{}:
+	default:
+	}
+}
+
+// SetState sets whether this proxy takes new work, and reports it at once.
+func (u *Uplink) SetState(state ctserver.State) {
+	var held ctlock.Held
+	u.state.With(&held, func(value *ctserver.State) { *value = state })
+	u.Hasten()
+}
+
+// Announce takes a member's announcement. One of an earlier run of the member's
+// process is refused.
+func (u *Uplink) Announce(announcement ctserver.Announcement) error {
+	if err := announcement.Check(); err != nil {
+		return err
+	}
+	var held ctlock.Held
+	changed, stale := false, false
+	u.heard.With(&held, func(rows map[ctid.Member]*heard) {
+		row, ok := rows[announcement.Member]
+		if ok && !announcement.Supersedes(&row.announcement) {
+			stale = true
+			return
+		}
+		changed = !ok || row.announcement != announcement
+		rows[announcement.Member] = &heard{announcement: announcement, at: u.Clock.Now()}
+	})
+	if stale {
+		return cterror.New(cterror.Conflict, "the announcement is of an earlier run of the backend server",
+			"stop the earlier run")
+	}
+	if changed {
+		u.Hasten()
+	}
+	return nil
+}
+
+// report sends a report at each heartbeat, and at once when hastened.
+func (u *Uplink) report(ctx context.Context) {
+	link := &link{uplink: u}
+	defer link.close()
+	var held ctlock.Held
+	for number := uint64(1); ctx.Err() == nil; number++ {
+		result := "answered"
+		if err := u.reportOnce(ctx, link, &held, number); err != nil {
+			result = "failed"
+			u.Logger.Debug().Str("event", "report_failed").Str("error", err.Error()).Send()
+		}
+		u.Metrics.Reports.WithLabelValues(result).Inc()
+		select {
+		case <-ctx.Done():
+		case <-u.wake:
+		case <-u.Clock.After(u.Heartbeat):
+		}
+	}
+}
+
+func (u *Uplink) reportOnce(ctx context.Context, link *link, held *ctlock.Held, number uint64) error {
+	ctx, cancel := context.WithTimeout(ctx, askTime)
+	defer cancel()
+	report := u.compose(held, number)
+	sent := u.Clock.Now()
+	answer, err := link.ask(ctx, &ctframe.Report{Report: *report})
+	if err != nil {
+		return err
+	}
+	reply, ok := answer.(*ctframe.Reply)
+	if !ok || reply.Number != number {
+		link.close()
+		return cterror.New(cterror.Unavailable, "control gave another answer", "check that all processes have one version")
+	}
+	link.redirect(reply.Leader)
+	for _, l := range reply.Leases {
+		length := time.Duration(l.Time)
+		u.State.Grant(held, l.Group, l.Term, sent.Add(length-length/driftFraction))
+	}
+	return u.take(held, reply.Delta)
+}
+
+// compose makes the report of what this proxy knows now.
+func (u *Uplink) compose(held *ctlock.Held, number uint64) *ctview.Report {
+	view := u.State.View(held)
+	self := u.Self
+	self.State = u.state.Get(held)
+	report := &ctview.Report{
+		Number:   number,
+		Proxy:    self,
+		Held:     u.Members.Held(held),
+		Version:  view.Version,
+		Revision: view.Config.Revision,
+	}
+	oldest := u.Clock.Now().Add(-repeatTime)
+	u.heard.With(held, func(rows map[ctid.Member]*heard) {
+		for name, row := range rows {
+			if row.at.Before(oldest) {
+				delete(rows, name)
+				continue
+			}
+			report.Seen = append(report.Seen, row.announcement)
+		}
+	})
+	return report
+}
+
+// take takes a delta into the view and makes the parts of the proxy follow it.
+func (u *Uplink) take(held *ctlock.Held, delta *ctview.Delta) error {
+	if delta == nil {
+		return nil
+	}
+	before, after, err := u.State.Apply(held, delta)
+	if err != nil || before == after {
+		return err
+	}
+	u.Metrics.ViewVersion.Set(float64(after.Version))
+	u.Metrics.Revision.Set(float64(after.Config.Revision))
+	if after.Config.Revision != before.Config.Revision {
+		u.Logger.Info().Str("event", "decision").Str("decision", "config_in_force").
+			Stringer("revision", after.Config.Revision).Str("why", "higher_revision").Send()
+		u.Hasten()
+	}
+	u.Members.Follow(held, after)
+	return nil
+}
+
+// follow waits for newer views, again and again.
+func (u *Uplink) follow(ctx context.Context) {
+	link := &link{uplink: u}
+	defer link.close()
+	var held ctlock.Held
+	for ctx.Err() == nil {
+		if err := u.watchOnce(ctx, link, &held); err == nil {
+			continue
+		}
+		u.askPeers(ctx, &held)
+		select {
+		case <-ctx.Done():
+		case <-u.Clock.After(retryPause):
+		}
+	}
+}
+
+func (u *Uplink) watchOnce(ctx context.Context, link *link, held *ctlock.Held) error {
+	ctx, cancel := context.WithTimeout(ctx, watchTime+askTime)
+	defer cancel()
+	answer, err := link.ask(ctx, &ctframe.Watch{Version: u.State.View(held).Version})
+	if err != nil {
+		return err
+	}
+	reply, ok := answer.(*ctframe.Reply)
+	if !ok {
+		link.close()
+		return cterror.New(cterror.Unavailable, "control gave another answer", "check that all processes have one version")
+	}
+	link.redirect(reply.Leader)
+	return u.take(held, reply.Delta)
+}
+
+// askPeers asks the proxies of this failure domain for the view, while this one
+// has none and control can't be reached.
+func (u *Uplink) askPeers(ctx context.Context, held *ctlock.Held) {
+	if u.State.View(held).Version > 0 {
+		return
+	}
+	for _, address := range u.Peers {
+		if err := u.fetch(ctx, held, address); err != nil {
+			u.Logger.Debug().Str("event", "fetch_failed").Str("error", err.Error()).Send()
+		}
+	}
+}
+
+func (u *Uplink) fetch(ctx context.Context, held *ctlock.Held, address netip.AddrPort) error {
+	ctx, cancel := context.WithTimeout(ctx, askTime)
+	defer cancel()
+	way, err := u.Ways.Open(ctx, address)
+	if err != nil {
+		return err
+	}
+	defer way.Close()
+	answer, err := exchange(ctx, way, &ctframe.Fetch{Version: u.State.View(held).Version})
+	if err != nil {
+		return err
+	}
+	fetched, ok := answer.(*ctframe.Fetched)
+	if !ok {
+		return nil
+	}
+	return u.take(held, fetched.Delta)
+}
