--- a/internal/decide/ctfailover/decide.go
+++ b/internal/decide/ctfailover/decide.go
@@ -27,6 +27,7 @@
 	BlockedMajority Why = "fewer_members_than_a_majority_answer"
 	BlockedLease    Why = "write_lease_may_still_be_in_use"
 	BlockedFence    Why = "majority_not_fenced_yet"
+	BlockedPrimary  Why = "no_member_says_it_is_the_primary_yet"
 )
 
 // Proposal is a decision that control is to make durable.
@@ -69,6 +70,9 @@
 		return m.alive(now, a) && a.held.Status.Role == ctserver.RolePrimary
 	})
 	if primaries == 0 || point.Term < highest.Term {
+		if now.Sub(m.began) < adoptTime {
+			return none(), BlockedPrimary
+		}
 		group.Fence = highest.Term + 1
 		return ctset.Some(Proposal{Group: group, Why: WhyPrimaryLost}), BlockedNone
 	}
--- a/internal/decide/ctfailover/machine.go
+++ b/internal/decide/ctfailover/machine.go
@@ -13,6 +13,10 @@
 // so many.
 const driftFraction = 100
 
+// adoptTime is how long a group that control knows nothing of may go without a
+// member that says it is the primary before one is chosen.
+const adoptTime = 5 * time.Second
+
 // Machine decides on one group. Its exported fields are set at its start.
 type Machine struct {
 	// Size is how many members the group has.
@@ -23,6 +27,7 @@
 	// gone.
 	SilenceTime time.Duration
 
+	began       time.Time
 	leasedUntil time.Time
 	accounts    map[ctid.Member]account
 }
@@ -36,6 +41,7 @@
 // Begin starts the machine on a new leader, which does not know what leases
 // the earlier one granted: none of them lasts longer than longest.
 func (m *Machine) Begin(now time.Time, longest time.Duration) {
+	m.began = now
 	m.leasedUntil = now.Add(allowance(longest))
 	m.accounts = make(map[ctid.Member]account)
 }
--- /dev/null
+++ b/internal/decide/ctfailover/machine_test.go
@@ -0,0 +1,191 @@
+package ctfailover_test
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/cherviltrestle/cherviltrestle/internal/decide/ctfailover"
+	"github.com/cherviltrestle/cherviltrestle/internal/model/ctid"
+	"github.com/cherviltrestle/cherviltrestle/internal/model/ctposition"
+	"github.com/cherviltrestle/cherviltrestle/internal/model/ctserver"
+	"github.com/cherviltrestle/cherviltrestle/internal/model/ctview"
+)
+
+const (
+	leaseTime   = 2 * time.Second
+	silenceTime = 900 * time.Millisecond
+	longAfter   = time.Minute
+)
+
+var epoch = time.Unix(0, 0)
+
+// newMachine returns the machine of a group of three under a new leader.
+func newMachine() *ctfailover.Machine {
+	m := &ctfailover.Machine{Size: 3, LeaseTime: leaseTime, SilenceTime: silenceTime}
+	m.Begin(epoch, leaseTime)
+	return m
+}
+
+// account is a holder's account of a member that answers.
+func account(name ctid.Member, role ctserver.Role, term ctposition.Term, position ctposition.Position) ctview.Held {
+	point := ctposition.Point{Term: term, Position: position}
+	return ctview.Held{
+		Group:  "fit-registry",
+		Member: name,
+		Health: ctview.HealthUp,
+		Status: ctserver.Status{Role: role, Received: point, Applied: point},
+	}
+}
+
+// fenced returns the account of a member that confirmed a fence.
+func fenced(held ctview.Held, term ctposition.Term) ctview.Held {
+	held.Status.Fence = term
+	return held
+}
+
+// steady is a group whose primary is a.
+func steady() ctview.Group {
+	return ctview.Group{Name: "fit-registry", Term: 1, Primary: "a"}
+}
+
+func assertBlocked(t *testing.T, m *ctfailover.Machine, now time.Time, group ctview.Group, want ctfailover.Why) {
+	t.Helper()
+	_, due := m.Decide(now, group).Get()
+	assert.Assert(t, !due, "a decision was made")
+	assert.Equal(t, m.Blocked(now, group), want)
+}
+
+func assertDecides(
+	t *testing.T, m *ctfailover.Machine, now time.Time, group ctview.Group, want ctfailover.Why,
+) ctview.Group {
+	t.Helper()
+	proposal, due := m.Decide(now, group).Get()
+	assert.Assert(t, due, "no decision was made: %s", m.Blocked(now, group))
+	assert.Equal(t, proposal.Why, want)
+	return proposal.Group
+}
+
+func TestAdopt(t *testing.T) {
+	unknown := ctview.Group{Name: "fit-registry"}
+	t.Run("waits for the member that says it is the primary", func(t *testing.T) {
+		m := newMachine()
+		m.Report(epoch, account("b", ctserver.RoleReplica, 1, 0))
+		m.Report(epoch, account("c", ctserver.RoleReplica, 1, 0))
+		assertBlocked(t, m, epoch, unknown, ctfailover.BlockedPrimary)
+		m.Report(epoch, account("a", ctserver.RolePrimary, 1, 0))
+		group := assertDecides(t, m, epoch, unknown, ctfailover.WhyAdopted)
+		assert.Equal(t, group.Primary, ctid.Member("a"))
+	})
+	t.Run("needs a majority", func(t *testing.T) {
+		m := newMachine()
+		m.Report(epoch, account("a", ctserver.RolePrimary, 1, 0))
+		assertBlocked(t, m, epoch, unknown, ctfailover.BlockedMajority)
+	})
+	t.Run("fences a group without a primary in the end", func(t *testing.T) {
+		m := newMachine()
+		late := epoch.Add(longAfter)
+		m.Report(late, account("b", ctserver.RoleReplica, 3, 64))
+		m.Report(late, account("c", ctserver.RoleReplica, 3, 0))
+		group := assertDecides(t, m, late, unknown, ctfailover.WhyPrimaryLost)
+		assert.Equal(t, group.Fence, ctposition.Term(4))
+	})
+}
+
+func TestWatch(t *testing.T) {
+	t.Run("leaves a live primary alone", func(t *testing.T) {
+		m := newMachine()
+		m.Report(epoch, account("a", ctserver.RolePrimary, 1, 64))
+		assertBlocked(t, m, epoch, steady(), ctfailover.BlockedNone)
+	})
+	t.Run("waits for the lease of a silent primary", func(t *testing.T) {
+		m := newMachine()
+		now := epoch.Add(longAfter)
+		primary := account("a", ctserver.RolePrimary, 1, 64)
+		m.Report(now, primary)
+		assert.Assert(t, m.Lease(now, steady(), primary))
+		silent := now.Add(silenceTime + time.Millisecond)
+		reportReplicas(m, silent)
+		assertBlocked(t, m, silent, steady(), ctfailover.BlockedLease)
+		over := now.Add(leaseTime + leaseTime/100)
+		reportReplicas(m, over)
+		assertDecides(t, m, over, steady(), ctfailover.WhyPrimaryLost)
+	})
+	t.Run("does not wait for a lease that was given up", func(t *testing.T) {
+		m := newMachine()
+		now := epoch.Add(longAfter)
+		primary := account("a", ctserver.RolePrimary, 1, 64)
+		assert.Assert(t, m.Lease(now, steady(), primary))
+		primary.Health, primary.Surrendered = ctview.HealthDown, 1
+		m.Report(now, primary)
+		reportReplicas(m, now)
+		group := assertDecides(t, m, now, steady(), ctfailover.WhyPrimaryDown)
+		assert.Equal(t, group.Fence, ctposition.Term(2))
+	})
+	t.Run("needs a majority besides the primary", func(t *testing.T) {
+		m := newMachine()
+		now := epoch.Add(longAfter)
+		m.Report(now, account("b", ctserver.RoleReplica, 1, 64))
+		assertBlocked(t, m, now, steady(), ctfailover.BlockedMajority)
+	})
+	t.Run("waits under a new leader as if a lease had been granted", func(t *testing.T) {
+		m := newMachine()
+		now := epoch.Add(time.Second)
+		reportReplicas(m, now)
+		assertBlocked(t, m, now, steady(), ctfailover.BlockedLease)
+	})
+}
+
+func reportReplicas(m *ctfailover.Machine, now time.Time) {
+	m.Report(now, account("b", ctserver.RoleReplica, 1, 64))
+	m.Report(now, account("c", ctserver.RoleReplica, 1, 128))
+}
+
+func TestPromote(t *testing.T) {
+	moving := steady()
+	moving.Fence = 2
+	now := epoch.Add(longAfter)
+	t.Run("waits for a fenced majority", func(t *testing.T) {
+		m := newMachine()
+		m.Report(now, fenced(account("b", ctserver.RoleReplica, 1, 64), 2))
+		m.Report(now, account("c", ctserver.RoleReplica, 1, 128))
+		assertBlocked(t, m, now, moving, ctfailover.BlockedFence)
+	})
+	t.Run("takes the member that holds most", func(t *testing.T) {
+		m := newMachine()
+		m.Report(now, fenced(account("b", ctserver.RoleReplica, 1, 64), 2))
+		m.Report(now, fenced(account("c", ctserver.RoleReplica, 1, 128), 2))
+		group := assertDecides(t, m, now, moving, ctfailover.WhyHoldsMost)
+		assert.Equal(t, group.Primary, ctid.Member("c"))
+		assert.Equal(t, group.Term, ctposition.Term(2))
+		assert.DeepEqual(t, group.History, ctposition.History{{Term: 2, Position: 128}})
+	})
+	t.Run("puts a later term before a higher position", func(t *testing.T) {
+		m := newMachine()
+		later := moving
+		later.Term, later.Fence = 2, 3
+		m.Report(now, fenced(account("b", ctserver.RoleReplica, 2, 64), 3))
+		m.Report(now, fenced(account("c", ctserver.RoleReplica, 1, 128), 3))
+		group := assertDecides(t, m, now, later, ctfailover.WhyHoldsMost)
+		assert.Equal(t, group.Primary, ctid.Member("b"))
+	})
+}
+
+func TestLease(t *testing.T) {
+	for _, refused := range []struct {
+		name  string
+		group ctview.Group
+		held  ctview.Held
+	}{
+		{"to a replica", steady(), account("a", ctserver.RoleReplica, 1, 64)},
+		{"to another member", steady(), account("b", ctserver.RolePrimary, 1, 64)},
+		{"in an earlier term", ctview.Group{Term: 2, Primary: "a"}, account("a", ctserver.RolePrimary, 1, 64)},
+		{"while the group is being changed", ctview.Group{Term: 1, Fence: 2, Primary: "a"},
+			account("a", ctserver.RolePrimary, 1, 64)},
+	} {
+		t.Run("is not granted "+refused.name, func(t *testing.T) {
+			assert.Assert(t, !newMachine().Lease(epoch, refused.group, refused.held))
+		})
+	}
+}
--- a/internal/decide/ctreconcile/deed.go
+++ b/internal/decide/ctreconcile/deed.go
@@ -41,11 +41,9 @@
 // Next returns what must be done to the member now.
 func Next(member ctid.Member, status ctserver.Status, group ctview.Group) Deed {
 	switch {
-	case group.Term == 0:
-		return Nothing{}
 	case group.Fence > status.Fence:
 		return Fence{Term: group.Fence}
-	case group.Fence > group.Term:
+	case group.Fence > group.Term, group.Term == 0:
 		return Nothing{}
 	case group.Primary == member:
 		return asPrimary(status, group)
--- /dev/null
+++ b/internal/lab/ctfleet/ask.go
@@ -0,0 +1,187 @@
+package ctfleet
+
+import (
+	"context"
+	"net/http"
+	"os/exec"
+	"path/filepath"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/cherviltrestle/cherviltrestle/internal/lab/ctstandin"
+	"github.com/cherviltrestle/cherviltrestle/internal/lab/ctwal"
+	"github.com/cherviltrestle/cherviltrestle/internal/link/cthttp"
+	"github.com/cherviltrestle/cherviltrestle/internal/model/ctid"
+	"github.com/cherviltrestle/cherviltrestle/internal/model/ctserver"
+	"github.com/cherviltrestle/cherviltrestle/internal/model/ctview"
+)
+
+// The times of questions to the fleet.
+const (
+	startPause = 50 * time.Millisecond
+	askTime    = 2 * time.Second
+	// patience bounds a wait for the fleet to reach a state. It only ends runs
+	// that would never end.
+	patience = 60 * time.Second
+)
+
+// Run runs the operators' command line and returns what it wrote.
+func (f *Fleet) Run(arguments ...string) (string, error) {
+	output, err := exec.Command(filepath.Join(f.Programs, "cherviltrestle"), arguments...).CombinedOutput()
+	return string(output), err
+}
+
+// Held returns what a proxy tells of the members that it holds.
+func (f *Fleet) Held(proxy *Process) ([]ctview.Held, error) {
+	var held []ctview.Held
+	return held, get(proxy, "/v1/held", &held)
+}
+
+// View returns the view of a proxy.
+func (f *Fleet) View(proxy *Process) (*ctview.Delta, error) {
+	view := &ctview.Delta{}
+	return view, get(proxy, "/v1/view", view)
+}
+
+// Counters returns what a member has counted.
+func (f *Fleet) Counters(member *Process) (ctstandin.Counters, error) {
+	var counters ctstandin.Counters
+	return counters, get(member, "/v1/counters", &counters)
+}
+
+// Log returns a member's log.
+func (f *Fleet) Log(member *Process) ([]ctwal.Entry, error) {
+	var entries []ctwal.Entry
+	return entries, get(member, "/v1/log", &entries)
+}
+
+// SetFaults sets a member's faults.
+func (f *Fleet) SetFaults(member *Process, faults ctstandin.Faults) error {
+	return call(member, http.MethodPost, "/v1/faults", faults, nil)
+}
+
+func get(p *Process, path string, answer any) error {
+	return call(p, http.MethodGet, path, nil, answer)
+}
+
+func call(p *Process, method, path string, body, answer any) error {
+	ctx, cancel := context.WithTimeout(context.Background(), askTime)
+	defer cancel()
+	return cthttp.Call(ctx, http.DefaultClient, method, "http://"+p.HTTP.String()+path, body, answer)
+}
+
+// Until waits until condition holds. It returns an error where that takes
+// longer than any run should.
+func Until(what string, condition func() bool) error {
+	limit := time.Now().Add(patience)
+	for !condition() {
+		if time.Now().After(limit) {
+			return errors.New("never reached: " + what)
+		}
+		time.Sleep(startPause / 5)
+	}
+	return nil
+}
+
+// AwaitReady waits until every member of every group is held and every replica
+// holds all that its primary does.
+func (f *Fleet) AwaitReady() error {
+	return Until("every member is held and level with its primary", f.Level)
+}
+
+// AwaitHeld waits until every member of every group is held by a proxy that
+// serves it.
+func (f *Fleet) AwaitHeld() error {
+	return Until("every member is held", func() bool {
+		held, ok := f.heldMembers()
+		if !ok {
+			return false
+		}
+		for _, p := range f.All() {
+			_, found := held[ctid.Member(p.Name)]
+			if p.program != f.programOf("ctlab") || !p.Running() {
+				continue
+			}
+			if !found {
+				return false
+			}
+		}
+		return true
+	})
+}
+
+// Level reports whether every member is held and holds all that its primary
+// does.
+func (f *Fleet) Level() bool {
+	held, ok := f.heldMembers()
+	if !ok {
+		return false
+	}
+	for _, group := range f.Shape.Groups {
+		if !f.levelGroup(group, held) {
+			return false
+		}
+	}
+	return true
+}
+
+// heldMembers returns the members that are held and served, and whether all
+// running proxies answered.
+func (f *Fleet) heldMembers() (map[ctid.Member]ctview.Held, bool) {
+	held := make(map[ctid.Member]ctview.Held)
+	for _, p := range f.Proxies {
+		if !p.Running() {
+			continue
+		}
+		accounts, err := f.Held(p)
+		if err != nil {
+			return nil, false
+		}
+		for _, h := range accounts {
+			if !h.Draining && h.Health == ctview.HealthUp && h.Ready {
+				held[h.Member] = h
+			}
+		}
+	}
+	return held, true
+}
+
+func (f *Fleet) levelGroup(group string, held map[ctid.Member]ctview.Held) bool {
+	var primary ctview.Held
+	for _, m := range f.Members[group] {
+		h, ok := held[ctid.Member(m.Name)]
+		if !ok && m.Running() {
+			return false
+		}
+		if h.Status.Role == ctserver.RolePrimary && h.Status.Received.Term > primary.Status.Received.Term {
+			primary = h
+		}
+	}
+	for _, m := range f.Members[group] {
+		h, ok := held[ctid.Member(m.Name)]
+		if ok && (primary.Member == "" || h.Status.Applied != primary.Status.Received) {
+			return false
+		}
+	}
+	return true
+}
+
+// Primary returns the member that a proxy takes for the group's primary, or nil.
+func (f *Fleet) Primary(proxy *Process, group string) *Process {
+	view, err := f.View(proxy)
+	if err != nil {
+		return nil
+	}
+	for _, g := range view.Groups {
+		if string(g.Name) != group || g.Fence > g.Term {
+			continue
+		}
+		for _, m := range f.Members[group] {
+			if m.Name == string(g.Primary) {
+				return m
+			}
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/lab/ctfleet/fleet.go
@@ -0,0 +1,303 @@
+package ctfleet
+
+import (
+	"fmt"
+	"net/netip"
+	"os"
+	"path/filepath"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/cherviltrestle/cherviltrestle/internal/lab/ctrelay"
+	"github.com/cherviltrestle/cherviltrestle/internal/link/ctkey"
+)
+
+// Shape says what a fleet is made of.
+type Shape struct {
+	// Sites are the failure domains.
+	Sites []ctrelay.Site
+	// Proxies is the number of proxies in each failure domain.
+	Proxies int
+	// Controls is the number of control processes, one a failure domain.
+	Controls int
+	// ControlSites are where the control processes are, in turn; the failure
+	// domains in turn where it is empty.
+	ControlSites []ctrelay.Site
+	// Groups are the names of the database groups. Each has one member in each
+	// failure domain; the primary of group i begins in failure domain i.
+	Groups []string
+	// Slots and Connections are the limits of each member.
+	Slots       int
+	Connections int
+	// Connect is how long a new connection to a member takes.
+	Connect time.Duration
+	// Service is how long a statement takes on a member.
+	Service time.Duration
+	// ReceiveLag and ApplyLag delay the replicas.
+	ReceiveLag time.Duration
+	ApplyLag   time.Duration
+	// Config is the configuration that is applied at the start, in YAML.
+	Config string
+	// Silence is the control processes' silence time; their default where it
+	// is 0.
+	Silence time.Duration
+}
+
+// Options are the settings of Start.
+type Options struct {
+	// Folder takes the data, the keys and the logs.
+	Folder string
+	// Programs is the folder with cherviltrestle and ctlab.
+	Programs string
+	Shape    Shape
+	// LogLevel is that of all processes; info where it is empty.
+	LogLevel string
+}
+
+// Fleet is a fleet of processes.
+type Fleet struct {
+	Options
+
+	Net      *ctrelay.Net
+	Proxies  []*Process
+	Controls []*Process
+	// Members holds the members by group, in the order of the failure domains.
+	Members map[string][]*Process
+
+	relays []*ctrelay.Relay
+	ports  ports
+}
+
+// Start starts a fleet and applies its configuration.
+func Start(options Options) (*Fleet, error) {
+	f := &Fleet{Options: options, Net: &ctrelay.Net{}, Members: make(map[string][]*Process)}
+	if f.LogLevel == "" {
+		f.LogLevel = "info"
+	}
+	if err := f.plan(); err != nil {
+		return nil, err
+	}
+	f.ports.release()
+	if err := f.launch(); err != nil {
+		f.Stop()
+		return nil, err
+	}
+	return f, nil
+}
+
+// Stop ends all processes.
+func (f *Fleet) Stop() {
+	for _, p := range f.All() {
+		p.signalKill()
+	}
+	for _, p := range f.All() {
+		p.Wait(killWait)
+	}
+	for _, r := range f.relays {
+		r.Close()
+	}
+}
+
+// All returns all processes.
+func (f *Fleet) All() []*Process {
+	all := append([]*Process(nil), f.Controls...)
+	all = append(all, f.Proxies...)
+	for _, g := range f.Shape.Groups {
+		all = append(all, f.Members[g]...)
+	}
+	return all
+}
+
+// ProxiesAt returns the proxies of a failure domain.
+func (f *Fleet) ProxiesAt(site ctrelay.Site) []*Process {
+	var proxies []*Process
+	for _, p := range f.Proxies {
+		if p.Site == site {
+			proxies = append(proxies, p)
+		}
+	}
+	return proxies
+}
+
+func (f *Fleet) plan() error {
+	keys := filepath.Join(f.Folder, "keys")
+	if err := ctkey.Create(keys, "lab", time.Now()); err != nil {
+		return err
+	}
+	if err := f.planControls(); err != nil {
+		return err
+	}
+	if err := f.planProxies(); err != nil {
+		return err
+	}
+	return f.planMembers()
+}
+
+// newProcess chooses a process's addresses and issues its keys.
+func (f *Fleet) newProcess(name string, site ctrelay.Site, program string) (*Process, error) {
+	p := &Process{
+		Name:    name,
+		Site:    site,
+		Log:     filepath.Join(f.Folder, name+".log"),
+		program: f.programOf(program),
+	}
+	for _, a := range []*netip.AddrPort{&p.Listen, &p.HTTP, &p.Peer, &p.Front} {
+		address, err := f.ports.next()
+		if err != nil {
+			return nil, err
+		}
+		*a = address
+	}
+	f.Net.Place(p.Peer.Port(), site)
+	return p, ctkey.Issue(filepath.Join(f.Folder, "keys"), f.keysOf(name), name, time.Now())
+}
+
+func (f *Fleet) programOf(name string) string {
+	return filepath.Join(f.Programs, name)
+}
+
+func (f *Fleet) keysOf(name string) string {
+	return filepath.Join(f.Folder, "keys-"+name)
+}
+
+func (f *Fleet) planControls() error {
+	for i := range f.Shape.Controls {
+		sites := f.Shape.ControlSites
+		if len(sites) == 0 {
+			sites = f.Shape.Sites
+		}
+		site := sites[i%len(sites)]
+		p, err := f.newProcess(fmt.Sprintf("control-%d", i), site, "cherviltrestle")
+		if err != nil {
+			return err
+		}
+		p.arguments = []string{
+			"control", "--name", p.Name, "--peer-listen", p.Peer.String(), "--http-listen", p.HTTP.String(),
+			"--keys", f.keysOf(p.Name), "--data", f.DataOf(p), "--log-level", f.LogLevel,
+		}
+		if f.Shape.Silence > 0 {
+			p.arguments = append(p.arguments, "--silence-time", f.Shape.Silence.String())
+		}
+		f.Controls = append(f.Controls, p)
+	}
+	return nil
+}
+
+// DataOf returns the data folder of a control process.
+func (f *Fleet) DataOf(p *Process) string {
+	return filepath.Join(f.Folder, "data-"+p.Name)
+}
+
+func (f *Fleet) planProxies() error {
+	for _, site := range f.Shape.Sites {
+		for i := range f.Shape.Proxies {
+			p, err := f.newProcess(fmt.Sprintf("proxy-%s-%d", site, i), site, "cherviltrestle")
+			if err != nil {
+				return err
+			}
+			f.Proxies = append(f.Proxies, p)
+		}
+	}
+	for _, p := range f.Proxies {
+		p.arguments = []string{
+			"proxy", "--name", p.Name, "--failure-domain", string(p.Site), "--listen", p.Listen.String(),
+			"--peer-listen", p.Peer.String(), "--peer-advertise", p.Front.String(),
+			"--http-listen", p.HTTP.String(), "--keys", f.keysOf(p.Name), "--log-level", f.LogLevel,
+			"--control-address", fronts(f.Controls, ""), "--workers", "2",
+		}
+		if peers := fronts(f.ProxiesAt(p.Site), p.Name); peers != "" {
+			p.arguments = append(p.arguments, "--peer-address", peers)
+		}
+	}
+	return nil
+}
+
+// fronts lists the relays' addresses of processes other than the named one.
+func fronts(processes []*Process, except string) string {
+	var addresses []string
+	for _, p := range processes {
+		if p.Name != except {
+			addresses = append(addresses, p.Front.String())
+		}
+	}
+	return strings.Join(addresses, ",")
+}
+
+func (f *Fleet) planMembers() error {
+	for i, group := range f.Shape.Groups {
+		for j, site := range f.Shape.Sites {
+			p, err := f.newProcess(fmt.Sprintf("%s-%d", group, j), site, "ctlab")
+			if err != nil {
+				return err
+			}
+			f.Members[group] = append(f.Members[group], p)
+			p.arguments = f.memberArguments(p, group)
+			if j == i%len(f.Shape.Sites) {
+				p.arguments = append(p.arguments, "--role", "primary")
+			}
+		}
+		primary := f.Members[group][i%len(f.Shape.Sites)]
+		for _, p := range f.Members[group] {
+			p.arguments = append(p.arguments, "--primary", primary.Listen.String())
+		}
+	}
+	return nil
+}
+
+func (f *Fleet) memberArguments(p *Process, group string) []string {
+	s := f.Shape
+	arguments := []string{
+		"standin", "--group", group, "--member", p.Name, "--failure-domain", string(p.Site),
+		"--listen", p.Listen.String(), "--admin-listen", p.HTTP.String(), "--interval", "200ms",
+		"--connect-time", s.Connect.String(), "--service-time", s.Service.String(),
+		"--receive-lag", s.ReceiveLag.String(), "--apply-lag", s.ApplyLag.String(),
+	}
+	if s.Slots > 0 {
+		arguments = append(arguments, "--slots", fmt.Sprint(s.Slots))
+	}
+	if s.Connections > 0 {
+		arguments = append(arguments, "--connections", fmt.Sprint(s.Connections))
+	}
+	for _, proxy := range f.ProxiesAt(p.Site) {
+		arguments = append(arguments, "--announce", proxy.HTTP.String())
+	}
+	return arguments
+}
+
+func (f *Fleet) launch() error {
+	for _, p := range append(append([]*Process(nil), f.Controls...), f.Proxies...) {
+		relay, err := ctrelay.Start(f.Net, p.Front, p.Peer, p.Site)
+		if err != nil {
+			return err
+		}
+		f.relays = append(f.relays, relay)
+	}
+	for _, p := range f.All() {
+		if err := p.Start(); err != nil {
+			return err
+		}
+	}
+	return f.applyFirst()
+}
+
+// applyFirst applies the configuration of the shape.
+func (f *Fleet) applyFirst() error {
+	file := filepath.Join(f.Folder, "config.yaml")
+	if err := os.WriteFile(file, []byte(f.Shape.Config), 0o600); err != nil {
+		return errors.Wrap(err, "write the configuration")
+	}
+	const tries = 100
+	var output string
+	for range tries {
+		var err error
+		output, err = f.Run("config", "apply", "--control-http", f.Controls[0].HTTP.String(),
+			"--file", file, "--id", "first", "--author", "lab")
+		if err == nil {
+			return nil
+		}
+		time.Sleep(startPause)
+	}
+	return errors.Errorf("the first configuration was not accepted: %s", output)
+}
--- /dev/null
+++ b/internal/lab/ctproof/failover_test.go
@@ -0,0 +1,151 @@
+package ctproof
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/cherviltrestle/cherviltrestle/internal/lab/ctfleet"
+	"github.com/cherviltrestle/cherviltrestle/internal/lab/ctstandin"
+)
+
+// The load of the proofs under failure.
+const (
+	someCallers = 6
+	someWrites  = 40
+)
+
+func TestNothingAcknowledgedIsLost(t *testing.T) {
+	for _, failure := range []struct {
+		name string
+		do   func(t *testing.T, fleet *ctfleet.Fleet)
+	}{
+		{"when the primary is killed", func(_ *testing.T, fleet *ctfleet.Fleet) {
+			fleet.Members[group][0].Kill()
+		}},
+		{"when the primary is killed and one replica lags", func(t *testing.T, fleet *ctfleet.Fleet) {
+			assert.NilError(t, fleet.SetFaults(fleet.Members[group][1], ctstandin.Faults{ReceiveLag: 2000}))
+			fleet.Members[group][0].Kill()
+		}},
+		{"when the primary is frozen", func(_ *testing.T, fleet *ctfleet.Fleet) {
+			fleet.Members[group][0].Freeze()
+		}},
+		{"when the primary's failure domain is cut off", func(t *testing.T, fleet *ctfleet.Fleet) {
+			isolate(t, fleet, 0)
+		}},
+		{"when the primary's holder is killed", func(_ *testing.T, fleet *ctfleet.Fleet) {
+			fleet.Proxies[0].Kill()
+			fleet.Members[group][0].Kill()
+		}},
+	} {
+		t.Run(failure.name, func(t *testing.T) {
+			fleet := start(t, controlElsewhere())
+			callers := work(fleet, someCallers, true)
+			callers.awaitMore(t, someWrites)
+			failure.do(t, fleet)
+			primary := awaitPrimary(t, fleet, fleet.Proxies[1], fleet.Members[group][0])
+			callers.awaitMore(t, someWrites)
+			callers.end()
+			assertTruthful(t, callers, primary)
+		})
+	}
+}
+
+// isolate cuts a failure domain off from the others: its processes, and its
+// member's replication.
+func isolate(t *testing.T, fleet *ctfleet.Fleet, site int) {
+	t.Helper()
+	fleet.Net.Isolate(sites[site], sites...)
+	assert.NilError(t, fleet.SetFaults(fleet.Members[group][site], ctstandin.Faults{Isolated: true}))
+}
+
+// rejoin ends an isolate.
+func rejoin(t *testing.T, fleet *ctfleet.Fleet, site int) {
+	t.Helper()
+	fleet.Net.Rejoin(sites[site], sites...)
+	assert.NilError(t, fleet.SetFaults(fleet.Members[group][site], ctstandin.Faults{}))
+}
+
+func TestNoAcknowledgementByReplacedPrimary(t *testing.T) {
+	t.Run("cut off with its callers", func(t *testing.T) {
+		fleet := start(t, controlElsewhere())
+		callers := work(fleet, someCallers, false)
+		callers.awaitMore(t, someWrites)
+		isolate(t, fleet, 0)
+		primary := awaitPrimary(t, fleet, fleet.Proxies[1], fleet.Members[group][0])
+		cutOff := open(t, fleet.Proxies[0], nil)
+		_, err := run(cutOff, "INSERT INTO tests (key, value) VALUES ('cut-off', 'x')")
+		assert.Assert(t, classify(err) != toldRan, "a replaced primary acknowledged a write")
+		callers.awaitMore(t, someWrites)
+		callers.end()
+		rejoin(t, fleet, 0)
+		assert.NilError(t, fleet.AwaitReady())
+		assertTruthful(t, callers, primary)
+	})
+	t.Run("whose holder was frozen past the lease", func(t *testing.T) {
+		fleet := start(t, controlElsewhere())
+		callers := work(fleet, someCallers, false)
+		callers.awaitMore(t, someWrites)
+		fleet.Proxies[0].Freeze()
+		fleet.Members[group][0].Freeze()
+		primary := awaitPrimary(t, fleet, fleet.Proxies[1], fleet.Members[group][0])
+		callers.awaitMore(t, someWrites)
+		fleet.Members[group][0].Thaw()
+		fleet.Proxies[0].Thaw()
+		callers.awaitMore(t, someWrites)
+		callers.end()
+		assertTruthful(t, callers, primary)
+	})
+}
+
+// controlElsewhere is a fleet whose control is not in the first failure domain,
+// where the primary begins.
+func controlElsewhere() ctfleet.Shape {
+	shape := smallFleet()
+	shape.ControlSites = sites[1:2]
+	return shape
+}
+
+func TestNoPromotionWithoutMajority(t *testing.T) {
+	fleet := start(t, smallFleet())
+	must(t, open(t, fleet.Proxies[1], nil), "INSERT INTO charts (key, value) VALUES ('m8', '21.5')")
+	fleet.Members[group][1].Kill()
+	fleet.Members[group][0].Kill()
+	assert.NilError(t, ctfleet.Until("control says why it promotes nobody", func() bool {
+		output, err := fleet.Run("status", "--control-http", fleet.Controls[0].HTTP.String())
+		return err == nil && contains(output, "fewer_members_than_a_majority_answer")
+	}))
+	_, err := run(open(t, fleet.Proxies[2], nil), "INSERT INTO charts (key, value) VALUES ('m9', '22')")
+	assert.Equal(t, classify(err), toldNotRun)
+	assertRows(t, fleet.Proxies[2], nil, readKey, "21.5")
+}
+
+func TestReturningPrimaryFollows(t *testing.T) {
+	fleet := start(t, controlElsewhere())
+	callers := work(fleet, someCallers, true)
+	callers.awaitMore(t, someWrites)
+	isolate(t, fleet, 0)
+	primary := awaitPrimary(t, fleet, fleet.Proxies[1], fleet.Members[group][0])
+	callers.awaitMore(t, someWrites)
+	rejoin(t, fleet, 0)
+	callers.end()
+	assert.NilError(t, fleet.AwaitReady())
+	assertTruthful(t, callers, primary)
+	assertTruthful(t, callers, fleet.Members[group][0])
+}
+
+func TestRequestsWaitForFailover(t *testing.T) {
+	fleet := start(t, smallFleet())
+	fleet.Members[group][0].Kill()
+	session := open(t, fleet.Proxies[1], nil)
+	ctxEnd := time.Now().Add(callTime)
+	for time.Now().Before(ctxEnd) {
+		_, err := run(session, "INSERT INTO tests (key, value) VALUES ('waited', 'x')")
+		if err == nil {
+			return
+		}
+		assert.Equal(t, classify(err), toldNotRun)
+	}
+	t.Fatal("no write was acknowledged after the failover")
+}
--- /dev/null
+++ b/internal/lab/ctproof/fleet_test.go
@@ -0,0 +1,159 @@
+package ctproof
+
+import (
+	"context"
+	"os"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/jackc/pgx/v5/pgconn"
+	"gotest.tools/v3/assert"
+
+	"github.com/cherviltrestle/cherviltrestle/internal/lab/ctfleet"
+	"github.com/cherviltrestle/cherviltrestle/internal/lab/ctrelay"
+)
+
+// group is the database group of most proofs.
+const group = "fit-registry"
+
+// sites are the failure domains of most proofs.
+var sites = []ctrelay.Site{"taipei-a", "taichung-a", "kaohsiung-a"}
+
+// oldReads accepts reads of any age, where age is not what is proved.
+const oldReads = `
+defaults:
+  reads:
+    max_age: 1h
+groups:
+  - name: fit-registry
+    size: 3
+`
+
+// callTime bounds one statement. It only ends runs that would never end.
+const callTime = 60 * time.Second
+
+// smallFleet is a fleet of one proxy and one member in each failure domain.
+func smallFleet() ctfleet.Shape {
+	return ctfleet.Shape{Sites: sites, Proxies: 1, Controls: 1, Groups: []string{group}, Config: oldReads}
+}
+
+// start starts a fleet and waits until it serves.
+func start(t *testing.T, shape ctfleet.Shape) *ctfleet.Fleet {
+	t.Helper()
+	fleet, err := ctfleet.Start(ctfleet.Options{Folder: t.TempDir(), Programs: programs, Shape: shape})
+	assert.NilError(t, err)
+	t.Cleanup(func() { finish(t, fleet) })
+	assert.NilError(t, fleet.AwaitReady())
+	return fleet
+}
+
+// finish stops a fleet and checks what must hold at the end of every proof.
+func finish(t *testing.T, fleet *ctfleet.Fleet) {
+	t.Helper()
+	assertLimitsKept(t, fleet)
+	fleet.Stop()
+	for _, p := range fleet.All() {
+		assertNoPanic(t, p)
+	}
+	if t.Failed() {
+		showLogs(t, fleet)
+	}
+}
+
+// assertLimitsKept checks that no member ever ran more statements at once than
+// it has slots, or had more connections than it accepts.
+func assertLimitsKept(t *testing.T, fleet *ctfleet.Fleet) {
+	t.Helper()
+	for _, members := range fleet.Members {
+		for _, m := range members {
+			counters, err := fleet.Counters(m)
+			if err != nil {
+				continue
+			}
+			if counters.OverSlots > 0 || counters.RefusedConnections > 0 {
+				t.Errorf("%s went over its limits: %+v", m.Name, counters)
+			}
+		}
+	}
+}
+
+// assertNoPanic checks that a process neither panicked nor raced.
+func assertNoPanic(t *testing.T, p *ctfleet.Process) {
+	t.Helper()
+	data, err := os.ReadFile(p.Log)
+	assert.NilError(t, err)
+	for _, mark := range []string{"panic:", "DATA RACE", "fatal error:"} {
+		if at := strings.Index(string(data), mark); at >= 0 {
+			t.Errorf("%s: %s", p.Name, data[at:min(len(data), at+4000)])
+		}
+	}
+}
+
+// showLogs prints the ends of all logs.
+func showLogs(t *testing.T, fleet *ctfleet.Fleet) {
+	t.Helper()
+	const shown = 6000
+	for _, p := range fleet.All() {
+		data, err := os.ReadFile(p.Log)
+		if err != nil {
+			continue
+		}
+		t.Logf("%s:\n%s", p.Name, data[max(0, len(data)-shown):])
+	}
+}
+
+// parameters are start-up parameters of a session.
+type parameters map[string]string
+
+// dial opens a session through a proxy.
+func dial(proxy *ctfleet.Process, database string, stated parameters) (*pgconn.PgConn, error) {
+	config, err := pgconn.ParseConfig("postgres://lab@" + proxy.Listen.String() + "/" + database + "?sslmode=disable")
+	if err != nil {
+		return nil, err
+	}
+	for name, value := range stated {
+		config.RuntimeParams[name] = value
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), callTime)
+	defer cancel()
+	return pgconn.ConnectConfig(ctx, config)
+}
+
+// open opens a session that must succeed.
+func open(t *testing.T, proxy *ctfleet.Process, stated parameters) *pgconn.PgConn {
+	t.Helper()
+	session, err := dial(proxy, group, stated)
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = session.Close(context.Background()) })
+	return session
+}
+
+// run runs a text and returns the values of its rows.
+func run(session *pgconn.PgConn, text string) ([]string, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), callTime)
+	defer cancel()
+	results, err := session.Exec(ctx, text).ReadAll()
+	var values []string
+	for _, r := range results {
+		for _, row := range r.Rows {
+			for _, v := range row {
+				values = append(values, string(v))
+			}
+		}
+	}
+	return values, err
+}
+
+// must runs a text that must succeed and returns its values.
+func must(t *testing.T, session *pgconn.PgConn, text string) []string {
+	t.Helper()
+	values, err := run(session, text)
+	assert.NilError(t, err, text)
+	return values
+}
+
+// tokenOf returns the token that the session was given last.
+func tokenOf(session *pgconn.PgConn) string {
+	return session.ParameterStatus("cherviltrestle.token")
+}
--- /dev/null
+++ b/internal/lab/ctproof/golden_test.go
@@ -0,0 +1,182 @@
+package ctproof
+
+import (
+	"bufio"
+	"encoding/json"
+	"fmt"
+	"os"
+	"regexp"
+	"strings"
+	"testing"
+
+	"github.com/jackc/pgx/v5/pgproto3"
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/golden"
+
+	"github.com/cherviltrestle/cherviltrestle/internal/lab/ctfleet"
+)
+
+// step is one statement of a recorded session.
+type step struct {
+	send string
+	// settle waits before the statement until the replicas are level.
+	settle bool
+}
+
+// TestGoldenSessions records whole sessions: every message that the caller gets
+// and every decision that was made.
+func TestGoldenSessions(t *testing.T) {
+	for _, recorded := range []struct {
+		name  string
+		steps []step
+	}{
+		{"read", []step{{send: "SELECT value FROM charts WHERE key = 'm8'"}, {send: "SELECT count(*) FROM charts"}}},
+		{"write", []step{
+			{send: "INSERT INTO charts (key, value) VALUES ('m8', '21.5')"},
+			{send: "SELECT value FROM charts WHERE key = 'm8'", settle: true},
+		}},
+		{"transaction", []step{
+			{send: "INSERT INTO charts (key, value) VALUES ('m8', '21.5')"},
+			{send: "BEGIN"},
+			{send: "UPDATE charts SET value = '21.6' WHERE key = 'm8'"},
+			{send: "SELECT value FROM charts WHERE key = 'm8'"},
+			{send: "COMMIT"},
+			{send: "BEGIN READ ONLY", settle: true},
+			{send: "SELECT value FROM charts WHERE key = 'm8'"},
+			{send: "ROLLBACK"},
+		}},
+		{"error", []step{
+			{send: "SELEKT 1"},
+			{send: "SELECT 1/0"},
+			{send: "COPY charts FROM STDIN"},
+			{send: "SET search_path = 'other'"},
+			{send: "BEGIN"},
+			{send: "SELECT 1/0"},
+			{send: "SELECT 1"},
+			{send: "ROLLBACK"},
+		}},
+		{"disconnect", []step{
+			{send: "BEGIN"},
+			{send: "INSERT INTO charts (key, value) VALUES ('gone', '1')"},
+		}},
+	} {
+		t.Run(recorded.name, func(t *testing.T) {
+			fleet := start(t, smallFleet())
+			transcript := record(t, fleet, recorded.steps)
+			if recorded.name == "disconnect" {
+				transcript += "-- another session, after the disconnect\n"
+				transcript += record(t, fleet, []step{{send: "SELECT count(*) FROM charts WHERE key = 'gone'", settle: true}})
+			}
+			golden.Assert(t, transcript, recorded.name+".golden")
+		})
+	}
+}
+
+// record runs a session and returns its messages and decisions.
+func record(t *testing.T, fleet *ctfleet.Fleet, steps []step) string {
+	t.Helper()
+	proxy := fleet.Proxies[0]
+	raw := dialRaw(t, proxy)
+	before := lineCounts(t, fleet)
+	var out strings.Builder
+	for _, s := range steps {
+		if s.settle {
+			assert.NilError(t, fleet.AwaitReady())
+		}
+		fmt.Fprintf(&out, "> %s\n", s.send)
+		for _, line := range raw.ask(t, s.send) {
+			fmt.Fprintf(&out, "< %s\n", line)
+		}
+	}
+	raw.close()
+	for _, line := range decisions(t, fleet, before) {
+		fmt.Fprintf(&out, "# %s\n", line)
+	}
+	return out.String()
+}
+
+// unstable are the parts of a transcript that differ from run to run.
+var unstable = regexp.MustCompile(`proxy-taipei-a-0/[0-9a-f]+/[0-9]+/`)
+
+// stable replaces what differs from run to run.
+func stable(text string) string {
+	return unstable.ReplaceAllString(text, "proxy-taipei-a-0/RUN/SESSION/")
+}
+
+// shownFields are the fields of a decision that a transcript shows, in order.
+var shownFields = []string{"decision", "request", "member", "to", "need", "outcome", "point", "why", "reason"}
+
+// decisions returns the decisions on requests that were logged since the
+// counts were taken, process by process.
+func decisions(t *testing.T, fleet *ctfleet.Fleet, before map[string]int) []string {
+	t.Helper()
+	var lines []string
+	for _, p := range fleet.Proxies {
+		for _, line := range logLines(t, p)[before[p.Name]:] {
+			var fields map[string]any
+			if json.Unmarshal([]byte(line), &fields) != nil || fields["request"] == nil {
+				continue
+			}
+			shown := []string{p.Name + ":"}
+			for _, name := range shownFields {
+				if value, ok := fields[name]; ok {
+					shown = append(shown, fmt.Sprintf("%s=%v", name, value))
+				}
+			}
+			lines = append(lines, stable(strings.Join(shown, " ")))
+		}
+	}
+	return lines
+}
+
+func lineCounts(t *testing.T, fleet *ctfleet.Fleet) map[string]int {
+	t.Helper()
+	counts := make(map[string]int)
+	for _, p := range fleet.Proxies {
+		counts[p.Name] = len(logLines(t, p))
+	}
+	return counts
+}
+
+func logLines(t *testing.T, p *ctfleet.Process) []string {
+	t.Helper()
+	file, err := os.Open(p.Log)
+	assert.NilError(t, err)
+	defer func() { _ = file.Close() }()
+	var lines []string
+	scanner := bufio.NewScanner(file)
+	for scanner.Scan() {
+		lines = append(lines, scanner.Text())
+	}
+	return lines
+}
+
+// show renders a message of the proxy as a line.
+func show(message pgproto3.BackendMessage) string {
+	switch m := message.(type) {
+	case *pgproto3.RowDescription:
+		names := make([]string, len(m.Fields))
+		for i, f := range m.Fields {
+			names[i] = string(f.Name)
+		}
+		return "RowDescription " + strings.Join(names, ",")
+	case *pgproto3.DataRow:
+		values := make([]string, len(m.Values))
+		for i, v := range m.Values {
+			values[i] = string(v)
+		}
+		return "DataRow " + strings.Join(values, ",")
+	case *pgproto3.CommandComplete:
+		return "CommandComplete " + string(m.CommandTag)
+	case *pgproto3.ReadyForQuery:
+		return "ReadyForQuery " + string(m.TxStatus)
+	case *pgproto3.ErrorResponse:
+		return stable(fmt.Sprintf("ErrorResponse %s %s: %s (%s)", m.Severity, m.Code, m.Message, m.Detail))
+	case *pgproto3.ParameterStatus:
+		if m.Name == "cherviltrestle.token" {
+			return "ParameterStatus " + m.Name + "=TOKEN"
+		}
+		return "ParameterStatus " + m.Name + "=" + m.Value
+	}
+	return fmt.Sprintf("%T", message)
+}
--- /dev/null
+++ b/internal/lab/ctproof/sessions_test.go
@@ -0,0 +1,101 @@
+package ctproof
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/cherviltrestle/cherviltrestle/internal/lab/ctfleet"
+	"github.com/cherviltrestle/cherviltrestle/internal/lab/ctstandin"
+)
+
+// laggedFleet is a fleet whose replicas show the log late.
+func laggedFleet() ctfleet.Shape {
+	shape := smallFleet()
+	shape.ApplyLag = 400 * time.Millisecond
+	return shape
+}
+
+// assertRows checks that a read returns the stated values.
+func assertRows(t *testing.T, proxy *ctfleet.Process, stated parameters, text string, want ...string) {
+	t.Helper()
+	assert.DeepEqual(t, must(t, open(t, proxy, stated), text), want)
+}
+
+const readKey = "SELECT value FROM charts WHERE key = 'm8'"
+
+func TestReadYourWrites(t *testing.T) {
+	t.Run("in the session, over lagging replicas", func(t *testing.T) {
+		fleet := start(t, laggedFleet())
+		session := open(t, fleet.Proxies[0], nil)
+		for _, value := range []string{"1", "2", "3"} {
+			must(t, session, "DELETE FROM charts WHERE key = 'm8'")
+			must(t, session, "INSERT INTO charts (key, value) VALUES ('m8', '"+value+"')")
+			assert.DeepEqual(t, must(t, session, readKey), []string{value})
+		}
+	})
+	t.Run("after a move to every other proxy", func(t *testing.T) {
+		fleet := start(t, laggedFleet())
+		session := open(t, fleet.Proxies[0], nil)
+		must(t, session, "INSERT INTO charts (key, value) VALUES ('m8', '21.5')")
+		for _, proxy := range fleet.Proxies {
+			assertRows(t, proxy, parameters{"cherviltrestle.token": tokenOf(session)}, readKey, "21.5")
+		}
+	})
+	t.Run("after the first proxy was killed", func(t *testing.T) {
+		fleet := start(t, laggedFleet())
+		session := open(t, fleet.Proxies[1], nil)
+		must(t, session, "INSERT INTO charts (key, value) VALUES ('m8', '21.5')")
+		fleet.Proxies[1].Kill()
+		assertRows(t, fleet.Proxies[2], parameters{"cherviltrestle.token": tokenOf(session)}, readKey, "21.5")
+	})
+	t.Run("after a failover", func(t *testing.T) {
+		fleet := start(t, laggedFleet())
+		session := open(t, fleet.Proxies[1], nil)
+		must(t, session, "INSERT INTO charts (key, value) VALUES ('m8', '21.5')")
+		old := fleet.Members[group][0]
+		old.Kill()
+		awaitPrimary(t, fleet, fleet.Proxies[2], old)
+		assertRows(t, fleet.Proxies[2], parameters{"cherviltrestle.token": tokenOf(session)}, readKey, "21.5")
+	})
+}
+
+func TestTokens(t *testing.T) {
+	fleet := start(t, smallFleet())
+	for _, refused := range []struct{ name, token string }{
+		{"that can't be read", "x"},
+		{"with another seal", "AQAAAAAAAAABAAAAAAAAAIC962S1n2K2r3gliRZ353TQ"},
+	} {
+		t.Run("refuses one "+refused.name, func(t *testing.T) {
+			_, err := dial(fleet.Proxies[0], group, parameters{"cherviltrestle.token": refused.token})
+			assert.ErrorContains(t, err, "session token")
+		})
+	}
+}
+
+func TestStatedAge(t *testing.T) {
+	t.Run("a frozen replica serves no read of a stated age", func(t *testing.T) {
+		fleet := start(t, smallFleet())
+		writer := open(t, fleet.Proxies[0], nil)
+		must(t, writer, "INSERT INTO charts (key, value) VALUES ('m8', 'old')")
+		assert.NilError(t, fleet.AwaitReady())
+		for _, replica := range fleet.Members[group][1:] {
+			assert.NilError(t, fleet.SetFaults(replica, ctstandin.Faults{ApplyLag: 3_600_000}))
+		}
+		must(t, writer, "UPDATE charts SET value = 'new' WHERE key = 'm8'")
+		time.Sleep(300 * time.Millisecond)
+		assertRows(t, fleet.Proxies[1], parameters{"cherviltrestle.max_age": "200ms"}, readKey, "new")
+	})
+	t.Run("a read of any age is served by a replica that lags", func(t *testing.T) {
+		fleet := start(t, smallFleet())
+		writer := open(t, fleet.Proxies[0], nil)
+		must(t, writer, "INSERT INTO charts (key, value) VALUES ('m8', 'old')")
+		assert.NilError(t, fleet.AwaitReady())
+		for _, replica := range fleet.Members[group][1:] {
+			assert.NilError(t, fleet.SetFaults(replica, ctstandin.Faults{ApplyLag: 3_600_000}))
+		}
+		must(t, writer, "UPDATE charts SET value = 'new' WHERE key = 'm8'")
+		assertRows(t, fleet.Proxies[1], parameters{"cherviltrestle.max_age": "1h"}, readKey, "old")
+	})
+}
--- /dev/null
+++ b/internal/lab/ctproof/stop_test.go
@@ -0,0 +1,97 @@
+package ctproof
+
+import (
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/cherviltrestle/cherviltrestle/internal/lab/ctfleet"
+	"github.com/cherviltrestle/cherviltrestle/internal/lab/ctstandin"
+)
+
+func TestPlannedStop(t *testing.T) {
+	t.Run("cuts no request and no transaction in flight", func(t *testing.T) {
+		fleet := start(t, smallFleet())
+		proxy := fleet.Proxies[1]
+		inFlight := open(t, proxy, nil)
+		inTransaction := open(t, proxy, nil)
+		must(t, inTransaction, "BEGIN")
+		must(t, inTransaction, "INSERT INTO charts (key, value) VALUES ('m8', '21.5')")
+		var done sync.WaitGroup
+		done.Add(1)
+		go func() {
+			defer done.Done()
+			_, err := run(inFlight, "SELECT pg_sleep(0.6)")
+			assert.Check(t, err)
+		}()
+		time.Sleep(100 * time.Millisecond)
+		stopped := make(chan bool, 1)
+		go func() { stopped <- proxy.Stop(callTime) }()
+		done.Wait()
+		must(t, inTransaction, "COMMIT")
+		assert.Assert(t, <-stopped, "the proxy did not stop")
+		assertRows(t, fleet.Proxies[0], parameters{"cherviltrestle.token": tokenOf(inTransaction)}, readKey, "21.5")
+	})
+	t.Run("ends although a caller never ends its transaction", func(t *testing.T) {
+		shape := smallFleet()
+		shape.Config = "defaults:\n  sessions:\n    transaction_timeout: 500ms\n" + "groups:\n  - {name: fit-registry, size: 3}\n"
+		fleet := start(t, shape)
+		stuck := open(t, fleet.Proxies[1], nil)
+		must(t, stuck, "BEGIN")
+		assert.Assert(t, fleet.Proxies[1].Stop(callTime), "the proxy did not stop")
+	})
+	t.Run("of all proxies in turn, under load", func(t *testing.T) {
+		shape := smallFleet()
+		shape.Proxies = 2
+		fleet := start(t, shape)
+		callers := work(fleet, someCallers, true)
+		for _, proxy := range fleet.Proxies {
+			callers.awaitMore(t, someWrites)
+			assert.Assert(t, proxy.Stop(callTime), "the proxy did not stop")
+			assert.NilError(t, proxy.Start())
+			assert.NilError(t, fleet.AwaitHeld())
+		}
+		callers.end()
+		assert.Equal(t, callers.count(toldUnknown), 0, "a planned stop left outcomes unknown")
+		primary := awaitPrimary(t, fleet, fleet.Proxies[0], nil)
+		assertTruthful(t, callers, primary)
+	})
+}
+
+func TestLeavingMemberGetsNoNewWork(t *testing.T) {
+	fleet := start(t, smallFleet())
+	leaving := fleet.Members[group][1]
+	assert.NilError(t, fleet.SetFaults(leaving, ctstandin.Faults{Leaving: true}))
+	assert.NilError(t, ctfleet.Until("every proxy knows that the member leaves", func() bool {
+		return knownLeaving(fleet, leaving)
+	}))
+	before, err := fleet.Counters(leaving)
+	assert.NilError(t, err)
+	for _, proxy := range fleet.Proxies {
+		session := open(t, proxy, nil)
+		for range 20 {
+			must(t, session, readKey)
+		}
+	}
+	after, err := fleet.Counters(leaving)
+	assert.NilError(t, err)
+	assert.Equal(t, after.Statements, before.Statements, "a leaving member got new work")
+}
+
+// knownLeaving reports whether all proxies know that the member is leaving.
+func knownLeaving(fleet *ctfleet.Fleet, member *ctfleet.Process) bool {
+	for _, p := range fleet.Proxies {
+		view, err := fleet.View(p)
+		if err != nil {
+			return false
+		}
+		for _, m := range view.Members {
+			if string(m.Member) == member.Name && m.State != "leaving" {
+				return false
+			}
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/internal/lab/ctrelay/net.go
@@ -0,0 +1,99 @@
+package ctrelay
+
+import (
+	"sync"
+	"time"
+)
+
+// Site names where a process is.
+type Site string
+
+// link is an unordered pair of sites.
+type link struct {
+	a, b Site
+}
+
+func linkOf(a, b Site) link {
+	if a > b {
+		a, b = b, a
+	}
+	return link{a: a, b: b}
+}
+
+// Net states how packets pass between sites. Its zero value passes all of them
+// at once.
+type Net struct {
+	mutex  sync.Mutex
+	delays map[link]time.Duration
+	cuts   map[link]bool
+	sites  map[uint16]Site
+}
+
+// Place tells the site of the process that sends from a UDP port.
+func (n *Net) Place(port uint16, site Site) {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	if n.sites == nil {
+		n.sites = make(map[uint16]Site)
+	}
+	n.sites[port] = site
+}
+
+// SetDelay sets how long a packet takes between two sites, one way.
+func (n *Net) SetDelay(a, b Site, delay time.Duration) {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	if n.delays == nil {
+		n.delays = make(map[link]time.Duration)
+	}
+	n.delays[linkOf(a, b)] = delay
+}
+
+// Cut drops all packets between two sites until Heal.
+func (n *Net) Cut(a, b Site) {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	if n.cuts == nil {
+		n.cuts = make(map[link]bool)
+	}
+	n.cuts[linkOf(a, b)] = true
+}
+
+// Heal ends the cut between two sites.
+func (n *Net) Heal(a, b Site) {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	delete(n.cuts, linkOf(a, b))
+}
+
+// Isolate cuts a site off from the others.
+func (n *Net) Isolate(site Site, others ...Site) {
+	for _, o := range others {
+		if o != site {
+			n.Cut(site, o)
+		}
+	}
+}
+
+// Rejoin ends an Isolate.
+func (n *Net) Rejoin(site Site, others ...Site) {
+	for _, o := range others {
+		n.Heal(site, o)
+	}
+}
+
+// pass returns how long a packet takes between two sites, and whether it gets
+// there.
+func (n *Net) pass(a, b Site) (time.Duration, bool) {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	l := linkOf(a, b)
+	return n.delays[l], !n.cuts[l]
+}
+
+// siteOf returns the site of a port; the empty one where it is not known.
+func (n *Net) siteOf(port uint16) Site {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	return n.sites[port]
+}
--- a/internal/lab/ctstandin/execute.go
+++ b/internal/lab/ctstandin/execute.go
@@ -203,7 +203,7 @@
 
 // stream returns entries of the log to a replica.
 func stream(d *database, st ctsql.Stream) (result, error) {
-	if !d.primary() || d.term != st.Term {
+	if !d.primary() || d.term != st.Term || d.faults.Isolated {
 		return result{}, &failure{"55000", "the member is not the primary of the term"}
 	}
 	if st.From > uint64(d.log.Received()) {
--- a/internal/lab/ctstandin/options.go
+++ b/internal/lab/ctstandin/options.go
@@ -44,6 +44,8 @@
 	ApplyLag Milliseconds `json:"apply_lag_ms"`
 	// Leaving announces that the member takes no new work.
 	Leaving bool `json:"leaving"`
+	// Isolated cuts the replication from and to the member.
+	Isolated bool `json:"isolated"`
 	// Mute stops the announcements.
 	Mute bool `json:"mute"`
 }
--- a/internal/lab/ctstandin/replicate.go
+++ b/internal/lab/ctstandin/replicate.go
@@ -127,6 +127,9 @@
 		if err != nil {
 			return err
 		}
+		if s.faults(held).Isolated {
+			return errors.New("the member is cut off")
+		}
 		p := parcel{}
 		for _, row := range rows {
 			var e ctwal.Entry
--- a/internal/model/ctview/report.go
+++ b/internal/model/ctview/report.go
@@ -28,9 +28,12 @@
 
 // Held is a holder's account of a member that it holds.
 type Held struct {
-	Group  ctid.Group      `json:"group" cbor:"group"`
-	Member ctid.Member     `json:"member" cbor:"member"`
-	Health Health          `json:"health" cbor:"health"`
+	Group  ctid.Group  `json:"group" cbor:"group"`
+	Member ctid.Member `json:"member" cbor:"member"`
+	Health Health      `json:"health" cbor:"health"`
+	// Ready reports whether the holder serves the member's requests: as the
+	// primary with a write lease, or as a replica whose age is known.
+	Ready  bool            `json:"ready,omitempty" cbor:"ready,omitempty"`
 	Status ctserver.Status `json:"status" cbor:"status"`
 	// Draining reports whether the holder only ends what it has begun, because
 	// the member has another holder now.
--- a/internal/program/ctcontrol/control.go
+++ b/internal/program/ctcontrol/control.go
@@ -26,8 +26,6 @@
 	settleTime = 1200 * time.Millisecond
 	// memberTime is how long a member may go unannounced before it is dropped.
 	memberTime = 5 * time.Second
-	// longestLease is the longest lease that any leader grants.
-	longestLease = 10 * time.Second
 )
 
 // Options are the parts and settings of a Control.
--- a/internal/program/ctholding/holding.go
+++ b/internal/program/ctholding/holding.go
@@ -212,12 +212,19 @@
 				Health: m.health,
 				Status: m.status,
 
+				Ready:    m.ageKnown(h.Clock.Now()),
 				Draining: m.leaving,
 			})
 		}
 	})
+	view := h.State.View(held)
 	for i := range accounts {
-		accounts[i].Surrendered = h.State.Surrendered(held, accounts[i].Group)
+		a := &accounts[i]
+		a.Surrendered = h.State.Surrendered(held, a.Group)
+		if a.Status.Role == ctserver.RolePrimary {
+			term := view.Groups[a.Group].Term
+			a.Ready = h.State.Leased(held, a.Group, term, h.Clock.Now())
+		}
 	}
 	return accounts
 }
--- a/internal/program/ctholding/member.go
+++ b/internal/program/ctholding/member.go
@@ -102,6 +102,12 @@
 	return ctset.Option[time.Duration]{}
 }
 
+// ageKnown reports whether the age of the member's data is known.
+func (m *member) ageKnown(now time.Time) bool {
+	_, known := m.age.Age(now)
+	return known
+}
+
 // limits returns the slots and connections that this holder may use, less what
 // an earlier holder still has.
 func (m *member) limits() ctadmit.Resize {
--- a/internal/program/ctproxy/build.go
+++ b/internal/program/ctproxy/build.go
@@ -170,11 +170,15 @@
 	holding *ctholding.Holding, ways *ctstream.Ways, clock ctclock.Clock, logger zerolog.Logger,
 	metrics *ctmetric.Metrics,
 ) *ctuplink.Uplink {
+	address := endpoint.Address()
+	if settings.Advertise.IsValid() {
+		address = settings.Advertise.AddrPort
+	}
 	uplink := ctuplink.New(ctuplink.Options{
 		Self: ctview.Proxy{
 			Name:          settings.Name,
 			FailureDomain: settings.FailureDomain,
-			Address:       endpoint.Address(),
+			Address:       address,
 			Incarnation:   incarnation,
 		},
 		Control:   settings.Control,
--- a/internal/program/ctproxy/http.go
+++ b/internal/program/ctproxy/http.go
@@ -1,7 +1,6 @@
 package ctproxy
 
 import (
-	"encoding/json"
 	"net/http"
 
 	"github.com/cherviltrestle/cherviltrestle/internal/link/cthttp"
@@ -14,6 +13,7 @@
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST /v1/announcements", p.announce)
 	mux.HandleFunc("GET /v1/view", p.showView)
+	mux.HandleFunc("GET /v1/held", p.showHeld)
 	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
 	mux.HandleFunc("GET /readyz", p.showReady)
 	mux.Handle("GET /metrics", p.metrics.Handler())
@@ -44,6 +44,10 @@
 
 func (p *Proxy) showView(w http.ResponseWriter, _ *http.Request) {
 	var held ctlock.Held
-	w.Header().Set("Content-Type", "application/json")
-	_ = json.NewEncoder(w).Encode(p.state.View(&held).Whole())
+	cthttp.Write(w, http.StatusOK, p.state.View(&held).Whole())
+}
+
+func (p *Proxy) showHeld(w http.ResponseWriter, _ *http.Request) {
+	var held ctlock.Held
+	cthttp.Write(w, http.StatusOK, p.holding.Held(&held))
 }
--- a/internal/program/ctsettings/proxy.go
+++ b/internal/program/ctsettings/proxy.go
@@ -29,6 +29,8 @@
 	FailureDomain ctid.FailureDomain
 	Listen        Address
 	Peer          Address
+	// Advertise is where peers reach this proxy; Peer where it is not given.
+	Advertise     Address
 	Control       Addresses
 	Peers         Addresses
 	Heartbeat     time.Duration
@@ -47,6 +49,8 @@
 	textVar(flags, &p.FailureDomain, "failure-domain", "name", "failure domain of this VM")
 	textVar(flags, &p.Listen, "listen", "address", "TCP address for callers")
 	textVar(flags, &p.Peer, "peer-listen", "address", "UDP address for the system's other processes")
+	textVar(flags, &p.Advertise, "peer-advertise", "address",
+		"UDP address by which other processes reach this proxy, where that is not --peer-listen")
 	textVar(flags, &p.Control, "control-address", "addresses", "UDP addresses of the control processes, with commas")
 	textVar(flags, &p.Peers, "peer-address", "addresses",
 		"UDP addresses of proxies in this failure domain to ask when control can't be reached")
--- a/internal/work/ctdeadline/queue.go
+++ b/internal/work/ctdeadline/queue.go
@@ -74,23 +74,39 @@
 func (q *Queue[K]) expire() (time.Time, bool) {
 	now := q.Clock.Now()
 	for {
-		q.mutex.Lock()
-		if len(q.order) == 0 {
-			q.mutex.Unlock()
-			return time.Time{}, false
+		key, at, ok := q.first()
+		if !ok || at.After(now) {
+			return at, ok
 		}
-		first := q.order[0]
-		if first.at.After(now) {
-			q.mutex.Unlock()
-			return first.at, true
+		if q.take(key, now) {
+			q.Due(key)
 		}
-		heap.Pop(&q.order)
-		delete(q.byKey, first.key)
-		q.mutex.Unlock()
-		q.Due(first.key)
 	}
 }
 
+// first returns the key with the first deadline.
+func (q *Queue[K]) first() (key K, at time.Time, ok bool) {
+	q.mutex.Lock()
+	defer q.mutex.Unlock()
+	if len(q.order) == 0 {
+		return key, at, false
+	}
+	return q.order[0].key, q.order[0].at, true
+}
+
+// take removes the key's deadline if it has passed, and reports whether it had.
+func (q *Queue[K]) take(key K, now time.Time) bool {
+	q.mutex.Lock()
+	defer q.mutex.Unlock()
+	e, ok := q.byKey[key]
+	if !ok || e.at.After(now) {
+		return false
+	}
+	heap.Remove(&q.order, e.index)
+	delete(q.byKey, key)
+	return true
+}
+
 func (q *Queue[K]) setUp() {
 	q.byKey = make(map[K]*entry[K])
 	q.sooner = make(chan struct{}, 1)
