ctholding: end exchanges that their member will not answer

Cause: a statement on a frozen primary had no end; its caller waited until its own timeout (60 s in the proof), also after another member had been promoted. Ruled out: a deadline on every statement (long statements are legitimate), and TCP keep-alive (a frozen process still answers it). Change: exchanges of a term that the group has left are ended, as are reads on a replica that falls silent; their outcome is unknown, or the read is tried elsewhere. Before: TestFrozenMember/a_write fails after 63.6 s; the frozen case of TestNothingAcknowledgedIsLost took 63.6 s. After: TestFrozenMember passes, 6.1 s for the write and 4.2 s for the read (whole subtests with the start of the fleet). The read already passed before by the status timeout of the monitor's connection; it is kept as a guard.

--- /dev/null
+++ b/internal/lab/ctproof/frozen_test.go
@@ -0,0 +1,30 @@
+package ctproof
+
+import (
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+// TestFrozenMember checks that no caller waits for a member that will not
+// answer: the request in hand ends with an outcome once another member serves.
+func TestFrozenMember(t *testing.T) {
+	t.Run("a write on a frozen primary ends as unknown", func(t *testing.T) {
+		fleet := start(t, controlElsewhere())
+		session := open(t, fleet.Proxies[1], nil)
+		must(t, session, "INSERT INTO charts (key, value) VALUES ('m8', '1')")
+		must(t, session, "BEGIN")
+		fleet.Members[group][0].Freeze()
+		_, err := run(session, "INSERT INTO charts (key, value) VALUES ('m9', '1')")
+		assert.ErrorContains(t, err, "unknown")
+		awaitPrimary(t, fleet, fleet.Proxies[1], fleet.Members[group][0])
+	})
+	t.Run("a read on a frozen replica is answered by another member", func(t *testing.T) {
+		fleet := start(t, smallFleet())
+		session := open(t, fleet.Proxies[1], nil)
+		must(t, session, "INSERT INTO charts (key, value) VALUES ('m8', '1')")
+		assert.NilError(t, fleet.AwaitReady())
+		fleet.Members[group][1].Freeze()
+		assert.DeepEqual(t, must(t, session, readKey), []string{"1"})
+	})
+}
--- a/internal/program/ctholding/exchange.go
+++ b/internal/program/ctholding/exchange.go
@@ -51,6 +51,8 @@
 	// cancellable is the request that cancel cancels. Both belong to the table
 	// of members.
 	cancellable ctid.Request
+	// abort ends the exchange where it is; it does not change after Serve.
+	abort context.CancelFunc
 	cancel      func(ctx context.Context) error
 
 	held       ctlock.Held
@@ -79,6 +81,7 @@
 	}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
+	x.abort = cancel
 	next := x.readNext(cancel)
 	if x.ask(open.Remaining) && x.begin(ctx) && x.run(ctx, open.Payload) {
 		x.follow(ctx, next)
--- a/internal/program/ctholding/handle.go
+++ b/internal/program/ctholding/handle.go
@@ -237,6 +237,7 @@
 		a.surrender = group.Term
 	}
 	m.health = health
+	m.abortReads()
 }
 
 // lock notes whether this proxy has the holder's lock.
--- a/internal/program/ctholding/holding.go
+++ b/internal/program/ctholding/holding.go
@@ -130,6 +130,7 @@
 		for name, announced := range wanted {
 			if row, ok := rows[name]; ok {
 				row.update(announced)
+				row.abortEarlier(view.Groups[row.group])
 				kept = append(kept, row)
 				continue
 			}
--- a/internal/program/ctholding/member.go
+++ b/internal/program/ctholding/member.go
@@ -86,6 +86,27 @@
 	m.leaving = false
 }
 
+// abortEarlier ends the exchanges of terms that the group has left: nothing that
+// they write can be acknowledged any more, and their member may never answer.
+func (m *member) abortEarlier(group ctview.Group) {
+	reached := max(group.Term, group.Fence)
+	for _, x := range m.exchanges {
+		if x.open.Term != 0 && x.open.Term < reached {
+			x.abort()
+		}
+	}
+}
+
+// abortReads ends the exchanges that the member serves as a replica, so that
+// their requests are tried elsewhere.
+func (m *member) abortReads() {
+	for _, x := range m.exchanges {
+		if x.open.Term == 0 {
+			x.abort()
+		}
+	}
+}
+
 // hasten makes the monitor ask for the status at once.
 func (m *member) hasten() {
 	select {
