ctholding: hold a member again that was let go a moment before

Cause: a proxy that comes back from a partition first learns that control dropped it and its members, and a moment later that they are there again. The first news stopped the monitor and closed the queue; the second found the row in its table and started nothing, or had its new monitor stopped by the late close of the old one. The member stayed without a holder for good. Ruled out: QUIC connections that do not recover after the cut (reports were answered; the proxy's view was the newest); replication of the stand-in (it was never told to follow). Change: holding has watches with numbers; beginning again starts a new one, and events of earlier watches are passed over. A proxy counts itself into the view that it decides on.

--- a/internal/decide/ctadmit/event.go
+++ b/internal/decide/ctadmit/event.go
@@ -56,6 +56,9 @@
 // Close reports that the member takes no new work from this holder.
 type Close struct{}
 
+// Reopen reports that the member takes new work from this holder again.
+type Reopen struct{}
+
 // Tick reports that deadlines may have passed.
 type Tick struct{}
 
@@ -66,6 +69,7 @@
 func (Lost) isEvent()   {}
 func (Resize) isEvent() {}
 func (Close) isEvent()  {}
+func (Reopen) isEvent() {}
 func (Tick) isEvent()   {}
 
 // Effect is something to be done for a member's queue.
--- a/internal/decide/ctadmit/queue.go
+++ b/internal/decide/ctadmit/queue.go
@@ -56,6 +56,8 @@
 		q.Slots, q.Budget = e.Slots, e.Budget
 	case Close:
 		return q.close()
+	case Reopen:
+		q.closed = false
 	case Tick:
 		return q.expire(now)
 	}
--- a/internal/lab/ctproof/fleet_test.go
+++ b/internal/lab/ctproof/fleet_test.go
@@ -41,7 +41,9 @@
 // start starts a fleet and waits until it serves.
 func start(t *testing.T, shape ctfleet.Shape) *ctfleet.Fleet {
 	t.Helper()
-	fleet, err := ctfleet.Start(ctfleet.Options{Folder: t.TempDir(), Programs: programs, Shape: shape})
+	fleet, err := ctfleet.Start(ctfleet.Options{
+		Folder: t.TempDir(), Programs: programs, Shape: shape, LogLevel: os.Getenv("CTPROOF_LOG_LEVEL"),
+	})
 	assert.NilError(t, err)
 	t.Cleanup(func() { finish(t, fleet) })
 	assert.NilError(t, fleet.AwaitReady())
@@ -52,6 +54,9 @@
 func finish(t *testing.T, fleet *ctfleet.Fleet) {
 	t.Helper()
 	assertLimitsKept(t, fleet)
+	if t.Failed() {
+		showState(t, fleet)
+	}
 	fleet.Stop()
 	for _, p := range fleet.All() {
 		assertNoPanic(t, p)
@@ -90,10 +95,28 @@
 	}
 }
 
+// showState prints what control and the proxies know.
+func showState(t *testing.T, fleet *ctfleet.Fleet) {
+	t.Helper()
+	for _, c := range fleet.Controls {
+		output, _ := fleet.Run("status", "--control-http", c.HTTP.String())
+		t.Logf("%s:\n%s", c.Name, output)
+	}
+	for _, p := range fleet.Proxies {
+		if !p.Running() {
+			continue
+		}
+		held, err := fleet.Held(p)
+		t.Logf("%s holds %+v %v", p.Name, held, err)
+		view, err := fleet.View(p)
+		t.Logf("%s knows %+v %v", p.Name, view, err)
+	}
+}
+
 // showLogs prints the ends of all logs.
 func showLogs(t *testing.T, fleet *ctfleet.Fleet) {
 	t.Helper()
-	const shown = 6000
+	const shown = 20000
 	for _, p := range fleet.All() {
 		data, err := os.ReadFile(p.Log)
 		if err != nil {
--- a/internal/model/ctview/view.go
+++ b/internal/model/ctview/view.go
@@ -49,6 +49,19 @@
 	return next, nil
 }
 
+// With returns the view with a proxy in it. A proxy uses it to count itself in
+// when control has not heard of it for a while.
+func (v *View) With(proxy Proxy) *View {
+	if _, ok := v.Proxies[proxy.Name]; ok {
+		return v
+	}
+	next := v.copy()
+	next.Version = v.Version
+	next.Proxies[proxy.Name] = proxy
+	next.index()
+	return next
+}
+
 func (v *View) copy() *View {
 	next := &View{
 		Proxies: maps.Clone(v.Proxies),
--- a/internal/program/ctholding/confirmer.go
+++ b/internal/program/ctholding/confirmer.go
@@ -193,32 +193,32 @@
 
 // meter asks the primary's holder for the group's position again and again, so
 // that the age of the replica's data is known.
-func (m *member) meter() {
-	peer := &peerWay{holding: m.holding}
+func (w *watch) meter() {
+	peer := &peerWay{holding: w.holding}
 	defer peer.close()
-	for m.watching.Err() == nil {
-		m.markOnce(peer)
+	for w.watching.Err() == nil {
+		w.markOnce(peer)
 		select {
-		case <-m.watching.Done():
-		case <-m.holding.Clock.After(markInterval):
+		case <-w.watching.Done():
+		case <-w.holding.Clock.After(markInterval):
 		}
 	}
 }
 
-func (m *member) markOnce(peer *peerWay) {
-	group, ok := m.holding.State.View(&peer.held).Groups[m.group]
-	if !ok || group.Primary == m.name || group.Primary == "" {
+func (w *watch) markOnce(peer *peerWay) {
+	group, ok := w.holding.State.View(&peer.held).Groups[w.group]
+	if !ok || group.Primary == w.name || group.Primary == "" {
 		return
 	}
-	ctx, cancel := context.WithTimeout(m.watching, peerTime)
+	ctx, cancel := context.WithTimeout(w.watching, peerTime)
 	defer cancel()
-	asked := m.holding.Clock.Now()
-	answer, err := peer.ask(ctx, group.Primary, &ctframe.Position{Group: m.group})
+	asked := w.holding.Clock.Now()
+	answer, err := peer.ask(ctx, group.Primary, &ctframe.Position{Group: w.group})
 	if err != nil {
 		return
 	}
 	if at, ok := answer.(*ctframe.At); ok && !at.Point.Zero() {
-		m.put(marked{asked: asked.Add(-drifted(at.Ago)), point: at.Point})
+		w.put(marked{asked: asked.Add(-drifted(at.Ago)), point: at.Point})
 	}
 }
 
--- a/internal/program/ctholding/event.go
+++ b/internal/program/ctholding/event.go
@@ -29,6 +29,7 @@
 
 // sampled reports that the monitor has read the member's status.
 type sampled struct {
+	watch  watchNumber
 	status ctserver.Status
 	// asked is the time before the status was asked for.
 	asked time.Time
@@ -38,11 +39,13 @@
 
 // silent reports that the monitor could not read the member's status.
 type silent struct {
-	down bool
+	watch watchNumber
+	down  bool
 }
 
 // locked reports that the monitor has the holder's lock, or has lost it.
 type locked struct {
+	watch  watchNumber
 	held   bool
 	others int
 }
--- a/internal/program/ctholding/exchange.go
+++ b/internal/program/ctholding/exchange.go
@@ -52,8 +52,8 @@
 	// of members.
 	cancellable ctid.Request
 	// abort ends the exchange where it is; it does not change after Serve.
-	abort context.CancelFunc
-	cancel      func(ctx context.Context) error
+	abort  context.CancelFunc
+	cancel func(ctx context.Context) error
 
 	held       ctlock.Held
 	connection *ctbackend.Conn
--- a/internal/program/ctholding/handle.go
+++ b/internal/program/ctholding/handle.go
@@ -21,7 +21,6 @@
 	tellings []telling
 	closing  []*ctbackend.Conn
 	hasten   *member
-	lostHold *member
 	// surrender is the term whose lease is given up for good.
 	surrender ctposition.Term
 	// news reports whether control should know at once.
@@ -48,9 +47,6 @@
 	if a.hasten != nil {
 		a.hasten.hasten()
 	}
-	if a.lostHold != nil {
-		a.lostHold.stop()
-	}
 }
 
 // handle lets the decision packages decide on an event of a member.
@@ -110,6 +106,9 @@
 // step takes one event of the member.
 func (m *member) step(now time.Time, view *ctview.View, e event, a *actions) {
 	history := view.Groups[m.announced.Group].History
+	if m.outdated(e) {
+		return
+	}
 	switch e := e.(type) {
 	case queued:
 		m.stepQueue(now, e, a)
@@ -133,6 +132,19 @@
 	}
 }
 
+// outdated reports whether an event comes from an earlier watch.
+func (m *member) outdated(e event) bool {
+	switch e := e.(type) {
+	case sampled:
+		return e.watch != m.number
+	case silent:
+		return e.watch != m.number
+	case locked:
+		return e.watch != m.number
+	}
+	return false
+}
+
 // stepQueue passes an event to the member's queue.
 func (m *member) stepQueue(now time.Time, e queued, a *actions) {
 	switch q := e.event.(type) {
@@ -147,7 +159,6 @@
 	case ctadmit.Close:
 		a.closing = append(a.closing, m.idle...)
 		m.idle = nil
-		a.lostHold = m
 	}
 	m.apply(m.queue.Step(now, e.event), a)
 }
--- a/internal/program/ctholding/holding.go
+++ b/internal/program/ctholding/holding.go
@@ -32,14 +32,14 @@
 
 // Options are the parts and settings of a Holding.
 type Options struct {
-	Proxy       ctid.Proxy
-	Incarnation ctid.Incarnation
-	State       *ctstate.State
-	Dialer      Dialer
-	Peers       Peers
-	Clock       ctclock.Clock
-	Logger      zerolog.Logger
-	Metrics     *ctmetric.Metrics
+	// Self describes this proxy.
+	Self    ctview.Proxy
+	State   *ctstate.State
+	Dialer  Dialer
+	Peers   Peers
+	Clock   ctclock.Clock
+	Logger  zerolog.Logger
+	Metrics *ctmetric.Metrics
 	// Workers is the number of workers; one a processor where it is 0.
 	Workers int
 }
@@ -124,23 +124,28 @@
 // lets go of the others.
 func (h *Holding) Follow(held *ctlock.Held, view *ctview.View) {
 	wanted := h.wanted(view)
-	var started, kept []*member
+	var started []*watch
+	var kept []*member
 	var ended []ctid.Member
 	h.members.With(held, func(rows map[ctid.Member]*member) {
 		for name, announced := range wanted {
-			if row, ok := rows[name]; ok {
-				row.update(announced)
-				row.abortEarlier(view.Groups[row.group])
-				kept = append(kept, row)
+			row, ok := rows[name]
+			if !ok {
+				row = newMember(h, announced, view)
+				rows[name] = row
+			}
+			row.announced = announced
+			row.abortEarlier(view.Groups[row.group])
+			if !ok || row.leaving {
+				started = append(started, row.begin())
 				continue
 			}
-			row := newMember(h, announced, view)
-			rows[name] = row
-			started = append(started, row)
+			kept = append(kept, row)
 		}
 		for name, row := range rows {
 			if _, ok := wanted[name]; !ok && !row.leaving {
 				row.leaving = true
+				row.stop()
 				ended = append(ended, name)
 			}
 		}
@@ -148,10 +153,11 @@
 	for _, m := range kept {
 		m.hasten()
 	}
-	for _, m := range started {
-		h.logPlacement(m, "hold", "highest_rank_in_failure_domain")
-		go m.monitor()
-		go m.meter()
+	for _, w := range started {
+		h.logPlacement(w.member, "hold", "highest_rank_in_failure_domain")
+		h.put(w.name, queued{event: ctadmit.Reopen{}})
+		go w.monitor()
+		go w.meter()
 	}
 	for _, name := range ended {
 		h.put(name, queued{event: ctadmit.Close{}})
@@ -161,15 +167,15 @@
 // wanted returns the members that the view names this proxy for.
 func (h *Holding) wanted(view *ctview.View) map[ctid.Member]ctserver.Announcement {
 	wanted := make(map[ctid.Member]ctserver.Announcement)
-	self, ok := view.Proxies[h.Proxy]
-	if !ok || h.draining.Load() {
+	if h.draining.Load() || view.Version == 0 {
 		return wanted
 	}
+	view = view.With(h.Self)
 	for name, announced := range view.Members {
-		if announced.FailureDomain != self.FailureDomain {
+		if announced.FailureDomain != h.Self.FailureDomain {
 			continue
 		}
-		if holder, ok := ctholder.Of(view, name); ok && holder.Name == h.Proxy {
+		if holder, ok := ctholder.Of(view, name); ok && holder.Name == h.Self.Name {
 			wanted[name] = announced
 		}
 	}
--- a/internal/program/ctholding/member.go
+++ b/internal/program/ctholding/member.go
@@ -22,9 +22,9 @@
 	holding *Holding
 	// wake makes the monitor ask for the status at once.
 	wake chan struct{}
-	// stop ends the monitor; watching ends with it.
-	stop     context.CancelFunc
-	watching context.Context
+	// stop ends the watch that is under way, number tells which one that is.
+	stop   context.CancelFunc
+	number watchNumber
 	// finish ends all that is done for the member; serving ends with it.
 	finish  context.CancelFunc
 	serving context.Context
@@ -53,7 +53,6 @@
 
 func newMember(h *Holding, announced ctserver.Announcement, view *ctview.View) *member {
 	serving, finish := context.WithCancel(h.running)
-	watching, stop := context.WithCancel(serving)
 	settings := view.Config.Document.Effective(announced.Group, h.Clock.Now())
 	declared, _ := view.Config.Document.Group(announced.Group)
 	depth := settings.Sessions.QueueDepth
@@ -63,8 +62,6 @@
 	return &member{
 		holding:   h,
 		wake:      make(chan struct{}, 1),
-		stop:      stop,
-		watching:  watching,
 		finish:    finish,
 		serving:   serving,
 		name:      announced.Member,
@@ -80,10 +77,25 @@
 	}
 }
 
-// update takes a newer announcement of the member.
-func (m *member) update(announced ctserver.Announcement) {
-	m.announced = announced
+// watchNumber counts the times that a proxy began to hold a member.
+type watchNumber uint64
+
+// watch is one time that a proxy holds a member.
+type watch struct {
+	*member
+	number   watchNumber
+	watching context.Context
+}
+
+// begin begins to hold the member, for the first time or again. It is called
+// while the table of members is locked, but for a new member.
+func (m *member) begin() *watch {
+	watching, stop := context.WithCancel(m.serving)
+	m.stop = stop
+	m.number++
 	m.leaving = false
+	m.locked = false
+	return &watch{member: m, number: m.number, watching: watching}
 }
 
 // abortEarlier ends the exchanges of terms that the group has left: nothing that
--- a/internal/program/ctholding/monitor.go
+++ b/internal/program/ctholding/monitor.go
@@ -48,96 +48,96 @@
 
 // monitor watches a member until its context ends: it takes the holder's lock
 // and reads the status again and again.
-func (m *member) monitor() {
-	defer m.put(locked{})
-	for m.watching.Err() == nil {
-		connection, err := m.dialMonitor()
+func (w *watch) monitor() {
+	defer w.put(locked{watch: w.number})
+	for w.watching.Err() == nil {
+		connection, err := w.dialMonitor()
 		if err != nil {
-			m.put(silent{down: errors.Is(err, syscall.ECONNREFUSED)})
-			m.pause(redialInterval)
+			w.put(silent{watch: w.number, down: errors.Is(err, syscall.ECONNREFUSED)})
+			w.pause(redialInterval)
 			continue
 		}
-		m.watchOver(connection)
+		w.watchOver(connection)
 		connection.Close()
 	}
 }
 
-func (m *member) dialMonitor() (*ctbackend.Conn, error) {
-	ctx, cancel := context.WithTimeout(m.watching, pollTimeout)
+func (w *watch) dialMonitor() (*ctbackend.Conn, error) {
+	ctx, cancel := context.WithTimeout(w.watching, pollTimeout)
 	defer cancel()
 	var held ctlock.Held
-	announced, _ := m.holding.announced(&held, m.name)
-	return m.holding.Dialer.Dial(ctx, announced, monitorPrefix+m.holding.label())
+	announced, _ := w.holding.announced(&held, w.name)
+	return w.holding.Dialer.Dial(ctx, announced, monitorPrefix+w.holding.label())
 }
 
 // watchOver serves one connection of the monitor until it fails.
-func (m *member) watchOver(connection *ctbackend.Conn) {
-	if !m.takeLock(connection) {
+func (w *watch) watchOver(connection *ctbackend.Conn) {
+	if !w.takeLock(connection) {
 		return
 	}
-	others, err := m.countOthers(connection)
+	others, err := w.countOthers(connection)
 	if err != nil {
 		return
 	}
-	m.put(locked{held: true, others: others})
-	defer m.put(locked{})
-	for m.watching.Err() == nil {
+	w.put(locked{watch: w.number, held: true, others: others})
+	defer w.put(locked{watch: w.number})
+	for w.watching.Err() == nil {
 		if others > 0 {
-			if others, err = m.countOthers(connection); err != nil {
+			if others, err = w.countOthers(connection); err != nil {
 				return
 			}
 		}
-		status, ok := m.poll(connection, others)
+		status, ok := w.poll(connection, others)
 		if !ok {
 			return
 		}
-		if m.reconcile(connection, status) {
+		if w.reconcile(connection, status) {
 			continue
 		}
-		m.pause(m.interval())
+		w.pause(w.interval())
 	}
 }
 
 // poll reads the status once and reports whether the connection still works.
-func (m *member) poll(connection *ctbackend.Conn, others int) (ctserver.Status, bool) {
-	ctx, cancel := context.WithTimeout(m.watching, pollTimeout)
+func (w *watch) poll(connection *ctbackend.Conn, others int) (ctserver.Status, bool) {
+	ctx, cancel := context.WithTimeout(w.watching, pollTimeout)
 	defer cancel()
-	asked := m.holding.Clock.Now()
+	asked := w.holding.Clock.Now()
 	status, err := connection.Status(ctx)
 	if err != nil {
-		m.put(silent{down: errors.Is(err, syscall.ECONNREFUSED)})
+		w.put(silent{watch: w.number, down: errors.Is(err, syscall.ECONNREFUSED)})
 		return status, false
 	}
-	m.put(sampled{status: status, asked: asked, others: others})
+	w.put(sampled{watch: w.number, status: status, asked: asked, others: others})
 	return status, true
 }
 
 // takeLock waits for the holder's lock and reports whether it has it.
-func (m *member) takeLock(connection *ctbackend.Conn) bool {
-	patience := m.holding.Clock.Now().Add(lockPatience)
-	for m.watching.Err() == nil {
-		rows, err := m.query(connection, lockQuery)
+func (w *watch) takeLock(connection *ctbackend.Conn) bool {
+	patience := w.holding.Clock.Now().Add(lockPatience)
+	for w.watching.Err() == nil {
+		rows, err := w.query(connection, lockQuery)
 		if err != nil {
 			return false
 		}
 		if len(rows) == 1 && len(rows[0]) == 1 && rows[0][0] == "t" {
 			return true
 		}
-		if m.holding.Clock.Now().After(patience) {
-			m.holding.Logger.Warn().Str("event", "evict").Str("member", string(m.name)).
+		if w.holding.Clock.Now().After(patience) {
+			w.holding.Logger.Warn().Str("event", "evict").Str("member", string(w.name)).
 				Str("why", "earlier_holder_keeps_lock").Send()
-			if _, err := m.query(connection, evictQuery+monitorPrefix+m.holding.label()+"'"); err != nil {
+			if _, err := w.query(connection, evictQuery+monitorPrefix+w.holding.label()+"'"); err != nil {
 				return false
 			}
 		}
-		m.pause(lockInterval)
+		w.pause(lockInterval)
 	}
 	return false
 }
 
 // countOthers returns how many connections of earlier holders are open.
-func (m *member) countOthers(connection *ctbackend.Conn) (int, error) {
-	rows, err := m.query(connection, othersQuery+labelPrefix+m.holding.label()+"'")
+func (w *watch) countOthers(connection *ctbackend.Conn) (int, error) {
+	rows, err := w.query(connection, othersQuery+labelPrefix+w.holding.label()+"'")
 	if err != nil {
 		return 0, err
 	}
@@ -147,18 +147,18 @@
 	return strconv.Atoi(rows[0][0])
 }
 
-func (m *member) query(connection *ctbackend.Conn, text string) ([][]string, error) {
-	ctx, cancel := context.WithTimeout(m.watching, pollTimeout)
+func (w *watch) query(connection *ctbackend.Conn, text string) ([][]string, error) {
+	ctx, cancel := context.WithTimeout(w.watching, pollTimeout)
 	defer cancel()
 	return connection.Query(ctx, text)
 }
 
 // interval returns how long to wait before the next status query.
-func (m *member) interval() time.Duration {
+func (w *watch) interval() time.Duration {
 	var held ctlock.Held
 	interval := pollInterval
-	m.holding.members.With(&held, func(map[ctid.Member]*member) {
-		if m.watch.Len() > 0 {
+	w.holding.members.With(&held, func(map[ctid.Member]*member) {
+		if w.watch.Len() > 0 {
 			interval = hastyInterval
 		}
 	})
@@ -166,11 +166,11 @@
 }
 
 // pause waits, or less where the monitor is hastened.
-func (m *member) pause(d time.Duration) {
+func (w *watch) pause(d time.Duration) {
 	select {
-	case <-m.watching.Done():
-	case <-m.wake:
-	case <-m.holding.Clock.After(d):
+	case <-w.watching.Done():
+	case <-w.wake:
+	case <-w.holding.Clock.After(d):
 	}
 }
 
@@ -195,5 +195,5 @@
 
 // label names this run of the proxy to backend servers.
 func (h *Holding) label() string {
-	return string(h.Proxy) + "/" + strconv.FormatUint(uint64(h.Incarnation), 16)
+	return string(h.Self.Name) + "/" + strconv.FormatUint(uint64(h.Self.Incarnation), 16)
 }
--- a/internal/program/ctholding/reconcile.go
+++ b/internal/program/ctholding/reconcile.go
@@ -12,18 +12,18 @@
 
 // reconcile does to the member what is needed so that it becomes what control
 // decided, and reports whether it did anything.
-func (m *member) reconcile(connection *ctbackend.Conn, status ctserver.Status) bool {
+func (w *watch) reconcile(connection *ctbackend.Conn, status ctserver.Status) bool {
 	var held ctlock.Held
-	view := m.holding.State.View(&held)
-	deed := ctreconcile.Next(m.name, status, view.Groups[m.group])
-	text, why := m.statement(deed)
+	view := w.holding.State.View(&held)
+	deed := ctreconcile.Next(w.name, status, view.Groups[w.group])
+	text, why := w.statement(deed)
 	if text == "" {
 		return false
 	}
-	_, err := m.query(connection, text)
-	line := ctlog.Decision(&m.holding.Logger, why).
-		Str("group", string(m.group)).
-		Str("member", string(m.name)).
+	_, err := w.query(connection, text)
+	line := ctlog.Decision(&w.holding.Logger, why).
+		Str("group", string(w.group)).
+		Str("member", string(w.name)).
 		Str("why", "group_decided")
 	if err != nil {
 		line.Str("error", err.Error()).Send()
@@ -35,7 +35,7 @@
 
 // statement returns the statement that does a deed and the deed's name, or
 // nothing where there is nothing to do now.
-func (m *member) statement(deed ctreconcile.Deed) (text string, name string) {
+func (w *watch) statement(deed ctreconcile.Deed) (text string, name string) {
 	switch d := deed.(type) {
 	case ctreconcile.Fence:
 		return fmt.Sprintf("SELECT group_fence(%d)", d.Term), "fence"
@@ -43,7 +43,7 @@
 		return fmt.Sprintf("SELECT group_promote(%d)", d.Term), "promote"
 	case ctreconcile.Follow:
 		var held ctlock.Held
-		primary, ok := m.holding.State.View(&held).Members[d.Primary]
+		primary, ok := w.holding.State.View(&held).Members[d.Primary]
 		if !ok {
 			return "", ""
 		}
--- a/internal/program/ctproxy/build.go
+++ b/internal/program/ctproxy/build.go
@@ -127,20 +127,34 @@
 	return &ctstream.Ways{Endpoint: endpoint}
 }
 
+// newSelf describes the proxy to the rest of the fleet.
+func newSelf(settings ctsettings.Proxy, incarnation ctid.Incarnation, endpoint *ctquic.Endpoint) ctview.Proxy {
+	address := endpoint.Address()
+	if settings.Advertise.IsValid() {
+		address = settings.Advertise.AddrPort
+	}
+	return ctview.Proxy{
+		Name:          settings.Name,
+		FailureDomain: settings.FailureDomain,
+		Address:       address,
+		Incarnation:   incarnation,
+		State:         ctserver.StateReady,
+	}
+}
+
 func newHolding(
-	settings ctsettings.Proxy, incarnation ctid.Incarnation, state *ctstate.State, dialer ctholding.Dialer,
+	settings ctsettings.Proxy, self ctview.Proxy, state *ctstate.State, dialer ctholding.Dialer,
 	ways *ctstream.Ways, clock ctclock.Clock, logger zerolog.Logger, metrics *ctmetric.Metrics,
 ) *ctholding.Holding {
 	return ctholding.New(ctholding.Options{
-		Proxy:       settings.Name,
-		Incarnation: incarnation,
-		State:       state,
-		Dialer:      dialer,
-		Peers:       holdingWays{ways: ways},
-		Clock:       clock,
-		Logger:      logger,
-		Metrics:     metrics,
-		Workers:     settings.Workers,
+		Self:    self,
+		State:   state,
+		Dialer:  dialer,
+		Peers:   holdingWays{ways: ways},
+		Clock:   clock,
+		Logger:  logger,
+		Metrics: metrics,
+		Workers: settings.Workers,
 	})
 }
 
@@ -166,21 +180,12 @@
 }
 
 func newUplink(
-	settings ctsettings.Proxy, incarnation ctid.Incarnation, endpoint *ctquic.Endpoint, state *ctstate.State,
-	holding *ctholding.Holding, ways *ctstream.Ways, clock ctclock.Clock, logger zerolog.Logger,
+	settings ctsettings.Proxy, self ctview.Proxy, state *ctstate.State, holding *ctholding.Holding,
+	ways *ctstream.Ways, clock ctclock.Clock, logger zerolog.Logger,
 	metrics *ctmetric.Metrics,
 ) *ctuplink.Uplink {
-	address := endpoint.Address()
-	if settings.Advertise.IsValid() {
-		address = settings.Advertise.AddrPort
-	}
 	uplink := ctuplink.New(ctuplink.Options{
-		Self: ctview.Proxy{
-			Name:          settings.Name,
-			FailureDomain: settings.FailureDomain,
-			Address:       address,
-			Incarnation:   incarnation,
-		},
+		Self:      self,
 		Control:   settings.Control,
 		Peers:     settings.Peers,
 		Heartbeat: settings.Heartbeat,
--- a/internal/program/ctproxy/wire_gen.go
+++ b/internal/program/ctproxy/wire_gen.go
@@ -36,9 +36,10 @@
 		return nil, err
 	}
 	entry := newEntry(settings, incarnation, state, ways, sealer, clock, ctretryRandom, logger, metrics, ctproxyCallerTLS)
+	proxy := newSelf(settings, incarnation, endpoint)
 	ctholdingDialer := newDialer(settings)
-	holding := newHolding(settings, incarnation, state, ctholdingDialer, ways, clock, logger, metrics)
-	uplink := newUplink(settings, incarnation, endpoint, state, holding, ways, clock, logger, metrics)
-	proxy := newProxy(settings, state, endpoint, entry, holding, uplink, metrics, clock, logger)
-	return proxy, nil
+	holding := newHolding(settings, proxy, state, ctholdingDialer, ways, clock, logger, metrics)
+	uplink := newUplink(settings, proxy, state, holding, ways, clock, logger, metrics)
+	ctproxyProxy := newProxy(settings, state, endpoint, entry, holding, uplink, metrics, clock, logger)
+	return ctproxyProxy, nil
 }
