--- /dev/null
+++ b/internal/decide/ctadmit/queue_test.go
@@ -0,0 +1,175 @@
+package ctadmit_test
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"github.com/cherviltrestle/cherviltrestle/internal/decide/ctadmit"
+	"github.com/cherviltrestle/cherviltrestle/internal/model/ctid"
+	"github.com/cherviltrestle/cherviltrestle/internal/model/ctoutcome"
+)
+
+var epoch = time.Unix(0, 0)
+
+// ask returns the event of a caller's request with a far deadline.
+func ask(exchange ctadmit.Exchange, caller ctid.Caller) ctadmit.Ask {
+	return ctadmit.Ask{Exchange: exchange, Caller: caller, Deadline: epoch.Add(time.Hour)}
+}
+
+// admitted returns the exchanges that the effects admit, in order.
+func admitted(effects []ctadmit.Effect) []ctadmit.Exchange {
+	var exchanges []ctadmit.Exchange
+	for _, e := range effects {
+		if a, ok := e.(ctadmit.Admit); ok {
+			exchanges = append(exchanges, a.Exchange)
+		}
+	}
+	return exchanges
+}
+
+func assertAdmits(t *testing.T, effects []ctadmit.Effect, want ...ctadmit.Exchange) {
+	t.Helper()
+	assert.DeepEqual(t, admitted(effects), want)
+}
+
+func assertRefuses(t *testing.T, effects []ctadmit.Effect, want ctoutcome.Reason) {
+	t.Helper()
+	assert.Equal(t, len(effects), 1)
+	refused, ok := effects[0].(ctadmit.Refuse)
+	assert.Assert(t, ok)
+	assert.Equal(t, refused.Reason, want)
+}
+
+func TestQueue(t *testing.T) {
+	t.Run("admits up to the slots", func(t *testing.T) {
+		q := ctadmit.Queue{Slots: 2, Budget: 10}
+		assertAdmits(t, q.Step(epoch, ask(1, "a")), 1)
+		assertAdmits(t, q.Step(epoch, ask(2, "a")), 2)
+		assertAdmits(t, q.Step(epoch, ask(3, "a")))
+		assertAdmits(t, q.Step(epoch, ctadmit.Leave{Exchange: 1, Reusable: true}), 3)
+	})
+	t.Run("lets callers take turns", func(t *testing.T) {
+		q := ctadmit.Queue{Slots: 1, Budget: 10}
+		q.Step(epoch, ask(1, "burst"))
+		q.Step(epoch, ask(2, "burst"))
+		q.Step(epoch, ask(3, "burst"))
+		q.Step(epoch, ask(4, "other"))
+		assertAdmits(t, q.Step(epoch, ctadmit.Leave{Exchange: 1}), 2)
+		assertAdmits(t, q.Step(epoch, ctadmit.Leave{Exchange: 2}), 4)
+		assertAdmits(t, q.Step(epoch, ctadmit.Leave{Exchange: 4}), 3)
+	})
+	t.Run("puts open transactions first", func(t *testing.T) {
+		q := ctadmit.Queue{Slots: 1, Budget: 10}
+		q.Step(epoch, ask(1, "a"))
+		q.Step(epoch, ctadmit.Pause{Exchange: 1})
+		q.Step(epoch, ask(2, "b"))
+		q.Step(epoch, ask(3, "b"))
+		assertAdmits(t, q.Step(epoch, ask(1, "a")))
+		assertAdmits(t, q.Step(epoch, ctadmit.Leave{Exchange: 2}), 1)
+	})
+	t.Run("refuses at once what can't start in time", func(t *testing.T) {
+		q := ctadmit.Queue{Slots: 1, Budget: 10}
+		q.Step(epoch, ask(1, "a"))
+		now := epoch.Add(time.Second)
+		q.Step(now, ctadmit.Leave{Exchange: 1, Reusable: true})
+		q.Step(now, ask(2, "a"))
+		late := ask(3, "a")
+		late.Deadline = now.Add(time.Second / 2)
+		assertRefuses(t, q.Step(now, late), ctoutcome.ReasonDeadline)
+	})
+	t.Run("refuses what waited past its deadline", func(t *testing.T) {
+		q := ctadmit.Queue{Slots: 1, Budget: 10}
+		q.Step(epoch, ask(1, "a"))
+		q.Step(epoch, ask(2, "a"))
+		assertRefuses(t, q.Step(epoch.Add(time.Hour), ctadmit.Tick{}), ctoutcome.ReasonDeadline)
+	})
+	t.Run("refuses beyond its depth", func(t *testing.T) {
+		q := ctadmit.Queue{Slots: 1, Budget: 10, Depth: 1}
+		q.Step(epoch, ask(1, "a"))
+		q.Step(epoch, ask(2, "a"))
+		assertRefuses(t, q.Step(epoch, ask(3, "a")), ctoutcome.ReasonQueueFull)
+	})
+	t.Run("refuses new work once closed and takes it once reopened", func(t *testing.T) {
+		q := ctadmit.Queue{Slots: 1, Budget: 10}
+		q.Step(epoch, ctadmit.Close{})
+		assertRefuses(t, q.Step(epoch, ask(1, "a")), ctoutcome.ReasonLeaving)
+		q.Step(epoch, ctadmit.Reopen{})
+		assertAdmits(t, q.Step(epoch, ask(2, "a")), 2)
+	})
+}
+
+// TestQueueKeepsLimits checks, for random events, that a queue never admits
+// more than its slots and connections allow, and loses no request.
+func TestQueueKeepsLimits(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		q := ctadmit.Queue{
+			Slots:  rapid.IntRange(1, 3).Draw(t, "slots"),
+			Budget: rapid.IntRange(1, 5).Draw(t, "budget"),
+		}
+		m := model{queue: &q, running: make(map[ctadmit.Exchange]bool), holding: make(map[ctadmit.Exchange]bool)}
+		now := epoch
+		for range rapid.IntRange(1, 60).Draw(t, "events") {
+			now = now.Add(time.Millisecond)
+			m.event(t, now)
+			if len(m.running) > q.Slots || q.Running() != len(m.running) {
+				t.Fatalf("%d requests run on %d slots (the queue says %d)", len(m.running), q.Slots, q.Running())
+			}
+			if q.Open() > q.Budget {
+				t.Fatalf("%d connections are open of %d", q.Open(), q.Budget)
+			}
+		}
+	})
+}
+
+// model follows what a queue admitted.
+type model struct {
+	queue   *ctadmit.Queue
+	last    ctadmit.Exchange
+	running map[ctadmit.Exchange]bool
+	holding map[ctadmit.Exchange]bool
+}
+
+func (m *model) event(t *rapid.T, now time.Time) {
+	switch rapid.IntRange(0, 3).Draw(t, "event") {
+	case 0:
+		m.last++
+		caller := ctid.Caller(rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "caller"))
+		m.apply(m.queue.Step(now, ask(m.last, caller)))
+	case 1:
+		if x, ok := m.pick(m.running); ok {
+			delete(m.running, x)
+			m.apply(m.queue.Step(now, ctadmit.Pause{Exchange: x}))
+		}
+	case 2:
+		if x, ok := m.pick(m.holding); ok {
+			delete(m.running, x)
+			delete(m.holding, x)
+			reusable := rapid.Bool().Draw(t, "reusable")
+			m.apply(m.queue.Step(now, ctadmit.Leave{Exchange: x, Reusable: reusable}))
+		}
+	case 3:
+		if x, ok := m.pick(m.holding); ok && !m.running[x] {
+			m.apply(m.queue.Step(now, ask(x, "a")))
+		}
+	}
+}
+
+// pick returns the lowest exchange of a set.
+func (m *model) pick(set map[ctadmit.Exchange]bool) (ctadmit.Exchange, bool) {
+	for x := ctadmit.Exchange(1); x <= m.last; x++ {
+		if set[x] {
+			return x, true
+		}
+	}
+	return 0, false
+}
+
+func (m *model) apply(effects []ctadmit.Effect) {
+	for _, x := range admitted(effects) {
+		m.running[x] = true
+		m.holding[x] = true
+	}
+}
--- /dev/null
+++ b/internal/decide/ctregister/register_test.go
@@ -0,0 +1,91 @@
+package ctregister_test
+
+import (
+	"fmt"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/cherviltrestle/cherviltrestle/internal/decide/ctregister"
+	"github.com/cherviltrestle/cherviltrestle/internal/model/ctconfig"
+	"github.com/cherviltrestle/cherviltrestle/internal/model/ctid"
+	"github.com/cherviltrestle/cherviltrestle/internal/model/ctview"
+)
+
+// change returns a change that declares one group.
+func change(id ctid.Change, base ctid.Revision, group ctid.Group) ctregister.Configure {
+	return ctregister.Configure{Change: ctconfig.Change{
+		ID: id, Base: base, Author: "lab",
+		Document: ctconfig.Document{Groups: []ctconfig.Group{{Name: group, Size: 3}}},
+	}}
+}
+
+func assertConfigured(t *testing.T, result ctregister.Result, want ctid.Revision) {
+	t.Helper()
+	configured, ok := result.(ctregister.Configured)
+	assert.Assert(t, ok, "%#v", result)
+	assert.Equal(t, configured.Accepted.Revision, want)
+}
+
+func assertOvertaken(t *testing.T, result ctregister.Result, winner ctid.Change, sameID bool) {
+	t.Helper()
+	overtaken, ok := result.(ctregister.Overtaken)
+	assert.Assert(t, ok, "%#v", result)
+	assert.Equal(t, overtaken.Winner.Change.ID, winner)
+	assert.Equal(t, overtaken.SameID, sameID)
+}
+
+func TestConfigure(t *testing.T) {
+	t.Run("numbers the accepted changes", func(t *testing.T) {
+		var r ctregister.Register
+		for i := range ctid.Revision(500) {
+			id := ctid.Change(fmt.Sprintf("change-%d", i))
+			assertConfigured(t, r.Apply(change(id, i, "g")), i+1)
+		}
+	})
+	t.Run("names the winner of a race on one base", func(t *testing.T) {
+		var r ctregister.Register
+		r.Apply(change("ana", 0, "g"))
+		assertOvertaken(t, r.Apply(change("bor", 0, "h")), "ana", false)
+	})
+	t.Run("answers a resent change as the first time", func(t *testing.T) {
+		var r ctregister.Register
+		r.Apply(change("ana", 0, "g"))
+		r.Apply(change("bor", 1, "g"))
+		resent, ok := r.Apply(change("ana", 0, "g")).(ctregister.Resent)
+		assert.Assert(t, ok)
+		assert.Equal(t, resent.Accepted.Revision, ctid.Revision(1))
+		assert.Equal(t, r.Current().Revision, ctid.Revision(2))
+	})
+	t.Run("refuses a used id with other content", func(t *testing.T) {
+		var r ctregister.Register
+		r.Apply(change("ana", 0, "g"))
+		assertOvertaken(t, r.Apply(change("ana", 1, "h")), "ana", true)
+	})
+	t.Run("refuses a base that does not exist", func(t *testing.T) {
+		var r ctregister.Register
+		r.Apply(change("ana", 0, "g"))
+		assertOvertaken(t, r.Apply(change("bor", 7, "h")), "ana", false)
+	})
+}
+
+func TestSetGroup(t *testing.T) {
+	set := func(group ctview.Group) ctregister.SetGroup {
+		return ctregister.SetGroup{Group: group}
+	}
+	t.Run("takes a decision on a declared group", func(t *testing.T) {
+		var r ctregister.Register
+		r.Apply(change("ana", 0, "g"))
+		assert.Equal(t, r.Apply(set(ctview.Group{Name: "g", Term: 1})), ctregister.GroupSet{Name: "g", Taken: true})
+	})
+	t.Run("passes over one that was based on an earlier state", func(t *testing.T) {
+		var r ctregister.Register
+		r.Apply(change("ana", 0, "g"))
+		r.Apply(set(ctview.Group{Name: "g", Term: 1}))
+		assert.Equal(t, r.Apply(set(ctview.Group{Name: "g", Term: 2})), ctregister.GroupSet{Name: "g"})
+	})
+	t.Run("passes over one on a group that is not declared", func(t *testing.T) {
+		var r ctregister.Register
+		assert.Equal(t, r.Apply(set(ctview.Group{Name: "g", Term: 1})), ctregister.GroupSet{Name: "g"})
+	})
+}
--- /dev/null
+++ b/internal/decide/ctsession/step_test.go
@@ -0,0 +1,201 @@
+package ctsession_test
+
+import (
+	"net/netip"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/cherviltrestle/cherviltrestle/internal/decide/ctretry"
+	"github.com/cherviltrestle/cherviltrestle/internal/decide/ctroute"
+	"github.com/cherviltrestle/cherviltrestle/internal/decide/ctsession"
+	"github.com/cherviltrestle/cherviltrestle/internal/decide/ctstatement"
+	"github.com/cherviltrestle/cherviltrestle/internal/model/ctid"
+	"github.com/cherviltrestle/cherviltrestle/internal/model/ctoutcome"
+	"github.com/cherviltrestle/cherviltrestle/internal/model/ctposition"
+	"github.com/cherviltrestle/cherviltrestle/internal/model/ctserver"
+	"github.com/cherviltrestle/cherviltrestle/internal/model/ctview"
+)
+
+// half always gives the middle of what is asked for.
+type half struct{}
+
+func (half) Int64N(n int64) int64 {
+	return n / 2
+}
+
+// newWorld returns a fleet of three failure domains with one proxy and one
+// member each; member-a is the primary.
+func newWorld(t *testing.T) *ctsession.World {
+	t.Helper()
+	delta := &ctview.Delta{To: 1, Groups: []ctview.Group{{Name: "fit-registry", Term: 1, Primary: "member-a"}}}
+	for _, domain := range []ctid.FailureDomain{"a", "b", "c"} {
+		delta.Proxies = append(delta.Proxies, ctview.Proxy{
+			Name: ctid.Proxy("proxy-" + domain), FailureDomain: domain,
+			Address: netip.MustParseAddrPort("127.0.0.1:1"), State: ctserver.StateReady,
+		})
+		delta.Members = append(delta.Members, ctserver.Announcement{
+			Group: "fit-registry", Member: ctid.Member("member-" + domain), FailureDomain: domain,
+			State: ctserver.StateReady,
+		})
+	}
+	view, err := (&ctview.View{}).Apply(delta)
+	assert.NilError(t, err)
+	return &ctsession.World{
+		Now: time.Unix(0, 0), View: view, Hints: ctroute.HintMap{}, Random: half{}, Budget: &ctretry.Budget{},
+		Proxy: "proxy-b", Domain: "b",
+	}
+}
+
+func newSession() *ctsession.Session {
+	return &ctsession.Session{ID: 1, Group: "fit-registry", Caller: "lab"}
+}
+
+// find returns the first effect of a type.
+func find[E ctsession.Effect](t *testing.T, effects []ctsession.Effect) E {
+	t.Helper()
+	for _, e := range effects {
+		if found, ok := e.(E); ok {
+			return found
+		}
+	}
+	var none E
+	t.Fatalf("no %T among %#v", none, effects)
+	return none
+}
+
+func assertSent(t *testing.T, effects []ctsession.Effect, member ctid.Member) {
+	t.Helper()
+	assert.Equal(t, find[ctsession.Send](t, effects).Choice.Member, member)
+}
+
+func assertFinished(t *testing.T, effects []ctsession.Effect, want ctoutcome.Outcome) {
+	t.Helper()
+	assert.Equal(t, find[ctsession.Finish](t, effects).Outcome, want)
+}
+
+func assertHungUp(t *testing.T, effects []ctsession.Effect, want ctoutcome.Outcome) {
+	t.Helper()
+	assert.Equal(t, find[ctsession.Hangup](t, effects).Outcome, want)
+}
+
+func TestRouting(t *testing.T) {
+	t.Run("a write goes to the primary", func(t *testing.T) {
+		assertSent(t, newSession().Step(newWorld(t), ctsession.Asked{Class: ctstatement.Write}), "member-a")
+	})
+	t.Run("a select goes to the replica in the proxy's failure domain", func(t *testing.T) {
+		assertSent(t, newSession().Step(newWorld(t), ctsession.Asked{Class: ctstatement.Select}), "member-b")
+	})
+	t.Run("a select that proves to write goes to the primary", func(t *testing.T) {
+		s, w := newSession(), newWorld(t)
+		s.Step(w, ctsession.Asked{Class: ctstatement.Select})
+		assertSent(t, s.Step(w, ctsession.Refused{Reason: ctoutcome.ReasonReadOnly}), "member-a")
+	})
+	t.Run("a declared reader's write is refused", func(t *testing.T) {
+		s, w := newSession(), newWorld(t)
+		s.ReadOnly = true
+		s.Step(w, ctsession.Asked{Class: ctstatement.Write})
+		assertFinished(t, s.Step(w, ctsession.Refused{Reason: ctoutcome.ReasonReadOnly}),
+			ctoutcome.NotRun{Reason: ctoutcome.ReasonReadOnly})
+	})
+	t.Run("replicas that refuse are tried once each before the primary", func(t *testing.T) {
+		s, w := newSession(), newWorld(t)
+		s.Step(w, ctsession.Asked{Class: ctstatement.Select})
+		behind := ctsession.Refused{Reason: ctoutcome.ReasonBehind}
+		assertSent(t, s.Step(w, behind), "member-c")
+		assertSent(t, s.Step(w, behind), "member-a")
+	})
+	t.Run("a replica that was heard to be behind is tried last", func(t *testing.T) {
+		s, w := newSession(), newWorld(t)
+		s.Seen = ctposition.Point{Term: 1, Position: 64}
+		w.Hints = ctroute.HintMap{"member-b": {}, "member-c": {Applied: s.Seen}}
+		assertSent(t, s.Step(w, ctsession.Asked{Class: ctstatement.Select}), "member-c")
+	})
+}
+
+func TestOutcomes(t *testing.T) {
+	lost := ctoutcome.Unknown{Reason: ctoutcome.ReasonConnectionLost}
+	sent := ctsession.Broken{Reason: ctoutcome.ReasonConnectionLost, Sent: true}
+	t.Run("a write that was sent and not answered is unknown and not tried again", func(t *testing.T) {
+		s, w := newSession(), newWorld(t)
+		s.Step(w, ctsession.Asked{Class: ctstatement.Write})
+		assertFinished(t, s.Step(w, sent), lost)
+	})
+	t.Run("a select that was sent to the primary is unknown too", func(t *testing.T) {
+		s, w := newSession(), newWorld(t)
+		s.Step(w, ctsession.Asked{Class: ctstatement.Select})
+		s.Step(w, ctsession.Refused{Reason: ctoutcome.ReasonReadOnly})
+		assertFinished(t, s.Step(w, sent), lost)
+	})
+	t.Run("a read on a replica is tried elsewhere", func(t *testing.T) {
+		s, w := newSession(), newWorld(t)
+		s.Step(w, ctsession.Asked{Class: ctstatement.Select})
+		assertSent(t, s.Step(w, sent), "member-c")
+	})
+	t.Run("a read whose answer was begun is not", func(t *testing.T) {
+		s, w := newSession(), newWorld(t)
+		s.Step(w, ctsession.Asked{Class: ctstatement.Select})
+		relayed := sent
+		relayed.Relayed = true
+		assertFinished(t, s.Step(w, relayed), lost)
+	})
+	t.Run("a write that was not sent waits and is tried again", func(t *testing.T) {
+		s, w := newSession(), newWorld(t)
+		s.Step(w, ctsession.Asked{Class: ctstatement.Write})
+		wait := find[ctsession.Wait](t, s.Step(w, ctsession.Broken{Reason: ctoutcome.ReasonHolderUnreachable}))
+		assert.Assert(t, wait.For > 0)
+		find[ctsession.Send](t, s.Step(w, ctsession.Woken{}))
+	})
+	t.Run("a write that can't be sent in time was not run", func(t *testing.T) {
+		s, w := newSession(), newWorld(t)
+		s.Step(w, ctsession.Asked{Class: ctstatement.Write})
+		w.Now = w.Now.Add(time.Hour)
+		assertFinished(t, s.Step(w, ctsession.Refused{Reason: ctoutcome.ReasonNoLease}),
+			ctoutcome.NotRun{Reason: ctoutcome.ReasonNoLease})
+	})
+	t.Run("retries end with the budget", func(t *testing.T) {
+		s, w := newSession(), newWorld(t)
+		for w.Budget.Spend() {
+			continue
+		}
+		s.Step(w, ctsession.Asked{Class: ctstatement.Write})
+		w.Budget.Spend()
+		assertFinished(t, s.Step(w, ctsession.Refused{Reason: ctoutcome.ReasonNoLease}),
+			ctoutcome.NotRun{Reason: ctoutcome.ReasonNoLease})
+	})
+}
+
+func TestTransactions(t *testing.T) {
+	open := func(t *testing.T) (*ctsession.Session, *ctsession.World) {
+		t.Helper()
+		s, w := newSession(), newWorld(t)
+		s.Step(w, ctsession.Asked{Class: ctstatement.Begin})
+		s.Step(w, ctsession.Answered{Transaction: true})
+		return s, w
+	}
+	t.Run("stay with their member", func(t *testing.T) {
+		s, w := open(t)
+		send := find[ctsession.Send](t, s.Step(w, ctsession.Asked{Class: ctstatement.Select}))
+		assert.Assert(t, send.Continue)
+		assert.Equal(t, send.Choice.Member, ctid.Member("member-a"))
+	})
+	t.Run("end the session when their way breaks", func(t *testing.T) {
+		s, w := open(t)
+		s.Step(w, ctsession.Asked{Class: ctstatement.Write})
+		assertHungUp(t, s.Step(w, ctsession.Broken{Reason: ctoutcome.ReasonConnectionLost, Sent: true}),
+			ctoutcome.Unknown{Reason: ctoutcome.ReasonConnectionLost})
+	})
+	t.Run("end the session when they idle", func(t *testing.T) {
+		s, w := open(t)
+		assertHungUp(t, s.Step(w, ctsession.Idled{}), ctoutcome.NotRun{Reason: ctoutcome.ReasonIdle})
+	})
+	t.Run("are let finish when the proxy drains", func(t *testing.T) {
+		s, w := open(t)
+		assert.Equal(t, len(s.Step(w, ctsession.Drained{})), 0)
+		s.Step(w, ctsession.Asked{Class: ctstatement.End})
+		effects := s.Step(w, ctsession.Answered{Point: ctposition.Point{Term: 1, Position: 64}})
+		find[ctsession.Finish](t, effects)
+		assertHungUp(t, effects, ctoutcome.NotRun{Reason: ctoutcome.ReasonLeaving})
+	})
+}
--- a/internal/lab/ctexperiment/process.go
+++ b/internal/lab/ctexperiment/process.go
@@ -45,5 +45,8 @@
 		return 0, errors.Wrap(err, "read the processor time of "+p.Name)
 	}
 	system, err := strconv.ParseInt(fields[systemAt], 10, 64)
-	return time.Duration(user+system) * time.Second / ticksPerSecond, errors.Wrap(err, "read the processor time of "+p.Name)
+	if err != nil {
+		return 0, errors.Wrap(err, "read the processor time of "+p.Name)
+	}
+	return time.Duration(user+system) * time.Second / ticksPerSecond, nil
 }
--- a/internal/lab/ctproof/callers_test.go
+++ b/internal/lab/ctproof/callers_test.go
@@ -126,7 +126,7 @@
 	if !proxy.Running() {
 		return nil
 	}
-	session, err := dial(proxy, group, nil)
+	session, err := dial(proxy, nil)
 	if err != nil {
 		return nil
 	}
@@ -153,7 +153,7 @@
 	if !proxy.Running() {
 		return
 	}
-	moved, err := dial(proxy, group, parameters{"cherviltrestle.token": tokenOf(session)})
+	moved, err := dial(proxy, parameters{"cherviltrestle.token": tokenOf(session)})
 	if err != nil {
 		return
 	}
--- a/internal/lab/ctproof/failover_test.go
+++ b/internal/lab/ctproof/failover_test.go
@@ -118,7 +118,7 @@
 	}))
 	_, err := run(open(t, fleet.Proxies[2], nil), "INSERT INTO charts (key, value) VALUES ('m9', '22')")
 	assert.Equal(t, classify(err), toldNotRun)
-	assertRows(t, fleet.Proxies[2], nil, readKey, "21.5")
+	assertReads(t, fleet.Proxies[2], nil, "21.5")
 }
 
 func TestReturningPrimaryFollows(t *testing.T) {
--- a/internal/lab/ctproof/fleet_test.go
+++ b/internal/lab/ctproof/fleet_test.go
@@ -130,8 +130,8 @@
 type parameters map[string]string
 
 // dial opens a session through a proxy.
-func dial(proxy *ctfleet.Process, database string, stated parameters) (*pgconn.PgConn, error) {
-	config, err := pgconn.ParseConfig("postgres://lab@" + proxy.Listen.String() + "/" + database + "?sslmode=disable")
+func dial(proxy *ctfleet.Process, stated parameters) (*pgconn.PgConn, error) {
+	config, err := pgconn.ParseConfig("postgres://lab@" + proxy.Listen.String() + "/" + group + "?sslmode=disable")
 	if err != nil {
 		return nil, err
 	}
@@ -146,7 +146,7 @@
 // open opens a session that must succeed.
 func open(t *testing.T, proxy *ctfleet.Process, stated parameters) *pgconn.PgConn {
 	t.Helper()
-	session, err := dial(proxy, group, stated)
+	session, err := dial(proxy, stated)
 	assert.NilError(t, err)
 	t.Cleanup(func() { _ = session.Close(context.Background()) })
 	return session
--- a/internal/lab/ctproof/limits_test.go
+++ b/internal/lab/ctproof/limits_test.go
@@ -64,7 +64,7 @@
 			done.Add(1)
 			go func() {
 				defer done.Done()
-				session, err := dial(fleet.Proxies[i%len(fleet.Proxies)], group, nil)
+				session, err := dial(fleet.Proxies[i%len(fleet.Proxies)], nil)
 				if err != nil {
 					t.Error(err)
 					return
--- a/internal/lab/ctproof/sessions_test.go
+++ b/internal/lab/ctproof/sessions_test.go
@@ -17,10 +17,10 @@
 	return shape
 }
 
-// assertRows checks that a read returns the stated values.
-func assertRows(t *testing.T, proxy *ctfleet.Process, stated parameters, text string, want ...string) {
+// assertReads checks that the read of the key m8 returns the stated values.
+func assertReads(t *testing.T, proxy *ctfleet.Process, stated parameters, want ...string) {
 	t.Helper()
-	assert.DeepEqual(t, must(t, open(t, proxy, stated), text), want)
+	assert.DeepEqual(t, must(t, open(t, proxy, stated), readKey), want)
 }
 
 const readKey = "SELECT value FROM charts WHERE key = 'm8'"
@@ -40,7 +40,7 @@
 		session := open(t, fleet.Proxies[0], nil)
 		must(t, session, "INSERT INTO charts (key, value) VALUES ('m8', '21.5')")
 		for _, proxy := range fleet.Proxies {
-			assertRows(t, proxy, parameters{"cherviltrestle.token": tokenOf(session)}, readKey, "21.5")
+			assertReads(t, proxy, parameters{"cherviltrestle.token": tokenOf(session)}, "21.5")
 		}
 	})
 	t.Run("after the first proxy was killed", func(t *testing.T) {
@@ -48,7 +48,7 @@
 		session := open(t, fleet.Proxies[1], nil)
 		must(t, session, "INSERT INTO charts (key, value) VALUES ('m8', '21.5')")
 		fleet.Proxies[1].Kill()
-		assertRows(t, fleet.Proxies[2], parameters{"cherviltrestle.token": tokenOf(session)}, readKey, "21.5")
+		assertReads(t, fleet.Proxies[2], parameters{"cherviltrestle.token": tokenOf(session)}, "21.5")
 	})
 	t.Run("after a failover", func(t *testing.T) {
 		fleet := start(t, laggedFleet())
@@ -57,7 +57,7 @@
 		old := fleet.Members[group][0]
 		old.Kill()
 		awaitPrimary(t, fleet, fleet.Proxies[2], old)
-		assertRows(t, fleet.Proxies[2], parameters{"cherviltrestle.token": tokenOf(session)}, readKey, "21.5")
+		assertReads(t, fleet.Proxies[2], parameters{"cherviltrestle.token": tokenOf(session)}, "21.5")
 	})
 }
 
@@ -68,7 +68,7 @@
 		{"with another seal", "AQAAAAAAAAABAAAAAAAAAIC962S1n2K2r3gliRZ353TQ"},
 	} {
 		t.Run("refuses one "+refused.name, func(t *testing.T) {
-			_, err := dial(fleet.Proxies[0], group, parameters{"cherviltrestle.token": refused.token})
+			_, err := dial(fleet.Proxies[0], parameters{"cherviltrestle.token": refused.token})
 			assert.ErrorContains(t, err, "session token")
 		})
 	}
@@ -85,7 +85,7 @@
 		}
 		must(t, writer, "UPDATE charts SET value = 'new' WHERE key = 'm8'")
 		time.Sleep(300 * time.Millisecond)
-		assertRows(t, fleet.Proxies[1], parameters{"cherviltrestle.max_age": "200ms"}, readKey, "new")
+		assertReads(t, fleet.Proxies[1], parameters{"cherviltrestle.max_age": "200ms"}, "new")
 	})
 	t.Run("a read of any age is served by a replica that lags", func(t *testing.T) {
 		fleet := start(t, smallFleet())
@@ -96,6 +96,6 @@
 			assert.NilError(t, fleet.SetFaults(replica, ctstandin.Faults{ApplyLag: 3_600_000}))
 		}
 		must(t, writer, "UPDATE charts SET value = 'new' WHERE key = 'm8'")
-		assertRows(t, fleet.Proxies[1], parameters{"cherviltrestle.max_age": "1h"}, readKey, "old")
+		assertReads(t, fleet.Proxies[1], parameters{"cherviltrestle.max_age": "1h"}, "old")
 	})
 }
--- a/internal/lab/ctproof/stop_test.go
+++ b/internal/lab/ctproof/stop_test.go
@@ -11,6 +11,16 @@
 	"github.com/cherviltrestle/cherviltrestle/internal/lab/ctstandin"
 )
 
+// impatient ends transactions that idle.
+const impatient = `
+defaults:
+  sessions:
+    transaction_timeout: 500ms
+groups:
+  - name: fit-registry
+    size: 3
+`
+
 func TestPlannedStop(t *testing.T) {
 	t.Run("cuts no request and no transaction in flight", func(t *testing.T) {
 		fleet := start(t, smallFleet())
@@ -32,11 +42,11 @@
 		done.Wait()
 		must(t, inTransaction, "COMMIT")
 		assert.Assert(t, <-stopped, "the proxy did not stop")
-		assertRows(t, fleet.Proxies[0], parameters{"cherviltrestle.token": tokenOf(inTransaction)}, readKey, "21.5")
+		assertReads(t, fleet.Proxies[0], parameters{"cherviltrestle.token": tokenOf(inTransaction)}, "21.5")
 	})
 	t.Run("ends although a caller never ends its transaction", func(t *testing.T) {
 		shape := smallFleet()
-		shape.Config = "defaults:\n  sessions:\n    transaction_timeout: 500ms\n" + "groups:\n  - {name: fit-registry, size: 3}\n"
+		shape.Config = impatient
 		fleet := start(t, shape)
 		stuck := open(t, fleet.Proxies[1], nil)
 		must(t, stuck, "BEGIN")
--- /dev/null
+++ b/internal/link/ctframe/codec_test.go
@@ -0,0 +1,98 @@
+package ctframe_test
+
+import (
+	"bytes"
+	"errors"
+	"io"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/cherviltrestle/cherviltrestle/internal/link/ctframe"
+	"github.com/cherviltrestle/cherviltrestle/internal/model/cterror"
+	"github.com/cherviltrestle/cherviltrestle/internal/model/ctid"
+	"github.com/cherviltrestle/cherviltrestle/internal/model/ctposition"
+)
+
+// open is a frame with most of its fields set.
+func open() *ctframe.Open {
+	return &ctframe.Open{
+		Request:   ctid.Request{Proxy: "proxy-1", Incarnation: 7, Session: 3, Sequence: 9},
+		Group:     "fit-registry",
+		Member:    "fit-0",
+		Caller:    "lab",
+		Need:      ctposition.Point{Term: 2, Position: 64},
+		MaxAge:    time.Second,
+		Remaining: time.Minute,
+		Payload:   []byte("Q"),
+	}
+}
+
+func encode(t *testing.T, frame ctframe.Frame) []byte {
+	t.Helper()
+	data, err := ctframe.Encode(frame)
+	assert.NilError(t, err)
+	return data
+}
+
+func assertInvalid(t *testing.T, data []byte) {
+	t.Helper()
+	_, err := ctframe.Read(bytes.NewReader(data))
+	assert.Equal(t, cterror.KindOf(err), cterror.Invalid, "%v", err)
+}
+
+func TestRead(t *testing.T) {
+	t.Run("returns what was written", func(t *testing.T) {
+		frame, err := ctframe.Read(bytes.NewReader(encode(t, open())))
+		assert.NilError(t, err)
+		assert.DeepEqual(t, frame, open())
+	})
+	t.Run("tells the end between frames", func(t *testing.T) {
+		_, err := ctframe.Read(bytes.NewReader(nil))
+		assert.Equal(t, err, io.EOF)
+	})
+	t.Run("tells an end within a frame from that", func(t *testing.T) {
+		data := encode(t, open())
+		_, err := ctframe.Read(bytes.NewReader(data[:len(data)-1]))
+		assert.Assert(t, err != nil && !errors.Is(err, io.EOF))
+	})
+	t.Run("refuses a frame over the limit", func(t *testing.T) {
+		assertInvalid(t, []byte{0xff, 0xff, 0xff, 0xff, 1})
+	})
+	t.Run("refuses an unknown kind", func(t *testing.T) {
+		assertInvalid(t, []byte{0, 0, 0, 2, 200, 0xa0})
+	})
+	t.Run("refuses a body that is no map", func(t *testing.T) {
+		assertInvalid(t, []byte{0, 0, 0, 2, 1, 0x01})
+	})
+	t.Run("refuses a name that is invalid", func(t *testing.T) {
+		frame := open()
+		frame.Group = "Not a name"
+		assertInvalid(t, encode(t, frame))
+	})
+	t.Run("refuses a request without a payload", func(t *testing.T) {
+		frame := open()
+		frame.Payload = nil
+		assertInvalid(t, encode(t, frame))
+	})
+}
+
+func FuzzDecode(f *testing.F) {
+	data, err := ctframe.Encode(open())
+	if err != nil {
+		f.Fatal(err)
+	}
+	const header = 5
+	f.Add(data[header-1], data[header:])
+	f.Fuzz(func(t *testing.T, kind byte, body []byte) {
+		frame, err := ctframe.Decode(kind, body)
+		if err != nil {
+			return
+		}
+		again, err := ctframe.Encode(frame)
+		assert.NilError(t, err)
+		_, err = ctframe.Decode(again[header-1], again[header:])
+		assert.NilError(t, err)
+	})
+}
--- /dev/null
+++ b/internal/link/ctquic/endpoint_test.go
@@ -0,0 +1,88 @@
+package ctquic_test
+
+import (
+	"context"
+	"net/netip"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/cherviltrestle/cherviltrestle/internal/link/ctframe"
+	"github.com/cherviltrestle/cherviltrestle/internal/link/ctkey"
+	"github.com/cherviltrestle/cherviltrestle/internal/link/ctquic"
+	"github.com/cherviltrestle/cherviltrestle/internal/model/ctid"
+)
+
+// testTime bounds the talk of a test. It only ends runs that would never end.
+const testTime = 30 * time.Second
+
+// newKeys returns the keys of a process of a fleet of its own.
+func newKeys(t *testing.T) *ctkey.Bundle {
+	t.Helper()
+	folder := t.TempDir()
+	authority, node := filepath.Join(folder, "ca"), filepath.Join(folder, "node")
+	assert.NilError(t, ctkey.Create(authority, "test", time.Now()))
+	assert.NilError(t, ctkey.Issue(authority, node, "node", time.Now()))
+	keys, err := ctkey.Load(node)
+	assert.NilError(t, err)
+	return keys
+}
+
+func listen(t *testing.T, keys *ctkey.Bundle) *ctquic.Endpoint {
+	t.Helper()
+	endpoint, err := ctquic.Listen(netip.MustParseAddrPort("127.0.0.1:0"), keys)
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = endpoint.Close() })
+	return endpoint
+}
+
+// serveEcho answers each frame with itself.
+func serveEcho(t *testing.T, endpoint *ctquic.Endpoint) {
+	t.Helper()
+	go func() {
+		_ = endpoint.Serve(context.Background(), func(_ context.Context, stream *ctquic.Stream) {
+			for {
+				frame, err := ctframe.Read(stream)
+				if err != nil || ctframe.Write(stream, frame) != nil {
+					return
+				}
+			}
+		})
+	}()
+}
+
+func TestEndpoint(t *testing.T) {
+	ctx, cancel := context.WithTimeout(context.Background(), testTime)
+	defer cancel()
+	keys := newKeys(t)
+	server, client := listen(t, keys), listen(t, keys)
+	serveEcho(t, server)
+	t.Run("carries frames both ways", func(t *testing.T) {
+		stream, err := client.Open(ctx, server.Address())
+		assert.NilError(t, err)
+		sent := &ctframe.Position{Group: ctid.Group("fit-registry")}
+		assert.NilError(t, ctframe.Write(stream, sent))
+		got, err := ctframe.Read(stream)
+		assert.NilError(t, err)
+		assert.DeepEqual(t, got, sent)
+	})
+	t.Run("refuses a peer with keys of another fleet", func(t *testing.T) {
+		stranger := listen(t, newKeys(t))
+		_, err := stranger.Open(ctx, server.Address())
+		assert.ErrorContains(t, err, "keys of this fleet")
+	})
+	t.Run("tells streams when the peer closes", func(t *testing.T) {
+		closing := listen(t, keys)
+		serveEcho(t, closing)
+		stream, err := client.Open(ctx, closing.Address())
+		assert.NilError(t, err)
+		assert.NilError(t, ctframe.Write(stream, &ctframe.Position{Group: "fit-registry"}))
+		_, err = ctframe.Read(stream)
+		assert.NilError(t, err)
+		assert.NilError(t, closing.Close())
+		_, err = ctframe.Read(stream)
+		assert.ErrorContains(t, err, "closed")
+	})
+}
--- /dev/null
+++ b/internal/link/ctrecord/record_test.go
@@ -0,0 +1,59 @@
+package ctrecord_test
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/cherviltrestle/cherviltrestle/internal/decide/ctregister"
+	"github.com/cherviltrestle/cherviltrestle/internal/link/ctrecord"
+	"github.com/cherviltrestle/cherviltrestle/internal/model/ctconfig"
+	"github.com/cherviltrestle/cherviltrestle/internal/model/ctview"
+)
+
+// commands are one of each kind.
+func commands() []ctregister.Command {
+	at := time.Unix(1_000_000, 5).UTC()
+	return []ctregister.Command{
+		ctregister.Configure{At: at, Change: ctconfig.Change{
+			ID: "ana", Author: "lab",
+			Document: ctconfig.Document{Groups: []ctconfig.Group{{Name: "g", Size: 3}}},
+		}},
+		ctregister.SetGroup{At: at, Why: "primary_down", Group: ctview.Group{Name: "g", Primary: "m", Term: 2}},
+	}
+}
+
+func TestCommands(t *testing.T) {
+	for _, command := range commands() {
+		data, err := ctrecord.EncodeCommand(command)
+		assert.NilError(t, err)
+		t.Run("come back as they were", func(t *testing.T) {
+			decoded, err := ctrecord.DecodeCommand(data)
+			assert.NilError(t, err)
+			assert.DeepEqual(t, decoded, command)
+		})
+		t.Run("are refused where they are torn", func(t *testing.T) {
+			_, err := ctrecord.DecodeCommand(data[:len(data)/2])
+			assert.Assert(t, err != nil)
+		})
+	}
+}
+
+func FuzzDecodeCommand(f *testing.F) {
+	for _, command := range commands() {
+		data, err := ctrecord.EncodeCommand(command)
+		if err != nil {
+			f.Fatal(err)
+		}
+		f.Add(data)
+	}
+	f.Fuzz(func(t *testing.T, data []byte) {
+		command, err := ctrecord.DecodeCommand(data)
+		if err != nil {
+			return
+		}
+		_, err = ctrecord.EncodeCommand(command)
+		assert.NilError(t, err)
+	})
+}
--- a/internal/program/ctcontrol/ledger.go
+++ b/internal/program/ctcontrol/ledger.go
@@ -41,7 +41,7 @@
 // to a group: under the configuration in force or the one before it, which the
 // leader may not have replaced yet.
 func (l *ledger) longestLease(now time.Time, name ctid.Group) time.Duration {
-	longest := time.Duration(ctconfig.DefaultLeaseTime)
+	longest := ctconfig.DefaultLeaseTime
 	history := l.register.History
 	for _, accepted := range history[max(0, len(history)-2):] {
 		settings := accepted.Change.Document.Effective(name, now)
--- /dev/null
+++ b/internal/state/ctstore/store_test.go
@@ -0,0 +1,98 @@
+package ctstore_test
+
+import (
+	"os"
+	"path/filepath"
+	"testing"
+
+	"go.etcd.io/bbolt"
+	"gotest.tools/v3/assert"
+
+	"github.com/cherviltrestle/cherviltrestle/internal/model/cterror"
+	"github.com/cherviltrestle/cherviltrestle/internal/state/ctstore"
+)
+
+const owner = "control-1"
+
+func openStore(t *testing.T, folder string) *ctstore.Store {
+	t.Helper()
+	store, err := ctstore.Open(folder, owner)
+	assert.NilError(t, err)
+	return store
+}
+
+func assertOpenFails(t *testing.T, folder, as string, want cterror.Kind, part string) {
+	t.Helper()
+	_, err := ctstore.Open(folder, as)
+	assert.ErrorContains(t, err, part)
+	assert.Equal(t, cterror.KindOf(err), want)
+}
+
+func TestStore(t *testing.T) {
+	key, value := []byte("key"), []byte("value")
+	t.Run("keeps what was put over a restart", func(t *testing.T) {
+		folder := t.TempDir()
+		store := openStore(t, folder)
+		assert.NilError(t, store.Put(ctstore.Write{Key: key, Value: value}))
+		assert.NilError(t, store.Close())
+		store = openStore(t, folder)
+		defer func() { _ = store.Close() }()
+		got, err := store.Get(key)
+		assert.NilError(t, err)
+		assert.DeepEqual(t, got, value)
+	})
+	t.Run("ranges over a prefix in order", func(t *testing.T) {
+		store := openStore(t, t.TempDir())
+		defer func() { _ = store.Close() }()
+		for _, k := range []string{"a/2", "a/1", "b/1"} {
+			assert.NilError(t, store.Put(ctstore.Write{Key: []byte(k), Value: value}))
+		}
+		var keys []string
+		assert.NilError(t, store.Range([]byte("a/"), func(k, _ []byte) error {
+			keys = append(keys, string(k))
+			return nil
+		}))
+		assert.DeepEqual(t, keys, []string{"a/1", "a/2"})
+	})
+	t.Run("refuses the folder of another process", func(t *testing.T) {
+		folder := t.TempDir()
+		assert.NilError(t, openStore(t, folder).Close())
+		assertOpenFails(t, folder, "control-2", cterror.Conflict, "belongs to control-1")
+	})
+	t.Run("refuses a folder that is in use", func(t *testing.T) {
+		folder := t.TempDir()
+		store := openStore(t, folder)
+		defer func() { _ = store.Close() }()
+		assertOpenFails(t, folder, owner, cterror.Conflict, "state file")
+	})
+	t.Run("refuses a foreign file", func(t *testing.T) {
+		folder := t.TempDir()
+		assert.NilError(t, os.WriteFile(filepath.Join(folder, "state.db"), make([]byte, 8192), 0o600))
+		assertOpenFails(t, folder, owner, cterror.Invalid, "state file")
+	})
+	t.Run("finds a value that was changed", func(t *testing.T) {
+		folder := t.TempDir()
+		store := openStore(t, folder)
+		assert.NilError(t, store.Put(ctstore.Write{Key: key, Value: value}))
+		assert.NilError(t, store.Close())
+		change(t, folder, key)
+		store = openStore(t, folder)
+		defer func() { _ = store.Close() }()
+		_, err := store.Get(key)
+		assert.ErrorContains(t, err, "damaged")
+	})
+}
+
+// change changes a stored value behind the store's back.
+func change(t *testing.T, folder string, key []byte) {
+	t.Helper()
+	database, err := bbolt.Open(filepath.Join(folder, "state.db"), 0o600, nil)
+	assert.NilError(t, err)
+	defer func() { _ = database.Close() }()
+	assert.NilError(t, database.Update(func(tx *bbolt.Tx) error {
+		b := tx.Bucket([]byte("state"))
+		stored := append([]byte(nil), b.Get(key)...)
+		stored[len(stored)-1] ^= 1
+		return b.Put(key, stored)
+	}))
+}
