cterror: keep the cause of a wrapped error

Besides, a holder that had lost the member's lock left the member out of its reports. Ruled out: the surrender and the decision on it (ctfailover's tests cover both); the spread of the view (the cut case has the same steps after the lease). Change: a typed error unwraps to its cause; a member whose process is gone is reported without the lock.

--- a/internal/decide/ctconfirm/board_test.go
+++ b/internal/decide/ctconfirm/board_test.go
@@ -19,8 +19,9 @@
 	return b
 }
 
-func write(position ctposition.Position) ctconfirm.Write {
-	return ctconfirm.Write{Key: 1, Position: position, Deadline: epoch.Add(time.Second)}
+// write is a write at position 64.
+func write() ctconfirm.Write {
+	return ctconfirm.Write{Key: 1, Position: 64, Deadline: epoch.Add(time.Second)}
 }
 
 func at(position ctposition.Position) ctposition.Point {
@@ -30,34 +31,34 @@
 func TestBoard(t *testing.T) {
 	t.Run("confirms a write that a majority has received", func(t *testing.T) {
 		b := newBoard(3)
-		assert.Assert(t, !b.Add(write(64)))
+		assert.Assert(t, !b.Add(write()))
 		assert.Equal(t, len(b.Confirm("b", at(63))), 0)
 		assert.DeepEqual(t, b.Confirm("c", at(64)), []ctconfirm.Key{1})
 	})
 	t.Run("needs two replicas of five members", func(t *testing.T) {
 		b := newBoard(5)
-		b.Add(write(64))
+		b.Add(write())
 		assert.Equal(t, len(b.Confirm("b", at(64))), 0)
 		assert.DeepEqual(t, b.Confirm("c", at(64)), []ctconfirm.Key{1})
 	})
 	t.Run("confirms at once without replicas", func(t *testing.T) {
-		assert.Assert(t, newBoard(1).Add(write(64)))
+		assert.Assert(t, newBoard(1).Add(write()))
 	})
 	t.Run("counts nothing of an earlier term", func(t *testing.T) {
 		b := newBoard(3)
 		b.Confirm("b", at(640))
 		b.Begin(2)
-		assert.Assert(t, !b.Add(write(64)))
+		assert.Assert(t, !b.Add(write()))
 		assert.Equal(t, len(b.Confirm("b", at(640))), 0)
 	})
 	t.Run("gives up what waits when its term ends", func(t *testing.T) {
 		b := newBoard(3)
-		b.Add(write(64))
+		b.Add(write())
 		assert.DeepEqual(t, b.Begin(2), []ctconfirm.Key{1})
 	})
 	t.Run("gives up what waited past its deadline", func(t *testing.T) {
 		b := newBoard(3)
-		b.Add(write(64))
+		b.Add(write())
 		assert.Equal(t, len(b.Expire(epoch)), 0)
 		assert.DeepEqual(t, b.Expire(epoch.Add(time.Second)), []ctconfirm.Key{1})
 	})
--- a/internal/model/cterror/error.go
+++ b/internal/model/cterror/error.go
@@ -12,6 +12,8 @@
 	Kind    Kind
 	Message string
 	Remedy  string
+	// Cause is the error that this one wraps, or nil.
+	Cause error
 }
 
 // Error renders the message followed by the remedy.
@@ -22,6 +24,11 @@
 	return e.Message + ": " + e.Remedy
 }
 
+// Unwrap returns the cause.
+func (e *Error) Unwrap() error {
+	return e.Cause
+}
+
 // New returns an error of the stated kind.
 func New(kind Kind, message string, remedy string) error {
 	return &Error{Kind: kind, Message: message, Remedy: remedy}
@@ -35,7 +42,8 @@
 
 // Wrap returns an error of the stated kind that adds the cause's text.
 func Wrap(kind Kind, cause error, message string, remedy string) error {
-	return errors.WithMessage(New(kind, cause.Error(), remedy), message)
+	typed := &Error{Kind: kind, Message: cause.Error(), Remedy: remedy, Cause: cause}
+	return errors.WithMessage(typed, message)
 }
 
 // KindOf returns the kind of err, or Internal where it has none.
--- a/internal/program/ctholding/holding.go
+++ b/internal/program/ctholding/holding.go
@@ -210,7 +210,7 @@
 	var accounts []ctview.Held
 	h.members.With(held, func(rows map[ctid.Member]*member) {
 		for _, m := range rows {
-			if !m.leaving && !m.locked {
+			if !m.reportable() {
 				continue
 			}
 			accounts = append(accounts, ctview.Held{
--- a/internal/program/ctholding/member.go
+++ b/internal/program/ctholding/member.go
@@ -135,6 +135,13 @@
 	return ctset.Option[time.Duration]{}
 }
 
+// reportable reports whether control should hear of the member from here: from
+// the proxy that has its lock, and from one that finds its process gone, which
+// nobody can have the lock of.
+func (m *member) reportable() bool {
+	return m.leaving || m.locked || m.health == ctview.HealthDown
+}
+
 // ageKnown reports whether the age of the member's data is known.
 func (m *member) ageKnown(now time.Time) bool {
 	_, known := m.age.Age(now)
