ctcommand: make the page of settings from the code, prove configuration changes

Change: docs/SETTINGS.md comes from 'cherviltrestle settings' and a test compares them; clear errors are tested for settings and configuration files; ctproof proves equal numbers, a resend, a used id, 500 changes missed by a proxy, a killed control process, and a proxy that starts while control is away.

--- a/internal/lab/ctfleet/ask.go
+++ b/internal/lab/ctfleet/ask.go
@@ -12,6 +12,7 @@
 	"github.com/cherviltrestle/cherviltrestle/internal/lab/ctstandin"
 	"github.com/cherviltrestle/cherviltrestle/internal/lab/ctwal"
 	"github.com/cherviltrestle/cherviltrestle/internal/link/cthttp"
+	"github.com/cherviltrestle/cherviltrestle/internal/model/ctconfig"
 	"github.com/cherviltrestle/cherviltrestle/internal/model/ctid"
 	"github.com/cherviltrestle/cherviltrestle/internal/model/ctserver"
 	"github.com/cherviltrestle/cherviltrestle/internal/model/ctview"
@@ -61,6 +62,21 @@
 	return call(member, http.MethodPost, "/v1/faults", faults, nil)
 }
 
+// Change applies a configuration that differs from others by the age of reads,
+// in seconds, and returns its revision.
+func (f *Fleet) Change(id string, base ctid.Revision, seconds int) (ctid.Revision, error) {
+	change := ctconfig.Change{ID: ctid.Change(id), Base: base, Author: "lab"}
+	change.Document.Defaults.Reads.MaxAge = ctconfig.Duration(time.Duration(seconds) * time.Second)
+	for _, g := range f.Shape.Groups {
+		change.Document.Groups = append(change.Document.Groups, ctconfig.Group{
+			Name: ctid.Group(g), Size: len(f.Shape.Sites),
+		})
+	}
+	var accepted ctconfig.Accepted
+	err := call(f.Controls[0], http.MethodPost, "/v1/config", change, &accepted)
+	return accepted.Revision, err
+}
+
 func get(p *Process, path string, answer any) error {
 	return call(p, http.MethodGet, path, nil, answer)
 }
--- /dev/null
+++ b/internal/lab/ctproof/config_test.go
@@ -0,0 +1,158 @@
+package ctproof
+
+import (
+	"fmt"
+	"os"
+	"path/filepath"
+	"sync"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/cherviltrestle/cherviltrestle/internal/lab/ctfleet"
+	"github.com/cherviltrestle/cherviltrestle/internal/model/ctid"
+)
+
+// configuration returns a file whose configuration differs by its age.
+func configuration(t *testing.T, age string) string {
+	t.Helper()
+	file := filepath.Join(t.TempDir(), "config.yaml")
+	text := "defaults:\n  reads:\n    max_age: " + age + "\ngroups:\n  - name: fit-registry\n    size: 3\n"
+	assert.NilError(t, os.WriteFile(file, []byte(text), 0o600))
+	return file
+}
+
+// apply applies a configuration and returns what the command wrote.
+func apply(fleet *ctfleet.Fleet, file string, base int, id string) (string, error) {
+	return fleet.Run("config", "apply", "--control-http", fleet.Controls[0].HTTP.String(),
+		"--file", file, "--base", fmt.Sprint(base), "--id", id, "--author", id)
+}
+
+// revisions returns the revision that each running proxy has in force.
+func revisions(t *testing.T, fleet *ctfleet.Fleet) map[string]ctid.Revision {
+	t.Helper()
+	found := make(map[string]ctid.Revision)
+	for _, p := range fleet.Proxies {
+		view, err := fleet.View(p)
+		assert.NilError(t, err)
+		found[p.Name] = view.Config.Revision
+	}
+	return found
+}
+
+// awaitRevision waits until every proxy has a revision in force.
+func awaitRevision(t *testing.T, fleet *ctfleet.Fleet, want ctid.Revision) {
+	t.Helper()
+	assert.NilError(t, ctfleet.Until("the revision is in force everywhere", func() bool {
+		for _, p := range fleet.Proxies {
+			view, err := fleet.View(p)
+			if err != nil || view.Config == nil || view.Config.Revision != want {
+				return false
+			}
+		}
+		return true
+	}))
+}
+
+func TestConfigurationRaces(t *testing.T) {
+	fleet := start(t, smallFleet())
+	t.Run("one of two operators with equal numbers wins", func(t *testing.T) {
+		results := make([]error, 2)
+		outputs := make([]string, 2)
+		var done sync.WaitGroup
+		for i, name := range []string{"ana", "bor"} {
+			file := configuration(t, fmt.Sprintf("%ds", i+1))
+			done.Add(1)
+			go func() {
+				defer done.Done()
+				outputs[i], results[i] = apply(fleet, file, 1, name)
+			}()
+		}
+		done.Wait()
+		assert.Assert(t, (results[0] == nil) != (results[1] == nil), "%v", outputs)
+		loser, winner := 0, "bor"
+		if results[0] == nil {
+			loser, winner = 1, "ana"
+		}
+		assert.Assert(t, contains(outputs[loser], "change "+winner+" by "+winner+" was accepted first"), outputs[loser])
+		awaitRevision(t, fleet, 2)
+	})
+	t.Run("a resent change gets the first answer again", func(t *testing.T) {
+		file := configuration(t, "3s")
+		first, err := apply(fleet, file, 2, "resent")
+		assert.NilError(t, err, first)
+		again, err := apply(fleet, file, 2, "resent")
+		assert.NilError(t, err, again)
+		assert.Equal(t, again, first)
+		awaitRevision(t, fleet, 3)
+	})
+	t.Run("a used id with other content is refused", func(t *testing.T) {
+		output, err := apply(fleet, configuration(t, "4s"), 3, "resent")
+		assert.Assert(t, err != nil)
+		assert.Assert(t, contains(output, "was used before, for other content"), output)
+	})
+	t.Run("an exception without a reason is refused", func(t *testing.T) {
+		file := configuration(t, "4s")
+		data, err := os.ReadFile(file)
+		assert.NilError(t, err)
+		text := string(data) + "exceptions:\n  - group: fit-registry\n    settings: {reads: {max_age: 1s}}\n"
+		assert.NilError(t, os.WriteFile(file, []byte(text), 0o600))
+		output, err := apply(fleet, file, 3, "unreasoned")
+		assert.Assert(t, err != nil)
+		assert.Assert(t, contains(output, "has no reason"), output)
+	})
+}
+
+func TestConfigurationAfterRestarts(t *testing.T) {
+	const changes = 500
+	fleet := start(t, smallFleet())
+	fleet.Proxies[2].Kill()
+	base := changeOften(t, fleet, changes)
+	t.Run("a proxy that missed hundreds of changes has the newest in force", func(t *testing.T) {
+		assert.NilError(t, fleet.Proxies[2].Start())
+		awaitRevision(t, fleet, base)
+	})
+	t.Run("control keeps the newest over a kill", func(t *testing.T) {
+		fleet.Controls[0].Kill()
+		for name, revision := range revisions(t, fleet) {
+			assert.Equal(t, revision, base, name)
+		}
+		assert.NilError(t, fleet.Controls[0].Start())
+		assert.NilError(t, ctfleet.Until("control answers", func() bool {
+			output, err := fleet.Run("config", "get", "--control-http", fleet.Controls[0].HTTP.String())
+			return err == nil && contains(output, fmt.Sprintf("# revision %d\n", base))
+		}))
+		next, err := fleet.Change("after-the-kill", base, 1)
+		assert.NilError(t, err)
+		awaitRevision(t, fleet, next)
+		output, err := apply(fleet, configuration(t, "9s"), int(base), "late")
+		assert.Assert(t, err != nil)
+		assert.Assert(t, contains(output, "after-the-kill"), output)
+	})
+}
+
+func TestConfigurationWithoutControl(t *testing.T) {
+	shape := smallFleet()
+	shape.Proxies = 2
+	fleet := start(t, shape)
+	newest := changeOften(t, fleet, 3)
+	awaitRevision(t, fleet, newest)
+	fleet.Controls[0].Kill()
+	restarted := fleet.ProxiesAt(sites[1])[0]
+	restarted.Kill()
+	assert.NilError(t, restarted.Start())
+	awaitRevision(t, fleet, newest)
+}
+
+// changeOften applies a number of changes one after the other and returns the
+// last revision.
+func changeOften(t *testing.T, fleet *ctfleet.Fleet, changes int) ctid.Revision {
+	t.Helper()
+	revision := ctid.Revision(1)
+	for i := range changes {
+		accepted, err := fleet.Change(fmt.Sprintf("often-%d", i), revision, i+1)
+		assert.NilError(t, err)
+		revision = accepted
+	}
+	return revision
+}
--- /dev/null
+++ b/internal/program/ctcommand/main_test.go
@@ -0,0 +1,91 @@
+package ctcommand_test
+
+import (
+	"bytes"
+	"os"
+	"path/filepath"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/cherviltrestle/cherviltrestle/internal/program/ctcommand"
+)
+
+// result is what a command line came to.
+type result struct {
+	code     int
+	out, err string
+}
+
+func run(variables []string, arguments ...string) result {
+	var out, err bytes.Buffer
+	code := ctcommand.Main(arguments, ctcommand.Environment{Variables: variables, Out: &out, Err: &err})
+	return result{code: code, out: out.String(), err: err.String()}
+}
+
+func assertFails(t *testing.T, r result, code int, part string) {
+	t.Helper()
+	assert.Equal(t, r.code, code, r.err)
+	assert.Assert(t, bytes.Contains([]byte(r.err), []byte(part)), r.err)
+}
+
+func TestSettings(t *testing.T) {
+	t.Run("the page is that of the code", func(t *testing.T) {
+		page, err := os.ReadFile(filepath.Join("..", "..", "..", "docs", "SETTINGS.md"))
+		assert.NilError(t, err)
+		assert.Equal(t, run(nil, "settings").out, string(page),
+			"run 'cherviltrestle settings > docs/SETTINGS.md'")
+	})
+	for _, refused := range []struct {
+		name      string
+		variables []string
+		arguments []string
+		part      string
+	}{
+		{"a missing setting", nil, []string{"proxy"}, "CHERVILTRESTLE_HTTP_LISTEN"},
+		{"a host name", nil, []string{"proxy", "--listen", "localhost:1"}, "IP number"},
+		{"a misspelt variable", []string{"CHERVILTRESTLE_LISTN=x"}, []string{"proxy"}, "CHERVILTRESTLE_LISTN"},
+		{"a bad value of a variable", []string{"CHERVILTRESTLE_HEARTBEAT=soon"}, []string{"proxy"},
+			"CHERVILTRESTLE_HEARTBEAT"},
+		{"an unknown flag", nil, []string{"proxy", "--nothing"}, "--help"},
+		{"a bad name", nil, []string{"proxy", "--name", "Not A Name"}, "lower-case"},
+		{"an unknown command", nil, []string{"nothing"}, "nothing"},
+		{"a call without an address", nil, []string{"status"}, "--control-http"},
+		{"a file that is not there", nil, []string{"config", "check", "--file", "none.yaml"}, "--file"},
+	} {
+		t.Run("refuses "+refused.name, func(t *testing.T) {
+			r := run(refused.variables, refused.arguments...)
+			assert.Assert(t, r.code != 0)
+			assertFails(t, r, r.code, refused.part)
+		})
+	}
+}
+
+func TestConfigCheck(t *testing.T) {
+	check := func(t *testing.T, text string) result {
+		t.Helper()
+		file := filepath.Join(t.TempDir(), "config.yaml")
+		assert.NilError(t, os.WriteFile(file, []byte(text), 0o600))
+		return run(nil, "config", "check", "--file", file)
+	}
+	t.Run("takes the example of the operators' page", func(t *testing.T) {
+		page, err := os.ReadFile(filepath.Join("..", "..", "..", "docs", "examples", "config.yaml"))
+		assert.NilError(t, err)
+		assert.Equal(t, check(t, string(page)).code, 0)
+	})
+	for _, refused := range []struct{ name, text, part string }{
+		{"an unknown field", "groupz: []", "groupz"},
+		{"a group twice", "groups: [{name: g, size: 3}, {name: g, size: 3}]", "declared twice"},
+		{"a size of 0", "groups: [{name: g, size: 0}]", "size 0"},
+		{"a duration without a unit", "defaults: {reads: {max_age: \"5\"}}", "unit"},
+		{"an exception without a reason",
+			"groups: [{name: g, size: 3}]\nexceptions: [{group: g, settings: {}}]", "no reason"},
+		{"an exception for no group", "groups: []\nexceptions: [{group: g, reason: x, settings: {}}]", "not declared"},
+		{"a lease out of bounds", "defaults: {failovers: {lease_time: 1h}}", "lease_time"},
+	} {
+		t.Run("refuses "+refused.name, func(t *testing.T) {
+			const usage = 2
+			assertFails(t, check(t, refused.text), usage, refused.part)
+		})
+	}
+}
