--- /dev/null
+++ b/internal/decide/ctquorum/cluster_test.go
@@ -0,0 +1,196 @@
+package ctquorum_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/cherviltrestle/cherviltrestle/internal/decide/ctquorum"
+	"github.com/cherviltrestle/cherviltrestle/internal/model/ctid"
+)
+
+// step is by how much the time moves between two events.
+const step = 20 * time.Millisecond
+
+// cluster runs nodes over a network and disks that are made of slices.
+type cluster struct {
+	now     time.Time
+	random  *rand.Rand
+	members []*member
+	packets []packet
+	// cut reports whether packets between two processes are dropped.
+	cut func(a, b ctid.Control) bool
+	// log is what was applied at each index, by whichever process was first.
+	log     map[ctquorum.Index]string
+	leaders map[ctquorum.Epoch]ctquorum.Peer
+	settled []string
+	ticket  ctquorum.Ticket
+	faults  []string
+}
+
+// member is one process with its disk.
+type member struct {
+	peer    ctquorum.Peer
+	disk    ctquorum.Durable
+	node    *ctquorum.Node
+	applied []string
+	leading bool
+}
+
+type packet struct {
+	from, to ctquorum.Peer
+	message  ctquorum.Message
+}
+
+// newCluster returns a cluster of the stated size, of which the first process
+// has begun the fleet and the others have empty disks.
+func newCluster(size int, seed uint64) *cluster {
+	c := &cluster{
+		now:     time.Unix(0, 0),
+		random:  rand.New(rand.NewPCG(seed, 0)),
+		cut:     func(_, _ ctid.Control) bool { return false },
+		log:     make(map[ctquorum.Index]string),
+		leaders: make(map[ctquorum.Epoch]ctquorum.Peer),
+	}
+	for i := range size {
+		m := &member{peer: ctquorum.Peer{Name: ctid.Control(fmt.Sprintf("control-%d", i)), Incarnation: 1}}
+		if i == 0 {
+			m.disk = ctquorum.Bootstrap(m.peer)
+		}
+		c.members = append(c.members, m)
+	}
+	for _, m := range c.members {
+		c.start(m)
+	}
+	return c
+}
+
+// start starts a process with what its disk holds.
+func (c *cluster) start(m *member) {
+	var contacts []ctquorum.Peer
+	for _, o := range c.members {
+		if o != m {
+			contacts = append(contacts, ctquorum.Peer{Name: o.peer.Name})
+		}
+	}
+	disk := m.disk
+	disk.Entries = slices.Clone(disk.Entries)
+	m.applied = nil
+	if disk.Snapshot.Index > 0 {
+		m.applied = []string{string(disk.Snapshot.Data)}
+	}
+	m.node = ctquorum.New(c.now, m.peer, disk, contacts, c.random)
+	m.leading = false
+}
+
+// loseDisk kills a process and empties its disk; it starts as a new incarnation.
+func (c *cluster) loseDisk(m *member) {
+	m.peer.Incarnation++
+	m.disk = ctquorum.Durable{}
+	c.start(m)
+}
+
+// event lets a running process take an event and performs the effects.
+func (c *cluster) event(m *member, event ctquorum.Event) {
+	if m.node == nil {
+		return
+	}
+	for _, effect := range m.node.Step(c.now, event) {
+		c.perform(m, effect)
+	}
+	c.check()
+}
+
+func (c *cluster) perform(m *member, effect ctquorum.Effect) {
+	switch e := effect.(type) {
+	case ctquorum.Persist:
+		m.disk.Write(e)
+	case ctquorum.Send:
+		c.packets = append(c.packets, packet{from: m.peer, to: e.To, message: e.Message})
+	case ctquorum.Apply:
+		for _, entry := range e.Entries {
+			c.apply(m, entry)
+		}
+	case ctquorum.Restore:
+		m.applied = []string{string(e.Snapshot.Data)}
+	case ctquorum.Settled:
+		c.settled = append(c.settled, fmt.Sprint(e.Ticket))
+	case ctquorum.Lead:
+		m.leading = true
+		if other, ok := c.leaders[e.Epoch]; ok && other != m.peer {
+			c.fault("epoch %d has two leaders: %v and %v", e.Epoch, other, m.peer)
+		}
+		c.leaders[e.Epoch] = m.peer
+	case ctquorum.Follow:
+		m.leading = false
+	}
+}
+
+// apply checks that all processes apply the same entry at an index.
+func (c *cluster) apply(m *member, entry ctquorum.Entry) {
+	shown := fmt.Sprintf("%d %v %s", entry.Epoch, entry.Voters, entry.Data)
+	if first, ok := c.log[entry.Index]; ok && first != shown {
+		c.fault("index %d was applied as %q and as %q", entry.Index, first, shown)
+	}
+	c.log[entry.Index] = shown
+	if len(entry.Data) > 0 {
+		m.applied = append(m.applied, string(entry.Data))
+	}
+}
+
+// check checks that no two processes have authority at one time.
+func (c *cluster) check() {
+	var authorities []ctquorum.Peer
+	for _, m := range c.members {
+		if m.node != nil && c.now.Before(m.node.AuthorityUntil()) {
+			authorities = append(authorities, m.peer)
+		}
+	}
+	if len(authorities) > 1 {
+		c.fault("two processes have authority: %v", authorities)
+	}
+}
+
+func (c *cluster) fault(format string, arguments ...any) {
+	c.faults = append(c.faults, fmt.Sprintf(format, arguments...))
+}
+
+// deliver delivers the packet at a place of the network.
+func (c *cluster) deliver(at int) {
+	p := c.packets[at]
+	c.packets = slices.Delete(c.packets, at, at+1)
+	if c.cut(p.from.Name, p.to.Name) {
+		return
+	}
+	for _, m := range c.members {
+		// A process is reached by its name; whoever knows the incarnation of a
+		// lost disk reaches nobody.
+		if m.peer.Name == p.to.Name && (p.to.Incarnation == 0 || p.to.Incarnation == m.peer.Incarnation) {
+			c.event(m, ctquorum.Received{From: p.from, Message: p.message})
+		}
+	}
+}
+
+// run lets the cluster work without failures for a while.
+func (c *cluster) run(d time.Duration) {
+	for until := c.now.Add(d); c.now.Before(until); {
+		c.now = c.now.Add(step)
+		for _, m := range c.members {
+			c.event(m, ctquorum.Tick{})
+		}
+		for len(c.packets) > 0 {
+			c.deliver(0)
+		}
+	}
+}
+
+// leader returns the process that leads, or nil.
+func (c *cluster) leader() *member {
+	for _, m := range c.members {
+		if m.node != nil && m.leading && c.now.Before(m.node.AuthorityUntil()) {
+			return m
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/decide/ctquorum/election.go
@@ -0,0 +1,134 @@
+package ctquorum
+
+import "time"
+
+// campaign asks the voters for their votes, or first whether they would give
+// them.
+func (n *Node) campaign(now time.Time, pre bool) {
+	n.postpone(now)
+	n.votes = map[Peer]bool{n.self: true}
+	epoch := n.durable.Epoch + 1
+	if pre {
+		n.role = rolePreCandidate
+	} else {
+		n.role = roleCandidate
+		n.durable.Epoch = epoch
+		n.durable.Vote = n.self
+		n.persist(0)
+	}
+	if n.leader != (Peer{}) {
+		n.leader = Peer{}
+		n.emit(Follow{})
+	}
+	lastIndex, lastEpoch := n.durable.last()
+	for _, v := range n.durable.voters() {
+		if v != n.self {
+			n.send(v, Ask{Epoch: epoch, LastIndex: lastIndex, LastEpoch: lastEpoch, Pre: pre})
+		}
+	}
+	n.count(now)
+}
+
+// count looks whether a majority has voted for the process.
+func (n *Node) count(now time.Time) {
+	voters := n.durable.voters()
+	granted := 0
+	for _, v := range voters {
+		if n.votes[v] {
+			granted++
+		}
+	}
+	if granted < majority(voters) {
+		return
+	}
+	if n.role == rolePreCandidate {
+		n.campaign(now, false)
+		return
+	}
+	n.lead(now)
+}
+
+// answerAsk votes for a process whose log is not behind, unless a leader was
+// heard of lately or the vote of the epoch is given.
+func (n *Node) answerAsk(now time.Time, from Peer, m Ask) {
+	grant := n.voter() && n.upToDate(m) && !n.hearsLeader(now)
+	if m.Pre {
+		grant = grant && m.Epoch > n.durable.Epoch
+		n.send(from, Vote{Epoch: m.Epoch, Granted: grant, Pre: true})
+		return
+	}
+	if !grant || m.Epoch < n.durable.Epoch {
+		n.send(from, Vote{Epoch: n.durable.Epoch, Granted: false})
+		return
+	}
+	if m.Epoch > n.durable.Epoch {
+		n.follow(now, m.Epoch, Peer{})
+	}
+	if n.durable.Vote != (Peer{}) && n.durable.Vote != from {
+		n.send(from, Vote{Epoch: n.durable.Epoch, Granted: false})
+		return
+	}
+	n.durable.Vote = from
+	n.persist(0)
+	n.postpone(now)
+	n.send(from, Vote{Epoch: n.durable.Epoch, Granted: true})
+}
+
+// hearsLeader reports whether a leader was heard of lately. A leader counts
+// itself. A process that has just started counts as one that heard of a leader,
+// because it may have forgotten that it did.
+func (n *Node) hearsLeader(now time.Time) bool {
+	return n.role == roleLeader || now.Before(n.heard.Add(ElectionTime))
+}
+
+// upToDate reports whether the asker's log holds all that this one may have
+// helped to commit.
+func (n *Node) upToDate(m Ask) bool {
+	lastIndex, lastEpoch := n.durable.last()
+	if m.LastEpoch != lastEpoch {
+		return m.LastEpoch > lastEpoch
+	}
+	return m.LastIndex >= lastIndex
+}
+
+func (n *Node) takeVote(now time.Time, from Peer, m Vote) {
+	if !m.Granted {
+		if m.Epoch > n.durable.Epoch && !m.Pre {
+			n.follow(now, m.Epoch, Peer{})
+		}
+		return
+	}
+	expected := m.Epoch == n.durable.Epoch && n.role == roleCandidate && !m.Pre
+	expectedPre := m.Epoch == n.durable.Epoch+1 && n.role == rolePreCandidate && m.Pre
+	if !expected && !expectedPre {
+		return
+	}
+	n.votes[from] = true
+	n.count(now)
+}
+
+// lead makes the process the leader of its epoch. An entry of the new epoch
+// lets it commit what earlier leaders left.
+func (n *Node) lead(now time.Time) {
+	n.role = roleLeader
+	n.leader = n.self
+	n.heard = now
+	n.announced = false
+	n.tickets = make(map[Index]Ticket)
+	n.followers = make(map[Peer]*follower)
+	last, _ := n.durable.last()
+	for _, v := range n.durable.voters() {
+		n.track(now, v, last+1)
+	}
+	n.append(now, Entry{})
+}
+
+// track begins to send the log to a process.
+func (n *Node) track(now time.Time, peer Peer, next Index) {
+	if peer == n.self {
+		return
+	}
+	if _, ok := n.followers[peer]; !ok {
+		n.followers[peer] = &follower{next: next, sent: make(map[Round]time.Time), seen: now}
+	}
+}
--- /dev/null
+++ b/internal/decide/ctquorum/node.go
@@ -0,0 +1,247 @@
+package ctquorum
+
+import (
+	"slices"
+	"time"
+)
+
+// The times of elections and heartbeats.
+const (
+	// ElectionTime is how long a process that heard of a leader waits before
+	// it tries to be elected, and votes for nobody else.
+	ElectionTime = 500 * time.Millisecond
+	// electionSpread is what is added to that at random, so that processes
+	// seldom try at once.
+	electionSpread = 400 * time.Millisecond
+	// heartbeatTime is the time between a leader's rounds.
+	heartbeatTime = 60 * time.Millisecond
+	// joinTime is the time between two asks to join.
+	joinTime = 300 * time.Millisecond
+	// driftFraction bounds how much the rates of two clocks differ: by one
+	// part in so many.
+	driftFraction = 100
+)
+
+// maxEntries is how many entries one message carries at most.
+const maxEntries = 256
+
+// Random gives random numbers.
+type Random interface {
+	// Int64N returns a number from 0 to n-1.
+	Int64N(n int64) int64
+}
+
+// role tells what a process is in its epoch.
+type role uint8
+
+const (
+	roleFollower role = iota
+	rolePreCandidate
+	roleCandidate
+	roleLeader
+)
+
+// Node decides for one process of control.
+type Node struct {
+	self    Peer
+	durable Durable
+	random  Random
+	// contacts are whom to ask to join, by name only.
+	contacts []Peer
+
+	role      role
+	leader    Peer
+	commit    Index
+	applied   Index
+	heard     time.Time
+	electAt   time.Time
+	joinAt    time.Time
+	votes     map[Peer]bool
+	followers map[Peer]*follower
+	round     Round
+	beatAt    time.Time
+	tickets   map[Index]Ticket
+	announced bool
+
+	effects []Effect
+}
+
+// follower is what a leader knows of another process.
+type follower struct {
+	next  Index
+	match Index
+	// sent holds when recent rounds were sent, and answered the time of the
+	// latest one that was answered.
+	sent     map[Round]time.Time
+	answered time.Time
+	seen     time.Time
+}
+
+// New returns the node of a process with what its disk holds. The contacts are
+// the other processes that it may ask to join.
+func New(now time.Time, self Peer, durable Durable, contacts []Peer, random Random) *Node {
+	n := &Node{self: self, durable: durable, contacts: contacts, random: random}
+	n.commit = durable.Snapshot.Index
+	n.applied = durable.Snapshot.Index
+	n.heard = now
+	n.postpone(now)
+	return n
+}
+
+// Step takes one event and returns the effects to perform, in order.
+func (n *Node) Step(now time.Time, event Event) []Effect {
+	n.effects = nil
+	switch e := event.(type) {
+	case Tick:
+		n.tick(now)
+	case Received:
+		n.receive(now, e.From, e.Message)
+	case Propose:
+		n.propose(now, e)
+	case Remove:
+		n.remove(now, e)
+	case Compacted:
+		n.compact(e)
+	}
+	return n.effects
+}
+
+// Leader returns the leader that the process knows of; the zero value for none.
+func (n *Node) Leader() Peer {
+	return n.leader
+}
+
+// Voters returns the voters that the log names last.
+func (n *Node) Voters() []Peer {
+	return slices.Clone(n.durable.voters())
+}
+
+// Applied returns the index of the last entry that was applied.
+func (n *Node) Applied() Index {
+	return n.applied
+}
+
+// LogLength returns how many entries follow the snapshot.
+func (n *Node) LogLength() int {
+	return len(n.durable.Entries)
+}
+
+// AuthorityUntil returns until when the process has authority as the leader, on
+// its own clock; the zero time where it has none.
+func (n *Node) AuthorityUntil() time.Time {
+	if n.role != roleLeader || !n.announced {
+		return time.Time{}
+	}
+	voters := n.durable.voters()
+	var answered []time.Time
+	for _, v := range voters {
+		if v == n.self {
+			continue
+		}
+		if f, ok := n.followers[v]; ok && !f.answered.IsZero() {
+			answered = append(answered, f.answered)
+		}
+	}
+	needed := majority(voters) - 1
+	if needed == 0 {
+		return n.heard.Add(ElectionTime)
+	}
+	if len(answered) < needed {
+		return time.Time{}
+	}
+	slices.SortFunc(answered, func(a, b time.Time) int { return b.Compare(a) })
+	return answered[needed-1].Add(ElectionTime - ElectionTime/driftFraction)
+}
+
+func majority(voters []Peer) int {
+	return len(voters)/2 + 1
+}
+
+// voter reports whether the process's own log names it as a voter.
+func (n *Node) voter() bool {
+	return slices.Contains(n.durable.voters(), n.self)
+}
+
+func (n *Node) emit(effect Effect) {
+	n.effects = append(n.effects, effect)
+}
+
+func (n *Node) send(to Peer, message Message) {
+	n.emit(Send{To: to, Message: message})
+}
+
+// persist writes the epoch, the vote and the entries from an index on.
+func (n *Node) persist(from Index) {
+	p := Persist{Epoch: n.durable.Epoch, Vote: n.durable.Vote, From: from}
+	if from > 0 {
+		last, _ := n.durable.last()
+		p.Entries = n.durable.from(from, int(last-from)+1)
+	}
+	n.emit(p)
+}
+
+// postpone puts the next try to be elected off.
+func (n *Node) postpone(now time.Time) {
+	n.electAt = now.Add(ElectionTime + time.Duration(n.random.Int64N(int64(electionSpread))))
+}
+
+// tick does what is due.
+func (n *Node) tick(now time.Time) {
+	switch {
+	case n.role == roleLeader:
+		n.heard = now
+		if !now.Before(n.beatAt) {
+			n.beat(now)
+		}
+		n.stepDownWithoutMajority(now)
+	case !n.voter():
+		n.askToJoin(now)
+	case !now.Before(n.electAt):
+		n.campaign(now, true)
+	}
+}
+
+// stepDownWithoutMajority makes a leader that hears of no majority a follower,
+// so that its callers look for another one.
+func (n *Node) stepDownWithoutMajority(now time.Time) {
+	until := n.AuthorityUntil()
+	if !n.announced || until.IsZero() || now.Before(until.Add(2*ElectionTime)) {
+		return
+	}
+	n.follow(now, n.durable.Epoch, Peer{})
+}
+
+// askToJoin asks all contacts to let this process become a voter.
+func (n *Node) askToJoin(now time.Time) {
+	if now.Before(n.joinAt) {
+		return
+	}
+	n.joinAt = now.Add(joinTime)
+	for _, c := range n.contacts {
+		n.send(c, Join{Epoch: n.durable.Epoch})
+	}
+}
+
+// follow makes the process a follower in an epoch.
+func (n *Node) follow(now time.Time, epoch Epoch, leader Peer) {
+	if epoch > n.durable.Epoch {
+		n.durable.Epoch = epoch
+		n.durable.Vote = Peer{}
+		n.persist(0)
+	}
+	if n.role == roleLeader {
+		for _, ticket := range n.tickets {
+			n.emit(Rejected{Ticket: ticket, Appended: true})
+		}
+		n.tickets = nil
+		n.followers = nil
+	}
+	changed := n.role == roleLeader || n.leader != leader
+	n.role = roleFollower
+	n.announced = false
+	n.leader = leader
+	n.postpone(now)
+	if changed {
+		n.emit(Follow{Leader: leader})
+	}
+}
--- /dev/null
+++ b/internal/decide/ctquorum/types.go
@@ -0,0 +1,127 @@
+package ctquorum
+
+import (
+	"slices"
+
+	"github.com/cherviltrestle/cherviltrestle/internal/model/ctid"
+)
+
+// Epoch numbers the leaders of control. Each epoch has at most one leader.
+type Epoch uint64
+
+// Index numbers the entries of the log, from 1.
+type Index uint64
+
+// Round numbers the messages by which a leader asks for answers.
+type Round uint64
+
+// Ticket names a proposal for the process that made it.
+type Ticket uint64
+
+// Peer is a process of control with the incarnation of its disk.
+type Peer struct {
+	Name        ctid.Control     `json:"name" cbor:"name"`
+	Incarnation ctid.Incarnation `json:"incarnation" cbor:"incarnation"`
+}
+
+// Entry is one entry of the log.
+type Entry struct {
+	Index Index `json:"index" cbor:"index"`
+	Epoch Epoch `json:"epoch" cbor:"epoch"`
+	// Voters is set where the entry changes the voters.
+	Voters []Peer `json:"voters,omitempty" cbor:"voters,omitempty"`
+	// Data is the command; it is empty where the entry has none.
+	Data []byte `json:"data,omitempty" cbor:"data,omitempty"`
+}
+
+// Snapshot stands for the log up to an index.
+type Snapshot struct {
+	Index  Index  `json:"index" cbor:"index"`
+	Epoch  Epoch  `json:"epoch" cbor:"epoch"`
+	Voters []Peer `json:"voters" cbor:"voters"`
+	// Data is the state that the commands up to the index made.
+	Data []byte `json:"data" cbor:"data"`
+}
+
+// Durable is what a process keeps on its disk.
+type Durable struct {
+	Epoch Epoch `json:"epoch" cbor:"epoch"`
+	// Vote is whom the process voted for in the epoch.
+	Vote     Peer     `json:"vote" cbor:"vote"`
+	Snapshot Snapshot `json:"snapshot" cbor:"snapshot"`
+	// Entries follow the snapshot without a gap.
+	Entries []Entry `json:"entries" cbor:"entries"`
+}
+
+// Bootstrap returns the durable state of the first process of a new fleet, which
+// is its only voter.
+func Bootstrap(self Peer) Durable {
+	return Durable{
+		Epoch:   1,
+		Entries: []Entry{{Index: 1, Epoch: 1, Voters: []Peer{self}}},
+	}
+}
+
+// last returns the index and the epoch of the last entry.
+func (d *Durable) last() (Index, Epoch) {
+	if len(d.Entries) == 0 {
+		return d.Snapshot.Index, d.Snapshot.Epoch
+	}
+	e := d.Entries[len(d.Entries)-1]
+	return e.Index, e.Epoch
+}
+
+// epochAt returns the epoch of the entry at an index, and whether the log still
+// has it.
+func (d *Durable) epochAt(index Index) (Epoch, bool) {
+	if index == d.Snapshot.Index {
+		return d.Snapshot.Epoch, true
+	}
+	last, _ := d.last()
+	if index < d.Snapshot.Index || index > last {
+		return 0, false
+	}
+	return d.Entries[index-d.Snapshot.Index-1].Epoch, true
+}
+
+// from returns the entries from an index on, at most limit of them.
+func (d *Durable) from(index Index, limit int) []Entry {
+	start := int(index - d.Snapshot.Index - 1)
+	if start >= len(d.Entries) {
+		return nil
+	}
+	return slices.Clone(d.Entries[start:min(len(d.Entries), start+limit)])
+}
+
+// voters returns the voters that the log names last.
+func (d *Durable) voters() []Peer {
+	for i := len(d.Entries) - 1; i >= 0; i-- {
+		if len(d.Entries[i].Voters) > 0 {
+			return d.Entries[i].Voters
+		}
+	}
+	return d.Snapshot.Voters
+}
+
+// truncate drops the entries from an index on.
+func (d *Durable) truncate(index Index) {
+	d.Entries = d.Entries[:index-d.Snapshot.Index-1]
+}
+
+// Write applies what a Persist asks for. A store does the same to its disk.
+func (d *Durable) Write(p Persist) {
+	d.Epoch, d.Vote = p.Epoch, p.Vote
+	if p.From > 0 {
+		kept := d.Entries[:0:0]
+		for _, e := range d.Entries {
+			if e.Index < p.From {
+				kept = append(kept, e)
+			}
+		}
+		d.Entries = append(kept, p.Entries...)
+	}
+	if p.Snapshot != nil {
+		d.Snapshot = *p.Snapshot
+		d.Entries = slices.DeleteFunc(d.Entries, func(e Entry) bool { return e.Index <= p.Snapshot.Index })
+	}
+}
