--- a/internal/decide/ctquorum/types.go
+++ b/internal/decide/ctquorum/types.go
@@ -20,7 +20,7 @@
 
 // Peer is a process of control with the incarnation of its disk.
 type Peer struct {
-	Name        ctid.Control     `json:"name" cbor:"name"`
+	Name        ctid.Control     `json:"name,omitempty" cbor:"name,omitempty"`
 	Incarnation ctid.Incarnation `json:"incarnation" cbor:"incarnation"`
 }
 
--- a/internal/lab/ctfleet/ask.go
+++ b/internal/lab/ctfleet/ask.go
@@ -13,6 +13,7 @@
 	"github.com/cherviltrestle/cherviltrestle/internal/lab/ctwal"
 	"github.com/cherviltrestle/cherviltrestle/internal/link/cthttp"
 	"github.com/cherviltrestle/cherviltrestle/internal/model/ctconfig"
+	"github.com/cherviltrestle/cherviltrestle/internal/model/cterror"
 	"github.com/cherviltrestle/cherviltrestle/internal/model/ctid"
 	"github.com/cherviltrestle/cherviltrestle/internal/model/ctserver"
 	"github.com/cherviltrestle/cherviltrestle/internal/model/ctview"
@@ -73,7 +74,13 @@
 		})
 	}
 	var accepted ctconfig.Accepted
-	err := call(f.Controls[0], http.MethodPost, "/v1/config", change, &accepted)
+	var err error
+	for _, c := range f.Controls {
+		err = call(c, http.MethodPost, "/v1/config", change, &accepted)
+		if cterror.KindOf(err) != cterror.Unavailable {
+			break
+		}
+	}
 	return accepted.Revision, err
 }
 
--- a/internal/lab/ctfleet/fleet.go
+++ b/internal/lab/ctfleet/fleet.go
@@ -187,9 +187,38 @@
 		}
 		f.Controls = append(f.Controls, p)
 	}
+	for _, p := range f.Controls {
+		if others := f.otherControls(p); others != "" {
+			p.arguments = append(p.arguments, "--controls", others)
+		}
+	}
+	first := f.Controls[0]
+	if output, err := f.Run("control", "init", "--name", first.Name, "--data", f.DataOf(first)); err != nil {
+		return errors.Errorf("begin the fleet: %s", output)
+	}
 	return nil
 }
 
+// otherControls lists the control processes but one, by name and address.
+func (f *Fleet) otherControls(except *Process) string {
+	var others []string
+	for _, p := range f.Controls {
+		if p != except {
+			others = append(others, p.Name+"="+p.Front.String())
+		}
+	}
+	return strings.Join(others, ",")
+}
+
+// ControlHTTP lists the HTTP addresses of the control processes.
+func (f *Fleet) ControlHTTP() string {
+	var addresses []string
+	for _, p := range f.Controls {
+		addresses = append(addresses, p.HTTP.String())
+	}
+	return strings.Join(addresses, ",")
+}
+
 // DataOf returns the data folder of a control process.
 func (f *Fleet) DataOf(p *Process) string {
 	return filepath.Join(f.Folder, "data-"+p.Name)
@@ -297,7 +326,7 @@
 	var output string
 	for range tries {
 		var err error
-		output, err = f.Run("config", "apply", "--control-http", f.Controls[0].HTTP.String(),
+		output, err = f.Run("config", "apply", "--control-http", f.ControlHTTP(),
 			"--file", file, "--id", "first", "--author", "lab")
 		if err == nil {
 			return nil
--- a/internal/lab/ctproof/config_test.go
+++ b/internal/lab/ctproof/config_test.go
@@ -24,7 +24,7 @@
 
 // apply applies a configuration and returns what the command wrote.
 func apply(fleet *ctfleet.Fleet, file string, base int, id string) (string, error) {
-	return fleet.Run("config", "apply", "--control-http", fleet.Controls[0].HTTP.String(),
+	return fleet.Run("config", "apply", "--control-http", fleet.ControlHTTP(),
 		"--file", file, "--base", fmt.Sprint(base), "--id", id, "--author", id)
 }
 
@@ -119,7 +119,7 @@
 		}
 		assert.NilError(t, fleet.Controls[0].Start())
 		assert.NilError(t, ctfleet.Until("control answers", func() bool {
-			output, err := fleet.Run("config", "get", "--control-http", fleet.Controls[0].HTTP.String())
+			output, err := fleet.Run("config", "get", "--control-http", fleet.ControlHTTP())
 			return err == nil && contains(output, fmt.Sprintf("# revision %d\n", base))
 		}))
 		next, err := fleet.Change("after-the-kill", base, 1)
--- a/internal/lab/ctproof/failover_test.go
+++ b/internal/lab/ctproof/failover_test.go
@@ -113,7 +113,7 @@
 	fleet.Members[group][1].Kill()
 	fleet.Members[group][0].Kill()
 	assert.NilError(t, ctfleet.Until("control says why it promotes nobody", func() bool {
-		output, err := fleet.Run("status", "--control-http", fleet.Controls[0].HTTP.String())
+		output, err := fleet.Run("status", "--control-http", fleet.ControlHTTP())
 		return err == nil && contains(output, "fewer_members_than_a_majority_answer")
 	}))
 	_, err := run(open(t, fleet.Proxies[2], nil), "INSERT INTO charts (key, value) VALUES ('m9', '22')")
--- a/internal/link/ctframe/frame.go
+++ b/internal/link/ctframe/frame.go
@@ -33,6 +33,7 @@
 	kindFetched
 	kindFault
 	kindWatch
+	kindQuorum
 )
 
 // blanks makes an empty frame of each kind.
@@ -53,5 +54,6 @@
 	kindFetch:    func() Frame { return &Fetch{} },
 	kindFetched:  func() Frame { return &Fetched{} },
 	kindFault:    func() Frame { return &Fault{} },
+	kindQuorum:   func() Frame { return &Quorum{} },
 	kindWatch:    func() Frame { return &Watch{} },
 }
--- /dev/null
+++ b/internal/link/ctrecord/quorum.go
@@ -0,0 +1,33 @@
+package ctrecord
+
+import (
+	"github.com/pkg/errors"
+
+	"github.com/cherviltrestle/cherviltrestle/internal/decide/ctquorum"
+)
+
+// record is what the disk of a control process holds under one key.
+type record interface {
+	ctquorum.Peer | ctquorum.Entry | ctquorum.Snapshot | Ballot
+}
+
+// Ballot is the epoch of a control process and its vote in it.
+type Ballot struct {
+	Epoch ctquorum.Epoch `cbor:"epoch"`
+	Vote  ctquorum.Peer  `cbor:"vote"`
+}
+
+// Encode returns a record as bytes.
+func Encode[R record](value R) ([]byte, error) {
+	data, err := encoder.Marshal(value)
+	return data, errors.Wrap(err, "encode a record")
+}
+
+// Decode decodes a record.
+func Decode[R record](data []byte) (R, error) {
+	var value R
+	if err := decoder.Unmarshal(data, &value); err != nil {
+		return value, damaged(err)
+	}
+	return value, nil
+}
--- a/internal/link/ctrecord/record_test.go
+++ b/internal/link/ctrecord/record_test.go
@@ -57,3 +57,21 @@
 		assert.NilError(t, err)
 	})
 }
+
+func TestEmptyNames(t *testing.T) {
+	t.Run("of a ballot without a vote come back", func(t *testing.T) {
+		data, err := ctrecord.Encode(ctrecord.Ballot{Epoch: 1})
+		assert.NilError(t, err)
+		ballot, err := ctrecord.Decode[ctrecord.Ballot](data)
+		assert.NilError(t, err)
+		assert.Equal(t, ballot, ctrecord.Ballot{Epoch: 1})
+	})
+	t.Run("of a group without a primary come back", func(t *testing.T) {
+		command := ctregister.SetGroup{Group: ctview.Group{Name: "g", Fence: 2}, At: time.Unix(1, 0).UTC()}
+		data, err := ctrecord.EncodeCommand(command)
+		assert.NilError(t, err)
+		decoded, err := ctrecord.DecodeCommand(data)
+		assert.NilError(t, err)
+		assert.DeepEqual(t, decoded, command)
+	})
+}
--- a/internal/model/ctid/number.go
+++ b/internal/model/ctid/number.go
@@ -21,7 +21,7 @@
 
 // Request identifies one request of a caller in the whole fleet.
 type Request struct {
-	Proxy       Proxy       `json:"proxy" cbor:"proxy"`
+	Proxy       Proxy       `json:"proxy,omitempty" cbor:"proxy,omitempty"`
 	Incarnation Incarnation `json:"incarnation" cbor:"incarnation"`
 	Session     Session     `json:"session" cbor:"session"`
 	Sequence    Sequence    `json:"sequence" cbor:"sequence"`
--- a/internal/model/ctview/group.go
+++ b/internal/model/ctview/group.go
@@ -10,7 +10,7 @@
 	Name ctid.Group `json:"name" cbor:"name"`
 	// Term is the term of the primary. It is 0 until a primary is known.
 	Term    ctposition.Term    `json:"term" cbor:"term"`
-	Primary ctid.Member        `json:"primary" cbor:"primary"`
+	Primary ctid.Member        `json:"primary,omitempty" cbor:"primary,omitempty"`
 	History ctposition.History `json:"history" cbor:"history"`
 	// Fence is the term that the group is being moved to: its members are to
 	// take nothing of earlier terms any more. It is 0 while no change of
--- a/internal/model/ctview/report.go
+++ b/internal/model/ctview/report.go
@@ -94,8 +94,9 @@
 	// Delta is absent where the proxy's view is the newest.
 	Delta  *Delta  `json:"delta,omitempty" cbor:"delta,omitempty"`
 	Leases []Lease `json:"leases,omitempty" cbor:"leases,omitempty"`
-	// Leader is where the leader of control can be reached, where another
-	// control process answers.
+	// Unready reports that the process that answers does not lead control.
+	Unready bool `json:"unready,omitempty" cbor:"unready,omitempty"`
+	// Leader is where the leader can be reached, where that is known.
 	Leader *netip.AddrPort `json:"leader,omitempty" cbor:"leader,omitempty"`
 }
 
--- a/internal/program/ctcommand/client.go
+++ b/internal/program/ctcommand/client.go
@@ -25,19 +25,20 @@
 
 // client calls control for an operator.
 type client struct {
-	control ctsettings.Address
+	control ctsettings.Addresses
 	output  string
 }
 
 // register declares the client's flags.
 func (c *client) register(flags *pflag.FlagSet) {
-	flags.Var(ctsettings.TextValue(&c.control, "address"), "control-http", "HTTP address of a control process")
+	flags.Var(ctsettings.TextValue(&c.control, "addresses"), "control-http",
+		"HTTP addresses of control processes, with commas; they are tried in turn")
 	flags.StringVar(&c.output, "output", outputText, "text or json")
 }
 
 // check reports the first flag that is missing or out of bounds.
 func (c *client) check() error {
-	if !c.control.IsValid() {
+	if len(c.control) == 0 {
 		return cterror.New(cterror.Invalid, "--control-http is missing", "give the HTTP address of a control process")
 	}
 	if c.output != outputText && c.output != outputJSON {
@@ -53,7 +54,14 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, callTime)
 	defer cancel()
-	return cthttp.Call(ctx, http.DefaultClient, method, "http://"+c.control.String()+path, body, answer)
+	var err error
+	for _, address := range c.control {
+		err = cthttp.Call(ctx, http.DefaultClient, method, "http://"+address.String()+path, body, answer)
+		if cterror.KindOf(err) != cterror.Unavailable {
+			return err
+		}
+	}
+	return err
 }
 
 // print writes a value as JSON where that was asked for, and as text by show
--- a/internal/program/ctcommand/processes.go
+++ b/internal/program/ctcommand/processes.go
@@ -2,14 +2,18 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/spf13/cobra"
 	"github.com/spf13/pflag"
 
+	"github.com/cherviltrestle/cherviltrestle/internal/model/cterror"
+	"github.com/cherviltrestle/cherviltrestle/internal/model/ctid"
 	"github.com/cherviltrestle/cherviltrestle/internal/program/ctcontrol"
 	"github.com/cherviltrestle/cherviltrestle/internal/program/ctlog"
 	"github.com/cherviltrestle/cherviltrestle/internal/program/ctproxy"
 	"github.com/cherviltrestle/cherviltrestle/internal/program/ctsettings"
+	"github.com/cherviltrestle/cherviltrestle/internal/state/ctstore"
 	"github.com/cherviltrestle/cherviltrestle/internal/work/ctclock"
 )
 
@@ -36,7 +40,7 @@
 
 func newControl(environment Environment) *cobra.Command {
 	var s ctsettings.Control
-	return newProcess("control", "Run a control process",
+	command := newProcess("control", "Run a control process",
 		"Run a control process. It keeps the configuration and the groups' primaries on its disk,\n"+
 			"and decides on changes of primaries.",
 		&s, func(ctx context.Context) error {
@@ -47,6 +51,39 @@
 			}
 			return process.Run(ctx)
 		})
+	command.AddCommand(newControlInit())
+	return command
+}
+
+// newControlInit returns the command that begins a new fleet.
+func newControlInit() *cobra.Command {
+	var name ctid.Control
+	var data string
+	command := &cobra.Command{
+		Use:   "init",
+		Short: "Begin a new fleet on the empty disk of its first control process",
+		Long: "Begin a new fleet on the empty disk of its first control process. It is run once, on one VM.\n" +
+			"Other control processes join by their setting --controls, as does one that has lost its disk.",
+		Args: cobra.NoArgs,
+		RunE: func(command *cobra.Command, _ []string) error {
+			if name == "" || data == "" {
+				return cterror.New(cterror.Invalid, "--name or --data is missing", "give both, as for the process")
+			}
+			store, err := ctstore.Open(data, string(name))
+			if err != nil {
+				return err
+			}
+			if err := ctcontrol.Init(store, name, time.Now()); err != nil {
+				_ = store.Close()
+				return err
+			}
+			command.Printf("began a new fleet in %s; start %s now\n", data, name)
+			return store.Close()
+		},
+	}
+	command.Flags().Var(ctsettings.TextValue(&name, "name"), "name", "name of the control process")
+	command.Flags().StringVar(&data, "data", "", "its data folder")
+	return command
 }
 
 // newProcess returns the command that checks a process's settings and runs it.
--- a/internal/program/ctcommand/status.go
+++ b/internal/program/ctcommand/status.go
@@ -29,6 +29,10 @@
 }
 
 func showStatus(command *cobra.Command, status *ctcontrol.Status) {
+	command.Printf("control: %s answers, %s leads\n", status.Control, status.Leader)
+	for _, v := range status.Voters {
+		command.Printf("  voter %s (disk %x)\n", v.Name, uint64(v.Incarnation))
+	}
 	command.Printf("configuration: revision %s, not confirmed by %d proxies\n",
 		status.Revision, len(status.Unconfirmed))
 	for _, name := range status.Unconfirmed {
--- a/internal/program/ctcontrol/build.go
+++ b/internal/program/ctcontrol/build.go
@@ -1,11 +1,14 @@
 package ctcontrol
 
 import (
+	"math/rand/v2"
+
 	"github.com/rs/zerolog"
 
 	"github.com/cherviltrestle/cherviltrestle/internal/link/ctkey"
 	"github.com/cherviltrestle/cherviltrestle/internal/link/ctquic"
 	"github.com/cherviltrestle/cherviltrestle/internal/program/ctsettings"
+	"github.com/cherviltrestle/cherviltrestle/internal/program/ctstream"
 	"github.com/cherviltrestle/cherviltrestle/internal/state/ctstore"
 	"github.com/cherviltrestle/cherviltrestle/internal/work/ctclock"
 )
@@ -24,25 +27,60 @@
 	return ctstore.Open(settings.Data, string(settings.Name))
 }
 
-func newJournal(store *ctstore.Store) Journal {
-	return &LocalJournal{Store: store}
+// random is the machine's random source.
+type random struct{}
+
+// Int64N returns a number from 0 to n-1.
+func (random) Int64N(n int64) int64 {
+	return rand.Int64N(n)
+}
+
+func newContacts(settings ctsettings.Control) []Contact {
+	var contacts []Contact
+	for _, c := range settings.Others {
+		contacts = append(contacts, Contact{Name: c.Name, Address: c.Address})
+	}
+	return contacts
+}
+
+func newReplica(
+	settings ctsettings.Control, store *ctstore.Store, contacts []Contact, endpoint *ctquic.Endpoint,
+	clock ctclock.Clock, logger zerolog.Logger,
+) (*Replica, error) {
+	d := &disk{store: store}
+	self, err := d.identify(settings.Name, clock.Now())
+	if err != nil {
+		return nil, err
+	}
+	return &Replica{
+		self:     self,
+		disk:     d,
+		contacts: contacts,
+		ways:     &ctstream.Ways{Endpoint: endpoint},
+		clock:    clock,
+		logger:   logger,
+	}, nil
 }
 
 func newControl(
-	settings ctsettings.Control, journal Journal, clock ctclock.Clock, logger zerolog.Logger,
-) (*Control, error) {
-	return New(Options{
+	settings ctsettings.Control, contacts []Contact, replica *Replica, clock ctclock.Clock, logger zerolog.Logger,
+) *Control {
+	control := New(Options{
 		Name:        settings.Name,
-		Journal:     journal,
+		Contacts:    contacts,
 		Clock:       clock,
 		Logger:      logger,
 		SilenceTime: settings.SilenceTime,
 	})
+	control.Use(replica)
+	return control
 }
 
 func newProcess(
-	settings ctsettings.Control, control *Control, store *ctstore.Store, endpoint *ctquic.Endpoint,
-	logger zerolog.Logger,
+	settings ctsettings.Control, control *Control, replica *Replica, store *ctstore.Store,
+	endpoint *ctquic.Endpoint, logger zerolog.Logger,
 ) *Process {
-	return &Process{settings: settings, control: control, store: store, endpoint: endpoint, logger: logger}
+	return &Process{
+		settings: settings, control: control, replica: replica, store: store, endpoint: endpoint, logger: logger,
+	}
 }
--- a/internal/program/ctcontrol/change.go
+++ b/internal/program/ctcontrol/change.go
@@ -1,47 +1,61 @@
 package ctcontrol
 
 import (
+	"context"
+
+	"github.com/cherviltrestle/cherviltrestle/internal/decide/ctquorum"
 	"github.com/cherviltrestle/cherviltrestle/internal/decide/ctregister"
 	"github.com/cherviltrestle/cherviltrestle/internal/model/ctconfig"
+	"github.com/cherviltrestle/cherviltrestle/internal/model/cterror"
 	"github.com/cherviltrestle/cherviltrestle/internal/model/ctid"
 	"github.com/cherviltrestle/cherviltrestle/internal/model/ctview"
 	"github.com/cherviltrestle/cherviltrestle/internal/work/ctlock"
 )
 
-// Change takes an operator's change of the configuration.
-func (c *Control) Change(held *ctlock.Held, change ctconfig.Change) (ctregister.Result, error) {
+// Change takes an operator's change of the configuration. It returns once the
+// change is durable on a majority of control's disks, or refused.
+func (c *Control) Change(ctx context.Context, held *ctlock.Held, change ctconfig.Change) (ctregister.Result, error) {
 	if err := change.Check(); err != nil {
 		return nil, err
 	}
-	var result ctregister.Result
+	outcome := make(chan ctregister.Result, 1)
 	var err error
 	c.ledger.With(held, func(l *ledger) {
-		now := c.Clock.Now()
-		command := ctregister.Configure{Change: change, At: now}
-		if err = c.Journal.Append(command); err != nil {
+		if !l.leads() {
+			err = notLeading(l)
 			return
 		}
-		result = l.register.Apply(command)
-		if configured, ok := result.(ctregister.Configured); ok {
-			l.configure(now, configured.Accepted)
-			c.logConfigured(configured.Accepted)
-		}
+		c.propose(l, ctregister.Configure{Change: change, At: c.Clock.Now()}, outcome)
 	})
-	return result, err
+	if err != nil {
+		return nil, err
+	}
+	select {
+	case result, ok := <-outcome:
+		if ok {
+			return result, nil
+		}
+	case <-ctx.Done():
+	}
+	return nil, cterror.New(cterror.Unavailable, "whether the change was accepted is not known",
+		"apply it again with the same id")
 }
 
-func (c *Control) logConfigured(accepted ctconfig.Accepted) {
-	c.Logger.Info().Str("event", "decision").Str("decision", "configure").
-		Stringer("revision", accepted.Revision).
-		Str("change", string(accepted.Change.ID)).
-		Str("author", accepted.Change.Author).
-		Str("why", "first_on_its_base").
-		Send()
+func notLeading(l *ledger) error {
+	if l.leader.Name == "" {
+		return cterror.New(cterror.Unavailable, "no control process leads now", "try again in a second")
+	}
+	return cterror.Newf(cterror.Unavailable, "name its HTTP address with --control-http",
+		"this control process does not lead; %s does", l.leader.Name)
 }
 
 // Status is what operators see of the fleet.
 type Status struct {
-	Revision ctid.Revision `json:"revision"`
+	// Control is the process that answers, and Leader the one that leads.
+	Control  ctid.Control    `json:"control"`
+	Leader   ctid.Control    `json:"leader"`
+	Voters   []ctquorum.Peer `json:"voters"`
+	Revision ctid.Revision   `json:"revision"`
 	// Unconfirmed lists the proxies that do not have the revision in force.
 	Unconfirmed []ctid.Proxy  `json:"unconfirmed"`
 	View        *ctview.Delta `json:"view"`
@@ -54,6 +68,7 @@
 func (c *Control) Status(held *ctlock.Held) Status {
 	var status Status
 	c.ledger.With(held, func(l *ledger) {
+		status.Control, status.Leader = c.Name, l.leader.Name
 		status.Revision = l.register.Current().Revision
 		status.Unconfirmed = l.roster.Unconfirmed(status.Revision)
 		status.View = l.roster.Since(0)
--- a/internal/program/ctcontrol/control.go
+++ b/internal/program/ctcontrol/control.go
@@ -7,8 +7,9 @@
 	"github.com/rs/zerolog"
 
 	"github.com/cherviltrestle/cherviltrestle/internal/decide/ctfailover"
+	"github.com/cherviltrestle/cherviltrestle/internal/decide/ctquorum"
 	"github.com/cherviltrestle/cherviltrestle/internal/decide/ctregister"
-	"github.com/cherviltrestle/cherviltrestle/internal/fleet/ctroster"
+	"github.com/cherviltrestle/cherviltrestle/internal/link/ctrecord"
 	"github.com/cherviltrestle/cherviltrestle/internal/model/ctconfig"
 	"github.com/cherviltrestle/cherviltrestle/internal/model/ctid"
 	"github.com/cherviltrestle/cherviltrestle/internal/model/ctview"
@@ -26,36 +27,50 @@
 	settleTime = 1200 * time.Millisecond
 	// memberTime is how long a member may go unannounced before it is dropped.
 	memberTime = 5 * time.Second
+	// proposalTime is how long a decision on a group may take to be committed
+	// before it is proposed again.
+	proposalTime = time.Second
 )
 
+// Proposer appends commands to the replicated log.
+type Proposer interface {
+	Propose(ticket ctquorum.Ticket, data []byte)
+}
+
 // Options are the parts and settings of a Control.
 type Options struct {
-	Name    ctid.Control
-	Journal Journal
-	Clock   ctclock.Clock
-	Logger  zerolog.Logger
+	Name     ctid.Control
+	Contacts []Contact
+	Clock    ctclock.Clock
+	Logger   zerolog.Logger
 	// SilenceTime is how long a proxy or a member may go unheard of before it
 	// counts as gone.
 	SilenceTime time.Duration
 }
 
-// Control is a control process.
+// Control is a control process: the state that the replicated log makes and,
+// while the process leads, the decisions on the fleet.
 type Control struct {
 	Options
 
-	ledger cttable.Cell[ledger]
+	proposer Proposer
+	ledger   cttable.Cell[ledger]
 }
 
-// New returns a control process that has read its journal.
-func New(options Options) (*Control, error) {
+// New returns a control process that leads nothing yet.
+func New(options Options) *Control {
 	c := &Control{Options: options, ledger: cttable.Cell[ledger]{Rank: ctlock.RankLedger}}
 	var held ctlock.Held
-	var err error
 	c.ledger.With(&held, func(l *ledger) {
-		err = options.Journal.Replay(func(command ctregister.Command) { l.register.Apply(command) })
-		l.lead(options.Clock.Now(), ctroster.Epoch(options.Clock.Now().Unix()), options.SilenceTime)
+		l.results = make(map[ctquorum.Index]ctregister.Result)
+		l.waiters = make(map[ctquorum.Ticket]chan<- ctregister.Result)
 	})
-	return c, err
+	return c
+}
+
+// Use sets where commands are proposed. It is called before Run.
+func (c *Control) Use(proposer Proposer) {
+	c.proposer = proposer
 }
 
 // Run looks at what is due until ctx ends.
@@ -67,7 +82,11 @@
 			return
 		case <-c.Clock.After(tickInterval):
 		}
-		c.ledger.With(&held, func(l *ledger) { c.tick(c.Clock.Now(), l) })
+		c.ledger.With(&held, func(l *ledger) {
+			if l.leads() {
+				c.tick(c.Clock.Now(), l)
+			}
+		})
 	}
 }
 
@@ -76,6 +95,10 @@
 	reply := &ctview.Reply{Number: report.Number}
 	c.ledger.With(held, func(l *ledger) {
 		now := c.Clock.Now()
+		if !l.leads() {
+			c.refuse(l, reply)
+			return
+		}
 		changed := l.roster.Hear(now, report)
 		for _, h := range report.Held {
 			c.hear(now, l, h, reply)
@@ -88,8 +111,18 @@
 	return reply
 }
 
+// refuse tells a proxy who leads.
+func (c *Control) refuse(l *ledger, reply *ctview.Reply) {
+	reply.Unready = true
+	for _, contact := range c.Contacts {
+		if contact.Name == l.leader.Name {
+			reply.Leader = &contact.Address
+		}
+	}
+}
+
 // hear takes a holder's account of a member and grants the lease that it asks
-// for.
+// for, if this process has authority.
 func (c *Control) hear(now time.Time, l *ledger, h ctview.Held, reply *ctview.Reply) {
 	machine, ok := l.machines[h.Group]
 	if !ok {
@@ -98,7 +131,7 @@
 	machine.Report(now, h)
 	c.decide(now, l, h.Group)
 	group := l.register.Groups[h.Group]
-	if machine.Lease(now, group, h) {
+	if now.Before(l.authority) && !l.moving(h.Group) && machine.Lease(now, group, h) {
 		reply.Leases = append(reply.Leases, ctview.Lease{
 			Group: h.Group,
 			Term:  group.Term,
@@ -108,23 +141,27 @@
 }
 
 // Watch waits for a view newer than the version and returns the delta to it, or
-// nil when ctx ends.
-func (c *Control) Watch(ctx context.Context, held *ctlock.Held, version ctview.Version) *ctview.Delta {
+// none when ctx ends.
+func (c *Control) Watch(ctx context.Context, held *ctlock.Held, version ctview.Version) *ctview.Reply {
 	for {
-		var delta *ctview.Delta
+		reply := &ctview.Reply{}
 		wake := make(chan struct{})
 		c.ledger.With(held, func(l *ledger) {
-			if delta = l.delta(c.Clock.Now(), version); delta == nil {
+			if !l.leads() {
+				c.refuse(l, reply)
+				return
+			}
+			if reply.Delta = l.delta(c.Clock.Now(), version); reply.Delta == nil {
 				l.watchers = append(l.watchers, wake)
 			}
 		})
-		if delta != nil {
-			return delta
+		if reply.Delta != nil || reply.Unready {
+			return reply
 		}
 		select {
 		case <-wake:
 		case <-ctx.Done():
-			return nil
+			return reply
 		}
 	}
 }
@@ -148,8 +185,11 @@
 	}
 }
 
-// decide makes the group's next decision durable, if one is due.
+// decide proposes the group's next decision, if one is due.
 func (c *Control) decide(now time.Time, l *ledger, name ctid.Group) {
+	if at, ok := l.proposed[name]; ok && now.Sub(at) < proposalTime {
+		return
+	}
 	group := l.register.Groups[name]
 	group.Name = name
 	machine := l.machines[name]
@@ -158,31 +198,32 @@
 		c.logBlocked(l, name, machine.Blocked(now, group))
 		return
 	}
-	command := ctregister.SetGroup{
+	l.proposed[name] = now
+	c.propose(l, ctregister.SetGroup{
 		Group: proposal.Group,
 		Term:  group.Term,
 		Fence: group.Fence,
 		Why:   string(proposal.Why),
 		At:    now,
-	}
-	if err := c.Journal.Append(command); err != nil {
-		c.Logger.Error().Str("event", "journal_failed").Str("error", err.Error()).Send()
-		return
-	}
-	l.register.Apply(command)
-	l.roster.SetGroup(proposal.Group)
-	l.notify()
-	c.logGroup(proposal)
+	}, nil)
 }
 
-func (c *Control) logGroup(proposal ctfailover.Proposal) {
-	c.Logger.Info().Str("event", "decision").Str("decision", "set_group").
-		Str("group", string(proposal.Group.Name)).
-		Str("primary", string(proposal.Group.Primary)).
-		Uint64("term", uint64(proposal.Group.Term)).
-		Uint64("fence", uint64(proposal.Group.Fence)).
-		Str("why", string(proposal.Why)).
-		Send()
+// propose hands a command to the replicated log. The result is told to the
+// waiter, where there is one.
+func (c *Control) propose(l *ledger, command ctregister.Command, waiter chan<- ctregister.Result) {
+	data, err := ctrecord.EncodeCommand(command)
+	if err != nil {
+		c.Logger.Error().Str("event", "proposal_failed").Str("error", err.Error()).Send()
+		if waiter != nil {
+			close(waiter)
+		}
+		return
+	}
+	l.ticket++
+	if waiter != nil {
+		l.waiters[l.ticket] = waiter
+	}
+	c.proposer.Propose(l.ticket, data)
 }
 
 // logBlocked tells once what stands in the way of a change.
--- /dev/null
+++ b/internal/program/ctcontrol/disk.go
@@ -0,0 +1,155 @@
+package ctcontrol
+
+import (
+	"encoding/binary"
+	"time"
+
+	"github.com/cherviltrestle/cherviltrestle/internal/decide/ctquorum"
+	"github.com/cherviltrestle/cherviltrestle/internal/link/ctrecord"
+	"github.com/cherviltrestle/cherviltrestle/internal/model/cterror"
+	"github.com/cherviltrestle/cherviltrestle/internal/model/ctid"
+	"github.com/cherviltrestle/cherviltrestle/internal/state/ctstore"
+)
+
+// The keys of the store.
+var (
+	keySelf     = []byte("self")
+	keyBallot   = []byte("ballot")
+	keySnapshot = []byte("snapshot")
+	entryPrefix = []byte("entry/")
+)
+
+// disk keeps the durable state of a control process in a store.
+type disk struct {
+	store *ctstore.Store
+	// first and last are the entries that the store has.
+	first ctquorum.Index
+	last  ctquorum.Index
+}
+
+// Init begins a new fleet on an empty disk: the process becomes the only voter.
+// It refuses a disk that holds anything.
+func Init(store *ctstore.Store, name ctid.Control, now time.Time) error {
+	d := &disk{store: store}
+	self, found, err := d.self()
+	if err != nil {
+		return err
+	}
+	if found {
+		return cterror.Newf(cterror.Conflict, "start the process as it is; init is for the first process of a new fleet",
+			"the disk belongs to %s already", self.Name)
+	}
+	self = ctquorum.Peer{Name: name, Incarnation: ctid.Incarnation(now.UnixNano())}
+	if err := d.writeSelf(self); err != nil {
+		return err
+	}
+	first := ctquorum.Bootstrap(self)
+	return d.write(ctquorum.Persist{Epoch: first.Epoch, From: 1, Entries: first.Entries})
+}
+
+// identify returns who the process is. An empty disk gets a new incarnation.
+func (d *disk) identify(name ctid.Control, now time.Time) (ctquorum.Peer, error) {
+	self, found, err := d.self()
+	if err != nil || found {
+		return self, err
+	}
+	self = ctquorum.Peer{Name: name, Incarnation: ctid.Incarnation(now.UnixNano())}
+	return self, d.writeSelf(self)
+}
+
+func (d *disk) self() (ctquorum.Peer, bool, error) {
+	data, err := d.store.Get(keySelf)
+	if err != nil || data == nil {
+		return ctquorum.Peer{}, false, err
+	}
+	self, err := ctrecord.Decode[ctquorum.Peer](data)
+	return self, true, err
+}
+
+func (d *disk) writeSelf(self ctquorum.Peer) error {
+	data, err := ctrecord.Encode(self)
+	if err != nil {
+		return err
+	}
+	return d.store.Put(ctstore.Write{Key: keySelf, Value: data})
+}
+
+// load reads the durable state.
+func (d *disk) load() (ctquorum.Durable, error) {
+	var durable ctquorum.Durable
+	if err := d.loadHead(&durable); err != nil {
+		return durable, err
+	}
+	err := d.store.Range(entryPrefix, func(_, value []byte) error {
+		entry, err := ctrecord.Decode[ctquorum.Entry](value)
+		if err != nil {
+			return err
+		}
+		durable.Entries = append(durable.Entries, entry)
+		return nil
+	})
+	d.first = durable.Snapshot.Index + 1
+	d.last = durable.Snapshot.Index + ctquorum.Index(len(durable.Entries))
+	return durable, err
+}
+
+func (d *disk) loadHead(durable *ctquorum.Durable) error {
+	data, err := d.store.Get(keyBallot)
+	if err != nil {
+		return err
+	}
+	if data != nil {
+		ballot, err := ctrecord.Decode[ctrecord.Ballot](data)
+		if err != nil {
+			return err
+		}
+		durable.Epoch, durable.Vote = ballot.Epoch, ballot.Vote
+	}
+	if data, err = d.store.Get(keySnapshot); err != nil || data == nil {
+		return err
+	}
+	durable.Snapshot, err = ctrecord.Decode[ctquorum.Snapshot](data)
+	return err
+}
+
+// write does what a Persist asks for, all or nothing, and returns once it is
+// synced.
+func (d *disk) write(p ctquorum.Persist) error {
+	data, err := ctrecord.Encode(ctrecord.Ballot{Epoch: p.Epoch, Vote: p.Vote})
+	if err != nil {
+		return err
+	}
+	writes := []ctstore.Write{{Key: keyBallot, Value: data}}
+	first, last := d.first, d.last
+	if p.From > 0 {
+		for i := p.From; i <= last; i++ {
+			writes = append(writes, ctstore.Write{Key: entryKey(i)})
+		}
+		last = p.From - 1 + ctquorum.Index(len(p.Entries))
+		for _, e := range p.Entries {
+			if data, err = ctrecord.Encode(e); err != nil {
+				return err
+			}
+			writes = append(writes, ctstore.Write{Key: entryKey(e.Index), Value: data})
+		}
+	}
+	if p.Snapshot != nil {
+		if data, err = ctrecord.Encode(*p.Snapshot); err != nil {
+			return err
+		}
+		writes = append(writes, ctstore.Write{Key: keySnapshot, Value: data})
+		for i := first; i <= min(last, p.Snapshot.Index); i++ {
+			writes = append(writes, ctstore.Write{Key: entryKey(i)})
+		}
+		first, last = p.Snapshot.Index+1, max(last, p.Snapshot.Index)
+	}
+	if err := d.store.Put(writes...); err != nil {
+		return err
+	}
+	d.first, d.last = first, last
+	return nil
+}
+
+func entryKey(index ctquorum.Index) []byte {
+	return binary.BigEndian.AppendUint64(append([]byte(nil), entryPrefix...), uint64(index))
+}
--- a/internal/program/ctcontrol/ledger.go
+++ b/internal/program/ctcontrol/ledger.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/cherviltrestle/cherviltrestle/internal/decide/ctfailover"
+	"github.com/cherviltrestle/cherviltrestle/internal/decide/ctquorum"
 	"github.com/cherviltrestle/cherviltrestle/internal/decide/ctregister"
 	"github.com/cherviltrestle/cherviltrestle/internal/fleet/ctroster"
 	"github.com/cherviltrestle/cherviltrestle/internal/model/ctconfig"
@@ -11,9 +12,23 @@
 	"github.com/cherviltrestle/cherviltrestle/internal/model/ctview"
 )
 
-// ledger is all that the leader knows.
+// ledger is what the replicated log made and, while this process leads control,
+// all that it knows of the fleet.
 type ledger struct {
 	register ctregister.Register
+	// results holds what the commands applied last came to.
+	results map[ctquorum.Index]ctregister.Result
+	ticket  ctquorum.Ticket
+	waiters map[ctquorum.Ticket]chan<- ctregister.Result
+
+	// leading reports whether this process leads, and authority until when it
+	// may act on it.
+	leading   bool
+	authority time.Time
+	leader    ctquorum.Peer
+	// proposed holds when decisions on groups were proposed that are not
+	// applied yet.
+	proposed map[ctid.Group]time.Time
 	roster   ctroster.Roster
 	machines map[ctid.Group]*ctfailover.Machine
 	blocked  map[ctid.Group]ctfailover.Why
@@ -23,11 +38,24 @@
 	watchers []chan struct{}
 }
 
+// leads reports whether this process leads control.
+func (l *ledger) leads() bool {
+	return l.leading
+}
+
+// moving reports whether a decision on the group is proposed and not applied.
+func (l *ledger) moving(name ctid.Group) bool {
+	_, ok := l.proposed[name]
+	return ok
+}
+
 // lead starts the ledger of a new leader.
 func (l *ledger) lead(now time.Time, epoch ctroster.Epoch, silence time.Duration) {
 	l.roster.Begin(epoch)
 	l.machines = make(map[ctid.Group]*ctfailover.Machine)
 	l.blocked = make(map[ctid.Group]ctfailover.Why)
+	l.proposed = make(map[ctid.Group]time.Time)
+	l.leading = true
 	l.began = now
 	l.settled = false
 	l.silence = silence
--- /dev/null
+++ b/internal/program/ctcontrol/machine.go
@@ -0,0 +1,142 @@
+package ctcontrol
+
+import (
+	"time"
+
+	"github.com/cherviltrestle/cherviltrestle/internal/decide/ctquorum"
+	"github.com/cherviltrestle/cherviltrestle/internal/decide/ctregister"
+	"github.com/cherviltrestle/cherviltrestle/internal/fleet/ctroster"
+	"github.com/cherviltrestle/cherviltrestle/internal/link/ctrecord"
+	"github.com/cherviltrestle/cherviltrestle/internal/model/ctconfig"
+	"github.com/cherviltrestle/cherviltrestle/internal/work/ctlock"
+)
+
+// The methods below make Control the Machine of the replicated log.
+
+// Apply applies a committed command.
+func (c *Control) Apply(index ctquorum.Index, data []byte) error {
+	command, err := ctrecord.DecodeCommand(data)
+	if err != nil {
+		return err
+	}
+	var held ctlock.Held
+	c.ledger.With(&held, func(l *ledger) {
+		result := l.register.Apply(command)
+		if len(l.waiters) > 0 {
+			l.results[index] = result
+		}
+		if l.leads() {
+			c.takeEffect(l, command, result)
+		}
+	})
+	return nil
+}
+
+// takeEffect brings an applied command into the leader's view.
+func (c *Control) takeEffect(l *ledger, command ctregister.Command, result ctregister.Result) {
+	switch r := result.(type) {
+	case ctregister.Configured:
+		l.configure(c.Clock.Now(), r.Accepted)
+		c.logConfigured(r.Accepted)
+	case ctregister.GroupSet:
+		set, ok := command.(ctregister.SetGroup)
+		delete(l.proposed, r.Name)
+		if !ok || !r.Taken {
+			return
+		}
+		l.roster.SetGroup(set.Group)
+		l.notify()
+		c.logGroup(set)
+	}
+}
+
+// Snapshot returns the register as bytes.
+func (c *Control) Snapshot() ([]byte, error) {
+	var held ctlock.Held
+	var data []byte
+	var err error
+	c.ledger.With(&held, func(l *ledger) { data, err = ctrecord.EncodeRegister(&l.register) })
+	return data, err
+}
+
+// Restore replaces the register.
+func (c *Control) Restore(data []byte) error {
+	register, err := ctrecord.DecodeRegister(data)
+	if err != nil {
+		return err
+	}
+	var held ctlock.Held
+	c.ledger.With(&held, func(l *ledger) { l.register = *register })
+	return nil
+}
+
+// Lead begins the work of a leader.
+func (c *Control) Lead(epoch ctquorum.Epoch) {
+	var held ctlock.Held
+	c.ledger.With(&held, func(l *ledger) {
+		l.lead(c.Clock.Now(), ctroster.Epoch(epoch), c.SilenceTime)
+		l.leader = ctquorum.Peer{Name: c.Name}
+	})
+	c.Logger.Info().Str("event", "decision").Str("decision", "lead_control").
+		Uint64("epoch", uint64(epoch)).Str("why", "majority_voted").Send()
+}
+
+// Follow ends the work of a leader.
+func (c *Control) Follow(leader ctquorum.Peer) {
+	var held ctlock.Held
+	c.ledger.With(&held, func(l *ledger) {
+		l.leading = false
+		l.authority = time.Time{}
+		l.leader = leader
+		l.notify()
+	})
+	c.Logger.Info().Str("event", "decision").Str("decision", "follow_control").
+		Str("leader", string(leader.Name)).Str("why", "leader_heard_or_lost").Send()
+}
+
+// Authorize sets until when this process may act as the leader.
+func (c *Control) Authorize(until time.Time) {
+	var held ctlock.Held
+	c.ledger.With(&held, func(l *ledger) { l.authority = until })
+}
+
+// Settle tells the outcome of a proposal to whoever waits for it.
+func (c *Control) Settle(ticket ctquorum.Ticket, index ctquorum.Index) {
+	var held ctlock.Held
+	c.ledger.With(&held, func(l *ledger) {
+		result, applied := l.results[index]
+		delete(l.results, index)
+		waiter, ok := l.waiters[ticket]
+		if !ok {
+			return
+		}
+		delete(l.waiters, ticket)
+		if len(l.waiters) == 0 {
+			clear(l.results)
+		}
+		if applied {
+			waiter <- result
+		}
+		close(waiter)
+	})
+}
+
+func (c *Control) logConfigured(accepted ctconfig.Accepted) {
+	c.Logger.Info().Str("event", "decision").Str("decision", "configure").
+		Stringer("revision", accepted.Revision).
+		Str("change", string(accepted.Change.ID)).
+		Str("author", accepted.Change.Author).
+		Str("why", "first_on_its_base").
+		Send()
+}
+
+func (c *Control) logGroup(set ctregister.SetGroup) {
+	group := set.Group
+	c.Logger.Info().Str("event", "decision").Str("decision", "set_group").
+		Str("group", string(group.Name)).
+		Str("primary", string(group.Primary)).
+		Uint64("term", uint64(group.Term)).
+		Uint64("fence", uint64(group.Fence)).
+		Str("why", set.Why).
+		Send()
+}
--- a/internal/program/ctcontrol/operators.go
+++ b/internal/program/ctcontrol/operators.go
@@ -13,6 +13,7 @@
 // operators serves the operators' command line over HTTP.
 type operators struct {
 	control *Control
+	replica *Replica
 }
 
 // change takes a change of the configuration. A change that was sent again gets
@@ -24,7 +25,7 @@
 		return
 	}
 	var held ctlock.Held
-	result, err := o.control.Change(&held, change)
+	result, err := o.control.Change(r.Context(), &held, change)
 	if err != nil {
 		cthttp.Fail(w, err)
 		return
@@ -57,7 +58,9 @@
 
 func (o operators) status(w http.ResponseWriter, _ *http.Request) {
 	var held ctlock.Held
-	cthttp.Write(w, http.StatusOK, o.control.Status(&held))
+	status := o.control.Status(&held)
+	status.Voters = o.replica.Voters(&held)
+	cthttp.Write(w, http.StatusOK, status)
 }
 
 func (o operators) deeds(w http.ResponseWriter, _ *http.Request) {
--- a/internal/program/ctcontrol/process.go
+++ b/internal/program/ctcontrol/process.go
@@ -30,6 +30,7 @@
 type Process struct {
 	settings ctsettings.Control
 	control  *Control
+	replica  *Replica
 	store    *ctstore.Store
 	endpoint *ctquic.Endpoint
 	logger   zerolog.Logger
@@ -43,17 +44,30 @@
 	}
 	server := &http.Server{Handler: p.routes(), ReadHeaderTimeout: httpTime}
 	go func() { _ = server.Serve(operators) }()
-	go p.control.Run(ctx)
+	running, end := context.WithCancel(ctx)
+	defer end()
+	if err := p.replica.Start(running, p.control, random{}); err != nil {
+		return err
+	}
+	go p.control.Run(running)
 	go func() { _ = p.endpoint.Serve(ctx, p.serve) }()
 	p.logger.Info().Str("event", "started").
 		Stringer("peer", p.endpoint.Address()).
 		Str("http", operators.Addr().String()).
 		Send()
-	<-ctx.Done()
+	var failure error
+	select {
+	case <-ctx.Done():
+	case failure = <-p.replica.Failed():
+	}
+	end()
 	_ = server.Close()
 	_ = p.endpoint.Close()
 	p.logger.Info().Str("event", "stopped").Send()
-	return p.store.Close()
+	if err := p.store.Close(); failure == nil {
+		failure = err
+	}
+	return failure
 }
 
 // serve serves one stream of a proxy.
@@ -66,6 +80,10 @@
 		if err != nil {
 			return
 		}
+		if message, ok := frame.(*ctframe.Quorum); ok {
+			p.replica.Receive(message)
+			continue
+		}
 		answer := p.answer(ctx, &held, frame)
 		if answer == nil || way.Write(answer) != nil {
 			return
@@ -80,9 +98,7 @@
 	case *ctframe.Watch:
 		ctx, cancel := context.WithTimeout(ctx, watchTime)
 		defer cancel()
-		reply := &ctframe.Reply{}
-		reply.Delta = p.control.Watch(ctx, held, f.Version)
-		return reply
+		return &ctframe.Reply{Reply: *p.control.Watch(ctx, held, f.Version)}
 	}
 	return &ctframe.Fault{Kind: cterror.Invalid.String(), Message: "control does not serve this frame"}
 }
@@ -90,7 +106,7 @@
 // routes serves operators, health and metrics.
 func (p *Process) routes() http.Handler {
 	mux := http.NewServeMux()
-	o := operators{control: p.control}
+	o := operators{control: p.control, replica: p.replica}
 	mux.HandleFunc("GET /v1/config", o.history)
 	mux.HandleFunc("POST /v1/config", o.change)
 	mux.HandleFunc("GET /v1/status", o.status)
--- /dev/null
+++ b/internal/program/ctcontrol/replica.go
@@ -0,0 +1,281 @@
+package ctcontrol
+
+import (
+	"context"
+	"errors"
+	"net/netip"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/cherviltrestle/cherviltrestle/internal/decide/ctquorum"
+	"github.com/cherviltrestle/cherviltrestle/internal/link/ctframe"
+	"github.com/cherviltrestle/cherviltrestle/internal/model/ctid"
+	"github.com/cherviltrestle/cherviltrestle/internal/program/ctstream"
+	"github.com/cherviltrestle/cherviltrestle/internal/work/ctclock"
+	"github.com/cherviltrestle/cherviltrestle/internal/work/ctlock"
+	"github.com/cherviltrestle/cherviltrestle/internal/work/ctpool"
+	"github.com/cherviltrestle/cherviltrestle/internal/work/cttable"
+)
+
+// The times and sizes of a replica.
+const (
+	// quorumTick is the time between two ticks of the node.
+	quorumTick = 20 * time.Millisecond
+	// outboxSize is how many messages to a peer may wait; more are dropped, as
+	// a network may drop them.
+	outboxSize = 64
+	// reopenPause is the pause after a peer could not be reached.
+	reopenPause = 50 * time.Millisecond
+	// openTime bounds the opening of a way to a peer.
+	openTime = 500 * time.Millisecond
+	// compactAfter is how many entries make a snapshot due.
+	compactAfter = 2000
+)
+
+// Machine is what the replicated log drives. Its methods are called by one
+// worker, in the order of the log.
+type Machine interface {
+	// Apply applies a committed command.
+	Apply(index ctquorum.Index, data []byte) error
+	// Snapshot returns the state that the applied commands made.
+	Snapshot() ([]byte, error)
+	// Restore replaces the state.
+	Restore(data []byte) error
+	// Lead tells that this process leads the epoch.
+	Lead(epoch ctquorum.Epoch)
+	// Follow tells that another process leads, or none.
+	Follow(leader ctquorum.Peer)
+	// Authorize tells until when this process has authority as the leader.
+	Authorize(until time.Time)
+	// Settle tells the outcome of a proposal. Its index is 0 where it was not
+	// committed here.
+	Settle(ticket ctquorum.Ticket, index ctquorum.Index)
+}
+
+// Contact is where another control process is reached.
+type Contact struct {
+	Name    ctid.Control
+	Address netip.AddrPort
+}
+
+// Replica runs the replicated log of a control process.
+type Replica struct {
+	self     ctquorum.Peer
+	disk     *disk
+	contacts []Contact
+	ways     *ctstream.Ways
+	clock    ctclock.Clock
+	logger   zerolog.Logger
+	machine  Machine
+
+	node     cttable.Cell[*ctquorum.Node]
+	pool     ctpool.Pool[ctquorum.Event]
+	outboxes map[ctid.Control]chan *ctframe.Quorum
+	failed   chan error
+}
+
+// Start loads the durable state and starts to take part, until ctx ends.
+func (r *Replica) Start(ctx context.Context, machine Machine, random ctquorum.Random) error {
+	durable, err := r.disk.load()
+	if err != nil {
+		return err
+	}
+	if len(durable.Snapshot.Data) > 0 {
+		if err := machine.Restore(durable.Snapshot.Data); err != nil {
+			return err
+		}
+	}
+	var contacts []ctquorum.Peer
+	for _, c := range r.contacts {
+		contacts = append(contacts, ctquorum.Peer{Name: c.Name})
+	}
+	r.machine = machine
+	r.failed = make(chan error, 1)
+	r.node = cttable.Cell[*ctquorum.Node]{Rank: ctlock.RankQuorum}
+	var held ctlock.Held
+	r.node.With(&held, func(n **ctquorum.Node) {
+		*n = ctquorum.New(r.clock.Now(), r.self, durable, contacts, random)
+	})
+	r.outboxes = make(map[ctid.Control]chan *ctframe.Quorum)
+	for _, c := range r.contacts {
+		outbox := make(chan *ctframe.Quorum, outboxSize)
+		r.outboxes[c.Name] = outbox
+		go r.carry(ctx, c, outbox)
+	}
+	r.pool = ctpool.Pool[ctquorum.Event]{Workers: 1, Handle: r.handle}
+	r.pool.Start()
+	go r.tick(ctx)
+	return nil
+}
+
+// Failed tells when the disk has failed: the process must end, because it can't
+// keep what it promised.
+func (r *Replica) Failed() <-chan error {
+	return r.failed
+}
+
+// Propose asks to append a command. The machine's Settle tells the outcome.
+func (r *Replica) Propose(ticket ctquorum.Ticket, data []byte) {
+	r.pool.Put(0, ctquorum.Propose{Ticket: ticket, Data: data})
+}
+
+// Receive takes a message of another control process. One for an earlier
+// incarnation of this process's disk is dropped.
+func (r *Replica) Receive(frame *ctframe.Quorum) {
+	if frame.To.Name != r.self.Name || (frame.To.Incarnation != 0 && frame.To.Incarnation != r.self.Incarnation) {
+		return
+	}
+	r.pool.Put(0, ctquorum.Received{From: frame.From, Message: frame.Message()})
+}
+
+// Voters returns the voters that this process knows of.
+func (r *Replica) Voters(held *ctlock.Held) []ctquorum.Peer {
+	var voters []ctquorum.Peer
+	r.node.With(held, func(n **ctquorum.Node) { voters = (*n).Voters() })
+	return voters
+}
+
+func (r *Replica) tick(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			r.pool.Stop()
+			return
+		case <-r.clock.After(quorumTick):
+			r.pool.Put(0, ctquorum.Tick{})
+		}
+	}
+}
+
+// handle lets the node decide on an event and performs the effects in order.
+func (r *Replica) handle(held *ctlock.Held, event ctquorum.Event) {
+	var effects []ctquorum.Effect
+	var until time.Time
+	compact := false
+	r.node.With(held, func(n **ctquorum.Node) {
+		effects = (*n).Step(r.clock.Now(), event)
+		until = (*n).AuthorityUntil()
+		compact = (*n).LogLength() > compactAfter
+	})
+	for _, effect := range effects {
+		if err := r.perform(effect); err != nil {
+			r.fail(err)
+			return
+		}
+	}
+	r.machine.Authorize(until)
+	if _, compacted := event.(ctquorum.Compacted); compact && !compacted {
+		r.compact(held)
+	}
+}
+
+// fail tells that the process can't go on.
+func (r *Replica) fail(err error) {
+	select {
+	case r.failed <- err:
+	default:
+	}
+}
+
+func (r *Replica) perform(effect ctquorum.Effect) error {
+	switch e := effect.(type) {
+	case ctquorum.Persist:
+		return r.disk.write(e)
+	case ctquorum.Send:
+		r.send(e)
+	case ctquorum.Apply:
+		return r.apply(e.Entries)
+	case ctquorum.Restore:
+		return r.machine.Restore(e.Snapshot.Data)
+	case ctquorum.Settled:
+		r.machine.Settle(e.Ticket, e.Index)
+	case ctquorum.Rejected:
+		r.machine.Settle(e.Ticket, 0)
+	case ctquorum.Lead:
+		r.machine.Lead(e.Epoch)
+	case ctquorum.Follow:
+		r.machine.Follow(e.Leader)
+	}
+	return nil
+}
+
+func (r *Replica) apply(entries []ctquorum.Entry) error {
+	var failures []error
+	for _, e := range entries {
+		if len(e.Voters) > 0 {
+			r.logger.Info().Str("event", "decision").Str("decision", "control_voters").
+				Interface("voters", e.Voters).Str("why", "committed").Send()
+		}
+		if len(e.Data) > 0 {
+			failures = append(failures, r.machine.Apply(e.Index, e.Data))
+		}
+	}
+	return errors.Join(failures...)
+}
+
+// compact replaces the applied part of the log by a snapshot.
+func (r *Replica) compact(held *ctlock.Held) {
+	data, err := r.machine.Snapshot()
+	if err != nil {
+		r.fail(err)
+		return
+	}
+	var index ctquorum.Index
+	r.node.With(held, func(n **ctquorum.Node) { index = (*n).Applied() })
+	r.handle(held, ctquorum.Compacted{Index: index, Data: data})
+}
+
+// send puts a message into the peer's outbox, or drops it where that is full.
+func (r *Replica) send(e ctquorum.Send) {
+	outbox, ok := r.outboxes[e.To.Name]
+	if !ok {
+		return
+	}
+	select {
+	case outbox <- ctframe.NewQuorum(r.self, e.To, e.Message):
+	default:
+	}
+}
+
+// carry sends the messages of an outbox, over a way that is opened again when it
+// fails.
+func (r *Replica) carry(ctx context.Context, contact Contact, outbox <-chan *ctframe.Quorum) {
+	var way *ctstream.Way
+	defer func() {
+		if way != nil {
+			way.Close()
+		}
+	}()
+	for {
+		var frame *ctframe.Quorum
+		select {
+		case <-ctx.Done():
+			return
+		case frame = <-outbox:
+		}
+		if way == nil {
+			if way = r.open(ctx, contact); way == nil {
+				continue
+			}
+		}
+		if err := way.Write(frame); err != nil {
+			way.Close()
+			way = nil
+		}
+	}
+}
+
+func (r *Replica) open(ctx context.Context, contact Contact) *ctstream.Way {
+	opening, cancel := context.WithTimeout(ctx, openTime)
+	defer cancel()
+	way, err := r.ways.Open(opening, contact.Address)
+	if err == nil {
+		return way
+	}
+	select {
+	case <-ctx.Done():
+	case <-r.clock.After(reopenPause):
+	}
+	return nil
+}
--- a/internal/program/ctcontrol/wire_gen.go
+++ b/internal/program/ctcontrol/wire_gen.go
@@ -16,23 +16,24 @@
 
 // Build puts a control process together from its settings.
 func Build(settings ctsettings.Control, clock ctclock.Clock, logger zerolog.Logger) (*Process, error) {
+	v := newContacts(settings)
 	store, err := newStore(settings)
 	if err != nil {
 		return nil, err
 	}
-	journal := newJournal(store)
-	control, err := newControl(settings, journal, clock, logger)
+	bundle, err := newKeys(settings)
 	if err != nil {
 		return nil, err
 	}
-	bundle, err := newKeys(settings)
+	endpoint, err := newEndpoint(settings, bundle)
 	if err != nil {
 		return nil, err
 	}
-	endpoint, err := newEndpoint(settings, bundle)
+	replica, err := newReplica(settings, store, v, endpoint, clock, logger)
 	if err != nil {
 		return nil, err
 	}
-	process := newProcess(settings, control, store, endpoint, logger)
+	control := newControl(settings, v, replica, clock, logger)
+	process := newProcess(settings, control, replica, store, endpoint, logger)
 	return process, nil
 }
--- a/internal/program/ctsettings/control.go
+++ b/internal/program/ctsettings/control.go
@@ -20,7 +20,9 @@
 	Common
 	Name ctid.Control
 	Peer Address
-	Data string
+	// Others are the other control processes.
+	Others Controls
+	Data   string
 	// SilenceTime is how long a proxy or a member may go unheard of before it
 	// counts as gone.
 	SilenceTime time.Duration
@@ -33,6 +35,8 @@
 	textVar(flags, &c.Peer, "peer-listen", "address", "UDP address for the system's other processes")
 	flags.DurationVar(&c.SilenceTime, "silence-time", defaultSilence,
 		"how long a proxy or a member may go unheard of before it counts as gone")
+	textVar(flags, &c.Others, "controls", "names",
+		"the other control processes as name=address, with commas; addresses are UDP")
 	flags.StringVar(&c.Data, "data", "", "data folder, on a disk")
 }
 
--- a/internal/program/ctsettings/values.go
+++ b/internal/program/ctsettings/values.go
@@ -8,6 +8,7 @@
 	"github.com/spf13/pflag"
 
 	"github.com/cherviltrestle/cherviltrestle/internal/model/cterror"
+	"github.com/cherviltrestle/cherviltrestle/internal/model/ctid"
 )
 
 // text is a flag whose value checks itself when it is decoded.
@@ -75,3 +76,31 @@
 	}
 	return nil
 }
+
+// Other is another control process and where it is reached.
+type Other struct {
+	Name    ctid.Control
+	Address netip.AddrPort
+}
+
+// Controls is a list of control processes, written as name=address with commas.
+type Controls []Other
+
+// UnmarshalText decodes a list of control processes.
+func (c *Controls) UnmarshalText(data []byte) error {
+	*c = nil
+	for part := range strings.SplitSeq(string(data), ",") {
+		name, place, _ := strings.Cut(strings.TrimSpace(part), "=")
+		var other Other
+		if err := other.Name.UnmarshalText([]byte(name)); err != nil {
+			return err
+		}
+		var address Address
+		if err := address.UnmarshalText([]byte(place)); err != nil {
+			return err
+		}
+		other.Address = address.AddrPort
+		*c = append(*c, other)
+	}
+	return nil
+}
--- a/internal/program/ctuplink/link.go
+++ b/internal/program/ctuplink/link.go
@@ -5,6 +5,8 @@
 	"net/netip"
 
 	"github.com/cherviltrestle/cherviltrestle/internal/link/ctframe"
+	"github.com/cherviltrestle/cherviltrestle/internal/model/cterror"
+	"github.com/cherviltrestle/cherviltrestle/internal/model/ctview"
 )
 
 // link is a way to the leader of control, which is opened again when it fails.
@@ -45,13 +47,15 @@
 	return address
 }
 
-// redirect goes to the leader that another control process named.
-func (l *link) redirect(leader *netip.AddrPort) {
-	if leader == nil {
-		return
+// redirect goes to the leader that another control process named, or to the next
+// process where it named none.
+func (l *link) redirect(reply *ctview.Reply) error {
+	if !reply.Unready {
+		return nil
 	}
 	l.close()
-	l.leader = leader
+	l.leader = reply.Leader
+	return cterror.New(cterror.Unavailable, "the control process does not lead", "ask another one")
 }
 
 func (l *link) close() {
--- a/internal/program/ctuplink/uplink.go
+++ b/internal/program/ctuplink/uplink.go
@@ -156,16 +156,16 @@
 	defer link.close()
 	var held ctlock.Held
 	for number := uint64(1); ctx.Err() == nil && !u.parted.Load(); number++ {
-		result := "answered"
+		result, pause := "answered", u.Heartbeat
 		if err := u.reportOnce(ctx, link, u.compose(&held, number), &held); err != nil {
-			result = "failed"
+			result, pause = "failed", min(retryPause, u.Heartbeat)
 			u.Logger.Debug().Str("event", "report_failed").Str("error", err.Error()).Send()
 		}
 		u.Metrics.Reports.WithLabelValues(result).Inc()
 		select {
 		case <-ctx.Done():
 		case <-u.wake:
-		case <-u.Clock.After(u.Heartbeat):
+		case <-u.Clock.After(pause):
 		}
 	}
 }
@@ -195,7 +195,9 @@
 		link.close()
 		return cterror.New(cterror.Unavailable, "control gave another answer", "check that all processes have one version")
 	}
-	link.redirect(reply.Leader)
+	if err := link.redirect(&reply.Reply); err != nil {
+		return err
+	}
 	for _, l := range reply.Leases {
 		length := time.Duration(l.Time)
 		u.State.Grant(held, l.Group, l.Term, sent.Add(length-length/driftFraction))
@@ -288,7 +290,9 @@
 		link.close()
 		return cterror.New(cterror.Unavailable, "control gave another answer", "check that all processes have one version")
 	}
-	link.redirect(reply.Leader)
+	if err := link.redirect(&reply.Reply); err != nil {
+		return err
+	}
 	return u.take(held, reply.Delta)
 }
 
--- a/internal/work/ctlock/rank.go
+++ b/internal/work/ctlock/rank.go
@@ -8,6 +8,8 @@
 const (
 	// RankNone is the rank of a mutex that was not set up; it can't be locked.
 	RankNone Rank = iota
+	// RankQuorum guards the node of the replicated log.
+	RankQuorum
 	// RankLedger guards what the leader of control knows.
 	RankLedger
 	// RankAnnouncements guards the announcements that a proxy heard.
