ctproof: prove that control survives kills, freezes, cuts and lost disks

Change: proofs with three control processes: leader killed, frozen and cut off under load; a leader frozen through a change of primary and of configuration; each disk lost in turn. The command line gives each control process 3 s, so that a frozen one leaves time for the others; the change id makes the second try safe.

--- a/internal/lab/ctproof/config_test.go
+++ b/internal/lab/ctproof/config_test.go
@@ -156,3 +156,8 @@
 	}
 	return revision
 }
+
+// revisionAfter returns the revision of a change on top of a base.
+func revisionAfter(base int) ctid.Revision {
+	return ctid.Revision(base) + 1
+}
--- /dev/null
+++ b/internal/lab/ctproof/control_test.go
@@ -0,0 +1,172 @@
+package ctproof
+
+import (
+	"encoding/json"
+	"fmt"
+	"os"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/cherviltrestle/cherviltrestle/internal/lab/ctfleet"
+)
+
+// quorumFleet is a fleet with a control process in each failure domain.
+func quorumFleet() ctfleet.Shape {
+	shape := smallFleet()
+	shape.Controls = 3
+	return shape
+}
+
+// controlStatus is what a control process tells of control.
+type controlStatus struct {
+	Leader string `json:"leader"`
+	Voters []struct {
+		Name        string `json:"name"`
+		Incarnation uint64 `json:"incarnation"`
+	} `json:"voters"`
+}
+
+// statusOf asks a control process; the zero value stands for no answer.
+func statusOf(fleet *ctfleet.Fleet, control *ctfleet.Process) controlStatus {
+	var status controlStatus
+	output, err := fleet.Run("status", "--control-http", control.HTTP.String(), "--output", "json")
+	if err == nil {
+		_ = json.Unmarshal([]byte(output), &status)
+	}
+	return status
+}
+
+// awaitVoters waits until the running control processes agree on three voters,
+// one a name, and on a leader among them.
+func awaitVoters(t *testing.T, fleet *ctfleet.Fleet) {
+	t.Helper()
+	assert.NilError(t, ctfleet.Until("three control processes vote", func() bool {
+		names := make(map[string]bool)
+		for _, c := range fleet.Controls {
+			status := statusOf(fleet, c)
+			if status.Leader == "" || len(status.Voters) != len(fleet.Controls) {
+				return false
+			}
+			for _, v := range status.Voters {
+				names[v.Name] = true
+			}
+		}
+		return len(names) == len(fleet.Controls)
+	}))
+}
+
+// leaderOf returns the control process that leads, other than one that is known
+// to be out of reach.
+func leaderOf(t *testing.T, fleet *ctfleet.Fleet, except *ctfleet.Process) *ctfleet.Process {
+	t.Helper()
+	var leader *ctfleet.Process
+	assert.NilError(t, ctfleet.Until("a control process leads", func() bool {
+		for _, c := range fleet.Controls {
+			if c != except && c.Running() && statusOf(fleet, c).Leader == c.Name {
+				leader = c
+				return true
+			}
+		}
+		return false
+	}))
+	return leader
+}
+
+// assertTakesChanges checks that control accepts a change and that it comes into
+// force everywhere.
+func assertTakesChanges(t *testing.T, fleet *ctfleet.Fleet, base int) {
+	t.Helper()
+	assert.NilError(t, ctfleet.Until("control takes a change", func() bool {
+		_, err := apply(fleet, configuration(t, fmt.Sprintf("%ds", base+1)), base, fmt.Sprintf("change-%d", base))
+		return err == nil
+	}))
+	awaitRevision(t, fleet, revisionAfter(base))
+}
+
+func TestControlSurvives(t *testing.T) {
+	for _, failure := range []struct {
+		name     string
+		do, undo func(t *testing.T, fleet *ctfleet.Fleet, leader *ctfleet.Process)
+	}{
+		{"the kill of its leader", func(_ *testing.T, _ *ctfleet.Fleet, leader *ctfleet.Process) {
+			leader.Kill()
+		}, func(t *testing.T, _ *ctfleet.Fleet, leader *ctfleet.Process) {
+			assert.NilError(t, leader.Start())
+		}},
+		{"the freeze of its leader", func(_ *testing.T, _ *ctfleet.Fleet, leader *ctfleet.Process) {
+			leader.Freeze()
+		}, func(_ *testing.T, _ *ctfleet.Fleet, leader *ctfleet.Process) {
+			leader.Thaw()
+		}},
+		{"a cut of its leader", func(_ *testing.T, fleet *ctfleet.Fleet, leader *ctfleet.Process) {
+			fleet.Net.Isolate(leader.Site, sites...)
+		}, func(_ *testing.T, fleet *ctfleet.Fleet, leader *ctfleet.Process) {
+			fleet.Net.Rejoin(leader.Site, sites...)
+		}},
+	} {
+		t.Run(failure.name, func(t *testing.T) {
+			fleet := start(t, quorumFleet())
+			awaitVoters(t, fleet)
+			old := leaderOf(t, fleet, nil)
+			callers := work(fleet, someCallers, false)
+			callers.awaitMore(t, someWrites)
+			failure.do(t, fleet, old)
+			leaderOf(t, fleet, old)
+			callers.awaitMore(t, someWrites)
+			failure.undo(t, fleet, old)
+			awaitVoters(t, fleet)
+			callers.end()
+			assertTakesChanges(t, fleet, 1)
+			assertTruthful(t, callers, awaitPrimary(t, fleet, fleet.Proxies[0], nil))
+		})
+	}
+}
+
+// TestReturningControlChangesNothing checks that a control process that was
+// frozen through a change of primary and of configuration brings nothing back.
+func TestReturningControlChangesNothing(t *testing.T) {
+	fleet := start(t, quorumFleet())
+	awaitVoters(t, fleet)
+	old := leaderOf(t, fleet, nil)
+	old.Freeze()
+	leaderOf(t, fleet, old)
+	assertTakesChanges(t, fleet, 1)
+	killed := fleet.Members[group][0]
+	killed.Kill()
+	primary := awaitPrimary(t, fleet, fleet.Proxies[1], killed)
+	must(t, open(t, fleet.Proxies[1], nil), "INSERT INTO charts (key, value) VALUES ('m8', '1')")
+	old.Thaw()
+	awaitVoters(t, fleet)
+	for _, proxy := range fleet.Proxies {
+		assert.Assert(t, fleet.Primary(proxy, group) == primary, "%s takes another member for the primary", proxy.Name)
+		view, err := fleet.View(proxy)
+		assert.NilError(t, err)
+		assert.Equal(t, view.Config.Revision, revisionAfter(1))
+	}
+	must(t, open(t, fleet.Proxies[2], nil), "INSERT INTO charts (key, value) VALUES ('m9', '1')")
+}
+
+// TestLostDisks loses the disk of one control process after the other, each once
+// the one before is repaired.
+func TestLostDisks(t *testing.T) {
+	fleet := start(t, quorumFleet())
+	awaitVoters(t, fleet)
+	for i, lost := range fleet.Controls {
+		before := statusOf(fleet, lost)
+		lost.Kill()
+		assert.NilError(t, os.RemoveAll(fleet.DataOf(lost)))
+		assert.NilError(t, lost.Start())
+		assert.NilError(t, ctfleet.Until("the new disk votes in place of the lost one", func() bool {
+			now := statusOf(fleet, lost)
+			return len(now.Voters) == len(fleet.Controls) && fmt.Sprint(now.Voters) != fmt.Sprint(before.Voters)
+		}))
+		awaitVoters(t, fleet)
+		assertTakesChanges(t, fleet, i+1)
+	}
+	output, err := fleet.Run("config", "history", "--control-http", fleet.ControlHTTP())
+	assert.NilError(t, err)
+	for i := range fleet.Controls {
+		assert.Assert(t, contains(output, fmt.Sprintf("change-%d", i+1)), output)
+	}
+}
--- a/internal/program/ctcommand/client.go
+++ b/internal/program/ctcommand/client.go
@@ -14,8 +14,10 @@
 	"github.com/cherviltrestle/cherviltrestle/internal/program/ctsettings"
 )
 
-// callTime bounds one call of an operator.
-const callTime = 10 * time.Second
+// callTime bounds one call of one control process, so that one that does not
+// answer leaves time for the others. A change that was sent twice for that is
+// accepted once, because it has one id.
+const callTime = 3 * time.Second
 
 // The forms of output.
 const (
@@ -52,11 +54,9 @@
 	if err := c.check(); err != nil {
 		return err
 	}
-	ctx, cancel := context.WithTimeout(ctx, callTime)
-	defer cancel()
 	var err error
 	for _, address := range c.control {
-		err = cthttp.Call(ctx, http.DefaultClient, method, "http://"+address.String()+path, body, answer)
+		err = callOne(ctx, method, "http://"+address.String()+path, body, answer)
 		if cterror.KindOf(err) != cterror.Unavailable {
 			return err
 		}
@@ -64,6 +64,12 @@
 	return err
 }
 
+func callOne(ctx context.Context, method, url string, body, answer any) error {
+	ctx, cancel := context.WithTimeout(ctx, callTime)
+	defer cancel()
+	return cthttp.Call(ctx, http.DefaultClient, method, url, body, answer)
+}
+
 // print writes a value as JSON where that was asked for, and as text by show
 // otherwise.
 func (c *client) print(command *cobra.Command, value any, show func()) error {
