--- a/internal/decide/ctquorum/cluster_test.go
+++ b/internal/decide/ctquorum/cluster_test.go
@@ -43,9 +43,12 @@
 	message  ctquorum.Message
 }
 
-// newCluster returns a cluster of the stated size, of which the first process
-// has begun the fleet and the others have empty disks.
-func newCluster(size int, seed uint64) *cluster {
+// size is how many processes a cluster has.
+const size = 3
+
+// newCluster returns a cluster of which the first process has begun the fleet and
+// the others have empty disks.
+func newCluster(seed uint64) *cluster {
 	c := &cluster{
 		now:     time.Unix(0, 0),
 		random:  rand.New(rand.NewPCG(seed, 0)),
--- a/internal/decide/ctquorum/node_test.go
+++ b/internal/decide/ctquorum/node_test.go
@@ -54,14 +54,14 @@
 
 func TestCluster(t *testing.T) {
 	t.Run("grows from one process", func(t *testing.T) {
-		c := newCluster(3, 1)
+		c := newCluster(1)
 		c.run(settleTime)
 		assertVoters(t, c, c.members[0].peer, c.members[1].peer, c.members[2].peer)
 		propose(t, c, 1)
 		assertApplied(t, c, "command 1")
 	})
 	t.Run("goes on without its leader, which catches up", func(t *testing.T) {
-		c := newCluster(3, 2)
+		c := newCluster(2)
 		c.run(settleTime)
 		propose(t, c, 1)
 		lost := c.leader()
@@ -73,7 +73,7 @@
 		assertApplied(t, c, "command 1", "command 2")
 	})
 	t.Run("commits nothing without a majority", func(t *testing.T) {
-		c := newCluster(3, 3)
+		c := newCluster(3)
 		c.run(settleTime)
 		leader := c.leader()
 		for _, m := range c.members {
@@ -87,7 +87,7 @@
 		assert.Assert(t, c.leader() == nil, "a leader without a majority has authority")
 	})
 	t.Run("is not disturbed by a process that was cut off for long", func(t *testing.T) {
-		c := newCluster(3, 4)
+		c := newCluster(4)
 		c.run(settleTime)
 		leader := c.leader()
 		var outside ctid.Control
@@ -104,7 +104,7 @@
 		assertNoFaults(t, c)
 	})
 	t.Run("repairs a lost disk, and a second right after the first", func(t *testing.T) {
-		c := newCluster(3, 5)
+		c := newCluster(5)
 		c.run(settleTime)
 		propose(t, c, 1)
 		for ticket, m := range c.members {
@@ -116,7 +116,7 @@
 		assertApplied(t, c, "command 1", "command 2", "command 3", "command 4")
 	})
 	t.Run("never elects from two lost disks of three", func(t *testing.T) {
-		c := newCluster(3, 6)
+		c := newCluster(6)
 		c.run(settleTime)
 		propose(t, c, 1)
 		c.loseDisk(c.members[0])
@@ -126,7 +126,7 @@
 		assertNoFaults(t, c)
 	})
 	t.Run("brings a process up from a snapshot", func(t *testing.T) {
-		c := newCluster(3, 7)
+		c := newCluster(7)
 		c.run(settleTime)
 		propose(t, c, 1)
 		for _, m := range c.members {
@@ -156,7 +156,7 @@
 // have authority at one time.
 func TestClusterIsSafe(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		c := newCluster(3, rapid.Uint64().Draw(t, "seed"))
+		c := newCluster(rapid.Uint64().Draw(t, "seed"))
 		c.run(settleTime)
 		for range rapid.IntRange(200, 1500).Draw(t, "steps") {
 			c.happen()
--- a/internal/lab/ctexperiment/idle.go
+++ b/internal/lab/ctexperiment/idle.go
@@ -19,13 +19,18 @@
 	ProxyTraffic float64 `json:"proxy_bytes_per_second"`
 }
 
+// silentBeats is how many heartbeats a proxy may miss.
+const silentBeats = 4
+
 // idleTime is how long an idle fleet is measured.
 const idleTime = 5 * time.Second
 
 // Idle measures what the processes of a fleet spend while no caller asks.
-func Idle(ctx context.Context, programs string, proxiesAtSite int) (*IdleReport, error) {
+func Idle(ctx context.Context, programs string, proxiesAtSite int, heartbeat time.Duration) (*IdleReport, error) {
 	s := shape()
 	s.Proxies = proxiesAtSite
+	s.Heartbeat = heartbeat
+	s.Silence = silentBeats * heartbeat
 	fleet, end, err := begin(programs, s)
 	if err != nil {
 		return nil, err
@@ -61,7 +66,7 @@
 		return u, err
 	}
 	u.controls, err = spentByAll(fleet.Controls)
-	u.traffic = fleet.Traffic()
+	u.traffic = fleet.Traffic(fleet.Proxies)
 	return u, err
 }
 
@@ -72,7 +77,7 @@
 		Proxies:        count,
 		ProxyPercent:   percent * (after.proxies - before.proxies).Seconds() / idleTime.Seconds() / float64(count),
 		ControlPercent: percent * (after.controls - before.controls).Seconds() / idleTime.Seconds(),
-		ProxyTraffic:   2 * float64(after.traffic-before.traffic) / idleTime.Seconds() / float64(count),
+		ProxyTraffic:   float64(after.traffic-before.traffic) / idleTime.Seconds() / float64(count),
 	}
 	var err error
 	if report.ControlBytes, err = resident(fleet.Controls[0]); err != nil {
--- a/internal/lab/ctfleet/fleet.go
+++ b/internal/lab/ctfleet/fleet.go
@@ -43,6 +43,9 @@
 	// Silence is the control processes' silence time; their default where it
 	// is 0.
 	Silence time.Duration
+	// Heartbeat is the time between two reports of a proxy; their default where
+	// it is 0.
+	Heartbeat time.Duration
 }
 
 // Options are the settings of Start.
@@ -110,9 +113,14 @@
 	return all
 }
 
-// Traffic returns how many bytes the processes have sent to each other.
-func (f *Fleet) Traffic() int64 {
-	return f.Net.Bytes()
+// Traffic returns how many bytes the stated processes have sent to and received
+// from other processes of the system.
+func (f *Fleet) Traffic(processes []*Process) int64 {
+	var sum int64
+	for _, p := range processes {
+		sum += f.Net.Bytes(p.Peer.Port())
+	}
+	return sum
 }
 
 // ProxiesAt returns the proxies of a failure domain.
@@ -241,6 +249,9 @@
 			"--http-listen", p.HTTP.String(), "--keys", f.keysOf(p.Name), "--log-level", f.LogLevel,
 			"--control-address", fronts(f.Controls, ""), "--workers", "2",
 		}
+		if f.Shape.Heartbeat > 0 {
+			p.arguments = append(p.arguments, "--heartbeat", f.Shape.Heartbeat.String())
+		}
 		if peers := fronts(f.ProxiesAt(p.Site), p.Name); peers != "" {
 			p.arguments = append(p.arguments, "--peer-address", peers)
 		}
--- a/internal/lab/ctlabcommand/experiment.go
+++ b/internal/lab/ctlabcommand/experiment.go
@@ -16,6 +16,9 @@
 // defaultRuns is how many failovers are measured where nothing is said.
 const defaultRuns = 10
 
+// defaultHeartbeat is that of the proxies.
+const defaultHeartbeat = 250 * time.Millisecond
+
 // The defaults of a load.
 const (
 	defaultSessions = 20
@@ -29,6 +32,7 @@
 		Short: "Measure fleets of processes on loopback; results are JSON",
 	}
 	var runs, proxies int
+	var heartbeat time.Duration
 	path := experiment("path", "Compare the path through the proxies with a direct connection",
 		func(command *cobra.Command, programs string) (any, error) {
 			return ctexperiment.Path(command.Context(), programs)
@@ -40,9 +44,10 @@
 	failover.Flags().IntVar(&runs, "runs", defaultRuns, "failovers of each sort")
 	idle := experiment("idle", "Measure what an idle fleet spends",
 		func(command *cobra.Command, programs string) (any, error) {
-			return ctexperiment.Idle(command.Context(), programs, proxies)
+			return ctexperiment.Idle(command.Context(), programs, proxies, heartbeat)
 		})
 	idle.Flags().IntVar(&proxies, "proxies", 1, "proxies in each of three failure domains")
+	idle.Flags().DurationVar(&heartbeat, "heartbeat", defaultHeartbeat, "time between two reports of a proxy")
 	command.AddCommand(path, failover, idle)
 	return command
 }
--- a/internal/lab/ctrelay/net.go
+++ b/internal/lab/ctrelay/net.go
@@ -27,7 +27,7 @@
 	delays map[link]time.Duration
 	cuts   map[link]bool
 	sites  map[uint16]Site
-	bytes  int64
+	bytes  map[uint16]int64
 }
 
 // Place tells the site of the process that sends from a UDP port.
@@ -85,19 +85,30 @@
 
 // pass returns how long a packet takes between two sites, and whether it gets
 // there.
-func (n *Net) pass(a, b Site, size int) (time.Duration, bool) {
+func (n *Net) pass(a, b Site) (time.Duration, bool) {
 	n.mutex.Lock()
 	defer n.mutex.Unlock()
 	l := linkOf(a, b)
-	n.bytes += int64(size)
 	return n.delays[l], !n.cuts[l]
 }
 
-// Bytes returns how many bytes of packets all relays of the net have passed on.
-func (n *Net) Bytes() int64 {
+// Bytes returns how many bytes of packets the process at a UDP port has sent and
+// received.
+func (n *Net) Bytes(port uint16) int64 {
 	n.mutex.Lock()
 	defer n.mutex.Unlock()
-	return n.bytes
+	return n.bytes[port]
+}
+
+// count counts a packet for the processes at both of its ends.
+func (n *Net) count(a, b uint16, size int) {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	if n.bytes == nil {
+		n.bytes = make(map[uint16]int64)
+	}
+	n.bytes[a] += int64(size)
+	n.bytes[b] += int64(size)
 }
 
 // siteOf returns the site of a port; the empty one where it is not known.
--- a/internal/lab/ctrelay/relay.go
+++ b/internal/lab/ctrelay/relay.go
@@ -83,7 +83,8 @@
 		if err != nil {
 			return
 		}
-		if delay, ok := r.net.pass(s.site, r.site, count); ok {
+		r.net.count(from.Port(), r.process.Port(), count)
+		if delay, ok := r.net.pass(s.site, r.site); ok {
 			s.out.send(buffer[:count], delay)
 		}
 	}
@@ -124,7 +125,8 @@
 			}
 			continue
 		}
-		if delay, ok := r.net.pass(r.site, s.site, count); ok {
+		r.net.count(s.address.Port(), r.process.Port(), count)
+		if delay, ok := r.net.pass(r.site, s.site); ok {
 			s.back.send(buffer[:count], delay)
 		}
 	}
--- a/internal/link/ctframe/fleet.go
+++ b/internal/link/ctframe/fleet.go
@@ -21,6 +21,8 @@
 // Position asks a primary's holder for the group's position.
 type Position struct {
 	Group ctid.Group `cbor:"group"`
+	// Every is how often the asker asks.
+	Every time.Duration `cbor:"every,omitempty"`
 }
 
 // At answers Position. Its point is zero where the holder has no valid lease.
--- a/internal/program/ctholding/confirmer.go
+++ b/internal/program/ctholding/confirmer.go
@@ -22,8 +22,9 @@
 	peerTime = time.Second
 	// peerPause is the pause after a peer could not be reached.
 	peerPause = 20 * time.Millisecond
-	// markInterval is the time between two questions for the group's position.
-	markInterval = 100 * time.Millisecond
+	// markInterval is the time between two questions for the group's position
+	// while nobody asks for young data.
+	markInterval = 500 * time.Millisecond
 )
 
 // Peers opens ways to other proxies.
@@ -182,6 +183,7 @@
 		if !ok || m.status.Received.Term != group.Term {
 			return
 		}
+		m.demand.ask(now, position.Every)
 		answer.Point = m.status.Received
 		answer.Ago = now.Sub(m.sampledAt)
 	})
@@ -197,11 +199,20 @@
 		w.markOnce(peer)
 		select {
 		case <-w.watching.Done():
-		case <-w.holding.Clock.After(markInterval):
+		case <-w.holding.Clock.After(w.markPause(&peer.held)):
 		}
 	}
 }
 
+// markPause returns how long to wait before the next question.
+func (w *watch) markPause(held *ctlock.Held) time.Duration {
+	pause := markInterval
+	w.holding.members.With(held, func(map[ctid.Member]*member) {
+		pause = w.demand.interval(w.holding.Clock.Now(), markInterval)
+	})
+	return pause
+}
+
 func (w *watch) markOnce(peer *peerWay) {
 	group, ok := w.holding.State.View(&peer.held).Groups[w.group]
 	if !ok || group.Primary == w.name || group.Primary == "" {
@@ -210,7 +221,7 @@
 	ctx, cancel := context.WithTimeout(w.watching, peerTime)
 	defer cancel()
 	asked := w.holding.Clock.Now()
-	answer, err := peer.ask(ctx, group.Primary, &ctframe.Position{Group: w.group})
+	answer, err := peer.ask(ctx, group.Primary, &ctframe.Position{Group: w.group, Every: w.markPause(&peer.held)})
 	if err != nil {
 		return
 	}
--- a/internal/program/ctholding/member.go
+++ b/internal/program/ctholding/member.go
@@ -35,6 +35,7 @@
 	group ctid.Group
 
 	announced ctserver.Announcement
+	demand    demand
 	leaving   bool
 	locked    bool
 	health    ctview.Health
--- a/internal/program/ctholding/monitor.go
+++ b/internal/program/ctholding/monitor.go
@@ -15,8 +15,9 @@
 
 // The times of a monitor.
 const (
-	// pollInterval is the time between two status queries.
-	pollInterval = 50 * time.Millisecond
+	// pollInterval is the time between two status queries while nobody asks for
+	// young data.
+	pollInterval = 500 * time.Millisecond
 	// hastyInterval is the time between two while someone waits for the member.
 	hastyInterval = 2 * time.Millisecond
 	// pollTimeout is how long a status query may take.
@@ -161,6 +162,7 @@
 	var held ctlock.Held
 	interval := pollInterval
 	w.holding.members.With(&held, func(map[ctid.Member]*member) {
+		interval = w.demand.interval(w.holding.Clock.Now(), pollInterval)
 		if w.watch.Len() > 0 {
 			interval = hastyInterval
 		}
