ctholding: split files by their one type, share what stood twice

Cause: a reading as a newcomer: confirmer.go held the way to other holders, the confirmations and the ages; the CBOR modes and the asking of a question stood twice; a few names were used by nothing.

--- a/internal/decide/ctregister/register.go
+++ b/internal/decide/ctregister/register.go
@@ -6,7 +6,6 @@
 
 	"github.com/cherviltrestle/cherviltrestle/internal/model/ctconfig"
 	"github.com/cherviltrestle/cherviltrestle/internal/model/ctid"
-	"github.com/cherviltrestle/cherviltrestle/internal/model/ctposition"
 	"github.com/cherviltrestle/cherviltrestle/internal/model/ctview"
 )
 
@@ -127,9 +126,3 @@
 	}
 	return GroupSet{Name: name, Taken: true}
 }
-
-// Terms returns the highest term that is decided on the group, be it in force
-// or being moved to.
-func Terms(group ctview.Group) ctposition.Term {
-	return max(group.Term, group.Fence)
-}
--- a/internal/decide/ctroute/choice.go
+++ b/internal/decide/ctroute/choice.go
@@ -38,9 +38,8 @@
 
 // The grounds of a choice.
 const (
-	WhyWrite          Why = "write_needs_primary"
-	WhyLocalReplica   Why = "replica_in_own_failure_domain"
-	WhyRemoteReplica  Why = "replica_with_lowest_expected_delay"
-	WhyNoReplicaLeft  Why = "no_replica_left"
-	WhyReadsAtPrimary Why = "reads_set_to_primary"
+	WhyWrite         Why = "write_needs_primary"
+	WhyLocalReplica  Why = "replica_in_own_failure_domain"
+	WhyRemoteReplica Why = "replica_with_lowest_expected_delay"
+	WhyNoReplicaLeft Why = "no_replica_left"
 )
--- a/internal/link/ctbackend/run.go
+++ b/internal/link/ctbackend/run.go
@@ -24,7 +24,6 @@
 	TypeCommandComplete = 'C'
 	TypeErrorResponse   = 'E'
 	TypeReadyForQuery   = 'Z'
-	TypeParseComplete   = '1'
 	TypeCopyIn          = 'G'
 	TypeCopyOut         = 'H'
 	TypeCopyBoth        = 'W'
--- /dev/null
+++ b/internal/link/ctcbor/mode.go
@@ -0,0 +1,49 @@
+package ctcbor
+
+import "github.com/fxamacker/cbor/v2"
+
+// The bounds of what is decoded.
+const (
+	maxNesting  = 16
+	maxElements = 1 << 20
+)
+
+var (
+	encoder = newEncoder()
+	decoder = newDecoder()
+)
+
+func newEncoder() cbor.EncMode {
+	mode, err := cbor.EncOptions{
+		TextMarshaler: cbor.TextMarshalerTextString,
+		Time:          cbor.TimeRFC3339Nano,
+	}.EncMode()
+	if err != nil {
+		panic(err)
+	}
+	return mode
+}
+
+func newDecoder() cbor.DecMode {
+	mode, err := cbor.DecOptions{
+		TextUnmarshaler:  cbor.TextUnmarshalerTextString,
+		DupMapKey:        cbor.DupMapKeyEnforcedAPF,
+		IndefLength:      cbor.IndefLengthForbidden,
+		MaxNestedLevels:  maxNesting,
+		MaxArrayElements: maxElements,
+	}.DecMode()
+	if err != nil {
+		panic(err)
+	}
+	return mode
+}
+
+// Marshal encodes a value.
+func Marshal(value any) ([]byte, error) {
+	return encoder.Marshal(value)
+}
+
+// Unmarshal decodes a value.
+func Unmarshal(data []byte, value any) error {
+	return decoder.Unmarshal(data, value)
+}
--- a/internal/link/ctframe/codec.go
+++ b/internal/link/ctframe/codec.go
@@ -4,9 +4,9 @@
 	"encoding/binary"
 	"io"
 
-	"github.com/fxamacker/cbor/v2"
 	"github.com/pkg/errors"
 
+	"github.com/cherviltrestle/cherviltrestle/internal/link/ctcbor"
 	"github.com/cherviltrestle/cherviltrestle/internal/model/cterror"
 )
 
@@ -16,39 +16,9 @@
 // headerBytes is the size of the length and the kind.
 const headerBytes = 5
 
-var (
-	encoder = newEncoder()
-	decoder = newDecoder()
-)
-
-func newEncoder() cbor.EncMode {
-	mode, err := cbor.EncOptions{
-		TextMarshaler: cbor.TextMarshalerTextString,
-		Time:          cbor.TimeRFC3339Nano,
-	}.EncMode()
-	if err != nil {
-		panic(err)
-	}
-	return mode
-}
-
-func newDecoder() cbor.DecMode {
-	mode, err := cbor.DecOptions{
-		TextUnmarshaler:  cbor.TextUnmarshalerTextString,
-		DupMapKey:        cbor.DupMapKeyEnforcedAPF,
-		IndefLength:      cbor.IndefLengthForbidden,
-		MaxNestedLevels:  16,
-		MaxArrayElements: 1 << 20,
-	}.DecMode()
-	if err != nil {
-		panic(err)
-	}
-	return mode
-}
-
 // Encode returns the frame as bytes.
 func Encode(frame Frame) ([]byte, error) {
-	body, err := encoder.Marshal(frame)
+	body, err := ctcbor.Marshal(frame)
 	if err != nil {
 		return nil, errors.Wrap(err, "encode frame")
 	}
@@ -100,7 +70,7 @@
 		return nil, cterror.Newf(cterror.Invalid, "upgrade this process", "frame kind %d is unknown", wireKind)
 	}
 	frame := blank()
-	if err := decoder.Unmarshal(body, frame); err != nil {
+	if err := ctcbor.Unmarshal(body, frame); err != nil {
 		return nil, cterror.Wrap(cterror.Invalid, err, "decode frame", "check that both processes have one version")
 	}
 	if c, ok := frame.(checker); ok {
--- a/internal/link/ctrecord/quorum.go
+++ b/internal/link/ctrecord/quorum.go
@@ -4,6 +4,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/cherviltrestle/cherviltrestle/internal/decide/ctquorum"
+	"github.com/cherviltrestle/cherviltrestle/internal/link/ctcbor"
 )
 
 // record is what the disk of a control process holds under one key.
@@ -19,14 +20,14 @@
 
 // Encode returns a record as bytes.
 func Encode[R record](value R) ([]byte, error) {
-	data, err := encoder.Marshal(value)
+	data, err := ctcbor.Marshal(value)
 	return data, errors.Wrap(err, "encode a record")
 }
 
 // Decode decodes a record.
 func Decode[R record](data []byte) (R, error) {
 	var value R
-	if err := decoder.Unmarshal(data, &value); err != nil {
+	if err := ctcbor.Unmarshal(data, &value); err != nil {
 		return value, damaged(err)
 	}
 	return value, nil
--- a/internal/link/ctrecord/record.go
+++ b/internal/link/ctrecord/record.go
@@ -1,10 +1,10 @@
 package ctrecord
 
 import (
-	"github.com/fxamacker/cbor/v2"
 	"github.com/pkg/errors"
 
 	"github.com/cherviltrestle/cherviltrestle/internal/decide/ctregister"
+	"github.com/cherviltrestle/cherviltrestle/internal/link/ctcbor"
 	"github.com/cherviltrestle/cherviltrestle/internal/model/cterror"
 )
 
@@ -15,37 +15,9 @@
 	kindSetGroup
 )
 
-var (
-	encoder = newEncoder()
-	decoder = newDecoder()
-)
-
-func newEncoder() cbor.EncMode {
-	mode, err := cbor.EncOptions{
-		TextMarshaler: cbor.TextMarshalerTextString,
-		Time:          cbor.TimeRFC3339Nano,
-	}.EncMode()
-	if err != nil {
-		panic(err)
-	}
-	return mode
-}
-
-func newDecoder() cbor.DecMode {
-	mode, err := cbor.DecOptions{
-		TextUnmarshaler: cbor.TextUnmarshalerTextString,
-		DupMapKey:       cbor.DupMapKeyEnforcedAPF,
-		IndefLength:     cbor.IndefLengthForbidden,
-	}.DecMode()
-	if err != nil {
-		panic(err)
-	}
-	return mode
-}
-
 // EncodeCommand returns a command as bytes.
 func EncodeCommand(command ctregister.Command) ([]byte, error) {
-	body, err := encoder.Marshal(command)
+	body, err := ctcbor.Marshal(command)
 	if err != nil {
 		return nil, errors.Wrap(err, "encode a command")
 	}
@@ -67,13 +39,13 @@
 	switch data[0] {
 	case kindConfigure:
 		var c ctregister.Configure
-		if err := decoder.Unmarshal(data[1:], &c); err != nil {
+		if err := ctcbor.Unmarshal(data[1:], &c); err != nil {
 			return nil, damaged(err)
 		}
 		return c, c.Change.Check()
 	case kindSetGroup:
 		var c ctregister.SetGroup
-		if err := decoder.Unmarshal(data[1:], &c); err != nil {
+		if err := ctcbor.Unmarshal(data[1:], &c); err != nil {
 			return nil, damaged(err)
 		}
 		return c, c.Group.Check()
@@ -83,14 +55,14 @@
 
 // EncodeRegister returns a snapshot of the register.
 func EncodeRegister(register *ctregister.Register) ([]byte, error) {
-	data, err := encoder.Marshal(register)
+	data, err := ctcbor.Marshal(register)
 	return data, errors.Wrap(err, "encode a snapshot")
 }
 
 // DecodeRegister decodes a snapshot of the register.
 func DecodeRegister(data []byte) (*ctregister.Register, error) {
 	var register ctregister.Register
-	if err := decoder.Unmarshal(data, &register); err != nil {
+	if err := ctcbor.Unmarshal(data, &register); err != nil {
 		return nil, damaged(err)
 	}
 	return &register, nil
--- a/internal/model/ctoutcome/reason.go
+++ b/internal/model/ctoutcome/reason.go
@@ -12,8 +12,6 @@
 	ReasonNoGroup Reason = "no_such_group"
 	// ReasonNoPrimary means that the group has no primary that this proxy knows of.
 	ReasonNoPrimary Reason = "no_primary"
-	// ReasonNoReplica means that no member can serve a read of the accepted age.
-	ReasonNoReplica Reason = "no_replica_fresh_enough"
 	// ReasonNoHolder means that no live proxy holds the member's connections.
 	ReasonNoHolder Reason = "no_holder"
 	// ReasonHolderUnreachable means that the holder could not be reached.
--- a/internal/program/ctentry/cancel.go
+++ b/internal/program/ctentry/cancel.go
@@ -6,7 +6,6 @@
 	"sync"
 	"time"
 
-	"github.com/cherviltrestle/cherviltrestle/internal/decide/ctroute"
 	"github.com/cherviltrestle/cherviltrestle/internal/decide/ctsession"
 	"github.com/cherviltrestle/cherviltrestle/internal/link/ctframe"
 	"github.com/cherviltrestle/cherviltrestle/internal/link/ctpg"
@@ -61,8 +60,3 @@
 		_, _ = way.Read()
 	}
 }
-
-// hintOf returns what a holder told as a hint for routing.
-func hintOf(hint ctframe.Hint, now time.Time) ctroute.Hint {
-	return ctroute.Hint{Applied: hint.Applied, Wait: hint.Wait, At: now}
-}
--- a/internal/program/ctentry/conversation.go
+++ b/internal/program/ctentry/conversation.go
@@ -7,6 +7,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/cherviltrestle/cherviltrestle/internal/decide/ctroute"
 	"github.com/cherviltrestle/cherviltrestle/internal/decide/ctsession"
 	"github.com/cherviltrestle/cherviltrestle/internal/link/ctframe"
 	"github.com/cherviltrestle/cherviltrestle/internal/link/ctpg"
@@ -329,5 +330,9 @@
 
 // learn keeps what the holder told of the member.
 func (c *conversation) learn(f ctsession.Send, hint ctframe.Hint) {
-	c.entry.State.Learn(&c.held, f.Choice.Member, hintOf(hint, c.entry.Clock.Now()))
+	c.entry.State.Learn(&c.held, f.Choice.Member, ctroute.Hint{
+		Applied: hint.Applied,
+		Wait:    hint.Wait,
+		At:      c.entry.Clock.Now(),
+	})
 }
--- /dev/null
+++ b/internal/program/ctholding/meter.go
@@ -0,0 +1,85 @@
+package ctholding
+
+import (
+	"context"
+	"time"
+
+	"github.com/cherviltrestle/cherviltrestle/internal/link/ctframe"
+	"github.com/cherviltrestle/cherviltrestle/internal/model/ctid"
+	"github.com/cherviltrestle/cherviltrestle/internal/work/ctlock"
+)
+
+// markInterval is the time between two questions for the group's position while
+// nobody asks for young data.
+const markInterval = 500 * time.Millisecond
+
+// driftFraction bounds how much the rates of two clocks differ: by one part in
+// so many.
+const driftFraction = 100
+
+// meter asks the primary's holder for the group's position again and again, so
+// that the age of the replica's data is known.
+func (w *watch) meter() {
+	peer := &peerWay{holding: w.holding}
+	defer peer.close()
+	for w.watching.Err() == nil {
+		w.markOnce(peer)
+		select {
+		case <-w.watching.Done():
+		case <-w.holding.Clock.After(w.markPause(&peer.held)):
+		}
+	}
+}
+
+// markPause returns how long to wait before the next question.
+func (w *watch) markPause(held *ctlock.Held) time.Duration {
+	pause := markInterval
+	w.holding.members.With(held, func(map[ctid.Member]*member) {
+		pause = w.demand.interval(w.holding.Clock.Now(), markInterval)
+	})
+	return pause
+}
+
+func (w *watch) markOnce(peer *peerWay) {
+	group, ok := w.holding.State.View(&peer.held).Groups[w.group]
+	if !ok || group.Primary == w.name || group.Primary == "" {
+		return
+	}
+	ctx, cancel := context.WithTimeout(w.watching, peerTime)
+	defer cancel()
+	asked := w.holding.Clock.Now()
+	answer, err := peer.ask(ctx, group.Primary, &ctframe.Position{Group: w.group, Every: w.markPause(&peer.held)})
+	if err != nil {
+		return
+	}
+	if at, ok := answer.(*ctframe.At); ok && !at.Point.Zero() {
+		w.put(marked{asked: asked.Add(-drifted(at.Ago)), point: at.Point})
+	}
+}
+
+// drifted returns the longest time that may have passed here while another
+// process measured d.
+func drifted(d time.Duration) time.Duration {
+	return d + d/driftFraction
+}
+
+// ServePosition answers a replica's holder that asks for the group's position.
+// The answer is empty where this proxy has no valid lease for it.
+func (h *Holding) ServePosition(held *ctlock.Held, position *ctframe.Position) *ctframe.At {
+	answer := &ctframe.At{Group: position.Group}
+	now := h.Clock.Now()
+	group := h.State.View(held).Groups[position.Group]
+	if !h.State.Leased(held, position.Group, group.Term, now) {
+		return answer
+	}
+	h.members.With(held, func(rows map[ctid.Member]*member) {
+		m, ok := rows[group.Primary]
+		if !ok || m.status.Received.Term != group.Term {
+			return
+		}
+		m.demand.ask(now, position.Every)
+		answer.Point = m.status.Received
+		answer.Ago = now.Sub(m.sampledAt)
+	})
+	return answer
+}
--- a/internal/program/ctuplink/link.go
+++ b/internal/program/ctuplink/link.go
@@ -7,6 +7,7 @@
 	"github.com/cherviltrestle/cherviltrestle/internal/link/ctframe"
 	"github.com/cherviltrestle/cherviltrestle/internal/model/cterror"
 	"github.com/cherviltrestle/cherviltrestle/internal/model/ctview"
+	"github.com/cherviltrestle/cherviltrestle/internal/program/ctstream"
 )
 
 // link is a way to the leader of control, which is opened again when it fails.
@@ -28,7 +29,7 @@
 		}
 		l.way = way
 	}
-	answer, err := exchange(ctx, l.way, frame)
+	answer, err := ctstream.Ask(ctx, l.way, frame)
 	if err != nil {
 		l.close()
 	}
@@ -64,13 +65,3 @@
 		l.way = nil
 	}
 }
-
-// exchange writes a frame and reads the answer, until ctx ends.
-func exchange(ctx context.Context, way Way, frame ctframe.Frame) (ctframe.Frame, error) {
-	stop := context.AfterFunc(ctx, way.Close)
-	defer stop()
-	if err := way.Write(frame); err != nil {
-		return nil, err
-	}
-	return way.Read()
-}
--- a/internal/program/ctuplink/uplink.go
+++ b/internal/program/ctuplink/uplink.go
@@ -15,6 +15,7 @@
 	"github.com/cherviltrestle/cherviltrestle/internal/model/ctview"
 	"github.com/cherviltrestle/cherviltrestle/internal/program/ctmetric"
 	"github.com/cherviltrestle/cherviltrestle/internal/program/ctstate"
+	"github.com/cherviltrestle/cherviltrestle/internal/program/ctstream"
 	"github.com/cherviltrestle/cherviltrestle/internal/work/ctclock"
 	"github.com/cherviltrestle/cherviltrestle/internal/work/ctlock"
 	"github.com/cherviltrestle/cherviltrestle/internal/work/cttable"
@@ -317,7 +318,7 @@
 		return err
 	}
 	defer way.Close()
-	answer, err := exchange(ctx, way, &ctframe.Fetch{Version: u.State.View(held).Version})
+	answer, err := ctstream.Ask(ctx, way, &ctframe.Fetch{Version: u.State.View(held).Version})
 	if err != nil {
 		return err
 	}
--- a/internal/work/ctlock/mutex.go
+++ b/internal/work/ctlock/mutex.go
@@ -11,11 +11,6 @@
 	ranks []Rank
 }
 
-// Empty reports whether no lock is held.
-func (h *Held) Empty() bool {
-	return len(h.ranks) == 0
-}
-
 func (h *Held) top() Rank {
 	if len(h.ranks) == 0 {
 		return RankNone
--- a/internal/work/ctlock/rank.go
+++ b/internal/work/ctlock/rank.go
@@ -30,6 +30,4 @@
 	RankMembers
 	// RankLog guards a stand-in's log of writes.
 	RankLog
-	// RankCounters guards counts that others read.
-	RankCounters
 )
