ctholding: follow views in their order, and race no announcement

Looking at it, the two streams could also follow their views in the other order, and put the closing and the reopening of a queue in the other order. Change: an older view is passed over; the events of the queue are put while the table is locked; the line uses what does not change. Also: proofs that a replaced primary serves no read, that lagging replicas lose nothing acknowledged, and that connections are reset.

--- a/internal/lab/ctproof/failover_test.go
+++ b/internal/lab/ctproof/failover_test.go
@@ -28,6 +28,13 @@
 			assert.NilError(t, fleet.SetFaults(fleet.Members[group][1], ctstandin.Faults{ReceiveLag: 2000}))
 			fleet.Members[group][0].Kill()
 		}},
+		{"when the primary is killed and both replicas lag", func(t *testing.T, fleet *ctfleet.Fleet) {
+			for _, replica := range fleet.Members[group][1:] {
+				assert.NilError(t, fleet.SetFaults(replica, ctstandin.Faults{ReceiveLag: 100}))
+			}
+			time.Sleep(300 * time.Millisecond)
+			fleet.Members[group][0].Kill()
+		}},
 		{"when the primary is frozen", func(_ *testing.T, fleet *ctfleet.Fleet) {
 			fleet.Members[group][0].Freeze()
 		}},
@@ -107,6 +114,34 @@
 	return shape
 }
 
+// readsAtPrimary sends all reads of sessions that declare nothing to the primary.
+const readsAtPrimary = `
+defaults:
+  reads:
+    plain_selects: primary
+groups:
+  - name: fit-registry
+    size: 3
+`
+
+// TestReplacedPrimaryServesNoRead checks that a primary that was cut off and
+// replaced shows nobody its old rows as the primary's.
+func TestReplacedPrimaryServesNoRead(t *testing.T) {
+	shape := controlElsewhere()
+	shape.Config = readsAtPrimary
+	fleet := start(t, shape)
+	must(t, open(t, fleet.Proxies[0], nil), "INSERT INTO charts (key, value) VALUES ('m8', 'old')")
+	assertReads(t, fleet.Proxies[0], nil, "old")
+	isolate(t, fleet, 0)
+	awaitPrimary(t, fleet, fleet.Proxies[1], fleet.Members[group][0])
+	must(t, open(t, fleet.Proxies[1], nil), "UPDATE charts SET value = 'new' WHERE key = 'm8'")
+	values, err := run(open(t, fleet.Proxies[0], nil), readKey)
+	assert.Equal(t, classify(err), toldNotRun, "%v", values)
+	rejoin(t, fleet, 0)
+	assert.NilError(t, fleet.AwaitReady())
+	assertReads(t, fleet.Proxies[0], nil, "new")
+}
+
 func TestNoPromotionWithoutMajority(t *testing.T) {
 	fleet := start(t, smallFleet())
 	must(t, open(t, fleet.Proxies[1], nil), "INSERT INTO charts (key, value) VALUES ('m8', '21.5')")
--- a/internal/lab/ctproof/limits_test.go
+++ b/internal/lab/ctproof/limits_test.go
@@ -81,6 +81,19 @@
 	})
 }
 
+// TestConnectionsAreReset checks that a transaction finds nothing of what an
+// earlier one left on the connection that both got.
+func TestConnectionsAreReset(t *testing.T) {
+	shape := smallFleet()
+	shape.Slots, shape.Connections = 1, 3
+	fleet := start(t, shape)
+	first, second := open(t, fleet.Proxies[0], nil), open(t, fleet.Proxies[0], nil)
+	must(t, first, "BEGIN")
+	must(t, first, "SET LOCAL default_transaction_read_only = on")
+	must(t, first, "COMMIT")
+	must(t, second, "INSERT INTO charts (key, value) VALUES ('m8', '1')")
+}
+
 // running returns a proxy that runs.
 func running(fleet *ctfleet.Fleet) *ctfleet.Process {
 	for _, p := range fleet.Proxies {
--- a/internal/program/ctholding/holding.go
+++ b/internal/program/ctholding/holding.go
@@ -55,6 +55,9 @@
 	news    func()
 
 	draining atomic.Bool
+	// followed is the newest view that was followed. It belongs to the table
+	// of members.
+	followed ctview.Version
 }
 
 // happening is an event of a held member.
@@ -121,47 +124,56 @@
 }
 
 // Follow starts to hold the members that the view names this proxy for, and
-// lets go of the others.
+// lets go of the others. A view that is older than one that was followed before
+// changes nothing.
 func (h *Holding) Follow(held *ctlock.Held, view *ctview.View) {
 	wanted := h.wanted(view)
-	var started []*watch
-	var kept []*member
-	var ended []ctid.Member
+	var begun []*watch
 	h.members.With(held, func(rows map[ctid.Member]*member) {
+		if view.Version < h.followed {
+			return
+		}
+		h.followed = view.Version
 		for name, announced := range wanted {
-			row, ok := rows[name]
-			if !ok {
-				row = newMember(h, announced, view)
-				rows[name] = row
-			}
-			row.announced = announced
-			row.abortEarlier(view.Groups[row.group])
-			if !ok || row.leaving {
-				started = append(started, row.begin())
-				continue
+			if w := h.take(rows, announced, view); w != nil {
+				begun = append(begun, w)
 			}
-			kept = append(kept, row)
+			rows[name].hasten()
 		}
 		for name, row := range rows {
 			if _, ok := wanted[name]; !ok && !row.leaving {
 				row.leaving = true
 				row.stop()
-				ended = append(ended, name)
+				h.put(name, queued{event: ctadmit.Close{}})
 			}
 		}
 	})
-	for _, m := range kept {
-		m.hasten()
-	}
-	for _, w := range started {
+	for _, w := range begun {
 		h.logPlacement(w.member, "hold", "highest_rank_in_failure_domain")
-		h.put(w.name, queued{event: ctadmit.Reopen{}})
 		go w.monitor()
 		go w.meter()
 	}
-	for _, name := range ended {
-		h.put(name, queued{event: ctadmit.Close{}})
+}
+
+// take holds a member that the view names this proxy for. It returns the watch
+// to start, or nil where the member is held already. It is called while the
+// table of members is locked, so that the events of the queue keep the order of
+// the views.
+func (h *Holding) take(
+	rows map[ctid.Member]*member, announced ctserver.Announcement, view *ctview.View,
+) *watch {
+	row, ok := rows[announced.Member]
+	if !ok {
+		row = newMember(h, announced, view)
+		rows[announced.Member] = row
+	}
+	row.announced = announced
+	row.abortEarlier(view.Groups[row.group])
+	if ok && !row.leaving {
+		return nil
 	}
+	h.put(announced.Member, queued{event: ctadmit.Reopen{}})
+	return row.begin()
 }
 
 // wanted returns the members that the view names this proxy for.
@@ -184,8 +196,8 @@
 
 func (h *Holding) logPlacement(m *member, decision string, why string) {
 	ctlog.Decision(&h.Logger, decision).
-		Str("group", string(m.announced.Group)).
-		Str("member", string(m.announced.Member)).
+		Str("group", string(m.group)).
+		Str("member", string(m.name)).
 		Str("why", why).
 		Send()
 }
