--- a/internal/lab/ctproof/failover_test.go
+++ b/internal/lab/ctproof/failover_test.go
@@ -39,7 +39,7 @@
 			fleet.Members[group][0].Freeze()
 		}},
 		{"when the primary's failure domain is cut off", func(t *testing.T, fleet *ctfleet.Fleet) {
-			isolate(t, fleet, 0)
+			isolate(t, fleet)
 		}},
 		{"when the primary's holder is killed", func(_ *testing.T, fleet *ctfleet.Fleet) {
 			fleet.Proxies[0].Kill()
@@ -59,19 +59,19 @@
 	}
 }
 
-// isolate cuts a failure domain off from the others: its processes, and its
-// member's replication.
-func isolate(t *testing.T, fleet *ctfleet.Fleet, site int) {
+// isolate cuts the first failure domain, where the primary begins, off from the
+// others: its processes, and its member's replication.
+func isolate(t *testing.T, fleet *ctfleet.Fleet) {
 	t.Helper()
-	fleet.Net.Isolate(sites[site], sites...)
-	assert.NilError(t, fleet.SetFaults(fleet.Members[group][site], ctstandin.Faults{Isolated: true}))
+	fleet.Net.Isolate(sites[0], sites...)
+	assert.NilError(t, fleet.SetFaults(fleet.Members[group][0], ctstandin.Faults{Isolated: true}))
 }
 
 // rejoin ends an isolate.
-func rejoin(t *testing.T, fleet *ctfleet.Fleet, site int) {
+func rejoin(t *testing.T, fleet *ctfleet.Fleet) {
 	t.Helper()
-	fleet.Net.Rejoin(sites[site], sites...)
-	assert.NilError(t, fleet.SetFaults(fleet.Members[group][site], ctstandin.Faults{}))
+	fleet.Net.Rejoin(sites[0], sites...)
+	assert.NilError(t, fleet.SetFaults(fleet.Members[group][0], ctstandin.Faults{}))
 }
 
 func TestNoAcknowledgementByReplacedPrimary(t *testing.T) {
@@ -79,14 +79,14 @@
 		fleet := start(t, controlElsewhere())
 		callers := work(fleet, someCallers, false)
 		callers.awaitMore(t, someWrites)
-		isolate(t, fleet, 0)
+		isolate(t, fleet)
 		primary := awaitPrimary(t, fleet, fleet.Proxies[1], fleet.Members[group][0])
 		cutOff := open(t, fleet.Proxies[0], nil)
 		_, err := run(cutOff, "INSERT INTO tests (key, value) VALUES ('cut-off', 'x')")
 		assert.Assert(t, classify(err) != toldRan, "a replaced primary acknowledged a write")
 		callers.awaitMore(t, someWrites)
 		callers.end()
-		rejoin(t, fleet, 0)
+		rejoin(t, fleet)
 		assert.NilError(t, fleet.AwaitReady())
 		assertTruthful(t, callers, primary)
 	})
@@ -132,12 +132,12 @@
 	fleet := start(t, shape)
 	must(t, open(t, fleet.Proxies[0], nil), "INSERT INTO charts (key, value) VALUES ('m8', 'old')")
 	assertReads(t, fleet.Proxies[0], nil, "old")
-	isolate(t, fleet, 0)
+	isolate(t, fleet)
 	awaitPrimary(t, fleet, fleet.Proxies[1], fleet.Members[group][0])
 	must(t, open(t, fleet.Proxies[1], nil), "UPDATE charts SET value = 'new' WHERE key = 'm8'")
 	values, err := run(open(t, fleet.Proxies[0], nil), readKey)
 	assert.Equal(t, classify(err), toldNotRun, "%v", values)
-	rejoin(t, fleet, 0)
+	rejoin(t, fleet)
 	assert.NilError(t, fleet.AwaitReady())
 	assertReads(t, fleet.Proxies[0], nil, "new")
 }
@@ -160,10 +160,10 @@
 	fleet := start(t, controlElsewhere())
 	callers := work(fleet, someCallers, true)
 	callers.awaitMore(t, someWrites)
-	isolate(t, fleet, 0)
+	isolate(t, fleet)
 	primary := awaitPrimary(t, fleet, fleet.Proxies[1], fleet.Members[group][0])
 	callers.awaitMore(t, someWrites)
-	rejoin(t, fleet, 0)
+	rejoin(t, fleet)
 	callers.end()
 	assert.NilError(t, fleet.AwaitReady())
 	assertTruthful(t, callers, primary)
