ctframe: check all names, and take reports of members never sampled

Cause: fuzzing (6 s of FuzzDecode) found an Open without a caller that passed its check. Reading on: other frames did not check their names either, and a report of a member that was never sampled could not be decoded, because its empty role is none; the proxy would then have been without control until the sample came. Before: the found input and TestReportOfMemberNeverSampled fail.

--- a/internal/link/ctframe/codec_test.go
+++ b/internal/link/ctframe/codec_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"errors"
 	"io"
+	"net/netip"
 	"testing"
 	"time"
 
@@ -13,6 +14,8 @@
 	"github.com/cherviltrestle/cherviltrestle/internal/model/cterror"
 	"github.com/cherviltrestle/cherviltrestle/internal/model/ctid"
 	"github.com/cherviltrestle/cherviltrestle/internal/model/ctposition"
+	"github.com/cherviltrestle/cherviltrestle/internal/model/ctserver"
+	"github.com/cherviltrestle/cherviltrestle/internal/model/ctview"
 )
 
 // open is a frame with most of its fields set.
@@ -96,3 +99,17 @@
 		assert.NilError(t, err)
 	})
 }
+
+func TestReportOfMemberNeverSampled(t *testing.T) {
+	report := &ctframe.Report{}
+	report.Proxy = ctview.Proxy{
+		Name: "proxy-1", FailureDomain: "taipei-a", Address: netip.MustParseAddrPort("127.0.0.1:1"), Incarnation: 1,
+		State: ctserver.StateReady,
+	}
+	report.Held = []ctview.Held{{Group: "fit-registry", Member: "fit-0", Health: ctview.HealthDown}}
+	frame, err := ctframe.Read(bytes.NewReader(encode(t, report)))
+	assert.NilError(t, err)
+	read, ok := frame.(*ctframe.Report)
+	assert.Assert(t, ok)
+	assert.DeepEqual(t, read.Held, report.Held)
+}
--- a/internal/link/ctframe/exchange.go
+++ b/internal/link/ctframe/exchange.go
@@ -41,6 +41,9 @@
 	if err := o.Member.Check(); err != nil {
 		return err
 	}
+	if err := o.Caller.Check(); err != nil {
+		return err
+	}
 	return checkPayload(o.Payload)
 }
 
@@ -109,6 +112,11 @@
 	Member  ctid.Member  `cbor:"member"`
 }
 
+// Check reports the first fault of the frame.
+func (c *Cancel) Check() error {
+	return c.Member.Check()
+}
+
 func (*Open) kind() kind    { return kindOpen }
 func (*Next) kind() kind    { return kindNext }
 func (*Answer) kind() kind  { return kindAnswer }
--- a/internal/link/ctframe/fleet.go
+++ b/internal/link/ctframe/fleet.go
@@ -77,6 +77,26 @@
 	Remedy  string `cbor:"remedy"`
 }
 
+// Check reports the first fault of the frame.
+func (p *Position) Check() error {
+	return p.Group.Check()
+}
+
+// Check reports the first fault of the frame.
+func (a *At) Check() error {
+	return a.Group.Check()
+}
+
+// Check reports the first fault of the frame.
+func (a *Await) Check() error {
+	return a.Member.Check()
+}
+
+// Check reports the first fault of the frame.
+func (r *Received) Check() error {
+	return r.Member.Check()
+}
+
 func (*Report) kind() kind   { return kindReport }
 func (*Reply) kind() kind    { return kindReply }
 func (*Position) kind() kind { return kindPosition }
--- a/internal/model/ctserver/status.go
+++ b/internal/model/ctserver/status.go
@@ -11,7 +11,7 @@
 
 // Status is a member's answer to StatusQuery.
 type Status struct {
-	Role Role `json:"role" cbor:"role"`
+	Role Role `json:"role,omitempty" cbor:"role,omitempty"`
 	// Received is the point up to which the member holds the log durably.
 	Received ctposition.Point `json:"received" cbor:"received"`
 	// Applied is the point up to which the member's reads show the log.
--- a/internal/model/ctview/report.go
+++ b/internal/model/ctview/report.go
@@ -43,6 +43,14 @@
 	Surrendered ctposition.Term `json:"surrendered,omitempty" cbor:"surrendered,omitempty"`
 }
 
+// Check reports the first fault of the account.
+func (h *Held) Check() error {
+	if err := h.Group.Check(); err != nil {
+		return err
+	}
+	return h.Member.Check()
+}
+
 // Report is what a proxy tells control at each heartbeat.
 type Report struct {
 	// Number counts the reports of the proxy's run. The reply repeats it.
@@ -74,6 +82,11 @@
 			return err
 		}
 	}
+	for i := range r.Held {
+		if err := r.Held[i].Check(); err != nil {
+			return err
+		}
+	}
 	return nil
 }
 
@@ -102,6 +115,11 @@
 
 // Check reports the first fault of the reply.
 func (r *Reply) Check() error {
+	for _, l := range r.Leases {
+		if err := l.Group.Check(); err != nil {
+			return err
+		}
+	}
 	if r.Delta == nil {
 		return nil
 	}
