ctproof: cancel a statement through another proxy

Cause: a caller's cancel was tested at the decoder only. Change: a proof that cancels a statement which runs on a member that another proxy holds, and goes on with the session.

--- /dev/null
+++ b/internal/lab/ctproof/cancel_test.go
@@ -0,0 +1,34 @@
+package ctproof
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// TestCancel checks that a caller's cancel ends the statement that its session
+// runs, on another proxy's member, and that the session goes on.
+func TestCancel(t *testing.T) {
+	fleet := start(t, smallFleet())
+	session := open(t, fleet.Proxies[1], nil)
+	must(t, session, "BEGIN")
+	ended := make(chan error, 1)
+	go func() {
+		_, err := run(session, "SELECT pg_sleep(50)")
+		ended <- err
+	}()
+	ctx, cancel := context.WithTimeout(context.Background(), callTime)
+	defer cancel()
+	for {
+		assert.NilError(t, session.CancelRequest(ctx))
+		select {
+		case err := <-ended:
+			assert.ErrorContains(t, err, "57014")
+			must(t, session, "ROLLBACK")
+			return
+		case <-time.After(50 * time.Millisecond):
+		}
+	}
+}
