ctdrift: state the bound on clock rates once, decide once

Cause: a reading of the whole change. The bound on the difference of clock rates, on which leases, authority and ages rest, stood in four packages and could have come apart; ctfailover worked a decision out twice to tell what blocks it, on every tick and report; the roster sorted all proxies and members 50 times a second to find those that expired; one field was written and never read. Change: ctdrift.AtMost and AtLeast; Decide returns the decision and what stands in its way; only what expired is sorted; the dead field and a wrapper are gone.

--- a/internal/decide/ctfailover/decide.go
+++ b/internal/decide/ctfailover/decide.go
@@ -36,20 +36,9 @@
 	Why   Why
 }
 
-// Decide returns the next decision on the group, if one is due.
-func (m *Machine) Decide(now time.Time, group ctview.Group) ctset.Option[Proposal] {
-	proposal, _ := m.decide(now, group)
-	return proposal
-}
-
-// Blocked tells what stands in the way of a change that is wanted, or
-// BlockedNone.
-func (m *Machine) Blocked(now time.Time, group ctview.Group) Why {
-	_, blocked := m.decide(now, group)
-	return blocked
-}
-
-func (m *Machine) decide(now time.Time, group ctview.Group) (ctset.Option[Proposal], Why) {
+// Decide returns the next decision on the group, if one is due, and otherwise
+// what stands in the way of a change that is wanted, or BlockedNone.
+func (m *Machine) Decide(now time.Time, group ctview.Group) (ctset.Option[Proposal], Why) {
 	switch {
 	case group.Term == 0 && group.Fence == 0:
 		return m.adopt(now, group)
--- a/internal/decide/ctfailover/doc.go
+++ b/internal/decide/ctfailover/doc.go
@@ -11,7 +11,7 @@
 primary of the new term. A write is acknowledged only after a majority has
 received it, so that member holds every acknowledged write.
 
-No change is made while fewer members than a majority answer; Why tells so.
+No change is made while fewer members than a majority answer; Decide tells so.
 
 # Leases
 
@@ -22,9 +22,11 @@
 
 # Usage
 
-	machine := ctfailover.New(declared, leaseTime, now)
+	machine := &ctfailover.Machine{Size: 3, LeaseTime: leaseTime, SilenceTime: silenceTime}
+	machine.Begin(now, longestLease)
 	machine.Report(now, held)
-	if proposal, ok := machine.Decide(now, group).Get(); ok {
+	proposal, blocked := machine.Decide(now, group)
+	if p, due := proposal.Get(); due {
 		...
 	}
 */
--- a/internal/decide/ctfailover/machine.go
+++ b/internal/decide/ctfailover/machine.go
@@ -3,16 +3,13 @@
 import (
 	"time"
 
+	"github.com/cherviltrestle/cherviltrestle/internal/model/ctdrift"
 	"github.com/cherviltrestle/cherviltrestle/internal/model/ctid"
 	"github.com/cherviltrestle/cherviltrestle/internal/model/ctposition"
 	"github.com/cherviltrestle/cherviltrestle/internal/model/ctserver"
 	"github.com/cherviltrestle/cherviltrestle/internal/model/ctview"
 )
 
-// driftFraction bounds how much the rates of two clocks differ: by one part in
-// so many.
-const driftFraction = 100
-
 // adoptTime is how long a group that control knows nothing of may go without a
 // member that says it is the primary before one is chosen.
 const adoptTime = 5 * time.Second
@@ -42,7 +39,7 @@
 // the earlier one granted: none of them lasts longer than longest.
 func (m *Machine) Begin(now time.Time, longest time.Duration) {
 	m.began = now
-	m.leasedUntil = now.Add(allowance(longest))
+	m.leasedUntil = now.Add(ctdrift.AtMost(longest))
 	m.accounts = make(map[ctid.Member]account)
 }
 
@@ -66,18 +63,13 @@
 	case held.Surrendered >= group.Term, held.Health != ctview.HealthUp:
 		return false
 	}
-	until := now.Add(allowance(m.LeaseTime))
+	until := now.Add(ctdrift.AtMost(m.LeaseTime))
 	if until.After(m.leasedUntil) {
 		m.leasedUntil = until
 	}
 	return true
 }
 
-// allowance returns how long this clock may run while another one measures d.
-func allowance(d time.Duration) time.Duration {
-	return d + d/driftFraction
-}
-
 // majority returns how many members make a majority of the group.
 func (m *Machine) majority() int {
 	return m.Size/2 + 1
--- a/internal/decide/ctfailover/machine_test.go
+++ b/internal/decide/ctfailover/machine_test.go
@@ -52,17 +52,19 @@
 
 func assertBlocked(t *testing.T, m *ctfailover.Machine, now time.Time, group ctview.Group, want ctfailover.Why) {
 	t.Helper()
-	_, due := m.Decide(now, group).Get()
+	decided, blocked := m.Decide(now, group)
+	_, due := decided.Get()
 	assert.Assert(t, !due, "a decision was made")
-	assert.Equal(t, m.Blocked(now, group), want)
+	assert.Equal(t, blocked, want)
 }
 
 func assertDecides(
 	t *testing.T, m *ctfailover.Machine, now time.Time, group ctview.Group, want ctfailover.Why,
 ) ctview.Group {
 	t.Helper()
-	proposal, due := m.Decide(now, group).Get()
-	assert.Assert(t, due, "no decision was made: %s", m.Blocked(now, group))
+	decided, blocked := m.Decide(now, group)
+	proposal, due := decided.Get()
+	assert.Assert(t, due, "no decision was made: %s", blocked)
 	assert.Equal(t, proposal.Why, want)
 	return proposal.Group
 }
--- a/internal/decide/ctquorum/node.go
+++ b/internal/decide/ctquorum/node.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"time"
+
+	"github.com/cherviltrestle/cherviltrestle/internal/model/ctdrift"
 )
 
 // The times of elections and heartbeats.
@@ -17,9 +19,6 @@
 	heartbeatTime = 60 * time.Millisecond
 	// joinTime is the time between two asks to join.
 	joinTime = 300 * time.Millisecond
-	// driftFraction bounds how much the rates of two clocks differ: by one
-	// part in so many.
-	driftFraction = 100
 )
 
 // maxEntries is how many entries one message carries at most.
@@ -150,7 +149,7 @@
 		return time.Time{}
 	}
 	slices.SortFunc(answered, func(a, b time.Time) int { return b.Compare(a) })
-	return answered[needed-1].Add(ElectionTime - ElectionTime/driftFraction)
+	return answered[needed-1].Add(ctdrift.AtLeast(ElectionTime))
 }
 
 func majority(voters []Peer) int {
--- a/internal/fleet/ctroster/roster.go
+++ b/internal/fleet/ctroster/roster.go
@@ -39,7 +39,6 @@
 	heard   time.Time
 	// revision is the configuration that the proxy has in force.
 	revision ctid.Revision
-	inForce  ctview.Version
 }
 
 type member struct {
@@ -104,7 +103,6 @@
 	}
 	row.heard = now
 	row.revision = report.Revision
-	row.inForce = report.Version
 	if row.entry != report.Proxy {
 		row.entry = report.Proxy
 		row.version = r.next()
@@ -162,22 +160,34 @@
 // times, and returns the names of the proxies.
 func (r *Roster) Expire(proxySince, memberSince time.Time) []ctid.Proxy {
 	var expired []ctid.Proxy
-	for _, name := range slices.Sorted(maps.Keys(r.proxies)) {
-		if r.proxies[name].heard.Before(proxySince) {
-			delete(r.proxies, name)
-			r.leave(gone{proxy: name})
+	for name, row := range r.proxies {
+		if row.heard.Before(proxySince) {
 			expired = append(expired, name)
 		}
 	}
-	for _, name := range slices.Sorted(maps.Keys(r.members)) {
-		if r.members[name].heard.Before(memberSince) {
-			delete(r.members, name)
-			r.leave(gone{member: name})
-		}
+	slices.Sort(expired)
+	for _, name := range expired {
+		delete(r.proxies, name)
+		r.leave(gone{proxy: name})
 	}
+	r.expireMembers(memberSince)
 	return expired
 }
 
+func (r *Roster) expireMembers(since time.Time) {
+	var expired []ctid.Member
+	for name, row := range r.members {
+		if row.heard.Before(since) {
+			expired = append(expired, name)
+		}
+	}
+	slices.Sort(expired)
+	for _, name := range expired {
+		delete(r.members, name)
+		r.leave(gone{member: name})
+	}
+}
+
 // Unconfirmed returns the proxies that do not have the revision in force yet.
 func (r *Roster) Unconfirmed(revision ctid.Revision) []ctid.Proxy {
 	var names []ctid.Proxy
--- a/internal/program/ctcontrol/change.go
+++ b/internal/program/ctcontrol/change.go
@@ -21,7 +21,7 @@
 	outcome := make(chan ctregister.Result, 1)
 	var err error
 	c.ledger.With(held, func(l *ledger) {
-		if !l.leads() {
+		if !l.leading {
 			err = notLeading(l)
 			return
 		}
--- a/internal/program/ctcontrol/control.go
+++ b/internal/program/ctcontrol/control.go
@@ -83,7 +83,7 @@
 		case <-c.Clock.After(tickInterval):
 		}
 		c.ledger.With(&held, func(l *ledger) {
-			if l.leads() {
+			if l.leading {
 				c.tick(c.Clock.Now(), l)
 			}
 		})
@@ -95,7 +95,7 @@
 	reply := &ctview.Reply{Number: report.Number}
 	c.ledger.With(held, func(l *ledger) {
 		now := c.Clock.Now()
-		if !l.leads() {
+		if !l.leading {
 			c.refuse(l, reply)
 			return
 		}
@@ -147,7 +147,7 @@
 		reply := &ctview.Reply{}
 		wake := make(chan struct{})
 		c.ledger.With(held, func(l *ledger) {
-			if !l.leads() {
+			if !l.leading {
 				c.refuse(l, reply)
 				return
 			}
@@ -192,10 +192,10 @@
 	}
 	group := l.register.Groups[name]
 	group.Name = name
-	machine := l.machines[name]
-	proposal, due := machine.Decide(now, group).Get()
+	decided, blocked := l.machines[name].Decide(now, group)
+	proposal, due := decided.Get()
 	if !due {
-		c.logBlocked(l, name, machine.Blocked(now, group))
+		c.logBlocked(l, name, blocked)
 		return
 	}
 	l.proposed[name] = now
--- a/internal/program/ctcontrol/ledger.go
+++ b/internal/program/ctcontrol/ledger.go
@@ -38,11 +38,6 @@
 	watchers []chan struct{}
 }
 
-// leads reports whether this process leads control.
-func (l *ledger) leads() bool {
-	return l.leading
-}
-
 // moving reports whether a decision on the group is proposed and not applied.
 func (l *ledger) moving(name ctid.Group) bool {
 	_, ok := l.proposed[name]
--- a/internal/program/ctcontrol/machine.go
+++ b/internal/program/ctcontrol/machine.go
@@ -25,7 +25,7 @@
 		if len(l.waiters) > 0 {
 			l.results[index] = result
 		}
-		if l.leads() {
+		if l.leading {
 			c.takeEffect(l, command, result)
 		}
 	})
--- a/internal/program/ctholding/meter.go
+++ b/internal/program/ctholding/meter.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/cherviltrestle/cherviltrestle/internal/link/ctframe"
+	"github.com/cherviltrestle/cherviltrestle/internal/model/ctdrift"
 	"github.com/cherviltrestle/cherviltrestle/internal/model/ctid"
 	"github.com/cherviltrestle/cherviltrestle/internal/work/ctlock"
 )
@@ -13,10 +14,6 @@
 // nobody asks for young data.
 const markInterval = 500 * time.Millisecond
 
-// driftFraction bounds how much the rates of two clocks differ: by one part in
-// so many.
-const driftFraction = 100
-
 // meter asks the primary's holder for the group's position again and again, so
 // that the age of the replica's data is known.
 func (w *watch) meter() {
@@ -53,16 +50,10 @@
 		return
 	}
 	if at, ok := answer.(*ctframe.At); ok && !at.Point.Zero() {
-		w.put(marked{asked: asked.Add(-drifted(at.Ago)), point: at.Point})
+		w.put(marked{asked: asked.Add(-ctdrift.AtMost(at.Ago)), point: at.Point})
 	}
 }
 
-// drifted returns the longest time that may have passed here while another
-// process measured d.
-func drifted(d time.Duration) time.Duration {
-	return d + d/driftFraction
-}
-
 // ServePosition answers a replica's holder that asks for the group's position.
 // The answer is empty where this proxy has no valid lease for it.
 func (h *Holding) ServePosition(held *ctlock.Held, position *ctframe.Position) *ctframe.At {
--- a/internal/program/ctuplink/uplink.go
+++ b/internal/program/ctuplink/uplink.go
@@ -9,6 +9,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/cherviltrestle/cherviltrestle/internal/link/ctframe"
+	"github.com/cherviltrestle/cherviltrestle/internal/model/ctdrift"
 	"github.com/cherviltrestle/cherviltrestle/internal/model/cterror"
 	"github.com/cherviltrestle/cherviltrestle/internal/model/ctid"
 	"github.com/cherviltrestle/cherviltrestle/internal/model/ctserver"
@@ -32,9 +33,6 @@
 	// repeatTime is how long an announcement counts after it was heard: it is
 	// reported again until then, so that control knows that the member lives.
 	repeatTime = 3 * time.Second
-	// driftFraction bounds how much the rates of two clocks differ: by one
-	// part in so many.
-	driftFraction = 100
 )
 
 // Way is a stream of frames to another process.
@@ -200,8 +198,7 @@
 		return err
 	}
 	for _, l := range reply.Leases {
-		length := time.Duration(l.Time)
-		u.State.Grant(held, l.Group, l.Term, sent.Add(length-length/driftFraction))
+		u.State.Grant(held, l.Group, l.Term, sent.Add(ctdrift.AtLeast(time.Duration(l.Time))))
 	}
 	return u.take(held, reply.Delta)
 }
