ctfailover: say that no majority answers, also in a change

Two of three members were killed one after the other. Control heard that the primary was down before it heard of the other one, counted two live members, and fenced the group. Then only one answered, but the reason stayed majority_not_fenced_yet, which sends an operator to look for a fence instead of for two dead members. Ruled out: a lost report (the holder of the second member says not ready), a promotion (the term stayed 1), the test's own bound (the state never changes). Change: promote counts the members that answer before it asks for the fence. Before: the new subtest of TestPromote failed with majority_not_fenced_yet. After: it passes with fewer_members_than_a_majority_answer. Conclusion: the test was right, the reason was wrong.

--- a/internal/decide/ctfailover/decide.go
+++ b/internal/decide/ctfailover/decide.go
@@ -97,6 +97,9 @@
 	if !m.leaseOver(now, group) {
 		return none(), BlockedLease
 	}
+	if _, _, answering := m.best(func(a account) bool { return m.alive(now, a) }); answering < m.majority() {
+		return none(), BlockedMajority
+	}
 	best, point, count := m.best(func(a account) bool {
 		return m.alive(now, a) && a.held.Status.Fence >= group.Fence
 	})
--- a/internal/decide/ctfailover/machine_test.go
+++ b/internal/decide/ctfailover/machine_test.go
@@ -154,6 +154,13 @@
 		m.Report(now, account("c", ctserver.RoleReplica, 1, 128))
 		assertBlocked(t, m, now, moving, ctfailover.BlockedFence)
 	})
+	t.Run("says that no majority answers any more", func(t *testing.T) {
+		m := newMachine()
+		later := now.Add(silenceTime + time.Millisecond)
+		m.Report(now, account("b", ctserver.RoleReplica, 1, 64))
+		m.Report(later, fenced(account("c", ctserver.RoleReplica, 1, 128), 2))
+		assertBlocked(t, m, later, moving, ctfailover.BlockedMajority)
+	})
 	t.Run("takes the member that holds most", func(t *testing.T) {
 		m := newMachine()
 		m.Report(now, fenced(account("b", ctserver.RoleReplica, 1, 64), 2))
