ctexperiment: measure reads and overload on the two deployments

Change: ctlab experiment share and overload start the fleet of a deployment (15 proxies, 3 control processes, 3 groups of 3, with its slots, connections, connect time and delays) and put open-loop load on it; replicas lag and reads accept ages by steps. Load tells reasons, what ran in time, and its writes, which are compared with the primaries' logs.

--- /dev/null
+++ b/internal/lab/ctexperiment/audit.go
@@ -0,0 +1,64 @@
+package ctexperiment
+
+import (
+	"github.com/cherviltrestle/cherviltrestle/internal/lab/ctfleet"
+	"github.com/cherviltrestle/cherviltrestle/internal/lab/ctload"
+)
+
+// Audit compares what callers were told of their writes with the logs of the
+// members.
+type Audit struct {
+	Acknowledged int `json:"acknowledged"`
+	Unknown      int `json:"unknown"`
+	// Lost were acknowledged and are in no log of a primary.
+	Lost int `json:"lost"`
+	// Doubled are in a log more than once.
+	Doubled int `json:"doubled"`
+	// Denied are in a log although the caller was told that they did not run.
+	Denied int `json:"denied"`
+}
+
+// audit reads the logs of the primaries.
+func audit(fleet *ctfleet.Fleet, writes []ctload.Write) (*Audit, error) {
+	counts := make(map[ctload.Write]int)
+	for _, name := range fleet.Shape.Groups {
+		var primary *ctfleet.Process
+		err := ctfleet.Until("a proxy knows the primary of "+name, func() bool {
+			primary = fleet.Primary(fleet.Proxies[len(fleet.Proxies)-1], name)
+			return primary != nil
+		})
+		if err != nil {
+			return nil, err
+		}
+		entries, err := fleet.Log(primary)
+		if err != nil {
+			return nil, err
+		}
+		for _, e := range entries {
+			counts[ctload.Write{Group: name, Key: e.Key}]++
+		}
+	}
+	result := &Audit{}
+	for _, w := range writes {
+		result.add(w, counts[ctload.Write{Group: w.Group, Key: w.Key}])
+	}
+	return result, nil
+}
+
+// add counts a write that is so many times in the log.
+func (a *Audit) add(w ctload.Write, count int) {
+	if count > 1 {
+		a.Doubled++
+	}
+	switch {
+	case w.Outcome == ctload.OutcomeUnknown:
+		a.Unknown++
+	case w.Outcome == ctload.OutcomeNotRun && count > 0:
+		a.Denied++
+	case w.Outcome == ctload.OutcomeRan:
+		a.Acknowledged++
+		if count == 0 {
+			a.Lost++
+		}
+	}
+}
--- /dev/null
+++ b/internal/lab/ctexperiment/deployment.go
@@ -0,0 +1,115 @@
+package ctexperiment
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/cherviltrestle/cherviltrestle/internal/lab/ctfleet"
+	"github.com/cherviltrestle/cherviltrestle/internal/lab/ctrelay"
+)
+
+// Deployment describes the fleet of one user.
+type Deployment struct {
+	Name        string
+	Sites       []ctrelay.Site
+	Groups      []string
+	Slots       int
+	Connections int
+	// Connect is how long a new connection to a member takes.
+	Connect time.Duration
+	// Between is how long a packet takes from one failure domain to another.
+	Between time.Duration
+}
+
+// Every deployment has this many proxies in a failure domain and control
+// processes, and a statement takes this time on a member.
+const (
+	deploymentProxies  = 5
+	deploymentControls = 3
+	serviceTime        = 20 * time.Millisecond
+)
+
+// DeploymentNamed returns the deployment of a user by the name of its groups.
+func DeploymentNamed(name string) (*Deployment, error) {
+	switch name {
+	case "fit-registry":
+		return &Deployment{
+			Name:        name,
+			Sites:       []ctrelay.Site{"taipei-a", "taichung-a", "kaohsiung-a"},
+			Groups:      groupsOf(name),
+			Slots:       5,
+			Connections: 75,
+			Connect:     12 * time.Millisecond,
+			Between:     1500 * time.Microsecond,
+		}, nil
+	case "narocila-db":
+		return &Deployment{
+			Name:        name,
+			Sites:       []ctrelay.Site{"ljubljana-a", "maribor-a", "koper-a"},
+			Groups:      groupsOf(name),
+			Slots:       2,
+			Connections: 65,
+			Connect:     27 * time.Millisecond,
+			Between:     time.Millisecond,
+		}, nil
+	}
+	return nil, errors.Errorf("deployment %q is unknown: use fit-registry or narocila-db", name)
+}
+
+// groupsOf returns the names of the three groups of a deployment.
+func groupsOf(name string) []string {
+	const groups = 3
+	names := make([]string, groups)
+	for i := range names {
+		names[i] = fmt.Sprintf("%s-%d", name, i+1)
+	}
+	return names
+}
+
+// PerSecond is how many statements the slots of all members carry a second.
+func (d *Deployment) PerSecond() float64 {
+	members := len(d.Groups) * len(d.Sites)
+	return float64(members*d.Slots) / serviceTime.Seconds()
+}
+
+// config is the configuration of the deployment with a choice for plain
+// selects.
+func (d *Deployment) config(plainSelects string) string {
+	text := "defaults:\n  reads:\n    plain_selects: " + plainSelects + "\ngroups:\n"
+	for _, g := range d.Groups {
+		text += fmt.Sprintf("  - name: %s\n    size: %d\n", g, len(d.Sites))
+	}
+	return text
+}
+
+// shape is the fleet of the deployment.
+func (d *Deployment) shape(plainSelects string) ctfleet.Shape {
+	return ctfleet.Shape{
+		Sites:       d.Sites,
+		Proxies:     deploymentProxies,
+		Controls:    deploymentControls,
+		Groups:      d.Groups,
+		Slots:       d.Slots,
+		Connections: d.Connections,
+		Connect:     d.Connect,
+		Service:     serviceTime,
+		Config:      d.config(plainSelects),
+	}
+}
+
+// begin starts the deployment's fleet with its delays. Between is how long a
+// packet takes from one failure domain to another.
+func (d *Deployment) begin(programs, plainSelects string, between time.Duration) (*ctfleet.Fleet, func(), error) {
+	fleet, end, err := begin(programs, d.shape(plainSelects))
+	if err != nil {
+		return nil, nil, err
+	}
+	for i, a := range d.Sites {
+		for _, b := range d.Sites[i+1:] {
+			fleet.Net.SetDelay(a, b, between)
+		}
+	}
+	return fleet, end, nil
+}
--- a/internal/lab/ctexperiment/path.go
+++ b/internal/lab/ctexperiment/path.go
@@ -91,7 +91,7 @@
 	}
 	defer end()
 	report := &PathReport{}
-	one := ctload.Options{Group: group, Sessions: fewSessions, For: pathTime, Reads: 0.5, Seed: 1}
+	one := ctload.Options{Groups: []string{group}, Sessions: fewSessions, For: pathTime, Reads: 0.5, Seed: 1}
 	one.Addresses = []string{fleet.Members[group][0].Listen.String()}
 	if report.Direct, err = ctload.Run(ctx, one); err != nil {
 		return nil, err
@@ -115,7 +115,7 @@
 	}
 	r.Loaded, err = ctload.Run(ctx, ctload.Options{
 		Addresses: []string{fleet.Proxies[0].Listen.String()},
-		Group:     group, Sessions: manySessions, For: pathTime, Reads: 1, Seed: 2,
+		Groups:    []string{group}, Sessions: manySessions, For: pathTime, Reads: 1, Seed: 2,
 	})
 	if err != nil {
 		return err
--- a/internal/lab/ctlabcommand/experiment.go
+++ b/internal/lab/ctlabcommand/experiment.go
@@ -1,6 +1,7 @@
 package ctlabcommand
 
 import (
+	"context"
 	"encoding/json"
 	"os"
 	"path/filepath"
@@ -48,7 +49,36 @@
 		})
 	idle.Flags().IntVar(&proxies, "proxies", 1, "proxies in each of three failure domains")
 	idle.Flags().DurationVar(&heartbeat, "heartbeat", defaultHeartbeat, "time between two reports of a proxy")
-	command.AddCommand(path, failover, idle)
+	command.AddCommand(path, failover, idle,
+		onDeployment("share", "Measure the share of reads that replicas serve", ctexperiment.Share),
+		onDeployment("overload", "Measure what runs in time under too much load", ctexperiment.Overload))
+	return command
+}
+
+// deploymentExperiment measures a deployment. Between is how long a packet
+// takes from one failure domain to another.
+type deploymentExperiment func(
+	ctx context.Context, programs string, d *ctexperiment.Deployment, between time.Duration,
+) ([]*ctexperiment.LoadReport, error)
+
+// onDeployment returns the command of an experiment on the deployment of a
+// user.
+func onDeployment(use, short string, measure deploymentExperiment) *cobra.Command {
+	var name string
+	var between time.Duration
+	command := experiment(use, short, func(command *cobra.Command, programs string) (any, error) {
+		d, err := ctexperiment.DeploymentNamed(name)
+		if err != nil {
+			return nil, err
+		}
+		if between == 0 {
+			between = d.Between
+		}
+		return measure(command.Context(), programs, d, between)
+	})
+	command.Flags().StringVar(&name, "deployment", "fit-registry", "fit-registry or narocila-db")
+	command.Flags().DurationVar(&between, "between", 0,
+		"one-way time between failure domains; the deployment's where it is 0")
 	return command
 }
 
@@ -101,6 +131,9 @@
 		Short: "Put load on proxies and measure it",
 		Args:  cobra.NoArgs,
 		RunE: func(command *cobra.Command, _ []string) error {
+			if len(options.Addresses) == 0 || len(options.Groups) == 0 {
+				return errors.New("nothing to put load on: give --address and --group")
+			}
 			result, err := ctload.Run(command.Context(), options)
 			if err != nil {
 				return err
@@ -114,13 +147,14 @@
 	}
 	flags := command.Flags()
 	flags.StringSliceVar(&options.Addresses, "address", nil, "addresses of proxies")
-	flags.StringVar(&options.Group, "group", "", "database group")
+	flags.StringSliceVar(&options.Groups, "group", nil, "database groups")
 	flags.IntVar(&options.Sessions, "sessions", defaultSessions, "sessions at once")
 	flags.DurationVar(&options.For, "for", defaultTime, "how long to run")
 	flags.Float64Var(&options.Rate, "rate", 0, "requests a second in all; 0 for closed loops")
 	flags.Float64Var(&options.Reads, "reads", defaultReads, "share of reads")
 	flags.StringVar(&options.MaxAge, "max-age", "", "age that reads accept")
 	flags.IntVar(&options.Moves, "moves", 0, "requests between two moves to another proxy; 0 for none")
+	flags.DurationVar(&options.InTime, "in-time", 0, "time in which a request is of use; 0 for any")
 	flags.Uint64Var(&options.Seed, "seed", 1, "seed of the choices")
 	flags.BoolVar(&asJSON, "json", false, "print JSON")
 	return command
--- a/internal/lab/ctload/result.go
+++ b/internal/lab/ctload/result.go
@@ -37,9 +37,24 @@
 	Seconds float64        `json:"seconds"`
 	Times   map[Kind]Times `json:"times"`
 	// Outcomes counts requests by what the caller was told.
-	Outcomes map[string]int64 `json:"outcomes"`
+	Outcomes map[Outcome]int64 `json:"outcomes"`
+	// Reasons counts the requests that did not run, or may not have, by the
+	// reason that was told.
+	Reasons map[string]int64 `json:"reasons,omitempty"`
 	// PerSecond is how many requests ran a second.
 	PerSecond float64 `json:"per_second"`
+	// InTimePerSecond is how many of them ran within the time in which they
+	// are of use.
+	InTimePerSecond float64 `json:"in_time_per_second"`
+	// Writes are the writes that were sent, with what their callers were told.
+	Writes []Write `json:"-"`
+}
+
+// Write is a row that was to be inserted.
+type Write struct {
+	Group   string
+	Key     string
+	Outcome Outcome
 }
 
 // Table renders the result for a reader.
@@ -53,7 +68,8 @@
 		}
 		fmt.Fprintf(&out, "%-6s %9d %9.3f %9.3f %9.3f\n", k, t.Count, ms(t.P50), ms(t.P99), ms(t.Max))
 	}
-	fmt.Fprintf(&out, "%.0f requests a second ran; outcomes: %v\n", r.PerSecond, r.Outcomes)
+	fmt.Fprintf(&out, "%.0f requests a second ran, %.0f in time; outcomes: %v\n",
+		r.PerSecond, r.InTimePerSecond, r.Outcomes)
 	return out.String()
 }
 
@@ -64,18 +80,32 @@
 // recorder gathers the times and outcomes of one session.
 type recorder struct {
 	times    map[Kind]*hdrhistogram.Histogram
-	outcomes map[string]int64
+	outcomes map[Outcome]int64
+	reasons  map[string]int64
+	limit    time.Duration
+	inTime   int64
+	writes   []Write
 }
 
-func newRecorder() *recorder {
-	return &recorder{times: make(map[Kind]*hdrhistogram.Histogram), outcomes: make(map[string]int64)}
+// newRecorder returns an empty recorder; limit is the time in which a request
+// is of use, or 0 for any.
+func newRecorder(limit time.Duration) *recorder {
+	return &recorder{
+		times:    make(map[Kind]*hdrhistogram.Histogram),
+		outcomes: make(map[Outcome]int64),
+		reasons:  make(map[string]int64),
+		limit:    limit,
+	}
 }
 
-func (r *recorder) record(kind Kind, taken time.Duration, outcome string) {
+func (r *recorder) record(kind Kind, taken time.Duration, outcome Outcome) {
 	r.outcomes[outcome]++
-	if outcome != outcomeRan {
+	if outcome != OutcomeRan {
 		return
 	}
+	if r.limit == 0 || taken <= r.limit {
+		r.inTime++
+	}
 	h, ok := r.times[kind]
 	if !ok {
 		h = hdrhistogram.New(lowest, highest, digits)
@@ -86,7 +116,7 @@
 
 // sum joins the recorders of all sessions.
 func sum(recorders []*recorder, taken time.Duration) *Result {
-	joined := newRecorder()
+	joined := newRecorder(0)
 	for _, r := range recorders {
 		for kind, h := range r.times {
 			if joined.times[kind] == nil {
@@ -97,12 +127,21 @@
 		for outcome, count := range r.outcomes {
 			joined.outcomes[outcome] += count
 		}
+		for reason, count := range r.reasons {
+			joined.reasons[reason] += count
+		}
+		joined.inTime += r.inTime
+		joined.writes = append(joined.writes, r.writes...)
 	}
 	result := &Result{
 		Seconds:   taken.Seconds(),
 		Times:     make(map[Kind]Times),
 		Outcomes:  joined.outcomes,
-		PerSecond: float64(joined.outcomes[outcomeRan]) / taken.Seconds(),
+		Reasons:   joined.reasons,
+		PerSecond: float64(joined.outcomes[OutcomeRan]) / taken.Seconds(),
+
+		InTimePerSecond: float64(joined.inTime) / taken.Seconds(),
+		Writes:          joined.writes,
 	}
 	const half, most = 50, 99
 	for kind, h := range joined.times {
--- a/internal/lab/ctload/run.go
+++ b/internal/lab/ctload/run.go
@@ -12,11 +12,14 @@
 	"github.com/pkg/errors"
 )
 
-// The outcomes of requests.
+// Outcome is what a caller was told of a request.
+type Outcome string
+
+// The outcomes of requests, as callers are told them.
 const (
-	outcomeRan     = "ran"
-	outcomeNotRun  = "not_run"
-	outcomeUnknown = "unknown"
+	OutcomeRan     Outcome = "ran"
+	OutcomeNotRun  Outcome = "not_run"
+	OutcomeUnknown Outcome = "unknown"
 )
 
 // Options are the settings of a run of load.
@@ -24,9 +27,10 @@
 	// Addresses are those of proxies, or of a backend server; sessions use
 	// them in turn.
 	Addresses []string
-	Group     string
-	Sessions  int
-	For       time.Duration
+	// Groups are the database groups; sessions use them in turn.
+	Groups   []string
+	Sessions int
+	For      time.Duration
 	// Rate is how many requests start a second in all; 0 for closed loops.
 	Rate float64
 	// Reads is the share of reads, from 0 to 1.
@@ -36,7 +40,10 @@
 	// Moves makes a session move to another proxy after so many requests; 0
 	// for never.
 	Moves int
-	// Seed makes runs repeat their choices.
+	// InTime is how long after its start a request that ran is still of use;
+	// 0 for any time.
+	InTime time.Duration
+	// Seed makes runs repeat their choices, and begins the keys of their rows.
 	Seed uint64
 }
 
@@ -49,7 +56,7 @@
 	var done sync.WaitGroup
 	began := time.Now()
 	for i := range recorders {
-		recorders[i] = newRecorder()
+		recorders[i] = newRecorder(options.InTime)
 		s := &session{
 			options:  options,
 			number:   i,
@@ -126,7 +133,7 @@
 		return nil
 	}
 	address := s.options.Addresses[(s.number+s.moved)%len(s.options.Addresses)]
-	config, err := pgconn.ParseConfig("postgres://load@" + address + "/" + s.options.Group + "?sslmode=disable")
+	config, err := pgconn.ParseConfig("postgres://load@" + address + "/" + s.group() + "?sslmode=disable")
 	if err != nil {
 		return errors.Wrap(err, "read the address")
 	}
@@ -140,6 +147,11 @@
 	return errors.Wrap(err, "connect")
 }
 
+// group returns the database group of the session.
+func (s *session) group() string {
+	return s.options.Groups[s.number%len(s.options.Groups)]
+}
+
 // move leaves the proxy for another one, with the token of the session.
 func (s *session) move() {
 	s.token = s.connection.ParameterStatus("cherviltrestle.token")
@@ -155,22 +167,43 @@
 }
 
 func (s *session) send(due time.Time) {
-	kind, text := KindRead, "SELECT value FROM charts WHERE key = 'm8'"
+	kind, text, key := KindRead, "SELECT value FROM charts WHERE key = 'm8'", ""
 	if s.random.Float64() >= s.options.Reads {
-		kind = KindWrite
-		text = fmt.Sprintf("INSERT INTO load (key, value) VALUES ('%d-%d', 'x')", s.number, s.sent)
+		kind, key = KindWrite, fmt.Sprintf("%d-%d-%d", s.options.Seed, s.number, s.sent)
+		text = fmt.Sprintf("INSERT INTO load (key, value) VALUES ('%s', 'x')", key)
 	}
 	_, err := s.connection.Exec(context.Background(), text).ReadAll()
-	s.recorder.record(kind, time.Since(due), outcomeOf(err))
+	outcome := outcomeOf(err)
+	s.recorder.record(kind, time.Since(due), outcome)
+	if reason := reasonOf(err); reason != "" {
+		s.recorder.reasons[reason]++
+	}
+	if kind == KindWrite {
+		s.recorder.writes = append(s.recorder.writes, Write{Group: s.group(), Key: key, Outcome: outcome})
+	}
 }
 
-func outcomeOf(err error) string {
+func outcomeOf(err error) Outcome {
 	if err == nil {
-		return outcomeRan
+		return OutcomeRan
 	}
 	var failure *pgconn.PgError
 	if errors.As(err, &failure) && !strings.Contains(failure.Detail, "outcome=unknown") {
-		return outcomeNotRun
+		return OutcomeNotRun
+	}
+	return OutcomeUnknown
+}
+
+// reasonOf returns the reason that an error names, or the error's code.
+func reasonOf(err error) string {
+	var failure *pgconn.PgError
+	if !errors.As(err, &failure) {
+		return ""
+	}
+	for _, field := range strings.Fields(failure.Detail) {
+		if reason, ok := strings.CutPrefix(field, "reason="); ok {
+			return reason
+		}
 	}
-	return outcomeUnknown
+	return failure.Code
 }
