ctsession: ask the primary's own holder after replicas refused

A session counted the refusals of replicas as tries of the primary, and ctroute takes the next proxy in rank for each of those: the third try of a read went to a proxy that does not hold the primary, came back as not_holder, and used the retry budget up. Ruled out: slots (the primaries were at a fifth of what they carry), the queue's deadline and the lease (no refusal named them). Change: only refusals of a primary count towards the next holder. Before: the new subtest of TestRouting failed (proxy-y instead of proxy-z). After: it passes.

--- a/internal/decide/ctroute/choose.go
+++ b/internal/decide/ctroute/choose.go
@@ -31,8 +31,8 @@
 	Domain ctid.FailureDomain
 	// Tried lists the members that refused the request already.
 	Tried ctset.Set[ctid.Member]
-	// Attempt counts the tries before this one; it spreads tries over the
-	// holders that may have taken over.
+	// Attempt counts the refusals of the primary before; it spreads tries
+	// over the holders that may have taken over.
 	Attempt int
 }
 
--- a/internal/decide/ctsession/session.go
+++ b/internal/decide/ctsession/session.go
@@ -73,7 +73,8 @@
 	class    ctstatement.Class
 	deadline time.Time
 	tried    ctset.Set[ctid.Member]
-	tries    int
+	// tries counts the refusals of primaries.
+	tries int
 	// primary reports that the request proved to need the primary.
 	primary bool
 	// age is the accepted age.
--- a/internal/decide/ctsession/step.go
+++ b/internal/decide/ctsession/step.go
@@ -176,7 +176,6 @@
 
 // again tries the request in hand elsewhere, or later, or gives it up.
 func (s *Session) again(world *World, reason ctoutcome.Reason) []Effect {
-	s.asked.tries++
 	if reason == ctoutcome.ReasonReadOnly {
 		return s.needPrimary(world)
 	}
@@ -184,6 +183,7 @@
 		s.asked.tried.Add(s.route.Member)
 		return s.dispatch(world)
 	}
+	s.asked.tries++
 	if !mayPass(reason) || !world.Budget.Spend() {
 		return s.fail(world, ctoutcome.NotRun{Reason: reason})
 	}
--- a/internal/decide/ctsession/step_test.go
+++ b/internal/decide/ctsession/step_test.go
@@ -11,6 +11,7 @@
 	"github.com/cherviltrestle/cherviltrestle/internal/decide/ctroute"
 	"github.com/cherviltrestle/cherviltrestle/internal/decide/ctsession"
 	"github.com/cherviltrestle/cherviltrestle/internal/decide/ctstatement"
+	"github.com/cherviltrestle/cherviltrestle/internal/fleet/ctholder"
 	"github.com/cherviltrestle/cherviltrestle/internal/model/ctid"
 	"github.com/cherviltrestle/cherviltrestle/internal/model/ctoutcome"
 	"github.com/cherviltrestle/cherviltrestle/internal/model/ctposition"
@@ -48,6 +49,21 @@
 	}
 }
 
+// addProxies adds proxies to a failure domain.
+func addProxies(t *testing.T, world *ctsession.World, domain ctid.FailureDomain) {
+	t.Helper()
+	delta := &ctview.Delta{From: world.View.Version, To: world.View.Version + 1}
+	for _, name := range []ctid.Proxy{"proxy-x", "proxy-y", "proxy-z"} {
+		delta.Proxies = append(delta.Proxies, ctview.Proxy{
+			Name: name, FailureDomain: domain,
+			Address: netip.MustParseAddrPort("127.0.0.1:1"), State: ctserver.StateReady,
+		})
+	}
+	view, err := world.View.Apply(delta)
+	assert.NilError(t, err)
+	world.View = view
+}
+
 func newSession() *ctsession.Session {
 	return &ctsession.Session{ID: 1, Group: "fit-registry", Caller: "lab"}
 }
@@ -99,6 +115,18 @@
 		assertFinished(t, s.Step(w, ctsession.Refused{Reason: ctoutcome.ReasonReadOnly}),
 			ctoutcome.NotRun{Reason: ctoutcome.ReasonReadOnly})
 	})
+	t.Run("the primary's holder is asked after replicas refused", func(t *testing.T) {
+		s, w := newSession(), newWorld(t)
+		addProxies(t, w, "a")
+		holder, ok := ctholder.Of(w.View, "member-a")
+		assert.Assert(t, ok)
+		s.Step(w, ctsession.Asked{Class: ctstatement.Select})
+		old := ctsession.Refused{Reason: ctoutcome.ReasonTooOld}
+		s.Step(w, old)
+		effects := s.Step(w, old)
+		assertSent(t, effects, "member-a")
+		assert.Equal(t, find[ctsession.Send](t, effects).Choice.Holder.Name, holder.Name)
+	})
 	t.Run("replicas that refuse are tried once each before the primary", func(t *testing.T) {
 		s, w := newSession(), newWorld(t)
 		s.Step(w, ctsession.Asked{Class: ctstatement.Select})
