ctholding: refuse reads that a replica can't serve before they take a slot

Cause: a read took a slot of the replica, and waited there up to 30 ms for data that its session has seen, before the holder looked at the age. Doomed reads filled the replicas' queues and came late to the primary. Ruled out: the primary's queue (its waits were those of its load). Change: the holder checks a replica before the read asks for a slot, and again when it has one.

--- a/internal/program/ctholding/exchange.go
+++ b/internal/program/ctholding/exchange.go
@@ -83,7 +83,7 @@
 	defer cancel()
 	x.abort = cancel
 	next := x.readNext(cancel)
-	if x.ask(open.Remaining) && x.begin(ctx) && x.run(ctx, open.Payload) {
+	if x.suits() && x.ask(open.Remaining) && x.begin(ctx) && x.run(ctx, open.Payload) {
 		x.follow(ctx, next)
 	}
 	x.leave()
@@ -121,6 +121,12 @@
 	}
 }
 
+// suits reports whether a replica may serve the exchange as things stand, before
+// the exchange waits for a slot. A refusal is passed on.
+func (x *exchange) suits() bool {
+	return x.open.Term != 0 || x.allowed()
+}
+
 // ask waits for the member's queue to start the request and reports whether it
 // did. A refusal is passed on.
 func (x *exchange) ask(remaining time.Duration) bool {
@@ -151,6 +157,13 @@
 	if x.connection == nil && !x.dial(ctx) {
 		return false
 	}
+	return x.allowed() && x.restrict(ctx)
+}
+
+// allowed reports whether the member may serve the exchange now. It waits a
+// moment for a replica that lacks what the session has seen. A refusal is
+// passed on.
+func (x *exchange) allowed() bool {
 	reason := x.guard()
 	if reason == ctoutcome.ReasonBehind && x.open.Term == 0 && x.cover() {
 		reason = x.guard()
@@ -159,7 +172,7 @@
 		x.refuse(reason, 0)
 		return false
 	}
-	return x.restrict(ctx)
+	return true
 }
 
 func (x *exchange) dial(ctx context.Context) bool {
@@ -186,6 +199,7 @@
 	now := h.Clock.Now()
 	view := h.State.View(&x.held)
 	subject := ctguard.Member{History: view.Groups[x.open.Group].History}
+	known := false
 	if x.open.Term != 0 && h.State.Leased(&x.held, x.open.Group, x.open.Term, now) {
 		subject.Leased = x.open.Term
 	}
@@ -194,14 +208,22 @@
 			m.demand.ask(now, x.open.MaxAge/samplesPerAge)
 			subject.Status = m.status
 			subject.Age = m.knownAge(now)
+			known = true
 		}
 	})
+	if !known {
+		return ctoutcome.ReasonNotHolder
+	}
 	x.applied = subject.Status.Applied
+	incarnation := subject.Status.Incarnation
+	if x.connection != nil {
+		incarnation = x.connection.Incarnation
+	}
 	return ctguard.Check(subject, ctguard.Ask{
 		Term:        x.open.Term,
 		Need:        x.open.Need,
 		MaxAge:      x.open.MaxAge,
-		Incarnation: x.connection.Incarnation,
+		Incarnation: incarnation,
 	})
 }
 
