ctroute: send reads to a free primary where the replicas are busy

Cause: at the load that all slots carry, reads queued at replicas while primaries had free slots, because a read went to a primary only where no replica was left. Also a hint of a long wait never grew old. Ruled out: counting a replica that was last heard to lack the session's writes as busy; hints are older than the write then, and reads of one's own writes would all go to the primary. Change: where the best replica's expected wait is 25 ms or more and the primary has a free slot, a read goes there. A hint's wait goes down as time passes.

--- a/internal/decide/ctroute/choice.go
+++ b/internal/decide/ctroute/choice.go
@@ -42,4 +42,5 @@
 	WhyLocalReplica  Why = "replica_in_own_failure_domain"
 	WhyRemoteReplica Why = "replica_with_lowest_expected_delay"
 	WhyNoReplicaLeft Why = "no_replica_left"
+	WhyReplicasBusy  Why = "replicas_busy_and_primary_free"
 )
--- a/internal/decide/ctroute/choose.go
+++ b/internal/decide/ctroute/choose.go
@@ -20,8 +20,13 @@
 // the session has seen: it is tried after the others.
 const behindDelay = 250 * time.Millisecond
 
+// spillDelay is the expected wait at the best replica from which on a read goes
+// to a primary that has a free slot.
+const spillDelay = 25 * time.Millisecond
+
 // Query is what a choice depends on.
 type Query struct {
+	Now   time.Time
 	Group ctid.Group
 	// Replica reports whether a replica may serve the request.
 	Replica bool
@@ -45,10 +50,29 @@
 	if !query.Replica {
 		return primary(view, group, query, WhyWrite)
 	}
-	if send, ok := replica(view, hints, group, query); ok {
-		return send
+	send, ok := replica(view, hints, group, query)
+	if !ok {
+		return primary(view, group, query, WhyNoReplicaLeft)
+	}
+	if busy(hints, send.Member, query.Now) && free(hints, group.Primary, query.Now) {
+		if spilled, ok := primary(view, group, query, WhyReplicasBusy).(Send); ok {
+			return spilled
+		}
 	}
-	return primary(view, group, query, WhyNoReplicaLeft)
+	return send
+}
+
+// busy reports whether a replica is taken to make reads wait for long.
+func busy(hints Hints, member ctid.Member, now time.Time) bool {
+	hint, ok := hints.Hint(member)
+	return ok && hint.wait(now) >= spillDelay
+}
+
+// free reports whether a member is taken to have a free slot. Writes have no
+// other place to go, so reads never queue at a primary while a replica is left.
+func free(hints Hints, member ctid.Member, now time.Time) bool {
+	hint, ok := hints.Hint(member)
+	return ok && hint.wait(now) == 0
 }
 
 // refuseUnknown tells a group that is declared but has no primary yet from one
@@ -104,7 +128,7 @@
 	if !ok {
 		return cost, why
 	}
-	cost += hint.Wait
+	cost += hint.wait(query.Now)
 	if !group.History.Covers(hint.Applied, query.Seen) {
 		cost += behindDelay
 	}
--- /dev/null
+++ b/internal/decide/ctroute/choose_test.go
@@ -0,0 +1,88 @@
+package ctroute_test
+
+import (
+	"net/netip"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/cherviltrestle/cherviltrestle/internal/decide/ctroute"
+	"github.com/cherviltrestle/cherviltrestle/internal/model/ctid"
+	"github.com/cherviltrestle/cherviltrestle/internal/model/ctposition"
+	"github.com/cherviltrestle/cherviltrestle/internal/model/ctserver"
+	"github.com/cherviltrestle/cherviltrestle/internal/model/ctview"
+)
+
+var epoch = time.Unix(0, 0)
+
+// newView returns a group of three members, one in each failure domain; a is
+// the primary.
+func newView(t *testing.T) *ctview.View {
+	t.Helper()
+	delta := &ctview.Delta{To: 1, Groups: []ctview.Group{{Name: "fit-registry", Term: 1, Primary: "a"}}}
+	for _, name := range []string{"a", "b", "c"} {
+		delta.Proxies = append(delta.Proxies, ctview.Proxy{
+			Name: ctid.Proxy("proxy-" + name), FailureDomain: ctid.FailureDomain(name),
+			Address: netip.MustParseAddrPort("127.0.0.1:1"), State: ctserver.StateReady,
+		})
+		delta.Members = append(delta.Members, ctserver.Announcement{
+			Group: "fit-registry", Member: ctid.Member(name), FailureDomain: ctid.FailureDomain(name),
+			State: ctserver.StateReady,
+		})
+	}
+	view, err := (&ctview.View{}).Apply(delta)
+	assert.NilError(t, err)
+	return view
+}
+
+// waits returns hints of how long requests wait, heard at the epoch.
+func waits(a, b, c time.Duration) ctroute.HintMap {
+	return ctroute.HintMap{
+		"a": {Wait: a, At: epoch},
+		"b": {Wait: b, At: epoch},
+		"c": {Wait: c, At: epoch},
+	}
+}
+
+// read is a read of a proxy in the failure domain of member b.
+func read(now time.Time) ctroute.Query {
+	return ctroute.Query{Now: now, Group: "fit-registry", Replica: true, Domain: "b"}
+}
+
+func assertChooses(t *testing.T, hints ctroute.Hints, query ctroute.Query, member ctid.Member, why ctroute.Why) {
+	t.Helper()
+	send, ok := ctroute.Choose(newView(t), hints, query).(ctroute.Send)
+	assert.Assert(t, ok)
+	assert.Equal(t, send.Member, member)
+	assert.Equal(t, send.Why, why)
+}
+
+func TestChooseReplica(t *testing.T) {
+	const long, longer = 50 * time.Millisecond, 100 * time.Millisecond
+	t.Run("in the own failure domain", func(t *testing.T) {
+		assertChooses(t, waits(0, 0, 0), read(epoch), "b", ctroute.WhyLocalReplica)
+	})
+	t.Run("elsewhere where the own one is busy", func(t *testing.T) {
+		assertChooses(t, waits(long, long, 0), read(epoch), "c", ctroute.WhyRemoteReplica)
+	})
+	t.Run("primary where it is free and all replicas are busy", func(t *testing.T) {
+		assertChooses(t, waits(0, long, longer), read(epoch), "a", ctroute.WhyReplicasBusy)
+	})
+	t.Run("replica where the primary is busy too", func(t *testing.T) {
+		assertChooses(t, waits(time.Millisecond, long, longer), read(epoch), "b", ctroute.WhyLocalReplica)
+	})
+	t.Run("replica that was last heard to lack what the session has seen", func(t *testing.T) {
+		query := read(epoch)
+		query.Seen = ctposition.Point{Term: 1, Position: 64}
+		assertChooses(t, waits(0, 0, 0), query, "b", ctroute.WhyLocalReplica)
+	})
+	t.Run("replica where nothing is known of the primary", func(t *testing.T) {
+		hints := waits(0, long, longer)
+		delete(hints, "a")
+		assertChooses(t, hints, read(epoch), "b", ctroute.WhyLocalReplica)
+	})
+	t.Run("that was busy a while ago", func(t *testing.T) {
+		assertChooses(t, waits(longer, long, 0), read(epoch.Add(long)), "b", ctroute.WhyLocalReplica)
+	})
+}
--- a/internal/decide/ctroute/hint.go
+++ b/internal/decide/ctroute/hint.go
@@ -18,6 +18,12 @@
 	At time.Time `json:"-" cbor:"-"`
 }
 
+// wait returns how long a request that is sent now is expected to wait: what
+// waited when the hint was given has moved up since.
+func (h Hint) wait(now time.Time) time.Duration {
+	return max(0, h.Wait-max(0, now.Sub(h.At)))
+}
+
 // Hints gives what was last heard of members.
 type Hints interface {
 	// Hint returns the hint of a member, and whether there is one.
--- a/internal/decide/ctsession/step.go
+++ b/internal/decide/ctsession/step.go
@@ -84,6 +84,7 @@
 // dispatch chooses a member for the request in hand and sends it.
 func (s *Session) dispatch(world *World) []Effect {
 	choice := ctroute.Choose(world.View, world.Hints, ctroute.Query{
+		Now:     world.Now,
 		Group:   s.Group,
 		Replica: s.mayUseReplica(),
 		Seen:    s.Seen,
