ctfailover: hand a group over before its primary leaves

Cause: nothing replaced a primary that announces that it leaves: it went on getting writes until it stopped, and its callers saw a failure. A backend server that leaves is to get no new work after a few seconds. Besides, a primary whose process came back after its holder gave the lease up kept its group without one for good, where no majority answered meanwhile. Ruled out: fencing at once, which ends transactions in flight. Change: control marks the group as retiring; the primary's holder takes nothing new, lets transactions end (handover_time, 3s) and gives the lease up; control then fences and promotes, and passes over members that leave. It takes the mark back where the primary stays or too few others answer. A surrendered lease begins a change whether or not the process answers. Before: with the decision taken out, both subtests of TestLeavingPrimary failed (the primary was never replaced); the subtests of TestHandOver failed to build. After: they pass; no caller was told not run or unknown.

--- a/internal/decide/ctfailover/decide.go
+++ b/internal/decide/ctfailover/decide.go
@@ -19,6 +19,9 @@
 	WhyPrimaryDown Why = "primary_down"
 	WhyPrimaryLost Why = "primary_silent"
 	WhyHoldsMost   Why = "holds_most_of_a_fenced_majority"
+	WhyLeaving     Why = "primary_leaves"
+	WhyStays       Why = "primary_stays"
+	WhySurrendered Why = "primary_gave_its_lease_up"
 )
 
 // What stands in the way of a decision.
@@ -28,6 +31,7 @@
 	BlockedLease    Why = "write_lease_may_still_be_in_use"
 	BlockedFence    Why = "majority_not_fenced_yet"
 	BlockedPrimary  Why = "no_member_says_it_is_the_primary_yet"
+	BlockedWork     Why = "leaving_primary_ends_its_work"
 )
 
 // Proposal is a decision that control is to make durable.
@@ -70,11 +74,11 @@
 	return ctset.Some(Proposal{Group: group, Why: WhyAdopted}), BlockedNone
 }
 
-// watch begins a change where the primary is gone.
+// watch begins a change where the primary is gone or leaves.
 func (m *Machine) watch(now time.Time, group ctview.Group) (ctset.Option[Proposal], Why) {
 	primary := m.accounts[group.Primary]
 	if m.alive(now, primary) {
-		return none(), BlockedNone
+		return m.handOver(now, group, primary.held)
 	}
 	why := WhyPrimaryLost
 	if primary.held.Health == ctview.HealthDown {
@@ -83,11 +87,16 @@
 	if !m.leaseOver(now, group) {
 		return none(), BlockedLease
 	}
-	_, _, others := m.best(func(a account) bool { return m.alive(now, a) && a.held.Member != group.Primary })
-	if others < m.majority() {
+	return m.fence(now, group, why)
+}
+
+// fence begins a change, where a majority answers.
+func (m *Machine) fence(now time.Time, group ctview.Group, why Why) (ctset.Option[Proposal], Why) {
+	if m.answering(now) < m.majority() {
 		return none(), BlockedMajority
 	}
 	group.Fence = group.Term + 1
+	group.Retiring = 0
 	return ctset.Some(Proposal{Group: group, Why: why}), BlockedNone
 }
 
@@ -97,13 +106,11 @@
 	if !m.leaseOver(now, group) {
 		return none(), BlockedLease
 	}
-	if _, _, answering := m.best(func(a account) bool { return m.alive(now, a) }); answering < m.majority() {
+	if m.answering(now) < m.majority() {
 		return none(), BlockedMajority
 	}
-	best, point, count := m.best(func(a account) bool {
-		return m.alive(now, a) && a.held.Status.Fence >= group.Fence
-	})
-	if count < m.majority() {
+	best, point, ok := m.successor(now, group)
+	if !ok {
 		return none(), BlockedFence
 	}
 	group.Term = group.Fence
--- a/internal/decide/ctfailover/doc.go
+++ b/internal/decide/ctfailover/doc.go
@@ -11,6 +11,11 @@
 primary of the new term. A write is acknowledged only after a majority has
 received it, so that member holds every acknowledged write.
 
+A primary that announces that it leaves is handed over: it takes no new work,
+its holder gives the lease up once the work in hand has ended, and the change
+goes on as above. Members that leave are passed over where a majority of others
+answers.
+
 No change is made while fewer members than a majority answer; Decide tells so.
 
 # Leases
--- /dev/null
+++ b/internal/decide/ctfailover/handover.go
@@ -0,0 +1,66 @@
+package ctfailover
+
+import (
+	"time"
+
+	"github.com/cherviltrestle/cherviltrestle/internal/model/ctid"
+	"github.com/cherviltrestle/cherviltrestle/internal/model/ctposition"
+	"github.com/cherviltrestle/cherviltrestle/internal/model/ctset"
+	"github.com/cherviltrestle/cherviltrestle/internal/model/ctview"
+)
+
+// handOver decides on a group whose primary answers. One that leaves is to end
+// its work first, and its holder then gives the lease up; where a majority of
+// the others can't take over any more, it stays. A primary whose lease was given
+// up while its process was gone gets no other one in that term.
+func (m *Machine) handOver(
+	now time.Time, group ctview.Group, primary ctview.Held,
+) (ctset.Option[Proposal], Why) {
+	if primary.Surrendered >= group.Term {
+		return m.fence(now, group, WhySurrendered)
+	}
+	replaceable := m.staying(now) >= m.majority()
+	switch {
+	case primary.Leaving && replaceable && group.Retires():
+		return none(), BlockedWork
+	case primary.Leaving && replaceable:
+		group.Retiring = group.Term
+		return ctset.Some(Proposal{Group: group, Why: WhyLeaving}), BlockedNone
+	case group.Retires():
+		group.Retiring = 0
+		return ctset.Some(Proposal{Group: group, Why: WhyStays}), BlockedNone
+	case primary.Leaving:
+		return none(), BlockedMajority
+	}
+	return none(), BlockedNone
+}
+
+// successor returns the member that is to become the primary: the one that holds
+// most of a fenced majority, and if possible one that does not leave.
+func (m *Machine) successor(now time.Time, group ctview.Group) (ctid.Member, ctposition.Point, bool) {
+	fenced := func(a account) bool { return m.alive(now, a) && a.held.Status.Fence >= group.Fence }
+	best, point, count := m.best(fenced)
+	if count < m.majority() {
+		return "", ctposition.Point{}, false
+	}
+	other, reached, staying := m.best(func(a account) bool { return fenced(a) && !a.held.Leaving })
+	switch {
+	case staying >= m.majority(), staying > 0 && reached == point:
+		return other, reached, true
+	case m.staying(now) >= m.majority():
+		return "", ctposition.Point{}, false
+	}
+	return best, point, true
+}
+
+// answering returns how many members answer.
+func (m *Machine) answering(now time.Time) int {
+	_, _, count := m.best(func(a account) bool { return m.alive(now, a) })
+	return count
+}
+
+// staying returns how many members answer and do not leave.
+func (m *Machine) staying(now time.Time) int {
+	_, _, count := m.best(func(a account) bool { return m.alive(now, a) && !a.held.Leaving })
+	return count
+}
--- /dev/null
+++ b/internal/decide/ctfailover/handover_test.go
@@ -0,0 +1,111 @@
+package ctfailover_test
+
+import (
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/cherviltrestle/cherviltrestle/internal/decide/ctfailover"
+	"github.com/cherviltrestle/cherviltrestle/internal/model/ctid"
+	"github.com/cherviltrestle/cherviltrestle/internal/model/ctposition"
+	"github.com/cherviltrestle/cherviltrestle/internal/model/ctserver"
+	"github.com/cherviltrestle/cherviltrestle/internal/model/ctview"
+)
+
+// leaves returns the account of a member that is to stop.
+func leaves(held ctview.Held) ctview.Held {
+	held.Leaving = true
+	return held
+}
+
+// leavingPrimary is a machine whose primary a leaves, long after its start.
+func leavingPrimary() *ctfailover.Machine {
+	m := newMachine()
+	now := epoch.Add(longAfter)
+	m.Report(now, leaves(account("a", ctserver.RolePrimary, 1, 128)))
+	reportReplicas(m, now)
+	return m
+}
+
+func TestHandOver(t *testing.T) {
+	now := epoch.Add(longAfter)
+	retiring := steady()
+	retiring.Retiring = 1
+	t.Run("lets a leaving primary end its work first", func(t *testing.T) {
+		m := leavingPrimary()
+		group := assertDecides(t, m, now, steady(), ctfailover.WhyLeaving)
+		assert.Equal(t, group.Retiring, ctposition.Term(1))
+		assert.Equal(t, group.Fence, ctposition.Term(0))
+		assertBlocked(t, m, now, group, ctfailover.BlockedWork)
+	})
+	t.Run("fences once the lease was given up", func(t *testing.T) {
+		m := leavingPrimary()
+		primary := leaves(account("a", ctserver.RolePrimary, 1, 128))
+		primary.Surrendered = 1
+		m.Report(now, primary)
+		group := assertDecides(t, m, now, retiring, ctfailover.WhySurrendered)
+		assert.Equal(t, group.Fence, ctposition.Term(2))
+		assert.Equal(t, group.Retiring, ctposition.Term(0))
+	})
+	t.Run("is taken back where the primary stays", func(t *testing.T) {
+		m := leavingPrimary()
+		m.Report(now, account("a", ctserver.RolePrimary, 1, 128))
+		group := assertDecides(t, m, now, retiring, ctfailover.WhyStays)
+		assert.Equal(t, group.Retiring, ctposition.Term(0))
+	})
+	t.Run("is taken back where too few others answer", func(t *testing.T) {
+		m := leavingPrimary()
+		m.Report(now, leaves(account("b", ctserver.RoleReplica, 1, 64)))
+		assertDecides(t, m, now, retiring, ctfailover.WhyStays)
+		assertBlocked(t, m, now, steady(), ctfailover.BlockedMajority)
+	})
+	t.Run("replaces a primary that came back after its lease was given up", func(t *testing.T) {
+		m := newMachine()
+		back := account("a", ctserver.RolePrimary, 1, 128)
+		back.Surrendered = 1
+		m.Report(now, back)
+		m.Report(now, account("b", ctserver.RoleReplica, 1, 64))
+		assertDecides(t, m, now, steady(), ctfailover.WhySurrendered)
+	})
+}
+
+func TestSuccessor(t *testing.T) {
+	now := epoch.Add(longAfter)
+	moving := steady()
+	moving.Fence = 2
+	fencedA := fenced(leaves(account("a", ctserver.RolePrimary, 1, 128)), 2)
+	for _, c := range []struct {
+		name string
+		b, c ctview.Held
+		want ctid.Member
+	}{
+		{
+			"does not leave where it holds as much",
+			fenced(account("b", ctserver.RoleReplica, 1, 128), 2), account("c", ctserver.RoleReplica, 1, 128), "b",
+		},
+		{
+			"does not leave where a majority of others is fenced",
+			fenced(account("b", ctserver.RoleReplica, 1, 64), 2), fenced(account("c", ctserver.RoleReplica, 1, 0), 2), "b",
+		},
+		{
+			"leaves where nobody else holds as much",
+			fenced(account("b", ctserver.RoleReplica, 1, 64), 2), leaves(account("c", ctserver.RoleReplica, 1, 128)), "a",
+		},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			m := newMachine()
+			m.Report(now, fencedA)
+			m.Report(now, c.b)
+			m.Report(now, c.c)
+			group := assertDecides(t, m, now, moving, ctfailover.WhyHoldsMost)
+			assert.Equal(t, group.Primary, c.want)
+		})
+	}
+	t.Run("waits for others that are to be fenced", func(t *testing.T) {
+		m := newMachine()
+		m.Report(now, fencedA)
+		m.Report(now, fenced(account("b", ctserver.RoleReplica, 1, 64), 2))
+		m.Report(now, account("c", ctserver.RoleReplica, 1, 64))
+		assertBlocked(t, m, now, moving, ctfailover.BlockedFence)
+	})
+}
--- a/internal/lab/ctexperiment/deployment.go
+++ b/internal/lab/ctexperiment/deployment.go
@@ -106,10 +106,15 @@
 	if err != nil {
 		return nil, nil, err
 	}
+	d.delay(fleet, between)
+	return fleet, end, nil
+}
+
+// delay sets how long a packet takes from one failure domain to another.
+func (d *Deployment) delay(fleet *ctfleet.Fleet, between time.Duration) {
 	for i, a := range d.Sites {
 		for _, b := range d.Sites[i+1:] {
 			fleet.Net.SetDelay(a, b, between)
 		}
 	}
-	return fleet, end, nil
 }
--- a/internal/lab/ctexperiment/failover.go
+++ b/internal/lab/ctexperiment/failover.go
@@ -7,9 +7,11 @@
 	"time"
 
 	"github.com/jackc/pgx/v5/pgconn"
+	"github.com/pkg/errors"
 
 	"github.com/cherviltrestle/cherviltrestle/internal/lab/ctfleet"
 	"github.com/cherviltrestle/cherviltrestle/internal/lab/ctstandin"
+	"github.com/cherviltrestle/cherviltrestle/internal/model/ctconfig"
 )
 
 // The times of the failover experiment.
@@ -28,6 +30,8 @@
 const (
 	FailureKill Failure = "kill"
 	FailureCut  Failure = "cut"
+	// FailureLeave is a planned one: the primary announces that it leaves.
+	FailureLeave Failure = "leave"
 )
 
 // FailoverReport is what Failover measured: the gaps, in milliseconds, in
@@ -38,18 +42,18 @@
 	P50     int64   `json:"p50_ms"`
 	P99     int64   `json:"p99_ms"`
 	Worst   int64   `json:"worst_ms"`
+	// Refused counts the writes that were not acknowledged meanwhile.
+	Refused int `json:"refused"`
 }
 
-// Failover measures the gap of a number of failovers, each of a fleet of its
-// own.
-func Failover(ctx context.Context, programs string, failure Failure, runs int) (*FailoverReport, error) {
+// Failover measures the gap of a number of changes of primary, each in a fleet
+// of its own in the shape of a deployment, with one proxy in each failure domain.
+func Failover(ctx context.Context, programs string, d *Deployment, failure Failure, runs int) (*FailoverReport, error) {
 	report := &FailoverReport{Failure: failure}
 	for range runs {
-		gap, err := failOver(ctx, programs, failure)
-		if err != nil {
+		if err := report.failOver(ctx, programs, d); err != nil {
 			return nil, err
 		}
-		report.Gaps = append(report.Gaps, gap.Milliseconds())
 	}
 	slices.Sort(report.Gaps)
 	report.P50 = report.Gaps[len(report.Gaps)/2]
@@ -58,39 +62,55 @@
 	return report, nil
 }
 
-func failOver(ctx context.Context, programs string, failure Failure) (time.Duration, error) {
-	fleet, end, err := begin(programs, shape())
+func (r *FailoverReport) failOver(ctx context.Context, programs string, d *Deployment) error {
+	s := d.shape(string(ctconfig.PlainReplica))
+	s.Proxies = 1
+	s.Service = 0
+	fleet, end, err := begin(programs, s)
 	if err != nil {
-		return 0, err
+		return err
 	}
 	defer end()
-	w := &writer{proxy: fleet.Proxies[1]}
+	d.delay(fleet, d.Between)
+	w := &writer{proxy: fleet.Proxies[1], group: d.Groups[0]}
 	if err := w.writeFor(ctx, steadyTime); err != nil {
-		return 0, err
+		return err
+	}
+	primary := fleet.Members[w.group][0]
+	w.worst = 0
+	if err := fail(fleet, primary, r.Failure); err != nil {
+		return err
 	}
-	last := w.last
-	if err := fail(fleet, failure); err != nil {
-		return 0, err
+	if err := w.writeUntilReplaced(ctx, fleet, primary); err != nil {
+		return err
 	}
-	return w.firstAfter(ctx, last)
+	r.Gaps = append(r.Gaps, w.worst.Milliseconds())
+	r.Refused += w.refused
+	return nil
 }
 
-func fail(fleet *ctfleet.Fleet, failure Failure) error {
-	primary := fleet.Members[group][0]
-	if failure == FailureKill {
+func fail(fleet *ctfleet.Fleet, primary *ctfleet.Process, failure Failure) error {
+	switch failure {
+	case FailureKill:
 		primary.Kill()
 		return nil
+	case FailureLeave:
+		return fleet.SetFaults(primary, ctstandin.Faults{Leaving: true})
 	}
 	fleet.Net.Isolate(fleet.Shape.Sites[0], fleet.Shape.Sites...)
 	return fleet.SetFaults(primary, ctstandin.Faults{Isolated: true})
 }
 
-// writer writes rows one after the other.
+// writer writes rows one after the other and notes the longest time between two
+// that were acknowledged.
 type writer struct {
 	proxy      *ctfleet.Process
+	group      string
 	connection *pgconn.PgConn
 	written    int
+	refused    int
 	last       time.Time
+	worst      time.Duration
 }
 
 // writeFor writes for the stated time.
@@ -105,23 +125,28 @@
 	return nil
 }
 
-// firstAfter writes until a write is acknowledged and returns the time since
-// the last one before the failure.
-func (w *writer) firstAfter(ctx context.Context, last time.Time) (time.Duration, error) {
+// writeUntilReplaced writes until a write was acknowledged after the proxy knew
+// another primary.
+func (w *writer) writeUntilReplaced(ctx context.Context, fleet *ctfleet.Fleet, primary *ctfleet.Process) error {
 	until := time.Now().Add(writeTime)
 	var err error
 	for time.Now().Before(until) {
-		if err = w.write(ctx); err == nil {
-			return w.last.Sub(last), nil
+		now := fleet.Primary(w.proxy, w.group)
+		replaced := now != nil && now != primary
+		if err = w.write(ctx); err == nil && replaced {
+			return nil
+		}
+		if err != nil {
+			w.refused++
 		}
 		time.Sleep(writePause)
 	}
-	return 0, err
+	return errors.Wrap(err, "the primary was not replaced")
 }
 
 func (w *writer) write(ctx context.Context) error {
 	if w.connection == nil || w.connection.IsClosed() {
-		c, err := pgconn.Connect(ctx, "postgres://writer@"+w.proxy.Listen.String()+"/"+group+"?sslmode=disable")
+		c, err := pgconn.Connect(ctx, "postgres://writer@"+w.proxy.Listen.String()+"/"+w.group+"?sslmode=disable")
 		if err != nil {
 			return err
 		}
@@ -132,6 +157,10 @@
 	if _, err := w.connection.Exec(ctx, text).ReadAll(); err != nil {
 		return err
 	}
-	w.last = time.Now()
+	now := time.Now()
+	if !w.last.IsZero() {
+		w.worst = max(w.worst, now.Sub(w.last))
+	}
+	w.last = now
 	return nil
 }
--- a/internal/lab/ctlabcommand/experiment.go
+++ b/internal/lab/ctlabcommand/experiment.go
@@ -34,15 +34,21 @@
 	}
 	var runs, proxies int
 	var heartbeat time.Duration
+	var name string
 	path := experiment("path", "Compare the path through the proxies with a direct connection",
 		func(command *cobra.Command, programs string) (any, error) {
 			return ctexperiment.Path(command.Context(), programs)
 		})
-	failover := experiment("failover", "Measure the gap of failovers for a killed and for a cut-off primary",
+	failover := experiment("failover", "Measure the gap where a primary is killed, is cut off, and leaves",
 		func(command *cobra.Command, programs string) (any, error) {
-			return failovers(command, programs, runs)
+			d, err := ctexperiment.DeploymentNamed(name)
+			if err != nil {
+				return nil, err
+			}
+			return failovers(command, programs, d, runs)
 		})
-	failover.Flags().IntVar(&runs, "runs", defaultRuns, "failovers of each sort")
+	failover.Flags().IntVar(&runs, "runs", defaultRuns, "changes of each sort")
+	failover.Flags().StringVar(&name, "deployment", "fit-registry", "fit-registry or narocila-db")
 	idle := experiment("idle", "Measure what an idle fleet spends",
 		func(command *cobra.Command, programs string) (any, error) {
 			return ctexperiment.Idle(command.Context(), programs, proxies, heartbeat)
@@ -82,10 +88,14 @@
 	return command
 }
 
-func failovers(command *cobra.Command, programs string, runs int) (any, error) {
+func failovers(
+	command *cobra.Command, programs string, d *ctexperiment.Deployment, runs int,
+) (any, error) {
 	var reports []*ctexperiment.FailoverReport
-	for _, f := range []ctexperiment.Failure{ctexperiment.FailureKill, ctexperiment.FailureCut} {
-		report, err := ctexperiment.Failover(command.Context(), programs, f, runs)
+	for _, f := range []ctexperiment.Failure{
+		ctexperiment.FailureKill, ctexperiment.FailureCut, ctexperiment.FailureLeave,
+	} {
+		report, err := ctexperiment.Failover(command.Context(), programs, d, f, runs)
 		if err != nil {
 			return nil, err
 		}
--- a/internal/lab/ctproof/stop_test.go
+++ b/internal/lab/ctproof/stop_test.go
@@ -77,6 +77,12 @@
 	assert.NilError(t, ctfleet.Until("every proxy knows that the member leaves", func() bool {
 		return knownLeaving(fleet, leaving)
 	}))
+	assertNoNewWork(t, fleet, leaving)
+}
+
+// assertNoNewWork checks that no proxy sends reads to a member.
+func assertNoNewWork(t *testing.T, fleet *ctfleet.Fleet, leaving *ctfleet.Process) {
+	t.Helper()
 	before, err := fleet.Counters(leaving)
 	assert.NilError(t, err)
 	for _, proxy := range fleet.Proxies {
@@ -90,6 +96,60 @@
 	assert.Equal(t, after.Statements, before.Statements, "a leaving member got new work")
 }
 
+// TestLeavingPrimary checks that a primary that leaves is replaced without a
+// caller noticing more than a wait, and then gets nothing new.
+func TestLeavingPrimary(t *testing.T) {
+	t.Run("cuts no request and no transaction in flight", func(t *testing.T) {
+		fleet := start(t, smallFleet())
+		leaving := fleet.Members[group][0]
+		inTransaction := open(t, fleet.Proxies[1], nil)
+		must(t, inTransaction, "BEGIN")
+		must(t, inTransaction, "INSERT INTO charts (key, value) VALUES ('m8', '21.5')")
+		callers := work(fleet, someCallers, true)
+		callers.awaitMore(t, someWrites)
+		assert.NilError(t, fleet.SetFaults(leaving, ctstandin.Faults{Leaving: true}))
+		assert.NilError(t, ctfleet.Until("every proxy knows that the primary leaves", func() bool {
+			return knownLeaving(fleet, leaving)
+		}))
+		must(t, inTransaction, "COMMIT")
+		primary := awaitPrimary(t, fleet, fleet.Proxies[0], leaving)
+		callers.awaitMore(t, someWrites)
+		callers.end()
+		assert.Equal(t, callers.count(toldUnknown), 0, "a handover left outcomes unknown: %v", callers.doubts)
+		assert.Equal(t, callers.count(toldNotRun), 0, "a handover refused requests")
+		assertTruthful(t, callers, primary)
+		assertReads(t, fleet.Proxies[2], parameters{"cherviltrestle.token": tokenOf(inTransaction)}, "21.5")
+		assertNoNewWork(t, fleet, leaving)
+	})
+	t.Run("is replaced although a caller never ends its transaction", func(t *testing.T) {
+		shape := smallFleet()
+		shape.Config = hasty
+		fleet := start(t, shape)
+		leaving := fleet.Members[group][0]
+		stuck := open(t, fleet.Proxies[1], nil)
+		must(t, stuck, "BEGIN")
+		must(t, stuck, "INSERT INTO charts (key, value) VALUES ('m8', 'never')")
+		assert.NilError(t, fleet.SetFaults(leaving, ctstandin.Faults{Leaving: true}))
+		awaitPrimary(t, fleet, fleet.Proxies[0], leaving)
+		must(t, open(t, fleet.Proxies[0], nil), "INSERT INTO charts (key, value) VALUES ('m8', '21.5')")
+		_, err := run(stuck, "COMMIT")
+		assert.Assert(t, err != nil, "a transaction of the replaced primary was committed")
+		assertReads(t, fleet.Proxies[1], nil, "21.5")
+	})
+}
+
+// hasty lets a leaving primary end its work for a moment only.
+const hasty = `
+defaults:
+  failovers:
+    handover_time: 100ms
+  reads:
+    plain_selects: primary
+groups:
+  - name: fit-registry
+    size: 3
+`
+
 // knownLeaving reports whether all proxies know that the member is leaving.
 func knownLeaving(fleet *ctfleet.Fleet, member *ctfleet.Process) bool {
 	for _, p := range fleet.Proxies {
--- a/internal/model/ctconfig/settings.go
+++ b/internal/model/ctconfig/settings.go
@@ -14,6 +14,7 @@
 	DefaultRequestTimeout = 5 * time.Second
 	DefaultConfirmTimeout = 2 * time.Second
 	DefaultLeaseTime      = 2 * time.Second
+	DefaultHandoverTime   = 3 * time.Second
 	DefaultQueueDepth     = 1000
 )
 
@@ -73,6 +74,9 @@
 	// ConfirmTimeout is how long a write waits for a replica before its
 	// outcome is unknown; 2s.
 	ConfirmTimeout Duration `json:"confirm_timeout,omitempty" cbor:"confirm_timeout,omitempty"`
+	// HandoverTime is how long a primary that leaves may take to end its
+	// transactions before it is replaced nevertheless; 3s.
+	HandoverTime Duration `json:"handover_time,omitempty" cbor:"handover_time,omitempty"`
 }
 
 // Settings are the settings that hold for a group.
@@ -105,6 +109,7 @@
 	s.Reads.PlainSelects = first(s.Reads.PlainSelects, base.Reads.PlainSelects)
 	s.Failovers.LeaseTime = first(s.Failovers.LeaseTime, base.Failovers.LeaseTime)
 	s.Failovers.ConfirmTimeout = first(s.Failovers.ConfirmTimeout, base.Failovers.ConfirmTimeout)
+	s.Failovers.HandoverTime = first(s.Failovers.HandoverTime, base.Failovers.HandoverTime)
 	return s
 }
 
--- a/internal/model/ctview/group.go
+++ b/internal/model/ctview/group.go
@@ -16,6 +16,14 @@
 	// take nothing of earlier terms any more. It is 0 while no change of
 	// primary is under way.
 	Fence ctposition.Term `json:"fence,omitempty" cbor:"fence,omitempty"`
+	// Retiring is the term whose primary takes no new work, because it leaves
+	// and the group is being handed over. It is 0 while none does.
+	Retiring ctposition.Term `json:"retiring,omitempty" cbor:"retiring,omitempty"`
+}
+
+// Retires reports whether the group's primary takes no new work.
+func (g *Group) Retires() bool {
+	return g.Retiring > 0 && g.Retiring == g.Term
 }
 
 // Check reports the first fault of the group.
--- a/internal/model/ctview/report.go
+++ b/internal/model/ctview/report.go
@@ -38,6 +38,8 @@
 	// Draining reports whether the holder only ends what it has begun, because
 	// the member has another holder now.
 	Draining bool `json:"draining,omitempty" cbor:"draining,omitempty"`
+	// Leaving reports whether the member announces that it is to stop.
+	Leaving bool `json:"leaving,omitempty" cbor:"leaving,omitempty"`
 	// Surrendered is the highest term whose lease the holder has given up for
 	// good: nothing of that term is acknowledged any more.
 	Surrendered ctposition.Term `json:"surrendered,omitempty" cbor:"surrendered,omitempty"`
--- a/internal/program/ctholding/handle.go
+++ b/internal/program/ctholding/handle.go
@@ -18,15 +18,27 @@
 
 // actions are what a worker does after it has unlocked the tables.
 type actions struct {
-	tellings []telling
-	closing  []*ctbackend.Conn
-	hasten   *member
-	// surrender is the term whose lease is given up for good.
-	surrender ctposition.Term
+	tellings  []telling
+	closing   []*ctbackend.Conn
+	hasten    *member
+	surrender surrender
 	// news reports whether control should know at once.
 	news bool
 }
 
+// surrender is a term whose lease is given up for good; its zero value is none.
+type surrender struct {
+	term ctposition.Term
+	why  string
+}
+
+// Why a lease is given up.
+const (
+	whyPrimaryDown  = "primary_down"
+	whyWorkEnded    = "leaving_primary_ended_its_work"
+	whyHandoverTime = "leaving_primary_took_too_long"
+)
+
 // telling is an order for an exchange or another waiter.
 type telling struct {
 	to    waiter
@@ -68,8 +80,8 @@
 			delete(rows, happened.member)
 		}
 	})
-	if a.surrender > 0 {
-		h.State.Surrender(held, group, a.surrender)
+	if a.surrender.term > 0 {
+		h.State.Surrender(held, group, a.surrender.term)
 		h.logSurrender(group, a.surrender)
 	}
 	a.perform()
@@ -78,11 +90,11 @@
 	}
 }
 
-func (h *Holding) logSurrender(group ctid.Group, term ctposition.Term) {
+func (h *Holding) logSurrender(group ctid.Group, s surrender) {
 	ctlog.Decision(&h.Logger, "surrender_lease").
 		Str("group", string(group)).
-		Uint64("term", uint64(term)).
-		Str("why", "primary_down").
+		Uint64("term", uint64(s.term)).
+		Str("why", s.why).
 		Send()
 }
 
@@ -129,6 +141,7 @@
 		m.await(e, history, a)
 	case ticked:
 		m.tick(now, a)
+		m.endRetiring(now, view.Groups[m.group], a)
 	}
 }
 
@@ -245,7 +258,7 @@
 	}
 	a.news = m.health != health
 	if a.news && e.down && group.Primary == m.name {
-		a.surrender = group.Term
+		a.surrender = surrender{term: group.Term, why: whyPrimaryDown}
 	}
 	m.health = health
 	m.abortReads()
--- a/internal/program/ctholding/holding.go
+++ b/internal/program/ctholding/holding.go
@@ -138,6 +138,7 @@
 			if w := h.take(rows, announced, view); w != nil {
 				begun = append(begun, w)
 			}
+			h.retire(rows[name], view)
 			rows[name].hasten()
 		}
 		for name, row := range rows {
@@ -233,6 +234,7 @@
 
 				Ready:    m.ageKnown(h.Clock.Now()),
 				Draining: m.leaving,
+				Leaving:  m.announced.State == ctserver.StateLeaving,
 			})
 		}
 	})
--- a/internal/program/ctholding/member.go
+++ b/internal/program/ctholding/member.go
@@ -11,6 +11,7 @@
 	"github.com/cherviltrestle/cherviltrestle/internal/link/ctbackend"
 	"github.com/cherviltrestle/cherviltrestle/internal/model/ctconfig"
 	"github.com/cherviltrestle/cherviltrestle/internal/model/ctid"
+	"github.com/cherviltrestle/cherviltrestle/internal/model/ctposition"
 	"github.com/cherviltrestle/cherviltrestle/internal/model/ctserver"
 	"github.com/cherviltrestle/cherviltrestle/internal/model/ctset"
 	"github.com/cherviltrestle/cherviltrestle/internal/model/ctview"
@@ -37,6 +38,11 @@
 	announced ctserver.Announcement
 	demand    demand
 	leaving   bool
+	// retireBy is when a primary that is handed over gives its lease up although
+	// it has not ended its work; zero while it is not handed over.
+	retireBy time.Time
+	// retired is the term whose lease was given up for a handover.
+	retired   ctposition.Term
 	locked    bool
 	health    ctview.Health
 	status    ctserver.Status
@@ -96,6 +102,7 @@
 	m.number++
 	m.leaving = false
 	m.locked = false
+	m.retireBy = time.Time{}
 	return &watch{member: m, number: m.number, watching: watching}
 }
 
