ctcommand: explain requests and groups; ctexperiment: measure control with many daemons

Cause: operators had logs and deeds, and no way to ask why; and control was not measured beyond 30 proxies. Change: explain request reads the logs of all processes; explain group shows the group's state, what it waits for, its settings with the exception's reason, and every change with its ground. ctlab experiment daemons runs the real uplinks of many daemons in one process against a control process. Before: nothing; after: TestExplainRequest passes.

--- a/internal/lab/ctlabcommand/experiment.go
+++ b/internal/lab/ctlabcommand/experiment.go
@@ -17,6 +17,9 @@
 // defaultRuns is how many failovers are measured where nothing is said.
 const defaultRuns = 10
 
+// defaultDaemons is how many daemons control is measured with.
+const defaultDaemons = 100
+
 // defaultHeartbeat is that of the proxies.
 const defaultHeartbeat = 250 * time.Millisecond
 
@@ -55,7 +58,14 @@
 		})
 	idle.Flags().IntVar(&proxies, "proxies", 1, "proxies in each of three failure domains")
 	idle.Flags().DurationVar(&heartbeat, "heartbeat", defaultHeartbeat, "time between two reports of a proxy")
-	command.AddCommand(path, failover, idle,
+	var daemons int
+	control := experiment("daemons", "Measure control with many daemons in this process",
+		func(command *cobra.Command, programs string) (any, error) {
+			return ctexperiment.Daemons(command.Context(), programs, daemons, heartbeat)
+		})
+	control.Flags().IntVar(&daemons, "daemons", defaultDaemons, "daemons, and groups of three members")
+	control.Flags().DurationVar(&heartbeat, "heartbeat", time.Second, "time between two reports of a daemon")
+	command.AddCommand(path, failover, idle, control,
 		onDeployment("share", "Measure the share of reads that replicas serve", ctexperiment.Share),
 		onDeployment("overload", "Measure what runs in time under too much load", ctexperiment.Overload))
 	return command
--- a/internal/model/ctconfig/document.go
+++ b/internal/model/ctconfig/document.go
@@ -30,6 +30,19 @@
 	Settings Settings   `json:"settings" cbor:"settings"`
 }
 
+// InForce reports whether the exception stands at the time now.
+func (e *Exception) InForce(now time.Time) bool {
+	return e.Until == nil || now.Before(*e.Until)
+}
+
+// End tells in words until when the exception stands.
+func (e *Exception) End() string {
+	if e.Until == nil {
+		return "without an end"
+	}
+	return "until " + e.Until.Format(time.RFC3339)
+}
+
 // Document is a whole configuration.
 type Document struct {
 	Defaults   Settings    `json:"defaults,omitzero" cbor:"defaults,omitzero"`
@@ -101,7 +114,7 @@
 func (d *Document) Effective(name ctid.Group, now time.Time) Settings {
 	for i := range d.Exceptions {
 		e := &d.Exceptions[i]
-		if e.Group == name && (e.Until == nil || now.Before(*e.Until)) {
+		if e.Group == name && e.InForce(now) {
 			return e.Settings.Over(d.Defaults)
 		}
 	}
--- /dev/null
+++ b/internal/program/ctcommand/decisions.go
@@ -0,0 +1,123 @@
+package ctcommand
+
+import (
+	"bufio"
+	"encoding/json"
+	"fmt"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/cherviltrestle/cherviltrestle/internal/model/cterror"
+)
+
+// maxLine is the longest line of a log that is read, in bytes.
+const maxLine = 1 << 20
+
+// decision is a line of a log that tells of a decision.
+type decision struct {
+	Time     time.Time `json:"time"`
+	Process  string    `json:"process"`
+	Request  string    `json:"request"`
+	Decision string    `json:"decision"`
+	Why      string    `json:"why,omitempty"`
+	Group    string    `json:"group,omitempty"`
+	Member   string    `json:"member,omitempty"`
+	Holder   string    `json:"holder,omitempty"`
+	Outcome  string    `json:"outcome,omitempty"`
+	Reason   string    `json:"reason,omitempty"`
+	Point    string    `json:"point,omitempty"`
+}
+
+// String renders the decision as a line for a reader.
+func (d *decision) String() string {
+	line := fmt.Sprintf("%s %s %s", d.Time.Format(time.RFC3339Nano), d.Process, d.Decision)
+	for _, f := range []struct{ name, value string }{
+		{"why", d.Why},
+		{"group", d.Group},
+		{"member", d.Member},
+		{"holder", d.Holder},
+		{"outcome", d.Outcome},
+		{"reason", d.Reason},
+		{"point", d.Point},
+		{"request", d.Request},
+	} {
+		if f.value != "" {
+			line += " " + f.name + "=" + f.value
+		}
+	}
+	return line
+}
+
+// concerns reports whether the decision is on a request, or on one of a session
+// whose requests' ids begin with the stated one.
+func (d *decision) concerns(request string) bool {
+	return d.Request == request || strings.HasPrefix(d.Request, request+"/")
+}
+
+// findDecisions returns the decisions on a request, in the order of their times.
+func findDecisions(logs []string, request string) ([]*decision, error) {
+	files, err := logFiles(logs)
+	if err != nil {
+		return nil, err
+	}
+	var found []*decision
+	for _, file := range files {
+		inFile, err := readDecisions(file, request)
+		if err != nil {
+			return nil, err
+		}
+		found = append(found, inFile...)
+	}
+	slices.SortStableFunc(found, func(a, b *decision) int { return a.Time.Compare(b.Time) })
+	return found, nil
+}
+
+// logFiles returns the files among logs, and those with logs in its folders.
+func logFiles(logs []string) ([]string, error) {
+	if len(logs) == 0 {
+		return nil, cterror.New(cterror.Invalid, "--logs is missing", "name the log files of the processes")
+	}
+	var files []string
+	for _, l := range logs {
+		info, err := os.Stat(l)
+		if err != nil {
+			return nil, cterror.Wrap(cterror.Invalid, err, "read the log "+l, "name a file or a folder with --logs")
+		}
+		if !info.IsDir() {
+			files = append(files, l)
+			continue
+		}
+		inFolder, err := filepath.Glob(filepath.Join(l, "*.log"))
+		if err != nil {
+			return nil, cterror.Wrap(cterror.Invalid, err, "list the logs in "+l, "name the files with --logs")
+		}
+		files = append(files, inFolder...)
+	}
+	return files, nil
+}
+
+// readDecisions reads a log. Lines that are no decisions are passed over: logs
+// may hold what a crash wrote.
+func readDecisions(file, request string) ([]*decision, error) {
+	f, err := os.Open(file)
+	if err != nil {
+		return nil, cterror.Wrap(cterror.Invalid, err, "read the log "+file, "name a file that can be read")
+	}
+	defer func() { _ = f.Close() }()
+	var found []*decision
+	scanner := bufio.NewScanner(f)
+	scanner.Buffer(nil, maxLine)
+	for scanner.Scan() {
+		d := &decision{}
+		if json.Unmarshal(scanner.Bytes(), d) == nil && d.Decision != "" && d.concerns(request) {
+			found = append(found, d)
+		}
+	}
+	if err := scanner.Err(); err != nil {
+		return nil, cterror.Wrap(cterror.Invalid, err, "read the log "+file, "split or cut the file")
+	}
+	return found, nil
+}
--- /dev/null
+++ b/internal/program/ctcommand/explain_test.go
@@ -0,0 +1,60 @@
+package ctcommand_test
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+// entryLog and holderLog are logs of two processes that served a request, and of
+// one that crashed meanwhile.
+const (
+	entryLog = `{"event":"decision","decision":"route","request":"proxy-1/5/7/1","member":"m-0","why":"write_needs_primary","process":"proxy-1","time":"2026-12-04T10:00:00.000000001Z"}
+{"event":"decision","decision":"outcome","request":"proxy-1/5/7/1","outcome":"ran","point":"1:0/40","process":"proxy-1","time":"2026-12-04T10:00:00.3Z"}
+{"event":"decision","decision":"outcome","request":"proxy-1/5/77/1","outcome":"ran","process":"proxy-1","time":"2026-12-04T10:00:00.4Z"}
+`
+	holderLog = `{"event":"decision","decision":"admit","request":"proxy-1/5/7/1","why":"slot_free","process":"proxy-2","time":"2026-12-04T10:00:00.2Z"}
+panic: not JSON
+`
+)
+
+func writeLogs(t *testing.T) string {
+	t.Helper()
+	folder := t.TempDir()
+	assert.NilError(t, os.WriteFile(filepath.Join(folder, "a.log"), []byte(entryLog), 0o600))
+	assert.NilError(t, os.WriteFile(filepath.Join(folder, "b.log"), []byte(holderLog), 0o600))
+	return folder
+}
+
+func assertDecisions(t *testing.T, r result, want ...string) {
+	t.Helper()
+	assert.Equal(t, r.code, 0, r.err)
+	lines := strings.Split(strings.TrimSpace(r.out), "\n")
+	assert.Equal(t, len(lines), len(want), r.out)
+	for i, w := range want {
+		assert.Assert(t, strings.Contains(lines[i], w), lines[i])
+	}
+}
+
+func TestExplainRequest(t *testing.T) {
+	t.Run("shows the decisions of all processes in their order", func(t *testing.T) {
+		r := run(nil, "explain", "request", "proxy-1/5/7/1", "--logs", writeLogs(t))
+		assertDecisions(t, r, "proxy-1 route why=write_needs_primary", "proxy-2 admit", "outcome=ran")
+	})
+	t.Run("shows those of a session", func(t *testing.T) {
+		r := run(nil, "explain", "request", "proxy-1/5/7", "--logs", writeLogs(t))
+		assertDecisions(t, r, "route", "admit", "outcome")
+	})
+	t.Run("says that nothing was found", func(t *testing.T) {
+		assertFails(t, run(nil, "explain", "request", "proxy-9/1/1/1", "--logs", writeLogs(t)), 1, "--logs")
+	})
+	t.Run("asks for logs", func(t *testing.T) {
+		assertFails(t, run(nil, "explain", "request", "proxy-9/1/1/1"), 2, "--logs")
+	})
+	t.Run("refuses a log that is not there", func(t *testing.T) {
+		assertFails(t, run(nil, "explain", "request", "x", "--logs", "none.log"), 2, "none.log")
+	})
+}
--- a/internal/program/ctcommand/main.go
+++ b/internal/program/ctcommand/main.go
@@ -75,7 +75,7 @@
 	}
 	root.AddCommand(
 		newProxy(environment), newControl(environment), newConfig(environment), newStatus(environment),
-		newDeeds(environment), newKeys(environment), newSettings(),
+		newDeeds(environment), newExplain(environment), newKeys(environment), newSettings(),
 	)
 	return root
 }
