ctholding: run a request with an idempotency key once

Cause: a write whose answer was lost left its caller with an unknown outcome, who could send it again and run it twice, or not and lose it. Weighed: the outbox of the paper, which stores what must be told in the same transaction as the data; only its idea of a record in the same transaction is taken (Mauro Servienti, "What's an Outbox and why do we need it?"). A record in control's log would not be atomic with the write. BEGIN and COMMIT around the statement would cost two round trips more than one query of two statements, which PostgreSQL runs as one transaction. Change: a caller may put /* idempotency_key=ID */ in front of a statement outside a transaction. The holder writes the key into cherviltrestle_requests in the same query; a second run violates that table's primary key and is told as ran before, confirmed like any write. Proxies send such a request again after a lost answer; once it was sent, a later refusal leaves its outcome unknown. A key that can't be honoured is refused. The stand-in commits a query of several statements once, as PostgreSQL does.

--- a/internal/decide/ctsession/event.go
+++ b/internal/decide/ctsession/event.go
@@ -20,6 +20,10 @@
 // Asked reports that the caller sent a request.
 type Asked struct {
 	Class ctstatement.Class
+	// Key is the request's idempotency key, empty where it has none.
+	Key ctid.IdempotencyKey
+	// BadKey reports that a key was given that can't be honoured.
+	BadKey bool
 }
 
 // Answered reports that the whole answer was relayed to the caller, but for its end, which
@@ -29,6 +33,8 @@
 	Point ctposition.Point
 	// Transaction reports whether the session is now in a transaction.
 	Transaction bool
+	// Before reports that the request ran when it was sent earlier.
+	Before bool
 }
 
 // Refused reports that the holder refused the request, and nothing of it ran.
@@ -78,6 +84,8 @@
 	Request  ctid.Request
 	Choice   Route
 	ReadOnly bool
+	// Key is the request's idempotency key, empty where it has none.
+	Key ctid.IdempotencyKey
 	// Need is what the member must hold before it serves a read.
 	Need ctposition.Point
 	// MaxAge is the age that the read accepts; 0 where it goes to a primary.
--- a/internal/decide/ctsession/session.go
+++ b/internal/decide/ctsession/session.go
@@ -71,12 +71,16 @@
 // request is the state of the request in hand.
 type request struct {
 	class    ctstatement.Class
+	key      ctid.IdempotencyKey
 	deadline time.Time
 	tried    ctset.Set[ctid.Member]
 	// tries counts the refusals of primaries.
 	tries int
 	// primary reports that the request proved to need the primary.
 	primary bool
+	// sent reports that the request, which has an idempotency key, was sent once
+	// and may have run.
+	sent bool
 	// age is the accepted age.
 	age time.Duration
 }
--- a/internal/decide/ctsession/step.go
+++ b/internal/decide/ctsession/step.go
@@ -43,10 +43,14 @@
 	settings := s.settings(world)
 	s.asked = request{
 		class:    e.Class,
+		key:      e.Key,
 		deadline: world.Now.Add(settings.Sessions.RequestTimeout.Or(ctconfig.DefaultRequestTimeout)),
 		age:      s.MaxAge.Or(settings.Reads.MaxAge.Or(ctconfig.DefaultMaxAge)),
 		primary:  settings.Reads.PlainSelects == ctconfig.PlainPrimary && !s.ReadOnly && e.Class == ctstatement.Select,
 	}
+	if e.BadKey || (e.Key != "" && !s.mayHaveKey(e.Class)) {
+		return s.fail(world, ctoutcome.NotRun{Reason: ctoutcome.ReasonIdempotencyKey})
+	}
 	if reason := refusedClass(e.Class); reason != ctoutcome.ReasonNone {
 		return s.fail(world, ctoutcome.NotRun{Reason: reason})
 	}
@@ -57,6 +61,12 @@
 	return s.dispatch(world)
 }
 
+// mayHaveKey reports whether a request of the class may have an idempotency key:
+// its record is written in the transaction of the one statement.
+func (s *Session) mayHaveKey(class ctstatement.Class) bool {
+	return !s.transaction && !s.ReadOnly && (class == ctstatement.Write || class == ctstatement.Select)
+}
+
 // refusedClass returns why a class of request is never carried.
 func refusedClass(class ctstatement.Class) ctoutcome.Reason {
 	switch class {
@@ -111,6 +121,7 @@
 		Request:   s.request(world),
 		Choice:    route,
 		ReadOnly:  s.readOnly(),
+		Key:       s.asked.key,
 		Need:      s.Seen,
 		Remaining: s.asked.deadline.Sub(world.Now),
 	}
@@ -122,7 +133,7 @@
 
 // mayUseReplica reports whether the request in hand may be tried on a replica.
 func (s *Session) mayUseReplica() bool {
-	if s.asked.primary {
+	if s.asked.primary || s.asked.key != "" {
 		return false
 	}
 	switch s.asked.class {
@@ -156,7 +167,7 @@
 	}
 	s.transaction = e.Transaction
 	s.Seen = ctposition.Later(s.Seen, e.Point)
-	finish := Finish{Request: s.request(world), Outcome: ctoutcome.Ran{Point: e.Point}, Seen: s.Seen}
+	finish := Finish{Request: s.request(world), Outcome: ctoutcome.Ran{Point: e.Point, Before: e.Before}, Seen: s.Seen}
 	if e.Transaction {
 		s.stage = stageOpen
 		return []Effect{finish, s.armTransaction(world)}
@@ -185,7 +196,7 @@
 		return s.dispatch(world)
 	}
 	s.asked.tries++
-	if !mayPass(reason) || !world.Budget.Spend() {
+	if (!mayPass(reason) && !s.asked.sent) || !world.Budget.Spend() {
 		return s.fail(world, ctoutcome.NotRun{Reason: reason})
 	}
 	return s.wait(world, reason)
@@ -224,14 +235,19 @@
 	case s.transaction:
 		return s.hangup(world, ctoutcome.Unknown{Reason: e.Reason}, HangupTransactionLost)
 	case s.harmless() && !e.Relayed:
+		s.asked.sent = s.asked.key != ""
 		return append([]Effect{Release{}}, s.again(world, e.Reason)...)
 	}
 	return append([]Effect{Release{}}, s.fail(world, ctoutcome.Unknown{Reason: e.Reason})...)
 }
 
 // harmless reports whether the request in hand can be sent again after it was
-// sent once: it can't have written anything.
+// sent once: it can't have written anything, or its record keeps it from running
+// twice.
 func (s *Session) harmless() bool {
+	if s.asked.key != "" {
+		return true
+	}
 	switch s.asked.class {
 	case ctstatement.Begin, ctstatement.BeginReadOnly, ctstatement.Empty:
 		return true
@@ -240,8 +256,12 @@
 	}
 }
 
-// fail ends the request in hand with an outcome other than Ran.
+// fail ends the request in hand with an outcome other than Ran. That a later try
+// did not run tells nothing of an earlier one that was sent.
 func (s *Session) fail(world *World, outcome ctoutcome.Outcome) []Effect {
+	if s.asked.sent {
+		outcome = ctoutcome.Unknown{Reason: ctoutcome.ReasonOf(outcome)}
+	}
 	if s.transaction {
 		return s.hangup(world, outcome, HangupTransactionLost)
 	}
--- a/internal/decide/ctsession/step_test.go
+++ b/internal/decide/ctsession/step_test.go
@@ -227,3 +227,60 @@
 		assertHungUp(t, effects, ctoutcome.NotRun{Reason: ctoutcome.ReasonLeaving})
 	})
 }
+
+// keyed is a write with an idempotency key.
+func keyed() ctsession.Asked {
+	return ctsession.Asked{Class: ctstatement.Write, Key: "order-1"}
+}
+
+func TestIdempotencyKey(t *testing.T) {
+	lost := ctsession.Broken{Reason: ctoutcome.ReasonConnectionLost, Sent: true}
+	t.Run("lets a request be sent again after a lost answer", func(t *testing.T) {
+		s, w := newSession(), newWorld(t)
+		s.Step(w, keyed())
+		find[ctsession.Wait](t, s.Step(w, lost))
+		send := find[ctsession.Send](t, s.Step(w, ctsession.Woken{}))
+		assert.Equal(t, send.Key, ctid.IdempotencyKey("order-1"))
+		effects := s.Step(w, ctsession.Answered{Before: true})
+		assertFinished(t, effects, ctoutcome.Ran{Before: true})
+	})
+	t.Run("leaves the outcome unknown where a later try did not run", func(t *testing.T) {
+		s, w := newSession(), newWorld(t)
+		s.Step(w, keyed())
+		s.Step(w, lost)
+		s.Step(w, ctsession.Woken{})
+		w.Now = w.Now.Add(time.Hour)
+		effects := s.Step(w, ctsession.Refused{Reason: ctoutcome.ReasonDeadline})
+		assertFinished(t, effects, ctoutcome.Unknown{Reason: ctoutcome.ReasonDeadline})
+	})
+	t.Run("says not run where nothing was sent", func(t *testing.T) {
+		s, w := newSession(), newWorld(t)
+		s.Step(w, keyed())
+		effects := s.Step(w, ctsession.Refused{Reason: ctoutcome.ReasonDeadline})
+		assertFinished(t, effects, ctoutcome.NotRun{Reason: ctoutcome.ReasonDeadline})
+	})
+	t.Run("forgets the earlier request's tries", func(t *testing.T) {
+		s, w := newSession(), newWorld(t)
+		s.Step(w, keyed())
+		s.Step(w, lost)
+		s.Step(w, ctsession.Woken{})
+		s.Step(w, ctsession.Answered{})
+		s.Step(w, ctsession.Asked{Class: ctstatement.Write})
+		effects := s.Step(w, ctsession.Refused{Reason: ctoutcome.ReasonDeadline})
+		assertFinished(t, effects, ctoutcome.NotRun{Reason: ctoutcome.ReasonDeadline})
+	})
+	t.Run("sends a select to the primary", func(t *testing.T) {
+		asked := ctsession.Asked{Class: ctstatement.Select, Key: "order-1"}
+		assertSent(t, newSession().Step(newWorld(t), asked), "member-a")
+	})
+	for _, refused := range []ctsession.Asked{
+		{Class: ctstatement.Write, BadKey: true},
+		{Class: ctstatement.Begin, Key: "order-1"},
+		{Class: ctstatement.End, Key: "order-1"},
+	} {
+		t.Run("is refused with "+refused.Class.String(), func(t *testing.T) {
+			assertFinished(t, newSession().Step(newWorld(t), refused),
+				ctoutcome.NotRun{Reason: ctoutcome.ReasonIdempotencyKey})
+		})
+	}
+}
--- a/internal/lab/ctlabcommand/experiment.go
+++ b/internal/lab/ctlabcommand/experiment.go
@@ -176,6 +176,7 @@
 	flags.IntVar(&options.Moves, "moves", 0, "requests between two moves to another proxy; 0 for none")
 	flags.DurationVar(&options.InTime, "in-time", 0, "time in which a request is of use; 0 for any")
 	flags.Uint64Var(&options.Seed, "seed", 1, "seed of the choices")
+	flags.BoolVar(&options.Keys, "keys", false, "give each write an idempotency key")
 	flags.BoolVar(&asJSON, "json", false, "print JSON")
 	return command
 }
--- a/internal/lab/ctload/run.go
+++ b/internal/lab/ctload/run.go
@@ -40,6 +40,8 @@
 	// Moves makes a session move to another proxy after so many requests; 0
 	// for never.
 	Moves int
+	// Keys gives each write an idempotency key.
+	Keys bool
 	// InTime is how long after its start a request that ran is still of use;
 	// 0 for any time.
 	InTime time.Duration
@@ -171,6 +173,9 @@
 	if s.random.Float64() >= s.options.Reads {
 		kind, key = KindWrite, fmt.Sprintf("%d-%d-%d", s.options.Seed, s.number, s.sent)
 		text = fmt.Sprintf("INSERT INTO load (key, value) VALUES ('%s', 'x')", key)
+		if s.options.Keys {
+			text = "/* idempotency_key=" + key + " */ " + text
+		}
 	}
 	_, err := s.connection.Exec(context.Background(), text).ReadAll()
 	outcome := outcomeOf(err)
@@ -188,6 +193,9 @@
 		return OutcomeRan
 	}
 	var failure *pgconn.PgError
+	if errors.As(err, &failure) && strings.Contains(failure.Detail, "outcome=ran") {
+		return OutcomeRan
+	}
 	if errors.As(err, &failure) && !strings.Contains(failure.Detail, "outcome=unknown") {
 		return OutcomeNotRun
 	}
--- a/internal/lab/ctstandin/execute.go
+++ b/internal/lab/ctstandin/execute.go
@@ -9,6 +9,9 @@
 	"github.com/cherviltrestle/cherviltrestle/internal/lab/ctwal"
 )
 
+// requestsTable has a primary key; the other tables take any row.
+const requestsTable = "cherviltrestle_requests"
+
 // streamLimit is how many log entries one answer carries at most.
 const streamLimit = 500
 
@@ -91,6 +94,9 @@
 	if !d.primary() || !s.mayWrite() {
 		return result{}, &failure{"25006", "cannot execute " + verb + " in a read-only transaction"}
 	}
+	if entry.Table == requestsTable && len(matching(s.rows(d, entry.Table), entry.Key)) > 0 {
+		return result{}, &failure{"23505", "duplicate key value violates unique constraint"}
+	}
 	count := 1
 	if entry.Operation != ctwal.OperationInsert {
 		count = len(matching(s.rows(d, entry.Table), entry.Key))
--- a/internal/lab/ctstandin/run.go
+++ b/internal/lab/ctstandin/run.go
@@ -52,7 +52,7 @@
 		w.send(&pgproto3.EmptyQueryResponse{})
 		return false, nil
 	}
-	for _, st := range statements {
+	for i, st := range statements {
 		if _, ok := st.(ctsql.Copy); ok {
 			w.send(&pgproto3.CopyInResponse{})
 			return false, nil
@@ -68,8 +68,10 @@
 		if len(r.columns) > 0 {
 			w.describe(r.columns)
 		}
-		if err := s.finishBefore(d, st); err != nil {
-			return false, err
+		if i == len(statements)-1 {
+			if err := s.finishBefore(d, st); err != nil {
+				return false, err
+			}
 		}
 		w.rows(r)
 	}
--- a/internal/link/ctframe/exchange.go
+++ b/internal/link/ctframe/exchange.go
@@ -23,6 +23,9 @@
 	// Single reports whether the request is one read outside a transaction,
 	// which the holder may refuse as a whole when it proves to write.
 	Single bool `cbor:"single,omitempty"`
+	// Key is the request's idempotency key, empty where it has none. Its record
+	// is written with what the request writes.
+	Key ctid.IdempotencyKey `cbor:"key,omitempty"`
 	// Need is what a replica must hold to serve the request.
 	Need ctposition.Point `cbor:"need"`
 	// MaxAge is the age that the request accepts.
@@ -44,6 +47,11 @@
 	if err := o.Caller.Check(); err != nil {
 		return err
 	}
+	if o.Key != "" {
+		if err := o.Key.Check(); err != nil {
+			return err
+		}
+	}
 	return checkPayload(o.Payload)
 }
 
@@ -77,6 +85,9 @@
 	Request ctid.Request `cbor:"request"`
 	// Transaction reports whether the exchange is in a transaction now.
 	Transaction bool `cbor:"transaction,omitempty"`
+	// Before reports that the request ran earlier, under the same idempotency
+	// key.
+	Before bool `cbor:"before,omitempty"`
 	// Point covers what the request read and wrote.
 	Point ctposition.Point `cbor:"point"`
 	// Payload holds the messages that were held back until the request's
--- a/internal/link/ctpg/answer.go
+++ b/internal/link/ctpg/answer.go
@@ -45,9 +45,10 @@
 	return errors.Wrap(err, "end an answer")
 }
 
-// Outcome tells the caller that its request did not run or that its outcome is
-// unknown. A fatal one is the last message of the session.
-func (c *Caller) Outcome(request ctid.Request, outcome ctoutcome.Outcome, fatal bool) error {
+// Outcome tells the caller of an outcome for which there is no answer, with the
+// session's token where it has changed. A fatal one is the last message of the
+// session.
+func (c *Caller) Outcome(request ctid.Request, outcome ctoutcome.Outcome, token string, fatal bool) error {
 	severity := "ERROR"
 	if fatal {
 		severity = "FATAL"
@@ -61,6 +62,9 @@
 			ctoutcome.Name(outcome), ctoutcome.ReasonOf(outcome), request),
 		Hint: hint(outcome),
 	})
+	if token != "" {
+		c.protocol.Send(&pgproto3.ParameterStatus{Name: ParameterToken, Value: token})
+	}
 	if !fatal {
 		c.protocol.Send(&pgproto3.ReadyForQuery{TxStatus: 'I'})
 	}
@@ -87,6 +91,8 @@
 func explain(outcome ctoutcome.Outcome) string {
 	reason := strings.ReplaceAll(string(ctoutcome.ReasonOf(outcome)), "_", " ")
 	switch outcome.(type) {
+	case ctoutcome.Ran:
+		return "the request ran before, under the same idempotency key; its answer is not kept"
 	case ctoutcome.NotRun:
 		return "the request was not run: " + reason
 	case ctoutcome.Unknown:
@@ -97,6 +103,8 @@
 
 func hint(outcome ctoutcome.Outcome) string {
 	switch outcome.(type) {
+	case ctoutcome.Ran:
+		return "Read what it wrote, if its answer is needed."
 	case ctoutcome.NotRun:
 		return "Nothing of the request took effect. It may be sent again."
 	case ctoutcome.Unknown:
--- a/internal/link/ctpg/batch.go
+++ b/internal/link/ctpg/batch.go
@@ -5,6 +5,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/cherviltrestle/cherviltrestle/internal/decide/ctstatement"
+	"github.com/cherviltrestle/cherviltrestle/internal/model/ctid"
 	"github.com/cherviltrestle/cherviltrestle/internal/model/ctset"
 )
 
@@ -13,6 +14,8 @@
 	payload []byte
 	// simple is the class of a Query, where the request is one.
 	simple ctset.Option[ctstatement.Class]
+	key    ctid.IdempotencyKey
+	badKey bool
 	// parsed holds the statements that the request itself prepares.
 	parsed map[string]prepared
 	// used lists the statements that it uses before it prepares them.
@@ -48,7 +51,13 @@
 
 func (b *batch) query(m *pgproto3.Query) error {
 	b.simple = ctset.Some(ctstatement.Classify(m.String))
-	return b.add(m)
+	key, rest, found := ctstatement.Key(m.String)
+	if !found {
+		return b.add(m)
+	}
+	b.key = ctid.IdempotencyKey(key)
+	b.badKey = b.key.Check() != nil || ctstatement.Several(rest)
+	return b.add(&pgproto3.Query{String: rest})
 }
 
 func (b *batch) parse(m *pgproto3.Parse) error {
@@ -59,6 +68,9 @@
 	if b.parsed == nil {
 		b.parsed = make(map[string]prepared)
 	}
+	if _, _, found := ctstatement.Key(m.Query); found {
+		b.badKey = true
+	}
 	b.parsed[m.Name] = prepared{class: ctstatement.Classify(m.Query), message: message}
 	return b.add(m)
 }
--- a/internal/link/ctpg/request.go
+++ b/internal/link/ctpg/request.go
@@ -6,11 +6,16 @@
 
 	"github.com/cherviltrestle/cherviltrestle/internal/decide/ctstatement"
 	"github.com/cherviltrestle/cherviltrestle/internal/model/cterror"
+	"github.com/cherviltrestle/cherviltrestle/internal/model/ctid"
 )
 
 // Request is one request of a caller: a Query, or messages up to a Sync.
 type Request struct {
 	Class ctstatement.Class
+	// Key is the idempotency key of the request, empty where it has none.
+	Key ctid.IdempotencyKey
+	// BadKey reports that a key was given that can't be honoured.
+	BadKey bool
 	// Payload is the request in the PostgreSQL protocol.
 	Payload []byte
 
--- a/internal/link/ctpg/statements.go
+++ b/internal/link/ctpg/statements.go
@@ -30,7 +30,13 @@
 		added++
 	}
 	s.learn(b)
-	return &Request{Class: s.class(b), Payload: append(payload, b.payload...), added: added}
+	return &Request{
+		Class:   s.class(b),
+		Key:     b.key,
+		BadKey:  b.badKey,
+		Payload: append(payload, b.payload...),
+		added:   added,
+	}
 }
 
 func (s *statements) learn(b *batch) {
--- a/internal/model/ctoutcome/outcome.go
+++ b/internal/model/ctoutcome/outcome.go
@@ -12,6 +12,9 @@
 	// Point covers the request's writes. It is zero where the request can't
 	// have written.
 	Point ctposition.Point
+	// Before reports whether it took effect when it was sent earlier, under the
+	// same idempotency key; its answer is not kept.
+	Before bool
 }
 
 // NotRun states that the request took no effect and never will.
@@ -43,6 +46,10 @@
 // ReasonOf returns the reason of an outcome, or ReasonNone.
 func ReasonOf(outcome Outcome) Reason {
 	switch o := outcome.(type) {
+	case Ran:
+		if o.Before {
+			return ReasonRanBefore
+		}
 	case NotRun:
 		return o.Reason
 	case Unknown:
--- a/internal/model/ctoutcome/reason.go
+++ b/internal/model/ctoutcome/reason.go
@@ -48,6 +48,13 @@
 	ReasonSessionState Reason = "session_state_not_supported"
 	// ReasonIdle means that the session or its transaction idled for too long.
 	ReasonIdle Reason = "idle"
+	// ReasonIdempotencyKey means that the idempotency key can't be honoured: it
+	// is no valid name, or it does not stand in front of one statement outside a
+	// transaction, sent as a simple query.
+	ReasonIdempotencyKey Reason = "idempotency_key_not_usable"
+	// ReasonRanBefore means that a request with the same idempotency key ran
+	// before.
+	ReasonRanBefore Reason = "ran_before"
 	// ReasonTooLarge means that the request or its answer is over the size limit.
 	ReasonTooLarge Reason = "too_large"
 )
--- a/internal/model/ctoutcome/state.go
+++ b/internal/model/ctoutcome/state.go
@@ -21,6 +21,8 @@
 	StateProtocol State = "08P01"
 	// StateRolledBack is transaction_rollback.
 	StateRolledBack State = "40000"
+	// StateRanBefore is unique_violation.
+	StateRanBefore State = "23505"
 	// StateReadOnly is read_only_sql_transaction.
 	StateReadOnly State = "25006"
 )
@@ -28,6 +30,10 @@
 // StateOf returns the SQLSTATE that a caller is given for an outcome.
 func StateOf(outcome Outcome) State {
 	switch o := outcome.(type) {
+	case Ran:
+		if o.Before {
+			return StateRanBefore
+		}
 	case Unknown:
 		return StateUnknown
 	case NotRun:
@@ -42,7 +48,7 @@
 		return StateNoDatabase
 	case ReasonQueueFull:
 		return StateTooMany
-	case ReasonCopy, ReasonSessionState:
+	case ReasonCopy, ReasonSessionState, ReasonIdempotencyKey:
 		return StateNotSupported
 	case ReasonTooLarge:
 		return StateTooLarge
--- a/internal/program/ctentry/conversation.go
+++ b/internal/program/ctentry/conversation.go
@@ -127,7 +127,7 @@
 		}
 		c.request = request
 		c.began = c.entry.Clock.Now()
-		c.entry.put(c.session.ID, ctsession.Asked{Class: request.Class})
+		c.entry.put(c.session.ID, ctsession.Asked{Class: request.Class, Key: request.Key, BadKey: request.BadKey})
 		c.performUntilFinished()
 	}
 }
@@ -180,10 +180,10 @@
 // tell ends the request in hand towards the caller.
 func (c *conversation) tell(f ctsession.Finish) {
 	var err error
-	if _, ok := f.Outcome.(ctoutcome.Ran); ok {
+	if ran, ok := f.Outcome.(ctoutcome.Ran); ok && !ran.Before {
 		err = c.caller.End(c.end, c.token(f.Seen))
 	} else {
-		err = c.caller.Outcome(f.Request, f.Outcome, false)
+		err = c.caller.Outcome(f.Request, f.Outcome, c.token(f.Seen), false)
 	}
 	c.entry.observe(c, f.Outcome, c.began)
 	c.end = nil
@@ -204,7 +204,7 @@
 
 func (c *conversation) hangup(f ctsession.Hangup) {
 	c.ended = true
-	_ = c.caller.Outcome(f.Request, f.Outcome, true)
+	_ = c.caller.Outcome(f.Request, f.Outcome, "", true)
 	c.caller.Close()
 }
 
@@ -249,7 +249,8 @@
 		Member:    f.Choice.Member,
 		Caller:    c.session.Caller,
 		ReadOnly:  f.ReadOnly,
-		Single:    c.request.Class.Single(),
+		Single:    c.request.Class.Single() && f.Key == "",
+		Key:       f.Key,
 		Need:      f.Need,
 		MaxAge:    f.MaxAge,
 		Remaining: f.Remaining,
@@ -299,7 +300,7 @@
 		}
 		c.end = a.Payload
 		c.learn(f, a.Hint)
-		return ctsession.Answered{Point: a.Point, Transaction: a.Transaction}, false
+		return ctsession.Answered{Point: a.Point, Transaction: a.Transaction, Before: a.Before}, false
 	case *ctframe.Refused:
 		if a.Request != f.Request {
 			return crossed(), false
--- a/internal/program/ctentry/log.go
+++ b/internal/program/ctentry/log.go
@@ -46,8 +46,10 @@
 		Stringer("request", finish.Request).
 		Str("outcome", ctoutcome.Name(finish.Outcome))
 	if ran, ok := finish.Outcome.(ctoutcome.Ran); ok {
-		line.Stringer("point", ran.Point).Send()
-		return
+		line.Stringer("point", ran.Point)
+	}
+	if reason := ctoutcome.ReasonOf(finish.Outcome); reason != ctoutcome.ReasonNone {
+		line.Str("why", string(reason))
 	}
-	line.Str("why", string(ctoutcome.ReasonOf(finish.Outcome))).Send()
+	line.Send()
 }
--- a/internal/program/ctholding/relay.go
+++ b/internal/program/ctholding/relay.go
@@ -27,12 +27,19 @@
 	// readOnly reports that a single read was refused as a write, so that
 	// nothing of it ran.
 	readOnly bool
+	// recording reports that the answer to the writing of the request's record is
+	// still to come, and before that the record was there already.
+	recording bool
+	before    bool
 	// failed is why the relay gave up, where it did.
 	failed ctoutcome.Reason
 }
 
 // Message takes one message of the answer.
 func (r *relay) Message(message ctbackend.Message) error {
+	if r.recorded(message) {
+		return nil
+	}
 	if r.readOnly && message.Type() != ctbackend.TypeReadyForQuery {
 		return nil
 	}
--- a/internal/program/ctholding/run.go
+++ b/internal/program/ctholding/run.go
@@ -22,7 +22,15 @@
 // run runs the request in hand and reports whether a transaction is open after
 // it.
 func (x *exchange) run(ctx context.Context, payload []byte) bool {
-	relay := &relay{exchange: x}
+	relay := &relay{exchange: x, recording: x.open.Key != ""}
+	if relay.recording {
+		recorded, err := withRecord(x.open)
+		if err != nil {
+			x.refuse(ctoutcome.ReasonIdempotencyKey, 0)
+			return false
+		}
+		payload = recorded
+	}
 	x.mayCancel(x.request)
 	end, err := x.connection.Run(ctx, payload, relay)
 	x.mayCancel(ctid.Request{})
@@ -87,7 +95,7 @@
 		x.lost(ctoutcome.ReasonLeaseLost)
 		return
 	}
-	x.done(ctframe.Done{Point: status.Received, Payload: relay.held})
+	x.done(ctframe.Done{Point: status.Received, Before: relay.before, Payload: relay.held})
 }
 
 // confirm waits for the confirmation of the point.
