ctframe: state the way of frames once

Cause: the interface of a way stood in four packages, with three adapters in ctproxy. Change: ctframe states Way, Ways and Ask. Before, after: 4 interfaces and 3 adapters, 1 and none. No behaviour changes.

--- a/internal/lab/ctexperiment/daemons.go
+++ b/internal/lab/ctexperiment/daemons.go
@@ -159,7 +159,7 @@
 		Heartbeat: heartbeat,
 		State:     d.state,
 		Members:   d,
-		Ways:      daemonWays{&ctstream.Ways{Endpoint: endpoint}},
+		Ways:      &ctstream.Ways{Endpoint: endpoint},
 		Clock:     ctclock.System{},
 		Logger:    zerolog.Nop(),
 		Metrics:   ctmetric.New(prometheus.NewRegistry()),
@@ -167,19 +167,6 @@
 	return d, nil
 }
 
-// daemonWays adapts the ways of a daemon to its uplink.
-type daemonWays struct{ ways *ctstream.Ways }
-
-// Open opens a way to control.
-func (w daemonWays) Open(ctx context.Context, address netip.AddrPort) (ctuplink.Way, error) {
-	return w.ways.Open(ctx, address)
-}
-
-// Drop closes what is open to a process that is gone.
-func (w daemonWays) Drop(address netip.AddrPort) {
-	w.ways.Endpoint.Drop(address)
-}
-
 // announce announces the members again and again.
 func (d *daemon) announce(ctx context.Context) {
 	for ctx.Err() == nil {
--- /dev/null
+++ b/internal/link/ctframe/way.go
@@ -0,0 +1,35 @@
+package ctframe
+
+import (
+	"context"
+	"net/netip"
+)
+
+// Way is a two-way stream of frames. One goroutine writes and one reads.
+type Way interface {
+	Write(frame Frame) error
+	// Read returns the next frame, or io.EOF where the other side has ended the
+	// way between two frames.
+	Read() (Frame, error)
+	// Close ends the way in both directions. What was written before is still
+	// delivered.
+	Close()
+}
+
+// Ways opens ways to other processes.
+type Ways interface {
+	// Open returns a way to the process at the address, or an error of kind
+	// cterror.Unavailable where it can't be reached; nothing was sent then.
+	Open(ctx context.Context, address netip.AddrPort) (Way, error)
+}
+
+// Ask writes a frame and returns the answer. When ctx ends first it closes the
+// way, so that no late answer is taken for that of a later question.
+func Ask(ctx context.Context, way Way, frame Frame) (Frame, error) {
+	stop := context.AfterFunc(ctx, way.Close)
+	defer stop()
+	if err := way.Write(frame); err != nil {
+		return nil, err
+	}
+	return way.Read()
+}
--- a/internal/program/ctcontrol/replica.go
+++ b/internal/program/ctcontrol/replica.go
@@ -241,7 +241,7 @@
 // carry sends the messages of an outbox, over a way that is opened again when it
 // fails.
 func (r *Replica) carry(ctx context.Context, contact Contact, outbox <-chan *ctframe.Quorum) {
-	var way *ctstream.Way
+	var way ctframe.Way
 	defer func() {
 		if way != nil {
 			way.Close()
@@ -266,7 +266,7 @@
 	}
 }
 
-func (r *Replica) open(ctx context.Context, contact Contact) *ctstream.Way {
+func (r *Replica) open(ctx context.Context, contact Contact) ctframe.Way {
 	opening, cancel := context.WithTimeout(ctx, openTime)
 	defer cancel()
 	way, err := r.ways.Open(opening, contact.Address)
--- a/internal/program/ctentry/conversation.go
+++ b/internal/program/ctentry/conversation.go
@@ -36,7 +36,7 @@
 
 	caller *ctpg.Caller
 	held   ctlock.Held
-	way    Way
+	way    ctframe.Way
 	role   ctserver.Role
 	began  time.Time
 	// request is the one in hand.
--- a/internal/program/ctentry/entry.go
+++ b/internal/program/ctentry/entry.go
@@ -4,7 +4,6 @@
 	"context"
 	"crypto/tls"
 	"net"
-	"net/netip"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -28,25 +27,13 @@
 	"github.com/cherviltrestle/cherviltrestle/internal/work/cttable"
 )
 
-// Way is a two-way stream of frames to a member's holder.
-type Way interface {
-	Write(frame ctframe.Frame) error
-	Read() (ctframe.Frame, error)
-	Close()
-}
-
-// Ways opens ways to holders.
-type Ways interface {
-	Open(ctx context.Context, holder netip.AddrPort) (Way, error)
-}
-
 // Options are the parts and settings of an Entry.
 type Options struct {
 	Proxy       ctid.Proxy
 	Incarnation ctid.Incarnation
 	Domain      ctid.FailureDomain
 	State       *ctstate.State
-	Ways        Ways
+	Ways        ctframe.Ways
 	Sealer      *cttoken.Sealer
 	Clock       ctclock.Clock
 	Random      ctretry.Random
--- a/internal/program/ctholding/exchange.go
+++ b/internal/program/ctholding/exchange.go
@@ -31,17 +31,10 @@
 // openOrders is how many orders may wait for an exchange.
 const openOrders = 8
 
-// Way is an entry's stream of frames.
-type Way interface {
-	Write(frame ctframe.Frame) error
-	Read() (ctframe.Frame, error)
-	Close()
-}
-
 // exchange serves the requests of one way: those of one transaction.
 type exchange struct {
 	holding *Holding
-	way     Way
+	way     ctframe.Way
 	number  ctadmit.Exchange
 	open    *ctframe.Open
 	orders  chan order
@@ -70,7 +63,7 @@
 
 // Serve runs the requests of a way that begins with open, until the way ends or
 // its transaction does.
-func (h *Holding) Serve(ctx context.Context, way Way, open *ctframe.Open) {
+func (h *Holding) Serve(ctx context.Context, way ctframe.Way, open *ctframe.Open) {
 	x := &exchange{
 		holding: h,
 		way:     way,
--- a/internal/program/ctholding/holding.go
+++ b/internal/program/ctholding/holding.go
@@ -10,6 +10,7 @@
 	"github.com/cherviltrestle/cherviltrestle/internal/decide/ctadmit"
 	"github.com/cherviltrestle/cherviltrestle/internal/fleet/ctholder"
 	"github.com/cherviltrestle/cherviltrestle/internal/link/ctbackend"
+	"github.com/cherviltrestle/cherviltrestle/internal/link/ctframe"
 	"github.com/cherviltrestle/cherviltrestle/internal/model/ctid"
 	"github.com/cherviltrestle/cherviltrestle/internal/model/ctserver"
 	"github.com/cherviltrestle/cherviltrestle/internal/model/ctview"
@@ -36,7 +37,7 @@
 	Self    ctview.Proxy
 	State   *ctstate.State
 	Dialer  Dialer
-	Peers   Peers
+	Peers   ctframe.Ways
 	Clock   ctclock.Clock
 	Logger  zerolog.Logger
 	Metrics *ctmetric.Metrics
--- a/internal/program/ctholding/peer.go
+++ b/internal/program/ctholding/peer.go
@@ -8,22 +8,16 @@
 	"github.com/cherviltrestle/cherviltrestle/internal/link/ctframe"
 	"github.com/cherviltrestle/cherviltrestle/internal/model/cterror"
 	"github.com/cherviltrestle/cherviltrestle/internal/model/ctid"
-	"github.com/cherviltrestle/cherviltrestle/internal/program/ctstream"
 	"github.com/cherviltrestle/cherviltrestle/internal/work/ctlock"
 )
 
-// Peers opens ways to other proxies.
-type Peers interface {
-	Open(ctx context.Context, peer netip.AddrPort) (Way, error)
-}
-
 // peerWay is a way to the holder of a member, which is opened again when it
 // fails or when the holder changes.
 type peerWay struct {
 	holding *Holding
 	held    ctlock.Held
 	address netip.AddrPort
-	way     Way
+	way     ctframe.Way
 }
 
 // ask sends a frame to the holder of the member and returns its answer.
@@ -43,7 +37,7 @@
 		}
 		p.way, p.address = way, holder.Address
 	}
-	answer, err := ctstream.Ask(ctx, p.way, frame)
+	answer, err := ctframe.Ask(ctx, p.way, frame)
 	if err != nil {
 		p.close()
 	}
--- a/internal/program/ctproxy/build.go
+++ b/internal/program/ctproxy/build.go
@@ -4,7 +4,6 @@
 	"context"
 	"crypto/tls"
 	"math/rand/v2"
-	"net/netip"
 
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/rs/zerolog"
@@ -100,34 +99,6 @@
 	return dialer{user: settings.BackendUser, password: settings.BackendSecret}
 }
 
-// The parts of the proxy each state the ways that they need; these adapt the
-// one kind of way that there is.
-type (
-	entryWays   struct{ ways *ctstream.Ways }
-	holdingWays struct{ ways *ctstream.Ways }
-	uplinkWays  struct{ ways *ctstream.Ways }
-)
-
-// Open opens a way to a holder.
-func (w entryWays) Open(ctx context.Context, address netip.AddrPort) (ctentry.Way, error) {
-	return w.ways.Open(ctx, address)
-}
-
-// Open opens a way to another holder.
-func (w holdingWays) Open(ctx context.Context, address netip.AddrPort) (ctholding.Way, error) {
-	return w.ways.Open(ctx, address)
-}
-
-// Open opens a way to control or to a peer.
-func (w uplinkWays) Open(ctx context.Context, address netip.AddrPort) (ctuplink.Way, error) {
-	return w.ways.Open(ctx, address)
-}
-
-// Drop closes what is open to a process that is gone.
-func (w uplinkWays) Drop(address netip.AddrPort) {
-	w.ways.Endpoint.Drop(address)
-}
-
 func newWays(endpoint *ctquic.Endpoint) *ctstream.Ways {
 	return &ctstream.Ways{Endpoint: endpoint}
 }
@@ -155,7 +126,7 @@
 		Self:    self,
 		State:   state,
 		Dialer:  dialer,
-		Peers:   holdingWays{ways: ways},
+		Peers:   ways,
 		Clock:   clock,
 		Logger:  logger,
 		Metrics: metrics,
@@ -173,7 +144,7 @@
 		Incarnation: incarnation,
 		Domain:      settings.FailureDomain,
 		State:       state,
-		Ways:        entryWays{ways: ways},
+		Ways:        ways,
 		Sealer:      sealer,
 		Clock:       clock,
 		Random:      random,
@@ -196,7 +167,7 @@
 		Heartbeat: settings.Heartbeat,
 		State:     state,
 		Members:   holding,
-		Ways:      uplinkWays{ways: ways},
+		Ways:      ways,
 		Clock:     clock,
 		Logger:    logger,
 		Metrics:   metrics,
--- a/internal/program/ctstream/way.go
+++ b/internal/program/ctstream/way.go
@@ -46,10 +46,15 @@
 }
 
 // Open opens a way to the process at the address.
-func (w *Ways) Open(ctx context.Context, address netip.AddrPort) (*Way, error) {
+func (w *Ways) Open(ctx context.Context, address netip.AddrPort) (ctframe.Way, error) {
 	stream, err := w.Endpoint.Open(ctx, address)
 	if err != nil {
 		return nil, err
 	}
 	return New(stream), nil
 }
+
+// Drop closes what is open to a process that is gone.
+func (w *Ways) Drop(address netip.AddrPort) {
+	w.Endpoint.Drop(address)
+}
--- a/internal/program/ctuplink/link.go
+++ b/internal/program/ctuplink/link.go
@@ -7,13 +7,12 @@
 	"github.com/cherviltrestle/cherviltrestle/internal/link/ctframe"
 	"github.com/cherviltrestle/cherviltrestle/internal/model/cterror"
 	"github.com/cherviltrestle/cherviltrestle/internal/model/ctview"
-	"github.com/cherviltrestle/cherviltrestle/internal/program/ctstream"
 )
 
 // link is a way to the leader of control, which is opened again when it fails.
 type link struct {
 	uplink *Uplink
-	way    Way
+	way    ctframe.Way
 	// next is the place in the list of control's addresses to try next.
 	next int
 	// leader is the address that control told, where it did.
@@ -29,7 +28,7 @@
 		}
 		l.way = way
 	}
-	answer, err := ctstream.Ask(ctx, l.way, frame)
+	answer, err := ctframe.Ask(ctx, l.way, frame)
 	if err != nil {
 		l.close()
 	}
--- a/internal/program/ctuplink/uplink.go
+++ b/internal/program/ctuplink/uplink.go
@@ -16,7 +16,6 @@
 	"github.com/cherviltrestle/cherviltrestle/internal/model/ctview"
 	"github.com/cherviltrestle/cherviltrestle/internal/program/ctmetric"
 	"github.com/cherviltrestle/cherviltrestle/internal/program/ctstate"
-	"github.com/cherviltrestle/cherviltrestle/internal/program/ctstream"
 	"github.com/cherviltrestle/cherviltrestle/internal/work/ctclock"
 	"github.com/cherviltrestle/cherviltrestle/internal/work/ctlock"
 	"github.com/cherviltrestle/cherviltrestle/internal/work/cttable"
@@ -35,16 +34,9 @@
 	repeatTime = 3 * time.Second
 )
 
-// Way is a stream of frames to another process.
-type Way interface {
-	Write(frame ctframe.Frame) error
-	Read() (ctframe.Frame, error)
-	Close()
-}
-
 // Ways opens ways to other processes.
 type Ways interface {
-	Open(ctx context.Context, address netip.AddrPort) (Way, error)
+	ctframe.Ways
 	// Drop closes what is open to a process that is gone.
 	Drop(address netip.AddrPort)
 }
@@ -315,7 +307,7 @@
 		return err
 	}
 	defer way.Close()
-	answer, err := ctstream.Ask(ctx, way, &ctframe.Fetch{Version: u.State.View(held).Version})
+	answer, err := ctframe.Ask(ctx, way, &ctframe.Fetch{Version: u.State.View(held).Version})
 	if err != nil {
 		return err
 	}
