ctentry: lock the retry budget only where it is used

Cause: the budget stayed locked while a session decided, which put the workers of an entry in one line. Change: the budget is locked where a session earns or spends. Kept, because a lock that is held while something else decides is what the lock order is to prevent.

--- a/internal/decide/ctretry/budget.go
+++ b/internal/decide/ctretry/budget.go
@@ -10,6 +10,14 @@
 	maxSaved = 100 * costOfRetry
 )
 
+// Allowance says how many retries are allowed.
+type Allowance interface {
+	// Earn counts one request.
+	Earn()
+	// Spend takes one retry and reports whether it is allowed.
+	Spend() bool
+}
+
 // Budget counts the retries that are still allowed. Its zero value allows
 // maxSaved, as after a long quiet time.
 type Budget struct {
--- a/internal/decide/ctsession/session.go
+++ b/internal/decide/ctsession/session.go
@@ -23,7 +23,7 @@
 	Hints  ctroute.Hints
 	Random ctretry.Random
 	// Budget limits the retries of the whole proxy.
-	Budget *ctretry.Budget
+	Budget ctretry.Allowance
 	// Proxy, Incarnation and Domain describe the proxy that serves the
 	// session.
 	Proxy       ctid.Proxy
--- a/internal/program/ctentry/entry.go
+++ b/internal/program/ctentry/entry.go
@@ -162,9 +162,9 @@
 		Proxy:       e.Proxy,
 		Incarnation: e.Incarnation,
 		Domain:      e.Domain,
+		Budget:      allowance{budget: &e.budget, held: held},
 	}
 	var to *conversation
-	var effects []ctsession.Effect
 	e.sessions.With(held, func(rows map[ctid.Session]*conversation) {
 		to = rows[h.session]
 	})
@@ -172,11 +172,25 @@
 		return
 	}
 	world.Hints = e.State.Hints(held, view.MembersOf(to.session.Group))
-	e.budget.With(held, func(budget *ctretry.Budget) {
-		world.Budget = budget
-		effects = to.session.Step(world, h.event)
-	})
-	e.deliver(to, effects)
+	e.deliver(to, to.session.Step(world, h.event))
+}
+
+// allowance is the proxy's retry budget, locked for a moment at each use.
+type allowance struct {
+	budget *cttable.Cell[ctretry.Budget]
+	held   *ctlock.Held
+}
+
+// Earn counts one request.
+func (a allowance) Earn() {
+	a.budget.With(a.held, func(b *ctretry.Budget) { b.Earn() })
+}
+
+// Spend takes one retry and reports whether it is allowed.
+func (a allowance) Spend() bool {
+	allowed := false
+	a.budget.With(a.held, func(b *ctretry.Budget) { allowed = b.Spend() })
+	return allowed
 }
 
 // deliver sets the timers that the effects ask for, logs the decisions and
