ctquic: close connections that nobody uses

Cause: a connection between two processes was kept alive for good by both of its ends, once anything had been sent. Ruled out: no pings at all, which would end connections whose streams wait. Change: the side that opened a connection keeps it alive, and closes it 10 s after its last stream has ended.

--- a/internal/lab/ctexperiment/deployment.go
+++ b/internal/lab/ctexperiment/deployment.go
@@ -19,6 +19,8 @@
 	Connections int
 	// Connect is how long a new connection to a member takes.
 	Connect time.Duration
+	// LeaseTime is how long a write lease lasts; the default where it is 0.
+	LeaseTime time.Duration
 	// Between is how long a packet takes from one failure domain to another.
 	Between time.Duration
 }
@@ -29,6 +31,7 @@
 	deploymentProxies  = 5
 	deploymentControls = 3
 	serviceTime        = 20 * time.Millisecond
+	requestTimeout     = time.Second
 )
 
 // DeploymentNamed returns the deployment of a user by the name of its groups.
@@ -52,6 +55,7 @@
 			Slots:       2,
 			Connections: 65,
 			Connect:     27 * time.Millisecond,
+			LeaseTime:   time.Second,
 			Between:     time.Millisecond,
 		}, nil
 	}
@@ -77,7 +81,12 @@
 // config is the configuration of the deployment with a choice for plain
 // selects.
 func (d *Deployment) config(plainSelects string) string {
-	text := "defaults:\n  reads:\n    plain_selects: " + plainSelects + "\ngroups:\n"
+	text := fmt.Sprintf("defaults:\n  sessions:\n    request_timeout: %s\n  reads:\n    plain_selects: %s\n",
+		requestTimeout, plainSelects)
+	if d.LeaseTime > 0 {
+		text += fmt.Sprintf("  failovers:\n    lease_time: %s\n", d.LeaseTime)
+	}
+	text += "groups:\n"
 	for _, g := range d.Groups {
 		text += fmt.Sprintf("  - name: %s\n    size: %d\n", g, len(d.Sites))
 	}
--- a/internal/lab/ctexperiment/share.go
+++ b/internal/lab/ctexperiment/share.go
@@ -12,11 +12,12 @@
 
 // The load of the experiments on deployments.
 const (
-	loadTime        = 5 * time.Second
-	loadReads       = 0.9
-	loadMoves       = 50
-	sessionsPerSlot = 8
-	inTime          = time.Second
+	loadTime  = 5 * time.Second
+	loadReads = 0.9
+	loadMoves = 50
+	// inTime is how long a request is of use. A load has as many sessions as
+	// requests start in that time, so that none waits for an earlier one.
+	inTime = requestTimeout
 )
 
 // shareLoad is how much of what the slots carry Share asks for.
@@ -87,9 +88,10 @@
 	if err != nil {
 		return err
 	}
+	rate := r.Load * d.PerSecond()
 	options := ctload.Options{
-		Groups: d.Groups, For: loadTime, Rate: r.Load * d.PerSecond(), Reads: loadReads, Moves: loadMoves,
-		Sessions: sessionsPerSlot * d.Slots * len(d.Groups) * len(d.Sites), InTime: inTime, Seed: seed,
+		Groups: d.Groups, For: loadTime, Rate: rate, Reads: loadReads, Moves: loadMoves,
+		Sessions: int(rate * inTime.Seconds()), InTime: inTime, Seed: seed,
 	}
 	if r.MaxAge > 0 {
 		options.MaxAge = time.Duration(r.MaxAge).String()
--- a/internal/lab/ctlabcommand/experiment.go
+++ b/internal/lab/ctlabcommand/experiment.go
@@ -65,7 +65,13 @@
 		})
 	control.Flags().IntVar(&daemons, "daemons", defaultDaemons, "daemons, and groups of three members")
 	control.Flags().DurationVar(&heartbeat, "heartbeat", time.Second, "time between two reports of a daemon")
-	command.AddCommand(path, failover, idle, control,
+	var others int
+	peers := experiment("peers", "Measure connections to other processes that are not used any more",
+		func(command *cobra.Command, _ string) (any, error) {
+			return ctexperiment.Peers(command.Context(), others)
+		})
+	peers.Flags().IntVar(&others, "peers", defaultDaemons, "other processes")
+	command.AddCommand(path, failover, idle, control, peers,
 		onDeployment("share", "Measure the share of reads that replicas serve", ctexperiment.Share),
 		onDeployment("overload", "Measure what runs in time under too much load", ctexperiment.Overload))
 	return command
--- a/internal/lab/ctrelay/relay.go
+++ b/internal/lab/ctrelay/relay.go
@@ -55,6 +55,15 @@
 	return r, nil
 }
 
+// Address returns the address that the relay listens on.
+func (r *Relay) Address() netip.AddrPort {
+	address, ok := r.front.LocalAddr().(*net.UDPAddr)
+	if !ok {
+		return netip.AddrPort{}
+	}
+	return address.AddrPort()
+}
+
 // Close ends the relay.
 func (r *Relay) Close() {
 	r.mutex.Lock()
--- a/internal/link/ctquic/endpoint.go
+++ b/internal/link/ctquic/endpoint.go
@@ -23,6 +23,10 @@
 	streamWindow     = 256 << 10
 	maxStreamWindow  = 4 << 20
 	maxWindow        = 16 << 20
+	// unusedTime is how long a connection without streams is kept open.
+	unusedTime = 10 * time.Second
+	// reapInterval is how often unused connections are looked for.
+	reapInterval = 2 * time.Second
 )
 
 // codeClosed is the application error code of an orderly close.
@@ -35,20 +39,14 @@
 	transport *quic.Transport
 	listener  *quic.Listener
 
+	closed  chan struct{}
+	closing sync.Once
+
 	mutex    sync.Mutex
 	peers    map[netip.AddrPort]*peer
 	accepted map[*quic.Conn]struct{}
 }
 
-// peer is the connection to one address, which is opened once at a time.
-type peer struct {
-	mutex      sync.Mutex
-	connection *quic.Conn
-}
-
-// Stream is a two-way stream of frames.
-type Stream = quic.Stream
-
 // Listen opens the endpoint's UDP socket.
 func Listen(address netip.AddrPort, keys *ctkey.Bundle) (*Endpoint, error) {
 	socket, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(address))
@@ -60,21 +58,31 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "listen on the QUIC address")
 	}
-	return &Endpoint{
+	e := &Endpoint{
 		keys:      keys,
 		socket:    socket,
 		transport: transport,
 		listener:  listener,
+		closed:    make(chan struct{}),
 		peers:     make(map[netip.AddrPort]*peer),
 		accepted:  make(map[*quic.Conn]struct{}),
-	}, nil
+	}
+	go e.reap()
+	return e, nil
+}
+
+// dialSettings are those of the side that opens a connection, which also keeps
+// it alive.
+func dialSettings() *quic.Config {
+	s := settings()
+	s.KeepAlivePeriod = keepAlive
+	return s
 }
 
 func settings() *quic.Config {
 	return &quic.Config{
 		HandshakeIdleTimeout:           handshakeTimeout,
 		MaxIdleTimeout:                 idleTimeout,
-		KeepAlivePeriod:                keepAlive,
 		MaxIncomingStreams:             maxStreams,
 		InitialStreamReceiveWindow:     streamWindow,
 		MaxStreamReceiveWindow:         maxStreamWindow,
@@ -126,7 +134,7 @@
 		if err != nil {
 			return
 		}
-		go handle(connection.Context(), stream)
+		go handle(connection.Context(), &Stream{Stream: stream})
 	}
 }
 
@@ -140,8 +148,9 @@
 	}
 	stream, err := connection.OpenStreamSync(ctx)
 	if err == nil {
-		return stream, nil
+		return &Stream{Stream: stream, release: p.release}, nil
 	}
+	p.release()
 	p.drop(connection)
 	return nil, cterror.Wrap(cterror.Unavailable, err, "open a stream", "check that the peer runs and can be reached")
 }
@@ -157,26 +166,30 @@
 	return p
 }
 
-func (p *peer) connect(ctx context.Context, e *Endpoint, address netip.AddrPort) (*quic.Conn, error) {
-	p.mutex.Lock()
-	defer p.mutex.Unlock()
-	if p.connection != nil && p.connection.Context().Err() == nil {
-		return p.connection, nil
-	}
-	connection, err := e.transport.Dial(ctx, net.UDPAddrFromAddrPort(address), e.keys.Client(), settings())
-	if err != nil {
-		return nil, cterror.Wrap(cterror.Unavailable, err, "connect to a peer",
-			"check that the peer runs, can be reached and has keys of this fleet")
+// reap closes unused connections again and again, until the endpoint is closed.
+func (e *Endpoint) reap() {
+	ticker := time.NewTicker(reapInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-e.closed:
+			return
+		case now := <-ticker.C:
+			e.closeUnused(now)
+		}
 	}
-	p.connection = connection
-	return connection, nil
 }
 
-func (p *peer) drop(connection *quic.Conn) {
-	p.mutex.Lock()
-	defer p.mutex.Unlock()
-	if p.connection == connection {
-		p.connection = nil
+// closeUnused closes the connections that have had no stream for a while.
+func (e *Endpoint) closeUnused(now time.Time) {
+	e.mutex.Lock()
+	peers := make([]*peer, 0, len(e.peers))
+	for _, p := range e.peers {
+		peers = append(peers, p)
+	}
+	e.mutex.Unlock()
+	for _, p := range peers {
+		p.closeUnused(now)
 	}
 }
 
@@ -192,15 +205,6 @@
 	}
 }
 
-// close closes the connection to the peer, once it is not being opened.
-func (p *peer) close() {
-	p.mutex.Lock()
-	defer p.mutex.Unlock()
-	if p.connection != nil {
-		_ = p.connection.CloseWithError(codeClosed, "closed")
-	}
-}
-
 // Close closes all connections, those that peers opened too, and the socket.
 func (e *Endpoint) Close() error {
 	e.mutex.Lock()
@@ -208,6 +212,7 @@
 	e.peers = make(map[netip.AddrPort]*peer)
 	e.accepted = make(map[*quic.Conn]struct{})
 	e.mutex.Unlock()
+	e.closing.Do(func() { close(e.closed) })
 	for _, p := range peers {
 		p.close()
 	}
--- a/internal/link/ctquic/endpoint_test.go
+++ b/internal/link/ctquic/endpoint_test.go
@@ -86,3 +86,39 @@
 		assert.ErrorContains(t, err, "closed")
 	})
 }
+
+func assertConnections(t *testing.T, endpoint *ctquic.Endpoint, want int) {
+	t.Helper()
+	assert.Equal(t, endpoint.Connections(), want)
+}
+
+func TestUnusedConnections(t *testing.T) {
+	ctx, cancel := context.WithTimeout(context.Background(), testTime)
+	defer cancel()
+	keys := newKeys(t)
+	server, client := listen(t, keys), listen(t, keys)
+	serveEcho(t, server)
+	later := time.Now().Add(time.Hour)
+	stream, err := client.Open(ctx, server.Address())
+	assert.NilError(t, err)
+	t.Run("stay while they have a stream", func(t *testing.T) {
+		client.CloseUnused(later)
+		assertConnections(t, client, 1)
+	})
+	stream.End(0)
+	stream.End(0)
+	t.Run("stay for a while after that", func(t *testing.T) {
+		client.CloseUnused(time.Now())
+		assertConnections(t, client, 1)
+	})
+	t.Run("are closed then", func(t *testing.T) {
+		client.CloseUnused(later)
+		assertConnections(t, client, 0)
+	})
+	t.Run("are opened again where they are needed", func(t *testing.T) {
+		again, err := client.Open(ctx, server.Address())
+		assert.NilError(t, err)
+		again.End(0)
+		assertConnections(t, client, 1)
+	})
+}
--- a/internal/program/ctstream/way.go
+++ b/internal/program/ctstream/way.go
@@ -36,8 +36,7 @@
 // Close ends the way in both directions. What was written before is still
 // delivered.
 func (w *Way) Close() {
-	w.stream.CancelRead(codeGone)
-	_ = w.stream.Close()
+	w.stream.End(codeGone)
 }
 
 // Ways opens ways to other processes.
