ctholding: take samples at once when younger data are asked for

Cause: the holder of a replica samples more often when reads accept less age, but began to only after its pause of 500 ms; until then such reads went to primaries. Ruled out: the interval itself (20 ms gives ages below 100 ms). Change: the first read that asks for younger data wakes the monitor and the meter, also those of the primary's holder.

--- a/internal/program/ctholding/demand.go
+++ b/internal/program/ctholding/demand.go
@@ -19,14 +19,18 @@
 	until time.Time
 }
 
-// ask notes that samples are needed every so often.
-func (d *demand) ask(now time.Time, every time.Duration) {
+// ask notes that samples are needed every so often, and reports whether that is
+// more often than they were taken.
+func (d *demand) ask(now time.Time, every time.Duration) bool {
 	if every <= 0 {
-		return
+		return false
 	}
-	if every <= d.every || !now.Before(d.until) {
+	over := !now.Before(d.until)
+	oftener := over || every < d.every
+	if over || every <= d.every {
 		d.every, d.until = every, now.Add(demandTime)
 	}
+	return oftener
 }
 
 // interval returns the time between two samples: that of the demand, within
--- a/internal/program/ctholding/exchange.go
+++ b/internal/program/ctholding/exchange.go
@@ -198,7 +198,7 @@
 	}
 	h.members.With(&x.held, func(rows map[ctid.Member]*member) {
 		if m, ok := rows[x.open.Member]; ok {
-			m.demand.ask(now, x.open.MaxAge/samplesPerAge)
+			m.sampleFor(now, x.open.MaxAge/samplesPerAge)
 			subject.Status = m.status
 			subject.Age = m.knownAge(now)
 			known = true
--- a/internal/program/ctholding/member.go
+++ b/internal/program/ctholding/member.go
@@ -23,6 +23,8 @@
 	holding *Holding
 	// wake makes the monitor ask for the status at once.
 	wake chan struct{}
+	// wakeMeter makes the meter ask for the group's position at once.
+	wakeMeter chan struct{}
 	// stop ends the watch that is under way, number tells which one that is.
 	stop   context.CancelFunc
 	number watchNumber
@@ -69,6 +71,7 @@
 	return &member{
 		holding:   h,
 		wake:      make(chan struct{}, 1),
+		wakeMeter: make(chan struct{}, 1),
 		finish:    finish,
 		serving:   serving,
 		name:      announced.Member,
@@ -129,8 +132,23 @@
 
 // hasten makes the monitor ask for the status at once.
 func (m *member) hasten() {
+	wakeUp(m.wake)
+}
+
+// sampleFor notes that samples are needed every so often, and takes the first
+// ones at once where that is more often than they were taken. It is called while
+// the table of members is locked.
+func (m *member) sampleFor(now time.Time, every time.Duration) {
+	if m.demand.ask(now, every) {
+		wakeUp(m.wake)
+		wakeUp(m.wakeMeter)
+	}
+}
+
+// wakeUp wakes who waits for the channel, now or next.
+func wakeUp(channel chan struct{}) {
 	select {
-	case m.wake <- struct{}{}:
+	case channel <- struct{}{}:
 	default:
 	}
 }
--- a/internal/program/ctholding/meter.go
+++ b/internal/program/ctholding/meter.go
@@ -23,6 +23,7 @@
 		w.markOnce(peer)
 		select {
 		case <-w.watching.Done():
+		case <-w.wakeMeter:
 		case <-w.holding.Clock.After(w.markPause(&peer.held)):
 		}
 	}
@@ -68,7 +69,7 @@
 		if !ok || m.status.Received.Term != group.Term {
 			return
 		}
-		m.demand.ask(now, position.Every)
+		m.sampleFor(now, position.Every)
 		answer.Point = m.status.Received
 		answer.Ago = now.Sub(m.sampledAt)
 	})
