ctentry: let waiting sessions look again at each newer view

A try at a group without a primary also spent the retry budget, which a failover with many callers would use up. Change: sessions that wait are woken by each newer view; while a group is fenced nothing is sent to its old primary.

--- a/internal/decide/ctroute/choose.go
+++ b/internal/decide/ctroute/choose.go
@@ -85,6 +85,9 @@
 }
 
 func primary(view *ctview.View, group ctview.Group, query Query, why Why) Choice {
+	if group.Fence > group.Term {
+		return Refuse{Reason: ctoutcome.ReasonNoPrimary, Wait: true}
+	}
 	if group.Retires() {
 		return Refuse{Reason: ctoutcome.ReasonLeaving, Wait: true}
 	}
--- a/internal/lab/ctexperiment/daemons.go
+++ b/internal/lab/ctexperiment/daemons.go
@@ -208,9 +208,6 @@
 	return held
 }
 
-// Follow does nothing: the daemon holds the same members for good.
-func (d *daemon) Follow(*ctlock.Held, *ctview.View) {}
-
 // revision returns the configuration that the daemon has in force.
 func (d *daemon) revision() ctid.Revision {
 	var held ctlock.Held
--- a/internal/program/ctentry/conversation.go
+++ b/internal/program/ctentry/conversation.go
@@ -106,6 +106,7 @@
 func (c *conversation) finish() {
 	c.release()
 	c.entry.sessions.With(&c.held, func(rows map[ctid.Session]*conversation) { delete(rows, c.session.ID) })
+	c.entry.waiting.With(&c.held, func(rows map[ctid.Session]*struct{}) { delete(rows, c.session.ID) })
 	c.entry.timers.Clear(timer{session: c.session.ID})
 	c.entry.timers.Clear(timer{session: c.session.ID, retry: true})
 }
--- a/internal/program/ctentry/entry.go
+++ b/internal/program/ctentry/entry.go
@@ -18,6 +18,7 @@
 	"github.com/cherviltrestle/cherviltrestle/internal/link/cttoken"
 	"github.com/cherviltrestle/cherviltrestle/internal/model/ctid"
 	"github.com/cherviltrestle/cherviltrestle/internal/model/ctoutcome"
+	"github.com/cherviltrestle/cherviltrestle/internal/model/ctview"
 	"github.com/cherviltrestle/cherviltrestle/internal/program/ctmetric"
 	"github.com/cherviltrestle/cherviltrestle/internal/program/ctstate"
 	"github.com/cherviltrestle/cherviltrestle/internal/work/ctclock"
@@ -51,6 +52,8 @@
 
 	sessions cttable.Table[ctid.Session, conversation]
 	budget   cttable.Cell[ctretry.Budget]
+	// waiting holds the sessions that wait for their next try.
+	waiting  cttable.Table[ctid.Session, struct{}]
 	pool     ctpool.Pool[happening]
 	timers   ctdeadline.Queue[timer]
 	last     atomic.Uint64
@@ -76,6 +79,7 @@
 		Options:  options,
 		sessions: cttable.Table[ctid.Session, conversation]{Rank: ctlock.RankSessions},
 		budget:   cttable.Cell[ctretry.Budget]{Rank: ctlock.RankBudget},
+		waiting:  cttable.Table[ctid.Session, struct{}]{Rank: ctlock.RankWaiting},
 	}
 	e.pool = ctpool.Pool[happening]{Workers: options.Workers, Handle: e.handle}
 	e.timers = ctdeadline.Queue[timer]{Clock: options.Clock, Due: e.due}
@@ -126,6 +130,20 @@
 	}
 }
 
+// Follow lets the sessions that wait for a member look for one in a newer view.
+func (e *Entry) Follow(held *ctlock.Held, _ *ctview.View) {
+	var waiting []ctid.Session
+	e.waiting.With(held, func(rows map[ctid.Session]*struct{}) {
+		for s := range rows {
+			waiting = append(waiting, s)
+		}
+		clear(rows)
+	})
+	for _, s := range waiting {
+		e.put(s, ctsession.Woken{})
+	}
+}
+
 func (e *Entry) all() []ctid.Session {
 	var held ctlock.Held
 	var sessions []ctid.Session
@@ -172,7 +190,7 @@
 		return
 	}
 	world.Hints = e.State.Hints(held, view.MembersOf(to.session.Group))
-	e.deliver(to, to.session.Step(world, h.event))
+	e.deliver(held, to, view.Version, to.session.Step(world, h.event))
 }
 
 // allowance is the proxy's retry budget, locked for a moment at each use.
@@ -195,14 +213,14 @@
 
 // deliver sets the timers that the effects ask for, logs the decisions and
 // passes the rest to the conversation.
-func (e *Entry) deliver(to *conversation, effects []ctsession.Effect) {
+func (e *Entry) deliver(held *ctlock.Held, to *conversation, decided ctview.Version, effects []ctsession.Effect) {
 	session := to.session.ID
 	rest := make([]ctsession.Effect, 0, len(effects))
 	hangup := false
 	for _, effect := range effects {
 		switch f := effect.(type) {
 		case ctsession.Wait:
-			e.timers.Set(timer{session: session, retry: true}, e.Clock.Now().Add(f.For))
+			e.await(held, session, decided, f.For)
 		case ctsession.Arm:
 			e.timers.Set(timer{session: session}, e.Clock.Now().Add(f.For))
 		case ctsession.Hangup:
@@ -222,6 +240,16 @@
 	}
 }
 
+// await lets a session wait for its next try, which was decided on a version of
+// the view.
+func (e *Entry) await(held *ctlock.Held, session ctid.Session, decided ctview.Version, d time.Duration) {
+	e.waiting.With(held, func(rows map[ctid.Session]*struct{}) { rows[session] = &struct{}{} })
+	e.timers.Set(timer{session: session, retry: true}, e.Clock.Now().Add(d))
+	if e.State.View(held).Version != decided {
+		e.put(session, ctsession.Woken{})
+	}
+}
+
 // Count returns how many sessions are open.
 func (e *Entry) Count() int {
 	var held ctlock.Held
--- a/internal/program/ctproxy/build.go
+++ b/internal/program/ctproxy/build.go
@@ -157,7 +157,7 @@
 
 func newUplink(
 	settings ctsettings.Proxy, self ctview.Proxy, state *ctstate.State, holding *ctholding.Holding,
-	ways *ctstream.Ways, clock ctclock.Clock, logger zerolog.Logger,
+	entry *ctentry.Entry, ways *ctstream.Ways, clock ctclock.Clock, logger zerolog.Logger,
 	metrics *ctmetric.Metrics,
 ) *ctuplink.Uplink {
 	uplink := ctuplink.New(ctuplink.Options{
@@ -167,6 +167,7 @@
 		Heartbeat: settings.Heartbeat,
 		State:     state,
 		Members:   holding,
+		Followers: []ctuplink.Follower{holding, entry},
 		Ways:      ways,
 		Clock:     clock,
 		Logger:    logger,
--- a/internal/program/ctproxy/wire_gen.go
+++ b/internal/program/ctproxy/wire_gen.go
@@ -39,7 +39,7 @@
 	proxy := newSelf(settings, incarnation, endpoint)
 	ctholdingDialer := newDialer(settings)
 	holding := newHolding(settings, proxy, state, ctholdingDialer, ways, clock, logger, metrics)
-	uplink := newUplink(settings, proxy, state, holding, ways, clock, logger, metrics)
+	uplink := newUplink(settings, proxy, state, holding, entry, ways, clock, logger, metrics)
 	ctproxyProxy := newProxy(settings, state, endpoint, entry, holding, uplink, metrics, clock, logger)
 	return ctproxyProxy, nil
 }
--- a/internal/program/ctuplink/uplink.go
+++ b/internal/program/ctuplink/uplink.go
@@ -41,10 +41,14 @@
 	Drop(address netip.AddrPort)
 }
 
-// Members gives the account of the held members and follows the view.
+// Follower is told of each newer view.
+type Follower interface {
+	Follow(held *ctlock.Held, view *ctview.View)
+}
+
+// Members gives the account of the held members.
 type Members interface {
 	Held(held *ctlock.Held) []ctview.Held
-	Follow(held *ctlock.Held, view *ctview.View)
 }
 
 // Options are the parts and settings of an Uplink.
@@ -55,6 +59,7 @@
 	Heartbeat time.Duration
 	State     *ctstate.State
 	Members   Members
+	Followers []Follower
 	Ways      Ways
 	Clock     ctclock.Clock
 	Logger    zerolog.Logger
@@ -237,7 +242,9 @@
 		u.Hasten()
 	}
 	u.dropGone(before, after)
-	u.Members.Follow(held, after)
+	for _, f := range u.Followers {
+		f.Follow(held, after)
+	}
 	return nil
 }
 
--- a/internal/work/ctlock/rank.go
+++ b/internal/work/ctlock/rank.go
@@ -24,6 +24,8 @@
 	RankHints
 	// RankSessions guards the callers' sessions.
 	RankSessions
+	// RankWaiting guards the list of sessions that wait for a member.
+	RankWaiting
 	// RankBudget guards the retries that are still allowed.
 	RankBudget
 	// RankMembers guards the members' queues and connections.
