--- a/internal/lab/ctexperiment/failover.go
+++ b/internal/lab/ctexperiment/failover.go
@@ -96,9 +96,11 @@
 		return nil
 	case FailureLeave:
 		return fleet.SetFaults(primary, ctstandin.Faults{Leaving: true})
+	case FailureCut:
+		fleet.Net.Isolate(fleet.Shape.Sites[0], fleet.Shape.Sites...)
+		return fleet.SetFaults(primary, ctstandin.Faults{Isolated: true})
 	}
-	fleet.Net.Isolate(fleet.Shape.Sites[0], fleet.Shape.Sites...)
-	return fleet.SetFaults(primary, ctstandin.Faults{Isolated: true})
+	return errors.Errorf("failure %q is unknown", failure)
 }
 
 // writer writes rows one after the other and notes the longest time between two
--- /dev/null
+++ b/internal/link/ctbackend/prefix.go
@@ -0,0 +1,26 @@
+package ctbackend
+
+import (
+	"github.com/jackc/pgx/v5/pgproto3"
+	"github.com/pkg/errors"
+
+	"github.com/cherviltrestle/cherviltrestle/internal/model/cterror"
+)
+
+// typeQuery is the type of a simple query.
+const typeQuery = 'Q'
+
+// Prefix puts a text in front of that of a simple query. It returns an error of
+// kind cterror.Invalid where the payload is none.
+func Prefix(payload []byte, text string) ([]byte, error) {
+	if len(payload) < HeaderBytes || payload[0] != typeQuery {
+		return nil, cterror.New(cterror.Invalid, "the request is not a simple query", "send one statement as a query")
+	}
+	var query pgproto3.Query
+	if err := query.Decode(payload[HeaderBytes:]); err != nil {
+		return nil, cterror.Wrap(cterror.Invalid, err, "decode a query", "send one statement as a query")
+	}
+	query.String = text + query.String
+	prefixed, err := query.Encode(nil)
+	return prefixed, errors.Wrap(err, "encode a query")
+}
--- a/internal/program/ctholding/record.go
+++ b/internal/program/ctholding/record.go
@@ -3,9 +3,6 @@
 import (
 	"strings"
 
-	"github.com/jackc/pgx/v5/pgproto3"
-	"github.com/pkg/errors"
-
 	"github.com/cherviltrestle/cherviltrestle/internal/link/ctbackend"
 	"github.com/cherviltrestle/cherviltrestle/internal/link/ctframe"
 )
@@ -20,17 +17,8 @@
 // withRecord puts the writing of the request's record in front of its statement,
 // in one query and so in one transaction.
 func withRecord(open *ctframe.Open) ([]byte, error) {
-	var query pgproto3.Query
-	if len(open.Payload) < ctbackend.HeaderBytes || open.Payload[0] != 'Q' {
-		return nil, errors.New("a request with an idempotency key is not a simple query")
-	}
-	if err := query.Decode(open.Payload[ctbackend.HeaderBytes:]); err != nil {
-		return nil, errors.Wrap(err, "decode a query")
-	}
 	key := strings.ReplaceAll(string(open.Caller)+"/"+string(open.Key), "'", "''")
-	query.String = recordStatement + key + "', ''); " + query.String
-	payload, err := query.Encode(nil)
-	return payload, errors.Wrap(err, "encode a query")
+	return ctbackend.Prefix(open.Payload, recordStatement+key+"', ''); ")
 }
 
 // recorded takes a message that may belong to the writing of the record, and
