ctexperiment: measure writes while control's leader is killed

Cause: the experiment of failovers told nothing of control's own failures, which a shorter lease makes visible to callers. Change: a further failure, the kill of control's leader, and a choice of the lease.

--- a/internal/lab/ctexperiment/failover.go
+++ b/internal/lab/ctexperiment/failover.go
@@ -19,6 +19,7 @@
 	writePause  = 2 * time.Millisecond
 	writeTime   = 30 * time.Second
 	steadyTime  = 700 * time.Millisecond
+	controlTime = 5 * time.Second
 	partOfWorst = 99
 	wholeParts  = 100
 )
@@ -32,6 +33,8 @@
 	FailureCut  Failure = "cut"
 	// FailureLeave is a planned one: the primary announces that it leaves.
 	FailureLeave Failure = "leave"
+	// FailureControl kills the process that leads control; no primary changes.
+	FailureControl Failure = "control"
 )
 
 // FailoverReport is what Failover measured: the gaps, in milliseconds, in
@@ -48,7 +51,9 @@
 
 // Failover measures the gap of a number of changes of primary, each in a fleet
 // of its own in the shape of a deployment, with one proxy in each failure domain.
-func Failover(ctx context.Context, programs string, d *Deployment, failure Failure, runs int) (*FailoverReport, error) {
+func Failover(
+	ctx context.Context, programs string, d *Deployment, failure Failure, runs int,
+) (*FailoverReport, error) {
 	report := &FailoverReport{Failure: failure}
 	for range runs {
 		if err := report.failOver(ctx, programs, d); err != nil {
@@ -81,7 +86,9 @@
 	if err := fail(fleet, primary, r.Failure); err != nil {
 		return err
 	}
-	if err := w.writeUntilReplaced(ctx, fleet, primary); err != nil {
+	if r.Failure == FailureControl {
+		w.writeOn(ctx, controlTime)
+	} else if err := w.writeUntilReplaced(ctx, fleet, primary); err != nil {
 		return err
 	}
 	r.Gaps = append(r.Gaps, w.worst.Milliseconds())
@@ -96,6 +103,13 @@
 		return nil
 	case FailureLeave:
 		return fleet.SetFaults(primary, ctstandin.Faults{Leaving: true})
+	case FailureControl:
+		leader, err := fleet.Leader()
+		if err != nil {
+			return err
+		}
+		leader.Kill()
+		return nil
 	case FailureCut:
 		fleet.Net.Isolate(fleet.Shape.Sites[0], fleet.Shape.Sites...)
 		return fleet.SetFaults(primary, ctstandin.Faults{Isolated: true})
@@ -127,6 +141,17 @@
 	return nil
 }
 
+// writeOn writes for the stated time, also when writes fail.
+func (w *writer) writeOn(ctx context.Context, d time.Duration) {
+	until := time.Now().Add(d)
+	for time.Now().Before(until) {
+		if err := w.write(ctx); err != nil {
+			w.refused++
+		}
+		time.Sleep(writePause)
+	}
+}
+
 // writeUntilReplaced writes until a write was acknowledged after the proxy knew
 // another primary.
 func (w *writer) writeUntilReplaced(ctx context.Context, fleet *ctfleet.Fleet, primary *ctfleet.Process) error {
--- a/internal/lab/ctfleet/ask.go
+++ b/internal/lab/ctfleet/ask.go
@@ -46,6 +46,24 @@
 	return view, get(proxy, "/v1/view", view)
 }
 
+// Leader returns the process that leads control.
+func (f *Fleet) Leader() (*Process, error) {
+	for _, c := range f.Controls {
+		var status struct {
+			Leader string `json:"leader"`
+		}
+		if err := get(c, "/v1/status", &status); err != nil {
+			continue
+		}
+		for _, l := range f.Controls {
+			if l.Name == status.Leader {
+				return l, nil
+			}
+		}
+	}
+	return nil, errors.New("no control process leads")
+}
+
 // Counters returns what a member has counted.
 func (f *Fleet) Counters(member *Process) (ctstandin.Counters, error) {
 	var counters ctstandin.Counters
--- a/internal/lab/ctlabcommand/experiment.go
+++ b/internal/lab/ctlabcommand/experiment.go
@@ -38,19 +38,24 @@
 	var runs, proxies int
 	var heartbeat time.Duration
 	var name string
+	var lease time.Duration
 	path := experiment("path", "Compare the path through the proxies with a direct connection",
 		func(command *cobra.Command, programs string) (any, error) {
 			return ctexperiment.Path(command.Context(), programs)
 		})
-	failover := experiment("failover", "Measure the gap where a primary is killed, is cut off, and leaves",
+	failover := experiment("failover", "Measure the gap of writes where a primary or control's leader fails",
 		func(command *cobra.Command, programs string) (any, error) {
 			d, err := ctexperiment.DeploymentNamed(name)
 			if err != nil {
 				return nil, err
 			}
+			if lease > 0 {
+				d.LeaseTime = lease
+			}
 			return failovers(command, programs, d, runs)
 		})
 	failover.Flags().IntVar(&runs, "runs", defaultRuns, "changes of each sort")
+	failover.Flags().DurationVar(&lease, "lease", 0, "how long a write lease lasts; the deployment's where it is 0")
 	failover.Flags().StringVar(&name, "deployment", "fit-registry", "fit-registry or narocila-db")
 	idle := experiment("idle", "Measure what an idle fleet spends",
 		func(command *cobra.Command, programs string) (any, error) {
@@ -109,7 +114,7 @@
 ) (any, error) {
 	var reports []*ctexperiment.FailoverReport
 	for _, f := range []ctexperiment.Failure{
-		ctexperiment.FailureKill, ctexperiment.FailureCut, ctexperiment.FailureLeave,
+		ctexperiment.FailureKill, ctexperiment.FailureCut, ctexperiment.FailureLeave, ctexperiment.FailureControl,
 	} {
 		report, err := ctexperiment.Failover(command.Context(), programs, d, f, runs)
 		if err != nil {
