ctroster: send what has changed in the configuration

Ruled out: a relay in each failure domain, which would carry the same bytes over other links. Change: the leader keeps the last 64 configurations and sends what has changed since the one that a daemon has; the patch is made once for all daemons. A patch of another configuration than that in hand is refused, and asked for again.

--- a/internal/fleet/ctroster/roster.go
+++ b/internal/fleet/ctroster/roster.go
@@ -17,6 +17,9 @@
 // missed more gets the whole view.
 const maxGone = 4096
 
+// maxConfigured is how many configurations are remembered to make patches from.
+const maxConfigured = 64
+
 // Epoch numbers the leaders of control.
 type Epoch uint64
 
@@ -28,9 +31,13 @@
 	members map[ctid.Member]*member
 	groups  map[ctid.Group]*group
 	config  ctview.Config
-	// configured is the version at which the configuration changed.
-	configured ctview.Version
-	gone       []gone
+	// configured lists the versions at which the configuration changed, with
+	// what it was from then on, the newest last.
+	configured []configured
+	// patches holds the patches to the newest configuration by what they build
+	// on.
+	patches map[ctid.Revision]*ctview.ConfigPatch
+	gone    []gone
 }
 
 type proxy struct {
@@ -52,6 +59,12 @@
 	version ctview.Version
 }
 
+// configured is a configuration with the version that it came with.
+type configured struct {
+	version ctview.Version
+	config  ctview.Config
+}
+
 // gone is an entry that went away: one of its names is set.
 type gone struct {
 	version ctview.Version
@@ -153,7 +166,11 @@
 		return
 	}
 	r.config = config
-	r.configured = r.next()
+	r.patches = make(map[ctid.Revision]*ctview.ConfigPatch)
+	r.configured = append(r.configured, configured{version: r.next(), config: config})
+	if len(r.configured) > maxConfigured {
+		r.configured = r.configured[len(r.configured)-maxConfigured:]
+	}
 }
 
 // Expire drops the proxies and members that were not heard of since the stated
--- a/internal/fleet/ctroster/since.go
+++ b/internal/fleet/ctroster/since.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"slices"
 
+	"github.com/cherviltrestle/cherviltrestle/internal/model/ctconfig"
 	"github.com/cherviltrestle/cherviltrestle/internal/model/ctid"
 	"github.com/cherviltrestle/cherviltrestle/internal/model/ctserver"
 	"github.com/cherviltrestle/cherviltrestle/internal/model/ctview"
@@ -23,10 +24,7 @@
 	r.addProxies(delta)
 	r.addMembers(delta)
 	r.addGroups(delta)
-	if r.configured > version || version == 0 {
-		config := r.config
-		delta.Config = &config
-	}
+	r.addConfig(delta)
 	if version > 0 {
 		r.addGone(delta)
 	}
@@ -39,6 +37,44 @@
 	return len(r.gone) >= maxGone && version < r.gone[0].version
 }
 
+// addConfig adds the configuration where it has changed, as a patch where the
+// one before it is remembered.
+func (r *Roster) addConfig(delta *ctview.Delta) {
+	base, known := r.configAt(delta.From)
+	switch {
+	case delta.From == 0 || !known:
+		config := r.config
+		delta.Config = &config
+	case base.Revision < r.config.Revision:
+		delta.ConfigPatch = r.patchFrom(base)
+	}
+}
+
+// configAt returns the configuration that a version has, where it is remembered.
+func (r *Roster) configAt(version ctview.Version) (ctview.Config, bool) {
+	for _, c := range slices.Backward(r.configured) {
+		if c.version <= version {
+			return c.config, true
+		}
+	}
+	return ctview.Config{}, false
+}
+
+// patchFrom returns the patch to the newest configuration. It is made once for
+// all that ask for it.
+func (r *Roster) patchFrom(base ctview.Config) *ctview.ConfigPatch {
+	if patch, ok := r.patches[base.Revision]; ok {
+		return patch
+	}
+	patch := &ctview.ConfigPatch{
+		Base:     base.Revision,
+		Revision: r.config.Revision,
+		Patch:    ctconfig.Diff(&base.Document, &r.config.Document),
+	}
+	r.patches[base.Revision] = patch
+	return patch
+}
+
 func (r *Roster) addProxies(delta *ctview.Delta) {
 	for _, row := range r.proxies {
 		if row.version > delta.From {
--- /dev/null
+++ b/internal/model/ctconfig/patch.go
@@ -0,0 +1,100 @@
+package ctconfig
+
+import (
+	"reflect"
+
+	"github.com/cherviltrestle/cherviltrestle/internal/model/ctid"
+	"github.com/cherviltrestle/cherviltrestle/internal/model/ctset"
+)
+
+// Patch leads from one document to another. The order of groups and exceptions
+// is not kept: it means nothing.
+type Patch struct {
+	Defaults Settings `json:"defaults,omitzero" cbor:"defaults,omitzero"`
+	// Groups and Exceptions are new or have changed.
+	Groups         []Group      `json:"groups,omitempty" cbor:"groups,omitempty"`
+	GoneGroups     []ctid.Group `json:"gone_groups,omitempty" cbor:"gone_groups,omitempty"`
+	Exceptions     []Exception  `json:"exceptions,omitempty" cbor:"exceptions,omitempty"`
+	GoneExceptions []ctid.Group `json:"gone_exceptions,omitempty" cbor:"gone_exceptions,omitempty"`
+}
+
+// Check reports the first fault of the patch.
+func (p *Patch) Check() error {
+	changed := Document{Defaults: p.Defaults, Groups: p.Groups}
+	if err := changed.Check(); err != nil {
+		return err
+	}
+	for i := range p.Exceptions {
+		if err := p.Exceptions[i].Settings.Check(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// Diff returns the patch from one document to another.
+func Diff(before, after *Document) Patch {
+	patch := Patch{Defaults: after.Defaults}
+	patch.Groups, patch.GoneGroups = diff(before.Groups, after.Groups, groupName)
+	patch.Exceptions, patch.GoneExceptions = diff(before.Exceptions, after.Exceptions, exceptionName)
+	return patch
+}
+
+// Patched returns the document that the patch leads to. The document itself is
+// not changed.
+func (d *Document) Patched(patch *Patch) Document {
+	return Document{
+		Defaults:   patch.Defaults,
+		Groups:     patched(d.Groups, patch.Groups, patch.GoneGroups, groupName),
+		Exceptions: patched(d.Exceptions, patch.Exceptions, patch.GoneExceptions, exceptionName),
+	}
+}
+
+func groupName(g Group) ctid.Group {
+	return g.Name
+}
+
+func exceptionName(e Exception) ctid.Group {
+	return e.Group
+}
+
+// diff returns the entries that are new or have changed, and the names of those
+// that are gone.
+func diff[E any](before, after []E, name func(E) ctid.Group) (changed []E, gone []ctid.Group) {
+	left := make(map[ctid.Group]E, len(before))
+	for _, e := range before {
+		left[name(e)] = e
+	}
+	for _, e := range after {
+		earlier, ok := left[name(e)]
+		delete(left, name(e))
+		if !ok || !reflect.DeepEqual(earlier, e) {
+			changed = append(changed, e)
+		}
+	}
+	for _, e := range before {
+		if _, ok := left[name(e)]; ok {
+			gone = append(gone, name(e))
+		}
+	}
+	return changed, gone
+}
+
+// patched returns the entries without those that changed or are gone, and the
+// changed ones behind them.
+func patched[E any](before, changed []E, gone []ctid.Group, name func(E) ctid.Group) []E {
+	var dropped ctset.Set[ctid.Group]
+	for _, e := range changed {
+		dropped.Add(name(e))
+	}
+	for _, g := range gone {
+		dropped.Add(g)
+	}
+	after := make([]E, 0, len(before)+len(changed))
+	for _, e := range before {
+		if !dropped.Has(name(e)) {
+			after = append(after, e)
+		}
+	}
+	return append(after, changed...)
+}
--- /dev/null
+++ b/internal/model/ctconfig/patch_test.go
@@ -0,0 +1,77 @@
+package ctconfig_test
+
+import (
+	"cmp"
+	"slices"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"github.com/cherviltrestle/cherviltrestle/internal/model/ctconfig"
+	"github.com/cherviltrestle/cherviltrestle/internal/model/ctid"
+)
+
+// drawDocument draws a small document.
+func drawDocument(t *rapid.T) ctconfig.Document {
+	var d ctconfig.Document
+	d.Defaults.Reads.MaxAge = ctconfig.Duration(rapid.IntRange(0, 2).Draw(t, "age"))
+	for _, name := range []ctid.Group{"a", "b", "c"} {
+		if size := rapid.IntRange(0, 2).Draw(t, "size"); size > 0 {
+			d.Groups = append(d.Groups, ctconfig.Group{Name: name, Size: size})
+		}
+		if depth := rapid.IntRange(0, 2).Draw(t, "depth"); depth > 0 {
+			e := ctconfig.Exception{Group: name, Reason: "load"}
+			e.Settings.Sessions.QueueDepth = depth
+			d.Exceptions = append(d.Exceptions, e)
+		}
+	}
+	return d
+}
+
+// inOrder returns the document with its groups and exceptions in order.
+func inOrder(d ctconfig.Document) ctconfig.Document {
+	slices.SortFunc(d.Groups, func(a, b ctconfig.Group) int { return cmp.Compare(a.Name, b.Name) })
+	slices.SortFunc(d.Exceptions, func(a, b ctconfig.Exception) int { return cmp.Compare(a.Group, b.Group) })
+	return d
+}
+
+func assertSameDocument(t assert.TestingT, got, want ctconfig.Document) {
+	got, want = inOrder(got), inOrder(want)
+	assert.Equal(t, got.Defaults, want.Defaults)
+	assert.Assert(t, slices.Equal(got.Groups, want.Groups), "%v is not %v", got.Groups, want.Groups)
+	assert.Assert(t, slices.Equal(got.Exceptions, want.Exceptions), "%v is not %v", got.Exceptions, want.Exceptions)
+}
+
+// TestPatchLeadsToDocument checks, for random documents, that the patch from one
+// to another leads there and leaves the first one as it is.
+func TestPatchLeadsToDocument(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		before, after := drawDocument(t), drawDocument(t)
+		kept := before
+		kept.Groups = slices.Clone(before.Groups)
+		patch := ctconfig.Diff(&before, &after)
+		assertSameDocument(t, before.Patched(&patch), after)
+		assertSameDocument(t, before, kept)
+	})
+}
+
+func TestPatch(t *testing.T) {
+	until := time.Unix(9, 0)
+	same := ctconfig.Document{
+		Groups:     []ctconfig.Group{{Name: "a", Size: 3}},
+		Exceptions: []ctconfig.Exception{{Group: "a", Reason: "load", Until: &until}},
+	}
+	t.Run("of equal documents holds no group", func(t *testing.T) {
+		again := time.Unix(9, 0)
+		other := same
+		other.Exceptions = []ctconfig.Exception{{Group: "a", Reason: "load", Until: &again}}
+		patch := ctconfig.Diff(&same, &other)
+		assert.Equal(t, len(patch.Groups)+len(patch.Exceptions), 0)
+	})
+	t.Run("is refused with a bad setting", func(t *testing.T) {
+		patch := ctconfig.Patch{Groups: []ctconfig.Group{{Name: "a", Size: 0}}}
+		assert.ErrorContains(t, patch.Check(), "size 0")
+	})
+}
--- a/internal/model/ctview/delta.go
+++ b/internal/model/ctview/delta.go
@@ -23,8 +23,19 @@
 	GoneMembers []ctid.Member           `json:"gone_members,omitempty" cbor:"gone_members,omitempty"`
 	Groups      []Group                 `json:"groups,omitempty" cbor:"groups,omitempty"`
 	GoneGroups  []ctid.Group            `json:"gone_groups,omitempty" cbor:"gone_groups,omitempty"`
-	// Config is the accepted configuration, absent where it did not change.
+	// Config is the accepted configuration, absent where it did not change or
+	// where there is a patch.
 	Config *Config `json:"config,omitempty" cbor:"config,omitempty"`
+	// ConfigPatch leads to the accepted configuration from the one that the
+	// version From has.
+	ConfigPatch *ConfigPatch `json:"config_patch,omitempty" cbor:"config_patch,omitempty"`
+}
+
+// ConfigPatch leads from one accepted configuration to a later one.
+type ConfigPatch struct {
+	Base     ctid.Revision  `json:"base" cbor:"base"`
+	Revision ctid.Revision  `json:"revision" cbor:"revision"`
+	Patch    ctconfig.Patch `json:"patch" cbor:"patch"`
 }
 
 // Config is an accepted configuration with its revision.
@@ -54,6 +65,11 @@
 			return err
 		}
 	}
+	if d.ConfigPatch != nil {
+		if err := d.ConfigPatch.Patch.Check(); err != nil {
+			return err
+		}
+	}
 	if d.Config == nil {
 		return nil
 	}
--- a/internal/model/ctview/view.go
+++ b/internal/model/ctview/view.go
@@ -23,7 +23,8 @@
 	byDomain map[ctid.FailureDomain][]ctid.Proxy
 }
 
-// Apply returns the view that the delta leads to. A delta to a version that
+// Apply returns the view that the delta leads to. A patch of another
+// configuration than that of the view is refused, with the delta. A delta to a version that
 // the view has reached already returns the view as it is. A delta that builds
 // on a version that the view has not reached is refused.
 func (v *View) Apply(delta *Delta) (*View, error) {
@@ -34,6 +35,10 @@
 		return v, cterror.Newf(cterror.Conflict, "ask for a delta from the version in hand",
 			"view delta builds on version %d, version %d is in hand", delta.From, v.Version)
 	}
+	if p := delta.ConfigPatch; p != nil && p.Base != v.Config.Revision {
+		return v, cterror.Newf(cterror.Conflict, "ask for a delta from the version in hand",
+			"patch builds on configuration %s, %s is in hand", p.Base, v.Config.Revision)
+	}
 	next := v.copy()
 	if delta.From == 0 {
 		next = &View{
@@ -99,6 +104,9 @@
 	if delta.Config != nil && delta.Config.Revision > v.Config.Revision {
 		v.Config = *delta.Config
 	}
+	if p := delta.ConfigPatch; p != nil {
+		v.Config = Config{Revision: p.Revision, Document: v.Config.Document.Patched(&p.Patch)}
+	}
 }
 
 // takeGroup replaces a group unless that would bring back an earlier term.
