ctholding: ask for positions less often while nobody reads

Change: every 2 s while nobody reads. A read that accepts less wakes the meter at once, as does a newer view; a question without an answer is asked again soon.

--- a/internal/program/ctholding/holding.go
+++ b/internal/program/ctholding/holding.go
@@ -141,6 +141,7 @@
 			}
 			h.retire(rows[name], view)
 			rows[name].hasten()
+			wakeUp(rows[name].wakeMeter)
 		}
 		for name, row := range rows {
 			if _, ok := wanted[name]; !ok && !row.leaving {
--- a/internal/program/ctholding/meter.go
+++ b/internal/program/ctholding/meter.go
@@ -10,9 +10,14 @@
 	"github.com/cherviltrestle/cherviltrestle/internal/work/ctlock"
 )
 
-// markInterval is the time between two questions for the group's position while
-// nobody asks for young data.
-const markInterval = 500 * time.Millisecond
+// The times of a meter.
+const (
+	// markInterval is the time between two questions for the group's position
+	// while nobody asks for young data.
+	markInterval = 2 * time.Second
+	// markRetry is the pause after a question that was not answered.
+	markRetry = 100 * time.Millisecond
+)
 
 // meter asks the primary's holder for the group's position again and again, so
 // that the age of the replica's data is known.
@@ -20,11 +25,14 @@
 	peer := &peerWay{holding: w.holding}
 	defer peer.close()
 	for w.watching.Err() == nil {
-		w.markOnce(peer)
+		pause := markRetry
+		if w.markOnce(peer) {
+			pause = w.markPause(&peer.held)
+		}
 		select {
 		case <-w.watching.Done():
 		case <-w.wakeMeter:
-		case <-w.holding.Clock.After(w.markPause(&peer.held)):
+		case <-w.holding.Clock.After(pause):
 		}
 	}
 }
@@ -38,21 +46,29 @@
 	return pause
 }
 
-func (w *watch) markOnce(peer *peerWay) {
+// markOnce asks once and reports whether there was an answer, or nothing to ask:
+// a primary's data have no age.
+func (w *watch) markOnce(peer *peerWay) bool {
 	group, ok := w.holding.State.View(&peer.held).Groups[w.group]
-	if !ok || group.Primary == w.name || group.Primary == "" {
-		return
+	if !ok || group.Primary == "" {
+		return false
+	}
+	if group.Primary == w.name {
+		return true
 	}
 	ctx, cancel := context.WithTimeout(w.watching, peerTime)
 	defer cancel()
 	asked := w.holding.Clock.Now()
 	answer, err := peer.ask(ctx, group.Primary, &ctframe.Position{Group: w.group, Every: w.markPause(&peer.held)})
 	if err != nil {
-		return
+		return false
 	}
-	if at, ok := answer.(*ctframe.At); ok && !at.Point.Zero() {
-		w.put(marked{asked: asked.Add(-ctdrift.AtMost(at.Ago)), point: at.Point})
+	at, ok := answer.(*ctframe.At)
+	if !ok || at.Point.Zero() {
+		return false
 	}
+	w.put(marked{asked: asked.Add(-ctdrift.AtMost(at.Ago)), point: at.Point})
+	return true
 }
 
 // ServePosition answers a replica's holder that asks for the group's position.
