ctproof: know which replica is to be promoted

The trace shows that the replica without lag was promoted, as it must be; the only other member left lags by 2 s, which is confirm_timeout, so each write of the new primary ends unconfirmed after 2 s, as it must. Runs before passed where the kill came at once after the lag was set: both replicas held the same then, and the lagging one, first by name, became the primary. Ruled out: a lost confirmation (the lagging replica's position follows 2 s late), a lost acknowledgement. Change: the lag is given time to show, the replica that does not lag must be the new primary, which was not checked before, and then the lag ends and writes must be acknowledged again. The check for lost writes stays. Conclusion: the test asked for acknowledgements that the stated settings rule out; it now checks the promotion as well.

--- a/internal/lab/ctproof/failover_test.go
+++ b/internal/lab/ctproof/failover_test.go
@@ -26,7 +26,11 @@
 		}},
 		{"when the primary is killed and one replica lags", func(t *testing.T, fleet *ctfleet.Fleet) {
 			assert.NilError(t, fleet.SetFaults(fleet.Members[group][1], ctstandin.Faults{ReceiveLag: 2000}))
+			time.Sleep(300 * time.Millisecond)
 			fleet.Members[group][0].Kill()
+			heir := awaitPrimary(t, fleet, fleet.Proxies[1], fleet.Members[group][0])
+			assert.Equal(t, heir.Name, fleet.Members[group][2].Name, "the replica that lags became the primary")
+			assert.NilError(t, fleet.SetFaults(fleet.Members[group][1], ctstandin.Faults{}))
 		}},
 		{"when the primary is killed and both replicas lag", func(t *testing.T, fleet *ctfleet.Fleet) {
 			for _, replica := range fleet.Members[group][1:] {
