ctexperiment: measure what an idempotency key costs

Cause: the cost of an idempotency key was not measured. Change: ctlab experiment path also writes with keys.

--- a/internal/lab/ctexperiment/path.go
+++ b/internal/lab/ctexperiment/path.go
@@ -51,9 +51,11 @@
 
 // PathReport is what Path measured.
 type PathReport struct {
-	// Direct and Proxied have one session at a time; Loaded has many.
+	// Direct, Proxied and Keyed have one session at a time; Loaded has many. The
+	// writes of Keyed have idempotency keys.
 	Direct  *ctload.Result `json:"direct"`
 	Proxied *ctload.Result `json:"proxied"`
+	Keyed   *ctload.Result `json:"keyed"`
 	Loaded  *ctload.Result `json:"loaded"`
 	// IdleBytes is the memory of a proxy for each idle caller.
 	IdleBytes int64 `json:"idle_bytes"`
@@ -100,6 +102,10 @@
 	if report.Proxied, err = ctload.Run(ctx, one); err != nil {
 		return nil, err
 	}
+	one.Keys, one.Seed = true, one.Seed+1
+	if report.Keyed, err = ctload.Run(ctx, one); err != nil {
+		return nil, err
+	}
 	if err := report.load(ctx, fleet); err != nil {
 		return nil, err
 	}
