ctholding: look at deadlines only where there are any

Cause: a held member took an event, two locks and three metrics 100 times a second, whether or not anything waited for it. Change: deadlines are looked at where something waits; metrics are set once a second.

--- a/internal/program/ctholding/event.go
+++ b/internal/program/ctholding/event.go
@@ -80,7 +80,10 @@
 type failed struct{}
 
 // ticked reports that deadlines may have passed.
-type ticked struct{}
+type ticked struct {
+	// observe reports whether to set the member's metrics, too.
+	observe bool
+}
 
 func (queued) isEvent()    {}
 func (sampled) isEvent()   {}
--- a/internal/program/ctholding/handle.go
+++ b/internal/program/ctholding/handle.go
@@ -143,6 +143,9 @@
 		a.hasten = m
 	case ticked:
 		m.tick(now, a)
+		if e.observe {
+			m.observe()
+		}
 		m.endRetiring(now, view.Groups[m.group], a)
 	}
 }
@@ -328,7 +331,12 @@
 	}
 	m.doubtAll(m.board.Expire(now), a)
 	m.reach(m.watch.Expire(now), true, a)
-	m.observe()
+}
+
+// expects reports whether something of the member has a deadline.
+func (m *member) expects() bool {
+	_, unconfirmed := m.board.Highest()
+	return unconfirmed || m.leaving || !m.retireBy.IsZero() || m.queue.Waiting() > 0 || m.watch.Len() > 0
 }
 
 // observe sets the member's metrics.
--- a/internal/program/ctholding/holding.go
+++ b/internal/program/ctholding/holding.go
@@ -23,8 +23,12 @@
 	"github.com/cherviltrestle/cherviltrestle/internal/work/cttable"
 )
 
-// tickInterval is how often deadlines of held members are looked at.
-const tickInterval = 10 * time.Millisecond
+const (
+	// tickInterval is how often deadlines of held members are looked at.
+	tickInterval = 10 * time.Millisecond
+	// observeInterval is how often their metrics are set.
+	observeInterval = time.Second
+)
 
 // Dialer opens connections to backend servers.
 type Dialer interface {
@@ -88,18 +92,37 @@
 // tickAll makes the members look at their deadlines again and again.
 func (h *Holding) tickAll(ctx context.Context) {
 	var held ctlock.Held
+	var observed time.Time
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-h.Clock.After(tickInterval):
 		}
-		for _, m := range h.names(&held) {
-			h.put(m, ticked{})
+		now := h.Clock.Now()
+		observe := now.Sub(observed) >= observeInterval
+		if observe {
+			observed = now
+		}
+		for _, m := range h.expecting(&held, observe) {
+			h.put(m, ticked{observe: observe})
 		}
 	}
 }
 
+// expecting returns the held members that something waits for, or all of them.
+func (h *Holding) expecting(held *ctlock.Held, all bool) []ctid.Member {
+	var names []ctid.Member
+	h.members.With(held, func(rows map[ctid.Member]*member) {
+		for name, m := range rows {
+			if all || m.expects() {
+				names = append(names, name)
+			}
+		}
+	})
+	return names
+}
+
 // OnNews sets what to call when something happened that control should know at
 // once. It is called before Start.
 func (h *Holding) OnNews(news func()) {
