ctregister: wait for the leases that may have been granted, no longer

Cause: a new leader of control waited for a lease of the default time, 2 s, also where the configuration had a shorter one; no earlier leader can have granted that.

--- a/internal/program/ctcontrol/ledger.go
+++ b/internal/program/ctcontrol/ledger.go
@@ -60,19 +60,6 @@
 	l.configure(now, l.register.Current())
 }
 
-// longestLease returns the longest lease that an earlier leader may have granted
-// to a group: under the configuration in force or the one before it, which the
-// leader may not have replaced yet.
-func (l *ledger) longestLease(now time.Time, name ctid.Group) time.Duration {
-	longest := ctconfig.DefaultLeaseTime
-	history := l.register.History
-	for _, accepted := range history[max(0, len(history)-2):] {
-		settings := accepted.Change.Document.Effective(name, now)
-		longest = max(longest, settings.Failovers.LeaseTime.Or(ctconfig.DefaultLeaseTime))
-	}
-	return longest
-}
-
 // configure takes an accepted configuration into force.
 func (l *ledger) configure(now time.Time, accepted ctconfig.Accepted) {
 	document := accepted.Change.Document
@@ -81,7 +68,7 @@
 		machine, ok := l.machines[g.Name]
 		if !ok {
 			machine = &ctfailover.Machine{}
-			machine.Begin(now, l.longestLease(now, g.Name))
+			machine.Begin(now, l.register.LongestLease(g.Name))
 			l.machines[g.Name] = machine
 		}
 		machine.Size = g.Size
