ctconfig: let a write lease last 1.5 s

Cause: with 3 control processes the gap of a cut was 3.1 to 3.2 s where control's leader was cut off too; the target is a p99 under 3 s. It is the end of the old leader's authority and an election (about 1 s) and then the lease. Telling the new leader how long ago its voters heard the old one would save about 0.25 s and is not built. Change: the default is 1.5s.

--- a/internal/lab/ctexperiment/deployment.go
+++ b/internal/lab/ctexperiment/deployment.go
@@ -55,7 +55,6 @@
 			Slots:       2,
 			Connections: 65,
 			Connect:     27 * time.Millisecond,
-			LeaseTime:   time.Second,
 			Between:     time.Millisecond,
 		}, nil
 	}
--- a/internal/model/ctconfig/settings.go
+++ b/internal/model/ctconfig/settings.go
@@ -13,7 +13,7 @@
 	DefaultTransaction    = 30 * time.Second
 	DefaultRequestTimeout = 5 * time.Second
 	DefaultConfirmTimeout = 2 * time.Second
-	DefaultLeaseTime      = 2 * time.Second
+	DefaultLeaseTime      = 1500 * time.Millisecond
 	DefaultHandoverTime   = 3 * time.Second
 	DefaultQueueDepth     = 1000
 )
@@ -69,7 +69,7 @@
 
 // Failovers sets how failovers behave.
 type Failovers struct {
-	// LeaseTime is how long a write lease lasts; 2s.
+	// LeaseTime is how long a write lease lasts; 1.5s.
 	LeaseTime Duration `json:"lease_time,omitempty" cbor:"lease_time,omitempty"`
 	// ConfirmTimeout is how long a write waits for a replica before its
 	// outcome is unknown; 2s.
