ctsession, ctholding: split the files that have grown

Change: outcomes and endings of a session, and the actions, the queue and the waiters of a member, have files of their own. No behaviour changes.

--- a/internal/program/ctholding/handle.go
+++ b/internal/program/ctholding/handle.go
@@ -4,11 +4,8 @@
 	"time"
 
 	"github.com/cherviltrestle/cherviltrestle/internal/decide/ctadmit"
-	"github.com/cherviltrestle/cherviltrestle/internal/decide/ctconfirm"
 	"github.com/cherviltrestle/cherviltrestle/internal/decide/ctwatch"
-	"github.com/cherviltrestle/cherviltrestle/internal/link/ctbackend"
 	"github.com/cherviltrestle/cherviltrestle/internal/model/ctid"
-	"github.com/cherviltrestle/cherviltrestle/internal/model/ctoutcome"
 	"github.com/cherviltrestle/cherviltrestle/internal/model/ctposition"
 	"github.com/cherviltrestle/cherviltrestle/internal/model/ctserver"
 	"github.com/cherviltrestle/cherviltrestle/internal/model/ctview"
@@ -16,51 +13,6 @@
 	"github.com/cherviltrestle/cherviltrestle/internal/work/ctlock"
 )
 
-// actions are what a worker does after it has unlocked the tables.
-type actions struct {
-	tellings  []telling
-	closing   []*ctbackend.Conn
-	hasten    *member
-	surrender surrender
-	// news reports whether control should know at once.
-	news bool
-}
-
-// surrender is a term whose lease is given up for good; its zero value is none.
-type surrender struct {
-	term ctposition.Term
-	why  string
-}
-
-// Why a lease is given up.
-const (
-	whyPrimaryDown  = "primary_down"
-	whyWorkEnded    = "leaving_primary_ended_its_work"
-	whyHandoverTime = "leaving_primary_took_too_long"
-)
-
-// telling is an order for an exchange or another waiter.
-type telling struct {
-	to    waiter
-	order order
-}
-
-func (a *actions) tell(to waiter, order order) {
-	a.tellings = append(a.tellings, telling{to: to, order: order})
-}
-
-func (a *actions) perform() {
-	for _, t := range a.tellings {
-		t.to.tell(t.order)
-	}
-	for _, c := range a.closing {
-		go c.Close()
-	}
-	if a.hasten != nil {
-		a.hasten.hasten()
-	}
-}
-
 // handle lets the decision packages decide on an event of a member.
 func (h *Holding) handle(held *ctlock.Held, happened happening) {
 	view := h.State.View(held)
@@ -98,23 +50,6 @@
 		Send()
 }
 
-// reject answers events of a member that is not held.
-func (a *actions) reject(e event) {
-	switch e := e.(type) {
-	case queued:
-		if e.exchange != nil {
-			a.tell(e.exchange, refuse{reason: ctoutcome.ReasonNotHolder})
-		}
-		if e.idle != nil {
-			a.closing = append(a.closing, e.idle)
-		}
-	case committed:
-		a.tell(e.exchange, doubt{reason: ctoutcome.ReasonNotHolder})
-	case awaited:
-		a.tell(e.waiter, reached{late: true})
-	}
-}
-
 // step takes one event of the member.
 func (m *member) step(now time.Time, view *ctview.View, e event, a *actions) {
 	history := view.Groups[m.announced.Group].History
@@ -163,70 +98,6 @@
 	return false
 }
 
-// stepQueue passes an event to the member's queue.
-func (m *member) stepQueue(now time.Time, e queued, a *actions) {
-	switch q := e.event.(type) {
-	case ctadmit.Ask:
-		if !m.locked && !m.leaving {
-			a.tell(e.exchange, refuse{reason: ctoutcome.ReasonNotHolder})
-			return
-		}
-		m.exchanges[q.Exchange] = e.exchange
-	case ctadmit.Leave:
-		m.leave(q, e, a)
-	case ctadmit.Close:
-		a.closing = append(a.closing, m.idle...)
-		m.idle = nil
-	}
-	m.apply(m.queue.Step(now, e.event), a)
-}
-
-// leave takes an exchange's connection back.
-func (m *member) leave(q ctadmit.Leave, e queued, a *actions) {
-	delete(m.exchanges, q.Exchange)
-	m.watch.Remove(ctwatch.Key(q.Exchange))
-	m.board.Remove(ctconfirm.Key(q.Exchange))
-	if e.idle == nil {
-		return
-	}
-	if q.Reusable && !m.leaving {
-		m.idle = append(m.idle, e.idle)
-		return
-	}
-	a.closing = append(a.closing, e.idle)
-}
-
-// apply turns the effects of the queue into orders.
-func (m *member) apply(effects []ctadmit.Effect, a *actions) {
-	for _, effect := range effects {
-		switch f := effect.(type) {
-		case ctadmit.Admit:
-			a.tell(m.exchanges[f.Exchange], m.start(f))
-		case ctadmit.Refuse:
-			to, ok := m.exchanges[f.Exchange]
-			if !ok {
-				continue
-			}
-			a.tell(to, refuse{reason: f.Reason, retryAfter: f.RetryAfter})
-		}
-	}
-}
-
-// start takes an idle connection for an exchange that has none.
-func (m *member) start(admit ctadmit.Admit) start {
-	order := start{waited: admit.Waited}
-	x := m.exchanges[admit.Exchange]
-	if admit.Open || x.counted || len(m.idle) == 0 {
-		x.counted = true
-		return order
-	}
-	x.counted = true
-	last := len(m.idle) - 1
-	order.idle = m.idle[last]
-	m.idle = m.idle[:last]
-	return order
-}
-
 // sample takes a new status of the member.
 func (m *member) sample(now time.Time, e sampled, history ctposition.History, a *actions) {
 	if e.status.Incarnation != m.status.Incarnation {
@@ -277,68 +148,6 @@
 	m.apply(m.queue.Step(now, m.limits()), a)
 }
 
-// commit makes a commit wait for its confirmation.
-func (m *member) commit(e committed, members []ctid.Member, a *actions) {
-	m.doubtAll(m.board.Begin(e.term), a)
-	if m.board.Add(e.write) {
-		a.tell(e.exchange, release{})
-		return
-	}
-	m.needConfirmation(members)
-}
-
-func (m *member) release(keys []ctconfirm.Key, a *actions) {
-	for _, k := range keys {
-		if x, ok := m.exchanges[ctadmit.Exchange(k)]; ok {
-			a.tell(x, release{})
-		}
-	}
-}
-
-// doubtAll tells exchanges that their commits can't be confirmed any more.
-func (m *member) doubtAll(keys []ctconfirm.Key, a *actions) {
-	for _, k := range keys {
-		if x, ok := m.exchanges[ctadmit.Exchange(k)]; ok {
-			a.tell(x, doubt{reason: ctoutcome.ReasonUnconfirmed})
-		}
-	}
-}
-
-// await makes someone wait for the member to reach a point.
-func (m *member) await(e awaited, history ctposition.History, a *actions) {
-	m.lastKey++
-	e.entry.Key = m.lastKey
-	m.waiters[m.lastKey] = e.waiter
-	m.watch.Add(e.entry)
-	m.reach(m.watch.Sample(m.status, history), false, a)
-	if m.watch.Len() > 0 {
-		a.hasten = m
-	}
-}
-
-// reach tells those who wait for the member.
-func (m *member) reach(keys []ctwatch.Key, late bool, a *actions) {
-	for _, k := range keys {
-		a.tell(m.waiters[k], reached{late: late, status: m.status})
-		delete(m.waiters, k)
-	}
-}
-
-// tick ends what has waited for too long.
-func (m *member) tick(now time.Time, a *actions) {
-	if m.queue.Waiting() > 0 {
-		m.apply(m.queue.Step(now, ctadmit.Tick{}), a)
-	}
-	m.doubtAll(m.board.Expire(now), a)
-	m.reach(m.watch.Expire(now), true, a)
-}
-
-// expects reports whether something of the member has a deadline.
-func (m *member) expects() bool {
-	_, unconfirmed := m.board.Highest()
-	return unconfirmed || m.leaving || !m.retireBy.IsZero() || m.queue.Waiting() > 0 || m.watch.Len() > 0
-}
-
 // observe sets the member's metrics.
 func (m *member) observe() {
 	name := string(m.announced.Member)
