ctcommand: show what a configuration file would change

Cause: operators saw the effect of a file only after it was applied. Change: config diff compares a file with the newest configuration: defaults, groups and exceptions with their reasons, and the base to apply it with. Before: TestConfigDiff failed, the command was unknown; after: it passes.

--- a/internal/program/ctcommand/config.go
+++ b/internal/program/ctcommand/config.go
@@ -26,7 +26,7 @@
 		Use:   "config",
 		Short: "Read and change the configuration of the fleet",
 	}
-	command.AddCommand(newConfigApply(environment), newConfigGet(), newConfigHistory(), newConfigCheck())
+	command.AddCommand(newConfigApply(environment), newConfigGet(), newConfigHistory(), newConfigCheck(), newConfigDiff())
 	return command
 }
 
--- /dev/null
+++ b/internal/program/ctcommand/diff.go
@@ -0,0 +1,93 @@
+package ctcommand
+
+import (
+	"fmt"
+
+	"github.com/pkg/errors"
+	"github.com/spf13/cobra"
+	"sigs.k8s.io/yaml"
+
+	"github.com/cherviltrestle/cherviltrestle/internal/model/ctconfig"
+	"github.com/cherviltrestle/cherviltrestle/internal/model/ctid"
+)
+
+// difference tells what applying a file would change.
+type difference struct {
+	Base     ctid.Revision     `json:"base"`
+	Patch    ctconfig.Patch    `json:"patch"`
+	Defaults ctconfig.Settings `json:"defaults_before"`
+}
+
+func newConfigDiff() *cobra.Command {
+	var c client
+	var file string
+	command := &cobra.Command{
+		Use:   "diff",
+		Short: "Show what applying a configuration file would change",
+		Args:  cobra.NoArgs,
+		RunE: func(command *cobra.Command, _ []string) error {
+			document, err := readDocument(file)
+			if err != nil {
+				return err
+			}
+			history, err := c.history(command)
+			if err != nil {
+				return err
+			}
+			d := differenceTo(history, &document)
+			text, err := d.text()
+			if err != nil {
+				return err
+			}
+			return c.print(command, d, func() { command.Print(text) })
+		},
+	}
+	c.register(command.Flags())
+	command.Flags().StringVar(&file, "file", "", "YAML file with the whole configuration")
+	return command
+}
+
+// differenceTo compares the newest accepted configuration with a document.
+func differenceTo(history []ctconfig.Accepted, document *ctconfig.Document) *difference {
+	var newest ctconfig.Accepted
+	if len(history) > 0 {
+		newest = history[len(history)-1]
+	}
+	before := &newest.Change.Document
+	return &difference{
+		Base:     newest.Revision,
+		Patch:    ctconfig.Diff(before, document),
+		Defaults: before.Defaults,
+	}
+}
+
+// text renders the difference for a reader.
+func (d *difference) text() (string, error) {
+	text := fmt.Sprintf("against revision %s; apply with --base %d\n", d.Base, d.Base)
+	if d.Patch.Defaults != d.Defaults {
+		for _, side := range []struct {
+			mark     string
+			settings ctconfig.Settings
+		}{{"-", d.Defaults}, {"+", d.Patch.Defaults}} {
+			data, err := yaml.Marshal(side.settings)
+			if err != nil {
+				return "", errors.Wrap(err, "encode the defaults")
+			}
+			text += side.mark + " defaults:\n" + string(data)
+		}
+	}
+	for _, g := range d.Patch.Groups {
+		text += fmt.Sprintf("+ group %s: size %d\n", g.Name, g.Size)
+	}
+	for _, g := range d.Patch.GoneGroups {
+		text += fmt.Sprintf("- group %s\n", g)
+	}
+	for i := range d.Patch.Exceptions {
+		e := &d.Patch.Exceptions[i]
+		text += fmt.Sprintf("+ exception for %s: %s (%s)\n", e.Group, e.Reason, e.End())
+	}
+	for _, g := range d.Patch.GoneExceptions {
+		text += fmt.Sprintf("- exception for %s\n", g)
+	}
+	return text, nil
+}
