ctcontrol: take a control process that is gone out of the voters

Cause: the replicated log could take a voter out, and no command asked for it. A VM that is gone for good went on counting for the majority. Change: control remove asks the leader, which refuses to take itself out, and tells when it is done. A running process joins again by itself; the help says so. Before: TestControlRemoval failed, the command was unknown; after: it passes, and two voters take changes.

--- a/internal/lab/ctproof/control_test.go
+++ b/internal/lab/ctproof/control_test.go
@@ -170,3 +170,31 @@
 		assert.Assert(t, contains(output, fmt.Sprintf("change-%d", i+1)), output)
 	}
 }
+
+// assertRefusesRemoval checks that control keeps a voter and says why.
+func assertRefusesRemoval(t *testing.T, fleet *ctfleet.Fleet, name, part string) {
+	t.Helper()
+	output, err := fleet.Run("control", "remove", name, "--control-http", fleet.ControlHTTP())
+	assert.Assert(t, err != nil, output)
+	assert.Assert(t, contains(output, part), output)
+}
+
+func TestControlRemoval(t *testing.T) {
+	fleet := start(t, quorumFleet())
+	awaitVoters(t, fleet)
+	leader, err := fleet.Leader()
+	assert.NilError(t, err)
+	assertRefusesRemoval(t, fleet, "stranger", "is no voter")
+	assertRefusesRemoval(t, fleet, leader.Name, "leads control")
+	for _, gone := range fleet.Controls {
+		if gone == leader {
+			continue
+		}
+		gone.Kill()
+		output, err := fleet.Run("control", "remove", gone.Name, "--control-http", leader.HTTP.String())
+		assert.NilError(t, err, output)
+		assert.Equal(t, len(statusOf(fleet, leader).Voters), len(fleet.Controls)-1)
+		assertTakesChanges(t, fleet, 1)
+		return
+	}
+}
--- a/internal/program/ctcommand/processes.go
+++ b/internal/program/ctcommand/processes.go
@@ -51,7 +51,7 @@
 			}
 			return process.Run(ctx)
 		})
-	command.AddCommand(newControlInit())
+	command.AddCommand(newControlInit(), newControlRemove())
 	return command
 }
 
--- /dev/null
+++ b/internal/program/ctcommand/remove.go
@@ -0,0 +1,41 @@
+package ctcommand
+
+import (
+	"net/http"
+
+	"github.com/spf13/cobra"
+
+	"github.com/cherviltrestle/cherviltrestle/internal/model/ctid"
+	"github.com/cherviltrestle/cherviltrestle/internal/program/ctcontrol"
+)
+
+// newControlRemove returns the command that takes a control process out of the
+// voters.
+func newControlRemove() *cobra.Command {
+	var c client
+	command := &cobra.Command{
+		Use:   "remove NAME",
+		Short: "Take a control process whose VM is gone for good out of the voters",
+		Long: "Take a control process whose VM is gone for good out of the voters. Stop it first if it still runs:\n" +
+			"a running one joins again by itself. One that has only lost its disk needs no removal.",
+		Args: cobra.ExactArgs(1),
+		RunE: func(command *cobra.Command, arguments []string) error {
+			var name ctid.Control
+			if err := name.UnmarshalText([]byte(arguments[0])); err != nil {
+				return err
+			}
+			return c.remove(command, name)
+		},
+	}
+	c.register(command.Flags())
+	return command
+}
+
+func (c *client) remove(command *cobra.Command, name ctid.Control) error {
+	removal := ctcontrol.Removal{Name: name}
+	if err := c.call(command.Context(), http.MethodPost, "/v1/voters/remove", removal, nil); err != nil {
+		return err
+	}
+	command.Printf("%s is no voter any more\n", name)
+	return nil
+}
--- a/internal/program/ctcontrol/process.go
+++ b/internal/program/ctcontrol/process.go
@@ -110,6 +110,7 @@
 	mux.HandleFunc("GET /v1/config", o.history)
 	mux.HandleFunc("POST /v1/config", o.change)
 	mux.HandleFunc("GET /v1/status", o.status)
+	mux.HandleFunc("POST /v1/voters/remove", o.remove)
 	mux.HandleFunc("GET /v1/deeds", o.deeds)
 	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
 	mux.Handle("GET /metrics", promhttp.Handler())
--- /dev/null
+++ b/internal/program/ctcontrol/removal.go
@@ -0,0 +1,84 @@
+package ctcontrol
+
+import (
+	"context"
+	"net/http"
+	"slices"
+	"time"
+
+	"github.com/cherviltrestle/cherviltrestle/internal/decide/ctquorum"
+	"github.com/cherviltrestle/cherviltrestle/internal/link/cthttp"
+	"github.com/cherviltrestle/cherviltrestle/internal/model/cterror"
+	"github.com/cherviltrestle/cherviltrestle/internal/model/ctid"
+	"github.com/cherviltrestle/cherviltrestle/internal/work/ctlock"
+)
+
+// removalTime bounds the wait for a voter to be taken out.
+const removalTime = 2 * time.Second
+
+// Removal asks to take a control process out of the voters for good.
+type Removal struct {
+	Name ctid.Control `json:"name"`
+}
+
+// remove takes a control process whose VM is gone for good out of the voters.
+func (o operators) remove(w http.ResponseWriter, r *http.Request) {
+	var removal Removal
+	if err := cthttp.Read(w, r, &removal); err != nil {
+		cthttp.Fail(w, err)
+		return
+	}
+	var held ctlock.Held
+	voter, err := o.removable(&held, removal.Name)
+	if err == nil {
+		o.replica.Remove(voter)
+		err = o.awaitRemoval(r.Context(), &held, voter)
+	}
+	if err != nil {
+		cthttp.Fail(w, err)
+		return
+	}
+	w.WriteHeader(http.StatusNoContent)
+}
+
+// removable returns the voter of a name, if this process may take it out.
+func (o operators) removable(held *ctlock.Held, name ctid.Control) (ctquorum.Peer, error) {
+	if err := o.control.mustLead(held); err != nil {
+		return ctquorum.Peer{}, err
+	}
+	voters := o.replica.Voters(held)
+	at := slices.IndexFunc(voters, func(v ctquorum.Peer) bool { return v.Name == name })
+	switch {
+	case at < 0:
+		return ctquorum.Peer{}, cterror.Newf(cterror.Invalid, "see status for the voters", "%s is no voter", name)
+	case name == o.control.Name:
+		return ctquorum.Peer{}, cterror.Newf(cterror.Conflict, "stop it first; another one then leads",
+			"%s leads control", name)
+	}
+	return voters[at], nil
+}
+
+func (o operators) awaitRemoval(ctx context.Context, held *ctlock.Held, voter ctquorum.Peer) error {
+	ctx, cancel := context.WithTimeout(ctx, removalTime)
+	defer cancel()
+	for slices.Contains(o.replica.Voters(held), voter) {
+		select {
+		case <-ctx.Done():
+			return cterror.Newf(cterror.Unavailable, "see status, and try again if it is still a voter",
+				"whether %s was taken out is not known", voter.Name)
+		case <-o.control.Clock.After(quorumTick):
+		}
+	}
+	return nil
+}
+
+// mustLead returns an error where this process does not lead control.
+func (c *Control) mustLead(held *ctlock.Held) error {
+	var err error
+	c.ledger.With(held, func(l *ledger) {
+		if !l.leading {
+			err = notLeading(l)
+		}
+	})
+	return err
+}
--- a/internal/program/ctcontrol/replica.go
+++ b/internal/program/ctcontrol/replica.go
@@ -120,6 +120,11 @@
 	r.pool.Put(0, ctquorum.Propose{Ticket: ticket, Data: data})
 }
 
+// Remove asks to take a voter out. Voters shows when it is.
+func (r *Replica) Remove(voter ctquorum.Peer) {
+	r.pool.Put(0, ctquorum.Remove{Peer: voter})
+}
+
 // Receive takes a message of another control process. One for an earlier
 // incarnation of this process's disk is dropped.
 func (r *Replica) Receive(frame *ctframe.Quorum) {
