ctproof: cut connections in the middle of answers

Cause: no proof broke a connection in the middle of a row, and no proof with processes had been seen to fail for "not run". Change: the stand-in can cut every so many answers in their middle. Reads that are told as answered must have all rows; writes are compared with the log.

--- a/internal/lab/ctstandin/database.go
+++ b/internal/lab/ctstandin/database.go
@@ -18,8 +18,10 @@
 	log         ctwal.Log
 	lockHolder  sessionID
 	running     int
-	faults      Faults
-	counters    Counters
+	// answered counts the answers to callers' statements.
+	answered int
+	faults   Faults
+	counters Counters
 	// connections holds the connections that are open.
 	connections map[sessionID]connection
 	// waiting are the sessions that wait for more of the log.
@@ -171,3 +173,10 @@
 	}
 	return 0
 }
+
+// cuts counts an answer to a caller's statement and reports whether it is to be
+// cut.
+func (d *database) cuts() bool {
+	d.answered++
+	return d.faults.CutEvery > 0 && d.answered%d.faults.CutEvery == 0
+}
--- a/internal/lab/ctstandin/options.go
+++ b/internal/lab/ctstandin/options.go
@@ -46,6 +46,9 @@
 	Leaving bool `json:"leaving"`
 	// Isolated cuts the replication from and to the member.
 	Isolated bool `json:"isolated"`
+	// CutEvery cuts the connection in the middle of every so many answers to
+	// callers' statements; 0 for none.
+	CutEvery int `json:"cut_every"`
 	// Mute stops the announcements.
 	Mute bool `json:"mute"`
 }
--- a/internal/lab/ctstandin/server.go
+++ b/internal/lab/ctstandin/server.go
@@ -152,7 +152,7 @@
 // finish runs a request that has taken its time, and answers it.
 func (s *Server) finish(held *ctlock.Held, to *session) {
 	var data []byte
-	done := true
+	done, cut := true, false
 	var wake []sessionID
 	s.database.With(held, func(d *database) {
 		before := d.counters.Commits
@@ -167,6 +167,7 @@
 		}
 		if to.request.counted {
 			d.running--
+			cut = d.cuts()
 		}
 		if d.counters.Commits != before {
 			wake, d.waiting = d.waiting, nil
@@ -181,5 +182,9 @@
 	}
 	s.deadlines.Clear(to.id)
 	to.request = nil
-	to.answers <- answer{data: data, close: to.terminated}
+	a := answer{data: data, close: to.terminated}
+	if cut {
+		a = a.half()
+	}
+	to.answers <- a
 }
--- a/internal/lab/ctstandin/session.go
+++ b/internal/lab/ctstandin/session.go
@@ -36,10 +36,16 @@
 
 // answer is what a connection sends for a request.
 type answer struct {
-	data  []byte
+	data []byte
+	// close ends the connection after the data.
 	close bool
 }
 
+// half returns an answer that breaks off in its middle.
+func (a answer) half() answer {
+	return answer{data: a.data[:len(a.data)/2], close: true}
+}
+
 // portal is a statement with its parameters.
 type portal struct {
 	statement  ctsql.Statement
