ctproof: hand over while control's leader is killed

Cause: no proof had control change its leader in the middle of a handover. Change: the leader is killed just after the primary announces that it leaves.

--- a/internal/lab/ctproof/stop_test.go
+++ b/internal/lab/ctproof/stop_test.go
@@ -121,6 +121,21 @@
 		assertReads(t, fleet.Proxies[2], parameters{"cherviltrestle.token": tokenOf(inTransaction)}, "21.5")
 		assertNoNewWork(t, fleet, leaving)
 	})
+	t.Run("is replaced although control's leader is killed meanwhile", func(t *testing.T) {
+		fleet := start(t, quorumFleet())
+		awaitVoters(t, fleet)
+		leaving := fleet.Members[group][0]
+		callers := work(fleet, someCallers, true)
+		callers.awaitMore(t, someWrites)
+		leader, err := fleet.Leader()
+		assert.NilError(t, err)
+		assert.NilError(t, fleet.SetFaults(leaving, ctstandin.Faults{Leaving: true}))
+		leader.Kill()
+		primary := awaitPrimary(t, fleet, fleet.Proxies[0], leaving)
+		callers.awaitMore(t, someWrites)
+		callers.end()
+		assertTruthful(t, callers, primary)
+	})
 	t.Run("is replaced although a caller never ends its transaction", func(t *testing.T) {
 		shape := smallFleet()
 		shape.Config = hasty
