--- a/internal/lab/ctload/doc.go
+++ b/internal/lab/ctload/doc.go
@@ -11,7 +11,7 @@
 
 # Usage
 
-	result, err := ctload.Run(ctx, ctload.Options{Address: address, Groups: groups, Sessions: 20, For: 5 * time.Second})
+	result, err := ctload.Run(ctx, ctload.Options{Addresses: addresses, Groups: groups, Sessions: 20, For: 5 * time.Second})
 	fmt.Println(result.Table())
 */
 package ctload
--- a/internal/program/ctcommand/doc.go
+++ b/internal/program/ctcommand/doc.go
@@ -4,7 +4,7 @@
 # Commands
 
 The processes are started with proxy and control. Operators use config, status,
-deeds and keys. Every command has a help text; every setting is a flag and an
+explain, deeds and keys, and control init and remove. Every command has a help text; every setting is a flag and an
 environment variable.
 
 # Exit codes
--- a/internal/program/ctentry/doc.go
+++ b/internal/program/ctentry/doc.go
@@ -6,14 +6,21 @@
 
 Each caller's connection has one goroutine, the conversation, which does all
 input and output of the session. It puts what happens as events into a pool of
-workers and performs the effects that come back. A worker locks the view, the
-hints and the sessions, in the order of their ranks, lets the session decide,
-unlocks, and hands the effects over; it never waits for a caller or a peer.
+workers and performs the effects that come back. A worker copies the view and the
+hints, lets the session decide, and hands the effects over; it never waits for a
+caller or a peer. The retry budget and the throttles are shared by all sessions;
+they are locked for a moment where a session uses them.
+
+# Waiting sessions
+
+A session that waits for a member tries again after a while, and at once when a
+newer view comes.
 
 # Usage
 
 	entry := ctentry.New(ctentry.Options{...})
-	err := entry.Serve(ctx, listener)
-	entry.Drain()
+	entry.Start(ctx)
+	err := entry.Serve(listener)
+	ended := entry.Drain(ctx)
 */
 package ctentry
--- a/internal/program/ctholding/doc.go
+++ b/internal/program/ctholding/doc.go
@@ -19,11 +19,21 @@
 An earlier holder that is still draining keeps the connections of its open
 transactions; the new one counts them out of its own limits.
 
+# Giving up
+
+While control hands a group over, the holder of its primary admits nothing new,
+lets the work in hand end, and gives the write lease up for good.
+
+# Idempotency keys
+
+A request with a key runs together with the writing of its record. Where the
+record is there already, the request ran before, and nothing of it runs again.
+
 # Usage
 
 	holding := ctholding.New(options)
-	go holding.Run(ctx)
-	holding.Follow(view)
+	holding.Start(ctx)
+	holding.Follow(&held, view)
 	holding.Serve(ctx, way, open)
 */
 package ctholding
