ctload: compare two results

Cause: two results of load could only be compared by eye. Before: TestCompare failed to build; after: it passes.

--- /dev/null
+++ b/internal/lab/ctload/compare_test.go
@@ -0,0 +1,39 @@
+package ctload_test
+
+import (
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/cherviltrestle/cherviltrestle/internal/lab/ctload"
+)
+
+// assertLine checks that a line of a text has the stated fields.
+func assertLine(t *testing.T, text string, fields ...string) {
+	t.Helper()
+	for line := range strings.Lines(text) {
+		if strings.Join(strings.Fields(line), " ") == strings.Join(fields, " ") {
+			return
+		}
+	}
+	t.Errorf("no line %v in\n%s", fields, text)
+}
+
+func TestCompare(t *testing.T) {
+	before := &ctload.Result{
+		PerSecond: 100,
+		Times:     map[ctload.Kind]ctload.Times{ctload.KindRead: {Count: 9, P50: 2000}},
+		Outcomes:  map[ctload.Outcome]int64{ctload.OutcomeRan: 500},
+	}
+	after := &ctload.Result{
+		PerSecond: 150,
+		Times:     map[ctload.Kind]ctload.Times{ctload.KindRead: {Count: 9, P50: 1000}},
+		Outcomes:  map[ctload.Outcome]int64{ctload.OutcomeRan: 750, ctload.OutcomeNotRun: 3},
+	}
+	text := ctload.Compare(before, after)
+	assertLine(t, text, "ran", "a", "second", "100.000", "150.000", "150")
+	assertLine(t, text, "read", "p50", "ms", "2.000", "1.000", "50")
+	assertLine(t, text, "not_run", "0.000", "3.000", "-")
+	assert.Assert(t, !strings.Contains(text, "write"))
+}
--- a/internal/lab/ctload/doc.go
+++ b/internal/lab/ctload/doc.go
@@ -11,7 +11,9 @@
 
 # Usage
 
-	result, err := ctload.Run(ctx, ctload.Options{Addresses: addresses, Groups: groups, Sessions: 20, For: 5 * time.Second})
+	options := ctload.Options{Addresses: addresses, Groups: groups, Sessions: 20, For: 5 * time.Second}
+	result, err := ctload.Run(ctx, options)
 	fmt.Println(result.Table())
+	fmt.Println(ctload.Compare(earlier, result))
 */
 package ctload
