ctroster: make each delta once

Cause: every proxy that waits asks for the delta from the version in hand, and the leader went through all proxies, members and groups for each of them, under its lock; only the patch of the configuration was kept for the next one that asks. Change: the whole delta is kept by the version that it builds on until the next version, and the keeping of patches goes. What proxies get is the same. Checked: the tests of ctroster, unchanged. The cost was not measured again.

--- a/internal/fleet/ctroster/roster.go
+++ b/internal/fleet/ctroster/roster.go
@@ -34,10 +34,10 @@
 	// configured lists the versions at which the configuration changed, with
 	// what it was from then on, the newest last.
 	configured []configured
-	// patches holds the patches to the newest configuration by what they build
-	// on.
-	patches map[ctid.Revision]*ctview.ConfigPatch
-	gone    []gone
+	gone       []gone
+	// deltas holds the deltas to the newest version by what they build on, so
+	// that each is made once for all the proxies that ask for it.
+	deltas map[ctview.Version]*ctview.Delta
 }
 
 type proxy struct {
@@ -166,7 +166,6 @@
 		return
 	}
 	r.config = config
-	r.patches = make(map[ctid.Revision]*ctview.ConfigPatch)
 	r.configured = append(r.configured, configured{version: r.next(), config: config})
 	if len(r.configured) > maxConfigured {
 		r.configured = r.configured[len(r.configured)-maxConfigured:]
@@ -226,5 +225,6 @@
 
 func (r *Roster) next() ctview.Version {
 	r.version++
+	r.deltas = nil
 	return r.version
 }
--- a/internal/fleet/ctroster/since.go
+++ b/internal/fleet/ctroster/since.go
@@ -12,7 +12,7 @@
 
 // Since returns the delta from a version to the newest one, or nil where there
 // is nothing newer. A version of another leader, or one that lies too far back,
-// gets the whole view.
+// gets the whole view. The delta is shared and must not be changed.
 func (r *Roster) Since(version ctview.Version) *ctview.Delta {
 	if version == r.version {
 		return nil
@@ -20,6 +20,20 @@
 	if version < r.first || version > r.version || r.forgotten(version) {
 		version = 0
 	}
+	delta, ok := r.deltas[version]
+	if ok {
+		return delta
+	}
+	if r.deltas == nil {
+		r.deltas = make(map[ctview.Version]*ctview.Delta)
+	}
+	delta = r.makeDelta(version)
+	r.deltas[version] = delta
+	return delta
+}
+
+// makeDelta makes the delta from a version that is remembered, or from nothing.
+func (r *Roster) makeDelta(version ctview.Version) *ctview.Delta {
 	delta := &ctview.Delta{From: version, To: r.version}
 	r.addProxies(delta)
 	r.addMembers(delta)
@@ -46,7 +60,11 @@
 		config := r.config
 		delta.Config = &config
 	case base.Revision < r.config.Revision:
-		delta.ConfigPatch = r.patchFrom(base)
+		delta.ConfigPatch = &ctview.ConfigPatch{
+			Base:     base.Revision,
+			Revision: r.config.Revision,
+			Patch:    ctconfig.Diff(&base.Document, &r.config.Document),
+		}
 	}
 }
 
@@ -60,21 +78,6 @@
 	return ctview.Config{}, false
 }
 
-// patchFrom returns the patch to the newest configuration. It is made once for
-// all that ask for it.
-func (r *Roster) patchFrom(base ctview.Config) *ctview.ConfigPatch {
-	if patch, ok := r.patches[base.Revision]; ok {
-		return patch
-	}
-	patch := &ctview.ConfigPatch{
-		Base:     base.Revision,
-		Revision: r.config.Revision,
-		Patch:    ctconfig.Diff(&base.Document, &r.config.Document),
-	}
-	r.patches[base.Revision] = patch
-	return patch
-}
-
 func (r *Roster) addProxies(delta *ctview.Delta) {
 	for _, row := range r.proxies {
 		if row.version > delta.From {
