ctcommand: take the newest configuration by the register

Cause: get, explain and diff each took the last entry of the history in their own way; ctregister knows which one is in force. Change: they share one call, which uses Register.Current. No behaviour changes.

--- a/internal/program/ctcommand/config.go
+++ b/internal/program/ctcommand/config.go
@@ -10,6 +10,7 @@
 	"github.com/spf13/cobra"
 	"sigs.k8s.io/yaml"
 
+	"github.com/cherviltrestle/cherviltrestle/internal/decide/ctregister"
 	"github.com/cherviltrestle/cherviltrestle/internal/model/ctconfig"
 	"github.com/cherviltrestle/cherviltrestle/internal/model/cterror"
 	"github.com/cherviltrestle/cherviltrestle/internal/model/ctid"
@@ -95,14 +96,13 @@
 		Short: "Show the newest configuration as a file that apply takes",
 		Args:  cobra.NoArgs,
 		RunE: func(command *cobra.Command, _ []string) error {
-			history, err := c.history(command)
+			newest, err := c.newest(command)
 			if err != nil {
 				return err
 			}
-			if len(history) == 0 {
+			if newest.Revision == 0 {
 				return cterror.New(cterror.Unavailable, "there is no configuration yet", "apply one")
 			}
-			newest := history[len(history)-1]
 			data, err := yaml.Marshal(newest.Change.Document)
 			if err != nil {
 				return errors.Wrap(err, "encode the configuration")
@@ -164,6 +164,14 @@
 	return history, err
 }
 
+// newest returns the newest accepted configuration, the zero value before the
+// first.
+func (c *client) newest(command *cobra.Command) (ctconfig.Accepted, error) {
+	history, err := c.history(command)
+	register := ctregister.Register{History: history}
+	return register.Current(), err
+}
+
 // readDocument reads and checks a configuration file.
 func readDocument(file string) (ctconfig.Document, error) {
 	var document ctconfig.Document
--- a/internal/program/ctcommand/diff.go
+++ b/internal/program/ctcommand/diff.go
@@ -30,11 +30,11 @@
 			if err != nil {
 				return err
 			}
-			history, err := c.history(command)
+			newest, err := c.newest(command)
 			if err != nil {
 				return err
 			}
-			d := differenceTo(history, &document)
+			d := differenceTo(&newest, &document)
 			text, err := d.text()
 			if err != nil {
 				return err
@@ -48,11 +48,7 @@
 }
 
 // differenceTo compares the newest accepted configuration with a document.
-func differenceTo(history []ctconfig.Accepted, document *ctconfig.Document) *difference {
-	var newest ctconfig.Accepted
-	if len(history) > 0 {
-		newest = history[len(history)-1]
-	}
+func differenceTo(newest *ctconfig.Accepted, document *ctconfig.Document) *difference {
 	before := &newest.Change.Document
 	return &difference{
 		Base:     newest.Revision,
--- a/internal/program/ctcommand/explain.go
+++ b/internal/program/ctcommand/explain.go
@@ -95,12 +95,12 @@
 	if err := c.call(command.Context(), http.MethodGet, "/v1/deeds", nil, &deeds); err != nil {
 		return nil, err
 	}
-	history, err := c.history(command)
+	newest, err := c.newest(command)
 	if err != nil {
 		return nil, err
 	}
 	account := &groupAccount{Group: ctview.Group{Name: name}, Blocked: status.Blocked[name]}
-	if len(history) == 0 || !account.configure(&history[len(history)-1].Change.Document, now) {
+	if !account.configure(&newest.Change.Document, now) {
 		return nil, cterror.Newf(cterror.Invalid, "see config get for the declared groups",
 			"group %s is not declared", name)
 	}
