ctexperiment: issue keys and name failure domains once

Cause: two experiments issued and loaded keys, and three named the same failure domains and the loopback address. Change: each stands once.

--- a/internal/lab/ctexperiment/daemons.go
+++ b/internal/lab/ctexperiment/daemons.go
@@ -13,7 +13,6 @@
 	"github.com/rs/zerolog"
 
 	"github.com/cherviltrestle/cherviltrestle/internal/lab/ctfleet"
-	"github.com/cherviltrestle/cherviltrestle/internal/lab/ctrelay"
 	"github.com/cherviltrestle/cherviltrestle/internal/link/ctkey"
 	"github.com/cherviltrestle/cherviltrestle/internal/link/ctquic"
 	"github.com/cherviltrestle/cherviltrestle/internal/model/ctid"
@@ -66,7 +65,7 @@
 // Daemons measures control with so many daemons and as many groups.
 func Daemons(ctx context.Context, programs string, count int, heartbeat time.Duration) (*DaemonsReport, error) {
 	s := ctfleet.Shape{
-		Sites:    []ctrelay.Site{"taipei-a", "taichung-a", "kaohsiung-a"},
+		Sites:    sites(),
 		Controls: 1,
 		Config:   daemonsConfig(count, time.Second),
 		Silence:  silentBeats * heartbeat,
@@ -106,11 +105,7 @@
 func startDaemons(
 	ctx context.Context, fleet *ctfleet.Fleet, count int, heartbeat time.Duration,
 ) ([]*daemon, error) {
-	folder := filepath.Join(fleet.Folder, "keys-daemons")
-	if err := ctkey.Issue(filepath.Join(fleet.Folder, "keys"), folder, "daemon", time.Now()); err != nil {
-		return nil, err
-	}
-	keys, err := ctkey.Load(folder)
+	keys, err := issueKeys(filepath.Join(fleet.Folder, "keys"), filepath.Join(fleet.Folder, "keys-daemons"))
 	if err != nil {
 		return nil, err
 	}
@@ -134,7 +129,7 @@
 }
 
 func newDaemon(fleet *ctfleet.Fleet, keys *ctkey.Bundle, number int, heartbeat time.Duration) (*daemon, error) {
-	endpoint, err := ctquic.Listen(netip.MustParseAddrPort("127.0.0.1:0"), keys)
+	endpoint, err := ctquic.Listen(loopback, keys)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/lab/ctexperiment/deployment.go
+++ b/internal/lab/ctexperiment/deployment.go
@@ -40,7 +40,7 @@
 	case "fit-registry":
 		return &Deployment{
 			Name:        name,
-			Sites:       []ctrelay.Site{"taipei-a", "taichung-a", "kaohsiung-a"},
+			Sites:       sites(),
 			Groups:      groupsOf(name),
 			Slots:       5,
 			Connections: 75,
--- a/internal/lab/ctexperiment/path.go
+++ b/internal/lab/ctexperiment/path.go
@@ -35,10 +35,15 @@
 	settleTime   = time.Second
 )
 
+// sites are the failure domains of the Glove Association.
+func sites() []ctrelay.Site {
+	return []ctrelay.Site{"taipei-a", "taichung-a", "kaohsiung-a"}
+}
+
 // shape is a fleet of one proxy and one member in each failure domain.
 func shape() ctfleet.Shape {
 	return ctfleet.Shape{
-		Sites:        []ctrelay.Site{"taipei-a", "taichung-a", "kaohsiung-a"},
+		Sites:        sites(),
 		Proxies:      1,
 		Controls:     1,
 		ControlSites: []ctrelay.Site{"taichung-a"},
--- a/internal/lab/ctexperiment/peers.go
+++ b/internal/lab/ctexperiment/peers.go
@@ -83,11 +83,8 @@
 	if err := ctkey.Create(authority, "lab", time.Now()); err != nil {
 		return err
 	}
-	if err := ctkey.Issue(authority, node, "node", time.Now()); err != nil {
-		return err
-	}
 	var err error
-	if p.keys, err = ctkey.Load(node); err != nil {
+	if p.keys, err = issueKeys(authority, node); err != nil {
 		return err
 	}
 	if p.self, err = ctquic.Listen(loopback, p.keys); err != nil {
@@ -101,6 +98,14 @@
 	return nil
 }
 
+// issueKeys issues and loads the keys of the processes in this one.
+func issueKeys(authority, folder string) (*ctkey.Bundle, error) {
+	if err := ctkey.Issue(authority, folder, "lab", time.Now()); err != nil {
+		return nil, err
+	}
+	return ctkey.Load(folder)
+}
+
 // add starts another process, behind a relay that counts.
 func (p *peers) add(ctx context.Context) error {
 	other, err := ctquic.Listen(loopback, p.keys)
