ctproof: start and stop callers in one way

Cause: three proofs each had the starting, the stopping and the counting of callers that call at the same time. Change: one crowd serves them. What they call and every assertion stay.

--- a/internal/lab/ctproof/callers_test.go
+++ b/internal/lab/ctproof/callers_test.go
@@ -45,13 +45,13 @@
 // callers are concurrent callers that insert rows with keys of their own and
 // remember what they were told of each.
 type callers struct {
+	crowd
+
 	fleet *ctfleet.Fleet
 	// verify makes each caller read every acknowledged row back through
 	// another proxy, with its token.
 	verify bool
 
-	stop  chan struct{}
-	done  sync.WaitGroup
 	mutex sync.Mutex
 	told  map[string]told
 	wrong []string
@@ -61,23 +61,11 @@
 
 // work starts the stated number of callers.
 func work(fleet *ctfleet.Fleet, count int, verify bool) *callers {
-	c := &callers{fleet: fleet, verify: verify, stop: make(chan struct{}), told: make(map[string]told)}
-	for i := range count {
-		c.done.Add(1)
-		go func() {
-			defer c.done.Done()
-			c.call(i)
-		}()
-	}
+	c := &callers{fleet: fleet, verify: verify, told: make(map[string]told)}
+	c.start(count, c.call)
 	return c
 }
 
-// end stops the callers after their requests in hand.
-func (c *callers) end() {
-	close(c.stop)
-	c.done.Wait()
-}
-
 // count returns how many writes the callers were told the stated thing of.
 func (c *callers) count(want told) int {
 	c.mutex.Lock()
@@ -94,21 +82,13 @@
 // awaitMore waits until the stated number of further writes is acknowledged.
 func (c *callers) awaitMore(t *testing.T, more int) {
 	t.Helper()
-	target := c.count(toldRan) + more
-	assert.NilError(t, ctfleet.Until("more writes are acknowledged", func() bool {
-		return c.count(toldRan) >= target
-	}))
+	awaitCount(t, "more writes are acknowledged", func() int { return c.count(toldRan) }, more)
 }
 
 func (c *callers) call(number int) {
 	var session *pgconn.PgConn
 	turn := number
-	for sequence := 0; ; sequence++ {
-		select {
-		case <-c.stop:
-			return
-		default:
-		}
+	for sequence := 0; !c.stopped(); sequence++ {
 		if session == nil || session.IsClosed() {
 			turn++
 			session = c.connect(turn)
--- a/internal/lab/ctproof/history_test.go
+++ b/internal/lab/ctproof/history_test.go
@@ -58,10 +58,10 @@
 
 // history is what concurrent callers did and were told.
 type history struct {
+	crowd
+
 	fleet *ctfleet.Fleet
 	began time.Time
-	stop  chan struct{}
-	done  sync.WaitGroup
 
 	mutex      sync.Mutex
 	operations []porcupine.Operation
@@ -78,25 +78,16 @@
 	for key := range historyKeys {
 		must(t, session, fmt.Sprintf("INSERT INTO charts (key, value) VALUES ('k%d', '%s')", key, firstValue))
 	}
-	h := &history{fleet: fleet, began: time.Now(), stop: make(chan struct{})}
-	for i := range historyCallers {
-		h.done.Add(1)
-		go func() {
-			defer h.done.Done()
-			h.call(i, rand.New(rand.NewPCG(seed, uint64(i))))
-		}()
-	}
+	h := &history{fleet: fleet, began: time.Now()}
+	h.start(historyCallers, func(number int) {
+		h.call(number, rand.New(rand.NewPCG(seed, uint64(number))))
+	})
 	return h
 }
 
 func (h *history) call(number int, random *rand.Rand) {
 	var session *pgconn.PgConn
-	for sequence := 0; ; sequence++ {
-		select {
-		case <-h.stop:
-			return
-		default:
-		}
+	for sequence := 0; !h.stopped(); sequence++ {
 		if session == nil || session.IsClosed() {
 			proxy := h.fleet.Proxies[random.IntN(len(h.fleet.Proxies))]
 			next, err := dial(proxy, nil)
@@ -141,20 +132,17 @@
 
 func (h *history) awaitMore(t *testing.T, more int) {
 	t.Helper()
-	count := func() int {
+	awaitCount(t, "more accesses", func() int {
 		h.mutex.Lock()
 		defer h.mutex.Unlock()
 		return h.writes
-	}
-	target := count() + more
-	assert.NilError(t, ctfleet.Until("more accesses", func() bool { return count() >= target }))
+	}, more)
 }
 
 // assertLinearizable ends the callers and judges the history.
 func assertLinearizable(t *testing.T, h *history) {
 	t.Helper()
-	close(h.stop)
-	h.done.Wait()
+	h.end()
 	end := h.now()
 	for i, o := range h.open {
 		o.ClientId = historyCallers + i
--- a/internal/lab/ctproof/idempotency_test.go
+++ b/internal/lab/ctproof/idempotency_test.go
@@ -70,31 +70,20 @@
 // keyedCallers insert rows under idempotency keys, and send each again, through
 // another proxy, until they are told that it ran.
 type keyedCallers struct {
+	crowd
+
 	fleet *ctfleet.Fleet
-	stop  chan struct{}
-	done  sync.WaitGroup
 	mutex sync.Mutex
 	ran   []string
 	again int
 }
 
 func workKeyed(fleet *ctfleet.Fleet, count int) *keyedCallers {
-	c := &keyedCallers{fleet: fleet, stop: make(chan struct{})}
-	for i := range count {
-		c.done.Add(1)
-		go func() {
-			defer c.done.Done()
-			c.call(i)
-		}()
-	}
+	c := &keyedCallers{fleet: fleet}
+	c.start(count, c.call)
 	return c
 }
 
-func (c *keyedCallers) end() {
-	close(c.stop)
-	c.done.Wait()
-}
-
 func (c *keyedCallers) count() int {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
@@ -103,26 +92,15 @@
 
 func (c *keyedCallers) awaitMore(t *testing.T, more int) {
 	t.Helper()
-	target := c.count() + more
-	assert.NilError(t, ctfleet.Until("more keyed writes ran", func() bool { return c.count() >= target }))
+	awaitCount(t, "more keyed writes ran", c.count, more)
 }
 
 func (c *keyedCallers) call(number int) {
 	turn := number
-	for sequence := 0; ; sequence++ {
+	for sequence := 0; !c.stopped(); sequence++ {
 		key := fmt.Sprintf("keyed-%d-%d", number, sequence)
-		for !c.insert(key, turn) {
+		for !c.insert(key, turn) && !c.stopped() {
 			turn++
-			select {
-			case <-c.stop:
-				return
-			default:
-			}
-		}
-		select {
-		case <-c.stop:
-			return
-		default:
 		}
 	}
 }
