ctfleet: choose ports that no other socket is given

Its log says that its QUIC address was already in use. A fleet releases its ports before its processes start, and they were chosen among those that the kernel gives to sockets that name none, such as those of the relays, which open as soon as the first processes talk. Change: ports are chosen below that range, each once in a process, beginning at a place that depends on the process. No test, bound or assertion changes.

--- a/internal/lab/ctfleet/ports.go
+++ b/internal/lab/ctfleet/ports.go
@@ -3,10 +3,25 @@
 import (
 	"net"
 	"net/netip"
+	"os"
+	"sync/atomic"
 
 	"github.com/pkg/errors"
 )
 
+// The ports that are handed out. They lie below those that the kernel gives to
+// sockets that name none (from 32768), so that no such socket takes one between
+// its release and the start of its process.
+const (
+	firstPort = 10_000
+	portCount = 22_000
+	// processPorts spreads the first ports of processes that run at one time.
+	processPorts = 397
+)
+
+// lastPort counts the ports that this process has tried.
+var lastPort atomic.Uint32
+
 // ports hands out free ports of the loopback address. It keeps each port taken
 // until all are chosen, so that none is handed out twice.
 type ports struct {
@@ -15,15 +30,13 @@
 
 // next returns an address whose port is free for TCP and for UDP.
 func (p *ports) next() (netip.AddrPort, error) {
-	const tries = 50
+	const tries = 200
 	for range tries {
-		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		turn := (uint32(os.Getpid())*processPorts + lastPort.Add(1)) % portCount
+		address := netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 0, 1}), uint16(firstPort+turn))
+		listener, err := net.Listen("tcp", address.String())
 		if err != nil {
-			return netip.AddrPort{}, errors.Wrap(err, "find a free port")
-		}
-		address, err := netip.ParseAddrPort(listener.Addr().String())
-		if err != nil {
-			return netip.AddrPort{}, errors.Wrap(err, "read a free port")
+			continue
 		}
 		packets, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(address))
 		if err != nil {
