--- a/cmd/cherviltrestle/main.go
+++ b/cmd/cherviltrestle/main.go
@@ -5,7 +5,10 @@
 import (
 	"os"
 
+	"github.com/spf13/cobra"
+
 	"github.com/cherviltrestle/cherviltrestle/internal/program/ctcommand"
+	"github.com/cherviltrestle/cherviltrestle/platform"
 )
 
 func main() {
@@ -13,5 +16,6 @@
 		Variables: os.Environ(),
 		Out:       os.Stdout,
 		Err:       os.Stderr,
+		Further:   []*cobra.Command{platform.Commands(os.Stdout)},
 	}))
 }
--- /dev/null
+++ b/internal/decide/ctdialog/conclude.go
@@ -0,0 +1,140 @@
+package ctdialog
+
+import (
+	"github.com/cherviltrestle/cherviltrestle/internal/model/ctposition"
+	"github.com/cherviltrestle/cherviltrestle/internal/model/ctquery"
+)
+
+// Result is what came of a Run: one of Replied, Refused and Lost.
+type Result interface {
+	isResult()
+}
+
+// Replied reports that the member answered the statement.
+type Replied struct {
+	Answer ctquery.Answer
+	// Authorized reports whether the answer may be acknowledged: where the
+	// statement is durable, the member was the primary until it arrived.
+	Authorized bool
+}
+
+// Refused reports that the statement did not run and that no member is left to
+// try.
+type Refused struct {
+	Fault ctquery.Fault
+	Text  string
+}
+
+// Lost reports that the statement was sent and that its answer is missing.
+type Lost struct {
+	// Expired reports whether the statement's time ran out.
+	Expired bool
+}
+
+func (Replied) isResult() {}
+func (Refused) isResult() {}
+func (Lost) isResult()    {}
+
+// Told is what the caller is told, and what becomes of the connection.
+type Told struct {
+	Answer ctquery.Answer
+	// Keep reports whether the connection stays with the session, because its
+	// transaction is open. Otherwise it can serve others, if it still works and
+	// the member has no transaction open on it.
+	Keep bool
+	// Close reports whether the connection must be closed, so that what is open
+	// on it is undone.
+	Close bool
+}
+
+// Conclude takes what came of a run and returns what the caller is told.
+func (d *Dialog) Conclude(run Run, result Result) Told {
+	switch r := result.(type) {
+	case Replied:
+		if !r.Authorized && run.Effect == EffectDurable {
+			return d.lost(run, Lost{})
+		}
+		return d.replied(run, r.Answer)
+	case Refused:
+		return d.refused(run, r)
+	case Lost:
+		return d.lost(run, r)
+	}
+	return d.lost(run, Lost{})
+}
+
+func (d *Dialog) replied(run Run, answer ctquery.Answer) Told {
+	d.last = answer.Point
+	_, commits := run.Query.Statement.(ctquery.Commit)
+	switch {
+	case answer.OK() && run.Effect == EffectTransaction:
+		d.stage = stageOpen
+		answer.Transaction = ctquery.TransactionOpen
+		return Told{Answer: answer, Keep: true}
+	case answer.OK():
+		if run.Effect == EffectDurable {
+			d.Written = ctposition.Later(d.Written, answer.Point)
+		}
+		d.end()
+		answer.Transaction = ctquery.TransactionNone
+		return Told{Answer: answer}
+	case commits:
+		return d.commitFailed(run, answer)
+	case d.stage != stageNone:
+		d.stage = stageFailed
+		answer.Transaction = ctquery.TransactionFailed
+		return Told{Answer: answer, Close: true}
+	}
+	answer.Transaction = ctquery.TransactionNone
+	return Told{Answer: answer}
+}
+
+// commitFailed tells of a COMMIT that the member refused or that failed. What
+// did not run is undone with the connection.
+func (d *Dialog) commitFailed(run Run, answer ctquery.Answer) Told {
+	d.end()
+	answer.Transaction = ctquery.TransactionNone
+	if answer.Fault.NotRun() || run.Effect == EffectNone {
+		answer.Fault = ctquery.FaultAborted
+		answer.Text = "the member did not commit; the transaction is rolled back"
+	}
+	return Told{Answer: answer, Close: true}
+}
+
+func (d *Dialog) refused(run Run, r Refused) Told {
+	_, commits := run.Query.Statement.(ctquery.Commit)
+	switch {
+	case commits:
+		d.end()
+	case d.stage != stageNone:
+		d.stage = stageFailed
+	}
+	answer := d.answer()
+	answer.Fault, answer.Text = r.Fault, r.Text
+	return Told{Answer: answer}
+}
+
+// lost tells of a statement whose answer is missing. Its connection is closed,
+// so that nothing of an open transaction stays.
+func (d *Dialog) lost(run Run, l Lost) Told {
+	_, commits := run.Query.Statement.(ctquery.Commit)
+	switch {
+	case commits:
+		d.end()
+	case d.stage != stageNone:
+		d.stage = stageFailed
+	}
+	answer := d.answer()
+	switch {
+	case run.Effect == EffectDurable:
+		answer.Fault = ctquery.FaultUnknown
+		answer.Text = "the answer is missing; whether it took effect is not known"
+	case l.Expired:
+		answer.Fault = ctquery.FaultAborted
+		answer.Text = "no answer in time; nothing is kept"
+	default:
+		answer.Fault = ctquery.FaultAborted
+		answer.Text = "the connection to the member broke; nothing is kept"
+	}
+	return Told{Answer: answer, Close: true}
+}
--- /dev/null
+++ b/internal/decide/ctdialog/dialog.go
@@ -0,0 +1,260 @@
+package ctdialog
+
+import (
+	"github.com/cherviltrestle/cherviltrestle/internal/model/ctconfig"
+	"github.com/cherviltrestle/cherviltrestle/internal/model/ctposition"
+	"github.com/cherviltrestle/cherviltrestle/internal/model/ctquery"
+)
+
+// stage tells what a session's transaction is doing.
+type stage uint8
+
+const (
+	// stageNone means that no transaction is open.
+	stageNone stage = iota
+	// stageDeclared means that the caller began one that no member knows of.
+	stageDeclared
+	// stageOpen means that a member has it open.
+	stageOpen
+	// stageFailed means that it failed, and the caller has to end it.
+	stageFailed
+)
+
+// Dialog is a caller's session. Its zero value is a session that asked nothing.
+type Dialog struct {
+	// Written covers the commits of the session.
+	Written ctposition.Point
+
+	state State
+	stage stage
+	// readOnly reports whether the transaction was begun as read-only, and
+	// wrote whether it sent a write.
+	readOnly bool
+	wrote    bool
+	// begin is the query that began the transaction.
+	begin ctquery.Query
+	// last is the latest place in a log that an answer told.
+	last ctposition.Point
+}
+
+// Plan is one of Answer and Run.
+type Plan interface {
+	isPlan()
+}
+
+// Answer answers the caller without a member.
+type Answer struct {
+	Answer ctquery.Answer
+	// Release reports whether the connection of the transaction is to be rolled
+	// back and given up.
+	Release bool
+}
+
+// Run runs a statement on a member.
+type Run struct {
+	Query ctquery.Query
+	// Begin is the query that begins the transaction before; its statement is
+	// nil where there is none to begin.
+	Begin ctquery.Query
+	// Pinned reports whether the statement has to run on the connection of the
+	// open transaction.
+	Pinned bool
+	// Primary reports whether only the primary may run it, whatever the route
+	// says.
+	Primary bool
+	// Effect tells what may be left of the statement when its answer is lost.
+	Effect Effect
+}
+
+func (Answer) isPlan() {}
+func (Run) isPlan()    {}
+
+// Effect tells what a statement may leave behind.
+type Effect uint8
+
+// The effects.
+const (
+	// EffectNone: a read, or a commit of a transaction that only read.
+	EffectNone Effect = iota
+	// EffectTransaction: a statement inside a transaction, which is undone when
+	// its connection ends.
+	EffectTransaction
+	// EffectDurable: a single write, or the commit of a transaction that wrote.
+	EffectDurable
+)
+
+// InTransaction reports whether the caller is in a transaction.
+func (d *Dialog) InTransaction() bool {
+	return d.stage != stageNone
+}
+
+// Open reports whether a member has a transaction of the session open.
+func (d *Dialog) Open() bool {
+	return d.stage == stageOpen
+}
+
+// State returns the session's values and prepared statements.
+func (d *Dialog) State() *State {
+	return &d.state
+}
+
+// NeedsSession reports whether reads on the route have to show the session's own
+// commits.
+func NeedsSession(route *ctconfig.Route) bool {
+	return route.Freshness == ctconfig.FreshnessSession
+}
+
+// Ask takes the caller's next query.
+func (d *Dialog) Ask(query ctquery.Query) Plan {
+	if d.stage == stageFailed {
+		return d.askFailed(query.Statement)
+	}
+	switch s := query.Statement.(type) {
+	case ctquery.Begin:
+		return d.askBegin(query, s)
+	case ctquery.Rollback:
+		return d.askRollback()
+	case ctquery.Commit:
+		return d.askCommit(query)
+	case ctquery.Set:
+		d.state.set(s)
+		return d.done()
+	case ctquery.Prepare:
+		d.state.prepare(s)
+		return d.done()
+	case ctquery.Deallocate:
+		d.state.deallocate(s)
+		return d.done()
+	case ctquery.Read:
+		return d.run(query, false)
+	case ctquery.Write:
+		return d.run(query, true)
+	case ctquery.Execute:
+		return d.askExecute(query, s)
+	}
+	return d.fault(ctquery.FaultMalformed, "the statement is not one that callers may send")
+}
+
+// askFailed takes a query inside a failed transaction: only its end counts.
+func (d *Dialog) askFailed(statement ctquery.Statement) Plan {
+	switch statement.(type) {
+	case ctquery.Rollback:
+		d.end()
+		return d.done()
+	case ctquery.Commit:
+		d.end()
+		return d.fault(ctquery.FaultAborted, "the transaction had failed and is rolled back")
+	}
+	return d.fault(ctquery.FaultMalformed, "the transaction failed; end it first")
+}
+
+func (d *Dialog) askBegin(query ctquery.Query, begin ctquery.Begin) Plan {
+	if d.stage != stageNone {
+		return d.fault(ctquery.FaultMalformed, "a transaction is open already")
+	}
+	d.stage = stageDeclared
+	d.readOnly = begin.ReadOnly
+	d.wrote = false
+	d.begin = query
+	return d.done()
+}
+
+func (d *Dialog) askRollback() Plan {
+	release := d.stage == stageOpen
+	d.end()
+	return Answer{Answer: d.answer(), Release: release}
+}
+
+func (d *Dialog) askCommit(query ctquery.Query) Plan {
+	if d.stage == stageNone {
+		return d.fault(ctquery.FaultMalformed, "no transaction is open")
+	}
+	effect := EffectNone
+	if d.wrote {
+		effect = EffectDurable
+	}
+	return d.plan(query, effect)
+}
+
+func (d *Dialog) askExecute(query ctquery.Query, execute ctquery.Execute) Plan {
+	shape, ok := d.state.prepared[execute.Name]
+	if !ok {
+		return d.fault(ctquery.FaultNoStatement, "no statement of that name is prepared in this session")
+	}
+	query.Statement = ctquery.Execute{Name: SharedName(shape), Arguments: execute.Arguments}
+	return d.run(query, shape.Writes)
+}
+
+// run plans a read or a write.
+func (d *Dialog) run(query ctquery.Query, writes bool) Plan {
+	if d.stage == stageNone {
+		if writes {
+			return d.plan(query, EffectDurable)
+		}
+		return d.plan(query, EffectNone)
+	}
+	if writes {
+		d.wrote = true
+	}
+	return d.plan(query, EffectTransaction)
+}
+
+func (d *Dialog) plan(query ctquery.Query, effect Effect) Plan {
+	run := Run{Query: query, Effect: effect, Pinned: d.stage == stageOpen}
+	switch d.stage {
+	case stageDeclared:
+		run.Begin = d.begin
+		run.Primary = !d.readOnly
+	case stageNone:
+		run.Primary = effect == EffectDurable
+	}
+	return run
+}
+
+// Fail marks the open transaction as failed, as when it idled for too long, and
+// reports whether there was one.
+func (d *Dialog) Fail() bool {
+	if d.stage != stageOpen && d.stage != stageDeclared {
+		return false
+	}
+	d.stage = stageFailed
+	return true
+}
+
+func (d *Dialog) end() {
+	d.stage = stageNone
+	d.wrote = false
+	d.begin = ctquery.Query{}
+}
+
+// answer returns an answer of the system's own.
+func (d *Dialog) answer() ctquery.Answer {
+	return ctquery.Answer{Transaction: d.transaction(), Point: d.last}
+}
+
+func (d *Dialog) done() Plan {
+	return Answer{Answer: d.answer()}
+}
+
+// fault refuses a query. An open transaction fails with it, except where the
+// query was refused because it had failed before.
+func (d *Dialog) fault(fault ctquery.Fault, text string) Plan {
+	release := d.stage == stageOpen
+	if d.stage != stageNone {
+		d.stage = stageFailed
+	}
+	answer := d.answer()
+	answer.Fault, answer.Text = fault, text
+	return Answer{Answer: answer, Release: release}
+}
+
+func (d *Dialog) transaction() ctquery.Transaction {
+	switch d.stage {
+	case stageDeclared, stageOpen:
+		return ctquery.TransactionOpen
+	case stageFailed:
+		return ctquery.TransactionFailed
+	default:
+		return ctquery.TransactionNone
+	}
+}
--- /dev/null
+++ b/internal/decide/ctdialog/state.go
@@ -0,0 +1,102 @@
+package ctdialog
+
+import (
+	"maps"
+	"slices"
+
+	"github.com/cherviltrestle/cherviltrestle/internal/model/ctquery"
+)
+
+// State is what outlives a session's transactions: its values and its prepared
+// statements. Its zero value is empty.
+type State struct {
+	values   map[string]string
+	prepared map[string]ctquery.Shape
+}
+
+func (s *State) set(statement ctquery.Set) {
+	if s.values == nil {
+		s.values = make(map[string]string)
+	}
+	s.values[statement.Name] = statement.Value
+}
+
+func (s *State) prepare(statement ctquery.Prepare) {
+	if s.prepared == nil {
+		s.prepared = make(map[string]ctquery.Shape)
+	}
+	s.prepared[statement.Name] = statement.Shape
+}
+
+func (s *State) deallocate(statement ctquery.Deallocate) {
+	delete(s.prepared, statement.Name)
+}
+
+// SharedName returns the name under which a shape is prepared on the connections
+// to members. Every session that prepares the shape uses the same one, so that
+// it says the same thing on each connection.
+func SharedName(shape ctquery.Shape) string {
+	if shape.Writes {
+		return "w_" + shape.Text
+	}
+	return "r_" + shape.Text
+}
+
+// Loaded is what a connection to a member holds of sessions' state. Its zero
+// value is that of a new connection.
+type Loaded struct {
+	values   map[string]string
+	prepared map[string]struct{}
+}
+
+// Matches reports whether the connection has the session's values.
+func (l *Loaded) Matches(state *State) bool {
+	return maps.Equal(l.values, state.values)
+}
+
+// Load returns the queries that give the connection the session's values and
+// what the statement names, and notes them as done.
+func (l *Loaded) Load(state *State, statement ctquery.Statement) []ctquery.Query {
+	queries := l.loadValues(state)
+	execute, ok := statement.(ctquery.Execute)
+	if !ok {
+		return queries
+	}
+	if _, loaded := l.prepared[execute.Name]; loaded {
+		return queries
+	}
+	for _, shape := range state.prepared {
+		if SharedName(shape) != execute.Name {
+			continue
+		}
+		if l.prepared == nil {
+			l.prepared = make(map[string]struct{})
+		}
+		l.prepared[execute.Name] = struct{}{}
+		prepare := ctquery.Prepare{Name: execute.Name, Shape: shape}
+		return append(queries, ctquery.Query{Statement: prepare})
+	}
+	return queries
+}
+
+func (l *Loaded) loadValues(state *State) []ctquery.Query {
+	if l.Matches(state) {
+		return nil
+	}
+	var queries []ctquery.Query
+	for name := range l.values {
+		if _, kept := state.values[name]; !kept {
+			queries = append(queries, ctquery.Query{Statement: ctquery.Reset{}})
+			*l = Loaded{}
+			break
+		}
+	}
+	for _, name := range slices.Sorted(maps.Keys(state.values)) {
+		if value, ok := l.values[name]; !ok || value != state.values[name] {
+			set := ctquery.Set{Name: name, Value: state.values[name]}
+			queries = append(queries, ctquery.Query{Statement: set})
+		}
+	}
+	l.values = maps.Clone(state.values)
+	return queries
+}
--- /dev/null
+++ b/internal/decide/ctplace/order.go
@@ -0,0 +1,76 @@
+package ctplace
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/cherviltrestle/cherviltrestle/internal/model/ctid"
+	"github.com/cherviltrestle/cherviltrestle/internal/model/ctposition"
+)
+
+// Candidate is a member that may run a statement, with what is known of it.
+type Candidate struct {
+	Member ctid.Member
+	// Primary reports whether it is the group's primary.
+	Primary bool
+	// Near reports whether it is in the failure domain of this process.
+	Near bool
+	// Load is what is known of its speed.
+	Load Load
+	// Running is how many statements this process runs on it, and Free how many
+	// connections to it are idle or may be opened.
+	Running int
+	Free    int
+	// Applied is the point that its log is known to have reached.
+	Applied ctposition.Point
+	// AvoidUntil is until when it is tried last, because it failed, was busy or
+	// lagged behind.
+	AvoidUntil time.Time
+}
+
+// The expected times of members that nothing is known of.
+const (
+	nearTime = 10 * time.Millisecond
+	farTime  = 50 * time.Millisecond
+	// primaryTime is what a read at the primary is put behind others, because
+	// writes have no other place to go.
+	primaryTime = 5 * time.Millisecond
+)
+
+// Order returns the candidates in the order in which they are to be tried.
+func Order(now time.Time, candidates []Candidate) []Candidate {
+	ordered := slices.Clone(candidates)
+	slices.SortStableFunc(ordered, func(a, b Candidate) int {
+		return cmp.Or(
+			cmp.Compare(avoided(now, a), avoided(now, b)),
+			cmp.Compare(expected(now, a), expected(now, b)),
+			cmp.Compare(a.Member, b.Member),
+		)
+	})
+	return ordered
+}
+
+func avoided(now time.Time, c Candidate) int {
+	if now.Before(c.AvoidUntil) {
+		return 1
+	}
+	return 0
+}
+
+// expected returns the time that a statement is expected to take.
+func expected(now time.Time, c Candidate) time.Duration {
+	base := farTime
+	if c.Near {
+		base = nearTime
+	}
+	t := c.Load.Expected(now, base)
+	t += t * time.Duration(c.Running) / 2
+	if c.Primary {
+		t += primaryTime
+	}
+	if c.Free == 0 {
+		t *= 2
+	}
+	return t
+}
--- a/internal/decide/ctquorum/election.go
+++ b/internal/decide/ctquorum/election.go
@@ -1,6 +1,9 @@
 package ctquorum
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // campaign asks the voters for their votes, or first whether they would give
 // them.
@@ -51,6 +54,10 @@
 // answerAsk votes for a process whose log is not behind, unless a leader was
 // heard of lately or the vote of the epoch is given.
 func (n *Node) answerAsk(now time.Time, from Peer, m Ask) {
+	if n.role == roleLeader && !slices.Contains(n.durable.voters(), from) {
+		n.takeJoin(now, from)
+		return
+	}
 	grant := n.voter() && n.upToDate(m) && !n.hearsLeader(now)
 	if m.Pre {
 		grant = grant && m.Epoch > n.durable.Epoch
--- a/internal/decide/ctquorum/log.go
+++ b/internal/decide/ctquorum/log.go
@@ -10,6 +10,10 @@
 // the leader sends it nothing more.
 const learnerPatience = 10 * time.Second
 
+// voterPatience is how long a voter may be silent before it is taken out, where
+// enough others are left.
+const voterPatience = 3 * time.Second
+
 // receive takes a message of a peer.
 func (n *Node) receive(now time.Time, from Peer, message Message) {
 	switch m := message.(type) {
@@ -113,10 +117,22 @@
 	}
 	n.send(peer, Append{
 		Epoch: n.durable.Epoch, Round: n.round, PrevIndex: prev, PrevEpoch: prevEpoch,
-		Entries: n.durable.from(f.next, maxEntries), Commit: n.commit,
+		Entries: bounded(n.durable.from(f.next, maxEntries)), Commit: n.commit,
 	})
 }
 
+// bounded returns the first entries that fit one message, and one at least.
+func bounded(entries []Entry) []Entry {
+	bytes := 0
+	for i := range entries {
+		bytes += len(entries[i].Data)
+		if i > 0 && bytes > maxEntryBytes {
+			return entries[:i]
+		}
+	}
+	return entries
+}
+
 // takeAppend takes the leader's entries where they continue this log.
 func (n *Node) takeAppend(now time.Time, from Peer, m Append) {
 	if m.Epoch < n.durable.Epoch {
@@ -206,6 +222,7 @@
 	n.advance(now)
 	n.admitLearners(now)
 	n.dropLearners(now)
+	n.retireSilent(now)
 }
 
 // answer notes that a round was answered; earlier ones are forgotten.
@@ -314,6 +331,22 @@
 	return Peer{}, false
 }
 
+// retireSilent takes a voter out that has been silent for long, where more
+// voters are left without it than the process is to keep.
+func (n *Node) retireSilent(now time.Time) {
+	voters := n.durable.voters()
+	if n.KeepVoters == 0 || len(voters) <= n.KeepVoters || n.changingVoters() || !n.announced {
+		return
+	}
+	for _, v := range voters {
+		f, ok := n.followers[v]
+		if ok && now.Sub(f.seen) > voterPatience {
+			n.append(now, Entry{Voters: without(voters, v)})
+			return
+		}
+	}
+}
+
 // dropLearners forgets processes that are no voters and were not heard of for
 // long.
 func (n *Node) dropLearners(now time.Time) {
--- a/internal/decide/ctquorum/node.go
+++ b/internal/decide/ctquorum/node.go
@@ -21,8 +21,11 @@
 	joinTime = 300 * time.Millisecond
 )
 
-// maxEntries is how many entries one message carries at most.
-const maxEntries = 256
+// The bounds of one message.
+const (
+	maxEntries    = 256
+	maxEntryBytes = 1 << 20
+)
 
 // Random gives random numbers.
 type Random interface {
@@ -42,6 +45,10 @@
 
 // Node decides for one process of control.
 type Node struct {
+	// KeepVoters is how many voters stay at least when silent ones are taken
+	// out; 0 where operators take them out.
+	KeepVoters int
+
 	self    Peer
 	durable Durable
 	random  Random
@@ -125,6 +132,15 @@
 	return len(n.durable.Entries)
 }
 
+// LogBytes returns how many bytes of commands follow the snapshot.
+func (n *Node) LogBytes() int {
+	bytes := 0
+	for i := range n.durable.Entries {
+		bytes += len(n.durable.Entries[i].Data)
+	}
+	return bytes
+}
+
 // AuthorityUntil returns until when the process has authority as the leader, on
 // its own clock; the zero time where it has none.
 func (n *Node) AuthorityUntil() time.Time {
--- a/internal/decide/ctquorum/types.go
+++ b/internal/decide/ctquorum/types.go
@@ -56,9 +56,15 @@
 // Bootstrap returns the durable state of the first process of a new fleet, which
 // is its only voter.
 func Bootstrap(self Peer) Durable {
+	return BootstrapOf([]Peer{self})
+}
+
+// BootstrapOf returns the durable state that all first processes of a new fleet
+// start with, which are its voters.
+func BootstrapOf(voters []Peer) Durable {
 	return Durable{
 		Epoch:   1,
-		Entries: []Entry{{Index: 1, Epoch: 1, Voters: []Peer{self}}},
+		Entries: []Entry{{Index: 1, Epoch: 1, Voters: voters}},
 	}
 }
 
--- a/internal/decide/ctregister/command.go
+++ b/internal/decide/ctregister/command.go
@@ -9,7 +9,7 @@
 	"github.com/cherviltrestle/cherviltrestle/internal/model/ctview"
 )
 
-// Command is one of Configure and SetGroup.
+// Command is one of Configure, Publish and SetGroup.
 type Command interface {
 	isCommand()
 }
@@ -32,10 +32,21 @@
 	At  time.Time `json:"at" cbor:"at"`
 }
 
+// Publish replaces the configuration by one that the operator numbered, if its
+// number is higher than that of the one in force.
+type Publish struct {
+	Release  ctid.Release      `json:"release" cbor:"release"`
+	Document ctconfig.Document `json:"document" cbor:"document"`
+	// Source is the configuration as the operator wrote it.
+	Source []byte    `json:"source" cbor:"source"`
+	At     time.Time `json:"at" cbor:"at"`
+}
+
 func (Configure) isCommand() {}
+func (Publish) isCommand()   {}
 func (SetGroup) isCommand()  {}
 
-// Result is one of Configured, Resent, Overtaken and GroupSet.
+// Result is one of Configured, Resent, Overtaken, Outnumbered and GroupSet.
 type Result interface {
 	isResult()
 }
@@ -57,13 +68,19 @@
 	SameID bool
 }
 
+// Outnumbered reports that a release of the same or a higher number is in force.
+type Outnumbered struct {
+	Release ctid.Release
+}
+
 // GroupSet tells whether a SetGroup took effect.
 type GroupSet struct {
 	Name  ctid.Group
 	Taken bool
 }
 
-func (Configured) isResult() {}
-func (Resent) isResult()     {}
-func (Overtaken) isResult()  {}
-func (GroupSet) isResult()   {}
+func (Configured) isResult()  {}
+func (Resent) isResult()      {}
+func (Overtaken) isResult()   {}
+func (Outnumbered) isResult() {}
+func (GroupSet) isResult()    {}
--- a/internal/decide/ctregister/register.go
+++ b/internal/decide/ctregister/register.go
@@ -1,6 +1,7 @@
 package ctregister
 
 import (
+	"fmt"
 	"reflect"
 	"time"
 
@@ -25,6 +26,10 @@
 	Groups map[ctid.Group]ctview.Group `json:"groups" cbor:"groups"`
 	// Deeds lists the decisions on groups, the newest last.
 	Deeds []Deed `json:"deeds" cbor:"deeds"`
+	// Release is the number of the configuration in force, where an operator
+	// numbered it, and Source is what the operator wrote.
+	Release ctid.Release `json:"release,omitempty" cbor:"release,omitempty"`
+	Source  []byte       `json:"source,omitempty" cbor:"source,omitempty"`
 }
 
 // Deed is a decision on a group that took effect.
@@ -39,6 +44,8 @@
 	switch c := command.(type) {
 	case Configure:
 		return r.configure(c)
+	case Publish:
+		return r.publish(c)
 	case SetGroup:
 		return r.setGroup(c)
 	}
@@ -73,6 +80,25 @@
 	return Configured{Accepted: accepted}
 }
 
+// publish takes a numbered configuration. Earlier ones are not kept: their
+// numbers are the operator's own and can't be gone back to.
+func (r *Register) publish(c Publish) Result {
+	if r.Release > 0 && c.Release <= r.Release {
+		return Outnumbered{Release: r.Release}
+	}
+	r.Release, r.Source = c.Release, c.Source
+	change := ctconfig.Change{
+		ID:       ctid.Change(fmt.Sprintf("release-%d", c.Release)),
+		Base:     r.Current().Revision,
+		Author:   "operator",
+		Document: c.Document,
+	}
+	accepted := ctconfig.Accepted{Revision: r.Current().Revision + 1, At: c.At, Change: change}
+	r.History = []ctconfig.Accepted{accepted}
+	r.dropGroups(&c.Document)
+	return Configured{Accepted: accepted}
+}
+
 // dropGroups forgets the groups that the document does not declare.
 func (r *Register) dropGroups(document *ctconfig.Document) {
 	for name := range r.Groups {
--- /dev/null
+++ b/internal/decide/ctsuccession/decide.go
@@ -0,0 +1,202 @@
+package ctsuccession
+
+import (
+	"time"
+
+	"github.com/cherviltrestle/cherviltrestle/internal/model/ctdrift"
+	"github.com/cherviltrestle/cherviltrestle/internal/model/ctid"
+	"github.com/cherviltrestle/cherviltrestle/internal/model/ctposition"
+	"github.com/cherviltrestle/cherviltrestle/internal/model/ctserver"
+	"github.com/cherviltrestle/cherviltrestle/internal/model/ctview"
+)
+
+// Decide returns what is to be done for the group now.
+func (m *Machine) Decide(now time.Time, group ctview.Group) []Action {
+	m.forget(now)
+	if name, term, ok := m.newPrimary(group); ok {
+		why := WhySeen
+		if group.Term == 0 {
+			why = WhyAdopted
+		}
+		m.changed = now
+		group.Term, group.Primary = term, name
+		group.Fence, group.Retiring, group.Candidate = 0, 0, ""
+		return []Action{Set{Group: group, Why: why}}
+	}
+	switch {
+	case group.Term == 0:
+		return m.probeAll(now, watchTime, watchTime, "")
+	case group.Changing():
+		return m.change(now, group)
+	}
+	return m.watch(now, group)
+}
+
+// forget drops members that were not heard of for long and proxies whose
+// authority is long over.
+func (m *Machine) forget(now time.Time) {
+	for name, row := range m.members {
+		if now.Sub(row.heard) > forgetTime && row.failures > 0 {
+			delete(m.members, name)
+		}
+	}
+	for name, row := range m.proxies {
+		if now.Sub(row.heard) > forgetTime && now.After(row.until) {
+			delete(m.proxies, name)
+		}
+	}
+}
+
+// newPrimary returns the member that says it is the primary of the latest term,
+// where that term is later than the group's.
+func (m *Machine) newPrimary(group ctview.Group) (ctid.Member, ctposition.Term, bool) {
+	var name ctid.Member
+	var term ctposition.Term
+	for n, row := range m.members {
+		if row.status.Role == ctserver.RolePrimary && row.status.Term > max(group.Term, term) {
+			name, term = n, row.status.Term
+		}
+	}
+	return name, term, name != ""
+}
+
+// watch looks whether the primary has to be replaced.
+func (m *Machine) watch(now time.Time, group ctview.Group) []Action {
+	m.turn = turn{}
+	actions := m.probeAll(now, watchTime, idleTime, group.Primary)
+	why, due := m.due(now, group)
+	if !due || !m.replaceable(now, group) {
+		return append(actions, m.resume(now, group)...)
+	}
+	group.Fence = group.Term + 1
+	if why == WhyLeaving {
+		group.Retiring = group.Term
+	}
+	return append(actions, Set{Group: group, Why: why})
+}
+
+// due reports whether the primary is to be replaced, and why.
+func (m *Machine) due(now time.Time, group ctview.Group) (Why, bool) {
+	primary, ok := m.members[group.Primary]
+	if !ok {
+		return WhyLost, now.Sub(m.began) > settleTime
+	}
+	if primary.announced.State == ctserver.StateLeaving {
+		return WhyLeaving, true
+	}
+	if primary.failures == 0 && !primary.answered.IsZero() && primary.status.Role == ctserver.RoleReplica {
+		return WhyDemoted, true
+	}
+	live, reaching, missing := m.accounts(now)
+	lost := primary.failures >= lostFailures && missing > 0 && reaching <= missing
+	if lost || (primary.failures >= aloneFailures && reaching == 0) {
+		return WhyLost, true
+	}
+	return WhyMissed, m.tooManyMiss(now, live, missing)
+}
+
+// tooManyMiss reports whether a quarter of the proxies, and two at least, have
+// missed the primary for a while.
+func (m *Machine) tooManyMiss(now time.Time, live, missing int) bool {
+	if missing < 2 || missing*4 < live || now.Sub(m.changed) < calmTime {
+		m.missed = time.Time{}
+		return false
+	}
+	if m.missed.IsZero() {
+		m.missed = now
+	}
+	return now.Sub(m.missed) >= missTime
+}
+
+// accounts counts the proxies that reported lately, and those of them that
+// reach and that miss the primary.
+func (m *Machine) accounts(now time.Time) (live, reaching, missing int) {
+	for _, p := range m.proxies {
+		if now.Sub(p.heard) > reportTime {
+			continue
+		}
+		live++
+		switch {
+		case p.reaches:
+			reaching++
+		case p.misses:
+			missing++
+		}
+	}
+	return live, reaching, missing
+}
+
+// replaceable reports whether a member that stays answers and could take over.
+func (m *Machine) replaceable(now time.Time, group ctview.Group) bool {
+	for name, row := range m.members {
+		if name != group.Primary && m.answers(now, row) && row.announced.State == ctserver.StateReady {
+			return true
+		}
+	}
+	return false
+}
+
+// answers reports whether a member answered lately.
+func (m *Machine) answers(now time.Time, row *member) bool {
+	return row.failures == 0 && now.Sub(row.answered) <= idleTime+answerTime
+}
+
+// resume lets replicas receive again that an earlier change paused.
+func (m *Machine) resume(now time.Time, group ctview.Group) []Action {
+	var actions []Action
+	for name, row := range m.members {
+		if name == group.Primary || row.status.Paused == 0 || row.status.Role != ctserver.RoleReplica {
+			continue
+		}
+		actions = m.ask(now, actions, name, row, Resume{}, changeTime)
+	}
+	return actions
+}
+
+// probeAll asks the primary and the other members for their status, each at its
+// interval.
+func (m *Machine) probeAll(now time.Time, primary, others time.Duration, name ctid.Member) []Action {
+	var actions []Action
+	for n, row := range m.members {
+		every := others
+		if n == name || row.failures > 0 {
+			every = primary
+		}
+		actions = m.ask(now, actions, n, row, Probe{}, every)
+	}
+	return actions
+}
+
+// ask adds a question, unless the member has one to answer or answered lately.
+func (m *Machine) ask(
+	now time.Time, actions []Action, name ctid.Member, row *member, question Question, every time.Duration,
+) []Action {
+	since := now.Sub(row.asked)
+	if (row.pending && since < answerTime+changeTime) || (row.failures > 0 && since < againTime) {
+		return actions
+	}
+	if _, probe := question.(Probe); probe && now.Sub(row.answered) < every && row.failures == 0 {
+		return actions
+	}
+	row.asked, row.pending = now, true
+	return append(actions, Ask{Member: name, Question: question})
+}
+
+// quiet reports whether no proxy can acknowledge anything for the primary any
+// more, and whether all of them said what they acknowledged.
+func (m *Machine) quiet(now time.Time, group ctview.Group) (quiet, complete bool) {
+	if now.Before(m.began.Add(ctdrift.AtMost(AuthorityTime))) {
+		return false, false
+	}
+	complete = now.Sub(m.began) > forgetTime
+	for _, p := range m.proxies {
+		switch {
+		case p.fenced >= group.Fence:
+		case now.Before(p.until):
+			return false, false
+		default:
+			complete = false
+		}
+	}
+	return true, complete
+}
--- a/internal/fleet/ctroster/roster.go
+++ b/internal/fleet/ctroster/roster.go
@@ -35,6 +35,9 @@
 	// what it was from then on, the newest last.
 	configured []configured
 	gone       []gone
+	// left holds the incarnations of the members that ended, so that a late
+	// announcement does not bring them back.
+	left map[ctid.Member]ctid.Incarnation
 	// deltas holds the deltas to the newest version by what they build on, so
 	// that each is made once for all the proxies that ask for it.
 	deltas map[ctview.Version]*ctview.Delta
@@ -49,9 +52,11 @@
 }
 
 type member struct {
-	entry   ctserver.Announcement
-	version ctview.Version
-	heard   time.Time
+	entry ctserver.Announcement
+	// sequence is that of the latest announcement, which the entry does not have.
+	sequence uint64
+	version  ctview.Version
+	heard    time.Time
 }
 
 type group struct {
@@ -82,6 +87,7 @@
 		proxies: make(map[ctid.Proxy]*proxy),
 		members: make(map[ctid.Member]*member),
 		groups:  make(map[ctid.Group]*group),
+		left:    make(map[ctid.Member]ctid.Incarnation),
 	}
 }
 
@@ -100,6 +106,35 @@
 	return r.version != before
 }
 
+// HearMember takes a member's announcement. It reports whether it is news of a
+// member that counts, and whether the view has changed.
+func (r *Roster) HearMember(now time.Time, announced *ctserver.Announcement) (taken, changed bool) {
+	before := r.version
+	taken = r.hearMember(now, announced)
+	return taken, r.version != before
+}
+
+// LeaveMember takes out a member that has ended, and reports whether it was in.
+func (r *Roster) LeaveMember(name ctid.Member) bool {
+	row, ok := r.members[name]
+	if !ok {
+		return false
+	}
+	r.left[name] = row.entry.Incarnation
+	delete(r.members, name)
+	r.leave(gone{member: name})
+	return true
+}
+
+// Members returns the members' announcements.
+func (r *Roster) Members() []ctserver.Announcement {
+	var members []ctserver.Announcement
+	for _, row := range r.members {
+		members = append(members, row.entry)
+	}
+	return members
+}
+
 func (r *Roster) hearProxy(now time.Time, report *ctview.Report) {
 	row, ok := r.proxies[report.Proxy.Name]
 	if !ok {
@@ -122,22 +157,53 @@
 	}
 }
 
-// hearMember takes an announcement. One of an earlier run of the member's
-// process is out of date and changes nothing.
-func (r *Roster) hearMember(now time.Time, announced *ctserver.Announcement) {
+// hearMember takes an announcement and reports whether it did. One of an earlier
+// run of the member's process, or of one whose address a later one has, is out
+// of date and changes nothing.
+func (r *Roster) hearMember(now time.Time, announced *ctserver.Announcement) bool {
+	if left, ok := r.left[announced.Member]; ok && announced.Incarnation <= left {
+		return false
+	}
 	row, ok := r.members[announced.Member]
+	if ok {
+		earlier := row.entry
+		earlier.Sequence = row.sequence
+		if !announced.Supersedes(&earlier) {
+			return false
+		}
+	}
+	if !r.clearAddress(announced) {
+		return false
+	}
 	if !ok {
 		row = &member{}
 		r.members[announced.Member] = row
 	}
-	if ok && !announced.Supersedes(&row.entry) {
-		return
-	}
 	row.heard = now
-	if row.entry != *announced {
-		row.entry = *announced
+	row.sequence = announced.Sequence
+	entry := *announced
+	entry.Sequence = 0
+	if row.entry != entry {
+		row.entry = entry
 		row.version = r.next()
 	}
+	return true
+}
+
+// clearAddress drops the members of earlier incarnations at the address of an
+// announcement. It reports false where a later one has the address.
+func (r *Roster) clearAddress(announced *ctserver.Announcement) bool {
+	for name, row := range r.members {
+		if name == announced.Member || row.entry.Address != announced.Address {
+			continue
+		}
+		if row.entry.Incarnation > announced.Incarnation {
+			return false
+		}
+		delete(r.members, name)
+		r.leave(gone{member: name})
+	}
+	return true
 }
 
 // SetGroup takes what is decided on a group.
@@ -228,3 +294,12 @@
 	r.deltas = nil
 	return r.version
 }
+
+// Member returns a member's announcement.
+func (r *Roster) Member(name ctid.Member) (ctserver.Announcement, bool) {
+	row, ok := r.members[name]
+	if !ok {
+		return ctserver.Announcement{}, false
+	}
+	return row.entry, true
+}
--- /dev/null
+++ b/internal/link/ctframe/control.go
@@ -0,0 +1,58 @@
+package ctframe
+
+import (
+	"github.com/cherviltrestle/cherviltrestle/internal/model/ctconfig"
+	"github.com/cherviltrestle/cherviltrestle/internal/model/ctid"
+	"github.com/cherviltrestle/cherviltrestle/internal/model/ctserver"
+)
+
+// Publish asks control's leader to put a whole configuration into force, under
+// the number that the operator gave it.
+type Publish struct {
+	Release  ctid.Release      `cbor:"release"`
+	Document ctconfig.Document `cbor:"document"`
+	// Source is the configuration as the operator wrote it.
+	Source []byte `cbor:"source"`
+}
+
+// Check reports the first fault of the frame.
+func (f *Publish) Check() error {
+	return f.Document.Check()
+}
+
+// Accepted answers Publish: that release or a higher one is in force.
+type Accepted struct{}
+
+// Recall asks control's leader for the release in force.
+type Recall struct{}
+
+// Recalled answers Recall.
+type Recalled struct {
+	Release ctid.Release `cbor:"release"`
+	Source  []byte       `cbor:"source"`
+}
+
+// Heard tells control's leader what a member said of itself.
+type Heard struct {
+	Announcement ctserver.Announcement `cbor:"announcement"`
+	// Gone reports that the member has ended. Only its name is set then.
+	Gone bool `cbor:"gone,omitempty"`
+}
+
+// Check reports the first fault of the frame.
+func (f *Heard) Check() error {
+	if f.Gone {
+		return f.Announcement.Member.Check()
+	}
+	return f.Announcement.Check()
+}
+
+// Noted answers Heard.
+type Noted struct{}
+
+func (*Publish) kind() kind  { return kindPublish }
+func (*Accepted) kind() kind { return kindAccepted }
+func (*Recall) kind() kind   { return kindRecall }
+func (*Recalled) kind() kind { return kindRecalled }
+func (*Heard) kind() kind    { return kindHeard }
+func (*Noted) kind() kind    { return kindNoted }
--- a/internal/link/ctframe/frame.go
+++ b/internal/link/ctframe/frame.go
@@ -34,6 +34,12 @@
 	kindFault
 	kindWatch
 	kindQuorum
+	kindPublish
+	kindAccepted
+	kindRecall
+	kindRecalled
+	kindHeard
+	kindNoted
 )
 
 // blanks makes an empty frame of each kind.
@@ -56,4 +62,10 @@
 	kindFault:    func() Frame { return &Fault{} },
 	kindQuorum:   func() Frame { return &Quorum{} },
 	kindWatch:    func() Frame { return &Watch{} },
+	kindPublish:  func() Frame { return &Publish{} },
+	kindAccepted: func() Frame { return &Accepted{} },
+	kindRecall:   func() Frame { return &Recall{} },
+	kindRecalled: func() Frame { return &Recalled{} },
+	kindHeard:    func() Frame { return &Heard{} },
+	kindNoted:    func() Frame { return &Noted{} },
 }
--- a/internal/link/ctrecord/record.go
+++ b/internal/link/ctrecord/record.go
@@ -13,6 +13,7 @@
 const (
 	kindConfigure byte = iota + 1
 	kindSetGroup
+	kindPublish
 )
 
 // EncodeCommand returns a command as bytes.
@@ -27,6 +28,8 @@
 		kind = kindConfigure
 	case ctregister.SetGroup:
 		kind = kindSetGroup
+	case ctregister.Publish:
+		kind = kindPublish
 	}
 	return append([]byte{kind}, body...), nil
 }
@@ -49,6 +52,12 @@
 			return nil, damaged(err)
 		}
 		return c, c.Group.Check()
+	case kindPublish:
+		var c ctregister.Publish
+		if err := ctcbor.Unmarshal(data[1:], &c); err != nil {
+			return nil, damaged(err)
+		}
+		return c, c.Document.Check()
 	}
 	return nil, cterror.Newf(cterror.Invalid, "upgrade this process", "command kind %d is unknown", data[0])
 }
--- a/internal/model/ctconfig/document.go
+++ b/internal/model/ctconfig/document.go
@@ -18,8 +18,24 @@
 	// Size is how many members the group has. Confirmations and promotions
 	// need a majority of it.
 	Size int `json:"size" cbor:"size"`
+	// Promotion tells who makes a member the primary.
+	Promotion Promotion `json:"promotion,omitempty" cbor:"promotion,omitempty"`
+	// Connections is how many connections each member accepts from all proxies
+	// together; 0 where its announcement tells.
+	Connections int `json:"connections,omitempty" cbor:"connections,omitempty"`
+	// SyncReplicas is how many replicas have received a commit before the
+	// primary acknowledges it; 0 where control confirms by a majority.
+	SyncReplicas int `json:"sync_replicas,omitempty" cbor:"sync_replicas,omitempty"`
 }
 
+// Promotion tells who makes a member the primary. The zero value stands for
+// control, through the member's holder.
+type Promotion string
+
+// PromotionExternal means that control orders promotions from a service outside
+// of the system.
+const PromotionExternal Promotion = "external"
+
 // Exception replaces some defaults for one group.
 type Exception struct {
 	Group ctid.Group `json:"group" cbor:"group"`
@@ -48,6 +64,7 @@
 	Defaults   Settings    `json:"defaults,omitzero" cbor:"defaults,omitzero"`
 	Groups     []Group     `json:"groups" cbor:"groups"`
 	Exceptions []Exception `json:"exceptions,omitempty" cbor:"exceptions,omitempty"`
+	Routes     []Route     `json:"routes,omitempty" cbor:"routes,omitempty"`
 }
 
 // Check reports the first fault of the document.
@@ -59,6 +76,9 @@
 	if err != nil {
 		return err
 	}
+	if err := d.checkRoutes(known); err != nil {
+		return err
+	}
 	return d.checkExceptions(known)
 }
 
@@ -68,6 +88,9 @@
 		if err := g.Name.Check(); err != nil {
 			return known, err
 		}
+		if g.Promotion == PromotionExternal && g.Size == 0 {
+			g.Size = 1
+		}
 		if g.Size < 1 || g.Size > maxGroupSize {
 			return known, cterror.Newf(cterror.Invalid, "give a size from 1 to 9", "group %s has size %d", g.Name, g.Size)
 		}
--- a/internal/model/ctconfig/patch.go
+++ b/internal/model/ctconfig/patch.go
@@ -1,14 +1,15 @@
 package ctconfig
 
 import (
+	"cmp"
 	"reflect"
 
 	"github.com/cherviltrestle/cherviltrestle/internal/model/ctid"
 	"github.com/cherviltrestle/cherviltrestle/internal/model/ctset"
 )
 
-// Patch leads from one document to another. The order of groups and exceptions
-// is not kept: it means nothing.
+// Patch leads from one document to another. The order of groups, exceptions and
+// routes is not kept: it means nothing.
 type Patch struct {
 	Defaults Settings `json:"defaults,omitzero" cbor:"defaults,omitzero"`
 	// Groups and Exceptions are new or have changed.
@@ -16,6 +17,9 @@
 	GoneGroups     []ctid.Group `json:"gone_groups,omitempty" cbor:"gone_groups,omitempty"`
 	Exceptions     []Exception  `json:"exceptions,omitempty" cbor:"exceptions,omitempty"`
 	GoneExceptions []ctid.Group `json:"gone_exceptions,omitempty" cbor:"gone_exceptions,omitempty"`
+	Routes         []Route      `json:"routes,omitempty" cbor:"routes,omitempty"`
+	// GoneRoutes names the databases whose routes are gone.
+	GoneRoutes []ctid.Database `json:"gone_routes,omitempty" cbor:"gone_routes,omitempty"`
 }
 
 // Check reports the first fault of the patch.
@@ -29,6 +33,11 @@
 			return err
 		}
 	}
+	for i := range p.Routes {
+		if err := p.Routes[i].Check(); err != nil {
+			return err
+		}
+	}
 	return nil
 }
 
@@ -37,6 +46,7 @@
 	patch := Patch{Defaults: after.Defaults}
 	patch.Groups, patch.GoneGroups = diff(before.Groups, after.Groups, groupName)
 	patch.Exceptions, patch.GoneExceptions = diff(before.Exceptions, after.Exceptions, exceptionName)
+	patch.Routes, patch.GoneRoutes = diff(before.Routes, after.Routes, routeName)
 	return patch
 }
 
@@ -47,6 +57,7 @@
 		Defaults:   patch.Defaults,
 		Groups:     patched(d.Groups, patch.Groups, patch.GoneGroups, groupName),
 		Exceptions: patched(d.Exceptions, patch.Exceptions, patch.GoneExceptions, exceptionName),
+		Routes:     patched(d.Routes, patch.Routes, patch.GoneRoutes, routeName),
 	}
 }
 
@@ -58,10 +69,14 @@
 	return e.Group
 }
 
+func routeName(r Route) ctid.Database {
+	return r.Database
+}
+
 // diff returns the entries that are new or have changed, and the names of those
 // that are gone.
-func diff[E any](before, after []E, name func(E) ctid.Group) (changed []E, gone []ctid.Group) {
-	left := make(map[ctid.Group]E, len(before))
+func diff[E any, N cmp.Ordered](before, after []E, name func(E) N) (changed []E, gone []N) {
+	left := make(map[N]E, len(before))
 	for _, e := range before {
 		left[name(e)] = e
 	}
@@ -82,14 +97,17 @@
 
 // patched returns the entries without those that changed or are gone, and the
 // changed ones behind them.
-func patched[E any](before, changed []E, gone []ctid.Group, name func(E) ctid.Group) []E {
-	var dropped ctset.Set[ctid.Group]
+func patched[E any, N cmp.Ordered](before, changed []E, gone []N, name func(E) N) []E {
+	var dropped ctset.Set[N]
 	for _, e := range changed {
 		dropped.Add(name(e))
 	}
 	for _, g := range gone {
 		dropped.Add(g)
 	}
+	if len(before)+len(changed) == 0 {
+		return nil
+	}
 	after := make([]E, 0, len(before)+len(changed))
 	for _, e := range before {
 		if !dropped.Has(name(e)) {
--- /dev/null
+++ b/internal/model/ctconfig/route.go
@@ -0,0 +1,83 @@
+package ctconfig
+
+import (
+	"github.com/cherviltrestle/cherviltrestle/internal/model/cterror"
+	"github.com/cherviltrestle/cherviltrestle/internal/model/ctid"
+	"github.com/cherviltrestle/cherviltrestle/internal/model/ctset"
+)
+
+// Freshness tells which commits the reads of a route must show.
+type Freshness string
+
+// The kinds of freshness.
+const (
+	// FreshnessPrimary reads show every acknowledged commit.
+	FreshnessPrimary Freshness = "primary"
+	// FreshnessBounded reads show the commits that were acknowledged longer
+	// than MaxStaleness ago.
+	FreshnessBounded Freshness = "bounded"
+	// FreshnessSession reads show those, and all commits of their session.
+	FreshnessSession Freshness = "session"
+)
+
+// Route leads the sessions of a database name to a group.
+type Route struct {
+	Name      string        `json:"name" cbor:"name"`
+	Database  ctid.Database `json:"database" cbor:"database"`
+	Group     ctid.Group    `json:"group" cbor:"group"`
+	Freshness Freshness     `json:"freshness" cbor:"freshness"`
+	// MaxStaleness is how old the data of bounded and session reads may be.
+	MaxStaleness Duration `json:"max_staleness,omitempty" cbor:"max_staleness,omitempty"`
+	// StatementTimeout bounds one statement.
+	StatementTimeout Duration `json:"statement_timeout" cbor:"statement_timeout"`
+	// TargetLatency is within what time a caller wants its whole operation done.
+	TargetLatency Duration `json:"target_latency,omitempty" cbor:"target_latency,omitempty"`
+	// Priority is 0 for the most urgent routes.
+	Priority int `json:"priority,omitempty" cbor:"priority,omitempty"`
+}
+
+// Check reports the first fault of the route.
+func (r *Route) Check() error {
+	if err := r.Database.Check(); err != nil {
+		return err
+	}
+	switch r.Freshness {
+	case FreshnessPrimary, FreshnessBounded, FreshnessSession:
+	default:
+		return cterror.Newf(cterror.Invalid, "use primary, bounded or session",
+			"route %q has freshness %q", r.Name, r.Freshness)
+	}
+	if r.StatementTimeout <= 0 {
+		return cterror.Newf(cterror.Invalid, "give a time above 0", "route %q has no statement timeout", r.Name)
+	}
+	return nil
+}
+
+// checkRoutes reports the first fault of the document's routes.
+func (d *Document) checkRoutes(known ctset.Set[ctid.Group]) error {
+	var routed ctset.Set[ctid.Database]
+	for i := range d.Routes {
+		r := &d.Routes[i]
+		if err := r.Check(); err != nil {
+			return err
+		}
+		if !known.Has(r.Group) {
+			return cterror.Newf(cterror.Invalid, "declare the group or remove the route",
+				"route %q leads to group %q, which is not declared", r.Name, r.Group)
+		}
+		if !routed.Add(r.Database) {
+			return cterror.Newf(cterror.Invalid, "remove one of them", "database %q has two routes", r.Database)
+		}
+	}
+	return nil
+}
+
+// Route returns the route of a database name.
+func (d *Document) Route(database ctid.Database) (Route, bool) {
+	for i := range d.Routes {
+		if d.Routes[i].Database == database {
+			return d.Routes[i], true
+		}
+	}
+	return Route{}, false
+}
--- a/internal/model/ctserver/announcement.go
+++ b/internal/model/ctserver/announcement.go
@@ -8,9 +8,9 @@
 	"github.com/cherviltrestle/cherviltrestle/internal/model/ctposition"
 )
 
-// reservedConnections is how many of a member's connections the system keeps
+// ReservedConnections is how many of a member's connections the system keeps
 // for its own status queries.
-const reservedConnections = 2
+const ReservedConnections = 2
 
 // Announcement is what a backend server says of itself.
 type Announcement struct {
@@ -23,6 +23,9 @@
 	Role        Role             `json:"role" cbor:"role"`
 	State       State            `json:"state" cbor:"state"`
 	Term        ctposition.Term  `json:"term" cbor:"term"`
+	// Sequence counts the announcements of the incarnation, so that a late one
+	// is known; 0 where the member doesn't count. The view carries none.
+	Sequence uint64 `json:"sequence,omitempty" cbor:"sequence,omitempty"`
 	// Slots is how many statements the member runs at once.
 	Slots int `json:"slots" cbor:"slots"`
 	// Connections is how many connections the member accepts.
@@ -47,7 +50,7 @@
 		return invalid("term is 0", "give the term that the member is in, from 1")
 	case a.Slots < 1:
 		return invalid("slots is below 1", "give the number of statements that the member runs at once")
-	case a.Connections < a.Slots+reservedConnections:
+	case a.Connections < a.Slots+ReservedConnections:
 		return invalid("connections is below slots plus 2", "allow 2 connections more than slots, for status queries")
 	}
 	return nil
@@ -55,7 +58,7 @@
 
 // Budget returns how many connections callers' transactions may use.
 func (a *Announcement) Budget() int {
-	return a.Connections - reservedConnections
+	return a.Connections - ReservedConnections
 }
 
 func (a *Announcement) checkNames() error {
@@ -71,7 +74,10 @@
 // Supersedes reports whether the announcement replaces the earlier one of the
 // same member.
 func (a *Announcement) Supersedes(earlier *Announcement) bool {
-	return a.Incarnation >= earlier.Incarnation
+	if a.Incarnation != earlier.Incarnation {
+		return a.Incarnation > earlier.Incarnation
+	}
+	return a.Sequence == 0 || a.Sequence > earlier.Sequence
 }
 
 func invalid(message string, remedy string) error {
--- a/internal/model/ctview/group.go
+++ b/internal/model/ctview/group.go
@@ -19,6 +19,14 @@
 	// Retiring is the term whose primary takes no new work, because it leaves
 	// and the group is being handed over. It is 0 while none does.
 	Retiring ctposition.Term `json:"retiring,omitempty" cbor:"retiring,omitempty"`
+	// Candidate is the member whose promotion was ordered from an external
+	// service and is not seen yet; empty where there is none.
+	Candidate ctid.Member `json:"candidate,omitempty" cbor:"candidate,omitempty"`
+}
+
+// Changing reports whether a change of the primary is under way.
+func (g *Group) Changing() bool {
+	return g.Fence > g.Term
 }
 
 // Retires reports whether the group's primary takes no new work.
--- a/internal/model/ctview/report.go
+++ b/internal/model/ctview/report.go
@@ -63,6 +63,12 @@
 	Seen []ctserver.Announcement `json:"seen,omitempty" cbor:"seen,omitempty"`
 	// Held lists the members that the proxy holds.
 	Held []Held `json:"held,omitempty" cbor:"held,omitempty"`
+	// Reaches lists the primaries that answered the proxy lately, and Misses
+	// those that it can't reach or that do not answer.
+	Reaches []ctid.Member `json:"reaches,omitempty" cbor:"reaches,omitempty"`
+	Misses  []ctid.Member `json:"misses,omitempty" cbor:"misses,omitempty"`
+	// Fenced lists the groups whose fence the proxy keeps to.
+	Fenced []Fenced `json:"fenced,omitempty" cbor:"fenced,omitempty"`
 	// Goodbye reports that the proxy stops and has let go of all that it held.
 	Goodbye bool `json:"goodbye,omitempty" cbor:"goodbye,omitempty"`
 	// Version is the view that the proxy has.
@@ -71,6 +77,15 @@
 	Revision ctid.Revision `json:"revision" cbor:"revision"`
 }
 
+// Fenced reports that a proxy sends nothing to the primary of an earlier term
+// than Fence any more and acknowledges nothing that it still answers.
+type Fenced struct {
+	Group ctid.Group      `json:"group" cbor:"group"`
+	Fence ctposition.Term `json:"fence" cbor:"fence"`
+	// Acknowledged is the latest point that the proxy acknowledged a write at.
+	Acknowledged ctposition.Point `json:"acknowledged" cbor:"acknowledged"`
+}
+
 // Check reports the first fault of the report.
 func (r *Report) Check() error {
 	if err := r.Proxy.Check(); err != nil {
@@ -109,6 +124,13 @@
 	// Delta is absent where the proxy's view is the newest.
 	Delta  *Delta  `json:"delta,omitempty" cbor:"delta,omitempty"`
 	Leases []Lease `json:"leases,omitempty" cbor:"leases,omitempty"`
+	// Authority is how long the proxy may act on the groups of its view, after
+	// this reply is taken, counted from the moment it sent the report.
+	Authority ctconfig.Duration `json:"authority,omitempty" cbor:"authority,omitempty"`
+	// Groups lists all groups where there is no delta to the proxy's view yet.
+	Groups []Group `json:"groups,omitempty" cbor:"groups,omitempty"`
+	// Controls lists the control processes that vote.
+	Controls []ctid.Control `json:"controls,omitempty" cbor:"controls,omitempty"`
 	// Unready reports that the process that answers does not lead control.
 	Unready bool `json:"unready,omitempty" cbor:"unready,omitempty"`
 	// Leader is where the leader can be reached, where that is known.
--- a/internal/model/ctview/view.go
+++ b/internal/model/ctview/view.go
@@ -67,6 +67,17 @@
 	return next
 }
 
+// WithGroups returns the view with the groups as control states them.
+func (v *View) WithGroups(groups []Group) *View {
+	next := v.copy()
+	next.Version = v.Version
+	for _, g := range groups {
+		next.takeGroup(g)
+	}
+	next.index()
+	return next
+}
+
 func (v *View) copy() *View {
 	next := &View{
 		Proxies: maps.Clone(v.Proxies),
--- a/internal/program/ctcommand/main.go
+++ b/internal/program/ctcommand/main.go
@@ -30,6 +30,8 @@
 	Variables []string
 	Out       io.Writer
 	Err       io.Writer
+	// Further are commands that stand beside the product's own.
+	Further []*cobra.Command
 }
 
 // Main runs the command line and returns the exit code.
@@ -77,5 +79,6 @@
 		newProxy(environment), newControl(environment), newConfig(environment), newStatus(environment),
 		newDeeds(environment), newExplain(environment), newKeys(environment), newSettings(),
 	)
+	root.AddCommand(environment.Further...)
 	return root
 }
--- a/internal/program/ctcontrol/control.go
+++ b/internal/program/ctcontrol/control.go
@@ -15,6 +15,7 @@
 	"github.com/cherviltrestle/cherviltrestle/internal/model/ctview"
 	"github.com/cherviltrestle/cherviltrestle/internal/work/ctclock"
 	"github.com/cherviltrestle/cherviltrestle/internal/work/ctlock"
+	"github.com/cherviltrestle/cherviltrestle/internal/work/ctpool"
 	"github.com/cherviltrestle/cherviltrestle/internal/work/cttable"
 )
 
@@ -46,6 +47,13 @@
 	// SilenceTime is how long a proxy or a member may go unheard of before it
 	// counts as gone.
 	SilenceTime time.Duration
+	// Members and Promoter serve the groups whose primaries are promoted by an
+	// external service; nil where there are none.
+	Members  Members
+	Promoter Promoter
+	// Voters lists the control processes that vote; nil where proxies know them
+	// from their settings.
+	Voters func(held *ctlock.Held) []ctid.Control
 }
 
 // Control is a control process: the state that the replicated log makes and,
@@ -55,6 +63,7 @@
 
 	proposer Proposer
 	ledger   cttable.Cell[ledger]
+	jobs     ctpool.Pool[job]
 }
 
 // New returns a control process that leads nothing yet.
@@ -76,6 +85,9 @@
 // Run looks at what is due until ctx ends.
 func (c *Control) Run(ctx context.Context) {
 	var held ctlock.Held
+	c.jobs = ctpool.Pool[job]{Workers: jobWorkers, Handle: c.do}
+	c.jobs.Start()
+	defer c.jobs.Stop()
 	for {
 		select {
 		case <-ctx.Done():
@@ -93,9 +105,12 @@
 // Report takes a proxy's report and returns the reply.
 func (c *Control) Report(held *ctlock.Held, report *ctview.Report) *ctview.Reply {
 	reply := &ctview.Reply{Number: report.Number}
+	if c.Voters != nil {
+		reply.Controls = c.Voters(held)
+	}
 	c.ledger.With(held, func(l *ledger) {
 		now := c.Clock.Now()
-		if !l.leading {
+		if !l.inOffice(now) {
 			c.refuse(l, reply)
 			return
 		}
@@ -107,6 +122,7 @@
 			l.notify()
 		}
 		reply.Delta = l.delta(now, report.Version)
+		c.authorize(now, l, report, reply)
 	})
 	return reply
 }
@@ -147,7 +163,7 @@
 		reply := &ctview.Reply{}
 		wake := make(chan struct{})
 		c.ledger.With(held, func(l *ledger) {
-			if !l.leading {
+			if !l.inOffice(c.Clock.Now()) {
 				c.refuse(l, reply)
 				return
 			}
@@ -179,6 +195,9 @@
 	for name := range l.machines {
 		c.decide(now, l, name)
 	}
+	for name := range l.successions {
+		c.advance(now, l, name)
+	}
 	if l.roster.Version() != before || !l.settled {
 		l.settled = true
 		l.notify()
--- a/internal/program/ctcontrol/disk.go
+++ b/internal/program/ctcontrol/disk.go
@@ -19,9 +19,18 @@
 	entryPrefix = []byte("entry/")
 )
 
+// store is where the durable state is kept.
+type store interface {
+	Get(key []byte) ([]byte, error)
+	// Put makes the writes durable, all or none.
+	Put(writes ...ctstore.Write) error
+	Range(prefix []byte, visit func(key, value []byte) error) error
+	Close() error
+}
+
 // disk keeps the durable state of a control process in a store.
 type disk struct {
-	store *ctstore.Store
+	store store
 	// first and last are the entries that the store has.
 	first ctquorum.Index
 	last  ctquorum.Index
@@ -29,8 +38,8 @@
 
 // Init begins a new fleet on an empty disk: the process becomes the only voter.
 // It refuses a disk that holds anything.
-func Init(store *ctstore.Store, name ctid.Control, now time.Time) error {
-	d := &disk{store: store}
+func Init(keep *ctstore.Store, name ctid.Control, now time.Time) error {
+	d := &disk{store: keep}
 	self, found, err := d.self()
 	if err != nil {
 		return err
--- a/internal/program/ctcontrol/ledger.go
+++ b/internal/program/ctcontrol/ledger.go
@@ -6,6 +6,7 @@
 	"github.com/cherviltrestle/cherviltrestle/internal/decide/ctfailover"
 	"github.com/cherviltrestle/cherviltrestle/internal/decide/ctquorum"
 	"github.com/cherviltrestle/cherviltrestle/internal/decide/ctregister"
+	"github.com/cherviltrestle/cherviltrestle/internal/decide/ctsuccession"
 	"github.com/cherviltrestle/cherviltrestle/internal/fleet/ctroster"
 	"github.com/cherviltrestle/cherviltrestle/internal/model/ctconfig"
 	"github.com/cherviltrestle/cherviltrestle/internal/model/ctid"
@@ -31,11 +32,14 @@
 	proposed map[ctid.Group]time.Time
 	roster   ctroster.Roster
 	machines map[ctid.Group]*ctfailover.Machine
-	blocked  map[ctid.Group]ctfailover.Why
-	began    time.Time
-	settled  bool
-	silence  time.Duration
-	watchers []chan struct{}
+	// successions decide on the groups that an external service promotes in.
+	successions map[ctid.Group]*ctsuccession.Machine
+	epoch       ctquorum.Epoch
+	blocked     map[ctid.Group]ctfailover.Why
+	began       time.Time
+	settled     bool
+	silence     time.Duration
+	watchers    []chan struct{}
 }
 
 // moving reports whether a decision on the group is proposed and not applied.
@@ -44,10 +48,26 @@
 	return ok
 }
 
+// officeGrace is how long a leader without authority still answers proxies: it
+// may hear of a majority again.
+const officeGrace = 300 * time.Millisecond
+
+// inOffice reports whether this process leads and has heard of a majority lately.
+func (l *ledger) inOffice(now time.Time) bool {
+	return l.leading && now.Before(l.authority.Add(officeGrace))
+}
+
+// authorized reports whether this process may act as the leader.
+func (l *ledger) authorized(now time.Time) bool {
+	return l.leading && now.Before(l.authority)
+}
+
 // lead starts the ledger of a new leader.
 func (l *ledger) lead(now time.Time, epoch ctroster.Epoch, silence time.Duration) {
 	l.roster.Begin(epoch)
 	l.machines = make(map[ctid.Group]*ctfailover.Machine)
+	l.successions = make(map[ctid.Group]*ctsuccession.Machine)
+	l.epoch = ctquorum.Epoch(epoch)
 	l.blocked = make(map[ctid.Group]ctfailover.Why)
 	l.proposed = make(map[ctid.Group]time.Time)
 	l.leading = true
@@ -65,6 +85,10 @@
 	document := accepted.Change.Document
 	l.roster.SetConfig(ctview.Config{Revision: accepted.Revision, Document: document})
 	for _, g := range document.Groups {
+		if g.Promotion == ctconfig.PromotionExternal {
+			l.succeed(now, g.Name)
+			continue
+		}
 		machine, ok := l.machines[g.Name]
 		if !ok {
 			machine = &ctfailover.Machine{}
@@ -82,9 +106,31 @@
 			l.roster.DropGroup(name)
 		}
 	}
+	for name := range l.successions {
+		if _, declared := document.Group(name); !declared {
+			delete(l.successions, name)
+			l.roster.DropGroup(name)
+		}
+	}
 	l.notify()
 }
 
+// succeed starts the machine of a group that an external service promotes in,
+// where there is none.
+func (l *ledger) succeed(now time.Time, name ctid.Group) {
+	if _, ok := l.successions[name]; ok {
+		return
+	}
+	machine := &ctsuccession.Machine{}
+	machine.Begin(now)
+	for _, announced := range l.roster.Members() {
+		if announced.Group == name {
+			machine.Hear(now, announced)
+		}
+	}
+	l.successions[name] = machine
+}
+
 // delta returns the delta from a version, or nil where there is none to give.
 func (l *ledger) delta(now time.Time, version ctview.Version) *ctview.Delta {
 	if now.Sub(l.began) < settleTime {
--- /dev/null
+++ b/internal/program/ctcontrol/prober.go
@@ -0,0 +1,93 @@
+package ctcontrol
+
+import (
+	"context"
+	"sync"
+
+	"github.com/cherviltrestle/cherviltrestle/internal/decide/ctsuccession"
+	"github.com/cherviltrestle/cherviltrestle/internal/model/ctid"
+	"github.com/cherviltrestle/cherviltrestle/internal/model/ctquery"
+	"github.com/cherviltrestle/cherviltrestle/internal/model/ctserver"
+	"github.com/cherviltrestle/cherviltrestle/internal/program/ctpools"
+)
+
+// Prober asks members over one connection each, which it keeps.
+type Prober struct {
+	Dialer ctpools.Dialer
+	// Status decodes the answer to a question.
+	Status func(answer ctquery.Answer) (ctquery.Status, error)
+
+	mutex sync.Mutex
+	links map[ctid.Member]ctpools.Link
+}
+
+// Ask asks a question and returns the member's status.
+func (p *Prober) Ask(
+	ctx context.Context, server ctserver.Announcement, question ctsuccession.Question,
+) (ctquery.Status, error) {
+	link, kept, err := p.take(ctx, server)
+	if err != nil {
+		return ctquery.Status{}, err
+	}
+	answer, err := exchange(ctx, link, question)
+	if err != nil && kept && ctx.Err() == nil {
+		// The member may have been started again since the link was used.
+		link.Close()
+		if link, err = p.Dialer.Dial(ctx, server); err != nil {
+			return ctquery.Status{}, err
+		}
+		answer, err = exchange(ctx, link, question)
+	}
+	if err != nil {
+		link.Close()
+		return ctquery.Status{}, err
+	}
+	p.keep(server.Member, link)
+	return p.Status(answer)
+}
+
+func exchange(ctx context.Context, link ctpools.Link, question ctsuccession.Question) (ctquery.Answer, error) {
+	stop := context.AfterFunc(ctx, link.Close)
+	defer stop()
+	if err := link.Send([]ctquery.Query{{Statement: statementOf(question)}}); err != nil {
+		return ctquery.Answer{}, err
+	}
+	return link.Receive()
+}
+
+func statementOf(question ctsuccession.Question) ctquery.Statement {
+	switch q := question.(type) {
+	case ctsuccession.Pause:
+		return ctquery.Pause{Term: q.Fence}
+	case ctsuccession.Resume:
+		return ctquery.Resume{}
+	case ctsuccession.StepDown:
+		return ctquery.StepDown{Term: q.Fence}
+	}
+	return ctquery.AskStatus{}
+}
+
+// take takes the link that is kept to a member, or opens one.
+func (p *Prober) take(ctx context.Context, server ctserver.Announcement) (link ctpools.Link, kept bool, err error) {
+	p.mutex.Lock()
+	link, kept = p.links[server.Member]
+	delete(p.links, server.Member)
+	p.mutex.Unlock()
+	if kept {
+		return link, true, nil
+	}
+	link, err = p.Dialer.Dial(ctx, server)
+	return link, false, err
+}
+
+func (p *Prober) keep(member ctid.Member, link ctpools.Link) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	if p.links == nil {
+		p.links = make(map[ctid.Member]ctpools.Link)
+	}
+	if earlier, ok := p.links[member]; ok {
+		earlier.Close()
+	}
+	p.links[member] = link
+}
--- /dev/null
+++ b/internal/program/ctcontrol/release.go
@@ -0,0 +1,124 @@
+package ctcontrol
+
+import (
+	"context"
+
+	"github.com/cherviltrestle/cherviltrestle/internal/decide/ctregister"
+	"github.com/cherviltrestle/cherviltrestle/internal/link/ctframe"
+	"github.com/cherviltrestle/cherviltrestle/internal/model/cterror"
+	"github.com/cherviltrestle/cherviltrestle/internal/model/ctid"
+	"github.com/cherviltrestle/cherviltrestle/internal/model/ctserver"
+	"github.com/cherviltrestle/cherviltrestle/internal/work/ctlock"
+)
+
+// Publish puts a numbered configuration into force. It returns once that, or one
+// of a higher number, is durable on a majority of control's disks.
+func (c *Control) Publish(ctx context.Context, held *ctlock.Held, p *ctframe.Publish) error {
+	outcome := make(chan ctregister.Result, 1)
+	var err error
+	done := false
+	c.ledger.With(held, func(l *ledger) {
+		now := c.Clock.Now()
+		switch {
+		case !l.authorized(now):
+			err = notLeading(l)
+		case l.register.Release > 0 && p.Release <= l.register.Release:
+			done = true
+		default:
+			c.propose(l, ctregister.Publish{
+				Release: p.Release, Document: p.Document, Source: p.Source, At: now,
+			}, outcome)
+		}
+	})
+	if err != nil || done {
+		return err
+	}
+	select {
+	case _, ok := <-outcome:
+		if ok {
+			return nil
+		}
+	case <-ctx.Done():
+	}
+	return cterror.New(cterror.Unavailable, "whether the configuration was accepted is not known",
+		"send it again unchanged")
+}
+
+// Recall returns the configuration in force as the operator wrote it. It fails
+// where this process can't be sure which one that is.
+func (c *Control) Recall(held *ctlock.Held) (ctid.Release, []byte, error) {
+	var release ctid.Release
+	var source []byte
+	var err error
+	c.ledger.With(held, func(l *ledger) {
+		if !l.authorized(c.Clock.Now()) {
+			err = notLeading(l)
+			return
+		}
+		release, source = l.register.Release, l.register.Source
+	})
+	return release, source, err
+}
+
+// Hear takes what a member said of itself.
+func (c *Control) Hear(held *ctlock.Held, heard *ctframe.Heard) error {
+	var err error
+	c.ledger.With(held, func(l *ledger) {
+		now := c.Clock.Now()
+		if !l.authorized(now) {
+			err = notLeading(l)
+			return
+		}
+		if heard.Gone {
+			c.leave(l, heard.Announcement.Member)
+			return
+		}
+		announced := heard.Announcement
+		document := l.register.Current().Change.Document
+		if group, ok := document.Group(announced.Group); ok && group.Connections > 0 {
+			announced.Connections = max(group.Connections, announced.Slots+ctserver.ReservedConnections)
+		}
+		before, known := l.roster.Member(announced.Member)
+		taken, changed := l.roster.HearMember(now, &announced)
+		if !taken {
+			return
+		}
+		if machine, ok := l.successions[announced.Group]; ok {
+			machine.Hear(now, announced)
+		}
+		if changed {
+			l.notify()
+		}
+		if !known || before.State != announced.State || before.Role != announced.Role {
+			c.Logger.Info().Str("event", "decision").Str("decision", "take_member").
+				Str("group", string(announced.Group)).Str("member", string(announced.Member)).
+				Stringer("address", announced.Address).Str("role", string(announced.Role)).
+				Str("state", string(announced.State)).Uint64("sequence", heard.Announcement.Sequence).Send()
+		}
+	})
+	return err
+}
+
+// leave takes out a member that has ended.
+func (c *Control) leave(l *ledger, name ctid.Member) {
+	if !l.roster.LeaveMember(name) {
+		return
+	}
+	now := c.Clock.Now()
+	for _, machine := range l.successions {
+		machine.Leave(now, name)
+	}
+	l.notify()
+	c.Logger.Info().Str("event", "decision").Str("decision", "drop_member").
+		Str("member", string(name)).Str("why", "ended").Send()
+}
+
+// Leader returns the process that leads, as far as this one knows, and whether
+// it is this one.
+func (c *Control) Leader(held *ctlock.Held) (leader ctid.Control, self bool) {
+	c.ledger.With(held, func(l *ledger) {
+		leader = l.leader.Name
+		self = l.inOffice(c.Clock.Now())
+	})
+	return leader, self
+}
--- a/internal/program/ctcontrol/replica.go
+++ b/internal/program/ctcontrol/replica.go
@@ -11,7 +11,6 @@
 	"github.com/cherviltrestle/cherviltrestle/internal/decide/ctquorum"
 	"github.com/cherviltrestle/cherviltrestle/internal/link/ctframe"
 	"github.com/cherviltrestle/cherviltrestle/internal/model/ctid"
-	"github.com/cherviltrestle/cherviltrestle/internal/program/ctstream"
 	"github.com/cherviltrestle/cherviltrestle/internal/work/ctclock"
 	"github.com/cherviltrestle/cherviltrestle/internal/work/ctlock"
 	"github.com/cherviltrestle/cherviltrestle/internal/work/ctpool"
@@ -31,6 +30,8 @@
 	openTime = 500 * time.Millisecond
 	// compactAfter is how many entries make a snapshot due.
 	compactAfter = 2000
+	// compactBytes is how many bytes of commands do.
+	compactBytes = 2 << 20
 )
 
 // Machine is what the replicated log drives. Its methods are called by one
@@ -64,14 +65,20 @@
 	self     ctquorum.Peer
 	disk     *disk
 	contacts []Contact
-	ways     *ctstream.Ways
-	clock    ctclock.Clock
-	logger   zerolog.Logger
-	machine  Machine
+	ways     ctframe.Ways
+	// resolve finds the address of a process that is no contact; nil for none.
+	resolve func(ctid.Control) (netip.AddrPort, bool)
+	// keepVoters is how many voters stay at least when silent ones are taken out;
+	// 0 where operators take them out.
+	keepVoters int
+	clock      ctclock.Clock
+	logger     zerolog.Logger
+	machine    Machine
 
 	node     cttable.Cell[*ctquorum.Node]
 	pool     ctpool.Pool[ctquorum.Event]
 	outboxes map[ctid.Control]chan *ctframe.Quorum
+	running  context.Context
 	failed   chan error
 }
 
@@ -96,12 +103,12 @@
 	var held ctlock.Held
 	r.node.With(&held, func(n **ctquorum.Node) {
 		*n = ctquorum.New(r.clock.Now(), r.self, durable, contacts, random)
+		(*n).KeepVoters = r.keepVoters
 	})
 	r.outboxes = make(map[ctid.Control]chan *ctframe.Quorum)
+	r.running = ctx
 	for _, c := range r.contacts {
-		outbox := make(chan *ctframe.Quorum, outboxSize)
-		r.outboxes[c.Name] = outbox
-		go r.carry(ctx, c, outbox)
+		r.open(c)
 	}
 	r.pool = ctpool.Pool[ctquorum.Event]{Workers: 1, Handle: r.handle}
 	r.pool.Start()
@@ -161,7 +168,7 @@
 	r.node.With(held, func(n **ctquorum.Node) {
 		effects = (*n).Step(r.clock.Now(), event)
 		until = (*n).AuthorityUntil()
-		compact = (*n).LogLength() > compactAfter
+		compact = (*n).LogLength() > compactAfter || (*n).LogBytes() > compactBytes
 	})
 	for _, effect := range effects {
 		if err := r.perform(effect); err != nil {
@@ -235,7 +242,9 @@
 func (r *Replica) send(e ctquorum.Send) {
 	outbox, ok := r.outboxes[e.To.Name]
 	if !ok {
-		return
+		if outbox, ok = r.find(e.To.Name); !ok {
+			return
+		}
 	}
 	select {
 	case outbox <- ctframe.NewQuorum(r.self, e.To, e.Message):
@@ -243,6 +252,27 @@
 	}
 }
 
+// open makes an outbox whose messages are carried to a process.
+func (r *Replica) open(contact Contact) chan *ctframe.Quorum {
+	outbox := make(chan *ctframe.Quorum, outboxSize)
+	r.outboxes[contact.Name] = outbox
+	go r.carry(r.running, contact, outbox)
+	return outbox
+}
+
+// find makes an outbox to a process that is no contact, where its address can be
+// told from its name. Only the worker calls it.
+func (r *Replica) find(name ctid.Control) (chan *ctframe.Quorum, bool) {
+	if r.resolve == nil {
+		return nil, false
+	}
+	address, ok := r.resolve(name)
+	if !ok {
+		return nil, false
+	}
+	return r.open(Contact{Name: name, Address: address}), true
+}
+
 // carry sends the messages of an outbox, over a way that is opened again when it
 // fails.
 func (r *Replica) carry(ctx context.Context, contact Contact, outbox <-chan *ctframe.Quorum) {
@@ -260,7 +290,7 @@
 		case frame = <-outbox:
 		}
 		if way == nil {
-			if way = r.open(ctx, contact); way == nil {
+			if way = r.dial(ctx, contact); way == nil {
 				continue
 			}
 		}
@@ -271,7 +301,7 @@
 	}
 }
 
-func (r *Replica) open(ctx context.Context, contact Contact) ctframe.Way {
+func (r *Replica) dial(ctx context.Context, contact Contact) ctframe.Way {
 	opening, cancel := context.WithTimeout(ctx, openTime)
 	defer cancel()
 	way, err := r.ways.Open(opening, contact.Address)
--- /dev/null
+++ b/internal/program/ctcontrol/service.go
@@ -0,0 +1,322 @@
+package ctcontrol
+
+import (
+	"context"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/cherviltrestle/cherviltrestle/internal/decide/ctquorum"
+	"github.com/cherviltrestle/cherviltrestle/internal/link/ctframe"
+	"github.com/cherviltrestle/cherviltrestle/internal/model/ctconfig"
+	"github.com/cherviltrestle/cherviltrestle/internal/model/cterror"
+	"github.com/cherviltrestle/cherviltrestle/internal/model/ctid"
+	"github.com/cherviltrestle/cherviltrestle/internal/model/ctserver"
+	"github.com/cherviltrestle/cherviltrestle/internal/state/ctjournal"
+	"github.com/cherviltrestle/cherviltrestle/internal/work/ctclock"
+	"github.com/cherviltrestle/cherviltrestle/internal/work/ctlock"
+)
+
+// The bounds of what one control process asks another one.
+const (
+	// forwardTime bounds a question to the leader, the opening of a way included.
+	forwardTime = 900 * time.Millisecond
+	// maxIdleWays is how many ways to the leader are kept for later questions.
+	maxIdleWays = 4
+	// proxySilence is how long a proxy may go unheard of before its share of the
+	// connections goes to others.
+	proxySilence = 3 * time.Second
+)
+
+// ServiceOptions are the parts and settings of a Service.
+type ServiceOptions struct {
+	// Name is the process's name, from which others find its address.
+	Name ctid.Control
+	// Seeds are control processes to ask first; they may be gone.
+	Seeds []ctid.Control
+	// First reports whether the whole fleet starts for the first time: the seeds
+	// are the voters then.
+	First bool
+	// Losses is how many disks may be lost at once.
+	Losses  int
+	Journal *ctjournal.Journal
+	Ways    ctframe.Ways
+	// Resolve finds the address of a process by its name.
+	Resolve  func(ctid.Control) (netip.AddrPort, bool)
+	Members  Members
+	Promoter Promoter
+	Clock    ctclock.Clock
+	Logger   zerolog.Logger
+}
+
+// Service is a control process whose transport and operators' interface are
+// given to it. Whichever process is asked, the leader answers.
+type Service struct {
+	ServiceOptions
+
+	control *Control
+	replica *Replica
+
+	mutex sync.Mutex
+	idle  map[ctid.Control][]ctframe.Way
+}
+
+// NewService returns a service with the state of its disk.
+func NewService(options ServiceOptions) (*Service, error) {
+	d := &disk{store: options.Journal}
+	self, err := founder(d, options)
+	if err != nil {
+		return nil, err
+	}
+	replica := &Replica{
+		self:       self,
+		disk:       d,
+		ways:       options.Ways,
+		resolve:    options.Resolve,
+		keepVoters: 2*options.Losses + 1,
+		clock:      options.Clock,
+		logger:     options.Logger,
+	}
+	for _, name := range options.Seeds {
+		if address, ok := options.Resolve(name); ok && name != options.Name {
+			replica.contacts = append(replica.contacts, Contact{Name: name, Address: address})
+		}
+	}
+	control := New(Options{
+		Name:        options.Name,
+		Clock:       options.Clock,
+		Logger:      options.Logger,
+		SilenceTime: proxySilence,
+		Members:     options.Members,
+		Promoter:    options.Promoter,
+		Voters:      func(held *ctlock.Held) []ctid.Control { return namesOf(replica.Voters(held)) },
+	})
+	control.Use(replica)
+	return &Service{
+		ServiceOptions: options, control: control, replica: replica,
+		idle: make(map[ctid.Control][]ctframe.Way),
+	}, nil
+}
+
+func namesOf(voters []ctquorum.Peer) []ctid.Control {
+	var names []ctid.Control
+	for _, v := range voters {
+		names = append(names, v.Name)
+	}
+	return names
+}
+
+// firstIncarnation is that of the voters of a new fleet.
+const firstIncarnation = 1
+
+// founder returns who the process is. An empty disk gets the state of a voter of
+// a new fleet, where the process is one, and otherwise a new incarnation.
+func founder(d *disk, options ServiceOptions) (ctquorum.Peer, error) {
+	self, found, err := d.self()
+	if err != nil || found {
+		return self, err
+	}
+	var voters []ctquorum.Peer
+	seed := false
+	for _, name := range options.Seeds {
+		voters = append(voters, ctquorum.Peer{Name: name, Incarnation: firstIncarnation})
+		seed = seed || name == options.Name
+	}
+	if !options.First || !seed {
+		return d.identify(options.Name, time.Now())
+	}
+	self = ctquorum.Peer{Name: options.Name, Incarnation: firstIncarnation}
+	first := ctquorum.BootstrapOf(voters)
+	if err := d.write(ctquorum.Persist{Epoch: first.Epoch, From: 1, Entries: first.Entries}); err != nil {
+		return self, err
+	}
+	return self, d.writeSelf(self)
+}
+
+// Run takes part in control until ctx ends or the disk fails.
+func (s *Service) Run(ctx context.Context) error {
+	if err := s.replica.Start(ctx, s.control, random{}); err != nil {
+		return err
+	}
+	go s.control.Run(ctx)
+	s.Logger.Info().Str("event", "started").Str("name", string(s.Name)).
+		Uint64("incarnation", uint64(s.replica.self.Incarnation)).Send()
+	select {
+	case <-ctx.Done():
+		return nil
+	case err := <-s.replica.Failed():
+		return err
+	}
+}
+
+// Serve serves one way of another process.
+func (s *Service) Serve(ctx context.Context, way ctframe.Way) {
+	var held ctlock.Held
+	for {
+		frame, err := way.Read()
+		if err != nil {
+			return
+		}
+		if message, ok := frame.(*ctframe.Quorum); ok {
+			s.replica.Receive(message)
+			continue
+		}
+		answer := s.answer(ctx, &held, frame)
+		if answer == nil || way.Write(answer) != nil {
+			return
+		}
+	}
+}
+
+// answer answers a question, as the leader.
+func (s *Service) answer(ctx context.Context, held *ctlock.Held, frame ctframe.Frame) ctframe.Frame {
+	switch f := frame.(type) {
+	case *ctframe.Report:
+		reply := s.control.Report(held, &f.Report)
+		s.nameLeader(held, &reply.Leader)
+		return &ctframe.Reply{Reply: *reply}
+	case *ctframe.Watch:
+		ctx, cancel := context.WithTimeout(ctx, watchTime)
+		defer cancel()
+		reply := s.control.Watch(ctx, held, f.Version)
+		s.nameLeader(held, &reply.Leader)
+		return &ctframe.Reply{Reply: *reply}
+	case *ctframe.Publish:
+		ctx, cancel := context.WithTimeout(ctx, forwardTime)
+		defer cancel()
+		return faultOr(s.control.Publish(ctx, held, f), &ctframe.Accepted{})
+	case *ctframe.Recall:
+		release, source, err := s.control.Recall(held)
+		return faultOr(err, &ctframe.Recalled{Release: release, Source: source})
+	case *ctframe.Heard:
+		return faultOr(s.control.Hear(held, f), &ctframe.Noted{})
+	}
+	return &ctframe.Fault{Kind: cterror.Invalid.String(), Message: "control does not serve this frame"}
+}
+
+// nameLeader sets where the leader is reached, where that is another process.
+func (s *Service) nameLeader(held *ctlock.Held, address **netip.AddrPort) {
+	leader, self := s.control.Leader(held)
+	if self || leader == "" || leader == s.Name {
+		return
+	}
+	if found, ok := s.Resolve(leader); ok {
+		*address = &found
+	}
+}
+
+func faultOr(err error, answer ctframe.Frame) ctframe.Frame {
+	if err == nil {
+		return answer
+	}
+	return &ctframe.Fault{Kind: cterror.KindOf(err).String(), Message: err.Error()}
+}
+
+// Publish puts a numbered configuration into force.
+func (s *Service) Publish(
+	ctx context.Context, release ctid.Release, document ctconfig.Document, source []byte,
+) error {
+	_, err := s.ask(ctx, &ctframe.Publish{Release: release, Document: document, Source: source})
+	return err
+}
+
+// Recall returns the configuration in force as the operator wrote it.
+func (s *Service) Recall(ctx context.Context) (ctid.Release, []byte, error) {
+	answer, err := s.ask(ctx, &ctframe.Recall{})
+	if err != nil {
+		return 0, nil, err
+	}
+	recalled, ok := answer.(*ctframe.Recalled)
+	if !ok {
+		return 0, nil, unexpected()
+	}
+	return recalled.Release, recalled.Source, nil
+}
+
+// Heard takes what a member said of itself.
+func (s *Service) Heard(ctx context.Context, announced ctserver.Announcement) error {
+	_, err := s.ask(ctx, &ctframe.Heard{Announcement: announced})
+	return err
+}
+
+// Gone takes out a member that has ended.
+func (s *Service) Gone(ctx context.Context, member ctid.Member) error {
+	_, err := s.ask(ctx, &ctframe.Heard{Announcement: ctserver.Announcement{Member: member}, Gone: true})
+	return err
+}
+
+// ask asks the leader, which may be this process.
+func (s *Service) ask(ctx context.Context, frame ctframe.Frame) (ctframe.Frame, error) {
+	ctx, cancel := context.WithTimeout(ctx, forwardTime)
+	defer cancel()
+	var held ctlock.Held
+	leader, self := s.control.Leader(&held)
+	if self {
+		return check(s.answer(ctx, &held, frame))
+	}
+	address, ok := s.Resolve(leader)
+	if leader == "" || leader == s.Name || !ok {
+		return nil, cterror.New(cterror.Unavailable, "no control process leads now", "try again in a second")
+	}
+	way, fresh, err := s.take(ctx, leader, address)
+	if err != nil {
+		return nil, err
+	}
+	answer, err := ctframe.Ask(ctx, way, frame)
+	if err != nil && !fresh {
+		// The leader's process may have ended since the way was used last. What is
+		// asked may be asked twice.
+		way.Close()
+		if way, err = s.Ways.Open(ctx, address); err != nil {
+			return nil, err
+		}
+		answer, err = ctframe.Ask(ctx, way, frame)
+	}
+	if err != nil {
+		way.Close()
+		return nil, cterror.Wrap(cterror.Unavailable, err, "ask control's leader", "try again in a second")
+	}
+	s.keep(leader, way)
+	return check(answer)
+}
+
+// check turns a fault into an error.
+func check(answer ctframe.Frame) (ctframe.Frame, error) {
+	if fault, ok := answer.(*ctframe.Fault); ok {
+		return nil, cterror.New(cterror.Unavailable, fault.Message, "try again in a second")
+	}
+	return answer, nil
+}
+
+func unexpected() error {
+	return cterror.New(cterror.Unavailable, "control gave another answer", "check that all processes have one version")
+}
+
+// take returns an idle way to the leader, or opens a fresh one.
+func (s *Service) take(
+	ctx context.Context, leader ctid.Control, address netip.AddrPort,
+) (way ctframe.Way, fresh bool, err error) {
+	s.mutex.Lock()
+	idle := s.idle[leader]
+	if n := len(idle); n > 0 {
+		s.idle[leader] = idle[:n-1]
+		s.mutex.Unlock()
+		return idle[n-1], false, nil
+	}
+	s.mutex.Unlock()
+	way, err = s.Ways.Open(ctx, address)
+	return way, true, err
+}
+
+// keep keeps a way for later questions.
+func (s *Service) keep(leader ctid.Control, way ctframe.Way) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if len(s.idle[leader]) >= maxIdleWays {
+		way.Close()
+		return
+	}
+	s.idle[leader] = append(s.idle[leader], way)
+}
--- /dev/null
+++ b/internal/program/ctcontrol/succession.go
@@ -0,0 +1,200 @@
+package ctcontrol
+
+import (
+	"context"
+	"syscall"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/cherviltrestle/cherviltrestle/internal/decide/ctquorum"
+	"github.com/cherviltrestle/cherviltrestle/internal/decide/ctregister"
+	"github.com/cherviltrestle/cherviltrestle/internal/decide/ctsuccession"
+	"github.com/cherviltrestle/cherviltrestle/internal/model/ctconfig"
+	"github.com/cherviltrestle/cherviltrestle/internal/model/ctid"
+	"github.com/cherviltrestle/cherviltrestle/internal/model/ctquery"
+	"github.com/cherviltrestle/cherviltrestle/internal/model/ctserver"
+	"github.com/cherviltrestle/cherviltrestle/internal/model/ctview"
+	"github.com/cherviltrestle/cherviltrestle/internal/program/ctlog"
+	"github.com/cherviltrestle/cherviltrestle/internal/work/ctlock"
+	"github.com/cherviltrestle/cherviltrestle/internal/work/ctpool"
+)
+
+// The bounds of the work for groups that an external service promotes in.
+const (
+	// jobWorkers is how many members are asked at a time.
+	jobWorkers = 8
+	// askTime bounds one question, and orderTime one order.
+	askTime   = 400 * time.Millisecond
+	orderTime = time.Second
+)
+
+// Members asks members on behalf of control.
+type Members interface {
+	// Ask asks a question and returns the member's status. The error wraps
+	// syscall.ECONNREFUSED where the member's process does not run.
+	Ask(ctx context.Context, server ctserver.Announcement, question ctsuccession.Question) (ctquery.Status, error)
+}
+
+// Promoter is the external service that promotes members.
+type Promoter interface {
+	// Promote orders the promotion of a member in the name of the leader of an
+	// epoch.
+	Promote(
+		ctx context.Context, group ctid.Group, member ctid.Member, leader ctid.Control, epoch ctquorum.Epoch,
+	) (ctsuccession.OrderOutcome, error)
+}
+
+// job is a question or an order on its way: one of question and order is set.
+type job struct {
+	group    ctid.Group
+	member   ctid.Member
+	server   ctserver.Announcement
+	question ctsuccession.Question
+	epoch    ctquorum.Epoch
+}
+
+// authorize tells the successions what a proxy reports, and lets the proxy act
+// on its view for a while.
+func (c *Control) authorize(now time.Time, l *ledger, report *ctview.Report, reply *ctview.Reply) {
+	if len(l.successions) == 0 {
+		return
+	}
+	var until time.Time
+	if l.authorized(now) && !report.Goodbye {
+		until = ctsuccession.Until(now)
+		reply.Authority = ctconfig.Duration(ctsuccession.AuthorityTime)
+	}
+	if reply.Delta == nil && now.Sub(l.began) < settleTime {
+		for _, g := range l.register.Groups {
+			reply.Groups = append(reply.Groups, g)
+		}
+	}
+	for name, machine := range l.successions {
+		machine.Report(now, l.group(name), report, until)
+	}
+}
+
+// group returns what is decided on a group.
+func (l *ledger) group(name ctid.Group) ctview.Group {
+	group := l.register.Groups[name]
+	group.Name = name
+	return group
+}
+
+// advance lets a succession decide and does what it asks for.
+func (c *Control) advance(now time.Time, l *ledger, name ctid.Group) {
+	machine, ok := l.successions[name]
+	if !ok || !l.authorized(now) {
+		return
+	}
+	if at, ok := l.proposed[name]; ok && now.Sub(at) < proposalTime {
+		return
+	}
+	group := l.group(name)
+	for _, action := range machine.Decide(now, group) {
+		switch a := action.(type) {
+		case ctsuccession.Ask:
+			c.put(l, job{group: name, member: a.Member, question: a.Question})
+		case ctsuccession.Order:
+			c.put(l, job{group: name, member: a.Member})
+		case ctsuccession.Set:
+			l.proposed[name] = now
+			c.propose(l, ctregister.SetGroup{
+				Group: a.Group, Term: group.Term, Fence: group.Fence, Why: string(a.Why), At: now,
+			}, nil)
+		}
+	}
+}
+
+func (c *Control) put(l *ledger, j job) {
+	j.epoch = l.epoch
+	if announced, ok := l.roster.Member(j.member); ok {
+		j.server = announced
+	}
+	c.jobs.Put(ctpool.KeyOf(j.member), j)
+}
+
+// do does one job and lets the group's succession go on with what came of it.
+func (c *Control) do(held *ctlock.Held, j job) {
+	if j.question == nil {
+		c.order(held, j)
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), askTime)
+	defer cancel()
+	status, err := c.Members.Ask(ctx, j.server, j.question)
+	_, probe := j.question.(ctsuccession.Probe)
+	if err != nil || !probe {
+		c.logAsked(j, status, err)
+	}
+	c.resume(held, j, func(now time.Time, machine *ctsuccession.Machine) {
+		if err != nil {
+			machine.Failed(j.member, errors.Is(err, syscall.ECONNREFUSED))
+			return
+		}
+		machine.Answered(now, j.member, j.question, status)
+	})
+}
+
+// order orders a promotion, while this process has authority.
+func (c *Control) order(held *ctlock.Held, j job) {
+	allowed := false
+	c.ledger.With(held, func(l *ledger) { allowed = l.authorized(c.Clock.Now()) && l.epoch == j.epoch })
+	if !allowed {
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), orderTime)
+	defer cancel()
+	outcome, err := c.Promoter.Promote(ctx, j.group, j.member, c.Name, j.epoch)
+	line := ctlog.Decision(&c.Logger, "order_promotion").
+		Str("group", string(j.group)).
+		Str("member", string(j.member)).
+		Uint64("epoch", uint64(j.epoch)).
+		Uint8("outcome", uint8(outcome))
+	if err != nil {
+		line.Str("error", err.Error())
+	}
+	line.Send()
+	c.resume(held, j, func(_ time.Time, machine *ctsuccession.Machine) { machine.Ordered(j.member, outcome) })
+}
+
+// resume gives a succession what came of a job and lets it decide.
+func (c *Control) resume(held *ctlock.Held, j job, take func(now time.Time, machine *ctsuccession.Machine)) {
+	c.ledger.With(held, func(l *ledger) {
+		machine, ok := l.successions[j.group]
+		if !ok || l.epoch != j.epoch || !l.leading {
+			return
+		}
+		now := c.Clock.Now()
+		take(now, machine)
+		c.advance(now, l, j.group)
+	})
+}
+
+func (c *Control) logAsked(j job, status ctquery.Status, err error) {
+	line := c.Logger.Info().Str("event", "member_asked").
+		Str("group", string(j.group)).
+		Str("member", string(j.member)).
+		Str("question", questionName(j.question))
+	if err != nil {
+		line.Str("error", err.Error()).Send()
+		return
+	}
+	line.Str("role", string(status.Role)).
+		Stringer("received", status.Received).
+		Uint64("term", uint64(status.Term)).
+		Send()
+}
+
+func questionName(question ctsuccession.Question) string {
+	switch question.(type) {
+	case ctsuccession.Pause:
+		return "pause"
+	case ctsuccession.Resume:
+		return "resume"
+	case ctsuccession.StepDown:
+		return "step_down"
+	}
+	return "status"
+}
--- /dev/null
+++ b/internal/program/ctgateway/conversation.go
@@ -0,0 +1,199 @@
+package ctgateway
+
+import (
+	"net"
+	"os"
+	"sync/atomic"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/cherviltrestle/cherviltrestle/internal/decide/ctdialog"
+	"github.com/cherviltrestle/cherviltrestle/internal/model/ctconfig"
+	"github.com/cherviltrestle/cherviltrestle/internal/model/ctid"
+	"github.com/cherviltrestle/cherviltrestle/internal/model/ctposition"
+	"github.com/cherviltrestle/cherviltrestle/internal/model/ctquery"
+	"github.com/cherviltrestle/cherviltrestle/internal/program/ctpools"
+	"github.com/cherviltrestle/cherviltrestle/internal/work/ctlock"
+)
+
+// The times of callers' sessions.
+const (
+	// startTime is how long a caller may take to ask for a database.
+	startTime = 5 * time.Second
+	// defaultTransactionIdle ends a transaction that rests for so long, where the
+	// configuration says nothing.
+	defaultTransactionIdle = 3 * time.Second
+	// defaultTarget stands for the target latency of a route that has none.
+	defaultTarget = 500 * time.Millisecond
+)
+
+// conversation is a caller's connection with its session.
+type conversation struct {
+	gateway *Gateway
+	id      ctid.Session
+	caller  Caller
+	held    ctlock.Held
+	dialog  ctdialog.Dialog
+	// database is what the caller asked for, and route where it leads to now.
+	database ctid.Database
+	route    ctconfig.Route
+	// pinned is the connection of the open transaction.
+	pinned *pinned
+	// leave reports that the session is to end once it rests.
+	leave atomic.Bool
+}
+
+// pinned is a connection that an open transaction holds.
+type pinned struct {
+	conn    *ctpools.Conn
+	primary bool
+	term    ctposition.Term
+}
+
+// serve serves one connection of a caller.
+func (g *Gateway) serve(socket net.Conn) {
+	c := &conversation{gateway: g, id: ctid.Session(g.last.Add(1)), caller: g.Accept(socket)}
+	defer c.caller.Close()
+	database, err := c.caller.Start(time.Now().Add(startTime))
+	if err != nil {
+		g.Logger.Debug().Str("event", "start_refused").Str("error", err.Error()).Send()
+		return
+	}
+	c.database = database
+	if !c.lookUp() {
+		g.Logger.Info().Str("event", "start_refused").Str("database", string(database)).Str("why", "no_route").Send()
+		_ = c.caller.Refuse(ctquery.FaultNoDatabase, "no route leads to this database")
+		return
+	}
+	if c.caller.Welcome() != nil {
+		return
+	}
+	g.sessions.With(&c.held, func(rows map[ctid.Session]*conversation) { rows[c.id] = c })
+	g.Metrics.Sessions.Inc()
+	defer g.Metrics.Sessions.Dec()
+	defer c.finish()
+	c.converse()
+}
+
+// finish forgets the session. What its transaction did is rolled back.
+func (c *conversation) finish() {
+	c.unpin(ctpools.Use{Close: true})
+	c.gateway.sessions.With(&c.held, func(rows map[ctid.Session]*conversation) { delete(rows, c.id) })
+}
+
+// lookUp finds the route of the session's database in the configuration in
+// force.
+func (c *conversation) lookUp() bool {
+	route, ok := c.gateway.State.View(&c.held).Config.Document.Route(c.database)
+	if ok {
+		c.route = route
+	}
+	return ok
+}
+
+// converse serves the caller's queries until the session ends.
+func (c *conversation) converse() {
+	for {
+		if c.leave.Load() && !c.dialog.InTransaction() {
+			return
+		}
+		query, err := c.caller.Next(c.restUntil())
+		switch {
+		case err == nil:
+		case errors.Is(err, os.ErrDeadlineExceeded):
+			if !c.rested() {
+				return
+			}
+			continue
+		default:
+			return
+		}
+		if c.caller.Answer(c.handle(query)) != nil {
+			return
+		}
+	}
+}
+
+// restUntil returns until when the caller may rest: zero for as long as it
+// likes.
+func (c *conversation) restUntil() time.Time {
+	if !c.dialog.InTransaction() {
+		return time.Time{}
+	}
+	settings := c.gateway.State.View(&c.held).Config.Document.Defaults
+	return time.Now().Add(settings.Sessions.TransactionTimeout.Or(defaultTransactionIdle))
+}
+
+// rested handles the end of a rest: a transaction that idled too long, or the
+// order to leave. It reports whether the session goes on.
+func (c *conversation) rested() bool {
+	if !c.dialog.InTransaction() {
+		return !c.leave.Load()
+	}
+	if c.leave.Load() {
+		// The transaction may go on; the interruption was for sessions that rest.
+		return true
+	}
+	if c.dialog.Fail() {
+		c.gateway.Logger.Info().Str("event", "decision").Str("decision", "end_transaction").
+			Uint64("session", uint64(c.id)).Str("why", "idle").Send()
+	}
+	c.unpin(ctpools.Use{Close: true})
+	return true
+}
+
+// handle handles one query and returns the answer.
+func (c *conversation) handle(query ctquery.Query) ctquery.Answer {
+	if !c.dialog.InTransaction() && !c.lookUp() {
+		return ctquery.Answer{Fault: ctquery.FaultNoDatabase, Text: "no route leads to this database any more"}
+	}
+	switch plan := c.dialog.Ask(query).(type) {
+	case ctdialog.Answer:
+		if plan.Release {
+			c.rollBack()
+		}
+		return plan.Answer
+	case ctdialog.Run:
+		return c.run(plan)
+	}
+	return ctquery.Answer{Fault: ctquery.FaultMalformed}
+}
+
+// rollBack ends the open transaction on its connection, which can then serve
+// others.
+func (c *conversation) rollBack() {
+	p := c.pinned
+	if p == nil {
+		return
+	}
+	c.pinned = nil
+	go func() {
+		var held ctlock.Held
+		answers, err := p.conn.Exchange(
+			[]ctquery.Query{{Statement: ctquery.Rollback{}}}, c.gateway.Clock.Now().Add(rollbackTime))
+		use := ctpools.Use{Close: err != nil, Answered: err == nil}
+		if err == nil && (!answers[0].OK() || answers[0].Transaction != ctquery.TransactionNone) {
+			use.Close = true
+		}
+		c.gateway.giveBack(&held, c.route.Group, p, use)
+	}()
+}
+
+// rollbackTime bounds a rollback.
+const rollbackTime = time.Second
+
+// unpin gives the connection of the open transaction back.
+func (c *conversation) unpin(use ctpools.Use) {
+	if p := c.pinned; p != nil {
+		c.pinned = nil
+		c.gateway.giveBack(&c.held, c.route.Group, p, use)
+	}
+}
+
+func (g *Gateway) giveBack(held *ctlock.Held, group ctid.Group, p *pinned, use ctpools.Use) {
+	g.Pools.Release(held, p.conn, use)
+	if p.primary {
+		g.leave(held, group)
+	}
+}
--- /dev/null
+++ b/internal/program/ctgateway/gateway.go
@@ -0,0 +1,170 @@
+package ctgateway
+
+import (
+	"context"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/cherviltrestle/cherviltrestle/internal/model/ctid"
+	"github.com/cherviltrestle/cherviltrestle/internal/model/ctquery"
+	"github.com/cherviltrestle/cherviltrestle/internal/model/ctview"
+	"github.com/cherviltrestle/cherviltrestle/internal/program/ctmetric"
+	"github.com/cherviltrestle/cherviltrestle/internal/program/ctpools"
+	"github.com/cherviltrestle/cherviltrestle/internal/program/ctstate"
+	"github.com/cherviltrestle/cherviltrestle/internal/work/ctclock"
+	"github.com/cherviltrestle/cherviltrestle/internal/work/ctlock"
+	"github.com/cherviltrestle/cherviltrestle/internal/work/cttable"
+)
+
+// Caller is a caller's connection, apart from its encoding.
+type Caller interface {
+	// Start reads the first message: which database is asked for. It returns an
+	// error of kind cterror.Invalid where it can't be read.
+	Start(deadline time.Time) (ctid.Database, error)
+	// Refuse answers the first message with a fault.
+	Refuse(fault ctquery.Fault, text string) error
+	// Welcome answers the first message.
+	Welcome() error
+	// Next reads the next query. The error wraps os.ErrDeadlineExceeded where the
+	// deadline passes first, and io.EOF where the caller ends the session. A
+	// query that can't be read has no statement.
+	Next(deadline time.Time) (ctquery.Query, error)
+	// Interrupt makes Next return at once, unless a message has begun to arrive.
+	Interrupt()
+	// Answer writes an answer.
+	Answer(answer ctquery.Answer) error
+	Close()
+}
+
+// Options are the parts and settings of a Gateway.
+type Options struct {
+	Domain ctid.FailureDomain
+	State  *ctstate.State
+	Pools  *ctpools.Pools
+	// Accept makes a caller of a connection.
+	Accept  func(socket net.Conn) Caller
+	Clock   ctclock.Clock
+	Logger  zerolog.Logger
+	Metrics *ctmetric.Metrics
+	// Hasten makes the next report to control go out at once.
+	Hasten func()
+}
+
+// Gateway serves callers.
+type Gateway struct {
+	Options
+
+	groups   cttable.Table[ctid.Group, group]
+	sessions cttable.Table[ctid.Session, conversation]
+	last     atomic.Uint64
+	draining atomic.Bool
+	open     sync.WaitGroup
+}
+
+// New returns a gateway that serves nobody yet.
+func New(options Options) *Gateway {
+	return &Gateway{
+		Options:  options,
+		groups:   cttable.Table[ctid.Group, group]{Rank: ctlock.RankSamples},
+		sessions: cttable.Table[ctid.Session, conversation]{Rank: ctlock.RankSessions},
+	}
+}
+
+// Follow takes a newer view.
+func (g *Gateway) Follow(held *ctlock.Held, view *ctview.View) {
+	g.Pools.Follow(held, view)
+	if g.followFences(held, view) {
+		g.Hasten()
+	}
+}
+
+// upkeepTime is the time between two rounds of upkeep.
+const upkeepTime = 200 * time.Millisecond
+
+// Run keeps connections and samples until ctx ends.
+func (g *Gateway) Run(ctx context.Context) {
+	var held ctlock.Held
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-g.Clock.After(upkeepTime):
+		}
+		g.Pools.Warm(&held)
+		g.refresh(&held)
+		if g.followFences(&held, g.State.View(&held)) {
+			g.Hasten()
+		}
+	}
+}
+
+// Serve serves the callers of a listener until it is closed.
+func (g *Gateway) Serve(listener net.Listener) error {
+	for {
+		socket, err := listener.Accept()
+		if err != nil {
+			return err
+		}
+		g.open.Add(1)
+		go func() {
+			defer g.open.Done()
+			g.serve(socket)
+		}()
+	}
+}
+
+// graceTime is how long a proxy may be out of touch with control and still be
+// of use to callers.
+const graceTime = 5 * time.Second
+
+// Ready reports whether callers should come here.
+func (g *Gateway) Ready(held *ctlock.Held) bool {
+	if g.draining.Load() || g.State.View(held).Config.Revision == 0 {
+		return false
+	}
+	return g.Clock.Now().Before(g.State.Authority(held).Add(graceTime))
+}
+
+// Unready makes the proxy count as unready; callers that come all the same are
+// still served.
+func (g *Gateway) Unready() {
+	g.draining.Store(true)
+}
+
+// Drain ends the sessions that rest, and those that come to rest, and waits for
+// the others until ctx ends. It reports whether all have ended.
+func (g *Gateway) Drain(ctx context.Context) bool {
+	g.draining.Store(true)
+	var held ctlock.Held
+	g.sessions.With(&held, func(rows map[ctid.Session]*conversation) {
+		for _, c := range rows {
+			c.leave.Store(true)
+			c.caller.Interrupt()
+		}
+	})
+	done := make(chan struct{})
+	go func() {
+		g.open.Wait()
+		close(done)
+	}()
+	select {
+	case <-done:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// Cut closes the connections of all callers.
+func (g *Gateway) Cut() {
+	var held ctlock.Held
+	g.sessions.With(&held, func(rows map[ctid.Session]*conversation) {
+		for _, c := range rows {
+			c.caller.Close()
+		}
+	})
+}
--- /dev/null
+++ b/internal/program/ctgateway/group.go
@@ -0,0 +1,196 @@
+package ctgateway
+
+import (
+	"time"
+
+	"github.com/cherviltrestle/cherviltrestle/internal/decide/ctfresh"
+	"github.com/cherviltrestle/cherviltrestle/internal/model/ctid"
+	"github.com/cherviltrestle/cherviltrestle/internal/model/ctposition"
+	"github.com/cherviltrestle/cherviltrestle/internal/model/ctquery"
+	"github.com/cherviltrestle/cherviltrestle/internal/model/ctview"
+	"github.com/cherviltrestle/cherviltrestle/internal/program/ctlog"
+	"github.com/cherviltrestle/cherviltrestle/internal/program/ctpools"
+	"github.com/cherviltrestle/cherviltrestle/internal/program/ctuplink"
+	"github.com/cherviltrestle/cherviltrestle/internal/work/ctlock"
+)
+
+// The times of what a proxy keeps of a group.
+const (
+	// refreshTime is how old the newest sample of a group's log may become.
+	refreshTime = 600 * time.Millisecond
+	// sampleTime bounds the taking of a sample.
+	sampleTime = 300 * time.Millisecond
+	// retireTime is how long what runs at a primary that leaves may take before
+	// the proxy keeps to the fence.
+	retireTime = 1200 * time.Millisecond
+)
+
+// group is what a proxy keeps of a group.
+type group struct {
+	samples ctfresh.Samples
+	// fence is the fence that is known, and since when.
+	fence      ctposition.Term
+	fenceSince time.Time
+	// fenced is the fence that the proxy keeps to: nothing of an earlier term is
+	// acknowledged any more.
+	fenced       ctposition.Term
+	acknowledged ctposition.Point
+	// busy counts what runs at the primary: writes and transactions.
+	busy int
+	// sampling reports that a sample is being taken.
+	sampling bool
+}
+
+func rowOf(rows map[ctid.Group]*group, name ctid.Group) *group {
+	row, ok := rows[name]
+	if !ok {
+		row = &group{}
+		rows[name] = row
+	}
+	return row
+}
+
+// followFences takes the fences of a view, and reports whether the proxy has
+// come to keep to one. It waits a little for what runs at a primary that leaves.
+func (g *Gateway) followFences(held *ctlock.Held, view *ctview.View) bool {
+	now := g.Clock.Now()
+	news := false
+	g.groups.With(held, func(rows map[ctid.Group]*group) {
+		for name, decided := range view.Groups {
+			if !decided.Changing() {
+				continue
+			}
+			row := rowOf(rows, name)
+			if row.fence != decided.Fence {
+				row.fence, row.fenceSince = decided.Fence, now
+			}
+			wait := decided.Retires() && row.busy > 0 && now.Sub(row.fenceSince) < retireTime
+			if row.fenced >= decided.Fence || wait {
+				continue
+			}
+			row.fenced = decided.Fence
+			news = true
+			ctlog.Decision(&g.Logger, "keep_fence").Str("group", string(name)).
+				Uint64("fence", uint64(decided.Fence)).Stringer("acknowledged", row.acknowledged).Send()
+		}
+	})
+	return news
+}
+
+// enter counts something that runs at a group's primary.
+func (g *Gateway) enter(held *ctlock.Held, name ctid.Group) {
+	g.groups.With(held, func(rows map[ctid.Group]*group) { rowOf(rows, name).busy++ })
+}
+
+// leave counts that it has ended, and keeps to a fence that waited for it.
+func (g *Gateway) leave(held *ctlock.Held, name ctid.Group) {
+	waited := false
+	g.groups.With(held, func(rows map[ctid.Group]*group) {
+		row := rowOf(rows, name)
+		row.busy--
+		waited = row.busy == 0 && row.fence > row.fenced
+	})
+	if waited && g.followFences(held, g.State.View(held)) {
+		g.Hasten()
+	}
+}
+
+// acknowledge reports whether a write may be acknowledged that ran at the primary
+// of a term, and notes its point if so.
+func (g *Gateway) acknowledge(
+	held *ctlock.Held, name ctid.Group, term ctposition.Term, point ctposition.Point,
+) bool {
+	if !g.Clock.Now().Before(g.State.Authority(held)) {
+		return false
+	}
+	allowed := false
+	g.groups.With(held, func(rows map[ctid.Group]*group) {
+		row := rowOf(rows, name)
+		if allowed = row.fenced <= term; allowed {
+			row.acknowledged = ctposition.Later(row.acknowledged, point)
+		}
+	})
+	return allowed
+}
+
+// sample takes the point that the primary's answer told, asked for at a time at
+// which the proxy had authority.
+func (g *Gateway) sample(held *ctlock.Held, name ctid.Group, sent time.Time, point ctposition.Point) {
+	g.groups.With(held, func(rows map[ctid.Group]*group) { rowOf(rows, name).samples.Add(sent, point) })
+}
+
+// need returns the point that a read must find applied to show what was
+// acknowledged before a time.
+func (g *Gateway) need(held *ctlock.Held, name ctid.Group, before time.Time) (ctposition.Point, bool) {
+	var point ctposition.Point
+	known := false
+	g.groups.With(held, func(rows map[ctid.Group]*group) { point, known = rowOf(rows, name).samples.Need(before) })
+	return point, known
+}
+
+// refresh takes samples of the groups whose newest one has become old.
+func (g *Gateway) refresh(held *ctlock.Held) {
+	view := g.State.View(held)
+	now := g.Clock.Now()
+	authority := g.State.Authority(held)
+	for name, decided := range view.Groups {
+		if decided.Primary == "" || decided.Changing() || !now.Before(authority) {
+			continue
+		}
+		due := false
+		g.groups.With(held, func(rows map[ctid.Group]*group) {
+			row := rowOf(rows, name)
+			due = !row.sampling && now.Sub(row.samples.Newest()) > refreshTime
+			row.sampling = row.sampling || due
+		})
+		if due {
+			go g.takeSample(name, decided.Primary)
+		}
+	}
+}
+
+// takeSample asks the primary for its place in the log.
+func (g *Gateway) takeSample(name ctid.Group, primary ctid.Member) {
+	var held ctlock.Held
+	defer g.groups.With(&held, func(rows map[ctid.Group]*group) { rowOf(rows, name).sampling = false })
+	until := g.Clock.Now().Add(sampleTime)
+	conn, err := g.Pools.Acquire(&held, primary, nil, until)
+	if err != nil {
+		return
+	}
+	sent := g.Clock.Now()
+	answers, err := conn.Exchange([]ctquery.Query{{Statement: ctquery.AskStatus{}}}, until)
+	use := ctpools.Use{Close: err != nil}
+	if err == nil {
+		use.Answered = true
+		g.sample(&held, name, sent, answers[0].Point)
+	}
+	g.Pools.Release(&held, conn, use)
+}
+
+// Witness tells control what this proxy sees of the primaries.
+func (g *Gateway) Witness(held *ctlock.Held) ctuplink.Testimony {
+	var t ctuplink.Testimony
+	view := g.State.View(held)
+	for _, decided := range view.Groups {
+		if decided.Primary == "" {
+			continue
+		}
+		switch g.Pools.See(held, decided.Primary) {
+		case ctpools.SightReached:
+			t.Reaches = append(t.Reaches, decided.Primary)
+		case ctpools.SightMissed:
+			t.Misses = append(t.Misses, decided.Primary)
+		}
+	}
+	g.groups.With(held, func(rows map[ctid.Group]*group) {
+		for name, row := range rows {
+			if decided := view.Groups[name]; decided.Changing() && row.fenced > 0 {
+				t.Fenced = append(t.Fenced, ctview.Fenced{
+					Group: name, Fence: row.fenced, Acknowledged: row.acknowledged,
+				})
+			}
+		}
+	})
+	return t
+}
--- /dev/null
+++ b/internal/program/ctnode/control.go
@@ -0,0 +1,85 @@
+package ctnode
+
+import (
+	"context"
+	"net/http"
+
+	"github.com/rs/zerolog"
+
+	"github.com/cherviltrestle/cherviltrestle/internal/link/cttcp"
+	"github.com/cherviltrestle/cherviltrestle/internal/program/ctcontrol"
+	"github.com/cherviltrestle/cherviltrestle/internal/state/ctjournal"
+	"github.com/cherviltrestle/cherviltrestle/internal/work/ctclock"
+)
+
+// ControlFronts are a control process's front ends towards operators, members
+// and the service that promotes them.
+type ControlFronts struct {
+	// Operators serves the calls of operators and members.
+	Operators func(service *ctcontrol.Service) http.Handler
+	Members   ctcontrol.Members
+	Promoter  ctcontrol.Promoter
+}
+
+// Control is a control process.
+type Control struct {
+	settings Settings
+	fronts   ControlFronts
+	logger   zerolog.Logger
+	service  *ctcontrol.Service
+	journal  *ctjournal.Journal
+}
+
+// NewControl puts a control process together with the state of its disk.
+func NewControl(settings Settings, fronts ControlFronts, logger zerolog.Logger) (*Control, error) {
+	if settings.DataFolder == "" {
+		return nil, missing("the data folder")
+	}
+	journal, err := ctjournal.Open(settings.DataFolder)
+	if err != nil {
+		return nil, err
+	}
+	journal.Refused = func(err error) {
+		logger.Warn().Str("event", "disk_refused").Str("error", err.Error()).Send()
+	}
+	service, err := ctcontrol.NewService(ctcontrol.ServiceOptions{
+		Name:     control(settings.IP),
+		Seeds:    settings.seedNames(),
+		First:    settings.FirstStart,
+		Losses:   settings.Losses,
+		Journal:  journal,
+		Ways:     cttcp.Ways{},
+		Resolve:  settings.resolve,
+		Members:  fronts.Members,
+		Promoter: fronts.Promoter,
+		Clock:    &ctclock.Boot{},
+		Logger:   logger,
+	})
+	if err != nil {
+		return nil, err
+	}
+	return &Control{settings: settings, fronts: fronts, logger: logger, service: service, journal: journal}, nil
+}
+
+// Run serves until ctx ends or the disk fails.
+func (c *Control) Run(ctx context.Context) error {
+	peers, err := cttcp.Listen(c.settings.peer())
+	if err != nil {
+		return err
+	}
+	defer func() { _ = peers.Close() }()
+	operators, err := serveHTTP(ctx, c.settings.Operators, "operators", c.fronts.Operators(c.service), c.logger)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = operators.Close() }()
+	go func() {
+		err := peers.Serve(ctx, func(ctx context.Context, way *cttcp.Way) { c.service.Serve(ctx, way) })
+		if ctx.Err() == nil {
+			c.logger.Error().Str("event", "peers_ended").Str("error", err.Error()).Send()
+		}
+	}()
+	err = c.service.Run(ctx)
+	c.logger.Info().Str("event", "stopped").Send()
+	return err
+}
--- /dev/null
+++ b/internal/program/ctnode/proxy.go
@@ -0,0 +1,153 @@
+package ctnode
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/rs/zerolog"
+
+	"github.com/cherviltrestle/cherviltrestle/internal/link/ctframe"
+	"github.com/cherviltrestle/cherviltrestle/internal/link/cttcp"
+	"github.com/cherviltrestle/cherviltrestle/internal/model/ctid"
+	"github.com/cherviltrestle/cherviltrestle/internal/model/ctserver"
+	"github.com/cherviltrestle/cherviltrestle/internal/model/ctview"
+	"github.com/cherviltrestle/cherviltrestle/internal/program/ctgateway"
+	"github.com/cherviltrestle/cherviltrestle/internal/program/ctmetric"
+	"github.com/cherviltrestle/cherviltrestle/internal/program/ctpools"
+	"github.com/cherviltrestle/cherviltrestle/internal/program/ctstate"
+	"github.com/cherviltrestle/cherviltrestle/internal/program/ctuplink"
+	"github.com/cherviltrestle/cherviltrestle/internal/work/ctclock"
+	"github.com/cherviltrestle/cherviltrestle/internal/work/ctlock"
+)
+
+// The times of a proxy process.
+const (
+	// reportTime is the time between two reports to control.
+	reportTime = 400 * time.Millisecond
+	// balancerTime is how long callers may still be sent here after the proxy has
+	// become unready.
+	balancerTime = 2200 * time.Millisecond
+	// partTime is what is left of a planned stop for telling control.
+	partTime = 500 * time.Millisecond
+)
+
+// ProxyFronts are a proxy's front ends towards callers, members and the
+// balancer.
+type ProxyFronts struct {
+	Accept func(socket net.Conn) ctgateway.Caller
+	Dialer ctpools.Dialer
+	// Health serves the balancer's question, given what to answer.
+	Health func(ready func() bool) http.Handler
+}
+
+// Proxy is a proxy process.
+type Proxy struct {
+	settings Settings
+	fronts   ProxyFronts
+	clock    ctclock.Clock
+	logger   zerolog.Logger
+	gateway  *ctgateway.Gateway
+	uplink   *ctuplink.Uplink
+	metrics  *ctmetric.Metrics
+}
+
+// NewProxy puts a proxy together.
+func NewProxy(settings Settings, fronts ProxyFronts, logger zerolog.Logger) *Proxy {
+	clock := &ctclock.Boot{}
+	state := ctstate.New()
+	metrics := ctmetric.New(prometheus.NewRegistry())
+	p := &Proxy{settings: settings, fronts: fronts, clock: clock, logger: logger, metrics: metrics}
+	p.gateway = ctgateway.New(ctgateway.Options{
+		Domain:  settings.FailureDomain,
+		State:   state,
+		Pools:   ctpools.New(fronts.Dialer, clock, logger),
+		Accept:  fronts.Accept,
+		Clock:   clock,
+		Logger:  logger,
+		Metrics: metrics,
+		Hasten:  func() { p.uplink.Hasten() },
+	})
+	p.uplink = ctuplink.New(ctuplink.Options{
+		Self: ctview.Proxy{
+			Name:          ctid.Proxy(settings.IP.String()),
+			FailureDomain: settings.FailureDomain,
+			Address:       settings.peer(),
+			Incarnation:   ctid.Incarnation(time.Now().UnixNano()),
+			State:         ctserver.StateReady,
+		},
+		Control:   settings.seedAddresses(),
+		Heartbeat: reportTime,
+		State:     state,
+		Witness:   p.gateway,
+		Resolve:   settings.resolve,
+		Followers: []ctuplink.Follower{p.gateway},
+		Ways:      ways{},
+		Clock:     clock,
+		Logger:    logger,
+		Metrics:   metrics,
+	})
+	return p
+}
+
+// ways opens ways to other processes over TCP.
+type ways struct {
+	cttcp.Ways
+}
+
+var _ ctframe.Ways = ways{}
+
+// Run serves until ctx ends, and then stops as planned.
+func (p *Proxy) Run(ctx context.Context) error {
+	callers, err := listen(ctx, p.settings.Callers, "callers")
+	if err != nil {
+		return err
+	}
+	running, end := context.WithCancel(context.WithoutCancel(ctx))
+	defer end()
+	health, err := serveHTTP(running, p.settings.Health, "the balancer", p.fronts.Health(p.ready), p.logger)
+	if err != nil {
+		return err
+	}
+	go p.uplink.Run(running)
+	go p.gateway.Run(running)
+	go func() {
+		if err := p.gateway.Serve(callers); running.Err() == nil {
+			p.logger.Info().Str("event", "callers_ended").Str("error", err.Error()).Send()
+		}
+	}()
+	p.logger.Info().Str("event", "started").Stringer("callers", p.settings.Callers).Send()
+	<-ctx.Done()
+	p.stop(running, callers)
+	_ = health.Close()
+	return nil
+}
+
+func (p *Proxy) ready() bool {
+	var held ctlock.Held
+	return p.gateway.Ready(&held)
+}
+
+// stop performs a planned stop: callers are still served until the balancer has
+// noticed, then sessions end as they come to rest, and what is left is cut.
+func (p *Proxy) stop(ctx context.Context, callers net.Listener) {
+	p.logger.Info().Str("event", "stopping").Str("why", "signal").Send()
+	p.gateway.Unready()
+	ctx, cancel := context.WithTimeout(ctx, p.settings.StopTime-partTime)
+	defer cancel()
+	select {
+	case <-ctx.Done():
+	case <-p.clock.After(min(balancerTime, p.settings.StopTime/2)):
+	}
+	drained := p.gateway.Drain(ctx)
+	_ = callers.Close()
+	p.gateway.Cut()
+	parting, cancel := context.WithTimeout(context.WithoutCancel(ctx), partTime/2)
+	defer cancel()
+	if err := p.uplink.Part(parting); err != nil {
+		p.logger.Info().Str("event", "parting_failed").Str("error", err.Error()).Send()
+	}
+	p.logger.Info().Str("event", "stopped").Bool("drained", drained).Send()
+}
--- /dev/null
+++ b/internal/program/ctnode/server.go
@@ -0,0 +1,47 @@
+package ctnode
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"net/netip"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/cherviltrestle/cherviltrestle/internal/link/cttcp"
+	"github.com/cherviltrestle/cherviltrestle/internal/model/cterror"
+)
+
+// The times of HTTP servers.
+const (
+	headerTime = 3 * time.Second
+	idleTime   = 20 * time.Second
+)
+
+// listen opens a TCP address.
+func listen(ctx context.Context, address netip.AddrPort, what string) (net.Listener, error) {
+	config := net.ListenConfig{KeepAlive: -1, Control: cttcp.Tune}
+	listener, err := config.Listen(ctx, "tcp4", address.String())
+	if err != nil {
+		return nil, cterror.Wrap(cterror.Unavailable, err, "open the address for "+what, "choose a free TCP port")
+	}
+	return listener, nil
+}
+
+// serveHTTP serves a handler at an address until the server is closed.
+func serveHTTP(
+	ctx context.Context, address netip.AddrPort, what string, handler http.Handler, logger zerolog.Logger,
+) (*http.Server, error) {
+	listener, err := listen(ctx, address, what)
+	if err != nil {
+		return nil, err
+	}
+	server := &http.Server{Handler: handler, ReadHeaderTimeout: headerTime, IdleTimeout: idleTime}
+	go func() {
+		if err := server.Serve(listener); err != nil && ctx.Err() == nil {
+			logger.Info().Str("event", "http_ended").Str("for", what).Str("error", err.Error()).Send()
+		}
+	}()
+	return server, nil
+}
--- /dev/null
+++ b/internal/program/ctnode/settings.go
@@ -0,0 +1,95 @@
+package ctnode
+
+import (
+	"net/netip"
+	"time"
+
+	"github.com/cherviltrestle/cherviltrestle/internal/model/cterror"
+	"github.com/cherviltrestle/cherviltrestle/internal/model/ctid"
+)
+
+// Settings are what a process is told at its start.
+type Settings struct {
+	// Name is the VM's name, which logs and calls to outside services show.
+	Name          string
+	IP            netip.Addr
+	FailureDomain ctid.FailureDomain
+	// Callers, Health and Operators are the addresses that the process serves;
+	// those of other roles are invalid.
+	Callers   netip.AddrPort
+	Health    netip.AddrPort
+	Operators netip.AddrPort
+	// Peers is the port at which all processes take connections of others.
+	Peers uint16
+	// Seeds are the IP numbers of control processes; all may be gone later.
+	Seeds []netip.Addr
+	// FirstStart reports whether the whole fleet starts for the first time.
+	FirstStart bool
+	// Losses is how many disks may be lost at once.
+	Losses     int
+	DataFolder string
+	// Promotions is where the service that promotes members is reached.
+	Promotions netip.AddrPort
+	// StopTime is how long a planned stop may take.
+	StopTime time.Duration
+	// MemoryMB is how much memory the process may use.
+	MemoryMB int
+}
+
+// Check reports the first setting that is missing for every role.
+func (s *Settings) Check() error {
+	switch {
+	case s.Name == "":
+		return missing("the VM's name")
+	case !s.IP.IsValid():
+		return missing("the VM's IP number")
+	case s.FailureDomain.Check() != nil:
+		return missing("the failure domain")
+	case s.Peers == 0:
+		return missing("the port for peers")
+	case len(s.Seeds) == 0:
+		return missing("a seed")
+	}
+	return nil
+}
+
+func missing(what string) error {
+	return cterror.New(cterror.Invalid, what+" is missing", "add it to the settings file")
+}
+
+// control names the control process at an IP number.
+func control(address netip.Addr) ctid.Control {
+	return ctid.Control(address.String())
+}
+
+// resolve finds the address of a control process by its name.
+func (s *Settings) resolve(name ctid.Control) (netip.AddrPort, bool) {
+	address, err := netip.ParseAddr(string(name))
+	if err != nil {
+		return netip.AddrPort{}, false
+	}
+	return netip.AddrPortFrom(address, s.Peers), true
+}
+
+// peer is the address at which this process takes connections of others.
+func (s *Settings) peer() netip.AddrPort {
+	return netip.AddrPortFrom(s.IP, s.Peers)
+}
+
+// seedNames names the seeds.
+func (s *Settings) seedNames() []ctid.Control {
+	var names []ctid.Control
+	for _, seed := range s.Seeds {
+		names = append(names, control(seed))
+	}
+	return names
+}
+
+// seedAddresses lists where the seeds take connections of peers.
+func (s *Settings) seedAddresses() []netip.AddrPort {
+	var addresses []netip.AddrPort
+	for _, seed := range s.Seeds {
+		addresses = append(addresses, netip.AddrPortFrom(seed, s.Peers))
+	}
+	return addresses
+}
--- /dev/null
+++ b/internal/program/ctpools/pools.go
@@ -0,0 +1,400 @@
+package ctpools
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/cherviltrestle/cherviltrestle/internal/decide/ctdialog"
+	"github.com/cherviltrestle/cherviltrestle/internal/decide/ctplace"
+	"github.com/cherviltrestle/cherviltrestle/internal/model/cterror"
+	"github.com/cherviltrestle/cherviltrestle/internal/model/ctid"
+	"github.com/cherviltrestle/cherviltrestle/internal/model/ctposition"
+	"github.com/cherviltrestle/cherviltrestle/internal/model/ctserver"
+	"github.com/cherviltrestle/cherviltrestle/internal/program/ctlog"
+	"github.com/cherviltrestle/cherviltrestle/internal/work/ctclock"
+	"github.com/cherviltrestle/cherviltrestle/internal/work/ctlock"
+	"github.com/cherviltrestle/cherviltrestle/internal/work/cttable"
+)
+
+// The times and sizes of pools.
+const (
+	// dialTime bounds the opening of a connection.
+	dialTime = time.Second
+	// firstBackoff and maxBackoff bound the pause after connections could not be
+	// opened.
+	firstBackoff = 50 * time.Millisecond
+	maxBackoff   = time.Second
+	// silentTime is how long a member may leave every question unanswered before
+	// it counts as missed.
+	silentTime = 500 * time.Millisecond
+	// reachTime is how long after an answer a member counts as reached.
+	reachTime = 800 * time.Millisecond
+	// controlConnections is how many of a member's connections are left to
+	// control.
+	controlConnections = 4
+)
+
+// Dialer opens connections to members.
+type Dialer interface {
+	Dial(ctx context.Context, server ctserver.Announcement) (Link, error)
+}
+
+// Pools holds a proxy's connections to all members. Its exported fields are set
+// before use.
+type Pools struct {
+	Dialer Dialer
+	Clock  ctclock.Clock
+	Logger zerolog.Logger
+
+	rows cttable.Table[ctid.Member, row]
+}
+
+// row is what a proxy has of one member.
+type row struct {
+	server ctserver.Announcement
+	// leaving is since when the member is known to leave; zero where it stays.
+	leaving time.Time
+	idle    []*Conn
+	// open counts the connections that are open or being opened, and dialing
+	// those that are being opened.
+	open    int
+	dialing int
+	limit   int
+	waiters []chan *Conn
+
+	load     ctplace.Load
+	running  int
+	applied  ctposition.Point
+	avoid    time.Time
+	failures int
+	dialAt   time.Time
+	// answered is when the member answered last, and asked since when it has
+	// been asked without answering.
+	answered time.Time
+	asked    time.Time
+}
+
+// New returns pools without members.
+func New(dialer Dialer, clock ctclock.Clock, logger zerolog.Logger) *Pools {
+	return &Pools{
+		Dialer: dialer, Clock: clock, Logger: logger,
+		rows: cttable.Table[ctid.Member, row]{Rank: ctlock.RankMembers},
+	}
+}
+
+// Member is what a proxy knows of a member.
+type Member struct {
+	Server  ctserver.Announcement
+	Leaving time.Time
+	Load    ctplace.Load
+	Running int
+	Free    int
+	Applied ctposition.Point
+	Avoid   time.Time
+}
+
+// Look returns what is known of a member.
+func (p *Pools) Look(held *ctlock.Held, name ctid.Member) (Member, bool) {
+	var member Member
+	found := false
+	p.rows.With(held, func(rows map[ctid.Member]*row) {
+		r, ok := rows[name]
+		if !ok {
+			return
+		}
+		found = true
+		member = Member{
+			Server: r.server, Leaving: r.leaving, Load: r.load, Running: r.running, Applied: r.applied, Avoid: r.avoid,
+			Free: max(0, len(r.idle)+r.limit-r.open-len(r.waiters)),
+		}
+		if p.Clock.Now().Before(r.dialAt) && len(r.idle) == 0 && r.open == 0 {
+			member.Avoid = r.dialAt
+		}
+	})
+	return member, found
+}
+
+// Acquire lends out a connection to a member, if possible one with the session's
+// values. It returns an error of kind cterror.Exhausted where none became free
+// in time, and cterror.Unavailable where none can be opened.
+func (p *Pools) Acquire(
+	held *ctlock.Held, name ctid.Member, state *ctdialog.State, until time.Time,
+) (*Conn, error) {
+	var conn *Conn
+	var ready chan *Conn
+	p.rows.With(held, func(rows map[ctid.Member]*row) {
+		r, ok := rows[name]
+		if !ok {
+			return
+		}
+		if conn = r.pick(state); conn != nil {
+			p.lend(r, conn)
+			return
+		}
+		p.grow(r)
+		if r.open > 0 {
+			ready = make(chan *Conn, 1)
+			r.waiters = append(r.waiters, ready)
+		}
+	})
+	switch {
+	case conn != nil:
+		return conn, nil
+	case ready == nil:
+		return nil, cterror.New(cterror.Unavailable, "no connection to the member can be opened", "try another member")
+	}
+	return p.await(held, name, ready, until)
+}
+
+// await waits for a connection that is opened or given back.
+func (p *Pools) await(held *ctlock.Held, name ctid.Member, ready chan *Conn, until time.Time) (*Conn, error) {
+	timer := time.NewTimer(until.Sub(p.Clock.Now()))
+	defer timer.Stop()
+	select {
+	case conn, ok := <-ready:
+		if !ok {
+			return nil, cterror.New(cterror.Unavailable, "no connection to the member can be opened", "try another member")
+		}
+		return conn, nil
+	case <-timer.C:
+	}
+	p.rows.With(held, func(rows map[ctid.Member]*row) {
+		if r, ok := rows[name]; ok {
+			r.waiters = slices.DeleteFunc(r.waiters, func(w chan *Conn) bool { return w == ready })
+		}
+	})
+	select {
+	case conn, ok := <-ready:
+		if ok {
+			return conn, nil
+		}
+	default:
+	}
+	return nil, cterror.New(cterror.Exhausted, "no connection to the member became free in time", "try again soon")
+}
+
+// pick takes a connection that rests, if possible one with the session's values;
+// those that broke are dropped.
+func (r *row) pick(state *ctdialog.State) *Conn {
+	r.dropBroken()
+	best := len(r.idle) - 1
+	if best < 0 {
+		return nil
+	}
+	if state != nil {
+		for i, c := range slices.Backward(r.idle) {
+			if c.Loaded.Matches(state) {
+				best = i
+				break
+			}
+		}
+	}
+	conn := r.idle[best]
+	r.idle = slices.Delete(r.idle, best, best+1)
+	return conn
+}
+
+func (r *row) dropBroken() {
+	alive := r.idle[:0]
+	for _, c := range r.idle {
+		if c.Alive() {
+			alive = append(alive, c)
+			continue
+		}
+		c.close()
+		r.open--
+	}
+	clear(r.idle[len(alive):])
+	r.idle = alive
+}
+
+func (p *Pools) lend(r *row, conn *Conn) {
+	conn.used = p.Clock.Now()
+	r.running++
+	if r.asked.IsZero() {
+		r.asked = conn.used
+	}
+}
+
+// grow begins to open a connection where one more is wanted and allowed.
+func (p *Pools) grow(r *row) {
+	now := p.Clock.Now()
+	if r.open >= r.limit || r.dialing > len(r.waiters) || now.Before(r.dialAt) {
+		return
+	}
+	r.open++
+	r.dialing++
+	go p.dial(r.server)
+}
+
+// dial opens a connection and hands it to whoever waits.
+func (p *Pools) dial(server ctserver.Announcement) {
+	ctx, cancel := context.WithTimeout(context.Background(), dialTime)
+	defer cancel()
+	link, err := p.Dialer.Dial(ctx, server)
+	var held ctlock.Held
+	if err != nil {
+		p.Logger.Info().Str("event", "dial_failed").Str("member", string(server.Member)).
+			Stringer("address", server.Address).Str("error", err.Error()).Send()
+		p.dialFailed(&held, server)
+		return
+	}
+	conn := newConn(p, server, link)
+	p.rows.With(&held, func(rows map[ctid.Member]*row) {
+		r, ok := rows[server.Member]
+		if !ok || r.server.Incarnation != server.Incarnation {
+			conn.close()
+			return
+		}
+		r.dialing--
+		r.failures = 0
+		r.answered = p.Clock.Now()
+		p.give(r, conn)
+	})
+}
+
+func (p *Pools) dialFailed(held *ctlock.Held, server ctserver.Announcement) {
+	p.rows.With(held, func(rows map[ctid.Member]*row) {
+		r, ok := rows[server.Member]
+		if !ok || r.server.Incarnation != server.Incarnation {
+			return
+		}
+		r.dialing--
+		r.open--
+		r.failures++
+		backoff := min(firstBackoff<<min(r.failures-1, 8), maxBackoff)
+		r.dialAt = p.Clock.Now().Add(backoff)
+		if r.open > 0 {
+			return
+		}
+		for _, w := range r.waiters {
+			close(w)
+		}
+		r.waiters = nil
+	})
+}
+
+// give hands a connection to the first that waits, or lets it rest.
+func (p *Pools) give(r *row, conn *Conn) {
+	if len(r.waiters) > 0 {
+		ready := r.waiters[0]
+		r.waiters = r.waiters[1:]
+		p.lend(r, conn)
+		ready <- conn
+		return
+	}
+	if r.open > r.limit {
+		conn.close()
+		r.open--
+		return
+	}
+	r.idle = append(r.idle, conn)
+}
+
+// Use tells what a connection came back from.
+type Use struct {
+	// Close reports that the connection must not be used again.
+	Close bool
+	// Answered reports that the member answered, and Took how long it took.
+	Answered bool
+	Took     time.Duration
+	Applied  ctposition.Point
+}
+
+// Release takes a connection back.
+func (p *Pools) Release(held *ctlock.Held, conn *Conn, use Use) {
+	if use.Close || !conn.Alive() {
+		conn.close()
+	}
+	p.rows.With(held, func(rows map[ctid.Member]*row) {
+		r, ok := rows[conn.Member]
+		if !ok || r.server.Incarnation != conn.incarnation {
+			conn.close()
+			return
+		}
+		now := p.Clock.Now()
+		r.running--
+		p.note(r, now, use)
+		if conn.Alive() {
+			p.give(r, conn)
+			return
+		}
+		r.open--
+		if len(r.waiters) > 0 {
+			p.grow(r)
+		}
+	})
+}
+
+func (p *Pools) note(r *row, now time.Time, use Use) {
+	if !use.Answered {
+		return
+	}
+	r.answered = now
+	r.asked = time.Time{}
+	if r.running > 0 {
+		r.asked = now
+	}
+	if use.Took > 0 {
+		r.load.Observe(now, use.Took)
+	}
+	if !use.Applied.Zero() {
+		r.applied = use.Applied
+	}
+}
+
+// Note takes what an answer told of a member while its connection stays lent
+// out.
+func (p *Pools) Note(held *ctlock.Held, name ctid.Member, use Use) {
+	p.rows.With(held, func(rows map[ctid.Member]*row) {
+		if r, ok := rows[name]; ok {
+			p.note(r, p.Clock.Now(), use)
+		}
+	})
+}
+
+// Avoid makes a member be tried last until a time.
+func (p *Pools) Avoid(held *ctlock.Held, name ctid.Member, until time.Time) {
+	p.rows.With(held, func(rows map[ctid.Member]*row) {
+		if r, ok := rows[name]; ok && until.After(r.avoid) {
+			r.avoid = until
+		}
+	})
+}
+
+// Sight tells what a proxy sees of a member.
+type Sight uint8
+
+// What a proxy may see.
+const (
+	SightNone Sight = iota
+	SightReached
+	SightMissed
+)
+
+// See tells whether a member answers.
+func (p *Pools) See(held *ctlock.Held, name ctid.Member) Sight {
+	sight := SightNone
+	p.rows.With(held, func(rows map[ctid.Member]*row) {
+		r, ok := rows[name]
+		if !ok {
+			return
+		}
+		now := p.Clock.Now()
+		silent := !r.asked.IsZero() && now.Sub(r.asked) > silentTime && now.Sub(r.answered) > silentTime
+		switch {
+		case r.failures > 1 && r.open == 0, silent:
+			sight = SightMissed
+		case now.Sub(r.answered) < reachTime:
+			sight = SightReached
+		}
+	})
+	return sight
+}
+
+func (p *Pools) logLimit(name ctid.Member, limit int) {
+	ctlog.Decision(&p.Logger, "share").Str("member", string(name)).Int("connections", limit).Send()
+}
--- a/internal/program/ctstate/state.go
+++ b/internal/program/ctstate/state.go
@@ -16,6 +16,8 @@
 	view   cttable.Cell[*ctview.View]
 	leases cttable.Table[ctid.Group, lease]
 	hints  cttable.Table[ctid.Member, ctroute.Hint]
+	// authority is until when this process may act on the groups of its view.
+	authority cttable.Cell[time.Time]
 }
 
 // lease is a write lease that this process was granted.
@@ -32,6 +34,8 @@
 		view:   cttable.Cell[*ctview.View]{Rank: ctlock.RankView},
 		leases: cttable.Table[ctid.Group, lease]{Rank: ctlock.RankLeases},
 		hints:  cttable.Table[ctid.Member, ctroute.Hint]{Rank: ctlock.RankHints},
+
+		authority: cttable.Cell[time.Time]{Rank: ctlock.RankAuthority},
 	}
 	var held ctlock.Held
 	s.view.With(&held, func(value **ctview.View) { *value = &ctview.View{} })
@@ -53,6 +57,31 @@
 	return before, after, err
 }
 
+// ApplyGroups takes the groups as control states them and returns the views before and
+// after.
+func (s *State) ApplyGroups(held *ctlock.Held, groups []ctview.Group) (before, after *ctview.View) {
+	s.view.With(held, func(value **ctview.View) {
+		before = *value
+		after = before.WithGroups(groups)
+		*value = after
+	})
+	return before, after
+}
+
+// Authorize records that this process may act on its view until a time.
+func (s *State) Authorize(held *ctlock.Held, until time.Time) {
+	s.authority.With(held, func(value *time.Time) {
+		if until.After(*value) {
+			*value = until
+		}
+	})
+}
+
+// Authority returns until when this process may act on the groups of its view.
+func (s *State) Authority(held *ctlock.Held) time.Time {
+	return s.authority.Get(held)
+}
+
 // Grant records a write lease that lasts until the stated time. A lease of a
 // term that was given up is not taken.
 func (s *State) Grant(held *ctlock.Held, group ctid.Group, term ctposition.Term, until time.Time) {
--- a/internal/program/ctuplink/link.go
+++ b/internal/program/ctuplink/link.go
@@ -42,7 +42,8 @@
 		l.leader = nil
 		return leader
 	}
-	address := l.uplink.Control[l.next%len(l.uplink.Control)]
+	known := l.uplink.known()
+	address := known[l.next%len(known)]
 	l.next++
 	return address
 }
--- a/internal/program/ctuplink/uplink.go
+++ b/internal/program/ctuplink/uplink.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/netip"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -51,6 +52,19 @@
 	Held(held *ctlock.Held) []ctview.Held
 }
 
+// Witness tells what this proxy sees of the primaries, and which fences it keeps
+// to.
+type Witness interface {
+	Witness(held *ctlock.Held) Testimony
+}
+
+// Testimony is what a proxy tells control of the primaries.
+type Testimony struct {
+	Reaches []ctid.Member
+	Misses  []ctid.Member
+	Fenced  []ctview.Fenced
+}
+
 // Options are the parts and settings of an Uplink.
 type Options struct {
 	Self      ctview.Proxy
@@ -59,6 +73,11 @@
 	Heartbeat time.Duration
 	State     *ctstate.State
 	Members   Members
+	// Witness is nil where no group is promoted in by an external service.
+	Witness Witness
+	// Resolve finds the address of a control process by its name, where control
+	// tells names; nil where the addresses in Control do not change.
+	Resolve   func(ctid.Control) (netip.AddrPort, bool)
 	Followers []Follower
 	Ways      Ways
 	Clock     ctclock.Clock
@@ -73,6 +92,8 @@
 	heard cttable.Table[ctid.Member, heard]
 	wake  chan struct{}
 	state cttable.Cell[ctserver.State]
+	// controls lists where control was told to be reached last.
+	controls cttable.Cell[[]netip.AddrPort]
 	// parted reports that the last report was sent.
 	parted atomic.Bool
 }
@@ -93,6 +114,8 @@
 		heard:   cttable.Table[ctid.Member, heard]{Rank: ctlock.RankAnnouncements},
 		state:   cttable.Cell[ctserver.State]{Rank: ctlock.RankSelf},
 		wake:    make(chan struct{}, 1),
+
+		controls: cttable.Cell[[]netip.AddrPort]{Rank: ctlock.RankSelf},
 	}
 	u.SetState(ctserver.StateReady)
 	return u
@@ -194,10 +217,49 @@
 	if err := link.redirect(&reply.Reply); err != nil {
 		return err
 	}
+	u.learn(held, reply.Controls)
+	if err := u.take(held, reply.Delta); err != nil {
+		return err
+	}
+	if len(reply.Groups) > 0 {
+		before, after := u.State.ApplyGroups(held, reply.Groups)
+		u.spread(held, before, after)
+	}
+	if reply.Authority > 0 {
+		u.State.Authorize(held, sent.Add(ctdrift.AtLeast(time.Duration(reply.Authority))))
+	}
 	for _, l := range reply.Leases {
 		u.State.Grant(held, l.Group, l.Term, sent.Add(ctdrift.AtLeast(time.Duration(l.Time))))
 	}
-	return u.take(held, reply.Delta)
+	return nil
+}
+
+// learn notes where control is reached from now on.
+func (u *Uplink) learn(held *ctlock.Held, names []ctid.Control) {
+	if u.Resolve == nil || len(names) == 0 {
+		return
+	}
+	var addresses []netip.AddrPort
+	for _, name := range names {
+		if address, ok := u.Resolve(name); ok {
+			addresses = append(addresses, address)
+		}
+	}
+	u.controls.With(held, func(value *[]netip.AddrPort) { *value = addresses })
+}
+
+// known lists where control may be reached: where it was told to be, and where
+// the settings say.
+func (u *Uplink) known() []netip.AddrPort {
+	var held ctlock.Held
+	told := u.controls.Get(&held)
+	known := slices.Clone(told)
+	for _, address := range u.Control {
+		if !slices.Contains(told, address) {
+			known = append(known, address)
+		}
+	}
+	return known
 }
 
 // compose makes the report of what this proxy knows now.
@@ -208,10 +270,16 @@
 	report := &ctview.Report{
 		Number:   number,
 		Proxy:    self,
-		Held:     u.Members.Held(held),
 		Version:  view.Version,
 		Revision: view.Config.Revision,
 	}
+	if u.Members != nil {
+		report.Held = u.Members.Held(held)
+	}
+	if u.Witness != nil {
+		seen := u.Witness.Witness(held)
+		report.Reaches, report.Misses, report.Fenced = seen.Reaches, seen.Misses, seen.Fenced
+	}
 	oldest := u.Clock.Now().Add(-repeatTime)
 	u.heard.With(held, func(rows map[ctid.Member]*heard) {
 		for name, row := range rows {
@@ -242,10 +310,18 @@
 		u.Hasten()
 	}
 	u.dropGone(before, after)
+	u.spread(held, before, after)
+	return nil
+}
+
+// spread makes the parts of the proxy follow a newer view.
+func (u *Uplink) spread(held *ctlock.Held, before, after *ctview.View) {
+	if before == after {
+		return
+	}
 	for _, f := range u.Followers {
 		f.Follow(held, after)
 	}
-	return nil
 }
 
 // dropGone closes what is open to proxies that went away or were started again.
--- a/internal/work/ctlock/rank.go
+++ b/internal/work/ctlock/rank.go
@@ -20,6 +20,8 @@
 	RankView
 	// RankLeases guards the write leases.
 	RankLeases
+	// RankAuthority guards until when a proxy may act on its view.
+	RankAuthority
 	// RankHints guards what answers told of the members.
 	RankHints
 	// RankSessions guards the callers' sessions.
@@ -30,6 +32,8 @@
 	RankBudget
 	// RankThrottles guards what may be sent to members.
 	RankThrottles
+	// RankSamples guards what is known of the groups' logs.
+	RankSamples
 	// RankMembers guards the members' queues and connections.
 	RankMembers
 	// RankLog guards a stand-in's log of writes.
