ctgateway: let callers wait for the configuration of a proxy that starts

A new leader of control kept its view back for 1.2 s. Change: callers wait up to 1.5 s and are told to come back; a new leader shows what it knows to proxies without a view. Drain asks resting sessions again and again.

--- a/internal/fleet/ctroster/since.go
+++ b/internal/fleet/ctroster/since.go
@@ -45,6 +45,11 @@
 	return delta
 }
 
+// Made reports whether the roster of this leader made the version.
+func (r *Roster) Made(version ctview.Version) bool {
+	return version >= r.first && version <= r.version
+}
+
 // forgotten reports whether entries that went away after the version are not
 // remembered any more.
 func (r *Roster) forgotten(version ctview.Version) bool {
--- a/internal/program/ctcontrol/ledger.go
+++ b/internal/program/ctcontrol/ledger.go
@@ -131,9 +131,17 @@
 	l.successions[name] = machine
 }
 
+// shownAtOnce reports whether a proxy with a version of the view gets what a new
+// leader knows before that has heard of everything: a proxy without a view, or
+// with one that this leader made, is better off with it. Where holders are
+// chosen from the view, a half empty one would make them change.
+func (l *ledger) shownAtOnce(version ctview.Version) bool {
+	return len(l.successions) > 0 && (version == 0 || l.roster.Made(version))
+}
+
 // delta returns the delta from a version, or nil where there is none to give.
 func (l *ledger) delta(now time.Time, version ctview.Version) *ctview.Delta {
-	if now.Sub(l.began) < settleTime {
+	if now.Sub(l.began) < settleTime && !l.shownAtOnce(version) {
 		return nil
 	}
 	return l.roster.Since(version)
--- a/internal/program/ctgateway/conversation.go
+++ b/internal/program/ctgateway/conversation.go
@@ -21,6 +21,9 @@
 const (
 	// startTime is how long a caller may take to ask for a database.
 	startTime = 5 * time.Second
+	// configurationTime is how long a caller waits for the configuration of a
+	// proxy that has just started.
+	configurationTime = 1500 * time.Millisecond
 	// defaultTransactionIdle ends a transaction that rests for so long, where the
 	// configuration says nothing.
 	defaultTransactionIdle = 3 * time.Second
@@ -61,6 +64,12 @@
 		return
 	}
 	c.database = database
+	if !c.awaitConfiguration() {
+		g.Logger.Info().Str("event", "start_refused").Str("database", string(database)).
+			Str("why", "no_configuration_yet").Send()
+		_ = c.caller.Refuse(ctquery.FaultBusy, "this proxy has just started; retry after 500 ms")
+		return
+	}
 	if !c.lookUp() {
 		g.Logger.Info().Str("event", "start_refused").Str("database", string(database)).Str("why", "no_route").Send()
 		_ = c.caller.Refuse(ctquery.FaultNoDatabase, "no route leads to this database")
@@ -76,6 +85,20 @@
 	c.converse()
 }
 
+// awaitConfiguration waits for a configuration, where the proxy has just started
+// and has none, and reports whether there is one.
+func (c *conversation) awaitConfiguration() bool {
+	g := c.gateway
+	limit := g.Clock.Now().Add(configurationTime)
+	for g.State.View(&c.held).Config.Revision == 0 {
+		if !g.Clock.Now().Before(limit) {
+			return false
+		}
+		<-g.Clock.After(pauseTime)
+	}
+	return true
+}
+
 // finish forgets the session. What its transaction did is rolled back.
 func (c *conversation) finish() {
 	c.unpin(ctpools.Use{Close: true})
--- a/internal/program/ctgateway/gateway.go
+++ b/internal/program/ctgateway/gateway.go
@@ -139,6 +139,25 @@
 // the others until ctx ends. It reports whether all have ended.
 func (g *Gateway) Drain(ctx context.Context) bool {
 	g.draining.Store(true)
+	done := make(chan struct{})
+	go func() {
+		g.open.Wait()
+		close(done)
+	}()
+	for {
+		g.askToLeave()
+		select {
+		case <-done:
+			return true
+		case <-ctx.Done():
+			return false
+		case <-g.Clock.After(upkeepTime):
+		}
+	}
+}
+
+// askToLeave makes the sessions that rest end.
+func (g *Gateway) askToLeave() {
 	var held ctlock.Held
 	g.sessions.With(&held, func(rows map[ctid.Session]*conversation) {
 		for _, c := range rows {
@@ -146,17 +165,6 @@
 			c.caller.Interrupt()
 		}
 	})
-	done := make(chan struct{})
-	go func() {
-		g.open.Wait()
-		close(done)
-	}()
-	select {
-	case <-done:
-		return true
-	case <-ctx.Done():
-		return false
-	}
 }
 
 // Cut closes the connections of all callers.
--- a/internal/program/ctnode/proxy.go
+++ b/internal/program/ctnode/proxy.go
@@ -31,7 +31,7 @@
 	// become unready.
 	balancerTime = 2200 * time.Millisecond
 	// partTime is what is left of a planned stop for telling control.
-	partTime = 500 * time.Millisecond
+	partTime = time.Second
 )
 
 // ProxyFronts are a proxy's front ends towards callers, members and the
