ctcontrol: wait for a leader before a report is refused; shorter elections

Cause: after a loss of power members' reports failed until control had a leader, elections waited 500 ms and more, and new connections met the limit of members that still counted those of the last run. Change: a control process waits for a leader up to 900 ms; ElectionTime 300 ms; connections that rest for 1.5 s beyond the first are closed; a fifth of the target latency for finding a member.

--- a/internal/decide/ctquorum/node.go
+++ b/internal/decide/ctquorum/node.go
@@ -11,10 +11,10 @@
 const (
 	// ElectionTime is how long a process that heard of a leader waits before
 	// it tries to be elected, and votes for nobody else.
-	ElectionTime = 500 * time.Millisecond
+	ElectionTime = 300 * time.Millisecond
 	// electionSpread is what is added to that at random, so that processes
 	// seldom try at once.
-	electionSpread = 400 * time.Millisecond
+	electionSpread = 200 * time.Millisecond
 	// heartbeatTime is the time between a leader's rounds.
 	heartbeatTime = 60 * time.Millisecond
 	// joinTime is the time between two asks to join.
--- a/internal/program/ctcontrol/service.go
+++ b/internal/program/ctcontrol/service.go
@@ -23,6 +23,8 @@
 const (
 	// forwardTime bounds a question to the leader, the opening of a way included.
 	forwardTime = 900 * time.Millisecond
+	// leaderPause is the time between two looks whether there is a leader.
+	leaderPause = 20 * time.Millisecond
 	// maxIdleWays is how many ways to the leader are kept for later questions.
 	maxIdleWays = 4
 	// proxySilence is how long a proxy may go unheard of before its share of the
@@ -252,7 +254,7 @@
 	ctx, cancel := context.WithTimeout(ctx, forwardTime)
 	defer cancel()
 	var held ctlock.Held
-	leader, self := s.control.Leader(&held)
+	leader, self := s.awaitLeader(ctx, &held)
 	if self {
 		return check(s.answer(ctx, &held, frame))
 	}
@@ -282,6 +284,22 @@
 	return check(answer)
 }
 
+// awaitLeader waits a little for a leader, where none is known: an election takes
+// less time than whoever asks is ready to wait.
+func (s *Service) awaitLeader(ctx context.Context, held *ctlock.Held) (leader ctid.Control, self bool) {
+	for {
+		leader, self = s.control.Leader(held)
+		if self || (leader != "" && leader != s.Name) {
+			return leader, self
+		}
+		select {
+		case <-ctx.Done():
+			return leader, self
+		case <-s.Clock.After(leaderPause):
+		}
+	}
+}
+
 // check turns a fault into an error.
 func check(answer ctframe.Frame) (ctframe.Frame, error) {
 	if fault, ok := answer.(*ctframe.Fault); ok {
--- a/internal/program/ctgateway/gateway.go
+++ b/internal/program/ctgateway/gateway.go
@@ -94,7 +94,7 @@
 			return
 		case <-g.Clock.After(upkeepTime):
 		}
-		g.Pools.Warm(&held)
+		g.Pools.Tend(&held)
 		g.refresh(&held)
 		if g.followFences(&held, g.State.View(&held)) {
 			g.Hasten()
--- a/internal/program/ctgateway/run.go
+++ b/internal/program/ctgateway/run.go
@@ -17,7 +17,7 @@
 	// offerPart is within which part of the target latency a statement must be
 	// given to a member; otherwise it is refused, so that the caller can turn
 	// elsewhere in time.
-	offerPart = 4
+	offerPart = 5
 	// pauseTime is the pause before members are looked at again, where none may
 	// run the statement.
 	pauseTime = 15 * time.Millisecond
--- a/internal/program/ctpools/follow.go
+++ b/internal/program/ctpools/follow.go
@@ -70,12 +70,20 @@
 	r.idle, r.waiters = nil, nil
 }
 
-// Warm opens a connection to each member that has none, so that the first
-// request need not wait for one.
-func (p *Pools) Warm(held *ctlock.Held) {
+// Tend opens a connection to each member that has none, so that the first
+// request need not wait for one, and closes those that were not needed lately: a
+// member counts them for a while after a proxy has lost its power, and the next
+// run of the proxy needs the room.
+func (p *Pools) Tend(held *ctlock.Held) {
+	unused := p.Clock.Now().Add(-surplusTime)
 	p.rows.With(held, func(rows map[ctid.Member]*row) {
 		for _, r := range rows {
 			r.dropBroken()
+			for r.open > 1 && len(r.idle) > 0 && r.idle[0].used.Before(unused) {
+				r.idle[0].close()
+				r.idle = r.idle[1:]
+				r.open--
+			}
 			if r.open == 0 && r.leaving.IsZero() {
 				p.grow(r)
 			}
--- a/internal/program/ctpools/pools.go
+++ b/internal/program/ctpools/pools.go
@@ -32,6 +32,8 @@
 	silentTime = 500 * time.Millisecond
 	// reachTime is how long after an answer a member counts as reached.
 	reachTime = 800 * time.Millisecond
+	// surplusTime is how long a connection beyond the first may rest.
+	surplusTime = 1500 * time.Millisecond
 	// controlConnections is how many of a member's connections are left to
 	// control.
 	controlConnections = 4
