ctgateway: roll back on the connection in place of a new one

Ruled out: lag of the replicas alone, which held the reads back. Change: what is open on a working connection is rolled back; one connection to a member is opened at a time.

--- a/internal/decide/ctdialog/conclude.go
+++ b/internal/decide/ctdialog/conclude.go
@@ -42,9 +42,9 @@
 	// transaction is open. Otherwise it can serve others, if it still works and
 	// the member has no transaction open on it.
 	Keep bool
-	// Close reports whether the connection must be closed, so that what is open
-	// on it is undone.
-	Close bool
+	// Undo reports whether what is open on the connection must be undone: by a
+	// rollback where the connection still works, and by closing it otherwise.
+	Undo bool
 }
 
 // Conclude takes what came of a run and returns what the caller is told.
@@ -83,7 +83,7 @@
 	case d.stage != stageNone:
 		d.stage = stageFailed
 		answer.Transaction = ctquery.TransactionFailed
-		return Told{Answer: answer, Close: true}
+		return Told{Answer: answer, Undo: true}
 	}
 	answer.Transaction = ctquery.TransactionNone
 	return Told{Answer: answer}
@@ -98,7 +98,7 @@
 		answer.Fault = ctquery.FaultAborted
 		answer.Text = "the member did not commit; the transaction is rolled back"
 	}
-	return Told{Answer: answer, Close: true}
+	return Told{Answer: answer, Undo: true}
 }
 
 func (d *Dialog) refused(run Run, r Refused) Told {
@@ -136,5 +136,5 @@
 		answer.Fault = ctquery.FaultAborted
 		answer.Text = "the connection to the member broke; nothing is kept"
 	}
-	return Told{Answer: answer, Close: true}
+	return Told{Answer: answer, Undo: true}
 }
--- a/internal/program/ctgateway/conversation.go
+++ b/internal/program/ctgateway/conversation.go
@@ -101,7 +101,7 @@
 
 // finish forgets the session. What its transaction did is rolled back.
 func (c *conversation) finish() {
-	c.unpin(ctpools.Use{Close: true})
+	c.rollBack()
 	c.gateway.sessions.With(&c.held, func(rows map[ctid.Session]*conversation) { delete(rows, c.id) })
 }
 
@@ -162,7 +162,7 @@
 		c.gateway.Logger.Info().Str("event", "decision").Str("decision", "end_transaction").
 			Uint64("session", uint64(c.id)).Str("why", "idle").Send()
 	}
-	c.unpin(ctpools.Use{Close: true})
+	c.rollBack()
 	return true
 }
 
@@ -184,12 +184,17 @@
 }
 
 // rollBack ends the open transaction on its connection, which can then serve
-// others.
+// others: a new one would take the member's time. A connection that broke or
+// owes an answer is closed.
 func (c *conversation) rollBack() {
 	p := c.pinned
 	if p == nil {
 		return
 	}
+	if !p.conn.Alive() {
+		c.unpin(ctpools.Use{Close: true})
+		return
+	}
 	c.pinned = nil
 	go func() {
 		var held ctlock.Held
--- a/internal/program/ctgateway/run.go
+++ b/internal/program/ctgateway/run.go
@@ -91,7 +91,11 @@
 	if c.pinned == nil || told.Keep {
 		return
 	}
-	c.unpin(ctpools.Use{Close: told.Close || told.Answer.Transaction != ctquery.TransactionNone})
+	if told.Undo || told.Answer.Transaction != ctquery.TransactionNone {
+		c.rollBack()
+		return
+	}
+	c.unpin(ctpools.Use{})
 }
 
 // runPinned runs a statement on the connection of the open transaction.
@@ -245,7 +249,10 @@
 	}
 	c.gateway.Pools.Avoid(&c.held, member, now.Add(avoidance(answer.Fault)))
 	c.gateway.Metrics.Retries.WithLabelValues(answer.Fault.String()).Inc()
-	c.unpin(ctpools.Use{Close: answer.Transaction != ctquery.TransactionNone, Answered: true, Applied: answer.Point})
+	if answer.Transaction != ctquery.TransactionNone {
+		c.rollBack()
+	}
+	c.unpin(ctpools.Use{})
 	if answer.Fault.NotRun() {
 		if !now.Before(a.until) {
 			return c.refuse(a)
--- a/internal/program/ctpools/pools.go
+++ b/internal/program/ctpools/pools.go
@@ -33,7 +33,7 @@
 	// reachTime is how long after an answer a member counts as reached.
 	reachTime = 800 * time.Millisecond
 	// surplusTime is how long a connection beyond the first may rest.
-	surplusTime = 1500 * time.Millisecond
+	surplusTime = 3 * time.Second
 	// controlConnections is how many of a member's connections are left to
 	// control.
 	controlConnections = 4
@@ -221,10 +221,11 @@
 	}
 }
 
-// grow begins to open a connection where one more is wanted and allowed.
+// grow begins to open a connection where one more is wanted and allowed: one at a
+// time, because each takes a slot of the member, and many proxies may want some.
 func (p *Pools) grow(r *row) {
 	now := p.Clock.Now()
-	if r.open >= r.limit || r.dialing > len(r.waiters) || now.Before(r.dialAt) {
+	if r.open >= r.limit || r.dialing > 0 || now.Before(r.dialAt) {
 		return
 	}
 	r.open++
@@ -255,6 +256,9 @@
 		r.failures = 0
 		r.answered = p.Clock.Now()
 		p.give(r, conn)
+		if len(r.waiters) > 0 {
+			p.grow(r)
+		}
 	})
 }
 
