ctcontrol, ctquorum: come back sooner after all VMs lost their power

Cause: control waited for the authority of leaders that can't be, a new leader knew no member until each had announced itself, and callers used their retries up meanwhile. Change: voters that have all just started elect at once; control notes the members in its log; proxies wait at the start of a session until they first can serve it, 1.5 s at most; samples of the groups' logs come with control's replies in place of a question from each proxy.

--- a/internal/decide/ctdialog/dialog.go
+++ b/internal/decide/ctdialog/dialog.go
@@ -207,6 +207,7 @@
 		run.Primary = !d.readOnly
 	case stageNone:
 		run.Primary = effect == EffectDurable
+	default:
 	}
 	return run
 }
--- a/internal/decide/ctquorum/election.go
+++ b/internal/decide/ctquorum/election.go
@@ -1,6 +1,7 @@
 package ctquorum
 
 import (
+	"cmp"
 	"slices"
 	"time"
 )
@@ -26,12 +27,55 @@
 	lastIndex, lastEpoch := n.durable.last()
 	for _, v := range n.durable.voters() {
 		if v != n.self {
-			n.send(v, Ask{Epoch: epoch, LastIndex: lastIndex, LastEpoch: lastEpoch, Pre: pre})
+			n.send(v, Ask{Epoch: epoch, LastIndex: lastIndex, LastEpoch: lastEpoch, Pre: pre, Fresh: n.fresh && !pre})
 		}
 	}
 	n.count(now)
 }
 
+// askFresh asks the voters whether they have heard of no leader since their
+// start either. Where all of them have not, there is no leader whose authority
+// has to run out: each would be one of them.
+func (n *Node) askFresh(now time.Time) {
+	n.freshAt = now.Add(freshTime)
+	lastIndex, lastEpoch := n.durable.last()
+	for _, v := range n.durable.voters() {
+		if v != n.self {
+			n.send(v, Ask{
+				Epoch: n.durable.Epoch + 1, LastIndex: lastIndex, LastEpoch: lastEpoch, Pre: true, Fresh: true,
+			})
+		}
+	}
+}
+
+// answerFresh answers a process that has just started. Of those that have, the
+// one with the longest log is to lead, and of these the first by name, so that
+// votes are not split.
+func (n *Node) answerFresh(from Peer, m Ask) {
+	lastIndex, lastEpoch := n.durable.last()
+	order := cmp.Or(
+		cmp.Compare(m.LastEpoch, lastEpoch),
+		cmp.Compare(m.LastIndex, lastIndex),
+		cmp.Compare(n.self.Name, from.Name),
+	)
+	grant := n.fresh && n.voter() && order > 0
+	n.send(from, Vote{Epoch: m.Epoch, Granted: grant, Pre: true, Fresh: true})
+}
+
+// takeFresh begins an election where all voters have just started.
+func (n *Node) takeFresh(now time.Time, from Peer, m Vote) {
+	n.freshVotes[from] = m.Granted
+	if !n.fresh || n.role != roleFollower {
+		return
+	}
+	for _, v := range n.durable.voters() {
+		if v != n.self && !n.freshVotes[v] {
+			return
+		}
+	}
+	n.campaign(now, false)
+}
+
 // count looks whether a majority has voted for the process.
 func (n *Node) count(now time.Time) {
 	voters := n.durable.voters()
@@ -58,7 +102,12 @@
 		n.takeJoin(now, from)
 		return
 	}
-	grant := n.voter() && n.upToDate(m) && !n.hearsLeader(now)
+	if m.Pre && m.Fresh {
+		n.answerFresh(from, m)
+		return
+	}
+	waits := n.hearsLeader(now) && !(m.Fresh && n.fresh)
+	grant := n.voter() && n.upToDate(m) && !waits
 	if m.Pre {
 		grant = grant && m.Epoch > n.durable.Epoch
 		n.send(from, Vote{Epoch: m.Epoch, Granted: grant, Pre: true})
@@ -99,6 +148,10 @@
 }
 
 func (n *Node) takeVote(now time.Time, from Peer, m Vote) {
+	if m.Pre && m.Fresh {
+		n.takeFresh(now, from, m)
+		return
+	}
 	if !m.Granted {
 		if m.Epoch > n.durable.Epoch && !m.Pre {
 			n.follow(now, m.Epoch, Peer{})
@@ -118,6 +171,7 @@
 // lets it commit what earlier leaders left.
 func (n *Node) lead(now time.Time) {
 	n.role = roleLeader
+	n.fresh = false
 	n.leader = n.self
 	n.heard = now
 	n.announced = false
--- a/internal/decide/ctquorum/event.go
+++ b/internal/decide/ctquorum/event.go
@@ -118,6 +118,8 @@
 	LastEpoch Epoch `json:"last_epoch" cbor:"last_epoch"`
 	// Pre asks only whether the vote would be given.
 	Pre bool `json:"pre,omitempty" cbor:"pre,omitempty"`
+	// Fresh tells that the sender has heard of no leader since its start.
+	Fresh bool `json:"fresh,omitempty" cbor:"fresh,omitempty"`
 }
 
 // Vote answers Ask.
@@ -125,6 +127,8 @@
 	Epoch   Epoch `json:"epoch" cbor:"epoch"`
 	Granted bool  `json:"granted" cbor:"granted"`
 	Pre     bool  `json:"pre,omitempty" cbor:"pre,omitempty"`
+	// Fresh tells that the sender has heard of no leader since its start.
+	Fresh bool `json:"fresh,omitempty" cbor:"fresh,omitempty"`
 }
 
 // Append carries entries, or none, from the leader.
--- a/internal/decide/ctquorum/log.go
+++ b/internal/decide/ctquorum/log.go
@@ -162,6 +162,7 @@
 		n.follow(now, epoch, from)
 	}
 	n.heard = now
+	n.fresh = false
 	n.postpone(now)
 }
 
--- a/internal/decide/ctquorum/node.go
+++ b/internal/decide/ctquorum/node.go
@@ -17,6 +17,8 @@
 	electionSpread = 200 * time.Millisecond
 	// heartbeatTime is the time between a leader's rounds.
 	heartbeatTime = 60 * time.Millisecond
+	// freshTime is the time between two asks of a process that has just started.
+	freshTime = 50 * time.Millisecond
 	// joinTime is the time between two asks to join.
 	joinTime = 300 * time.Millisecond
 )
@@ -55,19 +57,24 @@
 	// contacts are whom to ask to join, by name only.
 	contacts []Peer
 
-	role      role
-	leader    Peer
-	commit    Index
-	applied   Index
-	heard     time.Time
-	electAt   time.Time
-	joinAt    time.Time
-	votes     map[Peer]bool
-	followers map[Peer]*follower
-	round     Round
-	beatAt    time.Time
-	tickets   map[Index]Ticket
-	announced bool
+	role    role
+	leader  Peer
+	commit  Index
+	applied Index
+	heard   time.Time
+	electAt time.Time
+	joinAt  time.Time
+	votes   map[Peer]bool
+	// fresh reports that no leader was heard of since the start, freshAt when the
+	// others are asked next whether they are, and freshVotes who said so.
+	fresh      bool
+	freshAt    time.Time
+	freshVotes map[Peer]bool
+	followers  map[Peer]*follower
+	round      Round
+	beatAt     time.Time
+	tickets    map[Index]Ticket
+	announced  bool
 
 	effects []Effect
 }
@@ -90,6 +97,8 @@
 	n.commit = durable.Snapshot.Index
 	n.applied = durable.Snapshot.Index
 	n.heard = now
+	n.fresh = true
+	n.freshVotes = make(map[Peer]bool)
 	n.postpone(now)
 	return n
 }
@@ -213,6 +222,8 @@
 		n.askToJoin(now)
 	case !now.Before(n.electAt):
 		n.campaign(now, true)
+	case n.fresh && n.role == roleFollower && !now.Before(n.freshAt):
+		n.askFresh(now)
 	}
 }
 
--- a/internal/decide/ctquorum/node_test.go
+++ b/internal/decide/ctquorum/node_test.go
@@ -301,3 +301,45 @@
 		assert.Equal(t, len(apply.Entries), 3)
 	})
 }
+
+// TestAllJustStarted names the pattern of a fleet whose VMs all lost their power:
+// nobody has to wait for the authority of a leader that can't be.
+func TestAllJustStarted(t *testing.T) {
+	t.Run("all voters started again elect at once", func(t *testing.T) {
+		c := newCluster(1)
+		c.run(5 * time.Second)
+		assert.Assert(t, c.leader() != nil)
+		for _, m := range c.members {
+			c.start(m)
+		}
+		c.run(ctquorum.ElectionTime / 2)
+		assert.Assert(t, c.leader() != nil)
+		assert.Equal(t, len(c.faults), 0)
+	})
+	t.Run("one that started again waits for the leader that the others hear", func(t *testing.T) {
+		c := newCluster(2)
+		c.run(5 * time.Second)
+		leader := c.leader()
+		for _, m := range c.members {
+			if m != leader {
+				c.start(m)
+				break
+			}
+		}
+		c.run(ctquorum.ElectionTime / 2)
+		assert.Equal(t, c.leader(), leader)
+	})
+	t.Run("two that started again do not overtake a leader that is cut off", func(t *testing.T) {
+		c := newCluster(3)
+		c.run(5 * time.Second)
+		leader := c.leader()
+		c.cut = func(a, b ctid.Control) bool { return a == leader.peer.Name || b == leader.peer.Name }
+		for _, m := range c.members {
+			if m != leader {
+				c.start(m)
+			}
+		}
+		c.run(ctquorum.ElectionTime / 2)
+		assert.Equal(t, c.leader(), leader)
+	})
+}
--- a/internal/decide/ctregister/command.go
+++ b/internal/decide/ctregister/command.go
@@ -6,10 +6,11 @@
 	"github.com/cherviltrestle/cherviltrestle/internal/model/ctconfig"
 	"github.com/cherviltrestle/cherviltrestle/internal/model/ctid"
 	"github.com/cherviltrestle/cherviltrestle/internal/model/ctposition"
+	"github.com/cherviltrestle/cherviltrestle/internal/model/ctserver"
 	"github.com/cherviltrestle/cherviltrestle/internal/model/ctview"
 )
 
-// Command is one of Configure, Publish and SetGroup.
+// Command is one of Configure, Publish, SetGroup and Remember.
 type Command interface {
 	isCommand()
 }
@@ -42,11 +43,18 @@
 	At     time.Time `json:"at" cbor:"at"`
 }
 
+// Remember replaces the members that a new leader knows from its start.
+type Remember struct {
+	Members []ctserver.Announcement `json:"members" cbor:"members"`
+}
+
 func (Configure) isCommand() {}
 func (Publish) isCommand()   {}
 func (SetGroup) isCommand()  {}
+func (Remember) isCommand()  {}
 
-// Result is one of Configured, Resent, Overtaken, Outnumbered and GroupSet.
+// Result is one of Configured, Resent, Overtaken, Outnumbered, GroupSet and
+// Remembered.
 type Result interface {
 	isResult()
 }
@@ -79,6 +87,10 @@
 	Taken bool
 }
 
+// Remembered reports that the members are noted.
+type Remembered struct{}
+
+func (Remembered) isResult()  {}
 func (Configured) isResult()  {}
 func (Resent) isResult()      {}
 func (Overtaken) isResult()   {}
--- a/internal/decide/ctregister/register.go
+++ b/internal/decide/ctregister/register.go
@@ -7,6 +7,7 @@
 
 	"github.com/cherviltrestle/cherviltrestle/internal/model/ctconfig"
 	"github.com/cherviltrestle/cherviltrestle/internal/model/ctid"
+	"github.com/cherviltrestle/cherviltrestle/internal/model/ctserver"
 	"github.com/cherviltrestle/cherviltrestle/internal/model/ctview"
 )
 
@@ -30,6 +31,9 @@
 	// numbered it, and Source is what the operator wrote.
 	Release ctid.Release `json:"release,omitempty" cbor:"release,omitempty"`
 	Source  []byte       `json:"source,omitempty" cbor:"source,omitempty"`
+	// Members are those that a leader knew last. They let the next one begin
+	// before all have announced themselves to it.
+	Members []ctserver.Announcement `json:"members,omitempty" cbor:"members,omitempty"`
 }
 
 // Deed is a decision on a group that took effect.
@@ -48,6 +52,9 @@
 		return r.publish(c)
 	case SetGroup:
 		return r.setGroup(c)
+	case Remember:
+		r.Members = c.Members
+		return Remembered{}
 	}
 	return nil
 }
--- a/internal/decide/ctsuccession/machine.go
+++ b/internal/decide/ctsuccession/machine.go
@@ -90,6 +90,8 @@
 	// status is the answer that came last, to a question asked at answered.
 	status   ctquery.Status
 	answered time.Time
+	// statusAsked is when that question was asked.
+	statusAsked time.Time
 	// asked is when a question was asked last, and pending whether it is not
 	// answered yet.
 	asked    time.Time
@@ -191,7 +193,7 @@
 	}
 	row.pending = false
 	row.failures = 0
-	row.status, row.answered = status, now
+	row.status, row.answered, row.statusAsked = status, now, row.asked
 	switch q := question.(type) {
 	case Pause:
 		row.paused = q.Fence
@@ -202,6 +204,16 @@
 	}
 }
 
+// Sample returns the place in the log that the group's primary told last, and
+// when it was asked.
+func (m *Machine) Sample(group ctview.Group) (point ctposition.Point, asked time.Time, known bool) {
+	row, ok := m.members[group.Primary]
+	if !ok || group.Changing() || row.status.Role != ctserver.RolePrimary || row.status.Term != group.Term {
+		return ctposition.Point{}, time.Time{}, false
+	}
+	return row.status.Received, row.statusAsked, true
+}
+
 // Failed notes that a member gave no answer. Gone reports that its process does
 // not run.
 func (m *Machine) Failed(name ctid.Member, gone bool) {
@@ -219,6 +231,7 @@
 // Ordered takes what came of an order to promote a member.
 func (m *Machine) Ordered(name ctid.Member, outcome OrderOutcome) {
 	switch outcome {
+	case OrderUnknown:
 	case OrderTaken:
 		m.turn.accepted = true
 	case OrderRefused:
--- a/internal/link/ctrecord/record.go
+++ b/internal/link/ctrecord/record.go
@@ -14,6 +14,7 @@
 	kindConfigure byte = iota + 1
 	kindSetGroup
 	kindPublish
+	kindRemember
 )
 
 // EncodeCommand returns a command as bytes.
@@ -30,6 +31,8 @@
 		kind = kindSetGroup
 	case ctregister.Publish:
 		kind = kindPublish
+	case ctregister.Remember:
+		kind = kindRemember
 	}
 	return append([]byte{kind}, body...), nil
 }
@@ -59,9 +62,25 @@
 		}
 		return c, c.Document.Check()
 	}
+	if data[0] == kindRemember {
+		return decodeRemember(data[1:])
+	}
 	return nil, cterror.Newf(cterror.Invalid, "upgrade this process", "command kind %d is unknown", data[0])
 }
 
+func decodeRemember(data []byte) (ctregister.Command, error) {
+	var c ctregister.Remember
+	if err := ctcbor.Unmarshal(data, &c); err != nil {
+		return nil, damaged(err)
+	}
+	for i := range c.Members {
+		if err := c.Members[i].Check(); err != nil {
+			return nil, err
+		}
+	}
+	return c, nil
+}
+
 // EncodeRegister returns a snapshot of the register.
 func EncodeRegister(register *ctregister.Register) ([]byte, error) {
 	data, err := ctcbor.Marshal(register)
--- a/internal/model/ctview/report.go
+++ b/internal/model/ctview/report.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/netip"
+	"time"
 
 	"github.com/cherviltrestle/cherviltrestle/internal/model/ctconfig"
 	"github.com/cherviltrestle/cherviltrestle/internal/model/cterror"
@@ -129,6 +130,8 @@
 	Authority ctconfig.Duration `json:"authority,omitempty" cbor:"authority,omitempty"`
 	// Groups lists all groups where there is no delta to the proxy's view yet.
 	Groups []Group `json:"groups,omitempty" cbor:"groups,omitempty"`
+	// Samples tell the places of the groups' logs that control knows.
+	Samples []Sample `json:"samples,omitempty" cbor:"samples,omitempty"`
 	// Controls lists the control processes that vote.
 	Controls []ctid.Control `json:"controls,omitempty" cbor:"controls,omitempty"`
 	// Unready reports that the process that answers does not lead control.
@@ -137,6 +140,14 @@
 	Leader *netip.AddrPort `json:"leader,omitempty" cbor:"leader,omitempty"`
 }
 
+// Sample is a place in a group's log, as its primary told control.
+type Sample struct {
+	Group ctid.Group       `json:"group" cbor:"group"`
+	Point ctposition.Point `json:"point" cbor:"point"`
+	// Ago is how long before the reply control asked the primary.
+	Ago time.Duration `json:"ago" cbor:"ago"`
+}
+
 // Check reports the first fault of the reply.
 func (r *Reply) Check() error {
 	for _, l := range r.Leases {
--- a/internal/program/ctcontrol/control.go
+++ b/internal/program/ctcontrol/control.go
@@ -28,6 +28,8 @@
 	settleTime = 1200 * time.Millisecond
 	// memberTime is how long a member may go unannounced before it is dropped.
 	memberTime = 5 * time.Second
+	// cutOffTime is the same where proxies reach members by themselves.
+	cutOffTime = 15 * time.Second
 	// proposalTime is how long a decision on a group may take to be committed
 	// before it is proposed again.
 	proposalTime = time.Second
@@ -188,7 +190,7 @@
 		return
 	}
 	before := l.roster.Version()
-	for _, name := range l.roster.Expire(now.Add(-c.SilenceTime), now.Add(-memberTime)) {
+	for _, name := range l.roster.Expire(now.Add(-c.SilenceTime), now.Add(-l.memberTime())) {
 		c.Logger.Info().Str("event", "decision").Str("decision", "drop_proxy").
 			Str("proxy", string(name)).Str("why", "silent").Send()
 	}
@@ -198,6 +200,9 @@
 	for name := range l.successions {
 		c.advance(now, l, name)
 	}
+	if members, due := l.forgotten(now); due && l.authorized(now) {
+		c.propose(l, ctregister.Remember{Members: members}, nil)
+	}
 	if l.roster.Version() != before || !l.settled {
 		l.settled = true
 		l.notify()
--- a/internal/program/ctcontrol/ledger.go
+++ b/internal/program/ctcontrol/ledger.go
@@ -1,6 +1,8 @@
 package ctcontrol
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
 	"github.com/cherviltrestle/cherviltrestle/internal/decide/ctfailover"
@@ -10,6 +12,7 @@
 	"github.com/cherviltrestle/cherviltrestle/internal/fleet/ctroster"
 	"github.com/cherviltrestle/cherviltrestle/internal/model/ctconfig"
 	"github.com/cherviltrestle/cherviltrestle/internal/model/ctid"
+	"github.com/cherviltrestle/cherviltrestle/internal/model/ctserver"
 	"github.com/cherviltrestle/cherviltrestle/internal/model/ctview"
 )
 
@@ -40,6 +43,8 @@
 	settled     bool
 	silence     time.Duration
 	watchers    []chan struct{}
+	// remembered is when the members were last compared with those noted.
+	remembered time.Time
 }
 
 // moving reports whether a decision on the group is proposed and not applied.
@@ -77,9 +82,37 @@
 	for _, g := range l.register.Groups {
 		l.roster.SetGroup(g)
 	}
+	for i := range l.register.Members {
+		l.roster.HearMember(now, &l.register.Members[i])
+	}
+	l.remembered = now
 	l.configure(now, l.register.Current())
 }
 
+// rememberTime is the least time between two notes of the members.
+const rememberTime = time.Second
+
+// forgotten returns the members, where they are not those that are noted.
+func (l *ledger) forgotten(now time.Time) ([]ctserver.Announcement, bool) {
+	if len(l.successions) == 0 || now.Sub(l.remembered) < rememberTime {
+		return nil, false
+	}
+	l.remembered = now
+	members := l.roster.Members()
+	slices.SortFunc(members, func(a, b ctserver.Announcement) int { return cmp.Compare(a.Member, b.Member) })
+	return members, !slices.Equal(members, l.register.Members)
+}
+
+// memberTime is how long a member may go unannounced before it is dropped. Where
+// proxies find out by themselves whether a member answers, it may be cut off from
+// control and still serve.
+func (l *ledger) memberTime() time.Duration {
+	if len(l.successions) > 0 {
+		return cutOffTime
+	}
+	return memberTime
+}
+
 // configure takes an accepted configuration into force.
 func (l *ledger) configure(now time.Time, accepted ctconfig.Accepted) {
 	document := accepted.Change.Document
--- a/internal/program/ctcontrol/service.go
+++ b/internal/program/ctcontrol/service.go
@@ -139,6 +139,7 @@
 
 // Run takes part in control until ctx ends or the disk fails.
 func (s *Service) Run(ctx context.Context) error {
+	s.Logger.Info().Str("event", "journal_open").Send()
 	if err := s.replica.Start(ctx, s.control, random{}); err != nil {
 		return err
 	}
--- a/internal/program/ctcontrol/succession.go
+++ b/internal/program/ctcontrol/succession.go
@@ -72,6 +72,10 @@
 	}
 	for name, machine := range l.successions {
 		machine.Report(now, l.group(name), report, until)
+		point, asked, known := machine.Sample(l.group(name))
+		if known && !until.IsZero() {
+			reply.Samples = append(reply.Samples, ctview.Sample{Group: name, Point: point, Ago: now.Sub(asked)})
+		}
 	}
 }
 
--- a/internal/program/ctgateway/conversation.go
+++ b/internal/program/ctgateway/conversation.go
@@ -13,6 +13,7 @@
 	"github.com/cherviltrestle/cherviltrestle/internal/model/ctid"
 	"github.com/cherviltrestle/cherviltrestle/internal/model/ctposition"
 	"github.com/cherviltrestle/cherviltrestle/internal/model/ctquery"
+	"github.com/cherviltrestle/cherviltrestle/internal/model/ctview"
 	"github.com/cherviltrestle/cherviltrestle/internal/program/ctpools"
 	"github.com/cherviltrestle/cherviltrestle/internal/work/ctlock"
 )
@@ -21,9 +22,8 @@
 const (
 	// startTime is how long a caller may take to ask for a database.
 	startTime = 5 * time.Second
-	// configurationTime is how long a caller waits for the configuration of a
-	// proxy that has just started.
-	configurationTime = 1500 * time.Millisecond
+	// firstTime is how long a caller waits for a proxy that has just started.
+	firstTime = 1500 * time.Millisecond
 	// defaultTransactionIdle ends a transaction that rests for so long, where the
 	// configuration says nothing.
 	defaultTransactionIdle = 3 * time.Second
@@ -64,9 +64,9 @@
 		return
 	}
 	c.database = database
-	if !c.awaitConfiguration() {
+	if !c.awaitService() {
 		g.Logger.Info().Str("event", "start_refused").Str("database", string(database)).
-			Str("why", "no_configuration_yet").Send()
+			Str("why", "just_started").Send()
 		_ = c.caller.Refuse(ctquery.FaultBusy, "this proxy has just started; retry after 500 ms")
 		return
 	}
@@ -85,17 +85,34 @@
 	c.converse()
 }
 
-// awaitConfiguration waits for a configuration, where the proxy has just started
-// and has none, and reports whether there is one.
-func (c *conversation) awaitConfiguration() bool {
+// awaitService waits until a proxy that has just started can serve the session,
+// and reports whether it has a configuration. A proxy that had authority once
+// keeps nobody waiting here.
+func (c *conversation) awaitService() bool {
 	g := c.gateway
-	limit := g.Clock.Now().Add(configurationTime)
-	for g.State.View(&c.held).Config.Revision == 0 {
+	limit := g.Clock.Now().Add(firstTime)
+	for {
+		view := g.State.View(&c.held)
+		if !g.State.Authority(&c.held).IsZero() && view.Config.Revision > 0 && (!c.lookUp() || c.open(view)) {
+			return true
+		}
 		if !g.Clock.Now().Before(limit) {
-			return false
+			return view.Config.Revision > 0
 		}
 		<-g.Clock.After(pauseTime)
 	}
+}
+
+// open reports whether there is a connection to the primary of the session's
+// group, or has been one.
+func (c *conversation) open(view *ctview.View) bool {
+	if c.gateway.served.Load() {
+		return true
+	}
+	primary := view.Groups[c.route.Group].Primary
+	if c.gateway.Pools.See(&c.held, primary) != ctpools.SightReached {
+		return false
+	}
 	return true
 }
 
--- a/internal/program/ctgateway/gateway.go
+++ b/internal/program/ctgateway/gateway.go
@@ -62,7 +62,9 @@
 	sessions cttable.Table[ctid.Session, conversation]
 	last     atomic.Uint64
 	draining atomic.Bool
-	open     sync.WaitGroup
+	// served reports that this run of the proxy has served all groups.
+	served atomic.Bool
+	open   sync.WaitGroup
 }
 
 // New returns a gateway that serves nobody yet.
@@ -95,6 +97,7 @@
 		case <-g.Clock.After(upkeepTime):
 		}
 		g.Pools.Tend(&held)
+		g.noteServed(&held)
 		g.refresh(&held)
 		if g.followFences(&held, g.State.View(&held)) {
 			g.Hasten()
@@ -102,6 +105,21 @@
 	}
 }
 
+// noteServed notes when all primaries have been reached for the first time.
+func (g *Gateway) noteServed(held *ctlock.Held) {
+	view := g.State.View(held)
+	if g.served.Load() || len(view.Groups) == 0 {
+		return
+	}
+	for _, decided := range view.Groups {
+		if g.Pools.See(held, decided.Primary) != ctpools.SightReached {
+			return
+		}
+	}
+	g.served.Store(true)
+	g.Logger.Info().Str("event", "serving").Send()
+}
+
 // Serve serves the callers of a listener until it is closed.
 func (g *Gateway) Serve(listener net.Listener) error {
 	for {
--- a/internal/program/ctgateway/group.go
+++ b/internal/program/ctgateway/group.go
@@ -17,7 +17,7 @@
 // The times of what a proxy keeps of a group.
 const (
 	// refreshTime is how old the newest sample of a group's log may become.
-	refreshTime = 600 * time.Millisecond
+	refreshTime = 1100 * time.Millisecond
 	// sampleTime bounds the taking of a sample.
 	sampleTime = 300 * time.Millisecond
 	// retireTime is how long what runs at a primary that leaves may take before
@@ -119,6 +119,11 @@
 	g.groups.With(held, func(rows map[ctid.Group]*group) { rowOf(rows, name).samples.Add(sent, point) })
 }
 
+// Sample takes the point that control was told by a group's primary.
+func (g *Gateway) Sample(held *ctlock.Held, name ctid.Group, asked time.Time, point ctposition.Point) {
+	g.sample(held, name, asked, point)
+}
+
 // need returns the point that a read must find applied to show what was
 // acknowledged before a time.
 func (g *Gateway) need(held *ctlock.Held, name ctid.Group, before time.Time) (ctposition.Point, bool) {
@@ -181,6 +186,7 @@
 			t.Reaches = append(t.Reaches, decided.Primary)
 		case ctpools.SightMissed:
 			t.Misses = append(t.Misses, decided.Primary)
+		case ctpools.SightNone:
 		}
 	}
 	g.groups.With(held, func(rows map[ctid.Group]*group) {
--- a/internal/program/ctgateway/run.go
+++ b/internal/program/ctgateway/run.go
@@ -294,6 +294,7 @@
 	}
 	for _, answer := range answers[:len(answers)-1] {
 		if !answer.OK() {
+			conn.Abandon()
 			return ctquery.Answer{}, cterror.New(cterror.Unavailable, "the member refused the session's state: "+answer.Text,
 				"try another member")
 		}
--- a/internal/program/ctpools/conn.go
+++ b/internal/program/ctpools/conn.go
@@ -80,6 +80,11 @@
 	})
 }
 
+// Abandon closes the connection, whose state is not what was asked for.
+func (c *Conn) Abandon() {
+	c.close()
+}
+
 // Alive reports whether the connection can be lent out: it works, and nothing
 // came on it that was not asked for.
 func (c *Conn) Alive() bool {
--- a/internal/program/ctpools/pools.go
+++ b/internal/program/ctpools/pools.go
@@ -324,6 +324,9 @@
 		now := p.Clock.Now()
 		r.running--
 		p.note(r, now, use)
+		if r.running == 0 {
+			r.asked = time.Time{}
+		}
 		if conn.Alive() {
 			p.give(r, conn)
 			return
--- a/internal/program/ctuplink/uplink.go
+++ b/internal/program/ctuplink/uplink.go
@@ -13,6 +13,7 @@
 	"github.com/cherviltrestle/cherviltrestle/internal/model/ctdrift"
 	"github.com/cherviltrestle/cherviltrestle/internal/model/cterror"
 	"github.com/cherviltrestle/cherviltrestle/internal/model/ctid"
+	"github.com/cherviltrestle/cherviltrestle/internal/model/ctposition"
 	"github.com/cherviltrestle/cherviltrestle/internal/model/ctserver"
 	"github.com/cherviltrestle/cherviltrestle/internal/model/ctview"
 	"github.com/cherviltrestle/cherviltrestle/internal/program/ctmetric"
@@ -56,6 +57,9 @@
 // to.
 type Witness interface {
 	Witness(held *ctlock.Held) Testimony
+	// Sample takes the place of a group's log that control asked the primary for
+	// no earlier than a time.
+	Sample(held *ctlock.Held, group ctid.Group, asked time.Time, point ctposition.Point)
 }
 
 // Testimony is what a proxy tells control of the primaries.
@@ -228,6 +232,9 @@
 	if reply.Authority > 0 {
 		u.State.Authorize(held, sent.Add(ctdrift.AtLeast(time.Duration(reply.Authority))))
 	}
+	for _, s := range reply.Samples {
+		u.Witness.Sample(held, s.Group, sent.Add(-ctdrift.AtMost(s.Ago)), s.Point)
+	}
 	for _, l := range reply.Leases {
 		u.State.Grant(held, l.Group, l.Term, sent.Add(ctdrift.AtLeast(time.Duration(l.Time))))
 	}
