ctuplink, ctcontrol: do not wait long for VMs without power

Cause: after a loss of power processes began to connect to VMs that were not back yet; the first packet of a connection is lost then and comes again after a second, so control elected 0.2 s later and proxies came back 0.27 s later than they could.

--- a/internal/program/ctcontrol/replica.go
+++ b/internal/program/ctcontrol/replica.go
@@ -26,8 +26,9 @@
 	outboxSize = 64
 	// reopenPause is the pause after a peer could not be reached.
 	reopenPause = 50 * time.Millisecond
-	// openTime bounds the opening of a way to a peer.
-	openTime = 500 * time.Millisecond
+	// openTime bounds the opening of a way to a peer. One that has no power yet
+	// answers nothing, and its first packet is not sent again for a second.
+	openTime = 200 * time.Millisecond
 	// compactAfter is how many entries make a snapshot due.
 	compactAfter = 2000
 	// compactBytes is how many bytes of commands do.
--- a/internal/program/ctcontrol/service.go
+++ b/internal/program/ctcontrol/service.go
@@ -272,7 +272,7 @@
 		// The leader's process may have ended since the way was used last. What is
 		// asked may be asked twice.
 		way.Close()
-		if way, err = s.Ways.Open(ctx, address); err != nil {
+		if way, err = s.open(ctx, address); err != nil {
 			return nil, err
 		}
 		answer, err = ctframe.Ask(ctx, way, frame)
@@ -325,10 +325,16 @@
 		return idle[n-1], false, nil
 	}
 	s.mutex.Unlock()
-	way, err = s.Ways.Open(ctx, address)
+	way, err = s.open(ctx, address)
 	return way, true, err
 }
 
+func (s *Service) open(ctx context.Context, address netip.AddrPort) (ctframe.Way, error) {
+	ctx, cancel := context.WithTimeout(ctx, openTime)
+	defer cancel()
+	return s.Ways.Open(ctx, address)
+}
+
 // keep keeps a way for later questions.
 func (s *Service) keep(leader ctid.Control, way ctframe.Way) {
 	s.mutex.Lock()
--- a/internal/program/ctpools/pools.go
+++ b/internal/program/ctpools/pools.go
@@ -34,6 +34,9 @@
 	reachTime = 800 * time.Millisecond
 	// surplusTime is how long a connection beyond the first may rest.
 	surplusTime = 3 * time.Second
+	// slotsPerDial is for how many slots of a member a proxy opens one connection
+	// at a time.
+	slotsPerDial = 2
 	// controlConnections is how many of a member's connections are left to
 	// control.
 	controlConnections = 4
@@ -221,11 +224,11 @@
 	}
 }
 
-// grow begins to open a connection where one more is wanted and allowed: one at a
+// grow begins to open a connection where one more is wanted and allowed: few at a
 // time, because each takes a slot of the member, and many proxies may want some.
 func (p *Pools) grow(r *row) {
 	now := p.Clock.Now()
-	if r.open >= r.limit || r.dialing > 0 || now.Before(r.dialAt) {
+	if r.open >= r.limit || r.dialing >= max(1, r.server.Slots/slotsPerDial) || now.Before(r.dialAt) {
 		return
 	}
 	r.open++
--- a/internal/program/ctuplink/link.go
+++ b/internal/program/ctuplink/link.go
@@ -22,7 +22,9 @@
 // ask sends a frame and returns the answer.
 func (l *link) ask(ctx context.Context, frame ctframe.Frame) (ctframe.Frame, error) {
 	if l.way == nil {
-		way, err := l.uplink.Ways.Open(ctx, l.address())
+		opening, cancel := context.WithTimeout(ctx, openTime)
+		way, err := l.uplink.Ways.Open(opening, l.address())
+		cancel()
 		if err != nil {
 			return nil, err
 		}
--- a/internal/program/ctuplink/uplink.go
+++ b/internal/program/ctuplink/uplink.go
@@ -29,6 +29,9 @@
 	askTime = time.Second
 	// watchTime is how long control may keep a watch waiting.
 	watchTime = 5 * time.Second
+	// openTime bounds the opening of a way to control, so that a VM without power
+	// does not keep the proxy from the others.
+	openTime = 250 * time.Millisecond
 	// retryPause is the pause after control could not be reached.
 	retryPause = 50 * time.Millisecond
 	// repeatTime is how long an announcement counts after it was heard: it is
