ctgateway, ctpools: let statements wait for a change that is known to end soon

Change: such statements wait until the change should have ended, 1.8 s after it began; control tells the latest acknowledged point as a sample while nothing is acknowledged; those who wait for a connection are served by the routes' priority; ways to VMs without power are given up after 120 to 150 ms, but for one try in five.

--- a/internal/decide/ctsuccession/machine.go
+++ b/internal/decide/ctsuccession/machine.go
@@ -204,11 +204,17 @@
 	}
 }
 
-// Sample returns the place in the log that the group's primary told last, and
-// when it was asked.
-func (m *Machine) Sample(group ctview.Group) (point ctposition.Point, asked time.Time, known bool) {
+// Sample returns a point that covers every commit that was acknowledged before a
+// time. While a change is under way and nothing is acknowledged, that is the
+// latest point that any proxy acknowledged.
+func (m *Machine) Sample(now time.Time, group ctview.Group) (point ctposition.Point, before time.Time, known bool) {
+	if group.Changing() {
+		quiet, complete := m.quiet(now, group)
+		point = m.acknowledged()
+		return point, now, quiet && complete && m.turn.fence == group.Fence && !point.Zero()
+	}
 	row, ok := m.members[group.Primary]
-	if !ok || group.Changing() || row.status.Role != ctserver.RolePrimary || row.status.Term != group.Term {
+	if !ok || row.status.Role != ctserver.RolePrimary || row.status.Term != group.Term {
 		return ctposition.Point{}, time.Time{}, false
 	}
 	return row.status.Received, row.statusAsked, true
--- a/internal/program/ctcontrol/replica.go
+++ b/internal/program/ctcontrol/replica.go
@@ -25,10 +25,13 @@
 	// a network may drop them.
 	outboxSize = 64
 	// reopenPause is the pause after a peer could not be reached.
-	reopenPause = 50 * time.Millisecond
+	reopenPause = 20 * time.Millisecond
 	// openTime bounds the opening of a way to a peer. One that has no power yet
 	// answers nothing, and its first packet is not sent again for a second.
-	openTime = 200 * time.Millisecond
+	openTime = 120 * time.Millisecond
+	// patientTime bounds one in patientEvery tries, for a network that is slow.
+	patientTime  = 900 * time.Millisecond
+	patientEvery = 5
 	// compactAfter is how many entries make a snapshot due.
 	compactAfter = 2000
 	// compactBytes is how many bytes of commands do.
@@ -283,7 +286,7 @@
 			way.Close()
 		}
 	}()
-	for {
+	for tries := 1; ; {
 		var frame *ctframe.Quorum
 		select {
 		case <-ctx.Done():
@@ -291,9 +294,11 @@
 		case frame = <-outbox:
 		}
 		if way == nil {
-			if way = r.dial(ctx, contact); way == nil {
+			if way = r.dial(ctx, contact, tries); way == nil {
+				tries++
 				continue
 			}
+			tries = 1
 		}
 		if err := way.Write(frame); err != nil {
 			way.Close()
@@ -302,8 +307,13 @@
 	}
 }
 
-func (r *Replica) dial(ctx context.Context, contact Contact) ctframe.Way {
-	opening, cancel := context.WithTimeout(ctx, openTime)
+// dial tries to open a way for the stated time in a row.
+func (r *Replica) dial(ctx context.Context, contact Contact, tries int) ctframe.Way {
+	patience := openTime
+	if tries%patientEvery == 0 {
+		patience = patientTime
+	}
+	opening, cancel := context.WithTimeout(ctx, patience)
 	defer cancel()
 	way, err := r.ways.Open(opening, contact.Address)
 	if err == nil {
--- a/internal/program/ctcontrol/service.go
+++ b/internal/program/ctcontrol/service.go
@@ -23,6 +23,8 @@
 const (
 	// forwardTime bounds a question to the leader, the opening of a way included.
 	forwardTime = 900 * time.Millisecond
+	// leaderOpenTime bounds the opening of a way to the leader.
+	leaderOpenTime = 300 * time.Millisecond
 	// leaderPause is the time between two looks whether there is a leader.
 	leaderPause = 20 * time.Millisecond
 	// maxIdleWays is how many ways to the leader are kept for later questions.
@@ -330,7 +332,7 @@
 }
 
 func (s *Service) open(ctx context.Context, address netip.AddrPort) (ctframe.Way, error) {
-	ctx, cancel := context.WithTimeout(ctx, openTime)
+	ctx, cancel := context.WithTimeout(ctx, leaderOpenTime)
 	defer cancel()
 	return s.Ways.Open(ctx, address)
 }
--- a/internal/program/ctcontrol/succession.go
+++ b/internal/program/ctcontrol/succession.go
@@ -72,7 +72,7 @@
 	}
 	for name, machine := range l.successions {
 		machine.Report(now, l.group(name), report, until)
-		point, asked, known := machine.Sample(l.group(name))
+		point, asked, known := machine.Sample(now, l.group(name))
 		if known && !until.IsZero() {
 			reply.Samples = append(reply.Samples, ctview.Sample{Group: name, Point: point, Ago: now.Sub(asked)})
 		}
--- a/internal/program/ctgateway/group.go
+++ b/internal/program/ctgateway/group.go
@@ -20,6 +20,9 @@
 	refreshTime = 1100 * time.Millisecond
 	// sampleTime bounds the taking of a sample.
 	sampleTime = 300 * time.Millisecond
+	// changeTime is how long a change of a primary takes at most, where nothing
+	// stands in its way.
+	changeTime = 1800 * time.Millisecond
 	// retireTime is how long what runs at a primary that leaves may take before
 	// the proxy keeps to the fence.
 	retireTime = 1200 * time.Millisecond
@@ -82,6 +85,21 @@
 	g.groups.With(held, func(rows map[ctid.Group]*group) { rowOf(rows, name).busy++ })
 }
 
+// changeEnds returns until when a change of a group's primary that is under way
+// is expected to have ended; the zero time where there is none.
+func (g *Gateway) changeEnds(held *ctlock.Held, decided ctview.Group) time.Time {
+	if !decided.Changing() {
+		return time.Time{}
+	}
+	var ends time.Time
+	g.groups.With(held, func(rows map[ctid.Group]*group) {
+		if row := rowOf(rows, decided.Name); row.fence == decided.Fence {
+			ends = row.fenceSince.Add(changeTime)
+		}
+	})
+	return ends
+}
+
 // leave counts that it has ended, and keeps to a fence that waited for it.
 func (g *Gateway) leave(held *ctlock.Held, name ctid.Group) {
 	waited := false
@@ -159,7 +177,7 @@
 	var held ctlock.Held
 	defer g.groups.With(&held, func(rows map[ctid.Group]*group) { rowOf(rows, name).sampling = false })
 	until := g.Clock.Now().Add(sampleTime)
-	conn, err := g.Pools.Acquire(&held, primary, nil, until)
+	conn, err := g.Pools.Acquire(&held, primary, ctpools.Wish{Until: until})
 	if err != nil {
 		return
 	}
--- a/internal/program/ctgateway/run.go
+++ b/internal/program/ctgateway/run.go
@@ -157,10 +157,7 @@
 // statement up where it has waited long enough.
 func (c *conversation) pause(a *attempt) ctdialog.Result {
 	now := c.gateway.Clock.Now()
-	limit := a.offerBy
-	if a.asked > 0 {
-		limit = a.until
-	}
+	limit := c.limit(a, now)
 	if a.asked >= maxAsked || !now.Add(pauseTime).Before(limit) {
 		return c.refuse(a)
 	}
@@ -169,6 +166,25 @@
 	return nil
 }
 
+// limit returns until when a statement may wait for a member. One that is known
+// to be served soon may wait longer than its offer takes: while a primary is
+// being replaced, and while the proxy has just started. Where a change takes
+// longer than expected, what needs the primary is refused at once.
+func (c *conversation) limit(a *attempt, now time.Time) time.Time {
+	if a.asked > 0 || !c.gateway.served.Load() {
+		return a.until
+	}
+	decided := c.gateway.State.View(&c.held).Groups[c.route.Group]
+	ends := c.gateway.changeEnds(&c.held, decided)
+	switch {
+	case ends.IsZero():
+		return a.offerBy
+	case now.Before(ends):
+		return earlier(ends, a.until)
+	}
+	return now
+}
+
 // refuse gives a statement up that did not run, or that only read.
 func (c *conversation) refuse(a *attempt) ctdialog.Result {
 	fault := ctquery.FaultBusy
@@ -180,11 +196,11 @@
 
 // acquire borrows a connection to the chosen member.
 func (c *conversation) acquire(a *attempt) bool {
-	limit := a.offerBy
-	if a.asked > 0 {
-		limit = a.until
-	}
-	conn, err := c.gateway.Pools.Acquire(&c.held, a.choice.member, c.dialog.State(), limit)
+	conn, err := c.gateway.Pools.Acquire(&c.held, a.choice.member, ctpools.Wish{
+		State:    c.dialog.State(),
+		Priority: c.route.Priority,
+		Until:    c.limit(a, c.gateway.Clock.Now()),
+	})
 	if err != nil {
 		a.tried.Add(a.choice.member)
 		return false
--- a/internal/program/ctpools/follow.go
+++ b/internal/program/ctpools/follow.go
@@ -65,7 +65,7 @@
 		c.close()
 	}
 	for _, w := range r.waiters {
-		close(w)
+		close(w.ready)
 	}
 	r.idle, r.waiters = nil, nil
 }
--- a/internal/program/ctpools/pools.go
+++ b/internal/program/ctpools/pools.go
@@ -68,7 +68,7 @@
 	open    int
 	dialing int
 	limit   int
-	waiters []chan *Conn
+	waiters []waiter
 
 	load     ctplace.Load
 	running  int
@@ -82,6 +82,33 @@
 	asked    time.Time
 }
 
+// waiter is a request that waits for a connection.
+type waiter struct {
+	ready chan *Conn
+	// priority is 0 for the most urgent.
+	priority int
+}
+
+// enqueue lets a request wait behind those that are as urgent.
+func (r *row) enqueue(w waiter) {
+	place := len(r.waiters)
+	for place > 0 && r.waiters[place-1].priority > w.priority {
+		place--
+	}
+	r.waiters = slices.Insert(r.waiters, place, w)
+}
+
+// Wish is what a request wants of a connection.
+type Wish struct {
+	// State is the session's state, which a connection may hold already; nil for
+	// none.
+	State *ctdialog.State
+	// Priority is 0 for the most urgent requests, which go first.
+	Priority int
+	// Until is until when the request waits.
+	Until time.Time
+}
+
 // New returns pools without members.
 func New(dialer Dialer, clock ctclock.Clock, logger zerolog.Logger) *Pools {
 	return &Pools{
@@ -125,9 +152,7 @@
 // Acquire lends out a connection to a member, if possible one with the session's
 // values. It returns an error of kind cterror.Exhausted where none became free
 // in time, and cterror.Unavailable where none can be opened.
-func (p *Pools) Acquire(
-	held *ctlock.Held, name ctid.Member, state *ctdialog.State, until time.Time,
-) (*Conn, error) {
+func (p *Pools) Acquire(held *ctlock.Held, name ctid.Member, wish Wish) (*Conn, error) {
 	var conn *Conn
 	var ready chan *Conn
 	p.rows.With(held, func(rows map[ctid.Member]*row) {
@@ -135,14 +160,14 @@
 		if !ok {
 			return
 		}
-		if conn = r.pick(state); conn != nil {
+		if conn = r.pick(wish.State); conn != nil {
 			p.lend(r, conn)
 			return
 		}
 		p.grow(r)
 		if r.open > 0 {
 			ready = make(chan *Conn, 1)
-			r.waiters = append(r.waiters, ready)
+			r.enqueue(waiter{ready: ready, priority: wish.Priority})
 		}
 	})
 	switch {
@@ -151,7 +176,7 @@
 	case ready == nil:
 		return nil, cterror.New(cterror.Unavailable, "no connection to the member can be opened", "try another member")
 	}
-	return p.await(held, name, ready, until)
+	return p.await(held, name, ready, wish.Until)
 }
 
 // await waits for a connection that is opened or given back.
@@ -168,7 +193,7 @@
 	}
 	p.rows.With(held, func(rows map[ctid.Member]*row) {
 		if r, ok := rows[name]; ok {
-			r.waiters = slices.DeleteFunc(r.waiters, func(w chan *Conn) bool { return w == ready })
+			r.waiters = slices.DeleteFunc(r.waiters, func(w waiter) bool { return w.ready == ready })
 		}
 	})
 	select {
@@ -280,7 +305,7 @@
 			return
 		}
 		for _, w := range r.waiters {
-			close(w)
+			close(w.ready)
 		}
 		r.waiters = nil
 	})
@@ -289,7 +314,7 @@
 // give hands a connection to the first that waits, or lets it rest.
 func (p *Pools) give(r *row, conn *Conn) {
 	if len(r.waiters) > 0 {
-		ready := r.waiters[0]
+		ready := r.waiters[0].ready
 		r.waiters = r.waiters[1:]
 		p.lend(r, conn)
 		ready <- conn
--- a/internal/program/ctuplink/link.go
+++ b/internal/program/ctuplink/link.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/netip"
+	"time"
 
 	"github.com/cherviltrestle/cherviltrestle/internal/link/ctframe"
 	"github.com/cherviltrestle/cherviltrestle/internal/model/cterror"
@@ -15,6 +16,8 @@
 	way    ctframe.Way
 	// next is the place in the list of control's addresses to try next.
 	next int
+	// tries counts the ways that could not be opened in a row.
+	tries int
 	// leader is the address that control told, where it did.
 	leader *netip.AddrPort
 }
@@ -22,13 +25,14 @@
 // ask sends a frame and returns the answer.
 func (l *link) ask(ctx context.Context, frame ctframe.Frame) (ctframe.Frame, error) {
 	if l.way == nil {
-		opening, cancel := context.WithTimeout(ctx, openTime)
+		opening, cancel := context.WithTimeout(ctx, l.patience())
 		way, err := l.uplink.Ways.Open(opening, l.address())
 		cancel()
 		if err != nil {
 			return nil, err
 		}
 		l.way = way
+		l.tries = 0
 	}
 	answer, err := ctframe.Ask(ctx, l.way, frame)
 	if err != nil {
@@ -37,6 +41,15 @@
 	return answer, err
 }
 
+// patience returns how long the opening of a way may take this time.
+func (l *link) patience() time.Duration {
+	l.tries++
+	if l.tries%patientEvery == 0 {
+		return patientTime
+	}
+	return openTime
+}
+
 // address returns the address to try: the leader's, or the next of the list.
 func (l *link) address() netip.AddrPort {
 	if l.leader != nil {
--- a/internal/program/ctuplink/uplink.go
+++ b/internal/program/ctuplink/uplink.go
@@ -31,9 +31,12 @@
 	watchTime = 5 * time.Second
 	// openTime bounds the opening of a way to control, so that a VM without power
 	// does not keep the proxy from the others.
-	openTime = 250 * time.Millisecond
+	openTime = 150 * time.Millisecond
+	// patientTime bounds one in patientEvery tries, for a network that is slow.
+	patientTime  = 900 * time.Millisecond
+	patientEvery = 5
 	// retryPause is the pause after control could not be reached.
-	retryPause = 50 * time.Millisecond
+	retryPause = 30 * time.Millisecond
 	// repeatTime is how long an announcement counts after it was heard: it is
 	// reported again until then, so that control knows that the member lives.
 	repeatTime = 3 * time.Second
