ctuplink, ctgateway: what a proxy without control does

Change: a proxy that reaches no control process asks through other proxies, which pass reports on (it does not help where those are cut off too, as here); a proxy whose authority has been over for 0.6 s is unready, refuses at once and ends the sessions that rest, so that callers come to others; a line for control lost and regained.

--- a/internal/program/ctgateway/conversation.go
+++ b/internal/program/ctgateway/conversation.go
@@ -70,6 +70,12 @@
 		_ = c.caller.Refuse(ctquery.FaultBusy, "this proxy has just started; retry after 500 ms")
 		return
 	}
+	if g.served.Load() && g.lapsed(&c.held) {
+		g.Logger.Info().Str("event", "start_refused").Str("database", string(database)).
+			Str("why", "no_authority").Send()
+		_ = c.caller.Refuse(ctquery.FaultBusy, "this proxy is out of touch with control; retry now, elsewhere")
+		return
+	}
 	if !c.lookUp() {
 		g.Logger.Info().Str("event", "start_refused").Str("database", string(database)).Str("why", "no_route").Send()
 		_ = c.caller.Refuse(ctquery.FaultNoDatabase, "no route leads to this database")
--- a/internal/program/ctgateway/gateway.go
+++ b/internal/program/ctgateway/gateway.go
@@ -98,6 +98,9 @@
 		}
 		g.Pools.Tend(&held)
 		g.noteServed(&held)
+		if g.served.Load() && g.lapsed(&held) {
+			g.askToLeave()
+		}
 		g.refresh(&held)
 		if g.followFences(&held, g.State.View(&held)) {
 			g.Hasten()
@@ -135,16 +138,19 @@
 	}
 }
 
-// graceTime is how long a proxy may be out of touch with control and still be
-// of use to callers.
-const graceTime = 5 * time.Second
+// lapseTime is how long a proxy's authority may be over before it sends callers
+// away: control may only be electing a leader.
+const lapseTime = 600 * time.Millisecond
 
 // Ready reports whether callers should come here.
 func (g *Gateway) Ready(held *ctlock.Held) bool {
-	if g.draining.Load() || g.State.View(held).Config.Revision == 0 {
-		return false
-	}
-	return g.Clock.Now().Before(g.State.Authority(held).Add(graceTime))
+	return !g.draining.Load() && g.State.View(held).Config.Revision > 0 && !g.lapsed(held)
+}
+
+// lapsed reports whether the proxy has had no authority for so long that callers
+// are better served by another one: it may be cut off from control alone.
+func (g *Gateway) lapsed(held *ctlock.Held) bool {
+	return !g.Clock.Now().Before(g.State.Authority(held).Add(lapseTime))
 }
 
 // Unready makes the proxy count as unready; callers that come all the same are
--- a/internal/program/ctgateway/run.go
+++ b/internal/program/ctgateway/run.go
@@ -169,10 +169,14 @@
 // limit returns until when a statement may wait for a member. One that is known
 // to be served soon may wait longer than its offer takes: while a primary is
 // being replaced, and while the proxy has just started. Where a change takes
-// longer than expected, what needs the primary is refused at once.
+// longer than expected, what needs the primary is refused at once, and so is
+// everything where the proxy has lost its authority.
 func (c *conversation) limit(a *attempt, now time.Time) time.Time {
-	if a.asked > 0 || !c.gateway.served.Load() {
+	switch {
+	case a.asked > 0 || !c.gateway.served.Load():
 		return a.until
+	case c.gateway.lapsed(&c.held):
+		return now
 	}
 	decided := c.gateway.State.View(&c.held).Groups[c.route.Group]
 	ends := c.gateway.changeEnds(&c.held, decided)
--- a/internal/program/ctnode/proxy.go
+++ b/internal/program/ctnode/proxy.go
@@ -111,6 +111,12 @@
 	if err != nil {
 		return err
 	}
+	peers, err := cttcp.Listen(p.settings.peer())
+	if err != nil {
+		return err
+	}
+	defer func() { _ = peers.Close() }()
+	go p.servePeers(running, peers)
 	go p.uplink.Run(running)
 	go p.gateway.Run(running)
 	go func() {
@@ -125,6 +131,14 @@
 	return nil
 }
 
+// servePeers relays for proxies that can't reach control by themselves.
+func (p *Proxy) servePeers(ctx context.Context, peers *cttcp.Listener) {
+	err := peers.Serve(ctx, func(ctx context.Context, way *cttcp.Way) { p.uplink.Relay(ctx, way) })
+	if ctx.Err() == nil {
+		p.logger.Error().Str("event", "peers_ended").Str("error", err.Error()).Send()
+	}
+}
+
 func (p *Proxy) ready() bool {
 	var held ctlock.Held
 	return p.gateway.Ready(&held)
--- a/internal/program/ctuplink/uplink.go
+++ b/internal/program/ctuplink/uplink.go
@@ -26,7 +26,7 @@
 // The times of the uplink.
 const (
 	// askTime bounds a report and its answer.
-	askTime = time.Second
+	askTime = 700 * time.Millisecond
 	// watchTime is how long control may keep a watch waiting.
 	watchTime = 5 * time.Second
 	// openTime bounds the opening of a way to control, so that a VM without power
@@ -104,6 +104,9 @@
 	state cttable.Cell[ctserver.State]
 	// controls lists where control was told to be reached last.
 	controls cttable.Cell[[]netip.AddrPort]
+	// reached is the control process that answered last; invalid while control is
+	// lost.
+	reached cttable.Cell[netip.AddrPort]
 	// parted reports that the last report was sent.
 	parted atomic.Bool
 }
@@ -126,6 +129,7 @@
 		wake:    make(chan struct{}, 1),
 
 		controls: cttable.Cell[[]netip.AddrPort]{Rank: ctlock.RankSelf},
+		reached:  cttable.Cell[netip.AddrPort]{Rank: ctlock.RankSelf},
 	}
 	u.SetState(ctserver.StateReady)
 	return u
@@ -187,8 +191,10 @@
 	for number := uint64(1); ctx.Err() == nil && !u.parted.Load(); number++ {
 		result, pause := "answered", u.Heartbeat
 		if err := u.reportOnce(ctx, link, u.compose(&held, number), &held); err != nil {
-			result, pause = "failed", min(retryPause, u.Heartbeat)
-			u.Logger.Debug().Str("event", "report_failed").Str("error", err.Error()).Send()
+			result, pause = "failed", link.pause(u.Heartbeat)
+			u.noteLost(link, err)
+		} else {
+			u.noteRegained(link)
 		}
 		u.Metrics.Reports.WithLabelValues(result).Inc()
 		select {
@@ -199,6 +205,33 @@
 	}
 }
 
+// noteLost logs the first report in a row that failed, and each later one for
+// those who look for more.
+func (u *Uplink) noteLost(link *link, err error) {
+	var held ctlock.Held
+	u.reached.With(&held, func(value *netip.AddrPort) { *value = netip.AddrPort{} })
+	line := u.Logger.Debug()
+	if link.lost.IsZero() {
+		link.lost = u.Clock.Now()
+		line = u.Logger.Info()
+	}
+	line.Str("event", "control_lost").Stringer("address", link.asked).Str("error", err.Error()).Send()
+}
+
+// noteRegained logs the first report that was answered again.
+func (u *Uplink) noteRegained(link *link) {
+	var held ctlock.Held
+	if !link.relayed {
+		u.reached.With(&held, func(value *netip.AddrPort) { *value = link.asked })
+	}
+	if link.lost.IsZero() {
+		return
+	}
+	u.Logger.Info().Str("event", "control_regained").Stringer("address", link.asked).
+		Bool("relayed", link.relayed).Dur("after", u.Clock.Now().Sub(link.lost)).Send()
+	link.lost = time.Time{}
+}
+
 // Part tells control that this proxy stops and has let go of all that it held.
 // No report follows it.
 func (u *Uplink) Part(ctx context.Context) error {
@@ -227,6 +260,7 @@
 	if err := link.redirect(&reply.Reply); err != nil {
 		return err
 	}
+	link.answered()
 	u.learn(held, reply.Controls)
 	if err := u.take(held, reply.Delta); err != nil {
 		return err
@@ -379,6 +413,7 @@
 	if err := link.redirect(&reply.Reply); err != nil {
 		return err
 	}
+	link.answered()
 	return u.take(held, reply.Delta)
 }
 
