ctquorum: let a lost disk not hold the election up

Cause: where all processes had just started and one of them had lost its disk, its earlier incarnation could not say so, and the others waited for the authority of a leader that can't be. Change: a process that joins under a later incarnation of a voter's name stands for that voter's end; connections to members are opened as soon as a view names them, not at the next round of upkeep. Test: TestAllJustStarted, seen to fail without it.

--- a/internal/decide/ctquorum/election.go
+++ b/internal/decide/ctquorum/election.go
@@ -62,9 +62,25 @@
 	n.send(from, Vote{Epoch: m.Epoch, Granted: grant, Pre: true, Fresh: true})
 }
 
-// takeFresh begins an election where all voters have just started.
+// takeFresh takes the answer of a voter whether it has just started.
 func (n *Node) takeFresh(now time.Time, from Peer, m Vote) {
 	n.freshVotes[from] = m.Granted
+	n.countFresh(now)
+}
+
+// noteReborn notes that a voter lost its disk: its process has started again
+// under a later incarnation, so that the earlier one leads nothing.
+func (n *Node) noteReborn(now time.Time, from Peer) {
+	for _, v := range n.durable.voters() {
+		if v.Name == from.Name && v.Incarnation < from.Incarnation {
+			n.freshVotes[v] = true
+			n.countFresh(now)
+		}
+	}
+}
+
+// countFresh begins an election where no voter can be a leader.
+func (n *Node) countFresh(now time.Time) {
 	if !n.fresh || n.role != roleFollower {
 		return
 	}
--- a/internal/decide/ctquorum/log.go
+++ b/internal/decide/ctquorum/log.go
@@ -29,6 +29,7 @@
 		n.takeAppended(now, from, m)
 	case Join:
 		n.takeJoin(now, from)
+		n.noteReborn(now, from)
 	}
 }
 
--- a/internal/decide/ctquorum/node.go
+++ b/internal/decide/ctquorum/node.go
@@ -20,7 +20,7 @@
 	// freshTime is the time between two asks of a process that has just started.
 	freshTime = 50 * time.Millisecond
 	// joinTime is the time between two asks to join.
-	joinTime = 300 * time.Millisecond
+	joinTime = 100 * time.Millisecond
 )
 
 // The bounds of one message.
--- a/internal/decide/ctquorum/node_test.go
+++ b/internal/decide/ctquorum/node_test.go
@@ -316,6 +316,17 @@
 		assert.Assert(t, c.leader() != nil)
 		assert.Equal(t, len(c.faults), 0)
 	})
+	t.Run("one that lost its disk does not hold the others up", func(t *testing.T) {
+		c := newCluster(1)
+		c.run(5 * time.Second)
+		for _, m := range c.members[1:] {
+			c.start(m)
+		}
+		c.loseDisk(c.members[0])
+		c.run(ctquorum.ElectionTime * 2 / 3)
+		assert.Assert(t, c.leader() != nil)
+		assert.Equal(t, len(c.faults), 0)
+	})
 	t.Run("one that started again waits for the leader that the others hear", func(t *testing.T) {
 		c := newCluster(2)
 		c.run(5 * time.Second)
--- a/internal/program/ctgateway/gateway.go
+++ b/internal/program/ctgateway/gateway.go
@@ -79,6 +79,7 @@
 // Follow takes a newer view.
 func (g *Gateway) Follow(held *ctlock.Held, view *ctview.View) {
 	g.Pools.Follow(held, view)
+	g.Pools.Tend(held)
 	if g.followFences(held, view) {
 		g.Hasten()
 	}
