--- a/internal/decide/ctdialog/dialog_test.go
+++ b/internal/decide/ctdialog/dialog_test.go
@@ -148,7 +148,8 @@
 	single := func(statement ctquery.Statement) func(*testing.T) (*ctdialog.Dialog, ctquery.Statement) {
 		return func(*testing.T) (*ctdialog.Dialog, ctquery.Statement) { return &ctdialog.Dialog{}, statement }
 	}
-	inside := func(begin ctquery.Begin, first, next ctquery.Statement) func(*testing.T) (*ctdialog.Dialog, ctquery.Statement) {
+	type start = func(*testing.T) (*ctdialog.Dialog, ctquery.Statement)
+	inside := func(begin ctquery.Begin, first, next ctquery.Statement) start {
 		return func(t *testing.T) (*ctdialog.Dialog, ctquery.Statement) { return open(t, begin, first), next }
 	}
 	for _, c := range []struct {
@@ -209,7 +210,8 @@
 		}
 		return d.State()
 	}
-	a1, a2, b1 := ctquery.Set{Name: "a", Value: "1"}, ctquery.Set{Name: "a", Value: "2"}, ctquery.Set{Name: "b", Value: "1"}
+	a1, a2 := ctquery.Set{Name: "a", Value: "1"}, ctquery.Set{Name: "a", Value: "2"}
+	b1 := ctquery.Set{Name: "b", Value: "1"}
 	t.Run("a new connection gets the session's values once", func(t *testing.T) {
 		var l ctdialog.Loaded
 		state := session(a1, b1)
--- a/internal/decide/ctplace/order_test.go
+++ b/internal/decide/ctplace/order_test.go
@@ -25,7 +25,9 @@
 
 func TestOrder(t *testing.T) {
 	t.Run("near goes before far", func(t *testing.T) {
-		assertFirst(t, "near", ctplace.Candidate{Member: "far", Free: 1}, ctplace.Candidate{Member: "near", Near: true, Free: 1})
+		assertFirst(t, "near",
+			ctplace.Candidate{Member: "far", Free: 1},
+			ctplace.Candidate{Member: "near", Near: true, Free: 1})
 	})
 	t.Run("the pattern of a slow member: a far one goes first", func(t *testing.T) {
 		assertFirst(t, "far",
--- a/internal/decide/ctquorum/election.go
+++ b/internal/decide/ctquorum/election.go
@@ -114,16 +114,21 @@
 // answerAsk votes for a process whose log is not behind, unless a leader was
 // heard of lately or the vote of the epoch is given.
 func (n *Node) answerAsk(now time.Time, from Peer, m Ask) {
-	if n.role == roleLeader && !slices.Contains(n.durable.voters(), from) {
+	switch {
+	case n.role == roleLeader && !slices.Contains(n.durable.voters(), from):
+		// It was taken out while it was away, and does not know.
 		n.takeJoin(now, from)
-		return
-	}
-	if m.Pre && m.Fresh {
+	case m.Pre && m.Fresh:
 		n.answerFresh(from, m)
-		return
+	default:
+		n.answerCandidate(now, from, m)
 	}
-	waits := n.hearsLeader(now) && !(m.Fresh && n.fresh)
-	grant := n.voter() && n.upToDate(m) && !waits
+}
+
+// answerCandidate answers a voter that wants to lead.
+func (n *Node) answerCandidate(now time.Time, from Peer, m Ask) {
+	bothFresh := m.Fresh && n.fresh
+	grant := n.voter() && n.upToDate(m) && (bothFresh || !n.hearsLeader(now))
 	if m.Pre {
 		grant = grant && m.Epoch > n.durable.Epoch
 		n.send(from, Vote{Epoch: m.Epoch, Granted: grant, Pre: true})
--- a/internal/decide/ctsuccession/machine_test.go
+++ b/internal/decide/ctsuccession/machine_test.go
@@ -45,8 +45,8 @@
 	sets    []ctsuccession.Why
 }
 
-func point(term, position int) ctposition.Point {
-	return ctposition.Point{Term: ctposition.Term(term), Position: ctposition.Position(position)}
+func point(position int) ctposition.Point {
+	return ctposition.Point{Term: 1, Position: ctposition.Position(position)}
 }
 
 func newWorld() *world {
@@ -57,9 +57,9 @@
 		reaching: 4,
 		refuses:  make(map[ctid.Member]bool),
 		servers: map[ctid.Member]*server{
-			"a": {status: ctquery.Status{Role: ctserver.RolePrimary, Term: 1, Received: point(1, 100)}},
-			"b": {status: ctquery.Status{Role: ctserver.RoleReplica, Term: 1, Received: point(1, 100)}},
-			"c": {status: ctquery.Status{Role: ctserver.RoleReplica, Term: 1, Received: point(1, 99)}},
+			"a": {status: ctquery.Status{Role: ctserver.RolePrimary, Term: 1, Received: point(100)}},
+			"b": {status: ctquery.Status{Role: ctserver.RoleReplica, Term: 1, Received: point(100)}},
+			"c": {status: ctquery.Status{Role: ctserver.RoleReplica, Term: 1, Received: point(99)}},
 		},
 	}
 	w.machine.Begin(w.now)
@@ -236,11 +236,11 @@
 		w := newWorld()
 		w.servers["a"].dead = true
 		w.missing, w.reaching = 4, 0
-		w.acknowledged = point(1, 101)
+		w.acknowledged = point(101)
 		w.run(5 * time.Second)
 		assertNoOrder(t, w)
 		w.servers["a"].dead = false
-		w.servers["a"].status.Received = point(1, 101)
+		w.servers["a"].status.Received = point(101)
 		w.run(5 * time.Second)
 		assertPrimary(t, w, "a", 2)
 	})
@@ -249,7 +249,7 @@
 		w.servers["a"].dead = true
 		w.servers["b"].dark = true
 		w.missing, w.reaching = 4, 0
-		w.acknowledged = point(1, 99)
+		w.acknowledged = point(99)
 		w.run(3 * time.Second)
 		assertPrimary(t, w, "c", 2)
 	})
@@ -264,8 +264,8 @@
 	t.Run("a primary that stepped down tells what replicas must have", func(t *testing.T) {
 		w := newWorld()
 		w.missing = 2
-		w.servers["a"].status.Received = point(1, 120)
-		w.servers["c"].status.Received = point(1, 120)
+		w.servers["a"].status.Received = point(120)
+		w.servers["c"].status.Received = point(120)
 		w.run(3 * time.Second)
 		assertPrimary(t, w, "c", 2)
 	})
@@ -291,7 +291,7 @@
 		w := newWorld()
 		w.servers["a"].state = ctserver.StateLeaving
 		w.servers["b"].state = ctserver.StateLeaving
-		w.servers["c"].status.Received = point(1, 100)
+		w.servers["c"].status.Received = point(100)
 		w.run(2 * time.Second)
 		assertPrimary(t, w, "c", 2)
 	})
@@ -301,7 +301,7 @@
 	t.Run("a candidate that is refused gives way to another that is safe", func(t *testing.T) {
 		w := newWorld()
 		w.servers["a"].dead = true
-		w.servers["c"].status.Received = point(1, 100)
+		w.servers["c"].status.Received = point(100)
 		w.missing, w.reaching = 4, 0
 		w.refuses["b"] = true
 		w.run(3 * time.Second)
--- a/internal/program/ctgateway/conversation.go
+++ b/internal/program/ctgateway/conversation.go
@@ -116,10 +116,7 @@
 		return true
 	}
 	primary := view.Groups[c.route.Group].Primary
-	if c.gateway.Pools.See(&c.held, primary) != ctpools.SightReached {
-		return false
-	}
-	return true
+	return c.gateway.Pools.See(&c.held, primary) == ctpools.SightReached
 }
 
 // finish forgets the session. What its transaction did is rolled back.
