ctpools: let proxies of a member's failure domain carry queries for the others

Weighed: one holder a member (its link and its death stall the member for all), a share for each proxy (does not fit).

--- a/internal/decide/ctdialog/state.go
+++ b/internal/decide/ctdialog/state.go
@@ -32,6 +32,35 @@
 	delete(s.prepared, statement.Name)
 }
 
+// NewState returns the state of a session with values and, where there is one, a
+// shape that is prepared under its shared name.
+func NewState(values map[string]string, shape *ctquery.Shape) *State {
+	s := &State{values: values}
+	if shape != nil {
+		s.prepare(ctquery.Prepare{Name: SharedName(*shape), Shape: *shape})
+	}
+	return s
+}
+
+// Values returns the session's values. The map must not be changed.
+func (s *State) Values() map[string]string {
+	return s.values
+}
+
+// ShapeOf returns the shape that a statement runs by its shared name, or nil.
+func (s *State) ShapeOf(statement ctquery.Statement) *ctquery.Shape {
+	execute, ok := statement.(ctquery.Execute)
+	if !ok {
+		return nil
+	}
+	for _, shape := range s.prepared {
+		if SharedName(shape) == execute.Name {
+			return &shape
+		}
+	}
+	return nil
+}
+
 // SharedName returns the name under which a shape is prepared on the connections
 // to members. Every session that prepares the shape uses the same one, so that
 // it says the same thing on each connection.
@@ -65,18 +94,16 @@
 	if _, loaded := l.prepared[execute.Name]; loaded {
 		return queries
 	}
-	for _, shape := range state.prepared {
-		if SharedName(shape) != execute.Name {
-			continue
-		}
-		if l.prepared == nil {
-			l.prepared = make(map[string]struct{})
-		}
-		l.prepared[execute.Name] = struct{}{}
-		prepare := ctquery.Prepare{Name: execute.Name, Shape: shape}
-		return append(queries, ctquery.Query{Statement: prepare})
+	shape := state.ShapeOf(statement)
+	if shape == nil {
+		return queries
 	}
-	return queries
+	if l.prepared == nil {
+		l.prepared = make(map[string]struct{})
+	}
+	l.prepared[execute.Name] = struct{}{}
+	prepare := ctquery.Prepare{Name: execute.Name, Shape: *shape}
+	return append(queries, ctquery.Query{Statement: prepare})
 }
 
 func (l *Loaded) loadValues(state *State) []ctquery.Query {
--- a/internal/link/ctframe/frame.go
+++ b/internal/link/ctframe/frame.go
@@ -40,6 +40,8 @@
 	kindRecalled
 	kindHeard
 	kindNoted
+	kindCarry
+	kindCarried
 )
 
 // blanks makes an empty frame of each kind.
@@ -68,4 +70,6 @@
 	kindRecalled: func() Frame { return &Recalled{} },
 	kindHeard:    func() Frame { return &Heard{} },
 	kindNoted:    func() Frame { return &Noted{} },
+	kindCarry:    func() Frame { return &Carry{} },
+	kindCarried:  func() Frame { return &Carried{} },
 }
--- a/internal/program/ctgateway/conversation.go
+++ b/internal/program/ctgateway/conversation.go
@@ -116,7 +116,7 @@
 		return true
 	}
 	primary := view.Groups[c.route.Group].Primary
-	return c.gateway.Pools.See(&c.held, primary) == ctpools.SightReached
+	return c.gateway.Pools.Met(&c.held, primary)
 }
 
 // finish forgets the session. What its transaction did is rolled back.
@@ -218,10 +218,10 @@
 	c.pinned = nil
 	go func() {
 		var held ctlock.Held
-		answers, err := p.conn.Exchange(
-			[]ctquery.Query{{Statement: ctquery.Rollback{}}}, c.gateway.Clock.Now().Add(rollbackTime))
+		until := c.gateway.Clock.Now().Add(rollbackTime)
+		answer, err := p.conn.Run(nil, ctquery.Query{Statement: ctquery.Rollback{}}, ctpools.Limits{Until: until})
 		use := ctpools.Use{Close: err != nil, Answered: err == nil}
-		if err == nil && (!answers[0].OK() || answers[0].Transaction != ctquery.TransactionNone) {
+		if err == nil && (!answer.OK() || answer.Transaction != ctquery.TransactionNone) {
 			use.Close = true
 		}
 		c.gateway.giveBack(&held, c.route.Group, p, use)
--- a/internal/program/ctgateway/gateway.go
+++ b/internal/program/ctgateway/gateway.go
@@ -116,7 +116,7 @@
 		return
 	}
 	for _, decided := range view.Groups {
-		if g.Pools.See(held, decided.Primary) != ctpools.SightReached {
+		if !g.Pools.Met(held, decided.Primary) {
 			return
 		}
 	}
--- a/internal/program/ctgateway/group.go
+++ b/internal/program/ctgateway/group.go
@@ -182,11 +182,12 @@
 		return
 	}
 	sent := g.Clock.Now()
-	answers, err := conn.Exchange([]ctquery.Query{{Statement: ctquery.AskStatus{}}}, until)
+	limits := ctpools.Limits{Offer: until, Until: until}
+	answer, err := conn.Run(nil, ctquery.Query{Statement: ctquery.AskStatus{}}, limits)
 	use := ctpools.Use{Close: err != nil}
 	if err == nil {
 		use.Answered = true
-		g.sample(&held, name, sent, answers[0].Point)
+		g.sample(&held, name, sent, answer.Point)
 	}
 	g.Pools.Release(&held, conn, use)
 }
--- a/internal/program/ctgateway/run.go
+++ b/internal/program/ctgateway/run.go
@@ -296,36 +296,22 @@
 	}
 }
 
-// exchange sends a query, with what the connection lacks of the session's state
-// before it, and returns its answer.
+// exchange runs a query on the borrowed connection and returns its answer.
 func (c *conversation) exchange(a *attempt, query ctquery.Query, until time.Time) (ctquery.Answer, error) {
 	conn := c.pinned.conn
-	_, begins := query.Statement.(ctquery.Begin)
-	var queries []ctquery.Query
-	if !begins || a.run.Begin.Statement != nil {
-		queries = conn.Loaded.Load(c.dialog.State(), query.Statement)
-	}
-	queries = append(queries, query)
 	sent := c.gateway.Clock.Now()
 	authorized := sent.Before(c.gateway.State.Authority(&c.held))
-	answers, err := conn.Exchange(queries, until)
+	limits := ctpools.Limits{Offer: c.limit(a, sent), Until: until, Priority: c.route.Priority}
+	answer, err := conn.Run(c.dialog.State(), query, limits)
 	if err != nil {
 		return ctquery.Answer{}, err
 	}
-	for _, answer := range answers[:len(answers)-1] {
-		if !answer.OK() {
-			conn.Abandon()
-			return ctquery.Answer{}, cterror.New(cterror.Unavailable, "the member refused the session's state: "+answer.Text,
-				"try another member")
-		}
-	}
-	answer := answers[len(answers)-1]
 	now := c.gateway.Clock.Now()
 	if c.pinned.primary && authorized {
 		c.gateway.sample(&c.held, c.route.Group, sent, answer.Point)
 	}
 	use := ctpools.Use{Answered: true, Applied: answer.Point}
-	if !begins && answer.OK() {
+	if _, begins := query.Statement.(ctquery.Begin); !begins && answer.OK() {
 		use.Took = now.Sub(sent)
 	}
 	c.gateway.Pools.Note(&c.held, conn.Member, use)
--- a/internal/program/ctnode/proxy.go
+++ b/internal/program/ctnode/proxy.go
@@ -30,6 +30,9 @@
 	// balancerTime is how long callers may still be sent here after the proxy has
 	// become unready.
 	balancerTime = 2200 * time.Millisecond
+	// carriedPause is the time between two looks whether other proxies' transactions
+	// have ended.
+	carriedPause = 50 * time.Millisecond
 	// partTime is what is left of a planned stop for telling control.
 	partTime = time.Second
 )
@@ -49,6 +52,7 @@
 	fronts   ProxyFronts
 	clock    ctclock.Clock
 	logger   zerolog.Logger
+	pools    *ctpools.Pools
 	gateway  *ctgateway.Gateway
 	uplink   *ctuplink.Uplink
 	metrics  *ctmetric.Metrics
@@ -59,11 +63,19 @@
 	clock := &ctclock.Boot{}
 	state := ctstate.New()
 	metrics := ctmetric.New(prometheus.NewRegistry())
+	self := ctview.Proxy{
+		Name:          ctid.Proxy(settings.IP.String()),
+		FailureDomain: settings.FailureDomain,
+		Address:       settings.peer(),
+		Incarnation:   ctid.Incarnation(time.Now().UnixNano()),
+		State:         ctserver.StateReady,
+	}
 	p := &Proxy{settings: settings, fronts: fronts, clock: clock, logger: logger, metrics: metrics}
+	p.pools = ctpools.New(fronts.Dialer, self, ways{}, clock, logger)
 	p.gateway = ctgateway.New(ctgateway.Options{
 		Domain:  settings.FailureDomain,
 		State:   state,
-		Pools:   ctpools.New(fronts.Dialer, clock, logger),
+		Pools:   p.pools,
 		Accept:  fronts.Accept,
 		Clock:   clock,
 		Logger:  logger,
@@ -71,13 +83,7 @@
 		Hasten:  func() { p.uplink.Hasten() },
 	})
 	p.uplink = ctuplink.New(ctuplink.Options{
-		Self: ctview.Proxy{
-			Name:          ctid.Proxy(settings.IP.String()),
-			FailureDomain: settings.FailureDomain,
-			Address:       settings.peer(),
-			Incarnation:   ctid.Incarnation(time.Now().UnixNano()),
-			State:         ctserver.StateReady,
-		},
+		Self:      self,
 		Control:   settings.seedAddresses(),
 		Heartbeat: reportTime,
 		State:     state,
@@ -131,14 +137,40 @@
 	return nil
 }
 
-// servePeers relays for proxies that can't reach control by themselves.
+// servePeers relays for proxies that can't reach control by themselves, and
+// carries queries to the members of this failure domain.
 func (p *Proxy) servePeers(ctx context.Context, peers *cttcp.Listener) {
-	err := peers.Serve(ctx, func(ctx context.Context, way *cttcp.Way) { p.uplink.Relay(ctx, way) })
+	err := peers.Serve(ctx, func(ctx context.Context, way *cttcp.Way) { p.servePeer(ctx, way) })
 	if ctx.Err() == nil {
 		p.logger.Error().Str("event", "peers_ended").Str("error", err.Error()).Send()
 	}
 }
 
+func (p *Proxy) servePeer(ctx context.Context, way *cttcp.Way) {
+	frame, err := way.Read()
+	if err != nil {
+		return
+	}
+	if carry, ok := frame.(*ctframe.Carry); ok {
+		p.pools.Carry(way, carry)
+		return
+	}
+	p.uplink.Relay(ctx, way, frame)
+}
+
+// carried waits until no other proxy's transaction uses a connection of this one,
+// and reports whether that was so before ctx ended.
+func (p *Proxy) carried(ctx context.Context) bool {
+	for p.pools.Carrying() > 0 {
+		select {
+		case <-ctx.Done():
+			return false
+		case <-p.clock.After(carriedPause):
+		}
+	}
+	return true
+}
+
 func (p *Proxy) ready() bool {
 	var held ctlock.Held
 	return p.gateway.Ready(&held)
@@ -149,13 +181,15 @@
 func (p *Proxy) stop(ctx context.Context, callers net.Listener) {
 	p.logger.Info().Str("event", "stopping").Str("why", "signal").Send()
 	p.gateway.Unready()
+	p.uplink.SetState(ctserver.StateLeaving)
+	p.pools.Part()
 	ctx, cancel := context.WithTimeout(ctx, p.settings.StopTime-partTime)
 	defer cancel()
 	select {
 	case <-ctx.Done():
 	case <-p.clock.After(min(balancerTime, p.settings.StopTime/2)):
 	}
-	drained := p.gateway.Drain(ctx)
+	drained := p.gateway.Drain(ctx) && p.carried(ctx)
 	_ = callers.Close()
 	p.gateway.Cut()
 	parting, cancel := context.WithTimeout(context.WithoutCancel(ctx), partTime/2)
--- /dev/null
+++ b/internal/program/ctpools/carry.go
@@ -0,0 +1,167 @@
+package ctpools
+
+import (
+	"sync"
+	"time"
+
+	"github.com/cherviltrestle/cherviltrestle/internal/decide/ctdialog"
+	"github.com/cherviltrestle/cherviltrestle/internal/link/ctframe"
+	"github.com/cherviltrestle/cherviltrestle/internal/model/cterror"
+	"github.com/cherviltrestle/cherviltrestle/internal/model/ctquery"
+	"github.com/cherviltrestle/cherviltrestle/internal/work/ctlock"
+)
+
+// rollbackTime bounds the rollback of what a way left open.
+const rollbackTime = time.Second
+
+// ways holds the ways over which other proxies have queries carried.
+type ways struct {
+	mutex   sync.Mutex
+	open    map[ctframe.Way]struct{}
+	parting bool
+}
+
+func (w *ways) add(way ctframe.Way) (parting bool) {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	if w.open == nil {
+		w.open = make(map[ctframe.Way]struct{})
+	}
+	w.open[way] = struct{}{}
+	return w.parting
+}
+
+func (w *ways) remove(way ctframe.Way) {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	delete(w.open, way)
+}
+
+// part tells the other proxies to send nothing more.
+func (w *ways) part() {
+	w.mutex.Lock()
+	w.parting = true
+	open := make([]ctframe.Way, 0, len(w.open))
+	for way := range w.open {
+		open = append(open, way)
+	}
+	w.mutex.Unlock()
+	for _, way := range open {
+		_ = way.Write(&ctframe.Carried{Closing: true})
+	}
+}
+
+// Part tells the proxies for which this one carries queries that it is to stop.
+// What they have sent already is still carried.
+func (p *Pools) Part() {
+	p.ways.part()
+}
+
+// Carrying returns how many connections are lent out for other proxies.
+func (p *Pools) Carrying() int {
+	return int(p.carrying.Load())
+}
+
+// Carry runs the queries that another proxy sends over a way, beginning with the
+// first one, on this proxy's own connections.
+func (p *Pools) Carry(way ctframe.Way, first *ctframe.Carry) {
+	if p.ways.add(way) {
+		_ = way.Write(&ctframe.Carried{Closing: true})
+	}
+	defer p.ways.remove(way)
+	c := &carrier{pools: p}
+	defer c.end()
+	for frame := first; ; {
+		if way.Write(c.carry(frame)) != nil {
+			return
+		}
+		next, err := way.Read()
+		if err != nil {
+			return
+		}
+		var ok bool
+		if frame, ok = next.(*ctframe.Carry); !ok {
+			return
+		}
+	}
+}
+
+// carrier carries the queries of one way.
+type carrier struct {
+	pools *Pools
+	held  ctlock.Held
+	// conn is the connection of an open transaction, or nil.
+	conn *Conn
+}
+
+// carry runs one query.
+func (c *carrier) carry(frame *ctframe.Carry) *ctframe.Carried {
+	now := c.pools.Clock.Now()
+	state := stateOf(frame)
+	if c.conn == nil && !c.acquire(frame, state, now) {
+		return &ctframe.Carried{Refused: true}
+	}
+	sent := c.pools.Clock.Now()
+	limits := Limits{Until: now.Add(frame.Remaining)}
+	answer, err := c.conn.Run(state, frame.Query.Query(), limits)
+	if err != nil {
+		c.release(Use{Close: true})
+		return &ctframe.Carried{Lost: true, Expired: cterror.KindOf(err) == cterror.Expired}
+	}
+	use := Use{Answered: true, Applied: answer.Point}
+	if answer.OK() {
+		use.Took = c.pools.Clock.Now().Sub(sent)
+	}
+	if answer.Transaction == ctquery.TransactionNone {
+		c.release(use)
+	} else {
+		c.pools.Note(&c.held, c.conn.Member, use)
+	}
+	return &ctframe.Carried{Answer: &answer}
+}
+
+// stateOf returns the session's state that a frame carries, or nil where the
+// statement concerns none.
+func stateOf(frame *ctframe.Carry) *ctdialog.State {
+	switch frame.Query.Statement().(type) {
+	case ctquery.Rollback, ctquery.AskStatus:
+		return nil
+	}
+	return ctdialog.NewState(frame.Values, frame.Shape)
+}
+
+// acquire borrows one of this proxy's own connections.
+func (c *carrier) acquire(frame *ctframe.Carry, state *ctdialog.State, now time.Time) bool {
+	if !c.pools.Holds(&c.held, frame.Member) {
+		return false
+	}
+	wish := Wish{State: state, Priority: frame.Priority, Until: now.Add(min(frame.Offer, frame.Remaining))}
+	conn, err := c.pools.Acquire(&c.held, frame.Member, wish)
+	if err != nil {
+		return false
+	}
+	c.conn = conn
+	c.pools.carrying.Add(1)
+	return true
+}
+
+func (c *carrier) release(use Use) {
+	c.pools.Release(&c.held, c.conn, use)
+	c.pools.carrying.Add(-1)
+	c.conn = nil
+}
+
+// end rolls back what the way left open.
+func (c *carrier) end() {
+	if c.conn == nil {
+		return
+	}
+	use := Use{Close: true}
+	if c.conn.Alive() {
+		rollback := ctquery.Query{Statement: ctquery.Rollback{}}
+		limits := Limits{Until: c.pools.Clock.Now().Add(rollbackTime)}
+		answer, err := c.conn.Run(nil, rollback, limits)
+		use.Close = err != nil || answer.Transaction != ctquery.TransactionNone
+	}
+	c.release(use)
+}
--- a/internal/program/ctpools/conn.go
+++ b/internal/program/ctpools/conn.go
@@ -1,138 +1,63 @@
 package ctpools
 
 import (
-	"sync"
 	"time"
 
 	"github.com/cherviltrestle/cherviltrestle/internal/decide/ctdialog"
-	"github.com/cherviltrestle/cherviltrestle/internal/model/cterror"
 	"github.com/cherviltrestle/cherviltrestle/internal/model/ctid"
 	"github.com/cherviltrestle/cherviltrestle/internal/model/ctquery"
 	"github.com/cherviltrestle/cherviltrestle/internal/model/ctserver"
 )
 
-// answerRoom is how many answers may wait to be taken; no exchange asks more at
-// once.
-const answerRoom = 64
+// channel runs queries on a member: over a connection of this proxy's own, or
+// over that of another one.
+type channel interface {
+	run(state *ctdialog.State, query ctquery.Query, limits Limits) (ctquery.Answer, error)
+	// matches reports whether the channel has the session's values already.
+	matches(state *ctdialog.State) bool
+	// alive reports whether the channel can be used.
+	alive() bool
+	close()
+}
 
-// Link is a connection to a member, apart from its encoding.
-type Link interface {
-	// Send sends queries in one go.
-	Send(queries []ctquery.Query) error
-	// Receive returns the next whole answer.
-	Receive() (ctquery.Answer, error)
-	Close()
+// Limits bound one query.
+type Limits struct {
+	// Offer is until when it must have got to the member, where another proxy
+	// carries it; Until is until when its answer may come.
+	Offer time.Time
+	Until time.Time
+	// Priority is 0 for the most urgent queries.
+	Priority int
 }
 
-// Conn is a connection to a member. One goroutine uses it at a time.
+// Conn is a connection to a member that is lent out to one user at a time.
 type Conn struct {
 	Member ctid.Member
-	// Loaded is what the connection holds of sessions' state.
-	Loaded ctdialog.Loaded
 
 	// incarnation is that of the member's process.
 	incarnation ctid.Incarnation
-
-	link    Link
-	pools   *Pools
-	answers chan ctquery.Answer
-	broken  chan struct{}
-	closing sync.Once
+	channel     channel
 	// used is when it was lent out last.
 	used time.Time
-	// unclean reports that an answer is outstanding.
-	unclean bool
-}
-
-func newConn(pools *Pools, server ctserver.Announcement, link Link) *Conn {
-	c := &Conn{
-		Member:      server.Member,
-		incarnation: server.Incarnation,
-		link:        link,
-		pools:       pools,
-		answers:     make(chan ctquery.Answer, answerRoom),
-		broken:      make(chan struct{}),
-	}
-	go c.read()
-	return c
-}
-
-// read takes answers until the connection ends.
-func (c *Conn) read() {
-	defer c.close()
-	for {
-		answer, err := c.link.Receive()
-		if err != nil {
-			return
-		}
-		select {
-		case c.answers <- answer:
-		default:
-			return
-		}
-	}
 }
 
-func (c *Conn) close() {
-	c.closing.Do(func() {
-		close(c.broken)
-		c.link.Close()
-	})
+func newConn(server ctserver.Announcement, c channel) *Conn {
+	return &Conn{Member: server.Member, incarnation: server.Incarnation, channel: c}
 }
 
-// Abandon closes the connection, whose state is not what was asked for.
-func (c *Conn) Abandon() {
-	c.close()
+// Run runs a query with a session's state and waits for its answer. A query that
+// concerns no session's state has none: nil leaves the connection's as it is. Where the
+// answer is missing it returns an error of kind cterror.Unavailable, or
+// cterror.Expired where the time ran out; the connection can't be used any more.
+func (c *Conn) Run(state *ctdialog.State, query ctquery.Query, limits Limits) (ctquery.Answer, error) {
+	return c.channel.run(state, query, limits)
 }
 
-// Alive reports whether the connection can be lent out: it works, and nothing
-// came on it that was not asked for.
+// Alive reports whether the connection works and owes no answer.
 func (c *Conn) Alive() bool {
-	select {
-	case <-c.broken:
-		return false
-	default:
-		return !c.unclean && len(c.answers) == 0
-	}
-}
-
-// Exchange sends queries and waits for all their answers. Where one is missing
-// it returns those that came with an error of kind cterror.Unavailable, or
-// cterror.Expired where the time ran out; the connection can't be used any more.
-func (c *Conn) Exchange(queries []ctquery.Query, until time.Time) ([]ctquery.Answer, error) {
-	c.unclean = true
-	if err := c.link.Send(queries); err != nil {
-		c.close()
-		return nil, cterror.Wrap(cterror.Unavailable, err, "send to the member", "try another member")
-	}
-	timer := time.NewTimer(until.Sub(c.pools.Clock.Now()))
-	defer timer.Stop()
-	answers := make([]ctquery.Answer, 0, len(queries))
-	for len(answers) < len(queries) {
-		select {
-		case answer := <-c.answers:
-			answers = append(answers, answer)
-		case <-c.broken:
-			if answers = c.drain(answers, len(queries)); len(answers) < len(queries) {
-				return answers, cterror.New(cterror.Unavailable, "the connection to the member broke", "try another member")
-			}
-		case <-timer.C:
-			return answers, cterror.New(cterror.Expired, "the member did not answer in time", "try another member")
-		}
-	}
-	c.unclean = false
-	return answers, nil
+	return c.channel.alive()
 }
 
-// drain takes the answers that came before the connection ended.
-func (c *Conn) drain(answers []ctquery.Answer, want int) []ctquery.Answer {
-	for len(answers) < want {
-		select {
-		case answer := <-c.answers:
-			answers = append(answers, answer)
-		default:
-			return answers
-		}
-	}
-	return answers
+func (c *Conn) close() {
+	c.channel.close()
 }
--- a/internal/program/ctpools/pools.go
+++ b/internal/program/ctpools/pools.go
@@ -2,17 +2,21 @@
 
 import (
 	"context"
+	"net/netip"
 	"slices"
+	"sync/atomic"
 	"time"
 
 	"github.com/rs/zerolog"
 
 	"github.com/cherviltrestle/cherviltrestle/internal/decide/ctdialog"
 	"github.com/cherviltrestle/cherviltrestle/internal/decide/ctplace"
+	"github.com/cherviltrestle/cherviltrestle/internal/link/ctframe"
 	"github.com/cherviltrestle/cherviltrestle/internal/model/cterror"
 	"github.com/cherviltrestle/cherviltrestle/internal/model/ctid"
 	"github.com/cherviltrestle/cherviltrestle/internal/model/ctposition"
 	"github.com/cherviltrestle/cherviltrestle/internal/model/ctserver"
+	"github.com/cherviltrestle/cherviltrestle/internal/model/ctview"
 	"github.com/cherviltrestle/cherviltrestle/internal/program/ctlog"
 	"github.com/cherviltrestle/cherviltrestle/internal/work/ctclock"
 	"github.com/cherviltrestle/cherviltrestle/internal/work/ctlock"
@@ -23,6 +27,8 @@
 const (
 	// dialTime bounds the opening of a connection.
 	dialTime = time.Second
+	// carrierTime bounds the opening of a way to another proxy.
+	carrierTime = 300 * time.Millisecond
 	// firstBackoff and maxBackoff bound the pause after connections could not be
 	// opened.
 	firstBackoff = 50 * time.Millisecond
@@ -37,6 +43,10 @@
 	// slotsPerDial is for how many slots of a member a proxy opens one connection
 	// at a time.
 	slotsPerDial = 2
+	// carriedDials is how many ways to carrying proxies are opened at a time, and
+	// carriedLimit how many a proxy has for one member.
+	carriedDials = 4
+	carriedLimit = 16
 	// controlConnections is how many of a member's connections are left to
 	// control.
 	controlConnections = 4
@@ -53,8 +63,15 @@
 	Dialer Dialer
 	Clock  ctclock.Clock
 	Logger zerolog.Logger
-
-	rows cttable.Table[ctid.Member, row]
+	// Self and Ways let queries be carried by proxies of the members' failure
+	// domains, where the members' connections do not suffice for all proxies;
+	// Ways is nil where they always do.
+	Self ctview.Proxy
+	Ways ctframe.Ways
+
+	ways     ways
+	carrying atomic.Int64
+	rows     cttable.Table[ctid.Member, row]
 }
 
 // row is what a proxy has of one member.
@@ -67,6 +84,11 @@
 	// those that are being opened.
 	open    int
 	dialing int
+	// carriers are the proxies that hold the member's connections; none where
+	// this one does.
+	carriers []netip.AddrPort
+	// carrier is the place in the list of the one to go to next.
+	carrier int
 	limit   int
 	waiters []waiter
 
@@ -110,9 +132,9 @@
 }
 
 // New returns pools without members.
-func New(dialer Dialer, clock ctclock.Clock, logger zerolog.Logger) *Pools {
+func New(dialer Dialer, self ctview.Proxy, ways ctframe.Ways, clock ctclock.Clock, logger zerolog.Logger) *Pools {
 	return &Pools{
-		Dialer: dialer, Clock: clock, Logger: logger,
+		Dialer: dialer, Self: self, Ways: ways, Clock: clock, Logger: logger,
 		rows: cttable.Table[ctid.Member, row]{Rank: ctlock.RankMembers},
 	}
 }
@@ -216,7 +238,7 @@
 	}
 	if state != nil {
 		for i, c := range slices.Backward(r.idle) {
-			if c.Loaded.Matches(state) {
+			if c.channel.matches(state) {
 				best = i
 				break
 			}
@@ -253,19 +275,26 @@
 // time, because each takes a slot of the member, and many proxies may want some.
 func (p *Pools) grow(r *row) {
 	now := p.Clock.Now()
-	if r.open >= r.limit || r.dialing >= max(1, r.server.Slots/slotsPerDial) || now.Before(r.dialAt) {
+	atOnce := max(1, r.server.Slots/slotsPerDial)
+	if len(r.carriers) > 0 {
+		atOnce = carriedDials
+	}
+	if r.open >= r.limit || r.dialing >= atOnce || now.Before(r.dialAt) {
 		return
 	}
 	r.open++
 	r.dialing++
-	go p.dial(r.server)
+	var carrier netip.AddrPort
+	if len(r.carriers) > 0 {
+		r.carrier++
+		carrier = r.carriers[r.carrier%len(r.carriers)]
+	}
+	go p.dial(r.server, carrier)
 }
 
 // dial opens a connection and hands it to whoever waits.
-func (p *Pools) dial(server ctserver.Announcement) {
-	ctx, cancel := context.WithTimeout(context.Background(), dialTime)
-	defer cancel()
-	link, err := p.Dialer.Dial(ctx, server)
+func (p *Pools) dial(server ctserver.Announcement, carrier netip.AddrPort) {
+	c, err := p.connect(server, carrier)
 	var held ctlock.Held
 	if err != nil {
 		p.Logger.Info().Str("event", "dial_failed").Str("member", string(server.Member)).
@@ -273,7 +302,7 @@
 		p.dialFailed(&held, server)
 		return
 	}
-	conn := newConn(p, server, link)
+	conn := newConn(server, c)
 	p.rows.With(&held, func(rows map[ctid.Member]*row) {
 		r, ok := rows[server.Member]
 		if !ok || r.server.Incarnation != server.Incarnation {
@@ -290,6 +319,27 @@
 	})
 }
 
+// connect opens a connection to a member, or a way to a proxy that carries
+// queries to it.
+func (p *Pools) connect(server ctserver.Announcement, carrier netip.AddrPort) (channel, error) {
+	if carrier.IsValid() {
+		ctx, cancel := context.WithTimeout(context.Background(), carrierTime)
+		defer cancel()
+		way, err := p.Ways.Open(ctx, carrier)
+		if err != nil {
+			return nil, err
+		}
+		return newCarried(server.Member, way, p.Clock), nil
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), dialTime)
+	defer cancel()
+	link, err := p.Dialer.Dial(ctx, server)
+	if err != nil {
+		return nil, err
+	}
+	return newDirect(link, p.Clock), nil
+}
+
 func (p *Pools) dialFailed(held *ctlock.Held, server ctserver.Announcement) {
 	p.rows.With(held, func(rows map[ctid.Member]*row) {
 		r, ok := rows[server.Member]
@@ -402,6 +452,16 @@
 	})
 }
 
+// Met reports whether a member was reached since this proxy started.
+func (p *Pools) Met(held *ctlock.Held, name ctid.Member) bool {
+	met := false
+	p.rows.With(held, func(rows map[ctid.Member]*row) {
+		r, ok := rows[name]
+		met = ok && !r.answered.IsZero()
+	})
+	return met
+}
+
 // Sight tells what a proxy sees of a member.
 type Sight uint8
 
--- a/internal/program/ctuplink/relay.go
+++ b/internal/program/ctuplink/relay.go
@@ -17,10 +17,11 @@
 // reaches control by itself again.
 const directTime = 6 * time.Second
 
-// Relay passes the reports and watches of another proxy on, which can't reach
+// Relay passes the reports and watches of another proxy on, beginning with the
+// first one, which can't reach
 // control by itself. What control grants counts from the moment at which that
 // proxy sent its report, so that the way round takes nothing from its safety.
-func (u *Uplink) Relay(ctx context.Context, way ctframe.Way) {
+func (u *Uplink) Relay(ctx context.Context, way ctframe.Way, first ctframe.Frame) {
 	var onward ctframe.Way
 	defer func() {
 		if onward != nil {
@@ -28,11 +29,7 @@
 		}
 	}()
 	var held ctlock.Held
-	for {
-		frame, err := way.Read()
-		if err != nil {
-			return
-		}
+	for frame := first; ; {
 		limit, ok := relayTime(frame)
 		if !ok {
 			return
@@ -51,6 +48,10 @@
 		if way.Write(answer) != nil {
 			return
 		}
+		var err error
+		if frame, err = way.Read(); err != nil {
+			return
+		}
 	}
 }
 
