--- a/internal/decide/ctquorum/node.go
+++ b/internal/decide/ctquorum/node.go
@@ -121,6 +121,11 @@
 	return n.effects
 }
 
+// SetContacts replaces the processes that this one asks to let it join.
+func (n *Node) SetContacts(contacts []Peer) {
+	n.contacts = contacts
+}
+
 // Leader returns the leader that the process knows of; the zero value for none.
 func (n *Node) Leader() Peer {
 	return n.leader
--- a/internal/model/ctquery/answer.go
+++ b/internal/model/ctquery/answer.go
@@ -36,7 +36,7 @@
 }
 
 // OK reports whether the query succeeded.
-func (a *Answer) OK() bool {
+func (a Answer) OK() bool {
 	return a.Fault == FaultNone
 }
 
--- a/internal/program/ctcontrol/replica.go
+++ b/internal/program/ctcontrol/replica.go
@@ -152,6 +152,17 @@
 	return voters
 }
 
+// SetContacts replaces the processes that this one asks to let it join.
+func (r *Replica) SetContacts(held *ctlock.Held, names []ctid.Control) {
+	var contacts []ctquorum.Peer
+	for _, name := range names {
+		if name != r.self.Name {
+			contacts = append(contacts, ctquorum.Peer{Name: name})
+		}
+	}
+	r.node.With(held, func(n **ctquorum.Node) { (*n).SetContacts(contacts) })
+}
+
 func (r *Replica) tick(ctx context.Context) {
 	for {
 		select {
--- a/internal/program/ctcontrol/service.go
+++ b/internal/program/ctcontrol/service.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"fmt"
 	"net/netip"
+	"strings"
 	"sync"
 	"time"
 
@@ -14,6 +16,7 @@
 	"github.com/cherviltrestle/cherviltrestle/internal/model/cterror"
 	"github.com/cherviltrestle/cherviltrestle/internal/model/ctid"
 	"github.com/cherviltrestle/cherviltrestle/internal/model/ctserver"
+	"github.com/cherviltrestle/cherviltrestle/internal/program/ctmetric"
 	"github.com/cherviltrestle/cherviltrestle/internal/state/ctjournal"
 	"github.com/cherviltrestle/cherviltrestle/internal/work/ctclock"
 	"github.com/cherviltrestle/cherviltrestle/internal/work/ctlock"
@@ -53,6 +56,7 @@
 	Promoter Promoter
 	Clock    ctclock.Clock
 	Logger   zerolog.Logger
+	Metrics  *ctmetric.Control
 }
 
 // Service is a control process whose transport and operators' interface are
@@ -156,6 +160,12 @@
 	}
 }
 
+// SetSeeds replaces the control processes to ask first.
+func (s *Service) SetSeeds(seeds []ctid.Control) {
+	var held ctlock.Held
+	s.replica.SetContacts(&held, seeds)
+}
+
 // Serve serves one way of another process.
 func (s *Service) Serve(ctx context.Context, way ctframe.Way) {
 	var held ctlock.Held
@@ -175,8 +185,26 @@
 	}
 }
 
-// answer answers a question, as the leader.
+// answer answers a question, as the leader, and counts it.
 func (s *Service) answer(ctx context.Context, held *ctlock.Held, frame ctframe.Frame) ctframe.Frame {
+	began := s.Clock.Now()
+	answer := s.decide(ctx, held, frame)
+	name, result := strings.TrimPrefix(fmt.Sprintf("%T", frame), "*ctframe."), "answered"
+	switch a := answer.(type) {
+	case *ctframe.Fault:
+		result = a.Kind
+	case *ctframe.Reply:
+		if a.Unready {
+			result = "unready"
+		}
+	}
+	s.Metrics.Answers.WithLabelValues(name, result).Inc()
+	s.Metrics.Seconds.WithLabelValues(name).Observe(s.Clock.Now().Sub(began).Seconds())
+	return answer
+}
+
+// decide answers a question, as the leader.
+func (s *Service) decide(ctx context.Context, held *ctlock.Held, frame ctframe.Frame) ctframe.Frame {
 	switch f := frame.(type) {
 	case *ctframe.Report:
 		reply := s.control.Report(held, &f.Report)
--- a/internal/program/ctgateway/choose.go
+++ b/internal/program/ctgateway/choose.go
@@ -94,7 +94,9 @@
 // log writes the line of a statement's decision and counts it.
 func (c *conversation) log(a *attempt, result ctdialog.Result, answer ctquery.Answer) {
 	g := c.gateway
-	took := g.Clock.Now().Sub(a.began)
+	now := g.Clock.Now()
+	took := now.Sub(a.began)
+	view := g.State.View(&c.held)
 	role := ctserver.RoleReplica
 	if a.choice.primary {
 		role = ctserver.RolePrimary
@@ -114,6 +116,9 @@
 		Uint64("term", uint64(a.choice.term)).
 		Stringer("need", a.choice.need).
 		Int("asked", a.asked).
+		Stringer("revision", view.Config.Revision).
+		Uint64("view", uint64(view.Version)).
+		Dur("authority", g.State.Authority(&c.held).Sub(now)).
 		Str("outcome", outcome).
 		Str("why", why(result, a)).
 		Dur("took", took).
--- a/internal/program/ctgateway/conversation.go
+++ b/internal/program/ctgateway/conversation.go
@@ -49,7 +49,10 @@
 
 // pinned is a connection that an open transaction holds.
 type pinned struct {
-	conn    *ctpools.Conn
+	conn *ctpools.Conn
+	// group is the one that the transaction began in; the session's route may
+	// lead elsewhere from the next one on.
+	group   ctid.Group
 	primary bool
 	term    ctposition.Term
 }
@@ -224,7 +227,7 @@
 		if err == nil && (!answer.OK() || answer.Transaction != ctquery.TransactionNone) {
 			use.Close = true
 		}
-		c.gateway.giveBack(&held, c.route.Group, p, use)
+		c.gateway.giveBack(&held, p, use)
 	}()
 }
 
@@ -235,13 +238,13 @@
 func (c *conversation) unpin(use ctpools.Use) {
 	if p := c.pinned; p != nil {
 		c.pinned = nil
-		c.gateway.giveBack(&c.held, c.route.Group, p, use)
+		c.gateway.giveBack(&c.held, p, use)
 	}
 }
 
-func (g *Gateway) giveBack(held *ctlock.Held, group ctid.Group, p *pinned, use ctpools.Use) {
+func (g *Gateway) giveBack(held *ctlock.Held, p *pinned, use ctpools.Use) {
 	g.Pools.Release(held, p.conn, use)
 	if p.primary {
-		g.leave(held, group)
+		g.leave(held, p.group)
 	}
 }
--- a/internal/program/ctgateway/gateway.go
+++ b/internal/program/ctgateway/gateway.go
@@ -131,14 +131,19 @@
 		if err != nil {
 			return err
 		}
-		g.open.Add(1)
-		go func() {
-			defer g.open.Done()
-			g.serve(socket)
-		}()
+		g.ServeOne(socket)
 	}
 }
 
+// ServeOne serves the caller of one connection in the background.
+func (g *Gateway) ServeOne(socket net.Conn) {
+	g.open.Add(1)
+	go func() {
+		defer g.open.Done()
+		g.serve(socket)
+	}()
+}
+
 // lapseTime is how long a proxy's authority may be over before it sends callers
 // away: control may only be electing a leader.
 const lapseTime = 600 * time.Millisecond
--- a/internal/program/ctgateway/run.go
+++ b/internal/program/ctgateway/run.go
@@ -209,7 +209,7 @@
 		a.tried.Add(a.choice.member)
 		return false
 	}
-	c.pinned = &pinned{conn: conn, primary: a.choice.primary, term: a.choice.term}
+	c.pinned = &pinned{conn: conn, group: c.route.Group, primary: a.choice.primary, term: a.choice.term}
 	if a.choice.primary {
 		c.gateway.enter(&c.held, c.route.Group)
 	}
--- a/internal/program/ctnode/control.go
+++ b/internal/program/ctnode/control.go
@@ -4,10 +4,12 @@
 	"context"
 	"net/http"
 
+	"github.com/prometheus/client_golang/prometheus"
 	"github.com/rs/zerolog"
 
 	"github.com/cherviltrestle/cherviltrestle/internal/link/cttcp"
 	"github.com/cherviltrestle/cherviltrestle/internal/program/ctcontrol"
+	"github.com/cherviltrestle/cherviltrestle/internal/program/ctmetric"
 	"github.com/cherviltrestle/cherviltrestle/internal/state/ctjournal"
 	"github.com/cherviltrestle/cherviltrestle/internal/work/ctclock"
 )
@@ -26,6 +28,7 @@
 	settings Settings
 	fronts   ControlFronts
 	logger   zerolog.Logger
+	metrics  *ctmetric.Control
 	service  *ctcontrol.Service
 	journal  *ctjournal.Journal
 }
@@ -42,6 +45,7 @@
 	journal.Refused = func(err error) {
 		logger.Warn().Str("event", "disk_refused").Str("error", err.Error()).Send()
 	}
+	metrics := ctmetric.NewControl(prometheus.NewRegistry())
 	service, err := ctcontrol.NewService(ctcontrol.ServiceOptions{
 		Name:     control(settings.IP),
 		Seeds:    settings.seedNames(),
@@ -54,11 +58,19 @@
 		Promoter: fronts.Promoter,
 		Clock:    &ctclock.Boot{},
 		Logger:   logger,
+		Metrics:  metrics,
 	})
 	if err != nil {
 		return nil, err
 	}
-	return &Control{settings: settings, fronts: fronts, logger: logger, service: service, journal: journal}, nil
+	return &Control{
+		settings: settings, fronts: fronts, logger: logger, metrics: metrics, service: service, journal: journal,
+	}, nil
+}
+
+// Reload takes the settings that may change while the process runs: the seeds.
+func (c *Control) Reload(settings Settings) {
+	c.service.SetSeeds(settings.seedNames())
 }
 
 // Run serves until ctx ends or the disk fails.
@@ -73,6 +85,11 @@
 		return err
 	}
 	defer func() { _ = operators.Close() }()
+	measured, err := serveHTTP(ctx, c.settings.metrics(), "metrics", metricRoutes(c.metrics.Handler()), c.logger)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = measured.Close() }()
 	go func() {
 		err := peers.Serve(ctx, func(ctx context.Context, way *cttcp.Way) { c.service.Serve(ctx, way) })
 		if ctx.Err() == nil {
--- a/internal/program/ctnode/proxy.go
+++ b/internal/program/ctnode/proxy.go
@@ -105,6 +105,11 @@
 
 var _ ctframe.Ways = ways{}
 
+// Reload takes the settings that may change while the process runs: the seeds.
+func (p *Proxy) Reload(settings Settings) {
+	p.uplink.SetSeeds(settings.seedAddresses())
+}
+
 // Run serves until ctx ends, and then stops as planned.
 func (p *Proxy) Run(ctx context.Context) error {
 	callers, err := listen(ctx, p.settings.Callers, "callers")
@@ -117,6 +122,11 @@
 	if err != nil {
 		return err
 	}
+	measured, err := serveHTTP(running, p.settings.metrics(), "metrics", metricRoutes(p.metrics.Handler()), p.logger)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = measured.Close() }()
 	peers, err := cttcp.Listen(p.settings.peer())
 	if err != nil {
 		return err
--- a/internal/program/ctnode/server.go
+++ b/internal/program/ctnode/server.go
@@ -29,6 +29,13 @@
 	return listener, nil
 }
 
+// metricRoutes serves metrics at their path.
+func metricRoutes(handler http.Handler) http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle("GET /metrics", handler)
+	return mux
+}
+
 // serveHTTP serves a handler at an address until the server is closed.
 func serveHTTP(
 	ctx context.Context, address netip.AddrPort, what string, handler http.Handler, logger zerolog.Logger,
--- a/internal/program/ctnode/settings.go
+++ b/internal/program/ctnode/settings.go
@@ -76,6 +76,15 @@
 	return netip.AddrPortFrom(s.IP, s.Peers)
 }
 
+// metricsPort is the port at which every process serves its metrics; the
+// deployment's file names it too.
+const metricsPort = 9464
+
+// metrics is the address at which this process serves its metrics.
+func (s *Settings) metrics() netip.AddrPort {
+	return netip.AddrPortFrom(s.IP, metricsPort)
+}
+
 // seedNames names the seeds.
 func (s *Settings) seedNames() []ctid.Control {
 	var names []ctid.Control
--- a/internal/program/ctpools/carry.go
+++ b/internal/program/ctpools/carry.go
@@ -8,6 +8,7 @@
 	"github.com/cherviltrestle/cherviltrestle/internal/link/ctframe"
 	"github.com/cherviltrestle/cherviltrestle/internal/model/cterror"
 	"github.com/cherviltrestle/cherviltrestle/internal/model/ctquery"
+	"github.com/cherviltrestle/cherviltrestle/internal/program/ctlog"
 	"github.com/cherviltrestle/cherviltrestle/internal/work/ctlock"
 )
 
@@ -99,6 +100,7 @@
 	now := c.pools.Clock.Now()
 	state := stateOf(frame)
 	if c.conn == nil && !c.acquire(frame, state, now) {
+		c.log(frame, "refused", now)
 		return &ctframe.Carried{Refused: true}
 	}
 	sent := c.pools.Clock.Now()
@@ -106,6 +108,7 @@
 	answer, err := c.conn.Run(state, frame.Query.Query(), limits)
 	if err != nil {
 		c.release(Use{Close: true})
+		c.log(frame, "lost", now)
 		return &ctframe.Carried{Lost: true, Expired: cterror.KindOf(err) == cterror.Expired}
 	}
 	use := Use{Answered: true, Applied: answer.Point}
@@ -117,9 +120,20 @@
 	} else {
 		c.pools.Note(&c.held, c.conn.Member, use)
 	}
+	c.log(frame, answer.Fault.String(), now)
 	return &ctframe.Carried{Answer: &answer}
 }
 
+// log writes the line of a query that was carried for another proxy.
+func (c *carrier) log(frame *ctframe.Carry, outcome string, began time.Time) {
+	ctlog.Decision(&c.pools.Logger, "carry").
+		Str("request", string(frame.Query.ID)).
+		Str("member", string(frame.Member)).
+		Str("outcome", outcome).
+		Dur("took", c.pools.Clock.Now().Sub(began)).
+		Send()
+}
+
 // stateOf returns the session's state that a frame carries, or nil where the
 // statement concerns none.
 func stateOf(frame *ctframe.Carry) *ctdialog.State {
--- a/internal/program/ctuplink/uplink.go
+++ b/internal/program/ctuplink/uplink.go
@@ -102,6 +102,8 @@
 	heard cttable.Table[ctid.Member, heard]
 	wake  chan struct{}
 	state cttable.Cell[ctserver.State]
+	// seeds lists where the settings say that control is reached.
+	seeds cttable.Cell[[]netip.AddrPort]
 	// controls lists where control was told to be reached last.
 	controls cttable.Cell[[]netip.AddrPort]
 	// reached is the control process that answered last; invalid while control is
@@ -128,9 +130,11 @@
 		state:   cttable.Cell[ctserver.State]{Rank: ctlock.RankSelf},
 		wake:    make(chan struct{}, 1),
 
+		seeds:    cttable.Cell[[]netip.AddrPort]{Rank: ctlock.RankSelf},
 		controls: cttable.Cell[[]netip.AddrPort]{Rank: ctlock.RankSelf},
 		reached:  cttable.Cell[netip.AddrPort]{Rank: ctlock.RankSelf},
 	}
+	u.SetSeeds(options.Control)
 	u.SetState(ctserver.StateReady)
 	return u
 }
@@ -149,6 +153,12 @@
 	}
 }
 
+// SetSeeds replaces where the settings say that control is reached.
+func (u *Uplink) SetSeeds(addresses []netip.AddrPort) {
+	var held ctlock.Held
+	u.seeds.With(&held, func(value *[]netip.AddrPort) { *value = addresses })
+}
+
 // SetState sets whether this proxy takes new work, and reports it at once.
 func (u *Uplink) SetState(state ctserver.State) {
 	var held ctlock.Held
@@ -301,7 +311,7 @@
 	var held ctlock.Held
 	told := u.controls.Get(&held)
 	known := slices.Clone(told)
-	for _, address := range u.Control {
+	for _, address := range u.seeds.Get(&held) {
 		if !slices.Contains(told, address) {
 			known = append(known, address)
 		}
