ctroster, ctcontrol: send large configurations once and compressed

Cause: a configuration of 1,576 routes came with the answers of reports, which have 0.7 s, over links of 1.4 Mbit/s; a new leader of control sent it to all 111 proxies again. Change: a proxy that has a revision is told what has changed since, by any leader; what is heavy comes with a watch, compressed once for all; reports bring the groups meanwhile. Within a term a fence is never taken back by an older message on another way (the test of that failed first).

--- a/internal/fleet/ctroster/doc.go
+++ b/internal/fleet/ctroster/doc.go
@@ -15,6 +15,6 @@
 	var roster ctroster.Roster
 	roster.Begin(epoch)
 	roster.Hear(now, report)
-	delta := roster.Since(report.Version)
+	delta := roster.Since(report.Version, report.Revision)
 */
 package ctroster
--- a/internal/fleet/ctroster/roster.go
+++ b/internal/fleet/ctroster/roster.go
@@ -17,8 +17,12 @@
 // missed more gets the whole view.
 const maxGone = 4096
 
-// maxConfigured is how many configurations are remembered to make patches from.
-const maxConfigured = 64
+// The bounds of the configurations that are remembered to make patches from:
+// their number, and the routes that they have together.
+const (
+	maxConfigured = 64
+	maxRoutes     = 30_000
+)
 
 // Epoch numbers the leaders of control.
 type Epoch uint64
@@ -31,16 +35,16 @@
 	members map[ctid.Member]*member
 	groups  map[ctid.Group]*group
 	config  ctview.Config
-	// configured lists the versions at which the configuration changed, with
-	// what it was from then on, the newest last.
-	configured []configured
+	// configured lists the configurations that proxies may still have, the newest
+	// last.
+	configured []ctview.Config
 	gone       []gone
 	// left holds the incarnations of the members that ended, so that a late
 	// announcement does not bring them back.
 	left map[ctid.Member]ctid.Incarnation
 	// deltas holds the deltas to the newest version by what they build on, so
 	// that each is made once for all the proxies that ask for it.
-	deltas map[ctview.Version]*ctview.Delta
+	deltas map[base]*ctview.Delta
 }
 
 type proxy struct {
@@ -64,10 +68,10 @@
 	version ctview.Version
 }
 
-// configured is a configuration with the version that it came with.
-type configured struct {
-	version ctview.Version
-	config  ctview.Config
+// base is what a delta builds on.
+type base struct {
+	version  ctview.Version
+	revision ctid.Revision
 }
 
 // gone is an entry that went away: one of its names is set.
@@ -232,9 +236,21 @@
 		return
 	}
 	r.config = config
-	r.configured = append(r.configured, configured{version: r.next(), config: config})
-	if len(r.configured) > maxConfigured {
-		r.configured = r.configured[len(r.configured)-maxConfigured:]
+	r.next()
+	r.RememberConfig(config)
+}
+
+// RememberConfig notes a configuration that proxies may have, so that they can be
+// told what has changed since.
+func (r *Roster) RememberConfig(config ctview.Config) {
+	r.configured = append(r.configured, config)
+	routes := 0
+	for _, c := range r.configured {
+		routes += len(c.Document.Routes)
+	}
+	for len(r.configured) > maxConfigured || (routes > maxRoutes && len(r.configured) > 1) {
+		routes -= len(r.configured[0].Document.Routes)
+		r.configured = r.configured[1:]
 	}
 }
 
--- a/internal/fleet/ctroster/since.go
+++ b/internal/fleet/ctroster/since.go
@@ -12,33 +12,35 @@
 
 // Since returns the delta from a version to the newest one, or nil where there
 // is nothing newer. A version of another leader, or one that lies too far back,
-// gets the whole view. The delta is shared and must not be changed.
-func (r *Roster) Since(version ctview.Version) *ctview.Delta {
+// gets the whole view, but for the configuration, of which a proxy that has a
+// revision gets what has changed. The delta is shared and must not be changed.
+func (r *Roster) Since(version ctview.Version, revision ctid.Revision) *ctview.Delta {
 	if version == r.version {
 		return nil
 	}
 	if version < r.first || version > r.version || r.forgotten(version) {
 		version = 0
 	}
-	delta, ok := r.deltas[version]
+	from := base{version: version, revision: revision}
+	delta, ok := r.deltas[from]
 	if ok {
 		return delta
 	}
 	if r.deltas == nil {
-		r.deltas = make(map[ctview.Version]*ctview.Delta)
+		r.deltas = make(map[base]*ctview.Delta)
 	}
-	delta = r.makeDelta(version)
-	r.deltas[version] = delta
+	delta = r.makeDelta(version, revision)
+	r.deltas[from] = delta
 	return delta
 }
 
 // makeDelta makes the delta from a version that is remembered, or from nothing.
-func (r *Roster) makeDelta(version ctview.Version) *ctview.Delta {
+func (r *Roster) makeDelta(version ctview.Version, revision ctid.Revision) *ctview.Delta {
 	delta := &ctview.Delta{From: version, To: r.version}
 	r.addProxies(delta)
 	r.addMembers(delta)
 	r.addGroups(delta)
-	r.addConfig(delta)
+	r.addConfig(delta, revision)
 	if version > 0 {
 		r.addGone(delta)
 	}
@@ -56,12 +58,12 @@
 	return len(r.gone) >= maxGone && version < r.gone[0].version
 }
 
-// addConfig adds the configuration where it has changed, as a patch where the
-// one before it is remembered.
-func (r *Roster) addConfig(delta *ctview.Delta) {
-	base, known := r.configAt(delta.From)
+// addConfig adds the configuration where the proxy has another one, as a patch
+// where that is remembered.
+func (r *Roster) addConfig(delta *ctview.Delta, revision ctid.Revision) {
+	base, known := r.remembered(revision)
 	switch {
-	case delta.From == 0 || !known:
+	case !known:
 		config := r.config
 		delta.Config = &config
 	case base.Revision < r.config.Revision:
@@ -73,11 +75,11 @@
 	}
 }
 
-// configAt returns the configuration that a version has, where it is remembered.
-func (r *Roster) configAt(version ctview.Version) (ctview.Config, bool) {
+// remembered returns a configuration that is remembered.
+func (r *Roster) remembered(revision ctid.Revision) (ctview.Config, bool) {
 	for _, c := range slices.Backward(r.configured) {
-		if c.version <= version {
-			return c.config, true
+		if c.Revision == revision && revision > 0 {
+			return c, true
 		}
 	}
 	return ctview.Config{}, false
--- a/internal/link/ctframe/fleet.go
+++ b/internal/link/ctframe/fleet.go
@@ -16,6 +16,8 @@
 // Reply is control's answer to a heartbeat.
 type Reply struct {
 	ctview.Reply
+	// Packed is the delta in compressed form, where it is heavy.
+	Packed []byte `cbor:"packed,omitempty"`
 }
 
 // Position asks a primary's holder for the group's position.
@@ -50,6 +52,8 @@
 // Watch asks control to answer as soon as there is a view newer than Version.
 type Watch struct {
 	Version ctview.Version `cbor:"version"`
+	// Revision is the configuration that the asker has.
+	Revision ctid.Revision `cbor:"revision,omitempty"`
 }
 
 // Fetch asks a peer for its view, where control can't be reached.
--- a/internal/link/cttcp/way.go
+++ b/internal/link/cttcp/way.go
@@ -15,7 +15,7 @@
 )
 
 // writeTime bounds the writing of one frame.
-const writeTime = 2 * time.Second
+const writeTime = 8 * time.Second
 
 // Way is a way over one TCP connection.
 type Way struct {
--- a/internal/model/ctview/delta.go
+++ b/internal/model/ctview/delta.go
@@ -44,6 +44,18 @@
 	Document ctconfig.Document `json:"document" cbor:"document"`
 }
 
+// heavyRoutes is how many routes make a delta heavy.
+const heavyRoutes = 50
+
+// Heavy reports whether the delta carries so much of the configuration that it
+// should not hold up what has to be answered soon.
+func (d *Delta) Heavy() bool {
+	if d.ConfigPatch != nil {
+		return len(d.ConfigPatch.Patch.Routes) > heavyRoutes
+	}
+	return d.Config != nil && len(d.Config.Document.Routes) > heavyRoutes
+}
+
 // Check reports the first fault of the delta.
 func (d *Delta) Check() error {
 	if d.To < d.From {
--- a/internal/model/ctview/view.go
+++ b/internal/model/ctview/view.go
@@ -48,6 +48,14 @@
 			Config:  v.Config,
 		}
 	}
+	if delta.From == 0 {
+		// A whole view may be older than what is known of single groups.
+		for _, g := range delta.Groups {
+			if have, ok := v.Groups[g.Name]; ok {
+				next.Groups[g.Name] = have
+			}
+		}
+	}
 	next.Version = delta.To
 	next.take(delta)
 	next.index()
@@ -120,11 +128,15 @@
 	}
 }
 
-// takeGroup replaces a group unless that would bring back an earlier term.
+// takeGroup replaces a group unless that would bring back an earlier term, or take
+// back a fence: within a term fences only rise, and what is older may come later
+// on another way.
 func (v *View) takeGroup(g Group) {
-	if g.Term >= v.Groups[g.Name].Term {
-		v.Groups[g.Name] = g
+	have := v.Groups[g.Name]
+	if g.Term < have.Term || (g.Term == have.Term && g.Fence < have.Fence) {
+		return
 	}
+	v.Groups[g.Name] = g
 }
 
 func (v *View) index() {
--- a/internal/program/ctcontrol/change.go
+++ b/internal/program/ctcontrol/change.go
@@ -71,7 +71,7 @@
 		status.Control, status.Leader = c.Name, l.leader.Name
 		status.Revision = l.register.Current().Revision
 		status.Unconfirmed = l.roster.Unconfirmed(status.Revision)
-		status.View = l.roster.Since(0)
+		status.View = l.roster.Since(0, 0)
 		status.Blocked = make(map[ctid.Group]string)
 		for name, why := range l.blocked {
 			if why != "" {
--- a/internal/program/ctcontrol/control.go
+++ b/internal/program/ctcontrol/control.go
@@ -123,7 +123,7 @@
 		if changed {
 			l.notify()
 		}
-		reply.Delta = l.delta(now, report.Version)
+		reply.Delta = l.delta(now, report.Version, report.Revision)
 		c.authorize(now, l, report, reply)
 	})
 	return reply
@@ -158,9 +158,12 @@
 	}
 }
 
-// Watch waits for a view newer than the version and returns the delta to it, or
+// Watch waits for a view newer than the version, of a proxy that has a revision
+// of the configuration, and returns the delta to it, or
 // none when ctx ends.
-func (c *Control) Watch(ctx context.Context, held *ctlock.Held, version ctview.Version) *ctview.Reply {
+func (c *Control) Watch(
+	ctx context.Context, held *ctlock.Held, version ctview.Version, revision ctid.Revision,
+) *ctview.Reply {
 	for {
 		reply := &ctview.Reply{}
 		wake := make(chan struct{})
@@ -169,7 +172,7 @@
 				c.refuse(l, reply)
 				return
 			}
-			if reply.Delta = l.delta(c.Clock.Now(), version); reply.Delta == nil {
+			if reply.Delta = l.delta(c.Clock.Now(), version, revision); reply.Delta == nil {
 				l.watchers = append(l.watchers, wake)
 			}
 		})
--- a/internal/program/ctcontrol/ledger.go
+++ b/internal/program/ctcontrol/ledger.go
@@ -43,6 +43,8 @@
 	settled     bool
 	silence     time.Duration
 	watchers    []chan struct{}
+	// recent lists the configurations that were accepted last, the newest last.
+	recent []ctview.Config
 	// remembered is when the members were last compared with those noted.
 	remembered time.Time
 }
@@ -86,9 +88,24 @@
 		l.roster.HearMember(now, &l.register.Members[i])
 	}
 	l.remembered = now
+	for _, c := range l.recent {
+		l.roster.RememberConfig(c)
+	}
 	l.configure(now, l.register.Current())
 }
 
+// note notes an accepted configuration, whether this process leads or not.
+func (l *ledger) note(accepted ctconfig.Accepted) {
+	l.recent = append(l.recent, ctview.Config{Revision: accepted.Revision, Document: accepted.Change.Document})
+	if len(l.recent) > maxRecent {
+		l.recent = l.recent[len(l.recent)-maxRecent:]
+	}
+}
+
+// maxRecent is how many configurations a process notes, for the case that it
+// comes to lead.
+const maxRecent = 8
+
 // rememberTime is the least time between two notes of the members.
 const rememberTime = time.Second
 
@@ -173,11 +190,11 @@
 }
 
 // delta returns the delta from a version, or nil where there is none to give.
-func (l *ledger) delta(now time.Time, version ctview.Version) *ctview.Delta {
+func (l *ledger) delta(now time.Time, version ctview.Version, revision ctid.Revision) *ctview.Delta {
 	if now.Sub(l.began) < settleTime && !l.shownAtOnce(version) {
 		return nil
 	}
-	return l.roster.Since(version)
+	return l.roster.Since(version, revision)
 }
 
 // notify wakes those who wait for a newer view.
--- a/internal/program/ctcontrol/machine.go
+++ b/internal/program/ctcontrol/machine.go
@@ -25,6 +25,9 @@
 		if len(l.waiters) > 0 {
 			l.results[index] = result
 		}
+		if configured, ok := result.(ctregister.Configured); ok {
+			l.note(configured.Accepted)
+		}
 		if l.leading {
 			c.takeEffect(l, command, result)
 		}
--- a/internal/program/ctcontrol/process.go
+++ b/internal/program/ctcontrol/process.go
@@ -98,7 +98,7 @@
 	case *ctframe.Watch:
 		ctx, cancel := context.WithTimeout(ctx, watchTime)
 		defer cancel()
-		return &ctframe.Reply{Reply: *p.control.Watch(ctx, held, f.Version)}
+		return &ctframe.Reply{Reply: *p.control.Watch(ctx, held, f.Version, f.Revision)}
 	}
 	return &ctframe.Fault{Kind: cterror.Invalid.String(), Message: "control does not serve this frame"}
 }
--- a/internal/program/ctcontrol/service.go
+++ b/internal/program/ctcontrol/service.go
@@ -16,6 +16,7 @@
 	"github.com/cherviltrestle/cherviltrestle/internal/model/cterror"
 	"github.com/cherviltrestle/cherviltrestle/internal/model/ctid"
 	"github.com/cherviltrestle/cherviltrestle/internal/model/ctserver"
+	"github.com/cherviltrestle/cherviltrestle/internal/model/ctview"
 	"github.com/cherviltrestle/cherviltrestle/internal/program/ctmetric"
 	"github.com/cherviltrestle/cherviltrestle/internal/state/ctjournal"
 	"github.com/cherviltrestle/cherviltrestle/internal/work/ctclock"
@@ -69,6 +70,10 @@
 
 	mutex sync.Mutex
 	idle  map[ctid.Control][]ctframe.Way
+	// lastDelta is the heavy delta that was sent last, and lastPacked its
+	// compressed form.
+	lastDelta  *ctview.Delta
+	lastPacked []byte
 }
 
 // NewService returns a service with the state of its disk.
@@ -209,13 +214,13 @@
 	case *ctframe.Report:
 		reply := s.control.Report(held, &f.Report)
 		s.nameLeader(held, &reply.Leader)
-		return &ctframe.Reply{Reply: *reply}
+		return s.packed(reply)
 	case *ctframe.Watch:
 		ctx, cancel := context.WithTimeout(ctx, watchTime)
 		defer cancel()
-		reply := s.control.Watch(ctx, held, f.Version)
+		reply := s.control.Watch(ctx, held, f.Version, f.Revision)
 		s.nameLeader(held, &reply.Leader)
-		return &ctframe.Reply{Reply: *reply}
+		return s.packed(reply)
 	case *ctframe.Publish:
 		ctx, cancel := context.WithTimeout(ctx, forwardTime)
 		defer cancel()
@@ -229,6 +234,27 @@
 	return &ctframe.Fault{Kind: cterror.Invalid.String(), Message: "control does not serve this frame"}
 }
 
+// packed makes the frame of a reply. A heavy delta is compressed, once for all the
+// proxies that are sent it.
+func (s *Service) packed(reply *ctview.Reply) *ctframe.Reply {
+	frame := &ctframe.Reply{Reply: *reply}
+	if reply.Delta == nil || !reply.Delta.Heavy() {
+		return frame
+	}
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if s.lastDelta != reply.Delta {
+		data, err := ctframe.Pack(reply.Delta)
+		if err != nil {
+			s.Logger.Error().Str("event", "pack_failed").Str("error", err.Error()).Send()
+			return frame
+		}
+		s.lastDelta, s.lastPacked = reply.Delta, data
+	}
+	frame.Delta, frame.Packed = nil, s.lastPacked
+	return frame
+}
+
 // nameLeader sets where the leader is reached, where that is another process.
 func (s *Service) nameLeader(held *ctlock.Held, address **netip.AddrPort) {
 	leader, self := s.control.Leader(held)
--- a/internal/program/ctcontrol/succession.go
+++ b/internal/program/ctcontrol/succession.go
@@ -65,7 +65,11 @@
 		until = ctsuccession.Until(now)
 		reply.Authority = ctconfig.Duration(ctsuccession.AuthorityTime)
 	}
-	if reply.Delta == nil && now.Sub(l.began) < settleTime {
+	if reply.Delta != nil && reply.Delta.Heavy() {
+		// A watch brings it; the groups are enough for the proxy to act on.
+		reply.Delta = nil
+	}
+	if reply.Delta == nil && report.Version != l.roster.Version() {
 		for _, g := range l.register.Groups {
 			reply.Groups = append(reply.Groups, g)
 		}
--- a/internal/program/ctuplink/uplink.go
+++ b/internal/program/ctuplink/uplink.go
@@ -27,8 +27,10 @@
 const (
 	// askTime bounds a report and its answer.
 	askTime = 700 * time.Millisecond
-	// watchTime is how long control may keep a watch waiting.
-	watchTime = 5 * time.Second
+	// watchTime is how long control may keep a watch waiting, and transferTime how
+	// long its answer may take on a slow link.
+	watchTime    = 5 * time.Second
+	transferTime = 5 * time.Second
 	// openTime bounds the opening of a way to control, so that a VM without power
 	// does not keep the proxy from the others.
 	openTime = 150 * time.Millisecond
@@ -272,7 +274,7 @@
 	}
 	link.answered()
 	u.learn(held, reply.Controls)
-	if err := u.take(held, reply.Delta); err != nil {
+	if err := u.takeReply(held, reply); err != nil {
 		return err
 	}
 	if len(reply.Groups) > 0 {
@@ -409,9 +411,9 @@
 }
 
 func (u *Uplink) watchOnce(ctx context.Context, link *link, held *ctlock.Held) error {
-	ctx, cancel := context.WithTimeout(ctx, watchTime+askTime)
+	ctx, cancel := context.WithTimeout(ctx, watchTime+transferTime)
 	defer cancel()
-	answer, err := link.ask(ctx, &ctframe.Watch{Version: u.State.View(held).Version})
+	answer, err := link.ask(ctx, u.watch(held))
 	if err != nil {
 		return err
 	}
@@ -424,7 +426,25 @@
 		return err
 	}
 	link.answered()
-	return u.take(held, reply.Delta)
+	return u.takeReply(held, reply)
+}
+
+// watch asks for what is newer than the view in hand.
+func (u *Uplink) watch(held *ctlock.Held) *ctframe.Watch {
+	view := u.State.View(held)
+	return &ctframe.Watch{Version: view.Version, Revision: view.Config.Revision}
+}
+
+// takeReply takes the delta of a reply, unpacked where it is packed.
+func (u *Uplink) takeReply(held *ctlock.Held, reply *ctframe.Reply) error {
+	if len(reply.Packed) == 0 {
+		return u.take(held, reply.Delta)
+	}
+	delta, err := ctframe.Unpack(reply.Packed)
+	if err != nil {
+		return err
+	}
+	return u.take(held, delta)
 }
 
 // askPeers asks the proxies of this failure domain for the view, while this one
