ctregister, ctcontrol: let the log hold a numbered configuration once, compressed

Cause: each accepted configuration went to the other voters as document and as source, 550 KB for 1,576 routes, and to the leader with each resend.

--- a/internal/decide/ctregister/command.go
+++ b/internal/decide/ctregister/command.go
@@ -36,11 +36,13 @@
 // Publish replaces the configuration by one that the operator numbered, if its
 // number is higher than that of the one in force.
 type Publish struct {
-	Release  ctid.Release      `json:"release" cbor:"release"`
-	Document ctconfig.Document `json:"document" cbor:"document"`
-	// Source is the configuration as the operator wrote it.
+	Release ctid.Release `json:"release" cbor:"release"`
+	// Source is the configuration as the operator wrote it, compressed.
 	Source []byte    `json:"source" cbor:"source"`
 	At     time.Time `json:"at" cbor:"at"`
+	// Document is what Source says. It is decoded again where the command is
+	// applied, so that the log holds it once.
+	Document ctconfig.Document `json:"-" cbor:"-"`
 }
 
 // Remember replaces the members that a new leader knows from its start.
--- a/internal/decide/ctregister/register.go
+++ b/internal/decide/ctregister/register.go
@@ -28,7 +28,7 @@
 	// Deeds lists the decisions on groups, the newest last.
 	Deeds []Deed `json:"deeds" cbor:"deeds"`
 	// Release is the number of the configuration in force, where an operator
-	// numbered it, and Source is what the operator wrote.
+	// numbered it, and Source is what the operator wrote, compressed.
 	Release ctid.Release `json:"release,omitempty" cbor:"release,omitempty"`
 	Source  []byte       `json:"source,omitempty" cbor:"source,omitempty"`
 	// Members are those that a leader knew last. They let the next one begin
--- a/internal/link/ctframe/control.go
+++ b/internal/link/ctframe/control.go
@@ -1,7 +1,6 @@
 package ctframe
 
 import (
-	"github.com/cherviltrestle/cherviltrestle/internal/model/ctconfig"
 	"github.com/cherviltrestle/cherviltrestle/internal/model/ctid"
 	"github.com/cherviltrestle/cherviltrestle/internal/model/ctserver"
 )
@@ -9,17 +8,11 @@
 // Publish asks control's leader to put a whole configuration into force, under
 // the number that the operator gave it.
 type Publish struct {
-	Release  ctid.Release      `cbor:"release"`
-	Document ctconfig.Document `cbor:"document"`
-	// Source is the configuration as the operator wrote it.
+	Release ctid.Release `cbor:"release"`
+	// Source is the configuration as the operator wrote it, compressed.
 	Source []byte `cbor:"source"`
 }
 
-// Check reports the first fault of the frame.
-func (f *Publish) Check() error {
-	return f.Document.Check()
-}
-
 // Accepted answers Publish: that release or a higher one is in force.
 type Accepted struct{}
 
@@ -29,7 +22,8 @@
 // Recalled answers Recall.
 type Recalled struct {
 	Release ctid.Release `cbor:"release"`
-	Source  []byte       `cbor:"source"`
+	// Source is the configuration as the operator wrote it, compressed.
+	Source []byte `cbor:"source"`
 }
 
 // Heard tells control's leader what a member said of itself.
--- a/internal/link/ctframe/pack.go
+++ b/internal/link/ctframe/pack.go
@@ -18,26 +18,30 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "encode a delta")
 	}
+	return Compress(body)
+}
+
+// Compress returns data in compressed form.
+func Compress(data []byte) ([]byte, error) {
 	var packed bytes.Buffer
 	writer, err := flate.NewWriter(&packed, flate.BestSpeed)
 	if err != nil {
-		return nil, errors.Wrap(err, "compress a delta")
+		return nil, errors.Wrap(err, "compress data")
 	}
-	if _, err := writer.Write(body); err != nil {
-		return nil, errors.Wrap(err, "compress a delta")
+	if _, err := writer.Write(data); err != nil {
+		return nil, errors.Wrap(err, "compress data")
 	}
 	if err := writer.Close(); err != nil {
-		return nil, errors.Wrap(err, "compress a delta")
+		return nil, errors.Wrap(err, "compress data")
 	}
 	return packed.Bytes(), nil
 }
 
 // Unpack returns the delta of its compressed form.
 func Unpack(packed []byte) (*ctview.Delta, error) {
-	reader := flate.NewReader(bytes.NewReader(packed))
-	body, err := io.ReadAll(io.LimitReader(reader, MaxBytes))
+	body, err := Decompress(packed)
 	if err != nil {
-		return nil, cterror.Wrap(cterror.Invalid, err, "unpack a delta", "check that both processes have one version")
+		return nil, err
 	}
 	var delta ctview.Delta
 	if err := ctcbor.Unmarshal(body, &delta); err != nil {
@@ -45,3 +49,12 @@
 	}
 	return &delta, delta.Check()
 }
+
+// Decompress returns the data of its compressed form.
+func Decompress(packed []byte) ([]byte, error) {
+	data, err := io.ReadAll(io.LimitReader(flate.NewReader(bytes.NewReader(packed)), MaxBytes))
+	if err != nil {
+		return nil, cterror.Wrap(cterror.Invalid, err, "decompress data", "check that both processes have one version")
+	}
+	return data, nil
+}
--- a/internal/link/ctrecord/record.go
+++ b/internal/link/ctrecord/record.go
@@ -60,7 +60,7 @@
 		if err := ctcbor.Unmarshal(data[1:], &c); err != nil {
 			return nil, damaged(err)
 		}
-		return c, c.Document.Check()
+		return c, nil
 	}
 	if data[0] == kindRemember {
 		return decodeRemember(data[1:])
--- a/internal/model/ctview/report.go
+++ b/internal/model/ctview/report.go
@@ -142,6 +142,7 @@
 
 // Sample is a place in a group's log, as its primary told control.
 type Sample struct {
+	_     struct{}         `cbor:",toarray"`
 	Group ctid.Group       `json:"group" cbor:"group"`
 	Point ctposition.Point `json:"point" cbor:"point"`
 	// Ago is how long before the reply control asked the primary.
--- a/internal/program/ctcontrol/control.go
+++ b/internal/program/ctcontrol/control.go
@@ -35,6 +35,9 @@
 	proposalTime = time.Second
 )
 
+// controlsEvery is one in how many reports is answered with who votes in control.
+const controlsEvery = 8
+
 // Proposer appends commands to the replicated log.
 type Proposer interface {
 	Propose(ticket ctquorum.Ticket, data []byte)
@@ -53,6 +56,9 @@
 	// external service; nil where there are none.
 	Members  Members
 	Promoter Promoter
+	// Decode decodes a configuration as operators write it, in compressed form; nil
+	// where operators do not number configurations.
+	Decode func(source []byte) (ctconfig.Document, error)
 	// Voters lists the control processes that vote; nil where proxies know them
 	// from their settings.
 	Voters func(held *ctlock.Held) []ctid.Control
@@ -107,7 +113,7 @@
 // Report takes a proxy's report and returns the reply.
 func (c *Control) Report(held *ctlock.Held, report *ctview.Report) *ctview.Reply {
 	reply := &ctview.Reply{Number: report.Number}
-	if c.Voters != nil {
+	if c.Voters != nil && report.Number%controlsEvery == 1 {
 		reply.Controls = c.Voters(held)
 	}
 	c.ledger.With(held, func(l *ledger) {
--- a/internal/program/ctcontrol/machine.go
+++ b/internal/program/ctcontrol/machine.go
@@ -15,7 +15,7 @@
 
 // Apply applies a committed command.
 func (c *Control) Apply(index ctquorum.Index, data []byte) error {
-	command, err := ctrecord.DecodeCommand(data)
+	command, err := c.decode(data)
 	if err != nil {
 		return err
 	}
@@ -35,6 +35,22 @@
 	return nil
 }
 
+// decode decodes a command, with the document of a numbered configuration.
+func (c *Control) decode(data []byte) (ctregister.Command, error) {
+	command, err := ctrecord.DecodeCommand(data)
+	if err != nil {
+		return nil, err
+	}
+	publish, ok := command.(ctregister.Publish)
+	if !ok {
+		return command, nil
+	}
+	if publish.Document, err = c.Decode(publish.Source); err != nil {
+		return nil, err
+	}
+	return publish, nil
+}
+
 // takeEffect brings an applied command into the leader's view.
 func (c *Control) takeEffect(l *ledger, command ctregister.Command, result ctregister.Result) {
 	switch r := result.(type) {
--- a/internal/program/ctcontrol/release.go
+++ b/internal/program/ctcontrol/release.go
@@ -25,9 +25,7 @@
 		case l.register.Release > 0 && p.Release <= l.register.Release:
 			done = true
 		default:
-			c.propose(l, ctregister.Publish{
-				Release: p.Release, Document: p.Document, Source: p.Source, At: now,
-			}, outcome)
+			c.propose(l, ctregister.Publish{Release: p.Release, Source: p.Source, At: now}, outcome)
 		}
 	})
 	if err != nil || done {
@@ -44,7 +42,15 @@
 		"send it again unchanged")
 }
 
-// Recall returns the configuration in force as the operator wrote it. It fails
+// Has reports whether a release, or one of a higher number, is known to be durable
+// on a majority of control's disks.
+func (c *Control) Has(held *ctlock.Held, release ctid.Release) bool {
+	has := false
+	c.ledger.With(held, func(l *ledger) { has = l.register.Release > 0 && release <= l.register.Release })
+	return has
+}
+
+// Recall returns the configuration in force as the operator wrote it, compressed. It fails
 // where this process can't be sure which one that is.
 func (c *Control) Recall(held *ctlock.Held) (ctid.Release, []byte, error) {
 	var release ctid.Release
--- a/internal/program/ctcontrol/service.go
+++ b/internal/program/ctcontrol/service.go
@@ -55,9 +55,11 @@
 	Resolve  func(ctid.Control) (netip.AddrPort, bool)
 	Members  Members
 	Promoter Promoter
-	Clock    ctclock.Clock
-	Logger   zerolog.Logger
-	Metrics  *ctmetric.Control
+	// Decode decodes a configuration as operators write it.
+	Decode  func(source []byte) (ctconfig.Document, error)
+	Clock   ctclock.Clock
+	Logger  zerolog.Logger
+	Metrics *ctmetric.Control
 }
 
 // Service is a control process whose transport and operators' interface are
@@ -104,7 +106,14 @@
 		SilenceTime: proxySilence,
 		Members:     options.Members,
 		Promoter:    options.Promoter,
-		Voters:      func(held *ctlock.Held) []ctid.Control { return namesOf(replica.Voters(held)) },
+		Decode: func(packed []byte) (ctconfig.Document, error) {
+			source, err := ctframe.Decompress(packed)
+			if err != nil {
+				return ctconfig.Document{}, err
+			}
+			return options.Decode(source)
+		},
+		Voters: func(held *ctlock.Held) []ctid.Control { return namesOf(replica.Voters(held)) },
 	})
 	control.Use(replica)
 	return &Service{
@@ -273,11 +282,18 @@
 	return &ctframe.Fault{Kind: cterror.KindOf(err).String(), Message: err.Error()}
 }
 
-// Publish puts a numbered configuration into force.
-func (s *Service) Publish(
-	ctx context.Context, release ctid.Release, document ctconfig.Document, source []byte,
-) error {
-	_, err := s.ask(ctx, &ctframe.Publish{Release: release, Document: document, Source: source})
+// Publish puts a numbered configuration into force. One that was overtaken needs no
+// leader to say so.
+func (s *Service) Publish(ctx context.Context, release ctid.Release, source []byte) error {
+	var held ctlock.Held
+	if s.control.Has(&held, release) {
+		return nil
+	}
+	packed, err := ctframe.Compress(source)
+	if err != nil {
+		return err
+	}
+	_, err = s.ask(ctx, &ctframe.Publish{Release: release, Source: packed})
 	return err
 }
 
@@ -291,7 +307,11 @@
 	if !ok {
 		return 0, nil, unexpected()
 	}
-	return recalled.Release, recalled.Source, nil
+	if recalled.Release == 0 && len(recalled.Source) == 0 {
+		return 0, nil, nil
+	}
+	source, err := ctframe.Decompress(recalled.Source)
+	return recalled.Release, source, err
 }
 
 // Heard takes what a member said of itself.
--- a/internal/program/ctnode/control.go
+++ b/internal/program/ctnode/control.go
@@ -8,6 +8,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/cherviltrestle/cherviltrestle/internal/link/cttcp"
+	"github.com/cherviltrestle/cherviltrestle/internal/model/ctconfig"
 	"github.com/cherviltrestle/cherviltrestle/internal/program/ctcontrol"
 	"github.com/cherviltrestle/cherviltrestle/internal/program/ctmetric"
 	"github.com/cherviltrestle/cherviltrestle/internal/state/ctjournal"
@@ -20,7 +21,9 @@
 	// Operators serves the calls of operators and members.
 	Operators func(service *ctcontrol.Service) http.Handler
 	Members   ctcontrol.Members
-	Promoter  ctcontrol.Promoter
+	// Decode decodes a configuration as operators write it.
+	Decode   func(source []byte) (ctconfig.Document, error)
+	Promoter ctcontrol.Promoter
 }
 
 // Control is a control process.
@@ -56,6 +59,7 @@
 		Resolve:  settings.resolve,
 		Members:  fronts.Members,
 		Promoter: fronts.Promoter,
+		Decode:   fronts.Decode,
 		Clock:    &ctclock.Boot{},
 		Logger:   logger,
 		Metrics:  metrics,
