--- a/internal/link/ctframe/pack.go
+++ b/internal/link/ctframe/pack.go
@@ -12,11 +12,28 @@
 	"github.com/cherviltrestle/cherviltrestle/internal/model/ctview"
 )
 
-// Pack returns a delta in compressed form.
-func Pack(delta *ctview.Delta) ([]byte, error) {
-	body, err := ctcbor.Marshal(delta)
+// Packed is the part of a delta that may be large: one of its fields is set.
+type Packed struct {
+	Config *ctview.Config      `cbor:"1,keyasint,omitempty"`
+	Patch  *ctview.ConfigPatch `cbor:"2,keyasint,omitempty"`
+}
+
+// Check reports the first fault of what was unpacked.
+func (p *Packed) Check() error {
+	if p.Patch != nil {
+		return p.Patch.Patch.Check()
+	}
+	if p.Config != nil {
+		return p.Config.Document.Check()
+	}
+	return nil
+}
+
+// Pack returns the part of a delta that may be large in compressed form.
+func Pack(part Packed) ([]byte, error) {
+	body, err := ctcbor.Marshal(part)
 	if err != nil {
-		return nil, errors.Wrap(err, "encode a delta")
+		return nil, errors.Wrap(err, "encode a configuration")
 	}
 	return Compress(body)
 }
@@ -37,17 +54,17 @@
 	return packed.Bytes(), nil
 }
 
-// Unpack returns the delta of its compressed form.
-func Unpack(packed []byte) (*ctview.Delta, error) {
+// Unpack returns what Pack made the compressed form of.
+func Unpack(packed []byte) (Packed, error) {
+	var part Packed
 	body, err := Decompress(packed)
 	if err != nil {
-		return nil, err
+		return part, err
 	}
-	var delta ctview.Delta
-	if err := ctcbor.Unmarshal(body, &delta); err != nil {
-		return nil, cterror.Wrap(cterror.Invalid, err, "decode a delta", "check that both processes have one version")
+	if err := ctcbor.Unmarshal(body, &part); err != nil {
+		return part, cterror.Wrap(cterror.Invalid, err, "decode a configuration", "check that both processes have one version")
 	}
-	return &delta, delta.Check()
+	return part, part.Check()
 }
 
 // Decompress returns the data of its compressed form.
--- a/internal/program/ctcontrol/replica.go
+++ b/internal/program/ctcontrol/replica.go
@@ -34,8 +34,9 @@
 	patientEvery = 5
 	// compactAfter is how many entries make a snapshot due.
 	compactAfter = 2000
-	// compactBytes is how many bytes of commands do.
-	compactBytes = 2 << 20
+	// compactBytes is how many bytes of commands do: they are applied again at the
+	// next start.
+	compactBytes = 256 << 10
 )
 
 // Machine is what the replicated log drives. Its methods are called by one
--- a/internal/program/ctuplink/uplink.go
+++ b/internal/program/ctuplink/uplink.go
@@ -435,16 +435,17 @@
 	return &ctframe.Watch{Version: view.Version, Revision: view.Config.Revision}
 }
 
-// takeReply takes the delta of a reply, unpacked where it is packed.
+// takeReply takes the delta of a reply, with a configuration that is packed apart.
 func (u *Uplink) takeReply(held *ctlock.Held, reply *ctframe.Reply) error {
-	if len(reply.Packed) == 0 {
+	if len(reply.Packed) == 0 || reply.Delta == nil {
 		return u.take(held, reply.Delta)
 	}
-	delta, err := ctframe.Unpack(reply.Packed)
+	part, err := ctframe.Unpack(reply.Packed)
 	if err != nil {
 		return err
 	}
-	return u.take(held, delta)
+	reply.Delta.Config, reply.Delta.ConfigPatch = part.Config, part.Patch
+	return u.take(held, reply.Delta)
 }
 
 // askPeers asks the proxies of this failure domain for the view, while this one
