--- a/internal/link/ctframe/pack.go
+++ b/internal/link/ctframe/pack.go
@@ -62,7 +62,8 @@
 		return part, err
 	}
 	if err := ctcbor.Unmarshal(body, &part); err != nil {
-		return part, cterror.Wrap(cterror.Invalid, err, "decode a configuration", "check that both processes have one version")
+		return part, cterror.Wrap(cterror.Invalid, err, "decode a configuration",
+			"check that both processes have one version")
 	}
 	return part, part.Check()
 }
