ctsuccession: count a proxy that started again with its clock set back

Found by reading: a proxy whose incarnation was lower than before got authority from control, but the machine that waits for its end passed its reports over, so that a member could be promoted while the proxy still read at the old primary. Test: TestNothingAcknowledgedIsLost/ a_proxy_that_started_again..., seen to fail with the old rule. What a proxy acknowledged now counts as unknown for 30 s after it fell silent, and a watch that fell silent is given up after 3.5 s, so that a large configuration can't be held back by it.

--- a/internal/decide/ctsuccession/decide.go
+++ b/internal/decide/ctsuccession/decide.go
@@ -41,7 +41,7 @@
 		}
 	}
 	for name, row := range m.proxies {
-		if now.Sub(row.heard) > forgetTime && now.After(row.until) {
+		if now.Sub(row.heard) > forgetProxyTime && now.After(row.until) {
 			delete(m.proxies, name)
 		}
 	}
--- a/internal/decide/ctsuccession/machine.go
+++ b/internal/decide/ctsuccession/machine.go
@@ -37,6 +37,9 @@
 	settleTime = 2600 * time.Millisecond
 	// forgetTime is how long a member counts that is not heard of any more.
 	forgetTime = 10 * time.Second
+	// forgetProxyTime is how long what a proxy acknowledged counts as unknown after
+	// it was heard of last.
+	forgetProxyTime = 30 * time.Second
 	// followTime is how long replicas may take to receive what a primary that
 	// stepped down has.
 	followTime = 1500 * time.Millisecond
@@ -152,12 +155,14 @@
 // a time.
 func (m *Machine) Report(now time.Time, group ctview.Group, report *ctview.Report, until time.Time) {
 	row, ok := m.proxies[report.Proxy.Name]
-	if !ok || report.Proxy.Incarnation > row.incarnation {
-		row = &proxy{incarnation: report.Proxy.Incarnation}
+	if !ok {
+		row = &proxy{}
 		m.proxies[report.Proxy.Name] = row
 	}
-	if report.Proxy.Incarnation < row.incarnation {
-		return
+	if report.Proxy.Incarnation != row.incarnation {
+		// Its clock may have been set back before it started again: whatever the
+		// order of incarnations, it has authority and keeps to no fence yet.
+		*row = proxy{incarnation: report.Proxy.Incarnation, until: row.until}
 	}
 	row.heard = now
 	if until.After(row.until) {
--- a/internal/decide/ctsuccession/machine_test.go
+++ b/internal/decide/ctsuccession/machine_test.go
@@ -232,6 +232,17 @@
 		w.run(time.Second)
 		assertPrimary(t, w, "b", 2)
 	})
+	t.Run("a proxy that started again with its clock set back holds it up too", func(t *testing.T) {
+		w := newWorld()
+		w.servers["a"].dead = true
+		w.missing, w.reaching = 4, 0
+		again := &ctview.Report{Proxy: ctview.Proxy{Name: "z", Incarnation: 5}}
+		w.machine.Report(w.now, w.group, again, ctsuccession.Until(w.now))
+		again.Proxy.Incarnation = 4
+		w.machine.Report(w.now.Add(time.Second), w.group, again, ctsuccession.Until(w.now.Add(time.Second)))
+		w.run(ctsuccession.AuthorityTime + 500*time.Millisecond)
+		assertNoOrder(t, w)
+	})
 	t.Run("a replica that lacks an acknowledged commit is not promoted", func(t *testing.T) {
 		w := newWorld()
 		w.servers["a"].dead = true
--- a/internal/program/ctcontrol/service.go
+++ b/internal/program/ctcontrol/service.go
@@ -33,6 +33,8 @@
 	leaderPause = 20 * time.Millisecond
 	// maxIdleWays is how many ways to the leader are kept for later questions.
 	maxIdleWays = 4
+	// holdTime is how long a watch is held before it is answered with nothing.
+	holdTime = 1500 * time.Millisecond
 	// proxySilence is how long a proxy may go unheard of before its share of the
 	// connections goes to others.
 	proxySilence = 3 * time.Second
@@ -223,7 +225,7 @@
 		s.nameLeader(held, &reply.Leader)
 		return s.packed(reply)
 	case *ctframe.Watch:
-		ctx, cancel := context.WithTimeout(ctx, watchTime)
+		ctx, cancel := context.WithTimeout(ctx, holdTime)
 		defer cancel()
 		reply := s.control.Watch(ctx, held, f.Version, f.Revision)
 		s.nameLeader(held, &reply.Leader)
--- a/internal/program/ctnode/proxy.go
+++ b/internal/program/ctnode/proxy.go
@@ -27,6 +27,10 @@
 const (
 	// reportTime is the time between two reports to control.
 	reportTime = 400 * time.Millisecond
+	// watchTime bounds a watch: control holds one for 1.5 s, and the rest is for a
+	// large answer over a slow link. A watch that fell silent must not keep a
+	// configuration back for longer than it may take to be in force.
+	watchTime = 3500 * time.Millisecond
 	// balancerTime is how long callers may still be sent here after the proxy has
 	// become unready.
 	balancerTime = 2200 * time.Millisecond
@@ -86,6 +90,7 @@
 		Self:      self,
 		Control:   settings.seedAddresses(),
 		Heartbeat: reportTime,
+		WatchTime: watchTime,
 		State:     state,
 		Witness:   p.gateway,
 		Resolve:   settings.resolve,
--- a/internal/program/ctuplink/relay.go
+++ b/internal/program/ctuplink/relay.go
@@ -30,7 +30,7 @@
 	}()
 	var held ctlock.Held
 	for frame := first; ; {
-		limit, ok := relayTime(frame)
+		limit, ok := u.relayTime(frame)
 		if !ok {
 			return
 		}
@@ -57,12 +57,12 @@
 
 // relayTime returns how long a frame's answer may take, and whether it is one
 // that is passed on.
-func relayTime(frame ctframe.Frame) (time.Duration, bool) {
+func (u *Uplink) relayTime(frame ctframe.Frame) (time.Duration, bool) {
 	switch frame.(type) {
 	case *ctframe.Report:
 		return askTime, true
 	case *ctframe.Watch:
-		return watchTime, true
+		return u.watchTime(), true
 	}
 	return 0, false
 }
--- a/internal/program/ctuplink/uplink.go
+++ b/internal/program/ctuplink/uplink.go
@@ -27,10 +27,8 @@
 const (
 	// askTime bounds a report and its answer.
 	askTime = 700 * time.Millisecond
-	// watchTime is how long control may keep a watch waiting, and transferTime how
-	// long its answer may take on a slow link.
-	watchTime    = 5 * time.Second
-	transferTime = 5 * time.Second
+	// watchTime bounds a watch with its answer, where the options do not.
+	watchTime = 10 * time.Second
 	// openTime bounds the opening of a way to control, so that a VM without power
 	// does not keep the proxy from the others.
 	openTime = 150 * time.Millisecond
@@ -83,6 +81,8 @@
 	Control   []netip.AddrPort
 	Peers     []netip.AddrPort
 	Heartbeat time.Duration
+	// WatchTime bounds a watch with its answer; 10 s where it is 0.
+	WatchTime time.Duration
 	State     *ctstate.State
 	Members   Members
 	// Witness is nil where no group is promoted in by an external service.
@@ -411,7 +411,7 @@
 }
 
 func (u *Uplink) watchOnce(ctx context.Context, link *link, held *ctlock.Held) error {
-	ctx, cancel := context.WithTimeout(ctx, watchTime+transferTime)
+	ctx, cancel := context.WithTimeout(ctx, u.watchTime())
 	defer cancel()
 	answer, err := link.ask(ctx, u.watch(held))
 	if err != nil {
@@ -429,6 +429,14 @@
 	return u.takeReply(held, reply)
 }
 
+// watchTime returns how long a watch may take.
+func (u *Uplink) watchTime() time.Duration {
+	if u.WatchTime == 0 {
+		return watchTime
+	}
+	return u.WatchTime
+}
+
 // watch asks for what is newer than the view in hand.
 func (u *Uplink) watch(held *ctlock.Held) *ctframe.Watch {
 	view := u.State.View(held)
