ctgateway: let a long change of the primary not keep replicas from serving

Found by reading: once a change took longer than expected, a read that had a replica to go to no longer waited for a connection to it. A connection whose member does not know what was prepared on it is closed, since its state is not what is noted.

--- a/internal/program/ctgateway/run.go
+++ b/internal/program/ctgateway/run.go
@@ -200,10 +200,15 @@
 
 // acquire borrows a connection to the chosen member.
 func (c *conversation) acquire(a *attempt) bool {
+	until := c.limit(a, c.gateway.Clock.Now())
+	if !a.choice.primary && until.Before(a.offerBy) && !c.gateway.lapsed(&c.held) {
+		// A change of the primary that takes long keeps no replica from serving.
+		until = a.offerBy
+	}
 	conn, err := c.gateway.Pools.Acquire(&c.held, a.choice.member, ctpools.Wish{
 		State:    c.dialog.State(),
 		Priority: c.route.Priority,
-		Until:    c.limit(a, c.gateway.Clock.Now()),
+		Until:    until,
 	})
 	if err != nil {
 		a.tried.Add(a.choice.member)
@@ -272,7 +277,9 @@
 	if answer.Transaction != ctquery.TransactionNone {
 		c.rollBack()
 	}
-	c.unpin(ctpools.Use{})
+	// A member that does not know what was prepared on a connection has another
+	// state than is noted.
+	c.unpin(ctpools.Use{Close: answer.Fault == ctquery.FaultNoStatement})
 	if answer.Fault.NotRun() {
 		if !now.Before(a.until) {
 			return c.refuse(a)
--- a/internal/program/ctpools/carry.go
+++ b/internal/program/ctpools/carry.go
@@ -111,7 +111,7 @@
 		c.log(frame, "lost", now)
 		return &ctframe.Carried{Lost: true, Expired: cterror.KindOf(err) == cterror.Expired}
 	}
-	use := Use{Answered: true, Applied: answer.Point}
+	use := Use{Answered: true, Applied: answer.Point, Close: answer.Fault == ctquery.FaultNoStatement}
 	if answer.OK() {
 		use.Took = c.pools.Clock.Now().Sub(sent)
 	}
