--- a/internal/program/ctcontrol/disk.go
+++ b/internal/program/ctcontrol/disk.go
@@ -19,8 +19,8 @@
 	entryPrefix = []byte("entry/")
 )
 
-// store is where the durable state is kept.
-type store interface {
+// storage is where the durable state is kept.
+type storage interface {
 	Get(key []byte) ([]byte, error)
 	// Put makes the writes durable, all or none.
 	Put(writes ...ctstore.Write) error
@@ -30,7 +30,7 @@
 
 // disk keeps the durable state of a control process in a store.
 type disk struct {
-	store store
+	store storage
 	// first and last are the entries that the store has.
 	first ctquorum.Index
 	last  ctquorum.Index
