--- a/internal/program/ctuplink/doc.go
+++ b/internal/program/ctuplink/doc.go
@@ -9,6 +9,11 @@
 happened. The other waits for a newer view, so that a change is in force as soon
 as control decides it.
 
+# Relays
+
+A proxy that reaches no control process asks through other proxies, which pass
+its reports and watches on.
+
 # Leases
 
 A lease counts from the moment before its report was sent, and is shortened by
