ctcontrol, ctdialog: make twins one

The loop over a way's frames stood in Process and in Service; the replica, whose messages it picks out, now has it. What becomes of a transaction whose statement was refused or lost stood twice in Conclude.

--- a/internal/decide/ctdialog/conclude.go
+++ b/internal/decide/ctdialog/conclude.go
@@ -101,7 +101,9 @@
 	return Told{Answer: answer, Undo: true}
 }
 
-func (d *Dialog) refused(run Run, r Refused) Told {
+// breakOff ends a transaction whose COMMIT has no answer, and fails one whose other
+// statement has none.
+func (d *Dialog) breakOff(run Run) {
 	_, commits := run.Query.Statement.(ctquery.Commit)
 	switch {
 	case commits:
@@ -109,6 +111,10 @@
 	case d.stage != stageNone:
 		d.stage = stageFailed
 	}
+}
+
+func (d *Dialog) refused(run Run, r Refused) Told {
+	d.breakOff(run)
 	answer := d.answer()
 	answer.Fault, answer.Text = r.Fault, r.Text
 	return Told{Answer: answer}
@@ -117,13 +123,7 @@
 // lost tells of a statement whose answer is missing. Its connection is closed,
 // so that nothing of an open transaction stays.
 func (d *Dialog) lost(run Run, l Lost) Told {
-	_, commits := run.Query.Statement.(ctquery.Commit)
-	switch {
-	case commits:
-		d.end()
-	case d.stage != stageNone:
-		d.stage = stageFailed
-	}
+	d.breakOff(run)
 	answer := d.answer()
 	switch {
 	case run.Effect == EffectDurable:
--- a/internal/program/ctcontrol/process.go
+++ b/internal/program/ctcontrol/process.go
@@ -74,21 +74,7 @@
 func (p *Process) serve(ctx context.Context, stream *ctquic.Stream) {
 	way := ctstream.New(stream)
 	defer way.Close()
-	var held ctlock.Held
-	for {
-		frame, err := way.Read()
-		if err != nil {
-			return
-		}
-		if message, ok := frame.(*ctframe.Quorum); ok {
-			p.replica.Receive(message)
-			continue
-		}
-		answer := p.answer(ctx, &held, frame)
-		if answer == nil || way.Write(answer) != nil {
-			return
-		}
-	}
+	p.replica.serve(ctx, way, p.answer)
 }
 
 func (p *Process) answer(ctx context.Context, held *ctlock.Held, frame ctframe.Frame) ctframe.Frame {
--- a/internal/program/ctcontrol/replica.go
+++ b/internal/program/ctcontrol/replica.go
@@ -146,6 +146,29 @@
 	r.pool.Put(0, ctquorum.Received{From: frame.From, Message: frame.Message()})
 }
 
+// serve takes the messages that come over a way, and answers what else is asked
+// there, until the way ends or a question has no answer.
+func (r *Replica) serve(
+	ctx context.Context, way ctframe.Way,
+	answer func(ctx context.Context, held *ctlock.Held, frame ctframe.Frame) ctframe.Frame,
+) {
+	var held ctlock.Held
+	for {
+		frame, err := way.Read()
+		if err != nil {
+			return
+		}
+		if message, ok := frame.(*ctframe.Quorum); ok {
+			r.Receive(message)
+			continue
+		}
+		reply := answer(ctx, &held, frame)
+		if reply == nil || way.Write(reply) != nil {
+			return
+		}
+	}
+}
+
 // Voters returns the voters that this process knows of.
 func (r *Replica) Voters(held *ctlock.Held) []ctquorum.Peer {
 	var voters []ctquorum.Peer
--- a/internal/program/ctcontrol/service.go
+++ b/internal/program/ctcontrol/service.go
@@ -181,21 +181,7 @@
 
 // Serve serves one way of another process.
 func (s *Service) Serve(ctx context.Context, way ctframe.Way) {
-	var held ctlock.Held
-	for {
-		frame, err := way.Read()
-		if err != nil {
-			return
-		}
-		if message, ok := frame.(*ctframe.Quorum); ok {
-			s.replica.Receive(message)
-			continue
-		}
-		answer := s.answer(ctx, &held, frame)
-		if answer == nil || way.Write(answer) != nil {
-			return
-		}
-	}
+	s.replica.serve(ctx, way, s.answer)
 }
 
 // answer answers a question, as the leader, and counts it.
