platform: a VM may have another address than others reach it at

Cause: on loopback no relay can stand between two processes that are told one address each, so links could not be cut, delayed or reset from outside. Ruled out: a relay by port, because all processes take peers at one port; rules of the kernel's packet filter, which need root. Before and after: nothing changes where the flag is left out; tests of platform, ctnode and ctmembers pass.

--- a/internal/link/cttcp/tune.go
+++ b/internal/link/cttcp/tune.go
@@ -1,6 +1,8 @@
 package cttcp
 
 import (
+	"net"
+	"net/netip"
 	"syscall"
 	"time"
 
@@ -20,6 +22,16 @@
 	probeCount = 2
 )
 
+// Dialer returns a dialer of tuned connections that come from a local address; the
+// kernel chooses one where it is not valid.
+func Dialer(local netip.Addr) net.Dialer {
+	dialer := net.Dialer{KeepAlive: -1, Control: Tune}
+	if local.IsValid() {
+		dialer.LocalAddr = net.TCPAddrFromAddrPort(netip.AddrPortFrom(local, 0))
+	}
+	return dialer
+}
+
 // Tune sets the times of a socket before it is connected or listens.
 func Tune(_, _ string, raw syscall.RawConn) error {
 	var failure error
--- a/internal/link/cttcp/way.go
+++ b/internal/link/cttcp/way.go
@@ -50,11 +50,15 @@
 }
 
 // Ways opens ways to other processes. Its zero value is ready for use.
-type Ways struct{}
+type Ways struct {
+	// Local is the address from which ways are opened; the kernel chooses one
+	// where it is not valid.
+	Local netip.Addr
+}
 
 // Open opens a connection to the process at the address.
-func (Ways) Open(ctx context.Context, address netip.AddrPort) (ctframe.Way, error) {
-	dialer := net.Dialer{KeepAlive: -1, Control: Tune}
+func (w Ways) Open(ctx context.Context, address netip.AddrPort) (ctframe.Way, error) {
+	dialer := Dialer(w.Local)
 	socket, err := dialer.DialContext(ctx, "tcp4", address.String())
 	if err != nil {
 		return nil, cterror.Wrap(cterror.Unavailable, err, "connect to a peer", "check that the peer runs and can be reached")
--- a/internal/program/ctnode/control.go
+++ b/internal/program/ctnode/control.go
@@ -55,7 +55,7 @@
 		First:    settings.FirstStart,
 		Losses:   settings.Losses,
 		Journal:  journal,
-		Ways:     cttcp.Ways{},
+		Ways:     cttcp.Ways{Local: settings.Local},
 		Resolve:  settings.resolve,
 		Members:  fronts.Members,
 		Promoter: fronts.Promoter,
@@ -79,7 +79,7 @@
 
 // Run serves until ctx ends or the disk fails.
 func (c *Control) Run(ctx context.Context) error {
-	peers, err := cttcp.Listen(c.settings.peer())
+	peers, err := cttcp.Listen(c.settings.peerListen())
 	if err != nil {
 		return err
 	}
--- a/internal/program/ctnode/proxy.go
+++ b/internal/program/ctnode/proxy.go
@@ -75,7 +75,8 @@
 		State:         ctserver.StateReady,
 	}
 	p := &Proxy{settings: settings, fronts: fronts, clock: clock, logger: logger, metrics: metrics}
-	p.pools = ctpools.New(fronts.Dialer, self, ways{}, clock, logger)
+	opener := ways{cttcp.Ways{Local: settings.Local}}
+	p.pools = ctpools.New(fronts.Dialer, self, opener, clock, logger)
 	p.gateway = ctgateway.New(ctgateway.Options{
 		Domain:  settings.FailureDomain,
 		State:   state,
@@ -95,7 +96,7 @@
 		Witness:   p.gateway,
 		Resolve:   settings.resolve,
 		Followers: []ctuplink.Follower{p.gateway},
-		Ways:      ways{},
+		Ways:      opener,
 		Clock:     clock,
 		Logger:    logger,
 		Metrics:   metrics,
@@ -132,7 +133,7 @@
 		return err
 	}
 	defer func() { _ = measured.Close() }()
-	peers, err := cttcp.Listen(p.settings.peer())
+	peers, err := cttcp.Listen(p.settings.peerListen())
 	if err != nil {
 		return err
 	}
--- a/internal/program/ctnode/settings.go
+++ b/internal/program/ctnode/settings.go
@@ -11,8 +11,11 @@
 // Settings are what a process is told at its start.
 type Settings struct {
 	// Name is the VM's name, which logs and calls to outside services show.
-	Name          string
-	IP            netip.Addr
+	Name string
+	IP   netip.Addr
+	// Local is the VM's own address for peers, members and metrics where a network
+	// before the VM translates it; IP where it is not valid.
+	Local         netip.Addr
 	FailureDomain ctid.FailureDomain
 	// Callers, Health and Operators are the addresses that the process serves;
 	// those of other roles are invalid.
@@ -71,18 +74,31 @@
 	return netip.AddrPortFrom(address, s.Peers), true
 }
 
-// peer is the address at which this process takes connections of others.
+// peer is the address at which others reach this process.
 func (s *Settings) peer() netip.AddrPort {
 	return netip.AddrPortFrom(s.IP, s.Peers)
 }
 
+// local is this VM's own address.
+func (s *Settings) local() netip.Addr {
+	if s.Local.IsValid() {
+		return s.Local
+	}
+	return s.IP
+}
+
+// peerListen is the address at which this process takes connections of others.
+func (s *Settings) peerListen() netip.AddrPort {
+	return netip.AddrPortFrom(s.local(), s.Peers)
+}
+
 // metricsPort is the port at which every process serves its metrics; the
 // deployment's file names it too.
 const metricsPort = 9464
 
 // metrics is the address at which this process serves its metrics.
 func (s *Settings) metrics() netip.AddrPort {
-	return netip.AddrPortFrom(s.IP, metricsPort)
+	return netip.AddrPortFrom(s.local(), metricsPort)
 }
 
 // seedNames names the seeds.
