ctcontrol: take messages only after the disk is read

Cause: control processes served their peers, operators and members before the replica had begun. A message that came in those milliseconds was put on a pool without queues: a division by zero, which ends the process, or a data race. Ruled out: dropping what comes early in ctpool, which would hide the order and keep the race. Change: Service.Start reads the disk and begins; ctnode and the other build-up serve after it. What comes before waits in the listener's queue. Before: TestControlStart fails with races at each start.

--- a/internal/program/ctcontrol/process.go
+++ b/internal/program/ctcontrol/process.go
@@ -42,13 +42,13 @@
 	if err != nil {
 		return cterror.Wrap(cterror.Unavailable, err, "open the HTTP address", "choose a free TCP port")
 	}
-	server := &http.Server{Handler: p.routes(), ReadHeaderTimeout: httpTime}
-	go func() { _ = server.Serve(operators) }()
 	running, end := context.WithCancel(ctx)
 	defer end()
 	if err := p.replica.Start(running, p.control, random{}); err != nil {
 		return err
 	}
+	server := &http.Server{Handler: p.routes(), ReadHeaderTimeout: httpTime}
+	go func() { _ = server.Serve(operators) }()
 	go p.control.Run(running)
 	go func() { _ = p.endpoint.Serve(ctx, p.serve) }()
 	p.logger.Info().Str("event", "started").
--- a/internal/program/ctcontrol/service.go
+++ b/internal/program/ctcontrol/service.go
@@ -156,8 +156,9 @@
 	return self, d.writeSelf(self)
 }
 
-// Run takes part in control until ctx ends or the disk fails.
-func (s *Service) Run(ctx context.Context) error {
+// Start reads the disk and begins to take part in control, until ctx ends. Nothing
+// may be served before it has returned.
+func (s *Service) Start(ctx context.Context) error {
 	s.Logger.Info().Str("event", "journal_open").Send()
 	if err := s.replica.Start(ctx, s.control, random{}); err != nil {
 		return err
@@ -165,6 +166,11 @@
 	go s.control.Run(ctx)
 	s.Logger.Info().Str("event", "started").Str("name", string(s.Name)).
 		Uint64("incarnation", uint64(s.replica.self.Incarnation)).Send()
+	return nil
+}
+
+// Wait waits until ctx ends or the disk fails.
+func (s *Service) Wait(ctx context.Context) error {
 	select {
 	case <-ctx.Done():
 		return nil
--- a/internal/program/ctnode/control.go
+++ b/internal/program/ctnode/control.go
@@ -84,6 +84,10 @@
 		return err
 	}
 	defer func() { _ = peers.Close() }()
+	// What comes before the disk is read waits in the listener's queue.
+	if err := c.service.Start(ctx); err != nil {
+		return err
+	}
 	operators, err := serveHTTP(ctx, c.settings.Operators, "operators", c.fronts.Operators(c.service), c.logger)
 	if err != nil {
 		return err
@@ -100,7 +104,7 @@
 			c.logger.Error().Str("event", "peers_ended").Str("error", err.Error()).Send()
 		}
 	}()
-	err = c.service.Run(ctx)
+	err = c.service.Wait(ctx)
 	c.logger.Info().Str("event", "stopped").Send()
 	return err
 }
--- /dev/null
+++ b/internal/program/ctnode/control_test.go
@@ -0,0 +1,65 @@
+package ctnode_test
+
+import (
+	"context"
+	"net/http"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+	"gotest.tools/v3/assert"
+
+	"github.com/cherviltrestle/cherviltrestle/internal/decide/ctquorum"
+	"github.com/cherviltrestle/cherviltrestle/internal/link/ctframe"
+	"github.com/cherviltrestle/cherviltrestle/internal/link/cttcp"
+	"github.com/cherviltrestle/cherviltrestle/internal/model/ctid"
+	"github.com/cherviltrestle/cherviltrestle/internal/program/ctcontrol"
+	"github.com/cherviltrestle/cherviltrestle/internal/program/ctnode"
+)
+
+// press sends messages of another control process from before the address opens
+// until ctx ends.
+func press(ctx context.Context, address netip.AddrPort) {
+	name := ctid.Control(address.Addr().String())
+	message := &ctframe.Quorum{
+		From: ctquorum.Peer{Name: "127.0.0.2", Incarnation: 1}, To: ctquorum.Peer{Name: name},
+		Ask: &ctquorum.Ask{},
+	}
+	for ctx.Err() == nil {
+		way, err := cttcp.Ways{}.Open(ctx, address)
+		if err != nil {
+			continue
+		}
+		for range 3 {
+			if way.Write(message) != nil {
+				break
+			}
+		}
+		way.Close()
+	}
+}
+
+// TestControlStart names the pattern of control processes that all start at once:
+// messages of the others come before this one has read its disk.
+func TestControlStart(t *testing.T) {
+	t.Run("takes messages once it has read its disk", func(t *testing.T) {
+		const starts, port = 8, 17440
+		for i := range starts {
+			settings := ctnode.Settings{
+				Name: "control", IP: netip.AddrFrom4([4]byte{127, 0, 77, byte(i + 1)}), FailureDomain: "d", Peers: port,
+				FirstStart: true, DataFolder: t.TempDir(),
+			}
+			settings.Seeds = []netip.Addr{settings.IP, netip.MustParseAddr("127.0.0.2")}
+			settings.Operators = netip.AddrPortFrom(settings.IP, port+1)
+			c, err := ctnode.NewControl(settings, ctnode.ControlFronts{
+				Operators: func(*ctcontrol.Service) http.Handler { return http.NotFoundHandler() },
+			}, zerolog.Nop())
+			assert.NilError(t, err)
+			ctx, cancel := context.WithTimeout(context.Background(), 200*time.Millisecond)
+			go press(ctx, netip.AddrPortFrom(settings.IP, port))
+			assert.NilError(t, c.Run(ctx))
+			cancel()
+		}
+	})
+}
