--- a/internal/lab/ctfleet/process.go
+++ b/internal/lab/ctfleet/process.go
@@ -30,11 +30,18 @@
 	// Log is the file with what it wrote.
 	Log string
 
-	program   string
-	arguments []string
-	mutex     sync.Mutex
-	command   *exec.Cmd
-	done      chan struct{}
+	program     string
+	arguments   []string
+	environment []string
+	mutex       sync.Mutex
+	command     *exec.Cmd
+	done        chan struct{}
+}
+
+// NewProcess returns a process that is not started yet. The environment is added
+// to that of this process.
+func NewProcess(name, log, program string, arguments, environment []string) *Process {
+	return &Process{Name: name, Log: log, program: program, arguments: arguments, environment: environment}
 }
 
 // Start starts the process, or starts it again.
@@ -46,7 +53,8 @@
 		return errors.Wrap(err, "open the log of "+p.Name)
 	}
 	command := exec.Command(p.program, p.arguments...)
-	command.Stderr = file
+	command.Stdout, command.Stderr = file, file
+	command.Env = append(os.Environ(), p.environment...)
 	command.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	if err := command.Start(); err != nil {
 		_ = file.Close()
@@ -90,6 +98,11 @@
 	return p.Wait(within)
 }
 
+// Hangup tells the process to read its settings again.
+func (p *Process) Hangup() {
+	p.signal(syscall.SIGHUP)
+}
+
 // Freeze stops the process from running, until Thaw.
 func (p *Process) Freeze() {
 	p.signal(syscall.SIGSTOP)
