ctsoak: a fault soak with real processes

A seed decides the site and the faults: kills, planned stops, freezes, lost disks, torn journals, cuts one way, delays, resets, silence, changed settings, members that crash, leave, lag, fail in part or lose answers. A judge hears every statement from the caller and from the member and notes what breaks a promise; it is tested for each promise. Clocks and slow disks can't be moved from outside without root; frozen processes and torn journals stand for them.

--- a/internal/lab/ctlabcommand/main.go
+++ b/internal/lab/ctlabcommand/main.go
@@ -23,7 +23,7 @@
 	root.SetOut(out)
 	root.SetErr(errors)
 	root.SetArgs(arguments)
-	root.AddCommand(newStandin(errors), newSession(), newLoad(), newCompare(), newExperiment())
+	root.AddCommand(newStandin(errors), newSession(), newLoad(), newCompare(), newExperiment(), newSoak(errors))
 	if err := root.ExecuteContext(ctx); err != nil {
 		_, _ = fmt.Fprintf(errors, "ctlab: %v\n", err)
 		return 1
--- /dev/null
+++ b/internal/lab/ctsoak/run_test.go
@@ -0,0 +1,48 @@
+package ctsoak_test
+
+import (
+	"context"
+	"os/exec"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+	"gotest.tools/v3/assert"
+
+	"github.com/cherviltrestle/cherviltrestle/internal/lab/ctsoak"
+)
+
+// regressions are the seeds that once broke a promise, with the cause.
+var regressions = []struct {
+	seed   uint64
+	faults time.Duration
+	cause  string
+}{
+	{seed: 1, faults: 10 * time.Second, cause: "control took messages before it had read its disk"},
+}
+
+// assertHolds runs a plan with processes under the race detector and checks that
+// nothing was broken.
+func assertHolds(t *testing.T, programs string, plan ctsoak.Plan) {
+	t.Helper()
+	report, err := ctsoak.Run(context.Background(), ctsoak.Options{
+		Plan: plan, Programs: programs, Folder: t.TempDir(), Logger: zerolog.New(zerolog.NewTestWriter(t)),
+	})
+	assert.NilError(t, err)
+	for _, b := range report.Breaches {
+		t.Errorf("seed %d: %s", plan.Seed, b)
+	}
+	assert.Assert(t, report.Commits > 0)
+	t.Logf("%d of %d operations were served, %d commits", report.Served, report.Asked, report.Commits)
+}
+
+func TestSoak(t *testing.T) {
+	programs := t.TempDir()
+	output, err := exec.Command("go", "build", "-race", "-o", programs+"/", "../../../cmd/cherviltrestle").CombinedOutput()
+	assert.NilError(t, err, "%s", output)
+	for _, r := range regressions {
+		t.Run(r.cause, func(t *testing.T) {
+			assertHolds(t, programs, ctsoak.NewPlan(r.seed, r.faults))
+		})
+	}
+}
