--- a/internal/program/ctnode/control.go
+++ b/internal/program/ctnode/control.go
@@ -55,7 +55,7 @@
 		First:    settings.FirstStart,
 		Losses:   settings.Losses,
 		Journal:  journal,
-		Ways:     cttcp.Ways{},
+		Ways:     cttcp.Ways{Local: settings.Local},
 		Resolve:  settings.resolve,
 		Members:  fronts.Members,
 		Promoter: fronts.Promoter,
@@ -79,11 +79,15 @@
 
 // Run serves until ctx ends or the disk fails.
 func (c *Control) Run(ctx context.Context) error {
-	peers, err := cttcp.Listen(c.settings.peer())
+	peers, err := cttcp.Listen(c.settings.peerListen())
 	if err != nil {
 		return err
 	}
 	defer func() { _ = peers.Close() }()
+	// What comes before the disk is read waits in the listener's queue.
+	if err := c.service.Start(ctx); err != nil {
+		return err
+	}
 	operators, err := serveHTTP(ctx, c.settings.Operators, "operators", c.fronts.Operators(c.service), c.logger)
 	if err != nil {
 		return err
@@ -100,7 +104,7 @@
 			c.logger.Error().Str("event", "peers_ended").Str("error", err.Error()).Send()
 		}
 	}()
-	err = c.service.Run(ctx)
+	err = c.service.Wait(ctx)
 	c.logger.Info().Str("event", "stopped").Send()
 	return err
 }
