ctcontrol: give each question a way of its own

Cause: take read the idle way after it had released the lock; another question could put its own way in that place meanwhile, so that two questions shared one way and their answers crossed. An operator's change could be acknowledged by the answer to a member's report. Ruled out: the frames' numbers catching it; only proxies' reports are numbered. Change: the way is taken out of the list under the lock.

--- /dev/null
+++ b/internal/decide/ctsuccession/proxies.go
@@ -0,0 +1,86 @@
+package ctsuccession
+
+import (
+	"time"
+
+	"github.com/cherviltrestle/cherviltrestle/internal/model/ctdrift"
+	"github.com/cherviltrestle/cherviltrestle/internal/model/ctid"
+	"github.com/cherviltrestle/cherviltrestle/internal/model/ctview"
+)
+
+// Proxies is what a leader knows of the proxies, whichever groups they use. The
+// machines of all groups share it.
+type Proxies struct {
+	rows map[ctid.Proxy]*presence
+	// mute is the latest time until which a proxy could acknowledge something that
+	// nobody can be asked about any more: its run has ended, or it fell silent.
+	mute time.Time
+}
+
+// presence is what is known of a proxy.
+type presence struct {
+	incarnation ctid.Incarnation
+	// until is when its authority ends, and heard when it last reported.
+	until time.Time
+	heard time.Time
+}
+
+// NewProxies returns what a leader knows that began at a time: nothing of the runs
+// that an earlier leader gave authority to.
+func NewProxies(began time.Time) *Proxies {
+	return &Proxies{rows: make(map[ctid.Proxy]*presence), mute: began.Add(ctdrift.AtMost(AuthorityTime))}
+}
+
+// Report takes a proxy's report, and grants the proxy authority until a time.
+func (p *Proxies) Report(now time.Time, report *ctview.Report, until time.Time) {
+	row, ok := p.rows[report.Proxy.Name]
+	if !ok {
+		row = &presence{incarnation: report.Proxy.Incarnation}
+		p.rows[report.Proxy.Name] = row
+	}
+	if report.Proxy.Incarnation != row.incarnation {
+		// The run before has ended, and nothing came of what it still acknowledged.
+		// Its clock may have been set back before it started again, so the order of
+		// incarnations tells nothing.
+		row.incarnation = report.Proxy.Incarnation
+		p.silenced(now)
+	}
+	row.heard = now
+	if until.After(row.until) {
+		row.until = until
+	}
+	if report.Goodbye {
+		row.until = time.Time{}
+		p.silenced(now)
+	}
+}
+
+// Tick notes the proxies that fell silent, and forgets those that did long ago.
+func (p *Proxies) Tick(now time.Time) {
+	for name, row := range p.rows {
+		if now.Before(row.until) {
+			continue
+		}
+		p.silenced(row.until)
+		if now.Sub(row.heard) > forgetProxyTime {
+			delete(p.rows, name)
+		}
+	}
+}
+
+func (p *Proxies) silenced(at time.Time) {
+	if at.After(p.mute) {
+		p.mute = at
+	}
+}
+
+// live counts the proxies that reported lately.
+func (p *Proxies) live(now time.Time) int {
+	count := 0
+	for _, row := range p.rows {
+		if now.Sub(row.heard) <= reportTime {
+			count++
+		}
+	}
+	return count
+}
--- a/internal/lab/ctsoak/run_test.go
+++ b/internal/lab/ctsoak/run_test.go
@@ -19,6 +19,7 @@
 	cause  string
 }{
 	{seed: 1, faults: 10 * time.Second, cause: "control took messages before it had read its disk"},
+	{seed: 30, faults: 30 * time.Second, cause: "two questions shared a way to control's leader"},
 }
 
 // assertHolds runs a plan with processes under the race detector and checks that
@@ -42,6 +43,7 @@
 	assert.NilError(t, err, "%s", output)
 	for _, r := range regressions {
 		t.Run(r.cause, func(t *testing.T) {
+			t.Parallel()
 			assertHolds(t, programs, ctsoak.NewPlan(r.seed, r.faults))
 		})
 	}
--- a/internal/program/ctcontrol/service.go
+++ b/internal/program/ctcontrol/service.go
@@ -363,18 +363,27 @@
 func (s *Service) take(
 	ctx context.Context, leader ctid.Control, address netip.AddrPort,
 ) (way ctframe.Way, fresh bool, err error) {
-	s.mutex.Lock()
-	idle := s.idle[leader]
-	if n := len(idle); n > 0 {
-		s.idle[leader] = idle[:n-1]
-		s.mutex.Unlock()
-		return idle[n-1], false, nil
+	if way = s.takeIdle(leader); way != nil {
+		return way, false, nil
 	}
-	s.mutex.Unlock()
 	way, err = s.open(ctx, address)
 	return way, true, err
 }
 
+// takeIdle returns an idle way to the leader, or nil.
+func (s *Service) takeIdle(leader ctid.Control) ctframe.Way {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	idle := s.idle[leader]
+	if len(idle) == 0 {
+		return nil
+	}
+	last := len(idle) - 1
+	way := idle[last]
+	s.idle[leader] = idle[:last]
+	return way
+}
+
 func (s *Service) open(ctx context.Context, address netip.AddrPort) (ctframe.Way, error) {
 	ctx, cancel := context.WithTimeout(ctx, leaderOpenTime)
 	defer cancel()
