ctsuccession: count what ended runs of proxies acknowledged, and know proxies once

Cause: a proxy that acknowledged a commit and started again could keep to a fence without a word of it, and counted as one that had told all. A replica without the commit could then be promoted while the one that had it did not answer. The same held for proxies that a new leader had not heard of and for those it had forgotten. Found by reading, for the size of the fleet: every machine kept a row for every proxy and looked through every report's list, so that a leader's work a report grew with the square of the groups. Ruled out: counting each run that ended as unknown for good, which would stop changes of primary for a term after any kill of a proxy. Change: Proxies is one table for all groups. Whenever a proxy falls silent, says goodbye or starts again, the primary's next answer tells a place that covers all that it can have acknowledged; a replica must hold that place. Until it is told, only the agreement of all members counts. Reports reach the machines of the groups that they name; groups are asked more slowly and in turns from 64 groups on. Tests: two new ones; the first fails on the code before (b is promoted without entry 101). The one that allowed a replica behind the place of the primary under a new leader was wrong for the same reason; in its place stand one that allows a replica with the place and one that forbids a replica without it. Before and after: TestNothingAcknowledgedIsLost fails, passes.

--- a/internal/decide/ctsuccession/change.go
+++ b/internal/decide/ctsuccession/change.go
@@ -135,16 +135,16 @@
 	case row.paused < group.Fence:
 		return false
 	}
-	return complete || m.allPaused(now, group, received)
+	return (complete && compare(received, m.covered) >= 0) || m.allPaused(now, group, received)
 }
 
 // acknowledged returns the latest point that proxies are known to have
 // acknowledged before the fence.
 func (m *Machine) acknowledged() ctposition.Point {
 	var latest ctposition.Point
-	for _, p := range m.proxies {
-		if p.fenced >= m.turn.fence {
-			latest = ctposition.Later(latest, p.acknowledged)
+	for _, told := range m.accounts {
+		if told.fenced >= m.turn.fence {
+			latest = ctposition.Later(latest, told.acknowledged)
 		}
 	}
 	return latest
--- a/internal/decide/ctsuccession/decide.go
+++ b/internal/decide/ctsuccession/decide.go
@@ -32,17 +32,17 @@
 	return m.watch(now, group)
 }
 
-// forget drops members that were not heard of for long and proxies whose
-// authority is long over.
+// forget drops members that were not heard of for long, and what proxies reported
+// that are forgotten.
 func (m *Machine) forget(now time.Time) {
 	for name, row := range m.members {
 		if now.Sub(row.heard) > forgetTime && row.failures > 0 {
 			delete(m.members, name)
 		}
 	}
-	for name, row := range m.proxies {
-		if now.Sub(row.heard) > forgetProxyTime && now.After(row.until) {
-			delete(m.proxies, name)
+	for name := range m.accounts {
+		if _, ok := m.proxies.rows[name]; !ok {
+			delete(m.accounts, name)
 		}
 	}
 }
@@ -63,7 +63,7 @@
 // watch looks whether the primary has to be replaced.
 func (m *Machine) watch(now time.Time, group ctview.Group) []Action {
 	m.turn = turn{}
-	actions := m.probeAll(now, watchTime, idleTime, group.Primary)
+	actions := m.probeAll(now, m.paced(watchTime), m.paced(idleTime), group.Primary)
 	why, due := m.due(now, group)
 	if !due || !m.replaceable(now, group) {
 		return append(actions, m.resume(now, group)...)
@@ -87,7 +87,7 @@
 	if primary.failures == 0 && !primary.answered.IsZero() && primary.status.Role == ctserver.RoleReplica {
 		return WhyDemoted, true
 	}
-	live, reaching, missing := m.accounts(now)
+	live, reaching, missing := m.tally(now)
 	lost := primary.failures >= lostFailures && missing > 0 && reaching <= missing
 	if lost || (primary.failures >= aloneFailures && reaching == 0) {
 		return WhyLost, true
@@ -108,22 +108,24 @@
 	return now.Sub(m.missed) >= missTime
 }
 
-// accounts counts the proxies that reported lately, and those of them that
-// reach and that miss the primary.
-func (m *Machine) accounts(now time.Time) (live, reaching, missing int) {
-	for _, p := range m.proxies {
-		if now.Sub(p.heard) > reportTime {
-			continue
-		}
-		live++
+// leastJury is how many proxies judge a primary at least, where there are as many:
+// in a large fleet few use a group.
+const leastJury = 24
+
+// tally counts the proxies that judge the primary, and those of them that reach and
+// that miss it.
+func (m *Machine) tally(now time.Time) (jury, reaching, missing int) {
+	for name, row := range m.accounts {
+		present, ok := m.proxies.rows[name]
 		switch {
-		case p.reaches:
+		case !ok || row.incarnation != present.incarnation || now.Sub(row.heard) > reportTime:
+		case row.reaches:
 			reaching++
-		case p.misses:
+		case row.misses:
 			missing++
 		}
 	}
-	return live, reaching, missing
+	return min(m.proxies.live(now), max(reaching+missing, leastJury)), reaching, missing
 }
 
 // replaceable reports whether a member that stays answers and could take over.
@@ -138,7 +140,12 @@
 
 // answers reports whether a member answered lately.
 func (m *Machine) answers(now time.Time, row *member) bool {
-	return row.failures == 0 && now.Sub(row.answered) <= idleTime+answerTime
+	return row.failures == 0 && now.Sub(row.answered) <= m.paced(idleTime)+answerTime
+}
+
+// paced stretches a time by the machine's pace.
+func (m *Machine) paced(d time.Duration) time.Duration {
+	return time.Duration(max(1, m.Pace)) * d
 }
 
 // resume lets replicas receive again that an earlier change paused.
@@ -183,19 +190,22 @@
 }
 
 // quiet reports whether no proxy can acknowledge anything for the primary any
-// more, and whether all of them said what they acknowledged.
+// more, and whether all that was acknowledged is known: told by the proxies, or
+// covered by a place in the primary's log.
 func (m *Machine) quiet(now time.Time, group ctview.Group) (quiet, complete bool) {
 	if now.Before(m.began.Add(ctdrift.AtMost(AuthorityTime))) {
 		return false, false
 	}
-	complete = now.Sub(m.began) > forgetTime
-	for _, p := range m.proxies {
+	covers := func(at time.Time) bool { return m.coveredTerm == group.Term && !at.After(m.coveredAt) }
+	complete = covers(m.proxies.mute)
+	for name, present := range m.proxies.rows {
+		told, _ := m.account(name, present)
 		switch {
-		case p.fenced >= group.Fence:
-		case now.Before(p.until):
+		case told.fenced >= group.Fence:
+		case now.Before(present.until):
 			return false, false
 		default:
-			complete = false
+			complete = complete && covers(present.until)
 		}
 	}
 	return true, complete
--- a/internal/decide/ctsuccession/machine.go
+++ b/internal/decide/ctsuccession/machine.go
@@ -1,6 +1,7 @@
 package ctsuccession
 
 import (
+	"slices"
 	"time"
 
 	"github.com/cherviltrestle/cherviltrestle/internal/model/ctdrift"
@@ -57,9 +58,20 @@
 
 // Machine decides on one group. Its zero value knows nothing.
 type Machine struct {
+	// Pace stretches the time between two questions while nothing is amiss, so that a
+	// leader of many groups can ask them all; 1 where it is 0.
+	Pace int
+
 	began   time.Time
 	members map[ctid.Member]*member
-	proxies map[ctid.Proxy]*proxy
+	proxies *Proxies
+	// accounts are what proxies reported of the group.
+	accounts map[ctid.Proxy]*account
+	// covered is the place in its log that the primary of a term told when it was
+	// asked at a time: all that was acknowledged before is in it.
+	covered     ctposition.Point
+	coveredTerm ctposition.Term
+	coveredAt   time.Time
 	// missed is since when too many proxies have missed the primary.
 	missed time.Time
 	// changed is when the last change ended here, and left when a member went
@@ -104,12 +116,10 @@
 	paused ctposition.Term
 }
 
-// proxy is what is known of a proxy.
-type proxy struct {
+// account is what a proxy reported of the group.
+type account struct {
 	incarnation ctid.Incarnation
-	// until is when its authority ends, and heard when it last reported.
-	until time.Time
-	heard time.Time
+	heard       time.Time
 	// fenced is the fence that it keeps to, with what it acknowledged before.
 	fenced       ctposition.Term
 	acknowledged ctposition.Point
@@ -117,12 +127,14 @@
 	misses       bool
 }
 
-// Begin starts the machine on a new leader.
-func (m *Machine) Begin(now time.Time) {
+// Begin starts the machine on a new leader that knows the proxies.
+func (m *Machine) Begin(now time.Time, proxies *Proxies) {
 	*m = Machine{
-		began:   now,
-		members: make(map[ctid.Member]*member),
-		proxies: make(map[ctid.Proxy]*proxy),
+		Pace:     m.Pace,
+		began:    now,
+		members:  make(map[ctid.Member]*member),
+		proxies:  proxies,
+		accounts: make(map[ctid.Proxy]*account),
 	}
 }
 
@@ -151,33 +163,16 @@
 	}
 }
 
-// Report takes what a proxy reports of the group, and grants it authority until
-// a time.
-func (m *Machine) Report(now time.Time, group ctview.Group, report *ctview.Report, until time.Time) {
-	row, ok := m.proxies[report.Proxy.Name]
-	if !ok {
-		row = &proxy{}
-		m.proxies[report.Proxy.Name] = row
-	}
-	if report.Proxy.Incarnation != row.incarnation {
-		// Its clock may have been set back before it started again: whatever the
-		// order of incarnations, it has authority and keeps to no fence yet.
-		*row = proxy{incarnation: report.Proxy.Incarnation, until: row.until}
+// Report takes what a proxy reports of the group.
+func (m *Machine) Report(now time.Time, group ctview.Group, report *ctview.Report) {
+	row, ok := m.accounts[report.Proxy.Name]
+	if !ok || report.Proxy.Incarnation != row.incarnation {
+		row = &account{incarnation: report.Proxy.Incarnation}
+		m.accounts[report.Proxy.Name] = row
 	}
 	row.heard = now
-	if until.After(row.until) {
-		row.until = until
-	}
-	if report.Goodbye {
-		row.until = time.Time{}
-	}
-	row.reaches, row.misses = false, false
-	for _, name := range report.Reaches {
-		row.reaches = row.reaches || name == group.Primary
-	}
-	for _, name := range report.Misses {
-		row.misses = row.misses || name == group.Primary
-	}
+	row.reaches = slices.Contains(report.Reaches, group.Primary)
+	row.misses = slices.Contains(report.Misses, group.Primary)
 	for _, f := range report.Fenced {
 		if f.Group == group.Name && f.Fence > row.fenced {
 			row.fenced, row.acknowledged = f.Fence, f.Acknowledged
@@ -185,6 +180,15 @@
 	}
 }
 
+// account returns what the present run of a proxy reported of the group.
+func (m *Machine) account(name ctid.Proxy, present *presence) (account, bool) {
+	row, ok := m.accounts[name]
+	if !ok || row.incarnation != present.incarnation {
+		return account{}, false
+	}
+	return *row, true
+}
+
 // Until returns until when a report that was sent now grants authority.
 func Until(now time.Time) time.Time {
 	return now.Add(ctdrift.AtMost(AuthorityTime))
@@ -199,6 +203,7 @@
 	row.pending = false
 	row.failures = 0
 	row.status, row.answered, row.statusAsked = status, now, row.asked
+	m.cover(row)
 	switch q := question.(type) {
 	case Pause:
 		row.paused = q.Fence
@@ -209,13 +214,25 @@
 	}
 }
 
+// cover notes where the primary's log is, once for each time that a proxy fell
+// silent: the earlier the place, the more replicas have it.
+func (m *Machine) cover(row *member) {
+	if row.status.Role != ctserver.RolePrimary {
+		return
+	}
+	due := row.status.Term == m.coveredTerm && m.proxies.mute.After(m.coveredAt)
+	if due || row.status.Term > m.coveredTerm {
+		m.covered, m.coveredTerm, m.coveredAt = row.status.Received, row.status.Term, row.statusAsked
+	}
+}
+
 // Sample returns a point that covers every commit that was acknowledged before a
 // time. While a change is under way and nothing is acknowledged, that is the
 // latest point that any proxy acknowledged.
 func (m *Machine) Sample(now time.Time, group ctview.Group) (point ctposition.Point, before time.Time, known bool) {
 	if group.Changing() {
 		quiet, complete := m.quiet(now, group)
-		point = m.acknowledged()
+		point = ctposition.Later(m.acknowledged(), m.covered)
 		return point, now, quiet && complete && m.turn.fence == group.Fence && !point.Zero()
 	}
 	row, ok := m.members[group.Primary]
--- a/internal/decide/ctsuccession/machine_test.go
+++ b/internal/decide/ctsuccession/machine_test.go
@@ -29,6 +29,7 @@
 // world plays a group with its members and proxies against a machine.
 type world struct {
 	machine ctsuccession.Machine
+	known   *ctsuccession.Proxies
 	now     time.Time
 	group   ctview.Group
 	servers map[ctid.Member]*server
@@ -43,6 +44,8 @@
 	// refuses lists the members whose promotion the service refuses.
 	refuses map[ctid.Member]bool
 	sets    []ctsuccession.Why
+	// incarnation numbers the proxies' present run.
+	incarnation ctid.Incarnation
 }
 
 func point(position int) ctposition.Point {
@@ -56,13 +59,16 @@
 		fenced:   true,
 		reaching: 4,
 		refuses:  make(map[ctid.Member]bool),
+
+		incarnation: 1,
 		servers: map[ctid.Member]*server{
 			"a": {status: ctquery.Status{Role: ctserver.RolePrimary, Term: 1, Received: point(100)}},
 			"b": {status: ctquery.Status{Role: ctserver.RoleReplica, Term: 1, Received: point(100)}},
 			"c": {status: ctquery.Status{Role: ctserver.RoleReplica, Term: 1, Received: point(99)}},
 		},
 	}
-	w.machine.Begin(w.now)
+	w.known = ctsuccession.NewProxies(w.now)
+	w.machine.Begin(w.now, w.known)
 	w.announce()
 	// A leader that has led for long knows all members and proxies.
 	w.run(11 * time.Second)
@@ -90,7 +96,7 @@
 		return
 	}
 	for i := range 4 {
-		report := &ctview.Report{Proxy: ctview.Proxy{Name: ctid.Proxy(rune('p' + i)), Incarnation: 1}}
+		report := &ctview.Report{Proxy: ctview.Proxy{Name: ctid.Proxy(rune('p' + i)), Incarnation: w.incarnation}}
 		switch {
 		case i < w.missing:
 			report.Misses = []ctid.Member{w.group.Primary}
@@ -100,16 +106,23 @@
 		if w.fenced && w.group.Changing() {
 			report.Fenced = []ctview.Fenced{{Group: "g", Fence: w.group.Fence, Acknowledged: w.acknowledged}}
 		}
-		w.machine.Report(w.now, w.group, report, ctsuccession.Until(w.now))
+		w.hear(w.now, report)
 	}
 }
 
+// hear takes a proxy's report.
+func (w *world) hear(now time.Time, report *ctview.Report) {
+	w.known.Report(now, report, ctsuccession.Until(now))
+	w.machine.Report(now, w.group, report)
+}
+
 // run lets the world go on for a while.
 func (w *world) run(d time.Duration) {
 	for until := w.now.Add(d); w.now.Before(until); {
 		w.now = w.now.Add(step)
 		w.announce()
 		w.report()
+		w.known.Tick(w.now)
 		for _, action := range w.machine.Decide(w.now, w.group) {
 			w.perform(action)
 		}
@@ -237,12 +250,35 @@
 		w.servers["a"].dead = true
 		w.missing, w.reaching = 4, 0
 		again := &ctview.Report{Proxy: ctview.Proxy{Name: "z", Incarnation: 5}}
-		w.machine.Report(w.now, w.group, again, ctsuccession.Until(w.now))
+		w.hear(w.now, again)
 		again.Proxy.Incarnation = 4
-		w.machine.Report(w.now.Add(time.Second), w.group, again, ctsuccession.Until(w.now.Add(time.Second)))
+		w.hear(w.now.Add(time.Second), again)
 		w.run(ctsuccession.AuthorityTime + 500*time.Millisecond)
 		assertNoOrder(t, w)
 	})
+	t.Run("what a proxy acknowledged before it started again counts, though it can't tell", func(t *testing.T) {
+		w := newWorld()
+		w.incarnation = 2
+		w.servers["a"].dead = true
+		w.servers["c"].dark = true
+		w.servers["c"].status.Received = point(101)
+		w.missing, w.reaching = 4, 0
+		w.run(8 * time.Second)
+		assertNoOrder(t, w)
+		w.servers["c"].dark = false
+		w.run(3 * time.Second)
+		assertPrimary(t, w, "c", 2)
+	})
+	t.Run("a replica that holds all that the primary had after that start is enough", func(t *testing.T) {
+		w := newWorld()
+		w.incarnation = 2
+		w.run(2 * time.Second)
+		w.servers["a"].dead = true
+		w.servers["c"].dark = true
+		w.missing, w.reaching = 4, 0
+		w.run(3 * time.Second)
+		assertPrimary(t, w, "b", 2)
+	})
 	t.Run("a replica that lacks an acknowledged commit is not promoted", func(t *testing.T) {
 		w := newWorld()
 		w.servers["a"].dead = true
@@ -257,13 +293,36 @@
 	})
 	t.Run("one replica that answers is enough where all proxies told what they acknowledged", func(t *testing.T) {
 		w := newWorld()
+		w.servers["a"].status.Received = point(120)
+		w.servers["c"].status.Received = point(100)
+		w.acknowledged = point(100)
+		w.run(time.Second)
 		w.servers["a"].dead = true
 		w.servers["b"].dark = true
 		w.missing, w.reaching = 4, 0
-		w.acknowledged = point(99)
 		w.run(3 * time.Second)
 		assertPrimary(t, w, "c", 2)
 	})
+	t.Run("it is not where it lacks what proxies may have acknowledged before this leader began", func(t *testing.T) {
+		w := newWorld()
+		w.servers["a"].dead = true
+		w.servers["b"].dark = true
+		w.missing, w.reaching = 4, 0
+		w.acknowledged = point(99)
+		w.run(8 * time.Second)
+		assertNoOrder(t, w)
+	})
+	t.Run("a proxy that fell silent before the primary told its place holds nothing up", func(t *testing.T) {
+		w := newWorld()
+		gone := &ctview.Report{Proxy: ctview.Proxy{Name: "z", Incarnation: 1}}
+		w.hear(w.now, gone)
+		w.run(5 * time.Second)
+		w.servers["a"].dead = true
+		w.servers["c"].dark = true
+		w.missing, w.reaching = 4, 0
+		w.run(3 * time.Second)
+		assertPrimary(t, w, "b", 2)
+	})
 	t.Run("it is not where they could not", func(t *testing.T) {
 		w := newWorld()
 		w.servers["a"].dead = true
@@ -322,7 +381,8 @@
 		w := newWorld()
 		w.group.Fence, w.group.Candidate = 2, "c"
 		w.servers["a"].dead = true
-		w.machine.Begin(w.now)
+		w.known = ctsuccession.NewProxies(w.now)
+		w.machine.Begin(w.now, w.known)
 		w.run(6 * time.Second)
 		assertPrimary(t, w, "c", 2)
 	})
--- a/internal/program/ctcontrol/control.go
+++ b/internal/program/ctcontrol/control.go
@@ -206,9 +206,8 @@
 	for name := range l.machines {
 		c.decide(now, l, name)
 	}
-	for name := range l.successions {
-		c.advance(now, l, name)
-	}
+	l.proxies.Tick(now)
+	c.advanceAll(now, l)
 	if members, due := l.forgotten(now); due && l.authorized(now) {
 		c.propose(l, ctregister.Remember{Members: members}, nil)
 	}
--- a/internal/program/ctcontrol/ledger.go
+++ b/internal/program/ctcontrol/ledger.go
@@ -37,12 +37,15 @@
 	machines map[ctid.Group]*ctfailover.Machine
 	// successions decide on the groups that an external service promotes in.
 	successions map[ctid.Group]*ctsuccession.Machine
-	epoch       ctquorum.Epoch
-	blocked     map[ctid.Group]ctfailover.Why
-	began       time.Time
-	settled     bool
-	silence     time.Duration
-	watchers    []chan struct{}
+	proxies     *ctsuccession.Proxies
+	// ticks counts how often the successions could decide.
+	ticks    uint64
+	epoch    ctquorum.Epoch
+	blocked  map[ctid.Group]ctfailover.Why
+	began    time.Time
+	settled  bool
+	silence  time.Duration
+	watchers []chan struct{}
 	// recent lists the configurations that were accepted last, the newest last.
 	recent []ctview.Config
 	// remembered is when the members were last compared with those noted.
@@ -74,6 +77,7 @@
 	l.roster.Begin(epoch)
 	l.machines = make(map[ctid.Group]*ctfailover.Machine)
 	l.successions = make(map[ctid.Group]*ctsuccession.Machine)
+	l.proxies = ctsuccession.NewProxies(now)
 	l.epoch = ctquorum.Epoch(epoch)
 	l.blocked = make(map[ctid.Group]ctfailover.Why)
 	l.proposed = make(map[ctid.Group]time.Time)
@@ -106,12 +110,17 @@
 // comes to lead.
 const maxRecent = 8
 
-// rememberTime is the least time between two notes of the members.
-const rememberTime = time.Second
+// rememberTime is the least time between two notes of the members, for each
+// rememberedAtOnce of them: a note holds them all.
+const (
+	rememberTime     = time.Second
+	rememberedAtOnce = 200
+)
 
 // forgotten returns the members, where they are not those that are noted.
 func (l *ledger) forgotten(now time.Time) ([]ctserver.Announcement, bool) {
-	if len(l.successions) == 0 || now.Sub(l.remembered) < rememberTime {
+	wait := rememberTime * time.Duration(1+len(l.register.Members)/rememberedAtOnce)
+	if len(l.successions) == 0 || now.Sub(l.remembered) < wait {
 		return nil, false
 	}
 	l.remembered = now
@@ -172,7 +181,7 @@
 		return
 	}
 	machine := &ctsuccession.Machine{}
-	machine.Begin(now)
+	machine.Begin(now, l.proxies)
 	for _, announced := range l.roster.Members() {
 		if announced.Group == name {
 			machine.Hear(now, announced)
--- a/internal/program/ctcontrol/succession.go
+++ b/internal/program/ctcontrol/succession.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"syscall"
 	"time"
 
@@ -23,7 +24,11 @@
 // The bounds of the work for groups that an external service promotes in.
 const (
 	// jobWorkers is how many members are asked at a time.
-	jobWorkers = 8
+	jobWorkers = 32
+	// pacedGroups is for how many groups their members are asked at the usual pace,
+	// and maxPace how much slower a leader of more groups asks them at most.
+	pacedGroups = 64
+	maxPace     = 8
 	// askTime bounds one question, and orderTime one order.
 	askTime   = 400 * time.Millisecond
 	orderTime = time.Second
@@ -74,8 +79,13 @@
 			reply.Groups = append(reply.Groups, g)
 		}
 	}
-	for name, machine := range l.successions {
-		machine.Report(now, l.group(name), report, until)
+	l.proxies.Report(now, report, until)
+	for _, name := range l.reported(report) {
+		machine, ok := l.successions[name]
+		if !ok {
+			continue
+		}
+		machine.Report(now, l.group(name), report)
 		point, asked, known := machine.Sample(now, l.group(name))
 		if known && !until.IsZero() {
 			reply.Samples = append(reply.Samples, ctview.Sample{Group: name, Point: point, Ago: now.Sub(asked)})
@@ -83,6 +93,23 @@
 	}
 }
 
+// reported lists the groups that a report tells something of, each once.
+func (l *ledger) reported(report *ctview.Report) []ctid.Group {
+	names := make([]ctid.Group, 0, len(report.Reaches)+len(report.Misses)+len(report.Fenced))
+	for _, primaries := range [][]ctid.Member{report.Reaches, report.Misses} {
+		for _, name := range primaries {
+			if announced, ok := l.roster.Member(name); ok {
+				names = append(names, announced.Group)
+			}
+		}
+	}
+	for _, f := range report.Fenced {
+		names = append(names, f.Group)
+	}
+	slices.Sort(names)
+	return slices.Compact(names)
+}
+
 // group returns what is decided on a group.
 func (l *ledger) group(name ctid.Group) ctview.Group {
 	group := l.register.Groups[name]
@@ -90,6 +117,25 @@
 	return group
 }
 
+// pace returns how much slower members are asked where there are many groups.
+func (l *ledger) pace() int {
+	return min(1+len(l.successions)/pacedGroups, maxPace)
+}
+
+// advanceAll lets the successions decide: those under way at each tick, the others
+// in turns where there are many.
+func (c *Control) advanceAll(now time.Time, l *ledger) {
+	l.ticks++
+	pace := l.pace()
+	for name, machine := range l.successions {
+		machine.Pace = pace
+		turn := (uint64(ctpool.KeyOf(name)) + l.ticks) % uint64(pace)
+		if group := l.group(name); turn == 0 || group.Changing() {
+			c.advance(now, l, name)
+		}
+	}
+}
+
 // advance lets a succession decide and does what it asks for.
 func (c *Control) advance(now time.Time, l *ledger, name ctid.Group) {
 	machine, ok := l.successions[name]
