ctgateway: keep up the groups that callers use, not all of the fleet

Each proxy took a sample of each group each 1.1 s, kept a connection or a way to each member and told control of each primary with each report; control answered with a sample of each group. At 300 machines control ran over its memory and nothing was served. Ruled out: the callers' load, which is 200 statements a second; the members' reports, 300 a second over six control processes. Change: groups that had no statement for 20 s are not kept up, where there are more than 16. Reports are spaced by 3 ms a proxy, up to 1 s. Conclusion: to be measured.

--- a/internal/program/ctgateway/conversation.go
+++ b/internal/program/ctgateway/conversation.go
@@ -134,6 +134,7 @@
 	route, ok := c.gateway.State.View(&c.held).Config.Document.Route(c.database)
 	if ok {
 		c.route = route
+		c.gateway.use(&c.held, route.Group)
 	}
 	return ok
 }
--- a/internal/program/ctgateway/gateway.go
+++ b/internal/program/ctgateway/gateway.go
@@ -11,6 +11,7 @@
 
 	"github.com/cherviltrestle/cherviltrestle/internal/model/ctid"
 	"github.com/cherviltrestle/cherviltrestle/internal/model/ctquery"
+	"github.com/cherviltrestle/cherviltrestle/internal/model/ctset"
 	"github.com/cherviltrestle/cherviltrestle/internal/model/ctview"
 	"github.com/cherviltrestle/cherviltrestle/internal/program/ctmetric"
 	"github.com/cherviltrestle/cherviltrestle/internal/program/ctpools"
@@ -62,7 +63,8 @@
 	sessions cttable.Table[ctid.Session, conversation]
 	last     atomic.Uint64
 	draining atomic.Bool
-	// served reports that this run of the proxy has served all groups.
+	// served reports that this run of the proxy has reached the primaries of all
+	// groups in use.
 	served atomic.Bool
 	open   sync.WaitGroup
 }
@@ -79,7 +81,7 @@
 // Follow takes a newer view.
 func (g *Gateway) Follow(held *ctlock.Held, view *ctview.View) {
 	g.Pools.Follow(held, view)
-	g.Pools.Tend(held)
+	g.tend(held, view)
 	if g.followFences(held, view) {
 		g.Hasten()
 	}
@@ -97,7 +99,7 @@
 			return
 		case <-g.Clock.After(upkeepTime):
 		}
-		g.Pools.Tend(&held)
+		g.tend(&held, g.State.View(&held))
 		g.noteServed(&held)
 		if g.served.Load() && g.lapsed(&held) {
 			g.askToLeave()
@@ -109,13 +111,25 @@
 	}
 }
 
-// noteServed notes when all primaries have been reached for the first time.
+// tend keeps connections to the members of the groups in use.
+func (g *Gateway) tend(held *ctlock.Held, view *ctview.View) {
+	var used ctset.Set[ctid.Group]
+	for _, decided := range g.inUse(held, view) {
+		used.Add(decided.Name)
+	}
+	g.Pools.Tend(held, used)
+}
+
+// noteServed notes when all primaries in use have been reached for the first time.
 func (g *Gateway) noteServed(held *ctlock.Held) {
-	view := g.State.View(held)
-	if g.served.Load() || len(view.Groups) == 0 {
+	if g.served.Load() {
+		return
+	}
+	used := g.inUse(held, g.State.View(held))
+	if len(used) == 0 {
 		return
 	}
-	for _, decided := range view.Groups {
+	for _, decided := range used {
 		if !g.Pools.Met(held, decided.Primary) {
 			return
 		}
--- a/internal/program/ctgateway/group.go
+++ b/internal/program/ctgateway/group.go
@@ -26,6 +26,11 @@
 	// retireTime is how long what runs at a primary that leaves may take before
 	// the proxy keeps to the fence.
 	retireTime = 1200 * time.Millisecond
+	// usedTime is how long after its last statement a group counts as in use.
+	usedTime = 20 * time.Second
+	// warmGroups is up to how many groups all count as in use, so that the first
+	// statement finds a connection and a sample.
+	warmGroups = 16
 )
 
 // group is what a proxy keeps of a group.
@@ -42,6 +47,8 @@
 	busy int
 	// sampling reports that a sample is being taken.
 	sampling bool
+	// used is when a statement last needed the group.
+	used time.Time
 }
 
 func rowOf(rows map[ctid.Group]*group, name ctid.Group) *group {
@@ -53,6 +60,28 @@
 	return row
 }
 
+// use notes that a statement needs a group.
+func (g *Gateway) use(held *ctlock.Held, name ctid.Group) {
+	now := g.Clock.Now()
+	g.groups.With(held, func(rows map[ctid.Group]*group) { rowOf(rows, name).used = now })
+}
+
+// inUse returns the groups that callers of this proxy use. What a proxy keeps up, and
+// what it tells control, grows with them and not with all groups of the fleet.
+func (g *Gateway) inUse(held *ctlock.Held, view *ctview.View) []ctview.Group {
+	used := make([]ctview.Group, 0, min(len(view.Groups), warmGroups))
+	oldest := g.Clock.Now().Add(-usedTime)
+	g.groups.With(held, func(rows map[ctid.Group]*group) {
+		for name, decided := range view.Groups {
+			row, ok := rows[name]
+			if len(view.Groups) <= warmGroups || (ok && row.used.After(oldest)) {
+				used = append(used, decided)
+			}
+		}
+	})
+	return used
+}
+
 // followFences takes the fences of a view, and reports whether the proxy has
 // come to keep to one. It waits a little for what runs at a primary that leaves.
 func (g *Gateway) followFences(held *ctlock.Held, view *ctview.View) bool {
@@ -156,18 +185,18 @@
 	view := g.State.View(held)
 	now := g.Clock.Now()
 	authority := g.State.Authority(held)
-	for name, decided := range view.Groups {
+	for _, decided := range g.inUse(held, view) {
 		if decided.Primary == "" || decided.Changing() || !now.Before(authority) {
 			continue
 		}
 		due := false
 		g.groups.With(held, func(rows map[ctid.Group]*group) {
-			row := rowOf(rows, name)
+			row := rowOf(rows, decided.Name)
 			due = !row.sampling && now.Sub(row.samples.Newest()) > refreshTime
 			row.sampling = row.sampling || due
 		})
 		if due {
-			go g.takeSample(name, decided.Primary)
+			go g.takeSample(decided.Name, decided.Primary)
 		}
 	}
 }
@@ -196,7 +225,7 @@
 func (g *Gateway) Witness(held *ctlock.Held) ctuplink.Testimony {
 	var t ctuplink.Testimony
 	view := g.State.View(held)
-	for _, decided := range view.Groups {
+	for _, decided := range g.inUse(held, view) {
 		if decided.Primary == "" {
 			continue
 		}
--- a/internal/program/ctpools/follow.go
+++ b/internal/program/ctpools/follow.go
@@ -6,6 +6,7 @@
 
 	"github.com/cherviltrestle/cherviltrestle/internal/model/ctid"
 	"github.com/cherviltrestle/cherviltrestle/internal/model/ctserver"
+	"github.com/cherviltrestle/cherviltrestle/internal/model/ctset"
 	"github.com/cherviltrestle/cherviltrestle/internal/model/ctview"
 	"github.com/cherviltrestle/cherviltrestle/internal/work/ctlock"
 	"github.com/cherviltrestle/cherviltrestle/internal/work/ctpool"
@@ -129,23 +130,27 @@
 	r.idle, r.waiters = nil, nil
 }
 
-// Tend opens a connection to each member that has none, so that the first
-// request need not wait for one (ways to other proxies only once: they cost the
-// member nothing), and closes those that were not needed lately: a
+// Tend opens a connection to each member of the groups in use that has none, so
+// that the first request need not wait for one (ways to other proxies only once:
+// they cost the member nothing), and closes those that were not needed lately: a
 // member counts them for a while after a proxy has lost its power, and the next
 // run of the proxy needs the room.
-func (p *Pools) Tend(held *ctlock.Held) {
+func (p *Pools) Tend(held *ctlock.Held, used ctset.Set[ctid.Group]) {
 	unused := p.Clock.Now().Add(-surplusTime)
 	p.rows.With(held, func(rows map[ctid.Member]*row) {
 		for _, r := range rows {
 			r.dropBroken()
-			for r.open > 1 && len(r.idle) > 0 && r.idle[0].used.Before(unused) {
+			kept := 0
+			if used.Has(r.server.Group) {
+				kept = 1
+			}
+			for r.open > kept && len(r.idle) > 0 && r.idle[0].used.Before(unused) {
 				r.idle[0].close()
 				r.idle = r.idle[1:]
 				r.open--
 			}
 			first := r.answered.IsZero() || len(r.carriers) == 0
-			if r.open == 0 && r.leaving.IsZero() && first {
+			if r.open < kept && r.leaving.IsZero() && first {
 				p.grow(r)
 			}
 		}
--- a/internal/program/ctuplink/uplink.go
+++ b/internal/program/ctuplink/uplink.go
@@ -201,7 +201,7 @@
 	defer link.close()
 	var held ctlock.Held
 	for number := uint64(1); ctx.Err() == nil && !u.parted.Load(); number++ {
-		result, pause := "answered", u.Heartbeat
+		result, pause := "answered", u.interval(&held)
 		if err := u.reportOnce(ctx, link, u.compose(&held, number), &held); err != nil {
 			result, pause = "failed", link.pause(u.Heartbeat)
 			u.noteLost(link, err)
@@ -217,6 +217,26 @@
 	}
 }
 
+const (
+	// reportShare is how much of the time between two reports each proxy of the fleet
+	// adds, so that control's leader hears no more reports a second than it can
+	// answer.
+	reportShare = 3 * time.Millisecond
+	// maxInterval is the longest time between two reports: authority must outlast
+	// one that is lost.
+	maxInterval = time.Second
+)
+
+// interval returns the time between two reports. Leases are too short for another one
+// than that of the settings.
+func (u *Uplink) interval(held *ctlock.Held) time.Duration {
+	if u.Witness == nil {
+		return u.Heartbeat
+	}
+	share := time.Duration(len(u.State.View(held).Proxies)) * reportShare
+	return max(u.Heartbeat, min(share, maxInterval))
+}
+
 // noteLost logs the first report in a row that failed, and each later one for
 // those who look for more.
 func (u *Uplink) noteLost(link *link, err error) {
