ctcontrol: pack whole views, and space notices of members that come and go

A whole view of 100 proxies, 360 members and 360 routes is 132 KB, of which the configuration alone was packed; and each member that registers woke all proxies, 360 times 100 messages after a start. Members that had to ask another control process left connections behind that rested for 20 s: 6,900 at one process. Ruled out: samples and testimonies, which no longer grow with all groups. Change: a delta with more than 50 routes, members or groups is packed as a whole, once for all proxies, and comes with a watch; what comes and goes is told at most once in 1 ms a proxy from 64 proxies on; connections of members rest for 4 s.

--- a/internal/decide/ctsuccession/proxies.go
+++ b/internal/decide/ctsuccession/proxies.go
@@ -74,6 +74,11 @@
 	}
 }
 
+// Count returns how many proxies are known.
+func (p *Proxies) Count() int {
+	return len(p.rows)
+}
+
 // live counts the proxies that reported lately.
 func (p *Proxies) live(now time.Time) int {
 	count := 0
--- a/internal/link/ctframe/fleet.go
+++ b/internal/link/ctframe/fleet.go
@@ -16,8 +16,7 @@
 // Reply is control's answer to a heartbeat.
 type Reply struct {
 	ctview.Reply
-	// Packed is the configuration of the delta in compressed form, where it is
-	// heavy. The delta has none then.
+	// Packed is the delta in compressed form, where it is heavy.
 	Packed []byte `cbor:"packed,omitempty"`
 }
 
--- a/internal/link/ctframe/pack.go
+++ b/internal/link/ctframe/pack.go
@@ -12,28 +12,11 @@
 	"github.com/cherviltrestle/cherviltrestle/internal/model/ctview"
 )
 
-// Packed is the part of a delta that may be large: one of its fields is set.
-type Packed struct {
-	Config *ctview.Config      `cbor:"1,keyasint,omitempty"`
-	Patch  *ctview.ConfigPatch `cbor:"2,keyasint,omitempty"`
-}
-
-// Check reports the first fault of what was unpacked.
-func (p *Packed) Check() error {
-	if p.Patch != nil {
-		return p.Patch.Patch.Check()
-	}
-	if p.Config != nil {
-		return p.Config.Document.Check()
-	}
-	return nil
-}
-
-// Pack returns the part of a delta that may be large in compressed form.
-func Pack(part Packed) ([]byte, error) {
-	body, err := ctcbor.Marshal(part)
+// Pack returns a delta in compressed form.
+func Pack(delta *ctview.Delta) ([]byte, error) {
+	body, err := ctcbor.Marshal(delta)
 	if err != nil {
-		return nil, errors.Wrap(err, "encode a configuration")
+		return nil, errors.Wrap(err, "encode a view")
 	}
 	return Compress(body)
 }
@@ -55,17 +38,16 @@
 }
 
 // Unpack returns what Pack made the compressed form of.
-func Unpack(packed []byte) (Packed, error) {
-	var part Packed
+func Unpack(packed []byte) (*ctview.Delta, error) {
 	body, err := Decompress(packed)
 	if err != nil {
-		return part, err
+		return nil, err
 	}
-	if err := ctcbor.Unmarshal(body, &part); err != nil {
-		return part, cterror.Wrap(cterror.Invalid, err, "decode a configuration",
-			"check that both processes have one version")
+	delta := &ctview.Delta{}
+	if err := ctcbor.Unmarshal(body, delta); err != nil {
+		return nil, cterror.Wrap(cterror.Invalid, err, "decode a view", "check that both processes have one version")
 	}
-	return part, part.Check()
+	return delta, delta.Check()
 }
 
 // Decompress returns the data of its compressed form.
--- a/internal/model/ctview/delta.go
+++ b/internal/model/ctview/delta.go
@@ -44,16 +44,20 @@
 	Document ctconfig.Document `json:"document" cbor:"document"`
 }
 
-// heavyRoutes is how many routes make a delta heavy.
-const heavyRoutes = 50
+// heavyEntries is how many routes, members or groups make a delta heavy.
+const heavyEntries = 50
 
-// Heavy reports whether the delta carries so much of the configuration that it
-// should not hold up what has to be answered soon.
+// Heavy reports whether the delta carries so much that it should not hold up what
+// has to be answered soon.
 func (d *Delta) Heavy() bool {
-	if d.ConfigPatch != nil {
-		return len(d.ConfigPatch.Patch.Routes) > heavyRoutes
+	routes := 0
+	switch {
+	case d.ConfigPatch != nil:
+		routes = len(d.ConfigPatch.Patch.Routes)
+	case d.Config != nil:
+		routes = len(d.Config.Document.Routes)
 	}
-	return d.Config != nil && len(d.Config.Document.Routes) > heavyRoutes
+	return max(routes, len(d.Members), len(d.Groups)) > heavyEntries
 }
 
 // Check reports the first fault of the delta.
--- a/internal/program/ctcontrol/control.go
+++ b/internal/program/ctcontrol/control.go
@@ -127,7 +127,7 @@
 			c.hear(now, l, h, reply)
 		}
 		if changed {
-			l.notify()
+			l.notifySoon(now)
 		}
 		reply.Delta = l.delta(now, report.Version, report.Revision)
 		c.authorize(now, l, report, reply)
@@ -211,9 +211,9 @@
 	if members, due := l.forgotten(now); due && l.authorized(now) {
 		c.propose(l, ctregister.Remember{Members: members}, nil)
 	}
-	if l.roster.Version() != before || !l.settled {
+	if l.roster.Version() != before || !l.settled || l.news {
 		l.settled = true
-		l.notify()
+		l.notifySoon(now)
 	}
 }
 
--- a/internal/program/ctcontrol/ledger.go
+++ b/internal/program/ctcontrol/ledger.go
@@ -46,6 +46,10 @@
 	settled  bool
 	silence  time.Duration
 	watchers []chan struct{}
+	// notified is when those who wait were woken last, and news whether there is
+	// something that they have not been woken for.
+	notified time.Time
+	news     bool
 	// recent lists the configurations that were accepted last, the newest last.
 	recent []ctview.Config
 	// remembered is when the members were last compared with those noted.
@@ -206,8 +210,32 @@
 	return l.roster.Since(version, revision)
 }
 
+const (
+	// noticeShare is how much of the time between two notices of members and proxies
+	// that come and go each proxy adds: each notice is sent to all.
+	noticeShare = time.Millisecond
+	// promptProxies is up to how many proxies are told of everything at once.
+	promptProxies = 64
+	// maxNotice is the longest time between two such notices.
+	maxNotice = time.Second
+)
+
+// notifySoon wakes those who wait for a newer view, unless many were woken just now:
+// then it is left to the next tick that may.
+func (l *ledger) notifySoon(now time.Time) {
+	count := l.proxies.Count()
+	wait := min(time.Duration(count)*noticeShare, maxNotice)
+	if count > promptProxies && now.Sub(l.notified) < wait {
+		l.news = true
+		return
+	}
+	l.notified = now
+	l.notify()
+}
+
 // notify wakes those who wait for a newer view.
 func (l *ledger) notify() {
+	l.news = false
 	for _, w := range l.watchers {
 		close(w)
 	}
--- a/internal/program/ctcontrol/pack.go
+++ b/internal/program/ctcontrol/pack.go
@@ -6,38 +6,34 @@
 	"github.com/cherviltrestle/cherviltrestle/internal/model/ctview"
 )
 
-// packed makes the frame of a reply. A heavy configuration is compressed, once for
-// all the proxies that are sent it.
+// packed makes the frame of a reply. A heavy delta is compressed, once for all the
+// proxies that are sent it.
 func (s *Service) packed(reply *ctview.Reply) *ctframe.Reply {
 	frame := &ctframe.Reply{Reply: *reply}
 	if reply.Delta == nil || !reply.Delta.Heavy() {
 		return frame
 	}
-	delta := *reply.Delta
-	data, err := s.pack(&delta)
+	data, err := s.pack(reply.Delta)
 	if err != nil {
 		s.Logger.Error().Str("event", "pack_failed").Str("error", err.Error()).Send()
 		return frame
 	}
-	delta.Config, delta.ConfigPatch = nil, nil
-	frame.Delta, frame.Packed = &delta, data
+	frame.Delta, frame.Packed = nil, data
 	return frame
 }
 
-// pack returns the compressed configuration of a delta.
+// pack returns a delta in compressed form.
 func (s *Service) pack(delta *ctview.Delta) ([]byte, error) {
-	var key packKey
+	key := packKey{from: delta.From, to: delta.To}
 	if delta.ConfigPatch != nil {
-		key = packKey{from: delta.ConfigPatch.Base, to: delta.ConfigPatch.Revision}
-	} else {
-		key = packKey{to: delta.Config.Revision}
+		key.base = delta.ConfigPatch.Base
 	}
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	if data, ok := s.packs[key]; ok {
 		return data, nil
 	}
-	data, err := ctframe.Pack(ctframe.Packed{Config: delta.Config, Patch: delta.ConfigPatch})
+	data, err := ctframe.Pack(delta)
 	if err != nil {
 		return nil, err
 	}
@@ -48,11 +44,12 @@
 	return data, nil
 }
 
-// packKey names a compressed configuration: the whole of a revision, or what leads
-// to it from another one.
+// packKey names a compressed delta: the versions that it leads from and to, and the
+// revision of the configuration that it patches.
 type packKey struct {
-	from, to ctid.Revision
+	from, to ctview.Version
+	base     ctid.Revision
 }
 
-// maxPacks is how many compressed configurations are kept.
+// maxPacks is how many compressed deltas are kept.
 const maxPacks = 16
--- a/internal/program/ctcontrol/release.go
+++ b/internal/program/ctcontrol/release.go
@@ -93,7 +93,7 @@
 			machine.Hear(now, announced)
 		}
 		if changed {
-			l.notify()
+			l.notifySoon(now)
 		}
 		if !known || before.State != announced.State || before.Role != announced.Role {
 			c.Logger.Info().Str("event", "decision").Str("decision", "take_member").
@@ -114,7 +114,7 @@
 	for _, machine := range l.successions {
 		machine.Leave(now, name)
 	}
-	l.notify()
+	l.notifySoon(now)
 	c.Logger.Info().Str("event", "decision").Str("decision", "drop_member").
 		Str("member", string(name)).Str("why", "ended").Send()
 }
--- a/internal/program/ctnode/server.go
+++ b/internal/program/ctnode/server.go
@@ -16,7 +16,9 @@
 // The times of HTTP servers.
 const (
 	headerTime = 3 * time.Second
-	idleTime   = 20 * time.Second
+	// idleTime is how long a connection may rest: a few reports of a member. Members
+	// that had to ask another process leave theirs behind, and each takes memory.
+	idleTime = 4 * time.Second
 )
 
 // listen opens a TCP address.
--- a/internal/program/ctuplink/follow.go
+++ b/internal/program/ctuplink/follow.go
@@ -60,17 +60,16 @@
 	return &ctframe.Watch{Version: view.Version, Revision: view.Config.Revision}
 }
 
-// takeReply takes the delta of a reply, with a configuration that is packed apart.
+// takeReply takes the delta of a reply, which may be packed.
 func (u *Uplink) takeReply(held *ctlock.Held, reply *ctframe.Reply) error {
-	if len(reply.Packed) == 0 || reply.Delta == nil {
+	if len(reply.Packed) == 0 {
 		return u.take(held, reply.Delta)
 	}
-	part, err := ctframe.Unpack(reply.Packed)
+	delta, err := ctframe.Unpack(reply.Packed)
 	if err != nil {
 		return err
 	}
-	reply.Delta.Config, reply.Delta.ConfigPatch = part.Config, part.Patch
-	return u.take(held, reply.Delta)
+	return u.take(held, delta)
 }
 
 // askPeers asks the proxies of this failure domain for the view, while this one
