ctsuccession: order refused candidates again, and others where orders have no effect

Cause: a candidate that the service refused once was never ordered again before the next leader; a refusal also means that the member did not run just then. And an order that was taken without an effect was sent again for good. Ruled out: a fence that was never confirmed; control's log shows the orders. Change: a refused candidate is passed over for 2 s; so is one whose order was taken three times without an effect.

--- a/internal/decide/ctsuccession/change.go
+++ b/internal/decide/ctsuccession/change.go
@@ -20,7 +20,10 @@
 	if !quiet {
 		return m.probeAll(now, changeTime, watchTime, group.Primary)
 	}
-	if group.Candidate != "" && !m.turn.refused[group.Candidate] && !m.lostCandidate(now, group.Candidate) {
+	if m.turn.tries >= maxTries {
+		m.refuse(now, group.Candidate)
+	}
+	if group.Candidate != "" && !m.refused(now, group.Candidate) && !m.lostCandidate(now, group.Candidate) {
 		return m.promote(now, group)
 	}
 	actions := m.stop(now, group)
@@ -28,7 +31,7 @@
 	if !ok || candidate == group.Candidate {
 		return actions
 	}
-	m.turn.ordered, m.turn.accepted = time.Time{}, false
+	m.turn.ordered, m.turn.accepted, m.turn.tries = time.Time{}, false, 0
 	group.Candidate = candidate
 	return append(actions, Set{Group: group, Why: WhyComplete})
 }
@@ -87,7 +90,7 @@
 func (m *Machine) candidate(now time.Time, group ctview.Group, complete bool) (ctid.Member, bool) {
 	var safe []ctid.Member
 	for name := range m.members {
-		if !m.turn.refused[name] && m.safe(now, group, name, complete) {
+		if !m.refused(now, name) && m.safe(now, group, name, complete) {
 			safe = append(safe, name)
 		}
 	}
--- a/internal/decide/ctsuccession/machine.go
+++ b/internal/decide/ctsuccession/machine.go
@@ -28,6 +28,8 @@
 	answerTime = 400 * time.Millisecond
 	// orderTime is the time between two orders of the same promotion.
 	orderTime = 500 * time.Millisecond
+	// refuseTime is how long a candidate is passed over after it was refused.
+	refuseTime = 2 * time.Second
 	// missTime is how long proxies have to miss a primary that answers control
 	// before it is replaced.
 	missTime = 700 * time.Millisecond
@@ -48,6 +50,10 @@
 	reportTime = 1200 * time.Millisecond
 )
 
+// maxTries is after how many orders that were taken without an effect a candidate
+// is passed over.
+const maxTries = 3
+
 // The failures after which a member counts as lost.
 const (
 	// lostFailures is how many, where proxies miss it as well.
@@ -94,8 +100,11 @@
 	// order was taken.
 	ordered  time.Time
 	accepted bool
-	// refused lists the candidates that the service refused.
-	refused map[ctid.Member]bool
+	// tries counts the orders for the candidate that were taken.
+	tries int
+	// refused tells until when candidates are passed over, because the service refused
+	// them or took their orders without an effect.
+	refused map[ctid.Member]time.Time
 }
 
 // member is what is known of a member.
@@ -257,15 +266,27 @@
 }
 
 // Ordered takes what came of an order to promote a member.
-func (m *Machine) Ordered(name ctid.Member, outcome OrderOutcome) {
+func (m *Machine) Ordered(now time.Time, name ctid.Member, outcome OrderOutcome) {
 	switch outcome {
 	case OrderUnknown:
 	case OrderTaken:
 		m.turn.accepted = true
+		m.turn.tries++
 	case OrderRefused:
-		if m.turn.refused == nil {
-			m.turn.refused = make(map[ctid.Member]bool)
-		}
-		m.turn.refused[name] = true
+		m.refuse(now, name)
 	}
 }
+
+// refuse passes a candidate over for a while: it may not have run just then.
+func (m *Machine) refuse(now time.Time, name ctid.Member) {
+	if m.turn.refused == nil {
+		m.turn.refused = make(map[ctid.Member]time.Time)
+	}
+	m.turn.refused[name] = now.Add(refuseTime)
+	m.turn.tries = 0
+}
+
+// refused reports whether a candidate is passed over.
+func (m *Machine) refused(now time.Time, name ctid.Member) bool {
+	return now.Before(m.turn.refused[name])
+}
--- a/internal/decide/ctsuccession/machine_test.go
+++ b/internal/decide/ctsuccession/machine_test.go
@@ -43,6 +43,8 @@
 	orders       []ctid.Member
 	// refuses lists the members whose promotion the service refuses.
 	refuses map[ctid.Member]bool
+	// ignores lists the members whose promotion it accepts without an effect.
+	ignores map[ctid.Member]bool
 	sets    []ctsuccession.Why
 	// incarnation numbers the proxies' present run.
 	incarnation ctid.Incarnation
@@ -161,10 +163,13 @@
 func (w *world) order(name ctid.Member) {
 	w.orders = append(w.orders, name)
 	if w.refuses[name] || w.servers[name].dead {
-		w.machine.Ordered(name, ctsuccession.OrderRefused)
+		w.machine.Ordered(w.now, name, ctsuccession.OrderRefused)
+		return
+	}
+	w.machine.Ordered(w.now, name, ctsuccession.OrderTaken)
+	if w.ignores[name] {
 		return
 	}
-	w.machine.Ordered(name, ctsuccession.OrderTaken)
 	s := w.servers[name]
 	s.status.Role, s.status.Term, s.status.Paused = ctserver.RolePrimary, w.group.Term+1, 0
 	s.status.Received.Term = s.status.Term
@@ -377,6 +382,27 @@
 		w.run(3 * time.Second)
 		assertPrimary(t, w, "c", 2)
 	})
+	t.Run("a candidate that was refused while it did not run is ordered again", func(t *testing.T) {
+		w := newWorld()
+		w.servers["a"].dead = true
+		w.missing, w.reaching = 4, 0
+		w.acknowledged = point(100)
+		w.refuses["b"] = true
+		w.run(5 * time.Second)
+		assert.Assert(t, len(w.orders) > 0)
+		w.refuses["b"] = false
+		w.run(5 * time.Second)
+		assertPrimary(t, w, "b", 2)
+	})
+	t.Run("another candidate is ordered where an accepted order has no effect", func(t *testing.T) {
+		w := newWorld()
+		w.servers["a"].dead = true
+		w.servers["c"].status.Received = point(100)
+		w.missing, w.reaching = 4, 0
+		w.ignores = map[ctid.Member]bool{"b": true}
+		w.run(8 * time.Second)
+		assertPrimary(t, w, "c", 2)
+	})
 	t.Run("a new leader goes on with the candidate of the one before", func(t *testing.T) {
 		w := newWorld()
 		w.group.Fence, w.group.Candidate = 2, "c"
--- a/internal/lab/ctsoak/group.go
+++ b/internal/lab/ctsoak/group.go
@@ -198,7 +198,7 @@
 		if m.name != name || !m.running {
 			continue
 		}
-		if m != g.lead {
+		if m != g.lead || !m.primary {
 			time.AfterFunc(promoteTime, func() { g.promoted(m) })
 		}
 		return ctsuccession.OrderTaken
@@ -210,7 +210,7 @@
 func (g *Group) promoted(m *member) {
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
-	if !m.running || m == g.lead {
+	if !m.running || (m == g.lead && m.primary) {
 		return
 	}
 	g.term++
--- a/internal/program/ctcontrol/succession.go
+++ b/internal/program/ctcontrol/succession.go
@@ -210,7 +210,7 @@
 		line.Str("error", err.Error())
 	}
 	line.Send()
-	c.resume(held, j, func(_ time.Time, machine *ctsuccession.Machine) { machine.Ordered(j.member, outcome) })
+	c.resume(held, j, func(now time.Time, machine *ctsuccession.Machine) { machine.Ordered(now, j.member, outcome) })
 }
 
 // resume gives a succession what came of a job and lets it decide.
