ctcontrol, ctgateway: no proxy acts on a configuration that is overdue

A proxy's authority did not depend on its configuration. Ruled out: a lost release; control had it, and most proxies too. Change: control caps the authority of a proxy that lacks a release at the time when the release must be in force (bounds.config_apply_ms less 0.4 s), and tells a proxy that is past it: that one refuses at once as not run, counts as unready, and does not deny a database. Neither does a proxy without authority.

--- a/internal/lab/ctmembers/gateway_test.go
+++ b/internal/lab/ctmembers/gateway_test.go
@@ -36,7 +36,10 @@
 
 // caller is a caller without an encoding: the test asks, the gateway answers.
 type caller struct {
-	name    string
+	name     string
+	database ctid.Database
+	// refused is the fault that the first message was answered with.
+	refused chan ctquery.Fault
 	queries chan ctquery.Query
 	answers chan ctquery.Answer
 	wake    chan struct{}
@@ -45,11 +48,15 @@
 	count   int
 }
 
-func (c *caller) Start(time.Time) (ctid.Database, error) { return "db", nil }
-func (c *caller) Refuse(ctquery.Fault, string) error     { c.Close(); return nil }
-func (c *caller) Welcome() error                         { return nil }
-func (c *caller) Answer(answer ctquery.Answer) error     { c.answers <- answer; return nil }
-func (c *caller) Close()                                 { c.once.Do(func() { close(c.closed) }) }
+func (c *caller) Start(time.Time) (ctid.Database, error) { return c.database, nil }
+func (c *caller) Refuse(fault ctquery.Fault, _ string) error {
+	c.refused <- fault
+	c.Close()
+	return nil
+}
+func (c *caller) Welcome() error                     { return nil }
+func (c *caller) Answer(answer ctquery.Answer) error { c.answers <- answer; return nil }
+func (c *caller) Close()                             { c.once.Do(func() { close(c.closed) }) }
 func (c *caller) Interrupt() {
 	select {
 	case c.wake <- struct{}{}:
@@ -95,6 +102,7 @@
 type site struct {
 	group   *ctmembers.Group
 	pools   *ctpools.Pools
+	state   *ctstate.State
 	gateway *ctgateway.Gateway
 	callers chan *caller
 }
@@ -108,6 +116,7 @@
 	}
 	clock := ctclock.System{}
 	state := ctstate.New()
+	s.state = state
 	s.pools = ctpools.New(s.group, self, nil, clock, zerolog.Nop())
 	s.gateway = ctgateway.New(ctgateway.Options{
 		Domain: "d1", State: state, Pools: s.pools, Clock: clock, Logger: zerolog.Nop(),
@@ -141,10 +150,7 @@
 // connect begins a session whose queries and values carry its name.
 func (s *site) connect(t *testing.T, name string) *caller {
 	t.Helper()
-	c := &caller{
-		name: name, queries: make(chan ctquery.Query), answers: make(chan ctquery.Answer, 1),
-		wake: make(chan struct{}, 1), closed: make(chan struct{}),
-	}
+	c := newCaller(name, "db")
 	s.callers <- c
 	s.gateway.ServeOne(nil)
 	answer, _ := c.ask(t, ctquery.Set{Name: "owner", Value: name})
@@ -152,6 +158,14 @@
 	return c
 }
 
+func newCaller(name string, database ctid.Database) *caller {
+	return &caller{
+		name: name, database: database, refused: make(chan ctquery.Fault, 1),
+		queries: make(chan ctquery.Query), answers: make(chan ctquery.Answer, 1),
+		wake: make(chan struct{}, 1), closed: make(chan struct{}),
+	}
+}
+
 // together runs work for several callers at once.
 func (s *site) together(t *testing.T, count int, work func(c *caller)) {
 	t.Helper()
@@ -260,6 +274,47 @@
 	})
 }
 
+// assertRefused checks what a caller of a database is told at the start.
+func assertRefused(t *testing.T, s *site, database ctid.Database, want ctquery.Fault) {
+	t.Helper()
+	c := newCaller("r", database)
+	s.callers <- c
+	s.gateway.ServeOne(nil)
+	select {
+	case fault := <-c.refused:
+		assert.Equal(t, fault, want)
+	case <-time.After(testTime):
+		t.Fatal("the caller is not refused")
+	}
+}
+
+// TestOutdated names the pattern of a configuration that reaches a proxy late: it must
+// not act on the older one.
+func TestOutdated(t *testing.T) {
+	s := newSite(t, small, ctconfig.FreshnessBounded)
+	c := s.connect(t, "c")
+	answer, _ := c.ask(t, ctquery.Read{Item: "i"})
+	assert.Assert(t, answer.OK())
+	assertRefused(t, s, "unknown", ctquery.FaultNoDatabase)
+	var held ctlock.Held
+	s.state.SetOutdated(&held, true)
+	t.Run("statements are refused at once", func(t *testing.T) {
+		answer, _ := c.ask(t, ctquery.Read{Item: "i"})
+		assert.Equal(t, answer.Fault, ctquery.FaultBusy)
+	})
+	t.Run("a database without a route is not denied", func(t *testing.T) {
+		assertRefused(t, s, "unknown", ctquery.FaultBusy)
+	})
+	t.Run("callers are sent elsewhere", func(t *testing.T) {
+		assert.Assert(t, !s.gateway.Ready(&held))
+	})
+	t.Run("all is served again once it has come", func(t *testing.T) {
+		s.state.SetOutdated(&held, false)
+		answer, _ := c.ask(t, ctquery.Read{Item: "i"})
+		assert.Assert(t, answer.OK())
+	})
+}
+
 func TestLostAnswers(t *testing.T) {
 	s := newSite(t, small, ctconfig.FreshnessSession)
 	var l ledger
--- a/internal/lab/ctsoak/site.go
+++ b/internal/lab/ctsoak/site.go
@@ -145,7 +145,7 @@
 	h.file = filepath.Join(s.folder, name.String()+".conf")
 	h.settings = ctnode.Settings{
 		Name: name.String(), IP: h.front, FailureDomain: h.domain, Peers: peerPort, FirstStart: true,
-		Losses: losses, StopTime: stopTime, MemoryMB: memoryMB,
+		Losses: losses, ApplyTime: applyTime, StopTime: stopTime, MemoryMB: memoryMB,
 		Promotions: netip.AddrPortFrom(s.address(0, 1), promotionPort),
 	}
 	if name.Kind == KindProxy {
--- a/internal/model/ctview/report.go
+++ b/internal/model/ctview/report.go
@@ -128,6 +128,9 @@
 	// Authority is how long the proxy may act on the groups of its view, after
 	// this reply is taken, counted from the moment it sent the report.
 	Authority ctconfig.Duration `json:"authority,omitempty" cbor:"authority,omitempty"`
+	// Outdated reports that a newer configuration than the proxy's should be in force
+	// everywhere by now: the proxy must not act on its own.
+	Outdated bool `json:"outdated,omitempty" cbor:"outdated,omitempty"`
 	// Groups lists all groups where there is no delta to the proxy's view yet.
 	Groups []Group `json:"groups,omitempty" cbor:"groups,omitempty"`
 	// Samples tell the places of the groups' logs that control knows.
--- a/internal/program/ctcontrol/control.go
+++ b/internal/program/ctcontrol/control.go
@@ -56,6 +56,9 @@
 	// external service; nil where there are none.
 	Members  Members
 	Promoter Promoter
+	// ApplyTime is how long after its acceptance a configuration must be in force
+	// everywhere; 0 where proxies may be late.
+	ApplyTime time.Duration
 	// Decode decodes a configuration as operators write it, in compressed form; nil
 	// where operators do not number configurations.
 	Decode func(source []byte) (ctconfig.Document, error)
--- a/internal/program/ctcontrol/ledger.go
+++ b/internal/program/ctcontrol/ledger.go
@@ -51,7 +51,7 @@
 	notified time.Time
 	news     bool
 	// recent lists the configurations that were accepted last, the newest last.
-	recent []ctview.Config
+	recent []noted
 	// remembered is when the members were last compared with those noted.
 	remembered time.Time
 }
@@ -96,20 +96,46 @@
 		l.roster.HearMember(now, &l.register.Members[i])
 	}
 	l.remembered = now
-	for _, c := range l.recent {
-		l.roster.RememberConfig(c)
+	for _, n := range l.recent {
+		l.roster.RememberConfig(n.config)
 	}
 	l.configure(now, l.register.Current())
 }
 
 // note notes an accepted configuration, whether this process leads or not.
-func (l *ledger) note(accepted ctconfig.Accepted) {
-	l.recent = append(l.recent, ctview.Config{Revision: accepted.Revision, Document: accepted.Change.Document})
+func (l *ledger) note(now time.Time, accepted ctconfig.Accepted) {
+	l.recent = append(l.recent, noted{
+		config: ctview.Config{Revision: accepted.Revision, Document: accepted.Change.Document},
+		at:     now,
+	})
 	if len(l.recent) > maxRecent {
 		l.recent = l.recent[len(l.recent)-maxRecent:]
 	}
 }
 
+// noted is an accepted configuration and when this process learnt of it.
+type noted struct {
+	config ctview.Config
+	at     time.Time
+}
+
+// overdue returns how long a proxy with a revision of the configuration may still act
+// on it, where newer ones must be in force everywhere within a time; it is limited
+// where there is a newer one. A proxy without a configuration serves nothing.
+func (l *ledger) overdue(
+	now time.Time, revision ctid.Revision, within time.Duration,
+) (left time.Duration, limited bool) {
+	if within == 0 || revision == 0 {
+		return 0, false
+	}
+	for _, n := range l.recent {
+		if n.config.Revision > revision {
+			return n.at.Add(within).Sub(now), true
+		}
+	}
+	return 0, false
+}
+
 // maxRecent is how many configurations a process notes, for the case that it
 // comes to lead.
 const maxRecent = 8
--- a/internal/program/ctcontrol/machine.go
+++ b/internal/program/ctcontrol/machine.go
@@ -26,7 +26,7 @@
 			l.results[index] = result
 		}
 		if configured, ok := result.(ctregister.Configured); ok {
-			l.note(configured.Accepted)
+			l.note(c.Clock.Now(), configured.Accepted)
 		}
 		if l.leading {
 			c.takeEffect(l, command, result)
--- a/internal/program/ctcontrol/service.go
+++ b/internal/program/ctcontrol/service.go
@@ -49,9 +49,12 @@
 	// are the voters then.
 	First bool
 	// Losses is how many disks may be lost at once.
-	Losses  int
-	Journal *ctjournal.Journal
-	Ways    ctframe.Ways
+	Losses int
+	// ApplyTime is how long after its acceptance a configuration must be in force
+	// everywhere; 0 where proxies may be late.
+	ApplyTime time.Duration
+	Journal   *ctjournal.Journal
+	Ways      ctframe.Ways
 	// Resolve finds the address of a process by its name.
 	Resolve  func(ctid.Control) (netip.AddrPort, bool)
 	Members  Members
@@ -103,6 +106,7 @@
 		Clock:       options.Clock,
 		Logger:      options.Logger,
 		SilenceTime: proxySilence,
+		ApplyTime:   options.ApplyTime,
 		Members:     options.Members,
 		Promoter:    options.Promoter,
 		Decode: func(packed []byte) (ctconfig.Document, error) {
--- a/internal/program/ctcontrol/succession.go
+++ b/internal/program/ctcontrol/succession.go
@@ -65,11 +65,7 @@
 	if len(l.successions) == 0 {
 		return
 	}
-	var until time.Time
-	if l.authorized(now) && !report.Goodbye {
-		until = ctsuccession.Until(now)
-		reply.Authority = ctconfig.Duration(ctsuccession.AuthorityTime)
-	}
+	until := c.grant(now, l, report, reply)
 	if reply.Delta != nil && reply.Delta.Heavy() {
 		// A watch brings it; the groups are enough for the proxy to act on.
 		reply.Delta = nil
@@ -93,6 +89,21 @@
 	}
 }
 
+// grant gives a proxy authority, unless it lacks a configuration that must be in
+// force by now, and returns until when.
+func (c *Control) grant(now time.Time, l *ledger, report *ctview.Report, reply *ctview.Reply) time.Time {
+	left, limited := l.overdue(now, report.Revision, c.ApplyTime)
+	reply.Outdated = limited && left <= 0
+	if !l.authorized(now) || report.Goodbye || reply.Outdated {
+		return time.Time{}
+	}
+	reply.Authority = ctconfig.Duration(ctsuccession.AuthorityTime)
+	if limited {
+		reply.Authority = min(reply.Authority, ctconfig.Duration(left))
+	}
+	return ctsuccession.Until(now)
+}
+
 // reported lists the groups that a report tells something of, each once.
 func (l *ledger) reported(report *ctview.Report) []ctid.Group {
 	names := make([]ctid.Group, 0, len(report.Reaches)+len(report.Misses)+len(report.Fenced))
--- a/internal/program/ctgateway/choose.go
+++ b/internal/program/ctgateway/choose.go
@@ -32,6 +32,9 @@
 	decided := view.Groups[c.route.Group]
 	need, fresh := c.replicaNeed(a, now)
 	var candidates []ctplace.Candidate
+	if g.State.Outdated(&c.held) {
+		return nil
+	}
 	for _, name := range view.MembersOf(c.route.Group) {
 		known, ok := g.Pools.Look(&c.held, name)
 		if !ok || a.tried.Has(name) {
--- a/internal/program/ctgateway/conversation.go
+++ b/internal/program/ctgateway/conversation.go
@@ -80,8 +80,9 @@
 		return
 	}
 	if !c.lookUp() {
-		g.Logger.Info().Str("event", "start_refused").Str("database", string(database)).Str("why", "no_route").Send()
-		_ = c.caller.Refuse(ctquery.FaultNoDatabase, "no route leads to this database")
+		fault, why, text := c.noRoute()
+		g.Logger.Info().Str("event", "start_refused").Str("database", string(database)).Str("why", why).Send()
+		_ = c.caller.Refuse(fault, text)
 		return
 	}
 	if c.caller.Welcome() != nil {
@@ -122,6 +123,17 @@
 	return c.gateway.Pools.Met(&c.held, primary)
 }
 
+// noRoute tells what a caller of a database without a route is answered. A proxy
+// that may lack the newest configuration can't know that there is none.
+func (c *conversation) noRoute() (fault ctquery.Fault, why, text string) {
+	g := c.gateway
+	if g.State.Outdated(&c.held) || !g.Clock.Now().Before(g.State.Authority(&c.held)) {
+		return ctquery.FaultBusy, "configuration_uncertain",
+			"this proxy may lack the newest configuration; retry now, elsewhere"
+	}
+	return ctquery.FaultNoDatabase, "no_route", "no route leads to this database"
+}
+
 // finish forgets the session. What its transaction did is rolled back.
 func (c *conversation) finish() {
 	c.rollBack()
@@ -193,7 +205,8 @@
 // handle handles one query and returns the answer.
 func (c *conversation) handle(query ctquery.Query) ctquery.Answer {
 	if !c.dialog.InTransaction() && !c.lookUp() {
-		return ctquery.Answer{Fault: ctquery.FaultNoDatabase, Text: "no route leads to this database any more"}
+		fault, _, text := c.noRoute()
+		return ctquery.Answer{Fault: fault, Text: text}
 	}
 	switch plan := c.dialog.Ask(query).(type) {
 	case ctdialog.Answer:
--- a/internal/program/ctgateway/gateway.go
+++ b/internal/program/ctgateway/gateway.go
@@ -164,7 +164,7 @@
 
 // Ready reports whether callers should come here.
 func (g *Gateway) Ready(held *ctlock.Held) bool {
-	return !g.draining.Load() && g.State.View(held).Config.Revision > 0 && !g.lapsed(held)
+	return !g.draining.Load() && g.State.View(held).Config.Revision > 0 && !g.lapsed(held) && !g.State.Outdated(held)
 }
 
 // lapsed reports whether the proxy has had no authority for so long that callers
--- a/internal/program/ctgateway/run.go
+++ b/internal/program/ctgateway/run.go
@@ -175,7 +175,7 @@
 	switch {
 	case a.asked > 0 || !c.gateway.served.Load():
 		return a.until
-	case c.gateway.lapsed(&c.held):
+	case c.gateway.lapsed(&c.held) || c.gateway.State.Outdated(&c.held):
 		return now
 	}
 	decided := c.gateway.State.View(&c.held).Groups[c.route.Group]
--- a/internal/program/ctnode/control.go
+++ b/internal/program/ctnode/control.go
@@ -50,19 +50,21 @@
 	}
 	metrics := ctmetric.NewControl(prometheus.NewRegistry())
 	service, err := ctcontrol.NewService(ctcontrol.ServiceOptions{
-		Name:     control(settings.IP),
-		Seeds:    settings.seedNames(),
-		First:    settings.FirstStart,
-		Losses:   settings.Losses,
-		Journal:  journal,
-		Ways:     cttcp.Ways{Local: settings.Local},
-		Resolve:  settings.resolve,
-		Members:  fronts.Members,
-		Promoter: fronts.Promoter,
-		Decode:   fronts.Decode,
-		Clock:    &ctclock.Boot{},
-		Logger:   logger,
-		Metrics:  metrics,
+		Name:   control(settings.IP),
+		Seeds:  settings.seedNames(),
+		First:  settings.FirstStart,
+		Losses: settings.Losses,
+
+		ApplyTime: settings.applyTime(),
+		Journal:   journal,
+		Ways:      cttcp.Ways{Local: settings.Local},
+		Resolve:   settings.resolve,
+		Members:   fronts.Members,
+		Promoter:  fronts.Promoter,
+		Decode:    fronts.Decode,
+		Clock:     &ctclock.Boot{},
+		Logger:    logger,
+		Metrics:   metrics,
 	})
 	if err != nil {
 		return nil, err
--- a/internal/program/ctnode/settings.go
+++ b/internal/program/ctnode/settings.go
@@ -33,6 +33,9 @@
 	DataFolder string
 	// Promotions is where the service that promotes members is reached.
 	Promotions netip.AddrPort
+	// ApplyTime is how long after its acceptance a configuration must be in force
+	// everywhere; 0 for no bound.
+	ApplyTime time.Duration
 	// StopTime is how long a planned stop may take.
 	StopTime time.Duration
 	// MemoryMB is how much memory the process may use.
@@ -60,6 +63,15 @@
 	return cterror.New(cterror.Invalid, what+" is missing", "add it to the settings file")
 }
 
+// applyMargin is how long before the bound a proxy without the newest configuration
+// stops: what it has begun then is still answered.
+const applyMargin = 400 * time.Millisecond
+
+// applyTime is how long a proxy may act on an older configuration than the newest.
+func (s *Settings) applyTime() time.Duration {
+	return max(0, s.ApplyTime-applyMargin)
+}
+
 // control names the control process at an IP number.
 func control(address netip.Addr) ctid.Control {
 	return ctid.Control(address.String())
--- a/internal/program/ctstate/state.go
+++ b/internal/program/ctstate/state.go
@@ -18,6 +18,9 @@
 	hints  cttable.Table[ctid.Member, ctroute.Hint]
 	// authority is until when this process may act on the groups of its view.
 	authority cttable.Cell[time.Time]
+	// outdated reports that control has a newer configuration, which should be in
+	// force here by now.
+	outdated cttable.Cell[bool]
 }
 
 // lease is a write lease that this process was granted.
@@ -36,6 +39,7 @@
 		hints:  cttable.Table[ctid.Member, ctroute.Hint]{Rank: ctlock.RankHints},
 
 		authority: cttable.Cell[time.Time]{Rank: ctlock.RankAuthority},
+		outdated:  cttable.Cell[bool]{Rank: ctlock.RankAuthority},
 	}
 	var held ctlock.Held
 	s.view.With(&held, func(value **ctview.View) { *value = &ctview.View{} })
@@ -82,6 +86,17 @@
 	return s.authority.Get(held)
 }
 
+// SetOutdated records whether this process lacks a configuration that should be in
+// force here by now.
+func (s *State) SetOutdated(held *ctlock.Held, outdated bool) {
+	s.outdated.With(held, func(value *bool) { *value = outdated })
+}
+
+// Outdated reports whether it does.
+func (s *State) Outdated(held *ctlock.Held) bool {
+	return s.outdated.Get(held)
+}
+
 // Grant records a write lease that lasts until the stated time. A lease of a
 // term that was given up is not taken.
 func (s *State) Grant(held *ctlock.Held, group ctid.Group, term ctposition.Term, until time.Time) {
--- a/internal/program/ctuplink/uplink.go
+++ b/internal/program/ctuplink/uplink.go
@@ -301,6 +301,7 @@
 		before, after := u.State.ApplyGroups(held, reply.Groups)
 		u.spread(held, before, after)
 	}
+	u.State.SetOutdated(held, reply.Outdated && u.State.View(held).Config.Revision == report.Revision)
 	if reply.Authority > 0 {
 		u.State.Authorize(held, sent.Add(ctdrift.AtLeast(time.Duration(reply.Authority))))
 	}
@@ -384,6 +385,7 @@
 	u.Metrics.ViewVersion.Set(float64(after.Version))
 	u.Metrics.Revision.Set(float64(after.Config.Revision))
 	if after.Config.Revision != before.Config.Revision {
+		u.State.SetOutdated(held, false)
 		u.Logger.Info().Str("event", "decision").Str("decision", "config_in_force").
 			Stringer("revision", after.Config.Revision).Str("why", "higher_revision").Send()
 		u.Hasten()
