ctcontrol: take members' reports without news where they arrive

Each report cost the leader a question; those that were not answered within a second were made again elsewhere at once, and so on until nothing was served. Change: a process that does not lead takes a report without news by itself while the leader takes what it gathers, each 0.3 s. Whoever leaves, starts again or has another role or address is told of before the report is confirmed, as before. A proxy that waits for a large view is told of the groups that it uses, not of all. Tests: TestRelay.

--- a/internal/decide/ctsuccession/decide.go
+++ b/internal/decide/ctsuccession/decide.go
@@ -125,7 +125,7 @@
 			missing++
 		}
 	}
-	return min(m.proxies.live(now), max(reaching+missing, leastJury)), reaching, missing
+	return min(m.proxies.alive, max(reaching+missing, leastJury)), reaching, missing
 }
 
 // replaceable reports whether a member that stays answers and could take over.
--- a/internal/decide/ctsuccession/proxies.go
+++ b/internal/decide/ctsuccession/proxies.go
@@ -15,6 +15,8 @@
 	// mute is the latest time until which a proxy could acknowledge something that
 	// nobody can be asked about any more: its run has ended, or it fell silent.
 	mute time.Time
+	// alive is how many reported lately, as of the last tick.
+	alive int
 }
 
 // presence is what is known of a proxy.
@@ -55,9 +57,13 @@
 	}
 }
 
-// Tick notes the proxies that fell silent, and forgets those that did long ago.
+// Tick counts the proxies, notes those that fell silent, and forgets those that did long ago.
 func (p *Proxies) Tick(now time.Time) {
+	p.alive = 0
 	for name, row := range p.rows {
+		if now.Sub(row.heard) <= reportTime {
+			p.alive++
+		}
 		if now.Before(row.until) {
 			continue
 		}
@@ -78,14 +84,3 @@
 func (p *Proxies) Count() int {
 	return len(p.rows)
 }
-
-// live counts the proxies that reported lately.
-func (p *Proxies) live(now time.Time) int {
-	count := 0
-	for _, row := range p.rows {
-		if now.Sub(row.heard) <= reportTime {
-			count++
-		}
-	}
-	return count
-}
--- a/internal/link/ctframe/control.go
+++ b/internal/link/ctframe/control.go
@@ -41,7 +41,22 @@
 	return f.Announcement.Check()
 }
 
-// Noted answers Heard.
+// Gathered tells control's leader of members that reported without news.
+type Gathered struct {
+	Announcements []ctserver.Announcement `cbor:"announcements"`
+}
+
+// Check reports the first fault of the frame.
+func (f *Gathered) Check() error {
+	for i := range f.Announcements {
+		if err := f.Announcements[i].Check(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// Noted answers Heard and Gathered.
 type Noted struct{}
 
 func (*Publish) kind() kind  { return kindPublish }
@@ -49,4 +64,5 @@
 func (*Recall) kind() kind   { return kindRecall }
 func (*Recalled) kind() kind { return kindRecalled }
 func (*Heard) kind() kind    { return kindHeard }
+func (*Gathered) kind() kind { return kindGathered }
 func (*Noted) kind() kind    { return kindNoted }
--- a/internal/link/ctframe/frame.go
+++ b/internal/link/ctframe/frame.go
@@ -42,6 +42,7 @@
 	kindNoted
 	kindCarry
 	kindCarried
+	kindGathered
 )
 
 // blanks makes an empty frame of each kind.
@@ -72,4 +73,5 @@
 	kindNoted:    func() Frame { return &Noted{} },
 	kindCarry:    func() Frame { return &Carry{} },
 	kindCarried:  func() Frame { return &Carried{} },
+	kindGathered: func() Frame { return &Gathered{} },
 }
--- /dev/null
+++ b/internal/program/ctcontrol/heard_test.go
@@ -0,0 +1,102 @@
+package ctcontrol
+
+import (
+	"context"
+	"errors"
+	"net/netip"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/cherviltrestle/cherviltrestle/internal/link/ctframe"
+	"github.com/cherviltrestle/cherviltrestle/internal/model/ctserver"
+	"github.com/cherviltrestle/cherviltrestle/internal/work/ctclock"
+	"github.com/cherviltrestle/cherviltrestle/internal/work/ctlock"
+)
+
+// leaderStub counts what a leader is told.
+type leaderStub struct {
+	alone, gathered int
+	down            bool
+}
+
+func (s *leaderStub) tell(_ context.Context, frame ctframe.Frame) error {
+	if s.down {
+		return errors.New("no leader")
+	}
+	switch f := frame.(type) {
+	case *ctframe.Heard:
+		s.alone++
+	case *ctframe.Gathered:
+		s.gathered += len(f.Announcements)
+	}
+	return nil
+}
+
+func memberReport(sequence uint64) ctserver.Announcement {
+	return ctserver.Announcement{
+		Group: "g", Member: "m", FailureDomain: "d", Address: netip.MustParseAddrPort("127.0.0.1:1"), Incarnation: 1,
+		Sequence: sequence, Role: ctserver.RoleReplica, State: ctserver.StateReady, Term: 1,
+	}
+}
+
+// assertTold checks how many reports the leader was asked about one by one.
+func assertTold(t *testing.T, s *leaderStub, want int) {
+	t.Helper()
+	assert.Equal(t, s.alone, want)
+}
+
+// TestRelay names the pattern of a fleet with thousands of members, each of which
+// reports through any control process.
+func TestRelay(t *testing.T) {
+	ctx := context.Background()
+	start := func(t *testing.T) (*relay, *leaderStub) {
+		s := &leaderStub{}
+		r := newRelay(ctclock.System{}, s.tell)
+		assert.NilError(t, r.hear(ctx, memberReport(1)))
+		assertTold(t, s, 1)
+		return r, s
+	}
+	t.Run("reports without news are taken here", func(t *testing.T) {
+		r, s := start(t)
+		for n := range 5 {
+			assert.NilError(t, r.hear(ctx, memberReport(uint64(n+2))))
+		}
+		assertTold(t, s, 1)
+	})
+	t.Run("the leader hears of them soon", func(t *testing.T) {
+		r, s := start(t)
+		assert.NilError(t, r.hear(ctx, memberReport(2)))
+		ctx, cancel := context.WithTimeout(ctx, 2*gatherTime)
+		defer cancel()
+		r.run(ctx)
+		assert.Equal(t, s.gathered, 1)
+	})
+	for _, c := range []struct {
+		name  string
+		alter func(a *ctserver.Announcement)
+	}{
+		{"a member that leaves", func(a *ctserver.Announcement) { a.State = ctserver.StateLeaving }},
+		{"a member with another role", func(a *ctserver.Announcement) { a.Role = ctserver.RolePrimary }},
+		{"a member that started again", func(a *ctserver.Announcement) { a.Incarnation = 2 }},
+		{"a member at another address", func(a *ctserver.Announcement) {
+			a.Address = netip.MustParseAddrPort("127.0.0.1:2")
+		}},
+		{"a late report", func(a *ctserver.Announcement) { a.Sequence = 0 }},
+	} {
+		t.Run("the leader is asked about "+c.name, func(t *testing.T) {
+			r, s := start(t)
+			announced := memberReport(2)
+			c.alter(&announced)
+			assert.NilError(t, r.hear(ctx, announced))
+			assertTold(t, s, 2)
+		})
+	}
+	t.Run("nothing is taken here while the leader does not hear of it", func(t *testing.T) {
+		r, s := start(t)
+		s.down = true
+		r.hearing.With(&ctlock.Held{}, func(h *hearing) { h.trusted = time.Now().Add(-time.Second) })
+		assert.ErrorContains(t, r.hear(ctx, memberReport(2)), "no leader")
+	})
+}
--- a/internal/program/ctcontrol/release.go
+++ b/internal/program/ctcontrol/release.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/cherviltrestle/cherviltrestle/internal/decide/ctregister"
 	"github.com/cherviltrestle/cherviltrestle/internal/link/ctframe"
@@ -68,43 +69,64 @@
 
 // Hear takes what a member said of itself.
 func (c *Control) Hear(held *ctlock.Held, heard *ctframe.Heard) error {
-	var err error
-	c.ledger.With(held, func(l *ledger) {
-		now := c.Clock.Now()
-		if !l.authorized(now) {
-			err = notLeading(l)
-			return
-		}
+	return c.hearing(held, func(now time.Time, l *ledger) {
 		if heard.Gone {
 			c.leave(l, heard.Announcement.Member)
 			return
 		}
-		announced := heard.Announcement
-		document := l.register.Current().Change.Document
-		if group, ok := document.Group(announced.Group); ok && group.Connections > 0 {
-			announced.Connections = max(group.Connections, announced.Slots+ctserver.ReservedConnections)
+		c.hearMember(now, l, heard.Announcement)
+	})
+}
+
+// HearAll takes what members said of themselves.
+func (c *Control) HearAll(held *ctlock.Held, announced []ctserver.Announcement) error {
+	return c.hearing(held, func(now time.Time, l *ledger) {
+		for _, a := range announced {
+			c.hearMember(now, l, a)
 		}
-		before, known := l.roster.Member(announced.Member)
-		taken, changed := l.roster.HearMember(now, &announced)
-		if !taken {
+	})
+}
+
+// hearing runs take in the leader with authority, and fails elsewhere.
+func (c *Control) hearing(held *ctlock.Held, take func(now time.Time, l *ledger)) error {
+	var err error
+	c.ledger.With(held, func(l *ledger) {
+		now := c.Clock.Now()
+		if !l.authorized(now) {
+			err = notLeading(l)
 			return
 		}
-		if machine, ok := l.successions[announced.Group]; ok {
-			machine.Hear(now, announced)
-		}
-		if changed {
-			l.notifySoon(now)
-		}
-		if !known || before.State != announced.State || before.Role != announced.Role {
-			c.Logger.Info().Str("event", "decision").Str("decision", "take_member").
-				Str("group", string(announced.Group)).Str("member", string(announced.Member)).
-				Stringer("address", announced.Address).Str("role", string(announced.Role)).
-				Str("state", string(announced.State)).Uint64("sequence", heard.Announcement.Sequence).Send()
-		}
+		take(now, l)
 	})
 	return err
 }
 
+// hearMember takes what a member said of itself into the roster and into its group's
+// succession.
+func (c *Control) hearMember(now time.Time, l *ledger, announced ctserver.Announcement) {
+	document := l.register.Current().Change.Document
+	if group, ok := document.Group(announced.Group); ok && group.Connections > 0 {
+		announced.Connections = max(group.Connections, announced.Slots+ctserver.ReservedConnections)
+	}
+	before, known := l.roster.Member(announced.Member)
+	taken, changed := l.roster.HearMember(now, &announced)
+	if !taken {
+		return
+	}
+	if machine, ok := l.successions[announced.Group]; ok {
+		machine.Hear(now, announced)
+	}
+	if changed {
+		l.notifySoon(now)
+	}
+	if !known || before.State != announced.State || before.Role != announced.Role {
+		c.Logger.Info().Str("event", "decision").Str("decision", "take_member").
+			Str("group", string(announced.Group)).Str("member", string(announced.Member)).
+			Stringer("address", announced.Address).Str("role", string(announced.Role)).
+			Str("state", string(announced.State)).Uint64("sequence", announced.Sequence).Send()
+	}
+}
+
 // leave takes out a member that has ended.
 func (c *Control) leave(l *ledger, name ctid.Member) {
 	if !l.roster.LeaveMember(name) {
--- a/internal/program/ctcontrol/service.go
+++ b/internal/program/ctcontrol/service.go
@@ -73,6 +73,7 @@
 
 	control *Control
 	replica *Replica
+	relay   *relay
 
 	mutex sync.Mutex
 	idle  map[ctid.Control][]ctframe.Way
@@ -119,10 +120,12 @@
 		Voters: func(held *ctlock.Held) []ctid.Control { return namesOf(replica.Voters(held)) },
 	})
 	control.Use(replica)
-	return &Service{
+	s := &Service{
 		ServiceOptions: options, control: control, replica: replica,
 		idle: make(map[ctid.Control][]ctframe.Way), packs: make(map[packKey][]byte),
-	}, nil
+	}
+	s.relay = newRelay(options.Clock, s.tell)
+	return s, nil
 }
 
 func namesOf(voters []ctquorum.Peer) []ctid.Control {
@@ -168,6 +171,7 @@
 		return err
 	}
 	go s.control.Run(ctx)
+	go s.relay.run(ctx)
 	s.Logger.Info().Str("event", "started").Str("name", string(s.Name)).
 		Uint64("incarnation", uint64(s.replica.self.Incarnation)).Send()
 	return nil
@@ -234,6 +238,8 @@
 		return faultOr(err, &ctframe.Recalled{Release: release, Source: source})
 	case *ctframe.Heard:
 		return faultOr(s.control.Hear(held, f), &ctframe.Noted{})
+	case *ctframe.Gathered:
+		return faultOr(s.control.HearAll(held, f.Announcements), &ctframe.Noted{})
 	}
 	return &ctframe.Fault{Kind: cterror.Invalid.String(), Message: "control does not serve this frame"}
 }
@@ -290,14 +296,18 @@
 
 // Heard takes what a member said of itself.
 func (s *Service) Heard(ctx context.Context, announced ctserver.Announcement) error {
-	_, err := s.ask(ctx, &ctframe.Heard{Announcement: announced})
+	return s.relay.hear(ctx, announced)
+}
+
+// tell tells the leader something that has no answer but that it was taken.
+func (s *Service) tell(ctx context.Context, frame ctframe.Frame) error {
+	_, err := s.ask(ctx, frame)
 	return err
 }
 
 // Gone takes out a member that has ended.
 func (s *Service) Gone(ctx context.Context, member ctid.Member) error {
-	_, err := s.ask(ctx, &ctframe.Heard{Announcement: ctserver.Announcement{Member: member}, Gone: true})
-	return err
+	return s.tell(ctx, &ctframe.Heard{Announcement: ctserver.Announcement{Member: member}, Gone: true})
 }
 
 // ask asks the leader, which may be this process.
--- a/internal/program/ctcontrol/succession.go
+++ b/internal/program/ctcontrol/succession.go
@@ -71,9 +71,7 @@
 		reply.Delta = nil
 	}
 	if reply.Delta == nil && report.Version != l.roster.Version() {
-		for _, g := range l.register.Groups {
-			reply.Groups = append(reply.Groups, g)
-		}
+		reply.Groups = l.groupsFor(report)
 	}
 	l.proxies.Report(now, report, until)
 	for _, name := range l.reported(report) {
@@ -104,6 +102,22 @@
 	return ctsuccession.Until(now)
 }
 
+// fewGroups is up to how many groups a proxy that waits for a delta is told of all.
+const fewGroups = 16
+
+// groupsFor returns the groups that a proxy without the newest view has to know: those
+// that change, and those that it uses.
+func (l *ledger) groupsFor(report *ctview.Report) []ctview.Group {
+	var groups []ctview.Group
+	used := l.reported(report)
+	for name, g := range l.register.Groups {
+		if len(l.register.Groups) <= fewGroups || g.Changing() || slices.Contains(used, name) {
+			groups = append(groups, g)
+		}
+	}
+	return groups
+}
+
 // reported lists the groups that a report tells something of, each once.
 func (l *ledger) reported(report *ctview.Report) []ctid.Group {
 	names := make([]ctid.Group, 0, len(report.Reaches)+len(report.Misses)+len(report.Fenced))
