ctsuccession: one order at a time, and no leader before the last one took effect

While the outcome of an order was not known, the next one followed after 0.5 s; a promotion takes 1 s there, so a second one took effect after the first had led and its commits were acknowledged. Orders wait behind questions to members that do not answer, so that a busy leader sends two. In the same way a candidate that did not answer for a moment got another member ordered beside it. Where a second one was sent all the same, nobody is taken for the leader until 2.5 s after it. Whoever says that it leads in a term before the fence is told to step down and is no candidate before. A primary that steps down with less than it had told does not count.

--- a/internal/decide/ctsuccession/action.go
+++ b/internal/decide/ctsuccession/action.go
@@ -66,6 +66,8 @@
 const (
 	// OrderUnknown: the answer is missing.
 	OrderUnknown OrderOutcome = iota
+	// OrderDeferred: it was not taken, and may be sent again soon.
+	OrderDeferred
 	// OrderTaken: the service promotes the member.
 	OrderTaken
 	// OrderRefused: the member does not run.
--- a/internal/decide/ctsuccession/change.go
+++ b/internal/decide/ctsuccession/change.go
@@ -15,6 +15,10 @@
 func (m *Machine) change(now time.Time, group ctview.Group) []Action {
 	if m.turn.fence != group.Fence {
 		m.turn = turn{fence: group.Fence, began: now}
+		if group.Candidate != "" {
+			// The leader before may have ordered it.
+			m.turn.orders, m.turn.ordered = 1, now
+		}
 	}
 	quiet, complete := m.quiet(now, group)
 	if !quiet {
@@ -31,7 +35,7 @@
 	if !ok || candidate == group.Candidate {
 		return actions
 	}
-	m.turn.ordered, m.turn.accepted, m.turn.tries = time.Time{}, false, 0
+	m.turn.again, m.turn.tries = time.Time{}, 0
 	group.Candidate = candidate
 	return append(actions, Set{Group: group, Why: WhyComplete})
 }
@@ -48,23 +52,31 @@
 // promote orders the promotion of the candidate and waits for it.
 func (m *Machine) promote(now time.Time, group ctview.Group) []Action {
 	actions := m.probeAll(now, changeTime, watchTime, group.Candidate)
-	wait := orderTime
-	if m.turn.accepted {
-		wait = followTime
-	}
-	if !m.turn.ordered.IsZero() && now.Sub(m.turn.ordered) < wait {
+	if now.Before(m.turn.again) || (m.turn.pending && now.Sub(m.turn.ordered) < pendingTime) {
 		return actions
 	}
-	m.turn.ordered, m.turn.accepted = now, false
+	m.turn.orders++
+	m.turn.ordered, m.turn.pending = now, true
 	return append(actions, Order{Member: group.Candidate})
 }
 
+// settled reports whether no further order can take effect: where more than one may
+// have been taken, a member that leads already may be replaced, or promoted anew.
+func (m *Machine) settled(now time.Time) bool {
+	return m.turn.orders < 2 || now.Sub(m.turn.ordered) >= effectTime
+}
+
 // stop tells the primary to step down. Once it has, the replicas get a moment to
 // receive what it has; where it does not answer they are paused at once.
 func (m *Machine) stop(now time.Time, group ctview.Group) []Action {
 	var actions []Action
 	primary, known := m.members[group.Primary]
 	stepped := !m.turn.steppedAt.IsZero()
+	for name, row := range m.members {
+		if name != group.Primary && m.leadsOld(group, row) {
+			actions = m.ask(now, actions, name, row, StepDown{Fence: group.Fence}, changeTime)
+		}
+	}
 	if known && !stepped {
 		actions = m.ask(now, actions, group.Primary, primary, StepDown{Fence: group.Fence}, changeTime)
 		if primary.failures == 0 && now.Sub(m.turn.began) < followTime {
@@ -74,7 +86,7 @@
 	following := stepped && now.Sub(m.turn.steppedAt) < followTime
 	for name, row := range m.members {
 		switch {
-		case name == group.Primary:
+		case name == group.Primary || m.leadsOld(group, row):
 		case following:
 			actions = m.ask(now, actions, name, row, Probe{}, changeTime)
 		case row.paused < group.Fence:
@@ -84,6 +96,13 @@
 	return actions
 }
 
+// leadsOld reports whether a member says that it leads in a term before the fence: the
+// primary that was given up, perhaps under another name. No order changes anything
+// for it.
+func (m *Machine) leadsOld(group ctview.Group, row *member) bool {
+	return row.status.Role == ctserver.RolePrimary && row.status.Term < group.Fence
+}
+
 // candidate returns the member to promote, where one is known to hold every
 // acknowledged commit. A member that stays goes first, then the one that holds
 // most.
@@ -122,7 +141,7 @@
 // safe reports whether a member is known to hold every acknowledged commit.
 func (m *Machine) safe(now time.Time, group ctview.Group, name ctid.Member, complete bool) bool {
 	row := m.members[name]
-	if row.failures > 0 || row.answered.Before(m.turn.began) {
+	if row.failures > 0 || row.answered.Before(m.turn.began) || m.leadsOld(group, row) {
 		return false
 	}
 	received := row.status.Received
--- a/internal/decide/ctsuccession/decide.go
+++ b/internal/decide/ctsuccession/decide.go
@@ -13,7 +13,7 @@
 // Decide returns what is to be done for the group now.
 func (m *Machine) Decide(now time.Time, group ctview.Group) []Action {
 	m.forget(now)
-	if name, term, ok := m.newPrimary(group); ok {
+	if name, term, ok := m.newPrimary(group); ok && m.settled(now) {
 		why := WhySeen
 		if group.Term == 0 {
 			why = WhyAdopted
--- a/internal/decide/ctsuccession/machine.go
+++ b/internal/decide/ctsuccession/machine.go
@@ -26,8 +26,12 @@
 	againTime = 100 * time.Millisecond
 	// answerTime is how long an answer may take.
 	answerTime = 400 * time.Millisecond
-	// orderTime is the time between two orders of the same promotion.
+	// orderTime is the time between two orders where the first was not taken.
 	orderTime = 500 * time.Millisecond
+	// effectTime is how long an order that may have been taken may go without an
+	// effect, and pendingTime how long what came of one may stay unknown.
+	effectTime  = 2500 * time.Millisecond
+	pendingTime = 4 * time.Second
 	// refuseTime is how long a candidate is passed over after it was refused.
 	refuseTime = 2 * time.Second
 	// missTime is how long proxies have to miss a primary that answers control
@@ -96,10 +100,14 @@
 	// it did.
 	stepped   ctposition.Point
 	steppedAt time.Time
-	// ordered is when the promotion was ordered last, and accepted whether the
-	// order was taken.
-	ordered  time.Time
-	accepted bool
+	// orders counts the orders of this change that were or may have been taken, and
+	// ordered is when the last one was sent.
+	orders  int
+	ordered time.Time
+	// pending reports that what came of it is not known yet, and again when the next
+	// one may be sent.
+	pending bool
+	again   time.Time
 	// tries counts the orders for the candidate that were taken.
 	tries int
 	// refused tells until when candidates are passed over, because the service refused
@@ -217,7 +225,8 @@
 	case Pause:
 		row.paused = q.Fence
 	case StepDown:
-		if q.Fence == m.turn.fence && status.Role == ctserver.RoleReplica && m.turn.steppedAt.IsZero() {
+		all := compare(status.Received, m.covered) >= 0
+		if q.Fence == m.turn.fence && status.Role == ctserver.RoleReplica && m.turn.steppedAt.IsZero() && all {
 			m.turn.stepped, m.turn.steppedAt = status.Received, now
 		}
 	}
@@ -267,12 +276,18 @@
 
 // Ordered takes what came of an order to promote a member.
 func (m *Machine) Ordered(now time.Time, name ctid.Member, outcome OrderOutcome) {
+	m.turn.pending = false
 	switch outcome {
 	case OrderUnknown:
+		m.turn.again = m.turn.ordered.Add(effectTime)
+	case OrderDeferred:
+		m.turn.orders = max(0, m.turn.orders-1)
+		m.turn.again = m.turn.ordered.Add(orderTime)
 	case OrderTaken:
-		m.turn.accepted = true
 		m.turn.tries++
+		m.turn.again = m.turn.ordered.Add(effectTime)
 	case OrderRefused:
+		m.turn.orders = max(0, m.turn.orders-1)
 		m.refuse(now, name)
 	}
 }
--- a/internal/decide/ctsuccession/machine_test.go
+++ b/internal/decide/ctsuccession/machine_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/netip"
+	"slices"
 	"testing"
 	"time"
 
@@ -26,6 +27,12 @@
 	state      ctserver.State
 }
 
+// happening is something that happens at a time.
+type happening struct {
+	at time.Time
+	do func()
+}
+
 // world plays a group with its members and proxies against a machine.
 type world struct {
 	machine ctsuccession.Machine
@@ -46,6 +53,11 @@
 	// ignores lists the members whose promotion it accepts without an effect.
 	ignores map[ctid.Member]bool
 	sets    []ctsuccession.Why
+	// answering is how long the service takes to answer an order, and effect how long
+	// after that the promotion is in force.
+	answering, effect time.Duration
+	// later holds what is to happen, in the order of the times.
+	later []happening
 	// incarnation numbers the proxies' present run.
 	incarnation ctid.Incarnation
 }
@@ -122,6 +134,11 @@
 func (w *world) run(d time.Duration) {
 	for until := w.now.Add(d); w.now.Before(until); {
 		w.now = w.now.Add(step)
+		for len(w.later) > 0 && !w.later[0].at.After(w.now) {
+			do := w.later[0].do
+			w.later = w.later[1:]
+			do()
+		}
 		w.announce()
 		w.report()
 		w.known.Tick(w.now)
@@ -166,12 +183,31 @@
 		w.machine.Ordered(w.now, name, ctsuccession.OrderRefused)
 		return
 	}
-	w.machine.Ordered(w.now, name, ctsuccession.OrderTaken)
-	if w.ignores[name] {
+	w.after(w.answering, func() { w.machine.Ordered(w.now, name, ctsuccession.OrderTaken) })
+	// For a member that leads nothing changes.
+	if !w.ignores[name] && w.servers[name].status.Role != ctserver.RolePrimary {
+		w.after(w.answering+w.effect, func() { w.lead(name) })
+	}
+}
+
+// after does something after a while.
+func (w *world) after(wait time.Duration, do func()) {
+	if wait == 0 {
+		do()
 		return
 	}
+	w.later = append(w.later, happening{at: w.now.Add(wait), do: do})
+	slices.SortStableFunc(w.later, func(a, b happening) int { return a.at.Compare(b.at) })
+}
+
+// lead makes a member lead the next term, as each order that takes effect does.
+func (w *world) lead(name ctid.Member) {
+	var newest ctposition.Term
+	for _, s := range w.servers {
+		newest = max(newest, s.status.Term)
+	}
 	s := w.servers[name]
-	s.status.Role, s.status.Term, s.status.Paused = ctserver.RolePrimary, w.group.Term+1, 0
+	s.status.Role, s.status.Term, s.status.Paused = ctserver.RolePrimary, newest+1, 0
 	s.status.Received.Term = s.status.Term
 }
 
@@ -382,6 +418,43 @@
 		w.run(3 * time.Second)
 		assertPrimary(t, w, "c", 2)
 	})
+	t.Run("one order is sent where the service is slow", func(t *testing.T) {
+		w := newWorld()
+		w.servers["a"].dead = true
+		w.missing, w.reaching = 4, 0
+		w.answering, w.effect = 900*time.Millisecond, time.Second
+		w.run(5 * time.Second)
+		assertPrimary(t, w, "b", 2)
+		assert.Equal(t, len(w.orders), 1, "%v", w.orders)
+	})
+	t.Run("nobody leads while a second order may take effect", func(t *testing.T) {
+		w := newWorld()
+		w.servers["a"].dead = true
+		w.missing, w.reaching = 4, 0
+		w.servers["c"].status.Received = point(100)
+		w.effect = time.Second
+		for len(w.orders) < 1 {
+			w.run(step)
+		}
+		w.servers["b"].dark = true
+		for len(w.orders) < 2 {
+			w.run(step)
+		}
+		w.servers["b"].dark = false
+		for w.group.Term == 1 {
+			w.run(step)
+		}
+		assertPrimary(t, w, "c", 3)
+	})
+	t.Run("the old primary under another name steps down before it is ordered", func(t *testing.T) {
+		w := newWorld()
+		w.servers["a"].dead = true
+		w.missing, w.reaching = 4, 0
+		w.servers["A"] = &server{status: ctquery.Status{Role: ctserver.RolePrimary, Term: 1, Received: point(100)}}
+		w.run(3 * time.Second)
+		assert.Equal(t, w.group.Term, ctposition.Term(2), "%v", w.sets)
+		assert.Equal(t, len(w.orders), 1, "%v", w.orders)
+	})
 	t.Run("a candidate that was refused while it did not run is ordered again", func(t *testing.T) {
 		w := newWorld()
 		w.servers["a"].dead = true
