--- a/internal/lab/ctsoak/caller.go
+++ b/internal/lab/ctsoak/caller.go
@@ -32,7 +32,7 @@
 	startTime = 3 * time.Second
 )
 
-// Freshness is what a route's reads must show.
+// freshness is what a route's reads must show.
 type freshness int
 
 // The kinds of routes, one database of each group for each.
@@ -97,8 +97,6 @@
 	end   *platform.CallerEnd
 	// own is the session's newest commit.
 	own entry
-	// blocks counts what the session began.
-	blocks int
 }
 
 // session holds one session, and reports false where there was none.
@@ -163,8 +161,7 @@
 }
 
 func (s *conversation) block(transaction bool) *Block {
-	s.blocks++
-	return &Block{session: s.name, number: s.blocks, transaction: transaction}
+	return &Block{session: s.name, transaction: transaction}
 }
 
 // ask sends a statement and returns its answer.
--- a/internal/lab/ctsoak/judge.go
+++ b/internal/lab/ctsoak/judge.go
@@ -59,7 +59,6 @@
 // any.
 type Block struct {
 	session string
-	number  int
 	// transaction reports whether statements run between a begin and an end.
 	transaction bool
 	// asked is set when the caller has asked for the end that keeps it.
--- a/internal/lab/ctsoak/run.go
+++ b/internal/lab/ctsoak/run.go
@@ -76,7 +76,7 @@
 	}
 	r := &soak{
 		Options: options, site: site, judge: judge,
-		operator: newOperator(site, r2(options.Plan.Seed, 1)),
+		operator: newOperator(site, randomOf(options.Plan.Seed, 1)),
 		balancer: &balancer{proxies: site.proxies},
 		tallies:  make(map[ctid.Database]*tally),
 	}
@@ -87,8 +87,8 @@
 	return r.report(), nil
 }
 
-// r2 returns the random numbers of one part of a run.
-func r2(seed, part uint64) *rand.Rand {
+// randomOf returns the random numbers of one part of a run.
+func randomOf(seed, part uint64) *rand.Rand {
 	return rand.New(rand.NewPCG(seed, part))
 }
 
@@ -116,8 +116,8 @@
 	defer endChanges()
 	defer endCalls()
 	r.work(func() { r.balancer.run(calling) })
-	r.work(func() { r.operator.run(changing, r2(r.Plan.Seed, 3)) })
-	r.work(func() { r.operator.probe(calling, r2(r.Plan.Seed, 2)) })
+	r.work(func() { r.operator.run(changing, randomOf(r.Plan.Seed, 3)) })
+	r.work(func() { r.operator.probe(calling, randomOf(r.Plan.Seed, 2)) })
 	r.work(func() { r.watch(calling) })
 	r.call(calling)
 	injecting, endFaults := context.WithTimeout(ctx, r.Plan.Faults+2*longest+stopTime)
@@ -176,7 +176,7 @@
 		}
 		c := &caller{
 			name: fmt.Sprintf("c%02d", i), site: r.site, balancer: r.balancer, group: g, fresh: f,
-			tally: r.tallies[name], random: r2(r.Plan.Seed, uint64(100+i)),
+			tally: r.tallies[name], random: randomOf(r.Plan.Seed, uint64(100+i)),
 		}
 		r.work(func() { c.run(ctx) })
 	}
--- a/internal/lab/ctsoak/session.go
+++ b/internal/lab/ctsoak/session.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"strings"
 	"sync"
 	"time"
 
@@ -278,7 +277,7 @@
 	s.member.apply(time.Now())
 	shown := s.member.log[:s.member.applied:s.member.applied]
 	s.group.mutex.Unlock()
-	answer.Rows = []string{fmt.Sprintf("%s.%d", strings.ToLower(string(q.ID)), len(shown))}
+	answer.Rows = []string{fmt.Sprintf("%s.%d", q.ID, len(shown))}
 	answer.Proof = s.group.judge.ends(q.ID, answer.Rows, shown)
 }
 
