ctgateway: count sessions that begin while a planned stop waits for the last

Cause: a planned stop waited on a WaitGroup while callers were still accepted. A session that began as the last other one ended was not waited for; the listener was closed and the session cut, perhaps with a request on its way. Ruled out: closing the listener first; the balancer still sends callers for two seconds. Change: a counter that is looked at each 50 ms, and once more after the listener is closed.

--- a/internal/lab/ctmembers/gateway_test.go
+++ b/internal/lab/ctmembers/gateway_test.go
@@ -315,6 +315,36 @@
 	})
 }
 
+// TestDrain names the pattern of a planned stop to which callers still come.
+func TestDrain(t *testing.T) {
+	t.Run("sessions that begin meanwhile are counted", func(t *testing.T) {
+		const stops = 20
+		for range stops {
+			s := newSite(t, small, ctconfig.FreshnessPrimary)
+			ctx, cancel := context.WithTimeout(context.Background(), testTime)
+			drained := make(chan bool, 1)
+			go func() { drained <- s.gateway.Drain(ctx) }()
+			s.callers <- newCaller("c", "db")
+			s.gateway.ServeOne(nil)
+			assert.Assert(t, <-drained)
+			cancel()
+		}
+	})
+	t.Run("a session at work is waited for", func(t *testing.T) {
+		s := newSite(t, small, ctconfig.FreshnessPrimary)
+		c := s.connect(t, "c")
+		c.ask(t, ctquery.Begin{})
+		c.ask(t, ctquery.Write{Arguments: "i d"})
+		ctx, cancel := context.WithTimeout(context.Background(), testTime)
+		defer cancel()
+		drained := make(chan bool, 1)
+		go func() { drained <- s.gateway.Drain(ctx) }()
+		answer, _ := c.ask(t, ctquery.Commit{})
+		assert.Assert(t, answer.OK())
+		assert.Assert(t, <-drained)
+	})
+}
+
 func TestLostAnswers(t *testing.T) {
 	s := newSite(t, small, ctconfig.FreshnessSession)
 	var l ledger
--- a/internal/lab/ctsoak/run_test.go
+++ b/internal/lab/ctsoak/run_test.go
@@ -19,6 +19,7 @@
 	cause  string
 }{
 	{seed: 1, faults: 10 * time.Second, cause: "control took messages before it had read its disk"},
+	{seed: 107, faults: 30 * time.Second, cause: "a session that began in a planned stop was not counted"},
 	{seed: 38, faults: 30 * time.Second, cause: "a promotion that was taken without an effect was ordered for good"},
 	{seed: 30, faults: 30 * time.Second, cause: "two questions shared a way to control's leader"},
 }
--- a/internal/program/ctgateway/gateway.go
+++ b/internal/program/ctgateway/gateway.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"net"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -66,7 +65,8 @@
 	// served reports that this run of the proxy has reached the primaries of all
 	// groups in use.
 	served atomic.Bool
-	open   sync.WaitGroup
+	// open counts the sessions, also those that begin while others end.
+	open atomic.Int64
 }
 
 // New returns a gateway that serves nobody yet.
@@ -87,6 +87,9 @@
 	}
 }
 
+// drainPause is the time between two looks whether all sessions have ended.
+const drainPause = 50 * time.Millisecond
+
 // upkeepTime is the time between two rounds of upkeep.
 const upkeepTime = 200 * time.Millisecond
 
@@ -153,7 +156,7 @@
 func (g *Gateway) ServeOne(socket net.Conn) {
 	g.open.Add(1)
 	go func() {
-		defer g.open.Done()
+		defer g.open.Add(-1)
 		g.serve(socket)
 	}()
 }
@@ -183,19 +186,15 @@
 // the others until ctx ends. It reports whether all have ended.
 func (g *Gateway) Drain(ctx context.Context) bool {
 	g.draining.Store(true)
-	done := make(chan struct{})
-	go func() {
-		g.open.Wait()
-		close(done)
-	}()
 	for {
 		g.askToLeave()
-		select {
-		case <-done:
+		if g.open.Load() == 0 {
 			return true
+		}
+		select {
 		case <-ctx.Done():
 			return false
-		case <-g.Clock.After(upkeepTime):
+		case <-g.Clock.After(drainPause):
 		}
 	}
 }
--- a/internal/program/ctnode/proxy.go
+++ b/internal/program/ctnode/proxy.go
@@ -207,6 +207,8 @@
 	}
 	drained := p.gateway.Drain(ctx) && p.carried(ctx)
 	_ = callers.Close()
+	// Sessions may have begun between the last look and the close.
+	drained = p.gateway.Drain(ctx) && drained
 	p.gateway.Cut()
 	parting, cancel := context.WithTimeout(context.WithoutCancel(ctx), partTime/2)
 	defer cancel()
