--- a/internal/decide/ctsuccession/doc.go
+++ b/internal/decide/ctsuccession/doc.go
@@ -18,9 +18,23 @@
 it has all that the primary had when it stepped down, or all that the proxies
 acknowledged, or more than every other member, all of which answered.
 
+Runs of proxies end, and nobody can ask them what they acknowledged. Whenever one
+has ended or fell silent, the next place in its log that the primary tells covers
+all of that run; the word of the proxies suffices only for a member that holds that
+place too.
+
+# Orders
+
+The service may take an order late, and a promotion takes a while. One order is sent
+at a time. Where a second one may have been taken, nobody is held for the leader
+until it has had its time.
+
 # Usage
 
-	machine.Begin(now, longest)
+	proxies := ctsuccession.NewProxies(now)
+	machine.Begin(now, proxies)
+	proxies.Report(now, report, ctsuccession.Until(now))
+	machine.Report(now, group, report)
 	machine.Hear(now, announcement)
 	for _, action := range machine.Decide(now, group) {
 		...
