--- a/internal/lab/ctsoak/run.go
+++ b/internal/lab/ctsoak/run.go
@@ -69,6 +69,7 @@
 		return Report{}, err
 	}
 	defer site.Close()
+	stopped := ctx
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	if err := site.Start(ctx); err != nil {
@@ -84,7 +85,7 @@
 		return Report{}, err
 	}
 	r.perform(ctx)
-	return r.report(), nil
+	return r.report(), errors.Wrap(stopped.Err(), "the run was ended before its checks")
 }
 
 // randomOf returns the random numbers of one part of a run.
