platform, ctsuccession, ctgateway: write each name, check and computation once

Found on reading the whole change again; behaviour stays as it is. - platform: paths, headers, states and the words of the system's own statements stood in the product's end and in the stand-ins' end; each is one constant now, and both ends of a caller's connection are made by one function. - ctsuccession: the check that an account is of a proxy's present run stood twice, once with a result that nobody read. leadsBefore belongs to the member. - ctgateway: each round of upkeep found the groups in use up to three times; once now. The number of groups up to which all are kept up stood in ctgateway and in ctcontrol, which must agree: ctview.FewGroups. - ctcontrol: the groups that a report names were listed twice a report; the relay counted what it can see from its members. - ctsoak, ctrelay: a parameter that was always the same, a check that could not hold, a wrapper, a plan that was drawn twice. - Tests: losePrimary for nine places; TestOrders, TestCarry and the harness of ctmembers stand in files of their own. No assertion changed.

--- a/internal/decide/ctsuccession/change.go
+++ b/internal/decide/ctsuccession/change.go
@@ -73,7 +73,7 @@
 	primary, known := m.members[group.Primary]
 	stepped := !m.turn.steppedAt.IsZero()
 	for name, row := range m.members {
-		if name != group.Primary && m.leadsOld(group, row) {
+		if name != group.Primary && row.leadsBefore(group.Fence) {
 			actions = m.ask(now, actions, name, row, StepDown{Fence: group.Fence}, changeTime)
 		}
 	}
@@ -86,7 +86,7 @@
 	following := stepped && now.Sub(m.turn.steppedAt) < followTime
 	for name, row := range m.members {
 		switch {
-		case name == group.Primary || m.leadsOld(group, row):
+		case name == group.Primary || row.leadsBefore(group.Fence):
 		case following:
 			actions = m.ask(now, actions, name, row, Probe{}, changeTime)
 		case row.paused < group.Fence:
@@ -96,11 +96,11 @@
 	return actions
 }
 
-// leadsOld reports whether a member says that it leads in a term before the fence: the
-// primary that was given up, perhaps under another name. No order changes anything
+// leadsBefore reports whether a member says that it leads in a term before the fence:
+// the primary that was given up, perhaps under another name. No order changes anything
 // for it.
-func (m *Machine) leadsOld(group ctview.Group, row *member) bool {
-	return row.status.Role == ctserver.RolePrimary && row.status.Term < group.Fence
+func (m *member) leadsBefore(fence ctposition.Term) bool {
+	return m.status.Role == ctserver.RolePrimary && m.status.Term < fence
 }
 
 // candidate returns the member to promote, where one is known to hold every
@@ -141,7 +141,7 @@
 // safe reports whether a member is known to hold every acknowledged commit.
 func (m *Machine) safe(now time.Time, group ctview.Group, name ctid.Member, complete bool) bool {
 	row := m.members[name]
-	if row.failures > 0 || row.answered.Before(m.turn.began) || m.leadsOld(group, row) {
+	if row.failures > 0 || row.answered.Before(m.turn.began) || row.leadsBefore(group.Fence) {
 		return false
 	}
 	received := row.status.Received
--- a/internal/decide/ctsuccession/decide.go
+++ b/internal/decide/ctsuccession/decide.go
@@ -116,9 +116,8 @@
 // that miss it.
 func (m *Machine) tally(now time.Time) (jury, reaching, missing int) {
 	for name, row := range m.accounts {
-		present, ok := m.proxies.rows[name]
 		switch {
-		case !ok || row.incarnation != present.incarnation || now.Sub(row.heard) > reportTime:
+		case !row.of(m.proxies.rows[name]) || now.Sub(row.heard) > reportTime:
 		case row.reaches:
 			reaching++
 		case row.misses:
@@ -199,9 +198,9 @@
 	covers := func(at time.Time) bool { return m.coveredTerm == group.Term && !at.After(m.coveredAt) }
 	complete = covers(m.proxies.mute)
 	for name, present := range m.proxies.rows {
-		told, _ := m.account(name, present)
+		told := m.accounts[name]
 		switch {
-		case told.fenced >= group.Fence:
+		case told.of(present) && told.fenced >= group.Fence:
 		case now.Before(present.until):
 			return false, false
 		default:
--- a/internal/decide/ctsuccession/machine.go
+++ b/internal/decide/ctsuccession/machine.go
@@ -197,13 +197,9 @@
 	}
 }
 
-// account returns what the present run of a proxy reported of the group.
-func (m *Machine) account(name ctid.Proxy, present *presence) (account, bool) {
-	row, ok := m.accounts[name]
-	if !ok || row.incarnation != present.incarnation {
-		return account{}, false
-	}
-	return *row, true
+// of reports whether an account is that of a proxy's present run.
+func (a *account) of(present *presence) bool {
+	return a != nil && present != nil && a.incarnation == present.incarnation
 }
 
 // Until returns until when a report that was sent now grants authority.
--- /dev/null
+++ b/internal/lab/ctmembers/carry_test.go
@@ -0,0 +1,115 @@
+package ctmembers_test
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+	"gotest.tools/v3/assert"
+
+	"github.com/cherviltrestle/cherviltrestle/internal/lab/ctmembers"
+	"github.com/cherviltrestle/cherviltrestle/internal/link/ctframe"
+	"github.com/cherviltrestle/cherviltrestle/internal/link/cttcp"
+	"github.com/cherviltrestle/cherviltrestle/internal/model/ctid"
+	"github.com/cherviltrestle/cherviltrestle/internal/model/ctquery"
+	"github.com/cherviltrestle/cherviltrestle/internal/model/ctserver"
+	"github.com/cherviltrestle/cherviltrestle/internal/model/ctview"
+	"github.com/cherviltrestle/cherviltrestle/internal/program/ctpools"
+	"github.com/cherviltrestle/cherviltrestle/internal/work/ctclock"
+	"github.com/cherviltrestle/cherviltrestle/internal/work/ctlock"
+)
+
+// pipes opens ways to pools in this process.
+type pipes struct {
+	carrier *ctpools.Pools
+}
+
+func (p pipes) Open(context.Context, netip.AddrPort) (ctframe.Way, error) {
+	here, there := net.Pipe()
+	way := cttcp.New(there)
+	go func() {
+		defer way.Close()
+		frame, err := way.Read()
+		if carry, ok := frame.(*ctframe.Carry); err == nil && ok {
+			p.carrier.Carry(way, carry)
+		}
+	}()
+	return cttcp.New(here), nil
+}
+
+// TestCarry names the pattern of more proxies than a member has connections for.
+func TestCarry(t *testing.T) {
+	group := ctmembers.New(small)
+	view := &ctview.View{}
+	delta := &ctview.Delta{To: 1, Members: group.Announcements("near")}
+	for i := range 12 {
+		domain := ctid.FailureDomain("far")
+		if i < 2 {
+			domain = "near"
+		}
+		delta.Proxies = append(delta.Proxies, ctview.Proxy{
+			Name: ctid.Proxy(fmt.Sprintf("p%02d", i)), FailureDomain: domain, Incarnation: 1, State: ctserver.StateReady,
+			Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 1, byte(i)}), 1),
+		})
+	}
+	view, err := view.Apply(delta)
+	assert.NilError(t, err)
+	var held ctlock.Held
+	clock := ctclock.System{}
+	near := ctpools.New(group, delta.Proxies[0], pipes{}, clock, zerolog.Nop())
+	near.Follow(&held, view)
+	far := ctpools.New(group, delta.Proxies[5], pipes{carrier: near}, clock, zerolog.Nop())
+	far.Follow(&held, view)
+	run := func(t *testing.T, conn *ctpools.Conn, id ctquery.ID, statement ctquery.Statement) ctquery.Answer {
+		t.Helper()
+		until := clock.Now().Add(testTime)
+		answer, err := conn.Run(nil, ctquery.Query{ID: id, Statement: statement}, ctpools.Limits{Offer: until, Until: until})
+		assert.NilError(t, err)
+		return answer
+	}
+	primary := ctmembers.MemberName(0)
+	acquire := func(t *testing.T) *ctpools.Conn {
+		t.Helper()
+		conn, err := far.Acquire(&held, primary, ctpools.Wish{Until: clock.Now().Add(testTime)})
+		assert.NilError(t, err)
+		return conn
+	}
+	t.Run("only proxies of the member's failure domain hold it", func(t *testing.T) {
+		assert.Assert(t, near.Holds(&held, primary))
+		assert.Assert(t, !far.Holds(&held, primary))
+	})
+	t.Run("a transaction stays on one connection", func(t *testing.T) {
+		conn := acquire(t)
+		assert.Assert(t, run(t, conn, "a-1", ctquery.Begin{}).OK())
+		assert.Assert(t, run(t, conn, "a-2", ctquery.Write{Arguments: "x 1"}).OK())
+		assert.Equal(t, near.Carrying(), 1)
+		assert.Assert(t, run(t, conn, "a-3", ctquery.Commit{}).OK())
+		assert.Equal(t, near.Carrying(), 0)
+		far.Release(&held, conn, ctpools.Use{Answered: true})
+		assert.Equal(t, group.Committed()["a-2"], 1)
+	})
+	t.Run("a way that ends rolls its transaction back", func(t *testing.T) {
+		conn := acquire(t)
+		run(t, conn, "b-1", ctquery.Begin{})
+		run(t, conn, "b-2", ctquery.Write{Arguments: "x 2"})
+		far.Release(&held, conn, ctpools.Use{Close: true})
+		for near.Carrying() > 0 {
+			time.Sleep(time.Millisecond)
+		}
+		assert.Equal(t, group.Committed()["b-2"], 0)
+	})
+	t.Run("a proxy that is to stop is given nothing more", func(t *testing.T) {
+		conn := acquire(t)
+		run(t, conn, "c-1", ctquery.Read{Item: "x"})
+		near.Part()
+		for conn.Alive() {
+			time.Sleep(time.Millisecond)
+		}
+		far.Release(&held, conn, ctpools.Use{})
+	})
+	assert.Equal(t, len(group.Faults()), 0, "%v", group.Faults())
+}
--- a/internal/lab/ctsoak/session.go
+++ b/internal/lab/ctsoak/session.go
@@ -8,6 +8,7 @@
 	"github.com/cherviltrestle/cherviltrestle/internal/model/ctposition"
 	"github.com/cherviltrestle/cherviltrestle/internal/model/ctquery"
 	"github.com/cherviltrestle/cherviltrestle/internal/model/ctserver"
+	"github.com/cherviltrestle/cherviltrestle/platform"
 )
 
 // ownerValue is the session value by which callers name their session.
@@ -181,7 +182,7 @@
 	if m.primary {
 		status.Role = ctserver.RolePrimary
 	}
-	answer.Rows = []string{renderStatus(status)}
+	answer.Rows = []string{platform.RenderStatus(status)}
 }
 
 func (s *session) begin(statement ctquery.Begin, answer *ctquery.Answer) {
--- a/internal/model/ctview/report.go
+++ b/internal/model/ctview/report.go
@@ -54,6 +54,10 @@
 	return h.Member.Check()
 }
 
+// FewGroups is up to how many groups each proxy of a fleet keeps up all; where there
+// are more it keeps up those that its callers use.
+const FewGroups = 16
+
 // Report is what a proxy tells control at each heartbeat.
 type Report struct {
 	// Number counts the reports of the proxy's run. The reply repeats it.
--- a/internal/program/ctcontrol/heard.go
+++ b/internal/program/ctcontrol/heard.go
@@ -32,8 +32,6 @@
 	members map[ctid.Member]*heardMember
 	// trusted is until when reports without news are taken here.
 	trusted time.Time
-	// waiting counts the reports that the leader was not told of.
-	waiting int
 }
 
 // heardMember is a member whose last report with news the leader has taken.
@@ -54,11 +52,7 @@
 	if same != announced || announced.Sequence < known.announced.Sequence {
 		return false
 	}
-	known.announced, known.heard = announced, now
-	if !known.waits {
-		known.waits = true
-		h.waiting++
-	}
+	known.announced, known.heard, known.waits = announced, now, true
 	return true
 }
 
@@ -87,7 +81,6 @@
 			delete(h.members, name)
 		}
 	}
-	h.waiting = 0
 	return gathered
 }
 
@@ -135,11 +128,7 @@
 		case <-r.clock.After(gatherTime):
 		}
 		var gathered []ctserver.Announcement
-		r.hearing.With(&held, func(h *hearing) {
-			if h.waiting > 0 {
-				gathered = h.gather(r.clock.Now())
-			}
-		})
+		r.hearing.With(&held, func(h *hearing) { gathered = h.gather(r.clock.Now()) })
 		if len(gathered) == 0 || r.tell(ctx, &ctframe.Gathered{Announcements: gathered}) != nil {
 			continue
 		}
--- a/internal/program/ctcontrol/succession.go
+++ b/internal/program/ctcontrol/succession.go
@@ -66,15 +66,16 @@
 		return
 	}
 	until := c.grant(now, l, report, reply)
+	named := l.named(report)
 	if reply.Delta != nil && reply.Delta.Heavy() {
 		// A watch brings it; the groups are enough for the proxy to act on.
 		reply.Delta = nil
 	}
 	if reply.Delta == nil && report.Version != l.roster.Version() {
-		reply.Groups = l.groupsFor(report)
+		reply.Groups = l.groupsFor(named)
 	}
 	l.proxies.Report(now, report, until)
-	for _, name := range l.reported(report) {
+	for _, name := range named {
 		machine, ok := l.successions[name]
 		if !ok {
 			continue
@@ -102,24 +103,20 @@
 	return ctsuccession.Until(now)
 }
 
-// fewGroups is up to how many groups a proxy that waits for a delta is told of all.
-const fewGroups = 16
-
 // groupsFor returns the groups that a proxy without the newest view has to know: those
 // that change, and those that it uses.
-func (l *ledger) groupsFor(report *ctview.Report) []ctview.Group {
+func (l *ledger) groupsFor(used []ctid.Group) []ctview.Group {
 	var groups []ctview.Group
-	used := l.reported(report)
 	for name, g := range l.register.Groups {
-		if len(l.register.Groups) <= fewGroups || g.Changing() || slices.Contains(used, name) {
+		if len(l.register.Groups) <= ctview.FewGroups || g.Changing() || slices.Contains(used, name) {
 			groups = append(groups, g)
 		}
 	}
 	return groups
 }
 
-// reported lists the groups that a report tells something of, each once.
-func (l *ledger) reported(report *ctview.Report) []ctid.Group {
+// named lists the groups that a report tells something of, each once.
+func (l *ledger) named(report *ctview.Report) []ctid.Group {
 	names := make([]ctid.Group, 0, len(report.Reaches)+len(report.Misses)+len(report.Fenced))
 	for _, primaries := range [][]ctid.Member{report.Reaches, report.Misses} {
 		for _, name := range primaries {
--- a/internal/program/ctgateway/gateway.go
+++ b/internal/program/ctgateway/gateway.go
@@ -81,7 +81,7 @@
 // Follow takes a newer view.
 func (g *Gateway) Follow(held *ctlock.Held, view *ctview.View) {
 	g.Pools.Follow(held, view)
-	g.tend(held, view)
+	g.tend(held, g.inUse(held, view))
 	if g.followFences(held, view) {
 		g.Hasten()
 	}
@@ -102,12 +102,13 @@
 			return
 		case <-g.Clock.After(upkeepTime):
 		}
-		g.tend(&held, g.State.View(&held))
-		g.noteServed(&held)
+		used := g.inUse(&held, g.State.View(&held))
+		g.tend(&held, used)
+		g.noteServed(&held, used)
 		if g.served.Load() && g.lapsed(&held) {
 			g.askToLeave()
 		}
-		g.refresh(&held)
+		g.refresh(&held, used)
 		if g.followFences(&held, g.State.View(&held)) {
 			g.Hasten()
 		}
@@ -115,21 +116,17 @@
 }
 
 // tend keeps connections to the members of the groups in use.
-func (g *Gateway) tend(held *ctlock.Held, view *ctview.View) {
-	var used ctset.Set[ctid.Group]
-	for _, decided := range g.inUse(held, view) {
-		used.Add(decided.Name)
+func (g *Gateway) tend(held *ctlock.Held, used []ctview.Group) {
+	var names ctset.Set[ctid.Group]
+	for _, decided := range used {
+		names.Add(decided.Name)
 	}
-	g.Pools.Tend(held, used)
+	g.Pools.Tend(held, names)
 }
 
 // noteServed notes when all primaries in use have been reached for the first time.
-func (g *Gateway) noteServed(held *ctlock.Held) {
-	if g.served.Load() {
-		return
-	}
-	used := g.inUse(held, g.State.View(held))
-	if len(used) == 0 {
+func (g *Gateway) noteServed(held *ctlock.Held, used []ctview.Group) {
+	if g.served.Load() || len(used) == 0 {
 		return
 	}
 	for _, decided := range used {
--- a/internal/program/ctgateway/group.go
+++ b/internal/program/ctgateway/group.go
@@ -28,9 +28,6 @@
 	retireTime = 1200 * time.Millisecond
 	// usedTime is how long after its last statement a group counts as in use.
 	usedTime = 20 * time.Second
-	// warmGroups is up to how many groups all count as in use, so that the first
-	// statement finds a connection and a sample.
-	warmGroups = 16
 )
 
 // group is what a proxy keeps of a group.
@@ -66,15 +63,16 @@
 	g.groups.With(held, func(rows map[ctid.Group]*group) { rowOf(rows, name).used = now })
 }
 
-// inUse returns the groups that callers of this proxy use. What a proxy keeps up, and
+// inUse returns the groups that callers of this proxy use; all where there are few, so
+// that the first statement finds a connection and a sample. What a proxy keeps up, and
 // what it tells control, grows with them and not with all groups of the fleet.
 func (g *Gateway) inUse(held *ctlock.Held, view *ctview.View) []ctview.Group {
-	used := make([]ctview.Group, 0, min(len(view.Groups), warmGroups))
+	used := make([]ctview.Group, 0, min(len(view.Groups), ctview.FewGroups))
 	oldest := g.Clock.Now().Add(-usedTime)
 	g.groups.With(held, func(rows map[ctid.Group]*group) {
 		for name, decided := range view.Groups {
 			row, ok := rows[name]
-			if len(view.Groups) <= warmGroups || (ok && row.used.After(oldest)) {
+			if len(view.Groups) <= ctview.FewGroups || (ok && row.used.After(oldest)) {
 				used = append(used, decided)
 			}
 		}
@@ -180,12 +178,11 @@
 	return point, known
 }
 
-// refresh takes samples of the groups whose newest one has become old.
-func (g *Gateway) refresh(held *ctlock.Held) {
-	view := g.State.View(held)
+// refresh takes samples of the groups in use whose newest one has become old.
+func (g *Gateway) refresh(held *ctlock.Held, used []ctview.Group) {
 	now := g.Clock.Now()
 	authority := g.State.Authority(held)
-	for _, decided := range g.inUse(held, view) {
+	for _, decided := range used {
 		if decided.Primary == "" || decided.Changing() || !now.Before(authority) {
 			continue
 		}
--- a/internal/program/ctnode/control.go
+++ b/internal/program/ctnode/control.go
@@ -50,11 +50,10 @@
 	}
 	metrics := ctmetric.NewControl(prometheus.NewRegistry())
 	service, err := ctcontrol.NewService(ctcontrol.ServiceOptions{
-		Name:   control(settings.IP),
-		Seeds:  settings.seedNames(),
-		First:  settings.FirstStart,
-		Losses: settings.Losses,
-
+		Name:      control(settings.IP),
+		Seeds:     settings.seedNames(),
+		First:     settings.FirstStart,
+		Losses:    settings.Losses,
 		ApplyTime: settings.applyTime(),
 		Journal:   journal,
 		Ways:      cttcp.Ways{Local: settings.Local},
