ctquorum: an odd number of voters, and standbys that take a lost voter's place

Cause: every process that joined became a voter. Ruled out: a tie-breaker among the voters, which the loss of its disk would take away together with a vote.

Change: the leader keeps 2*MaxDiskLosses+1 voters. Others that have joined receive the log as standbys; one is added when a voter has been silent for 3 s, and then the silent one is removed. A voter that lost its disk takes its own place again. A standby also asks the voters in its log, because all seeds may be gone.

--- a/internal/decide/ctquorum/cluster_test.go
+++ b/internal/decide/ctquorum/cluster_test.go
@@ -28,6 +28,8 @@
 	committed    []string
 	lastProposal ctquorum.ProposalID
 	violations   []string
+	// voterCount is the VoterCount of the nodes.
+	voterCount int
 }
 
 // process is a process of control with its disk. Its node is nil while it is stopped.
@@ -44,20 +46,27 @@
 	message  ctquorum.Message
 }
 
-// clusterSize is the number of processes in a cluster.
+// clusterSize is the number of processes in a cluster of newCluster.
 const clusterSize = 3
 
-// newCluster returns a cluster whose first process is the only voter and whose other
-// processes have empty disks.
+// newCluster returns a cluster in which every process becomes a voter. Its first process
+// is the only voter at the start, and the others have empty disks.
 func newCluster(seed uint64) *cluster {
+	return newClusterOf(seed, clusterSize, 0)
+}
+
+// newClusterOf returns a cluster of size processes that keeps voterCount voters. Its
+// first process is the only voter at the start.
+func newClusterOf(seed uint64, size, voterCount int) *cluster {
 	c := &cluster{
+		voterCount:   voterCount,
 		now:          time.Unix(0, 0),
 		random:       rand.New(rand.NewPCG(seed, 0)),
 		dropped:      func(_, _ ctid.Control) bool { return false },
 		firstApplied: make(map[ctquorum.Index]string),
 		leaders:      make(map[ctquorum.Epoch]ctquorum.Peer),
 	}
-	for i := range clusterSize {
+	for i := range size {
 		m := &process{peer: ctquorum.Peer{Name: ctid.Control(fmt.Sprintf("control-%d", i)), Incarnation: 1}}
 		if i == 0 {
 			m.disk = ctquorum.Bootstrap(m.peer)
@@ -85,6 +94,7 @@
 		m.applied = []string{string(disk.Snapshot.Data)}
 	}
 	m.node = ctquorum.New(c.now, m.peer, disk, seeds, c.random)
+	m.node.VoterCount = c.voterCount
 	m.leading = false
 }
 
--- a/internal/decide/ctquorum/log.go
+++ b/internal/decide/ctquorum/log.go
@@ -6,14 +6,6 @@
 	"time"
 )
 
-// learnerTimeout is how long a learner may send nothing before the leader stops
-// sending to it.
-const learnerTimeout = 10 * time.Second
-
-// voterTimeout is how long a voter may send nothing before the leader removes it.
-// Node.MinVoters limits the removals.
-const voterTimeout = 3 * time.Second
-
 // receive dispatches a peer's message to its handler.
 func (n *Node) receive(now time.Time, from Peer, message Message) {
 	switch m := message.(type) {
@@ -60,33 +52,6 @@
 	n.append(now, Entry{Data: e.Data})
 }
 
-// removeVoter appends an entry that removes a voter. It rejects the removal while
-// another change of the voters is pending, and that of the last voter.
-func (n *Node) removeVoter(now time.Time, e RemoveVoter) {
-	voters := n.state.voters()
-	if n.role != roleLeader || n.voterChangePending() || !slices.Contains(voters, e.Peer) || len(voters) == 1 {
-		n.emit(Rejected{ID: e.ID})
-		return
-	}
-	last, _ := n.state.last()
-	n.proposals[last+1] = e.ID
-	n.append(now, Entry{Voters: withoutPeer(voters, e.Peer)})
-}
-
-func withoutPeer(voters []Peer, peer Peer) []Peer {
-	return slices.DeleteFunc(slices.Clone(voters), func(v Peer) bool { return v == peer })
-}
-
-// voterChangePending reports whether the log has an uncommitted change of the voters.
-func (n *Node) voterChangePending() bool {
-	for _, e := range n.state.Entries {
-		if e.Index > n.commitIndex && len(e.Voters) > 0 {
-			return true
-		}
-	}
-	return false
-}
-
 // broadcastLog starts a round: it sends every follower the entries that it lacks, or
 // a heartbeat.
 func (n *Node) broadcastLog(now time.Time) {
@@ -233,9 +198,8 @@
 	f.matchIndex = max(f.matchIndex, m.MatchIndex)
 	f.nextIndex = max(f.nextIndex, f.matchIndex+1)
 	n.advanceCommitIndex(now)
-	n.admitLearners(now)
+	n.reviseVoters(now)
 	n.removeUnreachableLearners(now)
-	n.removeUnreachableVoter(now)
 }
 
 // recordReply records that a round was answered. Send times of this round and of
@@ -304,78 +268,6 @@
 	}
 }
 
-// addLearner starts sending the log to a process that asked to join.
-func (n *Node) addLearner(now time.Time, from Peer) {
-	if n.role != roleLeader || !n.leaderReady {
-		return
-	}
-	last, _ := n.state.last()
-	n.addFollower(now, from, last+1)
-	n.followers[from].lastSeen = now
-}
-
-// admitLearners adds a learner that has caught up to the voters. Once it is a voter,
-// a later call removes the earlier incarnation of its name. Each call makes at most
-// one change, and none while another is pending.
-func (n *Node) admitLearners(now time.Time) {
-	if n.role != roleLeader || !n.leaderReady || n.voterChangePending() {
-		return
-	}
-	voters := n.state.voters()
-	for _, peer := range n.sortedFollowers() {
-		if old, ok := earlierIncarnation(voters, peer); ok {
-			n.append(now, Entry{Voters: withoutPeer(voters, old)})
-			return
-		}
-		if !slices.Contains(voters, peer) && n.followers[peer].matchIndex >= n.commitIndex &&
-			n.followers[peer].matchIndex > 0 {
-			n.append(now, Entry{Voters: append(slices.Clone(voters), peer)})
-			return
-		}
-	}
-}
-
-// earlierIncarnation returns the voter that is an earlier incarnation of peer. It
-// returns false if there is none or peer is not a voter itself.
-func earlierIncarnation(voters []Peer, peer Peer) (Peer, bool) {
-	if !slices.Contains(voters, peer) {
-		return Peer{}, false
-	}
-	for _, v := range voters {
-		if v.Name == peer.Name && v.Incarnation < peer.Incarnation {
-			return v, true
-		}
-	}
-	return Peer{}, false
-}
-
-// removeUnreachableVoter removes a voter that has sent nothing for voterTimeout, as
-// long as at least MinVoters remain.
-func (n *Node) removeUnreachableVoter(now time.Time) {
-	voters := n.state.voters()
-	if n.MinVoters == 0 || len(voters) <= n.MinVoters || n.voterChangePending() || !n.leaderReady {
-		return
-	}
-	for _, v := range voters {
-		f, ok := n.followers[v]
-		if ok && now.Sub(f.lastSeen) > voterTimeout {
-			n.append(now, Entry{Voters: withoutPeer(voters, v)})
-			return
-		}
-	}
-}
-
-// removeUnreachableLearners discards followers that are not voters and have sent
-// nothing for learnerTimeout.
-func (n *Node) removeUnreachableLearners(now time.Time) {
-	voters := n.state.voters()
-	for _, peer := range n.sortedFollowers() {
-		if !slices.Contains(voters, peer) && now.Sub(n.followers[peer].lastSeen) > learnerTimeout {
-			delete(n.followers, peer)
-		}
-	}
-}
-
 // compact replaces the log up to an applied index with a snapshot.
 func (n *Node) compact(e SnapshotCreated) {
 	epoch, ok := n.state.epochAt(e.Index)
--- a/internal/decide/ctquorum/node.go
+++ b/internal/decide/ctquorum/node.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/cherviltrestle/cherviltrestle/internal/model/ctdrift"
+	"github.com/cherviltrestle/cherviltrestle/internal/model/ctid"
 )
 
 // Timeouts and intervals of elections, heartbeats and joins.
@@ -48,10 +49,10 @@
 // Node is the protocol's state machine for one process of control. It is not safe
 // for concurrent use.
 type Node struct {
-	// MinVoters is the least number of voters that may remain when the leader
-	// removes an unreachable one. If it is 0, only operators remove voters for
-	// being unreachable.
-	MinVoters int
+	// VoterCount is how many voters the leader keeps. Processes that join beyond it
+	// are standbys. If it is 0, every process that joins becomes a voter, and only
+	// operators remove voters for being unreachable.
+	VoterCount int
 
 	self Peer
 	// state is the persistent state. Every change of it is emitted as a Persist.
@@ -267,14 +268,19 @@
 	n.becomeFollower(now, n.state.Epoch, Peer{})
 }
 
-// requestJoin sends requests to become a voter to all seeds.
+// requestJoin sends requests to be added to the seeds and to the voters in the log,
+// unless a leader already sends its log to this process. All seeds may be gone.
 func (n *Node) requestJoin(now time.Time) {
-	if now.Before(n.nextJoinAt) {
+	if now.Before(n.nextJoinAt) || (n.leader != (Peer{}) && n.hasRecentLeader(now)) {
 		return
 	}
 	n.nextJoinAt = now.Add(joinInterval)
-	for _, seed := range n.seeds {
-		n.send(seed, JoinRequest{Epoch: n.state.Epoch})
+	asked := map[ctid.Control]bool{n.self.Name: true}
+	for _, peer := range slices.Concat(n.seeds, n.state.voters()) {
+		if !asked[peer.Name] {
+			asked[peer.Name] = true
+			n.send(Peer{Name: peer.Name}, JoinRequest{Epoch: n.state.Epoch})
+		}
 	}
 }
 
--- a/internal/decide/ctquorum/node_test.go
+++ b/internal/decide/ctquorum/node_test.go
@@ -157,7 +157,8 @@
 // authority at the same time.
 func TestClusterIsSafe(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		c := newCluster(rapid.Uint64().Draw(t, "seed"))
+		size := rapid.IntRange(clusterSize, sixProcesses).Draw(t, "size")
+		c := newClusterOf(rapid.Uint64().Draw(t, "seed"), size, rapid.SampledFrom([]int{0, clusterSize, fiveVoters}).Draw(t, "voters"))
 		c.run(settleDuration)
 		for range rapid.IntRange(200, 1500).Draw(t, "steps") {
 			c.randomStep()
--- a/internal/program/ctcontrol/replica.go
+++ b/internal/program/ctcontrol/replica.go
@@ -77,12 +77,12 @@
 	// resolve returns the address of a process that is not among the peers. It is nil if
 	// there are no such processes.
 	resolve func(ctid.Control) (netip.AddrPort, bool)
-	// minVoters is how many voters must remain when unreachable ones are removed
-	// automatically. It is 0 if only operators remove voters.
-	minVoters int
-	clock     ctclock.Clock
-	logger    zerolog.Logger
-	machine   StateMachine
+	// voterCount is how many voters the leader keeps. If it is 0, every process votes and
+	// only operators remove voters.
+	voterCount int
+	clock      ctclock.Clock
+	logger     zerolog.Logger
+	machine    StateMachine
 
 	node     cttable.Cell[*ctquorum.Node]
 	pool     ctpool.Pool[ctquorum.Event]
@@ -112,7 +112,7 @@
 	var held ctlock.Held
 	r.node.With(&held, func(n **ctquorum.Node) {
 		*n = ctquorum.New(r.clock.Now(), r.self, durable, seeds, random)
-		(*n).MinVoters = r.minVoters
+		(*n).VoterCount = r.voterCount
 	})
 	r.outboxes = make(map[ctid.Control]chan *ctframe.Quorum)
 	r.ctx = ctx
--- a/internal/program/ctcontrol/service.go
+++ b/internal/program/ctcontrol/service.go
@@ -39,8 +39,8 @@
 	// Bootstrap reports whether the whole fleet starts for the first time. The seeds are
 	// its first voters.
 	Bootstrap bool
-	// MaxDiskLosses is how many disks may be lost at once. Automatic removal of voters
-	// leaves at least 2*MaxDiskLosses+1 of them.
+	// MaxDiskLosses is how many disks may be lost at once. 2*MaxDiskLosses+1 processes
+	// vote, an odd number, and the others are standbys.
 	MaxDiskLosses int
 	// ApplyTimeout is how long after its acceptance a configuration must be in force on
 	// every proxy. 0 sets no limit.
@@ -83,13 +83,13 @@
 		return nil, err
 	}
 	replica := &Replica{
-		self:      self,
-		disk:      d,
-		transport: options.Transport,
-		resolve:   options.Resolve,
-		minVoters: 2*options.MaxDiskLosses + 1,
-		clock:     options.Clock,
-		logger:    options.Logger,
+		self:       self,
+		disk:       d,
+		transport:  options.Transport,
+		resolve:    options.Resolve,
+		voterCount: 2*options.MaxDiskLosses + 1,
+		clock:      options.Clock,
+		logger:     options.Logger,
 	}
 	for _, name := range options.Seeds {
 		if address, ok := options.Resolve(name); ok && name != options.Name {
