ctcontrol, ctuplink: any control process serves its proxies, and they seek control with backoff

Cause: every proxy spoke to the leader, with two loops that each opened a new connection after every failed attempt and every "not the leader", 30 to 100 ms apart and without jitter. 300 proxies that lose control at one moment ask for thousands of connections a second exactly when control can't answer.

The watch follows the route that the reports found; a change no longer cuts the pause after a failure short. ctuplink is split by job. Two goroutines no longer pass views to subscribers out of order, and a watch that ends leaves no channel behind.

--- a/internal/link/ctframe/compress.go
+++ b/internal/link/ctframe/compress.go
@@ -21,6 +21,27 @@
 	return Compress(body)
 }
 
+// WholeDelta returns the delta of a reply with its configuration, or nil if there is none.
+// The delta and its configuration may be compressed, each by itself. Errors are of kind
+// cterror.Invalid.
+func (r *ReportReply) WholeDelta() (*ctview.Delta, error) {
+	if len(r.CompressedDelta) == 0 {
+		return r.Delta, nil
+	}
+	delta, err := DecompressDelta(r.CompressedDelta)
+	if err != nil {
+		return nil, err
+	}
+	if len(r.CompressedConfig) > 0 {
+		config, err := DecompressDelta(r.CompressedConfig)
+		if err != nil {
+			return nil, err
+		}
+		delta.Config, delta.ConfigPatch = config.Config, config.ConfigPatch
+	}
+	return delta, nil
+}
+
 // Compress compresses data in the DEFLATE format.
 func Compress(data []byte) ([]byte, error) {
 	var compressed bytes.Buffer
--- a/internal/link/ctframe/frame.go
+++ b/internal/link/ctframe/frame.go
@@ -44,6 +44,8 @@
 	kindForward
 	kindForwardReply
 	kindGathered
+	kindReportBatch
+	kindReportBatchReply
 )
 
 // constructors contains, for each kind, a function that returns an empty frame.
@@ -75,4 +77,7 @@
 	kindForward:        func() Frame { return &Forward{} },
 	kindForwardReply:   func() Frame { return &ForwardReply{} },
 	kindGathered:       func() Frame { return &Gathered{} },
+
+	kindReportBatch:      func() Frame { return &ReportBatch{} },
+	kindReportBatchReply: func() Frame { return &ReportBatchReply{} },
 }
--- a/internal/program/ctcontrol/relay.go
+++ b/internal/program/ctcontrol/announcementrelay.go
@@ -92,22 +92,22 @@
 	c.validUntil = now.Add(cacheTTL)
 }
 
-// relay passes members' announcements on to the leader. Unchanged ones go through the
-// cache. Use newRelay to create one.
-type relay struct {
+// announcementRelay passes members' announcements on to the leader. Unchanged ones go through the
+// cache. Use newAnnouncementRelay to create one.
+type announcementRelay struct {
 	clock ctclock.Clock
 	cache cttable.Cell[announcementCache]
 	// send sends a frame to the leader and waits for the acknowledgement.
 	send func(ctx context.Context, frame ctframe.Frame) error
 }
 
-func newRelay(clock ctclock.Clock, send func(ctx context.Context, frame ctframe.Frame) error) *relay {
-	return &relay{clock: clock, cache: cttable.Cell[announcementCache]{Rank: ctlock.RankAnnouncements}, send: send}
+func newAnnouncementRelay(clock ctclock.Clock, send func(ctx context.Context, frame ctframe.Frame) error) *announcementRelay {
+	return &announcementRelay{clock: clock, cache: cttable.Cell[announcementCache]{Rank: ctlock.RankAnnouncements}, send: send}
 }
 
 // announce accepts an announcement. An unchanged one is accepted at once, any other once
 // the leader has accepted it.
-func (r *relay) announce(ctx context.Context, announcement ctserver.Announcement) error {
+func (r *announcementRelay) announce(ctx context.Context, announcement ctserver.Announcement) error {
 	var held ctlock.Held
 	unchanged := false
 	r.cache.With(&held, func(c *announcementCache) { unchanged = c.acceptUnchanged(r.clock.Now(), announcement) })
@@ -122,7 +122,7 @@
 }
 
 // run sends the batches to the leader until ctx ends.
-func (r *relay) run(ctx context.Context) {
+func (r *announcementRelay) run(ctx context.Context) {
 	var held ctlock.Held
 	for {
 		select {
--- a/internal/program/ctcontrol/relay_test.go
+++ b/internal/program/ctcontrol/announcementrelay_test.go
@@ -51,9 +51,9 @@
 // thousands of members that report through any control process.
 func TestRelay(t *testing.T) {
 	ctx := context.Background()
-	start := func(t *testing.T) (*relay, *leaderStub) {
+	start := func(t *testing.T) (*announcementRelay, *leaderStub) {
 		s := &leaderStub{}
-		r := newRelay(ctclock.System{}, s.send)
+		r := newAnnouncementRelay(ctclock.System{}, s.send)
 		assert.NilError(t, r.announce(ctx, readyReplica(1)))
 		assertSingleFrames(t, s, 1)
 		return r, s
--- a/internal/program/ctcontrol/control.go
+++ b/internal/program/ctcontrol/control.go
@@ -185,22 +185,23 @@
 ) *ctview.Reply {
 	for {
 		reply := &ctview.Reply{}
-		wake := make(chan struct{})
+		var woken chan struct{}
 		c.state.With(held, func(l *leaderState) {
 			if !l.isActiveLeader(c.Clock.Now()) {
 				c.setNotLeader(l, reply)
 				return
 			}
 			if reply.Delta = l.deltaFor(c.Clock.Now(), version, revision); reply.Delta == nil {
-				l.watchers = append(l.watchers, wake)
+				woken = l.watchers.add()
 			}
 		})
 		if reply.Delta != nil || reply.NotLeader {
 			return reply
 		}
 		select {
-		case <-wake:
+		case <-woken:
 		case <-ctx.Done():
+			c.state.With(held, func(l *leaderState) { l.watchers.remove(woken) })
 			return reply
 		}
 	}
--- a/internal/program/ctcontrol/forward.go
+++ b/internal/program/ctcontrol/forward.go
@@ -77,7 +77,14 @@
 // callLeader sends a request to the leader, which may be this process, and returns the
 // reply.
 func (s *Service) callLeader(ctx context.Context, frame ctframe.Frame) (ctframe.Frame, error) {
-	ctx, cancel := context.WithTimeout(ctx, forwardTimeout)
+	return s.callLeaderWithin(ctx, forwardTimeout, frame)
+}
+
+// callLeaderWithin is callLeader with another timeout.
+func (s *Service) callLeaderWithin(
+	ctx context.Context, timeout time.Duration, frame ctframe.Frame,
+) (ctframe.Frame, error) {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	var held ctlock.Held
 	leader, self := s.awaitLeader(ctx, &held)
@@ -134,6 +141,11 @@
 	return reply, nil
 }
 
+// notLeadingError returns the error of a process that is not the leader.
+func notLeadingError() error {
+	return cterror.New(cterror.Unavailable, "this control process does not lead", "try again in a second")
+}
+
 func unexpectedReplyError() error {
 	return cterror.New(cterror.Unavailable, "control gave another answer", "check that all processes have one version")
 }
--- a/internal/program/ctcontrol/leader.go
+++ b/internal/program/ctcontrol/leader.go
@@ -49,7 +49,7 @@
 	leadingSince    time.Time
 	initialViewSent bool
 	reportTimeout   time.Duration
-	watchers        []chan struct{}
+	watchers        watchers
 	// lastNotified is when the watchers were last woken. notifyPending reports whether
 	// there is a change for which they have not been woken.
 	lastNotified  time.Time
@@ -278,8 +278,5 @@
 // notifyWatchers wakes all calls that wait for a newer view.
 func (l *leaderState) notifyWatchers() {
 	l.notifyPending = false
-	for _, w := range l.watchers {
-		close(w)
-	}
-	l.watchers = nil
+	l.watchers.wake()
 }
--- a/internal/program/ctcontrol/service.go
+++ b/internal/program/ctcontrol/service.go
@@ -15,6 +15,7 @@
 	"github.com/cherviltrestle/cherviltrestle/internal/model/ctconfig"
 	"github.com/cherviltrestle/cherviltrestle/internal/model/cterror"
 	"github.com/cherviltrestle/cherviltrestle/internal/model/ctid"
+	"github.com/cherviltrestle/cherviltrestle/internal/model/ctview"
 	"github.com/cherviltrestle/cherviltrestle/internal/program/ctmetric"
 	"github.com/cherviltrestle/cherviltrestle/internal/state/ctjournal"
 	"github.com/cherviltrestle/cherviltrestle/internal/work/ctclock"
@@ -66,7 +67,9 @@
 
 	control       *Control
 	replica       *Replica
-	announcements *relay
+	announcements *announcementRelay
+	reports       *reportRelay
+	views         *viewRelay
 
 	// mutex guards idleStreams and compressed.
 	mutex       sync.Mutex
@@ -118,7 +121,9 @@
 		ServiceOptions: options, control: control, replica: replica,
 		idleStreams: make(map[ctid.Control][]ctframe.Stream), compressed: make(map[compressionKey][]byte),
 	}
-	s.announcements = newRelay(options.Clock, s.sendToLeader)
+	s.announcements = newAnnouncementRelay(options.Clock, s.sendToLeader)
+	s.reports = newReportRelay(options.Clock, s.sendReports)
+	s.views = newViewRelay()
 	return s, nil
 }
 
@@ -167,6 +172,8 @@
 	}
 	go s.control.Run(ctx)
 	go s.announcements.run(ctx)
+	go s.reports.run(ctx)
+	go s.followLeader(ctx)
 	s.Logger.Info().Str("event", "started").Str("name", string(s.Name)).
 		Uint64("incarnation", uint64(s.replica.self.Incarnation)).Send()
 	return nil
@@ -217,15 +224,13 @@
 func (s *Service) dispatch(ctx context.Context, held *ctlock.Held, frame ctframe.Frame) ctframe.Frame {
 	switch f := frame.(type) {
 	case *ctframe.Report:
-		reply := s.control.HandleReport(held, &f.Report)
-		s.setLeaderAddress(held, &reply.LeaderAddress)
-		return s.replyFrame(reply)
+		return s.replyFrame(s.handleReport(ctx, held, &f.Report))
+	case *ctframe.ReportBatch:
+		return s.handleReportBatch(held, f)
 	case *ctframe.Watch:
 		ctx, cancel := context.WithTimeout(ctx, serviceWatchTimeout)
 		defer cancel()
-		reply := s.control.Watch(ctx, held, f.Version, f.Revision)
-		s.setLeaderAddress(held, &reply.LeaderAddress)
-		return s.replyFrame(reply)
+		return s.replyFrame(s.watchView(ctx, held, f))
 	case *ctframe.Publish:
 		ctx, cancel := context.WithTimeout(ctx, forwardTimeout)
 		defer cancel()
@@ -241,15 +246,27 @@
 	return &ctframe.ErrorReply{Kind: cterror.Invalid.String(), Message: "control does not serve this frame"}
 }
 
-// setLeaderAddress sets the address of the leader if another process leads.
-func (s *Service) setLeaderAddress(held *ctlock.Held, address **netip.AddrPort) {
-	leader, self := s.control.Leader(held)
-	if self || leader == "" || leader == s.Name {
-		return
+// handleReport returns the leader's reply to a proxy's report. If another process leads,
+// it is forwarded; if that fails, the reply makes the proxy try another process.
+func (s *Service) handleReport(ctx context.Context, held *ctlock.Held, report *ctview.Report) *ctview.Reply {
+	reply := s.control.HandleReport(held, report)
+	if !reply.NotLeader {
+		return reply
+	}
+	if relayed := s.reports.forward(ctx, held, report); relayed != nil {
+		return relayed
 	}
-	if found, ok := s.Resolve(leader); ok {
-		*address = &found
+	return reply
+}
+
+// handleReportBatch returns the replies to reports that another control process forwards.
+func (s *Service) handleReportBatch(held *ctlock.Held, batch *ctframe.ReportBatch) ctframe.Frame {
+	reply := s.control.HandleReportBatch(held, batch)
+	if reply == nil {
+		return &ctframe.ErrorReply{Kind: cterror.Unavailable.String(), Message: notLeadingError().Error()}
 	}
+	reply.Relay = *s.replyFrame(&reply.Relay.Reply)
+	return reply
 }
 
 // replyOrError returns the reply, or an error reply if err is not nil.
--- a/internal/program/ctcontrol/succession.go
+++ b/internal/program/ctcontrol/succession.go
@@ -67,14 +67,14 @@
 		return
 	}
 	expiresAt := c.grantAuthority(now, l, report, reply)
-	groups := l.reportedGroups(report)
+	groups := reportedGroups(report, l.groupOf)
 	if reply.Delta != nil && reply.Delta.Large() {
 		// A watch delivers the large delta. The groups below are enough for the proxy to
 		// act on.
 		reply.Delta = nil
 	}
 	if reply.Delta == nil && report.Version != l.roster.Version() {
-		reply.Groups = l.groupsFor(groups)
+		reply.Groups = neededGroups(l.register.Groups, groups)
 	}
 	l.proxies.ApplyReport(now, report, expiresAt)
 	for _, name := range groups {
@@ -106,26 +106,33 @@
 	return ctsuccession.AuthorityExpiry(now)
 }
 
-// groupsFor returns the groups that a proxy without the newest view has to know: those
+// neededGroups returns the groups that a proxy without the newest view has to know: those
 // whose primary is changing and those that the proxy uses. In a fleet with few groups it
 // returns all.
-func (l *leaderState) groupsFor(used []ctid.Group) []ctview.Group {
+func neededGroups(all map[ctid.Group]ctview.Group, used []ctid.Group) []ctview.Group {
 	var groups []ctview.Group
-	for name, g := range l.register.Groups {
-		if len(l.register.Groups) <= ctview.TrackAllLimit || g.ChangingPrimary() || slices.Contains(used, name) {
+	for name, g := range all {
+		if len(all) <= ctview.TrackAllLimit || g.ChangingPrimary() || slices.Contains(used, name) {
 			groups = append(groups, g)
 		}
 	}
 	return groups
 }
 
+// groupOf returns the group of a member, if the member is listed.
+func (l *leaderState) groupOf(member ctid.Member) (ctid.Group, bool) {
+	announcement, ok := l.roster.Member(member)
+	return announcement.Group, ok
+}
+
 // reportedGroups returns the groups that a report contains something about, each once.
-func (l *leaderState) reportedGroups(report *ctview.Report) []ctid.Group {
+// groupOf returns the group of a member.
+func reportedGroups(report *ctview.Report, groupOf func(ctid.Member) (ctid.Group, bool)) []ctid.Group {
 	names := make([]ctid.Group, 0, len(report.Reachable)+len(report.Unreachable)+len(report.Fences))
 	for _, primaries := range [][]ctid.Member{report.Reachable, report.Unreachable} {
 		for _, name := range primaries {
-			if announcement, ok := l.roster.Member(name); ok {
-				names = append(names, announcement.Group)
+			if group, ok := groupOf(name); ok {
+				names = append(names, group)
 			}
 		}
 	}
--- a/internal/program/ctuplink/relay.go
+++ b/internal/program/ctuplink/relay.go
@@ -13,10 +13,6 @@
 	"github.com/cherviltrestle/cherviltrestle/internal/work/ctlock"
 )
 
-// directRetryInterval is how long a proxy uses a relay before it tries to reach control
-// directly again.
-const directRetryInterval = 6 * time.Second
-
 // Relay forwards the reports and watches of a proxy that can't reach control, and
 // returns the answers to it. The first frame of the stream has been read already. Relay
 // returns when the stream fails or brings a frame of another type. Leases are as safe as
@@ -80,13 +76,13 @@
 // openUpstream opens a stream to the control process that answers this proxy's
 // reports. It returns nil if there is none or if it can't be reached.
 func (u *Uplink) openUpstream(ctx context.Context, held *ctlock.Held) ctframe.Stream {
-	address := u.activeControl.Get(held)
-	if !address.IsValid() {
+	current := u.route.Get(held)
+	if !current.address.IsValid() || current.relayed {
 		return nil
 	}
-	ctx, cancel := context.WithTimeout(ctx, openTimeout)
+	ctx, cancel := context.WithTimeout(ctx, relayOpenTimeout)
 	defer cancel()
-	stream, err := u.Transport.Open(ctx, address)
+	stream, err := u.Transport.Open(ctx, current.address)
 	if err != nil {
 		return nil
 	}
@@ -108,10 +104,14 @@
 	return answer
 }
 
-// relayAddresses lists the addresses of the other proxies in the view, in relayOrder.
+// relayAddresses lists the addresses of the other proxies in the view, in relayOrder. It
+// lists none without Options.Groups, because write leases are too short for a detour.
 // Each proxy has its own order, so that proxies that are cut off from control together
 // spread over different relays.
 func (u *Uplink) relayAddresses(held *ctlock.Held) []netip.AddrPort {
+	if u.Groups == nil {
+		return nil
+	}
 	view := u.State.View(held)
 	proxies := slices.Collect(maps.Values(view.Proxies))
 	slices.SortFunc(proxies, func(a, b ctview.Proxy) int { return cmp.Compare(u.relayOrder(a), u.relayOrder(b)) })
--- /dev/null
+++ b/internal/program/ctuplink/uplink_test.go
@@ -0,0 +1,206 @@
+package ctuplink_test
+
+import (
+	"context"
+	"net/netip"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/rs/zerolog"
+	"gotest.tools/v3/assert"
+
+	"github.com/cherviltrestle/cherviltrestle/internal/link/ctframe"
+	"github.com/cherviltrestle/cherviltrestle/internal/model/ctid"
+	"github.com/cherviltrestle/cherviltrestle/internal/model/ctserver"
+	"github.com/cherviltrestle/cherviltrestle/internal/model/ctview"
+	"github.com/cherviltrestle/cherviltrestle/internal/program/ctmetric"
+	"github.com/cherviltrestle/cherviltrestle/internal/program/ctstate"
+	"github.com/cherviltrestle/cherviltrestle/internal/program/ctuplink"
+	"github.com/cherviltrestle/cherviltrestle/internal/work/ctclock"
+	"github.com/cherviltrestle/cherviltrestle/internal/work/ctlock"
+)
+
+// errRefused is the error of a process that does not run.
+var errRefused = errors.New("connection refused")
+
+// controlStub is control as a proxy's transport reaches it. It counts what is opened.
+type controlStub struct {
+	mutex   sync.Mutex
+	down    bool
+	opened  int
+	watches int
+	reports int
+	replies map[ctview.Version]*ctview.Delta
+}
+
+// set changes the stub under its lock.
+func (s *controlStub) set(change func()) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	change()
+}
+
+func (s *controlStub) count(field *int) int {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return *field
+}
+
+func (s *controlStub) Open(context.Context, netip.AddrPort) (ctframe.Stream, error) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.opened++
+	if s.down {
+		return nil, errRefused
+	}
+	return &streamStub{control: s, frames: make(chan ctframe.Frame, 1), closed: make(chan struct{})}, nil
+}
+
+func (*controlStub) Disconnect(netip.AddrPort) {}
+
+// streamStub answers each report, and each watch once there is a newer view.
+type streamStub struct {
+	control *controlStub
+	frames  chan ctframe.Frame
+	once    sync.Once
+	closed  chan struct{}
+}
+
+func (s *streamStub) Write(frame ctframe.Frame) error {
+	s.frames <- frame
+	return nil
+}
+
+func (s *streamStub) Close() { s.once.Do(func() { close(s.closed) }) }
+
+func (s *streamStub) Read() (ctframe.Frame, error) {
+	frame := <-s.frames
+	for {
+		reply, err := s.control.answer(frame)
+		if reply != nil || err != nil {
+			return reply, err
+		}
+		select {
+		case <-s.closed:
+			return nil, errRefused
+		case <-time.After(time.Millisecond):
+		}
+	}
+}
+
+// answer returns the reply to a frame, or nil for a watch without a newer view.
+func (s *controlStub) answer(frame ctframe.Frame) (ctframe.Frame, error) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if s.down {
+		return nil, errRefused
+	}
+	switch f := frame.(type) {
+	case *ctframe.Report:
+		s.reports++
+		return &ctframe.ReportReply{Reply: ctview.Reply{Number: f.Number}}, nil
+	case *ctframe.Watch:
+		if delta, ok := s.replies[f.Version]; ok {
+			s.watches++
+			return &ctframe.ReportReply{Reply: ctview.Reply{Delta: delta}}, nil
+		}
+	}
+	return nil, nil
+}
+
+// versions records the versions of the views that a subscriber received.
+type versions struct {
+	mutex sync.Mutex
+	seen  []ctview.Version
+}
+
+func (v *versions) ApplyView(_ *ctlock.Held, view *ctview.View) {
+	v.mutex.Lock()
+	defer v.mutex.Unlock()
+	v.seen = append(v.seen, view.Version)
+}
+
+func (v *versions) last() ctview.Version {
+	v.mutex.Lock()
+	defer v.mutex.Unlock()
+	if len(v.seen) == 0 {
+		return 0
+	}
+	return v.seen[len(v.seen)-1]
+}
+
+func startUplink(t *testing.T, control *controlStub, subscriber ctuplink.ViewSubscriber) *ctuplink.Uplink {
+	t.Helper()
+	u := ctuplink.New(ctuplink.Options{
+		Self: ctview.Proxy{
+			Name: "p", FailureDomain: "d", Address: netip.MustParseAddrPort("127.0.0.1:1"), Incarnation: 1,
+			State: ctserver.StateReady,
+		},
+		Seeds:             []netip.AddrPort{netip.MustParseAddrPort("127.0.0.2:1"), netip.MustParseAddrPort("127.0.0.3:1")},
+		HeartbeatInterval: time.Second,
+		State:             ctstate.New(),
+		Resolve:           func(ctid.Control) (netip.AddrPort, bool) { return netip.AddrPort{}, false },
+		Subscribers:       []ctuplink.ViewSubscriber{subscriber},
+		Transport:         control,
+		Clock:             ctclock.System{},
+		Logger:            zerolog.Nop(),
+		Metrics:           ctmetric.New(prometheus.NewRegistry()),
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	go u.Run(ctx)
+	return u
+}
+
+// eventually waits for a condition, for at most ten seconds.
+func eventually(t *testing.T, condition func() bool) {
+	t.Helper()
+	for range 10_000 {
+		if condition() {
+			return
+		}
+		time.Sleep(time.Millisecond)
+	}
+	t.Fatal("the condition was not met")
+}
+
+// TestControlLost guards against a storm of connections from a fleet that has lost control.
+func TestControlLost(t *testing.T) {
+	t.Run("changes do not make a proxy try more often", func(t *testing.T) {
+		const attempts, triggers = 10, 1000
+		control := &controlStub{down: true}
+		u := startUplink(t, control, &versions{})
+		eventually(t, func() bool { return control.count(&control.opened) >= attempts })
+		before := control.count(&control.opened)
+		for range triggers {
+			u.TriggerReport()
+		}
+		assert.Assert(t, control.count(&control.opened) <= before+2)
+	})
+	t.Run("reports and watches go on once control is back", func(t *testing.T) {
+		control := &controlStub{down: true, replies: map[ctview.Version]*ctview.Delta{0: {To: 1}}}
+		seen := &versions{}
+		startUplink(t, control, seen)
+		eventually(t, func() bool { return control.count(&control.opened) > 2 })
+		assert.Equal(t, seen.last(), ctview.Version(0))
+		control.set(func() { control.down = false })
+		eventually(t, func() bool { return seen.last() == 1 })
+		control.set(func() { control.replies[1] = &ctview.Delta{From: 1, To: 2} })
+		eventually(t, func() bool { return seen.last() == 2 })
+	})
+	t.Run("a proxy that reaches control has one stream for reports and one for watches", func(t *testing.T) {
+		control := &controlStub{replies: map[ctview.Version]*ctview.Delta{0: {To: 1}}}
+		seen := &versions{}
+		u := startUplink(t, control, seen)
+		eventually(t, func() bool { return seen.last() == 1 })
+		for range 20 {
+			before := control.count(&control.reports)
+			u.TriggerReport()
+			eventually(t, func() bool { return control.count(&control.reports) > before })
+		}
+		assert.Equal(t, control.count(&control.opened), 2)
+	})
+}
--- a/internal/program/ctuplink/watch.go
+++ b/internal/program/ctuplink/watch.go
@@ -10,43 +10,108 @@
 	"github.com/cherviltrestle/cherviltrestle/internal/work/ctlock"
 )
 
+const (
+	// watchOpenTimeout bounds the opening of a stream for watches.
+	watchOpenTimeout = 900 * time.Millisecond
+	// watchRetryDelay is the pause after a watch has failed. maxWatchRetryDelay is its
+	// limit after several have failed in a row.
+	watchRetryDelay    = 30 * time.Millisecond
+	maxWatchRetryDelay = 480 * time.Millisecond
+)
+
+// watcher is the stream on which a proxy waits for newer views. It goes to the process
+// that answers the reports. One goroutine uses it.
+type watcher struct {
+	uplink *Uplink
+	// stream is nil while none is open, and address is what it is connected to.
+	stream  ctframe.Stream
+	address netip.AddrPort
+	// delay is the pause after the next failure; zero while watches are answered.
+	delay time.Duration
+}
+
 // watchViews waits for newer views and applies them until ctx ends.
 func (u *Uplink) watchViews(ctx context.Context) {
-	link := &controlLink{uplink: u}
-	defer link.close()
+	w := &watcher{uplink: u}
+	defer w.close()
 	var held ctlock.Held
 	for ctx.Err() == nil {
-		if err := u.watchOnce(ctx, link, &held); err == nil {
+		current := u.route.Get(&held)
+		if !current.address.IsValid() {
+			w.close()
+			u.fetchFromPeers(ctx, &held)
+			w.awaitRoute(ctx)
 			continue
 		}
-		u.fetchFromPeers(ctx, &held)
-		select {
-		case <-ctx.Done():
-		case <-u.Clock.After(retryDelay):
+		if err := w.watchOnce(ctx, current.address, &held); err == nil {
+			w.delay = 0
+			continue
 		}
+		w.close()
+		u.TriggerReport()
+		w.pause(ctx)
 	}
 }
 
-// watchOnce sends one watch and applies its reply, which arrives when there is a newer
-// view or when control ends the watch.
-func (u *Uplink) watchOnce(ctx context.Context, link *controlLink, held *ctlock.Held) error {
-	ctx, cancel := context.WithTimeout(ctx, u.watchTimeout())
+// awaitRoute waits until a report is answered, but not longer than maxWatchRetryDelay.
+func (w *watcher) awaitRoute(ctx context.Context) {
+	select {
+	case <-ctx.Done():
+	case <-w.uplink.routeFound:
+	case <-w.uplink.Clock.After(maxWatchRetryDelay):
+	}
+}
+
+// pause waits after a failure, longer after each in a row.
+func (w *watcher) pause(ctx context.Context) {
+	w.delay = min(max(2*w.delay, watchRetryDelay), maxWatchRetryDelay)
+	select {
+	case <-ctx.Done():
+	case <-w.uplink.Clock.After(w.delay):
+	}
+}
+
+// watchOnce sends one watch to the process at an address and applies its reply, which
+// arrives when there is a newer view or when that process ends the watch.
+func (w *watcher) watchOnce(ctx context.Context, address netip.AddrPort, held *ctlock.Held) error {
+	ctx, cancel := context.WithTimeout(ctx, w.uplink.watchTimeout())
 	defer cancel()
-	answer, err := link.call(ctx, u.watchRequest(held))
+	if err := w.connect(ctx, address); err != nil {
+		return err
+	}
+	answer, err := ctframe.Call(ctx, w.stream, w.uplink.watchRequest(held))
 	if err != nil {
 		return err
 	}
 	reply, ok := answer.(*ctframe.ReportReply)
-	if !ok {
-		link.close()
-		return cterror.New(cterror.Unavailable, "control sent an unexpected answer",
-			"check that all processes have one version")
+	if !ok || reply.NotLeader {
+		return cterror.New(cterror.Unavailable, "the control process can't serve a watch", "use another control process")
 	}
-	if err := link.redirect(&reply.Reply); err != nil {
+	return w.uplink.applyReplyDelta(held, reply)
+}
+
+// connect opens a stream to the process at an address, unless one is open.
+func (w *watcher) connect(ctx context.Context, address netip.AddrPort) error {
+	if w.stream != nil && w.address == address {
+		return nil
+	}
+	w.close()
+	ctx, cancel := context.WithTimeout(ctx, watchOpenTimeout)
+	defer cancel()
+	stream, err := w.uplink.Transport.Open(ctx, address)
+	if err != nil {
 		return err
 	}
-	link.recordAnswer()
-	return u.applyReplyDelta(held, reply)
+	w.stream, w.address = stream, address
+	return nil
+}
+
+// close closes the stream, if one is open.
+func (w *watcher) close() {
+	if w.stream != nil {
+		w.stream.Close()
+		w.stream = nil
+	}
 }
 
 // watchTimeout returns how long a watch may take, including its reply.
@@ -63,23 +128,12 @@
 	return &ctframe.Watch{Version: view.Version, Revision: view.Config.Revision}
 }
 
-// applyReplyDelta applies the delta of a reply. The delta and its configuration may be
-// compressed, each by itself.
+// applyReplyDelta applies the delta of a reply.
 func (u *Uplink) applyReplyDelta(held *ctlock.Held, reply *ctframe.ReportReply) error {
-	if len(reply.CompressedDelta) == 0 {
-		return u.applyDelta(held, reply.Delta)
-	}
-	delta, err := ctframe.DecompressDelta(reply.CompressedDelta)
+	delta, err := reply.WholeDelta()
 	if err != nil {
 		return err
 	}
-	if len(reply.CompressedConfig) > 0 {
-		config, err := ctframe.DecompressDelta(reply.CompressedConfig)
-		if err != nil {
-			return err
-		}
-		delta.Config, delta.ConfigPatch = config.Config, config.ConfigPatch
-	}
 	return u.applyDelta(held, delta)
 }
 
