--- a/internal/fleet/ctroster/roster.go
+++ b/internal/fleet/ctroster/roster.go
@@ -208,13 +208,15 @@
 }
 
 // evictFromAddress removes other members at the address of an announcement. It reports
-// false if one of them has a later incarnation than the announcement.
+// false if one of them has a later incarnation than the announcement, or if its group is
+// declared and that of the announcement is not.
 func (r *Roster) evictFromAddress(announcement *ctserver.Announcement) bool {
 	for name, state := range r.members {
 		if name == announcement.Member || state.entry.Address != announcement.Address {
 			continue
 		}
-		if state.entry.Incarnation > announcement.Incarnation {
+		foreign := !r.declared(announcement.Group) && r.declared(state.entry.Group)
+		if foreign || state.entry.Incarnation > announcement.Incarnation {
 			return false
 		}
 		delete(r.members, name)
@@ -223,6 +225,12 @@
 	return true
 }
 
+// declared reports whether the configuration declares a group.
+func (r *Roster) declared(name ctid.Group) bool {
+	_, ok := r.config.Document.Group(name)
+	return ok
+}
+
 // SetGroup records the durable state of a group.
 func (r *Roster) SetGroup(entry ctview.Group) {
 	state, ok := r.groups[entry.Name]
--- a/internal/link/ctrecord/record.go
+++ b/internal/link/ctrecord/record.go
@@ -1,11 +1,14 @@
 package ctrecord
 
 import (
+	"slices"
+
 	"github.com/pkg/errors"
 
 	"github.com/cherviltrestle/cherviltrestle/internal/decide/ctregister"
 	"github.com/cherviltrestle/cherviltrestle/internal/link/ctcbor"
 	"github.com/cherviltrestle/cherviltrestle/internal/model/cterror"
+	"github.com/cherviltrestle/cherviltrestle/internal/model/ctserver"
 )
 
 // The kinds of commands. The numbers are part of the format and are never reused.
@@ -68,16 +71,14 @@
 	return nil, cterror.Newf(cterror.Invalid, "upgrade this process", "command kind %d is unknown", data[0])
 }
 
+// decodeSetMembers decodes a SetMembers command without the members whose announcement is
+// invalid. An error would end every control process that replays the log, again and again.
 func decodeSetMembers(data []byte) (ctregister.Command, error) {
 	var c ctregister.SetMembers
 	if err := ctcbor.Unmarshal(data, &c); err != nil {
 		return nil, damagedError(err)
 	}
-	for i := range c.Members {
-		if err := c.Members[i].Check(); err != nil {
-			return nil, err
-		}
-	}
+	c.Members = slices.DeleteFunc(c.Members, func(m ctserver.Announcement) bool { return m.Check() != nil })
 	return c, nil
 }
 
--- a/internal/link/ctrecord/record_test.go
+++ b/internal/link/ctrecord/record_test.go
@@ -1,6 +1,8 @@
 package ctrecord_test
 
 import (
+	"math"
+	"net/netip"
 	"testing"
 	"time"
 
@@ -9,6 +11,7 @@
 	"github.com/cherviltrestle/cherviltrestle/internal/decide/ctregister"
 	"github.com/cherviltrestle/cherviltrestle/internal/link/ctrecord"
 	"github.com/cherviltrestle/cherviltrestle/internal/model/ctconfig"
+	"github.com/cherviltrestle/cherviltrestle/internal/model/ctserver"
 	"github.com/cherviltrestle/cherviltrestle/internal/model/ctview"
 )
 
@@ -40,6 +43,25 @@
 	}
 }
 
+// TestOddMember checks that a member whose announcement can't be used does not make the
+// log unreadable.
+func TestOddMember(t *testing.T) {
+	good := ctserver.Announcement{
+		Group: "g", Member: "m", FailureDomain: "d", Address: netip.MustParseAddrPort("127.0.0.1:1"), Incarnation: 1,
+		Role: ctserver.RoleReplica, State: ctserver.StateReady, Term: 1, Slots: 2, Connections: 4,
+	}
+	odd := good
+	odd.Member, odd.Slots, odd.Connections = "odd", math.MaxInt, math.MaxInt
+	data, err := ctrecord.EncodeCommand(ctregister.SetMembers{Members: []ctserver.Announcement{odd, good}})
+	assert.NilError(t, err)
+	command, err := ctrecord.DecodeCommand(data)
+	assert.NilError(t, err)
+	set, ok := command.(ctregister.SetMembers)
+	assert.Assert(t, ok)
+	assert.Equal(t, len(set.Members), 1)
+	assert.Equal(t, set.Members[0], good)
+}
+
 func FuzzDecodeCommand(f *testing.F) {
 	for _, command := range commands() {
 		data, err := ctrecord.EncodeCommand(command)
