cttcp, ctgateway, ctnode: a panic or a lack of descriptors ends one connection, not the process

The goroutine of a caller's session or of a peer's stream that panicked ended the process; Accept that failed once, as for lack of a descriptor, ended the acceptance of callers or peers for good while the process went on.

Change: sessions and streams contain their panics, which are counted (panics_total) and logged with the stack; deferred clean-up runs, and the connection closes, which promises the caller nothing. Acceptors go on after a pause.

--- a/internal/link/cttcp/stream.go
+++ b/internal/link/cttcp/stream.go
@@ -87,23 +87,31 @@
 }
 
 // Serve calls handle in a new goroutine for every stream that a peer opens, and closes
-// the stream when handle returns. Serve itself returns an error once the listener is
-// closed.
-func (l *Listener) Serve(ctx context.Context, handle func(ctx context.Context, stream *Stream)) error {
-	for {
-		socket, err := l.listener.Accept()
-		if err != nil {
-			return errors.Wrap(err, "accept a peer")
-		}
+// the stream when handle returns or panics. report receives the failures. Serve itself
+// returns an error once the listener is closed.
+func (l *Listener) Serve(
+	ctx context.Context, report func(Failure), handle func(ctx context.Context, stream *Stream),
+) error {
+	acceptor := Acceptor{Listener: l.listener, Report: report}
+	return acceptor.Serve(func(socket net.Conn) {
+		stream := NewStream(socket)
 		go func() {
-			stream := NewStream(socket)
 			defer stream.Close()
-			handle(ctx, stream)
+			Contain(report, func() { handle(ctx, stream) })
 		}()
-	}
+	})
 }
 
 // Close closes the listener. Accepted streams stay open.
 func (l *Listener) Close() error {
 	return errors.Wrap(l.listener.Close(), "close the peers' address")
 }
+
+// Address returns the address at which the listener accepts streams.
+func (l *Listener) Address() netip.AddrPort {
+	address, ok := l.listener.Addr().(*net.TCPAddr)
+	if !ok {
+		return netip.AddrPort{}
+	}
+	return address.AddrPort()
+}
--- a/internal/program/ctgateway/gateway.go
+++ b/internal/program/ctgateway/gateway.go
@@ -8,6 +8,7 @@
 
 	"github.com/rs/zerolog"
 
+	"github.com/cherviltrestle/cherviltrestle/internal/link/cttcp"
 	"github.com/cherviltrestle/cherviltrestle/internal/model/ctid"
 	"github.com/cherviltrestle/cherviltrestle/internal/model/ctquery"
 	"github.com/cherviltrestle/cherviltrestle/internal/model/ctset"
@@ -74,7 +75,7 @@
 	openConns atomic.Int64
 }
 
-// New returns a gateway without callers. Run and Serve start its work.
+// New returns a gateway without callers. Run starts its work.
 func New(options Options) *Gateway {
 	return &Gateway{
 		Options:  options,
@@ -147,25 +148,13 @@
 	g.Logger.Info().Str("event", "serving").Send()
 }
 
-// Serve accepts and serves callers until the listener is closed. It returns the
-// error of Accept.
-func (g *Gateway) Serve(listener net.Listener) error {
-	for {
-		socket, err := listener.Accept()
-		if err != nil {
-			return err
-		}
-		g.ServeConn(socket)
-	}
-}
-
 // ServeConn serves one caller's connection in the background and closes it in the
-// end.
+// end. A panic ends that connection alone.
 func (g *Gateway) ServeConn(socket net.Conn) {
 	g.openConns.Add(1)
 	go func() {
 		defer g.openConns.Add(-1)
-		g.serve(socket)
+		cttcp.Contain(ctmetric.Report(&g.Logger, g.Metrics.Panics), func() { g.serve(socket) })
 	}()
 }
 
--- a/internal/program/ctmetric/control.go
+++ b/internal/program/ctmetric/control.go
@@ -16,6 +16,8 @@
 	Replies *prometheus.CounterVec
 	// ReplySeconds measures the time to answer, by frame.
 	ReplySeconds *prometheus.HistogramVec
+	// Panics counts connections that ended because their goroutine panicked.
+	Panics prometheus.Counter
 }
 
 // NewControl creates the metrics of a control process and registers them. It panics
@@ -27,6 +29,7 @@
 		registry:     registry,
 		Replies:      f.counterVec("control_answers_total", "Answered frames and calls.", "frame", "result"),
 		ReplySeconds: f.histogramVec("control_answer_seconds", "Time of answers.", "frame"),
+		Panics:       f.counter("panics_total", panicsHelp),
 	}
 }
 
--- a/internal/program/ctmetric/metrics.go
+++ b/internal/program/ctmetric/metrics.go
@@ -18,6 +18,8 @@
 	bucketCount        = 16
 )
 
+const panicsHelp = "Connections that ended because their goroutine panicked."
+
 // Metrics holds the Prometheus metrics of a proxy process.
 type Metrics struct {
 	Registry *prometheus.Registry
@@ -47,6 +49,8 @@
 	Revision prometheus.Gauge
 	// Reports counts reports to control by result.
 	Reports *prometheus.CounterVec
+	// Panics counts connections that ended because their goroutine panicked.
+	Panics prometheus.Counter
 }
 
 // New creates the metrics of a proxy process and registers them. It panics if the
@@ -69,6 +73,7 @@
 		ViewVersion:     f.gauge("view_version", "Version of the view in force."),
 		Revision:        f.gauge("config_revision", "Revision of the configuration in force."),
 		Reports:         f.counterVec("reports_total", "Reports to control.", "result"),
+		Panics:          f.counter("panics_total", panicsHelp),
 	}
 }
 
@@ -88,6 +93,12 @@
 	return g
 }
 
+func (f factory) counter(name, help string) prometheus.Counter {
+	c := prometheus.NewCounter(prometheus.CounterOpts{Namespace: prefix, Name: name, Help: help})
+	f.registry.MustRegister(c)
+	return c
+}
+
 func (f factory) gaugeVec(name, help string, labels ...string) *prometheus.GaugeVec {
 	g := prometheus.NewGaugeVec(prometheus.GaugeOpts{Namespace: prefix, Name: name, Help: help}, labels)
 	f.registry.MustRegister(g)
--- a/internal/program/ctnode/proxy.go
+++ b/internal/program/ctnode/proxy.go
@@ -148,7 +148,8 @@
 	go p.uplink.Run(runCtx)
 	go p.gateway.Run(runCtx)
 	go func() {
-		if err := p.gateway.Serve(callers); runCtx.Err() == nil {
+		acceptor := cttcp.Acceptor{Listener: callers, Report: ctmetric.Report(&p.logger, p.metrics.Panics)}
+		if err := acceptor.Serve(p.gateway.ServeConn); runCtx.Err() == nil {
 			p.logger.Info().Str("event", "callers_ended").Str("error", err.Error()).Send()
 		}
 	}()
@@ -162,7 +163,7 @@
 // servePeers serves the streams of other proxies: it relays reports for those that can't
 // reach control, and runs forwarded queries on the members of this failure domain.
 func (p *Proxy) servePeers(ctx context.Context, peers *cttcp.Listener) {
-	err := peers.Serve(ctx, func(ctx context.Context, stream *cttcp.Stream) { p.servePeer(ctx, stream) })
+	err := peers.Serve(ctx, ctmetric.Report(&p.logger, p.metrics.Panics), func(ctx context.Context, stream *cttcp.Stream) { p.servePeer(ctx, stream) })
 	if ctx.Err() == nil {
 		p.logger.Error().Str("event", "peers_ended").Str("error", err.Error()).Send()
 	}
