--- a/internal/decide/ctquorum/node_test.go
+++ b/internal/decide/ctquorum/node_test.go
@@ -158,7 +158,8 @@
 func TestClusterIsSafe(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		size := rapid.IntRange(clusterSize, sixProcesses).Draw(t, "size")
-		c := newClusterOf(rapid.Uint64().Draw(t, "seed"), size, rapid.SampledFrom([]int{0, clusterSize, fiveVoters}).Draw(t, "voters"))
+		voterCount := rapid.SampledFrom([]int{0, clusterSize, fiveVoters}).Draw(t, "voters")
+		c := newClusterOf(rapid.Uint64().Draw(t, "seed"), size, voterCount)
 		c.run(settleDuration)
 		for range rapid.IntRange(200, 1500).Draw(t, "steps") {
 			c.randomStep()
--- a/internal/decide/ctquorum/voters_test.go
+++ b/internal/decide/ctquorum/voters_test.go
@@ -45,18 +45,18 @@
 	c.dropped = func(_, _ ctid.Control) bool { return false }
 }
 
-// assertVoterCount checks that the leader's log names so many voters, each process at most
+// assertFiveVoters checks that the leader's log names five voters, each process at most
 // once.
-func assertVoterCount(t *testing.T, c *cluster, want int) {
+func assertFiveVoters(t *testing.T, c *cluster) {
 	t.Helper()
 	assert.Assert(t, c.leader() != nil, "no leader")
 	voters := c.leader().node.Voters()
-	assert.Equal(t, len(voters), want, "%v", voters)
+	assert.Equal(t, len(voters), fiveVoters, "%v", voters)
 	names := make(map[ctid.Control]bool)
 	for _, v := range voters {
 		names[v.Name] = true
 	}
-	assert.Equal(t, len(names), want, "%v", voters)
+	assert.Equal(t, len(names), fiveVoters, "%v", voters)
 	assertNoViolations(t, c)
 }
 
@@ -79,7 +79,7 @@
 func TestVoterCount(t *testing.T) {
 	t.Run("six processes keep five voters and a standby", func(t *testing.T) {
 		c := newSix(1)
-		assertVoterCount(t, c, fiveVoters)
+		assertFiveVoters(t, c)
 		propose(t, c, 1)
 		assertApplied(t, c, "command 1")
 	})
@@ -96,14 +96,14 @@
 			c.heal()
 			c.run(failoverDuration)
 		}
-		assertVoterCount(t, c, fiveVoters)
+		assertFiveVoters(t, c)
 	})
 	t.Run("a standby takes the place of a voter that is gone", func(t *testing.T) {
 		c := newSix(3)
 		lost, standby := c.voter(), c.standby()
 		lost.node = nil
 		c.run(settleDuration)
-		assertVoterCount(t, c, fiveVoters)
+		assertFiveVoters(t, c)
 		assert.Assert(t, slices.Contains(c.leader().node.Voters(), standby.peer))
 	})
 	t.Run("a voter that returns after that is the standby", func(t *testing.T) {
@@ -113,7 +113,7 @@
 		c.run(settleDuration)
 		c.start(lost)
 		c.run(settleDuration)
-		assertVoterCount(t, c, fiveVoters)
+		assertFiveVoters(t, c)
 		propose(t, c, 1)
 		assertApplied(t, c, "command 1")
 	})
@@ -131,7 +131,7 @@
 		standby, lost := c.standby(), c.voter()
 		c.loseDisk(lost)
 		c.run(settleDuration)
-		assertVoterCount(t, c, fiveVoters)
+		assertFiveVoters(t, c)
 		assert.Assert(t, !slices.Contains(c.leader().node.Voters(), standby.peer))
 	})
 	t.Run("a standby finds the leader though all its seeds are gone", func(t *testing.T) {
--- a/internal/decide/ctseek/seeker_test.go
+++ b/internal/decide/ctseek/seeker_test.go
@@ -123,11 +123,11 @@
 // process, which leaves it no time to elect a leader.
 func TestStorm(t *testing.T) {
 	const (
-		proxies     = 300
-		duration    = 5 * time.Second
-		mostAtOne   = 250
-		openTime    = 2 * time.Millisecond
-		firstSecond = time.Second
+		proxies   = 300
+		duration  = 5 * time.Second
+		mostAtOne = 250
+		openTime  = 2 * time.Millisecond
+		fastPhase = time.Second
 	)
 	controls := sixControls()
 	opened := make(map[netip.AddrPort]int)
@@ -137,7 +137,7 @@
 		for at := time.Duration(0); at < duration; at += s.Delay(len(controls)) + openTime {
 			target := nextControl(t, s, controls, nil)
 			s.RecordFailure()
-			if at >= firstSecond {
+			if at >= fastPhase {
 				opened[target]++
 			} else {
 				fast++
@@ -146,7 +146,7 @@
 	}
 	t.Run("opens few connections a second at each process", func(t *testing.T) {
 		for _, c := range controls {
-			perSecond := opened[c] * int(time.Second) / int(duration-firstSecond)
+			perSecond := opened[c] * int(time.Second) / int(duration-fastPhase)
 			assert.Assert(t, perSecond < mostAtOne, "%d a second at %s", perSecond, c)
 		}
 	})
--- a/internal/fleet/ctmirror/mirror_test.go
+++ b/internal/fleet/ctmirror/mirror_test.go
@@ -105,7 +105,8 @@
 		version, revision := ctview.Version(1), ctid.Revision(1)
 		apply(t, &m, &ctview.Delta{To: version, Config: config(revision)})
 		for range rapid.IntRange(1, 40).Draw(t, "steps") {
-			next := &ctview.Delta{From: version, To: version + 1, Proxies: []ctview.Proxy{proxy(rapid.IntRange(0, 9).Draw(t, "proxy"))}}
+			next := &ctview.Delta{From: version, To: version + 1}
+			next.Proxies = []ctview.Proxy{proxy(rapid.IntRange(0, 9).Draw(t, "proxy"))}
 			switch rapid.IntRange(0, 5).Draw(t, "kind") {
 			case 0:
 				next.From, next.To = 0, version+1<<20
--- a/internal/program/ctcontrol/announcementrelay.go
+++ b/internal/program/ctcontrol/announcementrelay.go
@@ -101,8 +101,14 @@
 	send func(ctx context.Context, frame ctframe.Frame) error
 }
 
-func newAnnouncementRelay(clock ctclock.Clock, send func(ctx context.Context, frame ctframe.Frame) error) *announcementRelay {
-	return &announcementRelay{clock: clock, cache: cttable.Cell[announcementCache]{Rank: ctlock.RankAnnouncements}, send: send}
+func newAnnouncementRelay(
+	clock ctclock.Clock, send func(ctx context.Context, frame ctframe.Frame) error,
+) *announcementRelay {
+	return &announcementRelay{
+		clock: clock,
+		cache: cttable.Cell[announcementCache]{Rank: ctlock.RankAnnouncements},
+		send:  send,
+	}
 }
 
 // announce accepts an announcement. An unchanged one is accepted at once, any other once
--- a/internal/program/ctcontrol/release.go
+++ b/internal/program/ctcontrol/release.go
@@ -109,7 +109,8 @@
 func (c *Control) recordAnnouncement(now time.Time, l *leaderState, announcement ctserver.Announcement) {
 	document := l.register.CurrentConfig().Change.Document
 	if group, ok := document.Group(announcement.Group); ok && group.Connections > 0 {
-		announcement.Connections = min(ctserver.MaxConnections, max(group.Connections, announcement.Slots+ctserver.ReservedConnections))
+		needed := announcement.Slots + ctserver.ReservedConnections
+		announcement.Connections = min(max(group.Connections, needed), ctserver.MaxConnections)
 	}
 	before, known := l.roster.Member(announcement.Member)
 	accepted, changed := l.roster.ApplyAnnouncement(now, &announcement)
--- a/internal/program/ctcontrol/viewrelay.go
+++ b/internal/program/ctcontrol/viewrelay.go
@@ -119,7 +119,8 @@
 		return notFollowingError()
 	}
 	view := s.views.view(held)
-	answer, err := s.callLeaderWithin(ctx, followTimeout, &ctframe.Watch{Version: view.Version, Revision: view.Config.Revision})
+	watch := &ctframe.Watch{Version: view.Version, Revision: view.Config.Revision}
+	answer, err := s.callLeaderWithin(ctx, followTimeout, watch)
 	if err != nil {
 		return err
 	}
--- a/internal/program/ctnode/control.go
+++ b/internal/program/ctnode/control.go
@@ -104,7 +104,8 @@
 	}
 	defer func() { _ = metricsServer.Close() }()
 	go func() {
-		err := peers.Serve(ctx, ctmetric.Report(&c.logger, c.metrics.Panics), func(ctx context.Context, stream *cttcp.Stream) { c.service.Serve(ctx, stream) })
+		report := ctmetric.Report(&c.logger, c.metrics.Panics)
+		err := peers.Serve(ctx, report, func(ctx context.Context, stream *cttcp.Stream) { c.service.Serve(ctx, stream) })
 		if ctx.Err() == nil {
 			c.logger.Error().Str("event", "peers_ended").Str("error", err.Error()).Send()
 		}
--- a/internal/program/ctnode/proxy.go
+++ b/internal/program/ctnode/proxy.go
@@ -163,7 +163,8 @@
 // servePeers serves the streams of other proxies: it relays reports for those that can't
 // reach control, and runs forwarded queries on the members of this failure domain.
 func (p *Proxy) servePeers(ctx context.Context, peers *cttcp.Listener) {
-	err := peers.Serve(ctx, ctmetric.Report(&p.logger, p.metrics.Panics), func(ctx context.Context, stream *cttcp.Stream) { p.servePeer(ctx, stream) })
+	report := ctmetric.Report(&p.logger, p.metrics.Panics)
+	err := peers.Serve(ctx, report, func(ctx context.Context, stream *cttcp.Stream) { p.servePeer(ctx, stream) })
 	if ctx.Err() == nil {
 		p.logger.Error().Str("event", "peers_ended").Str("error", err.Error()).Send()
 	}
