ctcontrol: changed announcements go to the leader in batches too

Cause: at a start all members announce themselves at once, and again after each that failed. Each changed announcement was a call of its own to the leader, and each beyond four over a new connection.

Change: the batching of reports is a batcher that announcements use as well; one batch of each kind is under way at a time.

Result: TestBatcher, TestRelay.

--- a/internal/link/ctframe/control.go
+++ b/internal/link/ctframe/control.go
@@ -44,8 +44,7 @@
 	return f.Announcement.Check()
 }
 
-// Gathered forwards a batch of announcements to control's leader. They repeat, without a
-// change, what the leader has already received.
+// Gathered forwards a batch of announcements to control's leader.
 type Gathered struct {
 	Announcements []ctserver.Announcement `cbor:"announcements"`
 }
--- a/internal/program/ctcontrol/announcementrelay.go
+++ b/internal/program/ctcontrol/announcementrelay.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/cherviltrestle/cherviltrestle/internal/link/ctframe"
+	"github.com/cherviltrestle/cherviltrestle/internal/model/cterror"
 	"github.com/cherviltrestle/cherviltrestle/internal/model/ctid"
 	"github.com/cherviltrestle/cherviltrestle/internal/model/ctserver"
 	"github.com/cherviltrestle/cherviltrestle/internal/work/ctclock"
@@ -92,11 +93,13 @@
 	c.validUntil = now.Add(cacheTTL)
 }
 
-// announcementRelay passes members' announcements on to the leader. Unchanged ones go through the
-// cache. Use newAnnouncementRelay to create one.
+// announcementRelay passes members' announcements on to the leader. Unchanged ones go
+// through the cache, and the others in batches. Use newAnnouncementRelay to create one.
 type announcementRelay struct {
 	clock ctclock.Clock
 	cache cttable.Cell[announcementCache]
+	// changed sends the announcements that are not in the cache.
+	changed *batcher[ctserver.Announcement, struct{}]
 	// send sends a frame to the leader and waits for the acknowledgement.
 	send func(ctx context.Context, frame ctframe.Frame) error
 }
@@ -104,11 +107,22 @@
 func newAnnouncementRelay(
 	clock ctclock.Clock, send func(ctx context.Context, frame ctframe.Frame) error,
 ) *announcementRelay {
-	return &announcementRelay{
+	r := &announcementRelay{
 		clock: clock,
 		cache: cttable.Cell[announcementCache]{Rank: ctlock.RankAnnouncements},
 		send:  send,
 	}
+	r.changed = newBatcher(clock, forwardTimeout, r.sendChanged)
+	return r
+}
+
+// sendChanged sends a batch of announcements to the leader. It returns an empty reply for
+// each.
+func (r *announcementRelay) sendChanged(
+	ctx context.Context, announcements []ctserver.Announcement,
+) ([]struct{}, error) {
+	err := r.send(ctx, &ctframe.Gathered{Announcements: announcements})
+	return make([]struct{}, len(announcements)), err
 }
 
 // announce accepts an announcement. An unchanged one is accepted at once, any other once
@@ -120,15 +134,17 @@
 	if unchanged {
 		return nil
 	}
-	if err := r.send(ctx, &ctframe.Heard{Announcement: announcement}); err != nil {
-		return err
+	if _, ok := r.changed.call(ctx, &held, announcement); !ok {
+		return cterror.New(cterror.Unavailable, "control's leader has not answered", "try again in a second")
 	}
 	r.cache.With(&held, func(c *announcementCache) { c.store(r.clock.Now(), announcement) })
 	return nil
 }
 
-// run sends the batches to the leader until ctx ends.
+// run sends announcements to the leader until ctx ends: changed ones as they arrive,
+// unchanged ones at intervals.
 func (r *announcementRelay) run(ctx context.Context) {
+	go r.changed.run(ctx)
 	var held ctlock.Held
 	for {
 		select {
--- a/internal/program/ctcontrol/service.go
+++ b/internal/program/ctcontrol/service.go
@@ -68,7 +68,7 @@
 	control       *Control
 	replica       *Replica
 	announcements *announcementRelay
-	reports       *reportRelay
+	reports       *batcher[ctview.Report, ctview.Reply]
 	views         *viewRelay
 
 	// mutex guards idleStreams and compressed.
@@ -122,7 +122,7 @@
 		idleStreams: make(map[ctid.Control][]ctframe.Stream), compressed: make(map[compressionKey][]byte),
 	}
 	s.announcements = newAnnouncementRelay(options.Clock, s.sendToLeader)
-	s.reports = newReportRelay(options.Clock, s.sendReports)
+	s.reports = newBatcher(options.Clock, relayTimeout, s.sendReports)
 	s.views = newViewRelay()
 	return s, nil
 }
@@ -253,8 +253,8 @@
 	if !reply.NotLeader {
 		return reply
 	}
-	if relayed := s.reports.forward(ctx, held, report); relayed != nil {
-		return relayed
+	if relayed, ok := s.reports.call(ctx, held, *report); ok {
+		return &relayed
 	}
 	return reply
 }
