ctcontrol: requests wait for a leader with authority instead of failing at once

Cause: a process whose leader had lost its authority for a moment answered announcements and reports with an error at once.

Change: batches are sent to the leader again every 50 ms until it serves them or their timeout has passed.

--- a/internal/program/ctcontrol/forward.go
+++ b/internal/program/ctcontrol/forward.go
@@ -18,6 +18,9 @@
 	forwardTimeout = 900 * time.Millisecond
 	// leaderOpenTimeout bounds the opening of a stream to the leader.
 	leaderOpenTimeout = 300 * time.Millisecond
+	// leaderRetryDelay is the pause after the leader could not be reached or could not
+	// serve a request.
+	leaderRetryDelay = 50 * time.Millisecond
 	// leaderPollInterval is how often awaitLeader checks for a leader.
 	leaderPollInterval = 20 * time.Millisecond
 	// maxIdleStreams is how many idle streams to the leader are retained for reuse.
@@ -65,10 +68,32 @@
 
 // sendToLeader sends a frame to the leader and waits for the acknowledgement.
 func (s *Service) sendToLeader(ctx context.Context, frame ctframe.Frame) error {
-	_, err := s.callLeader(ctx, frame)
+	_, err := s.retryLeader(ctx, forwardTimeout, frame)
 	return err
 }
 
+// retryLeader sends a request to the leader until it replies, or until the timeout. An
+// error that is returned at once would make thousands of members and proxies ask all
+// processes one after another, and a leader that has lost its authority for a moment
+// would not regain it under that load.
+func (s *Service) retryLeader(
+	ctx context.Context, timeout time.Duration, frame ctframe.Frame,
+) (ctframe.Frame, error) {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	for {
+		reply, err := s.callLeaderWithin(ctx, timeout, frame)
+		if err == nil || cterror.KindOf(err) == cterror.Invalid {
+			return reply, err
+		}
+		select {
+		case <-ctx.Done():
+			return nil, err
+		case <-s.Clock.After(leaderRetryDelay):
+		}
+	}
+}
+
 // DeregisterMember removes a member whose process has ended.
 func (s *Service) DeregisterMember(ctx context.Context, member ctid.Member) error {
 	return s.sendToLeader(ctx, &ctframe.Heard{Announcement: ctserver.Announcement{Member: member}, Deregistered: true})
--- a/internal/program/ctcontrol/reportrelay.go
+++ b/internal/program/ctcontrol/reportrelay.go
@@ -56,7 +56,7 @@
 func (s *Service) sendReports(ctx context.Context, reports []ctview.Report) ([]ctview.Reply, error) {
 	var held ctlock.Held
 	view := s.views.view(&held)
-	answer, err := s.callLeader(ctx, &ctframe.ReportBatch{
+	answer, err := s.retryLeader(ctx, relayTimeout, &ctframe.ReportBatch{
 		Version: view.Version, Revision: view.Config.Revision, Reports: reports,
 	})
 	if err != nil {
