--- a/internal/program/ctnode/control.go
+++ b/internal/program/ctnode/control.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/rs/zerolog"
@@ -80,37 +81,49 @@
 	c.service.SetSeeds(settings.seedNames())
 }
 
-// Run serves peers, operators and metrics until ctx ends or the disk fails.
+// answerTimeout is how long a planned stop waits until the requests of operators and
+// members that have been accepted are answered.
+const answerTimeout = 1500 * time.Millisecond
+
+// Run serves peers, operators and metrics until the disk fails or ctx ends. In the second
+// case it first answers the requests that it has accepted.
 func (c *Control) Run(ctx context.Context) error {
+	runCtx, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	defer cancel()
 	peers, err := cttcp.Listen(c.settings.peerListenAddress())
 	if err != nil {
 		return err
 	}
 	defer func() { _ = peers.Close() }()
 	// Connections that arrive before the disk has been read wait in the listener's queue.
-	if err := c.service.Start(ctx); err != nil {
+	if err := c.service.Start(runCtx); err != nil {
 		return err
 	}
 	operatorServer, err := serveHTTP(
-		ctx, c.settings.OperatorAddress, "operators", c.frontends.OperatorHandler(c.service), c.logger)
+		runCtx, c.settings.OperatorAddress, "operators", c.frontends.OperatorHandler(c.service), c.logger)
 	if err != nil {
 		return err
 	}
 	defer func() { _ = operatorServer.Close() }()
 	metricsServer, err := serveHTTP(
-		ctx, c.settings.metricsAddress(), "metrics", metricRoutes(c.metrics.Handler()), c.logger)
+		runCtx, c.settings.metricsAddress(), "metrics", metricRoutes(c.metrics.Handler()), c.logger)
 	if err != nil {
 		return err
 	}
 	defer func() { _ = metricsServer.Close() }()
 	go func() {
 		report := ctmetric.Report(&c.logger, c.metrics.Panics)
-		err := peers.Serve(ctx, report, func(ctx context.Context, stream *cttcp.Stream) { c.service.Serve(ctx, stream) })
-		if ctx.Err() == nil {
+		err := peers.Serve(runCtx, report, func(ctx context.Context, stream *cttcp.Stream) { c.service.Serve(ctx, stream) })
+		if runCtx.Err() == nil {
 			c.logger.Error().Str("event", "peers_ended").Str("error", err.Error()).Send()
 		}
 	}()
 	err = c.service.Wait(ctx)
+	answerCtx, cancelAnswers := context.WithTimeout(runCtx, answerTimeout)
+	defer cancelAnswers()
+	if stopErr := operatorServer.Shutdown(answerCtx); stopErr != nil {
+		c.logger.Info().Str("event", "answers_cut").Str("error", stopErr.Error()).Send()
+	}
 	c.logger.Info().Str("event", "stopped").Send()
 	return err
 }
