--- a/internal/program/ctcontrol/forward.go
+++ b/internal/program/ctcontrol/forward.go
@@ -18,6 +18,9 @@
 	forwardTimeout = 900 * time.Millisecond
 	// leaderOpenTimeout bounds the opening of a stream to the leader.
 	leaderOpenTimeout = 300 * time.Millisecond
+	// leaderRetryDelay is the pause after the leader could not be reached or could not
+	// serve a request.
+	leaderRetryDelay = 50 * time.Millisecond
 	// leaderPollInterval is how often awaitLeader checks for a leader.
 	leaderPollInterval = 20 * time.Millisecond
 	// maxIdleStreams is how many idle streams to the leader are retained for reuse.
@@ -65,10 +68,32 @@
 
 // sendToLeader sends a frame to the leader and waits for the acknowledgement.
 func (s *Service) sendToLeader(ctx context.Context, frame ctframe.Frame) error {
-	_, err := s.callLeader(ctx, frame)
+	_, err := s.retryLeader(ctx, forwardTimeout, frame)
 	return err
 }
 
+// retryLeader sends a request to the leader until it replies, or until the timeout. An
+// error that is returned at once would make thousands of members and proxies ask all
+// processes one after another, and a leader that has lost its authority for a moment
+// would not regain it under that load.
+func (s *Service) retryLeader(
+	ctx context.Context, timeout time.Duration, frame ctframe.Frame,
+) (ctframe.Frame, error) {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	for {
+		reply, err := s.callLeaderWithin(ctx, timeout, frame)
+		if err == nil || cterror.KindOf(err) == cterror.Invalid {
+			return reply, err
+		}
+		select {
+		case <-ctx.Done():
+			return nil, err
+		case <-s.Clock.After(leaderRetryDelay):
+		}
+	}
+}
+
 // DeregisterMember removes a member whose process has ended.
 func (s *Service) DeregisterMember(ctx context.Context, member ctid.Member) error {
 	return s.sendToLeader(ctx, &ctframe.Heard{Announcement: ctserver.Announcement{Member: member}, Deregistered: true})
@@ -77,7 +102,14 @@
 // callLeader sends a request to the leader, which may be this process, and returns the
 // reply.
 func (s *Service) callLeader(ctx context.Context, frame ctframe.Frame) (ctframe.Frame, error) {
-	ctx, cancel := context.WithTimeout(ctx, forwardTimeout)
+	return s.callLeaderWithin(ctx, forwardTimeout, frame)
+}
+
+// callLeaderWithin is callLeader with another timeout.
+func (s *Service) callLeaderWithin(
+	ctx context.Context, timeout time.Duration, frame ctframe.Frame,
+) (ctframe.Frame, error) {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	var held ctlock.Held
 	leader, self := s.awaitLeader(ctx, &held)
@@ -134,6 +166,11 @@
 	return reply, nil
 }
 
+// notLeadingError returns the error of a process that is not the leader.
+func notLeadingError() error {
+	return cterror.New(cterror.Unavailable, "this control process does not lead", "try again in a second")
+}
+
 func unexpectedReplyError() error {
 	return cterror.New(cterror.Unavailable, "control gave another answer", "check that all processes have one version")
 }
--- /dev/null
+++ b/internal/program/ctcontrol/reportrelay.go
@@ -0,0 +1,95 @@
+package ctcontrol
+
+import (
+	"context"
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/cherviltrestle/cherviltrestle/internal/link/ctframe"
+	"github.com/cherviltrestle/cherviltrestle/internal/model/ctid"
+	"github.com/cherviltrestle/cherviltrestle/internal/model/ctview"
+	"github.com/cherviltrestle/cherviltrestle/internal/work/ctlock"
+)
+
+// relayTimeout is how long a report waits here for the leader's reply. The proxy, which
+// waits somewhat longer, then tries another control process.
+const relayTimeout = 500 * time.Millisecond
+
+// HandleReportBatch applies the reports of proxies that another control process forwards,
+// and returns the replies with what is newer than that process's view. It returns nil
+// without authority, so that the proxies try another process.
+func (c *Control) HandleReportBatch(held *ctlock.Held, batch *ctframe.ReportBatch) *ctframe.ReportBatchReply {
+	reply := &ctframe.ReportBatchReply{}
+	sampled := make(map[ctid.Group]bool)
+	for i := range batch.Reports {
+		answer := c.HandleReport(held, &batch.Reports[i])
+		if answer.NotLeader {
+			return nil
+		}
+		for _, sample := range answer.LogSamples {
+			if !sampled[sample.Group] {
+				sampled[sample.Group] = true
+				reply.Relay.LogSamples = append(reply.Relay.LogSamples, sample)
+			}
+		}
+		answer.Delta, answer.Groups, answer.LogSamples = nil, nil, nil
+		reply.Replies = append(reply.Replies, *answer)
+	}
+	c.state.With(held, func(l *leaderState) {
+		if batch.Version == l.roster.Version() {
+			return
+		}
+		delta := l.deltaFor(c.Clock.Now(), batch.Version, batch.Revision)
+		if delta == nil || delta.Large() {
+			// A watch delivers a large delta.
+			reply.Relay.Groups = slices.Collect(maps.Values(l.register.Groups))
+			return
+		}
+		reply.Relay.Delta = delta
+	})
+	return reply
+}
+
+// sendReports sends the reports of proxies to the leader, applies what is newer in the
+// leader's view, and completes the replies from it.
+func (s *Service) sendReports(ctx context.Context, reports []ctview.Report) ([]ctview.Reply, error) {
+	var held ctlock.Held
+	view := s.views.view(&held)
+	answer, err := s.retryLeader(ctx, relayTimeout, &ctframe.ReportBatch{
+		Version: view.Version, Revision: view.Config.Revision, Reports: reports,
+	})
+	if err != nil {
+		return nil, err
+	}
+	batch, ok := answer.(*ctframe.ReportBatchReply)
+	if !ok {
+		return nil, unexpectedReplyError()
+	}
+	if err := s.views.apply(&held, &batch.Relay); err != nil {
+		s.Logger.Info().Str("event", "view_failed").Str("error", err.Error()).Send()
+	}
+	view = s.views.view(&held)
+	for i := range min(len(batch.Replies), len(reports)) {
+		completeReply(&batch.Replies[i], &reports[i], view, &batch.Relay.Reply)
+	}
+	return batch.Replies, nil
+}
+
+// completeReply adds the log samples of the groups that the report names. If the proxy may
+// have an earlier view, it also adds the state of those groups and of all whose primary is
+// changing.
+func completeReply(reply *ctview.Reply, report *ctview.Report, view *ctview.View, relay *ctview.Reply) {
+	used := reportedGroups(report, func(member ctid.Member) (ctid.Group, bool) {
+		announcement, ok := view.Members[member]
+		return announcement.Group, ok
+	})
+	for _, sample := range relay.LogSamples {
+		if slices.Contains(used, sample.Group) {
+			reply.LogSamples = append(reply.LogSamples, sample)
+		}
+	}
+	if report.Version < view.Version || len(relay.Groups) > 0 {
+		reply.Groups = neededGroups(view.Groups, used)
+	}
+}
--- /dev/null
+++ b/internal/program/ctcontrol/reportrelay_test.go
@@ -0,0 +1,45 @@
+package ctcontrol
+
+import (
+	"fmt"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/cherviltrestle/cherviltrestle/internal/model/ctid"
+	"github.com/cherviltrestle/cherviltrestle/internal/model/ctserver"
+	"github.com/cherviltrestle/cherviltrestle/internal/model/ctview"
+)
+
+// TestCompleteReply checks what a control process adds to the leader's replies.
+func TestCompleteReply(t *testing.T) {
+	groups := make(map[ctid.Group]ctview.Group)
+	members := make(map[ctid.Member]ctserver.Announcement)
+	for i := range ctview.TrackAllLimit + 4 {
+		group, member := ctid.Group(fmt.Sprintf("g%d", i)), ctid.Member(fmt.Sprintf("m%d", i))
+		groups[group] = ctview.Group{Name: group, Term: 1, Primary: member}
+		members[member] = ctserver.Announcement{Group: group, Member: member}
+	}
+	fenced := groups["g3"]
+	fenced.Fence = 2
+	groups["g3"] = fenced
+	view := &ctview.View{Version: 9, Groups: groups, Members: members}
+	relay := &ctview.Reply{LogSamples: []ctview.LogSample{{Group: "g1"}, {Group: "g2"}}}
+	complete := func(version ctview.Version, relay *ctview.Reply) ctview.Reply {
+		var reply ctview.Reply
+		completeReply(&reply, &ctview.Report{Version: version, Reachable: []ctid.Member{"m1"}}, view, relay)
+		return reply
+	}
+	t.Run("the samples of the groups in use", func(t *testing.T) {
+		assert.DeepEqual(t, complete(9, relay).LogSamples, []ctview.LogSample{{Group: "g1"}})
+	})
+	t.Run("to a proxy with an earlier view: the groups in use and those that change", func(t *testing.T) {
+		assert.Equal(t, len(complete(8, relay).Groups), 2)
+	})
+	t.Run("to a proxy with the same view: no groups", func(t *testing.T) {
+		assert.Equal(t, len(complete(9, relay).Groups), 0)
+	})
+	t.Run("to all: groups that are ahead of the view", func(t *testing.T) {
+		assert.Equal(t, len(complete(9, &ctview.Reply{Groups: []ctview.Group{fenced}}).Groups), 2)
+	})
+}
