ctgateway, platform: a planned stop answers the query that has just arrived

A session that was interrupted to end closed its connection although a query had arrived meanwhile, and an interrupt that had ended a read made the next read fail too.

Change: a session reads once more what has arrived before it ends; an interrupt ends one read.

--- a/internal/lab/ctmembers/fixture_test.go
+++ b/internal/lab/ctmembers/fixture_test.go
@@ -46,6 +46,8 @@
 	once          sync.Once
 	closed        chan struct{}
 	queryCount    int
+	// interruptedFirst makes an interrupt end a read although a query has arrived.
+	interruptedFirst bool
 }
 
 func (c *caller) ReadStartup(time.Time) (ctid.Database, error) { return c.database, nil }
@@ -69,6 +71,11 @@
 	if !deadline.IsZero() {
 		timeout = time.After(time.Until(deadline))
 	}
+	if c.interruptedFirst {
+		<-c.interrupts
+		c.interruptedFirst = false
+		return ctquery.Query{}, os.ErrDeadlineExceeded
+	}
 	select {
 	case q, ok := <-c.queries:
 		if !ok {
--- a/internal/lab/ctmembers/gateway_test.go
+++ b/internal/lab/ctmembers/gateway_test.go
@@ -124,6 +124,26 @@
 			cancel()
 		}
 	})
+	t.Run("a query that arrives as its session is about to end is answered", func(t *testing.T) {
+		f := newFixture(t, smallGroup, ctconfig.FreshnessPrimary)
+		c := newCaller("c", "db")
+		c.interruptedFirst = true
+		c.queries = make(chan ctquery.Query, 1)
+		f.callers <- c
+		f.gateway.ServeConn(nil)
+		c.queries <- ctquery.Query{ID: "c-1", Statement: ctquery.Set{Name: "owner", Value: "c"}}
+		ctx, cancel := context.WithTimeout(context.Background(), testTimeout)
+		defer cancel()
+		drained := make(chan bool, 1)
+		go func() { drained <- f.gateway.Drain(ctx) }()
+		select {
+		case answer := <-c.answers:
+			assert.Assert(t, answer.OK())
+		case <-c.closed:
+			t.Fatal("the session ended without an answer")
+		}
+		assert.Assert(t, <-drained)
+	})
 	t.Run("draining waits for an open transaction", func(t *testing.T) {
 		f := newFixture(t, smallGroup, ctconfig.FreshnessPrimary)
 		c := f.connect(t, "c")
--- a/internal/program/ctgateway/session.go
+++ b/internal/program/ctgateway/session.go
@@ -163,15 +163,16 @@
 func (s *session) serveQueries() {
 	for {
 		if s.closeWhenIdle.Load() && !s.dialog.InTransaction() {
-			return
+			if !s.serveArrivedQuery() {
+				return
+			}
+			continue
 		}
 		query, err := s.caller.ReadQuery(s.idleDeadline())
 		switch {
 		case err == nil:
 		case errors.Is(err, os.ErrDeadlineExceeded):
-			if !s.handleReadDeadline() {
-				return
-			}
+			s.handleReadDeadline()
 			continue
 		default:
 			return
@@ -192,23 +193,29 @@
 	return time.Now().Add(settings.Sessions.TransactionTimeout.Or(defaultTransactionIdleTimeout))
 }
 
+// arrivedQueryTimeout bounds the read of a query that has arrived already. A query that
+// the caller has yet to send must not keep its session open.
+const arrivedQueryTimeout = time.Millisecond
+
+// serveArrivedQuery serves the query that arrived while the session was about to end. It
+// reports whether there was one.
+func (s *session) serveArrivedQuery() bool {
+	query, err := s.caller.ReadQuery(time.Now().Add(arrivedQueryTimeout))
+	return err == nil && s.caller.WriteAnswer(s.handleQuery(query)) == nil
+}
+
 // handleReadDeadline handles a read that ended without a query: a transaction was
-// idle for too long, or closeIdleSessions interrupted the read. It reports whether
-// the session goes on.
-func (s *session) handleReadDeadline() bool {
-	if !s.dialog.InTransaction() {
-		return !s.closeWhenIdle.Load()
-	}
-	if s.closeWhenIdle.Load() {
-		// The read was interrupted to end idle sessions; an open transaction goes on.
-		return true
+// idle for too long, or closeIdleSessions interrupted the read, which does not end an
+// open transaction.
+func (s *session) handleReadDeadline() {
+	if !s.dialog.InTransaction() || s.closeWhenIdle.Load() {
+		return
 	}
 	if s.dialog.FailTransaction() {
 		s.gateway.Logger.Info().Str("event", "decision").Str("decision", "end_transaction").
 			Uint64("session", uint64(s.id)).Str("why", "idle").Send()
 	}
 	s.rollBack()
-	return true
 }
 
 // handleQuery returns the answer to one query. Outside a transaction, it resolves
