ctcontrol, ctmirror: reports bring groups that are ahead, views come with throttled watches

Cause: each batch of reports brought the newest view to its control process, up to 25 times a second while members and proxies come and go, and each woke all the watches there: every proxy applied every version. The leader's own notices are throttled for this reason.

Change: a batch brings the groups that have changed since the sender's view alone; whole views are encoded once a version.

--- a/internal/fleet/ctmirror/mirror.go
+++ b/internal/fleet/ctmirror/mirror.go
@@ -1,6 +1,7 @@
 package ctmirror
 
 import (
+	"reflect"
 	"slices"
 
 	"github.com/cherviltrestle/cherviltrestle/internal/model/ctid"
@@ -20,6 +21,8 @@
 	bases []*ctview.View
 	// deltas caches the deltas to the newest view by the version that they start from.
 	deltas map[ctview.Version]*ctview.Delta
+	// whole caches the delta from the empty view.
+	whole *ctview.Delta
 }
 
 // View returns the newest view. It is never nil and must not be changed.
@@ -44,14 +47,18 @@
 	if len(m.bases) > maxBases {
 		m.bases = slices.Delete(m.bases, 0, len(m.bases)-maxBases)
 	}
-	m.view, m.deltas = after, nil
+	m.view, m.deltas, m.whole = after, nil, nil
 	return true, nil
 }
 
 // ApplyGroups applies the leader's newest state of some groups ahead of the view's next
 // version.
 func (m *Mirror) ApplyGroups(groups []ctview.Group) {
-	m.view, m.deltas = m.View().WithGroups(groups), nil
+	known := m.View().Groups
+	if !slices.ContainsFunc(groups, func(g ctview.Group) bool { return !reflect.DeepEqual(known[g.Name], g) }) {
+		return
+	}
+	m.view, m.deltas, m.whole = m.View().WithGroups(groups), nil, nil
 }
 
 // DeltaSince returns the delta from a proxy's view, with its configuration of the given
@@ -88,9 +95,13 @@
 // wholeView returns the delta that replaces any earlier view. It leaves out the
 // configuration if the proxy has it.
 func (m *Mirror) wholeView(revision ctid.Revision) *ctview.Delta {
-	delta := m.view.FullDelta()
-	if revision == m.view.Config.Revision {
-		delta.Config = nil
+	if m.whole == nil {
+		m.whole = m.view.FullDelta()
 	}
-	return delta
+	if revision != m.view.Config.Revision {
+		return m.whole
+	}
+	delta := *m.whole
+	delta.Config = nil
+	return &delta
 }
--- a/internal/fleet/ctroster/roster.go
+++ b/internal/fleet/ctroster/roster.go
@@ -231,6 +231,17 @@
 	return ok
 }
 
+// GroupsSince returns the groups that have changed after a version, without order.
+func (r *Roster) GroupsSince(version ctview.Version) []ctview.Group {
+	var groups []ctview.Group
+	for _, state := range r.groups {
+		if state.version > version {
+			groups = append(groups, state.entry)
+		}
+	}
+	return groups
+}
+
 // SetGroup records the durable state of a group.
 func (r *Roster) SetGroup(entry ctview.Group) {
 	state, ok := r.groups[entry.Name]
--- a/internal/fleet/ctroster/roster_test.go
+++ b/internal/fleet/ctroster/roster_test.go
@@ -100,3 +100,19 @@
 		assertConfig(t, applyDelta(t, r, unchanged), 3)
 	})
 }
+
+// TestGroupsSince checks what is sent ahead of the view: few groups, however many there are.
+func TestGroupsSince(t *testing.T) {
+	const groups = 100
+	var r ctroster.Roster
+	r.Reset(1)
+	for i := range groups {
+		r.SetGroup(ctview.Group{Name: ctid.Group(fmt.Sprintf("g%d", i)), Term: 1})
+	}
+	before := r.Version()
+	assert.Equal(t, len(r.GroupsSince(before)), 0)
+	r.SetGroup(ctview.Group{Name: "g7", Term: 1, Fence: 2})
+	since := r.GroupsSince(before)
+	assert.Equal(t, len(since), 1)
+	assert.Equal(t, since[0].Name, ctid.Group("g7"))
+}
--- a/internal/link/ctframe/batch.go
+++ b/internal/link/ctframe/batch.go
@@ -35,9 +35,9 @@
 	// Replies answer the reports, in their order. They contain no deltas, groups and log
 	// samples: Relay has these for all of them.
 	Replies []ctview.Reply `cbor:"replies"`
-	// Relay has what is newer than the sender's view, and the log samples of the groups
-	// that the reports name.
-	Relay ReportReply `cbor:"relay"`
+	// Relay has the groups that are ahead of the sender's view, and the log samples of the
+	// groups that the reports name.
+	Relay ctview.Reply `cbor:"relay"`
 }
 
 // Check returns an error of kind cterror.Invalid for the first fault of a reply.
--- a/internal/program/ctcontrol/reportrelay.go
+++ b/internal/program/ctcontrol/reportrelay.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"maps"
 	"slices"
 	"time"
 
@@ -16,9 +15,10 @@
 // waits somewhat longer, then tries another control process.
 const relayTimeout = 500 * time.Millisecond
 
-// HandleReportBatch applies the reports of proxies that another control process forwards,
-// and returns the replies with what is newer than that process's view. It returns nil
-// without authority, so that the proxies try another process.
+// HandleReportBatch applies the reports of proxies that another control process forwards.
+// It returns the replies with the groups that are ahead of that process's view; the view
+// itself follows with a watch, whose notifications are throttled. It returns nil without
+// authority, so that the proxies try another process.
 func (c *Control) HandleReportBatch(held *ctlock.Held, batch *ctframe.ReportBatch) *ctframe.ReportBatchReply {
 	reply := &ctframe.ReportBatchReply{}
 	sampled := make(map[ctid.Group]bool)
@@ -36,23 +36,25 @@
 		answer.Delta, answer.Groups, answer.LogSamples = nil, nil, nil
 		reply.Replies = append(reply.Replies, *answer)
 	}
-	c.state.With(held, func(l *leaderState) {
-		if batch.Version == l.roster.Version() {
-			return
-		}
-		delta := l.deltaFor(c.Clock.Now(), batch.Version, batch.Revision)
-		if delta == nil || delta.Large() {
-			// A watch delivers a large delta.
-			reply.Relay.Groups = slices.Collect(maps.Values(l.register.Groups))
-			return
-		}
-		reply.Relay.Delta = delta
-	})
+	c.state.With(held, func(l *leaderState) { reply.Relay.Groups = l.groupsAhead(batch) })
 	return reply
 }
 
-// sendReports sends the reports of proxies to the leader, applies what is newer in the
-// leader's view, and completes the replies from it.
+// groupsAhead returns the groups that have changed since the view of a process that sent a
+// batch. If another leader issued that view, these are all that its proxies use.
+func (l *leaderState) groupsAhead(batch *ctframe.ReportBatch) []ctview.Group {
+	if l.roster.Issued(batch.Version) {
+		return l.roster.GroupsSince(batch.Version)
+	}
+	var used []ctid.Group
+	for i := range batch.Reports {
+		used = append(used, reportedGroups(&batch.Reports[i], l.groupOf)...)
+	}
+	return neededGroups(l.register.Groups, used)
+}
+
+// sendReports sends the reports of proxies to the leader, applies the groups that are ahead
+// of the view here, and completes the replies from it.
 func (s *Service) sendReports(ctx context.Context, reports []ctview.Report) ([]ctview.Reply, error) {
 	var held ctlock.Held
 	view := s.views.view(&held)
@@ -66,12 +68,10 @@
 	if !ok {
 		return nil, unexpectedReplyError()
 	}
-	if err := s.views.apply(&held, &batch.Relay); err != nil {
-		s.Logger.Info().Str("event", "view_failed").Str("error", err.Error()).Send()
-	}
+	s.views.applyGroups(&held, batch.Relay.Groups)
 	view = s.views.view(&held)
 	for i := range min(len(batch.Replies), len(reports)) {
-		completeReply(&batch.Replies[i], &reports[i], view, &batch.Relay.Reply)
+		completeReply(&batch.Replies[i], &reports[i], view, &batch.Relay)
 	}
 	return batch.Replies, nil
 }
--- a/internal/program/ctcontrol/service.go
+++ b/internal/program/ctcontrol/service.go
@@ -265,7 +265,6 @@
 	if reply == nil {
 		return &ctframe.ErrorReply{Kind: cterror.Unavailable.String(), Message: notLeadingError().Error()}
 	}
-	reply.Relay = *s.replyFrame(&reply.Relay.Reply)
 	return reply
 }
 
--- a/internal/program/ctcontrol/viewrelay.go
+++ b/internal/program/ctcontrol/viewrelay.go
@@ -44,17 +44,19 @@
 	return view
 }
 
-// apply applies what a reply of the leader contains of its view, and wakes the watches if
-// that is newer.
+// applyGroups applies groups that are ahead of the view.
+func (r *viewRelay) applyGroups(held *ctlock.Held, groups []ctview.Group) {
+	r.state.With(held, func(s *relayedView) { s.mirror.ApplyGroups(groups) })
+}
+
+// apply applies the delta in a reply of the leader, and wakes the watches if the view is
+// newer now.
 func (r *viewRelay) apply(held *ctlock.Held, reply *ctframe.ReportReply) error {
 	delta, err := reply.WholeDelta()
 	if err != nil {
 		return err
 	}
 	r.state.With(held, func(s *relayedView) {
-		if len(reply.Groups) > 0 {
-			s.mirror.ApplyGroups(reply.Groups)
-		}
 		if delta == nil {
 			return
 		}
