ctmirror: groups that are ahead of a view are no part of it

Cause: groups that came ahead of the leader's next view were put into the mirror's view under its old version.

Change: the mirror keeps the view as the leader numbered it, and a current one with those groups beside it.

Result: TestProxiesFollow with groups ahead, which fails on the code before.

--- a/internal/fleet/ctmirror/mirror.go
+++ b/internal/fleet/ctmirror/mirror.go
@@ -17,6 +17,8 @@
 type Mirror struct {
 	// view is the newest view; nil stands for the empty one.
 	view *ctview.View
+	// current is the view with the groups that arrived ahead of it; nil if there are none.
+	current *ctview.View
 	// bases are the views before it, the latest last.
 	bases []*ctview.View
 	// deltas caches the deltas to the newest view by the version that they start from.
@@ -47,18 +49,32 @@
 	if len(m.bases) > maxBases {
 		m.bases = slices.Delete(m.bases, 0, len(m.bases)-maxBases)
 	}
+	// A group that arrived ahead of the view may be newer than the delta's.
+	if m.current != nil {
+		m.current, _ = m.current.Apply(delta)
+	}
 	m.view, m.deltas, m.whole = after, nil, nil
 	return true, nil
 }
 
 // ApplyGroups applies the leader's newest state of some groups ahead of the view's next
-// version.
+// version. They are part of Current but not of View: the proxies that have the view's
+// version don't have them yet.
 func (m *Mirror) ApplyGroups(groups []ctview.Group) {
-	known := m.View().Groups
+	known := m.Current().Groups
 	if !slices.ContainsFunc(groups, func(g ctview.Group) bool { return !reflect.DeepEqual(known[g.Name], g) }) {
 		return
 	}
-	m.view, m.deltas, m.whole = m.View().WithGroups(groups), nil, nil
+	m.current = m.Current().WithGroups(groups)
+}
+
+// Current returns the newest view with the groups that are ahead of it. It is never nil and
+// must not be changed.
+func (m *Mirror) Current() *ctview.View {
+	if m.current == nil {
+		return m.View()
+	}
+	return m.current
 }
 
 // DeltaSince returns the delta from a proxy's view, with its configuration of the given
--- a/internal/fleet/ctmirror/mirror_test.go
+++ b/internal/fleet/ctmirror/mirror_test.go
@@ -92,7 +92,7 @@
 		fenced.Fence = 2
 		m.ApplyGroups([]ctview.Group{fenced})
 		apply(t, &m, &ctview.Delta{From: 5, To: 6, Groups: []ctview.Group{group}})
-		assert.Equal(t, m.View().Groups["g"].Fence, ctposition.Term(2))
+		assert.Equal(t, m.Current().Groups["g"].Fence, ctposition.Term(2))
 	})
 }
 
@@ -116,6 +116,10 @@
 				revision++
 				next.Config = config(revision)
 			}
+			if rapid.Bool().Draw(t, "ahead") {
+				next.Groups = []ctview.Group{{Name: "g", Term: ctposition.Term(version), Primary: "m"}}
+				m.ApplyGroups(next.Groups)
+			}
 			version = next.To
 			apply(t, &m, next)
 			i := rapid.IntRange(0, len(views)-1).Draw(t, "view")
--- a/internal/program/ctcontrol/reportrelay.go
+++ b/internal/program/ctcontrol/reportrelay.go
@@ -68,8 +68,7 @@
 	if !ok {
 		return nil, unexpectedReplyError()
 	}
-	s.views.applyGroups(&held, batch.Relay.Groups)
-	view = s.views.view(&held)
+	view = s.views.applyGroups(&held, batch.Relay.Groups)
 	for i := range min(len(batch.Replies), len(reports)) {
 		completeReply(&batch.Replies[i], &reports[i], view, &batch.Relay)
 	}
--- a/internal/program/ctcontrol/viewrelay.go
+++ b/internal/program/ctcontrol/viewrelay.go
@@ -44,9 +44,14 @@
 	return view
 }
 
-// applyGroups applies groups that are ahead of the view.
-func (r *viewRelay) applyGroups(held *ctlock.Held, groups []ctview.Group) {
-	r.state.With(held, func(s *relayedView) { s.mirror.ApplyGroups(groups) })
+// applyGroups applies groups that are ahead of the view, and returns the view with them.
+func (r *viewRelay) applyGroups(held *ctlock.Held, groups []ctview.Group) *ctview.View {
+	var current *ctview.View
+	r.state.With(held, func(s *relayedView) {
+		s.mirror.ApplyGroups(groups)
+		current = s.mirror.Current()
+	})
+	return current
 }
 
 // apply applies the delta in a reply of the leader, and wakes the watches if the view is
