--- a/internal/decide/ctquorum/doc.go
+++ b/internal/decide/ctquorum/doc.go
@@ -33,6 +33,11 @@
 then the earlier incarnation of its name is removed. Voters are added and removed
 one at a time. A process votes only while its own log names it as a voter.
 
+With Node.VoterCount, the leader keeps that many voters, which should be an odd number: of
+an even one, neither half of a cut into halves is a majority. Processes that join beyond
+it are standbys. They remain learners, and one takes the place of a voter that has been
+silent for voterTimeout.
+
 # Usage
 
 	node := ctquorum.New(now, self, state, seeds, random)
--- a/internal/program/ctcontrol/doc.go
+++ b/internal/program/ctcontrol/doc.go
@@ -16,6 +16,13 @@
 servers and stores the log in a ctstore.Store. Service uses the transport and the
 ctjournal.Journal of its caller, which also serves the operators.
 
+# Proxies and followers
+
+Proxies may send their reports and watches to any Service. One that does not lead forwards
+reports and announcements to the leader in batches, and answers watches from a mirror of
+the leader's view (package ctmirror). Only the leader decides: it grants authority in the
+replies that the others pass on.
+
 # Usage
 
 	service, err := ctcontrol.NewService(options)
--- a/internal/program/ctuplink/doc.go
+++ b/internal/program/ctuplink/doc.go
@@ -8,7 +8,9 @@
 
 One stream carries the reports: one at each heartbeat, and one at once when
 something has changed. The other stream waits for a newer view, so that a change
-takes effect as soon as control has decided it.
+takes effect as soon as control has decided it. Only the reports seek a process of
+control, with the order and the pauses of package ctseek. The other stream goes to the
+process that answers them.
 
 # Relays
 
