--- a/internal/decide/ctseek/seeker.go
+++ b/internal/decide/ctseek/seeker.go
@@ -25,7 +25,7 @@
 	slowOpenEvery   = 5
 	// nearLatency is the longest time that opening a stream to a near process takes.
 	nearLatency = 5 * time.Millisecond
-	// relayDuration is how long a relay is used before control is tried directly again.
+	// relayDuration is how long a relay is used. The proxy then seeks control directly.
 	relayDuration = 6 * time.Second
 	// farDuration is how long a process is used, although a nearer one may be reachable.
 	// Up to as much again is added at random.
@@ -116,7 +116,8 @@
 	return ordered
 }
 
-// distance is how far a process is from the proxy.
+// distance is how far a process is from the proxy, judged by the time that opening a
+// stream took. The order of the values is the order of preference.
 type distance uint8
 
 const (
@@ -194,8 +195,8 @@
 	return time.Duration(half + s.Random.Int64N(half+1))
 }
 
-// Retention returns how long a stream to a target is used before the preferred process is
-// tried again. It returns 0 if the target is the preferred one.
+// Retention returns how long a stream to a target is used. The proxy then returns to the
+// process that it prefers. It is 0, for no limit, if the target is that process.
 func (s *Seeker) Retention(target Target, controls []netip.AddrPort) time.Duration {
 	switch t := target.(type) {
 	case Relay:
--- a/internal/program/ctcontrol/reportrelay.go
+++ b/internal/program/ctcontrol/reportrelay.go
@@ -17,8 +17,8 @@
 
 // HandleReportBatch applies the reports of proxies that another control process forwards.
 // It returns the replies with the groups that are ahead of that process's view; the view
-// itself follows with a watch, whose notifications are throttled. It returns nil without
-// authority, so that the proxies try another process.
+// itself follows with a watch, whose notifications are throttled. It returns nil if this
+// process does not lead.
 func (c *Control) HandleReportBatch(held *ctlock.Held, batch *ctframe.ReportBatch) *ctframe.ReportBatchReply {
 	reply := &ctframe.ReportBatchReply{}
 	sampled := make(map[ctid.Group]bool)
