--- a/review/lab/fleet.go
+++ b/review/lab/fleet.go
@@ -12,6 +12,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strconv"
 	"strings"
 	"sync"
 	"syscall"
@@ -369,7 +370,7 @@
 	body, _ := json.Marshal(map[string]any{
 		"version": f.version, "routes": list,
 		"services": []map[string]any{{
-			"name": f.Group.Service, "health_check_path": "/health", "max_connections": 76, "protocol": "h1", "tls": false,
+			"name": f.Group.Service, "health_check_path": "/health", "max_connections": f.maxConnections(), "protocol": "h1", "tls": false,
 			"sync_replicas": f.Group.Sync,
 		}},
 		"limits": map[string]any{
@@ -388,3 +389,12 @@
 	}
 	return fmt.Errorf("no control process acknowledged the configuration")
 }
+
+// maxConnections returns the connections that each member accepts: 76 as on the site, or what
+// the variable CONNECTIONS says, for "explore". With few, proxies forward queries for others.
+func (f *Fleet) maxConnections() int {
+	if n, err := strconv.Atoi(os.Getenv("CONNECTIONS")); err == nil {
+		return n
+	}
+	return 76
+}
--- a/review/lab/oldprimary.go
+++ b/review/lab/oldprimary.go
@@ -66,9 +66,27 @@
 	close(stop)
 	time.Sleep(200 * time.Millisecond)
 	judgeOne(rec, commit, <-thawedAt)
+	f.logWhatIsKept(first, commit)
 	return nil
 }
 
+// logWhatIsKept ends the partition of the old primary and logs whether the commit is kept.
+func (f *Fleet) logWhatIsKept(first *Member, commit *Sent) {
+	f.Group.Do(func() { first.cutFromMembers, first.cutFromControl = false, false })
+	time.Sleep(3 * time.Second)
+	f.Group.Do(func() {
+		for _, m := range f.Group.Members {
+			kept := false
+			for _, entry := range m.log {
+				for _, id := range entry.IDs {
+					kept = kept || id == commit.ID
+				}
+			}
+			f.rec.Log("the partition is over: the log of %s, primary %t, has commit %s: %t", m.ID, m.primary, commit.ID, kept)
+		}
+	})
+}
+
 // judgeOne checks rule ONE: a write must not be committed at the old primary after a
 // promote has taken effect, and acknowledged to the requester.
 func judgeOne(rec *Recorder, commit *Sent, thawedAt time.Time) {
