--- a/review/lab/explore.go
+++ b/review/lab/explore.go
@@ -271,7 +271,7 @@
 func promise(q *Sent) string {
 	code, _, _ := strings.Cut(q.Answer.Code, " ")
 	switch code {
-	case "RETRY", "ABORTED", "LAGGING", "READONLY", "WRONGNODE", "CONNLIMIT":
+	case "RETRY", "ABORTED", "LAGGING", "READONLY", "CONNLIMIT", names.WrongMember:
 		return code
 	}
 	return ""
--- a/review/lab/fleet.go
+++ b/review/lab/fleet.go
@@ -265,7 +265,7 @@
 			w.WriteHeader(http.StatusBadRequest)
 			return
 		}
-		w.WriteHeader(f.Group.Promote(body.ID, r.Header.Get("Duty-Holder"), r.Header.Get("Fencing-Token")))
+		w.WriteHeader(f.Group.Promote(body.ID, r.Header.Get(names.HolderHeader), r.Header.Get(names.TokenHeader)))
 	})
 	server := &http.Server{Handler: mux}
 	go func() { _ = server.Serve(listener) }()
@@ -335,7 +335,7 @@
 			continue
 		}
 		control := f.Controls[at%len(f.Controls)]
-		code, _ := call("PUT", fmt.Sprintf("http://%s:%d/-/instances/%s", control.IP, controlPort, m.ID), body)
+		code, _ := call("PUT", fmt.Sprintf("http://%s:%d%s%s", control.IP, controlPort, names.MembersPath, m.ID), body)
 		if code/100 != 2 {
 			at++
 			continue
@@ -380,7 +380,7 @@
 	})
 	for i := range 100 {
 		control := f.Controls[i%len(f.Controls)]
-		code, _ := call("PUT", fmt.Sprintf("http://%s:%d/-/config", control.IP, controlPort), body)
+		code, _ := call("PUT", fmt.Sprintf("http://%s:%d%s", control.IP, controlPort, names.ConfigPath), body)
 		if code == 200 {
 			f.rec.Log("configuration %d acknowledged by %s", f.version, control.Name)
 			return nil
--- a/review/lab/member.go
+++ b/review/lab/member.go
@@ -90,7 +90,7 @@
 	}
 	fields := strings.Fields(line)
 	if len(fields) < 3 || fields[0] != "CONNECT" || fields[1] != g.Service || (len(fields) > 3 && fields[3] != m.ID) {
-		_, _ = fmt.Fprintf(c.socket, "ERROR WRONGNODE %s\r\n", m.ID)
+		_, _ = fmt.Fprintf(c.socket, "ERROR %s %s\r\n", names.WrongMember, m.ID)
 		return
 	}
 	c.hold(12 * time.Millisecond)
@@ -184,7 +184,7 @@
 		runs.Values[id] = c.describeValues()
 		runs.mutex.Unlock()
 	}
-	if verb == "MINPOS" {
+	if verb == names.MinPosition {
 		position, statement, _ := strings.Cut(arguments, " ")
 		verb, arguments, _ = strings.Cut(statement, " ")
 		term, number, _ := strings.Cut(position, ".")
--- a/review/lab/silent.go
+++ b/review/lab/silent.go
@@ -82,7 +82,7 @@
 	for end := time.Now().Add(readBackFor); time.Now().Before(end); time.Sleep(300 * time.Millisecond) {
 		control := f.Controls[reads%len(f.Controls)]
 		reads++
-		code, body := call("GET", fmt.Sprintf("http://%s:%d/-/config", control.IP, controlPort), nil)
+		code, body := call("GET", fmt.Sprintf("http://%s:%d%s", control.IP, controlPort, names.ConfigPath), nil)
 		var answer struct{ Version int }
 		if code == 200 && json.Unmarshal(body, &answer) == nil {
 			version = answer.Version
