--- a/review/lab/client.go
+++ b/review/lab/client.go
@@ -46,6 +46,17 @@
 	return append([]*Sent(nil), h.sent...)
 }
 
+// countOK returns how many queries succeeded.
+func countOK(h *History) int {
+	n := 0
+	for _, q := range h.All() {
+		if q.Answer.OK() {
+			n++
+		}
+	}
+	return n
+}
+
 // Session is a requester's connection.
 type Session struct {
 	fleet   *Fleet
--- a/review/lab/group.go
+++ b/review/lab/group.go
@@ -56,11 +56,13 @@
 	// commands of control and the member's own reports without an answer.
 	cutFromMembers bool
 	cutFromControl bool
-	leaving        bool
-	running        bool
-	sawSuccessor   time.Time
-	sequence       uint64
-	conns          map[*memberConn]struct{}
+	// cutFromFronts holds up what arrives on connections without an open transaction.
+	cutFromFronts bool
+	leaving       bool
+	running       bool
+	sawSuccessor  time.Time
+	sequence      uint64
+	conns         map[*memberConn]struct{}
 }
 
 // NewGroup returns a group of three members, the first of which leads term 3.
