ctgateway: log what a proxy knows of a group's term, and where samples come from

Change: run lines have group_term and fence; the counter log_samples_total counts samples by source, and a sample of an earlier term than the group's is logged.

--- a/internal/program/ctgateway/choose.go
+++ b/internal/program/ctgateway/choose.go
@@ -120,6 +120,8 @@
 		Str("member", string(e.target.member)).
 		Str("role", string(role)).
 		Uint64("term", uint64(e.target.term)).
+		Uint64("group_term", uint64(view.Groups[s.route.Group].Term)).
+		Uint64("fence", uint64(g.enforcedFence(&s.held, s.route.Group))).
 		Stringer("need", e.target.minPoint).
 		Int("asked", e.attempts).
 		Stringer("revision", view.Config.Revision).
--- a/internal/program/ctgateway/group.go
+++ b/internal/program/ctgateway/group.go
@@ -116,6 +116,13 @@
 	return changed
 }
 
+// enforcedFence returns the fence of a group that this proxy enforces; 0 if none.
+func (g *Gateway) enforcedFence(held *ctlock.Held, name ctid.Group) ctposition.Term {
+	var fence ctposition.Term
+	g.groups.With(held, func(groups map[ctid.Group]*groupState) { fence = groupStateOf(groups, name).enforcedFence })
+	return fence
+}
+
 // beginAtPrimary counts a connection that begins to run work at a group's primary.
 func (g *Gateway) beginAtPrimary(held *ctlock.Held, name ctid.Group) {
 	g.groups.With(held, func(groups map[ctid.Group]*groupState) { groupStateOf(groups, name).runningAtPrimary++ })
@@ -169,16 +176,36 @@
 	return allowed
 }
 
+// sampleSource says where a sample of a group's log comes from. It is a label of metrics.
+type sampleSource string
+
+const (
+	// sampleFromStatement: the answer to a caller's statement.
+	sampleFromStatement sampleSource = "statement"
+	// sampleFromQuery: the answer to a query of this proxy's own.
+	sampleFromQuery sampleSource = "query"
+	// sampleFromControl: a reply of control.
+	sampleFromControl sampleSource = "control"
+)
+
 // addSample adds a sample of a group's log: the point in the primary's answer to a
 // query sent at sentAt. The proxy must have had authority at that time.
-func (g *Gateway) addSample(held *ctlock.Held, name ctid.Group, sentAt time.Time, point ctposition.Point) {
+func (g *Gateway) addSample(
+	held *ctlock.Held, name ctid.Group, source sampleSource, sentAt time.Time, point ctposition.Point,
+) {
+	term := g.State.View(held).Groups[name].Term
+	g.Metrics.Samples.WithLabelValues(string(source)).Inc()
+	if !point.IsZero() && point.Term < term {
+		g.Logger.Info().Str("event", "sample_of_earlier_term").Str("group", string(name)).
+			Str("source", string(source)).Stringer("point", point).Uint64("group_term", uint64(term)).Send()
+	}
 	g.groups.With(held, func(groups map[ctid.Group]*groupState) { groupStateOf(groups, name).samples.Add(sentAt, point) })
 }
 
 // AddSample adds a sample that control passed on: the point in the primary's answer to
 // a query that was sent no earlier than sentAt.
 func (g *Gateway) AddSample(held *ctlock.Held, name ctid.Group, sentAt time.Time, point ctposition.Point) {
-	g.addSample(held, name, sentAt, point)
+	g.addSample(held, name, sampleFromControl, sentAt, point)
 }
 
 // minPoint returns the point that a member must have applied for a read to see all
@@ -229,7 +256,7 @@
 	result := ctpools.Result{Discard: err != nil}
 	if err == nil {
 		result.Answered = true
-		g.addSample(&held, name, sentAt, answer.Point)
+		g.addSample(&held, name, sampleFromQuery, sentAt, answer.Point)
 	}
 	g.Pools.Release(&held, conn, result)
 }
--- a/internal/program/ctgateway/run.go
+++ b/internal/program/ctgateway/run.go
@@ -331,7 +331,7 @@
 	}
 	now := s.gateway.Clock.Now()
 	if s.pinned.primary && authorized {
-		s.gateway.addSample(&s.held, s.route.Group, sentAt, answer.Point)
+		s.gateway.addSample(&s.held, s.route.Group, sampleFromStatement, sentAt, answer.Point)
 	}
 	result := ctpools.Result{Answered: true, Applied: answer.Point}
 	if _, begins := query.Statement.(ctquery.Begin); !begins && answer.OK() {
--- a/internal/program/ctmetric/metrics.go
+++ b/internal/program/ctmetric/metrics.go
@@ -43,6 +43,8 @@
 	Refusals *prometheus.CounterVec
 	// ConfirmSeconds measures how long committed writes wait for confirmation.
 	ConfirmSeconds prometheus.Histogram
+	// Samples counts the samples of groups' logs by source.
+	Samples *prometheus.CounterVec
 	// ViewVersion is the version of the view in force.
 	ViewVersion prometheus.Gauge
 	// Revision is the revision of the configuration in force.
@@ -70,6 +72,7 @@
 		Connections:     f.gaugeVec("member_connections", "Connections to a member.", "member"),
 		Refusals:        f.counterVec("member_refused_total", "Requests refused at the holder.", "member", "reason"),
 		ConfirmSeconds:  f.histogram("confirm_seconds", "Wait for the confirmation of writes."),
+		Samples:         f.counterVec("log_samples_total", "Samples of the ends of groups' logs.", "source"),
 		ViewVersion:     f.gauge("view_version", "Version of the view in force."),
 		Revision:        f.gauge("config_revision", "Revision of the configuration in force."),
 		Reports:         f.counterVec("reports_total", "Reports to control.", "result"),
