ctgateway: a proxy that slept through a change of primary acknowledges nothing of the old term

Cause: acknowledge compared the term of the connection with the enforced fence alone. A fence is enforced only while a view shows the change in progress, and a proxy that was frozen meanwhile sees its result alone. The run line of the COMMIT says term 3, group_term 4, fence 0, with 2,466 ms of new authority.

Change: a write is acknowledged only if the view shows no later term, read after the authority that control extends once the view is applied. A statement of a transaction that may write is refused as aborted before it is sent, once its term has ended, and a connection that was waited for isn't used if the term ended during the wait; a COMMIT that can't be acknowledged then leaves no commit. A group with an open transaction counts as in use, so that replies of control name it also after 20 s.

Ruled out: the PostgreSQL front end checks a lease of the very term and the member's own role and term after the commit (ctholding acknowledge).

--- a/internal/decide/ctdialog/result.go
+++ b/internal/decide/ctdialog/result.go
@@ -19,7 +19,8 @@
 	Authorized bool
 }
 
-// Refused reports that no member could run the statement. It had no effect.
+// Refused reports that the statement was sent to no member, or that none ran it. It had no
+// effect, and nothing of its transaction is kept.
 type Refused struct {
 	Fault ctquery.Fault
 	Text  string
@@ -115,11 +116,13 @@
 	}
 }
 
+// handleRefused handles a statement that was not sent. The reply's Rollback undoes the
+// transaction if a member has one open.
 func (d *Dialog) handleRefused(run Run, r Refused) Reply {
 	d.endOrFailTransaction(run)
 	answer := d.newAnswer()
 	answer.Fault, answer.Text = r.Fault, r.Text
-	return Reply{Answer: answer}
+	return Reply{Answer: answer, Rollback: true}
 }
 
 // handleUnanswered handles a statement without an answer. The reply's Rollback
--- a/internal/lab/ctmembers/fixture_test.go
+++ b/internal/lab/ctmembers/fixture_test.go
@@ -16,6 +16,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/cherviltrestle/cherviltrestle/internal/lab/ctmembers"
+	"github.com/cherviltrestle/cherviltrestle/internal/link/ctframe"
 	"github.com/cherviltrestle/cherviltrestle/internal/model/ctconfig"
 	"github.com/cherviltrestle/cherviltrestle/internal/model/ctid"
 	"github.com/cherviltrestle/cherviltrestle/internal/model/ctquery"
@@ -93,22 +94,46 @@
 // call sends a statement and returns its answer and the query's ID.
 func (c *caller) call(t *testing.T, statement ctquery.Statement) (ctquery.Answer, ctquery.ID) {
 	t.Helper()
+	id := c.send(statement)
+	return c.awaitAnswer(t, id), id
+}
+
+// send sends a statement without waiting for its answer.
+func (c *caller) send(statement ctquery.Statement) ctquery.ID {
 	c.queryCount++
 	id := ctquery.ID(fmt.Sprintf("%s-%d", c.name, c.queryCount))
 	c.queries <- ctquery.Query{ID: id, Statement: statement}
+	return id
+}
+
+// awaitAnswer waits for the answer to the query that was sent last.
+func (c *caller) awaitAnswer(t *testing.T, id ctquery.ID) ctquery.Answer {
+	t.Helper()
 	select {
 	case answer := <-c.answers:
-		return answer, id
+		return answer
 	case <-time.After(testTimeout):
 		t.Fatalf("no answer to %s", id)
 	}
-	return ctquery.Answer{}, id
+	return ctquery.Answer{}
 }
 
+// way is how a proxy's statements get to members.
+type way string
+
+const (
+	// direct: over the proxy's own connections.
+	direct way = "over its own connections"
+	// forwarded: over those of another proxy.
+	forwarded way = "over another proxy"
+)
+
 // fixture is a group with the gateway of one proxy in front of it.
 type fixture struct {
-	group   *ctmembers.Group
-	pools   *ctpools.Pools
+	group *ctmembers.Group
+	pools *ctpools.Pools
+	// carrier holds the connections of the proxy that forwards; nil if none does.
+	carrier *ctpools.Pools
 	state   *ctstate.State
 	gateway *ctgateway.Gateway
 	callers chan *caller
@@ -117,24 +142,38 @@
 // newFixture starts a gateway with one route, to the database "db", and stops it when
 // the test ends.
 func newFixture(t *testing.T, options ctmembers.Options, freshness ctconfig.Freshness) *fixture {
+	t.Helper()
+	return newFixtureWith(t, direct, options, freshness)
+}
+
+// newFixtureWith is newFixture with a proxy whose statements go a given way.
+func newFixtureWith(t *testing.T, w way, options ctmembers.Options, freshness ctconfig.Freshness) *fixture {
 	t.Helper()
 	f := &fixture{group: ctmembers.New(options), callers: make(chan *caller, 1)}
-	self := ctview.Proxy{
-		Name: "p1", FailureDomain: "d1", Incarnation: 1, State: ctserver.StateReady,
-		Address: netip.MustParseAddrPort("127.0.0.1:1"),
-	}
+	proxies := []ctview.Proxy{newProxy(1, "d1")}
+	self := proxies[0]
 	clock := ctclock.System{}
 	state := ctstate.New()
 	f.state = state
-	f.pools = ctpools.New(f.group, self, nil, clock, zerolog.Nop())
+	var transport ctframe.Transport
+	if w == forwarded {
+		// With so many proxies, the members have no connections for each.
+		for i := range options.Connections {
+			proxies = append(proxies, newProxy(2+i, "d2"))
+		}
+		self = proxies[1]
+		f.carrier = ctpools.New(f.group, proxies[0], pipeTransport{}, clock, zerolog.Nop())
+		transport = pipeTransport{owner: f.carrier}
+	}
+	f.pools = ctpools.New(f.group, self, transport, clock, zerolog.Nop())
 	f.gateway = ctgateway.New(ctgateway.Options{
-		FailureDomain: "d1", State: state, Pools: f.pools, Clock: clock, Logger: zerolog.Nop(),
+		FailureDomain: self.FailureDomain, State: state, Pools: f.pools, Clock: clock, Logger: zerolog.Nop(),
 		NewCaller: func(net.Conn) ctgateway.Caller { return <-f.callers },
 		Metrics:   ctmetric.New(prometheus.NewRegistry()), TriggerReport: func() {},
 	})
 	var held ctlock.Held
 	delta := &ctview.Delta{
-		To: 1, Proxies: []ctview.Proxy{self}, Members: f.group.Announcements("d1"),
+		To: 1, Proxies: proxies, Members: f.group.Announcements("d1"),
 		Groups: []ctview.Group{{Name: options.Name, Term: 1, Primary: ctmembers.MemberName(0)}},
 		Config: &ctview.Config{Revision: 1, Document: ctconfig.Document{
 			Groups: []ctconfig.Group{{Name: options.Name, Promotion: ctconfig.PromotionExternal}},
@@ -149,6 +188,9 @@
 	_, view, err := state.ApplyDelta(&held, delta)
 	assert.NilError(t, err)
 	state.ExtendAuthority(&held, time.Now().Add(time.Hour))
+	if f.carrier != nil {
+		f.carrier.ApplyView(&held, view)
+	}
 	f.gateway.ApplyView(&held, view)
 	ctx, cancel := context.WithCancel(context.Background())
 	t.Cleanup(cancel)
@@ -156,6 +198,28 @@
 	return f
 }
 
+// newProxy returns a proxy of a failure domain.
+func newProxy(number int, domain ctid.FailureDomain) ctview.Proxy {
+	return ctview.Proxy{
+		Name: ctid.Proxy(fmt.Sprintf("p%02d", number)), FailureDomain: domain, Incarnation: 1, State: ctserver.StateReady,
+		Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 1, byte(number)}), 1),
+	}
+}
+
+// setGroup applies a newer state of the group, as the reply to a report does.
+func (f *fixture) setGroup(group ctview.Group) {
+	var held ctlock.Held
+	group.Name = f.group.Name
+	_, view := f.state.ApplyGroups(&held, []ctview.Group{group})
+	f.gateway.ApplyView(&held, view)
+}
+
+// replacePrimary applies the result of a whole change of primary, of which the proxy has
+// seen nothing before. The old primary still considers itself the primary.
+func (f *fixture) replacePrimary() {
+	f.setGroup(ctview.Group{Term: 2, Primary: ctmembers.MemberName(1)})
+}
+
 // connect starts a session. Its query IDs begin with its name, and its setting
 // "owner" contains it, so that the group can check which session a query belongs to.
 func (f *fixture) connect(t *testing.T, name string) *caller {
--- a/internal/lab/ctmembers/group.go
+++ b/internal/lab/ctmembers/group.go
@@ -50,6 +50,14 @@
 	violations []string
 	// answersToDrop is how many of the next answers get lost.
 	answersToDrop int
+	// hold holds back the next answer; nil if none is to be held back.
+	hold *answerHold
+}
+
+// answerHold holds back one answer.
+type answerHold struct {
+	// ran is closed once the query has run, and released when the answer may be sent.
+	ran, released chan struct{}
 }
 
 // entry is a log entry: a write and the ID of its query.
@@ -111,6 +119,32 @@
 	g.answersToDrop = count
 }
 
+// HoldAnswer holds back the answer to the next query until release is called. The
+// returned channel is closed once that query has run. Queries without an ID don't count.
+func (g *Group) HoldAnswer() (ran <-chan struct{}, release func()) {
+	hold := &answerHold{ran: make(chan struct{}), released: make(chan struct{})}
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	g.hold = hold
+	return hold.ran, func() { close(hold.released) }
+}
+
+// awaitRelease waits if the answer to a query that has run is to be held back.
+func (g *Group) awaitRelease(closed <-chan struct{}) {
+	g.mutex.Lock()
+	hold := g.hold
+	g.hold = nil
+	g.mutex.Unlock()
+	if hold == nil {
+		return
+	}
+	close(hold.ran)
+	select {
+	case <-hold.released:
+	case <-closed:
+	}
+}
+
 // Violations returns the recorded violations.
 func (g *Group) Violations() []string {
 	g.mutex.Lock()
--- a/internal/lab/ctmembers/link.go
+++ b/internal/lab/ctmembers/link.go
@@ -88,8 +88,12 @@
 			return
 		case q := <-c.queries:
 			answer := c.run(q)
-			if _, isStatus := q.Statement.(ctquery.ReadStatus); !isStatus && q.ID != "" && c.group.dropNextAnswer() {
-				continue
+			_, isStatus := q.Statement.(ctquery.ReadStatus)
+			if counted := !isStatus && q.ID != ""; counted {
+				c.group.awaitRelease(c.closed)
+				if c.group.dropNextAnswer() {
+					continue
+				}
 			}
 			select {
 			case c.answers <- answer:
--- a/internal/program/ctgateway/choose.go
+++ b/internal/program/ctgateway/choose.go
@@ -142,7 +142,10 @@
 		}
 		return "answered"
 	case ctdialog.Refused:
-		return "no_member_in_time_after_" + e.lastFault.String()
+		if e.refusal == refusalNoMember {
+			return string(e.refusal) + e.lastFault.String()
+		}
+		return string(e.refusal)
 	case ctdialog.Unanswered:
 		if r.TimedOut {
 			return "no_answer_in_time"
--- a/internal/program/ctgateway/group.go
+++ b/internal/program/ctgateway/group.go
@@ -80,7 +80,8 @@
 	g.groups.With(held, func(groups map[ctid.Group]*groupState) {
 		for name, group := range view.Groups {
 			state, ok := groups[name]
-			if len(view.Groups) <= ctview.TrackAllLimit || (ok && state.lastUsed.After(oldest)) {
+			inUse := ok && (state.runningAtPrimary > 0 || state.lastUsed.After(oldest))
+			if inUse || len(view.Groups) <= ctview.TrackAllLimit {
 				used = append(used, group)
 			}
 		}
@@ -157,13 +158,22 @@
 	}
 }
 
+// termEnded reports whether the primary of a term has been replaced, or is being replaced
+// and this proxy enforces the fence. The view alone shows a change that has ended before
+// this proxy learned of it.
+func (g *Gateway) termEnded(held *ctlock.Held, name ctid.Group, term ctposition.Term) bool {
+	return g.State.View(held).Groups[name].Term > term || g.enforcedFence(held, name) > term
+}
+
 // acknowledge reports whether a write that ran at the primary of a term may be
 // acknowledged, and records its point if so. It may not if the proxy's authority has
-// expired or if a later term's fence is enforced.
+// expired, if a later term is in the view or if a later term's fence is enforced.
+//
+// The authority is read first: the reply that extended it was applied to the view before.
 func (g *Gateway) acknowledge(
 	held *ctlock.Held, name ctid.Group, term ctposition.Term, point ctposition.Point,
 ) bool {
-	if !g.Clock.Now().Before(g.State.AuthorityExpiry(held)) {
+	if !g.Clock.Now().Before(g.State.AuthorityExpiry(held)) || g.State.View(held).Groups[name].Term > term {
 		return false
 	}
 	allowed := false
--- a/internal/program/ctgateway/run.go
+++ b/internal/program/ctgateway/run.go
@@ -50,9 +50,22 @@
 	tried ctset.Set[ctid.Member]
 	// lastFault is the fault in the last answer of a failed attempt.
 	lastFault ctquery.Fault
-	target    target
+	// refusal says why the statement was refused, if it was.
+	refusal refusal
+	target  target
 }
 
+// refusal is why a statement was refused: a value of the log key "why".
+type refusal string
+
+const (
+	// refusalNoMember: no member could run it in time. The log adds the last fault.
+	refusalNoMember refusal = "no_member_in_time_after_"
+	// refusalPrimaryReplaced: its transaction is open at a primary that is or will be
+	// replaced.
+	refusalPrimaryReplaced refusal = "primary_replaced"
+)
+
 // target is the member that a statement is sent to.
 type target struct {
 	member  ctid.Member
@@ -112,6 +125,10 @@
 		return ctdialog.Unanswered{}
 	}
 	e.target = target{member: p.conn.Member, primary: p.primary, term: p.term}
+	if p.writable && s.gateway.termEnded(&s.held, p.group, p.term) {
+		e.refusal = refusalPrimaryReplaced
+		return ctdialog.Refused{Fault: ctquery.FaultAborted, Text: "the primary was replaced; nothing is kept"}
+	}
 	for {
 		answer, err := s.exchange(e, e.run.Query, e.answerBy)
 		if err != nil {
@@ -201,6 +218,7 @@
 // refuse returns the result of a statement that no member can run in time. Only a
 // statement that did not run, or that only read, may be refused.
 func (s *session) refuse(e *execution) ctdialog.Result {
+	e.refusal = refusalNoMember
 	fault := ctquery.FaultBusy
 	if e.lastFault == ctquery.FaultBehind {
 		fault = e.lastFault
@@ -209,8 +227,8 @@
 }
 
 // acquire acquires a connection to the target, waiting until the send deadline, and
-// pins it to the session. If that fails, it marks the member as tried and returns
-// false.
+// pins it to the session. If that fails, or if the target was replaced meanwhile, it
+// marks the member as tried and returns false.
 func (s *session) acquire(e *execution) bool {
 	deadline := s.sendDeadline(e, s.gateway.Clock.Now())
 	if !e.target.primary && deadline.Before(e.sendBy) && !s.gateway.authorityLapsed(&s.held) {
@@ -226,7 +244,14 @@
 		e.tried.Add(e.target.member)
 		return false
 	}
-	s.pinned = &pinnedConn{conn: conn, group: s.route.Group, primary: e.target.primary, term: e.target.term}
+	if e.target.primary && s.gateway.termEnded(&s.held, s.route.Group, e.target.term) {
+		s.gateway.Pools.Release(&s.held, conn, ctpools.Result{})
+		e.tried.Add(e.target.member)
+		return false
+	}
+	s.pinned = &pinnedConn{
+		conn: conn, group: s.route.Group, primary: e.target.primary, writable: e.run.Primary, term: e.target.term,
+	}
 	if e.target.primary {
 		s.gateway.beginAtPrimary(&s.held, s.route.Group)
 	}
--- a/internal/program/ctgateway/session.go
+++ b/internal/program/ctgateway/session.go
@@ -59,7 +59,9 @@
 	// name another group for the next transaction.
 	group   ctid.Group
 	primary bool
-	term    ctposition.Term
+	// writable reports whether the statement or transaction may write.
+	writable bool
+	term     ctposition.Term
 }
 
 // serve serves one connection of a caller until its session ends.
