ctgateway: a member that may be a primary no more gives no sample of the log

Cause: exchange added the point of every answer on a connection that had been pinned to the primary, whatever happened to it since. A member that has become a replica reports what it has applied. The proxy's own query had the same gap: its authority was checked before the wait for a connection, not after.

Change: a point in an answer is a sample only if, when the answer arrives, the proxy has authority and knows no later term or fence; nobody is promoted before, so the member was the primary all along. ctfresh ignores a point before the newest sample's. The counter log_samples_dropped_total shows what was left out.

Ruled out: control's samples (the primary's own role and term are compared, and during a change they need the end of all acknowledgements); the PostgreSQL front end's positions (a lease of the group's term is needed); a session's own point, which only an acknowledged write sets.

--- a/internal/decide/ctfresh/samples.go
+++ b/internal/decide/ctfresh/samples.go
@@ -24,20 +24,20 @@
 
 // Samples stores the samples of one group's log. Its zero value is empty.
 type Samples struct {
-	// samples are in ascending order of requestedAt and of term.
+	// samples are in ascending order of requestedAt and of point.
 	samples []sample
 }
 
 // Add adds a sample: the point in the primary's answer, and the time before the query
 // was sent. A sample is ignored if it has no point, was not requested after the newest
-// one, or has an earlier term.
+// one, or has an earlier point: a primary's log never becomes shorter.
 func (s *Samples) Add(requestedAt time.Time, point ctposition.Point) {
 	if point.IsZero() {
 		return
 	}
 	if n := len(s.samples); n > 0 {
 		newest := s.samples[n-1]
-		if !requestedAt.After(newest.requestedAt) || newest.point.Term > point.Term {
+		if !requestedAt.After(newest.requestedAt) || ctposition.Later(newest.point, point) != point {
 			return
 		}
 		if n > 1 && requestedAt.Sub(s.samples[n-2].requestedAt) < minSampleInterval {
--- a/internal/decide/ctfresh/samples_test.go
+++ b/internal/decide/ctfresh/samples_test.go
@@ -58,6 +58,12 @@
 		s.Add(at(100), point(4))
 		assertPointCovering(t, &s, at(50), point(5), true)
 	})
+	t.Run("a sample of an earlier point is ignored", func(t *testing.T) {
+		var s ctfresh.Samples
+		s.Add(at(100), point(5))
+		s.Add(at(200), point(4))
+		assertPointCovering(t, &s, at(150), ctposition.Point{}, false)
+	})
 	t.Run("a sample of an earlier term is ignored", func(t *testing.T) {
 		var s ctfresh.Samples
 		s.Add(at(100), ctposition.Point{Term: 2, Position: 1})
--- a/internal/lab/ctmembers/fixture_test.go
+++ b/internal/lab/ctmembers/fixture_test.go
@@ -8,6 +8,7 @@
 	"net/netip"
 	"os"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -128,6 +129,16 @@
 	forwarded way = "over another proxy"
 )
 
+// aheadClock is the system's clock, set ahead by the test.
+type aheadClock struct {
+	ctclock.System
+	ahead atomic.Int64
+}
+
+func (c *aheadClock) Now() time.Time {
+	return c.System.Now().Add(time.Duration(c.ahead.Load()))
+}
+
 // fixture is a group with the gateway of one proxy in front of it.
 type fixture struct {
 	group *ctmembers.Group
@@ -136,11 +147,27 @@
 	carrier *ctpools.Pools
 	state   *ctstate.State
 	gateway *ctgateway.Gateway
+	clock   *aheadClock
 	callers chan *caller
 }
 
-// newFixture starts a gateway with one route, to the database "db", and stops it when
-// the test ends.
+// primaryDatabase is the database whose route leads to the primary in each fixture.
+const primaryDatabase = "db_primary"
+
+// maxStaleness is that of the routes.
+const maxStaleness = time.Second
+
+func newRoute(group ctid.Group, database ctid.Database, freshness ctconfig.Freshness) ctconfig.Route {
+	return ctconfig.Route{
+		Name: "r-" + string(database), Database: database, Group: group, Freshness: freshness,
+		MaxStaleness:     ctconfig.Duration(maxStaleness),
+		StatementTimeout: ctconfig.Duration(2 * time.Second),
+		TargetLatency:    ctconfig.Duration(2 * time.Second),
+	}
+}
+
+// newFixture starts a gateway with a route of a freshness, to the database "db", and stops
+// it when the test ends.
 func newFixture(t *testing.T, options ctmembers.Options, freshness ctconfig.Freshness) *fixture {
 	t.Helper()
 	return newFixtureWith(t, direct, options, freshness)
@@ -149,10 +176,10 @@
 // newFixtureWith is newFixture with a proxy whose statements go a given way.
 func newFixtureWith(t *testing.T, w way, options ctmembers.Options, freshness ctconfig.Freshness) *fixture {
 	t.Helper()
-	f := &fixture{group: ctmembers.New(options), callers: make(chan *caller, 1)}
+	clock := &aheadClock{}
+	f := &fixture{group: ctmembers.New(options), clock: clock, callers: make(chan *caller, 1)}
 	proxies := []ctview.Proxy{newProxy(1, "d1")}
 	self := proxies[0]
-	clock := ctclock.System{}
 	state := ctstate.New()
 	f.state = state
 	var transport ctframe.Transport
@@ -177,12 +204,10 @@
 		Groups: []ctview.Group{{Name: options.Name, Term: 1, Primary: ctmembers.MemberName(0)}},
 		Config: &ctview.Config{Revision: 1, Document: ctconfig.Document{
 			Groups: []ctconfig.Group{{Name: options.Name, Promotion: ctconfig.PromotionExternal}},
-			Routes: []ctconfig.Route{{
-				Name: "r", Database: "db", Group: options.Name, Freshness: freshness,
-				MaxStaleness:     ctconfig.Duration(time.Second),
-				StatementTimeout: ctconfig.Duration(2 * time.Second),
-				TargetLatency:    ctconfig.Duration(2 * time.Second),
-			}},
+			Routes: []ctconfig.Route{
+				newRoute(options.Name, "db", freshness),
+				newRoute(options.Name, primaryDatabase, ctconfig.FreshnessPrimary),
+			},
 		}},
 	}
 	_, view, err := state.ApplyDelta(&held, delta)
@@ -224,7 +249,13 @@
 // "owner" contains it, so that the group can check which session a query belongs to.
 func (f *fixture) connect(t *testing.T, name string) *caller {
 	t.Helper()
-	c := newCaller(name, "db")
+	return f.connectTo(t, name, "db")
+}
+
+// connectTo is connect for a session of the given database.
+func (f *fixture) connectTo(t *testing.T, name string, database ctid.Database) *caller {
+	t.Helper()
+	c := newCaller(name, database)
 	f.callers <- c
 	f.gateway.ServeConn(nil)
 	answer, _ := c.call(t, ctquery.Set{Name: "owner", Value: name})
--- a/internal/lab/ctmembers/group.go
+++ b/internal/lab/ctmembers/group.go
@@ -36,17 +36,18 @@
 	LagEntries int
 }
 
-// term is the group's only term.
-const term = 1
+// firstTerm is the group's term before the first promotion.
+const firstTerm ctposition.Term = 1
 
-// Group is a database group in memory. Its first member is the primary for good. It
-// is safe for concurrent use.
+// Group is a database group in memory. Its first member is the primary until another one
+// is promoted. It is safe for concurrent use.
 type Group struct {
 	Options
 
 	mutex      sync.Mutex
 	members    map[ctid.Member]*member
 	log        []entry
+	term       ctposition.Term
 	violations []string
 	// answersToDrop is how many of the next answers get lost.
 	answersToDrop int
@@ -60,16 +61,21 @@
 	ran, released chan struct{}
 }
 
-// entry is a log entry: a write and the ID of its query.
+// entry is a log entry: a write, the ID of its query and the term of the primary that
+// committed it.
 type entry struct {
 	item, data string
 	id         ctquery.ID
+	term       ctposition.Term
 }
 
 // member is one member of a group. The group's mutex guards its counts.
 type member struct {
 	name    ctid.Member
 	primary bool
+	// appliedAsPrimary is how many log entries the member had when it ceased to be the
+	// primary.
+	appliedAsPrimary int
 	// slots contains an element for each slot in use.
 	slots             chan struct{}
 	waitingStatements int
@@ -80,7 +86,7 @@
 
 // New returns a group with an empty log.
 func New(options Options) *Group {
-	g := &Group{Options: options, members: make(map[ctid.Member]*member)}
+	g := &Group{Options: options, members: make(map[ctid.Member]*member), term: firstTerm}
 	for i := range options.Members {
 		name := MemberName(i)
 		g.members[name] = &member{name: name, primary: i == 0, slots: make(chan struct{}, options.Slots)}
@@ -103,7 +109,7 @@
 			role = ctserver.RolePrimary
 		}
 		announcements = append(announcements, ctserver.Announcement{
-			Group: g.Name, Member: MemberName(i), FailureDomain: domain, Incarnation: 1, Term: term,
+			Group: g.Name, Member: MemberName(i), FailureDomain: domain, Incarnation: 1, Term: firstTerm,
 			Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 0, byte(i + 1)}), 1),
 			Role:    role, State: ctserver.StateReady, Slots: g.Slots, Connections: g.Connections,
 		})
@@ -214,21 +220,55 @@
 	if m.primary {
 		return len(g.log)
 	}
-	return max(0, len(g.log)-g.LagEntries)
+	return max(0, m.appliedAsPrimary, len(g.log)-g.LagEntries)
 }
 
 // point returns the point up to which a member has applied the log.
 func (g *Group) point(m *member) ctposition.Point {
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
-	return ctposition.Point{Term: term, Position: ctposition.Position(g.appliedCount(m))}
+	count := g.appliedCount(m)
+	point := ctposition.Point{Term: firstTerm, Position: ctposition.Position(count)}
+	if count > 0 {
+		point.Term = g.log[count-1].term
+	}
+	return point
+}
+
+// Promote makes another member the primary of the next term. The old primary becomes a
+// replica that keeps what it has.
+func (g *Group) Promote(name ctid.Member) {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	for _, m := range g.members {
+		if m.primary {
+			m.primary, m.appliedAsPrimary = false, len(g.log)
+		}
+	}
+	g.term++
+	g.members[name].primary = true
+}
+
+// isPrimary reports whether a member considers itself the primary.
+func (g *Group) isPrimary(m *member) bool {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	return m.primary
+}
+
+// Commit appends a write to the log, as if another proxy's caller had committed it.
+func (g *Group) Commit(item, data string) {
+	g.appendWrites([]entry{{item: item, data: data}})
 }
 
 // appendWrites appends committed writes to the log.
 func (g *Group) appendWrites(writes []entry) {
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
-	g.log = append(g.log, writes...)
+	for _, w := range writes {
+		w.term = g.term
+		g.log = append(g.log, w)
+	}
 }
 
 // read returns the newest data of an item: what the member has applied, with the
--- a/internal/lab/ctmembers/link.go
+++ b/internal/lab/ctmembers/link.go
@@ -148,7 +148,7 @@
 	switch {
 	case c.transaction != nil:
 		c.group.recordViolation("a transaction was begun inside another one")
-	case !s.ReadOnly && !c.member.primary:
+	case !s.ReadOnly && !c.group.isPrimary(c.member):
 		answer.Fault = ctquery.FaultReadOnly
 	default:
 		c.transaction = &transaction{readOnly: s.ReadOnly}
@@ -173,6 +173,10 @@
 		c.group.recordViolation("a commit came outside a transaction")
 		return
 	}
+	if !c.transaction.readOnly && !c.group.isPrimary(c.member) {
+		answer.Fault = ctquery.FaultReadOnly
+		return
+	}
 	if !c.useSlot(answer) {
 		return
 	}
@@ -193,7 +197,7 @@
 }
 
 func (c *conn) write(q ctquery.Query, arguments string, answer *ctquery.Answer) {
-	if !c.member.primary {
+	if !c.group.isPrimary(c.member) {
 		answer.Fault = ctquery.FaultReadOnly
 		return
 	}
--- a/internal/program/ctgateway/group.go
+++ b/internal/program/ctgateway/group.go
@@ -198,8 +198,24 @@
 	sampleFromControl sampleSource = "control"
 )
 
+// addAnswerSample adds the point in a member's answer to a query sent at sentAt as a sample
+// of the group's log, unless the member may have ceased to be the primary of the term. A
+// member that has become a replica reports what it has applied, which may be long ago.
+//
+// A check at the answer suffices: nobody is promoted before the proxy's authority ends or
+// it enforces the fence, so the member was the primary all along.
+func (g *Gateway) addAnswerSample(
+	held *ctlock.Held, name ctid.Group, term ctposition.Term, source sampleSource, sentAt time.Time, point ctposition.Point,
+) {
+	if !g.Clock.Now().Before(g.State.AuthorityExpiry(held)) || g.termEnded(held, name, term) {
+		g.Metrics.SamplesDropped.WithLabelValues(string(source)).Inc()
+		return
+	}
+	g.addSample(held, name, source, sentAt, point)
+}
+
 // addSample adds a sample of a group's log: the point in the primary's answer to a
-// query sent at sentAt. The proxy must have had authority at that time.
+// query sent at sentAt.
 func (g *Gateway) addSample(
 	held *ctlock.Held, name ctid.Group, source sampleSource, sentAt time.Time, point ctposition.Point,
 ) {
@@ -245,18 +261,18 @@
 			state.sampling = state.sampling || due
 		})
 		if due {
-			go g.querySample(group.Name, group.Primary)
+			go g.querySample(group)
 		}
 	}
 }
 
 // querySample queries a group's primary for its position in the log and adds the
 // answer as a sample.
-func (g *Gateway) querySample(name ctid.Group, primary ctid.Member) {
+func (g *Gateway) querySample(group ctview.Group) {
 	var held ctlock.Held
-	defer g.groups.With(&held, func(groups map[ctid.Group]*groupState) { groupStateOf(groups, name).sampling = false })
+	defer g.groups.With(&held, func(groups map[ctid.Group]*groupState) { groupStateOf(groups, group.Name).sampling = false })
 	deadline := g.Clock.Now().Add(sampleTimeout)
-	conn, err := g.Pools.Acquire(&held, primary, ctpools.AcquireOptions{Deadline: deadline})
+	conn, err := g.Pools.Acquire(&held, group.Primary, ctpools.AcquireOptions{Deadline: deadline})
 	if err != nil {
 		return
 	}
@@ -266,7 +282,7 @@
 	result := ctpools.Result{Discard: err != nil}
 	if err == nil {
 		result.Answered = true
-		g.addSample(&held, name, sampleFromQuery, sentAt, answer.Point)
+		g.addAnswerSample(&held, group.Name, group.Term, sampleFromQuery, sentAt, answer.Point)
 	}
 	g.Pools.Release(&held, conn, result)
 }
--- a/internal/program/ctgateway/run.go
+++ b/internal/program/ctgateway/run.go
@@ -348,15 +348,14 @@
 func (s *session) exchange(e *execution, query ctquery.Query, deadline time.Time) (ctquery.Answer, error) {
 	conn := s.pinned.conn
 	sentAt := s.gateway.Clock.Now()
-	authorized := sentAt.Before(s.gateway.State.AuthorityExpiry(&s.held))
 	limits := ctpools.Limits{SendDeadline: s.sendDeadline(e, sentAt), Deadline: deadline, Priority: s.route.Priority}
 	answer, err := conn.Run(s.dialog.State(), query, limits)
 	if err != nil {
 		return ctquery.Answer{}, err
 	}
 	now := s.gateway.Clock.Now()
-	if s.pinned.primary && authorized {
-		s.gateway.addSample(&s.held, s.route.Group, sampleFromStatement, sentAt, answer.Point)
+	if s.pinned.primary {
+		s.gateway.addAnswerSample(&s.held, s.pinned.group, s.pinned.term, sampleFromStatement, sentAt, answer.Point)
 	}
 	result := ctpools.Result{Answered: true, Applied: answer.Point}
 	if _, begins := query.Statement.(ctquery.Begin); !begins && answer.OK() {
--- a/internal/program/ctmetric/metrics.go
+++ b/internal/program/ctmetric/metrics.go
@@ -45,6 +45,9 @@
 	ConfirmSeconds prometheus.Histogram
 	// Samples counts the samples of groups' logs by source.
 	Samples *prometheus.CounterVec
+	// SamplesDropped counts answers that were no samples, because their members may not
+	// have been primaries any more, by source.
+	SamplesDropped *prometheus.CounterVec
 	// ViewVersion is the version of the view in force.
 	ViewVersion prometheus.Gauge
 	// Revision is the revision of the configuration in force.
@@ -73,6 +76,7 @@
 		Refusals:        f.counterVec("member_refused_total", "Requests refused at the holder.", "member", "reason"),
 		ConfirmSeconds:  f.histogram("confirm_seconds", "Wait for the confirmation of writes."),
 		Samples:         f.counterVec("log_samples_total", "Samples of the ends of groups' logs.", "source"),
+		SamplesDropped:  f.counterVec("log_samples_dropped_total", "Points of members that may be primaries no more.", "source"),
 		ViewVersion:     f.gauge("view_version", "Version of the view in force."),
 		Revision:        f.gauge("config_revision", "Revision of the configuration in force."),
 		Reports:         f.counterVec("reports_total", "Reports to control.", "result"),
