ctgateway: a planned stop answers each query that the proxy has read

Cause: ctnode let open transactions go on until 1 s before the end and then closed all callers' connections, whatever they did. Nothing refused a transaction's statements after its half of the time, and nothing ended the wait for a member's answer. A proxy that forwards for others exited in the same way with their statements running, and could exit between the end of a statement and its reply.

Change: a planned stop has phases (ctstop). Transactions have the first half; then a statement of one is refused as aborted before it is sent, except COMMIT and ROLLBACK. 1 s before the end the waits for members end, and each caller is told what is known: aborted, busy or unknown. Sessions end themselves after their answer. A proxy that forwards does the same for the queries of others, and waits until its replies are written.

--- a/internal/lab/ctmembers/fixture_test.go
+++ b/internal/lab/ctmembers/fixture_test.go
@@ -113,7 +113,13 @@
 	select {
 	case answer := <-c.answers:
 		return answer
+	case <-c.closed:
 	case <-time.After(testTimeout):
+	}
+	select {
+	case answer := <-c.answers:
+		return answer
+	default:
 		t.Fatalf("no answer to %s", id)
 	}
 	return ctquery.Answer{}
--- a/internal/program/ctgateway/doc.go
+++ b/internal/program/ctgateway/doc.go
@@ -21,6 +21,6 @@
 	go gateway.Run(ctx)
 	go gateway.Serve(listener)
 	...
-	gateway.Drain(ctx)
+	gateway.Stop(ctx, times)
 */
 package ctgateway
--- a/internal/program/ctgateway/gateway.go
+++ b/internal/program/ctgateway/gateway.go
@@ -94,9 +94,6 @@
 	}
 }
 
-// drainPollInterval is the time between two checks whether all sessions have ended.
-const drainPollInterval = 50 * time.Millisecond
-
 // maintenanceInterval is the time between two rounds of Run.
 const maintenanceInterval = 200 * time.Millisecond
 
@@ -180,43 +177,3 @@
 func (g *Gateway) MarkUnready() {
 	g.unready.Store(true)
 }
-
-// Drain ends each session as soon as it has no transaction open, and waits for them
-// until ctx ends. It reports whether all sessions have ended.
-func (g *Gateway) Drain(ctx context.Context) bool {
-	g.unready.Store(true)
-	for {
-		g.closeIdleSessions()
-		if g.openConns.Load() == 0 {
-			return true
-		}
-		select {
-		case <-ctx.Done():
-			return false
-		case <-g.Clock.After(drainPollInterval):
-		}
-	}
-}
-
-// closeIdleSessions makes each current session end as soon as it has no transaction
-// open.
-func (g *Gateway) closeIdleSessions() {
-	var held ctlock.Held
-	g.sessions.With(&held, func(sessions map[ctid.Session]*session) {
-		for _, s := range sessions {
-			s.closeWhenIdle.Store(true)
-			s.caller.Interrupt()
-		}
-	})
-}
-
-// DisconnectAll closes the connections of all callers that have a session, also
-// during a transaction.
-func (g *Gateway) DisconnectAll() {
-	var held ctlock.Held
-	g.sessions.With(&held, func(sessions map[ctid.Session]*session) {
-		for _, s := range sessions {
-			s.caller.Close()
-		}
-	})
-}
--- a/internal/program/ctgateway/run.go
+++ b/internal/program/ctgateway/run.go
@@ -64,6 +64,8 @@
 	// refusalPrimaryReplaced: its transaction is open at a primary that is or will be
 	// replaced.
 	refusalPrimaryReplaced refusal = "primary_replaced"
+	// refusalStopping: this proxy is about to stop.
+	refusalStopping refusal = "planned_stop"
 )
 
 // target is the member that a statement is sent to.
@@ -86,10 +88,12 @@
 		answerBy:  now.Add(time.Duration(s.route.StatementTimeout)),
 	}
 	e.sendBy = earlier(e.sendBy, e.answerBy)
-	var result ctdialog.Result
-	if run.Pinned {
+	result := s.refuseByStop(e)
+	switch {
+	case result != nil:
+	case run.Pinned:
 		result = s.runPinned(e)
-	} else {
+	default:
 		result = s.runOnAnyMember(e)
 	}
 	reply := s.dialog.HandleResult(run, result)
@@ -134,7 +138,8 @@
 		if err != nil {
 			return unanswered(err)
 		}
-		retry := answer.Fault == ctquery.FaultBusy && answer.Transaction == ctquery.TransactionOpen
+		retry := answer.Fault == ctquery.FaultBusy && answer.Transaction == ctquery.TransactionOpen &&
+			!s.gateway.Pools.Stop.QueriesAbandoned()
 		if !retry || !s.gateway.Clock.Now().Before(e.sendBy) {
 			return s.replied(e, answer)
 		}
@@ -162,6 +167,9 @@
 // one if that member did not run it.
 func (s *session) runOnAnyMember(e *execution) ctdialog.Result {
 	for {
+		if s.gateway.Pools.Stop.QueriesAbandoned() {
+			return s.refuseByStop(e)
+		}
 		targets := s.targets(e)
 		if len(targets) == 0 {
 			if result := s.waitOrRefuse(e); result != nil {
@@ -348,7 +356,10 @@
 func (s *session) exchange(e *execution, query ctquery.Query, deadline time.Time) (ctquery.Answer, error) {
 	conn := s.pinned.conn
 	sentAt := s.gateway.Clock.Now()
-	limits := ctpools.Limits{SendDeadline: s.sendDeadline(e, sentAt), Deadline: deadline, Priority: s.route.Priority}
+	limits := ctpools.Limits{
+		SendDeadline: s.sendDeadline(e, sentAt), Deadline: deadline, Priority: s.route.Priority,
+		Abandoned: s.gateway.Pools.Stop.Abandoned(),
+	}
 	answer, err := conn.Run(s.dialog.State(), query, limits)
 	if err != nil {
 		return ctquery.Answer{}, err
--- a/internal/program/ctgateway/session.go
+++ b/internal/program/ctgateway/session.go
@@ -164,7 +164,7 @@
 // serveQueries serves the caller's queries until the session ends.
 func (s *session) serveQueries() {
 	for {
-		if s.closeWhenIdle.Load() && !s.dialog.InTransaction() {
+		if s.mayEnd() {
 			if !s.serveArrivedQuery() {
 				return
 			}
--- a/internal/program/ctnode/proxy.go
+++ b/internal/program/ctnode/proxy.go
@@ -34,12 +34,12 @@
 	// balancerGrace is how long the load balancer may still send callers to a proxy that
 	// has become unready.
 	balancerGrace = 2200 * time.Millisecond
-	// forwardedPollInterval is the time between two checks whether the transactions of
-	// other proxies have ended.
-	forwardedPollInterval = 50 * time.Millisecond
-	// deregisterReserve is the time reserved at the end of a planned stop. Half of it
-	// bounds the last report to control.
-	deregisterReserve = time.Second
+	// stopReserve is the time reserved at the end of a planned stop, after the waits for
+	// members' answers. deliveryTimeout is the part of it in which callers take their last
+	// answers, and deregisterTimeout bounds the last report to control.
+	stopReserve       = time.Second
+	deliveryTimeout   = 300 * time.Millisecond
+	deregisterTimeout = 500 * time.Millisecond
 )
 
 // ProxyFrontends are a proxy's interfaces to callers, members and the load balancer.
@@ -184,44 +184,30 @@
 	p.uplink.Relay(ctx, stream, frame)
 }
 
-// awaitForwarded waits until no other proxy uses a connection of this one. It returns
-// false if ctx ends first.
-func (p *Proxy) awaitForwarded(ctx context.Context) bool {
-	for p.pools.ForwardedConnections() > 0 {
-		select {
-		case <-ctx.Done():
-			return false
-		case <-p.clock.After(forwardedPollInterval):
-		}
-	}
-	return true
-}
-
 func (p *Proxy) ready() bool {
 	var held ctlock.Held
 	return p.gateway.Ready(&held)
 }
 
 // stop performs a planned stop. New callers are served until the load balancer has seen
-// that the proxy is unready. Each session then ends when it has no transaction open, and
-// those that remain at the end are disconnected.
+// that the proxy is unready. Each session then ends when it has no transaction open.
+// Transactions have the first half of the time to end.
 func (p *Proxy) stop(ctx context.Context, callers net.Listener) {
 	p.logger.Info().Str("event", "stopping").Str("why", "signal").Send()
+	begin := p.clock.Now()
+	answers := begin.Add(p.settings.StopTimeout - stopReserve)
+	times := ctgateway.StopTimes{
+		Transactions: begin.Add(p.settings.StopTimeout / 2), Answers: answers, Delivery: answers.Add(deliveryTimeout),
+	}
 	p.gateway.MarkUnready()
 	p.uplink.SetState(ctserver.StateLeaving)
 	p.pools.NotifyStopping()
-	ctx, cancel := context.WithTimeout(ctx, p.settings.StopTimeout-deregisterReserve)
-	defer cancel()
-	select {
-	case <-ctx.Done():
-	case <-p.clock.After(min(balancerGrace, p.settings.StopTimeout/2)):
-	}
-	drained := p.gateway.Drain(ctx) && p.awaitForwarded(ctx)
+	<-p.clock.After(min(balancerGrace, p.settings.StopTimeout/2))
+	drained := p.gateway.Stop(ctx, times)
 	_ = callers.Close()
-	// Sessions may have begun after the first Drain and before the listener was closed.
-	drained = p.gateway.Drain(ctx) && drained
-	p.gateway.DisconnectAll()
-	deregisterCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), deregisterReserve/2)
+	// Sessions may have begun between the end of the last one and the close.
+	drained = p.gateway.Stop(ctx, times) && drained
+	deregisterCtx, cancel := context.WithTimeout(ctx, deregisterTimeout)
 	defer cancel()
 	if err := p.uplink.Deregister(deregisterCtx); err != nil {
 		p.logger.Info().Str("event", "parting_failed").Str("error", err.Error()).Send()
--- a/internal/program/ctpools/conn.go
+++ b/internal/program/ctpools/conn.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/cherviltrestle/cherviltrestle/internal/decide/ctdialog"
+	"github.com/cherviltrestle/cherviltrestle/internal/model/cterror"
 	"github.com/cherviltrestle/cherviltrestle/internal/model/ctid"
 	"github.com/cherviltrestle/cherviltrestle/internal/model/ctquery"
 	"github.com/cherviltrestle/cherviltrestle/internal/model/ctserver"
@@ -28,11 +29,19 @@
 	// the answer must arrive.
 	SendDeadline time.Time
 	Deadline     time.Time
+	// Abandoned ends the wait for the answer when it is closed, as the deadline does. If
+	// it is nil, nothing but the deadline ends the wait.
+	Abandoned <-chan struct{}
 	// Priority orders a forwarded query among those that wait for a connection; 0 is
 	// the most urgent.
 	Priority int
 }
 
+// errAbandoned returns the error of a query that was abandoned.
+func errAbandoned() error {
+	return cterror.New(cterror.Expired, "this proxy stops and waits no longer for the member", "use another proxy")
+}
+
 // Conn is a pooled connection to a member. It belongs to one user at a time, from
 // Acquire to Release.
 type Conn struct {
@@ -51,8 +60,8 @@
 
 // Run runs a query with a session's state and waits for its answer. A nil state
 // leaves the connection's state as it is, for queries that depend on none. If no
-// answer arrives, Run returns an error of kind cterror.Expired after the deadline,
-// else of kind cterror.Unavailable. The connection can't be used after an error.
+// answer arrives, Run returns an error of kind cterror.Expired after the deadline or once
+// the query is abandoned, else of kind cterror.Unavailable. The connection can't be used after an error.
 func (c *Conn) Run(state *ctdialog.State, query ctquery.Query, limits Limits) (ctquery.Answer, error) {
 	return c.executor.run(state, query, limits)
 }
--- a/internal/program/ctpools/direct.go
+++ b/internal/program/ctpools/direct.go
@@ -89,7 +89,7 @@
 		queries = e.connectionState.Update(state, query.Statement)
 	}
 	queries = append(queries, query)
-	answers, err := e.exchange(queries, limits.Deadline)
+	answers, err := e.exchange(queries, limits)
 	if err != nil {
 		return ctquery.Answer{}, err
 	}
@@ -116,15 +116,16 @@
 }
 
 // exchange sends queries and waits for all their answers. If some don't arrive, it
-// returns those that did, with an error of kind cterror.Expired after the deadline,
-// else of kind cterror.Unavailable. The connection can't be used after an error.
-func (e *directExecutor) exchange(queries []ctquery.Query, deadline time.Time) ([]ctquery.Answer, error) {
+// returns those that did, with an error of kind cterror.Expired after the deadline or
+// once they are abandoned, else of kind cterror.Unavailable. The connection can't be used
+// after an error.
+func (e *directExecutor) exchange(queries []ctquery.Query, limits Limits) ([]ctquery.Answer, error) {
 	e.answerPending = true
 	if err := e.raw.Send(queries); err != nil {
 		e.close()
 		return nil, cterror.Wrap(cterror.Unavailable, err, "send to the member", "try another member")
 	}
-	timer := time.NewTimer(deadline.Sub(e.clock.Now()))
+	timer := time.NewTimer(limits.Deadline.Sub(e.clock.Now()))
 	defer timer.Stop()
 	answers := make([]ctquery.Answer, 0, len(queries))
 	for len(answers) < len(queries) {
@@ -135,6 +136,8 @@
 			if answers = e.drain(answers, len(queries)); len(answers) < len(queries) {
 				return answers, cterror.New(cterror.Unavailable, "the connection to the member broke", "try another member")
 			}
+		case <-limits.Abandoned:
+			return answers, errAbandoned()
 		case <-timer.C:
 			return answers, cterror.New(cterror.Expired, "the member did not answer in time", "try another member")
 		}
--- a/internal/program/ctpools/forwarding.go
+++ b/internal/program/ctpools/forwarding.go
@@ -120,7 +120,7 @@
 		e.close()
 		return ctquery.Answer{}, cterror.Wrap(cterror.Unavailable, err, "send to the carrying proxy", "try another member")
 	}
-	reply, err := e.awaitReply(limits.Deadline.Add(forwardReplyGrace).Sub(now))
+	reply, err := e.awaitReply(limits.Deadline.Add(forwardReplyGrace).Sub(now), limits.Abandoned)
 	if err != nil {
 		return ctquery.Answer{}, err
 	}
@@ -128,8 +128,9 @@
 	return answerFrom(reply)
 }
 
-// awaitReply waits for a reply, which may have arrived just before the stream closed.
-func (e *forwardingExecutor) awaitReply(d time.Duration) (*ctframe.ForwardReply, error) {
+// awaitReply waits for a reply, which may have arrived just before the stream closed, until
+// the query is abandoned.
+func (e *forwardingExecutor) awaitReply(d time.Duration, abandoned <-chan struct{}) (*ctframe.ForwardReply, error) {
 	timer := time.NewTimer(d)
 	defer timer.Stop()
 	select {
@@ -142,6 +143,8 @@
 		default:
 		}
 		return nil, cterror.New(cterror.Unavailable, "the way to the carrying proxy broke", "try another member")
+	case <-abandoned:
+		return nil, errAbandoned()
 	case <-timer.C:
 		return nil, cterror.New(cterror.Expired, "the carrying proxy did not answer in time", "try another member")
 	}
--- a/internal/program/ctpools/forwardserver.go
+++ b/internal/program/ctpools/forwardserver.go
@@ -67,6 +67,12 @@
 	return int(p.forwardedCount.Load())
 }
 
+// AnsweringForwarded returns how many queries of other proxies this one has read and not
+// answered yet.
+func (p *Pools) AnsweringForwarded() int {
+	return int(p.answeringCount.Load())
+}
+
 // ServeForwarded runs the queries that another proxy sends over a stream on this
 // proxy's own connections. The first one has been read already. ServeForwarded returns
 // when the stream ends or brings a frame of another type.
@@ -78,7 +84,7 @@
 	s := &forwardServer{pools: p}
 	defer s.rollBackOpen()
 	for frame := first; ; {
-		if stream.Write(s.serve(frame)) != nil {
+		if s.answer(stream, frame) != nil {
 			return
 		}
 		next, err := stream.Read()
@@ -100,17 +106,28 @@
 	conn *Conn
 }
 
+// answer runs one query and writes the reply.
+func (s *forwardServer) answer(stream ctframe.Stream, frame *ctframe.Forward) error {
+	s.pools.answeringCount.Add(1)
+	defer s.pools.answeringCount.Add(-1)
+	return stream.Write(s.serve(frame))
+}
+
 // serve runs one query and returns the reply for the other proxy. The connection stays
 // acquired while a transaction is open.
 func (s *forwardServer) serve(frame *ctframe.Forward) *ctframe.ForwardReply {
 	now := s.pools.Clock.Now()
+	if s.refusedByStop(frame) {
+		s.log(frame, "planned_stop", now)
+		return s.abort()
+	}
 	state := stateOf(frame)
 	if s.conn == nil && !s.acquire(frame, state, now) {
 		s.log(frame, "refused", now)
 		return &ctframe.ForwardReply{Refused: true}
 	}
 	sentAt := s.pools.Clock.Now()
-	limits := Limits{Deadline: now.Add(frame.AnswerTimeout)}
+	limits := Limits{Deadline: now.Add(frame.AnswerTimeout), Abandoned: s.pools.Stop.Abandoned()}
 	answer, err := s.conn.Run(state, frame.Query.Query(), limits)
 	if err != nil {
 		s.release(Result{Discard: true})
@@ -130,6 +147,35 @@
 	return &ctframe.ForwardReply{Answer: &answer}
 }
 
+// refusedByStop reports whether the planned stop of this proxy has come too far for a query:
+// for all once queries are abandoned, and before that for statements that don't end their
+// transaction.
+func (s *forwardServer) refusedByStop(frame *ctframe.Forward) bool {
+	if s.pools.Stop.QueriesAbandoned() {
+		return true
+	}
+	if s.conn == nil || !s.pools.Stop.TransactionsEnding() {
+		return false
+	}
+	switch frame.Query.Statement().(type) {
+	case ctquery.Commit, ctquery.Rollback:
+		return false
+	}
+	return true
+}
+
+// abort returns the reply to a query that wasn't sent. It closes the connection of the open
+// transaction, which rolls the transaction back.
+func (s *forwardServer) abort() *ctframe.ForwardReply {
+	if s.conn == nil {
+		return &ctframe.ForwardReply{Refused: true}
+	}
+	s.release(Result{Discard: true})
+	return &ctframe.ForwardReply{Answer: &ctquery.Answer{
+		Fault: ctquery.FaultAborted, Text: "the carrying proxy is about to stop; nothing is kept",
+	}}
+}
+
 // log writes the log line of a forwarded query.
 func (s *forwardServer) log(frame *ctframe.Forward, outcome string, startedAt time.Time) {
 	ctlog.Decision(&s.pools.Logger, "carry").
--- a/internal/program/ctpools/pools.go
+++ b/internal/program/ctpools/pools.go
@@ -20,6 +20,7 @@
 	"github.com/cherviltrestle/cherviltrestle/internal/program/ctlog"
 	"github.com/cherviltrestle/cherviltrestle/internal/work/ctclock"
 	"github.com/cherviltrestle/cherviltrestle/internal/work/ctlock"
+	"github.com/cherviltrestle/cherviltrestle/internal/work/ctstop"
 	"github.com/cherviltrestle/cherviltrestle/internal/work/cttable"
 )
 
@@ -70,9 +71,14 @@
 	// a Transport, each proxy has connections of its own to every member.
 	Self      ctview.Proxy
 	Transport ctframe.Transport
+	// Stop says how far the process's planned stop has come.
+	Stop ctstop.Stop
 
 	served         servedStreams
 	forwardedCount atomic.Int64
+	// answeringCount counts the queries of other proxies that have been read and not
+	// answered yet.
+	answeringCount atomic.Int64
 	members        cttable.Table[ctid.Member, memberPool]
 }
 
@@ -199,6 +205,7 @@
 		}
 		return conn, nil
 	case <-timer.C:
+	case <-p.Stop.Abandoned():
 	}
 	p.members.With(held, func(members map[ctid.Member]*memberPool) {
 		if m, ok := members[name]; ok {
