ctentry: a planned stop answers requests that run longer than it may take

Callers saw: the PostgreSQL connection closed without an answer at the end of the stop timeout, while their request ran.

Cause: ctproxy drained callers until the stop timeout and then ended the process; nothing ended a transaction's time or the wait for an answer before.

Change: the session has two more events. After half of the stop timeout a transaction takes only the request that ends it; 1 s before the end the running requests are aborted, and each caller gets an outcome: unknown, or not run where the request was not sent or only read. A retry that waits ends as not run.

--- a/internal/decide/ctsession/end.go
+++ b/internal/decide/ctsession/end.go
@@ -51,6 +51,20 @@
 	return s.disconnect(env, ctoutcome.NotRun{Reason: ctoutcome.ReasonLeaving}, DisconnectDrain)
 }
 
+// handleRequestsDue ends the session: at once if no request runs, else with the failure of
+// the running one.
+func (s *Session) handleRequestsDue(env *Environment) []Effect {
+	s.draining, s.transactionsDue, s.requestsDue = true, true, true
+	switch s.stage {
+	case stageRunning:
+		return []Effect{AbortRequest{}}
+	case stageWaiting:
+		return s.fail(env, ctoutcome.NotRun{Reason: ctoutcome.ReasonLeaving})
+	default:
+		return s.disconnect(env, ctoutcome.NotRun{Reason: ctoutcome.ReasonLeaving}, DisconnectDrain)
+	}
+}
+
 func (s *Session) startIdleTimer(env *Environment) Effect {
 	return StartIdleTimer{Timeout: s.settings(env).Sessions.IdleTimeout.Or(ctconfig.DefaultIdleTimeout)}
 }
--- a/internal/decide/ctsession/event.go
+++ b/internal/decide/ctsession/event.go
@@ -65,6 +65,15 @@
 // DrainRequested reports that the proxy is about to stop.
 type DrainRequested struct{}
 
+// TransactionsDue reports that the proxy is about to stop and that open transactions have
+// had their time. Only a request that ends its transaction is still sent.
+type TransactionsDue struct{}
+
+// RequestsDue reports that the proxy waits no longer for the answers to requests.
+type RequestsDue struct{}
+
+func (TransactionsDue) isEvent() {}
+func (RequestsDue) isEvent()     {}
 func (Started) isEvent()         {}
 func (RequestReceived) isEvent() {}
 func (Answered) isEvent()        {}
@@ -101,6 +110,9 @@
 	SameStream bool
 }
 
+// AbortRequest ends the exchange of the running request, which then fails.
+type AbortRequest struct{}
+
 // StartRetryTimer sends a RetryTimerFired event after the delay.
 type StartRetryTimer struct {
 	Delay time.Duration
@@ -136,6 +148,7 @@
 }
 
 func (Send) isEffect()            {}
+func (AbortRequest) isEffect()    {}
 func (StartRetryTimer) isEffect() {}
 func (Finish) isEffect()          {}
 func (CloseStream) isEffect()     {}
--- a/internal/decide/ctsession/outcome.go
+++ b/internal/decide/ctsession/outcome.go
@@ -17,6 +17,10 @@
 	finish := Finish{
 		Request: s.requestID(env), Outcome: ctoutcome.Ran{Point: e.Point, Duplicate: e.Duplicate}, Seen: s.Seen,
 	}
+	if e.InTransaction && s.requestsDue {
+		return append([]Effect{finish},
+			s.disconnect(env, ctoutcome.NotRun{Reason: ctoutcome.ReasonLeaving}, DisconnectDrain)...)
+	}
 	if e.InTransaction {
 		s.stage = stageInTransaction
 		return []Effect{finish, s.startTransactionTimer(env)}
@@ -40,6 +44,9 @@
 // retry sends the current request to another member, schedules a later try, or
 // ends the request.
 func (s *Session) retry(env *Environment, reason ctoutcome.Reason) []Effect {
+	if s.requestsDue {
+		return s.fail(env, ctoutcome.NotRun{Reason: ctoutcome.ReasonLeaving})
+	}
 	if reason == ctoutcome.ReasonReadOnly {
 		return s.retryOnPrimary(env)
 	}
--- a/internal/decide/ctsession/session.go
+++ b/internal/decide/ctsession/session.go
@@ -77,8 +77,12 @@
 	stage         stage
 	draining      bool
 	inTransaction bool
-	current       requestState
-	route         Route
+	// transactionsDue and requestsDue report whether the events of these names came.
+	transactionsDue bool
+	requestsDue     bool
+
+	current requestState
+	route   Route
 }
 
 // requestState is the state of the session's current request.
--- a/internal/decide/ctsession/step.go
+++ b/internal/decide/ctsession/step.go
@@ -34,6 +34,11 @@
 		return s.handleCallerClosed()
 	case DrainRequested:
 		return s.handleDrain(env)
+	case TransactionsDue:
+		s.draining, s.transactionsDue = true, true
+		return nil
+	case RequestsDue:
+		return s.handleRequestsDue(env)
 	}
 	return nil
 }
@@ -50,6 +55,9 @@
 		primaryOnly: settings.Reads.PlainSelects == ctconfig.SelectTargetPrimary && !s.ReadOnly &&
 			e.Class == ctstatement.Select,
 	}
+	if s.requestsDue || (s.transactionsDue && s.inTransaction && e.Class != ctstatement.End) {
+		return s.disconnect(env, ctoutcome.NotRun{Reason: ctoutcome.ReasonLeaving}, DisconnectDrain)
+	}
 	if e.InvalidKey || (e.Key != "" && !s.keyAllowed(e.Class)) {
 		return s.fail(env, ctoutcome.NotRun{Reason: ctoutcome.ReasonIdempotencyKeyUnusable})
 	}
--- a/internal/decide/ctsession/step_test.go
+++ b/internal/decide/ctsession/step_test.go
@@ -245,6 +245,50 @@
 	})
 }
 
+// TestStopDue guards against a planned stop that ends with requests unanswered.
+func TestStopDue(t *testing.T) {
+	open := func(t *testing.T) (*ctsession.Session, *ctsession.Environment) {
+		s, env := newSession(), newEnvironment(t)
+		s.Step(env, ctsession.RequestReceived{Class: ctstatement.Begin})
+		s.Step(env, ctsession.Answered{InTransaction: true})
+		s.Step(env, ctsession.DrainRequested{})
+		s.Step(env, ctsession.TransactionsDue{})
+		return s, env
+	}
+	leaving := ctoutcome.NotRun{Reason: ctoutcome.ReasonLeaving}
+	t.Run("a transaction whose time is over gets no further statement", func(t *testing.T) {
+		s, env := open(t)
+		assertDisconnected(t, s.Step(env, ctsession.RequestReceived{Class: ctstatement.Write}), leaving)
+	})
+	t.Run("a transaction whose time is over may end", func(t *testing.T) {
+		s, env := open(t)
+		findEffect[ctsession.Send](t, s.Step(env, ctsession.RequestReceived{Class: ctstatement.End}))
+		effects := s.Step(env, ctsession.Answered{})
+		findEffect[ctsession.Finish](t, effects)
+		assertDisconnected(t, effects, leaving)
+	})
+	t.Run("an idle transaction ends", func(t *testing.T) {
+		s, env := open(t)
+		assertDisconnected(t, s.Step(env, ctsession.RequestsDue{}), leaving)
+	})
+	t.Run("a running write gets an outcome", func(t *testing.T) {
+		s, env := newSession(), newEnvironment(t)
+		s.Step(env, ctsession.RequestReceived{Class: ctstatement.Write})
+		findEffect[ctsession.AbortRequest](t, s.Step(env, ctsession.RequestsDue{}))
+		effects := s.Step(env, ctsession.StreamFailed{Reason: ctoutcome.ReasonConnectionLost, Sent: true})
+		assertFinished(t, effects, ctoutcome.Unknown{Reason: ctoutcome.ReasonConnectionLost})
+		assertDisconnected(t, effects, leaving)
+	})
+	t.Run("a request that was not sent is not sent again", func(t *testing.T) {
+		s, env := newSession(), newEnvironment(t)
+		s.Step(env, ctsession.RequestReceived{Class: ctstatement.Write})
+		s.Step(env, ctsession.RequestsDue{})
+		effects := s.Step(env, ctsession.Refused{Reason: ctoutcome.ReasonConnectFailed})
+		assertFinished(t, effects, leaving)
+		assertDisconnected(t, effects, leaving)
+	})
+}
+
 // keyedWrite returns a write with an idempotency key.
 func keyedWrite() ctsession.RequestReceived {
 	return ctsession.RequestReceived{Class: ctstatement.Write, Key: "order-1"}
--- a/internal/lab/ctfleet/fleet.go
+++ b/internal/lab/ctfleet/fleet.go
@@ -48,6 +48,9 @@
 	// HeartbeatInterval is the time between two reports of a proxy; the proxies'
 	// default if it is 0.
 	HeartbeatInterval time.Duration
+	// StopTimeout is how long a planned stop of a proxy may take; the proxies' default
+	// if it is 0.
+	StopTimeout time.Duration
 }
 
 // Options are the settings of Start.
@@ -265,6 +268,9 @@
 		if f.Shape.HeartbeatInterval > 0 {
 			p.arguments = append(p.arguments, "--heartbeat", f.Shape.HeartbeatInterval.String())
 		}
+		if f.Shape.StopTimeout > 0 {
+			p.arguments = append(p.arguments, "--stop-time", f.Shape.StopTimeout.String())
+		}
 		if peers := relayAddresses(f.ProxiesAt(p.FailureDomain), p.Name); peers != "" {
 			p.arguments = append(p.arguments, "--peer-address", peers)
 		}
--- a/internal/lab/ctproof/stop_test.go
+++ b/internal/lab/ctproof/stop_test.go
@@ -1,10 +1,12 @@
 package ctproof
 
 import (
+	"errors"
 	"sync"
 	"testing"
 	"time"
 
+	"github.com/jackc/pgx/v5/pgconn"
 	"gotest.tools/v3/assert"
 
 	"github.com/cherviltrestle/cherviltrestle/internal/lab/ctfleet"
@@ -55,6 +57,26 @@
 		mustRun(t, idle, "BEGIN")
 		assert.Assert(t, fleet.Proxies[1].Stop(callTimeout), "the proxy did not stop")
 	})
+	t.Run("answers requests that run longer than the stop may take", func(t *testing.T) {
+		shape := smallFleet()
+		shape.StopTimeout = 3 * time.Second
+		fleet := start(t, shape)
+		single, inTransaction := open(t, fleet.Proxies[1], nil), open(t, fleet.Proxies[1], nil)
+		mustRun(t, inTransaction, "BEGIN")
+		var done sync.WaitGroup
+		for _, session := range []*pgconn.PgConn{single, inTransaction} {
+			done.Add(1)
+			go func() {
+				defer done.Done()
+				_, err := run(session, "SELECT pg_sleep(8)")
+				var answer *pgconn.PgError
+				assert.Check(t, errors.As(err, &answer), "no answer: %v", err)
+			}()
+		}
+		time.Sleep(100 * time.Millisecond)
+		fleet.Proxies[1].Stop(callTimeout)
+		done.Wait()
+	})
 	t.Run("of all proxies, one after the other, under load", func(t *testing.T) {
 		shape := smallFleet()
 		shape.Proxies = 2
--- a/internal/program/ctentry/cancel.go
+++ b/internal/program/ctentry/cancel.go
@@ -22,6 +22,10 @@
 	mutex  sync.Mutex
 	frame  ctframe.Cancel
 	holder netip.AddrPort
+	// stream is the one that the request was sent over, and aborted reports whether it and
+	// all later ones are closed at once.
+	stream  ctframe.Stream
+	aborted bool
 }
 
 // recordSent records which request is sent to which holder, for a later cancel.
@@ -30,6 +34,21 @@
 	defer c.cancelTarget.mutex.Unlock()
 	c.cancelTarget.frame = ctframe.Cancel{Request: f.Request, Member: f.Route.Member}
 	c.cancelTarget.holder = f.Route.Holder.Address
+	c.cancelTarget.stream = c.stream
+	if c.cancelTarget.aborted {
+		c.stream.Close()
+	}
+}
+
+// abort closes the stream of the running request, so that its exchange fails. It may be
+// called from any goroutine.
+func (c *callerConn) abort() {
+	c.cancelTarget.mutex.Lock()
+	defer c.cancelTarget.mutex.Unlock()
+	c.cancelTarget.aborted = true
+	if c.cancelTarget.stream != nil {
+		c.cancelTarget.stream.Close()
+	}
 }
 
 // forwardCancel sends a caller's cancel request to the holder that its session last
--- a/internal/program/ctentry/entry.go
+++ b/internal/program/ctentry/entry.go
@@ -126,9 +126,7 @@
 // them until ctx ends and reports whether all have ended.
 func (e *Entry) Drain(ctx context.Context) bool {
 	e.draining.Store(true)
-	for _, s := range e.sessionIDs() {
-		e.enqueue(s, ctsession.DrainRequested{})
-	}
+	e.enqueueToAll(ctsession.DrainRequested{})
 	done := make(chan struct{})
 	go func() {
 		e.connections.Wait()
@@ -142,6 +140,17 @@
 	}
 }
 
+// EndTransactions ends the time that open transactions have, once the entry is draining.
+func (e *Entry) EndTransactions() {
+	e.enqueueToAll(ctsession.TransactionsDue{})
+}
+
+// AbandonRequests ends the waits for the answers to requests and with them all sessions.
+// Each caller is told what is known of its request.
+func (e *Entry) AbandonRequests() {
+	e.enqueueToAll(ctsession.RequestsDue{})
+}
+
 // ApplyView makes the waiting sessions retry at once, because the newer view may have a
 // member for them. The caller has installed the view in State before.
 func (e *Entry) ApplyView(held *ctlock.Held, _ *ctview.View) {
@@ -169,6 +178,13 @@
 	return ids
 }
 
+// enqueueToAll passes an event to the workers of all open sessions.
+func (e *Entry) enqueueToAll(event ctsession.Event) {
+	for _, s := range e.sessionIDs() {
+		e.enqueue(s, event)
+	}
+}
+
 // enqueue passes an event to the worker that handles the session.
 func (e *Entry) enqueue(session ctid.Session, event ctsession.Event) {
 	e.pool.Put(ctpool.Key(session), sessionEvent{session: session, event: event})
@@ -218,6 +234,8 @@
 		switch f := effect.(type) {
 		case ctsession.StartRetryTimer:
 			e.scheduleRetry(held, session, version, f.Delay)
+		case ctsession.AbortRequest:
+			conn.abort()
 		case ctsession.StartIdleTimer:
 			e.timers.Set(timer{session: session}, e.Clock.Now().Add(f.Timeout))
 		case ctsession.Disconnect:
--- a/internal/program/ctproxy/proxy.go
+++ b/internal/program/ctproxy/proxy.go
@@ -29,6 +29,10 @@
 	// handoverGrace is how long a stopping proxy still serves its peers after its
 	// callers and members are drained.
 	handoverGrace = 300 * time.Millisecond
+	// stopReserve is the time reserved at the end of a planned stop, after the waits for
+	// answers. answerGrace is the part of it in which callers are told of what was given up.
+	stopReserve = time.Second
+	answerGrace = 300 * time.Millisecond
 	// headerTimeout bounds reading the header of an HTTP request.
 	headerTimeout = 5 * time.Second
 )
@@ -92,7 +96,7 @@
 	p.uplink.SetState(ctserver.StateLeaving)
 	p.pause(ctx, balancerGrace)
 	_ = callers.Close()
-	drained := p.entry.Drain(ctx)
+	drained := p.drainCallers(ctx)
 	handedOver := p.holder.Drain(ctx)
 	p.deregister(ctx)
 	p.pause(ctx, handoverGrace)
@@ -104,6 +108,29 @@
 	return nil
 }
 
+// drainCallers ends all callers' sessions. Transactions have the first half of the stop
+// timeout to end, and requests have until stopReserve before its end to be answered; then
+// their callers are told what is known. It reports whether all ended by themselves.
+func (p *Proxy) drainCallers(ctx context.Context) bool {
+	if p.drainFor(ctx, p.settings.StopTimeout/2) {
+		return true
+	}
+	p.entry.EndTransactions()
+	if p.drainFor(ctx, p.settings.StopTimeout/2-stopReserve) {
+		return true
+	}
+	p.entry.AbandonRequests()
+	p.drainFor(ctx, answerGrace)
+	return false
+}
+
+// drainFor drains the entry for a time at most and reports whether all sessions ended.
+func (p *Proxy) drainFor(ctx context.Context, d time.Duration) bool {
+	ctx, cancel := context.WithTimeout(ctx, d)
+	defer cancel()
+	return p.entry.Drain(ctx)
+}
+
 // deregister notifies control that the proxy stops. If control can't be reached, it
 // notices when the reports cease.
 func (p *Proxy) deregister(ctx context.Context) {
