ctcontrol: a proxy whose authority has lapsed learns of all groups before it has new authority

Cause: a proxy that keeps its authority confirms each change, so replies list the changing groups and those in use alone. After a lapse that belief is wrong.

Change: a report says that the authority has expired or may expire before the reply. The leader then lists the groups that have changed since the proxy's version, or all of them if another leader issued it; with over 256 groups the proxy gets no authority before its view. A relaying control process passes these groups on. What a reply grants counts from before its report was built, and a reply that comes after the call's timeout is dropped.

--- a/internal/model/ctview/report.go
+++ b/internal/model/ctview/report.go
@@ -75,6 +75,10 @@
 	Unreachable []ctid.Member `json:"misses,omitempty" cbor:"misses,omitempty"`
 	// Fences lists the fences that the proxy enforces.
 	Fences []FenceReport `json:"fenced,omitempty" cbor:"fenced,omitempty"`
+	// Lapsed reports that the proxy's authority has expired or may expire before the reply.
+	// It may have missed changes of primaries from begin to end, also of groups that the
+	// report doesn't name.
+	Lapsed bool `json:"lapsed,omitempty" cbor:"lapsed,omitempty"`
 	// Stopping reports that the proxy is about to stop and has released all members
 	// that it held.
 	Stopping bool `json:"goodbye,omitempty" cbor:"goodbye,omitempty"`
@@ -142,7 +146,8 @@
 	ConfigOutdated bool `json:"outdated,omitempty" cbor:"outdated,omitempty"`
 	// Groups lists the groups that the proxy uses and those whose primary is changing,
 	// so that it can act on them before it receives the newest view. With at most
-	// TrackAllLimit groups it lists all. It is empty if the reply contains a delta or
+	// TrackAllLimit groups it lists all. For a proxy whose authority has lapsed, it also lists
+	// all groups that may have changed since the proxy's version. It is empty if the reply contains a delta or
 	// the proxy has that view.
 	Groups []Group `json:"groups,omitempty" cbor:"groups,omitempty"`
 	// LogSamples lists the recent points of the groups' logs that control knows.
--- a/internal/program/ctcontrol/reportrelay.go
+++ b/internal/program/ctcontrol/reportrelay.go
@@ -16,7 +16,8 @@
 const relayTimeout = 500 * time.Millisecond
 
 // HandleReportBatch applies the reports of proxies that another control process forwards.
-// It returns the replies with the groups that are ahead of that process's view; the view
+// It returns the replies with the groups that are ahead of that process's view or that a
+// proxy whose authority has lapsed may not know; the view
 // itself follows with a watch, whose notifications are throttled. It returns nil if this
 // process does not lead.
 func (c *Control) HandleReportBatch(held *ctlock.Held, batch *ctframe.ReportBatch) *ctframe.ReportBatchReply {
@@ -33,10 +34,18 @@
 				reply.Relay.LogSamples = append(reply.Relay.LogSamples, sample)
 			}
 		}
+		if batch.Reports[i].Lapsed {
+			reply.Relay.Groups = append(reply.Relay.Groups, answer.Groups...)
+			if answer.Delta != nil {
+				reply.Relay.Groups = append(reply.Relay.Groups, answer.Delta.Groups...)
+			}
+		}
 		answer.Delta, answer.Groups, answer.LogSamples = nil, nil, nil
 		reply.Replies = append(reply.Replies, *answer)
 	}
-	c.state.With(held, func(l *leaderState) { reply.Relay.Groups = l.groupsAhead(batch) })
+	c.state.With(held, func(l *leaderState) {
+		reply.Relay.Groups = append(reply.Relay.Groups, l.groupsAhead(batch)...)
+	})
 	return reply
 }
 
@@ -77,7 +86,7 @@
 
 // completeReply adds the log samples of the groups that the report names. If the proxy may
 // have an earlier view, it also adds the state of those groups and of all whose primary is
-// changing.
+// changing, and for a proxy whose authority has lapsed all that the leader sent.
 func completeReply(reply *ctview.Reply, report *ctview.Report, view *ctview.View, relay *ctview.Reply) {
 	used := reportedGroups(report, func(member ctid.Member) (ctid.Group, bool) {
 		announcement, ok := view.Members[member]
@@ -91,4 +100,7 @@
 	if report.Version < view.Version || len(relay.Groups) > 0 {
 		reply.Groups = neededGroups(view.Groups, used)
 	}
+	if report.Lapsed {
+		reply.Groups = append(reply.Groups, relay.Groups...)
+	}
 }
--- a/internal/program/ctcontrol/reportrelay_test.go
+++ b/internal/program/ctcontrol/reportrelay_test.go
@@ -25,6 +25,12 @@
 	groups["g3"] = fenced
 	view := &ctview.View{Version: 9, Groups: groups, Members: members}
 	relay := &ctview.Reply{LogSamples: []ctview.LogSample{{Group: "g1"}, {Group: "g2"}}}
+	t.Run("to a proxy whose authority has lapsed: all that the leader sent", func(t *testing.T) {
+		ahead := &ctview.Reply{Groups: []ctview.Group{groups["g5"]}}
+		var reply ctview.Reply
+		completeReply(&reply, &ctview.Report{Version: 8, Lapsed: true}, view, ahead)
+		assertNames(t, reply.Groups, "g5")
+	})
 	complete := func(version ctview.Version, relay *ctview.Reply) ctview.Reply {
 		var reply ctview.Reply
 		completeReply(&reply, &ctview.Report{Version: version, Reachable: []ctid.Member{"m1"}}, view, relay)
--- a/internal/program/ctcontrol/succession.go
+++ b/internal/program/ctcontrol/succession.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
 	"syscall"
 	"time"
@@ -74,7 +75,7 @@
 		reply.Delta = nil
 	}
 	if reply.Delta == nil && report.Version != l.roster.Version() {
-		reply.Groups = neededGroups(l.register.Groups, groups)
+		reply.Groups = l.replyGroups(report, groups)
 	}
 	l.proxies.ApplyReport(now, report, expiresAt)
 	for _, name := range groups {
@@ -92,11 +93,11 @@
 
 // grantAuthority grants a proxy authority in the reply, and returns until when. It
 // returns the zero time and grants none if this process has no authority, if the proxy is
-// stopping, or if it lacks a configuration that must be in force by now.
+// stopping, or if it lacks a configuration or a view that it must have by now.
 func (c *Control) grantAuthority(now time.Time, l *leaderState, report *ctview.Report, reply *ctview.Reply) time.Time {
 	timeLeft, limited := l.configTimeLeft(now, report.Revision, c.ApplyTimeout)
 	reply.ConfigOutdated = limited && timeLeft <= 0
-	if !l.hasAuthority(now) || report.Stopping || reply.ConfigOutdated {
+	if !l.hasAuthority(now) || report.Stopping || reply.ConfigOutdated || l.mustAwaitView(report) {
 		return time.Time{}
 	}
 	reply.AuthorityTTL = ctconfig.Duration(ctsuccession.AuthorityTTL)
@@ -106,6 +107,30 @@
 	return ctsuccession.AuthorityExpiry(now)
 }
 
+// maxReplyGroups is how many groups a reply lists at most because a proxy's authority has
+// lapsed. With more groups, the proxy gets the view first.
+const maxReplyGroups = 256
+
+// replyGroups returns the groups for a proxy without the newest view. It uses those in used.
+func (l *leaderState) replyGroups(report *ctview.Report, used []ctid.Group) []ctview.Group {
+	groups := neededGroups(l.register.Groups, used)
+	switch {
+	case !report.Lapsed:
+		return groups
+	case l.roster.Issued(report.Version):
+		return append(groups, l.roster.GroupsSince(report.Version)...)
+	case l.mustAwaitView(report):
+		return groups
+	}
+	return slices.Collect(maps.Values(l.register.Groups))
+}
+
+// mustAwaitView reports whether a proxy gets no authority before it has a view of this
+// leader: it may have missed changes of primaries, and the groups are too many for a reply.
+func (l *leaderState) mustAwaitView(report *ctview.Report) bool {
+	return report.Lapsed && len(l.register.Groups) > maxReplyGroups && !l.roster.Issued(report.Version)
+}
+
 // neededGroups returns the groups that a proxy without the newest view has to know: those
 // whose primary is changing and those that the proxy uses. In a fleet with few groups it
 // returns all.
--- a/internal/program/ctuplink/report.go
+++ b/internal/program/ctuplink/report.go
@@ -20,7 +20,7 @@
 	defer link.close()
 	var held ctlock.Held
 	for number := uint64(1); ctx.Err() == nil && !u.deregistered.Load(); number++ {
-		err := u.reportOnce(ctx, link, u.buildReport(&held, number), &held)
+		err := u.reportOnce(ctx, link, &held, func(now time.Time) *ctview.Report { return u.buildReport(&held, now, number) })
 		if err != nil {
 			u.Metrics.Reports.WithLabelValues("failed").Inc()
 			u.recordControlLost(link, err)
@@ -120,20 +120,32 @@
 	if current := u.route.Get(&held); current.address.IsValid() && !current.relayed {
 		link.seeker.Prefer(current.address)
 	}
-	report := u.buildReport(&held, finalReportNumber)
-	report.Stopping = true
-	return u.reportOnce(ctx, link, report, &held)
+	return u.reportOnce(ctx, link, &held, func(now time.Time) *ctview.Report {
+		report := u.buildReport(&held, now, finalReportNumber)
+		report.Stopping = true
+		return report
+	})
 }
 
-// reportOnce sends a report and applies its reply.
-func (u *Uplink) reportOnce(ctx context.Context, link *controlLink, report *ctview.Report, held *ctlock.Held) error {
+// reportOnce builds a report, sends it and applies its reply. What the reply grants counts
+// from before the report was built.
+func (u *Uplink) reportOnce(
+	ctx context.Context, link *controlLink, held *ctlock.Held, build func(now time.Time) *ctview.Report,
+) error {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	sentAt := u.Clock.Now()
+	report := build(sentAt)
 	answer, err := link.call(ctx, &ctframe.Report{Report: *report})
 	if err != nil {
 		return err
 	}
+	if u.Clock.Now().Sub(sentAt) > callTimeout {
+		// The process was suspended. Whether the authority lapsed meanwhile, the report
+		// couldn't say.
+		link.close()
+		return cterror.New(cterror.Expired, "the reply came too late", "report again")
+	}
 	reply, ok := answer.(*ctframe.ReportReply)
 	if !ok || reply.Number != report.Number {
 		link.close()
@@ -162,9 +174,9 @@
 	return nil
 }
 
-// buildReport returns a report of the proxy's current state. It removes announcements
-// that have expired.
-func (u *Uplink) buildReport(held *ctlock.Held, number uint64) *ctview.Report {
+// buildReport returns a report of the proxy's state at the time now. It removes
+// announcements that have expired.
+func (u *Uplink) buildReport(held *ctlock.Held, now time.Time, number uint64) *ctview.Report {
 	view := u.State.View(held)
 	self := u.Self
 	self.State = u.state.Get(held)
@@ -180,8 +192,9 @@
 	if u.Groups != nil {
 		status := u.Groups.GroupStatus(held)
 		report.Reachable, report.Unreachable, report.Fences = status.Reachable, status.Unreachable, status.Fences
+		report.Lapsed = u.State.AuthorityExpiry(held).Before(now.Add(callTimeout))
 	}
-	oldest := u.Clock.Now().Add(-announcementTTL)
+	oldest := now.Add(-announcementTTL)
 	u.announcements.With(held, func(entries map[ctid.Member]*announcementEntry) {
 		for name, entry := range entries {
 			if entry.receivedAt.Before(oldest) {
--- a/internal/program/ctuplink/uplink_test.go
+++ b/internal/program/ctuplink/uplink_test.go
@@ -13,7 +13,9 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/cherviltrestle/cherviltrestle/internal/link/ctframe"
+	"github.com/cherviltrestle/cherviltrestle/internal/model/ctconfig"
 	"github.com/cherviltrestle/cherviltrestle/internal/model/ctid"
+	"github.com/cherviltrestle/cherviltrestle/internal/model/ctposition"
 	"github.com/cherviltrestle/cherviltrestle/internal/model/ctserver"
 	"github.com/cherviltrestle/cherviltrestle/internal/model/ctview"
 	"github.com/cherviltrestle/cherviltrestle/internal/program/ctmetric"
@@ -33,7 +35,10 @@
 	opened  int
 	watches int
 	reports int
-	replies map[ctview.Version]*ctview.Delta
+	// lapsed is what the last report said, and authorityTTL what replies grant.
+	lapsed       bool
+	authorityTTL time.Duration
+	replies      map[ctview.Version]*ctview.Delta
 }
 
 // set changes the stub under its lock.
@@ -101,7 +106,8 @@
 	switch f := frame.(type) {
 	case *ctframe.Report:
 		s.reports++
-		return &ctframe.ReportReply{Reply: ctview.Reply{Number: f.Number}}, nil
+		s.lapsed = f.Report.Lapsed
+		return &ctframe.ReportReply{Reply: ctview.Reply{Number: f.Number, AuthorityTTL: ctconfig.Duration(s.authorityTTL)}}, nil
 	case *ctframe.Watch:
 		if delta, ok := s.replies[f.Version]; ok {
 			s.watches++
@@ -132,6 +138,13 @@
 	return v.seen[len(v.seen)-1]
 }
 
+// noGroups is a proxy that uses no groups.
+type noGroups struct{}
+
+func (noGroups) GroupStatus(*ctlock.Held) ctuplink.GroupStatus { return ctuplink.GroupStatus{} }
+func (noGroups) AddSample(*ctlock.Held, ctid.Group, time.Time, ctposition.Point) {
+}
+
 func startUplink(t *testing.T, control *controlStub, subscriber ctuplink.ViewSubscriber) *ctuplink.Uplink {
 	t.Helper()
 	u := ctuplink.New(ctuplink.Options{
@@ -142,6 +155,7 @@
 		Seeds:             []netip.AddrPort{netip.MustParseAddrPort("127.0.0.2:1"), netip.MustParseAddrPort("127.0.0.3:1")},
 		HeartbeatInterval: time.Second,
 		State:             ctstate.New(),
+		Groups:            noGroups{},
 		Resolve:           func(ctid.Control) (netip.AddrPort, bool) { return netip.AddrPort{}, false },
 		Subscribers:       []ctuplink.ViewSubscriber{subscriber},
 		Transport:         control,
@@ -204,3 +218,23 @@
 		assert.Equal(t, control.count(&control.opened), 2)
 	})
 }
+
+// TestLapsedAuthority guards against a report that doesn't tell control that the proxy may
+// have missed changes of primaries.
+func TestLapsedAuthority(t *testing.T) {
+	control := &controlStub{}
+	u := startUplink(t, control, &versions{})
+	lapsed := func() bool {
+		control.mutex.Lock()
+		defer control.mutex.Unlock()
+		return control.lapsed
+	}
+	t.Run("a proxy that never had authority reports so", func(t *testing.T) { eventually(t, lapsed) })
+	t.Run("a proxy whose authority lasts does not", func(t *testing.T) {
+		control.set(func() { control.authorityTTL = time.Hour })
+		eventually(t, func() bool {
+			u.TriggerReport()
+			return !lapsed()
+		})
+	})
+}
