--- a/internal/lab/ctmembers/stop_test.go
+++ b/internal/lab/ctmembers/stop_test.go
@@ -12,14 +12,15 @@
 	"github.com/cherviltrestle/cherviltrestle/internal/program/ctgateway"
 )
 
-// stop begins a planned stop that leaves transactions and answers the given times. The
-// returned channel receives whether all sessions ended by themselves.
-func (f *fixture) stop(transactions, answers time.Duration) <-chan bool {
+// stop begins a planned stop in which the time of transactions is over at once, and that of
+// answers after a while. The returned channel receives whether all sessions ended by
+// themselves.
+func (f *fixture) stop(answers time.Duration) <-chan bool {
 	now := f.clock.Now()
 	stopped := make(chan bool, 1)
 	go func() {
 		stopped <- f.gateway.Stop(context.Background(), ctgateway.StopTimes{
-			Transactions: now.Add(transactions), Answers: now.Add(answers), Delivery: now.Add(answers + testTimeout),
+			Transactions: now, Answers: now.Add(answers), Delivery: now.Add(answers + testTimeout),
 		})
 	}()
 	return stopped
@@ -43,7 +44,7 @@
 	defer release()
 	id := c.send(statement)
 	<-ran
-	stopped := f.stop(0, 0)
+	stopped := f.stop(0)
 	assert.Equal(t, c.awaitAnswer(t, id).Fault, want)
 	c.awaitEnd(t)
 	assert.Assert(t, !<-stopped)
@@ -74,7 +75,7 @@
 	forEachWay(t, "refuses the next statement of a transaction whose time is over", func(t *testing.T, w way) {
 		f := newFixtureWith(t, w, smallGroup, ctconfig.FreshnessPrimary)
 		c, write := beginWrite(t, f)
-		f.stop(0, testTimeout)
+		f.stop(testTimeout)
 		f.awaitTransactionsEnding(t)
 		answer, _ := c.call(t, ctquery.Read{Item: "i"})
 		assert.Equal(t, answer.Fault, ctquery.FaultAborted)
@@ -87,7 +88,7 @@
 	forEachWay(t, "commits a transaction whose time is over", func(t *testing.T, w way) {
 		f := newFixtureWith(t, w, smallGroup, ctconfig.FreshnessPrimary)
 		c, write := beginWrite(t, f)
-		f.stop(0, testTimeout)
+		f.stop(testTimeout)
 		f.awaitTransactionsEnding(t)
 		answer, _ := c.call(t, ctquery.Commit{})
 		assert.Assert(t, answer.OK(), "%s", answer.Text)
@@ -97,7 +98,7 @@
 	t.Run("ends the session of an idle transaction", func(t *testing.T) {
 		f := newFixture(t, smallGroup, ctconfig.FreshnessPrimary)
 		c, _ := beginWrite(t, f)
-		stopped := f.stop(0, 0)
+		stopped := f.stop(0)
 		c.awaitEnd(t)
 		assert.Assert(t, !<-stopped)
 	})
@@ -108,7 +109,7 @@
 		beginWrite(t, f)
 		waiting := f.connect(t, "w")
 		id := waiting.send(ctquery.Write{Arguments: "i d"})
-		f.stop(0, 0)
+		f.stop(0)
 		assert.Equal(t, waiting.awaitAnswer(t, id).Fault, ctquery.FaultBusy)
 		assert.Equal(t, f.group.WriteCounts()[id], 0)
 	})
--- a/internal/program/ctmetric/metrics.go
+++ b/internal/program/ctmetric/metrics.go
@@ -76,11 +76,12 @@
 		Refusals:        f.counterVec("member_refused_total", "Requests refused at the holder.", "member", "reason"),
 		ConfirmSeconds:  f.histogram("confirm_seconds", "Wait for the confirmation of writes."),
 		Samples:         f.counterVec("log_samples_total", "Samples of the ends of groups' logs.", "source"),
-		SamplesDropped:  f.counterVec("log_samples_dropped_total", "Points of members that may be primaries no more.", "source"),
-		ViewVersion:     f.gauge("view_version", "Version of the view in force."),
-		Revision:        f.gauge("config_revision", "Revision of the configuration in force."),
-		Reports:         f.counterVec("reports_total", "Reports to control.", "result"),
-		Panics:          f.counter("panics_total", panicsHelp),
+		SamplesDropped: f.counterVec(
+			"log_samples_dropped_total", "Points of members that may be primaries no more.", "source"),
+		ViewVersion: f.gauge("view_version", "Version of the view in force."),
+		Revision:    f.gauge("config_revision", "Revision of the configuration in force."),
+		Reports:     f.counterVec("reports_total", "Reports to control.", "result"),
+		Panics:      f.counter("panics_total", panicsHelp),
 	}
 }
 
--- a/internal/program/ctuplink/uplink_test.go
+++ b/internal/program/ctuplink/uplink_test.go
@@ -106,8 +106,10 @@
 	switch f := frame.(type) {
 	case *ctframe.Report:
 		s.reports++
-		s.lapsed = f.Report.Lapsed
-		return &ctframe.ReportReply{Reply: ctview.Reply{Number: f.Number, AuthorityTTL: ctconfig.Duration(s.authorityTTL)}}, nil
+		s.lapsed = f.Lapsed
+		return &ctframe.ReportReply{Reply: ctview.Reply{
+			Number: f.Number, AuthorityTTL: ctconfig.Duration(s.authorityTTL),
+		}}, nil
 	case *ctframe.Watch:
 		if delta, ok := s.replies[f.Version]; ok {
 			s.watches++
