ctgateway: the page on authority and stops; samples of earlier terms are logged at debug

In a new term without commits each sample has the old term, so that the line would come with each reply of control. The counters tell the sources apart.

--- a/internal/program/ctgateway/doc.go
+++ b/internal/program/ctgateway/doc.go
@@ -13,7 +13,14 @@
 authority: a lease on its view, which control extends with each reply to a report.
 Before control has another member promoted, it raises the group's fence, which is
 the term of the next primary. Once a proxy enforces a fence, it acknowledges no
-write of an earlier term, and reports so to control.
+write of an earlier term, and reports so to control. A proxy that had no authority during
+the whole change sees only its result: what ran at the primary of an earlier term than the
+view's is not acknowledged either, and gives no sample of the group's log.
+
+# Planned stops
+
+Stop ends all sessions in phases, so that every query that was read is answered. See
+package ctstop.
 
 # Usage
 
--- a/internal/program/ctgateway/samples.go
+++ b/internal/program/ctgateway/samples.go
@@ -57,7 +57,7 @@
 	term := g.State.View(held).Groups[name].Term
 	g.Metrics.Samples.WithLabelValues(string(source)).Inc()
 	if !point.IsZero() && point.Term < term {
-		g.Logger.Info().Str("event", "sample_of_earlier_term").Str("group", string(name)).
+		g.Logger.Debug().Str("event", "sample_of_earlier_term").Str("group", string(name)).
 			Str("source", string(source)).Stringer("point", point).Uint64("group_term", uint64(term)).Send()
 	}
 	g.groups.With(held, func(groups map[ctid.Group]*groupState) { groupStateOf(groups, name).samples.Add(sentAt, point) })
