ctcontrol: proxies that lose authority at once get each group once

Cause: of "a proxy whose authority has lapsed learns of all groups": the leader's reply to a batch listed the groups once for each lapsed proxy, and the relaying process passed all of that to each of them. After a loss of all power, 50 proxies of 20 groups got 1,000 entries each.

Change: groups in a reply are merged by name. A reply is dropped only if it would renew authority that has lapsed since its report, in place of whenever it came after the call's timeout.

Result: TestBatchOfLapsedProxies failed before (1,000 entries, 20 wanted) and passes.

--- a/internal/program/ctcontrol/reportrelay.go
+++ b/internal/program/ctcontrol/reportrelay.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
 	"time"
 
@@ -23,6 +24,7 @@
 func (c *Control) HandleReportBatch(held *ctlock.Held, batch *ctframe.ReportBatch) *ctframe.ReportBatchReply {
 	reply := &ctframe.ReportBatchReply{}
 	sampled := make(map[ctid.Group]bool)
+	ahead := make(groupSet)
 	for i := range batch.Reports {
 		answer := c.HandleReport(held, &batch.Reports[i])
 		if answer.NotLeader {
@@ -35,20 +37,41 @@
 			}
 		}
 		if batch.Reports[i].Lapsed {
-			reply.Relay.Groups = append(reply.Relay.Groups, answer.Groups...)
+			ahead.add(answer.Groups)
 			if answer.Delta != nil {
-				reply.Relay.Groups = append(reply.Relay.Groups, answer.Delta.Groups...)
+				ahead.add(answer.Delta.Groups)
 			}
 		}
 		answer.Delta, answer.Groups, answer.LogSamples = nil, nil, nil
 		reply.Replies = append(reply.Replies, *answer)
 	}
-	c.state.With(held, func(l *leaderState) {
-		reply.Relay.Groups = append(reply.Relay.Groups, l.groupsAhead(batch)...)
-	})
+	c.state.With(held, func(l *leaderState) { ahead.add(l.groupsAhead(batch)) })
+	reply.Relay.Groups = ahead.list()
 	return reply
 }
 
+// groupSet holds groups, each once and as it was added last.
+type groupSet map[ctid.Group]ctview.Group
+
+func (s groupSet) add(groups []ctview.Group) {
+	for _, g := range groups {
+		s[g.Name] = g
+	}
+}
+
+func (s groupSet) list() []ctview.Group {
+	return slices.Collect(maps.Values(s))
+}
+
+// mergeGroups returns the groups of two lists, each once and as in the newer list if it is
+// in both.
+func mergeGroups(older, newer []ctview.Group) []ctview.Group {
+	merged := make(groupSet)
+	merged.add(older)
+	merged.add(newer)
+	return merged.list()
+}
+
 // groupsAhead returns the groups that have changed since the view of a process that sent a
 // batch. If another leader issued that view, these are all that its proxies use.
 func (l *leaderState) groupsAhead(batch *ctframe.ReportBatch) []ctview.Group {
@@ -101,6 +124,6 @@
 		reply.Groups = neededGroups(view.Groups, used)
 	}
 	if report.Lapsed {
-		reply.Groups = append(reply.Groups, relay.Groups...)
+		reply.Groups = mergeGroups(reply.Groups, relay.Groups)
 	}
 }
--- a/internal/program/ctcontrol/reportrelay_test.go
+++ b/internal/program/ctcontrol/reportrelay_test.go
@@ -3,12 +3,16 @@
 import (
 	"fmt"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
+	"github.com/cherviltrestle/cherviltrestle/internal/link/ctframe"
 	"github.com/cherviltrestle/cherviltrestle/internal/model/ctid"
 	"github.com/cherviltrestle/cherviltrestle/internal/model/ctserver"
 	"github.com/cherviltrestle/cherviltrestle/internal/model/ctview"
+	"github.com/cherviltrestle/cherviltrestle/internal/work/ctclock"
+	"github.com/cherviltrestle/cherviltrestle/internal/work/ctlock"
 )
 
 // TestCompleteReply checks what a control process adds to the leader's replies.
@@ -49,3 +53,29 @@
 		assert.Equal(t, len(complete(9, &ctview.Reply{Groups: []ctview.Group{fenced}}).Groups), 2)
 	})
 }
+
+// TestBatchOfLapsedProxies guards against a reply that grows with the square of the proxies
+// that have lost their authority at once.
+func TestBatchOfLapsedProxies(t *testing.T) {
+	const groups, proxies = ctview.TrackAllLimit + 4, 50
+	c := New(Options{Name: "a", Clock: ctclock.System{}})
+	var held ctlock.Held
+	c.state.With(&held, func(l *leaderState) {
+		l.register.Groups = newLeader(groups).register.Groups
+		now := time.Now()
+		l.startLeading(now, 2, time.Second)
+		l.authorityExpiresAt = now.Add(time.Hour)
+		for name := range l.register.Groups {
+			l.startSuccession(now, name)
+		}
+	})
+	batch := &ctframe.ReportBatch{Version: 1}
+	for i := range proxies {
+		batch.Reports = append(batch.Reports, ctview.Report{
+			Number: 1, Version: 1, Lapsed: true, Proxy: ctview.Proxy{Name: ctid.Proxy(fmt.Sprintf("p%d", i))},
+		})
+	}
+	reply := c.HandleReportBatch(&held, batch)
+	assert.Equal(t, len(reply.Replies), proxies)
+	assert.Equal(t, len(reply.Relay.Groups), groups)
+}
--- a/internal/program/ctcontrol/succession.go
+++ b/internal/program/ctcontrol/succession.go
@@ -118,7 +118,7 @@
 	case !report.Lapsed:
 		return groups
 	case l.roster.Issued(report.Version):
-		return append(groups, l.roster.GroupsSince(report.Version)...)
+		return mergeGroups(groups, l.roster.GroupsSince(report.Version))
 	case l.mustAwaitView(report):
 		return groups
 	}
--- a/internal/program/ctuplink/report.go
+++ b/internal/program/ctuplink/report.go
@@ -140,11 +140,9 @@
 	if err != nil {
 		return err
 	}
-	if u.Clock.Now().Sub(sentAt) > callTimeout {
-		// The process was suspended. Whether the authority lapsed meanwhile, the report
-		// couldn't say.
+	if u.Groups != nil && !report.Lapsed && !u.Clock.Now().Before(u.State.AuthorityExpiry(held)) {
 		link.close()
-		return cterror.New(cterror.Expired, "the reply came too late", "report again")
+		return cterror.New(cterror.Expired, "the authority has lapsed since the report", "report again")
 	}
 	reply, ok := answer.(*ctframe.ReportReply)
 	if !ok || reply.Number != report.Number {
