--- a/internal/program/ctcontrol/reportrelay.go
+++ b/internal/program/ctcontrol/reportrelay.go
@@ -17,10 +17,9 @@
 const relayTimeout = 500 * time.Millisecond
 
 // HandleReportBatch applies the reports of proxies that another control process forwards.
-// It returns the replies with the groups that are ahead of that process's view or that a
-// proxy whose authority has lapsed may not know; the view
-// itself follows with a watch, whose notifications are throttled. It returns nil if this
-// process does not lead.
+// It returns the replies with the groups that are ahead of that process's view, or that a
+// proxy whose authority has lapsed may not know; the view itself follows with a watch,
+// whose notifications are throttled. It returns nil if this process does not lead.
 func (c *Control) HandleReportBatch(held *ctlock.Held, batch *ctframe.ReportBatch) *ctframe.ReportBatchReply {
 	reply := &ctframe.ReportBatchReply{}
 	sampled := make(map[ctid.Group]bool)
--- a/internal/program/ctentry/cancel.go
+++ b/internal/program/ctentry/cancel.go
@@ -16,8 +16,8 @@
 // cancelTimeout bounds the forwarding of a cancel request to the holder.
 const cancelTimeout = 5 * time.Second
 
-// cancelTarget identifies the request that was sent last, for cancel requests. Those
-// arrive on a connection of their own, hence on another goroutine.
+// cancelTarget identifies the request that was sent last, for cancel requests and for
+// abort. Those come on other goroutines: a cancel request has a connection of its own.
 type cancelTarget struct {
 	mutex  sync.Mutex
 	frame  ctframe.Cancel
--- a/internal/program/ctgateway/stop.go
+++ b/internal/program/ctgateway/stop.go
@@ -13,14 +13,15 @@
 // drainPollInterval is the time between two checks whether all sessions have ended.
 const drainPollInterval = 50 * time.Millisecond
 
-// StopTimes are when the phases of a planned stop end, on the gateway's clock.
+// StopTimes are the ends of the phases of a planned stop, on the gateway's clock.
 type StopTimes struct {
-	// Transactions is when statements of open transactions are refused from, except
-	// COMMIT and ROLLBACK.
+	// Transactions ends the time of open transactions. Their statements are refused
+	// afterwards, except COMMIT and ROLLBACK.
 	Transactions time.Time
-	// Answers is when the waits for members' answers end, and every session with them.
+	// Answers ends the waits for members' answers, and with them every session.
 	Answers time.Time
-	// Delivery is when callers are disconnected that don't take their last answer.
+	// Delivery ends the time in which callers take their last answers. Those that have
+	// not are disconnected.
 	Delivery time.Time
 }
 
