--- a/internal/decide/ctsuccession/machine_test.go
+++ b/internal/decide/ctsuccession/machine_test.go
@@ -16,8 +16,12 @@
 	"github.com/cherviltrestle/cherviltrestle/internal/model/ctview"
 )
 
-// stepInterval is the time between two decisions.
-const stepInterval = 20 * time.Millisecond
+// stepInterval is the time between two decisions, and unansweredDelay how long a promotion
+// request waits for an answer before its outcome counts as unknown.
+const (
+	stepInterval    = 20 * time.Millisecond
+	unansweredDelay = time.Second
+)
 
 // memberServer simulates the backend server of a member.
 type memberServer struct {
@@ -59,6 +63,10 @@
 	// answerDelay is how long the service takes to answer a promotion request, and
 	// effectDelay how long the promotion takes after that.
 	answerDelay, effectDelay time.Duration
+	// held is how long requests for a member stay in a link that is cut. They have no answer.
+	held map[ctid.Member]time.Duration
+	// promotedWith is what each member had received when it was promoted last.
+	promotedWith map[ctid.Member]ctposition.Point
 	// events are the scheduled events, in the order of their times.
 	events []event
 	// incarnation is that of the proxies' present run.
@@ -192,6 +200,11 @@
 		e.machine.RecordPromotion(e.now, name, ctsuccession.PromotionRejected)
 		return
 	}
+	if hold := e.held[name]; hold > 0 {
+		e.schedule(unansweredDelay, func() { e.machine.RecordPromotion(e.now, name, ctsuccession.PromotionUnknown) })
+		e.schedule(hold, func() { e.promote(name) })
+		return
+	}
 	e.schedule(e.answerDelay, func() { e.machine.RecordPromotion(e.now, name, ctsuccession.PromotionAccepted) })
 	// The promotion of a primary has no effect.
 	if !e.ignores[name] && e.members[name].status.Role != ctserver.RolePrimary {
@@ -216,6 +229,10 @@
 		newest = max(newest, s.status.Term)
 	}
 	s := e.members[name]
+	if e.promotedWith == nil {
+		e.promotedWith = make(map[ctid.Member]ctposition.Point)
+	}
+	e.promotedWith[name] = s.status.Received
 	s.status.Role, s.status.Term, s.status.PausedBelow = ctserver.RolePrimary, newest+1, 0
 	s.status.Received.Term = s.status.Term
 }
