ctsuccession, ctcontrol: say what a promotion rests on

A candidate's decision didn't say which condition it rested on or which members were counted, a request had no line before its answer, an adopted primary's log was not shown, and an acknowledged write had no point to compare it with.

The proxy's run line of an acknowledged durable write has `point`. No decision changes.

--- a/internal/decide/ctsuccession/action.go
+++ b/internal/decide/ctsuccession/action.go
@@ -28,6 +28,7 @@
 type SetGroup struct {
 	Group  ctview.Group
 	Reason Reason
+	Basis  Basis
 }
 
 func (SendCommand) isAction()      {}
@@ -76,6 +77,21 @@
 	PromotionRejected
 )
 
+// String returns the name of the outcome, as in metrics.
+func (o PromotionOutcome) String() string {
+	switch o {
+	case PromotionUnknown:
+		return "unknown"
+	case PromotionDeferred:
+		return "deferred"
+	case PromotionAccepted:
+		return "accepted"
+	case PromotionRejected:
+		return "rejected"
+	}
+	return ""
+}
+
 // Reason is why a decision was made. Control records it in the audit entry.
 type Reason string
 
--- a/internal/decide/ctsuccession/change.go
+++ b/internal/decide/ctsuccession/change.go
@@ -37,7 +37,8 @@
 	}
 	m.current.nextRequestAt, m.current.acceptedRequests = time.Time{}, 0
 	group.Candidate = candidate
-	return append(actions, SetGroup{Group: group, Reason: ReasonLogComplete})
+	basis := m.candidateBasis(now, group, candidate, allKnown)
+	return append(actions, SetGroup{Group: group, Reason: ReasonLogComplete, Basis: basis})
 }
 
 // candidateLost reports whether a candidate is unknown or does not answer.
@@ -112,7 +113,7 @@
 func (m *Machine) chooseCandidate(now time.Time, group ctview.Group, allKnown bool) (ctid.Member, bool) {
 	var complete []ctid.Member
 	for name := range m.members {
-		if !m.skipped(now, name) && m.logComplete(now, group, name, allKnown) {
+		if _, ok := m.logComplete(now, group, name, allKnown); ok && !m.skipped(now, name) {
 			complete = append(complete, name)
 		}
 	}
@@ -143,28 +144,30 @@
 	return cmp.Or(cmp.Compare(a.Term, b.Term), cmp.Compare(a.Position, b.Position))
 }
 
-// logComplete reports whether a member's log is known to have every acknowledged commit.
-// For the old primary it is true only after it has stepped down and the replicas have had
-// catchUpTimeout to receive the rest of its log.
-func (m *Machine) logComplete(now time.Time, group ctview.Group, name ctid.Member, allKnown bool) bool {
+// logComplete reports whether a member's log is known to have every acknowledged commit,
+// and the condition that this rests on. For the old primary it is true only after it has
+// stepped down and the replicas have had catchUpTimeout to receive the rest of its log.
+func (m *Machine) logComplete(now time.Time, group ctview.Group, name ctid.Member, allKnown bool) (Condition, bool) {
 	member := m.members[name]
 	if member.failures > 0 || member.answeredAt.Before(m.current.startedAt) || member.isPrimaryBelow(group.Fence) {
-		return false
+		return "", false
 	}
 	received := member.status.Received
 	acknowledged := m.lastAcknowledged()
 	steppedDown := !m.current.steppedDownAt.IsZero()
 	switch {
 	case comparePoints(received, acknowledged) < 0:
-		return false
+		return "", false
 	case name == group.Primary:
-		return steppedDown && now.Sub(m.current.steppedDownAt) > catchUpTimeout
+		return ConditionOldPrimary, steppedDown && now.Sub(m.current.steppedDownAt) > catchUpTimeout
 	case steppedDown && comparePoints(received, m.current.stepDownPoint) >= 0:
-		return true
+		return ConditionStepDown, true
 	case member.confirmedFence < group.Fence:
-		return false
+		return "", false
+	case allKnown && comparePoints(received, m.coveredPoint) >= 0:
+		return ConditionAllKnown, true
 	}
-	return (allKnown && comparePoints(received, m.coveredPoint) >= 0) || m.noneAhead(now, group, received)
+	return ConditionNoneAhead, m.noneAhead(now, group, received)
 }
 
 // lastAcknowledged returns the latest point that proxies acknowledged before they
--- a/internal/decide/ctsuccession/decide.go
+++ b/internal/decide/ctsuccession/decide.go
@@ -22,7 +22,8 @@
 		m.lastChangeAt = now
 		group.Term, group.Primary = term, name
 		group.Fence, group.RetiringTerm, group.Candidate = 0, 0, ""
-		return []Action{SetGroup{Group: group, Reason: reason}}
+		basis := AdoptionBasis{Member: name, Term: term, Received: m.members[name].status.Received}
+		return []Action{SetGroup{Group: group, Reason: reason, Basis: basis}}
 	}
 	switch {
 	case group.Term == 0:
--- a/internal/decide/ctsuccession/machine_test.go
+++ b/internal/decide/ctsuccession/machine_test.go
@@ -60,6 +60,8 @@
 	// ignores lists the members whose promotion the service accepts without an effect.
 	ignores   map[ctid.Member]bool
 	decisions []ctsuccession.Reason
+	// bases are what the decisions rest on, as far as they say.
+	bases []ctsuccession.Basis
 	// answerDelay is how long the service takes to answer a promotion request, and
 	// effectDelay how long the promotion takes after that.
 	answerDelay, effectDelay time.Duration
@@ -174,6 +176,9 @@
 	case ctsuccession.SetGroup:
 		e.group = a.Group
 		e.decisions = append(e.decisions, a.Reason)
+		if a.Basis != nil {
+			e.bases = append(e.bases, a.Basis)
+		}
 	}
 }
 
--- a/internal/program/ctcontrol/control.go
+++ b/internal/program/ctcontrol/control.go
@@ -13,6 +13,7 @@
 	"github.com/cherviltrestle/cherviltrestle/internal/model/ctconfig"
 	"github.com/cherviltrestle/cherviltrestle/internal/model/ctid"
 	"github.com/cherviltrestle/cherviltrestle/internal/model/ctview"
+	"github.com/cherviltrestle/cherviltrestle/internal/program/ctmetric"
 	"github.com/cherviltrestle/cherviltrestle/internal/work/ctclock"
 	"github.com/cherviltrestle/cherviltrestle/internal/work/ctlock"
 	"github.com/cherviltrestle/cherviltrestle/internal/work/ctpool"
@@ -60,6 +61,8 @@
 	// They are nil if there are no such groups.
 	Members  MemberClient
 	Promoter Promoter
+	// Metrics counts promotion requests. It may be nil.
+	Metrics *ctmetric.Control
 	// ApplyTimeout is how long after its acceptance a configuration must be in force on
 	// every proxy. A proxy that has not reported it by then gets no authority until it
 	// does. 0 sets no limit.
--- a/internal/program/ctcontrol/service.go
+++ b/internal/program/ctcontrol/service.go
@@ -107,6 +107,7 @@
 		ApplyTimeout:  options.ApplyTimeout,
 		Members:       options.Members,
 		Promoter:      options.Promoter,
+		Metrics:       options.Metrics,
 		DecodeConfig: func(compressed []byte) (ctconfig.Document, error) {
 			source, err := ctframe.Decompress(compressed)
 			if err != nil {
--- a/internal/program/ctcontrol/succession.go
+++ b/internal/program/ctcontrol/succession.go
@@ -213,6 +213,7 @@
 			c.enqueueTask(l, memberTask{group: name, member: a.Member})
 		case ctsuccession.SetGroup:
 			l.proposedAt[name] = now
+			c.logBasis(group, a)
 			c.propose(l, ctregister.SetGroup{
 				Group: a.Group, BaseTerm: group.Term, BaseFence: group.Fence, Reason: string(a.Reason), At: now,
 			}, nil)
@@ -259,14 +260,18 @@
 	if !allowed {
 		return
 	}
+	c.logRequest(t)
 	ctx, cancel := context.WithTimeout(context.Background(), promotionTimeout)
 	defer cancel()
+	startedAt := c.Clock.Now()
 	outcome, err := c.Promoter.Promote(ctx, t.group, t.member, c.Name, t.epoch)
+	c.countPromotion(outcome)
 	event := ctlog.Decision(&c.Logger, "order_promotion").
 		Str("group", string(t.group)).
 		Str("member", string(t.member)).
 		Uint64("epoch", uint64(t.epoch)).
-		Uint8("outcome", uint8(outcome))
+		Uint8("outcome", uint8(outcome)).
+		Dur("took", c.Clock.Now().Sub(startedAt))
 	if err != nil {
 		event.Str("error", err.Error())
 	}
--- a/internal/program/ctgateway/choose.go
+++ b/internal/program/ctgateway/choose.go
@@ -113,7 +113,7 @@
 	}
 	g.Metrics.Requests.WithLabelValues(string(s.route.Group), string(role), outcome).Inc()
 	g.Metrics.RequestSeconds.WithLabelValues(string(role)).Observe(elapsed.Seconds())
-	ctlog.Decision(&g.Logger, "run").
+	event := ctlog.Decision(&g.Logger, "run").
 		Str("request", string(e.run.Query.ID)).
 		Uint64("session", uint64(s.id)).
 		Str("group", string(s.route.Group)).
@@ -129,8 +129,11 @@
 		Dur("authority", g.State.AuthorityExpiry(&s.held).Sub(now)).
 		Str("outcome", outcome).
 		Str("why", outcomeReason(result, e)).
-		Dur("took", elapsed).
-		Send()
+		Dur("took", elapsed)
+	if e.run.Effect == ctdialog.EffectDurable && answer.OK() {
+		event.Stringer("point", answer.Point)
+	}
+	event.Send()
 }
 
 // outcomeReason returns the value of the log key "why" for a statement's result.
--- a/internal/program/ctmetric/control.go
+++ b/internal/program/ctmetric/control.go
@@ -16,6 +16,9 @@
 	Replies *prometheus.CounterVec
 	// ReplySeconds measures the time to answer, by frame.
 	ReplySeconds *prometheus.HistogramVec
+	// PromotionRequests counts promotion requests by outcome: accepted, deferred, rejected,
+	// or unknown if there was no answer.
+	PromotionRequests *prometheus.CounterVec
 	// Panics counts connections that ended because their goroutine panicked.
 	Panics prometheus.Counter
 }
@@ -29,7 +32,9 @@
 		registry:     registry,
 		Replies:      f.counterVec("control_answers_total", "Answered frames and calls.", "frame", "result"),
 		ReplySeconds: f.histogramVec("control_answer_seconds", "Time of answers.", "frame"),
-		Panics:       f.counter("panics_total", panicsHelp),
+		PromotionRequests: f.counterVec(
+			"control_promotion_requests_total", "Requests to promote members.", "outcome"),
+		Panics: f.counter("panics_total", panicsHelp),
 	}
 }
 
