ctsuccession: only the lost primary's own log says where its term ends

Callers would see acknowledged writes gone after a change of primary, with a replica at hand that has them. Control took the first answer to StepDown from any member as the end of the log of the primary's term. Two members answer with another log: an older primary that comes back during the change, which control also makes step down, and the lost primary itself when it was started again without its log. A shorter log then counted as complete, if nobody could report the commits, and the member with them only had to be silent or busy for a moment.

Evidence: TestStepDownOfAnotherLogLosesCommits, all three subtests failed before and pass now. It was found by reading; whether it acted in the users' runs is not shown.

Change: the answer counts if it comes from the member that the change replaces, in the term that it led. The old primary is a candidate only with the log that it had when it stepped down. If such an answer never comes, the other two conditions decide, as for a primary that doesn't answer.

--- a/internal/decide/ctsuccession/change.go
+++ b/internal/decide/ctsuccession/change.go
@@ -14,7 +14,7 @@
 // advanceChange returns the actions for the next step of the change in progress.
 func (m *Machine) advanceChange(now time.Time, group ctview.Group) []Action {
 	if m.current.fence != group.Fence {
-		m.current = changeState{fence: group.Fence, startedAt: now}
+		m.current = changeState{fence: group.Fence, primary: group.Primary, term: group.Term, startedAt: now}
 		if group.Candidate != "" {
 			// The previous leader may have requested the promotion already.
 			m.current.requests, m.current.requestedAt = 1, now
@@ -146,7 +146,8 @@
 
 // logComplete reports whether a member's log is known to have every acknowledged commit,
 // and the condition that this rests on. For the old primary it is true only after it has
-// stepped down and the replicas have had catchUpTimeout to receive the rest of its log.
+// stepped down, if it still has its log, and the replicas have had catchUpTimeout to receive
+// the rest of it.
 func (m *Machine) logComplete(now time.Time, group ctview.Group, name ctid.Member, allKnown bool) (Condition, bool) {
 	member := m.members[name]
 	if member.failures > 0 || member.answeredAt.Before(m.current.startedAt) || member.isPrimaryBelow(group.Fence) {
@@ -159,7 +160,8 @@
 	case comparePoints(received, acknowledged) < 0:
 		return "", false
 	case name == group.Primary:
-		return ConditionOldPrimary, steppedDown && now.Sub(m.current.steppedDownAt) > catchUpTimeout
+		caughtUp := steppedDown && now.Sub(m.current.steppedDownAt) > catchUpTimeout
+		return ConditionOldPrimary, caughtUp && comparePoints(received, m.current.stepDownPoint) >= 0
 	case steppedDown && comparePoints(received, m.current.stepDownPoint) >= 0:
 		return ConditionStepDown, true
 	case member.confirmedFence < group.Fence:
--- a/internal/decide/ctsuccession/machine.go
+++ b/internal/decide/ctsuccession/machine.go
@@ -108,6 +108,9 @@
 type changeState struct {
 	fence     ctposition.Term
 	startedAt time.Time
+	// primary is the member to be replaced, and term its term.
+	primary ctid.Member
+	term    ctposition.Term
 	// stepDownPoint is the last point that the primary had received when it stepped down.
 	stepDownPoint ctposition.Point
 	// steppedDownAt is when the primary confirmed that it had stepped down, or zero.
@@ -242,14 +245,21 @@
 	case Pause:
 		member.confirmedFence = c.Fence
 	case StepDown:
-		// A log that ends before the covered point may lack acknowledged commits.
-		covered := comparePoints(status.Received, m.coveredPoint) >= 0
-		if c.Fence == m.current.fence && status.Role == ctserver.RoleReplica && m.current.steppedDownAt.IsZero() && covered {
+		if m.endsLog(name, c, status) {
 			m.current.stepDownPoint, m.current.steppedDownAt = status.Received, now
 		}
 	}
 }
 
+// endsLog reports whether the answer to StepDown is the first that gives the end of the log of
+// the primary's term. The log of another member, or of a primary that started again without
+// its log, may lack acknowledged commits, and so may one that ends before the covered point.
+func (m *Machine) endsLog(name ctid.Member, command StepDown, status ctquery.Status) bool {
+	return name == m.current.primary && command.Fence == m.current.fence && m.current.steppedDownAt.IsZero() &&
+		status.Role == ctserver.RoleReplica && status.Term >= m.current.term &&
+		comparePoints(status.Received, m.coveredPoint) >= 0
+}
+
 // recordCoveredPoint records the end of the primary's log in a new term, or if a proxy's
 // acknowledged commits became unknown after the last time. It does not advance the point
 // more often, because more replicas have received an earlier point.
