ctsuccession: a status dates from when its own command was sent

A member's status counted as the answer to the command that was requested last. If a member answers slowly, or its commands wait behind those to a member that doesn't answer, the next command is requested before the answer to the first arrives. The point in it then counted as one of that later time: as a sample of the log that is fresher than it is, and as the point that covers commits of proxies that can't report any more, which a candidate must hold. Commits acknowledged in between are missing from it.

Found by reading; not shown to have acted in the users' runs.

Change: the caller says when it sent the command that the status answers.

--- a/internal/decide/ctsuccession/machine.go
+++ b/internal/decide/ctsuccession/machine.go
@@ -137,9 +137,9 @@
 	// status is the member's last answer, and answeredAt when it was received.
 	status     ctquery.Status
 	answeredAt time.Time
-	// statusRequestedAt is when the command that status answers was sent.
-	statusRequestedAt time.Time
-	// requestedAt is when the last command was sent.
+	// statusSentAt is when the command that status answers was sent.
+	statusSentAt time.Time
+	// requestedAt is when the last command was requested from the caller.
 	requestedAt time.Time
 	// pending reports that the last command is not answered yet.
 	pending bool
@@ -231,15 +231,15 @@
 	return now.Add(ctdrift.UpperBound(AuthorityTTL))
 }
 
-// RecordStatus records the status that a member returned to the last command.
-func (m *Machine) RecordStatus(now time.Time, name ctid.Member, command Command, status ctquery.Status) {
+// RecordStatus records the status that a member returned to a command sent at sentAt.
+func (m *Machine) RecordStatus(now, sentAt time.Time, name ctid.Member, command Command, status ctquery.Status) {
 	member, ok := m.members[name]
 	if !ok {
 		return
 	}
 	member.pending = false
 	member.failures = 0
-	member.status, member.answeredAt, member.statusRequestedAt = status, now, member.requestedAt
+	member.status, member.answeredAt, member.statusSentAt = status, now, sentAt
 	m.recordCoveredPoint(member)
 	switch c := command.(type) {
 	case Pause:
@@ -269,7 +269,7 @@
 	}
 	outdated := member.status.Term == m.coveredTerm && m.proxies.unreportedUntil.After(m.coveredAt)
 	if outdated || member.status.Term > m.coveredTerm {
-		m.coveredPoint, m.coveredTerm, m.coveredAt = member.status.Received, member.status.Term, member.statusRequestedAt
+		m.coveredPoint, m.coveredTerm, m.coveredAt = member.status.Received, member.status.Term, member.statusSentAt
 	}
 }
 
@@ -286,7 +286,7 @@
 	if !ok || member.status.Role != ctserver.RolePrimary || member.status.Term != group.Term {
 		return ctposition.Point{}, time.Time{}, false
 	}
-	return member.status.Received, member.statusRequestedAt, true
+	return member.status.Received, member.statusSentAt, true
 }
 
 // RecordFailure records that a member returned no status. Gone reports that its process
--- a/internal/decide/ctsuccession/machine_test.go
+++ b/internal/decide/ctsuccession/machine_test.go
@@ -28,7 +28,9 @@
 	status ctquery.Status
 	// A down member refuses connections, and an unresponsive one does not answer.
 	down, unresponsive bool
-	state              ctserver.State
+	// A hung member takes commands, and neither answers nor fails.
+	hung  bool
+	state ctserver.State
 }
 
 // event is a function that the environment calls at a time.
@@ -188,6 +190,9 @@
 		e.machine.RecordFailure(a.Member, s.down)
 		return
 	}
+	if s.hung {
+		return
+	}
 	switch c := a.Command.(type) {
 	case ctsuccession.Pause:
 		s.status.PausedBelow = c.Fence
@@ -196,7 +201,7 @@
 	case ctsuccession.StepDown:
 		s.status.Role = ctserver.RoleReplica
 	}
-	e.machine.RecordStatus(e.now, a.Member, a.Command, s.status)
+	e.machine.RecordStatus(e.now, e.now, a.Member, a.Command, s.status)
 }
 
 func (e *environment) requestPromotion(name ctid.Member) {
@@ -433,3 +438,18 @@
 		assertPrimary(t, e, "c", 2)
 	})
 }
+
+// TestSampleOfSlowAnswer covers a point that was taken for one of a later time: the answer to a
+// command arrived after the next command was requested, and counted as the answer to that one.
+func TestSampleOfSlowAnswer(t *testing.T) {
+	e := newEnvironment()
+	sentAt := e.now
+	slow := e.members["a"].status
+	e.members["a"].hung = true
+	e.run(time.Second)
+	e.machine.RecordStatus(e.now, sentAt, "a", ctsuccession.Probe{}, slow)
+	point, before, known := e.machine.Sample(e.now, e.group)
+	assert.Assert(t, known)
+	assert.Equal(t, point, slow.Received)
+	assert.Equal(t, before, sentAt)
+}
--- a/internal/program/ctcontrol/succession.go
+++ b/internal/program/ctcontrol/succession.go
@@ -238,6 +238,7 @@
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), commandTimeout)
 	defer cancel()
+	sentAt := c.Clock.Now()
 	status, err := c.Members.Call(ctx, t.server, t.command)
 	_, probe := t.command.(ctsuccession.Probe)
 	if err != nil || !probe {
@@ -248,7 +249,7 @@
 			machine.RecordFailure(t.member, errors.Is(err, syscall.ECONNREFUSED))
 			return
 		}
-		machine.RecordStatus(now, t.member, t.command, status)
+		machine.RecordStatus(now, sentAt, t.member, t.command, status)
 	})
 }
 
