ctsuccession, ctregister: a silent member's log counts until the member is known to be gone

Callers would see acknowledged writes gone after the loss of a primary, although a replica had them that control just had not heard. With sync_replicas 1 a commit may be on one replica alone. If nobody can report what was acknowledged, control promotes a replica once every other one is paused and none has received more. It forgot a member after 10 s without an announcement or an answer, and a new leader never knew it, so that "every other one" did not include the log with the commits.

Evidence: TestSilentReplicaLosesCommits; its subtests failed before.

Change: a member that is neither heard nor answers becomes silent. It is sent no commands, and it counts as a log that may be ahead until it is heard again, deregistered, or replaced at its address. The register keeps silent members beside the others, so that the next leader knows them. DELETE for a silent member, sent by an operator, removes it. The other conditions for a candidate don't depend on it: the group waits only while the primary's log can't be had and a proxy can't report what it acknowledged.

--- a/internal/decide/ctregister/command.go
+++ b/internal/decide/ctregister/command.go
@@ -53,6 +53,8 @@
 // SetMembers replaces the members that a new leader starts with.
 type SetMembers struct {
 	Members []ctserver.Announcement `json:"members" cbor:"members"`
+	// Silent are members that are neither heard nor known to be gone.
+	Silent []ctserver.Announcement `json:"silent,omitempty" cbor:"silent,omitempty"`
 }
 
 func (Configure) isCommand()  {}
--- a/internal/decide/ctregister/register.go
+++ b/internal/decide/ctregister/register.go
@@ -35,6 +35,9 @@
 	// Members are the members that a leader last recorded. With them, a new leader
 	// can start before all members have announced themselves to it.
 	Members []ctserver.Announcement `json:"members,omitempty" cbor:"members,omitempty"`
+	// Silent are members whose logs may have commits that no other log has, although nobody
+	// hears them.
+	Silent []ctserver.Announcement `json:"silent,omitempty" cbor:"silent,omitempty"`
 }
 
 // AuditEntry is a decision on a group that took effect.
@@ -54,7 +57,7 @@
 	case SetGroup:
 		return r.setGroup(c)
 	case SetMembers:
-		r.Members = c.Members
+		r.Members, r.Silent = c.Members, c.Silent
 		return MembersSet{}
 	}
 	return nil
--- a/internal/decide/ctsuccession/change.go
+++ b/internal/decide/ctsuccession/change.go
@@ -185,12 +185,18 @@
 }
 
 // noneAhead reports whether every member but the primary has confirmed the fence and
-// none has received more than a point. It is false while members may be unknown: shortly
-// after the leader started, and after a member was deregistered with its log.
+// none has received more than a point. It is false while logs may be unknown: shortly
+// after the leader started, after a member was deregistered with its log, and while a member
+// is silent.
 func (m *Machine) noneAhead(now time.Time, group ctview.Group, received ctposition.Point) bool {
 	if now.Sub(m.startedAt) < discoveryWindow || (!m.deregisteredAt.IsZero() && now.Sub(m.deregisteredAt) < memberTTL) {
 		return false
 	}
+	for name := range m.silent {
+		if name != group.Primary {
+			return false
+		}
+	}
 	for name, member := range m.members {
 		if name == group.Primary {
 			continue
--- a/internal/decide/ctsuccession/decide.go
+++ b/internal/decide/ctsuccession/decide.go
@@ -34,11 +34,12 @@
 	return m.watch(now, group)
 }
 
-// expire removes members that neither announce themselves nor answer, and the reports
-// of proxies that are no longer tracked.
+// expire makes members silent that neither announce themselves nor answer, and removes the
+// reports of proxies that are no longer tracked.
 func (m *Machine) expire(now time.Time) {
 	for name, member := range m.members {
 		if now.Sub(member.announcedAt) > memberTTL && member.failures > 0 {
+			m.silent[name] = member.announcement
 			delete(m.members, name)
 		}
 	}
--- a/internal/decide/ctsuccession/machine.go
+++ b/internal/decide/ctsuccession/machine.go
@@ -46,8 +46,8 @@
 	// discoveryWindow is how long a new leader collects announcements before it assumes
 	// that it knows all members.
 	discoveryWindow = 2600 * time.Millisecond
-	// memberTTL is how long a member that does not answer is retained after its last
-	// announcement.
+	// memberTTL is how long a member that does not answer is sent commands after its last
+	// announcement. Its log counts for longer; see Machine.silent.
 	memberTTL = 10 * time.Second
 	// proxyTTL is how long a proxy without authority is tracked after its last report. Its
 	// acknowledged commits count as unknown meanwhile, unless it reports them.
@@ -84,7 +84,10 @@
 	// startedAt is when the leader started.
 	startedAt time.Time
 	members   map[ctid.Member]*memberState
-	proxies   *ProxyTracker
+	// silent are members that are neither heard nor known to be gone. Their logs may have
+	// acknowledged commits that no other log has.
+	silent  map[ctid.Member]ctserver.Announcement
+	proxies *ProxyTracker
 	// reports are the proxies' latest reports on the group.
 	reports map[ctid.Proxy]*proxyReport
 	// coveredPoint is the point that the primary of coveredTerm returned to a command sent
@@ -170,6 +173,7 @@
 		IntervalFactor: m.IntervalFactor,
 		startedAt:      now,
 		members:        make(map[ctid.Member]*memberState),
+		silent:         make(map[ctid.Member]ctserver.Announcement),
 		proxies:        proxies,
 		reports:        make(map[ctid.Proxy]*proxyReport),
 	}
@@ -192,15 +196,26 @@
 			delete(m.members, name)
 		}
 	}
+	delete(m.silent, announcement.Member)
+	for name, silent := range m.silent {
+		if silent.Address == announcement.Address && silent.Incarnation < announcement.Incarnation {
+			delete(m.silent, name)
+		}
+	}
 }
 
-// DeregisterMember removes a member that has ended. For memberTTL after that, its log is
-// taken into account as one that may have been the most up-to-date.
-func (m *Machine) DeregisterMember(now time.Time, name ctid.Member) {
-	if _, ok := m.members[name]; ok {
-		delete(m.members, name)
+// DeregisterMember removes a member that has ended, also a silent one, and reports whether
+// it was known. For memberTTL after that, the log of one that was heard is taken into account
+// as one that may have been the most up-to-date.
+func (m *Machine) DeregisterMember(now time.Time, name ctid.Member) bool {
+	_, heard := m.members[name]
+	_, silent := m.silent[name]
+	if heard {
 		m.deregisteredAt = now
 	}
+	delete(m.members, name)
+	delete(m.silent, name)
+	return heard || silent
 }
 
 // ApplyReport applies what a proxy reports on the group.
--- a/internal/decide/ctsuccession/silent_test.go
+++ b/internal/decide/ctsuccession/silent_test.go
@@ -29,8 +29,12 @@
 	}
 	t.Run("under a leader that never heard it", func(t *testing.T) {
 		e := begin(15 * time.Second)
+		silent := e.machine.Silent()
 		e.proxies = ctsuccession.NewProxyTracker(e.now)
 		e.machine.Begin(e.now, e.proxies)
+		for _, announcement := range silent {
+			e.machine.AddSilent(announcement)
+		}
 		e.run(15 * time.Second)
 		assertNoRequest(t, e)
 	})
--- a/internal/link/ctrecord/record.go
+++ b/internal/link/ctrecord/record.go
@@ -78,7 +78,8 @@
 	if err := ctcbor.Unmarshal(data, &c); err != nil {
 		return nil, damagedError(err)
 	}
-	c.Members = slices.DeleteFunc(c.Members, func(m ctserver.Announcement) bool { return m.Check() != nil })
+	invalid := func(m ctserver.Announcement) bool { return m.Check() != nil }
+	c.Members, c.Silent = slices.DeleteFunc(c.Members, invalid), slices.DeleteFunc(c.Silent, invalid)
 	return c, nil
 }
 
--- a/internal/program/ctcontrol/control.go
+++ b/internal/program/ctcontrol/control.go
@@ -227,7 +227,7 @@
 	l.proxies.Tick(now)
 	c.advanceAll(now, l)
 	if members, due := l.unsavedMembers(now); due && l.hasAuthority(now) {
-		c.propose(l, ctregister.SetMembers{Members: members}, nil)
+		c.propose(l, members, nil)
 	}
 	if l.roster.Version() != before || !l.initialViewSent || l.notifyPending {
 		l.initialViewSent = true
--- a/internal/program/ctcontrol/leader.go
+++ b/internal/program/ctcontrol/leader.go
@@ -160,17 +160,24 @@
 	membersPerSaveInterval = 200
 )
 
-// unsavedMembers returns the roster's members, and whether they must be saved because
-// they differ from those in the register. It compares them at most once per interval.
-func (l *leaderState) unsavedMembers(now time.Time) ([]ctserver.Announcement, bool) {
+// unsavedMembers returns the roster's members and the silent ones, and whether they must be
+// saved because they differ from those in the register. It compares them at most once per
+// interval.
+func (l *leaderState) unsavedMembers(now time.Time) (ctregister.SetMembers, bool) {
 	interval := saveMembersInterval * time.Duration(1+len(l.register.Members)/membersPerSaveInterval)
 	if len(l.successions) == 0 || now.Sub(l.membersComparedAt) < interval {
-		return nil, false
+		return ctregister.SetMembers{}, false
 	}
 	l.membersComparedAt = now
-	members := l.roster.Members()
-	slices.SortFunc(members, func(a, b ctserver.Announcement) int { return cmp.Compare(a.Member, b.Member) })
-	return members, !slices.Equal(members, l.register.Members)
+	current := ctregister.SetMembers{Members: l.roster.Members()}
+	for _, machine := range l.successions {
+		current.Silent = append(current.Silent, machine.Silent()...)
+	}
+	byName := func(a, b ctserver.Announcement) int { return cmp.Compare(a.Member, b.Member) }
+	slices.SortFunc(current.Members, byName)
+	slices.SortFunc(current.Silent, byName)
+	changed := !slices.Equal(current.Members, l.register.Members) || !slices.Equal(current.Silent, l.register.Silent)
+	return current, changed
 }
 
 // memberTTL returns how long a member stays in the view after its last announcement.
@@ -230,6 +237,11 @@
 			machine.ApplyAnnouncement(now, announcement)
 		}
 	}
+	for _, announcement := range l.register.Silent {
+		if announcement.Group == name {
+			machine.AddSilent(announcement)
+		}
+	}
 	l.successions[name] = machine
 }
 
--- a/internal/program/ctcontrol/release.go
+++ b/internal/program/ctcontrol/release.go
@@ -131,14 +131,16 @@
 	}
 }
 
-// deregisterMember removes a member whose process has ended.
+// deregisterMember removes a member whose process has ended. An operator may send that for a
+// member that is gone without a word.
 func (c *Control) deregisterMember(l *leaderState, name ctid.Member) {
-	if !l.roster.DeregisterMember(name) {
-		return
-	}
+	known := l.roster.DeregisterMember(name)
 	now := c.Clock.Now()
 	for _, machine := range l.successions {
-		machine.DeregisterMember(now, name)
+		known = machine.DeregisterMember(now, name) || known
+	}
+	if !known {
+		return
 	}
 	l.notifyThrottled(now)
 	c.Logger.Info().Str("event", "decision").Str("decision", "drop_member").
