ctpromotion, ctsuccession: no commit is acknowledged that a late promotion loses

In the users' record a leader that had been cut off for 10 s has a promotion request of unknown outcome; another member leads meanwhile; then the first candidate leads a later term without any decision of the leader of the time. The service checks no fences and promotes whenever it handles a request. Control took a timeout for the end of a request, and its next leader did not know the request at all.

Ruled out as the only cause: a longer wait, since a held link has no bound.

Why this works: a member that may still be promoted always holds every acknowledged commit. - Each promotion is durable in the register, under its leader's epoch and a number, before it is requested, and until it is known that no request for it can take effect (ctpromotion.Ledger). A call stays open after its timeout; its answer settles the promotion, also through the present leader if another process sent it. A promotion whose sender can't tell ends after 60 s under one leader, or when its member is gone. - Meanwhile a proxy acknowledges a commit only if that member's status, asked after the commit, shows that it has received it and was not promoted before. If the member can't be reached, writes are refused before they run. - A primary of a later term that no change asked for is fenced before it is adopted, so that no proxy acknowledges or reads at the earlier one meanwhile. In basis_test.go this decision now has a line of its own. - A request is checked against the durable candidate just before it is sent.

--- /dev/null
+++ b/internal/decide/ctpromotion/ledger.go
@@ -0,0 +1,112 @@
+package ctpromotion
+
+import (
+	"time"
+
+	"github.com/cherviltrestle/cherviltrestle/internal/decide/ctsuccession"
+	"github.com/cherviltrestle/cherviltrestle/internal/model/ctid"
+	"github.com/cherviltrestle/cherviltrestle/internal/model/ctset"
+	"github.com/cherviltrestle/cherviltrestle/internal/model/ctview"
+)
+
+// effectTimeout is how long after the answer an accepted request may take effect.
+const effectTimeout = 5 * time.Second
+
+// Key names a promotion in a group.
+type Key struct {
+	Group     ctid.Group
+	Promotion ctview.Promotion
+}
+
+// Ledger records the requests that this process has sent. Its zero value is empty and ready
+// for use. It is not safe for concurrent use.
+type Ledger struct {
+	// epochs are those in which this process has led.
+	epochs     ctset.Set[ctview.Epoch]
+	promotions map[Key]*promotion
+}
+
+// promotion is the state of the requests for one promotion.
+type promotion struct {
+	// unanswered counts the requests that have no answer yet. lost reports that one has
+	// ended without an answer, so that the promotion can't be settled here.
+	unanswered int
+	lost       bool
+	// accepted counts the accepted requests. All have taken effect by effectiveBy.
+	accepted    int
+	effectiveBy time.Time
+	// closed reports that the promotion is settled: no request for it is sent any more.
+	closed bool
+}
+
+// Lead records that this process leads in an epoch.
+func (l *Ledger) Lead(epoch ctview.Epoch) {
+	l.epochs.Add(epoch)
+}
+
+// Begin records that a request is about to be sent. It returns false if none may be sent,
+// because the promotion is settled.
+func (l *Ledger) Begin(key Key) bool {
+	p := l.promotionOf(key)
+	if p.closed {
+		return false
+	}
+	p.unanswered++
+	return true
+}
+
+// promotionOf returns the state of a promotion and adds it if it is missing.
+func (l *Ledger) promotionOf(key Key) *promotion {
+	if l.promotions == nil {
+		l.promotions = make(map[Key]*promotion)
+	}
+	p, ok := l.promotions[key]
+	if !ok {
+		p = &promotion{}
+		l.promotions[key] = p
+	}
+	return p
+}
+
+// End records the outcome of a request. PromotionUnknown means that its answer will never
+// be known.
+func (l *Ledger) End(now time.Time, key Key, outcome ctsuccession.PromotionOutcome) {
+	p, ok := l.promotions[key]
+	if !ok {
+		return
+	}
+	p.unanswered--
+	switch outcome {
+	case ctsuccession.PromotionUnknown:
+		p.lost = true
+	case ctsuccession.PromotionAccepted:
+		p.accepted++
+		p.effectiveBy = now.Add(effectTimeout)
+	case ctsuccession.PromotionDeferred, ctsuccession.PromotionRejected:
+	}
+}
+
+// Settled reports whether no request for a promotion can take effect any more. If so, Begin
+// allows no further one. Observed reports that the promotion has taken effect once. The result
+// is false for promotions of other processes and of earlier runs of this one.
+func (l *Ledger) Settled(now time.Time, key Key, observed bool) bool {
+	if !l.epochs.Has(key.Promotion.Epoch) {
+		return false
+	}
+	p := l.promotionOf(key)
+	effective := !now.Before(p.effectiveBy) || (observed && p.accepted == 1)
+	if p.lost || p.unanswered > 0 || !effective {
+		return false
+	}
+	p.closed = true
+	return true
+}
+
+// Unanswered returns how many requests have no answer yet.
+func (l *Ledger) Unanswered() int {
+	count := 0
+	for _, p := range l.promotions {
+		count += p.unanswered
+	}
+	return count
+}
--- a/internal/decide/ctregister/command.go
+++ b/internal/decide/ctregister/command.go
@@ -10,7 +10,7 @@
 	"github.com/cherviltrestle/cherviltrestle/internal/model/ctview"
 )
 
-// Command is one of Configure, Publish, SetGroup and SetMembers.
+// Command is one of Configure, Publish, SetGroup, SetMembers and SettlePromotions.
 type Command interface {
 	isCommand()
 }
@@ -24,7 +24,8 @@
 }
 
 // SetGroup replaces the decided state of a group, if that state still has the term
-// and the fence that the decision was based on.
+// and the fence that the decision was based on. It adds to the unsettled promotions and
+// removes none of them.
 type SetGroup struct {
 	Group ctview.Group `json:"group" cbor:"group"`
 	// BaseTerm and BaseFence are the group's term and fence when the decision was
@@ -57,13 +58,21 @@
 	Silent []ctserver.Announcement `json:"silent,omitempty" cbor:"silent,omitempty"`
 }
 
-func (Configure) isCommand()  {}
-func (Publish) isCommand()    {}
-func (SetGroup) isCommand()   {}
-func (SetMembers) isCommand() {}
+// SettlePromotions removes promotions from a group's unsettled ones, because none of them
+// can take effect any more.
+type SettlePromotions struct {
+	Group      ctid.Group         `json:"group" cbor:"group"`
+	Promotions []ctview.Promotion `json:"promotions" cbor:"promotions"`
+}
+
+func (Configure) isCommand()        {}
+func (Publish) isCommand()          {}
+func (SetGroup) isCommand()         {}
+func (SetMembers) isCommand()       {}
+func (SettlePromotions) isCommand() {}
 
-// Result is one of Configured, Duplicate, Conflict, StaleRelease, GroupSet and
-// MembersSet.
+// Result is one of Configured, Duplicate, Conflict, StaleRelease, GroupSet, MembersSet and
+// PromotionsSettled.
 type Result interface {
 	isResult()
 }
@@ -101,9 +110,16 @@
 // MembersSet reports that the members were replaced.
 type MembersSet struct{}
 
-func (MembersSet) isResult()   {}
-func (Configured) isResult()   {}
-func (Duplicate) isResult()    {}
-func (Conflict) isResult()     {}
-func (StaleRelease) isResult() {}
-func (GroupSet) isResult()     {}
+// PromotionsSettled reports that the promotions are not among the group's unsettled ones
+// any more.
+type PromotionsSettled struct {
+	Name ctid.Group
+}
+
+func (PromotionsSettled) isResult() {}
+func (MembersSet) isResult()        {}
+func (Configured) isResult()        {}
+func (Duplicate) isResult()         {}
+func (Conflict) isResult()          {}
+func (StaleRelease) isResult()      {}
+func (GroupSet) isResult()          {}
--- a/internal/decide/ctregister/register.go
+++ b/internal/decide/ctregister/register.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"reflect"
+	"slices"
 	"time"
 
 	"github.com/cherviltrestle/cherviltrestle/internal/model/ctconfig"
@@ -59,6 +60,9 @@
 	case SetMembers:
 		r.Members, r.Silent = c.Members, c.Silent
 		return MembersSet{}
+	case SettlePromotions:
+		r.settlePromotions(c)
+		return PromotionsSettled{Name: c.Group}
 	}
 	return nil
 }
@@ -159,10 +163,22 @@
 	if r.Groups == nil {
 		r.Groups = make(map[ctid.Group]ctview.Group)
 	}
-	r.Groups[name] = c.Group
-	r.AuditLog = append(r.AuditLog, AuditEntry{At: c.At, Reason: c.Reason, Group: c.Group})
+	group := c.Group
+	group.Unsettled = ctview.MergePromotions(current.Unsettled, group.Unsettled)
+	r.Groups[name] = group
+	r.AuditLog = append(r.AuditLog, AuditEntry{At: c.At, Reason: c.Reason, Group: group})
 	if len(r.AuditLog) > maxAuditEntries {
 		r.AuditLog = r.AuditLog[len(r.AuditLog)-maxAuditEntries:]
 	}
 	return GroupSet{Name: name, Applied: true}
 }
+
+func (r *Register) settlePromotions(c SettlePromotions) {
+	group, ok := r.Groups[c.Group]
+	if !ok {
+		return
+	}
+	isSettled := func(p ctview.Promotion) bool { return slices.Contains(c.Promotions, p) }
+	group.Unsettled = slices.DeleteFunc(slices.Clone(group.Unsettled), isSettled)
+	r.Groups[c.Group] = group
+}
--- a/internal/decide/ctsuccession/action.go
+++ b/internal/decide/ctsuccession/action.go
@@ -6,7 +6,7 @@
 	"github.com/cherviltrestle/cherviltrestle/internal/model/ctview"
 )
 
-// Action is one of SendCommand, PromotionRequest and SetGroup.
+// Action is one of SendCommand, PromotionRequest, SetGroup and SettlePromotions.
 type Action interface {
 	isAction()
 }
@@ -18,10 +18,11 @@
 	Command Command
 }
 
-// PromotionRequest requests a member's promotion from the external service.
-// RecordPromotion records the outcome.
+// PromotionRequest requests a member's promotion from the external service. It is sent only
+// if the promotion is among the group's unsettled ones in the register. RecordPromotion
+// records the outcome.
 type PromotionRequest struct {
-	Member ctid.Member
+	Promotion ctview.Promotion
 }
 
 // SetGroup makes a decision on the group durable.
@@ -31,9 +32,15 @@
 	Basis  Basis
 }
 
+// SettlePromotions makes durable that promotions can't take effect any more.
+type SettlePromotions struct {
+	Promotions []ctview.Promotion
+}
+
 func (SendCommand) isAction()      {}
 func (PromotionRequest) isAction() {}
 func (SetGroup) isAction()         {}
+func (SettlePromotions) isAction() {}
 
 // Command is one of Probe, Pause, Resume and StepDown. The member answers each of
 // them with its status.
@@ -104,4 +111,6 @@
 	ReasonDemoted              Reason = "primary_says_it_is_a_replica"
 	ReasonLeaving              Reason = "primary_leaves"
 	ReasonLogComplete          Reason = "candidate_holds_every_acknowledged_commit"
+	ReasonInherited            Reason = "candidate_of_the_previous_leader"
+	ReasonUnrequested          Reason = "member_was_promoted_without_a_request_of_this_leader"
 )
--- a/internal/decide/ctsuccession/basis_test.go
+++ b/internal/decide/ctsuccession/basis_test.go
@@ -71,12 +71,12 @@
 			assert.Equal(t, m.Failures > 0, m.Member == "a", "%+v", m)
 		}
 	})
-	t.Run("a primary that control did not choose", func(t *testing.T) {
+	t.Run("a primary that control did not choose, when it is fenced and when it is adopted", func(t *testing.T) {
 		e := newEnvironment()
 		e.members["c"].status.Role, e.members["c"].status.Term = ctserver.RolePrimary, 5
 		received := e.members["c"].status.Received
 		e.run(3 * time.Second)
 		want := ctsuccession.AdoptionBasis{Member: "c", Term: ctposition.Term(5), Received: received}
-		assert.DeepEqual(t, e.bases, []ctsuccession.Basis{want})
+		assert.DeepEqual(t, e.bases, []ctsuccession.Basis{want, want})
 	})
 }
--- a/internal/decide/ctsuccession/change.go
+++ b/internal/decide/ctsuccession/change.go
@@ -28,6 +28,9 @@
 		m.skip(now, group.Candidate)
 	}
 	if group.Candidate != "" && !m.skipped(now, group.Candidate) && !m.candidateLost(now, group.Candidate) {
+		if _, recorded := m.ownPromotion(group, group.Candidate); !recorded {
+			return []Action{SetGroup{Group: m.withPromotion(group, group.Candidate), Reason: ReasonInherited}}
+		}
 		return m.promote(now, group)
 	}
 	actions := m.stopOldTerm(now, group)
@@ -36,9 +39,10 @@
 		return actions
 	}
 	m.current.nextRequestAt, m.current.acceptedRequests = time.Time{}, 0
-	group.Candidate = candidate
 	basis := m.candidateBasis(now, group, candidate, allKnown)
-	return append(actions, SetGroup{Group: group, Reason: ReasonLogComplete, Basis: basis})
+	return append(actions, SetGroup{
+		Group: m.withPromotion(group, candidate), Reason: ReasonLogComplete, Basis: basis,
+	})
 }
 
 // candidateLost reports whether a candidate is unknown or does not answer.
@@ -57,9 +61,10 @@
 	if now.Before(m.current.nextRequestAt) || (m.current.pending && now.Sub(m.current.requestedAt) < outcomeTimeout) {
 		return actions
 	}
+	promotion, _ := m.ownPromotion(group, group.Candidate)
 	m.current.requests++
 	m.current.requestedAt, m.current.pending = now, true
-	return append(actions, PromotionRequest{Member: group.Candidate})
+	return append(actions, PromotionRequest{Promotion: promotion})
 }
 
 // promotionsComplete reports whether no promotion request can take effect any more. While
@@ -108,8 +113,8 @@
 }
 
 // chooseCandidate returns the member to promote, if one is known to have every
-// acknowledged commit. It prefers ready members to leaving ones, and then the most
-// up-to-date log.
+// acknowledged commit. It prefers ready members to leaving ones, then those that the service
+// may still promote anyway, and then the most up-to-date log.
 func (m *Machine) chooseCandidate(now time.Time, group ctview.Group, allKnown bool) (ctid.Member, bool) {
 	var complete []ctid.Member
 	for name := range m.members {
@@ -124,6 +129,7 @@
 		x, y := m.members[a], m.members[b]
 		return cmp.Or(
 			cmp.Compare(readyRank(y), readyRank(x)),
+			cmp.Compare(unsettledRank(group, b), unsettledRank(group, a)),
 			comparePoints(y.status.Received, x.status.Received),
 			cmp.Compare(a, b),
 		)
--- a/internal/decide/ctsuccession/decide.go
+++ b/internal/decide/ctsuccession/decide.go
@@ -14,16 +14,13 @@
 // and records their results.
 func (m *Machine) Decide(now time.Time, group ctview.Group) []Action {
 	m.expire(now)
-	if name, term, ok := m.newPrimary(group); ok && m.promotionsComplete(now) {
-		reason := ReasonLaterTerm
-		if group.Term == 0 {
-			reason = ReasonAdopted
+	if settled := m.settledPromotions(now, group); len(settled) > 0 {
+		return []Action{SettlePromotions{Promotions: settled}}
+	}
+	if name, term, ok := m.newPrimary(group); ok {
+		if action, due := m.adopt(now, group, name, term); due {
+			return []Action{action}
 		}
-		m.lastChangeAt = now
-		group.Term, group.Primary = term, name
-		group.Fence, group.RetiringTerm, group.Candidate = 0, 0, ""
-		basis := AdoptionBasis{Member: name, Term: term, Received: m.members[name].status.Received}
-		return []Action{SetGroup{Group: group, Reason: reason, Basis: basis}}
 	}
 	switch {
 	case group.Term == 0:
@@ -34,6 +31,32 @@
 	return m.watch(now, group)
 }
 
+// adopt returns the decision that follows from a primary of a later term. Its term is
+// fenced first if nobody has requested the promotion: proxies may still acknowledge commits
+// of the earlier term, which the new primary may lack, and read there.
+func (m *Machine) adopt(now time.Time, group ctview.Group, name ctid.Member, term ctposition.Term) (SetGroup, bool) {
+	reason := ReasonLaterTerm
+	basis := AdoptionBasis{Member: name, Term: term, Received: m.members[name].status.Received}
+	switch {
+	case group.Term == 0:
+		reason = ReasonAdopted
+	case !group.ChangingPrimary():
+		group.Fence = term
+		return SetGroup{Group: group, Reason: ReasonUnrequested, Basis: basis}, true
+	case !m.promotionsComplete(now):
+		return SetGroup{}, false
+	case group.Candidate == "":
+		// With a candidate, the acknowledgments ended before it was chosen.
+		if ended, _ := m.acknowledgmentsEnded(now, group); !ended {
+			return SetGroup{}, false
+		}
+	}
+	m.lastChangeAt = now
+	group.Term, group.Primary = term, name
+	group.Fence, group.RetiringTerm, group.Candidate = 0, 0, ""
+	return SetGroup{Group: group, Reason: reason, Basis: basis}, true
+}
+
 // expire makes members silent that neither announce themselves nor answer, and removes the
 // reports of proxies that are no longer tracked.
 func (m *Machine) expire(now time.Time) {
--- a/internal/decide/ctsuccession/late_test.go
+++ b/internal/decide/ctsuccession/late_test.go
@@ -6,9 +6,12 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/cherviltrestle/cherviltrestle/internal/decide/ctpromotion"
 	"github.com/cherviltrestle/cherviltrestle/internal/decide/ctsuccession"
 	"github.com/cherviltrestle/cherviltrestle/internal/model/ctid"
 	"github.com/cherviltrestle/cherviltrestle/internal/model/ctposition"
+	"github.com/cherviltrestle/cherviltrestle/internal/model/ctserver"
+	"github.com/cherviltrestle/cherviltrestle/internal/model/ctview"
 )
 
 // holdRequest makes the requests for a member take effect late, without an answer until then.
@@ -27,6 +30,11 @@
 	if e.group.ChangingPrimary() || e.group.Term != primary.status.Term {
 		return ctposition.Point{}
 	}
+	for _, name := range e.group.GuardMembers() {
+		if !ctpromotion.Holds(e.members[name].status, primary.status.Received) {
+			return ctposition.Point{}
+		}
+	}
 	return primary.status.Received
 }
 
@@ -82,3 +90,64 @@
 		assertPromotedWith(t, e, "b", acknowledged)
 	})
 }
+
+// TestUnsettledPromotions covers writes that were refused for good, and promotions that were
+// settled although they could take effect: which promotions stay unsettled, and until when.
+func TestUnsettledPromotions(t *testing.T) {
+	t.Run("a commit that the member holds is acknowledged", func(t *testing.T) {
+		e := newEnvironment()
+		e.group.Unsettled = []ctview.Promotion{{Member: "b", Epoch: 7}}
+		assert.Assert(t, e.commit().IsZero())
+		e.members["b"].status.Received = point(102)
+		assert.Equal(t, e.commit(), point(102))
+	})
+	t.Run("that of an earlier leader ends with its lifetime", func(t *testing.T) {
+		e := newEnvironment()
+		e.group.Unsettled = []ctview.Promotion{{Member: "b", Epoch: 7}}
+		e.run(40 * time.Second)
+		assertUnsettled(t, e, "b")
+		e.run(20 * time.Second)
+		assertUnsettled(t, e)
+	})
+	t.Run("that of a member that is gone ends", func(t *testing.T) {
+		e := newEnvironment()
+		e.group.Unsettled = []ctview.Promotion{{Member: "c", Epoch: 7}}
+		e.members["c"].down = true
+		e.machine.DeregisterMember(e.now, "c")
+		e.run(time.Second)
+		assertUnsettled(t, e)
+	})
+	t.Run("a new leader requests the inherited candidate under its own epoch", func(t *testing.T) {
+		e := newEnvironment()
+		e.group.Fence, e.group.Candidate = 2, "c"
+		e.group.Unsettled = []ctview.Promotion{{Member: "c", Epoch: 7}}
+		e.members["a"].down = true
+		e.proxies = ctsuccession.NewProxyTracker(e.now)
+		e.machine.Epoch = 8
+		e.machine.Begin(e.now, e.proxies)
+		e.run(6 * time.Second)
+		assertPrimary(t, e, "c", 2)
+		assertUnsettled(t, e, "c", "c")
+		assert.Equal(t, e.group.Unsettled[1].Epoch, ctview.Epoch(8))
+	})
+	t.Run("a primary that nobody requested is fenced before it is adopted", func(t *testing.T) {
+		e := newEnvironment()
+		e.fenced = false
+		e.members["c"].status.Role, e.members["c"].status.Term = ctserver.RolePrimary, 5
+		e.run(3 * time.Second)
+		assert.Equal(t, e.group.Fence, ctposition.Term(5))
+		e.fenced = true
+		e.run(time.Second)
+		assertPrimary(t, e, "c", 5)
+	})
+}
+
+// assertUnsettled asserts whose promotions are unsettled.
+func assertUnsettled(t *testing.T, e *environment, want ...ctid.Member) {
+	t.Helper()
+	var got []ctid.Member
+	for _, p := range e.group.Unsettled {
+		got = append(got, p.Member)
+	}
+	assert.DeepEqual(t, got, want)
+}
--- a/internal/decide/ctsuccession/machine.go
+++ b/internal/decide/ctsuccession/machine.go
@@ -9,6 +9,7 @@
 	"github.com/cherviltrestle/cherviltrestle/internal/model/ctposition"
 	"github.com/cherviltrestle/cherviltrestle/internal/model/ctquery"
 	"github.com/cherviltrestle/cherviltrestle/internal/model/ctserver"
+	"github.com/cherviltrestle/cherviltrestle/internal/model/ctset"
 	"github.com/cherviltrestle/cherviltrestle/internal/model/ctview"
 )
 
@@ -77,6 +78,10 @@
 // Machine decides on one group. Begin has to be called before any other method. A
 // Machine is not safe for concurrent use.
 type Machine struct {
+	// Epoch is the leader's epoch, and LastNumber the number of its last promotion. A machine
+	// that replaces another one in the same epoch has to start with a higher LastNumber.
+	Epoch      ctview.Epoch
+	LastNumber ctview.PromotionNumber
 	// IntervalFactor multiplies the probe intervals while no change is in progress, so that
 	// a leader can probe many groups. Values below 1 count as 1.
 	IntervalFactor int
@@ -102,6 +107,9 @@
 	lastChangeAt time.Time
 	// deregisteredAt is when a member was last deregistered. Its log is gone with it.
 	deregisteredAt time.Time
+	// gone are the members that were deregistered or replaced at their address, and have not
+	// been heard again.
+	gone ctset.Set[ctid.Member]
 	// current is the state of the change in progress.
 	current changeState
 }
@@ -170,6 +178,8 @@
 // the tracker.
 func (m *Machine) Begin(now time.Time, proxies *ProxyTracker) {
 	*m = Machine{
+		Epoch:          m.Epoch,
+		LastNumber:     m.LastNumber,
 		IntervalFactor: m.IntervalFactor,
 		startedAt:      now,
 		members:        make(map[ctid.Member]*memberState),
@@ -190,16 +200,19 @@
 	}
 	member.announcement = announcement
 	member.announcedAt = now
+	m.gone.Remove(announcement.Member)
 	for name, other := range m.members {
 		if name != announcement.Member && other.announcement.Address == announcement.Address &&
 			other.announcement.Incarnation < announcement.Incarnation {
 			delete(m.members, name)
+			m.gone.Add(name)
 		}
 	}
 	delete(m.silent, announcement.Member)
 	for name, silent := range m.silent {
 		if silent.Address == announcement.Address && silent.Incarnation < announcement.Incarnation {
 			delete(m.silent, name)
+			m.gone.Add(name)
 		}
 	}
 }
@@ -215,6 +228,7 @@
 	}
 	delete(m.members, name)
 	delete(m.silent, name)
+	m.gone.Add(name)
 	return heard || silent
 }
 
--- a/internal/decide/ctsuccession/machine_test.go
+++ b/internal/decide/ctsuccession/machine_test.go
@@ -174,13 +174,16 @@
 	case ctsuccession.SendCommand:
 		e.send(a)
 	case ctsuccession.PromotionRequest:
-		e.requestPromotion(a.Member)
+		e.requestPromotion(a.Promotion.Member)
 	case ctsuccession.SetGroup:
 		e.group = a.Group
 		e.decisions = append(e.decisions, a.Reason)
 		if a.Basis != nil {
 			e.bases = append(e.bases, a.Basis)
 		}
+	case ctsuccession.SettlePromotions:
+		isSettled := func(p ctview.Promotion) bool { return slices.Contains(a.Promotions, p) }
+		e.group.Unsettled = slices.DeleteFunc(e.group.Unsettled, isSettled)
 	}
 }
 
--- /dev/null
+++ b/internal/decide/ctsuccession/unsettled.go
@@ -0,0 +1,55 @@
+package ctsuccession
+
+import (
+	"time"
+
+	"github.com/cherviltrestle/cherviltrestle/internal/model/ctid"
+	"github.com/cherviltrestle/cherviltrestle/internal/model/ctview"
+)
+
+// requestLifetime is how long a promotion request may take to have an effect if the process
+// that sent it can't report the answer.
+const requestLifetime = 60 * time.Second
+
+// ownPromotion returns the newest promotion of a member that this leader made durable.
+func (m *Machine) ownPromotion(group ctview.Group, name ctid.Member) (promotion ctview.Promotion, recorded bool) {
+	for _, p := range group.Unsettled {
+		if p.Member == name && p.Epoch == m.Epoch && p.Number >= promotion.Number {
+			promotion, recorded = p, true
+		}
+	}
+	return promotion, recorded
+}
+
+// withPromotion returns the group with a candidate and a new promotion of it.
+func (m *Machine) withPromotion(group ctview.Group, candidate ctid.Member) ctview.Group {
+	m.LastNumber++
+	promotion := ctview.Promotion{Member: candidate, Epoch: m.Epoch, Number: m.LastNumber}
+	group.Candidate = candidate
+	group.Unsettled = ctview.MergePromotions(group.Unsettled, []ctview.Promotion{promotion})
+	return group
+}
+
+// unsettledRank returns 1 for a member that the service may still promote, and 0 otherwise.
+func unsettledRank(group ctview.Group, name ctid.Member) int {
+	for _, p := range group.Unsettled {
+		if p.Member == name {
+			return 1
+		}
+	}
+	return 0
+}
+
+// settledPromotions returns the unsettled promotions that can't take effect any more: those
+// of members that are gone for good, and those of earlier leaders that have had
+// requestLifetime without a report. Those of this epoch are settled by their answers.
+func (m *Machine) settledPromotions(now time.Time, group ctview.Group) []ctview.Promotion {
+	var settled []ctview.Promotion
+	for _, p := range group.Unsettled {
+		expired := p.Epoch != m.Epoch && now.Sub(m.startedAt) >= requestLifetime
+		if expired || (p.Member != group.Candidate && m.gone.Has(p.Member)) {
+			settled = append(settled, p)
+		}
+	}
+	return settled
+}
--- a/internal/lab/ctmembers/fixture_test.go
+++ b/internal/lab/ctmembers/fixture_test.go
@@ -202,7 +202,10 @@
 	f.gateway = ctgateway.New(ctgateway.Options{
 		FailureDomain: self.FailureDomain, State: state, Pools: f.pools, Clock: clock, Logger: zerolog.Nop(),
 		NewCaller: func(net.Conn) ctgateway.Caller { return <-f.callers },
-		Metrics:   ctmetric.New(prometheus.NewRegistry()), TriggerReport: func() {},
+		DecodeStatus: func(answer ctquery.Answer) (ctquery.Status, error) {
+			return ctquery.Status{Role: ctserver.RoleReplica, Received: answer.Point}, nil
+		},
+		Metrics: ctmetric.New(prometheus.NewRegistry()), TriggerReport: func() {},
 	})
 	var held ctlock.Held
 	delta := &ctview.Delta{
--- a/internal/link/ctframe/control.go
+++ b/internal/link/ctframe/control.go
@@ -3,6 +3,7 @@
 import (
 	"github.com/cherviltrestle/cherviltrestle/internal/model/ctid"
 	"github.com/cherviltrestle/cherviltrestle/internal/model/ctserver"
+	"github.com/cherviltrestle/cherviltrestle/internal/model/ctview"
 )
 
 // Publish requests that control's leader puts a whole configuration into force. The
@@ -59,7 +60,26 @@
 	return nil
 }
 
-// Ack answers Heard and Gathered. It confirms that the leader has applied them.
+// Settled reports to control's leader that promotions of a group can't take effect any more.
+type Settled struct {
+	Group      ctid.Group         `cbor:"group"`
+	Promotions []ctview.Promotion `cbor:"promotions"`
+}
+
+// Check returns an error of kind cterror.Invalid for the first invalid name.
+func (f *Settled) Check() error {
+	if err := f.Group.Check(); err != nil {
+		return err
+	}
+	for i := range f.Promotions {
+		if err := f.Promotions[i].Check(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// Ack answers Heard, Gathered and Settled. It confirms that the leader has applied them.
 type Ack struct{}
 
 func (*Publish) kind() kind      { return kindPublish }
@@ -68,4 +88,5 @@
 func (*RecallReply) kind() kind  { return kindRecallReply }
 func (*Heard) kind() kind        { return kindHeard }
 func (*Gathered) kind() kind     { return kindGathered }
+func (*Settled) kind() kind      { return kindSettled }
 func (*Ack) kind() kind          { return kindAck }
--- a/internal/link/ctframe/frame.go
+++ b/internal/link/ctframe/frame.go
@@ -46,6 +46,7 @@
 	kindGathered
 	kindReportBatch
 	kindReportBatchReply
+	kindSettled
 )
 
 // constructors contains, for each kind, a function that returns an empty frame.
@@ -77,6 +78,7 @@
 	kindForward:        func() Frame { return &Forward{} },
 	kindForwardReply:   func() Frame { return &ForwardReply{} },
 	kindGathered:       func() Frame { return &Gathered{} },
+	kindSettled:        func() Frame { return &Settled{} },
 
 	kindReportBatch:      func() Frame { return &ReportBatch{} },
 	kindReportBatchReply: func() Frame { return &ReportBatchReply{} },
--- a/internal/link/ctrecord/record.go
+++ b/internal/link/ctrecord/record.go
@@ -17,6 +17,7 @@
 	kindSetGroup
 	kindPublish
 	kindSetMembers
+	kindSettlePromotions
 )
 
 // EncodeCommand returns the encoding of a command.
@@ -35,6 +36,8 @@
 		kind = kindPublish
 	case ctregister.SetMembers:
 		kind = kindSetMembers
+	case ctregister.SettlePromotions:
+		kind = kindSettlePromotions
 	}
 	return append([]byte{kind}, body...), nil
 }
@@ -64,9 +67,14 @@
 			return nil, damagedError(err)
 		}
 		return c, nil
-	}
-	if data[0] == kindSetMembers {
+	case kindSetMembers:
 		return decodeSetMembers(data[1:])
+	case kindSettlePromotions:
+		var c ctregister.SettlePromotions
+		if err := ctcbor.Unmarshal(data[1:], &c); err != nil {
+			return nil, damagedError(err)
+		}
+		return c, c.Group.Check()
 	}
 	return nil, cterror.Newf(cterror.Invalid, "upgrade this process", "command kind %d is unknown", data[0])
 }
--- a/internal/model/ctview/group.go
+++ b/internal/model/ctview/group.go
@@ -21,6 +21,9 @@
 	// Candidate is the member that an external service is to promote, until its
 	// promotion is observed. It is empty if no such promotion is pending.
 	Candidate ctid.Member `json:"candidate,omitempty" cbor:"candidate,omitempty"`
+	// Unsettled lists the promotions that may still take effect, at any time: they were or
+	// may have been requested, and it is not known that the request has ended.
+	Unsettled []Promotion `json:"unsettled,omitempty" cbor:"unsettled,omitempty"`
 }
 
 // ChangingPrimary reports whether a change of primary is in progress.
@@ -39,6 +42,9 @@
 	if err := g.Name.Check(); err != nil {
 		return err
 	}
+	if err := checkPromotions(g.Unsettled); err != nil {
+		return err
+	}
 	if g.Primary == "" {
 		return nil
 	}
--- a/internal/program/ctcontrol/basis.go
+++ b/internal/program/ctcontrol/basis.go
@@ -71,6 +71,7 @@
 		Str("group", string(t.group)).
 		Str("member", string(t.member)).
 		Uint64("epoch", uint64(t.epoch)).
+		Uint64("number", uint64(t.promotion.Number)).
 		Str("why", "candidate").
 		Send()
 }
--- a/internal/program/ctcontrol/leader.go
+++ b/internal/program/ctcontrol/leader.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/cherviltrestle/cherviltrestle/internal/decide/ctfailover"
+	"github.com/cherviltrestle/cherviltrestle/internal/decide/ctpromotion"
 	"github.com/cherviltrestle/cherviltrestle/internal/decide/ctquorum"
 	"github.com/cherviltrestle/cherviltrestle/internal/decide/ctregister"
 	"github.com/cherviltrestle/cherviltrestle/internal/decide/ctsuccession"
@@ -41,6 +42,10 @@
 	// promotes.
 	successions map[ctid.Group]*ctsuccession.Machine
 	proxies     *ctsuccession.ProxyTracker
+	// machinesStarted counts the successions that this leader has created.
+	machinesStarted uint64
+	// ledger records the promotion requests of this process, in all epochs.
+	ledger ctpromotion.Ledger
 	// tickCount counts the ticks in which successions were advanced.
 	tickCount uint64
 	epoch     ctquorum.Epoch
@@ -91,6 +96,7 @@
 	l.successions = make(map[ctid.Group]*ctsuccession.Machine)
 	l.proxies = ctsuccession.NewProxyTracker(now)
 	l.epoch = ctquorum.Epoch(epoch)
+	l.ledger.Lead(ctview.Epoch(epoch))
 	l.blocked = make(map[ctid.Group]ctfailover.Reason)
 	l.proposedAt = make(map[ctid.Group]time.Time)
 	l.leading = true
@@ -224,13 +230,19 @@
 	l.notifyWatchers()
 }
 
+// numbersPerMachine is how many promotions a succession numbers at most.
+const numbersPerMachine = 1 << 20
+
 // startSuccession creates the machine of a group that an external service promotes in,
 // unless it exists.
 func (l *leaderState) startSuccession(now time.Time, name ctid.Group) {
 	if _, ok := l.successions[name]; ok {
 		return
 	}
-	machine := &ctsuccession.Machine{}
+	l.machinesStarted++
+	machine := &ctsuccession.Machine{
+		Epoch: ctview.Epoch(l.epoch), LastNumber: ctview.PromotionNumber(l.machinesStarted * numbersPerMachine),
+	}
 	machine.Begin(now, l.proxies)
 	for _, announcement := range l.roster.Members() {
 		if announcement.Group == name {
--- a/internal/program/ctcontrol/machine.go
+++ b/internal/program/ctcontrol/machine.go
@@ -66,9 +66,19 @@
 		if !ok || !r.Applied {
 			return
 		}
-		l.roster.SetGroup(set.Group)
+		l.roster.SetGroup(l.register.Groups[r.Name])
 		l.notifyWatchers()
 		c.logGroup(set)
+	case ctregister.PromotionsSettled:
+		delete(l.proposedAt, r.Name)
+		group, declared := l.register.Groups[r.Name]
+		settled, ok := command.(ctregister.SettlePromotions)
+		if !ok || !declared {
+			return
+		}
+		l.roster.SetGroup(group)
+		l.notifyWatchers()
+		c.logSettled(settled)
 	}
 }
 
--- /dev/null
+++ b/internal/program/ctcontrol/promotion.go
@@ -0,0 +1,149 @@
+package ctcontrol
+
+import (
+	"context"
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/cherviltrestle/cherviltrestle/internal/decide/ctpromotion"
+	"github.com/cherviltrestle/cherviltrestle/internal/decide/ctquorum"
+	"github.com/cherviltrestle/cherviltrestle/internal/decide/ctregister"
+	"github.com/cherviltrestle/cherviltrestle/internal/decide/ctsuccession"
+	"github.com/cherviltrestle/cherviltrestle/internal/link/ctframe"
+	"github.com/cherviltrestle/cherviltrestle/internal/program/ctlog"
+	"github.com/cherviltrestle/cherviltrestle/internal/work/ctlock"
+)
+
+const (
+	// promotionTimeout is how long a group waits for the answer to a promotion request
+	// before it goes on with an unknown outcome.
+	promotionTimeout = time.Second
+	// promotionCallTimeout bounds the call, which goes on after promotionTimeout: its answer
+	// shows that the request can't take effect later.
+	promotionCallTimeout = 60 * time.Second
+	// settleInterval is the interval in which a process reports the promotions that its own
+	// answers settle.
+	settleInterval = 500 * time.Millisecond
+)
+
+// requestPromotion requests a promotion and records the outcome in the succession. Without
+// an answer within promotionTimeout it records an unknown outcome.
+func (c *Control) requestPromotion(held *ctlock.Held, t memberTask) {
+	outcome := ctsuccession.PromotionDeferred
+	if c.beginPromotion(held, t) {
+		answered := make(chan ctsuccession.PromotionOutcome, 1)
+		go c.callPromoter(t, answered)
+		select {
+		case outcome = <-answered:
+		case <-c.Clock.After(promotionTimeout):
+			outcome = ctsuccession.PromotionUnknown
+		}
+	}
+	c.recordResult(held, t, func(now time.Time, machine *ctsuccession.Machine) {
+		machine.RecordPromotion(now, t.member, outcome)
+	})
+}
+
+// beginPromotion reports whether a promotion may be requested now, and counts the request as
+// sent if so. The group's decision may have changed since the task was queued.
+func (c *Control) beginPromotion(held *ctlock.Held, t memberTask) bool {
+	allowed := false
+	c.state.With(held, func(l *leaderState) {
+		group := l.group(t.group)
+		wanted := group.ChangingPrimary() && group.Candidate == t.member && slices.Contains(group.Unsettled, t.promotion)
+		allowed = wanted && l.epoch == t.epoch && l.hasAuthority(c.Clock.Now()) &&
+			l.ledger.Begin(ctpromotion.Key{Group: t.group, Promotion: t.promotion})
+	})
+	return allowed
+}
+
+// callPromoter calls the service and records the outcome in the ledger.
+func (c *Control) callPromoter(t memberTask, answered chan<- ctsuccession.PromotionOutcome) {
+	ctx, cancel := context.WithTimeout(context.Background(), promotionCallTimeout)
+	defer cancel()
+	c.logRequest(t)
+	startedAt := c.Clock.Now()
+	outcome, err := c.Promoter.Promote(ctx, t.group, t.member, c.Name, t.epoch)
+	c.countPromotion(outcome)
+	now := c.Clock.Now()
+	var held ctlock.Held
+	c.state.With(&held, func(l *leaderState) {
+		l.ledger.End(now, ctpromotion.Key{Group: t.group, Promotion: t.promotion}, outcome)
+	})
+	event := ctlog.Decision(&c.Logger, "order_promotion").
+		Str("group", string(t.group)).
+		Str("member", string(t.member)).
+		Uint64("epoch", uint64(t.epoch)).
+		Uint64("number", uint64(t.promotion.Number)).
+		Uint8("outcome", uint8(outcome)).
+		Dur("took", now.Sub(startedAt))
+	if err != nil {
+		event.Str("error", err.Error())
+	}
+	event.Send()
+	answered <- outcome
+}
+
+// settledPromotions returns the promotions of this process's own epochs, by group, that are
+// settled by the answers that it has received.
+func (c *Control) settledPromotions(held *ctlock.Held) []*ctframe.Settled {
+	var settled []*ctframe.Settled
+	c.state.With(held, func(l *leaderState) {
+		now := c.Clock.Now()
+		for _, name := range slices.Sorted(maps.Keys(l.register.Groups)) {
+			group := l.register.Groups[name]
+			frame := &ctframe.Settled{Group: name}
+			for _, p := range group.Unsettled {
+				requesting := l.leading && ctquorum.Epoch(p.Epoch) == l.epoch &&
+					group.ChangingPrimary() && group.Candidate == p.Member
+				key := ctpromotion.Key{Group: name, Promotion: p}
+				if !requesting && l.ledger.Settled(now, key, group.Promoted(p.Member)) {
+					frame.Promotions = append(frame.Promotions, p)
+				}
+			}
+			if len(frame.Promotions) > 0 {
+				settled = append(settled, frame)
+			}
+		}
+	})
+	return settled
+}
+
+// ApplySettled makes durable that promotions of a group are settled.
+func (c *Control) ApplySettled(held *ctlock.Held, settled *ctframe.Settled) error {
+	return c.withAuthority(held, func(_ time.Time, l *leaderState) {
+		c.propose(l, ctregister.SettlePromotions{Group: settled.Group, Promotions: settled.Promotions}, nil)
+	})
+}
+
+// reportSettled tells the leader which promotions the answers to this process settle, until
+// ctx ends. The leader may be this process.
+func (s *Service) reportSettled(ctx context.Context) {
+	var held ctlock.Held
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-s.Clock.After(settleInterval):
+		}
+		for _, settled := range s.control.settledPromotions(&held) {
+			if err := s.sendToLeader(ctx, settled); err != nil {
+				// Sent again after settleInterval, while the register lists them.
+				break
+			}
+		}
+	}
+}
+
+// logSettled logs that promotions of a group are settled.
+func (c *Control) logSettled(settled ctregister.SettlePromotions) {
+	for _, p := range settled.Promotions {
+		ctlog.Decision(&c.Logger, "settle_promotion").
+			Str("group", string(settled.Group)).
+			Str("member", string(p.Member)).
+			Uint64("epoch", uint64(p.Epoch)).
+			Uint64("number", uint64(p.Number)).
+			Send()
+	}
+}
--- a/internal/program/ctcontrol/service.go
+++ b/internal/program/ctcontrol/service.go
@@ -174,6 +174,7 @@
 	go s.control.Run(ctx)
 	go s.announcements.run(ctx)
 	go s.reports.run(ctx)
+	go s.reportSettled(ctx)
 	go s.followLeader(ctx)
 	s.Logger.Info().Str("event", "started").Str("name", string(s.Name)).
 		Uint64("incarnation", uint64(s.replica.self.Incarnation)).Send()
@@ -241,6 +242,8 @@
 		return replyOrError(err, &ctframe.RecallReply{Release: release, Source: source})
 	case *ctframe.Heard:
 		return replyOrError(s.control.ApplyAnnouncement(held, f), &ctframe.Ack{})
+	case *ctframe.Settled:
+		return replyOrError(s.control.ApplySettled(held, f), &ctframe.Ack{})
 	case *ctframe.Gathered:
 		return replyOrError(s.control.ApplyAnnouncements(held, f.Announcements), &ctframe.Ack{})
 	}
--- a/internal/program/ctcontrol/succession.go
+++ b/internal/program/ctcontrol/succession.go
@@ -17,7 +17,6 @@
 	"github.com/cherviltrestle/cherviltrestle/internal/model/ctquery"
 	"github.com/cherviltrestle/cherviltrestle/internal/model/ctserver"
 	"github.com/cherviltrestle/cherviltrestle/internal/model/ctview"
-	"github.com/cherviltrestle/cherviltrestle/internal/program/ctlog"
 	"github.com/cherviltrestle/cherviltrestle/internal/work/ctlock"
 	"github.com/cherviltrestle/cherviltrestle/internal/work/ctpool"
 )
@@ -30,10 +29,8 @@
 	// maxIntervalFactor limits the factor.
 	groupsPerIntervalFactor = 64
 	maxIntervalFactor       = 8
-	// commandTimeout bounds a command to a member, and promotionTimeout a promotion
-	// request.
-	commandTimeout   = 400 * time.Millisecond
-	promotionTimeout = time.Second
+	// commandTimeout bounds a command to a member.
+	commandTimeout = 400 * time.Millisecond
 )
 
 // MemberClient sends commands to members on behalf of control.
@@ -54,11 +51,12 @@
 // memberTask is a command to a member or, if command is nil, a promotion request. Its
 // result is ignored if the epoch has changed.
 type memberTask struct {
-	group   ctid.Group
-	member  ctid.Member
-	server  ctserver.Announcement
-	command ctsuccession.Command
-	epoch   ctquorum.Epoch
+	group     ctid.Group
+	member    ctid.Member
+	server    ctserver.Announcement
+	command   ctsuccession.Command
+	promotion ctview.Promotion
+	epoch     ctquorum.Epoch
 }
 
 // applyToSuccessions applies a proxy's report to the successions of the groups that it
@@ -210,13 +208,16 @@
 		case ctsuccession.SendCommand:
 			c.enqueueTask(l, memberTask{group: name, member: a.Member, command: a.Command})
 		case ctsuccession.PromotionRequest:
-			c.enqueueTask(l, memberTask{group: name, member: a.Member})
+			c.enqueueTask(l, memberTask{group: name, member: a.Promotion.Member, promotion: a.Promotion})
 		case ctsuccession.SetGroup:
 			l.proposedAt[name] = now
 			c.logBasis(group, a)
 			c.propose(l, ctregister.SetGroup{
 				Group: a.Group, BaseTerm: group.Term, BaseFence: group.Fence, Reason: string(a.Reason), At: now,
 			}, nil)
+		case ctsuccession.SettlePromotions:
+			l.proposedAt[name] = now
+			c.propose(l, ctregister.SettlePromotions{Group: name, Promotions: a.Promotions}, nil)
 		}
 	}
 }
@@ -253,35 +254,6 @@
 	})
 }
 
-// requestPromotion requests a promotion if this process still has authority in the task's
-// epoch.
-func (c *Control) requestPromotion(held *ctlock.Held, t memberTask) {
-	allowed := false
-	c.state.With(held, func(l *leaderState) { allowed = l.hasAuthority(c.Clock.Now()) && l.epoch == t.epoch })
-	if !allowed {
-		return
-	}
-	c.logRequest(t)
-	ctx, cancel := context.WithTimeout(context.Background(), promotionTimeout)
-	defer cancel()
-	startedAt := c.Clock.Now()
-	outcome, err := c.Promoter.Promote(ctx, t.group, t.member, c.Name, t.epoch)
-	c.countPromotion(outcome)
-	event := ctlog.Decision(&c.Logger, "order_promotion").
-		Str("group", string(t.group)).
-		Str("member", string(t.member)).
-		Uint64("epoch", uint64(t.epoch)).
-		Uint8("outcome", uint8(outcome)).
-		Dur("took", c.Clock.Now().Sub(startedAt))
-	if err != nil {
-		event.Str("error", err.Error())
-	}
-	event.Send()
-	c.recordResult(held, t, func(now time.Time, machine *ctsuccession.Machine) {
-		machine.RecordPromotion(now, t.member, outcome)
-	})
-}
-
 // recordResult calls record with the succession of the task's group, under the lock, and
 // then lets the succession decide. It does nothing if the task's epoch has ended.
 func (c *Control) recordResult(
--- a/internal/program/ctgateway/choose.go
+++ b/internal/program/ctgateway/choose.go
@@ -45,6 +45,9 @@
 		if primary && !s.primaryAllowed(now, group, state) {
 			continue
 		}
+		if primary && e.run.Primary && !g.guardsReachable(&s.held, &group) {
+			continue
+		}
 		if !primary && (!replicaAllowed || state.Server.State != ctserver.StateReady) {
 			continue
 		}
--- a/internal/program/ctgateway/gateway.go
+++ b/internal/program/ctgateway/gateway.go
@@ -52,9 +52,11 @@
 	Pools         *ctpools.Pools
 	// NewCaller wraps an accepted connection as a Caller.
 	NewCaller func(socket net.Conn) Caller
-	Clock     ctclock.Clock
-	Logger    zerolog.Logger
-	Metrics   *ctmetric.Metrics
+	// DecodeStatus decodes a member's answer to ctquery.ReadStatus.
+	DecodeStatus func(answer ctquery.Answer) (ctquery.Status, error)
+	Clock        ctclock.Clock
+	Logger       zerolog.Logger
+	Metrics      *ctmetric.Metrics
 	// TriggerReport makes the next report to control go out at once.
 	TriggerReport func()
 }
--- a/internal/program/ctgateway/run.go
+++ b/internal/program/ctgateway/run.go
@@ -154,11 +154,13 @@
 
 // replied returns the result of a statement that a member answered. A durable write
 // may be acknowledged only if the member was still the primary when the answer
-// arrived.
+// arrived, and if every member that may be promoted next at any moment holds it.
 func (s *session) replied(e *execution, answer ctquery.Answer) ctdialog.Result {
 	authorized := true
 	if answer.OK() && e.run.Effect == ctdialog.EffectDurable {
-		authorized = s.gateway.acknowledge(&s.held, s.route.Group, e.target.term, answer.Point)
+		group := s.pinned.group
+		authorized = s.gateway.heldByGuards(&s.held, group, answer.Point, e.answerBy) &&
+			s.gateway.acknowledge(&s.held, group, e.target.term, answer.Point)
 	}
 	return ctdialog.Replied{Answer: answer, Authorized: authorized}
 }
--- a/internal/program/ctmetric/metrics.go
+++ b/internal/program/ctmetric/metrics.go
@@ -48,6 +48,9 @@
 	// SamplesDropped counts answers that were no samples, because their members may not
 	// have been primaries any more, by source.
 	SamplesDropped *prometheus.CounterVec
+	// GuardedCommits counts the queries whether a member that may be promoted at any moment
+	// holds a commit, by result.
+	GuardedCommits *prometheus.CounterVec
 	// ViewVersion is the version of the view in force.
 	ViewVersion prometheus.Gauge
 	// Revision is the revision of the configuration in force.
@@ -78,6 +81,8 @@
 		Samples:         f.counterVec("log_samples_total", "Samples of the ends of groups' logs.", "source"),
 		SamplesDropped: f.counterVec(
 			"log_samples_dropped_total", "Points of members that may be primaries no more.", "source"),
+		GuardedCommits: f.counterVec(
+			"guarded_commits_total", "Commits checked at members that may be promoted at any moment.", "result"),
 		ViewVersion: f.gauge("view_version", "Version of the view in force."),
 		Revision:    f.gauge("config_revision", "Revision of the configuration in force."),
 		Reports:     f.counterVec("reports_total", "Reports to control.", "result"),
--- a/internal/program/ctnode/proxy.go
+++ b/internal/program/ctnode/proxy.go
@@ -12,6 +12,7 @@
 	"github.com/cherviltrestle/cherviltrestle/internal/link/ctframe"
 	"github.com/cherviltrestle/cherviltrestle/internal/link/cttcp"
 	"github.com/cherviltrestle/cherviltrestle/internal/model/ctid"
+	"github.com/cherviltrestle/cherviltrestle/internal/model/ctquery"
 	"github.com/cherviltrestle/cherviltrestle/internal/model/ctserver"
 	"github.com/cherviltrestle/cherviltrestle/internal/model/ctview"
 	"github.com/cherviltrestle/cherviltrestle/internal/program/ctgateway"
@@ -47,6 +48,8 @@
 	// NewCaller wraps an accepted connection as a Caller.
 	NewCaller func(socket net.Conn) ctgateway.Caller
 	Dialer    ctpools.Dialer
+	// DecodeStatus decodes a member's answer to ctquery.ReadStatus.
+	DecodeStatus func(answer ctquery.Answer) (ctquery.Status, error)
 	// ReadinessHandler returns the handler of the load balancer's readiness probe. It calls
 	// ready for each probe.
 	ReadinessHandler func(ready func() bool) http.Handler
@@ -85,6 +88,7 @@
 		State:         state,
 		Pools:         p.pools,
 		NewCaller:     frontends.NewCaller,
+		DecodeStatus:  frontends.DecodeStatus,
 		Clock:         clock,
 		Logger:        logger,
 		Metrics:       metrics,
