--- a/internal/program/ctgateway/choose.go
+++ b/internal/program/ctgateway/choose.go
@@ -42,10 +42,7 @@
 			continue
 		}
 		primary := name == group.Primary
-		if primary && !s.primaryAllowed(now, group, state) {
-			continue
-		}
-		if primary && e.run.Primary && !g.guardsReachable(&s.held, &group) {
+		if primary && !s.primaryAllowed(e, now, group, state) {
 			continue
 		}
 		if !primary && (!replicaAllowed || state.Server.State != ctserver.StateReady) {
@@ -92,11 +89,14 @@
 
 // primaryAllowed reports whether the proxy may send new work to a group's primary.
 // It may not while the primary is being changed, without authority, or once the
-// primary has been leaving for leavingPrimaryGrace.
-func (s *session) primaryAllowed(now time.Time, group ctview.Group, state ctpools.MemberState) bool {
+// primary has been leaving for leavingPrimaryGrace. Writes need the group's guards too.
+func (s *session) primaryAllowed(e *execution, now time.Time, group ctview.Group, state ctpools.MemberState) bool {
 	if group.ChangingPrimary() || !now.Before(s.gateway.State.AuthorityExpiry(&s.held)) {
 		return false
 	}
+	if e.run.Primary && !s.gateway.guardsReachable(&s.held, &group) {
+		return false
+	}
 	return state.LeavingSince.IsZero() || now.Sub(state.LeavingSince) < leavingPrimaryGrace
 }
 
