ctsuccession: a candidate that started again without its log is not requested

Callers would see acknowledged writes gone: a member starts again under its id, without its log, after it was chosen and before its promotion is requested again; nothing checked its log after the choice. It then led with an empty log. A leader that inherits the candidate had the same path.

Change: the group holds the point that the candidate was chosen with. A request needs a status of the candidate's present run that has this point, also just before it is sent; otherwise the candidate counts as lost. A request that is already on its way when the member starts again can't be helped: the service has no condition.

--- a/internal/decide/ctsuccession/change.go
+++ b/internal/decide/ctsuccession/change.go
@@ -27,7 +27,7 @@
 	if m.current.acceptedRequests >= maxAcceptedRequests {
 		m.skip(now, group.Candidate)
 	}
-	if group.Candidate != "" && !m.skipped(now, group.Candidate) && !m.candidateLost(now, group.Candidate) {
+	if group.Candidate != "" && !m.skipped(now, group.Candidate) && !m.candidateLost(now, group) {
 		if _, recorded := m.ownPromotion(group, group.Candidate); !recorded {
 			return []Action{SetGroup{Group: m.withPromotion(group, group.Candidate), Reason: ReasonInherited}}
 		}
@@ -40,25 +40,35 @@
 	}
 	m.current.nextRequestAt, m.current.acceptedRequests = time.Time{}, 0
 	basis := m.candidateBasis(now, group, candidate, allKnown)
+	group.CandidatePoint = m.members[candidate].status.Received
 	return append(actions, SetGroup{
 		Group: m.withPromotion(group, candidate), Reason: ReasonLogComplete, Basis: basis,
 	})
 }
 
-// candidateLost reports whether a candidate is unknown or does not answer.
-func (m *Machine) candidateLost(now time.Time, name ctid.Member) bool {
-	member, ok := m.members[name]
+// candidateLost reports whether the group's candidate is unknown, does not answer, or has
+// started again without its log.
+func (m *Machine) candidateLost(now time.Time, group ctview.Group) bool {
+	member, ok := m.members[group.Candidate]
 	if !ok {
 		return now.Sub(m.startedAt) > discoveryWindow
 	}
-	return member.failures >= lostFailuresUnconfirmed
+	return member.failures >= lostFailuresUnconfirmed || (!member.answeredAt.IsZero() && !m.CandidateHoldsLog(group))
+}
+
+// CandidateHoldsLog reports whether the present run of the group's candidate is known to have
+// the log that it was chosen for.
+func (m *Machine) CandidateHoldsLog(group ctview.Group) bool {
+	member, ok := m.members[group.Candidate]
+	return ok && !member.answeredAt.IsZero() && comparePoints(member.status.Received, group.CandidatePoint) >= 0
 }
 
 // promote requests the promotion of the candidate, unless an earlier request may still
 // take effect, and probes the candidate until it is the primary.
 func (m *Machine) promote(now time.Time, group ctview.Group) []Action {
 	actions := m.probeAll(now, changeInterval, primaryProbeInterval, group.Candidate)
-	if now.Before(m.current.nextRequestAt) || (m.current.pending && now.Sub(m.current.requestedAt) < outcomeTimeout) {
+	awaitsOutcome := m.current.pending && now.Sub(m.current.requestedAt) < outcomeTimeout
+	if awaitsOutcome || now.Before(m.current.nextRequestAt) || !m.CandidateHoldsLog(group) {
 		return actions
 	}
 	promotion, _ := m.ownPromotion(group, group.Candidate)
--- a/internal/decide/ctsuccession/decide.go
+++ b/internal/decide/ctsuccession/decide.go
@@ -54,6 +54,7 @@
 	m.lastChangeAt = now
 	group.Term, group.Primary = term, name
 	group.Fence, group.RetiringTerm, group.Candidate = 0, 0, ""
+	group.CandidatePoint = ctposition.Point{}
 	return SetGroup{Group: group, Reason: reason, Basis: basis}, true
 }
 
--- a/internal/decide/ctsuccession/machine_test.go
+++ b/internal/decide/ctsuccession/machine_test.go
@@ -31,6 +31,8 @@
 	// A hung member takes commands, and neither answers nor fails.
 	hung  bool
 	state ctserver.State
+	// restarts counts how often the member has started again under its id.
+	restarts ctid.Incarnation
 }
 
 // event is a function that the environment calls at a time.
@@ -120,7 +122,7 @@
 			state = ctserver.StateReady
 		}
 		e.machine.ApplyAnnouncement(e.now, ctserver.Announcement{
-			Group: "g", Member: name, Incarnation: 1, State: state, Role: s.status.Role,
+			Group: "g", Member: name, Incarnation: 1 + s.restarts, State: state, Role: s.status.Role,
 			Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, name[0]}), 1),
 		})
 	}
--- a/internal/model/ctview/group.go
+++ b/internal/model/ctview/group.go
@@ -21,6 +21,9 @@
 	// Candidate is the member that an external service is to promote, until its
 	// promotion is observed. It is empty if no such promotion is pending.
 	Candidate ctid.Member `json:"candidate,omitempty" cbor:"candidate,omitempty"`
+	// CandidatePoint is the point that the candidate had received when it was chosen. Its log
+	// is complete only as long as it has that.
+	CandidatePoint ctposition.Point `json:"candidate_point" cbor:"candidate_point"`
 	// Unsettled lists the promotions that may still take effect, at any time: they were or
 	// may have been requested, and it is not known that the request has ended.
 	Unsettled []Promotion `json:"unsettled,omitempty" cbor:"unsettled,omitempty"`
--- a/internal/program/ctcontrol/promotion.go
+++ b/internal/program/ctcontrol/promotion.go
@@ -51,7 +51,9 @@
 	allowed := false
 	c.state.With(held, func(l *leaderState) {
 		group := l.group(t.group)
-		wanted := group.ChangingPrimary() && group.Candidate == t.member && slices.Contains(group.Unsettled, t.promotion)
+		machine, ok := l.successions[t.group]
+		wanted := ok && group.ChangingPrimary() && group.Candidate == t.member &&
+			slices.Contains(group.Unsettled, t.promotion) && machine.CandidateHoldsLog(group)
 		allowed = wanted && l.epoch == t.epoch && l.hasAuthority(c.Clock.Now()) &&
 			l.ledger.Begin(ctpromotion.Key{Group: t.group, Promotion: t.promotion})
 	})
