ctsuccession: what news of a member's end proves

Now, after a log was lost, a candidate must hold a point that the primary reported after the loss, unless the primary itself has been deregistered for good. TestLateDeregistrationSettlesPromotion failed. TestReusedAddressKeepsMemberSilent failed.

--- a/internal/decide/ctsuccession/change.go
+++ b/internal/decide/ctsuccession/change.go
@@ -202,10 +202,10 @@
 
 // noneAhead reports whether every member but the primary has confirmed the fence and
 // none has received more than a point. It is false while logs may be unknown: shortly
-// after the leader started, after a member was deregistered with its log, and while a member
-// is silent.
+// after the leader started, while a member is silent, and if a log was lost that may have had
+// more.
 func (m *Machine) noneAhead(now time.Time, group ctview.Group, received ctposition.Point) bool {
-	if now.Sub(m.startedAt) < discoveryWindow || (!m.deregisteredAt.IsZero() && now.Sub(m.deregisteredAt) < memberTTL) {
+	if now.Sub(m.startedAt) < discoveryWindow || (!m.lost.includedIn(received) && !m.goneFor(now, group.Primary, memberTTL)) {
 		return false
 	}
 	for name := range m.silent {
--- a/internal/decide/ctsuccession/decide.go
+++ b/internal/decide/ctsuccession/decide.go
@@ -55,6 +55,7 @@
 	group.Term, group.Primary = term, name
 	group.Fence, group.RetiringTerm, group.Candidate = 0, 0, ""
 	group.CandidatePoint = ctposition.Point{}
+	m.lost = lostLogs{}
 	return SetGroup{Group: group, Reason: reason, Basis: basis}, true
 }
 
--- a/internal/decide/ctsuccession/late_test.go
+++ b/internal/decide/ctsuccession/late_test.go
@@ -114,7 +114,9 @@
 		e.group.Unsettled = []ctview.Promotion{{Member: "c", Epoch: 7}}
 		e.members["c"].down = true
 		e.machine.DeregisterMember(e.now, "c")
-		e.run(time.Second)
+		e.run(2 * time.Second)
+		assertUnsettled(t, e, "c")
+		e.run(2 * time.Second)
 		assertUnsettled(t, e)
 	})
 	t.Run("a new leader requests the inherited candidate under its own epoch", func(t *testing.T) {
--- a/internal/decide/ctsuccession/machine.go
+++ b/internal/decide/ctsuccession/machine.go
@@ -9,7 +9,6 @@
 	"github.com/cherviltrestle/cherviltrestle/internal/model/ctposition"
 	"github.com/cherviltrestle/cherviltrestle/internal/model/ctquery"
 	"github.com/cherviltrestle/cherviltrestle/internal/model/ctserver"
-	"github.com/cherviltrestle/cherviltrestle/internal/model/ctset"
 	"github.com/cherviltrestle/cherviltrestle/internal/model/ctview"
 )
 
@@ -105,11 +104,11 @@
 	unreachableSince time.Time
 	// lastChangeAt is when this leader last completed a change.
 	lastChangeAt time.Time
-	// deregisteredAt is when a member was last deregistered. Its log is gone with it.
-	deregisteredAt time.Time
-	// gone are the members that were deregistered or replaced at their address, and have not
-	// been heard again.
-	gone ctset.Set[ctid.Member]
+	// lost is the state of the members' logs that were lost in the present term.
+	lost lostLogs
+	// gone holds the members that were deregistered or replaced at their address, and have not
+	// been heard again, with the times.
+	gone map[ctid.Member]time.Time
 	// current is the state of the change in progress.
 	current changeState
 }
@@ -184,6 +183,7 @@
 		startedAt:      now,
 		members:        make(map[ctid.Member]*memberState),
 		silent:         make(map[ctid.Member]ctserver.Announcement),
+		gone:           make(map[ctid.Member]time.Time),
 		proxies:        proxies,
 		reports:        make(map[ctid.Proxy]*proxyReport),
 	}
@@ -195,41 +195,58 @@
 func (m *Machine) ApplyAnnouncement(now time.Time, announcement ctserver.Announcement) {
 	member, ok := m.members[announcement.Member]
 	if !ok || announcement.Incarnation > member.announcement.Incarnation {
+		if ok {
+			m.lost.record(now)
+		}
 		member = &memberState{}
 		m.members[announcement.Member] = member
 	}
 	member.announcement = announcement
 	member.announcedAt = now
-	m.gone.Remove(announcement.Member)
+	delete(m.gone, announcement.Member)
 	for name, other := range m.members {
 		if name != announcement.Member && other.announcement.Address == announcement.Address &&
 			other.announcement.Incarnation < announcement.Incarnation {
-			delete(m.members, name)
-			m.gone.Add(name)
+			m.remove(now, name)
 		}
 	}
 	delete(m.silent, announcement.Member)
+	m.ReleaseAddress(now, announcement)
+}
+
+// ReleaseAddress removes the silent members whose address the member in an announcement has
+// taken over. The announcement may be of another group.
+func (m *Machine) ReleaseAddress(now time.Time, announcement ctserver.Announcement) {
 	for name, silent := range m.silent {
 		if silent.Address == announcement.Address && silent.Incarnation < announcement.Incarnation {
-			delete(m.silent, name)
-			m.gone.Add(name)
+			m.remove(now, name)
 		}
 	}
 }
 
+// HearMember records a sign of a member whose announcement is not applied, because a
+// deregistration of its run has arrived.
+func (m *Machine) HearMember(name ctid.Member) {
+	delete(m.gone, name)
+}
+
 // DeregisterMember removes a member that has ended, also a silent one, and reports whether
-// it was known. For memberTTL after that, the log of one that was heard is taken into account
-// as one that may have been the most up-to-date.
+// it was known.
 func (m *Machine) DeregisterMember(now time.Time, name ctid.Member) bool {
 	_, heard := m.members[name]
 	_, silent := m.silent[name]
-	if heard {
-		m.deregisteredAt = now
+	m.remove(now, name)
+	return heard || silent
+}
+
+// remove removes a member that is gone with its log.
+func (m *Machine) remove(now time.Time, name ctid.Member) {
+	if _, heard := m.members[name]; heard {
+		m.lost.record(now)
 	}
 	delete(m.members, name)
 	delete(m.silent, name)
-	m.gone.Add(name)
-	return heard || silent
+	m.gone[name] = now
 }
 
 // ApplyReport applies what a proxy reports on the group.
@@ -270,6 +287,9 @@
 	member.failures = 0
 	member.status, member.answeredAt, member.statusSentAt = status, now, sentAt
 	m.recordCoveredPoint(member)
+	if status.Role == ctserver.RolePrimary && status.Term >= m.coveredTerm {
+		m.lost.cover(sentAt, status.Received)
+	}
 	switch c := command.(type) {
 	case Pause:
 		member.confirmedFence = c.Fence
--- a/internal/decide/ctsuccession/unsettled.go
+++ b/internal/decide/ctsuccession/unsettled.go
@@ -7,9 +7,19 @@
 	"github.com/cherviltrestle/cherviltrestle/internal/model/ctview"
 )
 
-// requestLifetime is how long a promotion request may take to have an effect if the process
+// RequestLifetime is how long a promotion request may take to have an effect if the process
 // that sent it can't report the answer.
-const requestLifetime = 60 * time.Second
+const RequestLifetime = 60 * time.Second
+
+// goneTimeout is how long a member must not be heard after its deregistration before its
+// promotions are settled. The deregistration may be a late one of an earlier run.
+const goneTimeout = 3 * time.Second
+
+// goneFor reports whether a member has been gone for a time.
+func (m *Machine) goneFor(now time.Time, name ctid.Member, duration time.Duration) bool {
+	at, gone := m.gone[name]
+	return gone && now.Sub(at) >= duration
+}
 
 // ownPromotion returns the newest promotion of a member that this leader made durable.
 func (m *Machine) ownPromotion(group ctview.Group, name ctid.Member) (promotion ctview.Promotion, recorded bool) {
@@ -42,12 +52,12 @@
 
 // settledPromotions returns the unsettled promotions that can't take effect any more: those
 // of members that are gone for good, and those of earlier leaders that have had
-// requestLifetime without a report. Those of this epoch are settled by their answers.
+// RequestLifetime without a report. Those of this epoch are settled by their answers.
 func (m *Machine) settledPromotions(now time.Time, group ctview.Group) []ctview.Promotion {
 	var settled []ctview.Promotion
 	for _, p := range group.Unsettled {
-		expired := p.Epoch != m.Epoch && now.Sub(m.startedAt) >= requestLifetime
-		if expired || (p.Member != group.Candidate && m.gone.Has(p.Member)) {
+		expired := p.Epoch != m.Epoch && now.Sub(m.startedAt) >= RequestLifetime
+		if expired || (p.Member != group.Candidate && m.goneFor(now, p.Member, goneTimeout)) {
 			settled = append(settled, p)
 		}
 	}
--- a/internal/program/ctcontrol/release.go
+++ b/internal/program/ctcontrol/release.go
@@ -115,10 +115,17 @@
 	before, known := l.roster.Member(announcement.Member)
 	accepted, changed := l.roster.ApplyAnnouncement(now, &announcement)
 	if !accepted {
+		if machine, ok := l.successions[announcement.Group]; ok {
+			machine.HearMember(announcement.Member)
+		}
 		return
 	}
-	if machine, ok := l.successions[announcement.Group]; ok {
-		machine.ApplyAnnouncement(now, announcement)
+	for name, machine := range l.successions {
+		if name == announcement.Group {
+			machine.ApplyAnnouncement(now, announcement)
+		} else {
+			machine.ReleaseAddress(now, announcement)
+		}
 	}
 	if changed {
 		l.notifyThrottled(now)
