ctpromotion, ctcontrol: a promotion whose answer is lost is settled after its lifetime

Callers would have all writes of a group refused for as long as control's leader stays: the connection of a request breaks without an answer, and the member that it named never comes back. Promotions of the present leader were settled by answers only.

Besides, the lifetime assumes that nothing is sent late: a process that was suspended after it had begun a request does not send it, and a connection that is closed, or ends with its process, discards what the kernel has not delivered.

--- a/internal/decide/ctpromotion/doc.go
+++ b/internal/decide/ctpromotion/doc.go
@@ -10,7 +10,8 @@
 requests of former leaders. A request may be handled long after it was sent: a cut link
 may hold it, or its sender may freeze between the last check and the transmission. So a
 promotion counts as unsettled from before its first request is sent until each of its
-requests has an answer. A timeout settles nothing.
+requests has an answer. A timeout is no answer. A request whose connection has ended without
+one may take effect until ctsuccession.RequestLifetime later.
 
 A process knows the answers to its own requests only. It settles the promotions of the
 epochs in which it led, also after another process has become the leader.
--- a/internal/decide/ctpromotion/ledger.go
+++ b/internal/decide/ctpromotion/ledger.go
@@ -28,12 +28,10 @@
 
 // promotion is the state of the requests for one promotion.
 type promotion struct {
-	// unanswered counts the requests that have no answer yet. lost reports that one has
-	// ended without an answer, so that the promotion can't be settled here.
-	unanswered int
-	lost       bool
-	// accepted counts the accepted requests. All have taken effect by effectiveBy.
-	accepted    int
+	// unanswered counts the requests that have no answer yet, lost those that have ended
+	// without one, and accepted the accepted ones.
+	unanswered, lost, accepted int
+	// effectiveBy is when all requests that have ended have taken effect, if they do.
 	effectiveBy time.Time
 	// closed reports that the promotion is settled: no request for it is sent any more.
 	closed bool
@@ -78,14 +76,22 @@
 	p.unanswered--
 	switch outcome {
 	case ctsuccession.PromotionUnknown:
-		p.lost = true
+		p.lost++
+		p.extend(now.Add(ctsuccession.RequestLifetime))
 	case ctsuccession.PromotionAccepted:
 		p.accepted++
-		p.effectiveBy = now.Add(effectTimeout)
+		p.extend(now.Add(effectTimeout))
 	case ctsuccession.PromotionDeferred, ctsuccession.PromotionRejected:
 	}
 }
 
+// extend postpones the time by which the requests have taken effect.
+func (p *promotion) extend(until time.Time) {
+	if until.After(p.effectiveBy) {
+		p.effectiveBy = until
+	}
+}
+
 // Settled reports whether no request for a promotion can take effect any more. If so, Begin
 // allows no further one. Observed reports that the promotion has taken effect once. The result
 // is false for promotions of other processes and of earlier runs of this one.
@@ -94,8 +100,8 @@
 		return false
 	}
 	p := l.promotionOf(key)
-	effective := !now.Before(p.effectiveBy) || (observed && p.accepted == 1)
-	if p.lost || p.unanswered > 0 || !effective {
+	effective := !now.Before(p.effectiveBy) || (observed && p.accepted == 1 && p.lost == 0)
+	if p.unanswered > 0 || !effective {
 		return false
 	}
 	p.closed = true
--- /dev/null
+++ b/internal/decide/ctpromotion/lostanswer_test.go
@@ -0,0 +1,28 @@
+package ctpromotion_test
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/cherviltrestle/cherviltrestle/internal/decide/ctsuccession"
+	"github.com/cherviltrestle/cherviltrestle/internal/model/ctview"
+)
+
+// TestLostAnswerBlocksWrites covers writes that were refused for good: the connection of a
+// promotion request was reset, and the member that it named never came back.
+func TestLostAnswerBlocksWrites(t *testing.T) {
+	l := newLedger(t, 1)
+	l.End(start, key, ctsuccession.PromotionUnknown)
+	machine := ctsuccession.Machine{Epoch: key.Promotion.Epoch}
+	machine.Begin(start, ctsuccession.NewProxyTracker(start))
+	group := ctview.Group{Name: key.Group, Term: 2, Primary: "c", Unsettled: []ctview.Promotion{key.Promotion}}
+	now := start.Add(10 * time.Minute)
+	settled := l.Settled(now, key, false)
+	for _, action := range machine.Decide(now, group) {
+		_, settles := action.(ctsuccession.SettlePromotions)
+		settled = settled || settles
+	}
+	assert.Assert(t, settled)
+}
--- a/internal/program/ctcontrol/promotion.go
+++ b/internal/program/ctcontrol/promotion.go
@@ -31,9 +31,9 @@
 // an answer within promotionTimeout it records an unknown outcome.
 func (c *Control) requestPromotion(held *ctlock.Held, t memberTask) {
 	outcome := ctsuccession.PromotionDeferred
-	if c.beginPromotion(held, t) {
+	if begunAt, ok := c.beginPromotion(held, t); ok {
 		answered := make(chan ctsuccession.PromotionOutcome, 1)
-		go c.callPromoter(t, answered)
+		go c.callPromoter(t, begunAt, answered)
 		select {
 		case outcome = <-answered:
 		case <-c.Clock.After(promotionTimeout):
@@ -47,26 +47,29 @@
 
 // beginPromotion reports whether a promotion may be requested now, and counts the request as
 // sent if so. The group's decision may have changed since the task was queued.
-func (c *Control) beginPromotion(held *ctlock.Held, t memberTask) bool {
-	allowed := false
+func (c *Control) beginPromotion(held *ctlock.Held, t memberTask) (begunAt time.Time, allowed bool) {
 	c.state.With(held, func(l *leaderState) {
+		begunAt = c.Clock.Now()
 		group := l.group(t.group)
 		machine, ok := l.successions[t.group]
 		wanted := ok && group.ChangingPrimary() && group.Candidate == t.member &&
 			slices.Contains(group.Unsettled, t.promotion) && machine.CandidateHoldsLog(group)
-		allowed = wanted && l.epoch == t.epoch && l.hasAuthority(c.Clock.Now()) &&
+		allowed = wanted && l.epoch == t.epoch && l.hasAuthority(begunAt) &&
 			l.ledger.Begin(ctpromotion.Key{Group: t.group, Promotion: t.promotion})
 	})
-	return allowed
+	return begunAt, allowed
 }
 
-// callPromoter calls the service and records the outcome in the ledger.
-func (c *Control) callPromoter(t memberTask, answered chan<- ctsuccession.PromotionOutcome) {
+// callPromoter calls the service and records the outcome in the ledger. It sends nothing if
+// the process was suspended since the request was begun: another process may lead by now.
+func (c *Control) callPromoter(t memberTask, begunAt time.Time, answered chan<- ctsuccession.PromotionOutcome) {
 	ctx, cancel := context.WithTimeout(context.Background(), promotionCallTimeout)
 	defer cancel()
 	c.logRequest(t)
-	startedAt := c.Clock.Now()
-	outcome, err := c.Promoter.Promote(ctx, t.group, t.member, c.Name, t.epoch)
+	outcome, err := ctsuccession.PromotionDeferred, error(nil)
+	if c.Clock.Now().Sub(begunAt) < promotionTimeout {
+		outcome, err = c.Promoter.Promote(ctx, t.group, t.member, c.Name, t.epoch)
+	}
 	c.countPromotion(outcome)
 	now := c.Clock.Now()
 	var held ctlock.Held
@@ -79,7 +82,7 @@
 		Uint64("epoch", uint64(t.epoch)).
 		Uint64("number", uint64(t.promotion.Number)).
 		Uint8("outcome", uint8(outcome)).
-		Dur("took", now.Sub(startedAt))
+		Dur("took", now.Sub(begunAt))
 	if err != nil {
 		event.Str("error", err.Error())
 	}
