ctview, ctregister: a group's older state does not replace a newer one of the same fence

Callers of one proxy would have their writes refused, or answered as INDOUBT, until the group next changes: a reply that was made before a promotion was settled arrives after the delta with the settlement, with the same term and fence. The register now numbers the decisions on a group, and a view compares these numbers last.

--- a/internal/decide/ctregister/register.go
+++ b/internal/decide/ctregister/register.go
@@ -164,6 +164,7 @@
 		r.Groups = make(map[ctid.Group]ctview.Group)
 	}
 	group := c.Group
+	group.Revision = current.Revision + 1
 	group.Unsettled = ctview.MergePromotions(current.Unsettled, group.Unsettled)
 	r.Groups[name] = group
 	r.AuditLog = append(r.AuditLog, AuditEntry{At: c.At, Reason: c.Reason, Group: group})
@@ -180,5 +181,6 @@
 	}
 	isSettled := func(p ctview.Promotion) bool { return slices.Contains(c.Promotions, p) }
 	group.Unsettled = slices.DeleteFunc(slices.Clone(group.Unsettled), isSettled)
+	group.Revision++
 	r.Groups[c.Group] = group
 }
--- a/internal/model/ctview/group.go
+++ b/internal/model/ctview/group.go
@@ -5,9 +5,14 @@
 	"github.com/cherviltrestle/cherviltrestle/internal/model/ctposition"
 )
 
+// GroupRevision counts the decisions on a group.
+type GroupRevision uint64
+
 // Group is the state of a database group as control has decided it.
 type Group struct {
 	Name ctid.Group `json:"name" cbor:"name"`
+	// Revision is the number of the last decision. The register assigns it.
+	Revision GroupRevision `json:"revision,omitempty" cbor:"revision,omitempty"`
 	// Term is the term of the primary. It is 0 until a primary is known.
 	Term    ctposition.Term    `json:"term" cbor:"term"`
 	Primary ctid.Member        `json:"primary,omitempty" cbor:"primary,omitempty"`
--- a/internal/model/ctview/view.go
+++ b/internal/model/ctview/view.go
@@ -134,15 +134,17 @@
 	}
 }
 
-// applyGroup replaces the state of a group, unless the new state has a lower term, or
-// a lower fence in the same term. Such a state is older, because fences only rise
-// within a term. It can arrive late, over another stream.
+// applyGroup replaces the state of a group, unless the new state is older: it has a lower
+// term, a lower fence in the same term, or a lower revision with the same fence. Fences only
+// rise within a term. An older state can arrive late, over another stream.
 func (v *View) applyGroup(g Group) {
 	current := v.Groups[g.Name]
-	if g.Term < current.Term || (g.Term == current.Term && g.Fence < current.Fence) {
-		return
+	older := cmp.Or(
+		cmp.Compare(g.Term, current.Term), cmp.Compare(g.Fence, current.Fence), cmp.Compare(g.Revision, current.Revision),
+	) < 0
+	if !older {
+		v.Groups[g.Name] = g
 	}
-	v.Groups[g.Name] = g
 }
 
 // buildIndexes fills the indexes. It must run before the view is shared.
