ctregister: a group that is declared again has its unsettled promotions

Callers would see acknowledged writes gone: a configuration drops a group and a later one declares it again, and the promotions that may still take effect were forgotten with its state. The register retains them.

--- a/internal/decide/ctregister/register.go
+++ b/internal/decide/ctregister/register.go
@@ -27,6 +27,8 @@
 	ConfigHistory []ctconfig.AcceptedChange `json:"history" cbor:"history"`
 	// Groups holds the decided state of the groups.
 	Groups map[ctid.Group]ctview.Group `json:"groups" cbor:"groups"`
+	// Undeclared holds the unsettled promotions of groups that are not declared any more.
+	Undeclared map[ctid.Group][]ctview.Promotion `json:"undeclared,omitempty" cbor:"undeclared,omitempty"`
 	// AuditLog lists the decisions on groups, the newest last.
 	AuditLog []AuditEntry `json:"deeds" cbor:"deeds"`
 	// Release is the number of the last accepted release, or 0 before the first.
@@ -117,12 +119,20 @@
 }
 
 // removeUndeclaredGroups deletes the state of groups that the document does not
-// declare.
+// declare. Their unsettled promotions are retained: the groups may be declared again.
 func (r *Register) removeUndeclaredGroups(document *ctconfig.Document) {
-	for name := range r.Groups {
-		if _, ok := document.Group(name); !ok {
-			delete(r.Groups, name)
+	for name, group := range r.Groups {
+		if _, ok := document.Group(name); ok {
+			continue
 		}
+		delete(r.Groups, name)
+		if len(group.Unsettled) == 0 {
+			continue
+		}
+		if r.Undeclared == nil {
+			r.Undeclared = make(map[ctid.Group][]ctview.Promotion)
+		}
+		r.Undeclared[name] = group.Unsettled
 	}
 }
 
@@ -165,7 +175,9 @@
 	}
 	group := c.Group
 	group.Revision = current.Revision + 1
-	group.Unsettled = ctview.MergePromotions(current.Unsettled, group.Unsettled)
+	unsettled := ctview.MergePromotions(current.Unsettled, r.Undeclared[name])
+	group.Unsettled = ctview.MergePromotions(unsettled, group.Unsettled)
+	delete(r.Undeclared, name)
 	r.Groups[name] = group
 	r.AuditLog = append(r.AuditLog, AuditEntry{At: c.At, Reason: c.Reason, Group: group})
 	if len(r.AuditLog) > maxAuditEntries {
