ctgateway: no write runs without a guard that can answer

Callers would get INDOUBT for each write, after the whole statement timeout, although docs/PLATFORM.md promises that it is refused before it runs: a guard that has left the view has no pool and so no known reachability, and one that hangs is never unreachable, as each query for its status is short. A guard that is not in the view now counts as unreachable, and after one that did not hold a commit in time writes are refused for a second.

--- a/internal/lab/ctmembers/guard_test.go
+++ b/internal/lab/ctmembers/guard_test.go
@@ -47,3 +47,16 @@
 		assert.Assert(t, answer.OK(), "%s", answer.Text)
 	})
 }
+
+// TestWriteWithoutGuardInView covers writes of unknown outcome, one after another: the member
+// that the service may still promote has left the view, so that no write can be acknowledged,
+// but each is run.
+func TestWriteWithoutGuardInView(t *testing.T) {
+	f := newFixtureWith(t, direct, smallGroup, ctconfig.FreshnessPrimary)
+	group := guardedGroup()
+	group.Unsettled[0].Member = "gone"
+	f.setGroup(group)
+	answer, write := f.connect(t, "c").call(t, ctquery.Write{Arguments: "i d"})
+	assert.Assert(t, answer.Fault.NotRun(), "%s", answer.Fault)
+	assert.Equal(t, f.group.WriteCounts()[write], 0)
+}
--- a/internal/program/ctgateway/group.go
+++ b/internal/program/ctgateway/group.go
@@ -43,6 +43,8 @@
 	runningAtPrimary int
 	// sampling reports whether a query for a sample is in progress.
 	sampling bool
+	// guardMissedAt is when a guard last did not hold a commit in time.
+	guardMissedAt time.Time
 	// lastUsed is when a statement last needed the group.
 	lastUsed time.Time
 }
--- a/internal/program/ctgateway/guard.go
+++ b/internal/program/ctgateway/guard.go
@@ -17,6 +17,9 @@
 	guardQueryTimeout = 300 * time.Millisecond
 	// guardRetryDelay is the pause before a guard that lacks a commit is queried again.
 	guardRetryDelay = 10 * time.Millisecond
+	// guardMissTTL is how long writes are refused after a guard was not known to hold a commit
+	// in time.
+	guardMissTTL = time.Second
 )
 
 // heldByGuards waits until each member that the external service may still promote is known
@@ -27,6 +30,7 @@
 	for _, member := range group.GuardMembers() {
 		if !g.awaitHeld(held, member, point, deadline) {
 			g.Metrics.GuardedCommits.WithLabelValues("not_held").Inc()
+			g.recordGuardMiss(held, name)
 			g.Logger.Info().Str("event", "commit_not_held").Str("group", string(name)).
 				Str("member", string(member)).Stringer("point", point).Send()
 			return false
@@ -66,13 +70,29 @@
 	return g.DecodeStatus(answer)
 }
 
-// guardsReachable reports whether the group's guards answer this proxy, as far as it knows.
-// Without them no write can be acknowledged.
+// recordGuardMiss records that a guard of a group did not hold a commit in time.
+func (g *Gateway) recordGuardMiss(held *ctlock.Held, name ctid.Group) {
+	now := g.Clock.Now()
+	g.groups.With(held, func(groups map[ctid.Group]*groupState) { groupStateOf(groups, name).guardMissedAt = now })
+}
+
+// guardsReachable reports whether the group's guards are in the view and answer this proxy, as
+// far as it knows. Without them no write can be acknowledged.
 func (g *Gateway) guardsReachable(held *ctlock.Held, group *ctview.Group) bool {
-	for _, member := range group.GuardMembers() {
-		if g.Pools.Reachability(held, member) == ctpools.Unreachable {
+	members := group.GuardMembers()
+	if len(members) == 0 {
+		return true
+	}
+	for _, member := range members {
+		_, listed := g.Pools.Member(held, member)
+		if !listed || g.Pools.Reachability(held, member) == ctpools.Unreachable {
 			return false
 		}
 	}
-	return true
+	missed := false
+	now := g.Clock.Now()
+	g.groups.With(held, func(groups map[ctid.Group]*groupState) {
+		missed = now.Sub(groupStateOf(groups, group.Name).guardMissedAt) < guardMissTTL
+	})
+	return !missed
 }
