ctcontrol, ctmetric: show unsettled promotions and late answers

What operators couldn't see: which promotions may still take effect, why one was settled, and that the service answered a request after the group had moved on.

SettlePromotions has a reason (answered, expired, member_gone), and its result names the promotions that were unsettled until then, so that a repeated report counts once. New metrics: control_promotion_requests_unanswered, control_promotions_unsettled by group, on every control process, and control_promotions_settled_total by reason, on the leader. promotion_answered_late is a warning: the process has stopped leading since the request, or the group wants another member. A Control without metrics gets its own, so that nothing checks for nil.

--- a/internal/decide/ctregister/command.go
+++ b/internal/decide/ctregister/command.go
@@ -63,6 +63,8 @@
 type SettlePromotions struct {
 	Group      ctid.Group         `json:"group" cbor:"group"`
 	Promotions []ctview.Promotion `json:"promotions" cbor:"promotions"`
+	// Reason says why none can take effect.
+	Reason string `json:"why" cbor:"why"`
 }
 
 func (Configure) isCommand()        {}
@@ -110,10 +112,11 @@
 // MembersSet reports that the members were replaced.
 type MembersSet struct{}
 
-// PromotionsSettled reports that the promotions are not among the group's unsettled ones
-// any more.
+// PromotionsSettled reports that promotions are not among the group's unsettled ones any
+// more. Promotions are those that were until then.
 type PromotionsSettled struct {
-	Name ctid.Group
+	Name       ctid.Group
+	Promotions []ctview.Promotion
 }
 
 func (PromotionsSettled) isResult() {}
--- a/internal/decide/ctregister/register.go
+++ b/internal/decide/ctregister/register.go
@@ -63,8 +63,7 @@
 		r.Members, r.Silent = c.Members, c.Silent
 		return MembersSet{}
 	case SettlePromotions:
-		r.settlePromotions(c)
-		return PromotionsSettled{Name: c.Group}
+		return r.settlePromotions(c)
 	}
 	return nil
 }
@@ -186,13 +185,22 @@
 	return GroupSet{Name: name, Applied: true}
 }
 
-func (r *Register) settlePromotions(c SettlePromotions) {
+func (r *Register) settlePromotions(c SettlePromotions) Result {
+	result := PromotionsSettled{Name: c.Group}
 	group, ok := r.Groups[c.Group]
 	if !ok {
-		return
+		return result
 	}
-	isSettled := func(p ctview.Promotion) bool { return slices.Contains(c.Promotions, p) }
-	group.Unsettled = slices.DeleteFunc(slices.Clone(group.Unsettled), isSettled)
+	var unsettled []ctview.Promotion
+	for _, p := range group.Unsettled {
+		if slices.Contains(c.Promotions, p) {
+			result.Promotions = append(result.Promotions, p)
+			continue
+		}
+		unsettled = append(unsettled, p)
+	}
+	group.Unsettled = unsettled
 	group.Revision++
 	r.Groups[c.Group] = group
+	return result
 }
--- a/internal/decide/ctsuccession/action.go
+++ b/internal/decide/ctsuccession/action.go
@@ -35,6 +35,7 @@
 // SettlePromotions makes durable that promotions can't take effect any more.
 type SettlePromotions struct {
 	Promotions []ctview.Promotion
+	Reason     Reason
 }
 
 func (SendCommand) isAction()      {}
@@ -114,3 +115,10 @@
 	ReasonInherited            Reason = "candidate_of_the_previous_leader"
 	ReasonUnrequested          Reason = "member_was_promoted_without_a_request_of_this_leader"
 )
+
+// The reasons for which promotions are settled.
+const (
+	ReasonAnswered   Reason = "answered"
+	ReasonExpired    Reason = "expired"
+	ReasonMemberGone Reason = "member_gone"
+)
--- a/internal/decide/ctsuccession/decide.go
+++ b/internal/decide/ctsuccession/decide.go
@@ -14,8 +14,8 @@
 // and records their results.
 func (m *Machine) Decide(now time.Time, group ctview.Group) []Action {
 	m.expire(now)
-	if settled := m.settledPromotions(now, group); len(settled) > 0 {
-		return []Action{SettlePromotions{Promotions: settled}}
+	if actions := m.settlePromotions(now, group); len(actions) > 0 {
+		return actions
 	}
 	if name, term, ok := m.newPrimary(group); ok {
 		if action, due := m.adopt(now, group, name, term); due {
--- a/internal/decide/ctsuccession/unsettled.go
+++ b/internal/decide/ctsuccession/unsettled.go
@@ -50,16 +50,25 @@
 	return 0
 }
 
-// settledPromotions returns the unsettled promotions that can't take effect any more: those
+// settlePromotions settles the unsettled promotions that can't take effect any more: those
 // of members that are gone for good, and those of earlier leaders that have had
 // RequestLifetime without a report. Those of this epoch are settled by their answers.
-func (m *Machine) settledPromotions(now time.Time, group ctview.Group) []ctview.Promotion {
-	var settled []ctview.Promotion
+func (m *Machine) settlePromotions(now time.Time, group ctview.Group) []Action {
+	var gone, expired []ctview.Promotion
 	for _, p := range group.Unsettled {
-		expired := p.Epoch != m.Epoch && now.Sub(m.startedAt) >= RequestLifetime
-		if expired || (p.Member != group.Candidate && m.goneFor(now, p.Member, goneTimeout)) {
-			settled = append(settled, p)
+		switch {
+		case p.Member != group.Candidate && m.goneFor(now, p.Member, goneTimeout):
+			gone = append(gone, p)
+		case p.Epoch != m.Epoch && now.Sub(m.startedAt) >= RequestLifetime:
+			expired = append(expired, p)
 		}
 	}
-	return settled
+	var actions []Action
+	if len(gone) > 0 {
+		actions = append(actions, SettlePromotions{Promotions: gone, Reason: ReasonMemberGone})
+	}
+	if len(expired) > 0 {
+		actions = append(actions, SettlePromotions{Promotions: expired, Reason: ReasonExpired})
+	}
+	return actions
 }
--- a/internal/program/ctcontrol/basis.go
+++ b/internal/program/ctcontrol/basis.go
@@ -75,10 +75,3 @@
 		Str("why", "candidate").
 		Send()
 }
-
-// countPromotion counts a promotion request by its outcome.
-func (c *Control) countPromotion(outcome ctsuccession.PromotionOutcome) {
-	if c.Metrics != nil {
-		c.Metrics.PromotionRequests.WithLabelValues(outcome.String()).Inc()
-	}
-}
--- a/internal/program/ctcontrol/control.go
+++ b/internal/program/ctcontrol/control.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/prometheus/client_golang/prometheus"
 	"github.com/rs/zerolog"
 
 	"github.com/cherviltrestle/cherviltrestle/internal/decide/ctfailover"
@@ -61,7 +62,7 @@
 	// They are nil if there are no such groups.
 	Members  MemberClient
 	Promoter Promoter
-	// Metrics counts promotion requests. It may be nil.
+	// Metrics counts promotion requests. If it is nil, they are counted where nobody reads.
 	Metrics *ctmetric.Control
 	// ApplyTimeout is how long after its acceptance a configuration must be in force on
 	// every proxy. A proxy that has not reported it by then gets no authority until it
@@ -89,6 +90,9 @@
 // New returns a control process that does not lead. SetProposer must be called before
 // Run.
 func New(options Options) *Control {
+	if options.Metrics == nil {
+		options.Metrics = ctmetric.NewControl(prometheus.NewRegistry())
+	}
 	c := &Control{Options: options, state: cttable.Cell[leaderState]{Rank: ctlock.RankLeader}}
 	var held ctlock.Held
 	c.state.With(&held, func(l *leaderState) {
--- a/internal/program/ctcontrol/machine.go
+++ b/internal/program/ctcontrol/machine.go
@@ -23,6 +23,7 @@
 	var held ctlock.Held
 	c.state.With(&held, func(l *leaderState) {
 		result := l.register.Apply(command)
+		c.measureUnsettled(l, result)
 		if len(l.waiters) > 0 {
 			l.results[index] = result
 		}
@@ -72,13 +73,13 @@
 	case ctregister.PromotionsSettled:
 		delete(l.proposedAt, r.Name)
 		group, declared := l.register.Groups[r.Name]
-		settled, ok := command.(ctregister.SettlePromotions)
+		settle, ok := command.(ctregister.SettlePromotions)
 		if !ok || !declared {
 			return
 		}
 		l.roster.SetGroup(group)
 		l.notifyWatchers()
-		c.logSettled(settled)
+		c.logSettled(r, settle.Reason)
 	}
 }
 
@@ -98,7 +99,13 @@
 		return err
 	}
 	var held ctlock.Held
-	c.state.With(&held, func(l *leaderState) { l.register = *register })
+	c.state.With(&held, func(l *leaderState) {
+		l.register = *register
+		c.Metrics.UnsettledPromotions.Reset()
+		for name := range l.register.Groups {
+			c.setUnsettled(l, name)
+		}
+	})
 	return nil
 }
 
--- a/internal/program/ctcontrol/promotion.go
+++ b/internal/program/ctcontrol/promotion.go
@@ -56,6 +56,7 @@
 			slices.Contains(group.Unsettled, t.promotion) && machine.CandidateHoldsLog(group)
 		allowed = wanted && l.epoch == t.epoch && l.hasAuthority(begunAt) &&
 			l.ledger.Begin(ctpromotion.Key{Group: t.group, Promotion: t.promotion})
+		c.measureUnanswered(l)
 	})
 	return begunAt, allowed
 }
@@ -70,11 +71,15 @@
 	if c.Clock.Now().Sub(begunAt) < promotionTimeout {
 		outcome, err = c.Promoter.Promote(ctx, t.group, t.member, c.Name, t.epoch)
 	}
-	c.countPromotion(outcome)
+	c.Metrics.PromotionRequests.WithLabelValues(outcome.String()).Inc()
 	now := c.Clock.Now()
 	var held ctlock.Held
 	c.state.With(&held, func(l *leaderState) {
 		l.ledger.End(now, ctpromotion.Key{Group: t.group, Promotion: t.promotion}, outcome)
+		c.measureUnanswered(l)
+		if l.isObsolete(t) {
+			c.logLateAnswer(l, t, outcome)
+		}
 	})
 	event := ctlog.Decision(&c.Logger, "order_promotion").
 		Str("group", string(t.group)).
@@ -90,6 +95,35 @@
 	answered <- outcome
 }
 
+// isObsolete reports whether nobody waits for a promotion any more: this process has stopped
+// leading since the request, or the group has another primary or candidate.
+func (l *leaderState) isObsolete(t memberTask) bool {
+	group := l.group(t.group)
+	wanted := group.Primary
+	if group.ChangingPrimary() {
+		wanted = group.Candidate
+	}
+	return !l.leading || l.epoch != t.epoch || wanted != t.member
+}
+
+// logLateAnswer warns that the service answered a request for an obsolete promotion. If it
+// accepted the request, the member may become the primary of a later term.
+func (c *Control) logLateAnswer(l *leaderState, t memberTask, outcome ctsuccession.PromotionOutcome) {
+	group := l.group(t.group)
+	c.Logger.Warn().Str("event", "promotion_answered_late").
+		Str("group", string(t.group)).
+		Str("member", string(t.member)).
+		Uint64("epoch", uint64(t.epoch)).
+		Uint64("number", uint64(t.promotion.Number)).
+		Stringer("outcome", outcome).
+		Bool("leading", l.leading).
+		Str("primary", string(group.Primary)).
+		Uint64("term", uint64(group.Term)).
+		Uint64("fence", uint64(group.Fence)).
+		Str("candidate", string(group.Candidate)).
+		Send()
+}
+
 // settledPromotions returns the promotions of this process's own epochs, by group, that are
 // settled by the answers that it has received.
 func (c *Control) settledPromotions(held *ctlock.Held) []*ctframe.Settled {
@@ -118,7 +152,9 @@
 // ApplySettled makes durable that promotions of a group are settled.
 func (c *Control) ApplySettled(held *ctlock.Held, settled *ctframe.Settled) error {
 	return c.withAuthority(held, func(_ time.Time, l *leaderState) {
-		c.propose(l, ctregister.SettlePromotions{Group: settled.Group, Promotions: settled.Promotions}, nil)
+		c.propose(l, ctregister.SettlePromotions{
+			Group: settled.Group, Promotions: settled.Promotions, Reason: string(ctsuccession.ReasonAnswered),
+		}, nil)
 	})
 }
 
@@ -142,13 +178,15 @@
 }
 
 // logSettled logs that promotions of a group are settled.
-func (c *Control) logSettled(settled ctregister.SettlePromotions) {
+func (c *Control) logSettled(settled ctregister.PromotionsSettled, reason string) {
 	for _, p := range settled.Promotions {
+		c.Metrics.PromotionsSettled.WithLabelValues(reason).Inc()
 		ctlog.Decision(&c.Logger, "settle_promotion").
-			Str("group", string(settled.Group)).
+			Str("group", string(settled.Name)).
 			Str("member", string(p.Member)).
 			Uint64("epoch", uint64(p.Epoch)).
 			Uint64("number", uint64(p.Number)).
+			Str("why", reason).
 			Send()
 	}
 }
--- a/internal/program/ctcontrol/succession.go
+++ b/internal/program/ctcontrol/succession.go
@@ -217,7 +217,9 @@
 			}, nil)
 		case ctsuccession.SettlePromotions:
 			l.proposedAt[name] = now
-			c.propose(l, ctregister.SettlePromotions{Group: name, Promotions: a.Promotions}, nil)
+			c.propose(l, ctregister.SettlePromotions{
+				Group: name, Promotions: a.Promotions, Reason: string(a.Reason),
+			}, nil)
 		}
 	}
 }
--- a/internal/program/ctmetric/control.go
+++ b/internal/program/ctmetric/control.go
@@ -19,6 +19,14 @@
 	// PromotionRequests counts promotion requests by outcome: accepted, deferred, rejected,
 	// or unknown if there was no answer.
 	PromotionRequests *prometheus.CounterVec
+	// UnansweredPromotions is the number of promotion requests of this process that have no
+	// answer yet.
+	UnansweredPromotions prometheus.Gauge
+	// UnsettledPromotions is the number of promotions that may still take effect, by group.
+	UnsettledPromotions *prometheus.GaugeVec
+	// PromotionsSettled counts the promotions that were settled while this process led, by
+	// reason: answered, expired, or member_gone.
+	PromotionsSettled *prometheus.CounterVec
 	// Panics counts connections that ended because their goroutine panicked.
 	Panics prometheus.Counter
 }
@@ -34,6 +42,12 @@
 		ReplySeconds: f.histogramVec("control_answer_seconds", "Time of answers.", "frame"),
 		PromotionRequests: f.counterVec(
 			"control_promotion_requests_total", "Requests to promote members.", "outcome"),
+		UnansweredPromotions: f.gauge(
+			"control_promotion_requests_unanswered", "Requests to promote members without an answer."),
+		UnsettledPromotions: f.gaugeVec(
+			"control_promotions_unsettled", "Promotions that may still take effect.", "group"),
+		PromotionsSettled: f.counterVec(
+			"control_promotions_settled_total", "Promotions that can't take effect any more.", "reason"),
 		Panics: f.counter("panics_total", panicsHelp),
 	}
 }
