--- a/internal/decide/ctsuccession/unsettled_test.go
+++ b/internal/decide/ctsuccession/unsettled_test.go
@@ -39,6 +39,7 @@
 	t.Run("of a member that is gone", func(t *testing.T) {
 		e := begin("c", 7)
 		e.machine.DeregisterMember(e.now, "c")
+		e.now = e.now.Add(3 * time.Second)
 		assertSettles(t, e, ctsuccession.ReasonMemberGone)
 	})
 }
