ctsuccession: an answer counts for the run of the member that gave it

Callers would see acknowledged writes gone: an answer of a member's earlier run that arrives after it started again, without its log, counted as the present run's, so that a log that was gone counted as complete. An answer to a command that was sent before the present run was first heard is ignored now. Besides, a member counts as paused only if its answer to Pause says so; a member that restarts is not.

Found by the independent review by reading; not shown to have acted in the users' runs.

--- a/internal/decide/ctsuccession/machine.go
+++ b/internal/decide/ctsuccession/machine.go
@@ -144,6 +144,8 @@
 type memberState struct {
 	announcement ctserver.Announcement
 	announcedAt  time.Time
+	// heardAt is when the member's present run was first heard.
+	heardAt time.Time
 	// status is the member's last answer, and answeredAt when it was received.
 	status     ctquery.Status
 	answeredAt time.Time
@@ -198,7 +200,7 @@
 		if ok {
 			m.lost.record(now)
 		}
-		member = &memberState{}
+		member = &memberState{heardAt: now}
 		m.members[announcement.Member] = member
 	}
 	member.announcement = announcement
@@ -280,7 +282,8 @@
 // RecordStatus records the status that a member returned to a command sent at sentAt.
 func (m *Machine) RecordStatus(now, sentAt time.Time, name ctid.Member, command Command, status ctquery.Status) {
 	member, ok := m.members[name]
-	if !ok {
+	if !ok || sentAt.Before(member.heardAt) {
+		// An earlier run of the member may have answered, with another log.
 		return
 	}
 	member.pending = false
@@ -292,7 +295,9 @@
 	}
 	switch c := command.(type) {
 	case Pause:
-		member.confirmedFence = c.Fence
+		if status.PausedBelow >= c.Fence {
+			member.confirmedFence = c.Fence
+		}
 	case StepDown:
 		if m.endsLog(name, c, status) {
 			m.current.stepDownPoint, m.current.steppedDownAt = status.Received, now
