ctsuccession: a member that failed during a change is probed again

Callers would find no primary until control's leader changes: a candidate that failed five commands counts as lost, and a member that has confirmed the fence is sent nothing any more. Its failures were never reset, and that it led in the end was never seen.

--- a/internal/decide/ctsuccession/change.go
+++ b/internal/decide/ctsuccession/change.go
@@ -110,6 +110,8 @@
 			actions = m.appendCommand(now, actions, name, member, Probe{}, changeInterval)
 		case member.confirmedFence < group.Fence:
 			actions = m.appendCommand(now, actions, name, member, Pause{Fence: group.Fence}, changeInterval)
+		case member.failures > 0:
+			actions = m.appendCommand(now, actions, name, member, Probe{}, changeInterval)
 		}
 	}
 	return actions
