ctpromotion: a member that follows a later term holds no commit of an earlier one

A replica whose last entry has the commit's term may follow a later term already. Its status counted as proof that its promotion can't lose the commit.

--- a/internal/decide/ctpromotion/guard.go
+++ b/internal/decide/ctpromotion/guard.go
@@ -11,5 +11,6 @@
 // follows a later term may lack the commit.
 func Holds(status ctquery.Status, point ctposition.Point) bool {
 	received := status.Received
-	return status.Role == ctserver.RoleReplica && received.Term == point.Term && received.Position >= point.Position
+	follows := status.Role == ctserver.RoleReplica && status.Term <= point.Term
+	return follows && received.Term == point.Term && received.Position >= point.Position
 }
