ctgateway: writes run only while the guard members answer

Callers would get INDOUBT for writes that could be refused before they run. Besides, a commit waited for a member although its promotion had been settled meanwhile.

--- a/internal/program/ctgateway/choose.go
+++ b/internal/program/ctgateway/choose.go
@@ -94,7 +94,7 @@
 	if group.ChangingPrimary() || !now.Before(s.gateway.State.AuthorityExpiry(&s.held)) {
 		return false
 	}
-	if e.run.Primary && !s.gateway.guardsReachable(&s.held, &group) {
+	if e.run.Primary && !s.gateway.guardsAnswer(&s.held, &group) {
 		return false
 	}
 	return state.LeavingSince.IsZero() || now.Sub(state.LeavingSince) < leavingPrimaryGrace
--- a/internal/program/ctgateway/gateway.go
+++ b/internal/program/ctgateway/gateway.go
@@ -91,6 +91,7 @@
 func (g *Gateway) ApplyView(held *ctlock.Held, view *ctview.View) {
 	g.Pools.ApplyView(held, view)
 	g.maintainConnections(held, g.groupsInUse(held, view))
+	g.refreshGuards(held, g.groupsInUse(held, view))
 	if g.enforceFences(held, view) {
 		g.TriggerReport()
 	}
@@ -116,6 +117,7 @@
 			g.closeIdleSessions()
 		}
 		g.refreshSamples(&held, used)
+		g.refreshGuards(&held, used)
 		if g.enforceFences(&held, g.State.View(&held)) {
 			g.TriggerReport()
 		}
--- a/internal/program/ctgateway/group.go
+++ b/internal/program/ctgateway/group.go
@@ -43,8 +43,10 @@
 	runningAtPrimary int
 	// sampling reports whether a query for a sample is in progress.
 	sampling bool
-	// guardMissedAt is when a guard last did not hold a commit in time.
-	guardMissedAt time.Time
+	// guardsHeard is when each guard member last answered this proxy, and queryingGuard reports
+	// whether a query to one for that purpose is in progress.
+	guardsHeard   map[ctid.Member]time.Time
+	queryingGuard bool
 	// lastUsed is when a statement last needed the group.
 	lastUsed time.Time
 }
--- a/internal/program/ctgateway/run.go
+++ b/internal/program/ctgateway/run.go
@@ -159,7 +159,7 @@
 	authorized := true
 	if answer.OK() && e.run.Effect == ctdialog.EffectDurable {
 		group := s.pinned.group
-		authorized = s.gateway.heldByGuards(&s.held, group, answer.Point, e.answerBy) &&
+		authorized = s.gateway.heldByGuards(&s.held, group, e.target.term, answer.Point, e.answerBy) &&
 			s.gateway.acknowledge(&s.held, group, e.target.term, answer.Point)
 	}
 	return ctdialog.Replied{Answer: answer, Authorized: authorized}
