ctpromotion, ctsuccession: a promotion is settled once its member shows no effect of it

Change: the sender reports that requests have ended, or that none was accepted. The leader settles the former only after a status of the member that was requested after that and shows a replica, or the group's primary, of no later term. That an accepted request has had its effect is taken from an adoption after its answer. If the member never answers again, an operator's DELETE settles it; time alone does not.

--- a/internal/decide/ctpromotion/doc.go
+++ b/internal/decide/ctpromotion/doc.go
@@ -28,7 +28,10 @@
 		outcome := send(key)
 		ledger.End(now, key, outcome)
 	}
-	if ledger.Settled(now, key, observed) {
+	switch ledger.Close(now, key, observedAt).(type) {
+	case ctpromotion.Void:
+		...
+	case ctpromotion.Ended:
 		...
 	}
 */
--- a/internal/decide/ctpromotion/ledger.go
+++ b/internal/decide/ctpromotion/ledger.go
@@ -31,6 +31,8 @@
 	// unanswered counts the requests that have no answer yet, lost those that have ended
 	// without one, and accepted the accepted ones.
 	unanswered, lost, accepted int
+	// acceptedAt is when the last accepted one was answered.
+	acceptedAt time.Time
 	// effectiveBy is when all requests that have ended have taken effect, if they do.
 	effectiveBy time.Time
 	// closed reports that the promotion is settled: no request for it is sent any more.
@@ -80,6 +82,7 @@
 		p.extend(now.Add(ctsuccession.RequestLifetime))
 	case ctsuccession.PromotionAccepted:
 		p.accepted++
+		p.acceptedAt = now
 		p.extend(now.Add(effectTimeout))
 	case ctsuccession.PromotionDeferred, ctsuccession.PromotionRejected:
 	}
@@ -92,20 +95,42 @@
 	}
 }
 
-// Settled reports whether no request for a promotion can take effect any more. If so, Begin
-// allows no further one. Observed reports that the promotion has taken effect once. The result
-// is false for promotions of other processes and of earlier runs of this one.
-func (l *Ledger) Settled(now time.Time, key Key, observed bool) bool {
+// End is what is known of the requests for a promotion: one of Open, Void and Ended.
+type End interface {
+	isEnd()
+}
+
+// Open: a request may still be handled by the service.
+type Open struct{}
+
+// Void: no request was or can be accepted, so that the promotion has no effect.
+type Void struct{}
+
+// Ended: no request can take effect any more, but one may have taken effect.
+type Ended struct{}
+
+func (Open) isEnd()  {}
+func (Void) isEnd()  {}
+func (Ended) isEnd() {}
+
+// Close returns what is known of the requests for a promotion. Unless that is Open, Begin
+// allows no further request. ObservedAt is when the promotion was first seen to have taken
+// effect, or zero. The result is Open for promotions of other processes and of earlier runs of
+// this one.
+func (l *Ledger) Close(now time.Time, key Key, observedAt time.Time) End {
 	if !l.epochs.Has(key.Promotion.Epoch) {
-		return false
+		return Open{}
 	}
 	p := l.promotionOf(key)
-	effective := !now.Before(p.effectiveBy) || (observed && p.accepted == 1 && p.lost == 0)
-	if p.unanswered > 0 || !effective {
-		return false
+	onlyEffect := p.accepted == 1 && p.lost == 0 && observedAt.After(p.acceptedAt)
+	if p.unanswered > 0 || (now.Before(p.effectiveBy) && !onlyEffect) {
+		return Open{}
 	}
 	p.closed = true
-	return true
+	if p.accepted == 0 && p.lost == 0 {
+		return Void{}
+	}
+	return Ended{}
 }
 
 // Unanswered returns how many requests have no answer yet.
--- a/internal/decide/ctpromotion/ledger_test.go
+++ b/internal/decide/ctpromotion/ledger_test.go
@@ -31,53 +31,63 @@
 	return &l
 }
 
-func assertSettled(t *testing.T, l *ctpromotion.Ledger, after time.Duration, want bool) {
+// assertEnd asserts what is known a while after start of the requests for key, of which none was
+// seen to take effect.
+func assertEnd(t *testing.T, l *ctpromotion.Ledger, after time.Duration, want ctpromotion.End) {
 	t.Helper()
-	assert.Equal(t, l.Settled(start.Add(after), key, false), want)
+	assert.Equal(t, l.Close(start.Add(after), key, time.Time{}), want)
 }
 
-func TestSettled(t *testing.T) {
-	t.Run("a promotion without a request is settled and closed", func(t *testing.T) {
+// TestClose covers acknowledged writes that a late promotion loses, and writes that are refused
+// for good: when no request for a promotion can take effect any more.
+func TestClose(t *testing.T) {
+	var (
+		open  = ctpromotion.Open{}
+		void  = ctpromotion.Void{}
+		ended = ctpromotion.Ended{}
+	)
+	t.Run("a promotion without a request is void and closed", func(t *testing.T) {
 		l := newLedger(t, 0)
-		assertSettled(t, l, 0, true)
+		assertEnd(t, l, 0, void)
 		assert.Assert(t, !l.Begin(key))
 	})
 	t.Run("each request needs an answer", func(t *testing.T) {
 		l := newLedger(t, 2)
 		l.End(start, key, ctsuccession.PromotionRejected)
-		assertSettled(t, l, time.Hour, false)
+		assertEnd(t, l, time.Hour, open)
 		l.End(start, key, ctsuccession.PromotionDeferred)
-		assertSettled(t, l, 0, true)
+		assertEnd(t, l, 0, void)
 	})
 	t.Run("an accepted request may take effect after its answer", func(t *testing.T) {
 		l := newLedger(t, 1)
 		l.End(start, key, ctsuccession.PromotionAccepted)
-		assertSettled(t, l, time.Second, false)
-		assertSettled(t, l, time.Minute, true)
+		assertEnd(t, l, time.Second, open)
+		assertEnd(t, l, time.Minute, ended)
 	})
 	t.Run("the only accepted request can't take effect again", func(t *testing.T) {
 		l := newLedger(t, 1)
 		l.End(start, key, ctsuccession.PromotionAccepted)
-		assert.Assert(t, l.Settled(start, key, true))
+		assert.Equal(t, l.Close(start, key, start), ctpromotion.End(open))
+		assert.Equal(t, l.Close(start, key, start.Add(time.Second)), ctpromotion.End(ended))
 	})
 	t.Run("a second accepted request may take effect after the first", func(t *testing.T) {
 		l := newLedger(t, 2)
 		l.End(start, key, ctsuccession.PromotionAccepted)
 		l.End(start, key, ctsuccession.PromotionAccepted)
-		assert.Assert(t, !l.Settled(start, key, true))
+		assert.Equal(t, l.Close(start, key, start.Add(time.Second)), ctpromotion.End(open))
 	})
 	t.Run("a request that lost its answer may take effect during its lifetime", func(t *testing.T) {
 		l := newLedger(t, 2)
 		l.End(start, key, ctsuccession.PromotionUnknown)
 		l.End(start, key, ctsuccession.PromotionAccepted)
-		assert.Assert(t, !l.Settled(start, key, true))
-		assertSettled(t, l, ctsuccession.RequestLifetime-time.Second, false)
-		assertSettled(t, l, ctsuccession.RequestLifetime, true)
+		assert.Equal(t, l.Close(start, key, start.Add(time.Second)), ctpromotion.End(open))
+		assertEnd(t, l, ctsuccession.RequestLifetime-time.Second, open)
+		assertEnd(t, l, ctsuccession.RequestLifetime, ended)
 	})
-	t.Run("the promotions of other processes are not settled here", func(t *testing.T) {
+	t.Run("the promotions of other processes are not known here", func(t *testing.T) {
 		var l ctpromotion.Ledger
 		l.Lead(5)
-		assertSettled(t, &l, time.Hour, false)
+		assertEnd(t, &l, time.Hour, open)
 	})
 }
 
--- a/internal/decide/ctsuccession/machine.go
+++ b/internal/decide/ctsuccession/machine.go
@@ -109,6 +109,9 @@
 	// gone holds the members that were deregistered or replaced at their address, and have not
 	// been heard again, with the times.
 	gone map[ctid.Member]time.Time
+	// ended holds the unsettled promotions for which no request can take effect any more, with
+	// the times at which the leader learned of it.
+	ended map[ctview.Promotion]time.Time
 	// current is the state of the change in progress.
 	current changeState
 }
@@ -186,6 +189,7 @@
 		members:        make(map[ctid.Member]*memberState),
 		silent:         make(map[ctid.Member]ctserver.Announcement),
 		gone:           make(map[ctid.Member]time.Time),
+		ended:          make(map[ctview.Promotion]time.Time),
 		proxies:        proxies,
 		reports:        make(map[ctid.Proxy]*proxyReport),
 	}
--- a/internal/decide/ctsuccession/unsettled.go
+++ b/internal/decide/ctsuccession/unsettled.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/cherviltrestle/cherviltrestle/internal/model/ctid"
+	"github.com/cherviltrestle/cherviltrestle/internal/model/ctserver"
 	"github.com/cherviltrestle/cherviltrestle/internal/model/ctview"
 )
 
@@ -50,25 +51,66 @@
 	return 0
 }
 
-// settlePromotions settles the unsettled promotions that can't take effect any more: those
-// of members that are gone for good, and those of earlier leaders that have had
-// RequestLifetime without a report. Those of this epoch are settled by their answers.
+// RecordEnded records that no request for promotions can take effect any more. One may have
+// taken effect without a sign of it.
+func (m *Machine) RecordEnded(now time.Time, promotions []ctview.Promotion) {
+	for _, p := range promotions {
+		if _, known := m.ended[p]; !known {
+			m.ended[p] = now
+		}
+	}
+}
+
+// PromotedAt returns when this leader saw the only unsettled promotion of a member take
+// effect. It returns the zero time if the member doesn't lead, or if a change is in progress.
+func (m *Machine) PromotedAt(group ctview.Group, name ctid.Member) time.Time {
+	count := 0
+	for _, p := range group.Unsettled {
+		if p.Member == name {
+			count++
+		}
+	}
+	if count != 1 || group.Primary != name || group.ChangingPrimary() {
+		return time.Time{}
+	}
+	return m.lastChangeAt
+}
+
+// settlePromotions settles the promotions that neither can take effect any more nor have
+// taken effect unseen. Those of earlier leaders have ended RequestLifetime after this one
+// started, if nobody reports it before.
 func (m *Machine) settlePromotions(now time.Time, group ctview.Group) []Action {
-	var gone, expired []ctview.Promotion
+	byReason := make(map[Reason][]ctview.Promotion)
 	for _, p := range group.Unsettled {
+		endedAt, answered := m.ended[p]
+		expiresAt := m.startedAt.Add(RequestLifetime)
 		switch {
 		case p.Member != group.Candidate && m.goneFor(now, p.Member, goneTimeout):
-			gone = append(gone, p)
-		case p.Epoch != m.Epoch && now.Sub(m.startedAt) >= RequestLifetime:
-			expired = append(expired, p)
+			byReason[ReasonMemberGone] = append(byReason[ReasonMemberGone], p)
+		case answered && m.withoutEffect(group, p.Member, endedAt):
+			byReason[ReasonAnswered] = append(byReason[ReasonAnswered], p)
+		case p.Epoch != m.Epoch && !now.Before(expiresAt) && m.withoutEffect(group, p.Member, expiresAt):
+			byReason[ReasonExpired] = append(byReason[ReasonExpired], p)
 		}
 	}
 	var actions []Action
-	if len(gone) > 0 {
-		actions = append(actions, SettlePromotions{Promotions: gone, Reason: ReasonMemberGone})
-	}
-	if len(expired) > 0 {
-		actions = append(actions, SettlePromotions{Promotions: expired, Reason: ReasonExpired})
+	for _, reason := range []Reason{ReasonMemberGone, ReasonAnswered, ReasonExpired} {
+		if len(byReason[reason]) > 0 {
+			actions = append(actions, SettlePromotions{Promotions: byReason[reason], Reason: reason})
+		}
 	}
 	return actions
 }
+
+// withoutEffect reports whether a member's status that was requested after a time shows no
+// promotion that control doesn't know of.
+func (m *Machine) withoutEffect(group ctview.Group, name ctid.Member, after time.Time) bool {
+	member, ok := m.members[name]
+	if !ok || member.failures > 0 || member.statusSentAt.Before(after) {
+		return false
+	}
+	if member.status.Role == ctserver.RolePrimary {
+		return name == group.Primary && member.status.Term == group.Term
+	}
+	return member.status.Term <= group.Term
+}
--- a/internal/decide/ctsuccession/unsettled_test.go
+++ b/internal/decide/ctsuccession/unsettled_test.go
@@ -31,9 +31,28 @@
 		e.run(2 * time.Minute)
 		assertUnsettled(t, e, "b")
 	})
+	t.Run("of this leader, whose requests have ended", func(t *testing.T) {
+		e := begin("b", 8)
+		e.machine.RecordEnded(e.now, e.group.Unsettled)
+		e.members["b"].unresponsive = true
+		e.run(time.Minute)
+		assertUnsettled(t, e, "b")
+		e.members["b"].unresponsive = false
+		e.run(3 * time.Second)
+		assertUnsettled(t, e)
+	})
+	t.Run("not one that has taken effect unseen", func(t *testing.T) {
+		e := begin("b", 8)
+		e.machine.RecordEnded(e.now, e.group.Unsettled)
+		e.members["b"].status.Term = 2
+		e.run(3 * time.Second)
+		assertUnsettled(t, e, "b")
+	})
 	t.Run("of an earlier leader", func(t *testing.T) {
 		e := begin("b", 7)
 		e.now = e.now.Add(time.Minute)
+		now, status := e.now, e.members["b"].status
+		e.machine.RecordStatus(now, now, "b", ctsuccession.Probe{}, status)
 		assertSettles(t, e, ctsuccession.ReasonExpired)
 	})
 	t.Run("of a member that is gone", func(t *testing.T) {
--- a/internal/link/ctframe/control.go
+++ b/internal/link/ctframe/control.go
@@ -60,10 +60,14 @@
 	return nil
 }
 
-// Settled reports to control's leader that promotions of a group can't take effect any more.
+// Settled reports to control's leader for which promotions of a group no request can take
+// effect any more.
 type Settled struct {
-	Group      ctid.Group         `cbor:"group"`
-	Promotions []ctview.Promotion `cbor:"promotions"`
+	Group ctid.Group `cbor:"group"`
+	// Ended lists those of which a request may have taken effect, and Void those without an
+	// accepted request.
+	Ended []ctview.Promotion `cbor:"ended,omitempty"`
+	Void  []ctview.Promotion `cbor:"void,omitempty"`
 }
 
 // Check returns an error of kind cterror.Invalid for the first invalid name.
@@ -71,9 +75,11 @@
 	if err := f.Group.Check(); err != nil {
 		return err
 	}
-	for i := range f.Promotions {
-		if err := f.Promotions[i].Check(); err != nil {
-			return err
+	for _, promotions := range [][]ctview.Promotion{f.Ended, f.Void} {
+		for i := range promotions {
+			if err := promotions[i].Check(); err != nil {
+				return err
+			}
 		}
 	}
 	return nil
--- a/internal/model/ctview/promotion.go
+++ b/internal/model/ctview/promotion.go
@@ -57,15 +57,3 @@
 	}
 	return members
 }
-
-// Promoted reports whether a member leads the group, no change is in progress, and only one of
-// its promotions is unsettled, so that this one has taken effect.
-func (g *Group) Promoted(name ctid.Member) bool {
-	count := 0
-	for _, p := range g.Unsettled {
-		if p.Member == name {
-			count++
-		}
-	}
-	return count == 1 && g.Primary == name && !g.ChangingPrimary()
-}
--- a/internal/program/ctcontrol/promotion.go
+++ b/internal/program/ctcontrol/promotion.go
@@ -11,6 +11,7 @@
 	"github.com/cherviltrestle/cherviltrestle/internal/decide/ctregister"
 	"github.com/cherviltrestle/cherviltrestle/internal/decide/ctsuccession"
 	"github.com/cherviltrestle/cherviltrestle/internal/link/ctframe"
+	"github.com/cherviltrestle/cherviltrestle/internal/model/ctview"
 	"github.com/cherviltrestle/cherviltrestle/internal/program/ctlog"
 	"github.com/cherviltrestle/cherviltrestle/internal/work/ctlock"
 )
@@ -124,42 +125,62 @@
 		Send()
 }
 
-// settledPromotions returns the promotions of this process's own epochs, by group, that are
-// settled by the answers that it has received.
-func (c *Control) settledPromotions(held *ctlock.Held) []*ctframe.Settled {
-	var settled []*ctframe.Settled
+// endedPromotions returns the promotions of this process's own epochs, by group, whose requests
+// have ended.
+func (c *Control) endedPromotions(held *ctlock.Held) []*ctframe.Settled {
+	var ended []*ctframe.Settled
 	c.state.With(held, func(l *leaderState) {
 		now := c.Clock.Now()
 		for _, name := range slices.Sorted(maps.Keys(l.register.Groups)) {
-			group := l.register.Groups[name]
-			frame := &ctframe.Settled{Group: name}
-			for _, p := range group.Unsettled {
-				requesting := l.leading && ctquorum.Epoch(p.Epoch) == l.epoch &&
-					group.ChangingPrimary() && group.Candidate == p.Member
-				key := ctpromotion.Key{Group: name, Promotion: p}
-				if !requesting && l.ledger.Settled(now, key, group.Promoted(p.Member)) {
-					frame.Promotions = append(frame.Promotions, p)
-				}
-			}
-			if len(frame.Promotions) > 0 {
-				settled = append(settled, frame)
+			if frame := l.closePromotions(now, l.register.Groups[name]); len(frame.Ended)+len(frame.Void) > 0 {
+				ended = append(ended, frame)
 			}
 		}
 	})
-	return settled
+	return ended
+}
+
+// closePromotions closes those unsettled promotions of a group to further requests whose
+// requests have ended, and returns them.
+func (l *leaderState) closePromotions(now time.Time, group ctview.Group) *ctframe.Settled {
+	frame := &ctframe.Settled{Group: group.Name}
+	for _, p := range group.Unsettled {
+		var observedAt time.Time
+		if l.leading && ctquorum.Epoch(p.Epoch) == l.epoch {
+			if group.ChangingPrimary() && group.Candidate == p.Member {
+				continue
+			}
+			if machine, ok := l.successions[group.Name]; ok {
+				observedAt = machine.PromotedAt(group, p.Member)
+			}
+		}
+		switch l.ledger.Close(now, ctpromotion.Key{Group: group.Name, Promotion: p}, observedAt).(type) {
+		case ctpromotion.Void:
+			frame.Void = append(frame.Void, p)
+		case ctpromotion.Ended:
+			frame.Ended = append(frame.Ended, p)
+		}
+	}
+	return frame
 }
 
-// ApplySettled makes durable that promotions of a group are settled.
+// ApplySettled settles the promotions without effect. The succession settles the others once
+// their members' statuses show that they have had no effect since.
 func (c *Control) ApplySettled(held *ctlock.Held, settled *ctframe.Settled) error {
-	return c.withAuthority(held, func(_ time.Time, l *leaderState) {
-		c.propose(l, ctregister.SettlePromotions{
-			Group: settled.Group, Promotions: settled.Promotions, Reason: string(ctsuccession.ReasonAnswered),
-		}, nil)
+	return c.withAuthority(held, func(now time.Time, l *leaderState) {
+		if machine, ok := l.successions[settled.Group]; ok {
+			machine.RecordEnded(now, settled.Ended)
+		}
+		if len(settled.Void) > 0 {
+			c.propose(l, ctregister.SettlePromotions{
+				Group: settled.Group, Promotions: settled.Void, Reason: string(ctsuccession.ReasonAnswered),
+			}, nil)
+		}
 	})
 }
 
-// reportSettled tells the leader which promotions the answers to this process settle, until
-// ctx ends. The leader may be this process.
+// reportSettled tells the leader for which promotions the requests of this process have ended,
+// until ctx ends. The leader may be this process.
 func (s *Service) reportSettled(ctx context.Context) {
 	var held ctlock.Held
 	for {
@@ -168,7 +189,7 @@
 			return
 		case <-s.Clock.After(settleInterval):
 		}
-		for _, settled := range s.control.settledPromotions(&held) {
+		for _, settled := range s.control.endedPromotions(&held) {
 			if err := s.sendToLeader(ctx, settled); err != nil {
 				// Sent again after settleInterval, while the register lists them.
 				break
