ctheldlink: real processes over links that can be held

The new package starts three control processes and two proxies around a group of three simulated members, a service that promotes without comparing epochs, and callers. A judge compares the log of each promoted member with all commits that were acknowledged before, and checks commits at replaced primaries and refused writes.

--- /dev/null
+++ b/internal/lab/ctheldlink/disturb.go
@@ -0,0 +1,140 @@
+package ctheldlink
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"time"
+)
+
+const (
+	// minFault and maxFault bound the duration of a random fault.
+	minFault = 500 * time.Millisecond
+	maxFault = 10 * time.Second
+	// faultInterval is the longest pause between the starts of two random faults.
+	faultInterval = 2500 * time.Millisecond
+	// recoveryTimeout bounds the wait for callers to be served after the last fault.
+	recoveryTimeout = 2 * time.Minute
+)
+
+// Fault is a fault that lasts for a time.
+type Fault interface {
+	isFault()
+}
+
+// HoldLink holds both directions between two hosts.
+type HoldLink struct {
+	A, B Host
+}
+
+// KillLeader kills the present leader of control and starts it again.
+type KillLeader struct{}
+
+// FreezeLeader suspends the present leader of control.
+type FreezeLeader struct{}
+
+// DarkenMember holds the links between a member and all control processes.
+type DarkenMember struct {
+	Member int
+}
+
+// CrashPrimary stops the member that was promoted last, and starts it again with its log.
+type CrashPrimary struct{}
+
+func (HoldLink) isFault()     {}
+func (KillLeader) isFault()   {}
+func (FreezeLeader) isFault() {}
+func (DarkenMember) isFault() {}
+func (CrashPrimary) isFault() {}
+
+// randomFault returns a fault. Half of them lose the primary or concern the service.
+func randomFault(random *rand.Rand) Fault {
+	control := Host(fmt.Sprintf("control-%d", random.IntN(controlCount)))
+	member := Host(fmt.Sprintf("member-%d", random.IntN(memberCount)))
+	proxy := Host(fmt.Sprintf("proxy-%d", random.IntN(proxyCount)))
+	switch random.IntN(12) {
+	case 0, 1, 2:
+		return CrashPrimary{}
+	case 3, 4, 5:
+		return HoldLink{control, ServiceHost}
+	case 6:
+		return HoldLink{control, Host(fmt.Sprintf("control-%d", random.IntN(controlCount)))}
+	case 7:
+		return HoldLink{member, Host(fmt.Sprintf("member-%d", random.IntN(memberCount)))}
+	case 8:
+		return HoldLink{proxy, member}
+	case 9:
+		return KillLeader{}
+	case 10:
+		return FreezeLeader{}
+	default:
+		return DarkenMember{Member: random.IntN(memberCount)}
+	}
+}
+
+// randomDuration returns a duration below a bound.
+func randomDuration(random *rand.Rand, bound time.Duration) time.Duration {
+	return time.Duration(random.Int64N(int64(bound)))
+}
+
+// Disturb injects faults that a seed decides, for a time. It then waits until they have ended
+// and callers are served again.
+func (f *Fleet) Disturb(ctx context.Context, seed uint64, duration time.Duration) error {
+	random := rand.New(rand.NewPCG(seed, 0))
+	var faults sync.WaitGroup
+	for end := time.Now().Add(duration); time.Now().Before(end); {
+		fault := randomFault(random)
+		lasts := minFault + randomDuration(random, maxFault-minFault)
+		faults.Go(func() { f.inject(fault, lasts) })
+		time.Sleep(randomDuration(random, faultInterval))
+	}
+	faults.Wait()
+	before := f.Judge.Acknowledged()
+	err := await(ctx, recoveryTimeout, "callers are served after the faults", func() bool {
+		return f.Judge.Acknowledged() >= before+servedCommits
+	})
+	f.checkPromises()
+	return err
+}
+
+// inject injects a fault and ends it after a time.
+func (f *Fleet) inject(fault Fault, lasts time.Duration) {
+	f.Logger.Info().Str("event", "fault").Str("fault", fmt.Sprintf("%T%+v", fault, fault)).Dur("lasts", lasts).Send()
+	switch fault := fault.(type) {
+	case HoldLink:
+		f.holdFor(lasts, fault.A, fault.B)
+	case DarkenMember:
+		f.holdFor(lasts, f.Group.Members[fault.Member].Host, f.otherControls(nil)...)
+	case KillLeader:
+		leader := f.leader()
+		leader.Kill()
+		time.Sleep(lasts)
+		f.logError(f.startProcess(leader))
+	case FreezeLeader:
+		leader := f.leader()
+		leader.Pause()
+		time.Sleep(lasts)
+		leader.Resume()
+	case CrashPrimary:
+		primary, _ := f.Group.Latest()
+		if f.CrashMember(primary) {
+			time.Sleep(lasts)
+			f.logError(f.RestartMember(primary))
+		}
+	}
+}
+
+// holdFor holds the links between a host and others for a time.
+func (f *Fleet) holdFor(lasts time.Duration, host Host, others ...Host) {
+	holds := f.Network.HoldBoth(host, others...)
+	time.Sleep(lasts)
+	holds.Release()
+}
+
+// logError logs an error of a fault.
+func (f *Fleet) logError(err error) {
+	if err != nil {
+		f.Logger.Error().Str("event", "fault_failed").Str("error", err.Error()).Send()
+	}
+}
--- /dev/null
+++ b/internal/lab/ctheldlink/judge.go
@@ -0,0 +1,194 @@
+package ctheldlink
+
+import (
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/cherviltrestle/cherviltrestle/internal/model/ctid"
+	"github.com/cherviltrestle/cherviltrestle/internal/model/ctposition"
+	"github.com/cherviltrestle/cherviltrestle/internal/model/ctquery"
+)
+
+// disturbanceWindow is how long after a hold or a pause of a proxy its commits at a replaced
+// primary are not judged.
+const disturbanceWindow = 300 * time.Millisecond
+
+// Rule names a rule that the fleet must keep.
+type Rule string
+
+// The rules.
+const (
+	// RuleLost: the log of a promoted member has all commits that were acknowledged before.
+	RuleLost Rule = "lost"
+	// RuleOnePrimary: no commit at a replaced primary is acknowledged.
+	RuleOnePrimary Rule = "one_primary"
+	// RulePromise: a write whose caller was told that nothing is kept isn't committed.
+	RulePromise Rule = "promise"
+)
+
+// Violation is a broken rule.
+type Violation struct {
+	Rule Rule
+	Text string
+}
+
+// commit is a commit at a member.
+type commit struct {
+	member ctid.Member
+	point  ctposition.Point
+	at     time.Time
+	// latest is the group's latest term at that time.
+	latest ctposition.Term
+}
+
+// Judge checks the rules. It is safe for concurrent use.
+type Judge struct {
+	logger zerolog.Logger
+	// disturbed reports whether a proxy was disturbed since a time.
+	disturbed func(proxy Host, since time.Time) bool
+
+	// mutex guards all fields below.
+	mutex        sync.Mutex
+	commits      map[ctquery.ID]commit
+	acknowledged map[ctquery.ID]time.Time
+	promised     map[ctquery.ID]ctquery.Fault
+	// lastAt is when a commit was last acknowledged.
+	lastAt     time.Time
+	longestGap time.Duration
+	// lost has the acknowledged commits that a promotion has discarded.
+	lost       map[ctquery.ID]bool
+	violations []Violation
+}
+
+func newJudge(logger zerolog.Logger, disturbed func(Host, time.Time) bool) *Judge {
+	return &Judge{
+		logger: logger, disturbed: disturbed, commits: make(map[ctquery.ID]commit),
+		acknowledged: make(map[ctquery.ID]time.Time), promised: make(map[ctquery.ID]ctquery.Fault),
+		lost: make(map[ctquery.ID]bool),
+	}
+}
+
+// Violations returns the violations so far.
+func (j *Judge) Violations() []Violation {
+	j.mutex.Lock()
+	defer j.mutex.Unlock()
+	return append([]Violation(nil), j.violations...)
+}
+
+// Acknowledged returns how many commits were acknowledged.
+func (j *Judge) Acknowledged() int {
+	j.mutex.Lock()
+	defer j.mutex.Unlock()
+	return len(j.acknowledged)
+}
+
+// AcknowledgedSince returns how many commits of a term and later ones were acknowledged.
+func (j *Judge) AcknowledgedSince(term ctposition.Term) int {
+	j.mutex.Lock()
+	defer j.mutex.Unlock()
+	count := 0
+	for id := range j.acknowledged {
+		if j.commits[id].point.Term >= term {
+			count++
+		}
+	}
+	return count
+}
+
+// LongestGap returns the longest time between two acknowledged commits.
+func (j *Judge) LongestGap() time.Duration {
+	j.mutex.Lock()
+	defer j.mutex.Unlock()
+	return j.longestGap
+}
+
+// violate records a violation. The caller has locked the mutex.
+func (j *Judge) violate(rule Rule, format string, arguments ...any) {
+	v := Violation{Rule: rule, Text: fmt.Sprintf(format, arguments...)}
+	j.violations = append(j.violations, v)
+	j.logger.Error().Str("event", "violation").Str("rule", string(rule)).Str("text", v.Text).Send()
+}
+
+// recordCommit records a commit at a member.
+func (j *Judge) recordCommit(id ctquery.ID, c commit) {
+	j.mutex.Lock()
+	defer j.mutex.Unlock()
+	j.commits[id] = c
+}
+
+// recordAnswer records a proxy's answer to a write.
+func (j *Judge) recordAnswer(id ctquery.ID, proxy Host, fault ctquery.Fault) {
+	j.mutex.Lock()
+	defer j.mutex.Unlock()
+	if fault.NotRun() || fault == ctquery.FaultAborted {
+		j.promised[id] = fault
+	}
+	if fault != ctquery.FaultNone {
+		return
+	}
+	now := time.Now()
+	if !j.lastAt.IsZero() {
+		j.longestGap = max(j.longestGap, now.Sub(j.lastAt))
+	}
+	j.acknowledged[id], j.lastAt = now, now
+	c := j.commits[id]
+	if c.point.Term < c.latest && !j.disturbed(proxy, c.at.Add(-disturbanceWindow)) {
+		j.violate(RuleOnePrimary, "%s acknowledged %s, committed at %s at %s after the start of term %d",
+			proxy, id, c.member, c.point, c.latest)
+	}
+}
+
+// recordPromotion compares the log of a member that now is promoted with the commits that
+// were acknowledged. others has the logs of the group's other members.
+func (j *Judge) recordPromotion(p promotion, log []entry, others [][]entry) {
+	j.mutex.Lock()
+	defer j.mutex.Unlock()
+	kept, known := idsOf(log), idsOf(others...)
+	missing := 0
+	for id, at := range j.acknowledged {
+		if kept[id] || j.lost[id] {
+			continue
+		}
+		j.lost[id] = true
+		missing++
+		c := j.commits[id]
+		j.violate(RuleLost, "promotion of %s by %s, epoch %d, called %s before: its log lacks commit %s of %s at %s, "+
+			"acknowledged %s before; another member has it: %t", p.member, p.requester, p.epoch, since(p.calledAt),
+			id, c.member, c.point, since(at), known[id])
+	}
+	j.logger.Info().Str("event", "promoted").Str("member", string(p.member)).Uint64("term", uint64(p.term)).
+		Str("requester", p.requester).Uint64("epoch", uint64(p.epoch)).Int("entries", len(log)).
+		Int("acknowledged", len(j.acknowledged)).Int("lost", missing).Send()
+}
+
+// since returns the time since a moment in whole milliseconds.
+func since(at time.Time) time.Duration {
+	return time.Since(at).Round(time.Millisecond)
+}
+
+// idsOf returns the IDs of the commits in logs.
+func idsOf(logs ...[]entry) map[ctquery.ID]bool {
+	ids := make(map[ctquery.ID]bool)
+	for _, log := range logs {
+		for _, e := range log {
+			ids[e.id] = true
+		}
+	}
+	return ids
+}
+
+// checkPromises checks that a log has none of the writes whose callers were told that
+// nothing is kept.
+func (j *Judge) checkPromises(log []entry) {
+	j.mutex.Lock()
+	defer j.mutex.Unlock()
+	kept := idsOf(log)
+	for id, fault := range j.promised {
+		if kept[id] {
+			j.violate(RulePromise, "%s was answered with %s and is committed", id, fault)
+		}
+	}
+}
