--- a/internal/decide/ctpromotion/ledger.go
+++ b/internal/decide/ctpromotion/ledger.go
@@ -100,13 +100,13 @@
 	isEnd()
 }
 
-// Open: a request may still be handled by the service.
+// Open means that a request may still be handled by the service.
 type Open struct{}
 
-// Void: no request was or can be accepted, so that the promotion has no effect.
+// Void means that no request was or can be accepted, so that the promotion has no effect.
 type Void struct{}
 
-// Ended: no request can take effect any more, but one may have taken effect.
+// Ended means that no request can take effect any more, but one may have taken effect.
 type Ended struct{}
 
 func (Open) isEnd()  {}
--- a/internal/decide/ctsuccession/change.go
+++ b/internal/decide/ctsuccession/change.go
@@ -104,19 +104,30 @@
 	}
 	catchingUp := steppedDown && now.Sub(m.current.steppedDownAt) < catchUpTimeout
 	for name, member := range m.members {
-		switch {
-		case name == group.Primary || member.isPrimaryBelow(group.Fence):
-		case catchingUp:
-			actions = m.appendCommand(now, actions, name, member, Probe{}, changeInterval)
-		case member.confirmedFence < group.Fence:
-			actions = m.appendCommand(now, actions, name, member, Pause{Fence: group.Fence}, changeInterval)
-		case member.failures > 0:
-			actions = m.appendCommand(now, actions, name, member, Probe{}, changeInterval)
+		if name != group.Primary && !member.isPrimaryBelow(group.Fence) {
+			actions = m.pauseReplica(now, actions, group, name, catchingUp)
 		}
 	}
 	return actions
 }
 
+// pauseReplica pauses a replica, unless it may still receive the rest of the primary's log or
+// has confirmed the fence.
+func (m *Machine) pauseReplica(
+	now time.Time, actions []Action, group ctview.Group, name ctid.Member, catchingUp bool,
+) []Action {
+	member := m.members[name]
+	switch {
+	case catchingUp:
+		return m.appendCommand(now, actions, name, member, Probe{}, changeInterval)
+	case member.confirmedFence < group.Fence:
+		return m.appendCommand(now, actions, name, member, Pause{Fence: group.Fence}, changeInterval)
+	case member.failures > 0:
+		return m.appendCommand(now, actions, name, member, Probe{}, changeInterval)
+	}
+	return actions
+}
+
 // isPrimaryBelow reports whether a member reports that it is the primary of a term below
 // the fence. This is the replaced primary, perhaps restarted under another name. A
 // promotion request has no effect on it until it has stepped down.
--- a/internal/lab/ctmodel/control.go
+++ b/internal/lab/ctmodel/control.go
@@ -196,7 +196,8 @@
 		}
 		status := m.run(a.Command)
 		if w.reachable(m.party(), c.party()) {
-			w.onControl(c, w.latency(), func() { record(func() { c.machine.RecordStatus(w.now, sentAt, a.Member, a.Command, status) }) })
+			recordStatus := func() { c.machine.RecordStatus(w.now, sentAt, a.Member, a.Command, status) }
+			w.onControl(c, w.latency(), func() { record(recordStatus) })
 		}
 	})
 	w.onControl(c, commandTimeout, func() { record(func() { c.machine.RecordFailure(a.Member, false) }) })
