--- a/internal/decide/ctsuccession/change.go
+++ b/internal/decide/ctsuccession/change.go
@@ -102,6 +102,9 @@
 			return actions
 		}
 	}
+	if known && steppedDown {
+		actions = m.appendCommand(now, actions, group.Primary, primary, Probe{}, changeInterval)
+	}
 	catchingUp := steppedDown && now.Sub(m.current.steppedDownAt) < catchUpTimeout
 	for name, member := range m.members {
 		if name != group.Primary && !member.isPrimaryBelow(group.Fence) {
--- a/internal/decide/ctsuccession/machine.go
+++ b/internal/decide/ctsuccession/machine.go
@@ -311,11 +311,12 @@
 
 // endsLog reports whether the answer to StepDown is the first that gives the end of the log of
 // the primary's term. The log of another member, or of a primary that started again without
-// its log, may lack acknowledged commits, and so may one that ends before the covered point.
+// its log, may lack acknowledged commits, and so may one that ends before the covered point of
+// that term.
 func (m *Machine) endsLog(name ctid.Member, command StepDown, status ctquery.Status) bool {
+	covered := m.coveredTerm != m.current.term || comparePoints(status.Received, m.coveredPoint) >= 0
 	return name == m.current.primary && command.Fence == m.current.fence && m.current.steppedDownAt.IsZero() &&
-		status.Role == ctserver.RoleReplica && status.Term >= m.current.term &&
-		comparePoints(status.Received, m.coveredPoint) >= 0
+		status.Role == ctserver.RoleReplica && status.Term >= m.current.term && covered
 }
 
 // recordCoveredPoint records the end of the primary's log in a new term, or if a proxy's
--- a/internal/lab/ctmodel/model_test.go
+++ b/internal/lab/ctmodel/model_test.go
@@ -34,6 +34,8 @@
 	"a promotion was settled because its request had timed out":           {72, 112},
 	"a promotion was settled that had taken effect at an isolated member": {52, 162},
 	"a candidate that had been silent was not probed any more":            {322},
+	"the old primary was not probed any more after its step-down":         {18},
+	"the covered point of an older primary counted for a later term":      {533, 600},
 }
 
 // firstSeeds returns the seeds from 1 to a number.
