--- a/internal/decide/ctsuccession/doc.go
+++ b/internal/decide/ctsuccession/doc.go
@@ -42,6 +42,11 @@
 one request at a time. If a second one may have been accepted, control accepts no
 member as the primary until that request can't take effect any more.
 
+A promotion is among the group's unsettled ones before its first request is sent, so that
+later leaders know it. It is settled once no request for it can take effect any more and a
+status of its member shows that none has. While it is not, proxies acknowledge only commits
+that this member holds; see package ctpromotion.
+
 # Usage
 
 	proxies := ctsuccession.NewProxyTracker(now)
