--- a/internal/decide/ctpromotion/doc.go
+++ b/internal/decide/ctpromotion/doc.go
@@ -26,7 +26,7 @@
 	ledger.Lead(epoch)
 	if ledger.Begin(key) {
 		outcome := send(key)
-		ledger.End(now, key, outcome)
+		ledger.RecordOutcome(now, key, outcome)
 	}
 	switch ledger.Close(now, key, observedAt).(type) {
 	case ctpromotion.Void:
--- a/internal/decide/ctpromotion/ledger.go
+++ b/internal/decide/ctpromotion/ledger.go
@@ -35,7 +35,7 @@
 	acceptedAt time.Time
 	// effectiveBy is when all requests that have ended have taken effect, if they do.
 	effectiveBy time.Time
-	// closed reports that the promotion is settled: no request for it is sent any more.
+	// closed reports that no request for the promotion is sent any more.
 	closed bool
 }
 
@@ -45,7 +45,7 @@
 }
 
 // Begin records that a request is about to be sent. It returns false if none may be sent,
-// because the promotion is settled.
+// because the promotion is closed.
 func (l *Ledger) Begin(key Key) bool {
 	p := l.promotionOf(key)
 	if p.closed {
@@ -68,9 +68,9 @@
 	return p
 }
 
-// End records the outcome of a request. PromotionUnknown means that its answer will never
+// RecordOutcome records the outcome of a request. PromotionUnknown means that its answer will never
 // be known.
-func (l *Ledger) End(now time.Time, key Key, outcome ctsuccession.PromotionOutcome) {
+func (l *Ledger) RecordOutcome(now time.Time, key Key, outcome ctsuccession.PromotionOutcome) {
 	p, ok := l.promotions[key]
 	if !ok {
 		return
@@ -113,8 +113,8 @@
 func (Void) isEnd()  {}
 func (Ended) isEnd() {}
 
-// Close returns what is known of the requests for a promotion. Unless that is Open, Begin
-// allows no further request. ObservedAt is when the promotion was first seen to have taken
+// Close returns what is known of the requests for a promotion. Unless that is Open, it closes
+// the promotion: Begin allows no further request. ObservedAt is when the promotion was first seen to have taken
 // effect, or zero. The result is Open for promotions of other processes and of earlier runs of
 // this one.
 func (l *Ledger) Close(now time.Time, key Key, observedAt time.Time) End {
--- a/internal/decide/ctpromotion/ledger_test.go
+++ b/internal/decide/ctpromotion/ledger_test.go
@@ -53,33 +53,33 @@
 	})
 	t.Run("each request needs an answer", func(t *testing.T) {
 		l := newLedger(t, 2)
-		l.End(start, key, ctsuccession.PromotionRejected)
+		l.RecordOutcome(start, key, ctsuccession.PromotionRejected)
 		assertEnd(t, l, time.Hour, open)
-		l.End(start, key, ctsuccession.PromotionDeferred)
+		l.RecordOutcome(start, key, ctsuccession.PromotionDeferred)
 		assertEnd(t, l, 0, void)
 	})
 	t.Run("an accepted request may take effect after its answer", func(t *testing.T) {
 		l := newLedger(t, 1)
-		l.End(start, key, ctsuccession.PromotionAccepted)
+		l.RecordOutcome(start, key, ctsuccession.PromotionAccepted)
 		assertEnd(t, l, time.Second, open)
 		assertEnd(t, l, time.Minute, ended)
 	})
 	t.Run("the only accepted request can't take effect again", func(t *testing.T) {
 		l := newLedger(t, 1)
-		l.End(start, key, ctsuccession.PromotionAccepted)
+		l.RecordOutcome(start, key, ctsuccession.PromotionAccepted)
 		assert.Equal(t, l.Close(start, key, start), ctpromotion.End(open))
 		assert.Equal(t, l.Close(start, key, start.Add(time.Second)), ctpromotion.End(ended))
 	})
 	t.Run("a second accepted request may take effect after the first", func(t *testing.T) {
 		l := newLedger(t, 2)
-		l.End(start, key, ctsuccession.PromotionAccepted)
-		l.End(start, key, ctsuccession.PromotionAccepted)
+		l.RecordOutcome(start, key, ctsuccession.PromotionAccepted)
+		l.RecordOutcome(start, key, ctsuccession.PromotionAccepted)
 		assert.Equal(t, l.Close(start, key, start.Add(time.Second)), ctpromotion.End(open))
 	})
 	t.Run("a request that lost its answer may take effect during its lifetime", func(t *testing.T) {
 		l := newLedger(t, 2)
-		l.End(start, key, ctsuccession.PromotionUnknown)
-		l.End(start, key, ctsuccession.PromotionAccepted)
+		l.RecordOutcome(start, key, ctsuccession.PromotionUnknown)
+		l.RecordOutcome(start, key, ctsuccession.PromotionAccepted)
 		assert.Equal(t, l.Close(start, key, start.Add(time.Second)), ctpromotion.End(open))
 		assertEnd(t, l, ctsuccession.RequestLifetime-time.Second, open)
 		assertEnd(t, l, ctsuccession.RequestLifetime, ended)
@@ -97,16 +97,19 @@
 	}
 	for name, c := range map[string]struct {
 		role     ctserver.Role
+		term     ctposition.Term
 		received ctposition.Point
 		want     bool
 	}{
-		"a replica with the commit":             {ctserver.RoleReplica, at(2, 7), true},
-		"a replica without the commit":          {ctserver.RoleReplica, at(2, 6), false},
-		"a replica that follows a later term":   {ctserver.RoleReplica, at(3, 9), false},
-		"a member that was promoted in between": {ctserver.RolePrimary, at(2, 7), false},
+		"a replica with the commit":                     {ctserver.RoleReplica, 2, at(2, 7), true},
+		"a replica without the commit":                  {ctserver.RoleReplica, 2, at(2, 6), false},
+		"a replica with entries of a later term":        {ctserver.RoleReplica, 3, at(3, 9), false},
+		"a replica of a later term without its entries": {ctserver.RoleReplica, 3, at(2, 7), false},
+		"a member that was promoted in between":         {ctserver.RolePrimary, 3, at(2, 7), false},
 	} {
 		t.Run(name, func(t *testing.T) {
-			assert.Equal(t, ctpromotion.Holds(ctquery.Status{Role: c.role, Received: c.received}, at(2, 7)), c.want)
+			status := ctquery.Status{Role: c.role, Term: c.term, Received: c.received}
+			assert.Equal(t, ctpromotion.Holds(status, at(2, 7)), c.want)
 		})
 	}
 }
--- a/internal/decide/ctpromotion/lostanswer_test.go
+++ b/internal/decide/ctpromotion/lostanswer_test.go
@@ -16,7 +16,7 @@
 // deregistered it.
 func TestLostAnswerBlocksWrites(t *testing.T) {
 	l := newLedger(t, 1)
-	l.End(start, key, ctsuccession.PromotionUnknown)
+	l.RecordOutcome(start, key, ctsuccession.PromotionUnknown)
 	machine := ctsuccession.Machine{Epoch: key.Promotion.Epoch}
 	machine.Begin(start, ctsuccession.NewProxyTracker(start))
 	group := ctview.Group{Name: key.Group, Term: 2, Primary: "c", Unsettled: []ctview.Promotion{key.Promotion}}
--- a/internal/lab/ctheldlink/scenario.go
+++ b/internal/lab/ctheldlink/scenario.go
@@ -58,7 +58,7 @@
 func (Severed) isCandidate() {}
 func (Slow) isCandidate()    {}
 
-// Result is what a scenario measured.
+// Result holds the outcome of a scenario.
 type Result struct {
 	// First and Second are the candidates in the order of their requests.
 	First, Second ctid.Member
--- a/internal/lab/ctmodel/promotion.go
+++ b/internal/lab/ctmodel/promotion.go
@@ -102,7 +102,7 @@
 
 // endCall records the outcome of a request at its sender.
 func (w *world) endCall(r *call, outcome ctsuccession.PromotionOutcome) {
-	r.sender.ledger.End(w.now, r.task.key(), outcome)
+	r.sender.ledger.RecordOutcome(w.now, r.task.key(), outcome)
 	if !r.recorded {
 		r.recorded = true
 		w.recordPromotion(r.sender, r.task, outcome)
--- a/internal/program/ctcontrol/promotion.go
+++ b/internal/program/ctcontrol/promotion.go
@@ -23,8 +23,8 @@
 	// promotionCallTimeout bounds the call, which goes on after promotionTimeout: its answer
 	// shows that the request can't take effect later.
 	promotionCallTimeout = 60 * time.Second
-	// settleInterval is the interval in which a process reports the promotions that its own
-	// answers settle.
+	// settleInterval is the interval in which a process reports the promotions whose requests
+	// have ended.
 	settleInterval = 500 * time.Millisecond
 )
 
@@ -76,7 +76,7 @@
 	now := c.Clock.Now()
 	var held ctlock.Held
 	c.state.With(&held, func(l *leaderState) {
-		l.ledger.End(now, ctpromotion.Key{Group: t.group, Promotion: t.promotion}, outcome)
+		l.ledger.RecordOutcome(now, ctpromotion.Key{Group: t.group, Promotion: t.promotion}, outcome)
 		c.measureUnanswered(l)
 		if l.isObsolete(t) {
 			c.logLateAnswer(l, t, outcome)
