ctcontrol: a promotion's lines tell when it was written, and under whose authority

Cause: no line says when a promotion request was written, how long its sender's authority lasted then, or which earlier promotions were open.

Change: request_promotion has the authority at the check and the group's other unsettled promotions; order_promotion has the times of the connection and of the write, and the authority at the write. A histogram measures the time from the write to the answer; a counter has the requests that were written without authority.

--- a/internal/program/ctcontrol/basis.go
+++ b/internal/program/ctcontrol/basis.go
@@ -64,14 +64,3 @@
 		Str("why", string(set.Reason)).
 		Send()
 }
-
-// logRequest logs that a promotion request is about to be sent.
-func (c *Control) logRequest(t memberTask) {
-	ctlog.Decision(&c.Logger, "request_promotion").
-		Str("group", string(t.group)).
-		Str("member", string(t.member)).
-		Uint64("epoch", uint64(t.epoch)).
-		Uint64("number", uint64(t.promotion.Number)).
-		Str("why", "candidate").
-		Send()
-}
--- a/internal/program/ctcontrol/measure.go
+++ b/internal/program/ctcontrol/measure.go
@@ -1,7 +1,10 @@
 package ctcontrol
 
 import (
+	"time"
+
 	"github.com/cherviltrestle/cherviltrestle/internal/decide/ctregister"
+	"github.com/cherviltrestle/cherviltrestle/internal/decide/ctsuccession"
 	"github.com/cherviltrestle/cherviltrestle/internal/model/ctid"
 )
 
@@ -10,6 +13,15 @@
 	c.Metrics.UnansweredPromotions.Set(float64(l.ledger.Unanswered()))
 }
 
+// measureAnswer counts a promotion request that has ended, and measures the time from its
+// transmission to the answer.
+func (c *Control) measureAnswer(now time.Time, steps sendingSteps, outcome ctsuccession.PromotionOutcome) {
+	c.Metrics.PromotionRequests.WithLabelValues(outcome.String()).Inc()
+	if outcome != ctsuccession.PromotionUnknown && !steps.writtenAt.IsZero() {
+		c.Metrics.PromotionAnswerSeconds.Observe(now.Sub(steps.writtenAt).Seconds())
+	}
+}
+
 // measureUnsettled sets the gauge of a group's unsettled promotions after a command.
 func (c *Control) measureUnsettled(l *leaderState, result ctregister.Result) {
 	switch r := result.(type) {
--- a/internal/program/ctcontrol/promotion.go
+++ b/internal/program/ctcontrol/promotion.go
@@ -32,9 +32,9 @@
 // an answer within promotionTimeout it records an unknown outcome.
 func (c *Control) requestPromotion(held *ctlock.Held, t memberTask) {
 	outcome := ctsuccession.PromotionDeferred
-	if begunAt, ok := c.beginPromotion(held, t); ok {
+	if s := c.beginPromotion(held, t); s != nil {
 		answered := make(chan ctsuccession.PromotionOutcome, 1)
-		go c.callPromoter(t, begunAt, answered)
+		go c.callPromoter(s, answered)
 		select {
 		case outcome = <-answered:
 		case <-c.Clock.After(promotionTimeout):
@@ -46,53 +46,49 @@
 	})
 }
 
-// beginPromotion reports whether a promotion may be requested now, and counts the request as
-// sent if so. The group's decision may have changed since the task was queued.
-func (c *Control) beginPromotion(held *ctlock.Held, t memberTask) (begunAt time.Time, allowed bool) {
+// beginPromotion returns a promotion request and counts it as sent, or returns nil if the
+// promotion may not be requested now. The group's decision may have changed since the task was
+// queued.
+func (c *Control) beginPromotion(held *ctlock.Held, t memberTask) *sending {
+	var s *sending
 	c.state.With(held, func(l *leaderState) {
-		begunAt = c.Clock.Now()
+		now := c.Clock.Now()
 		group := l.group(t.group)
 		machine, ok := l.successions[t.group]
 		wanted := ok && group.ChangingPrimary() && group.Candidate == t.member &&
 			slices.Contains(group.Unsettled, t.promotion) && machine.CandidateHoldsLog(group)
-		allowed = wanted && l.epoch == t.epoch && l.hasAuthority(begunAt) &&
-			l.ledger.Begin(ctpromotion.Key{Group: t.group, Promotion: t.promotion})
+		if wanted && l.epoch == t.epoch && l.hasAuthority(now) &&
+			l.ledger.Begin(ctpromotion.Key{Group: t.group, Promotion: t.promotion}) {
+			s = l.newSending(now, t)
+		}
 		c.measureUnanswered(l)
 	})
-	return begunAt, allowed
+	return s
 }
 
 // callPromoter calls the service and records the outcome in the ledger. It sends nothing if
 // the process was suspended since the request was begun: another process may lead by now.
-func (c *Control) callPromoter(t memberTask, begunAt time.Time, answered chan<- ctsuccession.PromotionOutcome) {
+func (c *Control) callPromoter(s *sending, answered chan<- ctsuccession.PromotionOutcome) {
 	ctx, cancel := context.WithTimeout(context.Background(), promotionCallTimeout)
 	defer cancel()
-	c.logRequest(t)
+	c.logRequest(s)
 	outcome, err := ctsuccession.PromotionDeferred, error(nil)
-	if c.Clock.Now().Sub(begunAt) < promotionTimeout {
-		outcome, err = c.Promoter.Promote(ctx, t.group, t.member, c.Name, t.epoch)
+	if c.Clock.Now().Sub(s.checkedAt) < promotionTimeout {
+		outcome, err = c.Promoter.Promote(ctx, s.group, s.member, c.Name, s.epoch, c.trace(s))
 	}
-	c.Metrics.PromotionRequests.WithLabelValues(outcome.String()).Inc()
 	now := c.Clock.Now()
+	var steps sendingSteps
 	var held ctlock.Held
 	c.state.With(&held, func(l *leaderState) {
-		l.ledger.RecordOutcome(now, ctpromotion.Key{Group: t.group, Promotion: t.promotion}, outcome)
+		steps = s.steps
+		l.ledger.RecordOutcome(now, s.key(), outcome)
 		c.measureUnanswered(l)
-		if l.isObsolete(t) {
-			c.logLateAnswer(l, t, outcome)
+		if l.isObsolete(s.memberTask) {
+			c.logLateAnswer(l, s.memberTask, outcome)
 		}
 	})
-	event := ctlog.Decision(&c.Logger, "order_promotion").
-		Str("group", string(t.group)).
-		Str("member", string(t.member)).
-		Uint64("epoch", uint64(t.epoch)).
-		Uint64("number", uint64(t.promotion.Number)).
-		Uint8("outcome", uint8(outcome)).
-		Dur("took", now.Sub(begunAt))
-	if err != nil {
-		event.Str("error", err.Error())
-	}
-	event.Send()
+	c.measureAnswer(now, steps, outcome)
+	c.logOutcome(s, now, steps, outcome, err)
 	answered <- outcome
 }
 
--- a/internal/program/ctcontrol/promotion_test.go
+++ b/internal/program/ctcontrol/promotion_test.go
@@ -25,15 +25,15 @@
 	"github.com/cherviltrestle/cherviltrestle/internal/work/ctlock"
 )
 
-// promoter accepts each request after it has called before.
+// promoter accepts each request after it has called before with the request's trace.
 type promoter struct {
-	before func()
+	before func(PromotionTrace)
 }
 
 func (p promoter) Promote(
-	context.Context, ctid.Group, ctid.Member, ctid.Control, ctquorum.Epoch,
+	_ context.Context, _ ctid.Group, _ ctid.Member, _ ctid.Control, _ ctquorum.Epoch, trace PromotionTrace,
 ) (ctsuccession.PromotionOutcome, error) {
-	p.before()
+	p.before(trace)
 	return ctsuccession.PromotionAccepted, nil
 }
 
@@ -46,7 +46,13 @@
 	task     memberTask
 }
 
+// newPromotionBench returns a bench whose requests are accepted after a call of before.
 func newPromotionBench(before func(b *promotionBench)) *promotionBench {
+	return newTracedBench(func(b *promotionBench, _ PromotionTrace) { before(b) })
+}
+
+// newTracedBench is newPromotionBench with the request's trace.
+func newTracedBench(before func(b *promotionBench, trace PromotionTrace)) *promotionBench {
 	promotion := ctview.Promotion{Member: "b", Epoch: 4, Number: 1}
 	b := &promotionBench{
 		registry: prometheus.NewRegistry(),
@@ -54,7 +60,7 @@
 	}
 	b.control = New(Options{
 		Name: "x", Clock: ctclock.System{}, Logger: zerolog.New(&b.log), Metrics: ctmetric.NewControl(b.registry),
-		Promoter: promoter{before: func() { before(b) }},
+		Promoter: promoter{before: func(trace PromotionTrace) { before(b, trace) }},
 	})
 	groups := []ctconfig.Group{{Name: "g", Promotion: ctconfig.PromotionExternal}}
 	accepted := ctconfig.AcceptedChange{Revision: 1, Change: ctconfig.Change{Document: ctconfig.Document{Groups: groups}}}
@@ -108,12 +114,18 @@
 	assert.Equal(t, sum, want, name)
 }
 
+// request requests the bench's promotion and waits for the answer.
+func request(t *testing.T, b *promotionBench) {
+	t.Helper()
+	s := b.control.beginPromotion(&b.held, b.task)
+	assert.Assert(t, s != nil)
+	b.control.callPromoter(s, make(chan ctsuccession.PromotionOutcome, 1))
+}
+
 // assertLate asserts that the promotion is requested, and whether its answer counts as late.
 func assertLate(t *testing.T, b *promotionBench, want bool) {
 	t.Helper()
-	begunAt, allowed := b.control.beginPromotion(&b.held, b.task)
-	assert.Assert(t, allowed)
-	b.control.callPromoter(b.task, begunAt, make(chan ctsuccession.PromotionOutcome, 1))
+	request(t, b)
 	assert.Equal(t, strings.Contains(b.log.String(), "promotion_answered_late"), want, "%s", b.log.String())
 	assertMetric(t, b, "control_promotion_requests_total", 1)
 	assertMetric(t, b, "control_promotion_requests_unanswered", 0)
--- a/internal/program/ctcontrol/succession.go
+++ b/internal/program/ctcontrol/succession.go
@@ -42,12 +42,23 @@
 
 // Promoter requests promotions from the external service that promotes members.
 type Promoter interface {
-	// Promote requests the promotion of a member in the name of the leader of an epoch.
+	// Promote requests the promotion of a member in the name of the leader of an epoch, and
+	// calls the functions of trace.
 	Promote(
 		ctx context.Context, group ctid.Group, member ctid.Member, leader ctid.Control, epoch ctquorum.Epoch,
+		trace PromotionTrace,
 	) (ctsuccession.PromotionOutcome, error)
 }
 
+// PromotionTrace holds functions that a Promoter calls at the steps of a request, each at most
+// once. They may be nil, and may be called by other goroutines and after Promote has returned.
+type PromotionTrace struct {
+	// Connected is called when the connection to the service is open.
+	Connected func()
+	// Written is called when the last byte of the request is written to the connection.
+	Written func()
+}
+
 // memberTask is a command to a member or, if command is nil, a promotion request. Its
 // result is ignored if the epoch has changed.
 type memberTask struct {
--- a/internal/program/ctmetric/control.go
+++ b/internal/program/ctmetric/control.go
@@ -22,6 +22,12 @@
 	// UnansweredPromotions is the number of promotion requests of this process that have no
 	// answer yet.
 	UnansweredPromotions prometheus.Gauge
+	// PromotionAnswerSeconds measures the time from the transmission of a promotion request
+	// to its answer.
+	PromotionAnswerSeconds prometheus.Histogram
+	// PromotionsWithoutAuthority counts the promotion requests that were written when this
+	// process had no authority any more.
+	PromotionsWithoutAuthority prometheus.Counter
 	// UnsettledPromotions is the number of promotions that may still take effect, by group.
 	UnsettledPromotions *prometheus.GaugeVec
 	// PromotionsSettled counts the promotions that were settled while this process led, by
@@ -44,6 +50,10 @@
 			"control_promotion_requests_total", "Requests to promote members.", "outcome"),
 		UnansweredPromotions: f.gauge(
 			"control_promotion_requests_unanswered", "Requests to promote members without an answer."),
+		PromotionAnswerSeconds: f.histogram(
+			"control_promotion_answer_seconds", "Time from the transmission of a promotion request to its answer."),
+		PromotionsWithoutAuthority: f.counter(
+			"control_promotion_requests_without_authority_total", "Promotion requests written without authority."),
 		UnsettledPromotions: f.gaugeVec(
 			"control_promotions_unsettled", "Promotions that may still take effect.", "group"),
 		PromotionsSettled: f.counterVec(
