ctmodel: judge the order of holders at the service

The judge knew what members and callers had seen, and not what the service had: a late request that did no harm to commits was no violation. It now asks rule ONE of each request that the service handles: one holder per epoch, no turns of two holders in touch within a lease, and no lower epoch than one seen before. A run goes on after a violation, so that one rule doesn't hide another.

--- a/internal/lab/ctmodel/control.go
+++ b/internal/lab/ctmodel/control.go
@@ -36,6 +36,9 @@
 	incarnation int
 	running     bool
 	frozenUntil time.Time
+	// disturbedUntil is until when the process or its links to the service and to other
+	// processes of control are disturbed, as far as that has begun. It is for the judge.
+	disturbedUntil time.Time
 	// leading reports whether the process believes that it leads the epoch, and authority
 	// until when it may act.
 	leading   bool
@@ -68,6 +71,13 @@
 	return c.leading && now.Before(c.authority)
 }
 
+// disturb records that the process is disturbed from now until a time.
+func (c *control) disturb(until time.Time) {
+	if until.After(c.disturbedUntil) {
+		c.disturbedUntil = until
+	}
+}
+
 // onControl calls run in a process after a delay. A frozen process calls it when it goes
 // on, and one that has ended does not.
 func (w *world) onControl(c *control, delay time.Duration, run func()) {
@@ -85,7 +95,9 @@
 
 // restartControl starts a process that remembers what is durable alone.
 func (w *world) restartControl(c *control) {
-	*c = control{name: c.name, incarnation: c.incarnation + 1, running: true, group: c.group}
+	*c = control{
+		name: c.name, incarnation: c.incarnation + 1, running: true, group: c.group, disturbedUntil: c.disturbedUntil,
+	}
 }
 
 // startLeading makes a process the leader, which knows what the register holds.
--- a/internal/lab/ctmodel/doc.go
+++ b/internal/lab/ctmodel/doc.go
@@ -19,9 +19,26 @@
 
 # Judge
 
-A run violates an invariant if a member is promoted without a commit that was acknowledged
-before, if a commit is acknowledged that the latest promoted member lacks or that was made
-after a later promotion, or if commits don't go on after the last fault has ended.
+The judge knows what members, callers and the service have seen. It asks these rules of the
+service's users, each of every event that it may concern:
+
+  - ONE at the service, when it handles a request, whatever it answers: no two holders have
+    the same epoch (RuleHolder), no two take turns within a lease unless one of them was
+    disturbed shortly before (RuleTurns), and none sends a lower epoch than the service has
+    seen (RuleOrder). Nothing excuses the first and the last.
+  - ONE at the members: no commit made at a replaced primary is acknowledged (RuleReplaced).
+  - LOST: a promoted log has all commits that were acknowledged before (RuleLost), and no
+    commit is acknowledged that the log promoted last lacks (RuleLate).
+  - RECOVER, in a stricter form: commits go on through each proxy after the last fault has
+    ended (RuleLive).
+
+A run goes on after a violation and reports the first one of each rule.
+
+The others can't occur here. STALE, MIXED and PINNED concern reads and sessions, and there
+are only single commits. TWICE, UNASKED and REFUSED: a proxy sends each commit once at most,
+and one that it doesn't send has no outcome. ROUTE, DRAIN and CONFIG: the configuration
+doesn't change, no member leaves and no work is planned. LOST of a configuration: the
+replicated log of control is one value that loses nothing.
 
 # Usage
 
--- a/internal/lab/ctmodel/fault.go
+++ b/internal/lab/ctmodel/fault.go
@@ -1,6 +1,9 @@
 package ctmodel
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // fault is one of cutLinks, crashMember, crashControl, freezeControl and restartProxies.
 type fault interface {
@@ -157,6 +160,7 @@
 	case crashControl:
 		w.trace("%s crashes for %s", f.control.name, f.duration)
 		f.control.running, f.control.leading = false, false
+		f.control.disturb(w.now.Add(f.duration))
 		w.schedule(f.duration, func() { w.restartControl(f.control) })
 	case freezeControl:
 		w.freeze(f)
@@ -172,6 +176,7 @@
 	w.trace("cut %v for %s", f.links, f.duration)
 	for _, l := range f.links {
 		w.cuts[l]++
+		w.disturbEnds(l, w.now.Add(f.duration))
 	}
 	w.schedule(f.duration, func() {
 		w.trace("cut %v ends", f.links)
@@ -181,8 +186,30 @@
 	})
 }
 
+// disturbEnds records that processes of control are disturbed until a time, if a link connects
+// them with each other or with the service.
+func (w *world) disturbEnds(l link, until time.Time) {
+	a, b := w.controlOf(l.a), w.controlOf(l.b)
+	if a != nil && (b != nil || l.b == serviceParty) {
+		a.disturb(until)
+	}
+	if b != nil && (a != nil || l.a == serviceParty) {
+		b.disturb(until)
+	}
+}
+
+// controlOf returns the process of control that a party is, or nil.
+func (w *world) controlOf(p party) *control {
+	i := slices.IndexFunc(w.controls, func(c *control) bool { return c.party() == p })
+	if i < 0 {
+		return nil
+	}
+	return w.controls[i]
+}
+
 func (w *world) freeze(f freezeControl) {
 	until := w.now.Add(f.duration)
+	f.control.disturb(until)
 	if until.After(f.control.frozenUntil) {
 		w.trace("%s freezes for %s", f.control.name, f.duration)
 		f.control.frozenUntil = until
--- a/internal/lab/ctmodel/judge.go
+++ b/internal/lab/ctmodel/judge.go
@@ -27,7 +27,7 @@
 	}
 	switch {
 	case c.entry.term < c.newestTerm:
-		w.violate(RuleOne, "%s by %s", pointOf(c.entry), c.proxy.name)
+		w.violate(RuleReplaced, "%s by %s", pointOf(c.entry), c.proxy.name)
 	case c.entry.term < w.group.term && !hasEntry(w.group.promotedLog, c.entry):
 		w.violate(RuleLate, "%s by %s", pointOf(c.entry), c.proxy.name)
 	}
@@ -37,9 +37,6 @@
 
 // checkLive checks that every proxy has acknowledged a commit at the end of a run.
 func (w *world) checkLive() {
-	if len(w.report.Violations) > 0 {
-		return
-	}
 	for _, p := range w.proxies {
 		if w.now.Sub(p.acknowledgedAt) > liveTime {
 			w.violate(RuleLive, "none through %s since %s; group %+v", p.name, p.acknowledgedAt.Sub(w.start), w.decided())
--- a/internal/lab/ctmodel/plan.go
+++ b/internal/lab/ctmodel/plan.go
@@ -37,8 +37,14 @@
 	RuleLost Rule = "promoted log lacks an acknowledged commit"
 	// RuleLate: a commit that the latest promoted log lacks is not acknowledged.
 	RuleLate Rule = "acknowledged commit is missing in the log promoted last"
-	// RuleOne: a commit made after a later promotion took effect is not acknowledged.
-	RuleOne Rule = "acknowledged commit was made at a replaced primary"
+	// RuleReplaced: a commit made after a later promotion took effect is not acknowledged.
+	RuleReplaced Rule = "acknowledged commit was made at a replaced primary"
+	// RuleHolder: all requests of an epoch are of one holder.
+	RuleHolder Rule = "two holders request promotions with the same epoch"
+	// RuleTurns: two holders that are in touch don't take turns within a lease.
+	RuleTurns Rule = "two holders request promotions within a lease"
+	// RuleOrder: the service sees no lower epoch than it has seen before.
+	RuleOrder Rule = "request with a lower epoch than one before"
 	// RuleLive: commits are acknowledged again after the last fault has ended.
 	RuleLive Rule = "no commits after all faults have ended"
 )
@@ -57,6 +63,7 @@
 
 // Report is the result of a run.
 type Report struct {
+	// Violations lists the first violation of each rule.
 	Violations []Violation
 	// Acknowledged and Indoubt count the commits by what their callers were told.
 	Acknowledged, Indoubt int
--- a/internal/lab/ctmodel/service.go
+++ b/internal/lab/ctmodel/service.go
@@ -103,7 +103,9 @@
 		w.schedule(min(left, f.delay), func() { w.handleRequest(r, w.chance(0.5)) })
 	case lost:
 	case refused:
-		w.answerCall(r, w.latency(), ctsuccession.PromotionDeferred)
+		delay := w.latency()
+		w.schedule(delay, func() { w.checkRequest(r) })
+		w.answerCall(r, delay, ctsuccession.PromotionDeferred)
 	}
 	w.answerCall(r, callTimeout, ctsuccession.PromotionUnknown)
 	w.reactToRequest(r)
@@ -111,6 +113,7 @@
 
 // handleRequest handles a request at the service.
 func (w *world) handleRequest(r *call, answered bool) {
+	w.checkRequest(r)
 	m := w.memberNamed(r.task.promotion.Member)
 	outcome := ctsuccession.PromotionAccepted
 	if m.running {
--- a/internal/lab/ctmodel/world.go
+++ b/internal/lab/ctmodel/world.go
@@ -4,6 +4,7 @@
 	"container/heap"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/cherviltrestle/cherviltrestle/internal/decide/ctregister"
@@ -51,6 +52,7 @@
 	election election
 	register ctregister.Register
 	group    groupState
+	requests requestJudge
 	report   Report
 }
 
@@ -71,7 +73,7 @@
 	w.schedule(0, w.tick)
 	w.schedule(settleTime, w.nextFault)
 	end := w.start.Add(plan.Faults + plan.Recovery)
-	for len(w.queue) > 0 && len(w.report.Violations) == 0 {
+	for len(w.queue) > 0 {
 		next, ok := heap.Pop(&w.queue).(event)
 		if !ok || next.at.After(end) {
 			break
@@ -195,8 +197,11 @@
 	w.report.Trace = append(w.report.Trace, at+fmt.Sprintf(format, args...))
 }
 
-// violate records a violation.
+// violate records a violation, unless the rule was violated before.
 func (w *world) violate(rule Rule, format string, args ...any) {
+	if slices.ContainsFunc(w.report.Violations, func(v Violation) bool { return v.Rule == rule }) {
+		return
+	}
 	v := Violation{Rule: rule, At: w.now.Sub(w.start), Detail: fmt.Sprintf(format, args...)}
 	w.trace("VIOLATION %s", v)
 	w.report.Violations = append(w.report.Violations, v)
