--- a/internal/lab/ctheldlink/caller.go
+++ b/internal/lab/ctheldlink/caller.go
@@ -7,33 +7,38 @@
 	"net/netip"
 	"time"
 
+	"github.com/cherviltrestle/cherviltrestle/internal/model/ctconfig"
 	"github.com/cherviltrestle/cherviltrestle/internal/model/ctid"
 	"github.com/cherviltrestle/cherviltrestle/internal/model/ctquery"
 	"github.com/cherviltrestle/cherviltrestle/platform"
 )
 
 const (
-	// database is the database that callers write to.
-	database ctid.Database = "database-0"
-	// callInterval is the pause between two writes of a caller.
+	// callInterval is the pause between two operations of a caller.
 	callInterval = 20 * time.Millisecond
-	// callRetryDelay is the pause after a write that was not acknowledged.
+	// callRetryDelay is the pause after an operation that has failed.
 	callRetryDelay = 50 * time.Millisecond
 	// answerTimeout is how long a caller waits for an answer.
 	answerTimeout = 3 * time.Second
-	// transactionShare is how many writes there are for each one in a transaction.
+	// transactionShare is how many operations there are for each one in a transaction, and
+	// readShare for each one that only reads.
 	transactionShare = 4
+	readShare        = 3
 )
 
-// caller writes through one proxy until its context ends.
+// caller reads and writes through one proxy until its context ends.
 type caller struct {
-	proxy   Host
-	address netip.AddrPort
-	judge   *Judge
-	conn    *platform.CallerConn
+	// session describes the open session. Each one has a copy of its own.
+	session  callerSession
+	database ctid.Database
+	address  netip.AddrPort
+	judge    *Judge
+	// conn and open are the connection and its session; nil while there is none.
+	conn *platform.CallerConn
+	open *callerSession
 }
 
-// run writes until ctx ends, in one session as long as that is possible.
+// run calls until ctx ends, in one session as long as that is possible.
 func (c *caller) run(ctx context.Context) {
 	for ctx.Err() == nil {
 		delay := callInterval
@@ -54,51 +59,70 @@
 	}
 }
 
-// attempt opens a session if there is none, writes once and reports whether the write was
-// acknowledged.
+// attempt opens a session if there is none, runs one operation and reports whether it
+// succeeded. Callers of a bounded route only read.
 func (c *caller) attempt(ctx context.Context) bool {
-	if c.conn == nil {
-		dialCtx, cancel := context.WithTimeout(ctx, answerTimeout)
-		defer cancel()
-		conn, _, err := platform.DialProxy(dialCtx, c.address, database)
-		if err != nil || conn == nil {
-			return false
-		}
-		c.conn = conn
-	}
-	write := ctquery.Write{Arguments: "1a4 data"}
-	if rand.IntN(transactionShare) > 0 {
-		return c.commit(write)
-	}
-	if answer, err := c.query(newID(), ctquery.Begin{}); err != nil || !answer.OK() {
+	if c.conn == nil && !c.connect(ctx) {
 		return false
 	}
-	if answer, err := c.query(newID(), write); err != nil || !answer.OK() {
+	reads := c.session.freshness == ctconfig.FreshnessBounded || rand.IntN(readShare) == 0
+	read, write := ctquery.Read{Item: "1a4"}, ctquery.Write{Arguments: "1a4 data"}
+	single := rand.IntN(transactionShare) > 0
+	switch {
+	case reads && single:
+		return c.query(read, nil, false)
+	case reads:
+		return c.transact(ctquery.Begin{ReadOnly: true}, read)
+	case single:
+		return c.query(write, nil, true)
+	}
+	return c.transact(ctquery.Begin{}, read, write)
+}
+
+// connect opens a session and reports whether the proxy accepted it.
+func (c *caller) connect(ctx context.Context) bool {
+	dialCtx, cancel := context.WithTimeout(ctx, answerTimeout)
+	defer cancel()
+	conn, _, err := platform.DialProxy(dialCtx, c.address, c.database)
+	if err != nil || conn == nil {
 		return false
 	}
-	return c.commit(ctquery.Commit{})
+	open := c.session
+	c.conn, c.open = conn, &open
+	return true
 }
 
-// commit sends a statement that commits, and records its answer.
-func (c *caller) commit(statement ctquery.Statement) bool {
-	id := newID()
-	answer, err := c.query(id, statement)
-	if err != nil {
+// transact runs statements in a transaction and reports whether all succeeded.
+func (c *caller) transact(begin ctquery.Begin, statements ...ctquery.Statement) bool {
+	t := &transaction{}
+	if !c.query(begin, t, false) {
 		return false
 	}
-	c.judge.recordAnswer(id, c.proxy, answer.Fault)
-	return answer.OK()
+	for _, s := range statements {
+		if !c.query(s, t, false) {
+			return false
+		}
+	}
+	return c.query(ctquery.Commit{}, t, !begin.ReadOnly)
 }
 
-// query sends a query and waits for its answer.
-func (c *caller) query(id ctquery.ID, statement ctquery.Statement) (ctquery.Answer, error) {
+// query sends a statement, records its answer and reports whether it succeeded. commits says
+// whether a success acknowledges a commit.
+func (c *caller) query(statement ctquery.Statement, t *transaction, commits bool) bool {
+	id := newID()
+	c.judge.recordAsked(id, asked{statement: statement, session: c.open, transaction: t})
 	if err := c.conn.SetReadDeadline(time.Now().Add(answerTimeout)); err != nil {
-		return ctquery.Answer{}, err
+		return false
 	}
 	if err := c.conn.Send(ctquery.Query{ID: id, Statement: statement}); err != nil {
-		return ctquery.Answer{}, err
+		return false
 	}
-	return c.conn.Receive()
+	answer, err := c.conn.Receive()
+	if err != nil {
+		return false
+	}
+	c.judge.recordAnswer(id, answer, commits)
+	return answer.OK()
 }
 
 func newID() ctquery.ID {
--- a/internal/lab/ctheldlink/disturb.go
+++ b/internal/lab/ctheldlink/disturb.go
@@ -94,7 +94,7 @@
 	err := await(ctx, recoveryTimeout, "callers are served after the faults", func() bool {
 		return f.Judge.Acknowledged() >= before+servedCommits
 	})
-	f.checkPromises()
+	f.checkEnd(ctx)
 	return err
 }
 
@@ -108,14 +108,16 @@
 		f.holdFor(lasts, f.Group.Members[fault.Member].Host, f.otherControls(nil)...)
 	case KillLeader:
 		leader := f.leader()
-		leader.Kill()
+		f.kill(leader)
 		time.Sleep(lasts)
-		f.logError(f.startProcess(leader))
+		f.logError(f.restart(leader))
 	case FreezeLeader:
 		leader := f.leader()
+		f.Network.BeginDisturbance(leader.host)
 		leader.Pause()
 		time.Sleep(lasts)
 		leader.Resume()
+		f.Network.EndDisturbance(leader.host)
 	case CrashPrimary:
 		primary, _ := f.Group.Latest()
 		if f.CrashMember(primary) {
@@ -125,6 +127,34 @@
 	}
 }
 
+// kill kills a process.
+func (f *Fleet) kill(p *process) {
+	f.Network.BeginDisturbance(p.host)
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	p.killed = true
+	p.Kill()
+}
+
+// restart starts a process that was killed, unless another fault has done so.
+func (f *Fleet) restart(p *process) error {
+	defer f.Network.EndDisturbance(p.host)
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	if !p.killed {
+		return nil
+	}
+	p.killed = false
+	return f.startProcess(p)
+}
+
+// checkRunning checks that a process runs, unless a fault has killed it.
+func (f *Fleet) checkRunning(p *process) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	f.Judge.check(p.killed || p.Running(), RuleRunning, "%s has ended by itself", p.host)
+}
+
 // holdFor holds the links between a host and others for a time.
 func (f *Fleet) holdFor(lasts time.Duration, host Host, others ...Host) {
 	holds := f.Network.HoldBoth(host, others...)
--- a/internal/lab/ctheldlink/doc.go
+++ b/internal/lab/ctheldlink/doc.go
@@ -9,9 +9,30 @@
 
 A Network holds the state of the links between hosts. A relay stands in front of each
 process, each member and the service that promotes members. The Group simulates members
-with logs of their own, and the Service promotes them. Callers write through the proxies.
-The Judge knows which commits were acknowledged, and compares them with the log of each
-member at the moment that it is promoted.
+with logs of their own, and the Service promotes them. Callers read and write through the
+proxies. The Judge sees all promotion requests, all statements that members run and all
+answers to callers.
+
+# Rules
+
+The comments of the constants of type Rule say what the Judge checks, and the platform's name
+of each rule follows here:
+
+  - ONE: RuleSharedEpoch, RuleTurns and RuleEpochOrder where the service receives a request,
+    RuleOnePrimary where a commit is acknowledged.
+  - LOST: RuleLost at each promotion and at the end, RuleConfig for the configuration.
+  - REFUSED: RulePromise. TWICE: RuleTwice. Both look at the last log.
+  - UNASKED, PINNED and STALE: RuleUnasked, RulePinned and RuleStale where a member runs a
+    statement. STALE covers routes of all three kinds of freshness.
+  - MIXED: RuleMixed where a caller receives a success.
+  - CONFIG: RuleConfig at the end. Fault: RuleRunning at the end.
+
+The others can't occur here: ROUTE, as there is one group and no address is used again; DRAIN
+and LOST around planned work, as no member drains and nothing is stopped or reloaded; the rest
+of CONFIG, as there is one configuration, in force before the first fault; PINNED for session
+values and prepared statements, and UNASKED inside other requests, as no caller sends such;
+RECOVER, as callers are served again or the run fails. Outside a disturbance the rule of turns
+is judged for all requests; RuleEpochOrder and RuleSharedEpoch have no excuse.
 
 # Lock order
 
--- a/internal/lab/ctheldlink/fleet.go
+++ b/internal/lab/ctheldlink/fleet.go
@@ -8,6 +8,7 @@
 	"net/netip"
 	"os"
 	"path/filepath"
+	"sync"
 	"time"
 
 	"github.com/pkg/errors"
@@ -48,12 +49,23 @@
 	statementTimeout   = time.Second
 	targetLatency      = 800 * time.Millisecond
 	transactionTimeout = 3 * time.Second
+	// maxStaleness is how old the data of a bounded read may be.
+	maxStaleness = 2500 * time.Millisecond
+	// release is the number of the configuration.
+	release ctid.Release = 1
 	// startTimeout bounds the start of the fleet.
 	startTimeout = time.Minute
 	// pollInterval is the time between two checks of an awaited condition.
 	pollInterval = 20 * time.Millisecond
 )
 
+// freshnessByDatabase has the route of each database.
+var freshnessByDatabase = map[ctid.Database]ctconfig.Freshness{
+	"database-primary": ctconfig.FreshnessPrimary,
+	"database-own":     ctconfig.FreshnessSession,
+	"database-bounded": ctconfig.FreshnessBounded,
+}
+
 // Options are the settings of a Fleet.
 type Options struct {
 	// BinFolder has the program. Folder receives settings, data and logs.
@@ -69,6 +81,9 @@
 	relayIP, processIP netip.Addr
 	settings           ctnode.Settings
 	settingsFile       string
+	// mutex guards killed, which is set from a kill until the next start.
+	mutex  sync.Mutex
+	killed bool
 }
 
 // Fleet is three control processes and two proxies with their group, service and callers.
@@ -294,11 +309,14 @@
 	var document ctconfig.Document
 	document.Defaults.Sessions.TransactionTimeout = ctconfig.Duration(transactionTimeout)
 	document.Groups = []ctconfig.Group{{Name: groupName, Connections: connections, SyncReplicas: syncReplicas}}
-	document.Routes = []ctconfig.Route{{
-		Name: "r-0", Database: database, Group: groupName, Freshness: ctconfig.FreshnessPrimary,
-		StatementTimeout: ctconfig.Duration(statementTimeout), TargetLatency: ctconfig.Duration(targetLatency),
-	}}
-	body, err := platform.RenderConfig(1, document)
+	for database, freshness := range freshnessByDatabase {
+		document.Routes = append(document.Routes, ctconfig.Route{
+			Name: "r-" + string(database), Database: database, Group: groupName, Freshness: freshness,
+			StatementTimeout: ctconfig.Duration(statementTimeout), TargetLatency: ctconfig.Duration(targetLatency),
+			MaxStaleness: ctconfig.Duration(maxStaleness),
+		})
+	}
+	body, err := platform.RenderConfig(release, document)
 	if err != nil {
 		return err
 	}
@@ -314,9 +332,14 @@
 // startCallers starts the callers and waits until each proxy has served some.
 func (f *Fleet) startCallers(ctx context.Context) error {
 	for _, p := range f.proxies {
-		for range callersPerProxy {
-			c := &caller{proxy: p.host, address: p.settings.CallerAddress, judge: f.Judge}
-			go c.run(ctx)
+		for database, freshness := range freshnessByDatabase {
+			for range callersPerProxy {
+				c := &caller{
+					session: callerSession{proxy: p.host, freshness: freshness}, database: database,
+					address: p.settings.CallerAddress, judge: f.Judge,
+				}
+				go c.run(ctx)
+			}
 		}
 	}
 	const warmUp = 100
--- a/internal/lab/ctheldlink/group.go
+++ b/internal/lab/ctheldlink/group.go
@@ -43,6 +43,8 @@
 	term ctposition.Term
 	id   ctquery.ID
 	at   time.Time
+	// writes are the writes that it commits.
+	writes []ctquery.ID
 }
 
 // Group simulates a database group in this process.
@@ -279,16 +281,16 @@
 	}
 }
 
-// commit appends a commit to a primary's log and waits until enough replicas have it. It
+// commit appends a commit of writes to a primary's log and waits until enough replicas have it. It
 // returns the fault that refuses it. The commit is not answered if the member stops leading.
-func (m *Member) commit(id ctquery.ID) (fault ctquery.Fault, answered bool) {
+func (m *Member) commit(id ctquery.ID, writes []ctquery.ID) (fault ctquery.Fault, answered bool) {
 	g := m.group
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
 	if !m.primary {
 		return ctquery.FaultReadOnly, true
 	}
-	m.log = append(m.log, entry{term: m.term, id: id, at: time.Now()})
+	m.log = append(m.log, entry{term: m.term, id: id, at: time.Now(), writes: writes})
 	number := len(m.log)
 	point := m.pointOf(number)
 	for m.primary && m.running {
--- a/internal/lab/ctheldlink/judge.go
+++ b/internal/lab/ctheldlink/judge.go
@@ -21,12 +21,34 @@
 
 // The rules.
 const (
+	// RuleSharedEpoch: no two control processes send promotion requests with the same epoch.
+	RuleSharedEpoch Rule = "shared_epoch"
+	// RuleTurns: control processes that are not disturbed don't take turns within a lease.
+	RuleTurns Rule = "turns"
+	// RuleEpochOrder: the service receives no request for a group with a lower epoch than
+	// one before. No disturbance excuses that.
+	RuleEpochOrder Rule = "epoch_order"
 	// RuleLost: the log of a promoted member has all commits that were acknowledged before.
 	RuleLost Rule = "lost"
 	// RuleOnePrimary: no commit at a replaced primary is acknowledged.
 	RuleOnePrimary Rule = "one_primary"
 	// RulePromise: a write whose caller was told that nothing is kept isn't committed.
 	RulePromise Rule = "promise"
+	// RuleTwice: no write takes effect twice.
+	RuleTwice Rule = "twice"
+	// RuleUnasked: members run the callers' statements unchanged, and no others that read or
+	// write.
+	RuleUnasked Rule = "unasked"
+	// RuleMixed: a success carries the proof of a member that ran the statement, and its rows.
+	RuleMixed Rule = "mixed"
+	// RulePinned: the statements of a transaction run on one connection, and no others there.
+	RulePinned Rule = "pinned"
+	// RuleStale: a read runs on a log with the commits that its route requires.
+	RuleStale Rule = "stale"
+	// RuleConfig: an acknowledged configuration is kept, and no older one is returned.
+	RuleConfig Rule = "config"
+	// RuleRunning: no process ends by itself.
+	RuleRunning Rule = "running"
 )
 
 // Violation is a broken rule.
@@ -47,19 +69,27 @@
 // Judge checks the rules. It is safe for concurrent use.
 type Judge struct {
 	logger zerolog.Logger
-	// disturbed reports whether a proxy was disturbed since a time.
-	disturbed func(proxy Host, since time.Time) bool
+	// disturbed reports whether a process was disturbed since a time.
+	disturbed func(process Host, since time.Time) bool
 
 	// mutex guards all fields below.
-	mutex        sync.Mutex
-	commits      map[ctquery.ID]commit
-	acknowledged map[ctquery.ID]time.Time
-	promised     map[ctquery.ID]ctquery.Fault
+	mutex sync.Mutex
+	// requests are the promotion requests that the service has received, in order.
+	requests []request
+	// asked has all statements of callers, and acknowledgments the commits in the order of
+	// their answers.
+	asked           map[ctquery.ID]*asked
+	acknowledgments []acknowledgment
+	commits         map[ctquery.ID]commit
+	acknowledged    map[ctquery.ID]time.Time
+	promised        map[ctquery.ID]ctquery.Fault
 	// lastAt is when a commit was last acknowledged.
 	lastAt     time.Time
 	longestGap time.Duration
 	// lost has the acknowledged commits that a promotion has discarded.
-	lost       map[ctquery.ID]bool
+	lost map[ctquery.ID]bool
+	// replaced has the commits at primaries that were replaced before.
+	replaced   map[ctquery.ID]bool
 	violations []Violation
 }
 
@@ -67,7 +97,7 @@
 	return &Judge{
 		logger: logger, disturbed: disturbed, commits: make(map[ctquery.ID]commit),
 		acknowledged: make(map[ctquery.ID]time.Time), promised: make(map[ctquery.ID]ctquery.Fault),
-		lost: make(map[ctquery.ID]bool),
+		lost: make(map[ctquery.ID]bool), replaced: make(map[ctquery.ID]bool), asked: make(map[ctquery.ID]*asked),
 	}
 }
 
@@ -119,25 +149,36 @@
 	j.commits[id] = c
 }
 
-// recordAnswer records a proxy's answer to a write.
-func (j *Judge) recordAnswer(id ctquery.ID, proxy Host, fault ctquery.Fault) {
+// recordAnswer records a proxy's answer to a statement. commits says whether a success
+// acknowledges a commit.
+func (j *Judge) recordAnswer(id ctquery.ID, answer ctquery.Answer, commits bool) {
 	j.mutex.Lock()
 	defer j.mutex.Unlock()
-	if fault.NotRun() || fault == ctquery.FaultAborted {
-		j.promised[id] = fault
+	if answer.Fault.NotRun() || answer.Fault == ctquery.FaultAborted {
+		j.promised[id] = answer.Fault
 	}
-	if fault != ctquery.FaultNone {
+	if !answer.OK() {
 		return
 	}
-	now := time.Now()
+	j.checkAnswer(id, answer)
+	if commits {
+		j.acknowledge(id)
+	}
+}
+
+// acknowledge records that a commit is acknowledged. The caller has locked the mutex.
+func (j *Judge) acknowledge(id ctquery.ID) {
+	session, now := j.asked[id].session, time.Now()
 	if !j.lastAt.IsZero() {
 		j.longestGap = max(j.longestGap, now.Sub(j.lastAt))
 	}
 	j.acknowledged[id], j.lastAt = now, now
+	j.acknowledgments = append(j.acknowledgments, acknowledgment{id: id, session: session, at: now})
 	c := j.commits[id]
-	if c.point.Term < c.latest && !j.disturbed(proxy, c.at.Add(-disturbanceWindow)) {
+	j.replaced[id] = c.point.Term < c.latest
+	if j.replaced[id] && !j.disturbed(session.proxy, c.at.Add(-disturbanceWindow)) {
 		j.violate(RuleOnePrimary, "%s acknowledged %s, committed at %s at %s after the start of term %d",
-			proxy, id, c.member, c.point, c.latest)
+			session.proxy, id, c.member, c.point, c.latest)
 	}
 }
 
@@ -180,15 +221,39 @@
 	return ids
 }
 
-// checkPromises checks that a log has none of the writes whose callers were told that
-// nothing is kept.
-func (j *Judge) checkPromises(log []entry) {
+// checkLog checks the last log: it has the acknowledged commits, no write twice, and none
+// whose caller was told that nothing is kept.
+func (j *Judge) checkLog(log []entry) {
 	j.mutex.Lock()
 	defer j.mutex.Unlock()
 	kept := idsOf(log)
+	for id := range j.acknowledged {
+		if !kept[id] && !j.lost[id] && !j.replaced[id] {
+			j.violate(RuleLost, "the last log lacks %s of %s at %s", id, j.commits[id].member, j.commits[id].point)
+		}
+	}
+	written := make(map[ctquery.ID]bool)
+	for _, e := range log {
+		for _, id := range e.writes {
+			if written[id] {
+				j.violate(RuleTwice, "%s is written twice", id)
+			}
+			written[id] = true
+			kept[id] = true
+		}
+	}
 	for id, fault := range j.promised {
 		if kept[id] {
 			j.violate(RulePromise, "%s was answered with %s and is committed", id, fault)
 		}
 	}
 }
+
+// check records a violation unless a rule is kept.
+func (j *Judge) check(kept bool, rule Rule, format string, arguments ...any) {
+	j.mutex.Lock()
+	defer j.mutex.Unlock()
+	if !kept {
+		j.violate(rule, format, arguments...)
+	}
+}
--- a/internal/lab/ctheldlink/network.go
+++ b/internal/lab/ctheldlink/network.go
@@ -23,10 +23,12 @@
 	mutex sync.Mutex
 	hosts map[netip.Addr]Host
 	holds map[link]*Hold
-	// active has the holds that are not released, and releasedAt when a hold of a host
-	// last was.
+	// active has the holds that are not released, and releasedAt when a disturbance of a
+	// host last ended.
 	active     []*Hold
 	releasedAt map[Host]time.Time
+	// disturbances counts the other disturbances of a host that have not ended.
+	disturbances map[Host]int
 }
 
 // Hold is a time in which bytes are held back on one link.
@@ -64,7 +66,7 @@
 		return h
 	}
 	if n.holds == nil {
-		n.holds, n.releasedAt = make(map[link]*Hold), make(map[Host]time.Time)
+		n.holds = make(map[link]*Hold)
 	}
 	h := &Hold{network: n, link: l, released: make(chan struct{})}
 	n.holds[l] = h
@@ -97,7 +99,36 @@
 	return h
 }
 
-// DisturbedSince reports whether a link of a host was held at any time since a moment.
+// BeginDisturbance records that a host's process is killed or suspended.
+func (n *Network) BeginDisturbance(host Host) {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	if n.disturbances == nil {
+		n.disturbances = make(map[Host]int)
+	}
+	n.disturbances[host]++
+}
+
+// EndDisturbance records that a host's process runs again.
+func (n *Network) EndDisturbance(host Host) {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	n.disturbances[host]--
+	n.setReleased(host)
+}
+
+// setReleased records that a disturbance of hosts ends now. The caller has locked the mutex.
+func (n *Network) setReleased(hosts ...Host) {
+	if n.releasedAt == nil {
+		n.releasedAt = make(map[Host]time.Time)
+	}
+	for _, h := range hosts {
+		n.releasedAt[h] = time.Now()
+	}
+}
+
+// DisturbedSince reports whether a host was disturbed at any time since a moment: a link of it
+// was held, or its process was killed or suspended.
 func (n *Network) DisturbedSince(host Host, since time.Time) bool {
 	n.mutex.Lock()
 	defer n.mutex.Unlock()
@@ -106,7 +137,7 @@
 			return true
 		}
 	}
-	return n.releasedAt[host].After(since)
+	return n.disturbances[host] > 0 || n.releasedAt[host].After(since)
 }
 
 // Detach lets later bytes pass, while those that are held back stay so until Release.
@@ -132,8 +163,7 @@
 		return
 	}
 	h.network.active = slices.DeleteFunc(h.network.active, func(o *Hold) bool { return o == h })
-	now := time.Now()
-	h.network.releasedAt[h.link.from], h.network.releasedAt[h.link.to] = now, now
+	h.network.setReleased(h.link.from, h.link.to)
 	close(h.released)
 }
 
--- a/internal/lab/ctheldlink/scenario.go
+++ b/internal/lab/ctheldlink/scenario.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/cherviltrestle/cherviltrestle/internal/model/ctid"
+	"github.com/cherviltrestle/cherviltrestle/platform"
 )
 
 const (
@@ -134,7 +135,7 @@
 	}
 	f.note("second_request_held", string(leader.host), string(second))
 	if _, ok := sender.(Killed); ok {
-		leader.Kill()
+		f.kill(leader)
 		return nil, nil
 	}
 	return f.Network.HoldBoth(leader.host, f.otherControls(leader)...), nil
@@ -183,7 +184,7 @@
 	err = await(ctx, stepTimeout, "callers are served further", func() bool {
 		return f.Judge.AcknowledgedSince(effective) >= servedCommits
 	})
-	f.checkPromises()
+	f.checkEnd(ctx)
 	r.LongestGap = f.Judge.LongestGap()
 	return err
 }
@@ -213,11 +214,34 @@
 	return f.Judge.AcknowledgedSince(term)
 }
 
-// checkPromises checks the latest log against the writes that were refused.
-func (f *Fleet) checkPromises() {
+// checkEnd checks what remains at the end: the last log, the configuration and the processes.
+func (f *Fleet) checkEnd(ctx context.Context) {
+	f.checkConfig(ctx)
+	for _, p := range f.processes() {
+		f.checkRunning(p)
+	}
 	f.Group.mutex.Lock()
 	defer f.Group.mutex.Unlock()
-	f.Judge.checkPromises(f.Group.latest.log)
+	f.Judge.checkLog(f.Group.latest.log)
+}
+
+// checkConfig checks that control returns the acknowledged configuration.
+func (f *Fleet) checkConfig(ctx context.Context) {
+	var client platform.ExternalClient
+	err := await(ctx, stepTimeout, "control returns the configuration", func() bool {
+		found := false
+		for _, c := range f.controls {
+			callCtx, cancel := context.WithTimeout(ctx, time.Second)
+			current, _, err := client.CurrentConfig(callCtx, c.settings.OperatorAddress)
+			cancel()
+			if err == nil && current != 0 {
+				f.Judge.check(current == release, RuleConfig, "%s returns release %d", c.host, current)
+				found = true
+			}
+		}
+		return found
+	})
+	f.Judge.check(err == nil, RuleConfig, "%v", err)
 }
 
 // CrashMember stops a member and refuses connections to it. It returns false if the member
--- a/internal/lab/ctheldlink/service.go
+++ b/internal/lab/ctheldlink/service.go
@@ -30,6 +30,9 @@
 	m := g.Member(name)
 	g.logger.Info().Str("event", "promotion_called").Str("member", string(name)).Str("requester", requester).
 		Uint64("epoch", uint64(epoch)).Send()
+	g.judge.recordRequest(request{
+		group: group, member: name, requester: Host(requester), epoch: epoch, at: time.Now(),
+	})
 	if group != groupName || m == nil || !m.running {
 		return ctsuccession.PromotionRejected
 	}
--- a/internal/lab/ctheldlink/session.go
+++ b/internal/lab/ctheldlink/session.go
@@ -12,8 +12,12 @@
 // session is a connection to a member. One goroutine uses it.
 type session struct {
 	member *Member
-	// open, readOnly and wrote describe the open transaction.
-	open, readOnly, wrote bool
+	// open, readOnly and writes describe the open transaction.
+	open, readOnly bool
+	writes         []ctquery.ID
+	// transaction is the last transaction that a caller began here. The Judge's mutex guards
+	// it.
+	transaction *transaction
 }
 
 // serve accepts connections for a member until the listener is closed.
@@ -77,7 +81,7 @@
 
 // run runs a query. It returns false if the connection must end without an answer.
 func (s *session) run(q ctquery.Query) (ctquery.Answer, bool) {
-	answer := ctquery.Answer{Proof: "mac-" + string(s.member.Name) + "-" + string(q.ID)}
+	answer := ctquery.Answer{Proof: proofOf(s.member.Name, q.ID)}
 	answered := true
 	if s.behind(q.MinPoint) {
 		answer.Fault = ctquery.FaultBehind
@@ -112,34 +116,58 @@
 	answered := true
 	switch statement := q.Statement.(type) {
 	case ctquery.Begin:
-		s.open, s.readOnly, s.wrote = true, statement.ReadOnly, false
 		if !statement.ReadOnly && !s.leads() {
-			s.open, answer.Fault = false, ctquery.FaultReadOnly
-		}
-	case ctquery.Write:
-		switch {
-		case !s.leads() || s.readOnly:
 			answer.Fault = ctquery.FaultReadOnly
-		case s.open:
-			s.wrote = true
-		default:
-			answer.Fault, answered = s.member.commit(q.ID)
+			break
 		}
+		s.record(q)
+		s.open, s.readOnly, s.writes = true, statement.ReadOnly, nil
+	case ctquery.Write:
+		answer.Fault, answered = s.write(q)
 	case ctquery.Commit:
-		if s.wrote {
-			answer.Fault, answered = s.member.commit(q.ID)
+		s.record(q)
+		if len(s.writes) > 0 {
+			answer.Fault, answered = s.member.commit(q.ID, s.writes)
 		}
-		s.open, s.readOnly, s.wrote = false, false, false
+		s.open, s.readOnly, s.writes = false, false, nil
 	case ctquery.Rollback:
-		s.open, s.readOnly, s.wrote = false, false, false
+		s.record(q)
+		s.open, s.readOnly, s.writes = false, false, nil
 	case ctquery.Read:
-		answer.Rows = []string{"row-" + string(q.ID)}
+		if s.open && !s.readOnly && !s.leads() {
+			answer.Fault = ctquery.FaultReadOnly
+			break
+		}
+		s.record(q)
+		answer.Rows = []string{rowOf(q.ID)}
 	case ctquery.ReadStatus, ctquery.Pause, ctquery.Resume, ctquery.StepDown:
 		s.member.command(statement, answer)
 	}
 	return answered
 }
 
+// write runs a write, and commits it outside transactions. It returns false if the
+// connection must end without an answer.
+func (s *session) write(q ctquery.Query) (fault ctquery.Fault, answered bool) {
+	if !s.leads() || s.readOnly {
+		return ctquery.FaultReadOnly, true
+	}
+	s.record(q)
+	if s.open {
+		s.writes = append(s.writes, q.ID)
+		return ctquery.FaultNone, true
+	}
+	return s.member.commit(q.ID, []ctquery.ID{q.ID})
+}
+
+// record tells the judge of a statement that runs now.
+func (s *session) record(q ctquery.Query) {
+	m := s.member
+	m.group.mutex.Lock()
+	defer m.group.mutex.Unlock()
+	m.group.judge.recordRun(run{query: q, member: m.Name, conn: s, log: m.log[:m.applied:m.applied]})
+}
+
 // leads reports whether the member considers itself the primary.
 func (s *session) leads() bool {
 	s.member.group.mutex.Lock()
