ctheldlink: tests of the judge, rule by rule

Each rule is broken by a trace of two or three records, and its near cases are not: a disturbed holder, a lease that has passed, a commit that a route need not show.

--- /dev/null
+++ b/internal/lab/ctheldlink/judge_test.go
@@ -0,0 +1,239 @@
+package ctheldlink
+
+import (
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+	"gotest.tools/v3/assert"
+
+	"github.com/cherviltrestle/cherviltrestle/internal/decide/ctquorum"
+	"github.com/cherviltrestle/cherviltrestle/internal/model/ctconfig"
+	"github.com/cherviltrestle/cherviltrestle/internal/model/ctid"
+	"github.com/cherviltrestle/cherviltrestle/internal/model/ctposition"
+	"github.com/cherviltrestle/cherviltrestle/internal/model/ctquery"
+)
+
+// newTestJudge returns a judge of processes of which none or all are disturbed.
+func newTestJudge(disturbed bool) *Judge {
+	return newJudge(zerolog.Nop(), func(Host, time.Time) bool { return disturbed })
+}
+
+// assertViolations checks which rules were broken, in order.
+func assertViolations(t *testing.T, j *Judge, want ...Rule) {
+	t.Helper()
+	var got []Rule
+	for _, v := range j.Violations() {
+		got = append(got, v.Rule)
+	}
+	assert.DeepEqual(t, got, want)
+}
+
+// ask records a statement of a session, in a transaction unless that is nil.
+func ask(j *Judge, id ctquery.ID, statement ctquery.Statement, s *callerSession, t *transaction) {
+	j.recordAsked(id, asked{statement: statement, session: s, transaction: t})
+}
+
+// commitAt records an acknowledged write that a member has committed at a position of a term.
+func commitAt(j *Judge, id ctquery.ID, s *callerSession, position ctposition.Position, latest ctposition.Term) {
+	statement := ctquery.Write{Arguments: "1a4 data"}
+	ask(j, id, statement, s, nil)
+	j.recordRun(run{query: ctquery.Query{ID: id, Statement: statement}, member: "m-0", conn: &session{}})
+	point := ctposition.Point{Term: firstTerm, Position: position}
+	j.recordCommit(id, commit{member: "m-0", point: point, at: time.Now(), latest: latest})
+	j.recordAnswer(id, ctquery.Answer{Proof: proofOf("m-0", id)}, true)
+}
+
+// logOf returns a log of commits of one write each.
+func logOf(ids ...ctquery.ID) []entry {
+	var log []entry
+	for _, id := range ids {
+		log = append(log, entry{term: firstTerm, id: id, writes: []ctquery.ID{id}})
+	}
+	return log
+}
+
+// assertRequests checks which rules two requests break. The second one follows after a pause.
+func assertRequests(t *testing.T, first, second request, pause time.Duration, disturbed bool, want ...Rule) {
+	t.Helper()
+	j := newTestJudge(disturbed)
+	first.at = time.Now()
+	second.at = first.at.Add(pause)
+	j.recordRequest(first)
+	j.recordRequest(second)
+	assertViolations(t, j, want...)
+}
+
+// TestJudgeOfRequests checks the three parts of rule ONE at the service.
+func TestJudgeOfRequests(t *testing.T) {
+	of := func(group ctid.Group, requester Host, epoch ctquorum.Epoch) request {
+		return request{group: group, member: "m-0", requester: requester, epoch: epoch}
+	}
+	t.Run("two holders have one epoch", func(t *testing.T) {
+		assertRequests(t, of("a", "control-0", 2), of("b", "control-1", 2), time.Minute, true, RuleSharedEpoch)
+	})
+	t.Run("a holder keeps its epoch", func(t *testing.T) {
+		assertRequests(t, of("a", "control-0", 2), of("a", "control-0", 2), 0, false)
+	})
+	t.Run("an epoch falls", func(t *testing.T) {
+		assertRequests(t, of("a", "control-0", 3), of("a", "control-1", 2), time.Minute, true, RuleEpochOrder)
+	})
+	t.Run("an epoch of the same holder falls", func(t *testing.T) {
+		assertRequests(t, of("a", "control-0", 3), of("a", "control-0", 2), time.Minute, true, RuleEpochOrder)
+	})
+	t.Run("an epoch of another group is higher", func(t *testing.T) {
+		assertRequests(t, of("a", "control-0", 3), of("b", "control-1", 2), 0, false)
+	})
+	t.Run("holders take turns within a lease", func(t *testing.T) {
+		assertRequests(t, of("a", "control-0", 2), of("a", "control-1", 3), leaseDuration-1, false, RuleTurns)
+	})
+	t.Run("a disturbed holder takes turns", func(t *testing.T) {
+		assertRequests(t, of("a", "control-0", 2), of("a", "control-1", 3), leaseDuration-1, true)
+	})
+	t.Run("holders take turns after a lease", func(t *testing.T) {
+		assertRequests(t, of("a", "control-0", 2), of("a", "control-1", 3), leaseDuration, false)
+	})
+}
+
+// assertRun checks which rules a run of a single read breaks.
+func assertRun(t *testing.T, id ctquery.ID, statement ctquery.Statement, conn *session, want ...Rule) {
+	t.Helper()
+	j := newTestJudge(false)
+	ask(j, "r", ctquery.Read{Item: "1a4"}, &callerSession{}, nil)
+	j.recordRun(run{query: ctquery.Query{ID: id, Statement: statement}, member: "m-0", conn: conn})
+	assertViolations(t, j, want...)
+}
+
+// assertTransaction checks which rules are broken by a transaction that begins on one
+// connection and reads on another one.
+func assertTransaction(t *testing.T, begin, read *session, want ...Rule) {
+	t.Helper()
+	j, owner, own := newTestJudge(false), &callerSession{}, &transaction{}
+	ask(j, "b", ctquery.Begin{}, owner, own)
+	ask(j, "r", ctquery.Read{Item: "1a4"}, owner, own)
+	j.recordRun(run{query: ctquery.Query{ID: "b", Statement: ctquery.Begin{}}, conn: begin})
+	begin.open = true
+	j.recordRun(run{query: ctquery.Query{ID: "r", Statement: ctquery.Read{Item: "1a4"}}, conn: read})
+	assertViolations(t, j, want...)
+}
+
+// TestJudgeOfRuns checks what members may run.
+func TestJudgeOfRuns(t *testing.T) {
+	read := ctquery.Read{Item: "1a4"}
+	t.Run("asked", func(t *testing.T) { assertRun(t, "r", read, &session{}) })
+	t.Run("changed", func(t *testing.T) { assertRun(t, "r", ctquery.Read{Item: "1a5"}, &session{}, RuleUnasked) })
+	t.Run("unknown", func(t *testing.T) { assertRun(t, "s", read, &session{}, RuleUnasked) })
+	t.Run("read of a proxy", func(t *testing.T) { assertRun(t, "", read, &session{}, RuleUnasked) })
+	t.Run("commit of a proxy", func(t *testing.T) {
+		assertRun(t, "", ctquery.Commit{}, &session{writes: []ctquery.ID{"w"}}, RuleUnasked)
+	})
+	t.Run("inside another transaction", func(t *testing.T) { assertRun(t, "r", read, &session{open: true}, RulePinned) })
+	t.Run("transaction on one connection", func(t *testing.T) {
+		conn := &session{}
+		assertTransaction(t, conn, conn)
+	})
+	t.Run("transaction on two connections", func(t *testing.T) {
+		assertTransaction(t, &session{}, &session{open: true}, RulePinned)
+	})
+	t.Run("outside its transaction", func(t *testing.T) {
+		assertTransaction(t, &session{}, &session{}, RulePinned)
+	})
+}
+
+// assertFreshness checks which rules a read breaks that lacks a commit, acknowledged some
+// time before.
+func assertFreshness(t *testing.T, freshness ctconfig.Freshness, own bool, age time.Duration, want ...Rule) {
+	t.Helper()
+	j, writer, reader := newTestJudge(false), &callerSession{}, &callerSession{freshness: freshness}
+	if own {
+		writer = reader
+	}
+	commitAt(j, "w", writer, 1, firstTerm)
+	j.acknowledgments[0].at = time.Now().Add(-age)
+	ask(j, "r", ctquery.Read{Item: "1a4"}, reader, nil)
+	r := run{query: ctquery.Query{ID: "r", Statement: ctquery.Read{Item: "1a4"}}, member: "m-1", conn: &session{}}
+	r.log = logOf("w")
+	j.recordRun(r)
+	assertViolations(t, j)
+	r.log = logOf("v")
+	j.recordRun(r)
+	assertViolations(t, j, want...)
+}
+
+// TestJudgeOfReads checks rule STALE on the three kinds of routes.
+func TestJudgeOfReads(t *testing.T) {
+	const recent = maxStaleness / 2
+	t.Run("primary", func(t *testing.T) { assertFreshness(t, ctconfig.FreshnessPrimary, false, recent, RuleStale) })
+	t.Run("session, own commit", func(t *testing.T) {
+		assertFreshness(t, ctconfig.FreshnessSession, true, recent, RuleStale)
+	})
+	t.Run("session, another's commit", func(t *testing.T) {
+		assertFreshness(t, ctconfig.FreshnessSession, false, recent)
+	})
+	t.Run("session, another's old commit", func(t *testing.T) {
+		assertFreshness(t, ctconfig.FreshnessSession, false, 2*maxStaleness, RuleStale)
+	})
+	t.Run("bounded", func(t *testing.T) { assertFreshness(t, ctconfig.FreshnessBounded, false, recent) })
+	t.Run("bounded, old commit", func(t *testing.T) {
+		assertFreshness(t, ctconfig.FreshnessBounded, false, 2*maxStaleness, RuleStale)
+	})
+}
+
+// assertLog checks which rules the last log breaks after two acknowledged commits and a
+// refused write.
+func assertLog(t *testing.T, log []entry, want ...Rule) {
+	t.Helper()
+	j, s := newTestJudge(false), &callerSession{}
+	commitAt(j, "v", s, 1, firstTerm)
+	commitAt(j, "w", s, 2, firstTerm)
+	ask(j, "x", ctquery.Write{Arguments: "1a4 data"}, s, nil)
+	j.recordAnswer("x", ctquery.Answer{Fault: ctquery.FaultReadOnly}, true)
+	j.checkLog(log)
+	assertViolations(t, j, want...)
+}
+
+// TestJudgeOfLogs checks what the last log may hold.
+func TestJudgeOfLogs(t *testing.T) {
+	t.Run("acknowledged commits", func(t *testing.T) { assertLog(t, logOf("v", "w")) })
+	t.Run("one lost", func(t *testing.T) { assertLog(t, logOf("v"), RuleLost) })
+	t.Run("one twice", func(t *testing.T) { assertLog(t, logOf("v", "w", "v"), RuleTwice) })
+	t.Run("a refused one", func(t *testing.T) { assertLog(t, logOf("v", "w", "x"), RulePromise) })
+	t.Run("a refused one in a transaction", func(t *testing.T) {
+		log := append(logOf("v", "w"), entry{id: "c", writes: []ctquery.ID{"x"}})
+		assertLog(t, log, RulePromise)
+	})
+}
+
+// assertAnswer checks which rules the answer to a read breaks that m-0 has run.
+func assertAnswer(t *testing.T, answer ctquery.Answer, want ...Rule) {
+	t.Helper()
+	j, read := newTestJudge(false), ctquery.Read{Item: "1a4"}
+	ask(j, "r", read, &callerSession{}, nil)
+	j.recordRun(run{query: ctquery.Query{ID: "r", Statement: read}, member: "m-0", conn: &session{}})
+	j.recordAnswer("r", answer, false)
+	assertViolations(t, j, want...)
+}
+
+// TestJudgeOfAnswers checks rule MIXED, and commits at replaced primaries.
+func TestJudgeOfAnswers(t *testing.T) {
+	rows := []string{rowOf("r")}
+	t.Run("proven", func(t *testing.T) { assertAnswer(t, ctquery.Answer{Proof: proofOf("m-0", "r"), Rows: rows}) })
+	t.Run("without a proof", func(t *testing.T) { assertAnswer(t, ctquery.Answer{Rows: rows}, RuleMixed) })
+	t.Run("proven by another member", func(t *testing.T) {
+		assertAnswer(t, ctquery.Answer{Proof: proofOf("m-1", "r"), Rows: rows}, RuleMixed)
+	})
+	t.Run("with other rows", func(t *testing.T) {
+		assertAnswer(t, ctquery.Answer{Proof: proofOf("m-0", "r"), Rows: []string{rowOf("s")}}, RuleMixed)
+	})
+	t.Run("committed at a replaced primary", func(t *testing.T) {
+		j := newTestJudge(false)
+		commitAt(j, "w", &callerSession{}, 1, firstTerm+1)
+		assertViolations(t, j, RuleOnePrimary)
+	})
+	t.Run("missing at a promotion", func(t *testing.T) {
+		j := newTestJudge(false)
+		commitAt(j, "w", &callerSession{}, 1, firstTerm)
+		j.recordPromotion(promotion{member: "m-1", calledAt: time.Now()}, nil, nil)
+		assertViolations(t, j, RuleLost)
+	})
+}
