ctsuccession: a group has one requester of promotions until its requests have ended

Cause: a request may be held on its way for any time, the service compares no epochs, and each new leader sent its own request for a group whose earlier one was still open.

Change: the register names for each group the process that may have requests on their way, its requester, with the epoch that they carry. Until then the leader's requests go out through the requester, under its epoch (ctpromotion.Offers); a process that was restarted is still the same holder.

--- a/internal/decide/ctpromotion/ledger.go
+++ b/internal/decide/ctpromotion/ledger.go
@@ -14,8 +14,8 @@
 
 // Key names a promotion in a group.
 type Key struct {
-	Group     ctid.Group
-	Promotion ctview.Promotion
+	Group     ctid.Group       `cbor:"group"`
+	Promotion ctview.Promotion `cbor:"promotion"`
 }
 
 // Ledger records the requests that this process has sent. Its zero value is empty and ready
--- /dev/null
+++ b/internal/decide/ctpromotion/offers.go
@@ -0,0 +1,131 @@
+package ctpromotion
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/cherviltrestle/cherviltrestle/internal/decide/ctsuccession"
+	"github.com/cherviltrestle/cherviltrestle/internal/model/ctid"
+	"github.com/cherviltrestle/cherviltrestle/internal/model/ctview"
+)
+
+const (
+	// AnswerTimeout is how long a group waits for the answer to a promotion request before
+	// it goes on with an unknown outcome.
+	AnswerTimeout = time.Second
+	// CallTimeout bounds a call, which goes on after AnswerTimeout: its answer shows that the
+	// request can't take effect later.
+	CallTimeout = 60 * time.Second
+)
+
+// OfferNumber tells the offers of a leader apart.
+type OfferNumber uint64
+
+// Offer is a request that another process than the leader is to send, as the group's
+// requester.
+type Offer struct {
+	Number    OfferNumber      `cbor:"number"`
+	Key       Key              `cbor:"key"`
+	Requester ctview.Requester `cbor:"requester"`
+}
+
+// Check returns an error of kind cterror.Invalid for the first invalid name.
+func (o *Offer) Check() error {
+	if err := o.Key.Group.Check(); err != nil {
+		return err
+	}
+	if err := o.Key.Promotion.Check(); err != nil {
+		return err
+	}
+	return o.Requester.Control.Check()
+}
+
+// offerState is an offer that has not ended.
+type offerState struct {
+	Offer
+	putAt time.Time
+	// fetchedAt is when the requester fetched the offer, or zero.
+	fetchedAt time.Time
+	// recorded reports that the group does not wait for the outcome any more.
+	recorded bool
+}
+
+// Offers holds the requests that a leader offers to other processes. The zero value is empty
+// and ready for use. It is not safe for concurrent use.
+type Offers struct {
+	last   OfferNumber
+	states map[OfferNumber]*offerState
+}
+
+// Put adds an offer.
+func (o *Offers) Put(now time.Time, key Key, requester ctview.Requester) {
+	if o.states == nil {
+		o.states = make(map[OfferNumber]*offerState)
+	}
+	o.last++
+	o.states[o.last] = &offerState{Offer: Offer{Number: o.last, Key: key, Requester: requester}, putAt: now}
+}
+
+// Fetch returns the offers to a process that it has not fetched yet and whose requests may be
+// begun, for which it calls begin. From now on these may be sent. The others stay.
+func (o *Offers) Fetch(now time.Time, control ctid.Control, begin func(Offer) bool) []Offer {
+	var fetched []Offer
+	for _, number := range slices.Sorted(maps.Keys(o.states)) {
+		state := o.states[number]
+		if state.Requester.Control == control && state.fetchedAt.IsZero() && begin(state.Offer) {
+			state.fetchedAt = now
+			fetched = append(fetched, state.Offer)
+		}
+	}
+	return fetched
+}
+
+// OfferOutcome is the outcome of an offer.
+type OfferOutcome struct {
+	Offer   Offer
+	Outcome ctsuccession.PromotionOutcome
+	// Awaited reports that the group waits for the outcome.
+	Awaited bool
+	// Fetched reports that the request may have been sent. Ended reports that the outcome is
+	// final.
+	Fetched, Ended bool
+}
+
+// Report removes a fetched offer whose outcome the requester reports. It returns false if the
+// offer has ended already, or if it is another leader's.
+func (o *Offers) Report(offer Offer, outcome ctsuccession.PromotionOutcome) (OfferOutcome, bool) {
+	state, ok := o.states[offer.Number]
+	if !ok || state.Offer != offer || state.fetchedAt.IsZero() {
+		return OfferOutcome{}, false
+	}
+	delete(o.states, offer.Number)
+	return OfferOutcome{
+		Offer: offer, Outcome: outcome, Awaited: !state.recorded, Fetched: true, Ended: true,
+	}, true
+}
+
+// Expire returns the outcomes that follow from the time that has passed: an offer that nobody
+// fetched is withdrawn, and a fetched one without a report has an unknown outcome.
+func (o *Offers) Expire(now time.Time) []OfferOutcome {
+	var outcomes []OfferOutcome
+	for _, number := range slices.Sorted(maps.Keys(o.states)) {
+		state := o.states[number]
+		outcome := OfferOutcome{Offer: state.Offer, Awaited: !state.recorded}
+		switch {
+		case state.fetchedAt.IsZero() && now.Sub(state.putAt) >= AnswerTimeout:
+			outcome.Outcome, outcome.Ended = ctsuccession.PromotionDeferred, true
+		case !state.fetchedAt.IsZero() && now.Sub(state.fetchedAt) >= CallTimeout:
+			outcome.Fetched, outcome.Ended = true, true
+		case !state.fetchedAt.IsZero() && !state.recorded && now.Sub(state.fetchedAt) >= AnswerTimeout:
+			outcome.Fetched, state.recorded = true, true
+		default:
+			continue
+		}
+		if outcome.Ended {
+			delete(o.states, number)
+		}
+		outcomes = append(outcomes, outcome)
+	}
+	return outcomes
+}
--- /dev/null
+++ b/internal/decide/ctpromotion/offers_test.go
@@ -0,0 +1,93 @@
+package ctpromotion_test
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/cherviltrestle/cherviltrestle/internal/decide/ctpromotion"
+	"github.com/cherviltrestle/cherviltrestle/internal/decide/ctsuccession"
+)
+
+// begin allows each request.
+func begin(ctpromotion.Offer) bool { return true }
+
+// newOffers returns the offers of a leader that has put one at start.
+func newOffers() *ctpromotion.Offers {
+	var o ctpromotion.Offers
+	o.Put(start, key, requester)
+	return &o
+}
+
+// assertFetched asserts how many offers the requester fetches, and returns the last.
+func assertFetched(t *testing.T, o *ctpromotion.Offers, after time.Duration, want int) ctpromotion.Offer {
+	t.Helper()
+	fetched := o.Fetch(start.Add(after), requester.Control, begin)
+	assert.Equal(t, len(fetched), want)
+	if want == 0 {
+		return ctpromotion.Offer{}
+	}
+	return fetched[want-1]
+}
+
+// assertExpired asserts the only outcome that follows from the time that has passed.
+func assertExpired(
+	t *testing.T, o *ctpromotion.Offers, after time.Duration,
+	outcome ctsuccession.PromotionOutcome, awaited, ended bool,
+) {
+	t.Helper()
+	outcomes := o.Expire(start.Add(after))
+	assert.Equal(t, len(outcomes), 1)
+	assert.Equal(t, outcomes[0].Outcome, outcome)
+	assert.Equal(t, outcomes[0].Awaited, awaited)
+	assert.Equal(t, outcomes[0].Ended, ended)
+}
+
+// TestOffers covers requests of unknown outcome: what a leader knows of a request that another
+// process is to send.
+func TestOffers(t *testing.T) {
+	t.Run("an offer is fetched once, by the requester alone", func(t *testing.T) {
+		o := newOffers()
+		assert.Equal(t, len(o.Fetch(start, "y", begin)), 0)
+		assert.Equal(t, assertFetched(t, o, 0, 1).Key, key)
+		assertFetched(t, o, 0, 0)
+	})
+	t.Run("an offer whose request may not be sent is not fetched", func(t *testing.T) {
+		o := newOffers()
+		assert.Equal(t, len(o.Fetch(start, requester.Control, func(ctpromotion.Offer) bool { return false })), 0)
+		assertExpired(t, o, ctpromotion.AnswerTimeout, ctsuccession.PromotionDeferred, true, true)
+	})
+	t.Run("one that nobody fetched is withdrawn and was not sent", func(t *testing.T) {
+		o := newOffers()
+		assert.Equal(t, len(o.Expire(start.Add(ctpromotion.AnswerTimeout/2))), 0)
+		assertExpired(t, o, ctpromotion.AnswerTimeout, ctsuccession.PromotionDeferred, true, true)
+		assertFetched(t, o, ctpromotion.AnswerTimeout, 0)
+	})
+	t.Run("a fetched one without a report has an unknown outcome, first for the group", func(t *testing.T) {
+		o := newOffers()
+		assertFetched(t, o, 0, 1)
+		assertExpired(t, o, ctpromotion.AnswerTimeout, ctsuccession.PromotionUnknown, true, false)
+		assert.Equal(t, len(o.Expire(start.Add(2*ctpromotion.AnswerTimeout))), 0)
+		assertExpired(t, o, ctpromotion.CallTimeout, ctsuccession.PromotionUnknown, false, true)
+	})
+	t.Run("a report ends it", func(t *testing.T) {
+		o := newOffers()
+		offer := assertFetched(t, o, 0, 1)
+		other := offer
+		other.Key.Promotion.Epoch++
+		_, ok := o.Report(other, ctsuccession.PromotionAccepted)
+		assert.Assert(t, !ok, "an offer of another leader with the same number")
+		reported, ok := o.Report(offer, ctsuccession.PromotionAccepted)
+		assert.Assert(t, ok && reported.Awaited && reported.Ended)
+		_, ok = o.Report(offer, ctsuccession.PromotionAccepted)
+		assert.Assert(t, !ok)
+	})
+	t.Run("a late report counts for the promotion alone", func(t *testing.T) {
+		o := newOffers()
+		offer := assertFetched(t, o, 0, 1)
+		assertExpired(t, o, ctpromotion.AnswerTimeout, ctsuccession.PromotionUnknown, true, false)
+		reported, ok := o.Report(offer, ctsuccession.PromotionAccepted)
+		assert.Assert(t, ok && !reported.Awaited && reported.Ended)
+	})
+}
--- a/internal/decide/ctregister/command.go
+++ b/internal/decide/ctregister/command.go
@@ -10,7 +10,8 @@
 	"github.com/cherviltrestle/cherviltrestle/internal/model/ctview"
 )
 
-// Command is one of Configure, Publish, SetGroup, SetMembers and SettlePromotions.
+// Command is one of Configure, Publish, SetGroup, SetMembers, SettlePromotions and
+// ReleaseRequester.
 type Command interface {
 	isCommand()
 }
@@ -25,7 +26,7 @@
 
 // SetGroup replaces the decided state of a group, if that state still has the term
 // and the fence that the decision was based on. It adds to the unsettled promotions and
-// removes none of them.
+// removes none of them, and it does not replace a requester.
 type SetGroup struct {
 	Group ctview.Group `json:"group" cbor:"group"`
 	// BaseTerm and BaseFence are the group's term and fence when the decision was
@@ -67,14 +68,24 @@
 	Reason string `json:"why" cbor:"why"`
 }
 
+// ReleaseRequester makes a group have no requester, because no request of the present one can
+// reach the service any more.
+type ReleaseRequester struct {
+	Group     ctid.Group       `json:"group" cbor:"group"`
+	Requester ctview.Requester `json:"requester" cbor:"requester"`
+	// Reason says why none can.
+	Reason string `json:"why" cbor:"why"`
+}
+
+func (ReleaseRequester) isCommand() {}
 func (Configure) isCommand()        {}
 func (Publish) isCommand()          {}
 func (SetGroup) isCommand()         {}
 func (SetMembers) isCommand()       {}
 func (SettlePromotions) isCommand() {}
 
-// Result is one of Configured, Duplicate, Conflict, StaleRelease, GroupSet, MembersSet and
-// PromotionsSettled.
+// Result is one of Configured, Duplicate, Conflict, StaleRelease, GroupSet, MembersSet,
+// PromotionsSettled and RequesterReleased.
 type Result interface {
 	isResult()
 }
@@ -119,6 +130,14 @@
 	Promotions []ctview.Promotion
 }
 
+// RequesterReleased reports that a group has no requester any more. Requester is the one
+// that it had, or the zero value if the command had no effect.
+type RequesterReleased struct {
+	Name      ctid.Group
+	Requester ctview.Requester
+}
+
+func (RequesterReleased) isResult() {}
 func (PromotionsSettled) isResult() {}
 func (MembersSet) isResult()        {}
 func (Configured) isResult()        {}
--- a/internal/decide/ctregister/register.go
+++ b/internal/decide/ctregister/register.go
@@ -29,6 +29,8 @@
 	Groups map[ctid.Group]ctview.Group `json:"groups" cbor:"groups"`
 	// Undeclared holds the unsettled promotions of groups that are not declared any more.
 	Undeclared map[ctid.Group][]ctview.Promotion `json:"undeclared,omitempty" cbor:"undeclared,omitempty"`
+	// UndeclaredRequesters holds the requesters of these groups.
+	UndeclaredRequesters map[ctid.Group]ctview.Requester `json:"requesters,omitempty" cbor:"requesters,omitempty"`
 	// AuditLog lists the decisions on groups, the newest last.
 	AuditLog []AuditEntry `json:"deeds" cbor:"deeds"`
 	// Release is the number of the last accepted release, or 0 before the first.
@@ -64,6 +66,8 @@
 		return MembersSet{}
 	case SettlePromotions:
 		return r.settlePromotions(c)
+	case ReleaseRequester:
+		return r.releaseRequester(c)
 	}
 	return nil
 }
@@ -118,13 +122,20 @@
 }
 
 // removeUndeclaredGroups deletes the state of groups that the document does not
-// declare. Their unsettled promotions are retained: the groups may be declared again.
+// declare. Their unsettled promotions and their requesters are retained: the groups may be
+// declared again.
 func (r *Register) removeUndeclaredGroups(document *ctconfig.Document) {
 	for name, group := range r.Groups {
 		if _, ok := document.Group(name); ok {
 			continue
 		}
 		delete(r.Groups, name)
+		if !group.Requester.IsZero() {
+			if r.UndeclaredRequesters == nil {
+				r.UndeclaredRequesters = make(map[ctid.Group]ctview.Requester)
+			}
+			r.UndeclaredRequesters[name] = group.Requester
+		}
 		if len(group.Unsettled) == 0 {
 			continue
 		}
@@ -176,7 +187,11 @@
 	group.Revision = current.Revision + 1
 	unsettled := ctview.MergePromotions(current.Unsettled, r.Undeclared[name])
 	group.Unsettled = ctview.MergePromotions(unsettled, group.Unsettled)
+	if requester := r.requesterOf(name); !requester.IsZero() {
+		group.Requester = requester
+	}
 	delete(r.Undeclared, name)
+	delete(r.UndeclaredRequesters, name)
 	r.Groups[name] = group
 	r.AuditLog = append(r.AuditLog, AuditEntry{At: c.At, Reason: c.Reason, Group: group})
 	if len(r.AuditLog) > maxAuditEntries {
@@ -204,3 +219,24 @@
 	r.Groups[c.Group] = group
 	return result
 }
+
+// requesterOf returns the requester of a group, which may be undeclared.
+func (r *Register) requesterOf(name ctid.Group) ctview.Requester {
+	if requester := r.Groups[name].Requester; !requester.IsZero() {
+		return requester
+	}
+	return r.UndeclaredRequesters[name]
+}
+
+func (r *Register) releaseRequester(c ReleaseRequester) Result {
+	result := RequesterReleased{Name: c.Group}
+	group, ok := r.Groups[c.Group]
+	if !ok || group.Requester != c.Requester {
+		return result
+	}
+	group.Requester = ctview.Requester{}
+	group.Revision++
+	r.Groups[c.Group] = group
+	result.Requester = c.Requester
+	return result
+}
--- a/internal/decide/ctsuccession/action.go
+++ b/internal/decide/ctsuccession/action.go
@@ -6,7 +6,8 @@
 	"github.com/cherviltrestle/cherviltrestle/internal/model/ctview"
 )
 
-// Action is one of SendCommand, PromotionRequest, SetGroup and SettlePromotions.
+// Action is one of SendCommand, PromotionRequest, SetGroup, SettlePromotions and
+// ReleaseRequester.
 type Action interface {
 	isAction()
 }
@@ -19,10 +20,11 @@
 }
 
 // PromotionRequest requests a member's promotion from the external service. It is sent only
-// if the promotion is among the group's unsettled ones in the register. RecordPromotion
-// records the outcome.
+// if the promotion is among the group's unsettled ones in the register, and only by the
+// group's requester there, under the requester's epoch. RecordPromotion records the outcome.
 type PromotionRequest struct {
 	Promotion ctview.Promotion
+	Requester ctview.Requester
 }
 
 // SetGroup makes a decision on the group durable.
@@ -38,6 +40,13 @@
 	Reason     Reason
 }
 
+// ReleaseRequester makes durable that a group has no requester.
+type ReleaseRequester struct {
+	Requester ctview.Requester
+	Reason    Reason
+}
+
+func (ReleaseRequester) isAction() {}
 func (SendCommand) isAction()      {}
 func (PromotionRequest) isAction() {}
 func (SetGroup) isAction()         {}
@@ -114,9 +123,10 @@
 	ReasonLogComplete          Reason = "candidate_holds_every_acknowledged_commit"
 	ReasonInherited            Reason = "candidate_of_the_previous_leader"
 	ReasonUnrequested          Reason = "member_was_promoted_without_a_request_of_this_leader"
+	ReasonRequester            Reason = "this_leader_requests_the_promotion"
 )
 
-// The reasons for which promotions are settled.
+// The reasons for which promotions are settled and requesters are released.
 const (
 	ReasonAnswered   Reason = "answered"
 	ReasonExpired    Reason = "expired"
--- a/internal/decide/ctsuccession/change.go
+++ b/internal/decide/ctsuccession/change.go
@@ -31,6 +31,9 @@
 		if _, recorded := m.ownPromotion(group, group.Candidate); !recorded {
 			return []Action{SetGroup{Group: m.withPromotion(group, group.Candidate), Reason: ReasonInherited}}
 		}
+		if group.Requester.IsZero() {
+			return []Action{SetGroup{Group: m.withRequester(group), Reason: ReasonRequester}}
+		}
 		return m.promote(now, group)
 	}
 	actions := m.stopOldTerm(now, group)
@@ -74,7 +77,7 @@
 	promotion, _ := m.ownPromotion(group, group.Candidate)
 	m.current.requests++
 	m.current.requestedAt, m.current.pending = now, true
-	return append(actions, PromotionRequest{Promotion: promotion})
+	return append(actions, PromotionRequest{Promotion: promotion, Requester: group.Requester})
 }
 
 // promotionsComplete reports whether no promotion request can take effect any more. While
--- a/internal/decide/ctsuccession/decide.go
+++ b/internal/decide/ctsuccession/decide.go
@@ -14,6 +14,9 @@
 // and records their results.
 func (m *Machine) Decide(now time.Time, group ctview.Group) []Action {
 	m.expire(now)
+	if m.requesterExpired(now, group) {
+		return []Action{ReleaseRequester{Requester: group.Requester, Reason: ReasonExpired}}
+	}
 	if actions := m.settlePromotions(now, group); len(actions) > 0 {
 		return actions
 	}
--- a/internal/decide/ctsuccession/doc.go
+++ b/internal/decide/ctsuccession/doc.go
@@ -38,6 +38,11 @@
 
 # Promotion requests
 
+The service compares no epochs. So only one control process at a time sends requests for a
+group, its requester, and all of them carry the epoch in which it became that. A leader makes
+itself the requester of a group that has none. Otherwise its requests are sent by the
+requester that it found, until that one is released; see package ctpromotion.
+
 The service may accept a request late, and a promotion takes time. Control sends
 one request at a time. If a second one may have been accepted, control accepts no
 member as the primary until that request can't take effect any more.
--- a/internal/decide/ctsuccession/environment_test.go
+++ b/internal/decide/ctsuccession/environment_test.go
@@ -59,6 +59,8 @@
 	reachable        int
 	lastAcknowledged ctposition.Point
 	requests         []ctid.Member
+	// requesters are those of the requests.
+	requesters []ctview.Requester
 	// rejects lists the members whose promotion the service rejects.
 	rejects map[ctid.Member]bool
 	// ignores lists the members whose promotion the service accepts without an effect.
@@ -176,6 +178,7 @@
 	case ctsuccession.SendCommand:
 		e.send(a)
 	case ctsuccession.PromotionRequest:
+		e.requesters = append(e.requesters, a.Requester)
 		e.requestPromotion(a.Promotion.Member)
 	case ctsuccession.SetGroup:
 		e.group = a.Group
@@ -183,6 +186,8 @@
 		if a.Basis != nil {
 			e.bases = append(e.bases, a.Basis)
 		}
+	case ctsuccession.ReleaseRequester:
+		e.group.Requester = ctview.Requester{}
 	case ctsuccession.SettlePromotions:
 		isSettled := func(p ctview.Promotion) bool { return slices.Contains(a.Promotions, p) }
 		e.group.Unsettled = slices.DeleteFunc(e.group.Unsettled, isSettled)
--- a/internal/decide/ctsuccession/machine.go
+++ b/internal/decide/ctsuccession/machine.go
@@ -77,8 +77,10 @@
 // Machine decides on one group. Begin has to be called before any other method. A
 // Machine is not safe for concurrent use.
 type Machine struct {
-	// Epoch is the leader's epoch, and LastNumber the number of its last promotion. A machine
-	// that replaces another one in the same epoch has to start with a higher LastNumber.
+	// Control is the leader's name and Epoch its epoch. LastNumber is the number of its last
+	// promotion. A machine that replaces another one in the same epoch has to start with a
+	// higher LastNumber.
+	Control    ctid.Control
 	Epoch      ctview.Epoch
 	LastNumber ctview.PromotionNumber
 	// IntervalFactor multiplies the probe intervals while no change is in progress, so that
@@ -112,6 +114,9 @@
 	// ended holds the unsettled promotions for which no request can take effect any more, with
 	// the times at which the leader learned of it.
 	ended map[ctview.Promotion]time.Time
+	// handedOutAt is when a request was last handed to a requester that this leader did not
+	// make one, or zero.
+	handedOutAt time.Time
 	// current is the state of the change in progress.
 	current changeState
 }
@@ -182,6 +187,7 @@
 // the tracker.
 func (m *Machine) Begin(now time.Time, proxies *ProxyTracker) {
 	*m = Machine{
+		Control:        m.Control,
 		Epoch:          m.Epoch,
 		LastNumber:     m.LastNumber,
 		IntervalFactor: m.IntervalFactor,
--- a/internal/decide/ctsuccession/unsettled.go
+++ b/internal/decide/ctsuccession/unsettled.go
@@ -32,13 +32,13 @@
 	return promotion, recorded
 }
 
-// withPromotion returns the group with a candidate and a new promotion of it.
+// withPromotion returns the group with a candidate, a new promotion of it and a requester.
 func (m *Machine) withPromotion(group ctview.Group, candidate ctid.Member) ctview.Group {
 	m.LastNumber++
 	promotion := ctview.Promotion{Member: candidate, Epoch: m.Epoch, Number: m.LastNumber}
 	group.Candidate = candidate
 	group.Unsettled = ctview.MergePromotions(group.Unsettled, []ctview.Promotion{promotion})
-	return group
+	return m.withRequester(group)
 }
 
 // unsettledRank returns 1 for a member that the service may still promote, and 0 otherwise.
--- a/internal/link/ctframe/control.go
+++ b/internal/link/ctframe/control.go
@@ -1,6 +1,9 @@
 package ctframe
 
 import (
+	"github.com/cherviltrestle/cherviltrestle/internal/decide/ctpromotion"
+	"github.com/cherviltrestle/cherviltrestle/internal/decide/ctsuccession"
+	"github.com/cherviltrestle/cherviltrestle/internal/model/cterror"
 	"github.com/cherviltrestle/cherviltrestle/internal/model/ctid"
 	"github.com/cherviltrestle/cherviltrestle/internal/model/ctserver"
 	"github.com/cherviltrestle/cherviltrestle/internal/model/ctview"
@@ -61,9 +64,11 @@
 }
 
 // Settled reports to control's leader for which promotions of a group no request can take
-// effect any more.
+// effect any more, and which requester has none on its way and sends none any more.
 type Settled struct {
 	Group ctid.Group `cbor:"group"`
+	// Released is the sender of the frame as the requester, or the zero value.
+	Released ctview.Requester `cbor:"released,omitzero"`
 	// Ended lists those of which a request may have taken effect, and Void those without an
 	// accepted request.
 	Ended []ctview.Promotion `cbor:"ended,omitempty"`
@@ -75,6 +80,9 @@
 	if err := f.Group.Check(); err != nil {
 		return err
 	}
+	if err := f.Released.Check(); err != nil {
+		return err
+	}
 	for _, promotions := range [][]ctview.Promotion{f.Ended, f.Void} {
 		for i := range promotions {
 			if err := promotions[i].Check(); err != nil {
@@ -85,7 +93,42 @@
 	return nil
 }
 
-// Ack answers Heard, Gathered and Settled. It confirms that the leader has applied them.
+// FetchOffers asks control's leader for the promotion requests that the process is to send.
+// Where the reply comes late, the process must send none of them.
+type FetchOffers struct {
+	Control ctid.Control `cbor:"control"`
+}
+
+// FetchOffersReply answers FetchOffers. Each offer is sent once.
+type FetchOffersReply struct {
+	Offers []ctpromotion.Offer `cbor:"offers,omitempty"`
+}
+
+// Check returns an error of kind cterror.Invalid for the first fault of an offer.
+func (f *FetchOffersReply) Check() error {
+	for i := range f.Offers {
+		if err := f.Offers[i].Check(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// ReportOffer reports the outcome of an offer to the leader that made it.
+type ReportOffer struct {
+	Offer   ctpromotion.Offer             `cbor:"offer"`
+	Outcome ctsuccession.PromotionOutcome `cbor:"outcome"`
+}
+
+// Check returns an error of kind cterror.Invalid for an invalid offer or an unknown outcome.
+func (f *ReportOffer) Check() error {
+	if f.Outcome.String() == "" {
+		return cterror.New(cterror.Invalid, "the outcome of an offer is unknown", "upgrade this process")
+	}
+	return f.Offer.Check()
+}
+
+// Ack answers Heard, Gathered, Settled and ReportOffer. It confirms that the leader has applied them.
 type Ack struct{}
 
 func (*Publish) kind() kind      { return kindPublish }
@@ -96,3 +139,7 @@
 func (*Gathered) kind() kind     { return kindGathered }
 func (*Settled) kind() kind      { return kindSettled }
 func (*Ack) kind() kind          { return kindAck }
+
+func (*FetchOffers) kind() kind      { return kindFetchOffers }
+func (*FetchOffersReply) kind() kind { return kindFetchOffersReply }
+func (*ReportOffer) kind() kind      { return kindReportOffer }
--- a/internal/link/ctframe/frame.go
+++ b/internal/link/ctframe/frame.go
@@ -47,6 +47,9 @@
 	kindReportBatch
 	kindReportBatchReply
 	kindSettled
+	kindFetchOffers
+	kindFetchOffersReply
+	kindReportOffer
 )
 
 // constructors contains, for each kind, a function that returns an empty frame.
@@ -79,7 +82,10 @@
 	kindForwardReply:   func() Frame { return &ForwardReply{} },
 	kindGathered:       func() Frame { return &Gathered{} },
 	kindSettled:        func() Frame { return &Settled{} },
+	kindFetchOffers:    func() Frame { return &FetchOffers{} },
+	kindReportOffer:    func() Frame { return &ReportOffer{} },
 
 	kindReportBatch:      func() Frame { return &ReportBatch{} },
 	kindReportBatchReply: func() Frame { return &ReportBatchReply{} },
+	kindFetchOffersReply: func() Frame { return &FetchOffersReply{} },
 }
--- a/internal/link/ctrecord/record.go
+++ b/internal/link/ctrecord/record.go
@@ -18,6 +18,7 @@
 	kindPublish
 	kindSetMembers
 	kindSettlePromotions
+	kindReleaseRequester
 )
 
 // EncodeCommand returns the encoding of a command.
@@ -38,6 +39,8 @@
 		kind = kindSetMembers
 	case ctregister.SettlePromotions:
 		kind = kindSettlePromotions
+	case ctregister.ReleaseRequester:
+		kind = kindReleaseRequester
 	}
 	return append([]byte{kind}, body...), nil
 }
@@ -75,6 +78,12 @@
 			return nil, damagedError(err)
 		}
 		return c, c.Group.Check()
+	case kindReleaseRequester:
+		var c ctregister.ReleaseRequester
+		if err := ctcbor.Unmarshal(data[1:], &c); err != nil {
+			return nil, damagedError(err)
+		}
+		return c, c.Group.Check()
 	}
 	return nil, cterror.Newf(cterror.Invalid, "upgrade this process", "command kind %d is unknown", data[0])
 }
--- a/internal/model/ctview/group.go
+++ b/internal/model/ctview/group.go
@@ -32,6 +32,8 @@
 	// Unsettled lists the promotions that may still take effect, at any time: they were or
 	// may have been requested, and it is not known that the request has ended.
 	Unsettled []Promotion `json:"unsettled,omitempty" cbor:"unsettled,omitempty"`
+	// Requester is the process that may have promotion requests on their way.
+	Requester Requester `json:"requester,omitzero" cbor:"requester,omitzero"`
 }
 
 // ChangingPrimary reports whether a change of primary is in progress.
@@ -53,6 +55,9 @@
 	if err := checkPromotions(g.Unsettled); err != nil {
 		return err
 	}
+	if err := g.Requester.Check(); err != nil {
+		return err
+	}
 	if g.Primary == "" {
 		return nil
 	}
