ctcontrol: requests of a later leader go out through the group's requester

The leader sends a promotion request itself only if it is the group's requester. Otherwise the requester, which polls while a group that it serves waits for a promotion, fetches the request, sends it under its own epoch and reports the outcome. It sends nothing if the leader's reply took over a second, so that what it sends was wanted just before. A process that doesn't lead releases its groups once its requests are answered and its turn is over.

--- a/internal/program/ctcontrol/control.go
+++ b/internal/program/ctcontrol/control.go
@@ -96,6 +96,7 @@
 	c := &Control{Options: options, state: cttable.Cell[leaderState]{Rank: ctlock.RankLeader}}
 	var held ctlock.Held
 	c.state.With(&held, func(l *leaderState) {
+		l.self = options.Name
 		l.results = make(map[ctquorum.Index]ctregister.Result)
 		l.waiters = make(map[ctquorum.ProposalID]chan<- ctregister.Result)
 	})
@@ -229,6 +230,7 @@
 		c.decideFailover(now, l, name)
 	}
 	l.proxies.Tick(now)
+	c.expireOffers(now, l)
 	c.advanceAll(now, l)
 	if members, due := l.unsavedMembers(now); due && l.hasAuthority(now) {
 		c.propose(l, members, nil)
--- a/internal/program/ctcontrol/leader.go
+++ b/internal/program/ctcontrol/leader.go
@@ -20,6 +20,8 @@
 // leaderState holds the register that the replicated log produces and, while this process
 // leads control, the leader's knowledge of the fleet.
 type leaderState struct {
+	// self is the name of this process.
+	self     ctid.Control
 	register ctregister.Register
 	// results holds the results of recently applied commands, until their proposals
 	// complete. It is filled only while there are waiters.
@@ -44,8 +46,12 @@
 	proxies     *ctsuccession.ProxyTracker
 	// machinesStarted counts the successions that this leader has created.
 	machinesStarted uint64
-	// ledger records the promotion requests of this process, in all epochs.
-	ledger ctpromotion.Ledger
+	// ledger records the requests for the promotions that this process has decided on, in all
+	// epochs, and requests those that it has sent as a requester.
+	ledger   ctpromotion.Ledger
+	requests ctpromotion.Requests
+	// offers holds the requests that it offers to other requesters.
+	offers ctpromotion.Offers
 	// tickCount counts the ticks in which successions were advanced.
 	tickCount uint64
 	epoch     ctquorum.Epoch
@@ -97,6 +103,7 @@
 	l.proxies = ctsuccession.NewProxyTracker(now)
 	l.epoch = ctquorum.Epoch(epoch)
 	l.ledger.Lead(ctview.Epoch(epoch))
+	l.requests.Lead(ctview.Epoch(epoch))
 	l.blocked = make(map[ctid.Group]ctfailover.Reason)
 	l.proposedAt = make(map[ctid.Group]time.Time)
 	l.leading = true
@@ -241,7 +248,8 @@
 	}
 	l.machinesStarted++
 	machine := &ctsuccession.Machine{
-		Epoch: ctview.Epoch(l.epoch), LastNumber: ctview.PromotionNumber(l.machinesStarted * numbersPerMachine),
+		Control: l.self, Epoch: ctview.Epoch(l.epoch),
+		LastNumber: ctview.PromotionNumber(l.machinesStarted * numbersPerMachine),
 	}
 	machine.Begin(now, l.proxies)
 	for _, announcement := range l.roster.Members() {
--- a/internal/program/ctcontrol/machine.go
+++ b/internal/program/ctcontrol/machine.go
@@ -80,6 +80,14 @@
 		l.roster.SetGroup(group)
 		l.notifyWatchers()
 		c.logSettled(r, settle.Reason)
+	case ctregister.RequesterReleased:
+		delete(l.proposedAt, r.Name)
+		release, ok := command.(ctregister.ReleaseRequester)
+		if !ok || r.Requester.IsZero() {
+			return
+		}
+		l.roster.SetGroup(l.register.Groups[r.Name])
+		c.logReleased(r, release.Reason)
 	}
 }
 
--- /dev/null
+++ b/internal/program/ctcontrol/offers.go
@@ -0,0 +1,157 @@
+package ctcontrol
+
+import (
+	"context"
+	"time"
+
+	"github.com/cherviltrestle/cherviltrestle/internal/decide/ctpromotion"
+	"github.com/cherviltrestle/cherviltrestle/internal/decide/ctquorum"
+	"github.com/cherviltrestle/cherviltrestle/internal/decide/ctsuccession"
+	"github.com/cherviltrestle/cherviltrestle/internal/link/ctframe"
+	"github.com/cherviltrestle/cherviltrestle/internal/work/ctlock"
+)
+
+// fetchInterval is the interval in which a requester that doesn't lead asks the leader for
+// offers, while a group whose requester it is waits for a promotion.
+const fetchInterval = 100 * time.Millisecond
+
+// offerPromotion offers a promotion request to the group's requester. What becomes of it is
+// recorded by ReportOffer and expireOffers.
+func (c *Control) offerPromotion(held *ctlock.Held, t memberTask) {
+	c.state.With(held, func(l *leaderState) {
+		if l.wantsPromotion(c.Clock.Now(), t.key(), t.requester) {
+			l.offers.Put(c.Clock.Now(), t.key(), t.requester)
+			return
+		}
+		c.recordOutcome(l, t.key(), ctsuccession.PromotionDeferred)
+	})
+}
+
+// FetchOffers returns the requests that a process is to send as a requester. They may be sent
+// from now on.
+func (c *Control) FetchOffers(held *ctlock.Held, fetch *ctframe.FetchOffers) (*ctframe.FetchOffersReply, error) {
+	reply := &ctframe.FetchOffersReply{}
+	err := c.withAuthority(held, func(now time.Time, l *leaderState) {
+		reply.Offers = l.offers.Fetch(now, fetch.Control, func(offer ctpromotion.Offer) bool {
+			if !l.wantsPromotion(now, offer.Key, offer.Requester) || !l.ledger.Begin(offer.Key) {
+				return false
+			}
+			l.successions[offer.Key.Group].RecordHandOut(now)
+			return true
+		})
+		c.measureUnanswered(l)
+	})
+	return reply, err
+}
+
+// ReportOffer records the outcome of an offer of this process.
+func (c *Control) ReportOffer(held *ctlock.Held, report *ctframe.ReportOffer) {
+	c.state.With(held, func(l *leaderState) {
+		if outcome, ok := l.offers.Report(report.Offer, report.Outcome); ok {
+			c.recordOffer(c.Clock.Now(), l, outcome)
+		}
+	})
+}
+
+// expireOffers records the outcomes of the offers that nobody fetched or reported in time.
+func (c *Control) expireOffers(now time.Time, l *leaderState) {
+	for _, outcome := range l.offers.Expire(now) {
+		c.recordOffer(now, l, outcome)
+	}
+}
+
+// recordOffer records the outcome of an offer in the ledger and in the group's succession.
+func (c *Control) recordOffer(now time.Time, l *leaderState, o ctpromotion.OfferOutcome) {
+	if o.Fetched && o.Ended {
+		l.ledger.RecordOutcome(now, o.Offer.Key, o.Outcome)
+		c.measureUnanswered(l)
+	}
+	if o.Awaited {
+		c.recordOutcome(l, o.Offer.Key, o.Outcome)
+	}
+}
+
+// recordOutcome records the outcome of a promotion request in the group's succession, if this
+// process leads in the promotion's epoch, and lets the succession decide.
+func (c *Control) recordOutcome(l *leaderState, key ctpromotion.Key, outcome ctsuccession.PromotionOutcome) {
+	machine, ok := l.successions[key.Group]
+	if !ok || l.epoch != ctquorum.Epoch(key.Promotion.Epoch) || !l.leading {
+		return
+	}
+	now := c.Clock.Now()
+	machine.RecordPromotion(now, key.Promotion.Member, outcome)
+	c.advance(now, l, key.Group)
+}
+
+// isRequester reports whether this process doesn't lead and a group whose requester it is
+// waits for a promotion.
+func (c *Control) isRequester(held *ctlock.Held) bool {
+	waits := false
+	c.state.With(held, func(l *leaderState) {
+		for _, group := range l.register.Groups {
+			waits = waits || (group.Requester.Control == c.Name && group.ChangingPrimary() && group.Candidate != "")
+		}
+		waits = waits && !l.leading
+	})
+	return waits
+}
+
+// serveOffers sends the requests that leaders offer to this process, until ctx ends.
+func (s *Service) serveOffers(ctx context.Context) {
+	var held ctlock.Held
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-s.Clock.After(fetchInterval):
+		}
+		if !s.control.isRequester(&held) {
+			continue
+		}
+		askedAt := s.Clock.Now()
+		reply, err := s.callLeader(ctx, &ctframe.FetchOffers{Control: s.Name})
+		fetched, ok := reply.(*ctframe.FetchOffersReply)
+		if err != nil || !ok {
+			continue
+		}
+		for _, offer := range fetched.Offers {
+			go s.serveOffer(ctx, askedAt, offer)
+		}
+	}
+}
+
+// serveOffer sends the request of an offer, if it was fetched without delay, and reports the
+// outcome to the leader until it has it.
+func (s *Service) serveOffer(ctx context.Context, askedAt time.Time, offer ctpromotion.Offer) {
+	report := &ctframe.ReportOffer{Offer: offer, Outcome: s.control.sendOffer(askedAt, offer)}
+	for until := askedAt.Add(ctpromotion.CallTimeout); s.Clock.Now().Before(until); {
+		if s.sendToLeader(ctx, report) == nil {
+			return
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-s.Clock.After(settleInterval):
+		}
+	}
+}
+
+// sendOffer sends the request of an offer that this process asked for at askedAt.
+func (c *Control) sendOffer(askedAt time.Time, offer ctpromotion.Offer) ctsuccession.PromotionOutcome {
+	t := memberTask{
+		group: offer.Key.Group, member: offer.Key.Promotion.Member, promotion: offer.Key.Promotion,
+		requester: offer.Requester, epoch: ctquorum.Epoch(offer.Key.Promotion.Epoch),
+	}
+	var held ctlock.Held
+	var request *sending
+	c.state.With(&held, func(l *leaderState) {
+		if l.group(t.group).Requester == t.requester && l.requests.Begin(t.group, t.requester) {
+			request = l.newSending(askedAt, t)
+			request.offered, request.authorityExpiresAt = true, askedAt.Add(ctpromotion.AnswerTimeout)
+		}
+	})
+	if request == nil {
+		return ctsuccession.PromotionDeferred
+	}
+	return c.callPromoter(request)
+}
--- a/internal/program/ctcontrol/promotion.go
+++ b/internal/program/ctcontrol/promotion.go
@@ -16,28 +16,25 @@
 	"github.com/cherviltrestle/cherviltrestle/internal/work/ctlock"
 )
 
-const (
-	// promotionTimeout is how long a group waits for the answer to a promotion request
-	// before it goes on with an unknown outcome.
-	promotionTimeout = time.Second
-	// promotionCallTimeout bounds the call, which goes on after promotionTimeout: its answer
-	// shows that the request can't take effect later.
-	promotionCallTimeout = 60 * time.Second
-	// settleInterval is the interval in which a process reports the promotions whose requests
-	// have ended.
-	settleInterval = 500 * time.Millisecond
-)
+// settleInterval is the interval in which a process reports the promotions whose requests
+// have ended.
+const settleInterval = 500 * time.Millisecond
 
 // requestPromotion requests a promotion and records the outcome in the succession. Without
-// an answer within promotionTimeout it records an unknown outcome.
+// an answer within ctpromotion.AnswerTimeout it records an unknown outcome. If another
+// process is the group's requester, it offers the request to that one.
 func (c *Control) requestPromotion(held *ctlock.Held, t memberTask) {
+	if t.requester.Control != c.Name {
+		c.offerPromotion(held, t)
+		return
+	}
 	outcome := ctsuccession.PromotionDeferred
 	if s := c.beginPromotion(held, t); s != nil {
 		answered := make(chan ctsuccession.PromotionOutcome, 1)
-		go c.callPromoter(s, answered)
+		go func() { answered <- c.callPromoter(s) }()
 		select {
 		case outcome = <-answered:
-		case <-c.Clock.After(promotionTimeout):
+		case <-c.Clock.After(ctpromotion.AnswerTimeout):
 			outcome = ctsuccession.PromotionUnknown
 		}
 	}
@@ -53,12 +50,7 @@
 	var s *sending
 	c.state.With(held, func(l *leaderState) {
 		now := c.Clock.Now()
-		group := l.group(t.group)
-		machine, ok := l.successions[t.group]
-		wanted := ok && group.ChangingPrimary() && group.Candidate == t.member &&
-			slices.Contains(group.Unsettled, t.promotion) && machine.CandidateHoldsLog(group)
-		if wanted && l.epoch == t.epoch && l.hasAuthority(now) &&
-			l.ledger.Begin(ctpromotion.Key{Group: t.group, Promotion: t.promotion}) {
+		if l.wantsPromotion(now, t.key(), t.requester) && l.beginRequest(now, t) {
 			s = l.newSending(now, t)
 		}
 		c.measureUnanswered(l)
@@ -66,30 +58,62 @@
 	return s
 }
 
-// callPromoter calls the service and records the outcome in the ledger. It sends nothing if
-// the process was suspended since the request was begun: another process may lead by now.
-func (c *Control) callPromoter(s *sending, answered chan<- ctsuccession.PromotionOutcome) {
-	ctx, cancel := context.WithTimeout(context.Background(), promotionCallTimeout)
+// wantsPromotion reports whether this process leads and its decision on a group is that the
+// requester requests a promotion.
+func (l *leaderState) wantsPromotion(now time.Time, key ctpromotion.Key, requester ctview.Requester) bool {
+	group := l.group(key.Group)
+	machine, ok := l.successions[key.Group]
+	return ok && l.hasAuthority(now) && l.epoch == ctquorum.Epoch(key.Promotion.Epoch) &&
+		group.ChangingPrimary() && group.Candidate == key.Promotion.Member &&
+		slices.Contains(group.Unsettled, key.Promotion) && group.Requester == requester &&
+		machine.CandidateHoldsLog(group)
+}
+
+// beginRequest counts a request of the leader as sent. It returns false if the promotion is
+// closed or the requester is released.
+func (l *leaderState) beginRequest(now time.Time, t memberTask) bool {
+	if !l.ledger.Begin(t.key()) {
+		return false
+	}
+	if !l.requests.Begin(t.group, t.requester) {
+		l.ledger.RecordOutcome(now, t.key(), ctsuccession.PromotionDeferred)
+		return false
+	}
+	if ctquorum.Epoch(t.requester.Epoch) != l.epoch {
+		l.successions[t.group].RecordHandOut(now)
+	}
+	return true
+}
+
+// callPromoter calls the service under the requester's epoch, records the outcome and returns
+// it. It sends nothing if the process was suspended since the request was begun: another
+// process may lead by now.
+func (c *Control) callPromoter(s *sending) ctsuccession.PromotionOutcome {
+	ctx, cancel := context.WithTimeout(context.Background(), ctpromotion.CallTimeout)
 	defer cancel()
 	c.logRequest(s)
 	outcome, err := ctsuccession.PromotionDeferred, error(nil)
-	if c.Clock.Now().Sub(s.checkedAt) < promotionTimeout {
-		outcome, err = c.Promoter.Promote(ctx, s.group, s.member, c.Name, s.epoch, c.trace(s))
+	if c.Clock.Now().Sub(s.checkedAt) < ctpromotion.AnswerTimeout {
+		epoch := ctquorum.Epoch(s.requester.Epoch)
+		outcome, err = c.Promoter.Promote(ctx, s.group, s.member, c.Name, epoch, c.trace(s))
 	}
 	now := c.Clock.Now()
 	var steps sendingSteps
 	var held ctlock.Held
 	c.state.With(&held, func(l *leaderState) {
 		steps = s.steps
-		l.ledger.RecordOutcome(now, s.key(), outcome)
+		l.requests.RecordOutcome(now, s.group, s.requester, outcome)
+		if !s.offered {
+			l.ledger.RecordOutcome(now, s.key(), outcome)
+		}
 		c.measureUnanswered(l)
-		if l.isObsolete(s.memberTask) {
+		if !s.offered && l.isObsolete(s.memberTask) {
 			c.logLateAnswer(l, s.memberTask, outcome)
 		}
 	})
 	c.measureAnswer(now, steps, outcome)
 	c.logOutcome(s, now, steps, outcome, err)
-	answered <- outcome
+	return outcome
 }
 
 // isObsolete reports whether nobody waits for a promotion any more: this process has stopped
@@ -122,13 +146,15 @@
 }
 
 // endedPromotions returns the promotions of this process's own epochs, by group, whose requests
-// have ended.
+// have ended, and the groups whose requester it need not be any more.
 func (c *Control) endedPromotions(held *ctlock.Held) []*ctframe.Settled {
 	var ended []*ctframe.Settled
 	c.state.With(held, func(l *leaderState) {
 		now := c.Clock.Now()
 		for _, name := range slices.Sorted(maps.Keys(l.register.Groups)) {
-			if frame := l.closePromotions(now, l.register.Groups[name]); len(frame.Ended)+len(frame.Void) > 0 {
+			frame := l.closePromotions(now, l.register.Groups[name])
+			frame.Released = c.releaseRequester(now, l, l.register.Groups[name])
+			if len(frame.Ended)+len(frame.Void) > 0 || !frame.Released.IsZero() {
 				ended = append(ended, frame)
 			}
 		}
@@ -160,13 +186,29 @@
 	return frame
 }
 
-// ApplySettled settles the promotions without effect. The succession settles the others once
+// releaseRequester returns the requester of a group if that is this process, none of its requests
+// is on its way and it sends no more, and the zero value otherwise. A leader that changes the
+// group's primary stays the requester.
+func (c *Control) releaseRequester(now time.Time, l *leaderState, group ctview.Group) ctview.Requester {
+	wanted := l.leading && group.ChangingPrimary()
+	if group.Requester.Control != c.Name || wanted || !l.requests.Release(now, group.Name, group.Requester) {
+		return ctview.Requester{}
+	}
+	return group.Requester
+}
+
+// ApplySettled releases the requester and settles the promotions without effect. The succession settles the others once
 // their members' statuses show that they have had no effect since.
 func (c *Control) ApplySettled(held *ctlock.Held, settled *ctframe.Settled) error {
 	return c.withAuthority(held, func(now time.Time, l *leaderState) {
 		if machine, ok := l.successions[settled.Group]; ok {
 			machine.RecordEnded(now, settled.Ended)
 		}
+		if !settled.Released.IsZero() && l.group(settled.Group).Requester == settled.Released {
+			c.propose(l, ctregister.ReleaseRequester{
+				Group: settled.Group, Requester: settled.Released, Reason: string(ctsuccession.ReasonAnswered),
+			}, nil)
+		}
 		if len(settled.Void) > 0 {
 			c.propose(l, ctregister.SettlePromotions{
 				Group: settled.Group, Promotions: settled.Void, Reason: string(ctsuccession.ReasonAnswered),
@@ -194,6 +236,16 @@
 	}
 }
 
+// logReleased logs that a group has no requester any more.
+func (c *Control) logReleased(released ctregister.RequesterReleased, reason string) {
+	ctlog.Decision(&c.Logger, "release_requester").
+		Str("group", string(released.Name)).
+		Str("requester", string(released.Requester.Control)).
+		Uint64("requester_epoch", uint64(released.Requester.Epoch)).
+		Str("why", reason).
+		Send()
+}
+
 // logSettled logs that promotions of a group are settled.
 func (c *Control) logSettled(settled ctregister.PromotionsSettled, reason string) {
 	for _, p := range settled.Promotions {
--- a/internal/program/ctcontrol/promotion_test.go
+++ b/internal/program/ctcontrol/promotion_test.go
@@ -54,9 +54,10 @@
 // newTracedBench is newPromotionBench with the request's trace.
 func newTracedBench(before func(b *promotionBench, trace PromotionTrace)) *promotionBench {
 	promotion := ctview.Promotion{Member: "b", Epoch: 4, Number: 1}
+	requester := ctview.Requester{Control: "x", Epoch: 4, Number: 2}
 	b := &promotionBench{
 		registry: prometheus.NewRegistry(),
-		task:     memberTask{group: "g", member: "b", promotion: promotion, epoch: 4},
+		task:     memberTask{group: "g", member: "b", promotion: promotion, requester: requester, epoch: 4},
 	}
 	b.control = New(Options{
 		Name: "x", Clock: ctclock.System{}, Logger: zerolog.New(&b.log), Metrics: ctmetric.NewControl(b.registry),
@@ -75,7 +76,7 @@
 		machine.ApplyAnnouncement(now, ctserver.Announcement{Group: "g", Member: "b", Incarnation: 1})
 		machine.RecordStatus(now, now, "b", ctsuccession.Probe{}, ctquery.Status{Role: ctserver.RoleReplica})
 	})
-	group := ctview.Group{Name: "g", Primary: "a", Term: 1, Fence: 2, Candidate: "b"}
+	group := ctview.Group{Name: "g", Primary: "a", Term: 1, Fence: 2, Candidate: "b", Requester: requester}
 	b.set(group, []ctview.Promotion{promotion})
 	return b
 }
@@ -119,7 +120,7 @@
 	t.Helper()
 	s := b.control.beginPromotion(&b.held, b.task)
 	assert.Assert(t, s != nil)
-	b.control.callPromoter(s, make(chan ctsuccession.PromotionOutcome, 1))
+	b.control.callPromoter(s)
 }
 
 // assertLate asserts that the promotion is requested, and whether its answer counts as late.
--- a/internal/program/ctcontrol/sending.go
+++ b/internal/program/ctcontrol/sending.go
@@ -5,7 +5,6 @@
 
 	"github.com/rs/zerolog"
 
-	"github.com/cherviltrestle/cherviltrestle/internal/decide/ctpromotion"
 	"github.com/cherviltrestle/cherviltrestle/internal/decide/ctsuccession"
 	"github.com/cherviltrestle/cherviltrestle/internal/model/ctview"
 	"github.com/cherviltrestle/cherviltrestle/internal/program/ctlog"
@@ -24,6 +23,8 @@
 	checkedAt, authorityExpiresAt time.Time
 	// unsettled are the group's other promotions that might still take effect at the check.
 	unsettled []ctview.Promotion
+	// offered reports that another process leads and offered the request to this one.
+	offered bool
 	// steps are guarded by Control.state.
 	steps sendingSteps
 }
@@ -39,11 +40,6 @@
 	leading       bool
 }
 
-// key returns the key of the request's promotion in the ledger.
-func (s *sending) key() ctpromotion.Key {
-	return ctpromotion.Key{Group: s.group, Promotion: s.promotion}
-}
-
 // newSending returns a request that may be sent at the time of its check.
 func (l *leaderState) newSending(now time.Time, t memberTask) *sending {
 	s := &sending{memberTask: t, checkedAt: now, authorityExpiresAt: l.authorityExpiresAt}
@@ -70,7 +66,8 @@
 }
 
 // recordWritten records that a request is written. A process that doesn't lead in its epoch any
-// more has the authority that it had at the check.
+// more has the authority that it had at the check, and one that was offered the request has the
+// leader's for ctpromotion.AnswerTimeout.
 func (c *Control) recordWritten(s *sending) {
 	now := c.Clock.Now()
 	var held ctlock.Held
@@ -82,7 +79,7 @@
 			expiresAt = l.authorityExpiresAt
 		}
 		s.steps.authorityLeft = expiresAt.Sub(now)
-		if !s.steps.leading || s.steps.authorityLeft <= 0 {
+		if (!s.steps.leading && !s.offered) || s.steps.authorityLeft <= 0 {
 			c.Metrics.PromotionsWithoutAuthority.Inc()
 		}
 	})
@@ -102,6 +99,8 @@
 		Str("member", string(s.member)).
 		Uint64("epoch", uint64(s.epoch)).
 		Uint64("number", uint64(s.promotion.Number)).
+		Uint64("requester_epoch", uint64(s.requester.Epoch)).
+		Bool("offered", s.offered).
 		Dur("since_check", c.Clock.Now().Sub(s.checkedAt)).
 		Dur("authority", s.authorityExpiresAt.Sub(s.checkedAt)).
 		Int("unsettled", len(s.unsettled)).
@@ -120,6 +119,7 @@
 		Str("member", string(s.member)).
 		Uint64("epoch", uint64(s.epoch)).
 		Uint64("number", uint64(s.promotion.Number)).
+		Uint64("requester_epoch", uint64(s.requester.Epoch)).
 		Uint8("outcome", uint8(outcome)).
 		Dur("took", now.Sub(s.checkedAt))
 	if !steps.connectedAt.IsZero() {
--- a/internal/program/ctcontrol/sending_test.go
+++ b/internal/program/ctcontrol/sending_test.go
@@ -8,8 +8,8 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/cherviltrestle/cherviltrestle/internal/decide/ctpromotion"
 	"github.com/cherviltrestle/cherviltrestle/internal/decide/ctquorum"
-	"github.com/cherviltrestle/cherviltrestle/internal/decide/ctsuccession"
 	"github.com/cherviltrestle/cherviltrestle/internal/model/ctview"
 )
 
@@ -134,8 +134,8 @@
 	t.Run("nothing is sent after a suspension", func(t *testing.T) {
 		b := newTracedBench(func(_ *promotionBench, trace PromotionTrace) { write(trace) })
 		s := b.control.beginPromotion(&b.held, b.task)
-		s.checkedAt = s.checkedAt.Add(-promotionTimeout)
-		b.control.callPromoter(s, make(chan ctsuccession.PromotionOutcome, 1))
+		s.checkedAt = s.checkedAt.Add(-ctpromotion.AnswerTimeout)
+		b.control.callPromoter(s)
 		line := findLine(t, b, "order_promotion")
 		assert.Assert(t, line.Written == nil && *line.Took >= 1000, "%s", b.log.String())
 	})
--- a/internal/program/ctcontrol/service.go
+++ b/internal/program/ctcontrol/service.go
@@ -175,6 +175,7 @@
 	go s.announcements.run(ctx)
 	go s.reports.run(ctx)
 	go s.reportSettled(ctx)
+	go s.serveOffers(ctx)
 	go s.followLeader(ctx)
 	s.Logger.Info().Str("event", "started").Str("name", string(s.Name)).
 		Uint64("incarnation", uint64(s.replica.self.Incarnation)).Send()
@@ -244,6 +245,12 @@
 		return replyOrError(s.control.ApplyAnnouncement(held, f), &ctframe.Ack{})
 	case *ctframe.Settled:
 		return replyOrError(s.control.ApplySettled(held, f), &ctframe.Ack{})
+	case *ctframe.FetchOffers:
+		reply, err := s.control.FetchOffers(held, f)
+		return replyOrError(err, reply)
+	case *ctframe.ReportOffer:
+		s.control.ReportOffer(held, f)
+		return &ctframe.Ack{}
 	case *ctframe.Gathered:
 		return replyOrError(s.control.ApplyAnnouncements(held, f.Announcements), &ctframe.Ack{})
 	}
--- a/internal/program/ctcontrol/succession.go
+++ b/internal/program/ctcontrol/succession.go
@@ -9,6 +9,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/cherviltrestle/cherviltrestle/internal/decide/ctpromotion"
 	"github.com/cherviltrestle/cherviltrestle/internal/decide/ctquorum"
 	"github.com/cherviltrestle/cherviltrestle/internal/decide/ctregister"
 	"github.com/cherviltrestle/cherviltrestle/internal/decide/ctsuccession"
@@ -42,10 +43,10 @@
 
 // Promoter requests promotions from the external service that promotes members.
 type Promoter interface {
-	// Promote requests the promotion of a member in the name of the leader of an epoch, and
-	// calls the functions of trace.
+	// Promote requests the promotion of a member in the name of the group's requester, under
+	// the epoch in which that one became it, and calls the functions of trace.
 	Promote(
-		ctx context.Context, group ctid.Group, member ctid.Member, leader ctid.Control, epoch ctquorum.Epoch,
+		ctx context.Context, group ctid.Group, member ctid.Member, requester ctid.Control, epoch ctquorum.Epoch,
 		trace PromotionTrace,
 	) (ctsuccession.PromotionOutcome, error)
 }
@@ -67,9 +68,15 @@
 	server    ctserver.Announcement
 	command   ctsuccession.Command
 	promotion ctview.Promotion
+	requester ctview.Requester
 	epoch     ctquorum.Epoch
 }
 
+// key returns the key of the task's promotion in the ledger.
+func (t *memberTask) key() ctpromotion.Key {
+	return ctpromotion.Key{Group: t.group, Promotion: t.promotion}
+}
+
 // applyToSuccessions applies a proxy's report to the successions of the groups that it
 // names. It grants the proxy authority and adds the groups and log samples to the reply.
 func (c *Control) applyToSuccessions(now time.Time, l *leaderState, report *ctview.Report, reply *ctview.Reply) {
@@ -219,7 +226,9 @@
 		case ctsuccession.SendCommand:
 			c.enqueueTask(l, memberTask{group: name, member: a.Member, command: a.Command})
 		case ctsuccession.PromotionRequest:
-			c.enqueueTask(l, memberTask{group: name, member: a.Promotion.Member, promotion: a.Promotion})
+			c.enqueueTask(l, memberTask{
+				group: name, member: a.Promotion.Member, promotion: a.Promotion, requester: a.Requester,
+			})
 		case ctsuccession.SetGroup:
 			l.proposedAt[name] = now
 			c.logBasis(group, a)
@@ -231,6 +240,11 @@
 			c.propose(l, ctregister.SettlePromotions{
 				Group: name, Promotions: a.Promotions, Reason: string(a.Reason),
 			}, nil)
+		case ctsuccession.ReleaseRequester:
+			l.proposedAt[name] = now
+			c.propose(l, ctregister.ReleaseRequester{
+				Group: name, Requester: a.Requester, Reason: string(a.Reason),
+			}, nil)
 		}
 	}
 }
