--- a/internal/program/ctcontrol/machine.go
+++ b/internal/program/ctcontrol/machine.go
@@ -8,6 +8,7 @@
 	"github.com/cherviltrestle/cherviltrestle/internal/fleet/ctroster"
 	"github.com/cherviltrestle/cherviltrestle/internal/link/ctrecord"
 	"github.com/cherviltrestle/cherviltrestle/internal/model/ctconfig"
+	"github.com/cherviltrestle/cherviltrestle/internal/model/ctview"
 	"github.com/cherviltrestle/cherviltrestle/internal/work/ctlock"
 )
 
@@ -69,7 +70,7 @@
 		}
 		l.roster.SetGroup(l.register.Groups[r.Name])
 		l.notifyWatchers()
-		c.logGroup(set)
+		c.logGroup(set.Reason, l.register.Groups[r.Name])
 	case ctregister.PromotionsSettled:
 		delete(l.proposedAt, r.Name)
 		group, declared := l.register.Groups[r.Name]
@@ -178,13 +179,15 @@
 		Send()
 }
 
-func (c *Control) logGroup(set ctregister.SetGroup) {
-	group := set.Group
-	c.Logger.Info().Str("event", "decision").Str("decision", "set_group").
+func (c *Control) logGroup(reason string, group ctview.Group) {
+	event := c.Logger.Info().Str("event", "decision").Str("decision", "set_group").
 		Str("group", string(group.Name)).
 		Str("primary", string(group.Primary)).
 		Uint64("term", uint64(group.Term)).
 		Uint64("fence", uint64(group.Fence)).
-		Str("why", set.Reason).
-		Send()
+		Str("why", reason)
+	if !group.Requester.IsZero() {
+		event.Str("requester", string(group.Requester.Control)).Uint64("requester_epoch", uint64(group.Requester.Epoch))
+	}
+	event.Send()
 }
