ctpromotion: a request that was not sent doesn't lengthen its sender's turn

A requester that can't reach the service would have tried each offer of the leader in vain, and each try began its turn again: the group had no primary until the link was back, although the leader could reach the service. TestUnreachableService failed before.

--- a/internal/decide/ctpromotion/requests.go
+++ b/internal/decide/ctpromotion/requests.go
@@ -86,6 +86,11 @@
 	}
 }
 
+// RecordUnsent records that a request ended before any of it was sent.
+func (r *Requests) RecordUnsent(group ctid.Group, requester ctview.Requester) {
+	r.stateOf(group, requester).unanswered--
+}
+
 // Release reports whether the service can't receive a request of a requester any more, and its
 // turn has ended. If so, Begin allows no further one. It is false for a requester of an earlier
 // run of the process.
--- a/internal/decide/ctpromotion/requests_test.go
+++ b/internal/decide/ctpromotion/requests_test.go
@@ -60,6 +60,11 @@
 		assertRelease(t, r, ctsuccession.RequestLifetime-time.Second, false)
 		assertRelease(t, r, ctsuccession.RequestLifetime, true)
 	})
+	t.Run("at once after a request that was not sent", func(t *testing.T) {
+		r := newRequests(t, 1)
+		r.RecordUnsent("g", requester)
+		assertRelease(t, r, 0, true)
+	})
 	t.Run("not by a later run of the process, which may send", func(t *testing.T) {
 		var r ctpromotion.Requests
 		r.Lead(6)
--- a/internal/program/ctcontrol/offers_test.go
+++ b/internal/program/ctcontrol/offers_test.go
@@ -1,9 +1,11 @@
 package ctcontrol
 
 import (
+	"context"
 	"testing"
 	"time"
 
+	"github.com/pkg/errors"
 	"gotest.tools/v3/assert"
 
 	"github.com/cherviltrestle/cherviltrestle/internal/decide/ctpromotion"
@@ -80,6 +82,28 @@
 	})
 }
 
+// TestUnreachableService covers a group without a primary: its requester can't reach the service,
+// and the leader can.
+func TestUnreachableService(t *testing.T) {
+	b := newPromotionBench(func(*promotionBench) {})
+	b.control.Promoter = unreachable{}
+	assert.Equal(t, b.control.callPromoter(b.control.beginPromotion(&b.held, b.task)), ctsuccession.PromotionDeferred)
+	assert.Equal(t, len(b.control.endedPromotions(&b.held)), 0)
+	b.control.BecomeFollower(ctquorum.Peer{Name: "y"})
+	ended := b.control.endedPromotions(&b.held)
+	assert.Equal(t, len(ended), 1)
+	assert.Equal(t, ended[0].Released, b.task.requester)
+}
+
+// unreachable is a service that can't be connected to.
+type unreachable struct{}
+
+func (unreachable) Promote(
+	context.Context, ctid.Group, ctid.Member, ctid.Control, ctquorum.Epoch, PromotionTrace,
+) (ctsuccession.PromotionOutcome, error) {
+	return ctsuccession.PromotionDeferred, errors.New("no connection")
+}
+
 // TestSendOffer covers the same on the side of the requester, which doesn't lead.
 func TestSendOffer(t *testing.T) {
 	// newRequester returns a bench that is the requester under an epoch and follows another
--- a/internal/program/ctcontrol/promotion.go
+++ b/internal/program/ctcontrol/promotion.go
@@ -102,7 +102,7 @@
 	var held ctlock.Held
 	c.state.With(&held, func(l *leaderState) {
 		steps = s.steps
-		l.requests.RecordOutcome(now, s.group, s.requester, outcome)
+		l.recordRequest(now, s, outcome)
 		if !s.offered {
 			l.ledger.RecordOutcome(now, s.key(), outcome)
 		}
@@ -116,6 +116,15 @@
 	return outcome
 }
 
+// recordRequest records the end of a request of this process as the requester.
+func (l *leaderState) recordRequest(now time.Time, s *sending, outcome ctsuccession.PromotionOutcome) {
+	if outcome == ctsuccession.PromotionDeferred && s.steps.connectedAt.IsZero() {
+		l.requests.RecordUnsent(s.group, s.requester)
+		return
+	}
+	l.requests.RecordOutcome(now, s.group, s.requester, outcome)
+}
+
 // isObsolete reports whether nobody waits for a promotion any more: this process has stopped
 // leading since the request, or the group has another primary or candidate.
 func (l *leaderState) isObsolete(t memberTask) bool {
