ctregister: a decision made before a release doesn't bring the requester back

A leader ends its part and proposes the release; before it is applied the primary is lost, and the fence is decided on the state that still names the requester. The fence then brought it back, and the group had no primary as long as that leader stayed: it may not send any more, and its own requester doesn't expire.

SetGroup carries the requester that the decision saw, and the register takes the one in Group only if the decision names another. TestRequester, "is not brought back ...", failed before.

--- a/internal/decide/ctregister/command.go
+++ b/internal/decide/ctregister/command.go
@@ -26,13 +26,16 @@
 
 // SetGroup replaces the decided state of a group, if that state still has the term
 // and the fence that the decision was based on. It adds to the unsettled promotions and
-// removes none of them, and it does not replace a requester.
+// removes none of them. It makes a process the requester only if there is none.
 type SetGroup struct {
 	Group ctview.Group `json:"group" cbor:"group"`
 	// BaseTerm and BaseFence are the group's term and fence when the decision was
 	// made.
 	BaseTerm  ctposition.Term `json:"term" cbor:"term"`
 	BaseFence ctposition.Term `json:"fence" cbor:"fence"`
+	// BaseRequester is the group's requester then. Group has another one if the decision
+	// makes a process the requester.
+	BaseRequester ctview.Requester `json:"requester,omitzero" cbor:"requester,omitzero"`
 	// Reason says why the decision was made, and At when.
 	Reason string    `json:"why" cbor:"why"`
 	At     time.Time `json:"at" cbor:"at"`
--- a/internal/decide/ctregister/register.go
+++ b/internal/decide/ctregister/register.go
@@ -187,7 +187,7 @@
 	group.Revision = current.Revision + 1
 	unsettled := ctview.MergePromotions(current.Unsettled, r.Undeclared[name])
 	group.Unsettled = ctview.MergePromotions(unsettled, group.Unsettled)
-	if requester := r.requesterOf(name); !requester.IsZero() {
+	if requester := r.requesterOf(name); !requester.IsZero() || group.Requester == c.BaseRequester {
 		group.Requester = requester
 	}
 	delete(r.Undeclared, name)
--- a/internal/decide/ctregister/requester_test.go
+++ b/internal/decide/ctregister/requester_test.go
@@ -39,6 +39,14 @@
 		set(r, second)
 		assertRequester(t, r, second)
 	})
+	t.Run("is not brought back by a decision that was made before its release", func(t *testing.T) {
+		r := newRegister()
+		r.Apply(ctregister.ReleaseRequester{Group: "g", Requester: first})
+		group := ctview.Group{Name: "g", Term: 2, Fence: 3, Requester: first}
+		r.Apply(ctregister.SetGroup{BaseTerm: 2, BaseRequester: first, Group: group})
+		assert.Equal(t, r.Groups["g"].Fence, group.Fence)
+		assertRequester(t, r, ctview.Requester{})
+	})
 	t.Run("is not released in the place of another", func(t *testing.T) {
 		r := newRegister()
 		r.Apply(ctregister.ReleaseRequester{Group: "g", Requester: second})
--- a/internal/program/ctcontrol/control.go
+++ b/internal/program/ctcontrol/control.go
@@ -260,8 +260,10 @@
 		Group:     proposal.Group,
 		BaseTerm:  group.Term,
 		BaseFence: group.Fence,
-		Reason:    string(proposal.Reason),
-		At:        now,
+		// Control requests no promotions of such a group.
+		BaseRequester: group.Requester,
+		Reason:        string(proposal.Reason),
+		At:            now,
 	}, nil)
 }
 
--- a/internal/program/ctcontrol/succession.go
+++ b/internal/program/ctcontrol/succession.go
@@ -233,7 +233,8 @@
 			l.proposedAt[name] = now
 			c.logBasis(group, a)
 			c.propose(l, ctregister.SetGroup{
-				Group: a.Group, BaseTerm: group.Term, BaseFence: group.Fence, Reason: string(a.Reason), At: now,
+				Group: a.Group, BaseTerm: group.Term, BaseFence: group.Fence, BaseRequester: group.Requester,
+				Reason: string(a.Reason), At: now,
 			}, nil)
 		case ctsuccession.SettlePromotions:
 			l.proposedAt[name] = now
