platform: nothing is written on a connection that is open too late

A sender that was suspended while it opened the connection wrote its request after the suspension: the last check lay before the dial, which may take 0.8 s.

The connection is opened first, and the sender checks once more before it writes.

--- a/internal/program/ctcontrol/sending.go
+++ b/internal/program/ctcontrol/sending.go
@@ -5,6 +5,7 @@
 
 	"github.com/rs/zerolog"
 
+	"github.com/cherviltrestle/cherviltrestle/internal/decide/ctpromotion"
 	"github.com/cherviltrestle/cherviltrestle/internal/decide/ctsuccession"
 	"github.com/cherviltrestle/cherviltrestle/internal/model/ctview"
 	"github.com/cherviltrestle/cherviltrestle/internal/program/ctlog"
@@ -54,15 +55,26 @@
 // trace returns a trace that records the steps of a request.
 func (c *Control) trace(s *sending) PromotionTrace {
 	return PromotionTrace{
-		Connected: func() { c.recordConnected(s) },
+		Connected: func() bool { return c.recordConnected(s) },
 		Written:   func() { c.recordWritten(s) },
 	}
 }
 
-func (c *Control) recordConnected(s *sending) {
+// inTime reports whether the last check of a request is recent enough to send it.
+func (s *sending) inTime(now time.Time) bool {
+	return now.Sub(s.checkedAt) < ctpromotion.AnswerTimeout
+}
+
+// recordConnected records that a connection is open, and reports whether the request may be
+// written to it.
+func (c *Control) recordConnected(s *sending) bool {
 	now := c.Clock.Now()
+	if !s.inTime(now) {
+		return false
+	}
 	var held ctlock.Held
 	c.state.With(&held, func(*leaderState) { s.steps.connectedAt = now })
+	return true
 }
 
 // recordWritten records that a request is written. A process that doesn't lead in its epoch any
--- a/internal/program/ctcontrol/succession.go
+++ b/internal/program/ctcontrol/succession.go
@@ -54,8 +54,9 @@
 // PromotionTrace holds functions that a Promoter calls at the steps of a request, each at most
 // once. They may be nil, and may be called by other goroutines and after Promote has returned.
 type PromotionTrace struct {
-	// Connected is called when the connection to the service is open.
-	Connected func()
+	// Connected is called when the connection to the service is open. If it returns false, the
+	// request is not written, and its outcome is deferred.
+	Connected func() bool
 	// Written is called when the last byte of the request is written to the connection.
 	Written func()
 }
