ctsuccession: a requester is released only on word from after the last hand-out

And while a release was proposed but not applied, the requester still fetched requests.

A report counts only with the leader's present mark, which each hand-out changes and no later leader shares; once the leader has proposed a release, it hands that requester nothing more. Of the same kind and in the same code: a request that was not sent doesn't postpone the release of a requester that has started again and can't reach the service; one that had ended its part without a leader to tell, and then leads, reports it; a fetch is not repeated on another stream; a call ends within the lifetime of its request on any clock.

--- a/internal/decide/ctpromotion/offers.go
+++ b/internal/decide/ctpromotion/offers.go
@@ -15,8 +15,9 @@
 	// it goes on with an unknown outcome.
 	AnswerTimeout = time.Second
 	// CallTimeout bounds a call, which goes on after AnswerTimeout: its answer shows that the
-	// request can't take effect later.
-	CallTimeout = 60 * time.Second
+	// request can't take effect later. With AnswerTimeout, within which it begins, it is below
+	// ctsuccession.RequestLifetime on any clock.
+	CallTimeout = 55 * time.Second
 )
 
 // OfferNumber tells the offers of a leader apart.
@@ -87,9 +88,10 @@
 	Outcome ctsuccession.PromotionOutcome
 	// Awaited reports that the group waits for the outcome.
 	Awaited bool
-	// Fetched reports that the request may have been sent. Ended reports that the outcome is
-	// final.
-	Fetched, Ended bool
+	// FetchedAt is when the offer was fetched, so that its request may have been sent, or
+	// zero. Ended reports that the outcome is final.
+	FetchedAt time.Time
+	Ended     bool
 }
 
 // Report removes a fetched offer whose outcome the requester reports. It returns false if the
@@ -101,7 +103,7 @@
 	}
 	delete(o.states, offer.Number)
 	return OfferOutcome{
-		Offer: offer, Outcome: outcome, Awaited: !state.recorded, Fetched: true, Ended: true,
+		Offer: offer, Outcome: outcome, Awaited: !state.recorded, FetchedAt: state.fetchedAt, Ended: true,
 	}, true
 }
 
@@ -111,14 +113,14 @@
 	var outcomes []OfferOutcome
 	for _, number := range slices.Sorted(maps.Keys(o.states)) {
 		state := o.states[number]
-		outcome := OfferOutcome{Offer: state.Offer, Awaited: !state.recorded}
+		outcome := OfferOutcome{Offer: state.Offer, Awaited: !state.recorded, FetchedAt: state.fetchedAt}
 		switch {
 		case state.fetchedAt.IsZero() && now.Sub(state.putAt) >= AnswerTimeout:
 			outcome.Outcome, outcome.Ended = ctsuccession.PromotionDeferred, true
 		case !state.fetchedAt.IsZero() && now.Sub(state.fetchedAt) >= CallTimeout:
-			outcome.Fetched, outcome.Ended = true, true
+			outcome.Ended = true
 		case !state.fetchedAt.IsZero() && !state.recorded && now.Sub(state.fetchedAt) >= AnswerTimeout:
-			outcome.Fetched, state.recorded = true, true
+			state.recorded = true
 		default:
 			continue
 		}
--- a/internal/decide/ctpromotion/offers_test.go
+++ b/internal/decide/ctpromotion/offers_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/cherviltrestle/cherviltrestle/internal/decide/ctpromotion"
 	"github.com/cherviltrestle/cherviltrestle/internal/decide/ctsuccession"
+	"github.com/cherviltrestle/cherviltrestle/internal/model/ctdrift"
 )
 
 // begin allows each request.
@@ -44,6 +45,12 @@
 	assert.Equal(t, outcomes[0].Ended, ended)
 }
 
+// TestCallTimeout covers a request that is handled after its lifetime, without any suspension.
+func TestCallTimeout(t *testing.T) {
+	longest := ctdrift.UpperBound(ctpromotion.AnswerTimeout + ctpromotion.CallTimeout)
+	assert.Assert(t, longest < ctsuccession.RequestLifetime)
+}
+
 // TestOffers covers requests of unknown outcome: what a leader knows of a request that another
 // process is to send.
 func TestOffers(t *testing.T) {
--- a/internal/decide/ctpromotion/requests.go
+++ b/internal/decide/ctpromotion/requests.go
@@ -105,3 +105,8 @@
 	state.released = true
 	return true
 }
+
+// Released reports whether Release was true before.
+func (r *Requests) Released(group ctid.Group, requester ctview.Requester) bool {
+	return r.stateOf(group, requester).released
+}
--- a/internal/decide/ctpromotion/requests_test.go
+++ b/internal/decide/ctpromotion/requests_test.go
@@ -29,6 +29,7 @@
 func assertRelease(t *testing.T, r *ctpromotion.Requests, after time.Duration, want bool) {
 	t.Helper()
 	assert.Equal(t, r.Release(start.Add(after), "g", requester), want)
+	assert.Equal(t, r.Released("g", requester), want)
 	if want {
 		assert.Assert(t, !r.Begin("g", requester))
 	}
--- a/internal/decide/ctsuccession/decide.go
+++ b/internal/decide/ctsuccession/decide.go
@@ -14,8 +14,8 @@
 // and records their results.
 func (m *Machine) Decide(now time.Time, group ctview.Group) []Action {
 	m.expire(now)
-	if m.requesterExpired(now, group) {
-		return []Action{ReleaseRequester{Requester: group.Requester, Reason: ReasonExpired}}
+	if release, expired := m.expireRequester(now, group); expired {
+		return []Action{release}
 	}
 	if actions := m.settlePromotions(now, group); len(actions) > 0 {
 		return actions
--- a/internal/decide/ctsuccession/machine.go
+++ b/internal/decide/ctsuccession/machine.go
@@ -114,9 +114,8 @@
 	// ended holds the unsettled promotions for which no request can take effect any more, with
 	// the times at which the leader learned of it.
 	ended map[ctview.Promotion]time.Time
-	// handedOutAt is when a request was last handed to a requester that this leader did not
-	// make one, or zero.
-	handedOutAt time.Time
+	// handOuts are the requests that were handed to a requester of an earlier epoch.
+	handOuts handOuts
 	// current is the state of the change in progress.
 	current changeState
 }
@@ -198,6 +197,7 @@
 		ended:          make(map[ctview.Promotion]time.Time),
 		proxies:        proxies,
 		reports:        make(map[ctid.Proxy]*proxyReport),
+		handOuts:       handOuts{count: uint64(m.LastNumber)},
 	}
 }
 
--- a/internal/decide/ctsuccession/requester_test.go
+++ b/internal/decide/ctsuccession/requester_test.go
@@ -80,9 +80,60 @@
 		e.run(11 * time.Second)
 		assertRequesters(t, e, earlier, own(e))
 	})
+	t.Run("a request that was not sent doesn't postpone its release", func(t *testing.T) {
+		e := newLeader(earlier)
+		e.run(30 * time.Second)
+		at := e.now
+		e.machine.RecordHandOut(at)
+		e.machine.TakeBackHandOut(at)
+		e.run(31 * time.Second)
+		assertRequesters(t, e, earlier, own(e))
+	})
+	t.Run("nothing is handed to a requester whose release is proposed", func(t *testing.T) {
+		e := newLeader(earlier)
+		assert.Assert(t, e.machine.MayRequest(earlier))
+		e.run(ctsuccession.RequestLifetime)
+		assert.Assert(t, !e.machine.MayRequest(earlier))
+		assert.Assert(t, e.machine.MayRequest(own(e)))
+	})
 	t.Run("a leader's own requester doesn't end with the time", func(t *testing.T) {
 		e := newLeader(ctview.Requester{})
 		e.run(2 * ctsuccession.RequestLifetime)
 		assertRequesters(t, e, own(e))
 	})
 }
+
+// TestReleaseOfEarlierRun covers the same where a process started again: the report of its earlier
+// run arrives after its later run was handed a request.
+func TestReleaseOfEarlierRun(t *testing.T) {
+	// assertReleased asserts whether a report with a mark releases the requester.
+	assertReleased := func(t *testing.T, e *environment, mark ctsuccession.Mark, want bool) {
+		t.Helper()
+		release, ok := e.machine.Release(e.group, earlier, mark)
+		assert.Equal(t, ok, want)
+		assert.Equal(t, release.Requester == earlier, want)
+		assert.Equal(t, e.machine.MayRequest(earlier), !want)
+	}
+	t.Run("a report with the present mark releases the requester", func(t *testing.T) {
+		e := newLeader(earlier)
+		e.machine.RecordHandOut(e.now)
+		assertReleased(t, e, e.machine.Mark(), true)
+	})
+	t.Run("a report from before the last hand-out does not", func(t *testing.T) {
+		e := newLeader(earlier)
+		mark := e.machine.Mark()
+		e.machine.RecordHandOut(e.now)
+		e.machine.TakeBackHandOut(e.now)
+		assertReleased(t, e, mark, false)
+	})
+	t.Run("nor one with the mark of an earlier leader", func(t *testing.T) {
+		e := newLeader(earlier)
+		mark := e.machine.Mark()
+		mark.Epoch--
+		assertReleased(t, e, mark, false)
+	})
+	t.Run("nor one of another requester", func(t *testing.T) {
+		e := newLeader(ctview.Requester{Control: "x", Epoch: 7, Number: 2})
+		assertReleased(t, e, e.machine.Mark(), false)
+	})
+}
--- a/internal/link/ctframe/control.go
+++ b/internal/link/ctframe/control.go
@@ -69,6 +69,9 @@
 	Group ctid.Group `cbor:"group"`
 	// Released is the sender of the frame as the requester, or the zero value.
 	Released ctview.Requester `cbor:"released,omitzero"`
+	// Mark is that of the leader's last reply on the group. Released counts only with the
+	// present one.
+	Mark ctsuccession.Mark `cbor:"mark"`
 	// Ended lists those of which a request may have taken effect, and Void those without an
 	// accepted request.
 	Ended []ctview.Promotion `cbor:"ended,omitempty"`
@@ -93,6 +96,12 @@
 	return nil
 }
 
+// SettledReply answers Settled. It confirms that the leader has applied the promotions, and
+// Released if Mark is that of the frame.
+type SettledReply struct {
+	Mark ctsuccession.Mark `cbor:"mark"`
+}
+
 // FetchOffers asks control's leader for the promotion requests that the process is to send.
 // Where the reply comes late, the process must send none of them.
 type FetchOffers struct {
@@ -118,6 +127,8 @@
 type ReportOffer struct {
 	Offer   ctpromotion.Offer             `cbor:"offer"`
 	Outcome ctsuccession.PromotionOutcome `cbor:"outcome"`
+	// Unsent reports that nothing of the request was sent.
+	Unsent bool `cbor:"unsent,omitempty"`
 }
 
 // Check returns an error of kind cterror.Invalid for an invalid offer or an unknown outcome.
@@ -128,7 +139,7 @@
 	return f.Offer.Check()
 }
 
-// Ack answers Heard, Gathered, Settled and ReportOffer. It confirms that the leader has applied them.
+// Ack answers Heard, Gathered and ReportOffer. It confirms that the leader has applied them.
 type Ack struct{}
 
 func (*Publish) kind() kind      { return kindPublish }
@@ -143,3 +154,4 @@
 func (*FetchOffers) kind() kind      { return kindFetchOffers }
 func (*FetchOffersReply) kind() kind { return kindFetchOffersReply }
 func (*ReportOffer) kind() kind      { return kindReportOffer }
+func (*SettledReply) kind() kind     { return kindSettledReply }
--- a/internal/link/ctframe/frame.go
+++ b/internal/link/ctframe/frame.go
@@ -50,6 +50,7 @@
 	kindFetchOffers
 	kindFetchOffersReply
 	kindReportOffer
+	kindSettledReply
 )
 
 // constructors contains, for each kind, a function that returns an empty frame.
@@ -84,6 +85,7 @@
 	kindSettled:        func() Frame { return &Settled{} },
 	kindFetchOffers:    func() Frame { return &FetchOffers{} },
 	kindReportOffer:    func() Frame { return &ReportOffer{} },
+	kindSettledReply:   func() Frame { return &SettledReply{} },
 
 	kindReportBatch:      func() Frame { return &ReportBatch{} },
 	kindReportBatchReply: func() Frame { return &ReportBatchReply{} },
--- a/internal/program/ctcontrol/forward.go
+++ b/internal/program/ctcontrol/forward.go
@@ -125,9 +125,8 @@
 		return nil, err
 	}
 	reply, err := ctframe.Call(ctx, stream, frame)
-	if err != nil && !fresh {
-		// The leader's process may have ended since the stream was last used. The request
-		// may be sent again because all requests are idempotent.
+	if err != nil && !fresh && repeatable(frame) {
+		// The leader's process may have ended since the stream was last used.
 		stream.Close()
 		if stream, err = s.openStream(ctx, address); err != nil {
 			return nil, err
@@ -142,6 +141,13 @@
 	return checkReply(reply)
 }
 
+// repeatable reports whether a request may be sent again: it is idempotent. An offer is handed
+// out once, so that the leader would count those of the first request as sent.
+func repeatable(frame ctframe.Frame) bool {
+	_, fetch := frame.(*ctframe.FetchOffers)
+	return !fetch
+}
+
 // awaitLeader waits until a leader is known or ctx ends. An election usually completes
 // within the caller's timeout.
 func (s *Service) awaitLeader(ctx context.Context, held *ctlock.Held) (leader ctid.Control, self bool) {
--- a/internal/program/ctcontrol/machine.go
+++ b/internal/program/ctcontrol/machine.go
@@ -82,7 +82,6 @@
 		l.notifyWatchers()
 		c.logSettled(r, settle.Reason)
 	case ctregister.RequesterReleased:
-		delete(l.proposedAt, r.Name)
 		release, ok := command.(ctregister.ReleaseRequester)
 		if !ok || r.Requester.IsZero() {
 			return
--- a/internal/program/ctcontrol/offers.go
+++ b/internal/program/ctcontrol/offers.go
@@ -47,9 +47,15 @@
 // ReportOffer records the outcome of an offer of this process.
 func (c *Control) ReportOffer(held *ctlock.Held, report *ctframe.ReportOffer) {
 	c.state.With(held, func(l *leaderState) {
-		if outcome, ok := l.offers.Report(report.Offer, report.Outcome); ok {
-			c.recordOffer(c.Clock.Now(), l, outcome)
+		outcome, ok := l.offers.Report(report.Offer, report.Outcome)
+		if !ok {
+			return
+		}
+		machine, ok := l.successions[report.Offer.Key.Group]
+		if ok && report.Unsent && l.epoch == ctquorum.Epoch(report.Offer.Key.Promotion.Epoch) {
+			machine.TakeBackHandOut(outcome.FetchedAt)
 		}
+		c.recordOffer(c.Clock.Now(), l, outcome)
 	})
 }
 
@@ -62,7 +68,7 @@
 
 // recordOffer records the outcome of an offer in the ledger and in the group's succession.
 func (c *Control) recordOffer(now time.Time, l *leaderState, o ctpromotion.OfferOutcome) {
-	if o.Fetched && o.Ended {
+	if !o.FetchedAt.IsZero() && o.Ended {
 		l.ledger.RecordOutcome(now, o.Offer.Key, o.Outcome)
 		c.measureUnanswered(l)
 	}
@@ -123,7 +129,8 @@
 // serveOffer sends the request of an offer, if it was fetched without delay, and reports the
 // outcome to the leader until it has it.
 func (s *Service) serveOffer(ctx context.Context, askedAt time.Time, offer ctpromotion.Offer) {
-	report := &ctframe.ReportOffer{Offer: offer, Outcome: s.control.sendOffer(askedAt, offer)}
+	report := &ctframe.ReportOffer{Offer: offer}
+	report.Outcome, report.Unsent = s.control.sendOffer(askedAt, offer)
 	for until := askedAt.Add(ctpromotion.CallTimeout); s.Clock.Now().Before(until); {
 		if s.sendToLeader(ctx, report) == nil {
 			return
@@ -136,8 +143,11 @@
 	}
 }
 
-// sendOffer sends the request of an offer that this process asked for at askedAt.
-func (c *Control) sendOffer(askedAt time.Time, offer ctpromotion.Offer) ctsuccession.PromotionOutcome {
+// sendOffer sends the request of an offer that this process asked for at askedAt. It returns the
+// outcome and whether nothing was sent.
+func (c *Control) sendOffer(
+	askedAt time.Time, offer ctpromotion.Offer,
+) (outcome ctsuccession.PromotionOutcome, unsent bool) {
 	t := memberTask{
 		group: offer.Key.Group, member: offer.Key.Promotion.Member, promotion: offer.Key.Promotion,
 		requester: offer.Requester, epoch: ctquorum.Epoch(offer.Key.Promotion.Epoch),
@@ -151,7 +161,7 @@
 		}
 	})
 	if request == nil {
-		return ctsuccession.PromotionDeferred
+		return ctsuccession.PromotionDeferred, true
 	}
 	return c.callPromoter(request)
 }
--- a/internal/program/ctcontrol/offers_test.go
+++ b/internal/program/ctcontrol/offers_test.go
@@ -87,7 +87,9 @@
 func TestUnreachableService(t *testing.T) {
 	b := newPromotionBench(func(*promotionBench) {})
 	b.control.Promoter = unreachable{}
-	assert.Equal(t, b.control.callPromoter(b.control.beginPromotion(&b.held, b.task)), ctsuccession.PromotionDeferred)
+	outcome, unsent := b.control.callPromoter(b.control.beginPromotion(&b.held, b.task))
+	assert.Equal(t, outcome, ctsuccession.PromotionDeferred)
+	assert.Assert(t, unsent)
 	assert.Equal(t, len(b.control.endedPromotions(&b.held)), 0)
 	b.control.BecomeFollower(ctquorum.Peer{Name: "y"})
 	ended := b.control.endedPromotions(&b.held)
@@ -95,6 +97,38 @@
 	assert.Equal(t, ended[0].Released, b.task.requester)
 }
 
+// TestRequesterLeadsAgain covers a group without a primary: its requester had ended its part
+// without a leader to tell, and then leads the change.
+func TestRequesterLeadsAgain(t *testing.T) {
+	b := newPromotionBench(func(*promotionBench) {})
+	b.control.BecomeFollower(ctquorum.Peer{})
+	assert.Equal(t, len(b.control.endedPromotions(&b.held)), 1)
+	b.control.BecomeLeader(6)
+	ended := b.control.endedPromotions(&b.held)
+	assert.Equal(t, len(ended), 1)
+	assert.Equal(t, ended[0].Released, b.task.requester)
+}
+
+// TestOldRequesterIsReleased covers the same: a requester that has started again and can't reach the
+// service keeps fetching offers in vain.
+func TestOldRequesterIsReleased(t *testing.T) {
+	b := newOfferBench(t)
+	started := time.Now()
+	time.Sleep(time.Millisecond)
+	offer := assertOffered(t, b, "w", 1)
+	report := &ctframe.ReportOffer{Offer: offer, Outcome: ctsuccession.PromotionDeferred, Unsent: true}
+	b.control.ReportOffer(&b.held, report)
+	b.control.state.With(&b.held, func(l *leaderState) {
+		later := started.Add(ctsuccession.RequestLifetime)
+		released := false
+		for _, action := range l.successions["g"].Decide(later, l.group("g")) {
+			_, release := action.(ctsuccession.ReleaseRequester)
+			released = released || release
+		}
+		assert.Assert(t, released)
+	})
+}
+
 // unreachable is a service that can't be connected to.
 type unreachable struct{}
 
@@ -123,9 +157,10 @@
 		calls := 0
 		b, offer := newRequester(epoch, &calls)
 		change(b)
-		outcome := b.control.sendOffer(time.Now().Add(-before), offer)
+		outcome, unsent := b.control.sendOffer(time.Now().Add(-before), offer)
 		assert.Equal(t, calls, want)
 		assert.Equal(t, outcome == ctsuccession.PromotionAccepted, want == 1)
+		assert.Equal(t, unsent, want == 0)
 	}
 	nothing := func(*promotionBench) {}
 	t.Run("by the requester", func(t *testing.T) { assertSent(t, 4, 0, nothing, 1) })
--- a/internal/program/ctcontrol/service.go
+++ b/internal/program/ctcontrol/service.go
@@ -244,7 +244,8 @@
 	case *ctframe.Heard:
 		return replyOrError(s.control.ApplyAnnouncement(held, f), &ctframe.Ack{})
 	case *ctframe.Settled:
-		return replyOrError(s.control.ApplySettled(held, f), &ctframe.Ack{})
+		reply, err := s.control.ApplySettled(held, f)
+		return replyOrError(err, reply)
 	case *ctframe.FetchOffers:
 		reply, err := s.control.FetchOffers(held, f)
 		return replyOrError(err, reply)
--- a/internal/program/ctcontrol/succession.go
+++ b/internal/program/ctcontrol/succession.go
@@ -244,9 +244,7 @@
 			}, nil)
 		case ctsuccession.ReleaseRequester:
 			l.proposedAt[name] = now
-			c.propose(l, ctregister.ReleaseRequester{
-				Group: name, Requester: a.Requester, Reason: string(a.Reason),
-			}, nil)
+			c.proposeRelease(l, name, a)
 		}
 	}
 }
