ctmodel: requests go out through the requester; late reports of it are played

The model plays the requester of ctsuccession: offers, their hand-out, reports and releases. A process that is not connected sends nothing of a request.

--- a/internal/lab/ctmodel/control.go
+++ b/internal/lab/ctmodel/control.go
@@ -26,8 +26,6 @@
 	commandTimeout = 400 * time.Millisecond
 	// settleInterval is the interval in which a process reports settled promotions.
 	settleInterval = 500 * time.Millisecond
-	// outcomeTimeout is how long a group waits for the answer to a promotion request.
-	outcomeTimeout = time.Second
 )
 
 // control is a process of control.
@@ -49,13 +47,17 @@
 	group   ctview.Group
 	machine *ctsuccession.Machine
 	tracker *ctsuccession.ProxyTracker
-	ledger  ctpromotion.Ledger
+	// ledger and requests are what the process knows of the requests that it has decided on
+	// and of those that it has sent, and offers are those that others are to send for it.
+	ledger   ctpromotion.Ledger
+	requests ctpromotion.Requests
+	offers   ctpromotion.Offers
 	// roster holds the members that the leader lists, and heardAt when each was heard.
 	roster  map[ctid.Member]ctserver.Announcement
 	heardAt map[ctid.Member]time.Time
 	// proposedAt is when a decision was proposed that is not committed yet, or zero.
-	proposedAt       time.Time
-	saveAt, settleAt time.Time
+	proposedAt                time.Time
+	saveAt, settleAt, fetchAt time.Time
 }
 
 func (c *control) party() party {
@@ -121,6 +123,7 @@
 	}
 	w.follow(c)
 	w.reportSettled(c)
+	w.fetchOffers(c)
 	if !c.leading || w.now.Sub(c.startedAt) < initialViewDelay {
 		return
 	}
@@ -131,6 +134,7 @@
 		}
 	}
 	c.tracker.Tick(w.now)
+	w.expireOffers(c)
 	w.advance(c)
 	if c.hasAuthority(w.now) && !w.now.Before(c.saveAt) {
 		c.saveAt = w.now.Add(saveInterval)
@@ -178,7 +182,7 @@
 func (w *world) updateLeader(c *control, command ctregister.Command) {
 	c.group = w.decided()
 	switch command.(type) {
-	case ctregister.SetGroup, ctregister.SettlePromotions:
+	case ctregister.SetGroup, ctregister.SettlePromotions, ctregister.ReleaseRequester:
 		c.proposedAt = time.Time{}
 		w.pushGroup(c)
 	}
--- a/internal/lab/ctmodel/doc.go
+++ b/internal/lab/ctmodel/doc.go
@@ -10,12 +10,15 @@
 control elect leaders. A leader that is cut off or frozen stops without notice; what it had
 checked before, it sends when it goes on. The service handles a promotion request at once,
 late, twice or not at all, also after its sender has closed the connection or has ended.
+A leader sends its requests through the group's requester. What these two report to each
+other may be lost, or arrive late, also after its sender has ended.
 Proxies commit as long as their authority and the group's fence allow.
 
 # Limits
 
-A request is handled within maxRequestAge of the check that allowed it. Messages other than
-promotion requests are delivered soon or not at all. All clocks have the same rate.
+A request is handled within maxRequestAge of the check that allowed it. Messages that concern
+no promotion request are delivered soon or not at all. Links are cut in both directions. All
+clocks have the same rate.
 
 # Judge
 
--- a/internal/lab/ctmodel/fault.go
+++ b/internal/lab/ctmodel/fault.go
@@ -223,6 +223,16 @@
 	}
 }
 
+// crashesAfterRelease may end a process that has just sent a report which ends its part as the
+// requester.
+func (w *world) crashesAfterRelease(c *control) bool {
+	crashes := w.timeLeft() > 0 && w.chance(0.3)
+	if crashes {
+		w.inject(crashControl{control: c, duration: w.faultDuration()})
+	}
+	return crashes
+}
+
 // reactToRequest may disturb those that a request concerns.
 func (w *world) reactToRequest(r *call) {
 	if w.timeLeft() <= 0 {
--- a/internal/lab/ctmodel/holder.go
+++ b/internal/lab/ctmodel/holder.go
@@ -32,7 +32,7 @@
 // checkRequest checks a request that the service handles now.
 func (w *world) checkRequest(r *call) {
 	j := &w.requests
-	request := handledRequest{holder: r.sender, epoch: r.task.epoch, at: w.now}
+	request := handledRequest{holder: r.sender, epoch: r.task.requester.Epoch, at: w.now}
 	if j.holders == nil {
 		j.holders = make(map[ctview.Epoch]ctid.Control)
 	}
--- a/internal/lab/ctmodel/judge.go
+++ b/internal/lab/ctmodel/judge.go
@@ -31,6 +31,10 @@
 	case c.entry.term < w.group.term && !hasEntry(w.group.promotedLog, c.entry):
 		w.violate(RuleLate, "%s by %s", pointOf(c.entry), c.proxy.name)
 	}
+	if len(w.group.acknowledged) > 0 {
+		w.report.LongestGap = max(w.report.LongestGap, w.now.Sub(w.acknowledgedAt))
+	}
+	w.acknowledgedAt = w.now
 	w.group.acknowledged = append(w.group.acknowledged, c.entry)
 	c.proxy.acknowledgedAt = w.now
 }
@@ -50,10 +54,14 @@
 	switch c := command.(type) {
 	case ctregister.SetGroup:
 		set, _ := result.(ctregister.GroupSet)
-		w.trace("register %s: primary %s term %d fence %d candidate %s unsettled %v applied %t",
-			c.Reason, c.Group.Primary, c.Group.Term, c.Group.Fence, c.Group.Candidate, w.decided().Unsettled, set.Applied)
+		w.trace("register %s: primary %s term %d fence %d candidate %s unsettled %v requester %v applied %t",
+			c.Reason, c.Group.Primary, c.Group.Term, c.Group.Fence, c.Group.Candidate, w.decided().Unsettled,
+			w.decided().Requester, set.Applied)
 	case ctregister.SettlePromotions:
 		w.trace("register settles %v, left %v", c.Promotions, w.decided().Unsettled)
+	case ctregister.ReleaseRequester:
+		released, _ := result.(ctregister.RequesterReleased)
+		w.trace("register releases %v (%s), applied %t", c.Requester, c.Reason, !released.Requester.IsZero())
 	case ctregister.SetMembers:
 		w.trace("register has %d members, %d silent", len(c.Members), len(c.Silent))
 	}
--- a/internal/lab/ctmodel/plan.go
+++ b/internal/lab/ctmodel/plan.go
@@ -75,6 +75,8 @@
 	// RecoveredAfter is the time from the end of all faults to the next acknowledged
 	// commit.
 	RecoveredAfter time.Duration
+	// LongestGap is the longest time between two acknowledged commits.
+	LongestGap time.Duration
 	// Trace lists the events of the run in order.
 	Trace []string
 }
--- a/internal/lab/ctmodel/promotion.go
+++ b/internal/lab/ctmodel/promotion.go
@@ -17,12 +17,13 @@
 // promotionTask is a promotion that a leader wants to request.
 type promotionTask struct {
 	promotion ctview.Promotion
-	epoch     ctview.Epoch
+	requester ctview.Requester
 }
 
 // describe names the promotion.
 func (t promotionTask) describe() string {
-	return fmt.Sprintf("%s of epoch %d number %d", t.promotion.Member, t.epoch, t.promotion.Number)
+	return fmt.Sprintf("%s of epoch %d number %d by %s epoch %d",
+		t.promotion.Member, t.promotion.Epoch, t.promotion.Number, t.requester.Control, t.requester.Epoch)
 }
 
 func (t promotionTask) key() ctpromotion.Key {
@@ -32,7 +33,8 @@
 // startMachine creates the succession of a new leader.
 func (w *world) startMachine(c *control) {
 	c.ledger.Lead(c.epoch)
-	c.machine = &ctsuccession.Machine{Epoch: c.epoch, LastNumber: 1}
+	c.requests.Lead(c.epoch)
+	c.machine = &ctsuccession.Machine{Control: c.name, Epoch: c.epoch, LastNumber: 1}
 	c.machine.Begin(w.now, c.tracker)
 	for _, announcement := range w.register.Silent {
 		c.machine.AddSilent(announcement)
@@ -52,7 +54,8 @@
 	switch a := action.(type) {
 	case ctsuccession.SendCommand:
 		return a.Member
-	case ctsuccession.PromotionRequest, ctsuccession.SetGroup, ctsuccession.SettlePromotions:
+	case ctsuccession.PromotionRequest, ctsuccession.SetGroup, ctsuccession.SettlePromotions,
+		ctsuccession.ReleaseRequester:
 	}
 	return ""
 }
@@ -66,77 +69,147 @@
 func (w *world) advancePromotion(c *control, action ctsuccession.Action) {
 	switch a := action.(type) {
 	case ctsuccession.PromotionRequest:
-		task := promotionTask{promotion: a.Promotion, epoch: c.epoch}
+		task := promotionTask{promotion: a.Promotion, requester: a.Requester}
 		w.onControl(c, w.latency(), func() { w.requestPromotion(c, task) })
 	case ctsuccession.SettlePromotions:
 		c.proposedAt = w.now
 		w.propose(c, ctregister.SettlePromotions{Group: groupName, Promotions: a.Promotions})
+	case ctsuccession.ReleaseRequester:
+		c.proposedAt = w.now
+		w.propose(c, ctregister.ReleaseRequester{Group: groupName, Requester: a.Requester, Reason: string(a.Reason)})
 	}
 }
 
 // requestPromotion checks that a promotion may still be requested, and sends it. Between the
-// two, the process may freeze.
+// two, the process may freeze. If another process is the requester, it is offered the request.
 func (w *world) requestPromotion(c *control, task promotionTask) {
+	if task.requester.Control != c.name {
+		w.offerPromotion(c, task)
+		return
+	}
 	if !w.beginPromotion(c, task) {
-		w.recordPromotion(c, task, ctsuccession.PromotionDeferred)
+		w.recordPromotion(c, task.promotion, ctsuccession.PromotionDeferred)
 		return
 	}
 	r := &call{sender: c, task: task, checkedAt: w.now}
-	w.freezeBeforeRequest(c)
-	w.onControl(c, w.between(0, 2*time.Millisecond), func() { w.sendRequest(r) })
-	w.onControl(c, outcomeTimeout, func() {
+	w.sendChecked(r)
+	w.onControl(c, ctpromotion.AnswerTimeout, func() {
 		if !r.recorded {
 			r.recorded = true
-			w.recordPromotion(c, task, ctsuccession.PromotionUnknown)
+			w.recordPromotion(c, task.promotion, ctsuccession.PromotionUnknown)
 		}
 	})
 }
 
-// beginPromotion reports whether a promotion may be requested, and counts the request if so.
-func (w *world) beginPromotion(c *control, task promotionTask) bool {
+// sendChecked sends a request that was just checked, unless its sender freezes first.
+func (w *world) sendChecked(r *call) {
+	w.freezeBeforeRequest(r.sender)
+	w.onControl(r.sender, w.between(0, 2*time.Millisecond), func() { w.sendRequest(r) })
+}
+
+// wantsPromotion reports whether a process leads and wants a requester to send a request.
+func (w *world) wantsPromotion(c *control, promotion ctview.Promotion, requester ctview.Requester) bool {
 	group := &c.group
-	wanted := group.ChangingPrimary() && group.Candidate == task.promotion.Member &&
-		slices.Contains(group.Unsettled, task.promotion) && c.machine.CandidateHoldsLog(*group)
-	return wanted && c.epoch == task.epoch && c.hasAuthority(w.now) && c.ledger.Begin(task.key())
+	return c.hasAuthority(w.now) && c.epoch == promotion.Epoch && group.ChangingPrimary() &&
+		group.Candidate == promotion.Member && slices.Contains(group.Unsettled, promotion) &&
+		group.Requester == requester && c.machine.CandidateHoldsLog(*group)
+}
+
+// beginPromotion reports whether the leader may send a request, and counts it if so.
+func (w *world) beginPromotion(c *control, task promotionTask) bool {
+	if !w.wantsPromotion(c, task.promotion, task.requester) || !c.ledger.Begin(task.key()) {
+		return false
+	}
+	if !c.requests.Begin(groupName, task.requester) {
+		c.ledger.RecordOutcome(w.now, task.key(), ctsuccession.PromotionDeferred)
+		return false
+	}
+	if task.requester.Epoch != c.epoch {
+		c.machine.RecordHandOut(w.now)
+	}
+	return true
 }
 
 // endCall records the outcome of a request at its sender.
 func (w *world) endCall(r *call, outcome ctsuccession.PromotionOutcome) {
-	r.sender.ledger.RecordOutcome(w.now, r.task.key(), outcome)
+	c := r.sender
+	if r.unsent {
+		c.requests.RecordUnsent(groupName, r.task.requester)
+	} else {
+		c.requests.RecordOutcome(w.now, groupName, r.task.requester, outcome)
+	}
+	if r.offer != nil {
+		w.reportOffer(c, *r.offer, outcome)
+		return
+	}
+	c.ledger.RecordOutcome(w.now, r.task.key(), outcome)
 	if !r.recorded {
 		r.recorded = true
-		w.recordPromotion(r.sender, r.task, outcome)
+		w.recordPromotion(c, r.task.promotion, outcome)
 	}
 }
 
 // recordPromotion records an outcome in the succession, if its epoch goes on.
-func (w *world) recordPromotion(c *control, task promotionTask, outcome ctsuccession.PromotionOutcome) {
-	if c.leading && c.epoch == task.epoch {
-		c.machine.RecordPromotion(w.now, task.promotion.Member, outcome)
+func (w *world) recordPromotion(c *control, promotion ctview.Promotion, outcome ctsuccession.PromotionOutcome) {
+	if c.leading && c.epoch == promotion.Epoch {
+		c.machine.RecordPromotion(w.now, promotion.Member, outcome)
 		w.advance(c)
 	}
 }
 
-// reportSettled tells the leader for which promotions the requests of a process have ended.
+// settled is what a process reports to the leader: the promotions whose requests have ended,
+// those without an accepted request, and the requester that it need not be any more.
+type settled struct {
+	ended, void []ctview.Promotion
+	released    ctview.Requester
+}
+
+// reportSettled reports to the leader what has ended.
 func (w *world) reportSettled(c *control) {
 	if w.now.Before(c.settleAt) {
 		return
 	}
 	c.settleAt = w.now.Add(settleInterval)
-	ended, void := w.endedPromotions(c)
-	leader, ok := w.routeToLeader(c.party())
-	if len(ended)+len(void) == 0 || !ok {
+	s := settled{released: w.releaseRequester(c)}
+	s.ended, s.void = w.endedPromotions(c)
+	leader, ok := w.leaderOf(c)
+	if (len(s.ended)+len(s.void) == 0 && s.released.IsZero()) || !ok {
 		return
 	}
-	w.onControl(leader, w.latency(), func() {
-		if !leader.hasAuthority(w.now) {
-			return
-		}
-		leader.machine.RecordEnded(w.now, ended)
-		if len(void) > 0 {
-			w.propose(leader, ctregister.SettlePromotions{Group: groupName, Promotions: void})
-		}
-	})
+	delay, delivered := w.callDelay()
+	if !s.released.IsZero() && w.crashesAfterRelease(c) {
+		delay, delivered = w.between(time.Second, lateCall), true
+	}
+	if delivered {
+		w.onControl(leader, delay, func() { w.applySettled(leader, s) })
+	}
+}
+
+// releaseRequester returns the requester if a process is it, has no request on its way and
+// sends no more, and the zero value otherwise.
+func (w *world) releaseRequester(c *control) ctview.Requester {
+	requester := c.group.Requester
+	wanted := c.leading && c.group.ChangingPrimary()
+	if requester.Control != c.name || wanted || !c.requests.Release(w.now, groupName, requester) {
+		return ctview.Requester{}
+	}
+	return requester
+}
+
+// applySettled applies a report of a process to the leader.
+func (w *world) applySettled(leader *control, s settled) {
+	if !leader.hasAuthority(w.now) {
+		return
+	}
+	leader.machine.RecordEnded(w.now, s.ended)
+	if !s.released.IsZero() && leader.group.Requester == s.released {
+		w.propose(leader, ctregister.ReleaseRequester{
+			Group: groupName, Requester: s.released, Reason: string(ctsuccession.ReasonAnswered),
+		})
+	}
+	if len(s.void) > 0 {
+		w.propose(leader, ctregister.SettlePromotions{Group: groupName, Promotions: s.void})
+	}
 }
 
 // endedPromotions returns the promotions of a process's own epochs whose requests have ended,
--- a/internal/lab/ctmodel/service.go
+++ b/internal/lab/ctmodel/service.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/cherviltrestle/cherviltrestle/internal/decide/ctpromotion"
 	"github.com/cherviltrestle/cherviltrestle/internal/decide/ctsuccession"
 )
 
@@ -13,8 +14,6 @@
 	maxRequestAge = 55 * time.Second
 	// effectDelay is how long after handling a request a member leads at most.
 	effectDelay = 600 * time.Millisecond
-	// callTimeout is how long a sender waits for the answer.
-	callTimeout = 60 * time.Second
 )
 
 // call is a promotion request of a process.
@@ -23,12 +22,16 @@
 	task   promotionTask
 	// checkedAt is when the sender checked that it may send the request.
 	checkedAt time.Time
+	// offer is the offer that the sender has fetched, or nil if it leads.
+	offer *ctpromotion.Offer
 	// answered reports that the sender knows the outcome. recorded reports that its
 	// succession goes on with one.
 	answered, recorded bool
+	// unsent reports that nothing of the request was sent.
+	unsent bool
 }
 
-// fate is one of prompt, slow, held, lost, repeated and refused.
+// fate is one of prompt, slow, held, lost, repeated, refused and unconnected.
 type fate interface {
 	isFate()
 }
@@ -50,26 +53,33 @@
 	delay time.Duration
 }
 
-// lost requests are never handled, and refused ones are handled as an overload.
+// lost requests are never handled, refused ones are handled as an overload, and unconnected
+// ones are not sent.
 type (
-	lost    struct{}
-	refused struct{}
+	lost        struct{}
+	refused     struct{}
+	unconnected struct{}
 )
 
-func (prompt) isFate()   {}
-func (repeated) isFate() {}
-func (slow) isFate()     {}
-func (held) isFate()     {}
-func (lost) isFate()     {}
-func (refused) isFate()  {}
+func (prompt) isFate()      {}
+func (repeated) isFate()    {}
+func (slow) isFate()        {}
+func (held) isFate()        {}
+func (lost) isFate()        {}
+func (refused) isFate()     {}
+func (unconnected) isFate() {}
 
-// fateOf returns what becomes of the next request. A link that is cut holds it or loses it.
+// fateOf returns what becomes of the next request. A link that is cut holds it or loses it, if
+// its sender was connected.
 func (w *world) fateOf(c *control) fate {
 	if !w.reachable(c.party(), serviceParty) {
-		if w.chance(0.7) {
+		switch roll := w.random.Float64(); {
+		case roll < 0.5:
 			return held{delay: w.between(time.Second, maxRequestAge)}
+		case roll < 0.7:
+			return lost{}
 		}
-		return lost{}
+		return unconnected{}
 	}
 	switch roll := w.random.Float64(); {
 	case roll < 0.35:
@@ -90,7 +100,7 @@
 func (w *world) sendRequest(r *call) {
 	left := maxRequestAge - w.now.Sub(r.checkedAt)
 	f := w.fateOf(r.sender)
-	w.trace("%s sends request %v, fate %T%+v", r.sender.name, r.task.promotion, f, f)
+	w.trace("%s sends request %s, fate %T%+v", r.sender.name, r.task.describe(), f, f)
 	switch f := f.(type) {
 	case prompt:
 		w.schedule(min(left, w.latency()), func() { w.handleRequest(r, true) })
@@ -106,8 +116,11 @@
 		delay := w.latency()
 		w.schedule(delay, func() { w.checkRequest(r) })
 		w.answerCall(r, delay, ctsuccession.PromotionDeferred)
+	case unconnected:
+		r.unsent = true
+		w.answerCall(r, w.latency(), ctsuccession.PromotionDeferred)
 	}
-	w.answerCall(r, callTimeout, ctsuccession.PromotionUnknown)
+	w.answerCall(r, ctpromotion.CallTimeout, ctsuccession.PromotionUnknown)
 	w.reactToRequest(r)
 }
 
--- a/internal/lab/ctmodel/world.go
+++ b/internal/lab/ctmodel/world.go
@@ -53,7 +53,9 @@
 	register ctregister.Register
 	group    groupState
 	requests requestJudge
-	report   Report
+	// acknowledgedAt is when the last commit was acknowledged.
+	acknowledgedAt time.Time
+	report         Report
 }
 
 // groupState is what is true of the group, whatever control knows.
