--- a/internal/lab/ctheldlink/group.go
+++ b/internal/lab/ctheldlink/group.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net"
+	"slices"
 	"sync"
 	"time"
 
@@ -62,6 +63,8 @@
 	term    ctposition.Term
 	// latest is the member that was promoted last.
 	latest *Member
+	// promoted has the promotions in the order of their terms.
+	promoted []promotion
 }
 
 // Member is one member of a Group.
@@ -127,6 +130,13 @@
 	return term
 }
 
+// PromotedSince reports whether a member was promoted in a term after one.
+func (g *Group) PromotedSince(m *Member, term ctposition.Term) bool {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	return slices.ContainsFunc(g.promoted, func(p promotion) bool { return p.member == m.Name && p.term > term })
+}
+
 // Member returns the member with a name, or nil.
 func (g *Group) Member(name ctid.Member) *Member {
 	for _, m := range g.Members {
--- a/internal/lab/ctheldlink/service.go
+++ b/internal/lab/ctheldlink/service.go
@@ -54,6 +54,7 @@
 	g.latest = m
 	m.primary, m.term, m.pausedBelow, p.term = true, g.term, 0, g.term
 	m.applied = len(m.log)
+	g.promoted = append(g.promoted, p)
 	var others [][]entry
 	for _, o := range g.Members {
 		if o != m {
