--- a/internal/lab/ctheldlink/late_test.go
+++ b/internal/lab/ctheldlink/late_test.go
@@ -35,7 +35,7 @@
 	})
 	assert.NilError(t, err)
 	defer fleet.Close()
-	assert.NilError(t, run(context.Background(), fleet))
+	assert.Check(t, run(context.Background(), fleet))
 	for _, v := range fleet.Judge.Violations() {
 		t.Errorf("%s: %s", v.Rule, v.Text)
 	}
