--- a/internal/lab/ctheldlink/disturb.go
+++ b/internal/lab/ctheldlink/disturb.go
@@ -14,6 +14,8 @@
 	maxFault = 10 * time.Second
 	// faultInterval is the longest pause between the starts of two random faults.
 	faultInterval = 2500 * time.Millisecond
+	// senderDelay is the longest time from the loss of a primary to that of the leader.
+	senderDelay = 2 * time.Second
 	// recoveryTimeout bounds the wait for callers to be served after the last fault.
 	recoveryTimeout = 2 * time.Minute
 )
@@ -43,6 +45,16 @@
 // FreezeLeader suspends the present leader of control.
 type FreezeLeader struct{}
 
+// CutOffLeader holds the links between the present leader and the other control processes.
+type CutOffLeader struct{}
+
+// LoseSender stops the primary while the requests of the present leader are held, and then
+// disturbs the leader too, after a time.
+type LoseSender struct {
+	By    Fault
+	After time.Duration
+}
+
 // DarkenMember holds the links between a member and all control processes.
 type DarkenMember struct {
 	Member int
@@ -51,6 +63,8 @@
 // CrashPrimary stops the member that was promoted last, and starts it again with its log.
 type CrashPrimary struct{}
 
+func (CutOffLeader) isFault()  {}
+func (LoseSender) isFault()    {}
 func (HoldLink) isFault()      {}
 func (HoldRequests) isFault()  {}
 func (KillLeader) isFault()    {}
@@ -59,12 +73,15 @@
 func (DarkenMember) isFault()  {}
 func (CrashPrimary) isFault()  {}
 
-// randomFault returns a fault. Half of them lose the primary or concern the service.
+// randomFault returns a fault. Most of them lose the primary or concern the service.
 func randomFault(random *rand.Rand) Fault {
 	control := Host(fmt.Sprintf("control-%d", random.IntN(controlCount)))
 	member := Host(fmt.Sprintf("member-%d", random.IntN(memberCount)))
 	proxy := Host(fmt.Sprintf("proxy-%d", random.IntN(proxyCount)))
-	switch random.IntN(16) {
+	byLeader := []Fault{KillLeader{}, RestartLeader{}, FreezeLeader{}, CutOffLeader{}}
+	switch random.IntN(19) {
+	case 16, 17, 18:
+		return LoseSender{By: byLeader[random.IntN(len(byLeader))], After: randomDuration(random, senderDelay)}
 	case 0, 1, 2, 3:
 		return CrashPrimary{}
 	case 4, 5:
@@ -138,6 +155,11 @@
 		time.Sleep(lasts)
 		leader.Resume()
 		f.Network.EndDisturbance(leader.host)
+	case CutOffLeader:
+		leader := f.leader()
+		f.holdFor(lasts, leader.host, f.otherControls(leader)...)
+	case LoseSender:
+		f.loseSender(fault, lasts)
 	case CrashPrimary:
 		primary, _ := f.Group.Latest()
 		if f.CrashMember(primary) {
@@ -147,6 +169,20 @@
 	}
 }
 
+// loseSender holds the requests of the present leader while the primary and then the leader are
+// disturbed. After half of the time, new requests pass before those.
+func (f *Fleet) loseSender(fault LoseSender, lasts time.Duration) {
+	hold := f.Network.Hold(f.leader().host, ServiceHost)
+	var losses sync.WaitGroup
+	losses.Go(func() { f.inject(CrashPrimary{}, lasts) })
+	time.Sleep(fault.After)
+	losses.Go(func() { f.inject(fault.By, lasts/2) })
+	time.Sleep(lasts / 2)
+	hold.Detach()
+	losses.Wait()
+	hold.Release()
+}
+
 // killFor kills a process and starts it again after a time.
 func (f *Fleet) killFor(lasts time.Duration, p *process) {
 	f.kill(p)
