ctsoak: the judge asks all parts of ONE at the service, and what it didn't ask of other rules

Cause: the soak judged the order of epochs, but its promotion service was reached at once, so that no request could arrive late; nobody judged turns.

Change, rule ONE: the service's requests are judged for a shared epoch (all groups), turns within 5 s of holders that weren't disturbed, and a lower epoch in a group, which nothing excuses. A gate in front of the service holds requests. Two new faults, drawn from random numbers of their own so that a seed keeps its others: Hold, and Overtake, which ends a primary, holds the first request and cuts its sender off for 6 s. The test of the older epoch is replaced by eleven.

Other rules: ROUTE (the group in which a statement runs), PINNED (a transaction on two connections; a prepared statement that is unknown), STALE (each read that runs, not only answered ones), LOST (a statement that a stopping proxy has read), DRAIN (a stopping proxy that counts as ready after 4 s, or aborts transactions in the first half of its time), CONFIG (a proxy in touch that acts on an older release 4 s after an acknowledgment; an invalid one in force; other content under the number of an acknowledged one).

Narrowed while it was made: a transaction's first statement may run again on another connection.

--- a/internal/lab/ctsoak/balancer.go
+++ b/internal/lab/ctsoak/balancer.go
@@ -15,12 +15,15 @@
 	probeInterval = time.Second
 	// maxFailedProbes is how many failed probes in a row make the balancer remove a proxy.
 	maxFailedProbes = 2
+	// unreadyTimeout is how long a proxy that was asked to stop may count as ready.
+	unreadyTimeout = 4 * time.Second
 )
 
 // balancer assigns callers to proxies that report themselves ready. It stands in for
 // the platform's load balancer.
 type balancer struct {
 	proxies []*host
+	checker *Checker
 
 	mutex sync.Mutex
 	// failedProbes counts the failed probes in a row. Proxies that were never probed
@@ -44,6 +47,7 @@
 }
 
 func (b *balancer) recordProbe(h *host, ready bool) {
+	now := time.Now()
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
 	if b.failedProbes == nil {
@@ -54,6 +58,10 @@
 	} else {
 		b.failedProbes[h]++
 	}
+	stopping := h.isStopping(now.Add(-stopTimeout)) && h.stoppedAt().Before(now.Add(-unreadyTimeout))
+	if stopping && b.failedProbes[h] < maxFailedProbes {
+		b.checker.recordViolation(InvariantDrain, "%s counts as ready %s after it was asked to stop", h.Host, unreadyTimeout)
+	}
 }
 
 // readyProxies returns the proxies that were probed and failed fewer than maxFailedProbes
--- a/internal/lab/ctsoak/caller.go
+++ b/internal/lab/ctsoak/caller.go
@@ -155,7 +155,7 @@
 		ctquery.Prepare{Name: preparedRead, Shape: s.preparedShape(false)},
 		ctquery.Prepare{Name: preparedWrite, Shape: s.preparedShape(true)},
 	} {
-		answer, _, err := s.call(statement, ctquery.Shape{}, tx)
+		answer, _, err := s.call(statement, ctquery.Shape{}, tx, ReadRequirement{})
 		if err != nil || !answer.OK() {
 			return errSessionEnded
 		}
@@ -173,18 +173,19 @@
 // newTransaction returns a transaction of this session for the checker. It is explicit
 // if it runs from a Begin to a Commit or Rollback.
 func (s *callerSession) newTransaction(explicit bool) *Transaction {
-	return &Transaction{session: s.name, explicit: explicit}
+	return &Transaction{group: s.group.name, session: s.name, explicit: explicit, startedAt: time.Now()}
 }
 
 // call sends a statement, waits for its answer and returns both the answer and the ID of
-// the query. The shape is that of the prepared statement to execute, else it is empty.
+// the query. The shape is that of the prepared statement to execute, else it is empty. A read must
+// show what is required.
 func (s *callerSession) call(
-	statement ctquery.Statement, shape ctquery.Shape, tx *Transaction,
+	statement ctquery.Statement, shape ctquery.Shape, tx *Transaction, required ReadRequirement,
 ) (ctquery.Answer, ctquery.ID, error) {
 	s.queries++
 	id := ctquery.ID(fmt.Sprintf("%s-%d", s.caller.name, s.queries))
 	q := ctquery.Query{ID: id, Statement: statement}
-	s.fleet.checker.recordSent(q, tx, shape)
+	s.fleet.checker.recordSent(q, tx, shape, required)
 	sent := time.Now()
 	_ = s.conn.SetReadDeadline(sent.Add(answerTimeout))
 	err := s.conn.Send(q)
@@ -201,7 +202,8 @@
 
 // checkUnanswered records a violation for a statement without an answer, unless a recent
 // fault explains it. A fault or planned stop of the proxy explains both a timeout and a
-// closed connection; an unplanned fault elsewhere explains only a closed connection.
+// closed connection; an unplanned fault elsewhere explains only a closed connection. A planned
+// stop alone explains it only for a statement that the proxy may not have read.
 func (s *callerSession) checkUnanswered(id ctquery.ID, sent time.Time, err error) {
 	var netError net.Error
 	switch timedOut := errors.As(err, &netError) && netError.Timeout(); {
@@ -211,6 +213,23 @@
 	case !timedOut && s.proxy.undisturbedSince(sent.Add(-stopTimeout)) && s.fleet.faultFreeSince(sent.Add(-stopTimeout)):
 		s.fleet.checker.recordViolation(InvariantTimelyAnswer, "%s closed the connection of %s without a fault: %v",
 			s.proxy.Host, id, err)
+	case !timedOut && s.proxy.isStopping(sent.Add(-stableWindow)) && s.fleet.faultFreeSince(sent.Add(-stableWindow)):
+		s.checkLost(id, sent)
+	}
+}
+
+// lossSlack is how long after a statement was sent a proxy that stops may close the connection
+// without having read the statement.
+const lossSlack = 200 * time.Millisecond
+
+// checkLost records a violation for a statement that a proxy has read and not answered before its
+// timeout.
+func (s *callerSession) checkLost(id ctquery.ID, sent time.Time) {
+	elapsed, ran := time.Since(sent), s.fleet.checker.hasRun(id)
+	if elapsed < statementTimeout && (ran || elapsed > lossSlack) {
+		s.fleet.checker.recordViolation(InvariantTimelyAnswer,
+			"%s closed the connection of %s during a planned stop, %s after it was sent; a member ran it: %t",
+			s.proxy.Host, id, elapsed, ran)
 	}
 }
 
@@ -232,8 +251,11 @@
 	}
 	tx := s.newTransaction(false)
 	statement, shape := s.drawStatement(write)
-	required := s.requirement()
-	answer, id, err := s.call(statement, shape, tx)
+	required := ReadRequirement{}
+	if !write {
+		required = s.requirement()
+	}
+	answer, id, err := s.call(statement, shape, tx, required)
 	if err != nil {
 		return false, err
 	}
@@ -243,7 +265,7 @@
 	if write {
 		return true, s.recordCommit(id, answer)
 	}
-	s.fleet.checker.checkSuccess(id, answer, required)
+	s.fleet.checker.checkSuccess(id, answer)
 	return true, nil
 }
 
@@ -272,16 +294,35 @@
 	if answer.Fault.NotRun() || answer.Fault == ctquery.FaultAborted {
 		s.fleet.checker.recordRefused(s.group.name, tx)
 	}
+	if answer.Fault == ctquery.FaultAborted && tx.explicit {
+		s.checkDrained(tx)
+	}
+	if answer.Fault == ctquery.FaultNoStatement {
+		s.fleet.checker.recordViolation(InvariantIsolation, "%s doesn't know a prepared statement of %s",
+			s.proxy.Host, s.name)
+	}
 	if answer.Transaction != ctquery.TransactionNone {
 		return errSessionEnded
 	}
 	return nil
 }
 
+// checkDrained records a violation for a transaction that was aborted in the first half of a planned
+// stop of the proxy, unless something else explains it.
+func (s *callerSession) checkDrained(tx *Transaction) {
+	stoppedAt := s.proxy.stoppedAt()
+	since := stoppedAt.Add(-stableWindow)
+	open := tx.startedAt.Before(stoppedAt.Add(-lossSlack)) && time.Since(stoppedAt) < stopTimeout/2
+	if open && s.proxy.isStopping(since) && s.fleet.faultFreeSince(since) {
+		s.fleet.checker.recordViolation(InvariantDrain, "%s aborted a transaction of %s %s after it was asked to stop",
+			s.proxy.Host, s.name, time.Since(stoppedAt))
+	}
+}
+
 // recordCommit records with the checker that writes were acknowledged, and checks that
 // the group's newest log contains them.
 func (s *callerSession) recordCommit(id ctquery.ID, answer ctquery.Answer) error {
-	e, appended := s.fleet.checker.checkSuccess(id, answer, ReadRequirement{})
+	e, appended := s.fleet.checker.checkSuccess(id, answer)
 	if !appended {
 		s.fleet.checker.recordViolation(InvariantProof, "commit %s succeeded but appended no log entry", id)
 		return errSessionEnded
@@ -301,7 +342,7 @@
 func (s *callerSession) runTransaction(readWrite bool) (bool, error) {
 	tx := s.newTransaction(true)
 	required := s.requirement()
-	answer, _, err := s.call(ctquery.Begin{ReadOnly: !readWrite}, ctquery.Shape{}, tx)
+	answer, _, err := s.call(ctquery.Begin{ReadOnly: !readWrite}, ctquery.Shape{}, tx, ReadRequirement{})
 	if err != nil {
 		return false, err
 	}
@@ -312,18 +353,18 @@
 	for n := 1 + s.random.IntN(4); n > 0; n-- {
 		write := readWrite && (!wrote || s.random.IntN(2) == 0)
 		statement, shape := s.drawStatement(write)
-		answer, id, err := s.call(statement, shape, tx)
+		if write {
+			// The result of a write has no visible log, so freshness is not checked from here on.
+			required, wrote = ReadRequirement{}, true
+		}
+		answer, id, err := s.call(statement, shape, tx, required)
 		if err != nil {
 			return false, err
 		}
 		if !answer.OK() {
 			return false, s.abortTransaction(answer, tx)
 		}
-		if write {
-			// The result of a write has no visible log, so freshness is not checked from here on.
-			required, wrote = ReadRequirement{}, true
-		}
-		s.fleet.checker.checkSuccess(id, answer, required)
+		s.fleet.checker.checkSuccess(id, answer)
 		if s.random.IntN(4) == 0 {
 			time.Sleep(time.Duration(s.random.ExpFloat64() * float64(thinkDelay)))
 		}
@@ -338,10 +379,10 @@
 	case 0:
 		return true, errSessionEnded
 	case 1:
-		answer, _, err := s.call(ctquery.Rollback{}, ctquery.Shape{}, tx)
+		answer, _, err := s.call(ctquery.Rollback{}, ctquery.Shape{}, tx, ReadRequirement{})
 		return err == nil && answer.OK(), err
 	}
-	answer, id, err := s.call(ctquery.Commit{}, ctquery.Shape{}, tx)
+	answer, id, err := s.call(ctquery.Commit{}, ctquery.Shape{}, tx, ReadRequirement{})
 	switch {
 	case err != nil:
 		return false, err
@@ -350,7 +391,7 @@
 	case wrote:
 		return true, s.recordCommit(id, answer)
 	}
-	s.fleet.checker.checkSuccess(id, answer, ReadRequirement{})
+	s.fleet.checker.checkSuccess(id, answer)
 	return true, nil
 }
 
@@ -360,7 +401,7 @@
 	if err := s.handleRefusal(refusal, tx); err == nil {
 		return nil
 	}
-	answer, _, err := s.call(ctquery.Rollback{}, ctquery.Shape{}, tx)
+	answer, _, err := s.call(ctquery.Rollback{}, ctquery.Shape{}, tx, ReadRequirement{})
 	if err != nil || !answer.OK() || answer.Transaction != ctquery.TransactionNone {
 		return errSessionEnded
 	}
--- a/internal/lab/ctsoak/checker.go
+++ b/internal/lab/ctsoak/checker.go
@@ -32,9 +32,14 @@
 	// InvariantRefusal: a transaction that was refused or aborted leaves nothing in the
 	// log.
 	InvariantRefusal Invariant = "refusal"
-	// InvariantSinglePromoter: promotions are requested in rising epochs, and by one
-	// holder in each epoch.
-	InvariantSinglePromoter Invariant = "one_primary"
+	// InvariantSharedEpoch: no two holders request promotions in one epoch.
+	InvariantSharedEpoch Invariant = "shared_epoch"
+	// InvariantTurns: holders that aren't disturbed don't take turns in a group within
+	// holderLease.
+	InvariantTurns Invariant = "turns"
+	// InvariantEpochOrder: no promotion is requested in a lower epoch than one before in the
+	// same group. No fault excuses that.
+	InvariantEpochOrder Invariant = "epoch_order"
 	// InvariantConfig: an acknowledged configuration is not lost, and no process returns
 	// to an older release.
 	InvariantConfig Invariant = "config"
@@ -44,6 +49,11 @@
 	// InvariantNoExit: processes exit only when they are stopped, and the Go runtime
 	// reports no panic or data race in them.
 	InvariantNoExit Invariant = "runs"
+	// InvariantRoute: members run only statements of sessions on databases of their group.
+	InvariantRoute Invariant = "route"
+	// InvariantDrain: a proxy that was asked to stop becomes unready, and lets open
+	// transactions go on for half of its time.
+	InvariantDrain Invariant = "drain"
 	// InvariantRecovery: callers are served again after the faults.
 	InvariantRecovery Invariant = "recovery"
 )
@@ -68,12 +78,20 @@
 // Transaction is what commits or rolls back as a whole: an explicit transaction, or a
 // single statement outside of one. The checker compares transactions by their address.
 type Transaction struct {
+	// group is the group of the session's database.
+	group ctid.Group
 	// session is the name of the caller's session.
 	session string
 	// explicit reports whether the transaction starts with a Begin statement.
 	explicit bool
+	// startedAt is when the caller began it.
+	startedAt time.Time
 	// commitRequested is set when the caller sends the statement that commits it.
 	commitRequested bool
+	// first is its first statement that a member ran, and connection is the one on which that
+	// ran last: a proxy repeats the first statement if its answer is lost.
+	first      ctquery.ID
+	connection *memberSession
 }
 
 // sentStatement is a statement as its caller sent it.
@@ -82,6 +100,10 @@
 	statement ctquery.Statement
 	// shape is that of the prepared statement to execute, else empty.
 	shape ctquery.Shape
+	// required is what a read must show.
+	required ReadRequirement
+	// ran is set when a member has run the statement.
+	ran bool
 }
 
 // execution is a statement that a member ran.
@@ -98,6 +120,8 @@
 // the invariants. Its methods may be called concurrently.
 type Checker struct {
 	start time.Time
+	// inTouch reports whether a control process was not disturbed since a time.
+	inTouch func(control string, since time.Time) bool
 
 	mutex      sync.Mutex
 	violations []Violation
@@ -106,6 +130,8 @@
 	executions map[string]execution
 	proofCount int
 	outcomes   map[ctid.Group]*writeOutcomes
+	// requests are the promotion requests that the service has received, in order.
+	requests []promotionRequest
 }
 
 // writeOutcomes are the outcomes of a group's writes as callers received them.
@@ -122,10 +148,12 @@
 	entry entryID
 }
 
-// NewChecker returns a checker without records. Violation times count from now.
+// NewChecker returns a checker without records, for which no process is ever disturbed.
+// Violation times count from now.
 func NewChecker() *Checker {
 	return &Checker{
 		start:      time.Now(),
+		inTouch:    func(string, time.Time) bool { return true },
 		sent:       make(map[ctquery.ID]sentStatement),
 		executions: make(map[string]execution),
 		outcomes:   make(map[ctid.Group]*writeOutcomes),
@@ -168,11 +196,11 @@
 
 // recordSent records that a caller sends a statement of a transaction. It must be called
 // before the statement is sent. The shape is that of the prepared statement to execute,
-// else empty.
-func (c *Checker) recordSent(q ctquery.Query, tx *Transaction, shape ctquery.Shape) {
+// else empty. A read must show what is required, also if its answer is lost.
+func (c *Checker) recordSent(q ctquery.Query, tx *Transaction, shape ctquery.Shape, required ReadRequirement) {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	c.sent[q.ID] = sentStatement{tx: tx, statement: q.Statement, shape: shape}
+	c.sent[q.ID] = sentStatement{tx: tx, statement: q.Statement, shape: shape, required: required}
 	switch q.Statement.(type) {
 	case ctquery.Commit:
 		tx.commitRequested = true
@@ -184,9 +212,9 @@
 }
 
 // recordStart checks a statement that a member begins to run against the one that was
-// sent. The shape is that of the prepared statement on the member's connection, else
+// sent. The shape is that of the prepared statement on the member's connection s, else
 // empty. It returns the statement's transaction, or nil if no caller sent the statement.
-func (c *Checker) recordStart(q ctquery.Query, shape ctquery.Shape) *Transaction {
+func (c *Checker) recordStart(s *memberSession, q ctquery.Query, shape ctquery.Shape) *Transaction {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	sent, ok := c.sent[q.ID]
@@ -194,10 +222,13 @@
 		c.recordViolationLocked(InvariantOnlySent, "statement %q %#v was not sent by any caller", q.ID, q.Statement)
 		return nil
 	}
+	sent.ran = true
+	c.sent[q.ID] = sent
+	c.checkPlaceLocked(s, q.ID, sent.tx)
 	sentAs, ranAs := sent.statement, q.Statement
-	if s, prepared := sentAs.(ctquery.Execute); prepared {
+	if prepared, ok := sentAs.(ctquery.Execute); ok {
 		r, same := ranAs.(ctquery.Execute)
-		if !same || r.Arguments != s.Arguments {
+		if !same || r.Arguments != prepared.Arguments {
 			c.recordViolationLocked(InvariantOnlySent, "statement %s was sent as %#v and ran as %#v", q.ID, sentAs, ranAs)
 		} else if shape != sent.shape {
 			c.recordViolationLocked(InvariantIsolation, "statement %s ran %+v where %+v was prepared", q.ID, shape, sent.shape)
@@ -210,11 +241,40 @@
 	return sent.tx
 }
 
+// checkPlaceLocked checks that a statement runs in its session's group, and on the connection of
+// its transaction's first statement. The caller holds the mutex.
+func (c *Checker) checkPlaceLocked(s *memberSession, id ctquery.ID, tx *Transaction) {
+	if s.group.name != tx.group {
+		c.recordViolationLocked(InvariantRoute, "statement %s for %s ran in %s", id, tx.group, s.group.name)
+	}
+	if !tx.explicit {
+		return
+	}
+	if tx.first == "" || tx.first == id {
+		tx.first, tx.connection = id, s
+	}
+	if tx.connection != s {
+		c.recordViolationLocked(InvariantIsolation, "statement %s ran on another connection than its transaction", id)
+	}
+}
+
+// hasRun reports whether a member has begun to run a statement.
+func (c *Checker) hasRun(id ctquery.ID) bool {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	return c.sent[id].ran
+}
+
 // recordResult records the result of a statement at a member: its rows and the visible part
-// of the log, as described at execution. It returns a new proof for the answer.
+// of the log, as described at execution. It checks that a read shows what it must, and returns a
+// new proof for the answer.
 func (c *Checker) recordResult(id ctquery.ID, rows []string, visible []record) string {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
+	if e := c.sent[id].required.entry; e.number > 0 && !containsEntry(visible, e) {
+		c.recordViolationLocked(InvariantFreshness, "statement %s saw %d entries without entry %d of term %d",
+			id, len(visible), e.number, e.term)
+	}
 	c.proofCount++
 	proof := fmt.Sprintf("mac-%d", c.proofCount)
 	c.executions[proof] = execution{id: id, rows: rows, visible: visible}
@@ -256,9 +316,9 @@
 }
 
 // checkSuccess checks a successful answer: its proof and rows must be those of the
-// statement's execution, and the execution must have seen the required commit. It returns
-// the newest entry that the statement saw, and whether the statement appended that entry.
-func (c *Checker) checkSuccess(id ctquery.ID, answer ctquery.Answer, required ReadRequirement) (entryID, bool) {
+// statement's execution. It returns the newest entry that the statement saw, and whether the
+// statement appended that entry.
+func (c *Checker) checkSuccess(id ctquery.ID, answer ctquery.Answer) (entryID, bool) {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	r, ok := c.executions[answer.Proof]
@@ -271,10 +331,6 @@
 		c.recordViolationLocked(InvariantProof, "statement %s was answered with rows %q instead of %q",
 			id, answer.Rows, r.rows)
 	}
-	if n := required.entry.number; n > 0 && !containsEntry(r.visible, required.entry) {
-		c.recordViolationLocked(InvariantFreshness, "statement %s saw %d entries without entry %d of term %d",
-			id, len(r.visible), n, required.entry.term)
-	}
 	if len(r.visible) == 0 {
 		return entryID{}, false
 	}
--- a/internal/lab/ctsoak/checker_test.go
+++ b/internal/lab/ctsoak/checker_test.go
@@ -6,6 +6,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/cherviltrestle/cherviltrestle/internal/decide/ctquorum"
 	"github.com/cherviltrestle/cherviltrestle/internal/decide/ctsuccession"
 	"github.com/cherviltrestle/cherviltrestle/internal/model/ctid"
 	"github.com/cherviltrestle/cherviltrestle/internal/model/ctquery"
@@ -42,8 +43,15 @@
 
 // run records a statement as sent by a caller and runs it on a member's session.
 func (f *fixture) run(s *memberSession, tx *Transaction, id ctquery.ID, statement ctquery.Statement) ctquery.Answer {
+	return f.runRequired(s, tx, id, statement, ReadRequirement{})
+}
+
+// runRequired is run for a read that must show what is required.
+func (f *fixture) runRequired(
+	s *memberSession, tx *Transaction, id ctquery.ID, statement ctquery.Statement, required ReadRequirement,
+) ctquery.Answer {
 	q := ctquery.Query{ID: id, Statement: statement}
-	f.checker.recordSent(q, tx, ctquery.Shape{})
+	f.checker.recordSent(q, tx, ctquery.Shape{}, required)
 	answer, _ := s.run(q)
 	return answer
 }
@@ -58,9 +66,9 @@
 		f.group.replicate(done)
 	}()
 	defer close(done)
-	answer := f.run(f.session(0, "c"), &Transaction{session: "c"}, id, ctquery.Write{Arguments: "i d"})
+	answer := f.run(f.session(0, "c"), &Transaction{group: groupName, session: "c"}, id, ctquery.Write{Arguments: "i d"})
 	assert.Assert(t, answer.OK(), "%s", answer.Fault)
-	e, appended := f.checker.checkSuccess(id, answer, ReadRequirement{})
+	e, appended := f.checker.checkSuccess(id, answer)
 	assert.Assert(t, appended)
 	f.checker.recordAcknowledged(groupName, e)
 	return e
@@ -76,14 +84,33 @@
 	assert.DeepEqual(t, got, want)
 }
 
+// assertTransaction checks which invariants the reads of one transaction violate. Each runs on the
+// open transaction of the member with the given index.
+func (f *fixture) assertTransaction(t *testing.T, ids []ctquery.ID, members []int, want ...Invariant) {
+	t.Helper()
+	tx := &Transaction{group: groupName, session: "c", explicit: true}
+	sessions := make(map[int]*memberSession)
+	for i, id := range ids {
+		s, ok := sessions[members[i]]
+		if !ok {
+			s = f.session(members[i], "c")
+			s.run(ctquery.Query{Statement: ctquery.Begin{ReadOnly: true}})
+			sessions[members[i]] = s
+		}
+		f.run(s, tx, id, ctquery.Read{Item: "i"})
+	}
+	f.assertViolations(t, want...)
+}
+
 func TestChecker(t *testing.T) {
 	t.Run("accepts correct behaviour", func(t *testing.T) {
 		f := newFixture()
 		f.writeAcknowledged(t)
 		f.replicate()
 		required := f.checker.requirement(groupName, 0)
-		answer := f.run(f.session(1, "c"), &Transaction{session: "c"}, "b", ctquery.Read{Item: "i"})
-		f.checker.checkSuccess("b", answer, required)
+		tx := &Transaction{group: groupName, session: "c"}
+		answer := f.runRequired(f.session(1, "c"), tx, "b", ctquery.Read{Item: "i"}, required)
+		f.checker.checkSuccess("b", answer)
 		f.checker.checkFinalLog(groupName, f.group.newestLog())
 		f.assertViolations(t)
 	})
@@ -93,8 +120,7 @@
 		f.group.SetFaults(f.group.members[1], func(faults *memberFaults) { faults.applyLag = time.Hour })
 		required := f.checker.requirement(groupName, 0)
 		f.group.members[1].applied = 0
-		answer := f.run(f.session(1, "c"), &Transaction{session: "c"}, "b", ctquery.Read{Item: "i"})
-		f.checker.checkSuccess("b", answer, required)
+		f.runRequired(f.session(1, "c"), &Transaction{group: groupName, session: "c"}, "b", ctquery.Read{Item: "i"}, required)
 		f.assertViolations(t, InvariantFreshness)
 	})
 	t.Run("detects a statement that no caller sent", func(t *testing.T) {
@@ -105,27 +131,41 @@
 	t.Run("detects a changed statement", func(t *testing.T) {
 		f := newFixture()
 		f.checker.recordSent(ctquery.Query{ID: "x", Statement: ctquery.Read{Item: "i"}},
-			&Transaction{session: "c"}, ctquery.Shape{})
+			&Transaction{group: groupName, session: "c"}, ctquery.Shape{}, ReadRequirement{})
 		f.session(0, "c").run(ctquery.Query{ID: "x", Statement: ctquery.Read{Item: "j"}})
 		f.assertViolations(t, InvariantOnlySent)
 	})
 	t.Run("detects the state of another session", func(t *testing.T) {
 		f := newFixture()
-		f.run(f.session(0, "d"), &Transaction{session: "c"}, "x", ctquery.Read{Item: "i"})
+		f.run(f.session(0, "d"), &Transaction{group: groupName, session: "c"}, "x", ctquery.Read{Item: "i"})
 		f.assertViolations(t, InvariantIsolation)
 	})
 	t.Run("detects a statement inside another caller's transaction", func(t *testing.T) {
 		f := newFixture()
 		s := f.session(0, "c")
 		s.run(ctquery.Query{Statement: ctquery.Begin{}})
-		f.run(s, &Transaction{session: "c", explicit: true}, "x", ctquery.Read{Item: "i"})
-		f.run(s, &Transaction{session: "c", explicit: true}, "y", ctquery.Read{Item: "i"})
+		f.run(s, &Transaction{group: groupName, session: "c", explicit: true}, "x", ctquery.Read{Item: "i"})
+		f.run(s, &Transaction{group: groupName, session: "c", explicit: true}, "y", ctquery.Read{Item: "i"})
 		f.assertViolations(t, InvariantIsolation)
 	})
+	t.Run("detects a transaction on two connections", func(t *testing.T) {
+		newFixture().assertTransaction(t, []ctquery.ID{"x", "y"}, []int{0, 1}, InvariantIsolation)
+	})
+	t.Run("detects a transaction that returns to its first connection", func(t *testing.T) {
+		newFixture().assertTransaction(t, []ctquery.ID{"x", "x", "y"}, []int{0, 1, 0}, InvariantIsolation)
+	})
+	t.Run("accepts a first statement that is repeated elsewhere", func(t *testing.T) {
+		newFixture().assertTransaction(t, []ctquery.ID{"x", "x", "y"}, []int{0, 1, 1})
+	})
+	t.Run("detects a statement in another group", func(t *testing.T) {
+		f := newFixture()
+		f.run(f.session(0, "c"), &Transaction{group: "h", session: "c"}, "x", ctquery.Read{Item: "i"})
+		f.assertViolations(t, InvariantRoute)
+	})
 	t.Run("detects the answer of another statement", func(t *testing.T) {
 		f := newFixture()
-		answer := f.run(f.session(0, "c"), &Transaction{session: "c"}, "x", ctquery.Read{Item: "i"})
-		f.checker.checkSuccess("y", answer, ReadRequirement{})
+		answer := f.run(f.session(0, "c"), &Transaction{group: groupName, session: "c"}, "x", ctquery.Read{Item: "i"})
+		f.checker.checkSuccess("y", answer)
 		f.assertViolations(t, InvariantProof)
 	})
 	t.Run("detects an acknowledged commit that the promoted member lacks", func(t *testing.T) {
@@ -138,20 +178,73 @@
 	})
 	t.Run("detects a duplicate write and a refused transaction in the log", func(t *testing.T) {
 		f := newFixture()
-		tx := &Transaction{session: "c"}
+		tx := &Transaction{group: groupName, session: "c"}
 		log := []record{
 			{entryID: entryID{1, 1}, tx: tx, writes: []ctquery.ID{"a"}},
-			{entryID: entryID{1, 2}, tx: &Transaction{session: "c"}, writes: []ctquery.ID{"a"}},
+			{entryID: entryID{1, 2}, tx: &Transaction{group: groupName, session: "c"}, writes: []ctquery.ID{"a"}},
 		}
 		f.checker.recordRefused(groupName, tx)
 		f.checker.checkFinalLog(groupName, log)
 		f.assertViolations(t, InvariantRefusal, InvariantAtMostOnce)
 	})
-	t.Run("detects a promotion request of an older epoch", func(t *testing.T) {
+}
+
+// assertRequests checks which invariants two promotion requests of an epoch each violate. The
+// second one follows after a pause.
+func assertRequests(
+	t *testing.T, first, second promotionRequest, pause time.Duration, inTouch bool, want ...Invariant,
+) {
+	t.Helper()
+	f := newFixture()
+	f.checker.inTouch = func(string, time.Time) bool { return inTouch }
+	first.at = time.Now()
+	second.at = first.at.Add(pause)
+	f.checker.recordRequest(first)
+	f.checker.recordRequest(second)
+	f.assertViolations(t, want...)
+}
+
+// TestRequests covers two holders that request promotions at the same service.
+func TestRequests(t *testing.T) {
+	const soon, late = holderLease - 1, holderLease
+	of := func(group ctid.Group, holder string, epoch ctquorum.Epoch) promotionRequest {
+		return promotionRequest{group: group, member: "m0", holder: holder, epoch: epoch}
+	}
+	t.Run("a holder requests again", func(t *testing.T) {
+		assertRequests(t, of("g", "control-0", 2), of("g", "control-0", 2), 0, true)
+	})
+	t.Run("a later leader requests after a lease", func(t *testing.T) {
+		assertRequests(t, of("g", "control-0", 2), of("g", "control-1", 3), late, true)
+	})
+	t.Run("a later leader requests after a fault", func(t *testing.T) {
+		assertRequests(t, of("g", "control-0", 2), of("g", "control-1", 3), soon, false)
+	})
+	t.Run("holders take turns", func(t *testing.T) {
+		assertRequests(t, of("g", "control-0", 2), of("g", "control-1", 3), soon, true, InvariantTurns)
+	})
+	t.Run("holders request in different groups", func(t *testing.T) {
+		assertRequests(t, of("g", "control-0", 3), of("h", "control-1", 2), 0, true)
+	})
+	t.Run("an older epoch", func(t *testing.T) {
+		assertRequests(t, of("g", "control-1", 3), of("g", "control-0", 2), late, true, InvariantEpochOrder)
+	})
+	t.Run("an older epoch during a fault", func(t *testing.T) {
+		assertRequests(t, of("g", "control-1", 3), of("g", "control-0", 2), soon, false, InvariantEpochOrder)
+	})
+	t.Run("an older epoch of the same holder", func(t *testing.T) {
+		assertRequests(t, of("g", "control-0", 3), of("g", "control-0", 2), late, true, InvariantEpochOrder)
+	})
+	t.Run("two holders in one epoch", func(t *testing.T) {
+		assertRequests(t, of("g", "control-0", 2), of("g", "control-1", 2), late, false, InvariantSharedEpoch)
+	})
+	t.Run("two holders in one epoch for different groups", func(t *testing.T) {
+		assertRequests(t, of("g", "control-0", 2), of("h", "control-1", 2), late, false, InvariantSharedEpoch)
+	})
+	t.Run("the service passes on all requests", func(t *testing.T) {
 		f := newFixture()
 		assert.Equal(t, f.group.Promote("m0", "core-1", 5), ctsuccession.PromotionAccepted)
 		f.group.Promote("m0", "core-2", 4)
-		f.assertViolations(t, InvariantSinglePromoter)
+		f.assertViolations(t, InvariantEpochOrder, InvariantTurns)
 	})
 }
 
@@ -195,7 +288,7 @@
 		s := f.session(0, "c")
 		answered := make(chan struct{})
 		go func() {
-			f.run(s, &Transaction{session: "c"}, "a", ctquery.Write{Arguments: "i d"})
+			f.run(s, &Transaction{group: groupName, session: "c"}, "a", ctquery.Write{Arguments: "i d"})
 			close(answered)
 		}()
 		select {
--- a/internal/lab/ctsoak/doc.go
+++ b/internal/lab/ctsoak/doc.go
@@ -15,7 +15,23 @@
 stalled. Members, callers, operators and the promotion service run in the test
 process; package platform encodes their messages. The Checker receives each
 statement from the caller that sends it and from the member that runs it, and
-records violations of the invariants.
+each promotion request as the service receives it. It records violations of the
+invariants.
+
+# Held requests
+
+The promotion service compares no epochs. A requestGate in front of it holds the
+requests of a control process for a while and lets them pass at the end, also if
+their sender has lost its lead or has ended by then. An Overtake fault holds the
+first request after the end of a primary and cuts its sender off, so that another
+process leads before the request is handled.
+
+# Excuses
+
+Some invariants are not judged at a process that was disturbed in the last
+stableWindow. None of these excuses a lost commit, a stale read, a mixed answer,
+an older release that is read from control, or promotion requests that share an
+epoch or fall back to an earlier one.
 
 # Lock order
 
--- a/internal/lab/ctsoak/fleet.go
+++ b/internal/lab/ctsoak/fleet.go
@@ -59,6 +59,8 @@
 	// shouldRun is set from a start of the process until it is stopped or killed on
 	// purpose.
 	shouldRun bool
+	// ongoingFaults is how many faults of the host are in progress.
+	ongoingFaults int
 	// starts counts the starts of the process.
 	starts int
 	// lastFault is when a fault of the host last began or ended.
@@ -85,6 +87,7 @@
 	networkLock net.Listener
 	// promotionServer is nil before Start.
 	promotionServer *http.Server
+	requests        requestGate
 
 	mutex sync.Mutex
 	// lastFault is when an unplanned fault last began or ended anywhere, and
@@ -98,6 +101,7 @@
 // Close if there is no error.
 func NewFleet(plan Plan, folder, binFolder string, checker *Checker) (*Fleet, error) {
 	f := &Fleet{plan: plan, folder: folder, checker: checker}
+	checker.inTouch = f.requestsInTouch
 	if err := f.claimNetwork(); err != nil {
 		return nil, err
 	}
@@ -288,10 +292,12 @@
 	return errors.Wrap(os.WriteFile(h.settingsFile, []byte(platform.RenderSettings(h.settings)), 0o600), "write settings")
 }
 
-// promote handles a promotion request for a member of any group.
+// promote handles a promotion request for a member of any group, at the end of a hold if the
+// requests of its holder are held.
 func (f *Fleet) promote(
 	group ctid.Group, member ctid.Member, holder string, epoch ctquorum.Epoch,
 ) ctsuccession.PromotionOutcome {
+	f.requests.awaitRelease(holder)
 	for _, g := range f.groups {
 		if g.name == group {
 			return g.Promote(member, holder, epoch)
@@ -361,6 +367,63 @@
 	return h.lastFault.Before(since) && h.lastStop.Before(since)
 }
 
+// recordOngoing records that a fault of the host begins (1) or ends (-1) now.
+func (h *host) recordOngoing(change int) {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	h.ongoingFaults += change
+	h.lastFault = time.Now()
+}
+
+// isDisturbed reports whether a fault of the host is in progress, or one has begun or ended or a
+// planned stop has begun since a time.
+func (h *host) isDisturbed(since time.Time) bool {
+	h.mutex.Lock()
+	ongoing := h.ongoingFaults > 0
+	h.mutex.Unlock()
+	return ongoing || !h.undisturbedSince(since)
+}
+
+// requestsInTouch reports whether neither a control process nor its promotion requests were
+// disturbed since a time.
+func (f *Fleet) requestsInTouch(control string, since time.Time) bool {
+	for _, h := range f.controls {
+		if h.String() == control {
+			return !f.requests.isDisturbed(control, since) && !h.isDisturbed(since)
+		}
+	}
+	return false
+}
+
+// inTouch reports whether neither a host nor any control process was disturbed since a time, and
+// most control processes run.
+func (f *Fleet) inTouch(h *host, since time.Time) bool {
+	running := 0
+	for _, c := range f.controls {
+		if c.isDisturbed(since) {
+			return false
+		}
+		if c.process.Running() {
+			running++
+		}
+	}
+	return 2*running > len(f.controls) && !h.isDisturbed(since)
+}
+
+// isStopping reports whether a planned stop of the host is the only disturbance of it since a time.
+func (h *host) isStopping(since time.Time) bool {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	return h.ongoingFaults == 0 && h.lastFault.Before(since) && h.lastStop.After(since)
+}
+
+// stoppedAt returns when a planned stop of the host last began.
+func (h *host) stoppedAt() time.Time {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	return h.lastStop
+}
+
 // beginUnplannedFault records that an unplanned fault begins. The caller must call end when
 // the fault is over.
 func (f *Fleet) beginUnplannedFault() (end func()) {
--- a/internal/lab/ctsoak/group.go
+++ b/internal/lab/ctsoak/group.go
@@ -56,9 +56,6 @@
 	// latestPrimary is the member that was promoted last, and term is its term.
 	latestPrimary *member
 	term          ctposition.Term
-	// epoch and holder are those of the newest promotion request.
-	epoch  ctquorum.Epoch
-	holder string
 }
 
 // member is one member of a group. Its group's mutex guards it.
@@ -204,16 +201,11 @@
 }
 
 // Promote handles a promotion request. It accepts the request if the member runs, and
-// makes it the primary after promotionDelay. Requests must come in rising epochs, each
-// epoch with one holder; anything else is a violation.
+// makes it the primary after promotionDelay. It doesn't compare epochs, but the checker does.
 func (g *Group) Promote(name ctid.Member, holder string, epoch ctquorum.Epoch) ctsuccession.PromotionOutcome {
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
-	if epoch < g.epoch || (epoch == g.epoch && holder != g.holder) {
-		g.checker.recordViolation(InvariantSinglePromoter, "%s: %s requested a promotion in epoch %d after %s in epoch %d",
-			g.name, holder, epoch, g.holder, g.epoch)
-	}
-	g.epoch, g.holder = max(epoch, g.epoch), holder
+	g.checker.recordRequest(promotionRequest{group: g.name, member: name, holder: holder, epoch: epoch, at: time.Now()})
 	for _, m := range g.members {
 		if m.name != name || !m.running {
 			continue
--- a/internal/lab/ctsoak/inject.go
+++ b/internal/lab/ctsoak/inject.go
@@ -47,9 +47,9 @@
 	}
 }
 
-// inject runs one fault from its beginning to its end. Planned stops and reloads are not
-// recorded as unplanned faults of the fleet, and a planned replacement is one only from the
-// moment at which the member stops.
+// inject runs one fault from its beginning to its end. Planned stops, reloads and holds of
+// promotion requests are not recorded as unplanned faults of the fleet, and a planned replacement
+// is one only from the moment at which the member stops.
 func (i *injector) inject(ctx context.Context, fault Fault) {
 	switch f := fault.(type) {
 	case Stop:
@@ -59,6 +59,10 @@
 		if i.fleet.writeSettings(h) == nil {
 			h.process.Reload()
 		}
+	case Hold:
+		h := i.fleet.processHost(f.Host)
+		begin, end := func() { i.fleet.requests.hold(h.String()) }, func() { i.fleet.requests.release(h.String()) }
+		i.applyFor(ctx, nil, f.For, begin, end)
 	case Retire:
 		i.retire(ctx, i.fleet.server(f.Host))
 	default:
@@ -96,6 +100,8 @@
 	case Silence:
 		_, processIP := fleet.addresses(f.Host)
 		i.applyFor(ctx, i.hostOrNil(f.Host), 0, func() { fleet.links.Blackhole(processIP) }, func() {})
+	case Overtake:
+		i.overtake(ctx, fleet.groups[f.Group], f.For)
 	default:
 		i.injectMember(ctx, fault)
 	}
@@ -110,16 +116,16 @@
 }
 
 // applyFor begins a fault, waits for its duration and ends it. It records both moments at
-// the host h, which is nil for a member.
+// the host h, which is nil for a member and for a hold.
 func (i *injector) applyFor(ctx context.Context, h *host, duration time.Duration, begin, end func()) {
 	begin()
 	if h != nil {
-		h.recordFault()
+		h.recordOngoing(1)
 	}
 	sleep(ctx, duration)
 	end()
 	if h != nil {
-		h.recordFault()
+		h.recordOngoing(-1)
 	}
 }
 
@@ -274,3 +280,44 @@
 	v.generation++
 	v.restart(ctx, ctid.Member(fmt.Sprintf("%s-%d", v.originalName, v.generation)), i.logger)
 }
+
+// overtakeTimeout is how long an Overtake waits for a promotion request.
+const overtakeTimeout = 5 * time.Second
+
+// overtake runs an Overtake fault, unless the primary is down or another one waits for a request.
+func (i *injector) overtake(ctx context.Context, g *Group, duration time.Duration) {
+	v := i.fleet.primaryServer(g)
+	if !v.reserve() {
+		return
+	}
+	defer v.release()
+	trap := i.fleet.requests.setTrap()
+	if trap == nil {
+		return
+	}
+	v.crash()
+	defer func() { v.restart(ctx, v.member.name, i.logger) }()
+	sender, ok := i.fleet.requests.awaitSender(ctx, trap, overtakeTimeout)
+	if !ok {
+		return
+	}
+	defer i.fleet.requests.release(sender)
+	i.logger.Info().Str("event", "request_held").Str("sender", sender).Send()
+	for _, c := range i.fleet.controls {
+		if c.String() == sender {
+			i.cut(ctx, Cut{Host: c.Host, Receives: true, Sends: true, For: duration})
+		}
+	}
+}
+
+// primaryServer returns the server of a group's latest primary.
+func (f *Fleet) primaryServer(g *Group) *server {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	for _, v := range f.servers {
+		if v.member == g.latestPrimary {
+			return v
+		}
+	}
+	return nil
+}
--- a/internal/lab/ctsoak/operator.go
+++ b/internal/lab/ctsoak/operator.go
@@ -4,9 +4,11 @@
 	"bytes"
 	"context"
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"net/http"
 	"net/netip"
+	"slices"
 	"sync"
 	"time"
 
@@ -35,6 +37,13 @@
 	acknowledgeTimeout = 6 * time.Second
 )
 
+// renderedTimeout is statementTimeout in the encoded routes.
+const renderedTimeout = `"timeout_ms":2000`
+
+// releasesPerOther is in how many releases there is one after which other content is sent under
+// its number.
+const releasesPerOther = 4
+
 // operator publishes configurations, reads them back from control and checks which
 // release the proxies use. Each release has a database of its own. A proxy that accepts a
 // session for this database uses that release.
@@ -162,6 +171,9 @@
 			o.mutex.Lock()
 			o.acknowledged[release] = time.Now()
 			o.mutex.Unlock()
+			if release%releasesPerOther == 0 {
+				o.publishOther(ctx, body)
+			}
 			if status, err := o.sendConfig(ctx, body); err == nil && status/100 == 4 {
 				o.fleet.checker.recordViolation(InvariantConfig,
 					"release %d was acknowledged but refused with status %d when sent again", release, status)
@@ -181,6 +193,13 @@
 	return false
 }
 
+// publishOther sends other content under the number of an acknowledged release. It may be
+// refused or acknowledged, but must not be in force or be read back, which checkCurrentConfig
+// checks.
+func (o *operator) publishOther(ctx context.Context, body []byte) {
+	_, _ = o.sendConfig(ctx, bytes.ReplaceAll(body, []byte(renderedTimeout), []byte(`"timeout_ms":1999`)))
+}
+
 // sendConfig sends a configuration to a random control process and returns the HTTP status.
 func (o *operator) sendConfig(ctx context.Context, body []byte) (int, error) {
 	callCtx, cancel := context.WithTimeout(ctx, callTimeout)
@@ -194,8 +213,7 @@
 	if err != nil {
 		return
 	}
-	// The text that is replaced is statementTimeout in the encoded routes.
-	body = bytes.ReplaceAll(body, []byte(`"timeout_ms":2000`), []byte(`"timeout_ms":0`))
+	body = bytes.ReplaceAll(body, []byte(renderedTimeout), []byte(`"timeout_ms":0`))
 	if status, err := o.sendConfig(ctx, body); err == nil && status == http.StatusOK {
 		o.fleet.checker.recordViolation(InvariantConfig, "a configuration without a statement timeout was acknowledged")
 	}
@@ -262,7 +280,13 @@
 	if conn != nil {
 		conn.Close()
 	}
-	if err != nil || answer.Fault != ctquery.FaultNone || start != h.startCount() {
+	if err != nil || start != h.startCount() {
+		return false
+	}
+	if inTouch := o.fleet.inTouch(h, sent.Add(-stableWindow)); inTouch || answer.OK() {
+		o.checkApplied(h, release, answer, sent, inTouch)
+	}
+	if !answer.OK() {
 		return false
 	}
 	o.mutex.Lock()
@@ -282,3 +306,24 @@
 	}
 	return true
 }
+
+// checkApplied checks how a proxy has answered a probe of a release. A release that was not sent
+// is in force nowhere. A proxy that is in touch uses the newest release that was acknowledged
+// applyTimeout before the probe, or a newer one.
+func (o *operator) checkApplied(h *host, release ctid.Release, answer ctquery.Answer, probed time.Time, inTouch bool) {
+	required := o.newestAcknowledged(probed.Add(-applyTimeout))
+	o.mutex.Lock()
+	_, sent := o.sent[release]
+	newest := slices.Max(slices.Collect(maps.Keys(o.sent)))
+	o.mutex.Unlock()
+	switch {
+	case answer.OK() && !sent:
+		o.fleet.checker.recordViolation(InvariantConfig, "%s used release %d, which is not valid", h.Host, release)
+	case answer.OK() && inTouch && release < required:
+		o.fleet.checker.recordViolation(InvariantConfig, "%s used release %d %s after release %d was acknowledged",
+			h.Host, release, applyTimeout, required)
+	case answer.Fault == ctquery.FaultNoDatabase && inTouch && release == required && release == newest:
+		o.fleet.checker.recordViolation(InvariantConfig, "%s did not use release %d %s after it was acknowledged",
+			h.Host, release, applyTimeout)
+	}
+}
--- a/internal/lab/ctsoak/plan.go
+++ b/internal/lab/ctsoak/plan.go
@@ -1,8 +1,10 @@
 package ctsoak
 
 import (
+	"cmp"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"time"
 )
 
@@ -90,6 +92,21 @@
 	For      time.Duration
 }
 
+// Hold delays the handling of all promotion requests of a control process to its end, also if
+// the process has ended or lost its lead by then.
+type Hold struct {
+	Host Host
+	For  time.Duration
+}
+
+// Overtake stops a group's primary without notice, holds the first promotion request that the
+// service receives then, and cuts its sender off. So another control process leads, and may
+// request a promotion, before the held request is handled at the end.
+type Overtake struct {
+	Group int
+	For   time.Duration
+}
+
 // Delay delays all traffic of a host by the same time in both directions.
 type Delay struct {
 	Host Host
@@ -141,19 +158,21 @@
 	For     time.Duration
 }
 
-func (Kill) isFault()    {}
-func (Stop) isFault()    {}
-func (Freeze) isFault()  {}
-func (Wipe) isFault()    {}
-func (Tear) isFault()    {}
-func (Cut) isFault()     {}
-func (Delay) isFault()   {}
-func (Reset) isFault()   {}
-func (Silence) isFault() {}
-func (Hangup) isFault()  {}
-func (Crash) isFault()   {}
-func (Retire) isFault()  {}
-func (Hamper) isFault()  {}
+func (Kill) isFault()     {}
+func (Stop) isFault()     {}
+func (Freeze) isFault()   {}
+func (Wipe) isFault()     {}
+func (Tear) isFault()     {}
+func (Cut) isFault()      {}
+func (Hold) isFault()     {}
+func (Overtake) isFault() {}
+func (Delay) isFault()    {}
+func (Reset) isFault()    {}
+func (Silence) isFault()  {}
+func (Hangup) isFault()   {}
+func (Crash) isFault()    {}
+func (Retire) isFault()   {}
+func (Hamper) isFault()   {}
 
 // ScheduledFault is a fault and the time from the start of the traffic to its injection.
 type ScheduledFault struct {
@@ -173,8 +192,13 @@
 
 // Frequency and duration of faults.
 const (
-	// meanFaultInterval is the mean time between two faults.
+	// meanFaultInterval is the mean time between two faults other than those of promotion
+	// requests, and meanHoldInterval is that between two of these.
 	meanFaultInterval = 1200 * time.Millisecond
+	meanHoldInterval  = 3 * time.Second
+	// holdsPerOvertake is the share of the faults of promotion requests that are overtakes:
+	// one in so many.
+	holdsPerOvertake = 4
 	// diskRecoveryGrace is how long a wiped control process counts as without its disk
 	// after it has started again: until it has caught up. Only one disk may be lost at a
 	// time. So no other disk is wiped meanwhile, and of the other faults of control
@@ -212,6 +236,10 @@
 		plan.Shape.Proxies = proxies
 	}
 	p.drawSchedule()
+	// Faults of promotion requests have random numbers of their own, so that a seed keeps its
+	// other faults.
+	holds := planner{Rand: newRandom(seed, holdStream), plan: &plan}
+	holds.drawHolds()
 	return plan
 }
 
@@ -228,6 +256,22 @@
 	}
 }
 
+// drawHolds adds the faults of promotion requests to the plan's schedule.
+func (p *planner) drawHolds() {
+	for at := time.Duration(0); ; {
+		at += time.Duration(p.ExpFloat64() * float64(meanHoldInterval))
+		if at >= p.plan.FaultDuration {
+			break
+		}
+		var fault Fault = Hold{Host: Host{KindControl, p.IntN(p.plan.Shape.Domains)}, For: p.drawDuration()}
+		if p.IntN(holdsPerOvertake) == 0 {
+			fault = Overtake{Group: p.IntN(p.plan.Shape.Groups), For: maxFaultDuration}
+		}
+		p.plan.Schedule = append(p.plan.Schedule, ScheduledFault{After: at, Fault: fault})
+	}
+	slices.SortStableFunc(p.plan.Schedule, func(a, b ScheduledFault) int { return cmp.Compare(a.After, b.After) })
+}
+
 // drawDuration draws the duration of a fault, up to maxFaultDuration. Short ones are more
 // likely.
 func (p *planner) drawDuration() time.Duration {
--- a/internal/lab/ctsoak/run.go
+++ b/internal/lab/ctsoak/run.go
@@ -83,7 +83,7 @@
 	s := &soak{
 		Options: options, fleet: fleet, checker: checker,
 		operator: newOperator(fleet, newRandom(options.Plan.Seed, 1)),
-		balancer: &balancer{proxies: fleet.proxies},
+		balancer: &balancer{proxies: fleet.proxies, checker: checker},
 		counters: make(map[ctid.Database]*operationCounter),
 	}
 	if err := s.warmUp(ctx); err != nil {
@@ -93,6 +93,9 @@
 	return s.report(), errors.Wrap(parent.Err(), "the run was cancelled before its final checks")
 }
 
+// holdStream is the stream of the random numbers of the plan's faults of promotion requests.
+const holdStream = 4
+
 // newRandom returns a random generator that is independent for each stream of a seed.
 func newRandom(seed, stream uint64) *rand.Rand {
 	return rand.New(rand.NewPCG(seed, stream))
--- a/internal/lab/ctsoak/run_test.go
+++ b/internal/lab/ctsoak/run_test.go
@@ -39,10 +39,17 @@
 	t.Logf("served %d of %d operations, %d commits", report.Served, report.Attempted, report.Commits)
 }
 
-func TestSoak(t *testing.T) {
+// buildPrograms builds the race-enabled programs and returns their folder.
+func buildPrograms(t *testing.T) string {
+	t.Helper()
 	bin := t.TempDir()
 	output, err := exec.Command("go", "build", "-race", "-o", bin+"/", "../../../cmd/cherviltrestle").CombinedOutput()
 	assert.NilError(t, err, "%s", output)
+	return bin
+}
+
+func TestSoak(t *testing.T) {
+	bin := buildPrograms(t)
 	for _, r := range regressions {
 		t.Run(r.cause, func(t *testing.T) {
 			t.Parallel()
@@ -50,3 +57,14 @@
 		})
 	}
 }
+
+// TestOvertakenRequest guards against a promotion request of a former leader that the service
+// receives after one of a later leader for the same group.
+func TestOvertakenRequest(t *testing.T) {
+	const overtakeAfter, faults = 3 * time.Second, 4 * time.Second
+	plan := ctsoak.NewPlan(1, faults)
+	plan.Schedule = []ctsoak.ScheduledFault{
+		{After: overtakeAfter, Fault: ctsoak.Overtake{Group: 0, For: 6 * time.Second}},
+	}
+	assertNoViolations(t, buildPrograms(t), plan)
+}
--- a/internal/lab/ctsoak/session.go
+++ b/internal/lab/ctsoak/session.go
@@ -262,7 +262,7 @@
 	if !s.useSlot(answer) {
 		return nil, false
 	}
-	tx := s.group.checker.recordStart(q, shape)
+	tx := s.group.checker.recordStart(s, q, shape)
 	if tx == nil {
 		return nil, true
 	}
