ctsoak: promises and other content are judged in all logs and at all proxies

REFUSED was judged in the last log only: a transaction that was refused and committed in a log that is rolled back later passed. CONFIG: other content under the number of an acknowledged release was looked for when read back only; it now has a database of its own, which no proxy may have.

--- a/internal/lab/ctsoak/checker.go
+++ b/internal/lab/ctsoak/checker.go
@@ -29,8 +29,8 @@
 	InvariantDurability Invariant = "kept"
 	// InvariantAtMostOnce: a write takes effect at most once.
 	InvariantAtMostOnce Invariant = "once"
-	// InvariantRefusal: a transaction that was refused or aborted leaves nothing in the
-	// log.
+	// InvariantRefusal: a transaction that was refused or aborted leaves nothing in any
+	// log, also not in one that is rolled back later.
 	InvariantRefusal Invariant = "refusal"
 	// InvariantSharedEpoch: no two holders request promotions in one epoch.
 	InvariantSharedEpoch Invariant = "shared_epoch"
@@ -140,6 +140,8 @@
 	acknowledged []acknowledgement
 	// refused are the transactions that were refused as not run or as rolled back.
 	refused map[*Transaction]bool
+	// committed are the transactions that a member has appended to its log.
+	committed map[*Transaction]bool
 }
 
 // acknowledgement is a log entry and when its caller received the successful answer.
@@ -188,7 +190,7 @@
 func (c *Checker) groupOutcomes(group ctid.Group) *writeOutcomes {
 	outcomes, ok := c.outcomes[group]
 	if !ok {
-		outcomes = &writeOutcomes{refused: make(map[*Transaction]bool)}
+		outcomes = &writeOutcomes{refused: make(map[*Transaction]bool), committed: make(map[*Transaction]bool)}
 		c.outcomes[group] = outcomes
 	}
 	return outcomes
@@ -356,7 +358,26 @@
 func (c *Checker) recordRefused(group ctid.Group, tx *Transaction) {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	c.groupOutcomes(group).refused[tx] = true
+	outcomes := c.groupOutcomes(group)
+	outcomes.refused[tx] = true
+	c.checkRefusedLocked(group, outcomes, tx)
+}
+
+// recordCommitted records that a member has appended a transaction to its log.
+func (c *Checker) recordCommitted(group ctid.Group, tx *Transaction) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	outcomes := c.groupOutcomes(group)
+	outcomes.committed[tx] = true
+	c.checkRefusedLocked(group, outcomes, tx)
+}
+
+// checkRefusedLocked checks that a transaction is not both refused and committed. The caller holds
+// the mutex.
+func (c *Checker) checkRefusedLocked(group ctid.Group, outcomes *writeOutcomes, tx *Transaction) {
+	if outcomes.refused[tx] && outcomes.committed[tx] {
+		c.recordViolationLocked(InvariantRefusal, "%s: a transaction of %s was refused and committed", group, tx.session)
+	}
 }
 
 // checkPromoted checks that the log of a promoted member contains all acknowledged commits.
--- a/internal/lab/ctsoak/checker_test.go
+++ b/internal/lab/ctsoak/checker_test.go
@@ -162,6 +162,16 @@
 		f.run(f.session(0, "c"), &Transaction{group: "h", session: "c"}, "x", ctquery.Read{Item: "i"})
 		f.assertViolations(t, InvariantRoute)
 	})
+	t.Run("detects a refused transaction in a log that is rolled back", func(t *testing.T) {
+		f := newFixture()
+		refused, committed := &Transaction{session: "c"}, &Transaction{session: "c"}
+		f.checker.recordRefused(groupName, refused)
+		f.checker.recordCommitted(groupName, committed)
+		f.assertViolations(t)
+		f.checker.recordCommitted(groupName, refused)
+		f.checker.recordRefused(groupName, committed)
+		f.assertViolations(t, InvariantRefusal, InvariantRefusal)
+	})
 	t.Run("detects the answer of another statement", func(t *testing.T) {
 		f := newFixture()
 		answer := f.run(f.session(0, "c"), &Transaction{group: groupName, session: "c"}, "x", ctquery.Read{Item: "i"})
--- a/internal/lab/ctsoak/operator.go
+++ b/internal/lab/ctsoak/operator.go
@@ -86,6 +86,11 @@
 	return ctid.Database(fmt.Sprintf("release-%d", release))
 }
 
+// otherDatabase returns the name of the database that only the other content of a release has.
+func otherDatabase(release ctid.Release) ctid.Database {
+	return ctid.Database(fmt.Sprintf("other-%d", release))
+}
+
 // render returns the encoded configuration of a release.
 func (o *operator) render(release ctid.Release) ([]byte, error) {
 	var document ctconfig.Document
@@ -172,7 +177,7 @@
 			o.acknowledged[release] = time.Now()
 			o.mutex.Unlock()
 			if release%releasesPerOther == 0 {
-				o.publishOther(ctx, body)
+				o.publishOther(ctx, release, body)
 			}
 			if status, err := o.sendConfig(ctx, body); err == nil && status/100 == 4 {
 				o.fleet.checker.recordViolation(InvariantConfig,
@@ -193,11 +198,31 @@
 	return false
 }
 
-// publishOther sends other content under the number of an acknowledged release. It may be
-// refused or acknowledged, but must not be in force or be read back, which checkCurrentConfig
-// checks.
-func (o *operator) publishOther(ctx context.Context, body []byte) {
-	_, _ = o.sendConfig(ctx, bytes.ReplaceAll(body, []byte(renderedTimeout), []byte(`"timeout_ms":1999`)))
+// publishOther sends other content under the number of an acknowledged release: a database with
+// another name. It may be refused or acknowledged, but must not be in force, which probeOther
+// checks, or be read back, which checkCurrentConfig does.
+func (o *operator) publishOther(ctx context.Context, release ctid.Release, body []byte) {
+	_, _ = o.sendConfig(ctx, otherContent(release, body))
+}
+
+// otherContent returns the body of a release with another name for the database that only this
+// release has.
+func otherContent(release ctid.Release, body []byte) []byte {
+	own, other := string(releaseDatabase(release))+`"`, string(otherDatabase(release))+`"`
+	return bytes.ReplaceAll(body, []byte(own), []byte(other))
+}
+
+// probeOther checks that a proxy doesn't use the other content of a release.
+func (o *operator) probeOther(ctx context.Context, h *host, release ctid.Release) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	conn, answer, err := platform.DialProxy(ctx, h.settings.CallerAddress, otherDatabase(release))
+	if conn != nil {
+		conn.Close()
+	}
+	if err == nil && answer.OK() {
+		o.fleet.checker.recordViolation(InvariantConfig, "%s used other content of release %d", h.Host, release)
+	}
 }
 
 // sendConfig sends a configuration to a random control process and returns the HTTP status.
@@ -263,6 +288,9 @@
 		release := o.newestRelease()
 		if age := ctid.Release(random.IntN(6)); age < release {
 			go o.probeRelease(ctx, h, release-age)
+			if (release-age)%releasesPerOther == 0 {
+				go o.probeOther(ctx, h, release-age)
+			}
 		}
 		sleep(ctx, releaseProbeInterval)
 	}
--- a/internal/lab/ctsoak/operator_test.go
+++ b/internal/lab/ctsoak/operator_test.go
@@ -1,11 +1,15 @@
 package ctsoak
 
 import (
+	"bytes"
 	"testing"
 	"time"
 
+	"gotest.tools/v3/assert"
+
 	"github.com/cherviltrestle/cherviltrestle/internal/model/ctid"
 	"github.com/cherviltrestle/cherviltrestle/internal/model/ctquery"
+	"github.com/cherviltrestle/cherviltrestle/platform"
 )
 
 // assertApplied checks which invariants a proxy violates by its answer to a probe of a release.
@@ -38,3 +42,17 @@
 	t.Run("not an older one", func(t *testing.T) { assertApplied(t, 2, noDatabase, late, true) })
 	t.Run("one that is not valid", func(t *testing.T) { assertApplied(t, 4, served, soon, false, InvariantConfig) })
 }
+
+// TestOtherContent checks that the other content of a release differs in its database only.
+func TestOtherContent(t *testing.T) {
+	f := newFixture()
+	o := newOperator(&Fleet{checker: f.checker, groups: []*Group{f.group}}, newRandom(1, 1))
+	body, err := o.render(4)
+	assert.NilError(t, err)
+	assert.Assert(t, bytes.Contains(body, []byte(`release-4"`)))
+	assert.Assert(t, !bytes.Contains(otherContent(4, body), []byte(`release-4"`)))
+	_, document, err := platform.ParseConfig(otherContent(4, body))
+	assert.NilError(t, err)
+	_, found := document.Route("other-4")
+	assert.Assert(t, found)
+}
--- a/internal/lab/ctsoak/session.go
+++ b/internal/lab/ctsoak/session.go
@@ -371,6 +371,7 @@
 	}
 	e := entryID{term: m.term, number: len(m.log) + 1}
 	m.log = append(m.log, record{entryID: e, commit: id, tx: tx, writes: writes})
+	g.checker.recordCommitted(g.name, tx)
 	m.receivedAt = append(m.receivedAt, time.Now())
 	m.applied = len(m.log)
 	g.notifyChange()
