--- a/internal/lab/ctmodel/control.go
+++ b/internal/lab/ctmodel/control.go
@@ -43,6 +43,8 @@
 	epoch     ctview.Epoch
 	authority time.Time
 	startedAt time.Time
+	// mark is that of the leader's last reply to a report.
+	mark ctsuccession.Mark
 	// group is the durable state of the group as far as the process has received it.
 	group   ctview.Group
 	machine *ctsuccession.Machine
@@ -170,7 +172,8 @@
 		case ctsuccession.SetGroup:
 			c.proposedAt = w.now
 			w.propose(c, ctregister.SetGroup{
-				Group: a.Group, BaseTerm: group.Term, BaseFence: group.Fence, Reason: string(a.Reason), At: w.now,
+				Group: a.Group, BaseTerm: group.Term, BaseFence: group.Fence, BaseRequester: group.Requester,
+				Reason: string(a.Reason), At: w.now,
 			})
 		default:
 			w.advancePromotion(c, action)
--- a/internal/lab/ctmodel/offer.go
+++ b/internal/lab/ctmodel/offer.go
@@ -104,7 +104,7 @@
 // serveOffer sends the request of an offer, if it was fetched without delay.
 func (w *world) serveOffer(c *control, askedAt time.Time, offer ctpromotion.Offer) {
 	if c.group.Requester != offer.Requester || !c.requests.Begin(groupName, offer.Requester) {
-		w.reportOffer(c, offer, ctsuccession.PromotionDeferred)
+		w.reportOffer(c, offer, ctsuccession.PromotionDeferred, true)
 		return
 	}
 	task := promotionTask{promotion: offer.Key.Promotion, requester: offer.Requester}
@@ -118,7 +118,9 @@
 }
 
 // reportOffer reports the outcome of an offer to the leader until it has it, for a while.
-func (w *world) reportOffer(c *control, offer ctpromotion.Offer, outcome ctsuccession.PromotionOutcome) {
+func (w *world) reportOffer(
+	c *control, offer ctpromotion.Offer, outcome ctsuccession.PromotionOutcome, unsent bool,
+) {
 	until, reported := w.now.Add(ctpromotion.CallTimeout), false
 	var report func()
 	report = func() {
@@ -129,7 +131,7 @@
 		if leader, ok := w.leaderOf(c); ok {
 			w.call(leader, func() {
 				reported = true
-				w.recordOffer(leader, offer, outcome)
+				w.recordOffer(leader, offer, outcome, unsent)
 			})
 		}
 	}
@@ -137,10 +139,17 @@
 }
 
 // recordOffer records the reported outcome of an offer at the leader.
-func (w *world) recordOffer(leader *control, offer ctpromotion.Offer, outcome ctsuccession.PromotionOutcome) {
-	if o, ok := leader.offers.Report(offer, outcome); ok {
-		w.applyOffer(leader, o)
+func (w *world) recordOffer(
+	leader *control, offer ctpromotion.Offer, outcome ctsuccession.PromotionOutcome, unsent bool,
+) {
+	o, ok := leader.offers.Report(offer, outcome)
+	if !ok {
+		return
+	}
+	if unsent && leader.epoch == offer.Key.Promotion.Epoch {
+		leader.machine.TakeBackHandOut(o.FetchedAt)
 	}
+	w.applyOffer(leader, o)
 }
 
 // expireOffers records the outcomes of the offers that nobody fetched or reported in time.
@@ -152,7 +161,7 @@
 
 // applyOffer records the outcome of an offer in the ledger and the succession.
 func (w *world) applyOffer(leader *control, o ctpromotion.OfferOutcome) {
-	if o.Fetched && o.Ended {
+	if !o.FetchedAt.IsZero() && o.Ended {
 		leader.ledger.RecordOutcome(w.now, o.Offer.Key, o.Outcome)
 	}
 	if o.Awaited {
--- a/internal/lab/ctmodel/promotion.go
+++ b/internal/lab/ctmodel/promotion.go
@@ -112,7 +112,7 @@
 	group := &c.group
 	return c.hasAuthority(w.now) && c.epoch == promotion.Epoch && group.ChangingPrimary() &&
 		group.Candidate == promotion.Member && slices.Contains(group.Unsettled, promotion) &&
-		group.Requester == requester && c.machine.CandidateHoldsLog(*group)
+		group.Requester == requester && c.machine.MayRequest(requester) && c.machine.CandidateHoldsLog(*group)
 }
 
 // beginPromotion reports whether the leader may send a request, and counts it if so.
@@ -139,9 +139,12 @@
 		c.requests.RecordOutcome(w.now, groupName, r.task.requester, outcome)
 	}
 	if r.offer != nil {
-		w.reportOffer(c, *r.offer, outcome)
+		w.reportOffer(c, *r.offer, outcome, r.unsent)
 		return
 	}
+	if r.unsent && c.leading && c.epoch == r.task.promotion.Epoch {
+		c.machine.TakeBackHandOut(r.checkedAt)
+	}
 	c.ledger.RecordOutcome(w.now, r.task.key(), outcome)
 	if !r.recorded {
 		r.recorded = true
@@ -162,6 +165,8 @@
 type settled struct {
 	ended, void []ctview.Promotion
 	released    ctview.Requester
+	// mark is that of the leader's last reply.
+	mark ctsuccession.Mark
 }
 
 // reportSettled reports to the leader what has ended.
@@ -170,7 +175,7 @@
 		return
 	}
 	c.settleAt = w.now.Add(settleInterval)
-	s := settled{released: w.releaseRequester(c)}
+	s := settled{released: w.releaseRequester(c), mark: c.mark}
 	s.ended, s.void = w.endedPromotions(c)
 	leader, ok := w.leaderOf(c)
 	if (len(s.ended)+len(s.void) == 0 && s.released.IsZero()) || !ok {
@@ -180,36 +185,45 @@
 	if !s.released.IsZero() && w.crashesAfterRelease(c) {
 		delay, delivered = w.between(time.Second, lateCall), true
 	}
-	if delivered {
-		w.onControl(leader, delay, func() { w.applySettled(leader, s) })
+	if !delivered {
+		return
 	}
+	incarnation := c.incarnation
+	w.onControl(leader, delay, func() {
+		mark, ok := w.applySettled(leader, s)
+		if ok && c.incarnation == incarnation && w.reachable(leader.party(), c.party()) {
+			w.call(c, func() { c.mark = mark })
+		}
+	})
 }
 
 // releaseRequester returns the requester if a process is it, has no request on its way and
 // sends no more, and the zero value otherwise.
 func (w *world) releaseRequester(c *control) ctview.Requester {
 	requester := c.group.Requester
-	wanted := c.leading && c.group.ChangingPrimary()
-	if requester.Control != c.name || wanted || !c.requests.Release(w.now, groupName, requester) {
+	stays := c.leading && c.group.ChangingPrimary() && !c.requests.Released(groupName, requester)
+	if requester.Control != c.name || stays || !c.requests.Release(w.now, groupName, requester) {
 		return ctview.Requester{}
 	}
 	return requester
 }
 
-// applySettled applies a report of a process to the leader.
-func (w *world) applySettled(leader *control, s settled) {
+// applySettled applies a report of a process to the leader, and returns the leader's mark.
+func (w *world) applySettled(leader *control, s settled) (mark ctsuccession.Mark, ok bool) {
 	if !leader.hasAuthority(w.now) {
-		return
+		return mark, false
 	}
 	leader.machine.RecordEnded(w.now, s.ended)
-	if !s.released.IsZero() && leader.group.Requester == s.released {
+	mark = leader.machine.Mark()
+	if release, ok := leader.machine.Release(leader.group, s.released, s.mark); ok {
 		w.propose(leader, ctregister.ReleaseRequester{
-			Group: groupName, Requester: s.released, Reason: string(ctsuccession.ReasonAnswered),
+			Group: groupName, Requester: release.Requester, Reason: string(release.Reason),
 		})
 	}
 	if len(s.void) > 0 {
 		w.propose(leader, ctregister.SettlePromotions{Group: groupName, Promotions: s.void})
 	}
+	return mark, true
 }
 
 // endedPromotions returns the promotions of a process's own epochs whose requests have ended,
