--- a/internal/lab/ctheldlink/disturb.go
+++ b/internal/lab/ctheldlink/disturb.go
@@ -14,8 +14,12 @@
 	maxFault = 10 * time.Second
 	// faultInterval is the longest pause between the starts of two random faults.
 	faultInterval = 2500 * time.Millisecond
-	// senderDelay is the longest time from the loss of a primary to that of the leader.
-	senderDelay = 2 * time.Second
+	// senderDelay is the longest time from a request to the disturbance of its sender, which
+	// lasts for senderLoss more than other faults, and requestTimeout bounds the wait for the
+	// request.
+	senderDelay    = 2 * time.Second
+	senderLoss     = 5 * time.Second
+	requestTimeout = 5 * time.Second
 	// recoveryTimeout bounds the wait for callers to be served after the last fault.
 	recoveryTimeout = 2 * time.Minute
 )
@@ -48,8 +52,8 @@
 // CutOffLeader holds the links between the present leader and the other control processes.
 type CutOffLeader struct{}
 
-// LoseSender stops the primary while the requests of the present leader are held, and then
-// disturbs the leader too, after a time.
+// LoseSender stops the primary while the requests of the present leader are held, and disturbs
+// the leader too, some time after one is held.
 type LoseSender struct {
 	By    Fault
 	After time.Duration
@@ -159,7 +163,7 @@
 		leader := f.leader()
 		f.holdFor(lasts, leader.host, f.otherControls(leader)...)
 	case LoseSender:
-		f.loseSender(fault, lasts)
+		f.loseSender(fault, lasts+senderLoss)
 	case CrashPrimary:
 		primary, _ := f.Group.Latest()
 		if f.CrashMember(primary) {
@@ -175,8 +179,9 @@
 	hold := f.Network.Hold(f.leader().host, ServiceHost)
 	var losses sync.WaitGroup
 	losses.Go(func() { f.inject(CrashPrimary{}, lasts) })
+	_ = await(context.Background(), requestTimeout, "a request is held", func() bool { return hold.Contains(`"`) })
 	time.Sleep(fault.After)
-	losses.Go(func() { f.inject(fault.By, lasts/2) })
+	losses.Go(func() { f.inject(fault.By, lasts) })
 	time.Sleep(lasts / 2)
 	hold.Detach()
 	losses.Wait()
