ctmodel: a requester that is cut off from the service for good

In three of ten runs the requester loses the service when the other faults end, is away for 3 s, and the primary crashes after that. The leader has the service, so commits have to go on within the same time as in all runs. Only a run whose leader is the process that is cut off isn't judged for that: it can't promote.

--- a/internal/lab/ctmodel/doc.go
+++ b/internal/lab/ctmodel/doc.go
@@ -33,7 +33,8 @@
   - LOST: a promoted log has all commits that were acknowledged before (RuleLost), and no
     commit is acknowledged that the log promoted last lacks (RuleLate).
   - RECOVER, in a stricter form: commits go on through each proxy after the last fault has
-    ended (RuleLive).
+    ended (RuleLive). In some runs the requester is cut off from the service for good then,
+    and the primary crashes once more.
 
 A run goes on after a violation and reports the first one of each rule.
 
--- a/internal/lab/ctmodel/fault.go
+++ b/internal/lab/ctmodel/fault.go
@@ -1,6 +1,7 @@
 package ctmodel
 
 import (
+	"math/rand/v2"
 	"slices"
 	"time"
 )
@@ -54,17 +55,44 @@
 	faultInterval = 4 * time.Second
 	longFault     = 20 * time.Second
 	shortFault    = 500 * time.Millisecond
+	// severProbability is the probability that a process is cut off from the service for good.
+	severProbability = 0.3
+	// severedTime is how long that process is then away, and the primary after it.
+	severedTime = 3 * time.Second
 )
 
 // nextFault begins a fault and schedules the next one.
 func (w *world) nextFault() {
 	if w.timeLeft() <= shortFault {
+		w.severService()
 		return
 	}
 	w.inject(w.newFault())
 	w.schedule(w.between(shortFault, faultInterval), w.nextFault)
 }
 
+// severService cuts a process of control off from the service for the rest of some runs: the
+// requester, if there is one. Another process leads then, and has to replace the primary.
+func (w *world) severService() {
+	random := rand.New(rand.NewPCG(w.plan.Seed, 1))
+	if random.Float64() >= severProbability {
+		return
+	}
+	c := w.controls[random.IntN(len(w.controls))]
+	if requester := w.controlOf(party(w.decided().Requester.Control)); requester != nil {
+		c = requester
+	}
+	w.trace("%s is cut off from the service for good", c.name)
+	w.severed = c
+	w.inject(cutLinks{links: []link{newLink(c.party(), serviceParty)}, duration: w.plan.Faults + w.plan.Recovery})
+	if random.Float64() < 0.5 {
+		w.inject(crashControl{control: c, duration: severedTime})
+	} else {
+		w.inject(freezeControl{control: c, duration: severedTime})
+	}
+	w.schedule(2*severedTime, func() { w.inject(crashMember{member: w.group.latest, duration: severedTime}) })
+}
+
 // timeLeft returns the time until all faults have ended.
 func (w *world) timeLeft() time.Duration {
 	return w.start.Add(w.plan.Faults).Sub(w.now)
--- a/internal/lab/ctmodel/judge.go
+++ b/internal/lab/ctmodel/judge.go
@@ -39,8 +39,12 @@
 	c.proxy.acknowledgedAt = w.now
 }
 
-// checkLive checks that every proxy has acknowledged a commit at the end of a run.
+// checkLive checks that every proxy has acknowledged a commit at the end of a run. A leader that
+// is cut off from the service for good can't promote a member.
 func (w *world) checkLive() {
+	if w.severed != nil && w.severed == w.election.leader {
+		return
+	}
 	for _, p := range w.proxies {
 		if w.now.Sub(p.acknowledgedAt) > liveTime {
 			w.violate(RuleLive, "none through %s since %s; group %+v", p.name, p.acknowledgedAt.Sub(w.start), w.decided())
--- a/internal/lab/ctmodel/model_test.go
+++ b/internal/lab/ctmodel/model_test.go
@@ -94,3 +94,11 @@
 		"a release of an earlier run arrived while a request of a later one was open": {14, 28, 230, 327},
 	})
 }
+
+// TestRequesterWithoutService guards against a group that gets no primary as long as its requester
+// can't reach the service, although the leader can (issue 32).
+func TestRequesterWithoutService(t *testing.T) {
+	assertSeeds(t, map[string][]uint64{
+		"each request that was not sent postponed the release of a requester that had restarted": {2, 5, 23},
+	})
+}
--- a/internal/lab/ctmodel/service.go
+++ b/internal/lab/ctmodel/service.go
@@ -72,6 +72,9 @@
 // fateOf returns what becomes of the next request. A link that is cut holds it or loses it, if
 // its sender was connected.
 func (w *world) fateOf(c *control) fate {
+	if c == w.severed {
+		return unconnected{}
+	}
 	if !w.reachable(c.party(), serviceParty) {
 		switch roll := w.random.Float64(); {
 		case roll < 0.5:
--- a/internal/lab/ctmodel/world.go
+++ b/internal/lab/ctmodel/world.go
@@ -45,6 +45,8 @@
 	sequence   uint64
 	// cuts counts the faults that cut a link now.
 	cuts map[link]int
+	// severed is the process that is cut off from the service for good, or nil.
+	severed *control
 
 	members  []*member
 	proxies  []*proxy
