--- a/internal/lab/ctsoak/run_test.go
+++ b/internal/lab/ctsoak/run_test.go
@@ -68,3 +68,23 @@
 	}
 	assertNoViolations(t, buildPrograms(t), plan)
 }
+
+// TestPlannedStops guards against statements that are lost, transactions that are cut short and
+// proxies that stay ready when one proxy after the other stops. Others read their settings again.
+func TestPlannedStops(t *testing.T) {
+	const first, interval, down = 6 * time.Second, 1500 * time.Millisecond, time.Second
+	plan := ctsoak.NewPlanWithProxies(2, first, 2)
+	plan.Schedule = nil
+	at, count := first, 2*plan.Shape.Domains
+	for i := range count {
+		stopped := ctsoak.Host{Kind: ctsoak.KindProxy, Number: i}
+		reloaded := ctsoak.Host{Kind: ctsoak.KindProxy, Number: (i + 1) % count}
+		plan.Schedule = append(plan.Schedule,
+			ctsoak.ScheduledFault{After: at, Fault: ctsoak.Stop{Host: stopped, Down: down}},
+			ctsoak.ScheduledFault{After: at + interval/2, Fault: ctsoak.Hangup{Host: reloaded}},
+		)
+		at += interval
+	}
+	plan.FaultDuration = at
+	assertNoViolations(t, buildPrograms(t), plan)
+}
