ctpromotion: an offer that its requester didn't receive is not open any more

Nobody reported its outcome, so the promotion stayed unsettled for two minutes, and commits were guarded by a member that was away.

A requester numbers its fetches and names those that it gave up; it acts on no answer to them. The leader takes those offers back as not sent. Each run of a process speaks for itself only. Unit tests of Offers and of FetchOffers; the rare case itself was not seen again with real processes.

--- a/internal/decide/ctpromotion/offers.go
+++ b/internal/decide/ctpromotion/offers.go
@@ -42,12 +42,31 @@
 	return o.Requester.Control.Check()
 }
 
+// Run tells the runs of a process apart.
+type Run uint64
+
+// FetchNumber counts the fetches of a run.
+type FetchNumber uint64
+
+// Fetch is a requester's request for offers. The requester sends nothing that it is handed in
+// answer to a fetch that it gave up.
+type Fetch struct {
+	Control ctid.Control `cbor:"control"`
+	Run     Run          `cbor:"run"`
+	Number  FetchNumber  `cbor:"number"`
+	// GivenUp lists fetches of the run that it gave up.
+	GivenUp []FetchNumber `cbor:"given_up,omitempty"`
+}
+
 // offerState is an offer that has not ended.
 type offerState struct {
 	Offer
 	putAt time.Time
-	// fetchedAt is when the requester fetched the offer, or zero.
+	// fetchedAt is when the requester fetched the offer, or zero, and run and fetch say by
+	// which fetch.
 	fetchedAt time.Time
+	run       Run
+	fetch     FetchNumber
 	// recorded reports that the group does not wait for the outcome any more.
 	recorded bool
 }
@@ -70,18 +89,37 @@
 
 // Fetch returns the offers to a process that it has not fetched yet and whose requests may be
 // begun, for which it calls begin. From now on these may be sent. The others stay.
-func (o *Offers) Fetch(now time.Time, control ctid.Control, begin func(Offer) bool) []Offer {
+func (o *Offers) Fetch(now time.Time, fetch Fetch, begin func(Offer) bool) []Offer {
 	var fetched []Offer
 	for _, number := range slices.Sorted(maps.Keys(o.states)) {
 		state := o.states[number]
-		if state.Requester.Control == control && state.fetchedAt.IsZero() && begin(state.Offer) {
-			state.fetchedAt = now
+		if state.Requester.Control == fetch.Control && state.fetchedAt.IsZero() && begin(state.Offer) {
+			state.fetchedAt, state.run, state.fetch = now, fetch.Run, fetch.Number
 			fetched = append(fetched, state.Offer)
 		}
 	}
 	return fetched
 }
 
+// GiveUp removes the offers that were handed out in answer to fetches which their requester gave
+// up, and returns their outcomes. Their requests are not sent.
+func (o *Offers) GiveUp(fetch Fetch) []OfferOutcome {
+	var outcomes []OfferOutcome
+	for _, number := range slices.Sorted(maps.Keys(o.states)) {
+		state := o.states[number]
+		ofRun := state.Requester.Control == fetch.Control && !state.fetchedAt.IsZero() && state.run == fetch.Run
+		if !ofRun || !slices.Contains(fetch.GivenUp, state.fetch) {
+			continue
+		}
+		delete(o.states, number)
+		outcomes = append(outcomes, OfferOutcome{
+			Offer: state.Offer, Outcome: ctsuccession.PromotionDeferred, Awaited: !state.recorded,
+			FetchedAt: state.fetchedAt, Ended: true,
+		})
+	}
+	return outcomes
+}
+
 // OfferOutcome is the outcome of an offer.
 type OfferOutcome struct {
 	Offer   Offer
--- a/internal/decide/ctpromotion/offers_test.go
+++ b/internal/decide/ctpromotion/offers_test.go
@@ -9,8 +9,14 @@
 	"github.com/cherviltrestle/cherviltrestle/internal/decide/ctpromotion"
 	"github.com/cherviltrestle/cherviltrestle/internal/decide/ctsuccession"
 	"github.com/cherviltrestle/cherviltrestle/internal/model/ctdrift"
+	"github.com/cherviltrestle/cherviltrestle/internal/model/ctid"
 )
 
+// fetchOf returns the second fetch of the first run of a process.
+func fetchOf(control ctid.Control, givenUp ...ctpromotion.FetchNumber) ctpromotion.Fetch {
+	return ctpromotion.Fetch{Control: control, Run: 1, Number: 2, GivenUp: givenUp}
+}
+
 // begin allows each request.
 func begin(ctpromotion.Offer) bool { return true }
 
@@ -24,7 +30,7 @@
 // assertFetched asserts how many offers the requester fetches, and returns the last.
 func assertFetched(t *testing.T, o *ctpromotion.Offers, after time.Duration, want int) ctpromotion.Offer {
 	t.Helper()
-	fetched := o.Fetch(start.Add(after), requester.Control, begin)
+	fetched := o.Fetch(start.Add(after), fetchOf(requester.Control), begin)
 	assert.Equal(t, len(fetched), want)
 	if want == 0 {
 		return ctpromotion.Offer{}
@@ -56,13 +62,14 @@
 func TestOffers(t *testing.T) {
 	t.Run("an offer is fetched once, by the requester alone", func(t *testing.T) {
 		o := newOffers()
-		assert.Equal(t, len(o.Fetch(start, "y", begin)), 0)
+		assert.Equal(t, len(o.Fetch(start, fetchOf("y"), begin)), 0)
 		assert.Equal(t, assertFetched(t, o, 0, 1).Key, key)
 		assertFetched(t, o, 0, 0)
 	})
 	t.Run("an offer whose request may not be sent is not fetched", func(t *testing.T) {
 		o := newOffers()
-		assert.Equal(t, len(o.Fetch(start, requester.Control, func(ctpromotion.Offer) bool { return false })), 0)
+		none := func(ctpromotion.Offer) bool { return false }
+		assert.Equal(t, len(o.Fetch(start, fetchOf(requester.Control), none)), 0)
 		assertExpired(t, o, ctpromotion.AnswerTimeout, ctsuccession.PromotionDeferred, true, true)
 	})
 	t.Run("one that nobody fetched is withdrawn and was not sent", func(t *testing.T) {
@@ -90,6 +97,18 @@
 		_, ok = o.Report(offer, ctsuccession.PromotionAccepted)
 		assert.Assert(t, !ok)
 	})
+	t.Run("an offer that answered a fetch that was given up is not sent", func(t *testing.T) {
+		o := newOffers()
+		assertFetched(t, o, 0, 1)
+		assert.Equal(t, len(o.GiveUp(fetchOf(requester.Control, 1))), 0)
+		otherRun := fetchOf(requester.Control, 2)
+		otherRun.Run++
+		assert.Equal(t, len(o.GiveUp(otherRun)), 0, "the earlier run may have sent it")
+		outcomes := o.GiveUp(fetchOf(requester.Control, 2))
+		assert.Equal(t, len(outcomes), 1)
+		assert.Equal(t, outcomes[0].Outcome, ctsuccession.PromotionDeferred)
+		assert.Assert(t, outcomes[0].Awaited && outcomes[0].Ended)
+	})
 	t.Run("a late report counts for the promotion alone", func(t *testing.T) {
 		o := newOffers()
 		offer := assertFetched(t, o, 0, 1)
--- a/internal/lab/ctmodel/control.go
+++ b/internal/lab/ctmodel/control.go
@@ -43,6 +43,8 @@
 	epoch     ctview.Epoch
 	authority time.Time
 	startedAt time.Time
+	// fetch is the last fetch of offers.
+	fetch ctpromotion.Fetch
 	// mark is that of the leader's last reply to a report.
 	mark ctsuccession.Mark
 	// group is the durable state of the group as far as the process has received it.
--- a/internal/lab/ctmodel/offer.go
+++ b/internal/lab/ctmodel/offer.go
@@ -1,11 +1,11 @@
 package ctmodel
 
 import (
+	"slices"
 	"time"
 
 	"github.com/cherviltrestle/cherviltrestle/internal/decide/ctpromotion"
 	"github.com/cherviltrestle/cherviltrestle/internal/decide/ctsuccession"
-	"github.com/cherviltrestle/cherviltrestle/internal/model/ctid"
 )
 
 const (
@@ -72,12 +72,25 @@
 		return
 	}
 	askedAt, incarnation := w.now, c.incarnation
+	c.fetch.Control, c.fetch.Run = c.name, ctpromotion.Run(incarnation)
+	c.fetch.Number++
+	fetch, answered := c.fetch, false
+	w.onControl(c, ctpromotion.AnswerTimeout, func() {
+		if !answered {
+			answered = true
+			c.fetch.GivenUp = append(slices.Clip(c.fetch.GivenUp), fetch.Number)
+		}
+	})
 	w.call(leader, func() {
-		offers := w.handOutOffers(leader, c.name)
-		if len(offers) == 0 || !w.reachable(leader.party(), c.party()) || c.incarnation != incarnation {
+		offers := w.handOutOffers(leader, fetch)
+		if !w.reachable(leader.party(), c.party()) || c.incarnation != incarnation {
 			return
 		}
 		w.call(c, func() {
+			if answered {
+				return
+			}
+			answered = true
 			for _, offer := range offers {
 				w.serveOffer(c, askedAt, offer)
 			}
@@ -86,17 +99,20 @@
 }
 
 // handOutOffers returns the offers to a process, which may send them from now on.
-func (w *world) handOutOffers(leader *control, to ctid.Control) []ctpromotion.Offer {
+func (w *world) handOutOffers(leader *control, fetch ctpromotion.Fetch) []ctpromotion.Offer {
 	if !leader.hasAuthority(w.now) {
 		return nil
 	}
-	return leader.offers.Fetch(w.now, to, func(offer ctpromotion.Offer) bool {
+	for _, o := range leader.offers.GiveUp(fetch) {
+		w.takeBackOffer(leader, o)
+	}
+	return leader.offers.Fetch(w.now, fetch, func(offer ctpromotion.Offer) bool {
 		wanted := w.wantsPromotion(leader, offer.Key.Promotion, offer.Requester)
 		if !wanted || !leader.ledger.Begin(offer.Key) {
 			return false
 		}
 		leader.machine.RecordHandOut(w.now)
-		w.trace("%s hands %v out to %s", leader.name, offer.Key.Promotion, to)
+		w.trace("%s hands %v out to %s", leader.name, offer.Key.Promotion, fetch.Control)
 		return true
 	})
 }
@@ -143,10 +159,18 @@
 	leader *control, offer ctpromotion.Offer, outcome ctsuccession.PromotionOutcome, unsent bool,
 ) {
 	o, ok := leader.offers.Report(offer, outcome)
-	if !ok {
-		return
+	switch {
+	case !ok:
+	case unsent:
+		w.takeBackOffer(leader, o)
+	default:
+		w.applyOffer(leader, o)
 	}
-	if unsent && leader.epoch == offer.Key.Promotion.Epoch {
+}
+
+// takeBackOffer records the outcome of an offer whose request was not sent.
+func (w *world) takeBackOffer(leader *control, o ctpromotion.OfferOutcome) {
+	if leader.epoch == o.Offer.Key.Promotion.Epoch {
 		leader.machine.TakeBackHandOut(o.FetchedAt)
 	}
 	w.applyOffer(leader, o)
--- a/internal/link/ctframe/control.go
+++ b/internal/link/ctframe/control.go
@@ -105,7 +105,7 @@
 // FetchOffers asks control's leader for the promotion requests that the process is to send.
 // Where the reply comes late, the process must send none of them.
 type FetchOffers struct {
-	Control ctid.Control `cbor:"control"`
+	Fetch ctpromotion.Fetch `cbor:"fetch"`
 }
 
 // FetchOffersReply answers FetchOffers. Each offer is sent once.
--- a/internal/program/ctcontrol/offers.go
+++ b/internal/program/ctcontrol/offers.go
@@ -15,6 +15,9 @@
 // offers, while a group whose requester it is waits for a promotion.
 const fetchInterval = 100 * time.Millisecond
 
+// maxGivenUp is how many fetches that it gave up a requester names.
+const maxGivenUp = 64
+
 // offerPromotion offers a promotion request to the group's requester. What becomes of it is
 // recorded by ReportOffer and expireOffers.
 func (c *Control) offerPromotion(held *ctlock.Held, t memberTask) {
@@ -32,7 +35,10 @@
 func (c *Control) FetchOffers(held *ctlock.Held, fetch *ctframe.FetchOffers) (*ctframe.FetchOffersReply, error) {
 	reply := &ctframe.FetchOffersReply{}
 	err := c.withAuthority(held, func(now time.Time, l *leaderState) {
-		reply.Offers = l.offers.Fetch(now, fetch.Control, func(offer ctpromotion.Offer) bool {
+		for _, outcome := range l.offers.GiveUp(fetch.Fetch) {
+			c.takeBackOffer(now, l, outcome)
+		}
+		reply.Offers = l.offers.Fetch(now, fetch.Fetch, func(offer ctpromotion.Offer) bool {
 			if !l.wantsPromotion(now, offer.Key, offer.Requester) || !l.ledger.Begin(offer.Key) {
 				return false
 			}
@@ -47,18 +53,27 @@
 // ReportOffer records the outcome of an offer of this process.
 func (c *Control) ReportOffer(held *ctlock.Held, report *ctframe.ReportOffer) {
 	c.state.With(held, func(l *leaderState) {
+		now := c.Clock.Now()
 		outcome, ok := l.offers.Report(report.Offer, report.Outcome)
-		if !ok {
-			return
-		}
-		machine, ok := l.successions[report.Offer.Key.Group]
-		if ok && report.Unsent && l.epoch == ctquorum.Epoch(report.Offer.Key.Promotion.Epoch) {
-			machine.TakeBackHandOut(outcome.FetchedAt)
+		switch {
+		case !ok:
+		case report.Unsent:
+			c.takeBackOffer(now, l, outcome)
+		default:
+			c.recordOffer(now, l, outcome)
 		}
-		c.recordOffer(c.Clock.Now(), l, outcome)
 	})
 }
 
+// takeBackOffer records the outcome of an offer whose request was not sent.
+func (c *Control) takeBackOffer(now time.Time, l *leaderState, o ctpromotion.OfferOutcome) {
+	machine, ok := l.successions[o.Offer.Key.Group]
+	if ok && l.epoch == ctquorum.Epoch(o.Offer.Key.Promotion.Epoch) {
+		machine.TakeBackHandOut(o.FetchedAt)
+	}
+	c.recordOffer(now, l, o)
+}
+
 // expireOffers records the outcomes of the offers that nobody fetched or reported in time.
 func (c *Control) expireOffers(now time.Time, l *leaderState) {
 	for _, outcome := range l.offers.Expire(now) {
@@ -105,6 +120,7 @@
 // serveOffers sends the requests that leaders offer to this process, until ctx ends.
 func (s *Service) serveOffers(ctx context.Context) {
 	var held ctlock.Held
+	fetch := ctpromotion.Fetch{Control: s.Name, Run: ctpromotion.Run(s.Clock.Now().UnixNano())}
 	for {
 		select {
 		case <-ctx.Done():
@@ -115,9 +131,12 @@
 			continue
 		}
 		askedAt := s.Clock.Now()
-		reply, err := s.callLeader(ctx, &ctframe.FetchOffers{Control: s.Name})
+		fetch.Number++
+		reply, err := s.callLeader(ctx, &ctframe.FetchOffers{Fetch: fetch})
 		fetched, ok := reply.(*ctframe.FetchOffersReply)
 		if err != nil || !ok {
+			fetch.GivenUp = append(fetch.GivenUp, fetch.Number)
+			fetch.GivenUp = fetch.GivenUp[max(0, len(fetch.GivenUp)-maxGivenUp):]
 			continue
 		}
 		for _, offer := range fetched.Offers {
--- a/internal/program/ctcontrol/offers_test.go
+++ b/internal/program/ctcontrol/offers_test.go
@@ -41,10 +41,15 @@
 	return b
 }
 
+// fetchOf returns the second fetch of a process.
+func fetchOf(control ctid.Control, givenUp ...ctpromotion.FetchNumber) *ctframe.FetchOffers {
+	return &ctframe.FetchOffers{Fetch: ctpromotion.Fetch{Control: control, Run: 1, Number: 2, GivenUp: givenUp}}
+}
+
 // assertOffered asserts which offers a process fetches from the leader, and returns the last.
 func assertOffered(t *testing.T, b *promotionBench, control ctid.Control, want int) ctpromotion.Offer {
 	t.Helper()
-	reply, err := b.control.FetchOffers(&b.held, &ctframe.FetchOffers{Control: control})
+	reply, err := b.control.FetchOffers(&b.held, fetchOf(control))
 	assert.NilError(t, err)
 	assert.Equal(t, len(reply.Offers), want)
 	if want == 0 {
@@ -69,6 +74,13 @@
 		b.control.ReportOffer(&b.held, &ctframe.ReportOffer{Offer: offer, Outcome: ctsuccession.PromotionAccepted})
 		assertMetric(t, b, "control_promotion_requests_unanswered", 0)
 	})
+	t.Run("a fetch that was given up ends the request", func(t *testing.T) {
+		b := newOfferBench(t)
+		assertOffered(t, b, "w", 1)
+		_, err := b.control.FetchOffers(&b.held, fetchOf("w", 2))
+		assert.NilError(t, err)
+		assertMetric(t, b, "control_promotion_requests_unanswered", 0)
+	})
 	t.Run("a request that isn't wanted any more is not fetched", func(t *testing.T) {
 		b := newOfferBench(t)
 		b.set(ctview.Group{Name: "g", Primary: "c", Term: 2}, nil)
@@ -77,7 +89,7 @@
 	t.Run("a leader without authority offers nothing", func(t *testing.T) {
 		b := newOfferBench(t)
 		b.control.SetAuthority(time.Time{})
-		_, err := b.control.FetchOffers(&b.held, &ctframe.FetchOffers{Control: "w"})
+		_, err := b.control.FetchOffers(&b.held, fetchOf("w"))
 		assert.Assert(t, err != nil)
 	})
 }
