ctsuccession: replicas that have confirmed the fence are still probed

ctmodel seed 291 had no primary any more: the candidate started again without its log, and then two late requests took effect, at the candidate and at another replica. Both had confirmed the fence, so the leader asked them nothing more and never saw that one led. They are now probed during the whole change. The seed is a row of ctmodel; without the probe it fails.

--- a/internal/decide/ctsuccession/change.go
+++ b/internal/decide/ctsuccession/change.go
@@ -118,7 +118,7 @@
 }
 
 // pauseReplica pauses a replica, unless it may still receive the rest of the primary's log or
-// has confirmed the fence.
+// has confirmed the fence. A late request may promote it nevertheless, so it is probed then.
 func (m *Machine) pauseReplica(
 	now time.Time, actions []Action, group ctview.Group, name ctid.Member, catchingUp bool,
 ) []Action {
@@ -131,7 +131,7 @@
 	case member.failures > 0:
 		return m.appendCommand(now, actions, name, member, Probe{}, changeInterval)
 	}
-	return actions
+	return m.appendCommand(now, actions, name, member, Probe{}, primaryProbeInterval)
 }
 
 // isPrimaryBelow reports whether a member reports that it is the primary of a term below
--- a/internal/lab/ctmodel/model_test.go
+++ b/internal/lab/ctmodel/model_test.go
@@ -72,6 +72,7 @@
 		"a promotion was settled that had taken effect at an isolated member": {52, 162},
 		"a candidate that had been silent was not probed any more":            {322},
 		"the old primary was not probed any more after its step-down":         {18},
+		"a replica that had confirmed the fence was not probed any more":      {291},
 		"the covered point of an older primary counted for a later term":      {533, 600},
 	})
 }
