ctmodel: reads at the primary, judged for STALE

A proxy reads at the primary while its view and its authority allow, and the member runs the read in whatever role it has by then.

--- a/internal/lab/ctmodel/doc.go
+++ b/internal/lab/ctmodel/doc.go
@@ -32,14 +32,16 @@
   - ONE at the members: no commit made at a replaced primary is acknowledged (RuleReplaced).
   - LOST: a promoted log has all commits that were acknowledged before (RuleLost), and no
     commit is acknowledged that the log promoted last lacks (RuleLate).
+  - STALE, for reads at the primary: each runs on a log with all commits that were acknowledged
+    before it was sent (RuleStale).
   - RECOVER, in a stricter form: commits go on through each proxy after the last fault has
     ended (RuleLive). In some runs the requester is cut off from the service for good then,
     and the primary crashes once more.
 
 A run goes on after a violation and reports the first one of each rule.
 
-The others can't occur here. STALE, MIXED and PINNED concern reads and sessions, and there
-are only single commits. TWICE, UNASKED and REFUSED: a proxy sends each commit once at most,
+The others can't occur here. STALE at a replica, MIXED and PINNED concern what replicas return,
+results and sessions, and there are none. TWICE, UNASKED and REFUSED: a proxy sends each commit once at most,
 and one that it doesn't send has no outcome. ROUTE, DRAIN and CONFIG: the configuration
 doesn't change, no member leaves and no work is planned. LOST of a configuration: the
 replicated log of control is one value that loses nothing.
--- a/internal/lab/ctmodel/model_test.go
+++ b/internal/lab/ctmodel/model_test.go
@@ -19,9 +19,10 @@
 	if len(report.Violations) > 0 {
 		t.Errorf("seed %d: %v\n%s", seed, report.Violations, strings.Join(report.Trace, "\n"))
 	}
-	assert.Assert(t, report.Acknowledged > 0)
-	t.Logf("%d commits acknowledged, %d in doubt, %d promotions, %d leaders, gap %s, available %s after the faults",
-		report.Acknowledged, report.Indoubt, report.Promotions, report.Leaders, report.LongestGap, report.RecoveredAfter)
+	assert.Assert(t, report.Acknowledged > 0 && report.Reads > 0)
+	t.Logf("%d commits acknowledged, %d in doubt, %d reads", report.Acknowledged, report.Indoubt, report.Reads)
+	t.Logf("%d promotions, %d leaders, gap %s, available %s after the faults",
+		report.Promotions, report.Leaders, report.LongestGap, report.RecoveredAfter)
 }
 
 // assertSeeds checks seeds by the cause of a violation that they once had, or those that
--- a/internal/lab/ctmodel/plan.go
+++ b/internal/lab/ctmodel/plan.go
@@ -37,6 +37,8 @@
 	RuleLost Rule = "promoted log lacks an acknowledged commit"
 	// RuleLate: a commit that the latest promoted log lacks is not acknowledged.
 	RuleLate Rule = "acknowledged commit is missing in the log promoted last"
+	// RuleStale: a read sees each commit that was acknowledged before it was sent.
+	RuleStale Rule = "read lacks an acknowledged commit"
 	// RuleReplaced: a commit made after a later promotion took effect is not acknowledged.
 	RuleReplaced Rule = "acknowledged commit was made at a replaced primary"
 	// RuleHolder: all requests of an epoch are of one holder.
@@ -67,6 +69,8 @@
 	Violations []Violation
 	// Acknowledged and Indoubt count the commits by what their callers were told.
 	Acknowledged, Indoubt int
+	// Reads counts the reads that ran.
+	Reads int
 	// Promotions counts those that took effect, and Unrequested those of a member that
 	// control did not wait for.
 	Promotions, Unrequested int
--- a/internal/lab/ctmodel/proxy.go
+++ b/internal/lab/ctmodel/proxy.go
@@ -38,7 +38,7 @@
 	enforced         ctposition.Term
 	lastAcknowledged ctposition.Point
 	reportAt         time.Time
-	commitAt         time.Time
+	commitAt, readAt time.Time
 	// acknowledgedAt is when the proxy last acknowledged a commit, for the judge.
 	acknowledgedAt time.Time
 }
@@ -85,6 +85,10 @@
 		p.commitAt = w.now.Add(w.between(0, 2*commitInterval))
 		w.sendCommit(p)
 	}
+	if !w.now.Before(p.readAt) {
+		p.readAt = w.now.Add(w.reader.between(0, 2*readInterval))
+		w.sendRead(p)
+	}
 }
 
 // sendReport reports to the leader, over another process of control if need be.
--- a/internal/lab/ctmodel/world.go
+++ b/internal/lab/ctmodel/world.go
@@ -55,6 +55,7 @@
 	register ctregister.Register
 	group    groupState
 	requests requestJudge
+	reader   reader
 	// acknowledgedAt is when the last commit was acknowledged.
 	acknowledgedAt time.Time
 	report         Report
@@ -94,6 +95,7 @@
 	start := time.Unix(0, 0).Add(time.Hour)
 	w := &world{
 		plan: plan, random: rand.New(rand.NewPCG(plan.Seed, 0)), start: start, now: start, cuts: make(map[link]int),
+		reader: newReader(plan),
 	}
 	w.register.Apply(ctregister.Configure{Change: ctconfig.Change{ID: "first", Document: ctconfig.Document{
 		Groups: []ctconfig.Group{{Name: groupName, Promotion: ctconfig.PromotionExternal}},
