ctholderjudge: the rule of one holder at a time stands once

The soak and the held links had the same judge of promotion requests, each with types of its own. Rules, bounds and tests stay as they are; the model keeps its own, which knows its processes.

--- a/internal/lab/ctheldlink/judge.go
+++ b/internal/lab/ctheldlink/judge.go
@@ -7,6 +7,7 @@
 
 	"github.com/rs/zerolog"
 
+	"github.com/cherviltrestle/cherviltrestle/internal/lab/ctholderjudge"
 	"github.com/cherviltrestle/cherviltrestle/internal/model/ctid"
 	"github.com/cherviltrestle/cherviltrestle/internal/model/ctposition"
 	"github.com/cherviltrestle/cherviltrestle/internal/model/ctquery"
@@ -74,8 +75,8 @@
 
 	// mutex guards all fields below.
 	mutex sync.Mutex
-	// requests are the promotion requests that the service has received, in order.
-	requests []request
+	// holders judges the promotion requests that the service has received.
+	holders ctholderjudge.Judge
 	// asked has all statements of callers, and acknowledgments the commits in the order of
 	// their answers.
 	asked           map[ctquery.ID]*asked
@@ -94,11 +95,13 @@
 }
 
 func newJudge(logger zerolog.Logger, disturbed func(Host, time.Time) bool) *Judge {
-	return &Judge{
+	j := &Judge{
 		logger: logger, disturbed: disturbed, commits: make(map[ctquery.ID]commit),
 		acknowledged: make(map[ctquery.ID]time.Time), promised: make(map[ctquery.ID]ctquery.Fault),
 		lost: make(map[ctquery.ID]bool), replaced: make(map[ctquery.ID]bool), asked: make(map[ctquery.ID]*asked),
 	}
+	j.holders.InTouch = j.inTouch
+	return j
 }
 
 // Violations returns the violations so far.
--- a/internal/lab/ctheldlink/judge_test.go
+++ b/internal/lab/ctheldlink/judge_test.go
@@ -8,6 +8,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/cherviltrestle/cherviltrestle/internal/decide/ctquorum"
+	"github.com/cherviltrestle/cherviltrestle/internal/lab/ctholderjudge"
 	"github.com/cherviltrestle/cherviltrestle/internal/model/ctconfig"
 	"github.com/cherviltrestle/cherviltrestle/internal/model/ctid"
 	"github.com/cherviltrestle/cherviltrestle/internal/model/ctposition"
@@ -54,11 +55,13 @@
 }
 
 // assertRequests checks which rules two requests break. The second one follows after a pause.
-func assertRequests(t *testing.T, first, second request, pause time.Duration, disturbed bool, want ...Rule) {
+func assertRequests(
+	t *testing.T, first, second ctholderjudge.Request, pause time.Duration, disturbed bool, want ...Rule,
+) {
 	t.Helper()
 	j := newTestJudge(disturbed)
-	first.at = time.Now()
-	second.at = first.at.Add(pause)
+	first.At = time.Now()
+	second.At = first.At.Add(pause)
 	j.recordRequest(first)
 	j.recordRequest(second)
 	assertViolations(t, j, want...)
@@ -66,8 +69,8 @@
 
 // TestJudgeOfRequests checks the three parts of rule ONE at the service.
 func TestJudgeOfRequests(t *testing.T) {
-	of := func(group ctid.Group, requester Host, epoch ctquorum.Epoch) request {
-		return request{group: group, member: "m-0", requester: requester, epoch: epoch}
+	of := func(group ctid.Group, holder string, epoch ctquorum.Epoch) ctholderjudge.Request {
+		return ctholderjudge.Request{Group: group, Member: "m-0", Holder: holder, Epoch: epoch}
 	}
 	t.Run("two holders have one epoch", func(t *testing.T) {
 		assertRequests(t, of("a", "control-0", 2), of("b", "control-1", 2), time.Minute, true, RuleSharedEpoch)
@@ -85,13 +88,13 @@
 		assertRequests(t, of("a", "control-0", 3), of("b", "control-1", 2), 0, false)
 	})
 	t.Run("holders take turns within a lease", func(t *testing.T) {
-		assertRequests(t, of("a", "control-0", 2), of("a", "control-1", 3), leaseDuration-1, false, RuleTurns)
+		assertRequests(t, of("a", "control-0", 2), of("a", "control-1", 3), ctholderjudge.Lease-1, false, RuleTurns)
 	})
 	t.Run("a disturbed holder takes turns", func(t *testing.T) {
-		assertRequests(t, of("a", "control-0", 2), of("a", "control-1", 3), leaseDuration-1, true)
+		assertRequests(t, of("a", "control-0", 2), of("a", "control-1", 3), ctholderjudge.Lease-1, true)
 	})
 	t.Run("holders take turns after a lease", func(t *testing.T) {
-		assertRequests(t, of("a", "control-0", 2), of("a", "control-1", 3), leaseDuration, false)
+		assertRequests(t, of("a", "control-0", 2), of("a", "control-1", 3), ctholderjudge.Lease, false)
 	})
 }
 
--- a/internal/lab/ctheldlink/scenario.go
+++ b/internal/lab/ctheldlink/scenario.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/cherviltrestle/cherviltrestle/internal/decide/ctsuccession"
+	"github.com/cherviltrestle/cherviltrestle/internal/lab/ctholderjudge"
 	"github.com/cherviltrestle/cherviltrestle/internal/model/ctid"
 	"github.com/cherviltrestle/cherviltrestle/internal/model/ctposition"
 	"github.com/cherviltrestle/cherviltrestle/platform"
@@ -326,7 +327,7 @@
 			return err
 		}
 	}
-	time.Sleep(stableWindow)
+	time.Sleep(ctholderjudge.StableWindow)
 	primary, term := s.Group.Latest()
 	lostAt := time.Now()
 	s.CrashMember(primary)
--- a/internal/lab/ctheldlink/service.go
+++ b/internal/lab/ctheldlink/service.go
@@ -5,6 +5,7 @@
 
 	"github.com/cherviltrestle/cherviltrestle/internal/decide/ctquorum"
 	"github.com/cherviltrestle/cherviltrestle/internal/decide/ctsuccession"
+	"github.com/cherviltrestle/cherviltrestle/internal/lab/ctholderjudge"
 	"github.com/cherviltrestle/cherviltrestle/internal/model/ctid"
 	"github.com/cherviltrestle/cherviltrestle/internal/model/ctposition"
 )
@@ -30,8 +31,8 @@
 	m := g.Member(name)
 	g.logger.Info().Str("event", "promotion_called").Str("member", string(name)).Str("requester", requester).
 		Uint64("epoch", uint64(epoch)).Send()
-	g.judge.recordRequest(request{
-		group: group, member: name, requester: Host(requester), epoch: epoch, at: time.Now(),
+	g.judge.recordRequest(ctholderjudge.Request{
+		Group: group, Member: name, Holder: requester, Epoch: epoch, At: time.Now(),
 	})
 	if group != groupName || m == nil || !m.running {
 		return ctsuccession.PromotionRejected
--- a/internal/lab/ctsoak/checker.go
+++ b/internal/lab/ctsoak/checker.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"github.com/cherviltrestle/cherviltrestle/internal/lab/ctholderjudge"
 	"github.com/cherviltrestle/cherviltrestle/internal/model/ctid"
 	"github.com/cherviltrestle/cherviltrestle/internal/model/ctquery"
 )
@@ -35,7 +36,7 @@
 	// InvariantSharedEpoch: no two holders request promotions in one epoch.
 	InvariantSharedEpoch Invariant = "shared_epoch"
 	// InvariantTurns: holders that aren't disturbed don't take turns in a group within
-	// holderLease.
+	// ctholderjudge.Lease.
 	InvariantTurns Invariant = "turns"
 	// InvariantEpochOrder: no promotion is requested in a lower epoch than one before in the
 	// same group. No fault excuses that.
@@ -120,8 +121,6 @@
 // the invariants. Its methods may be called concurrently.
 type Checker struct {
 	start time.Time
-	// inTouch reports whether a control process was not disturbed since a time.
-	inTouch func(control string, since time.Time) bool
 
 	mutex      sync.Mutex
 	violations []Violation
@@ -130,8 +129,8 @@
 	executions map[string]execution
 	proofCount int
 	outcomes   map[ctid.Group]*writeOutcomes
-	// requests are the promotion requests that the service has received, in order.
-	requests []promotionRequest
+	// holders judges the promotion requests that the service has received.
+	holders ctholderjudge.Judge
 }
 
 // writeOutcomes are the outcomes of a group's writes as callers received them.
@@ -155,7 +154,6 @@
 func NewChecker() *Checker {
 	return &Checker{
 		start:      time.Now(),
-		inTouch:    func(string, time.Time) bool { return true },
 		sent:       make(map[ctquery.ID]sentStatement),
 		executions: make(map[string]execution),
 		outcomes:   make(map[ctid.Group]*writeOutcomes),
--- a/internal/lab/ctsoak/checker_test.go
+++ b/internal/lab/ctsoak/checker_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/cherviltrestle/cherviltrestle/internal/decide/ctquorum"
 	"github.com/cherviltrestle/cherviltrestle/internal/decide/ctsuccession"
+	"github.com/cherviltrestle/cherviltrestle/internal/lab/ctholderjudge"
 	"github.com/cherviltrestle/cherviltrestle/internal/model/ctid"
 	"github.com/cherviltrestle/cherviltrestle/internal/model/ctquery"
 )
@@ -202,13 +203,13 @@
 // assertRequests checks which invariants two promotion requests of an epoch each violate. The
 // second one follows after a pause.
 func assertRequests(
-	t *testing.T, first, second promotionRequest, pause time.Duration, inTouch bool, want ...Invariant,
+	t *testing.T, first, second ctholderjudge.Request, pause time.Duration, inTouch bool, want ...Invariant,
 ) {
 	t.Helper()
 	f := newFixture()
-	f.checker.inTouch = func(string, time.Time) bool { return inTouch }
-	first.at = time.Now()
-	second.at = first.at.Add(pause)
+	f.checker.holders.InTouch = func(string, time.Time) bool { return inTouch }
+	first.At = time.Now()
+	second.At = first.At.Add(pause)
 	f.checker.recordRequest(first)
 	f.checker.recordRequest(second)
 	f.assertViolations(t, want...)
@@ -216,9 +217,9 @@
 
 // TestRequests covers two holders that request promotions at the same service.
 func TestRequests(t *testing.T) {
-	const soon, late = holderLease - 1, holderLease
-	of := func(group ctid.Group, holder string, epoch ctquorum.Epoch) promotionRequest {
-		return promotionRequest{group: group, member: "m0", holder: holder, epoch: epoch}
+	const soon, late = ctholderjudge.Lease - 1, ctholderjudge.Lease
+	of := func(group ctid.Group, holder string, epoch ctquorum.Epoch) ctholderjudge.Request {
+		return ctholderjudge.Request{Group: group, Member: "m0", Holder: holder, Epoch: epoch}
 	}
 	t.Run("a holder requests again", func(t *testing.T) {
 		assertRequests(t, of("g", "control-0", 2), of("g", "control-0", 2), 0, true)
--- a/internal/lab/ctsoak/fleet.go
+++ b/internal/lab/ctsoak/fleet.go
@@ -101,7 +101,7 @@
 // Close if there is no error.
 func NewFleet(plan Plan, folder, binFolder string, checker *Checker) (*Fleet, error) {
 	f := &Fleet{plan: plan, folder: folder, checker: checker}
-	checker.inTouch = f.requestsInTouch
+	checker.holders.InTouch = f.requestsInTouch
 	if err := f.claimNetwork(); err != nil {
 		return nil, err
 	}
--- a/internal/lab/ctsoak/group.go
+++ b/internal/lab/ctsoak/group.go
@@ -6,6 +6,7 @@
 
 	"github.com/cherviltrestle/cherviltrestle/internal/decide/ctquorum"
 	"github.com/cherviltrestle/cherviltrestle/internal/decide/ctsuccession"
+	"github.com/cherviltrestle/cherviltrestle/internal/lab/ctholderjudge"
 	"github.com/cherviltrestle/cherviltrestle/internal/model/ctid"
 	"github.com/cherviltrestle/cherviltrestle/internal/model/ctposition"
 	"github.com/cherviltrestle/cherviltrestle/internal/model/ctquery"
@@ -205,7 +206,9 @@
 func (g *Group) Promote(name ctid.Member, holder string, epoch ctquorum.Epoch) ctsuccession.PromotionOutcome {
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
-	g.checker.recordRequest(promotionRequest{group: g.name, member: name, holder: holder, epoch: epoch, at: time.Now()})
+	g.checker.recordRequest(ctholderjudge.Request{
+		Group: g.name, Member: name, Holder: holder, Epoch: epoch, At: time.Now(),
+	})
 	for _, m := range g.members {
 		if m.name != name || !m.running {
 			continue
