ctcontrol: a requester names the fetches that it gave up also after the change

The change of primary may end before the next fetch: then nobody named the one that was given up, and the offer that answered it stayed open for two minutes as before. The requester goes on fetching for 3 s after it gave one up.

--- a/internal/program/ctcontrol/offers.go
+++ b/internal/program/ctcontrol/offers.go
@@ -15,8 +15,13 @@
 // offers, while a group whose requester it is waits for a promotion.
 const fetchInterval = 100 * time.Millisecond
 
-// maxGivenUp is how many fetches that it gave up a requester names.
-const maxGivenUp = 64
+const (
+	// maxGivenUp is how many fetches that it gave up a requester names.
+	maxGivenUp = 64
+	// givenUpPeriod is how long a requester goes on fetching after it gave up a fetch, which the
+	// leader may still answer.
+	givenUpPeriod = 3 * time.Second
+)
 
 // offerPromotion offers a promotion request to the group's requester. What becomes of it is
 // recorded by ReportOffer and expireOffers.
@@ -121,13 +126,14 @@
 func (s *Service) serveOffers(ctx context.Context) {
 	var held ctlock.Held
 	fetch := ctpromotion.Fetch{Control: s.Name, Run: ctpromotion.Run(s.Clock.Now().UnixNano())}
+	var nameGivenUpUntil time.Time
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-s.Clock.After(fetchInterval):
 		}
-		if !s.control.isRequester(&held) {
+		if !s.control.isRequester(&held) && !s.Clock.Now().Before(nameGivenUpUntil) {
 			continue
 		}
 		askedAt := s.Clock.Now()
@@ -137,6 +143,7 @@
 		if err != nil || !ok {
 			fetch.GivenUp = append(fetch.GivenUp, fetch.Number)
 			fetch.GivenUp = fetch.GivenUp[max(0, len(fetch.GivenUp)-maxGivenUp):]
+			nameGivenUpUntil = s.Clock.Now().Add(givenUpPeriod)
 			continue
 		}
 		for _, offer := range fetched.Offers {
