ctgateway: a refused text is logged and counted

A caller's line that can't be decoded is now a ctquery.Malformed with the reason, the byte and its offset; the gateway writes one refuse_text line for it (request, session, database) and counts it in malformed_queries_total. No logic changes.

--- a/internal/program/ctgateway/gateway.go
+++ b/internal/program/ctgateway/gateway.go
@@ -33,8 +33,8 @@
 	AcceptStartup() error
 	// ReadQuery reads the next query; a zero deadline means no limit. The error wraps
 	// os.ErrDeadlineExceeded if the deadline passes or Interrupt is called first, and
-	// io.EOF if the caller ends the session. A query that can't be decoded is
-	// returned without a statement.
+	// io.EOF if the caller ends the session. The statement of a query
+	// that can't be decoded is a ctquery.Malformed.
 	ReadQuery(deadline time.Time) (ctquery.Query, error)
 	// Interrupt makes a waiting ReadQuery return at once, unless a message has begun
 	// to arrive. It may be called from another goroutine.
--- a/internal/program/ctgateway/session.go
+++ b/internal/program/ctgateway/session.go
@@ -7,13 +7,16 @@
 	"time"
 
 	"github.com/pkg/errors"
+	"github.com/rs/zerolog"
 
 	"github.com/cherviltrestle/cherviltrestle/internal/decide/ctdialog"
 	"github.com/cherviltrestle/cherviltrestle/internal/model/ctconfig"
+	"github.com/cherviltrestle/cherviltrestle/internal/model/cterror"
 	"github.com/cherviltrestle/cherviltrestle/internal/model/ctid"
 	"github.com/cherviltrestle/cherviltrestle/internal/model/ctposition"
 	"github.com/cherviltrestle/cherviltrestle/internal/model/ctquery"
 	"github.com/cherviltrestle/cherviltrestle/internal/model/ctview"
+	"github.com/cherviltrestle/cherviltrestle/internal/program/ctlog"
 	"github.com/cherviltrestle/cherviltrestle/internal/program/ctpools"
 	"github.com/cherviltrestle/cherviltrestle/internal/work/ctlock"
 )
@@ -70,7 +73,7 @@
 	defer s.caller.Close()
 	database, err := s.caller.ReadStartup(time.Now().Add(startupMessageTimeout))
 	if err != nil {
-		g.Logger.Debug().Str("event", "start_refused").Str("error", err.Error()).Send()
+		s.logStartupError(err)
 		return
 	}
 	s.database = database
@@ -102,6 +105,17 @@
 	s.serveQueries()
 }
 
+// logStartupError logs that the startup message could not be read. It is of interest only if
+// the caller sent one.
+func (s *session) logStartupError(err error) {
+	level := zerolog.DebugLevel
+	if cterror.KindOf(err) == cterror.Invalid {
+		level = zerolog.InfoLevel
+	}
+	s.gateway.Logger.WithLevel(level).Str("event", "start_refused").Uint64("session", uint64(s.id)).
+		Str("why", "malformed").Str("error", err.Error()).Send()
+}
+
 // awaitReady waits until a proxy that has just started can serve the session, for
 // at most readyTimeout. It reports whether the proxy has a configuration. Once the
 // proxy has reached the primaries of all groups in use, it returns at once.
@@ -220,9 +234,25 @@
 	s.rollBack()
 }
 
+// logMalformed logs and counts a query whose text was refused.
+func (s *session) logMalformed(id ctquery.ID, m ctquery.Malformed) {
+	s.gateway.Metrics.MalformedQueries.WithLabelValues(string(m.Reason)).Inc()
+	ctlog.Decision(&s.gateway.Logger, "refuse_text").
+		Str("request", string(id)).
+		Uint64("session", uint64(s.id)).
+		Str("database", string(s.database)).
+		Str("why", string(m.Reason)).
+		Int("offset", m.Offset).
+		Uint8("byte", m.Byte).
+		Send()
+}
+
 // handleQuery returns the answer to one query. Outside a transaction, it resolves
 // the route again, as the configuration may have changed.
 func (s *session) handleQuery(query ctquery.Query) ctquery.Answer {
+	if m, ok := query.Statement.(ctquery.Malformed); ok {
+		s.logMalformed(query.ID, m)
+	}
 	if !s.dialog.InTransaction() && !s.resolveRoute() {
 		fault, _, text := s.noRouteFault()
 		return ctquery.Answer{Fault: fault, Text: text}
--- a/internal/program/ctmetric/metrics.go
+++ b/internal/program/ctmetric/metrics.go
@@ -33,6 +33,9 @@
 	// Retries counts requests that were sent and then refused or answered with a fault,
 	// by reason. Such a request is usually sent again, but it is counted either way.
 	Retries *prometheus.CounterVec
+	// MalformedQueries counts queries that were answered without a member because their text
+	// can't be decoded or passed on, by reason.
+	MalformedQueries *prometheus.CounterVec
 	// WaitingRequests is the number of requests in the queue of each held member.
 	WaitingRequests *prometheus.GaugeVec
 	// RunningRequests is the number of requests that run on each held member.
@@ -68,11 +71,13 @@
 	registry.MustRegister(collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	f := factory{registry: registry}
 	return &Metrics{
-		Registry:        registry,
-		Sessions:        f.gauge("sessions", "Open sessions of callers."),
-		Requests:        f.counterVec("requests_total", "Ended requests.", "group", "role", "outcome"),
-		RequestSeconds:  f.histogramVec("request_seconds", "Time of requests at the entry.", "role"),
-		Retries:         f.counterVec("retries_total", "Retries of requests.", "reason"),
+		Registry:       registry,
+		Sessions:       f.gauge("sessions", "Open sessions of callers."),
+		Requests:       f.counterVec("requests_total", "Ended requests.", "group", "role", "outcome"),
+		RequestSeconds: f.histogramVec("request_seconds", "Time of requests at the entry.", "role"),
+		Retries:        f.counterVec("retries_total", "Retries of requests.", "reason"),
+		MalformedQueries: f.counterVec(
+			"malformed_queries_total", "Queries refused because of their text.", "reason"),
 		WaitingRequests: f.gaugeVec("member_waiting", "Requests that wait for a member.", "member"),
 		RunningRequests: f.gaugeVec("member_running", "Requests that run on a member.", "member"),
 		Connections:     f.gaugeVec("member_connections", "Connections to a member.", "member"),
