platform: only CR LF ends a line, and only it is cut off

Callers saw a prepared "WRITE q5a\r" run as "WRITE q5a", rows that lost a CR, and a member got statements that nobody had sent. readLine ended a line at a lone LF and cut off all CRs at its end, in both directions.

A line now ends at CR LF, and exactly that is removed. A caller's line with a lone LF is one query that is answered MALFORMED (line_feed, with its offset) and sent to no member; a CONNECT line is refused; a member's connection is closed (kind Invalid).

Seen to fail before: TestOnlyCRLFEndsALine ("WRITE q5a" for "WRITE q5a\r", a lone LF gave no error), TestLoneLFIsOneMalformedQuery (ReadQuery returned READ x as a, WRITE y 1 as b, where one line was sent).

--- a/internal/model/ctquery/malformed.go
+++ b/internal/model/ctquery/malformed.go
@@ -18,6 +18,8 @@
 	// MalformedStatement: the line is no query, or its statement is not one that callers may
 	// send.
 	MalformedStatement MalformedReason = "statement"
+	// MalformedLineFeed: the line contains an LF that is not part of its end.
+	MalformedLineFeed MalformedReason = "line_feed"
 )
 
 func (Malformed) isStatement() {}
