ctpools: log and count the answers that don't belong to their queries

Nothing told a repeated answer from another cause: no line and no counter said that an answer didn't fit. ctreply judges each answer by the kind of its statement, the state of the transaction, its proof, its rows and its point; the executor logs and counts the misfits, by kind, member and connection. What it does with the answers is unchanged.

--- a/internal/model/ctid/number.go
+++ b/internal/model/ctid/number.go
@@ -16,6 +16,10 @@
 // has a higher incarnation.
 type Incarnation uint64
 
+// Connection is the number of a connection to a member. It is unique within one run of
+// a process.
+type Connection uint64
+
 // Revision is the number that control assigns to an accepted configuration, from
 // 1. Zero stands for no configuration.
 type Revision uint64
--- a/internal/model/ctquery/answer.go
+++ b/internal/model/ctquery/answer.go
@@ -21,6 +21,19 @@
 	TransactionFailed
 )
 
+// String returns the name of the state in snake case, or "invalid" for an unknown value.
+func (t Transaction) String() string {
+	switch t {
+	case TransactionNone:
+		return "none"
+	case TransactionOpen:
+		return "open"
+	case TransactionFailed:
+		return "failed"
+	}
+	return "invalid"
+}
+
 // Answer is the complete answer to a query.
 type Answer struct {
 	// Rows holds the result, one text per row.
--- a/internal/program/ctmetric/metrics.go
+++ b/internal/program/ctmetric/metrics.go
@@ -54,6 +54,11 @@
 	// GuardedCommits counts the queries whether a member that may be promoted at any moment
 	// holds a commit, by result.
 	GuardedCommits *prometheus.CounterVec
+	// AnswersInDoubt counts the answers of members that did not belong to their queries,
+	// by the kind of doubt. DoubtfulReopens counts the connections that were opened after
+	// one was closed for such an answer.
+	AnswersInDoubt  *prometheus.CounterVec
+	DoubtfulReopens prometheus.Counter
 	// ViewVersion is the version of the view in force.
 	ViewVersion prometheus.Gauge
 	// Revision is the revision of the configuration in force.
@@ -88,6 +93,10 @@
 			"log_samples_dropped_total", "Points of members that may be primaries no more.", "source"),
 		GuardedCommits: f.counterVec(
 			"guarded_commits_total", "Commits checked at members that may be promoted at any moment.", "result"),
+		AnswersInDoubt: f.counterVec(
+			"answers_in_doubt_total", "Answers of members that did not belong to their queries.", "kind"),
+		DoubtfulReopens: f.counter(
+			"doubtful_connections_reopened_total", "Connections opened after one was closed for such an answer."),
 		ViewVersion: f.gauge("view_version", "Version of the view in force."),
 		Revision:    f.gauge("config_revision", "Revision of the configuration in force."),
 		Reports:     f.counterVec("reports_total", "Reports to control.", "result"),
--- a/internal/program/ctnode/proxy.go
+++ b/internal/program/ctnode/proxy.go
@@ -83,6 +83,7 @@
 	p := &Proxy{settings: settings, frontends: frontends, clock: clock, logger: logger, metrics: metrics}
 	transport := tcpTransport{cttcp.Transport{LocalAddress: settings.LocalIP}}
 	p.pools = ctpools.New(frontends.Dialer, self, transport, clock, logger)
+	p.pools.Metrics = metrics
 	p.gateway = ctgateway.New(ctgateway.Options{
 		FailureDomain: settings.FailureDomain,
 		State:         state,
--- a/internal/program/ctpools/direct.go
+++ b/internal/program/ctpools/direct.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/cherviltrestle/cherviltrestle/internal/decide/ctdialog"
+	"github.com/cherviltrestle/cherviltrestle/internal/decide/ctreply"
 	"github.com/cherviltrestle/cherviltrestle/internal/model/cterror"
 	"github.com/cherviltrestle/cherviltrestle/internal/model/ctquery"
 	"github.com/cherviltrestle/cherviltrestle/internal/work/ctclock"
@@ -31,22 +32,26 @@
 type directExecutor struct {
 	// connectionState records which values and prepared statements the connection has.
 	connectionState ctdialog.ConnectionState
-	raw             RawConn
-	clock           ctclock.Clock
-	answers         chan ctquery.Answer
-	closed          chan struct{}
-	closeOnce       sync.Once
+	// conversation judges the answers.
+	conversation ctreply.Conversation
+	reporter     doubtReporter
+	raw          RawConn
+	clock        ctclock.Clock
+	answers      chan ctquery.Answer
+	closed       chan struct{}
+	closeOnce    sync.Once
 	// answerPending reports that an answer is outstanding; the connection can't be
 	// used for another session then.
 	answerPending bool
 }
 
-func newDirectExecutor(raw RawConn, clock ctclock.Clock) *directExecutor {
+func newDirectExecutor(raw RawConn, clock ctclock.Clock, reporter doubtReporter) *directExecutor {
 	e := &directExecutor{
-		raw:     raw,
-		clock:   clock,
-		answers: make(chan ctquery.Answer, maxPendingAnswers),
-		closed:  make(chan struct{}),
+		reporter: reporter,
+		raw:      raw,
+		clock:    clock,
+		answers:  make(chan ctquery.Answer, maxPendingAnswers),
+		closed:   make(chan struct{}),
 	}
 	go e.read()
 	return e
@@ -143,6 +148,11 @@
 		}
 	}
 	e.answerPending = false
+	for i, answer := range answers {
+		if doubt, ok := e.conversation.Judge(queries[i].Statement, answer).(ctreply.InDoubt); ok {
+			e.reporter.report(doubt, queries[i].Statement, answer)
+		}
+	}
 	return answers, nil
 }
 
--- /dev/null
+++ b/internal/program/ctpools/doubt.go
@@ -0,0 +1,43 @@
+package ctpools
+
+import (
+	"github.com/rs/zerolog"
+
+	"github.com/cherviltrestle/cherviltrestle/internal/decide/ctreply"
+	"github.com/cherviltrestle/cherviltrestle/internal/model/ctid"
+	"github.com/cherviltrestle/cherviltrestle/internal/model/ctquery"
+	"github.com/cherviltrestle/cherviltrestle/internal/program/ctmetric"
+)
+
+// doubtReporter logs and counts the answers on one connection that don't belong to their
+// queries.
+type doubtReporter struct {
+	logger  zerolog.Logger
+	metrics *ctmetric.Metrics
+	member  ctid.Member
+	number  ctid.Connection
+}
+
+// reporter returns the reporter of a new connection to a member.
+func (p *Pools) reporter(member ctid.Member) doubtReporter {
+	number := ctid.Connection(p.connectionCount.Add(1))
+	return doubtReporter{logger: p.Logger, metrics: p.Metrics, member: member, number: number}
+}
+
+// report reports an answer. The statement is nil if no query was outstanding.
+func (r *doubtReporter) report(doubt ctreply.InDoubt, statement ctquery.Statement, answer ctquery.Answer) {
+	r.logger.Warn().Str("event", "answer_in_doubt").
+		Str("kind", string(doubt.Doubt)).
+		Str("statement", ctreply.StatementName(statement)).
+		Bool("proof", answer.Proof != "").
+		Bool("proof_seen", doubt.ProofSeen).
+		Str("fault", answer.Fault.String()).
+		Stringer("transaction", answer.Transaction).
+		Stringer("point", answer.Point).
+		Str("member", string(r.member)).
+		Uint64("connection", uint64(r.number)).
+		Send()
+	if r.metrics != nil {
+		r.metrics.AnswersInDoubt.WithLabelValues(string(doubt.Doubt)).Inc()
+	}
+}
--- a/internal/program/ctpools/pools.go
+++ b/internal/program/ctpools/pools.go
@@ -18,6 +18,7 @@
 	"github.com/cherviltrestle/cherviltrestle/internal/model/ctserver"
 	"github.com/cherviltrestle/cherviltrestle/internal/model/ctview"
 	"github.com/cherviltrestle/cherviltrestle/internal/program/ctlog"
+	"github.com/cherviltrestle/cherviltrestle/internal/program/ctmetric"
 	"github.com/cherviltrestle/cherviltrestle/internal/work/ctclock"
 	"github.com/cherviltrestle/cherviltrestle/internal/work/ctlock"
 	"github.com/cherviltrestle/cherviltrestle/internal/work/ctstop"
@@ -73,6 +74,11 @@
 	Transport ctframe.Transport
 	// Stop says how far the process's planned stop has come.
 	Stop ctstop.Stop
+	// Metrics is nil if nothing is counted.
+	Metrics *ctmetric.Metrics
+
+	// connectionCount numbers the connections to members.
+	connectionCount atomic.Uint64
 
 	served         servedStreams
 	forwardedCount atomic.Int64
@@ -335,7 +341,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return newDirectExecutor(raw, p.Clock), nil
+	return newDirectExecutor(raw, p.Clock, p.reporter(server.Member)), nil
 }
 
 // recordDialFailure sets the pause before the next attempt. If no connection is left,
