ctpg: drop the answers to added Parse messages behind notices, too

A caller that uses a prepared statement over another backend connection got one ParseComplete too many if the backend server sent a notice or a parameter in front: only those at the very start of an answer were dropped, so that all its answers were off by one message. The answer is now read message by message.

--- a/internal/link/ctpg/answer.go
+++ b/internal/link/ctpg/answer.go
@@ -119,13 +119,23 @@
 	return ""
 }
 
-// dropParseCompletes removes up to skip ParseComplete messages from the start of
-// the payload. It returns the rest and how many it has yet to remove.
+// dropParseCompletes removes up to skip ParseComplete messages from the payload. Other
+// messages, such as notices, may precede them. It returns the rest and how many it has yet
+// to remove.
 func dropParseCompletes(payload []byte, skip int) ([]byte, int) {
+	var kept []byte
 	offset := 0
-	for skip > 0 && len(payload)-offset >= headerBytes && payload[offset] == typeParseComplete {
-		offset += int(binary.BigEndian.Uint32(payload[offset+1:])) + 1
-		skip--
+	for skip > 0 && len(payload)-offset >= headerBytes {
+		end := min(len(payload), offset+int(binary.BigEndian.Uint32(payload[offset+1:]))+1)
+		if payload[offset] == typeParseComplete {
+			skip--
+		} else {
+			kept = append(kept, payload[offset:end]...)
+		}
+		offset = end
 	}
-	return payload[offset:], skip
+	if len(kept) == 0 {
+		return payload[offset:], skip
+	}
+	return append(kept, payload[offset:]...), skip
 }
