ctpg: record a prepared statement only when the answer confirms it

A caller could get another statement under a prepared name than the one that it was told is prepared. The session recorded the Parse and Close messages of a request when it read them: also those that a backend server skips behind an error, and those of a request that was not run at all. And it applied all Closes after all Parses, so that "Close s, Parse s", which drivers send, forgot the new statement. The changes are now applied in order as ParseComplete and CloseComplete confirm them. The class of a portal is that of the statement that it was bound to.

TestNextRequest relied on a Parse without an answer being recorded; it now relays the answer first, and checks the same.

--- a/internal/link/ctpg/answer.go
+++ b/internal/link/ctpg/answer.go
@@ -1,7 +1,6 @@
 package ctpg
 
 import (
-	"encoding/binary"
 	"fmt"
 	"strings"
 
@@ -13,8 +12,11 @@
 	"github.com/cherviltrestle/cherviltrestle/internal/model/ctoutcome"
 )
 
-// typeParseComplete is the type byte of ParseComplete, the answer to a Parse.
-const typeParseComplete = '1'
+// The type bytes of ParseComplete and CloseComplete, the answers to a Parse and a Close.
+const (
+	typeParseComplete = '1'
+	typeCloseComplete = '3'
+)
 
 // headerBytes is the size of a message's header: its type and its length.
 const headerBytes = 5
@@ -23,9 +25,10 @@
 const readyBytes = 6
 
 // Relay sends part of an answer to the caller. The payload must consist of whole
-// messages. Relay drops the answers to the Parse messages that NextRequest added.
+// messages. Relay drops the answers to the Parse messages that NextRequest added, and
+// records which statements the answer confirms as prepared or closed.
 func (c *Caller) Relay(payload []byte) error {
-	_, err := c.socket.Write(c.statements.dropAddedAnswers(payload))
+	_, err := c.socket.Write(c.statements.recordAnswer(payload))
 	return errors.Wrap(err, "relay an answer")
 }
 
@@ -38,7 +41,7 @@
 	}
 	readyForQuery := payload[len(payload)-readyBytes:]
 	status := pgproto3.ParameterStatus{Name: ParameterToken, Value: token}
-	out, err := status.Encode(append([]byte(nil), c.statements.dropAddedAnswers(payload[:len(payload)-readyBytes])...))
+	out, err := status.Encode(append([]byte(nil), c.statements.recordAnswer(payload[:len(payload)-readyBytes])...))
 	if err != nil {
 		return errors.Wrap(err, "encode the token")
 	}
@@ -118,24 +121,3 @@
 	}
 	return ""
 }
-
-// dropParseCompletes removes up to skip ParseComplete messages from the payload. Other
-// messages, such as notices, may precede them. It returns the rest and how many it has yet
-// to remove.
-func dropParseCompletes(payload []byte, skip int) ([]byte, int) {
-	var kept []byte
-	offset := 0
-	for skip > 0 && len(payload)-offset >= headerBytes {
-		end := min(len(payload), offset+int(binary.BigEndian.Uint32(payload[offset+1:]))+1)
-		if payload[offset] == typeParseComplete {
-			skip--
-		} else {
-			kept = append(kept, payload[offset:end]...)
-		}
-		offset = end
-	}
-	if len(kept) == 0 {
-		return payload[offset:], skip
-	}
-	return append(kept, payload[offset:]...), skip
-}
--- a/internal/link/ctpg/batch.go
+++ b/internal/link/ctpg/batch.go
@@ -20,18 +20,25 @@
 	key ctid.IdempotencyKey
 	// invalidKey reports that the request has an idempotency key that can't be honoured.
 	invalidKey bool
-	// parsed holds the statements that the request prepares, by name.
-	parsed map[string]preparedStatement
+	// parsed holds the classes of the statements that the request prepares, by name.
+	parsed map[string]ctstatement.Class
 	// required contains the names of the statements that must exist before the request.
 	required ctset.Set[string]
-	// portals maps each portal that the request binds to the name of its statement.
-	portals map[string]string
-	// executed lists the names of the statements whose portals the request executes.
-	executed []string
+	// portals maps each portal that the request binds to its statement.
+	portals map[string]boundStatement
+	// executed lists the statements whose portals the request executes.
+	executed []boundStatement
 	// unknownPortal reports that the request executes a portal that it didn't bind.
 	unknownPortal bool
-	// closed lists the names of the statements that the request closes.
-	closed []string
+	// changes lists the preparations and closings of the request, in order.
+	changes []statementChange
+}
+
+// boundStatement is the statement of a portal.
+type boundStatement struct {
+	name string
+	// class is set if the request itself prepares the statement.
+	class ctset.Option[ctstatement.Class]
 }
 
 // preparedStatement is a statement that a caller prepared with a Parse message.
@@ -76,21 +83,27 @@
 		return errors.Wrap(err, "encode a statement")
 	}
 	if b.parsed == nil {
-		b.parsed = make(map[string]preparedStatement)
+		b.parsed = make(map[string]ctstatement.Class)
 	}
 	if _, _, found := ctstatement.CutKey(m.Query); found {
 		b.invalidKey = true
 	}
-	b.parsed[m.Name] = preparedStatement{class: ctstatement.Classify(m.Query), parseMessage: message}
+	statement := preparedStatement{class: ctstatement.Classify(m.Query), parseMessage: message}
+	b.parsed[m.Name] = statement.class
+	b.changes = append(b.changes, preparation{name: m.Name, statement: statement})
 	return b.addMessage(m)
 }
 
 // bind adds a Bind and records which statement its portal belongs to.
 func (b *batch) bind(m *pgproto3.Bind) error {
 	if b.portals == nil {
-		b.portals = make(map[string]string)
+		b.portals = make(map[string]boundStatement)
 	}
-	b.portals[m.DestinationPortal] = m.PreparedStatement
+	bound := boundStatement{name: m.PreparedStatement}
+	if class, ok := b.parsed[m.PreparedStatement]; ok {
+		bound.class = ctset.Some(class)
+	}
+	b.portals[m.DestinationPortal] = bound
 	b.require(m.PreparedStatement)
 	return b.addMessage(m)
 }
@@ -117,7 +130,9 @@
 // close adds a Close of a statement or a portal.
 func (b *batch) close(m *pgproto3.Close) error {
 	if m.ObjectType == 'S' {
-		b.closed = append(b.closed, m.Name)
+		b.changes = append(b.changes, statementClosing{name: m.Name})
+	} else {
+		b.changes = append(b.changes, portalClosing{})
 	}
 	return b.addMessage(m)
 }
--- a/internal/link/ctpg/caller_test.go
+++ b/internal/link/ctpg/caller_test.go
@@ -166,6 +166,7 @@
 		send(t, client, &pgproto3.Parse{Name: "s", Query: "SELECT 1"}, &pgproto3.Sync{})
 		first, err := caller.NextRequest()
 		assert.NilError(t, err)
+		relay(t, caller, client, first, &pgproto3.ParseComplete{})
 		caller.ResetPrepared()
 		send(t, client, &pgproto3.Bind{PreparedStatement: "s"}, &pgproto3.Execute{}, &pgproto3.Sync{})
 		second, err := caller.NextRequest()
--- a/internal/link/ctpg/request.go
+++ b/internal/link/ctpg/request.go
@@ -20,14 +20,14 @@
 	// messages that NextRequest added in front.
 	Payload []byte
 
-	// addedParses is the number of Parse messages that NextRequest added.
-	addedParses int
+	// changes are the preparations and closings in Payload, in order.
+	changes []statementChange
 }
 
 // BeginAnswer prepares for the relay of an answer to the request. It must be called
 // each time the request is sent to a backend server.
 func (c *Caller) BeginAnswer(request *Request) {
-	c.statements.parsesToSkip = request.addedParses
+	c.statements.unconfirmed = request.changes
 }
 
 // ErrTerminated is the error that NextRequest returns when the caller sends Terminate.
--- a/internal/link/ctpg/statements.go
+++ b/internal/link/ctpg/statements.go
@@ -1,6 +1,8 @@
 package ctpg
 
 import (
+	"encoding/binary"
+
 	"github.com/cherviltrestle/cherviltrestle/internal/decide/ctstatement"
 	"github.com/cherviltrestle/cherviltrestle/internal/model/ctset"
 )
@@ -8,52 +10,62 @@
 // statements holds the prepared statements of a session. They remain usable for the
 // caller when another backend connection serves the session.
 type statements struct {
+	// byName contains the statements whose preparation a backend server has confirmed.
 	byName map[string]preparedStatement
 	// onBackend contains the names of the statements that are prepared on the current
 	// backend connection.
 	onBackend ctset.Set[string]
-	// parsesToSkip is the number of ParseComplete messages of the current answer that
-	// must not reach the caller, because they answer Parse messages that NextRequest added.
-	parsesToSkip int
+	// unconfirmed are the changes of the current request that its answer has yet to
+	// confirm, in order.
+	unconfirmed []statementChange
+}
+
+// statementChange is a message of a request that a backend server confirms with
+// ParseComplete or CloseComplete.
+type statementChange interface {
+	isStatementChange()
+}
+
+// preparation is a Parse.
+type preparation struct {
+	name      string
+	statement preparedStatement
+	// added reports that NextRequest added the Parse, so that its confirmation must not
+	// reach the caller.
+	added bool
+}
+
+// statementClosing is a Close of a statement, and portalClosing one of a portal.
+type statementClosing struct {
+	name string
 }
 
+type portalClosing struct{}
+
+func (preparation) isStatementChange()      {}
+func (statementClosing) isStatementChange() {}
+func (portalClosing) isStatementChange()    {}
+
 // complete returns the request of a batch. In front of the batch's messages, it adds
 // a Parse message for each statement that the request uses and that is not prepared
 // on the current backend connection.
 func (s *statements) complete(b *batch) *Request {
 	var payload []byte
-	addedParses := 0
+	var changes []statementChange
 	for _, name := range b.required.Sorted() {
 		statement, ok := s.byName[name]
 		if !ok || s.onBackend.Has(name) {
 			continue
 		}
 		payload = append(payload, statement.parseMessage...)
-		s.onBackend.Add(name)
-		addedParses++
+		changes = append(changes, preparation{name: name, statement: statement, added: true})
 	}
-	s.record(b)
 	return &Request{
-		Class:       s.class(b),
-		Key:         b.key,
-		InvalidKey:  b.invalidKey,
-		Payload:     append(payload, b.payload...),
-		addedParses: addedParses,
-	}
-}
-
-// record applies what the batch prepares and closes.
-func (s *statements) record(b *batch) {
-	if s.byName == nil && len(b.parsed) > 0 {
-		s.byName = make(map[string]preparedStatement)
-	}
-	for name, statement := range b.parsed {
-		s.byName[name] = statement
-		s.onBackend.Add(name)
-	}
-	for _, name := range b.closed {
-		delete(s.byName, name)
-		s.onBackend.Remove(name)
+		Class:      s.class(b),
+		Key:        b.key,
+		InvalidKey: b.invalidKey,
+		Payload:    append(payload, b.payload...),
+		changes:    append(changes, b.changes...),
 	}
 }
 
@@ -70,20 +82,64 @@
 	if len(b.executed) == 0 {
 		return ctstatement.Empty
 	}
-	class := s.byName[b.executed[0]].class
-	for _, name := range b.executed[1:] {
-		if class != ctstatement.Select || s.byName[name].class != ctstatement.Select {
+	class := s.classOf(b.executed[0])
+	for _, bound := range b.executed[1:] {
+		if class != ctstatement.Select || s.classOf(bound) != ctstatement.Select {
 			return ctstatement.Write
 		}
 	}
 	return class
 }
 
-// dropAddedAnswers removes the answers to the Parse messages that NextRequest added from a
-// part of the answer. The parts must be given in order.
-func (s *statements) dropAddedAnswers(payload []byte) []byte {
-	payload, s.parsesToSkip = dropParseCompletes(payload, s.parsesToSkip)
-	return payload
+// classOf returns the class of a bound statement.
+func (s *statements) classOf(bound boundStatement) ctstatement.Class {
+	if class, ok := bound.class.Get(); ok {
+		return class
+	}
+	return s.byName[bound.name].class
+}
+
+// recordAnswer applies the changes that a part of the answer confirms, and returns the part
+// without the answers to the Parse messages that NextRequest added. The parts must be given
+// in order and consist of whole messages.
+func (s *statements) recordAnswer(payload []byte) []byte {
+	var kept []byte
+	offset := 0
+	for len(s.unconfirmed) > 0 && len(payload)-offset >= headerBytes {
+		end := min(len(payload), offset+int(binary.BigEndian.Uint32(payload[offset+1:]))+1)
+		if s.confirm(payload[offset]) {
+			kept = append(kept, payload[offset:end]...)
+		}
+		offset = end
+	}
+	if len(kept) == 0 {
+		return payload[offset:]
+	}
+	return append(kept, payload[offset:]...)
+}
+
+// confirm applies the next change if a message of the given type confirms it. It reports
+// whether the message is for the caller.
+func (s *statements) confirm(messageType byte) bool {
+	if messageType != typeParseComplete && messageType != typeCloseComplete {
+		return true
+	}
+	change := s.unconfirmed[0]
+	s.unconfirmed = s.unconfirmed[1:]
+	switch change := change.(type) {
+	case preparation:
+		if s.byName == nil {
+			s.byName = make(map[string]preparedStatement)
+		}
+		s.byName[change.name] = change.statement
+		s.onBackend.Add(change.name)
+		return !change.added
+	case statementClosing:
+		delete(s.byName, change.name)
+		s.onBackend.Remove(change.name)
+	case portalClosing:
+	}
+	return true
 }
 
 // ResetPrepared records that the next request may run on another backend
--- a/internal/link/ctpg/statements_test.go
+++ b/internal/link/ctpg/statements_test.go
@@ -45,6 +45,77 @@
 	}
 }
 
+// assertPrepares checks that a request which binds the statement s begins with a Parse of
+// the query. An empty query means that nothing must be prepared.
+func assertPrepares(t *testing.T, caller *ctpg.Caller, client net.Conn, query string) {
+	t.Helper()
+	caller.ResetPrepared()
+	r := request(t, caller, client, &pgproto3.Bind{PreparedStatement: "s"}, &pgproto3.Execute{})
+	var want []byte
+	var err error
+	if query != "" {
+		want, err = (&pgproto3.Parse{Name: "s", Query: query}).Encode(nil)
+		assert.NilError(t, err)
+	}
+	bind, err := (&pgproto3.Bind{PreparedStatement: "s"}).Encode(want)
+	assert.NilError(t, err)
+	assert.DeepEqual(t, r.Payload[:min(len(bind), len(r.Payload))], bind)
+}
+
+// TestStatementsFollowAnswers guards against running another statement than the one that
+// the caller was told is prepared under a name.
+func TestStatementsFollowAnswers(t *testing.T) {
+	const first, second = "SELECT 1", "DELETE FROM charts"
+	parseFirst := &pgproto3.Parse{Name: "s", Query: first}
+	parseSecond := &pgproto3.Parse{Name: "s", Query: second}
+	prepared := func(t *testing.T) (*ctpg.Caller, net.Conn) {
+		t.Helper()
+		caller, client := startSession(t)
+		relay(t, caller, client, request(t, caller, client, parseFirst), &pgproto3.ParseComplete{})
+		return caller, client
+	}
+	t.Run("a statement that was prepared is kept", func(t *testing.T) {
+		caller, client := prepared(t)
+		assertPrepares(t, caller, client, first)
+	})
+	t.Run("a Parse behind a failed one changes nothing", func(t *testing.T) {
+		caller, client := prepared(t)
+		r := request(t, caller, client, &pgproto3.Parse{Name: "bad", Query: "SELEKT"}, parseSecond)
+		relay(t, caller, client, r, &pgproto3.ErrorResponse{Code: "42601"})
+		assertPrepares(t, caller, client, first)
+	})
+	t.Run("a Parse in a request that was not run changes nothing", func(t *testing.T) {
+		caller, client := prepared(t)
+		caller.BeginAnswer(request(t, caller, client, parseSecond))
+		assertPrepares(t, caller, client, first)
+	})
+	t.Run("a Close that was skipped changes nothing", func(t *testing.T) {
+		caller, client := prepared(t)
+		r := request(t, caller, client, &pgproto3.Parse{Name: "bad", Query: "SELEKT"},
+			&pgproto3.Close{ObjectType: 'S', Name: "s"})
+		relay(t, caller, client, r, &pgproto3.ErrorResponse{Code: "42601"})
+		assertPrepares(t, caller, client, first)
+	})
+	t.Run("a Close in front of a Parse closes the earlier statement", func(t *testing.T) {
+		caller, client := prepared(t)
+		r := request(t, caller, client, &pgproto3.Close{ObjectType: 'S', Name: "s"}, parseSecond)
+		relay(t, caller, client, r, &pgproto3.CloseComplete{}, &pgproto3.ParseComplete{})
+		assertPrepares(t, caller, client, second)
+	})
+	t.Run("a Close behind a Parse closes the statement", func(t *testing.T) {
+		caller, client := prepared(t)
+		r := request(t, caller, client, &pgproto3.Close{ObjectType: 'S', Name: "s"})
+		relay(t, caller, client, r, &pgproto3.CloseComplete{})
+		assertPrepares(t, caller, client, "")
+	})
+	t.Run("a Close of a portal closes no statement", func(t *testing.T) {
+		caller, client := prepared(t)
+		r := request(t, caller, client, &pgproto3.Close{ObjectType: 'P', Name: "s"})
+		relay(t, caller, client, r, &pgproto3.CloseComplete{})
+		assertPrepares(t, caller, client, first)
+	})
+}
+
 // TestAddedParseAnswers guards against an answer with one message too many: a notice or a
 // parameter that a backend server sends in front must not let the answer to an added Parse
 // through.
