ctpools: accept an answer only if it belongs to its query

Cause: answers were matched with queries by their order alone, so that one that a member sent twice was taken for the next query's, and all later ones were off by one.

Each answer is judged by ctreply. A success with a new proof can't be a repeat. A fault that was received before, and the success of a begin, a rollback or a status query, are confirmed by statements of our own that use no slot. Nothing may have arrived before a query is sent; if something has, the query is not sent, which is a true promise. Else the connection is closed: a read goes to another member, a write or commit is in doubt, and a transaction is rolled back. Connections opened in place of closed ones are counted. A busy member's answer within a transaction is repeated only if the transaction is still open.

--- a/internal/decide/ctreply/confirm.go
+++ b/internal/decide/ctreply/confirm.go
@@ -6,17 +6,66 @@
 // No shape has it: names of shapes are digests.
 const confirmingName = "confirmation"
 
+// openConfirmation confirms an answer after which a transaction is open, or may be.
+func openConfirmation() []ctquery.Statement {
+	prepare := ctquery.Prepare{Name: confirmingName, Shape: ctquery.Shape{Text: confirmingName}}
+	deallocate := ctquery.Deallocate{Name: confirmingName}
+	return []ctquery.Statement{prepare, deallocate, prepare, deallocate}
+}
+
+// closedConfirmation confirms an answer after which no transaction is open. Its answers
+// differ in the state of the transaction, so that repeats seldom look like them.
+func closedConfirmation() []ctquery.Statement {
+	return []ctquery.Statement{
+		ctquery.Begin{ReadOnly: true},
+		ctquery.Prepare{Name: confirmingName, Shape: ctquery.Shape{Text: confirmingName}},
+		ctquery.Rollback{},
+		ctquery.Deallocate{Name: confirmingName},
+	}
+}
+
 // Confirmation returns the statements that confirm the last answer. A failed transaction
 // accepts nothing but its end, so it is rolled back.
 func (c *Conversation) Confirmation() []ctquery.Statement {
-	confirming := []ctquery.Statement{
-		ctquery.Prepare{Name: confirmingName, Shape: ctquery.Shape{Text: confirmingName}},
-		ctquery.Deallocate{Name: confirmingName},
+	switch {
+	case c.transaction == ctquery.TransactionFailed:
+		return append([]ctquery.Statement{ctquery.Rollback{}}, closedConfirmation()...)
+	case c.mayBeOpen:
+		return openConfirmation()
+	}
+	return closedConfirmation()
+}
+
+// AheadConfirmation returns the statements to send together with a statement, because the
+// answer to it may have to be confirmed. There are none for most statements.
+func (c *Conversation) AheadConfirmation(statement ctquery.Statement) []ctquery.Statement {
+	_, begins := statement.(ctquery.Begin)
+	switch {
+	case !c.bareSuccessMayRepeat(statement):
+		return nil
+	case begins || (rowsOf(statement) > 0 && c.transaction != ctquery.TransactionNone):
+		return openConfirmation()
+	}
+	return closedConfirmation()
+}
+
+// bareSuccessMayRepeat reports whether a statement has to be confirmed and a success like its
+// own was received before.
+func (c *Conversation) bareSuccessMayRepeat(statement ctquery.Statement) bool {
+	if !needsConfirmation(statement) {
+		return false
+	}
+	state := c.transaction
+	switch statement.(type) {
+	case ctquery.Begin:
+		state = ctquery.TransactionOpen
+	case ctquery.Rollback:
+		state = ctquery.TransactionNone
 	}
-	if c.transaction == ctquery.TransactionFailed {
-		return append([]ctquery.Statement{ctquery.Rollback{}}, confirming...)
+	if rowsOf(statement) > 0 {
+		return c.shifted || c.bare[state].withRows
 	}
-	return confirming
+	return c.shifted || c.bare[state].rowless
 }
 
 // JudgeConfirmation returns the verdict on the answer to a confirming statement: Fits or
--- a/internal/decide/ctreply/conversation.go
+++ b/internal/decide/ctreply/conversation.go
@@ -15,6 +15,9 @@
 // new connection. It is not safe for concurrent use.
 type Conversation struct {
 	transaction ctquery.Transaction
+	// mayBeOpen reports whether the member may have a transaction open if the last answer
+	// was a repeat.
+	mayBeOpen bool
 	// point is the latest point that was received.
 	point  ctposition.Point
 	proofs fingerprints
@@ -59,6 +62,8 @@
 	doubt := c.doubtOf(statement, answer)
 	verdict := InDoubt{Doubt: doubt, ProofSeen: answer.Proof != "" && c.proofs.has(fingerprintOf(answer.Proof))}
 	repeat := c.mayRepeat(answer)
+	_, begins := statement.(ctquery.Begin)
+	c.mayBeOpen = begins || c.transaction != ctquery.TransactionNone
 	c.record(answer)
 	switch {
 	case doubt != "":
@@ -169,9 +174,12 @@
 	return 0
 }
 
-// needsConfirmation reports whether the success of a statement without a proof counts by
-// itself. That of the others, such as a begin, is followed by an answer with a proof.
+// needsConfirmation reports whether more than the next answer rests on the success of a
+// statement without a proof. After the others, such as a Set, a statement is sent at once.
 func needsConfirmation(statement ctquery.Statement) bool {
-	_, rollsBack := statement.(ctquery.Rollback)
-	return rollsBack || rowsOf(statement) > 0
+	switch statement.(type) {
+	case ctquery.Begin, ctquery.Rollback:
+		return true
+	}
+	return rowsOf(statement) > 0
 }
--- a/internal/decide/ctreply/doc.go
+++ b/internal/decide/ctreply/doc.go
@@ -11,27 +11,35 @@
 a new proof can't be a repeat.
 
 A fault has no proof. One that was never received on the connection can't be a repeat; any
-other has to be confirmed. So has the success of a status query or of a rollback that looks
-like an earlier one. The confirmation is a few statements of the proxy's own. They use no
-slot of the member, and leave the session's state as it is. They are sent after the answer
-has arrived. If the answer was a repeat, then the true answer arrives as that of the first
-confirming statement, and does not fit.
+other has to be confirmed. So has the success of a begin, a rollback or a status query if
+one like it was received before.
+
+# Confirmation
+
+A confirmation is a few statements of the proxy's own behind the one in question. They use
+no slot of the member, and leave the session's values and prepared statements as they are.
+If the answer was a repeat, the true answer arrives as that of the first confirming
+statement, and does not fit. Faults are confirmed when they arrive; the other answers at
+once, with statements that are sent together with the one in question.
 
 # Limits
 
 Only the last proofsKept proofs are known: a repeat that comes after more answers than that
-is taken for a new one. A repeated fault is accepted if as many more repeats follow it as
-there are confirming statements, each like the answer expected next. Faults are not
-forgotten: beyond faultsKept of them, every fault has to be confirmed.
+is taken for a new one. An answer is confirmed falsely if as many repeats as there are
+confirming statements arrive behind it, in a row and each like the answer expected next.
+Faults are not forgotten: beyond faultsKept of them, every fault has to be confirmed.
 
 # Usage
 
 	var conversation ctreply.Conversation
+	ahead := conversation.AheadConfirmation(statement)
+	... // send the statement and those of ahead
 	switch v := conversation.Judge(statement, answer).(type) {
 	case ctreply.Fits:
 		...
 	case ctreply.Unconfirmed:
-		... // send conversation.Confirmation() and pass the answers to JudgeConfirmation
+		... // unless ahead was sent, send conversation.Confirmation()
+		... // pass the answers to JudgeConfirmation, then call Confirmed
 	case ctreply.InDoubt:
 		... // close the connection
 	}
--- a/internal/program/ctgateway/run.go
+++ b/internal/program/ctgateway/run.go
@@ -289,7 +289,7 @@
 		query.MinPoint = e.target.minPoint
 	}
 	answer, err := s.exchange(e, query, deadline)
-	if err == nil && e.run.Begin.Statement != nil && answer.Fault == ctquery.FaultBusy {
+	if err == nil && answer.Fault == ctquery.FaultBusy && answer.Transaction == ctquery.TransactionOpen {
 		return s.runPinned(e)
 	}
 	if err != nil || answer.Fault.NotRun() || (readOnly && answer.Fault == ctquery.FaultFailed) {
@@ -363,6 +363,9 @@
 		Abandoned: s.gateway.Pools.Stop.Abandoned(),
 	}
 	answer, err := conn.Run(s.dialog.State(), query, limits)
+	if cterror.KindOf(err) == cterror.Exhausted {
+		return ctquery.Answer{Fault: ctquery.FaultBusy, Text: "the statement was not sent; retry now"}, nil
+	}
 	if err != nil {
 		return ctquery.Answer{}, err
 	}
--- a/internal/program/ctpools/conn.go
+++ b/internal/program/ctpools/conn.go
@@ -20,6 +20,8 @@
 	// alive reports whether another query may be run.
 	alive() bool
 	close()
+	// closedInDoubt reports whether the connection was closed because an answer was in doubt.
+	closedInDoubt() bool
 }
 
 // Limits bound one query.
@@ -42,6 +44,17 @@
 	return cterror.New(cterror.Expired, "this proxy stops and waits no longer for the member", "use another proxy")
 }
 
+// errNotSent returns the error of a query that was not sent, because the connection could
+// not be used any more.
+func errNotSent() error {
+	return cterror.New(cterror.Exhausted, "the connection to the member can't be used any more", "use another one")
+}
+
+// errInDoubt returns the error of a query whose answer may be that of another one.
+func errInDoubt() error {
+	return cterror.New(cterror.Unavailable, "the member's answer does not belong to the query", "try another member")
+}
+
 // Conn is a pooled connection to a member. It belongs to one user at a time, from
 // Acquire to Release.
 type Conn struct {
@@ -59,9 +72,11 @@
 }
 
 // Run runs a query with a session's state and waits for its answer. A nil state
-// leaves the connection's state as it is, for queries that depend on none. If no
-// answer arrives, Run returns an error of kind cterror.Expired after the deadline or once
-// the query is abandoned, else of kind cterror.Unavailable. The connection can't be used after an error.
+// leaves the connection's state as it is, for queries that depend on none. If the query was
+// not sent, Run returns an error of kind cterror.Exhausted. If no answer arrives that
+// belongs to the query, it returns one of kind cterror.Expired after the deadline or once the
+// query is abandoned, else of kind cterror.Unavailable. The connection can't be used after an
+// error.
 func (c *Conn) Run(state *ctdialog.State, query ctquery.Query, limits Limits) (ctquery.Answer, error) {
 	return c.executor.run(state, query, limits)
 }
--- a/internal/program/ctpools/direct.go
+++ b/internal/program/ctpools/direct.go
@@ -40,6 +40,8 @@
 	answers      chan ctquery.Answer
 	closed       chan struct{}
 	closeOnce    sync.Once
+	// inDoubt reports that the connection was closed because an answer was in doubt.
+	inDoubt bool
 	// answerPending reports that an answer is outstanding; the connection can't be
 	// used for another session then.
 	answerPending bool
@@ -81,6 +83,10 @@
 	})
 }
 
+func (e *directExecutor) closedInDoubt() bool {
+	return e.inDoubt
+}
+
 // matches reports whether the connection has the session's values already.
 func (e *directExecutor) matches(state *ctdialog.State) bool {
 	return e.connectionState.Matches(state)
@@ -89,16 +95,25 @@
 // run runs a query. Queries that establish the missing parts of the session's state
 // are sent ahead of it.
 func (e *directExecutor) run(state *ctdialog.State, query ctquery.Query, limits Limits) (ctquery.Answer, error) {
+	if _, ends := query.Statement.(ctquery.Rollback); ends && e.conversation.Transaction() == ctquery.TransactionNone {
+		return ctquery.Answer{}, nil
+	}
+	if !e.alive() {
+		e.close()
+		return ctquery.Answer{}, errNotSent()
+	}
 	var queries []ctquery.Query
 	if state != nil {
 		queries = e.connectionState.Update(state, query.Statement)
 	}
 	queries = append(queries, query)
-	answers, err := e.exchange(queries, limits)
+	ahead := queriesOf(e.conversation.AheadConfirmation(query.Statement))
+	x := exchange{executor: e, limits: limits, confirming: len(queries)}
+	answers, err := x.run(append(queries, ahead...))
 	if err != nil {
 		return ctquery.Answer{}, err
 	}
-	last := len(answers) - 1
+	last := len(queries) - 1
 	for _, answer := range answers[:last] {
 		if !answer.OK() {
 			e.close()
@@ -106,66 +121,130 @@
 				"the member refused the session's state: "+answer.Text, "try another member")
 		}
 	}
-	return answers[last], nil
+	if x.unconfirmed && len(ahead) == 0 {
+		err = e.confirm(limits)
+	} else if len(ahead) > 0 {
+		e.conversation.Confirmed()
+	}
+	answer := answers[last]
+	answer.Transaction = e.conversation.Transaction()
+	return answer, err
+}
+
+// confirm makes sure that the last answer was not a repeat.
+func (e *directExecutor) confirm(limits Limits) error {
+	if !e.alive() {
+		e.close()
+		return errInDoubt()
+	}
+	x := exchange{executor: e, limits: limits}
+	if _, err := x.run(queriesOf(e.conversation.Confirmation())); err != nil {
+		return err
+	}
+	e.conversation.Confirmed()
+	return nil
+}
+
+// queriesOf returns queries of the proxy's own.
+func queriesOf(statements []ctquery.Statement) []ctquery.Query {
+	var queries []ctquery.Query
+	for _, statement := range statements {
+		queries = append(queries, ctquery.Query{Statement: statement})
+	}
+	return queries
 }
 
 // alive reports whether the connection can be used: it is open, no answer is
-// outstanding, and no unexpected answer has arrived.
+// outstanding, and no unexpected answer has arrived. It closes a connection on which one
+// has.
 func (e *directExecutor) alive() bool {
 	select {
 	case <-e.closed:
 		return false
 	default:
-		return !e.answerPending && len(e.answers) == 0
+	}
+	if e.answerPending {
+		return false
+	}
+	select {
+	case answer := <-e.answers:
+		e.doubt(ctreply.InDoubt{Doubt: ctreply.DoubtUnasked}, nil, answer)
+		return false
+	default:
+		return true
 	}
 }
 
-// exchange sends queries and waits for all their answers. If some don't arrive, it
-// returns those that did, with an error of kind cterror.Expired after the deadline or
-// once they are abandoned, else of kind cterror.Unavailable. The connection can't be used
-// after an error.
-func (e *directExecutor) exchange(queries []ctquery.Query, limits Limits) ([]ctquery.Answer, error) {
+// doubt reports an answer that does not belong to its query, and closes the connection.
+func (e *directExecutor) doubt(doubt ctreply.InDoubt, statement ctquery.Statement, answer ctquery.Answer) {
+	e.inDoubt = true
+	e.reporter.report(doubt, statement, answer)
+	e.close()
+}
+
+// exchange sends queries on a connection and judges their answers.
+type exchange struct {
+	executor *directExecutor
+	limits   Limits
+	// confirming is the index of the first query that confirms the answers before it.
+	confirming int
+	// unconfirmed reports whether the last answer is to be confirmed.
+	unconfirmed bool
+}
+
+// run sends queries and waits for all their answers. If some don't arrive, it returns an
+// error of kind cterror.Expired after the deadline or once they are abandoned, else, or if an
+// answer is in doubt, of kind cterror.Unavailable. The connection can't be used after an error.
+func (x *exchange) run(queries []ctquery.Query) ([]ctquery.Answer, error) {
+	e := x.executor
 	e.answerPending = true
 	if err := e.raw.Send(queries); err != nil {
 		e.close()
 		return nil, cterror.Wrap(cterror.Unavailable, err, "send to the member", "try another member")
 	}
-	timer := time.NewTimer(limits.Deadline.Sub(e.clock.Now()))
+	timer := time.NewTimer(x.limits.Deadline.Sub(e.clock.Now()))
 	defer timer.Stop()
 	answers := make([]ctquery.Answer, 0, len(queries))
-	for len(answers) < len(queries) {
-		select {
-		case answer := <-e.answers:
-			answers = append(answers, answer)
-		case <-e.closed:
-			if answers = e.drain(answers, len(queries)); len(answers) < len(queries) {
-				return answers, cterror.New(cterror.Unavailable, "the connection to the member broke", "try another member")
-			}
-		case <-limits.Abandoned:
-			return answers, errAbandoned()
-		case <-timer.C:
-			return answers, cterror.New(cterror.Expired, "the member did not answer in time", "try another member")
+	for i, query := range queries {
+		answer, err := x.receive(timer.C)
+		if err != nil {
+			return nil, err
 		}
-	}
-	e.answerPending = false
-	for i, answer := range answers {
-		if doubt, ok := e.conversation.Judge(queries[i].Statement, answer).(ctreply.InDoubt); ok {
-			e.reporter.report(doubt, queries[i].Statement, answer)
+		judge := e.conversation.Judge
+		if i >= x.confirming {
+			judge = e.conversation.JudgeConfirmation
 		}
+		switch verdict := judge(query.Statement, answer).(type) {
+		case ctreply.InDoubt:
+			e.doubt(verdict, query.Statement, answer)
+			return nil, errInDoubt()
+		case ctreply.Unconfirmed:
+			x.unconfirmed = true
+		case ctreply.Fits:
+		}
+		answers = append(answers, answer)
 	}
+	e.answerPending = false
 	return answers, nil
 }
 
-// drain appends the answers that were received before the connection ended, up to
-// want in all.
-func (e *directExecutor) drain(answers []ctquery.Answer, want int) []ctquery.Answer {
-	for len(answers) < want {
+// receive waits for the next answer, which may have arrived just before the connection ended.
+func (x *exchange) receive(timeout <-chan time.Time) (ctquery.Answer, error) {
+	e := x.executor
+	select {
+	case answer := <-e.answers:
+		return answer, nil
+	case <-e.closed:
 		select {
 		case answer := <-e.answers:
-			answers = append(answers, answer)
+			return answer, nil
 		default:
-			return answers
 		}
+		return ctquery.Answer{}, cterror.New(cterror.Unavailable,
+			"the connection to the member broke", "try another member")
+	case <-x.limits.Abandoned:
+		return ctquery.Answer{}, errAbandoned()
+	case <-timeout:
+		return ctquery.Answer{}, cterror.New(cterror.Expired, "the member did not answer in time", "try another member")
 	}
-	return answers
 }
--- a/internal/program/ctpools/forwarding.go
+++ b/internal/program/ctpools/forwarding.go
@@ -100,6 +100,11 @@
 	return !e.stopping && !e.replyPending
 }
 
+// closedInDoubt is false: the other proxy counts such connections.
+func (e *forwardingExecutor) closedInDoubt() bool {
+	return false
+}
+
 // run sends the query to the other proxy and waits for its reply. If the other proxy
 // did not send the query to the member, the answer has the fault ctquery.FaultBusy.
 func (e *forwardingExecutor) run(state *ctdialog.State, query ctquery.Query, limits Limits) (ctquery.Answer, error) {
--- a/internal/program/ctpools/forwardserver.go
+++ b/internal/program/ctpools/forwardserver.go
@@ -131,6 +131,10 @@
 	answer, err := s.conn.Run(state, frame.Query.Query(), limits)
 	if err != nil {
 		s.release(Result{Discard: true})
+		if cterror.KindOf(err) == cterror.Exhausted {
+			s.log(frame, "not_sent", now)
+			return &ctframe.ForwardReply{Refused: true}
+		}
 		s.log(frame, "lost", now)
 		return &ctframe.ForwardReply{Unanswered: true, TimedOut: cterror.KindOf(err) == cterror.Expired}
 	}
--- a/internal/program/ctpools/pools.go
+++ b/internal/program/ctpools/pools.go
@@ -100,6 +100,9 @@
 	// counts only those that are being opened.
 	open    int
 	dialing int
+	// closedInDoubt counts the connections that were closed because an answer was in
+	// doubt, and not opened again since.
+	closedInDoubt int
 	// forwarders are the proxies that forward queries to the member. The list is
 	// empty if this proxy owns connections to it.
 	forwarders []netip.AddrPort
@@ -258,12 +261,31 @@
 			continue
 		}
 		c.close()
-		m.open--
+		m.forget(c)
 	}
 	clear(m.idle[len(alive):])
 	m.idle = alive
 }
 
+// forget stops counting a connection that was closed because it can't be used any more.
+func (m *memberPool) forget(conn *Conn) {
+	m.open--
+	if conn.executor.closedInDoubt() {
+		m.closedInDoubt++
+	}
+}
+
+// countReopened counts a connection that was opened in place of one closed in doubt.
+func (p *Pools) countReopened(m *memberPool) {
+	if m.closedInDoubt == 0 {
+		return
+	}
+	m.closedInDoubt--
+	if p.Metrics != nil {
+		p.Metrics.DoubtfulReopens.Inc()
+	}
+}
+
 // markAcquired records that a user gets the connection.
 func (p *Pools) markAcquired(m *memberPool, conn *Conn) {
 	conn.acquiredAt = p.Clock.Now()
@@ -316,6 +338,7 @@
 		m.dialing--
 		m.failures = 0
 		m.answeredAt = p.Clock.Now()
+		p.countReopened(m)
 		p.assign(m, conn)
 		if len(m.waiters) > 0 {
 			p.dialMore(m)
@@ -420,7 +443,7 @@
 			p.assign(m, conn)
 			return
 		}
-		m.open--
+		m.forget(conn)
 		if len(m.waiters) > 0 {
 			p.dialMore(m)
 		}
