platform: a query without an id is malformed

A member got a caller's READ or WRITE under -, the mark of the system's own statements (UNASKED): an empty id and the id - were both sent as -.

--- a/internal/model/ctquery/malformed.go
+++ b/internal/model/ctquery/malformed.go
@@ -18,6 +18,8 @@
 	// MalformedStatement: the line is no query, or its statement is not one that callers may
 	// send.
 	MalformedStatement MalformedReason = "statement"
+	// MalformedID: the id is missing, or is the one that stands for no id.
+	MalformedID MalformedReason = "id"
 	// MalformedLineFeed: the line contains an LF that is not part of its end.
 	MalformedLineFeed MalformedReason = "line_feed"
 )
