ctdialog: a prepared statement's shared name is a digest

A member ran "READ im READ q# READ im" for a caller who had prepared "READ q#" (PINNED). The shared name was made of the shape's text, which may hold blanks: "PREPARE r_q5 READ im READ q5 READ im" defines r_q5 with another shape, and the next session that executes q5 on the connection runs it. "EXECUTE r_q5 READ im 1a4" carries changed arguments.

It is one word of 32 bytes, whatever the caller wrote.

Seen to fail before: TestPreparedNamesContainNoCallersText (name r_q5).

--- a/internal/decide/ctdialog/dialog.go
+++ b/internal/decide/ctdialog/dialog.go
@@ -192,12 +192,12 @@
 }
 
 func (d *Dialog) handleExecute(query ctquery.Query, execute ctquery.Execute) Plan {
-	shape, ok := d.state.prepared[execute.Name]
+	p, ok := d.state.prepared[execute.Name]
 	if !ok {
 		return d.answerFault(ctquery.FaultNoStatement, "no statement of that name is prepared in this session")
 	}
-	query.Statement = ctquery.Execute{Name: SharedName(shape), Arguments: execute.Arguments}
-	return d.planStatement(query, shape.Writes)
+	query.Statement = ctquery.Execute{Name: p.sharedName, Arguments: execute.Arguments}
+	return d.planStatement(query, p.shape.Writes)
 }
 
 // planStatement plans a read or a write, inside or outside a transaction.
--- a/internal/decide/ctdialog/state.go
+++ b/internal/decide/ctdialog/state.go
@@ -11,7 +11,14 @@
 // parameters and prepared statements. The zero value is empty.
 type State struct {
 	parameters map[string]string
-	prepared   map[string]ctquery.Shape
+	prepared   map[string]prepared
+}
+
+// prepared is a prepared statement of a session.
+type prepared struct {
+	shape ctquery.Shape
+	// sharedName is the shape's SharedName.
+	sharedName string
 }
 
 func (s *State) set(statement ctquery.Set) {
@@ -23,21 +30,21 @@
 
 func (s *State) prepare(statement ctquery.Prepare) {
 	if s.prepared == nil {
-		s.prepared = make(map[string]ctquery.Shape)
+		s.prepared = make(map[string]prepared)
 	}
-	s.prepared[statement.Name] = statement.Shape
+	s.prepared[statement.Name] = prepared{shape: statement.Shape, sharedName: statement.Shape.SharedName()}
 }
 
 func (s *State) deallocate(statement ctquery.Deallocate) {
 	delete(s.prepared, statement.Name)
 }
 
-// NewState returns a state with the given parameters. A shape that is not nil is
-// prepared under its shared name. The state retains the map.
+// NewState returns a state with the given parameters, in which a shape that is not nil is
+// prepared. The state retains the map.
 func NewState(parameters map[string]string, shape *ctquery.Shape) *State {
 	s := &State{parameters: parameters}
 	if shape != nil {
-		s.prepare(ctquery.Prepare{Name: SharedName(*shape), Shape: *shape})
+		s.prepare(ctquery.Prepare{Shape: *shape})
 	}
 	return s
 }
@@ -55,24 +62,14 @@
 	if !ok {
 		return nil
 	}
-	for _, shape := range s.prepared {
-		if SharedName(shape) == execute.Name {
-			return &shape
+	for _, p := range s.prepared {
+		if p.sharedName == execute.Name {
+			return &p.shape
 		}
 	}
 	return nil
 }
 
-// SharedName returns the name under which a shape is prepared on connections to
-// members. It depends only on the shape, so sessions that prepare the same shape
-// can share the prepared statement of a connection.
-func SharedName(shape ctquery.Shape) string {
-	if shape.Writes {
-		return "w_" + shape.Text
-	}
-	return "r_" + shape.Text
-}
-
 // ConnectionState is the session state that is set up on a connection to a
 // member. The zero value is that of a new connection.
 type ConnectionState struct {
--- a/internal/model/ctquery/statement.go
+++ b/internal/model/ctquery/statement.go
@@ -1,6 +1,11 @@
 package ctquery
 
-import "github.com/cherviltrestle/cherviltrestle/internal/model/ctposition"
+import (
+	"crypto/sha256"
+	"encoding/hex"
+
+	"github.com/cherviltrestle/cherviltrestle/internal/model/ctposition"
+)
 
 // Statement is one statement of a caller, a proxy or control. The types of this
 // package are its only implementations.
@@ -42,6 +47,22 @@
 	Text   string
 }
 
+// sharedNameBytes is the part of a shape's digest that names it. Its hex form has twice the
+// length.
+const sharedNameBytes = 16
+
+// SharedName returns the name under which the shape is prepared on connections to members.
+// It is a digest of the shape: sessions that prepare the same shape can share the prepared
+// statement of a connection, and no text of a caller occurs in the name.
+func (s Shape) SharedName() string {
+	kind := byte('r')
+	if s.Writes {
+		kind = 'w'
+	}
+	digest := sha256.Sum256(append([]byte{kind}, s.Text...))
+	return hex.EncodeToString(digest[:sharedNameBytes])
+}
+
 // Prepare creates a prepared statement for later use by Execute.
 type Prepare struct {
 	Name  string
