ctdialog: a connection has at most 256 prepared statements

A connection kept the name of every shape that its sessions ever executed, and so did its member, as long as no session's parameters forced a RESET. The oldest name is now deallocated before the 257th is prepared. A DEALLOC rather than a RESET, as it may be needed inside a transaction and leaves the session's parameters as they are.

--- a/internal/decide/ctdialog/names_test.go
+++ b/internal/decide/ctdialog/names_test.go
@@ -1,6 +1,7 @@
 package ctdialog_test
 
 import (
+	"fmt"
 	"strings"
 	"testing"
 
@@ -48,3 +49,40 @@
 	}
 	assert.Equal(t, len(names), len(shapes))
 }
+
+// preparedNames is a member's view of a connection: the names that it has prepared.
+type preparedNames map[string]ctquery.Shape
+
+// apply runs statements as a member does, and checks that executed names have their shapes.
+func (p preparedNames) apply(t *testing.T, statements []ctquery.Statement, want ctquery.Shape) {
+	t.Helper()
+	for _, statement := range statements {
+		switch s := statement.(type) {
+		case ctquery.Reset:
+			clear(p)
+		case ctquery.Prepare:
+			p[s.Name] = s.Shape
+		case ctquery.Deallocate:
+			_, ok := p[s.Name]
+			assert.Assert(t, ok, s.Name)
+			delete(p, s.Name)
+		case ctquery.Execute:
+			assert.DeepEqual(t, p[s.Name], want)
+		}
+	}
+}
+
+// TestPreparedNamesAreBounded guards against a connection that collects the names of all
+// shapes that its sessions ever prepared.
+func TestPreparedNamesAreBounded(t *testing.T) {
+	const maxNames = 256
+	var conn ctdialog.ConnectionState
+	names := preparedNames{}
+	for round := range 2 {
+		for i := range 3 * maxNames {
+			shape := ctquery.Shape{Text: fmt.Sprint("q", i)}
+			names.apply(t, execute(t, &conn, shape), shape)
+			assert.Assert(t, len(names) <= maxNames, "round %d, shape %d", round, i)
+		}
+	}
+}
--- a/internal/decide/ctdialog/state.go
+++ b/internal/decide/ctdialog/state.go
@@ -70,11 +70,16 @@
 	return nil
 }
 
+// maxPreparedNames is how many prepared statements a connection has at once.
+const maxPreparedNames = 256
+
 // ConnectionState is the session state that is set up on a connection to a
-// member. The zero value is that of a new connection.
+// member. The zero value is that of a new connection. A copy is not changed by later
+// updates of the original.
 type ConnectionState struct {
 	parameters map[string]string
-	prepared   map[string]struct{}
+	// prepared holds shared names, from the one that was prepared first to the last.
+	prepared []string
 }
 
 // Matches reports whether the connection's parameters equal the session's.
@@ -91,17 +96,18 @@
 	if !ok {
 		return queries
 	}
-	if _, found := c.prepared[execute.Name]; found {
+	if slices.Contains(c.prepared, execute.Name) {
 		return queries
 	}
 	shape := state.ShapeOf(statement)
 	if shape == nil {
 		return queries
 	}
-	if c.prepared == nil {
-		c.prepared = make(map[string]struct{})
+	if len(c.prepared) == maxPreparedNames {
+		queries = append(queries, ctquery.Query{Statement: ctquery.Deallocate{Name: c.prepared[0]}})
+		c.prepared = c.prepared[1:]
 	}
-	c.prepared[execute.Name] = struct{}{}
+	c.prepared = append(slices.Clip(c.prepared), execute.Name)
 	prepare := ctquery.Prepare{Name: execute.Name, Shape: *shape}
 	return append(queries, ctquery.Query{Statement: prepare})
 }
