ctquery: texts that may go on a line have types of their own

appendQuery and appendAnswer wrote any string: a field with CR LF inside was a second message (UNASKED), and an Execute whose name has a blank carried other arguments. That the strings were clean depended on where they came from.

Text is any bytes without an LF, Word has no blank and is not empty, an ID is empty or a word; they check themselves when decoded.

--- a/internal/decide/ctdialog/names_test.go
+++ b/internal/decide/ctdialog/names_test.go
@@ -30,7 +30,7 @@
 	prepare, execute := statements[0].(ctquery.Prepare), statements[1].(ctquery.Execute)
 	assert.Equal(t, prepare.Name, execute.Name)
 	assert.Equal(t, prepare.Shape, shape)
-	return prepare.Name
+	return string(prepare.Name)
 }
 
 // TestPreparedNamesContainNoCallersText guards against a shape that a member takes for the name
@@ -38,7 +38,7 @@
 func TestPreparedNamesContainNoCallersText(t *testing.T) {
 	shapes := []ctquery.Shape{
 		{Text: "q5"}, {Text: "q5 READ im"}, {Text: "q5 "}, {Text: "q5\r"}, {Text: "\xff"}, {Text: "q5", Writes: true},
-		{Text: "EADq5", Writes: true}, {Text: "r_q5"}, {Text: strings.Repeat("x", 1<<20)},
+		{Text: "EADq5", Writes: true}, {Text: "r_q5"}, {Text: ctquery.Text(strings.Repeat("x", 1<<20))},
 	}
 	names := make(map[string]bool)
 	for _, shape := range shapes {
@@ -51,7 +51,7 @@
 }
 
 // preparedNames is a member's view of a connection: the names that it has prepared.
-type preparedNames map[string]ctquery.Shape
+type preparedNames map[ctquery.Word]ctquery.Shape
 
 // apply runs statements as a member does, and checks that executed names have their shapes.
 func (p preparedNames) apply(t *testing.T, statements []ctquery.Statement, want ctquery.Shape) {
@@ -63,9 +63,9 @@
 		case ctquery.Prepare:
 			p[s.Name] = s.Shape
 		case ctquery.Deallocate:
-			_, ok := p[s.Name]
+			_, ok := p[ctquery.Word(s.Name)]
 			assert.Assert(t, ok, s.Name)
-			delete(p, s.Name)
+			delete(p, ctquery.Word(s.Name))
 		case ctquery.Execute:
 			assert.DeepEqual(t, p[s.Name], want)
 		}
@@ -80,7 +80,7 @@
 	names := preparedNames{}
 	for round := range 2 {
 		for i := range 3 * maxNames {
-			shape := ctquery.Shape{Text: fmt.Sprint("q", i)}
+			shape := ctquery.Shape{Text: ctquery.Text(fmt.Sprint("q", i))}
 			names.apply(t, execute(t, &conn, shape), shape)
 			assert.Assert(t, len(names) <= maxNames, "round %d, shape %d", round, i)
 		}
--- a/internal/decide/ctdialog/state.go
+++ b/internal/decide/ctdialog/state.go
@@ -10,38 +10,38 @@
 // State is the part of a session that outlives its transactions: run-time
 // parameters and prepared statements. The zero value is empty.
 type State struct {
-	parameters map[string]string
-	prepared   map[string]prepared
+	parameters map[ctquery.Word]ctquery.Text
+	prepared   map[ctquery.Word]prepared
 }
 
 // prepared is a prepared statement of a session.
 type prepared struct {
 	shape ctquery.Shape
 	// sharedName is the shape's SharedName.
-	sharedName string
+	sharedName ctquery.Word
 }
 
 func (s *State) set(statement ctquery.Set) {
 	if s.parameters == nil {
-		s.parameters = make(map[string]string)
+		s.parameters = make(map[ctquery.Word]ctquery.Text)
 	}
 	s.parameters[statement.Name] = statement.Value
 }
 
 func (s *State) prepare(statement ctquery.Prepare) {
 	if s.prepared == nil {
-		s.prepared = make(map[string]prepared)
+		s.prepared = make(map[ctquery.Word]prepared)
 	}
 	s.prepared[statement.Name] = prepared{shape: statement.Shape, sharedName: statement.Shape.SharedName()}
 }
 
 func (s *State) deallocate(statement ctquery.Deallocate) {
-	delete(s.prepared, statement.Name)
+	delete(s.prepared, ctquery.Word(statement.Name))
 }
 
 // NewState returns a state with the given parameters, in which a shape that is not nil is
 // prepared. The state retains the map.
-func NewState(parameters map[string]string, shape *ctquery.Shape) *State {
+func NewState(parameters map[ctquery.Word]ctquery.Text, shape *ctquery.Shape) *State {
 	s := &State{parameters: parameters}
 	if shape != nil {
 		s.prepare(ctquery.Prepare{Shape: *shape})
@@ -51,7 +51,7 @@
 
 // Parameters returns the session's parameters by name. The map must not be
 // changed, and is nil if none is set.
-func (s *State) Parameters() map[string]string {
+func (s *State) Parameters() map[ctquery.Word]ctquery.Text {
 	return s.parameters
 }
 
@@ -77,9 +77,9 @@
 // member. The zero value is that of a new connection. A copy is not changed by later
 // updates of the original.
 type ConnectionState struct {
-	parameters map[string]string
+	parameters map[ctquery.Word]ctquery.Text
 	// prepared holds shared names, from the one that was prepared first to the last.
-	prepared []string
+	prepared []ctquery.Word
 }
 
 // Matches reports whether the connection's parameters equal the session's.
@@ -104,7 +104,7 @@
 		return queries
 	}
 	if len(c.prepared) == maxPreparedNames {
-		queries = append(queries, ctquery.Query{Statement: ctquery.Deallocate{Name: c.prepared[0]}})
+		queries = append(queries, ctquery.Query{Statement: ctquery.Deallocate{Name: ctquery.Text(c.prepared[0])}})
 		c.prepared = c.prepared[1:]
 	}
 	c.prepared = append(slices.Clip(c.prepared), execute.Name)
--- a/internal/lab/ctmembers/fixture_test.go
+++ b/internal/lab/ctmembers/fixture_test.go
@@ -267,7 +267,7 @@
 	c := newCaller(name, database)
 	f.callers <- c
 	f.gateway.ServeConn(nil)
-	answer, _ := c.call(t, ctquery.Set{Name: "owner", Value: name})
+	answer, _ := c.call(t, ctquery.Set{Name: "owner", Value: ctquery.Text(name)})
 	assert.Assert(t, answer.OK())
 	return c
 }
--- a/internal/lab/ctmembers/gateway_test.go
+++ b/internal/lab/ctmembers/gateway_test.go
@@ -23,9 +23,9 @@
 		f.runConcurrently(t, 8, func(c *caller) {
 			for i := range 20 {
 				data := fmt.Sprintf("%s.%d", c.name, i)
-				answer, _ := c.call(t, ctquery.Write{Arguments: c.name + " " + data})
+				answer, _ := c.call(t, ctquery.Write{Arguments: ctquery.Text(c.name + " " + data)})
 				assert.Check(t, answer.OK(), "%s", answer.Text)
-				answer, _ = c.call(t, ctquery.Read{Item: c.name})
+				answer, _ = c.call(t, ctquery.Read{Item: ctquery.Text(c.name)})
 				assert.Check(t, answer.OK() && answer.Rows[0] == data, "%+v, want %s", answer, data)
 			}
 		})
@@ -36,8 +36,8 @@
 		f.runConcurrently(t, 12, func(c *caller) {
 			for i := range 10 {
 				c.call(t, ctquery.Begin{})
-				c.call(t, ctquery.Write{Arguments: c.name + " inside"})
-				answer, _ := c.call(t, ctquery.Read{Item: c.name})
+				c.call(t, ctquery.Write{Arguments: ctquery.Text(c.name + " inside")})
+				answer, _ := c.call(t, ctquery.Read{Item: ctquery.Text(c.name)})
 				assert.Check(t, answer.OK() && answer.Rows[0] == "inside", "%+v", answer)
 				if i%2 == 0 {
 					c.call(t, ctquery.Rollback{})
@@ -58,9 +58,9 @@
 			c.call(t, ctquery.Prepare{Name: "s1", Shape: ctquery.Shape{Writes: true, Text: "w"}})
 			c.call(t, ctquery.Prepare{Name: "s2", Shape: ctquery.Shape{Text: "r"}})
 			for range 10 {
-				answer, _ := c.call(t, ctquery.Execute{Name: "s1", Arguments: c.name + " x"})
+				answer, _ := c.call(t, ctquery.Execute{Name: "s1", Arguments: ctquery.Text(c.name + " x")})
 				assert.Check(t, answer.OK(), "%s", answer.Text)
-				answer, _ = c.call(t, ctquery.Execute{Name: "s2", Arguments: c.name})
+				answer, _ = c.call(t, ctquery.Execute{Name: "s2", Arguments: ctquery.Text(c.name)})
 				assert.Check(t, answer.OK() && answer.Rows[0] == "x", "%+v", answer)
 			}
 		})
@@ -169,9 +169,9 @@
 			if i == 2 {
 				f.group.DropAnswers(3)
 			}
-			answer, id := c.call(t, ctquery.Write{Arguments: c.name + " x"})
+			answer, id := c.call(t, ctquery.Write{Arguments: ctquery.Text(c.name + " x")})
 			outcomes.record(id, answer.Fault)
-			c.call(t, ctquery.Read{Item: c.name})
+			c.call(t, ctquery.Read{Item: ctquery.Text(c.name)})
 		}
 	})
 	assertNoViolations(t, f)
@@ -190,7 +190,7 @@
 	f.runConcurrently(t, 40, func(c *caller) {
 		for range 8 {
 			c.call(t, ctquery.Begin{})
-			answer, id := c.call(t, ctquery.Write{Arguments: c.name + " x"})
+			answer, id := c.call(t, ctquery.Write{Arguments: ctquery.Text(c.name + " x")})
 			if !answer.OK() {
 				outcomes.record(id, answer.Fault)
 				c.call(t, ctquery.Rollback{})
--- a/internal/lab/ctmembers/link.go
+++ b/internal/lab/ctmembers/link.go
@@ -126,9 +126,9 @@
 	case ctquery.Reset:
 		c.settings, c.prepared = make(map[string]string), make(map[string]ctquery.Shape)
 	case ctquery.Set:
-		c.settings[s.Name] = s.Value
+		c.settings[string(s.Name)] = string(s.Value)
 	case ctquery.Prepare:
-		c.prepared[s.Name] = s.Shape
+		c.prepared[string(s.Name)] = s.Shape
 	case ctquery.Begin:
 		c.begin(s, answer)
 	case ctquery.Rollback:
@@ -136,9 +136,9 @@
 	case ctquery.Commit:
 		c.commit(answer)
 	case ctquery.Read:
-		c.read(q, s.Item, answer)
+		c.read(q, string(s.Item), answer)
 	case ctquery.Write:
-		c.write(q, s.Arguments, answer)
+		c.write(q, string(s.Arguments), answer)
 	case ctquery.Execute:
 		c.executePrepared(q, s, answer)
 	}
@@ -216,14 +216,14 @@
 
 // executePrepared runs a prepared statement as a read or a write, by its shape.
 func (c *conn) executePrepared(q ctquery.Query, s ctquery.Execute, answer *ctquery.Answer) {
-	shape, ok := c.prepared[s.Name]
+	shape, ok := c.prepared[string(s.Name)]
 	switch {
 	case !ok:
 		answer.Fault = ctquery.FaultNoStatement
 	case shape.Writes:
-		c.write(q, s.Arguments, answer)
+		c.write(q, string(s.Arguments), answer)
 	default:
-		c.read(q, s.Arguments, answer)
+		c.read(q, string(s.Arguments), answer)
 	}
 }
 
--- a/internal/lab/ctsoak/caller.go
+++ b/internal/lab/ctsoak/caller.go
@@ -151,7 +151,7 @@
 func (s *callerSession) prepare() error {
 	tx := s.newTransaction(false)
 	for _, statement := range []ctquery.Statement{
-		ctquery.Set{Name: ownerVariable, Value: s.name},
+		ctquery.Set{Name: ownerVariable, Value: ctquery.Text(s.name)},
 		ctquery.Prepare{Name: preparedRead, Shape: s.preparedShape(false)},
 		ctquery.Prepare{Name: preparedWrite, Shape: s.preparedShape(true)},
 	} {
@@ -167,7 +167,7 @@
 // sessions use the same statement names, but each one has texts of its own. A statement
 // that runs on the wrong session's state is detected by its text.
 func (s *callerSession) preparedShape(writes bool) ctquery.Shape {
-	return ctquery.Shape{Writes: writes, Text: "q-" + s.name}
+	return ctquery.Shape{Writes: writes, Text: ctquery.Text("q-" + s.name)}
 }
 
 // newTransaction returns a transaction of this session for the checker. It is explicit
@@ -277,13 +277,13 @@
 	data := fmt.Sprintf("%s d%d", item, s.queries)
 	switch {
 	case write && prepared:
-		return ctquery.Execute{Name: preparedWrite, Arguments: data}, s.preparedShape(true)
+		return ctquery.Execute{Name: preparedWrite, Arguments: ctquery.Text(data)}, s.preparedShape(true)
 	case write:
-		return ctquery.Write{Arguments: data}, ctquery.Shape{}
+		return ctquery.Write{Arguments: ctquery.Text(data)}, ctquery.Shape{}
 	case prepared:
-		return ctquery.Execute{Name: preparedRead, Arguments: item}, s.preparedShape(false)
+		return ctquery.Execute{Name: preparedRead, Arguments: ctquery.Text(item)}, s.preparedShape(false)
 	default:
-		return ctquery.Read{Item: item}, ctquery.Shape{}
+		return ctquery.Read{Item: ctquery.Text(item)}, ctquery.Shape{}
 	}
 }
 
--- a/internal/lab/ctsoak/checker_test.go
+++ b/internal/lab/ctsoak/checker_test.go
@@ -30,7 +30,7 @@
 // session opens a session on the member with the given index, for a caller's session.
 func (f *fixture) session(member int, owner string) *memberSession {
 	s := newMemberSession(f.group, f.group.members[member])
-	s.run(ctquery.Query{Statement: ctquery.Set{Name: ownerVariable, Value: owner}})
+	s.run(ctquery.Query{Statement: ctquery.Set{Name: ownerVariable, Value: ctquery.Text(owner)}})
 	return s
 }
 
--- a/internal/lab/ctsoak/session.go
+++ b/internal/lab/ctsoak/session.go
@@ -23,7 +23,7 @@
 	closed chan struct{}
 
 	values   map[string]string
-	prepared map[string]ctquery.Shape
+	prepared map[ctquery.Word]ctquery.Shape
 	// open is nil outside a transaction.
 	open *openTransaction
 }
@@ -43,7 +43,7 @@
 func newMemberSession(g *Group, m *member) *memberSession {
 	return &memberSession{
 		group: g, member: m, closed: make(chan struct{}),
-		values: make(map[string]string), prepared: make(map[string]ctquery.Shape),
+		values: make(map[string]string), prepared: make(map[ctquery.Word]ctquery.Shape),
 	}
 }
 
@@ -122,18 +122,18 @@
 func (s *memberSession) changeState(statement ctquery.Statement) {
 	switch st := statement.(type) {
 	case ctquery.Reset:
-		s.values, s.prepared = make(map[string]string), make(map[string]ctquery.Shape)
+		s.values, s.prepared = make(map[string]string), make(map[ctquery.Word]ctquery.Shape)
 	case ctquery.Set:
-		s.values[st.Name] = st.Value
+		s.values[string(st.Name)] = string(st.Value)
 	case ctquery.Prepare:
 		s.prepared[st.Name] = st.Shape
 	case ctquery.Deallocate:
-		delete(s.prepared, st.Name)
+		delete(s.prepared, ctquery.Word(st.Name))
 	}
 }
 
 // executePrepared runs a prepared statement. It returns false if the answer must not be sent.
-func (s *memberSession) executePrepared(q ctquery.Query, name string, answer *ctquery.Answer) bool {
+func (s *memberSession) executePrepared(q ctquery.Query, name ctquery.Word, answer *ctquery.Answer) bool {
 	shape, ok := s.prepared[name]
 	switch {
 	case !ok:
--- a/internal/link/ctframe/forward.go
+++ b/internal/link/ctframe/forward.go
@@ -17,8 +17,8 @@
 	Query  Query       `cbor:"2,keyasint"`
 	// Parameters are the session's run-time parameters. Shape is the body of the
 	// prepared statement that the query executes, or nil.
-	Parameters map[string]string `cbor:"3,keyasint,omitempty"`
-	Shape      *ctquery.Shape    `cbor:"4,keyasint,omitempty"`
+	Parameters map[ctquery.Word]ctquery.Text `cbor:"3,keyasint,omitempty"`
+	Shape      *ctquery.Shape                `cbor:"4,keyasint,omitempty"`
 	// AcquireTimeout limits the wait for a connection. AnswerTimeout limits the time
 	// until the member's answer, which includes that wait.
 	AcquireTimeout time.Duration `cbor:"5,keyasint,omitempty"`
@@ -77,8 +77,8 @@
 	Kind     statementKind    `cbor:"3,keyasint"`
 	// Name is the name of the prepared statement that an Execute runs. Text is the item
 	// of a Read, or the arguments of a Write or Execute.
-	Name string `cbor:"4,keyasint,omitempty"`
-	Text string `cbor:"5,keyasint,omitempty"`
+	Name ctquery.Text `cbor:"4,keyasint,omitempty"`
+	Text ctquery.Text `cbor:"5,keyasint,omitempty"`
 }
 
 // NewQuery converts a query to its encoding. Kind stays 0 for a statement that can't be
@@ -100,7 +100,7 @@
 	case ctquery.Write:
 		q.Kind, q.Text = statementWrite, s.Arguments
 	case ctquery.Execute:
-		q.Kind, q.Name, q.Text = statementExecute, s.Name, s.Arguments
+		q.Kind, q.Name, q.Text = statementExecute, ctquery.Text(s.Name), s.Arguments
 	case ctquery.ReadStatus:
 		q.Kind = statementReadStatus
 	}
@@ -123,7 +123,7 @@
 	case statementWrite:
 		return ctquery.Write{Arguments: q.Text}
 	case statementExecute:
-		return ctquery.Execute{Name: q.Name, Arguments: q.Text}
+		return ctquery.Execute{Name: ctquery.Word(q.Name), Arguments: q.Text}
 	case statementReadStatus:
 		return ctquery.ReadStatus{}
 	}
--- a/internal/model/ctquery/answer.go
+++ b/internal/model/ctquery/answer.go
@@ -51,6 +51,16 @@
 	Point ctposition.Point
 }
 
+// Check returns an error of kind cterror.Invalid if a row or the proof can't go on a line.
+func (a Answer) Check() error {
+	for _, row := range a.Rows {
+		if err := Text(row).Check(); err != nil {
+			return err
+		}
+	}
+	return Text(a.Proof).Check()
+}
+
 // OK reports whether the query succeeded.
 func (a Answer) OK() bool {
 	return a.Fault == FaultNone
--- a/internal/model/ctquery/statement.go
+++ b/internal/model/ctquery/statement.go
@@ -3,7 +3,9 @@
 import (
 	"crypto/sha256"
 	"encoding/hex"
+	"errors"
 
+	"github.com/cherviltrestle/cherviltrestle/internal/model/cterror"
 	"github.com/cherviltrestle/cherviltrestle/internal/model/ctposition"
 )
 
@@ -26,25 +28,25 @@
 
 // Read reads an item. The member receives the text of the caller unchanged.
 type Read struct {
-	Item string
+	Item Text
 }
 
 // Write writes data to an item. The member receives the text of the caller
 // unchanged.
 type Write struct {
-	Arguments string
+	Arguments Text
 }
 
 // Set sets a session variable.
 type Set struct {
-	Name  string
-	Value string
+	Name  Word
+	Value Text
 }
 
 // Shape is the body of a prepared statement. Writes reports whether it writes.
 type Shape struct {
 	Writes bool
-	Text   string
+	Text   Text
 }
 
 // sharedNameBytes is the part of a shape's digest that names it. Its hex form has twice the
@@ -54,31 +56,31 @@
 // SharedName returns the name under which the shape is prepared on connections to members.
 // It is a digest of the shape: sessions that prepare the same shape can share the prepared
 // statement of a connection, and no text of a caller occurs in the name.
-func (s Shape) SharedName() string {
+func (s Shape) SharedName() Word {
 	kind := byte('r')
 	if s.Writes {
 		kind = 'w'
 	}
 	digest := sha256.Sum256(append([]byte{kind}, s.Text...))
-	return hex.EncodeToString(digest[:sharedNameBytes])
+	return Word(hex.EncodeToString(digest[:sharedNameBytes]))
 }
 
 // Prepare creates a prepared statement for later use by Execute.
 type Prepare struct {
-	Name  string
+	Name  Word
 	Shape Shape
 }
 
 // Execute runs a prepared statement. The member receives the arguments of the
 // caller unchanged.
 type Execute struct {
-	Name      string
-	Arguments string
+	Name      Word
+	Arguments Text
 }
 
 // Deallocate deletes a prepared statement.
 type Deallocate struct {
-	Name string
+	Name Text
 }
 
 // Reset deletes a connection's session variables and prepared statements.
@@ -115,10 +117,6 @@
 func (Resume) isStatement()     {}
 func (StepDown) isStatement()   {}
 
-// ID is the identifier that a caller assigned to a query. It is empty for queries
-// that a proxy or control sends on its own.
-type ID string
-
 // Query is a statement with its identifier and its freshness requirement.
 type Query struct {
 	ID        ID
@@ -127,3 +125,30 @@
 	// statement. The zero value requires nothing.
 	MinPoint ctposition.Point
 }
+
+// Check returns an error of kind cterror.Invalid if a field of the query can't go on a line,
+// or if no member may receive its statement.
+func (q Query) Check() error {
+	return errors.Join(append(checkFields(q.Statement), q.ID.Check())...)
+}
+
+// checkFields returns what is wrong with the fields of a statement.
+func checkFields(statement Statement) []error {
+	switch s := statement.(type) {
+	case Read:
+		return []error{s.Item.Check()}
+	case Write:
+		return []error{s.Arguments.Check()}
+	case Set:
+		return []error{s.Name.Check(), s.Value.Check()}
+	case Prepare:
+		return []error{s.Name.Check(), s.Shape.Text.Check()}
+	case Execute:
+		return []error{s.Name.Check(), s.Arguments.Check()}
+	case Deallocate:
+		return []error{s.Name.Check()}
+	case nil, Malformed:
+		return []error{cterror.New(cterror.Invalid, "a query has no statement", "send one")}
+	}
+	return nil
+}
