ctframe: forwarded texts are byte strings, and a query brings its shape

A query whose text, id, parameter or answer is not UTF-8 ended the stream between two proxies (CBOR text strings must be UTF-8), and a forwarded write became INDOUBT. The name in a forwarded Execute was taken as it came, whatever shape came with it.

Texts are byte strings now. Forward checks that all texts can go on a line, that reads, writes and executions have a text, and that an Execute has the SharedName of its shape.

Mixed versions refuse: reads, writes and executions have new numbers and answers a new key. An older proxy can't decode a byte string where it expects text and ends the stream; a newer one does not know the old numbers and ends the stream. Reads then go elsewhere, a write is INDOUBT though it didn't run. Both are proxies of one system, of one version outside of an upgrade.

--- a/internal/link/ctframe/forward.go
+++ b/internal/link/ctframe/forward.go
@@ -1,6 +1,7 @@
 package ctframe
 
 import (
+	"strings"
 	"time"
 
 	"github.com/cherviltrestle/cherviltrestle/internal/model/cterror"
@@ -27,8 +28,9 @@
 	Priority int `cbor:"7,keyasint,omitempty"`
 }
 
-// Check returns an error of kind cterror.Invalid if the member's name is invalid or the
-// statement is of an unknown kind.
+// Check returns an error of kind cterror.Invalid if the member's name is invalid, the
+// statement is of an unknown kind, a text can't go on a line, or the shape is not the one that
+// the query executes.
 func (f *Forward) Check() error {
 	if err := f.Member.Check(); err != nil {
 		return err
@@ -36,14 +38,23 @@
 	if f.Query.Statement() == nil {
 		return cterror.New(cterror.Invalid, "the statement of a carried query is unknown", "upgrade this process")
 	}
+	if err := f.Query.check(f.Shape); err != nil {
+		return err
+	}
+	for name, value := range f.Parameters {
+		if err := (ctquery.Query{Statement: ctquery.Set{Name: name, Value: value}}).Check(); err != nil {
+			return err
+		}
+	}
 	return nil
 }
 
 // ForwardReply answers Forward. A proxy that is about to stop also sends one with
 // Stopping, without a request. Either Answer, Refused, Unanswered or Stopping is set.
 type ForwardReply struct {
-	// Answer is the member's answer to the query, or nil.
-	Answer *ctquery.Answer `cbor:"1,keyasint,omitempty"`
+	// Answer is the member's answer to the query, or nil. The key 1 had another encoding of
+	// it and is not used again.
+	Answer *QueryAnswer `cbor:"6,keyasint,omitempty"`
 	// Refused reports that the query was not sent to the member.
 	Refused bool `cbor:"2,keyasint,omitempty"`
 	// Unanswered reports that the query was sent to the member but no answer arrived.
@@ -56,7 +67,7 @@
 }
 
 // statementKind is the kind of a statement on the wire. The numbers are part of the
-// protocol and are never reused.
+// protocol and are never reused: 5 to 7 had texts that had to be UTF-8.
 type statementKind uint8
 
 const (
@@ -64,10 +75,13 @@
 	statementBeginReadOnly
 	statementCommit
 	statementRollback
+	_
+	_
+	_
+	statementReadStatus
 	statementRead
 	statementWrite
 	statementExecute
-	statementReadStatus
 )
 
 // Query is the encoding of a ctquery.Query between proxies.
@@ -130,11 +144,65 @@
 	return nil
 }
 
+// check returns an error of kind cterror.Invalid unless the fields can go on a line, and shape
+// is the one that the statement executes, if it is an Execute.
+func (q *Query) check(shape *ctquery.Shape) error {
+	if err := q.Query().Check(); err != nil {
+		return err
+	}
+	hasText := q.Kind == statementRead || q.Kind == statementWrite || q.Kind == statementExecute
+	if hasText && q.Text == "" {
+		return cterror.New(cterror.Invalid, "a carried query has no text", "check that both processes have one version")
+	}
+	if shape == nil && q.Kind != statementExecute {
+		return nil
+	}
+	if shape == nil || q.Name != ctquery.Text(shape.SharedName()) {
+		return cterror.New(cterror.Invalid, "a carried query executes another shape than it brings",
+			"check that both processes have one version")
+	}
+	return shape.Text.Check()
+}
+
 // Query converts the encoding back to a query. Its statement is nil if the kind is
 // unknown.
 func (q *Query) Query() ctquery.Query {
 	return ctquery.Query{ID: q.ID, MinPoint: q.MinPoint, Statement: q.Statement()}
 }
 
+// QueryAnswer is the encoding of a ctquery.Answer between proxies.
+type QueryAnswer struct {
+	Rows        []ctquery.Text      `cbor:"1,keyasint,omitempty"`
+	Proof       ctquery.Text        `cbor:"2,keyasint,omitempty"`
+	Fault       ctquery.Fault       `cbor:"3,keyasint,omitempty"`
+	Text        ctquery.Text        `cbor:"4,keyasint,omitempty"`
+	Transaction ctquery.Transaction `cbor:"5,keyasint,omitempty"`
+	Point       ctposition.Point    `cbor:"6,keyasint,omitzero"`
+}
+
+// NewQueryAnswer converts an answer to its encoding.
+func NewQueryAnswer(answer ctquery.Answer) *QueryAnswer {
+	a := &QueryAnswer{
+		Proof: ctquery.Text(answer.Proof), Fault: answer.Fault,
+		Text:        ctquery.Text(strings.ReplaceAll(answer.Text, "\n", " ")),
+		Transaction: answer.Transaction, Point: answer.Point,
+	}
+	for _, row := range answer.Rows {
+		a.Rows = append(a.Rows, ctquery.Text(row))
+	}
+	return a
+}
+
+// Answer converts the encoding back to an answer.
+func (a *QueryAnswer) Answer() ctquery.Answer {
+	answer := ctquery.Answer{
+		Proof: string(a.Proof), Fault: a.Fault, Text: string(a.Text), Transaction: a.Transaction, Point: a.Point,
+	}
+	for _, row := range a.Rows {
+		answer.Rows = append(answer.Rows, string(row))
+	}
+	return answer
+}
+
 func (*Forward) kind() kind      { return kindForward }
 func (*ForwardReply) kind() kind { return kindForwardReply }
--- a/internal/program/ctpools/forwarding.go
+++ b/internal/program/ctpools/forwarding.go
@@ -160,7 +160,7 @@
 func answerFrom(reply *ctframe.ForwardReply) (ctquery.Answer, error) {
 	switch {
 	case reply.Answer != nil:
-		return *reply.Answer, nil
+		return reply.Answer.Answer(), nil
 	case reply.Refused:
 		return ctquery.Answer{Fault: ctquery.FaultBusy, Text: "the carrying proxy had no connection in time"}, nil
 	case reply.TimedOut:
--- a/internal/program/ctpools/forwardserver.go
+++ b/internal/program/ctpools/forwardserver.go
@@ -148,7 +148,7 @@
 		s.pools.RecordResult(&s.held, s.conn.Member, result)
 	}
 	s.log(frame, answer.Fault.String(), now)
-	return &ctframe.ForwardReply{Answer: &answer}
+	return &ctframe.ForwardReply{Answer: ctframe.NewQueryAnswer(answer)}
 }
 
 // refusedByStop reports whether the planned stop of this proxy has come too far for a query:
@@ -175,9 +175,9 @@
 		return &ctframe.ForwardReply{Refused: true}
 	}
 	s.release(Result{Discard: true})
-	return &ctframe.ForwardReply{Answer: &ctquery.Answer{
+	return &ctframe.ForwardReply{Answer: ctframe.NewQueryAnswer(ctquery.Answer{
 		Fault: ctquery.FaultAborted, Text: "the carrying proxy is about to stop; nothing is kept",
-	}}
+	})}
 }
 
 // log writes the log line of a forwarded query.
