--- a/internal/program/ctpools/stutter_test.go
+++ b/internal/program/ctpools/stutter_test.go
@@ -219,7 +219,7 @@
 		Deadline: time.Now().Add(stutterAnswerTimeout),
 	})
 	assert.NilError(t, err)
-	state := ctdialog.NewState(map[string]string{"v": strconv.Itoa(s.random.IntN(2))}, nil)
+	state := ctdialog.NewState(map[ctquery.Word]ctquery.Text{"v": ctquery.Text(strconv.Itoa(s.random.IntN(2)))}, nil)
 	ok := false
 	switch s.random.IntN(4) {
 	case 0:
