--- a/internal/lab/ctheldlink/caller.go
+++ b/internal/lab/ctheldlink/caller.go
@@ -10,7 +10,7 @@
 	"github.com/cherviltrestle/cherviltrestle/internal/model/ctconfig"
 	"github.com/cherviltrestle/cherviltrestle/internal/model/ctid"
 	"github.com/cherviltrestle/cherviltrestle/internal/model/ctquery"
-	"github.com/cherviltrestle/cherviltrestle/platform"
+	"github.com/cherviltrestle/cherviltrestle/platform/ctpeer"
 )
 
 const (
@@ -24,6 +24,15 @@
 	// readShare for each one that only reads.
 	transactionShare = 4
 	readShare        = 3
+	// preparedShare is how many statements there are for each one that is prepared.
+	preparedShare = 3
+)
+
+// Names of what each session sets and prepares. All sessions use the same ones.
+const (
+	valueName     = "value"
+	preparedRead  = "s1"
+	preparedWrite = "s2"
 )
 
 // caller reads and writes through one proxy until its context ends.
@@ -33,8 +42,9 @@
 	database ctid.Database
 	address  netip.AddrPort
 	judge    *Judge
+	random   *rand.Rand
 	// conn and open are the connection and its session; nil while there is none.
-	conn *platform.CallerConn
+	conn *ctpeer.Caller
 	open *callerSession
 }
 
@@ -65,35 +75,59 @@
 	if c.conn == nil && !c.connect(ctx) {
 		return false
 	}
-	reads := c.session.freshness == ctconfig.FreshnessBounded || rand.IntN(readShare) == 0
-	read, write := ctquery.Read{Item: "1a4"}, ctquery.Write{Arguments: "1a4 data"}
-	single := rand.IntN(transactionShare) > 0
+	reads := c.session.freshness == ctconfig.FreshnessBounded || c.random.IntN(readShare) == 0
+	single := c.random.IntN(transactionShare) > 0
 	switch {
-	case reads && single:
-		return c.query(read, nil, false)
-	case reads:
-		return c.transact(ctquery.Begin{ReadOnly: true}, read)
 	case single:
-		return c.query(write, nil, true)
+		return c.query(c.draw(!reads), nil, !reads)
+	case reads:
+		return c.transact(ctpeer.Begin{ReadOnly: true}, c.draw(false))
+	}
+	return c.transact(ctpeer.Begin{}, c.draw(false), c.draw(true))
+}
+
+// draw returns a read or a write. Some are prepared.
+func (c *caller) draw(writes bool) ctpeer.Statement {
+	const item, data = "1a4", " data"
+	prepared := c.random.IntN(preparedShare) == 0
+	switch {
+	case writes && prepared:
+		return ctpeer.Execute{Name: preparedWrite, Arguments: item + data}
+	case writes:
+		return ctpeer.Write{Arguments: item + data}
+	case prepared:
+		return ctpeer.Execute{Name: preparedRead, Arguments: item}
 	}
-	return c.transact(ctquery.Begin{}, read, write)
+	return ctpeer.Read{Item: item}
 }
 
-// connect opens a session and reports whether the proxy accepted it.
+// connect opens a session, sets and prepares what it needs, and reports whether the proxy
+// accepted all that.
 func (c *caller) connect(ctx context.Context) bool {
 	dialCtx, cancel := context.WithTimeout(ctx, answerTimeout)
 	defer cancel()
-	conn, _, err := platform.DialProxy(dialCtx, c.address, c.database)
+	conn, _, err := ctpeer.Dial(dialCtx, c.address, c.database)
 	if err != nil || conn == nil {
 		return false
 	}
 	open := c.session
+	open.values, open.prepared = make(map[string]string), make(map[string]ctpeer.Shape)
 	c.conn, c.open = conn, &open
+	own := string(newID())
+	for _, s := range []ctpeer.Statement{
+		ctpeer.Set{Name: valueName, Value: own},
+		ctpeer.Prepare{Name: preparedRead, Shape: ctpeer.Shape{Text: own}},
+		ctpeer.Prepare{Name: preparedWrite, Shape: ctpeer.Shape{Writes: true, Text: own}},
+	} {
+		if !c.query(s, nil, false) {
+			return false
+		}
+	}
 	return true
 }
 
 // transact runs statements in a transaction and reports whether all succeeded.
-func (c *caller) transact(begin ctquery.Begin, statements ...ctquery.Statement) bool {
+func (c *caller) transact(begin ctpeer.Begin, statements ...ctpeer.Statement) bool {
 	t := &transaction{}
 	if !c.query(begin, t, false) {
 		return false
@@ -103,18 +137,18 @@
 			return false
 		}
 	}
-	return c.query(ctquery.Commit{}, t, !begin.ReadOnly)
+	return c.query(ctpeer.Commit{}, t, !begin.ReadOnly)
 }
 
 // query sends a statement, records its answer and reports whether it succeeded. commits says
 // whether a success acknowledges a commit.
-func (c *caller) query(statement ctquery.Statement, t *transaction, commits bool) bool {
+func (c *caller) query(statement ctpeer.Statement, t *transaction, commits bool) bool {
 	id := newID()
 	c.judge.recordAsked(id, asked{statement: statement, session: c.open, transaction: t})
 	if err := c.conn.SetReadDeadline(time.Now().Add(answerTimeout)); err != nil {
 		return false
 	}
-	if err := c.conn.Send(ctquery.Query{ID: id, Statement: statement}); err != nil {
+	if err := c.conn.Send(id, ctpeer.FormatStatement(statement)); err != nil {
 		return false
 	}
 	answer, err := c.conn.Receive()
--- a/internal/lab/ctheldlink/fleet.go
+++ b/internal/lab/ctheldlink/fleet.go
@@ -3,11 +3,14 @@
 import (
 	"context"
 	"fmt"
+	"maps"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/netip"
 	"os"
 	"path/filepath"
+	"slices"
 	"sync"
 	"time"
 
@@ -71,6 +74,8 @@
 	// BinFolder has the program. Folder receives settings, data and logs.
 	BinFolder, Folder string
 	Logger            zerolog.Logger
+	// Seed decides what callers send.
+	Seed uint64
 }
 
 // process is a control process or a proxy.
@@ -331,12 +336,14 @@
 
 // startCallers starts the callers and waits until each proxy has served some.
 func (f *Fleet) startCallers(ctx context.Context) error {
+	number := uint64(0)
 	for _, p := range f.proxies {
-		for database, freshness := range freshnessByDatabase {
+		for _, database := range slices.Sorted(maps.Keys(freshnessByDatabase)) {
 			for range callersPerProxy {
+				number++
 				c := &caller{
-					session: callerSession{proxy: p.host, freshness: freshness}, database: database,
-					address: p.settings.CallerAddress, judge: f.Judge,
+					session: callerSession{proxy: p.host, freshness: freshnessByDatabase[database]}, database: database,
+					address: p.settings.CallerAddress, judge: f.Judge, random: rand.New(rand.NewPCG(f.Seed, number)),
 				}
 				go c.run(ctx)
 			}
--- a/internal/lab/ctheldlink/judge.go
+++ b/internal/lab/ctheldlink/judge.go
@@ -11,6 +11,7 @@
 	"github.com/cherviltrestle/cherviltrestle/internal/model/ctid"
 	"github.com/cherviltrestle/cherviltrestle/internal/model/ctposition"
 	"github.com/cherviltrestle/cherviltrestle/internal/model/ctquery"
+	"github.com/cherviltrestle/cherviltrestle/platform/ctpeer"
 )
 
 // disturbanceWindow is how long after a hold or a pause of a proxy its commits at a replaced
@@ -40,9 +41,11 @@
 	// RuleUnasked: members run the callers' statements unchanged, and no others that read or
 	// write.
 	RuleUnasked Rule = "unasked"
-	// RuleMixed: a success carries the proof of a member that ran the statement, and its rows.
+	// RuleMixed: a success carries a proof that a member made for this statement alone, and the
+	// rows of that answer.
 	RuleMixed Rule = "mixed"
 	// RulePinned: the statements of a transaction run on one connection, and no others there.
+	// All run with the values and in the shapes that were acknowledged to their session.
 	RulePinned Rule = "pinned"
 	// RuleStale: a read runs on a log with the commits that its route requires.
 	RuleStale Rule = "stale"
@@ -79,7 +82,9 @@
 	holders ctholderjudge.Judge
 	// asked has all statements of callers, and acknowledgments the commits in the order of
 	// their answers.
-	asked           map[ctquery.ID]*asked
+	asked map[ctquery.ID]*asked
+	// results has the members' successful answers by their proofs.
+	results         map[string]result
 	acknowledgments []acknowledgment
 	commits         map[ctquery.ID]commit
 	acknowledged    map[ctquery.ID]time.Time
@@ -99,6 +104,7 @@
 		logger: logger, disturbed: disturbed, commits: make(map[ctquery.ID]commit),
 		acknowledged: make(map[ctquery.ID]time.Time), promised: make(map[ctquery.ID]ctquery.Fault),
 		lost: make(map[ctquery.ID]bool), replaced: make(map[ctquery.ID]bool), asked: make(map[ctquery.ID]*asked),
+		results: make(map[string]result),
 	}
 	j.holders.InTouch = j.inTouch
 	return j
@@ -154,12 +160,15 @@
 
 // recordAnswer records a proxy's answer to a statement. commits says whether a success
 // acknowledges a commit.
-func (j *Judge) recordAnswer(id ctquery.ID, answer ctquery.Answer, commits bool) {
+func (j *Judge) recordAnswer(id ctquery.ID, answer ctpeer.Answer, commits bool) {
 	j.mutex.Lock()
 	defer j.mutex.Unlock()
 	if answer.Fault.NotRun() || answer.Fault == ctquery.FaultAborted {
 		j.promised[id] = answer.Fault
 	}
+	if answer.Fault == ctquery.FaultNoStatement {
+		j.violate(RulePinned, "%s doesn't know a prepared statement of %s", j.asked[id].session.proxy, id)
+	}
 	if !answer.OK() {
 		return
 	}
--- a/internal/lab/ctheldlink/judge_test.go
+++ b/internal/lab/ctheldlink/judge_test.go
@@ -13,6 +13,7 @@
 	"github.com/cherviltrestle/cherviltrestle/internal/model/ctid"
 	"github.com/cherviltrestle/cherviltrestle/internal/model/ctposition"
 	"github.com/cherviltrestle/cherviltrestle/internal/model/ctquery"
+	"github.com/cherviltrestle/cherviltrestle/platform/ctpeer"
 )
 
 // newTestJudge returns a judge of processes of which none or all are disturbed.
@@ -31,18 +32,25 @@
 }
 
 // ask records a statement of a session, in a transaction unless that is nil.
-func ask(j *Judge, id ctquery.ID, statement ctquery.Statement, s *callerSession, t *transaction) {
+func ask(j *Judge, id ctquery.ID, statement ctpeer.Statement, s *callerSession, t *transaction) {
 	j.recordAsked(id, asked{statement: statement, session: s, transaction: t})
 }
 
 // commitAt records an acknowledged write that a member has committed at a position of a term.
 func commitAt(j *Judge, id ctquery.ID, s *callerSession, position ctposition.Position, latest ctposition.Term) {
-	statement := ctquery.Write{Arguments: "1a4 data"}
+	statement := ctpeer.Write{Arguments: "1a4 data"}
 	ask(j, id, statement, s, nil)
-	j.recordRun(run{query: ctquery.Query{ID: id, Statement: statement}, member: "m-0", conn: &session{}})
+	j.recordRun(run{query: queryOf(id, statement), member: "m-0", conn: &session{}})
 	point := ctposition.Point{Term: firstTerm, Position: position}
 	j.recordCommit(id, commit{member: "m-0", point: point, at: time.Now(), latest: latest})
-	j.recordAnswer(id, ctquery.Answer{Proof: proofOf("m-0", id)}, true)
+	var answer ctpeer.Answer
+	j.recordResult("m-0", id, &answer, false)
+	j.recordAnswer(id, answer, true)
+}
+
+// queryOf returns a query as a member receives it.
+func queryOf(id ctquery.ID, statement ctpeer.Statement) ctpeer.Query {
+	return ctpeer.Query{ID: id, Statement: statement, Text: ctpeer.FormatStatement(statement)}
 }
 
 // logOf returns a log of commits of one write each.
@@ -99,11 +107,11 @@
 }
 
 // assertRun checks which rules a run of a single read breaks.
-func assertRun(t *testing.T, id ctquery.ID, statement ctquery.Statement, conn *session, want ...Rule) {
+func assertRun(t *testing.T, id ctquery.ID, statement ctpeer.Statement, conn *session, want ...Rule) {
 	t.Helper()
 	j := newTestJudge(false)
-	ask(j, "r", ctquery.Read{Item: "1a4"}, &callerSession{}, nil)
-	j.recordRun(run{query: ctquery.Query{ID: id, Statement: statement}, member: "m-0", conn: conn})
+	ask(j, "r", ctpeer.Read{Item: "1a4"}, &callerSession{}, nil)
+	j.recordRun(run{query: queryOf(id, statement), member: "m-0", conn: conn})
 	assertViolations(t, j, want...)
 }
 
@@ -112,23 +120,28 @@
 func assertTransaction(t *testing.T, begin, read *session, want ...Rule) {
 	t.Helper()
 	j, owner, own := newTestJudge(false), &callerSession{}, &transaction{}
-	ask(j, "b", ctquery.Begin{}, owner, own)
-	ask(j, "r", ctquery.Read{Item: "1a4"}, owner, own)
-	j.recordRun(run{query: ctquery.Query{ID: "b", Statement: ctquery.Begin{}}, conn: begin})
+	ask(j, "b", ctpeer.Begin{}, owner, own)
+	ask(j, "r", ctpeer.Read{Item: "1a4"}, owner, own)
+	j.recordRun(run{query: queryOf("b", ctpeer.Begin{}), conn: begin})
 	begin.open = true
-	j.recordRun(run{query: ctquery.Query{ID: "r", Statement: ctquery.Read{Item: "1a4"}}, conn: read})
+	j.recordRun(run{query: queryOf("r", ctpeer.Read{Item: "1a4"}), conn: read})
 	assertViolations(t, j, want...)
 }
 
 // TestJudgeOfRuns checks what members may run.
 func TestJudgeOfRuns(t *testing.T) {
-	read := ctquery.Read{Item: "1a4"}
+	read := ctpeer.Read{Item: "1a4"}
 	t.Run("asked", func(t *testing.T) { assertRun(t, "r", read, &session{}) })
-	t.Run("changed", func(t *testing.T) { assertRun(t, "r", ctquery.Read{Item: "1a5"}, &session{}, RuleUnasked) })
+	t.Run("changed", func(t *testing.T) { assertRun(t, "r", ctpeer.Read{Item: "1a5"}, &session{}, RuleUnasked) })
+	t.Run("without its CR", func(t *testing.T) { assertRun(t, "r", ctpeer.Read{Item: "1a4\r"}, &session{}, RuleUnasked) })
+	t.Run("with a line feed", func(t *testing.T) {
+		assertRun(t, "r", ctpeer.Read{Item: "1a4\nx"}, &session{}, RuleUnasked, RuleUnasked)
+	})
+	t.Run("no statement", func(t *testing.T) { assertRun(t, ctpeer.OwnID, nil, &session{}, RuleUnasked) })
 	t.Run("unknown", func(t *testing.T) { assertRun(t, "s", read, &session{}, RuleUnasked) })
-	t.Run("read of a proxy", func(t *testing.T) { assertRun(t, "", read, &session{}, RuleUnasked) })
+	t.Run("read of a proxy", func(t *testing.T) { assertRun(t, ctpeer.OwnID, read, &session{}, RuleUnasked) })
 	t.Run("commit of a proxy", func(t *testing.T) {
-		assertRun(t, "", ctquery.Commit{}, &session{writes: []ctquery.ID{"w"}}, RuleUnasked)
+		assertRun(t, ctpeer.OwnID, ctpeer.Commit{}, &session{writes: []ctquery.ID{"w"}}, RuleUnasked)
 	})
 	t.Run("inside another transaction", func(t *testing.T) { assertRun(t, "r", read, &session{open: true}, RulePinned) })
 	t.Run("transaction on one connection", func(t *testing.T) {
@@ -153,8 +166,8 @@
 	}
 	commitAt(j, "w", writer, 1, firstTerm)
 	j.acknowledgments[0].at = time.Now().Add(-age)
-	ask(j, "r", ctquery.Read{Item: "1a4"}, reader, nil)
-	r := run{query: ctquery.Query{ID: "r", Statement: ctquery.Read{Item: "1a4"}}, member: "m-1", conn: &session{}}
+	ask(j, "r", ctpeer.Read{Item: "1a4"}, reader, nil)
+	r := run{query: queryOf("r", ctpeer.Read{Item: "1a4"}), member: "m-1", conn: &session{}}
 	r.log = logOf("w")
 	j.recordRun(r)
 	assertViolations(t, j)
@@ -189,8 +202,8 @@
 	j, s := newTestJudge(false), &callerSession{}
 	commitAt(j, "v", s, 1, firstTerm)
 	commitAt(j, "w", s, 2, firstTerm)
-	ask(j, "x", ctquery.Write{Arguments: "1a4 data"}, s, nil)
-	j.recordAnswer("x", ctquery.Answer{Fault: ctquery.FaultReadOnly}, true)
+	ask(j, "x", ctpeer.Write{Arguments: "1a4 data"}, s, nil)
+	j.recordAnswer("x", ctpeer.Answer{Fault: ctquery.FaultReadOnly}, true)
 	j.checkLog(log)
 	assertViolations(t, j, want...)
 }
@@ -207,26 +220,69 @@
 	})
 }
 
-// assertAnswer checks which rules the answer to a read breaks that m-0 has run.
-func assertAnswer(t *testing.T, answer ctquery.Answer, want ...Rule) {
+// assertAnswer checks which rules the answer to a read breaks that m-0 has run. change changes
+// the answer, and other is one to another read.
+func assertAnswer(t *testing.T, change func(answer *ctpeer.Answer, other ctpeer.Answer), want ...Rule) {
 	t.Helper()
-	j, read := newTestJudge(false), ctquery.Read{Item: "1a4"}
-	ask(j, "r", read, &callerSession{}, nil)
-	j.recordRun(run{query: ctquery.Query{ID: "r", Statement: read}, member: "m-0", conn: &session{}})
+	j, read := newTestJudge(false), ctpeer.Read{Item: "1a4"}
+	var answer, other ctpeer.Answer
+	for id, a := range map[ctquery.ID]*ctpeer.Answer{"r": &answer, "s": &other} {
+		ask(j, id, read, &callerSession{}, nil)
+		j.recordRun(run{query: queryOf(id, read), member: "m-0", conn: &session{}})
+		j.recordResult("m-0", id, a, true)
+	}
+	change(&answer, other)
 	j.recordAnswer("r", answer, false)
 	assertViolations(t, j, want...)
 }
 
+// assertState checks which rules a prepared statement breaks that runs in a shape, with a value.
+func assertState(t *testing.T, shape ctpeer.Shape, value string, want ...Rule) {
+	t.Helper()
+	j := newTestJudge(false)
+	s := &callerSession{values: make(map[string]string), prepared: make(map[string]ctpeer.Shape)}
+	for id, statement := range map[ctquery.ID]ctpeer.Statement{
+		"s": ctpeer.Set{Name: "n", Value: "v"}, "p": ctpeer.Prepare{Name: "s1", Shape: ctpeer.Shape{Text: "q\r"}},
+	} {
+		ask(j, id, statement, s, nil)
+		j.recordAnswer(id, ctpeer.Answer{}, false)
+	}
+	ask(j, "e", ctpeer.Execute{Name: "s1", Arguments: "1a4"}, s, nil)
+	j.recordRun(run{
+		query: queryOf("e", ctpeer.Execute{Name: "other", Arguments: "1a4"}), shape: shape, member: "m-0",
+		conn: &session{values: map[string]string{"n": value}},
+	})
+	assertViolations(t, j, want...)
+}
+
+// TestJudgeOfState checks the shapes and the session values of rule PINNED.
+func TestJudgeOfState(t *testing.T) {
+	own := ctpeer.Shape{Text: "q\r"}
+	t.Run("own shape and value", func(t *testing.T) { assertState(t, own, "v") })
+	t.Run("a shape without its CR", func(t *testing.T) { assertState(t, ctpeer.Shape{Text: "q"}, "v", RulePinned) })
+	t.Run("a shape that writes", func(t *testing.T) {
+		assertState(t, ctpeer.Shape{Writes: true, Text: "q\r"}, "v", RulePinned)
+	})
+	t.Run("another value", func(t *testing.T) { assertState(t, own, "w", RulePinned) })
+	t.Run("an unknown name", func(t *testing.T) {
+		j := newTestJudge(false)
+		ask(j, "e", ctpeer.Execute{Name: "s1", Arguments: "1a4"}, &callerSession{}, nil)
+		j.recordAnswer("e", ctpeer.Answer{Fault: ctquery.FaultNoStatement}, false)
+		assertViolations(t, j, RulePinned)
+	})
+}
+
 // TestJudgeOfAnswers checks rule MIXED, and commits at replaced primaries.
 func TestJudgeOfAnswers(t *testing.T) {
-	rows := []string{rowOf("r")}
-	t.Run("proven", func(t *testing.T) { assertAnswer(t, ctquery.Answer{Proof: proofOf("m-0", "r"), Rows: rows}) })
-	t.Run("without a proof", func(t *testing.T) { assertAnswer(t, ctquery.Answer{Rows: rows}, RuleMixed) })
-	t.Run("proven by another member", func(t *testing.T) {
-		assertAnswer(t, ctquery.Answer{Proof: proofOf("m-1", "r"), Rows: rows}, RuleMixed)
+	t.Run("proven", func(t *testing.T) { assertAnswer(t, func(*ctpeer.Answer, ctpeer.Answer) {}) })
+	t.Run("without a proof", func(t *testing.T) {
+		assertAnswer(t, func(a *ctpeer.Answer, _ ctpeer.Answer) { a.Proof = "" }, RuleMixed)
+	})
+	t.Run("with the answer to another read", func(t *testing.T) {
+		assertAnswer(t, func(a *ctpeer.Answer, other ctpeer.Answer) { *a = other }, RuleMixed)
 	})
 	t.Run("with other rows", func(t *testing.T) {
-		assertAnswer(t, ctquery.Answer{Proof: proofOf("m-0", "r"), Rows: []string{rowOf("s")}}, RuleMixed)
+		assertAnswer(t, func(a *ctpeer.Answer, other ctpeer.Answer) { a.Rows = other.Rows }, RuleMixed)
 	})
 	t.Run("committed at a replaced primary", func(t *testing.T) {
 		j := newTestJudge(false)
--- a/internal/lab/ctheldlink/statements.go
+++ b/internal/lab/ctheldlink/statements.go
@@ -1,18 +1,26 @@
 package ctheldlink
 
 import (
+	"fmt"
+	"maps"
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/cherviltrestle/cherviltrestle/internal/model/ctconfig"
 	"github.com/cherviltrestle/cherviltrestle/internal/model/ctid"
 	"github.com/cherviltrestle/cherviltrestle/internal/model/ctquery"
+	"github.com/cherviltrestle/cherviltrestle/platform/ctpeer"
 )
 
 // callerSession is a session of a caller.
 type callerSession struct {
 	proxy     Host
 	freshness ctconfig.Freshness
+	// values and prepared are what was acknowledged to the session. The Judge's mutex guards
+	// them.
+	values   map[string]string
+	prepared map[string]ctpeer.Shape
 }
 
 // transaction is a transaction of a caller.
@@ -24,19 +32,28 @@
 
 // asked is a statement that a caller has sent.
 type asked struct {
-	statement ctquery.Statement
+	statement ctpeer.Statement
 	session   *callerSession
+	// shape is that of the prepared statement to execute, else empty.
+	shape ctpeer.Shape
 	// transaction is nil for a single statement.
 	transaction *transaction
 	// startedAt is when the statement or its transaction was sent.
 	startedAt time.Time
-	// ranAt lists the members that have run it.
-	ranAt []ctid.Member
+}
+
+// result is a member's successful answer.
+type result struct {
+	id     ctquery.ID
+	member ctid.Member
+	rows   []string
 }
 
 // run is a statement that a member runs.
 type run struct {
-	query  ctquery.Query
+	query ctpeer.Query
+	// shape is that of the prepared statement on the member's connection, else empty.
+	shape  ctpeer.Shape
 	member ctid.Member
 	conn   *session
 	// log has the commits that are visible to it.
@@ -61,6 +78,9 @@
 		}
 		a.startedAt = a.transaction.startedAt
 	}
+	if s, ok := a.statement.(ctpeer.Execute); ok {
+		a.shape = a.session.prepared[s.Name]
+	}
 	j.asked[id] = &a
 }
 
@@ -68,41 +88,79 @@
 func (j *Judge) recordRun(r run) {
 	j.mutex.Lock()
 	defer j.mutex.Unlock()
-	if r.query.ID == "" {
+	if strings.ContainsRune(r.query.Text, '\n') {
+		j.violate(RuleUnasked, "%s runs %q, a text that can't be passed on", r.member, r.query.Text)
+	}
+	if r.query.ID == ctpeer.OwnID {
 		j.checkOwnStatement(r)
 		return
 	}
 	a, ok := j.asked[r.query.ID]
-	if !ok || a.statement != r.query.Statement {
-		j.violate(RuleUnasked, "%s runs %s, %#v; asked: %+v", r.member, r.query.ID, r.query.Statement, a)
+	if !ok || !a.sentAs(r.query) {
+		j.violate(RuleUnasked, "%s runs %q, %q; asked: %+v", r.member, r.query.ID, r.query.Text, a)
 		return
 	}
-	a.ranAt = append(a.ranAt, r.member)
 	j.checkPinned(a, r)
-	if _, ok := r.query.Statement.(ctquery.Read); ok {
+	j.checkState(a, r)
+	if !a.shape.Writes && isRead(r.query.Statement) {
 		j.checkFresh(a, r)
 	}
 }
 
+// sentAs reports whether a member has received the text that was sent, byte for byte. A
+// prepared statement may have another name.
+func (a *asked) sentAs(q ctpeer.Query) bool {
+	if sent, ok := a.statement.(ctpeer.Execute); ok {
+		received, ok := q.Statement.(ctpeer.Execute)
+		return ok && received.Arguments == sent.Arguments
+	}
+	return q.Text == ctpeer.FormatStatement(a.statement)
+}
+
+// isRead reports whether a statement reads, or may if it is prepared.
+func isRead(statement ctpeer.Statement) bool {
+	switch statement.(type) {
+	case ctpeer.Read, ctpeer.Execute:
+		return true
+	}
+	return false
+}
+
+// checkState checks that a statement runs with the values and in the shape of its session.
+// The caller has locked the mutex.
+func (j *Judge) checkState(a *asked, r run) {
+	switch r.query.Statement.(type) {
+	case ctpeer.Read, ctpeer.Write, ctpeer.Execute:
+	default:
+		return
+	}
+	if r.shape != a.shape {
+		j.violate(RulePinned, "%s runs %s as %q, prepared: %q", r.member, r.query.ID, r.shape, a.shape)
+	}
+	if !maps.Equal(r.conn.values, a.session.values) {
+		j.violate(RulePinned, "%s runs %s with the values %q, set: %q", r.member, r.query.ID, r.conn.values, a.session.values)
+	}
+}
+
 // checkOwnStatement checks a statement of a proxy or control: it neither reads nor commits
 // a write. The caller has locked the mutex.
 func (j *Judge) checkOwnStatement(r run) {
 	unasked := false
 	switch r.query.Statement.(type) {
-	case ctquery.Read, ctquery.Write:
+	case nil, ctpeer.Read, ctpeer.Write, ctpeer.Execute:
 		unasked = true
-	case ctquery.Commit:
+	case ctpeer.Commit:
 		unasked = len(r.conn.writes) > 0
 	}
 	if unasked {
-		j.violate(RuleUnasked, "%s runs %#v, which no caller sent", r.member, r.query.Statement)
+		j.violate(RuleUnasked, "%s runs %q, which no caller sent", r.member, r.query.Text)
 	}
 }
 
 // checkPinned checks that a statement runs in its own transaction, on one connection. The
 // caller has locked the mutex.
 func (j *Judge) checkPinned(a *asked, r run) {
-	_, begins := r.query.Statement.(ctquery.Begin)
+	_, begins := r.query.Statement.(ctpeer.Begin)
 	switch {
 	case begins && a.transaction != nil && !r.conn.open:
 		// A proxy may begin the transaction again elsewhere while nothing else has run in it.
@@ -156,31 +214,43 @@
 	return number > 0 && number <= len(log) && log[number-1].id == id
 }
 
+// recordResult adds a proof that no other answer has to an answer, and a row if it has rows.
+func (j *Judge) recordResult(m ctid.Member, id ctquery.ID, answer *ctpeer.Answer, hasRows bool) {
+	j.mutex.Lock()
+	defer j.mutex.Unlock()
+	number := len(j.results) + 1
+	answer.Proof = fmt.Sprintf("mac-%d", number)
+	if hasRows {
+		answer.Rows = []string{fmt.Sprintf("row-%d", number)}
+	}
+	j.results[answer.Proof] = result{id: id, member: m, rows: answer.Rows}
+}
+
 // checkAnswer checks the proof and the rows of a successful answer to a read, a write or a
-// commit. The caller has locked the mutex.
-func (j *Judge) checkAnswer(id ctquery.ID, answer ctquery.Answer) {
+// commit, and records the state that others change. The caller has locked the mutex.
+func (j *Judge) checkAnswer(id ctquery.ID, answer ctpeer.Answer) {
 	a := j.asked[id]
-	var rows []string
 	switch a.statement.(type) {
-	case ctquery.Read:
-		rows = []string{rowOf(id)}
-	case ctquery.Write, ctquery.Commit:
+	case ctpeer.Read, ctpeer.Write, ctpeer.Execute, ctpeer.Commit:
 	default:
+		a.session.apply(a.statement)
 		return
 	}
-	proven := slices.ContainsFunc(a.ranAt, func(m ctid.Member) bool { return answer.Proof == proofOf(m, id) })
-	if !proven || !slices.Equal(rows, answer.Rows) {
-		j.violate(RuleMixed, "%s answers %s, %#v, with %q and rows %q; it ran at %q",
-			a.session.proxy, id, a.statement, answer.Proof, answer.Rows, a.ranAt)
+	r, ok := j.results[answer.Proof]
+	if !ok || r.id != id || !slices.Equal(r.rows, answer.Rows) {
+		j.violate(RuleMixed, "%s answers %s, %#v, with proof %q and rows %q; that is %+v",
+			a.session.proxy, id, a.statement, answer.Proof, answer.Rows, r)
 	}
 }
 
-// proofOf returns a member's proof that it ran a statement.
-func proofOf(m ctid.Member, id ctquery.ID) string {
-	return "mac-" + string(m) + "-" + string(id)
-}
-
-// rowOf returns the row that a read returns.
-func rowOf(id ctquery.ID) string {
-	return "row-" + string(id)
+// apply records a change of a session's state that was acknowledged.
+func (s *callerSession) apply(statement ctpeer.Statement) {
+	switch st := statement.(type) {
+	case ctpeer.Set:
+		s.values[st.Name] = st.Value
+	case ctpeer.Prepare:
+		s.prepared[st.Name] = st.Shape
+	case ctpeer.Deallocate:
+		delete(s.prepared, st.Name)
+	}
 }
--- a/internal/lab/ctsoak/caller.go
+++ b/internal/lab/ctsoak/caller.go
@@ -12,7 +12,7 @@
 
 	"github.com/cherviltrestle/cherviltrestle/internal/model/ctid"
 	"github.com/cherviltrestle/cherviltrestle/internal/model/ctquery"
-	"github.com/cherviltrestle/cherviltrestle/platform"
+	"github.com/cherviltrestle/cherviltrestle/platform/ctpeer"
 )
 
 // Timeouts and pauses of callers.
@@ -101,7 +101,7 @@
 	*caller
 	name  string
 	proxy *host
-	conn  *platform.CallerConn
+	conn  *ctpeer.Caller
 	// lastCommit is the log entry of the session's newest commit, or zero.
 	lastCommit entryID
 }
@@ -112,7 +112,7 @@
 func (c *caller) runSession(ctx context.Context, proxy *host) bool {
 	c.sessions++
 	dialCtx, cancel := context.WithTimeout(ctx, startupTimeout)
-	conn, _, err := platform.DialProxy(dialCtx, proxy.settings.CallerAddress, databaseName(c.group.name, c.freshness))
+	conn, _, err := ctpeer.Dial(dialCtx, proxy.settings.CallerAddress, databaseName(c.group.name, c.freshness))
 	cancel()
 	if err != nil || conn == nil {
 		c.counter.attempted.Add(1)
@@ -150,12 +150,12 @@
 // prepare sets the session's variable and prepares its statements.
 func (s *callerSession) prepare() error {
 	tx := s.newTransaction(false)
-	for _, statement := range []ctquery.Statement{
-		ctquery.Set{Name: ownerVariable, Value: ctquery.Text(s.name)},
-		ctquery.Prepare{Name: preparedRead, Shape: s.preparedShape(false)},
-		ctquery.Prepare{Name: preparedWrite, Shape: s.preparedShape(true)},
+	for _, statement := range []ctpeer.Statement{
+		ctpeer.Set{Name: ownerVariable, Value: s.name},
+		ctpeer.Prepare{Name: preparedRead, Shape: s.preparedShape(false)},
+		ctpeer.Prepare{Name: preparedWrite, Shape: s.preparedShape(true)},
 	} {
-		answer, _, err := s.call(statement, ctquery.Shape{}, tx, ReadRequirement{})
+		answer, _, err := s.call(statement, ctpeer.Shape{}, tx, ReadRequirement{})
 		if err != nil || !answer.OK() {
 			return errSessionEnded
 		}
@@ -166,8 +166,8 @@
 // preparedShape returns the shape of one of the session's prepared statements. All
 // sessions use the same statement names, but each one has texts of its own. A statement
 // that runs on the wrong session's state is detected by its text.
-func (s *callerSession) preparedShape(writes bool) ctquery.Shape {
-	return ctquery.Shape{Writes: writes, Text: ctquery.Text("q-" + s.name)}
+func (s *callerSession) preparedShape(writes bool) ctpeer.Shape {
+	return ctpeer.Shape{Writes: writes, Text: "q-" + s.name}
 }
 
 // newTransaction returns a transaction of this session for the checker. It is explicit
@@ -180,16 +180,15 @@
 // the query. The shape is that of the prepared statement to execute, else it is empty. A read must
 // show what is required.
 func (s *callerSession) call(
-	statement ctquery.Statement, shape ctquery.Shape, tx *Transaction, required ReadRequirement,
-) (ctquery.Answer, ctquery.ID, error) {
+	statement ctpeer.Statement, shape ctpeer.Shape, tx *Transaction, required ReadRequirement,
+) (ctpeer.Answer, ctquery.ID, error) {
 	s.queries++
 	id := ctquery.ID(fmt.Sprintf("%s-%d", s.caller.name, s.queries))
-	q := ctquery.Query{ID: id, Statement: statement}
-	s.fleet.checker.recordSent(q, tx, shape, required)
+	s.fleet.checker.recordSent(id, statement, tx, shape, required)
 	sent := time.Now()
 	_ = s.conn.SetReadDeadline(sent.Add(answerTimeout))
-	err := s.conn.Send(q)
-	var answer ctquery.Answer
+	err := s.conn.Send(id, ctpeer.FormatStatement(statement))
+	var answer ctpeer.Answer
 	if err == nil {
 		answer, err = s.conn.Receive()
 	}
@@ -271,26 +270,26 @@
 
 // drawStatement returns a random read or write. The shape is that of the prepared statement
 // it executes, or empty for a plain statement.
-func (s *callerSession) drawStatement(write bool) (ctquery.Statement, ctquery.Shape) {
+func (s *callerSession) drawStatement(write bool) (ctpeer.Statement, ctpeer.Shape) {
 	prepared := s.random.IntN(3) == 0
 	item := fmt.Sprintf("i%d", s.random.IntN(50))
 	data := fmt.Sprintf("%s d%d", item, s.queries)
 	switch {
 	case write && prepared:
-		return ctquery.Execute{Name: preparedWrite, Arguments: ctquery.Text(data)}, s.preparedShape(true)
+		return ctpeer.Execute{Name: preparedWrite, Arguments: data}, s.preparedShape(true)
 	case write:
-		return ctquery.Write{Arguments: ctquery.Text(data)}, ctquery.Shape{}
+		return ctpeer.Write{Arguments: data}, ctpeer.Shape{}
 	case prepared:
-		return ctquery.Execute{Name: preparedRead, Arguments: ctquery.Text(item)}, s.preparedShape(false)
+		return ctpeer.Execute{Name: preparedRead, Arguments: item}, s.preparedShape(false)
 	default:
-		return ctquery.Read{Item: ctquery.Text(item)}, ctquery.Shape{}
+		return ctpeer.Read{Item: item}, ctpeer.Shape{}
 	}
 }
 
 // handleRefusal handles an error answer. If nothing of the transaction was applied, the
 // checker records it as refused. A session that is still inside a transaction ends with
 // errSessionEnded.
-func (s *callerSession) handleRefusal(answer ctquery.Answer, tx *Transaction) error {
+func (s *callerSession) handleRefusal(answer ctpeer.Answer, tx *Transaction) error {
 	if answer.Fault.NotRun() || answer.Fault == ctquery.FaultAborted {
 		s.fleet.checker.recordRefused(s.group.name, tx)
 	}
@@ -321,7 +320,7 @@
 
 // recordCommit records with the checker that writes were acknowledged, and checks that
 // the group's newest log contains them.
-func (s *callerSession) recordCommit(id ctquery.ID, answer ctquery.Answer) error {
+func (s *callerSession) recordCommit(id ctquery.ID, answer ctpeer.Answer) error {
 	e, appended := s.fleet.checker.checkSuccess(id, answer)
 	if !appended {
 		s.fleet.checker.recordViolation(InvariantProof, "commit %s succeeded but appended no log entry", id)
@@ -342,7 +341,7 @@
 func (s *callerSession) runTransaction(readWrite bool) (bool, error) {
 	tx := s.newTransaction(true)
 	required := s.requirement()
-	answer, _, err := s.call(ctquery.Begin{ReadOnly: !readWrite}, ctquery.Shape{}, tx, ReadRequirement{})
+	answer, _, err := s.call(ctpeer.Begin{ReadOnly: !readWrite}, ctpeer.Shape{}, tx, ReadRequirement{})
 	if err != nil {
 		return false, err
 	}
@@ -379,10 +378,10 @@
 	case 0:
 		return true, errSessionEnded
 	case 1:
-		answer, _, err := s.call(ctquery.Rollback{}, ctquery.Shape{}, tx, ReadRequirement{})
+		answer, _, err := s.call(ctpeer.Rollback{}, ctpeer.Shape{}, tx, ReadRequirement{})
 		return err == nil && answer.OK(), err
 	}
-	answer, id, err := s.call(ctquery.Commit{}, ctquery.Shape{}, tx, ReadRequirement{})
+	answer, id, err := s.call(ctpeer.Commit{}, ctpeer.Shape{}, tx, ReadRequirement{})
 	switch {
 	case err != nil:
 		return false, err
@@ -397,11 +396,11 @@
 
 // abortTransaction handles an error answer inside a transaction and rolls the transaction
 // back if it is still open.
-func (s *callerSession) abortTransaction(refusal ctquery.Answer, tx *Transaction) error {
+func (s *callerSession) abortTransaction(refusal ctpeer.Answer, tx *Transaction) error {
 	if err := s.handleRefusal(refusal, tx); err == nil {
 		return nil
 	}
-	answer, _, err := s.call(ctquery.Rollback{}, ctquery.Shape{}, tx, ReadRequirement{})
+	answer, _, err := s.call(ctpeer.Rollback{}, ctpeer.Shape{}, tx, ReadRequirement{})
 	if err != nil || !answer.OK() || answer.Transaction != ctquery.TransactionNone {
 		return errSessionEnded
 	}
--- a/internal/lab/ctsoak/checker.go
+++ b/internal/lab/ctsoak/checker.go
@@ -2,12 +2,15 @@
 
 import (
 	"fmt"
+	"slices"
+	"strings"
 	"sync"
 	"time"
 
 	"github.com/cherviltrestle/cherviltrestle/internal/lab/ctholderjudge"
 	"github.com/cherviltrestle/cherviltrestle/internal/model/ctid"
 	"github.com/cherviltrestle/cherviltrestle/internal/model/ctquery"
+	"github.com/cherviltrestle/cherviltrestle/platform/ctpeer"
 )
 
 // Invariant identifies a property that must hold during the whole run. Its value is
@@ -98,9 +101,9 @@
 // sentStatement is a statement as its caller sent it.
 type sentStatement struct {
 	tx        *Transaction
-	statement ctquery.Statement
+	statement ctpeer.Statement
 	// shape is that of the prepared statement to execute, else empty.
-	shape ctquery.Shape
+	shape ctpeer.Shape
 	// required is what a read must show.
 	required ReadRequirement
 	// ran is set when a member has run the statement.
@@ -197,14 +200,16 @@
 // recordSent records that a caller sends a statement of a transaction. It must be called
 // before the statement is sent. The shape is that of the prepared statement to execute,
 // else empty. A read must show what is required, also if its answer is lost.
-func (c *Checker) recordSent(q ctquery.Query, tx *Transaction, shape ctquery.Shape, required ReadRequirement) {
+func (c *Checker) recordSent(
+	id ctquery.ID, statement ctpeer.Statement, tx *Transaction, shape ctpeer.Shape, required ReadRequirement,
+) {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	c.sent[q.ID] = sentStatement{tx: tx, statement: q.Statement, shape: shape, required: required}
-	switch q.Statement.(type) {
-	case ctquery.Commit:
+	c.sent[id] = sentStatement{tx: tx, statement: statement, shape: shape, required: required}
+	switch statement.(type) {
+	case ctpeer.Commit:
 		tx.commitRequested = true
-	case ctquery.Write, ctquery.Execute:
+	case ctpeer.Write, ctpeer.Execute:
 		if !tx.explicit {
 			tx.commitRequested = true
 		}
@@ -214,31 +219,39 @@
 // recordStart checks a statement that a member begins to run against the one that was
 // sent. The shape is that of the prepared statement on the member's connection s, else
 // empty. It returns the statement's transaction, or nil if no caller sent the statement.
-func (c *Checker) recordStart(s *memberSession, q ctquery.Query, shape ctquery.Shape) *Transaction {
+func (c *Checker) recordStart(s *memberSession, q ctpeer.Query, shape ctpeer.Shape) *Transaction {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
+	if strings.ContainsRune(q.Text, '\n') {
+		c.recordViolationLocked(InvariantOnlySent, "statement %q has the text %q, which can't be passed on", q.ID, q.Text)
+	}
 	sent, ok := c.sent[q.ID]
 	if !ok {
-		c.recordViolationLocked(InvariantOnlySent, "statement %q %#v was not sent by any caller", q.ID, q.Statement)
+		c.recordViolationLocked(InvariantOnlySent, "statement %q %q was not sent by any caller", q.ID, q.Text)
 		return nil
 	}
 	sent.ran = true
 	c.sent[q.ID] = sent
 	c.checkPlaceLocked(s, q.ID, sent.tx)
-	sentAs, ranAs := sent.statement, q.Statement
-	if prepared, ok := sentAs.(ctquery.Execute); ok {
-		r, same := ranAs.(ctquery.Execute)
-		if !same || r.Arguments != prepared.Arguments {
-			c.recordViolationLocked(InvariantOnlySent, "statement %s was sent as %#v and ran as %#v", q.ID, sentAs, ranAs)
-		} else if shape != sent.shape {
-			c.recordViolationLocked(InvariantIsolation, "statement %s ran %+v where %+v was prepared", q.ID, shape, sent.shape)
+	c.checkTextLocked(sent, q, shape)
+	return sent.tx
+}
+
+// checkTextLocked checks that a member has received the text that was sent, byte for byte. A
+// prepared statement may have another name but runs in the same shape. The caller holds the mutex.
+func (c *Checker) checkTextLocked(sent sentStatement, q ctpeer.Query, shape ctpeer.Shape) {
+	text, received := ctpeer.FormatStatement(sent.statement), q.Text
+	if prepared, ok := sent.statement.(ctpeer.Execute); ok {
+		if r, same := q.Statement.(ctpeer.Execute); same {
+			text, received = prepared.Arguments, r.Arguments
 		}
-		return sent.tx
 	}
-	if sentAs != ranAs {
-		c.recordViolationLocked(InvariantOnlySent, "statement %s was sent as %#v and ran as %#v", q.ID, sentAs, ranAs)
+	if text != received {
+		c.recordViolationLocked(InvariantOnlySent, "statement %s was sent as %q and ran as %q", q.ID, text, received)
+	}
+	if shape != sent.shape {
+		c.recordViolationLocked(InvariantIsolation, "statement %s ran %q where %q was prepared", q.ID, shape, sent.shape)
 	}
-	return sent.tx
 }
 
 // checkPlaceLocked checks that a statement runs in its session's group, and on the connection of
@@ -265,12 +278,26 @@
 	return c.sent[id].ran
 }
 
+// recordRows adds a row and a proof that no other answer has to the answer of a read, and
+// records them as recordResult does.
+func (c *Checker) recordRows(id ctquery.ID, answer *ctpeer.Answer, visible []record) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	answer.Rows = []string{fmt.Sprintf("row-%d", c.proofCount)}
+	answer.Proof = c.recordResultLocked(id, answer.Rows, visible)
+}
+
 // recordResult records the result of a statement at a member: its rows and the visible part
 // of the log, as described at execution. It checks that a read shows what it must, and returns a
 // new proof for the answer.
 func (c *Checker) recordResult(id ctquery.ID, rows []string, visible []record) string {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
+	return c.recordResultLocked(id, rows, visible)
+}
+
+// recordResultLocked is recordResult for callers that hold the mutex.
+func (c *Checker) recordResultLocked(id ctquery.ID, rows []string, visible []record) string {
 	if e := c.sent[id].required.entry; e.number > 0 && !containsEntry(visible, e) {
 		c.recordViolationLocked(InvariantFreshness, "statement %s saw %d entries without entry %d of term %d",
 			id, len(visible), e.number, e.term)
@@ -318,7 +345,7 @@
 // checkSuccess checks a successful answer: its proof and rows must be those of the
 // statement's execution. It returns the newest entry that the statement saw, and whether the
 // statement appended that entry.
-func (c *Checker) checkSuccess(id ctquery.ID, answer ctquery.Answer) (entryID, bool) {
+func (c *Checker) checkSuccess(id ctquery.ID, answer ctpeer.Answer) (entryID, bool) {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	r, ok := c.executions[answer.Proof]
@@ -327,7 +354,7 @@
 		c.recordViolationLocked(InvariantProof, "statement %s succeeded with proof %q, which belongs to %q",
 			id, answer.Proof, r.id)
 		return entryID{}, false
-	case fmt.Sprint(r.rows) != fmt.Sprint(answer.Rows):
+	case !slices.Equal(r.rows, answer.Rows):
 		c.recordViolationLocked(InvariantProof, "statement %s was answered with rows %q instead of %q",
 			id, answer.Rows, r.rows)
 	}
--- a/internal/lab/ctsoak/checker_test.go
+++ b/internal/lab/ctsoak/checker_test.go
@@ -11,6 +11,7 @@
 	"github.com/cherviltrestle/cherviltrestle/internal/lab/ctholderjudge"
 	"github.com/cherviltrestle/cherviltrestle/internal/model/ctid"
 	"github.com/cherviltrestle/cherviltrestle/internal/model/ctquery"
+	"github.com/cherviltrestle/cherviltrestle/platform/ctpeer"
 )
 
 const groupName = ctid.Group("g")
@@ -27,10 +28,15 @@
 	return &fixture{checker: checker, group: NewGroup(groupName, []ctid.Member{"m0", "m1", "m2"}, 2, checker)}
 }
 
+// queryOf returns a query as a member receives it.
+func queryOf(id ctquery.ID, statement ctpeer.Statement) ctpeer.Query {
+	return ctpeer.Query{ID: id, Statement: statement, Text: ctpeer.FormatStatement(statement)}
+}
+
 // session opens a session on the member with the given index, for a caller's session.
 func (f *fixture) session(member int, owner string) *memberSession {
 	s := newMemberSession(f.group, f.group.members[member])
-	s.run(ctquery.Query{Statement: ctquery.Set{Name: ownerVariable, Value: ctquery.Text(owner)}})
+	s.run(queryOf(ctpeer.OwnID, ctpeer.Set{Name: ownerVariable, Value: owner}))
 	return s
 }
 
@@ -43,17 +49,16 @@
 }
 
 // run records a statement as sent by a caller and runs it on a member's session.
-func (f *fixture) run(s *memberSession, tx *Transaction, id ctquery.ID, statement ctquery.Statement) ctquery.Answer {
+func (f *fixture) run(s *memberSession, tx *Transaction, id ctquery.ID, statement ctpeer.Statement) ctpeer.Answer {
 	return f.runRequired(s, tx, id, statement, ReadRequirement{})
 }
 
 // runRequired is run for a read that must show what is required.
 func (f *fixture) runRequired(
-	s *memberSession, tx *Transaction, id ctquery.ID, statement ctquery.Statement, required ReadRequirement,
-) ctquery.Answer {
-	q := ctquery.Query{ID: id, Statement: statement}
-	f.checker.recordSent(q, tx, ctquery.Shape{}, required)
-	answer, _ := s.run(q)
+	s *memberSession, tx *Transaction, id ctquery.ID, statement ctpeer.Statement, required ReadRequirement,
+) ctpeer.Answer {
+	f.checker.recordSent(id, statement, tx, ctpeer.Shape{}, required)
+	answer, _ := s.run(queryOf(id, statement))
 	return answer
 }
 
@@ -67,7 +72,7 @@
 		f.group.replicate(done)
 	}()
 	defer close(done)
-	answer := f.run(f.session(0, "c"), &Transaction{group: groupName, session: "c"}, id, ctquery.Write{Arguments: "i d"})
+	answer := f.run(f.session(0, "c"), &Transaction{group: groupName, session: "c"}, id, ctpeer.Write{Arguments: "i d"})
 	assert.Assert(t, answer.OK(), "%s", answer.Fault)
 	e, appended := f.checker.checkSuccess(id, answer)
 	assert.Assert(t, appended)
@@ -95,10 +100,10 @@
 		s, ok := sessions[members[i]]
 		if !ok {
 			s = f.session(members[i], "c")
-			s.run(ctquery.Query{Statement: ctquery.Begin{ReadOnly: true}})
+			s.run(queryOf(ctpeer.OwnID, ctpeer.Begin{ReadOnly: true}))
 			sessions[members[i]] = s
 		}
-		f.run(s, tx, id, ctquery.Read{Item: "i"})
+		f.run(s, tx, id, ctpeer.Read{Item: "i"})
 	}
 	f.assertViolations(t, want...)
 }
@@ -110,7 +115,7 @@
 		f.replicate()
 		required := f.checker.requirement(groupName, 0)
 		tx := &Transaction{group: groupName, session: "c"}
-		answer := f.runRequired(f.session(1, "c"), tx, "b", ctquery.Read{Item: "i"}, required)
+		answer := f.runRequired(f.session(1, "c"), tx, "b", ctpeer.Read{Item: "i"}, required)
 		f.checker.checkSuccess("b", answer)
 		f.checker.checkFinalLog(groupName, f.group.newestLog())
 		f.assertViolations(t)
@@ -121,32 +126,32 @@
 		f.group.SetFaults(f.group.members[1], func(faults *memberFaults) { faults.applyLag = time.Hour })
 		required := f.checker.requirement(groupName, 0)
 		f.group.members[1].applied = 0
-		f.runRequired(f.session(1, "c"), &Transaction{group: groupName, session: "c"}, "b", ctquery.Read{Item: "i"}, required)
+		f.runRequired(f.session(1, "c"), &Transaction{group: groupName, session: "c"}, "b", ctpeer.Read{Item: "i"}, required)
 		f.assertViolations(t, InvariantFreshness)
 	})
 	t.Run("detects a statement that no caller sent", func(t *testing.T) {
 		f := newFixture()
-		f.session(0, "c").run(ctquery.Query{ID: "x", Statement: ctquery.Read{Item: "i"}})
+		f.session(0, "c").run(queryOf("x", ctpeer.Read{Item: "i"}))
 		f.assertViolations(t, InvariantOnlySent)
 	})
 	t.Run("detects a changed statement", func(t *testing.T) {
 		f := newFixture()
-		f.checker.recordSent(ctquery.Query{ID: "x", Statement: ctquery.Read{Item: "i"}},
-			&Transaction{group: groupName, session: "c"}, ctquery.Shape{}, ReadRequirement{})
-		f.session(0, "c").run(ctquery.Query{ID: "x", Statement: ctquery.Read{Item: "j"}})
+		f.checker.recordSent("x", ctpeer.Read{Item: "i"},
+			&Transaction{group: groupName, session: "c"}, ctpeer.Shape{}, ReadRequirement{})
+		f.session(0, "c").run(queryOf("x", ctpeer.Read{Item: "j"}))
 		f.assertViolations(t, InvariantOnlySent)
 	})
 	t.Run("detects the state of another session", func(t *testing.T) {
 		f := newFixture()
-		f.run(f.session(0, "d"), &Transaction{group: groupName, session: "c"}, "x", ctquery.Read{Item: "i"})
+		f.run(f.session(0, "d"), &Transaction{group: groupName, session: "c"}, "x", ctpeer.Read{Item: "i"})
 		f.assertViolations(t, InvariantIsolation)
 	})
 	t.Run("detects a statement inside another caller's transaction", func(t *testing.T) {
 		f := newFixture()
 		s := f.session(0, "c")
-		s.run(ctquery.Query{Statement: ctquery.Begin{}})
-		f.run(s, &Transaction{group: groupName, session: "c", explicit: true}, "x", ctquery.Read{Item: "i"})
-		f.run(s, &Transaction{group: groupName, session: "c", explicit: true}, "y", ctquery.Read{Item: "i"})
+		s.run(queryOf(ctpeer.OwnID, ctpeer.Begin{}))
+		f.run(s, &Transaction{group: groupName, session: "c", explicit: true}, "x", ctpeer.Read{Item: "i"})
+		f.run(s, &Transaction{group: groupName, session: "c", explicit: true}, "y", ctpeer.Read{Item: "i"})
 		f.assertViolations(t, InvariantIsolation)
 	})
 	t.Run("detects a transaction on two connections", func(t *testing.T) {
@@ -160,7 +165,7 @@
 	})
 	t.Run("detects a statement in another group", func(t *testing.T) {
 		f := newFixture()
-		f.run(f.session(0, "c"), &Transaction{group: "h", session: "c"}, "x", ctquery.Read{Item: "i"})
+		f.run(f.session(0, "c"), &Transaction{group: "h", session: "c"}, "x", ctpeer.Read{Item: "i"})
 		f.assertViolations(t, InvariantRoute)
 	})
 	t.Run("detects a refused transaction in a log that is rolled back", func(t *testing.T) {
@@ -175,7 +180,7 @@
 	})
 	t.Run("detects the answer of another statement", func(t *testing.T) {
 		f := newFixture()
-		answer := f.run(f.session(0, "c"), &Transaction{group: groupName, session: "c"}, "x", ctquery.Read{Item: "i"})
+		answer := f.run(f.session(0, "c"), &Transaction{group: groupName, session: "c"}, "x", ctpeer.Read{Item: "i"})
 		f.checker.checkSuccess("y", answer)
 		f.assertViolations(t, InvariantProof)
 	})
@@ -286,11 +291,11 @@
 	t.Run("a paused replica receives nothing until it resumes", func(t *testing.T) {
 		f := newFixture()
 		s := f.session(1, "c")
-		s.run(ctquery.Query{Statement: ctquery.Pause{Term: 2}})
+		s.run(queryOf(ctpeer.OwnID, ctpeer.Pause{Term: 2}))
 		f.writeAcknowledged(t)
 		f.replicate()
 		assert.Equal(t, len(f.group.members[1].log), 0)
-		s.run(ctquery.Query{Statement: ctquery.Resume{}})
+		s.run(queryOf(ctpeer.OwnID, ctpeer.Resume{}))
 		f.replicate()
 		assert.Equal(t, len(f.group.members[1].log), 1)
 	})
@@ -299,7 +304,7 @@
 		s := f.session(0, "c")
 		answered := make(chan struct{})
 		go func() {
-			f.run(s, &Transaction{group: groupName, session: "c"}, "a", ctquery.Write{Arguments: "i d"})
+			f.run(s, &Transaction{group: groupName, session: "c"}, "a", ctpeer.Write{Arguments: "i d"})
 			close(answered)
 		}()
 		select {
--- a/internal/lab/ctsoak/member.go
+++ b/internal/lab/ctsoak/member.go
@@ -14,6 +14,7 @@
 	"github.com/cherviltrestle/cherviltrestle/internal/model/ctquery"
 	"github.com/cherviltrestle/cherviltrestle/internal/model/ctserver"
 	"github.com/cherviltrestle/cherviltrestle/platform"
+	"github.com/cherviltrestle/cherviltrestle/platform/ctpeer"
 )
 
 // Timing of the reports of a member.
@@ -132,13 +133,13 @@
 		}
 		_ = socket.Close()
 	}()
-	conn := platform.AcceptMember(socket)
-	group, name, err := conn.ReadStartup()
+	conn := ctpeer.Accept(socket)
+	startup, err := conn.ReadStartup()
 	if err != nil {
 		return
 	}
-	if fault := v.addSession(s, group, name); fault != ctquery.FaultNone {
-		_ = conn.RefuseStartup(fault, string(m.name))
+	if fault := v.addSession(s, startup); fault != ctquery.FaultNone {
+		_ = conn.Write(ctpeer.AppendRefusal(nil, fault, string(m.name)))
 		return
 	}
 	defer func() {
@@ -156,20 +157,19 @@
 	case <-s.closed:
 		return
 	}
-	if conn.AcceptStartup(point) != nil {
+	if conn.Write(ctpeer.AppendReady(nil, ctquery.TransactionNone, point)) != nil {
 		return
 	}
 	v.serveQueries(conn, s)
 }
 
-// addSession adds a session to the member, or returns the fault that refuses it. The group
-// and the member's name are those that the connection asked for; the name may be empty.
-func (v *server) addSession(s *memberSession, group ctid.Group, name ctid.Member) ctquery.Fault {
+// addSession adds a session to the member, or returns the fault that refuses it.
+func (v *server) addSession(s *memberSession, startup ctpeer.Startup) ctquery.Fault {
 	g, m := v.member.group, v.member
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
 	switch {
-	case !m.running || group != g.name || (name != "" && name != m.name):
+	case !m.running || startup.Group != g.name || (startup.Member != "" && startup.Member != m.name):
 		return ctquery.FaultWrongMember
 	case len(m.sessions) >= v.connectionLimit:
 		return ctquery.FaultTooManyConnections
@@ -181,13 +181,16 @@
 // serveQueries answers queries until the connection ends. Queries are read in a goroutine
 // of their own, so the end of the connection is seen while a query runs. Some queries get no
 // answer, as memberSession.run decides.
-func (v *server) serveQueries(conn *platform.MemberConn, s *memberSession) {
-	queries := make(chan ctquery.Query, maxQueued)
+func (v *server) serveQueries(conn *ctpeer.Member, s *memberSession) {
+	queries := make(chan ctpeer.Query, maxQueued)
 	go func() {
 		defer close(queries)
 		for {
 			q, err := conn.ReadQuery()
 			if err != nil {
+				if errors.Is(err, ctpeer.ErrMalformed) {
+					s.group.checker.recordViolation(InvariantOnlySent, "%s received %v", s.member.name, err)
+				}
 				s.disconnect()
 				return
 			}
@@ -208,7 +211,7 @@
 		if !answered {
 			continue
 		}
-		if conn.WriteAnswer(answer) != nil {
+		if conn.Write(ctpeer.AppendAnswer(nil, answer)) != nil {
 			return
 		}
 	}
--- a/internal/lab/ctsoak/operator.go
+++ b/internal/lab/ctsoak/operator.go
@@ -16,6 +16,7 @@
 	"github.com/cherviltrestle/cherviltrestle/internal/model/ctid"
 	"github.com/cherviltrestle/cherviltrestle/internal/model/ctquery"
 	"github.com/cherviltrestle/cherviltrestle/platform"
+	"github.com/cherviltrestle/cherviltrestle/platform/ctpeer"
 )
 
 // Timeouts and intervals of configuration changes and their checks.
@@ -216,7 +217,7 @@
 func (o *operator) probeOther(ctx context.Context, h *host, release ctid.Release) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	conn, answer, err := platform.DialProxy(ctx, h.settings.CallerAddress, otherDatabase(release))
+	conn, answer, err := ctpeer.Dial(ctx, h.settings.CallerAddress, otherDatabase(release))
 	if conn != nil {
 		conn.Close()
 	}
@@ -304,7 +305,7 @@
 	start := h.startCount()
 	callCtx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	conn, answer, err := platform.DialProxy(callCtx, h.settings.CallerAddress, releaseDatabase(release))
+	conn, answer, err := ctpeer.Dial(callCtx, h.settings.CallerAddress, releaseDatabase(release))
 	if conn != nil {
 		conn.Close()
 	}
@@ -338,7 +339,7 @@
 // checkApplied checks how a proxy has answered a probe of a release. A release that was not sent
 // is in force nowhere. A proxy that is in touch uses the newest release that was acknowledged
 // applyTimeout before the probe, or a newer one.
-func (o *operator) checkApplied(h *host, release ctid.Release, answer ctquery.Answer, probed time.Time, inTouch bool) {
+func (o *operator) checkApplied(h *host, release ctid.Release, answer ctpeer.Answer, probed time.Time, inTouch bool) {
 	required := o.newestAcknowledged(probed.Add(-applyTimeout))
 	o.mutex.Lock()
 	_, sent := o.sent[release]
--- a/internal/lab/ctsoak/operator_test.go
+++ b/internal/lab/ctsoak/operator_test.go
@@ -10,6 +10,7 @@
 	"github.com/cherviltrestle/cherviltrestle/internal/model/ctid"
 	"github.com/cherviltrestle/cherviltrestle/internal/model/ctquery"
 	"github.com/cherviltrestle/cherviltrestle/platform"
+	"github.com/cherviltrestle/cherviltrestle/platform/ctpeer"
 )
 
 // assertApplied checks which invariants a proxy violates by its answer to a probe of a release.
@@ -24,7 +25,7 @@
 	for _, sent := range []ctid.Release{2, 5} {
 		o.sent[sent], o.acknowledged[sent] = []byte("x"), at
 	}
-	o.checkApplied(&host{}, release, ctquery.Answer{Fault: fault}, time.Now(), inTouch)
+	o.checkApplied(&host{}, release, ctpeer.Answer{Fault: fault}, time.Now(), inTouch)
 	f.assertViolations(t, want...)
 }
 
--- a/internal/lab/ctsoak/session.go
+++ b/internal/lab/ctsoak/session.go
@@ -1,14 +1,13 @@
 package ctsoak
 
 import (
-	"fmt"
 	"sync"
 	"time"
 
 	"github.com/cherviltrestle/cherviltrestle/internal/model/ctposition"
 	"github.com/cherviltrestle/cherviltrestle/internal/model/ctquery"
 	"github.com/cherviltrestle/cherviltrestle/internal/model/ctserver"
-	"github.com/cherviltrestle/cherviltrestle/platform"
+	"github.com/cherviltrestle/cherviltrestle/platform/ctpeer"
 )
 
 // ownerVariable is the session variable that callers set to the name of their session.
@@ -23,7 +22,7 @@
 	closed chan struct{}
 
 	values   map[string]string
-	prepared map[ctquery.Word]ctquery.Shape
+	prepared map[string]ctpeer.Shape
 	// open is nil outside a transaction.
 	open *openTransaction
 }
@@ -43,7 +42,7 @@
 func newMemberSession(g *Group, m *member) *memberSession {
 	return &memberSession{
 		group: g, member: m, closed: make(chan struct{}),
-		values: make(map[string]string), prepared: make(map[ctquery.Word]ctquery.Shape),
+		values: make(map[string]string), prepared: make(map[string]ctpeer.Shape),
 	}
 }
 
@@ -54,8 +53,8 @@
 }
 
 // run runs a query. It returns false if the answer must not be sent.
-func (s *memberSession) run(q ctquery.Query) (ctquery.Answer, bool) {
-	var answer ctquery.Answer
+func (s *memberSession) run(q ctpeer.Query) (ctpeer.Answer, bool) {
+	var answer ctpeer.Answer
 	answered := true
 	if s.behind(q.MinPoint) {
 		answer.Fault = ctquery.FaultBehind
@@ -74,7 +73,7 @@
 	s.group.mutex.Lock()
 	defer s.group.mutex.Unlock()
 	answer.Point = s.member.appliedPoint()
-	if answered && q.ID != "" && s.member.answersToDrop > 0 {
+	if answered && q.ID != ctpeer.OwnID && s.member.answersToDrop > 0 {
 		s.member.answersToDrop--
 		answered = false
 	}
@@ -92,26 +91,29 @@
 
 // execute runs a statement and fills in its answer. It returns false if the answer must
 // not be sent.
-func (s *memberSession) execute(q ctquery.Query, answer *ctquery.Answer) bool {
+func (s *memberSession) execute(q ctpeer.Query, answer *ctpeer.Answer) bool {
 	if s.open != nil && s.open.failed {
 		s.executeInFailed(q.Statement, answer)
 		return true
 	}
 	switch statement := q.Statement.(type) {
-	case ctquery.Begin:
+	case ctpeer.Begin:
 		s.begin(statement, answer)
-	case ctquery.Rollback:
+	case ctpeer.Rollback:
 		s.open = nil
-	case ctquery.Commit:
+	case ctpeer.Commit:
 		return s.commit(q, answer)
-	case ctquery.Read:
-		s.read(q, ctquery.Shape{}, answer)
-	case ctquery.Write:
-		return s.write(q, ctquery.Shape{}, answer)
-	case ctquery.Execute:
+	case ctpeer.Read:
+		s.read(q, ctpeer.Shape{}, answer)
+	case ctpeer.Write:
+		return s.write(q, ctpeer.Shape{}, answer)
+	case ctpeer.Execute:
 		return s.executePrepared(q, statement.Name, answer)
-	case ctquery.Reset, ctquery.Set, ctquery.Prepare, ctquery.Deallocate:
+	case ctpeer.Reset, ctpeer.Set, ctpeer.Prepare, ctpeer.Deallocate:
 		s.changeState(statement)
+	case nil:
+		s.group.checker.recordViolation(InvariantOnlySent, "statement %q is %q", q.ID, q.Text)
+		answer.Fault = ctquery.FaultMalformed
 	default:
 		s.executeControl(statement, answer)
 	}
@@ -119,21 +121,21 @@
 }
 
 // changeState runs a statement that changes the session's state.
-func (s *memberSession) changeState(statement ctquery.Statement) {
+func (s *memberSession) changeState(statement ctpeer.Statement) {
 	switch st := statement.(type) {
-	case ctquery.Reset:
-		s.values, s.prepared = make(map[string]string), make(map[ctquery.Word]ctquery.Shape)
-	case ctquery.Set:
-		s.values[string(st.Name)] = string(st.Value)
-	case ctquery.Prepare:
+	case ctpeer.Reset:
+		s.values, s.prepared = make(map[string]string), make(map[string]ctpeer.Shape)
+	case ctpeer.Set:
+		s.values[st.Name] = st.Value
+	case ctpeer.Prepare:
 		s.prepared[st.Name] = st.Shape
-	case ctquery.Deallocate:
-		delete(s.prepared, ctquery.Word(st.Name))
+	case ctpeer.Deallocate:
+		delete(s.prepared, st.Name)
 	}
 }
 
 // executePrepared runs a prepared statement. It returns false if the answer must not be sent.
-func (s *memberSession) executePrepared(q ctquery.Query, name ctquery.Word, answer *ctquery.Answer) bool {
+func (s *memberSession) executePrepared(q ctpeer.Query, name string, answer *ctpeer.Answer) bool {
 	shape, ok := s.prepared[name]
 	switch {
 	case !ok:
@@ -148,11 +150,11 @@
 
 // executeInFailed runs a statement in a failed transaction. Only Commit and Rollback are
 // accepted, and both roll the transaction back.
-func (s *memberSession) executeInFailed(statement ctquery.Statement, answer *ctquery.Answer) {
+func (s *memberSession) executeInFailed(statement ctpeer.Statement, answer *ctpeer.Answer) {
 	switch statement.(type) {
-	case ctquery.Rollback:
+	case ctpeer.Rollback:
 		s.open = nil
-	case ctquery.Commit:
+	case ctpeer.Commit:
 		s.open = nil
 		answer.Fault = ctquery.FaultAborted
 	default:
@@ -161,23 +163,23 @@
 }
 
 // executeControl runs the control commands: pause, resume, step down and read status.
-func (s *memberSession) executeControl(statement ctquery.Statement, answer *ctquery.Answer) {
+func (s *memberSession) executeControl(statement ctpeer.Statement, answer *ctpeer.Answer) {
 	g, m := s.group, s.member
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
 	switch c := statement.(type) {
-	case ctquery.Pause:
+	case ctpeer.Pause:
 		if !m.primary && c.Term > m.term {
 			m.pausedBelow = c.Term
 		}
-	case ctquery.Resume:
+	case ctpeer.Resume:
 		m.pausedBelow = 0
-	case ctquery.StepDown:
+	case ctpeer.StepDown:
 		if m.primary && m.term < c.Term {
 			m.primary = false
 			g.notifyChange()
 		}
-	case ctquery.ReadStatus:
+	case ctpeer.ReadStatus:
 	default:
 		answer.Fault = ctquery.FaultMalformed
 		return
@@ -189,11 +191,11 @@
 	if m.primary {
 		status.Role = ctserver.RolePrimary
 	}
-	answer.Rows = []string{platform.RenderStatus(status)}
+	answer.Rows = []string{ctpeer.FormatStatus(status)}
 }
 
 // begin opens a transaction. Only a primary accepts one that may write.
-func (s *memberSession) begin(statement ctquery.Begin, answer *ctquery.Answer) {
+func (s *memberSession) begin(statement ctpeer.Begin, answer *ctpeer.Answer) {
 	term, primary := s.primaryTerm()
 	switch {
 	case s.open != nil:
@@ -222,7 +224,7 @@
 // useSlot waits for a slot and occupies it for the duration of a statement. It returns
 // false with FaultBusy if the queue is full, and false without a fault if the session has
 // ended.
-func (s *memberSession) useSlot(answer *ctquery.Answer) bool {
+func (s *memberSession) useSlot(answer *ctpeer.Answer) bool {
 	g, m := s.group, s.member
 	g.mutex.Lock()
 	duration, slots := m.statementDuration, m.slots
@@ -254,7 +256,7 @@
 // admit waits for a slot, occupies it for the duration of a statement and checks that the
 // statement belongs to this session and its open transaction. It returns false if the
 // statement must not run. The transaction is nil if no caller sent the statement.
-func (s *memberSession) admit(q ctquery.Query, shape ctquery.Shape, answer *ctquery.Answer) (*Transaction, bool) {
+func (s *memberSession) admit(q ctpeer.Query, shape ctpeer.Shape, answer *ctpeer.Answer) (*Transaction, bool) {
 	if s.primaryChanged() {
 		answer.Fault = ctquery.FaultReadOnly
 		return nil, false
@@ -283,8 +285,8 @@
 	return tx, true
 }
 
-// read runs a read. Its row names the query and the number of entries that were applied.
-func (s *memberSession) read(q ctquery.Query, shape ctquery.Shape, answer *ctquery.Answer) {
+// read runs a read.
+func (s *memberSession) read(q ctpeer.Query, shape ctpeer.Shape, answer *ctpeer.Answer) {
 	if _, ok := s.admit(q, shape, answer); !ok || s.injectFailure(answer) {
 		return
 	}
@@ -292,13 +294,12 @@
 	s.member.applyReceived(time.Now())
 	visible := s.member.log[:s.member.applied:s.member.applied]
 	s.group.mutex.Unlock()
-	answer.Rows = []string{fmt.Sprintf("%s.%d", q.ID, len(visible))}
-	answer.Proof = s.group.checker.recordResult(q.ID, answer.Rows, visible)
+	s.group.checker.recordRows(q.ID, answer, visible)
 }
 
 // injectFailure makes the answer of a statement that ran a failure if the member's injected
 // faults say so, and reports whether it did.
-func (s *memberSession) injectFailure(answer *ctquery.Answer) bool {
+func (s *memberSession) injectFailure(answer *ctpeer.Answer) bool {
 	s.group.mutex.Lock()
 	defer s.group.mutex.Unlock()
 	if s.member.failuresPerTen > 0 && time.Now().UnixNano()%10 < int64(s.member.failuresPerTen) {
@@ -310,7 +311,7 @@
 
 // write runs a write. Outside a transaction it commits at once. It returns false if the
 // answer must not be sent.
-func (s *memberSession) write(q ctquery.Query, shape ctquery.Shape, answer *ctquery.Answer) bool {
+func (s *memberSession) write(q ctpeer.Query, shape ctpeer.Shape, answer *ctpeer.Answer) bool {
 	if _, primary := s.primaryTerm(); !primary || (s.open != nil && !s.open.writable) {
 		answer.Fault = ctquery.FaultReadOnly
 		return true
@@ -332,7 +333,7 @@
 
 // commit ends the open transaction and appends its writes to the log. It returns false if
 // the answer must not be sent.
-func (s *memberSession) commit(q ctquery.Query, answer *ctquery.Answer) bool {
+func (s *memberSession) commit(q ctpeer.Query, answer *ctpeer.Answer) bool {
 	if s.open == nil {
 		s.group.checker.recordViolation(InvariantIsolation, "commit %s ran outside a transaction", q.ID)
 		return true
@@ -344,7 +345,7 @@
 		}
 		return true
 	}
-	tx, ok := s.admit(q, ctquery.Shape{}, answer)
+	tx, ok := s.admit(q, ctpeer.Shape{}, answer)
 	if !ok || tx == nil {
 		return true
 	}
@@ -360,7 +361,7 @@
 // false if the answer must not be sent: the outcome is unknown because the member crashed, is no
 // longer the primary of the term, or the session ended.
 func (s *memberSession) append(
-	id ctquery.ID, tx *Transaction, writes []ctquery.ID, term ctposition.Term, answer *ctquery.Answer,
+	id ctquery.ID, tx *Transaction, writes []ctquery.ID, term ctposition.Term, answer *ctpeer.Answer,
 ) bool {
 	g, m := s.group, s.member
 	g.mutex.Lock()
--- a/internal/lab/ctsoak/stop_test.go
+++ b/internal/lab/ctsoak/stop_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/cherviltrestle/cherviltrestle/internal/model/ctquery"
+	"github.com/cherviltrestle/cherviltrestle/platform/ctpeer"
 )
 
 // stopFixture is a session at a proxy that was asked to stop some time ago.
@@ -28,9 +29,9 @@
 // time ago and ran at a member or not.
 func (f *stopFixture) assertClosed(t *testing.T, elapsed time.Duration, ran bool, want ...Invariant) {
 	t.Helper()
-	q := ctquery.Query{ID: "x", Statement: ctquery.Read{Item: "i"}}
+	q := queryOf("x", ctpeer.Read{Item: "i"})
 	tx := &Transaction{group: groupName, session: "c.1"}
-	f.checker.recordSent(q, tx, ctquery.Shape{}, ReadRequirement{})
+	f.checker.recordSent(q.ID, q.Statement, tx, ctpeer.Shape{}, ReadRequirement{})
 	if ran {
 		f.fixture.session(0, "c.1").run(q)
 	}
@@ -68,7 +69,7 @@
 func (f *stopFixture) assertAborted(t *testing.T, age time.Duration, want ...Invariant) {
 	t.Helper()
 	tx := &Transaction{group: groupName, explicit: true, startedAt: time.Now().Add(-age)}
-	_ = f.session.handleRefusal(ctquery.Answer{Fault: ctquery.FaultAborted}, tx)
+	_ = f.session.handleRefusal(ctpeer.Answer{Fault: ctquery.FaultAborted}, tx)
 	f.assertViolations(t, want...)
 }
 
