ctmembers: a judge compares each success with the answer that a member made

The proof of all answers was one constant, so a caller that got the answer of another query looked served. Each success has a proof of its own now, and the fixture checks it with its rows for each answer of each test, and that no test leaves a violation.

--- a/internal/lab/ctmembers/fixture_test.go
+++ b/internal/lab/ctmembers/fixture_test.go
@@ -48,6 +48,10 @@
 	once          sync.Once
 	closed        chan struct{}
 	queryCount    int
+	// sent is the query that was sent last, and group the one that judges its answer; nil if
+	// none does.
+	sent  ctquery.Query
+	group *ctmembers.Group
 	// interruptedFirst makes an interrupt end a read although a query has arrived.
 	interruptedFirst bool
 }
@@ -103,26 +107,38 @@
 func (c *caller) send(statement ctquery.Statement) ctquery.ID {
 	c.queryCount++
 	id := ctquery.ID(fmt.Sprintf("%s-%d", c.name, c.queryCount))
-	c.queries <- ctquery.Query{ID: id, Statement: statement}
+	c.sent = ctquery.Query{ID: id, Statement: statement}
+	c.queries <- c.sent
 	return id
 }
 
-// awaitAnswer waits for the answer to the query that was sent last.
+// awaitAnswer waits for the answer to the query that was sent last, and judges it.
 func (c *caller) awaitAnswer(t *testing.T, id ctquery.ID) ctquery.Answer {
 	t.Helper()
+	answer, ok := c.receive()
+	if !ok {
+		t.Fatalf("no answer to %s", id)
+	}
+	if c.group != nil {
+		c.group.CheckAnswer(c.sent, answer)
+	}
+	return answer
+}
+
+// receive waits for an answer. It returns false if none comes in time or before the end.
+func (c *caller) receive() (ctquery.Answer, bool) {
 	select {
 	case answer := <-c.answers:
-		return answer
+		return answer, true
 	case <-c.closed:
 	case <-time.After(testTimeout):
 	}
 	select {
 	case answer := <-c.answers:
-		return answer
+		return answer, true
 	default:
-		t.Fatalf("no answer to %s", id)
+		return ctquery.Answer{}, false
 	}
-	return ctquery.Answer{}
 }
 
 // way is how a proxy's statements get to members.
@@ -221,6 +237,7 @@
 	}
 	_, view, err := state.ApplyDelta(&held, delta)
 	assert.NilError(t, err)
+	t.Cleanup(func() { assertNoViolations(t, f) })
 	state.ExtendAuthority(&held, time.Now().Add(time.Hour))
 	if f.carrier != nil {
 		f.carrier.ApplyView(&held, view)
@@ -265,6 +282,7 @@
 func (f *fixture) connectTo(t *testing.T, name string, database ctid.Database) *caller {
 	t.Helper()
 	c := newCaller(name, database)
+	c.group = f.group
 	f.callers <- c
 	f.gateway.ServeConn(nil)
 	answer, _ := c.call(t, ctquery.Set{Name: "owner", Value: ctquery.Text(name)})
--- a/internal/lab/ctmembers/group.go
+++ b/internal/lab/ctmembers/group.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net/netip"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -49,6 +50,8 @@
 	log        []entry
 	term       ctposition.Term
 	violations []string
+	// results has the successful answers by their proofs.
+	results map[string]result
 	// answersToDrop is how many of the next answers get lost.
 	answersToDrop int
 	// hold holds back the next answer; nil if none is to be held back.
@@ -61,6 +64,12 @@
 	ran, released chan struct{}
 }
 
+// result is a successful answer of a member.
+type result struct {
+	id   ctquery.ID
+	rows []string
+}
+
 // entry is a log entry: a write, the ID of its query and the term of the primary that
 // committed it.
 type entry struct {
@@ -86,7 +95,9 @@
 
 // New returns a group with an empty log.
 func New(options Options) *Group {
-	g := &Group{Options: options, members: make(map[ctid.Member]*member), term: firstTerm}
+	g := &Group{
+		Options: options, members: make(map[ctid.Member]*member), term: firstTerm, results: make(map[string]result),
+	}
 	for i := range options.Members {
 		name := MemberName(i)
 		g.members[name] = &member{name: name, primary: i == 0, slots: make(chan struct{}, options.Slots)}
@@ -203,6 +214,39 @@
 	g.violations = append(g.violations, fmt.Sprintf(format, arguments...))
 }
 
+// provesRun reports whether the success of a statement has a proof.
+func provesRun(statement ctquery.Statement) bool {
+	switch statement.(type) {
+	case ctquery.Read, ctquery.Write, ctquery.Execute, ctquery.Commit:
+		return true
+	}
+	return false
+}
+
+// recordResult records a successful answer and returns its proof, which no other answer has.
+func (g *Group) recordResult(id ctquery.ID, rows []string) string {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	proof := fmt.Sprintf("proof-%d", len(g.results)+1)
+	g.results[proof] = result{id: id, rows: rows}
+	return proof
+}
+
+// CheckAnswer records a violation unless a success that a caller received is one that a member
+// made for this query.
+func (g *Group) CheckAnswer(q ctquery.Query, answer ctquery.Answer) {
+	if !answer.OK() || !provesRun(q.Statement) {
+		return
+	}
+	g.mutex.Lock()
+	made, ok := g.results[answer.Proof]
+	g.mutex.Unlock()
+	if !ok || made.id != q.ID || !slices.Equal(made.rows, answer.Rows) {
+		g.recordViolation("query %s, %#v, was answered with proof %q and rows %q; that is %+v",
+			q.ID, q.Statement, answer.Proof, answer.Rows, made)
+	}
+}
+
 // dropNextAnswer reports whether the next answer is to be lost, and counts it if so.
 func (g *Group) dropNextAnswer() bool {
 	g.mutex.Lock()
--- a/internal/lab/ctmembers/link.go
+++ b/internal/lab/ctmembers/link.go
@@ -114,6 +114,9 @@
 	} else {
 		c.execute(q, &answer)
 	}
+	if answer.OK() && provesRun(q.Statement) {
+		answer.Proof = c.group.recordResult(q.ID, answer.Rows)
+	}
 	if c.transaction != nil {
 		answer.Transaction = ctquery.TransactionOpen
 	}
@@ -164,7 +167,6 @@
 	}
 	time.Sleep(c.group.StatementDelay)
 	<-c.member.slots
-	answer.Proof = "proof"
 	return true
 }
 
