ctheldlink: callers send any text, and members' rows are any text

No text in the lab held a blank, a control character or a word of the protocol, so no judge could see what the product did to them. Names, values, shapes, items, data and rows are drawn from any bytes now, sessions share names and shapes, and some queries can't be passed on: with a lone line feed, without an ID, or with the ID of the system's own statements.

--- a/internal/lab/ctheldlink/caller.go
+++ b/internal/lab/ctheldlink/caller.go
@@ -7,6 +7,7 @@
 	"net/netip"
 	"time"
 
+	"github.com/cherviltrestle/cherviltrestle/internal/lab/cttext"
 	"github.com/cherviltrestle/cherviltrestle/internal/model/ctconfig"
 	"github.com/cherviltrestle/cherviltrestle/internal/model/ctid"
 	"github.com/cherviltrestle/cherviltrestle/internal/model/ctquery"
@@ -26,13 +27,18 @@
 	readShare        = 3
 	// preparedShare is how many statements there are for each one that is prepared.
 	preparedShare = 3
+	// changeShare is how many operations there are for each change of the session's state, and
+	// refusedShare for each query that can't be passed on.
+	changeShare  = 20
+	refusedShare = 20
 )
 
-// Names of what each session sets and prepares. All sessions use the same ones.
+// Plain texts, from which others are made.
 const (
-	valueName     = "value"
-	preparedRead  = "s1"
-	preparedWrite = "s2"
+	plainName  = "s1"
+	plainShape = "q5"
+	plainItem  = "1a4"
+	plainData  = "data"
 )
 
 // caller reads and writes through one proxy until its context ends.
@@ -46,6 +52,8 @@
 	// conn and open are the connection and its session; nil while there is none.
 	conn *ctpeer.Caller
 	open *callerSession
+	// reader and writer are the names of the session's prepared statements.
+	reader, writer string
 }
 
 // run calls until ctx ends, in one session as long as that is possible.
@@ -59,22 +67,38 @@
 				c.conn = nil
 			}
 		}
-		select {
-		case <-ctx.Done():
-		case <-time.After(delay):
-		}
+		c.pause(ctx, delay)
 	}
 	if c.conn != nil {
 		c.conn.Close()
 	}
 }
 
+// pause waits. An open session must receive nothing meanwhile.
+func (c *caller) pause(ctx context.Context, delay time.Duration) {
+	until := time.Now().Add(delay)
+	if c.conn != nil {
+		line, unasked := c.conn.AwaitUnasked(delay)
+		c.judge.check(!unasked, RuleMixed, "%s sends %q, which answers nothing", c.session.proxy, line)
+	}
+	select {
+	case <-ctx.Done():
+	case <-time.After(time.Until(until)):
+	}
+}
+
 // attempt opens a session if there is none, runs one operation and reports whether it
 // succeeded. Callers of a bounded route only read.
 func (c *caller) attempt(ctx context.Context) bool {
 	if c.conn == nil && !c.connect(ctx) {
 		return false
 	}
+	switch {
+	case c.random.IntN(changeShare) == 0:
+		return c.changeState()
+	case c.random.IntN(refusedShare) == 0:
+		return c.queryRefused()
+	}
 	reads := c.session.freshness == ctconfig.FreshnessBounded || c.random.IntN(readShare) == 0
 	single := c.random.IntN(transactionShare) > 0
 	switch {
@@ -88,17 +112,21 @@
 
 // draw returns a read or a write. Some are prepared.
 func (c *caller) draw(writes bool) ctpeer.Statement {
-	const item, data = "1a4", " data"
 	prepared := c.random.IntN(preparedShare) == 0
 	switch {
 	case writes && prepared:
-		return ctpeer.Execute{Name: preparedWrite, Arguments: item + data}
+		return ctpeer.Execute{Name: c.writer, Arguments: c.drawData()}
 	case writes:
-		return ctpeer.Write{Arguments: item + data}
+		return ctpeer.Write{Arguments: c.drawData()}
 	case prepared:
-		return ctpeer.Execute{Name: preparedRead, Arguments: item}
+		return ctpeer.Execute{Name: c.reader, Arguments: cttext.Field(c.random, plainItem)}
 	}
-	return ctpeer.Read{Item: item}
+	return ctpeer.Read{Item: cttext.Field(c.random, plainItem)}
+}
+
+// drawData returns the arguments of a write.
+func (c *caller) drawData() string {
+	return cttext.Word(c.random, plainItem) + " " + cttext.Field(c.random, plainData)
 }
 
 // connect opens a session, sets and prepares what it needs, and reports whether the proxy
@@ -113,17 +141,56 @@
 	open := c.session
 	open.values, open.prepared = make(map[string]string), make(map[string]ctpeer.Shape)
 	c.conn, c.open = conn, &open
-	own := string(newID())
-	for _, s := range []ctpeer.Statement{
-		ctpeer.Set{Name: valueName, Value: own},
-		ctpeer.Prepare{Name: preparedRead, Shape: ctpeer.Shape{Text: own}},
-		ctpeer.Prepare{Name: preparedWrite, Shape: ctpeer.Shape{Writes: true, Text: own}},
-	} {
-		if !c.query(s, nil, false) {
-			return false
-		}
+	c.reader = cttext.Word(c.random, plainName)
+	c.writer = c.reader + "w"
+	return c.set() && c.prepare()
+}
+
+// changeState changes the session's state and reports whether that succeeded.
+func (c *caller) changeState() bool {
+	if c.random.IntN(2) == 0 {
+		return c.set()
 	}
-	return true
+	return c.query(ctpeer.Deallocate{Name: c.reader}, nil, false) &&
+		c.query(ctpeer.Deallocate{Name: c.writer}, nil, false) && c.prepare()
+}
+
+// set sets a session value. Most names are shared between sessions, and few values.
+func (c *caller) set() bool {
+	name, value := cttext.Word(c.random, "n"), cttext.Field(c.random, string(newID()))
+	return c.query(ctpeer.Set{Name: name, Value: value}, nil, false)
+}
+
+// prepare prepares the session's statements. Sessions share names and shapes.
+func (c *caller) prepare() bool {
+	read := ctpeer.Shape{Text: cttext.Field(c.random, plainShape)}
+	write := ctpeer.Shape{Writes: true, Text: cttext.Field(c.random, plainShape)}
+	return c.query(ctpeer.Prepare{Name: c.reader, Shape: read}, nil, false) &&
+		c.query(ctpeer.Prepare{Name: c.writer, Shape: write}, nil, false)
+}
+
+// queryRefused sends a query that can't be passed on: with a line feed, without an ID, or with
+// the ID of the system's own statements. It must be answered so, once.
+func (c *caller) queryRefused() bool {
+	id, text := newID(), "READ "+plainItem
+	switch c.random.IntN(4) {
+	case 0:
+		id = ""
+	case 1:
+		id = ctpeer.OwnID
+	default:
+		text = cttext.Unsendable(c.random, text)
+	}
+	if c.conn.SetReadDeadline(time.Now().Add(answerTimeout)) != nil || c.conn.Send(id, text) != nil {
+		return false
+	}
+	answer, err := c.conn.Receive()
+	if err != nil {
+		return false
+	}
+	c.judge.check(answer.Fault == ctquery.FaultMalformed, RuleMalformed, "%s answers %q with ID %q with %+v",
+		c.session.proxy, text, id, answer)
+	return answer.Transaction == ctquery.TransactionNone
 }
 
 // transact runs statements in a transaction and reports whether all succeeded.
@@ -156,6 +223,10 @@
 		return false
 	}
 	c.judge.recordAnswer(id, answer, commits)
+	if answer.Fault == ctquery.FaultMalformed && answer.Transaction == ctquery.TransactionNone {
+		// Some texts that the protocol can carry may be refused.
+		return true
+	}
 	return answer.OK()
 }
 
--- a/internal/lab/ctheldlink/fleet.go
+++ b/internal/lab/ctheldlink/fleet.go
@@ -112,7 +112,7 @@
 // Start starts a fleet and waits until callers are served. The caller closes it.
 func Start(options Options) (*Fleet, error) {
 	f := &Fleet{Options: options, Network: &Network{}}
-	f.Judge = newJudge(options.Logger, f.Network.DisturbedSince)
+	f.Judge = newJudge(options.Logger, f.Network.DisturbedSince, options.Seed)
 	f.Group = newGroup(f.Network, f.Judge, options.Logger)
 	ctx, stop := context.WithCancel(context.Background())
 	f.stop = stop
--- a/internal/lab/ctheldlink/judge.go
+++ b/internal/lab/ctheldlink/judge.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -51,6 +52,8 @@
 	RuleStale Rule = "stale"
 	// RuleConfig: an acknowledged configuration is kept, and no older one is returned.
 	RuleConfig Rule = "config"
+	// RuleMalformed: a query that can't be passed on is answered so, once.
+	RuleMalformed Rule = "malformed"
 	// RuleRunning: no process ends by itself.
 	RuleRunning Rule = "running"
 )
@@ -75,6 +78,8 @@
 	logger zerolog.Logger
 	// disturbed reports whether a process was disturbed since a time.
 	disturbed func(process Host, since time.Time) bool
+	// random draws rows. The mutex guards it.
+	random *rand.Rand
 
 	// mutex guards all fields below.
 	mutex sync.Mutex
@@ -99,12 +104,12 @@
 	violations []Violation
 }
 
-func newJudge(logger zerolog.Logger, disturbed func(Host, time.Time) bool) *Judge {
+func newJudge(logger zerolog.Logger, disturbed func(Host, time.Time) bool, seed uint64) *Judge {
 	j := &Judge{
 		logger: logger, disturbed: disturbed, commits: make(map[ctquery.ID]commit),
 		acknowledged: make(map[ctquery.ID]time.Time), promised: make(map[ctquery.ID]ctquery.Fault),
 		lost: make(map[ctquery.ID]bool), replaced: make(map[ctquery.ID]bool), asked: make(map[ctquery.ID]*asked),
-		results: make(map[string]result),
+		results: make(map[string]result), random: rand.New(rand.NewPCG(seed, 0)),
 	}
 	j.holders.InTouch = j.inTouch
 	return j
@@ -166,7 +171,7 @@
 	if answer.Fault.NotRun() || answer.Fault == ctquery.FaultAborted {
 		j.promised[id] = answer.Fault
 	}
-	if answer.Fault == ctquery.FaultNoStatement {
+	if answer.Fault == ctquery.FaultNoStatement && j.asked[id].shape != (ctpeer.Shape{}) {
 		j.violate(RulePinned, "%s doesn't know a prepared statement of %s", j.asked[id].session.proxy, id)
 	}
 	if !answer.OK() {
--- a/internal/lab/ctheldlink/judge_test.go
+++ b/internal/lab/ctheldlink/judge_test.go
@@ -18,7 +18,7 @@
 
 // newTestJudge returns a judge of processes of which none or all are disturbed.
 func newTestJudge(disturbed bool) *Judge {
-	return newJudge(zerolog.Nop(), func(Host, time.Time) bool { return disturbed })
+	return newJudge(zerolog.Nop(), func(Host, time.Time) bool { return disturbed }, 1)
 }
 
 // assertViolations checks which rules were broken, in order.
@@ -266,7 +266,8 @@
 	t.Run("another value", func(t *testing.T) { assertState(t, own, "w", RulePinned) })
 	t.Run("an unknown name", func(t *testing.T) {
 		j := newTestJudge(false)
-		ask(j, "e", ctpeer.Execute{Name: "s1", Arguments: "1a4"}, &callerSession{}, nil)
+		s := &callerSession{prepared: map[string]ctpeer.Shape{"s1": own}}
+		ask(j, "e", ctpeer.Execute{Name: "s1", Arguments: "1a4"}, s, nil)
 		j.recordAnswer("e", ctpeer.Answer{Fault: ctquery.FaultNoStatement}, false)
 		assertViolations(t, j, RulePinned)
 	})
--- a/internal/lab/ctheldlink/late_test.go
+++ b/internal/lab/ctheldlink/late_test.go
@@ -23,14 +23,14 @@
 )
 
 // assertNoViolations starts a fleet, runs a test with it and checks that no rule was broken.
-func assertNoViolations(t *testing.T, run func(ctx context.Context, fleet *ctheldlink.Fleet) error) {
+func assertNoViolations(t *testing.T, seed uint64, run func(ctx context.Context, fleet *ctheldlink.Fleet) error) {
 	t.Helper()
 	folder := t.ArtifactDir()
 	events, err := os.Create(filepath.Join(folder, "events.log"))
 	assert.NilError(t, err)
 	t.Cleanup(func() { _ = events.Close() })
 	fleet, err := ctheldlink.Start(ctheldlink.Options{
-		BinFolder: programFolder, Folder: folder,
+		BinFolder: programFolder, Folder: folder, Seed: seed,
 		Logger: zerolog.New(zerolog.MultiLevelWriter(events, zerolog.NewTestWriter(t))).With().Timestamp().Logger(),
 	})
 	assert.NilError(t, err)
@@ -45,7 +45,7 @@
 func assertNothingLost(t *testing.T, sender ctheldlink.Sender, candidate ctheldlink.Candidate) {
 	t.Helper()
 	t.Parallel()
-	assertNoViolations(t, func(ctx context.Context, fleet *ctheldlink.Fleet) error {
+	assertNoViolations(t, 1, func(ctx context.Context, fleet *ctheldlink.Fleet) error {
 		result, err := fleet.LateRequest(ctx, sender, candidate)
 		t.Logf("longest gap %s: %+v", result.LongestGap, result)
 		return err
@@ -57,7 +57,7 @@
 func assertServedAgain(t *testing.T, sender ctheldlink.Sender) {
 	t.Helper()
 	t.Parallel()
-	assertNoViolations(t, func(ctx context.Context, fleet *ctheldlink.Fleet) error {
+	assertNoViolations(t, 1, func(ctx context.Context, fleet *ctheldlink.Fleet) error {
 		result, err := fleet.LossAfterLateRequest(ctx, sender, ctheldlink.Severed{})
 		t.Logf("served again after %s: %+v", result.NextAfter, result)
 		return err
@@ -109,7 +109,7 @@
 	for seed := *randomSeed; seed < *randomSeed+*randomSeeds; seed++ {
 		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) {
 			t.Parallel()
-			assertNoViolations(t, func(ctx context.Context, fleet *ctheldlink.Fleet) error {
+			assertNoViolations(t, seed, func(ctx context.Context, fleet *ctheldlink.Fleet) error {
 				err := fleet.Disturb(ctx, seed, *randomFaults)
 				t.Logf("longest gap %s", fleet.Judge.LongestGap())
 				return err
--- a/internal/lab/ctheldlink/statements.go
+++ b/internal/lab/ctheldlink/statements.go
@@ -7,6 +7,7 @@
 	"strings"
 	"time"
 
+	"github.com/cherviltrestle/cherviltrestle/internal/lab/cttext"
 	"github.com/cherviltrestle/cherviltrestle/internal/model/ctconfig"
 	"github.com/cherviltrestle/cherviltrestle/internal/model/ctid"
 	"github.com/cherviltrestle/cherviltrestle/internal/model/ctquery"
@@ -214,14 +215,16 @@
 	return number > 0 && number <= len(log) && log[number-1].id == id
 }
 
-// recordResult adds a proof that no other answer has to an answer, and a row if it has rows.
+// recordResult adds a proof that no other answer has to an answer, and rows of any text if it
+// has rows. The first one belongs to no other answer.
 func (j *Judge) recordResult(m ctid.Member, id ctquery.ID, answer *ctpeer.Answer, hasRows bool) {
 	j.mutex.Lock()
 	defer j.mutex.Unlock()
 	number := len(j.results) + 1
 	answer.Proof = fmt.Sprintf("mac-%d", number)
 	if hasRows {
-		answer.Rows = []string{fmt.Sprintf("row-%d", number)}
+		own := fmt.Sprintf("row-%d", number)
+		answer.Rows = []string{own + cttext.Field(j.random, ""), cttext.Field(j.random, own), ""}
 	}
 	j.results[answer.Proof] = result{id: id, member: m, rows: answer.Rows}
 }
