ctsoak: callers send any text, and members' rows are any text

The values of a member's connection are compared with all that the session has set, and a session must receive nothing while no query is outstanding.

--- a/internal/lab/ctsoak/caller.go
+++ b/internal/lab/ctsoak/caller.go
@@ -10,6 +10,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/cherviltrestle/cherviltrestle/internal/lab/cttext"
 	"github.com/cherviltrestle/cherviltrestle/internal/model/ctid"
 	"github.com/cherviltrestle/cherviltrestle/internal/model/ctquery"
 	"github.com/cherviltrestle/cherviltrestle/platform/ctpeer"
@@ -102,6 +103,11 @@
 	name  string
 	proxy *host
 	conn  *ctpeer.Caller
+	// reader and writer are the names of the session's prepared statements, and readShape and
+	// writeShape their shapes. values are its session values. All are as acknowledged.
+	reader, writer        string
+	readShape, writeShape ctpeer.Shape
+	values                map[string]string
 	// lastCommit is the log entry of the session's newest commit, or zero.
 	lastCommit entryID
 }
@@ -119,7 +125,9 @@
 		return false
 	}
 	defer conn.Close()
-	s := &callerSession{caller: c, name: fmt.Sprintf("%s.%d", c.name, c.sessions), proxy: proxy, conn: conn}
+	s := &callerSession{
+		caller: c, name: fmt.Sprintf("%s.%d", c.name, c.sessions), proxy: proxy, conn: conn, values: make(map[string]string),
+	}
 	if err := s.prepare(); err != nil {
 		return false
 	}
@@ -136,44 +144,93 @@
 		if !served {
 			pause = retryDelay
 		}
-		sleep(ctx, time.Duration(c.random.ExpFloat64()*float64(pause)))
+		s.pause(ctx, time.Duration(c.random.ExpFloat64()*float64(pause)))
 	}
 	return true
 }
 
-// Names of the statements that each session prepares.
+// pause waits. The session must receive nothing meanwhile.
+func (s *callerSession) pause(ctx context.Context, duration time.Duration) {
+	until := time.Now().Add(duration)
+	if line, unasked := s.conn.AwaitUnasked(duration); unasked {
+		s.fleet.checker.recordViolation(InvariantProof, "%s sent %q, which answers nothing", s.proxy.Host, line)
+	}
+	sleep(ctx, time.Until(until))
+}
+
+// Plain texts, from which others are made.
 const (
-	preparedRead  = "s1"
-	preparedWrite = "s2"
+	plainName  = "s1"
+	plainShape = "q5"
+	plainValue = "v"
 )
 
-// prepare sets the session's variable and prepares its statements.
+// prepare sets the session's values and prepares its statements. All sessions share names, and
+// half of the shapes; the other half have texts of their own.
 func (s *callerSession) prepare() error {
-	tx := s.newTransaction(false)
+	s.reader = cttext.Word(s.random, plainName)
+	s.writer = s.reader + "w"
+	shape := plainShape
+	if s.random.IntN(2) == 0 {
+		shape = "q-" + s.name
+	}
+	s.readShape = ctpeer.Shape{Text: cttext.Field(s.random, shape)}
+	s.writeShape = ctpeer.Shape{Writes: true, Text: cttext.Field(s.random, shape)}
+	name, value := cttext.Word(s.random, plainValue), cttext.Field(s.random, plainValue)
 	for _, statement := range []ctpeer.Statement{
-		ctpeer.Set{Name: ownerVariable, Value: s.name},
-		ctpeer.Prepare{Name: preparedRead, Shape: s.preparedShape(false)},
-		ctpeer.Prepare{Name: preparedWrite, Shape: s.preparedShape(true)},
+		ctpeer.Set{Name: ownerVariable, Value: s.name}, ctpeer.Set{Name: name, Value: value},
+		ctpeer.Prepare{Name: s.reader, Shape: s.readShape}, ctpeer.Prepare{Name: s.writer, Shape: s.writeShape},
 	} {
-		answer, _, err := s.call(statement, ctpeer.Shape{}, tx, ReadRequirement{})
+		answer, _, err := s.call(statement, ctpeer.Shape{}, s.newTransaction(false), ReadRequirement{})
 		if err != nil || !answer.OK() {
 			return errSessionEnded
 		}
 	}
+	s.values[name] = value
 	return nil
 }
 
-// preparedShape returns the shape of one of the session's prepared statements. All
-// sessions use the same statement names, but each one has texts of its own. A statement
-// that runs on the wrong session's state is detected by its text.
-func (s *callerSession) preparedShape(writes bool) ctpeer.Shape {
-	return ctpeer.Shape{Writes: writes, Text: "q-" + s.name}
+// refusedShare is how many operations there are for each query that can't be passed on.
+const refusedShare = 25
+
+// queryRefused sends a query that can't be passed on: with a line feed, without an ID, or with
+// the ID of the system's own statements. It must be answered so, once.
+func (s *callerSession) queryRefused() error {
+	s.queries++
+	id, text := ctquery.ID(fmt.Sprintf("%s-%d", s.caller.name, s.queries)), "READ i"
+	switch s.random.IntN(4) {
+	case 0:
+		id = ""
+	case 1:
+		id = ctpeer.OwnID
+	default:
+		text = cttext.Unsendable(s.random, text)
+	}
+	sent := time.Now()
+	_ = s.conn.SetReadDeadline(sent.Add(answerTimeout))
+	err := s.conn.Send(id, text)
+	var answer ctpeer.Answer
+	if err == nil {
+		answer, err = s.conn.Receive()
+	}
+	if err != nil {
+		s.checkUnanswered(id, sent, err)
+		return err
+	}
+	if answer.Fault != ctquery.FaultMalformed {
+		s.fleet.checker.recordViolation(InvariantOnlySent, "%s answered %q with ID %q with %+v",
+			s.proxy.Host, text, id, answer)
+	}
+	if answer.Transaction != ctquery.TransactionNone {
+		return errSessionEnded
+	}
+	return nil
 }
 
 // newTransaction returns a transaction of this session for the checker. It is explicit
 // if it runs from a Begin to a Commit or Rollback.
 func (s *callerSession) newTransaction(explicit bool) *Transaction {
-	return &Transaction{group: s.group.name, session: s.name, explicit: explicit, startedAt: time.Now()}
+	return &Transaction{group: s.group.name, session: s.name, explicit: explicit, startedAt: time.Now(), values: s.values}
 }
 
 // call sends a statement, waits for its answer and returns both the answer and the ID of
@@ -245,6 +302,11 @@
 // the operation was served; an error ends the session.
 func (s *callerSession) runOperation() (bool, error) {
 	write := s.freshness != freshnessBounded && s.random.IntN(4) == 0
+	if s.random.IntN(refusedShare) == 0 {
+		if err := s.queryRefused(); err != nil {
+			return false, err
+		}
+	}
 	if s.random.IntN(4) == 0 {
 		return s.runTransaction(write)
 	}
@@ -272,15 +334,16 @@
 // it executes, or empty for a plain statement.
 func (s *callerSession) drawStatement(write bool) (ctpeer.Statement, ctpeer.Shape) {
 	prepared := s.random.IntN(3) == 0
-	item := fmt.Sprintf("i%d", s.random.IntN(50))
-	data := fmt.Sprintf("%s d%d", item, s.queries)
+	plain := fmt.Sprintf("i%d", s.random.IntN(50))
+	item := cttext.Field(s.random, plain)
+	data := cttext.Word(s.random, plain) + " " + cttext.Field(s.random, fmt.Sprintf("d%d", s.queries))
 	switch {
 	case write && prepared:
-		return ctpeer.Execute{Name: preparedWrite, Arguments: data}, s.preparedShape(true)
+		return ctpeer.Execute{Name: s.writer, Arguments: data}, s.writeShape
 	case write:
 		return ctpeer.Write{Arguments: data}, ctpeer.Shape{}
 	case prepared:
-		return ctpeer.Execute{Name: preparedRead, Arguments: item}, s.preparedShape(false)
+		return ctpeer.Execute{Name: s.reader, Arguments: item}, s.readShape
 	default:
 		return ctpeer.Read{Item: item}, ctpeer.Shape{}
 	}
--- a/internal/lab/ctsoak/checker.go
+++ b/internal/lab/ctsoak/checker.go
@@ -2,12 +2,15 @@
 
 import (
 	"fmt"
+	"maps"
+	"math/rand/v2"
 	"slices"
 	"strings"
 	"sync"
 	"time"
 
 	"github.com/cherviltrestle/cherviltrestle/internal/lab/ctholderjudge"
+	"github.com/cherviltrestle/cherviltrestle/internal/lab/cttext"
 	"github.com/cherviltrestle/cherviltrestle/internal/model/ctid"
 	"github.com/cherviltrestle/cherviltrestle/internal/model/ctquery"
 	"github.com/cherviltrestle/cherviltrestle/platform/ctpeer"
@@ -86,6 +89,8 @@
 	group ctid.Group
 	// session is the name of the caller's session.
 	session string
+	// values are the session's values beside its owner. They don't change any more.
+	values map[string]string
 	// explicit reports whether the transaction starts with a Begin statement.
 	explicit bool
 	// startedAt is when the caller began it.
@@ -98,6 +103,13 @@
 	connection *memberSession
 }
 
+// sessionValues returns the values with which its statements must run.
+func (t *Transaction) sessionValues() map[string]string {
+	values := map[string]string{ownerVariable: t.session}
+	maps.Copy(values, t.values)
+	return values
+}
+
 // sentStatement is a statement as its caller sent it.
 type sentStatement struct {
 	tx        *Transaction
@@ -125,7 +137,9 @@
 type Checker struct {
 	start time.Time
 
-	mutex      sync.Mutex
+	mutex sync.Mutex
+	// random draws rows.
+	random     *rand.Rand
 	violations []Violation
 	sent       map[ctquery.ID]sentStatement
 	// executions are stored by their proof.
@@ -153,9 +167,10 @@
 }
 
 // NewChecker returns a checker without records, for which no process is ever disturbed.
-// Violation times count from now.
-func NewChecker() *Checker {
+// Violation times count from now. The seed decides the rows of reads.
+func NewChecker(seed uint64) *Checker {
 	return &Checker{
+		random:     rand.New(rand.NewPCG(seed, rowStream)),
 		start:      time.Now(),
 		sent:       make(map[ctquery.ID]sentStatement),
 		executions: make(map[string]execution),
@@ -278,12 +293,13 @@
 	return c.sent[id].ran
 }
 
-// recordRows adds a row and a proof that no other answer has to the answer of a read, and
-// records them as recordResult does.
+// recordRows adds rows of any text and a proof to the answer of a read, and records them as
+// recordResult does. No other answer has the first row.
 func (c *Checker) recordRows(id ctquery.ID, answer *ctpeer.Answer, visible []record) {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	answer.Rows = []string{fmt.Sprintf("row-%d", c.proofCount)}
+	own := fmt.Sprintf("row-%d", c.proofCount)
+	answer.Rows = []string{own + cttext.Field(c.random, ""), cttext.Field(c.random, own), ""}
 	answer.Proof = c.recordResultLocked(id, answer.Rows, visible)
 }
 
--- a/internal/lab/ctsoak/checker_test.go
+++ b/internal/lab/ctsoak/checker_test.go
@@ -24,7 +24,7 @@
 }
 
 func newFixture() *fixture {
-	checker := NewChecker()
+	checker := NewChecker(1)
 	return &fixture{checker: checker, group: NewGroup(groupName, []ctid.Member{"m0", "m1", "m2"}, 2, checker)}
 }
 
--- a/internal/lab/ctsoak/run.go
+++ b/internal/lab/ctsoak/run.go
@@ -68,7 +68,7 @@
 // checks. It returns an error if the fleet doesn't start or ctx ends before the checks;
 // violations of invariants are in the report.
 func Run(ctx context.Context, options Options) (Report, error) {
-	checker := NewChecker()
+	checker := NewChecker(options.Plan.Seed)
 	fleet, err := NewFleet(options.Plan, options.Folder, options.BinFolder, checker)
 	if err != nil {
 		return Report{}, err
@@ -96,6 +96,9 @@
 // holdStream is the stream of the random numbers of the plan's faults of promotion requests.
 const holdStream = 4
 
+// rowStream is the stream of the random numbers of members' rows.
+const rowStream = 5
+
 // newRandom returns a random generator that is independent for each stream of a seed.
 func newRandom(seed, stream uint64) *rand.Rand {
 	return rand.New(rand.NewPCG(seed, stream))
--- a/internal/lab/ctsoak/session.go
+++ b/internal/lab/ctsoak/session.go
@@ -1,6 +1,7 @@
 package ctsoak
 
 import (
+	"maps"
 	"sync"
 	"time"
 
@@ -278,9 +279,9 @@
 	case s.open != nil && s.open.tx != tx:
 		s.group.checker.recordViolation(InvariantIsolation, "statement %s ran inside another transaction", q.ID)
 	}
-	if owner := s.values[ownerVariable]; owner != tx.session {
-		s.group.checker.recordViolation(InvariantIsolation, "statement %s of session %s ran with the values of %q",
-			q.ID, tx.session, owner)
+	if !maps.Equal(s.values, tx.sessionValues()) {
+		s.group.checker.recordViolation(InvariantIsolation, "statement %s of session %s ran with the values %q instead of %q",
+			q.ID, tx.session, s.values, tx.sessionValues())
 	}
 	return tx, true
 }
