ctheldlink: members send some answers twice

All members repeat one of 100 answers in each fleet of the tests, at random moments, among them those to CONNECT, STATUS and the commands of control. TestStutteringMembers repeats one of 20, for each moment by itself.

--- a/internal/lab/ctheldlink/disturb.go
+++ b/internal/lab/ctheldlink/disturb.go
@@ -126,8 +126,19 @@
 		time.Sleep(randomDuration(random, faultInterval))
 	}
 	faults.Wait()
+	return f.finish(ctx)
+}
+
+// Serve serves callers for a time without a fault, and checks what remains.
+func (f *Fleet) Serve(ctx context.Context, duration time.Duration) error {
+	time.Sleep(duration)
+	return f.finish(ctx)
+}
+
+// finish waits until callers are served, and checks what remains.
+func (f *Fleet) finish(ctx context.Context) error {
 	before := f.Judge.Acknowledged()
-	err := await(ctx, recoveryTimeout, "callers are served after the faults", func() bool {
+	err := await(ctx, recoveryTimeout, "callers are served", func() bool {
 		return f.Judge.Acknowledged() >= before+servedCommits
 	})
 	f.checkEnd(ctx)
--- a/internal/lab/ctheldlink/fleet.go
+++ b/internal/lab/ctheldlink/fleet.go
@@ -18,6 +18,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/cherviltrestle/cherviltrestle/internal/lab/ctfleet"
+	"github.com/cherviltrestle/cherviltrestle/internal/lab/ctstutter"
 	"github.com/cherviltrestle/cherviltrestle/internal/model/ctconfig"
 	"github.com/cherviltrestle/cherviltrestle/internal/model/ctid"
 	"github.com/cherviltrestle/cherviltrestle/internal/program/ctnode"
@@ -76,6 +77,8 @@
 	Logger            zerolog.Logger
 	// Seed decides what callers send.
 	Seed uint64
+	// Stutter says which answers of members are sent twice. nil means none.
+	Stutter *ctstutter.Plan
 }
 
 // process is a control process or a proxy.
@@ -114,6 +117,7 @@
 	f := &Fleet{Options: options, Network: &Network{}}
 	f.Judge = newJudge(options.Logger, f.Network.DisturbedSince, options.Seed)
 	f.Group = newGroup(f.Network, f.Judge, options.Logger)
+	f.Group.stutter = options.Stutter
 	ctx, stop := context.WithCancel(context.Background())
 	f.stop = stop
 	if err := f.start(ctx); err != nil {
--- a/internal/lab/ctheldlink/group.go
+++ b/internal/lab/ctheldlink/group.go
@@ -9,6 +9,7 @@
 
 	"github.com/rs/zerolog"
 
+	"github.com/cherviltrestle/cherviltrestle/internal/lab/ctstutter"
 	"github.com/cherviltrestle/cherviltrestle/internal/model/ctid"
 	"github.com/cherviltrestle/cherviltrestle/internal/model/ctposition"
 	"github.com/cherviltrestle/cherviltrestle/internal/model/ctquery"
@@ -53,6 +54,8 @@
 	network *Network
 	judge   *Judge
 	logger  zerolog.Logger
+	// stutter says which answers of members are sent twice. nil means none.
+	stutter *ctstutter.Plan
 	// Members is not changed after newGroup.
 	Members []*Member
 
--- a/internal/lab/ctheldlink/late_test.go
+++ b/internal/lab/ctheldlink/late_test.go
@@ -13,6 +13,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/cherviltrestle/cherviltrestle/internal/lab/ctheldlink"
+	"github.com/cherviltrestle/cherviltrestle/internal/lab/ctstutter"
 )
 
 // randomSeed, randomSeeds and randomFaults are those of TestRandomHolds.
@@ -22,8 +23,20 @@
 	randomFaults = flag.Duration("heldlink.faults", 10*time.Second, "how long random faults are injected")
 )
 
+// stutterShare is how many answers of members there are for each one that is sent twice.
+const stutterShare = 100
+
 // assertNoViolations starts a fleet, runs a test with it and checks that no rule was broken.
 func assertNoViolations(t *testing.T, seed uint64, run func(ctx context.Context, fleet *ctheldlink.Fleet) error) {
+	t.Helper()
+	assertNoViolationsWith(t, seed, ctstutter.NewPlan(seed, stutterShare), run)
+}
+
+// assertNoViolationsWith is assertNoViolations with a plan of repeated answers.
+func assertNoViolationsWith(
+	t *testing.T, seed uint64, stutter *ctstutter.Plan,
+	run func(ctx context.Context, fleet *ctheldlink.Fleet) error,
+) {
 	t.Helper()
 	folder := t.ArtifactDir()
 	events, err := os.Create(filepath.Join(folder, "events.log"))
@@ -31,7 +44,8 @@
 	t.Cleanup(func() { _ = events.Close() })
 	fleet, err := ctheldlink.Start(ctheldlink.Options{
 		BinFolder: programFolder, Folder: folder, Seed: seed,
-		Logger: zerolog.New(zerolog.MultiLevelWriter(events, zerolog.NewTestWriter(t))).With().Timestamp().Logger(),
+		Stutter: stutter,
+		Logger:  zerolog.New(zerolog.MultiLevelWriter(events, zerolog.NewTestWriter(t))).With().Timestamp().Logger(),
 	})
 	assert.NilError(t, err)
 	defer fleet.Close()
@@ -117,3 +131,18 @@
 		})
 	}
 }
+
+// TestStutteringMembers guards against an answer that a member sends twice and that is taken for
+// the answer to another query: of a caller, of the proxy or of control.
+func TestStutteringMembers(t *testing.T) {
+	const share, duration = 20, 3 * time.Second
+	for _, moment := range []ctstutter.Moment{
+		ctstutter.Behind{}, ctstutter.Before{}, ctstutter.After{}, ctstutter.Later{Delay: 30 * time.Millisecond},
+	} {
+		t.Run(fmt.Sprintf("%T", moment), func(t *testing.T) {
+			t.Parallel()
+			assertNoViolationsWith(t, 1, ctstutter.Always(1, share, moment),
+				func(ctx context.Context, fleet *ctheldlink.Fleet) error { return fleet.Serve(ctx, duration) })
+		})
+	}
+}
--- a/internal/lab/ctheldlink/session.go
+++ b/internal/lab/ctheldlink/session.go
@@ -6,6 +6,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/cherviltrestle/cherviltrestle/internal/lab/ctstutter"
 	"github.com/cherviltrestle/cherviltrestle/internal/model/ctposition"
 	"github.com/cherviltrestle/cherviltrestle/internal/model/ctquery"
 	"github.com/cherviltrestle/cherviltrestle/platform/ctpeer"
@@ -50,7 +51,9 @@
 		_ = conn.Write(ctpeer.AppendRefusal(nil, ctquery.FaultWrongMember, string(m.Name)))
 		return
 	}
-	if conn.Write(ctpeer.AppendReady(nil, ctquery.TransactionNone, point)) != nil {
+	answers := ctstutter.Repeater[[]byte]{Plan: m.group.stutter, Send: conn.Write}
+	defer answers.Close()
+	if answers.Answer(ctpeer.AppendReady(nil, ctquery.TransactionNone, point)) != nil {
 		return
 	}
 	s := newSession(m)
@@ -61,7 +64,7 @@
 			return
 		}
 		answer, answered := s.run(q)
-		if !answered || conn.Write(ctpeer.AppendAnswer(nil, answer)) != nil {
+		if !answered || answers.Answer(ctpeer.AppendAnswer(nil, answer)) != nil {
 			return
 		}
 	}
