ctsoak: members send some answers twice

A transaction that is aborted during a planned stop is not judged if its member has sent an answer twice on its connection since it began: the proxy has to close that connection.

--- a/internal/lab/ctsoak/checker.go
+++ b/internal/lab/ctsoak/checker.go
@@ -286,6 +286,15 @@
 	}
 }
 
+// stuttered reports whether the member on whose connection a transaction runs has sent an answer
+// twice there since a time.
+func (c *Checker) stuttered(tx *Transaction, since time.Time) bool {
+	c.mutex.Lock()
+	connection := tx.connection
+	c.mutex.Unlock()
+	return connection != nil && connection.answers != nil && connection.answers.RepeatedSince(since)
+}
+
 // hasRun reports whether a member has begun to run a statement.
 func (c *Checker) hasRun(id ctquery.ID) bool {
 	c.mutex.Lock()
--- a/internal/lab/ctsoak/fleet.go
+++ b/internal/lab/ctsoak/fleet.go
@@ -17,6 +17,7 @@
 	"github.com/cherviltrestle/cherviltrestle/internal/decide/ctsuccession"
 	"github.com/cherviltrestle/cherviltrestle/internal/lab/ctfleet"
 	"github.com/cherviltrestle/cherviltrestle/internal/lab/ctrelay"
+	"github.com/cherviltrestle/cherviltrestle/internal/lab/ctstutter"
 	"github.com/cherviltrestle/cherviltrestle/internal/model/ctid"
 	"github.com/cherviltrestle/cherviltrestle/internal/program/ctnode"
 	"github.com/cherviltrestle/cherviltrestle/platform"
@@ -199,6 +200,7 @@
 			names = append(names, ctid.Member(fmt.Sprintf("m-%d-%d", i, j)))
 		}
 		g := NewGroup(ctid.Group(fmt.Sprintf("group-%d", i)), names, shape.Slots, f.checker)
+		g.stutter = ctstutter.NewPlan(f.plan.Seed+uint64(i), f.plan.StutterShare)
 		f.groups = append(f.groups, g)
 		for j, m := range g.members {
 			relayIP, processIP := f.addresses(Host{KindMember, i*shape.Domains + j})
--- a/internal/lab/ctsoak/group.go
+++ b/internal/lab/ctsoak/group.go
@@ -7,6 +7,7 @@
 	"github.com/cherviltrestle/cherviltrestle/internal/decide/ctquorum"
 	"github.com/cherviltrestle/cherviltrestle/internal/decide/ctsuccession"
 	"github.com/cherviltrestle/cherviltrestle/internal/lab/ctholderjudge"
+	"github.com/cherviltrestle/cherviltrestle/internal/lab/ctstutter"
 	"github.com/cherviltrestle/cherviltrestle/internal/model/ctid"
 	"github.com/cherviltrestle/cherviltrestle/internal/model/ctposition"
 	"github.com/cherviltrestle/cherviltrestle/internal/model/ctquery"
@@ -49,6 +50,8 @@
 	// slots is how many statements a member runs at once.
 	slots   int
 	checker *Checker
+	// stutter says which answers of members are sent twice. nil means none.
+	stutter *ctstutter.Plan
 
 	mutex   sync.Mutex
 	members []*member
--- a/internal/lab/ctsoak/session.go
+++ b/internal/lab/ctsoak/session.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"github.com/cherviltrestle/cherviltrestle/internal/lab/ctstutter"
 	"github.com/cherviltrestle/cherviltrestle/internal/model/ctposition"
 	"github.com/cherviltrestle/cherviltrestle/internal/model/ctquery"
 	"github.com/cherviltrestle/cherviltrestle/internal/model/ctserver"
@@ -21,6 +22,8 @@
 	member *member
 	once   sync.Once
 	closed chan struct{}
+	// answers sends the answers, some of them twice; nil without a connection.
+	answers *ctstutter.Repeater[[]byte]
 
 	values   map[string]string
 	prepared map[string]ctpeer.Shape
--- a/internal/lab/ctstutter/stutter.go
+++ b/internal/lab/ctstutter/stutter.go
@@ -97,6 +97,8 @@
 
 	mutex  sync.Mutex
 	closed bool
+	// repeatedAt is when an answer was last sent again.
+	repeatedAt time.Time
 	// before and after are sent around the next answer.
 	before, after []A
 }
@@ -117,6 +119,9 @@
 	case Later:
 		time.AfterFunc(m.Delay, func() { r.sendLate(answer) })
 	}
+	if len(due) > 1 {
+		r.repeatedAt = time.Now()
+	}
 	for _, a := range due {
 		if err := r.Send(a); err != nil {
 			return err
@@ -130,10 +135,18 @@
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	if !r.closed {
+		r.repeatedAt = time.Now()
 		_ = r.Send(answer)
 	}
 }
 
+// RepeatedSince reports whether an answer was sent again since a time.
+func (r *Repeater[A]) RepeatedSince(since time.Time) bool {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	return r.repeatedAt.After(since)
+}
+
 // Close ends the repetitions. Send is not called any more.
 func (r *Repeater[A]) Close() {
 	r.mutex.Lock()
--- a/internal/lab/ctstutter/stutter_test.go
+++ b/internal/lab/ctstutter/stutter_test.go
@@ -11,6 +11,7 @@
 // assertSent checks what two answers become if the first one is sent again at a moment.
 func assertSent(t *testing.T, moment Moment, want ...string) {
 	t.Helper()
+	start := time.Now()
 	var mutex sync.Mutex
 	var sent []string
 	r := Repeater[string]{Plan: Always(1, 1, moment), Send: func(a string) error {
@@ -24,6 +25,8 @@
 	r.Plan = nil
 	assert.NilError(t, r.Answer("b"))
 	r.Close()
+	assert.Equal(t, r.RepeatedSince(start), len(want) > 2)
+	assert.Assert(t, !r.RepeatedSince(time.Now()))
 	mutex.Lock()
 	defer mutex.Unlock()
 	assert.DeepEqual(t, sent, want)
