--- a/internal/lab/ctmembers/group.go
+++ b/internal/lab/ctmembers/group.go
@@ -9,6 +9,7 @@
 	"sync"
 	"time"
 
+	"github.com/cherviltrestle/cherviltrestle/internal/lab/ctstutter"
 	"github.com/cherviltrestle/cherviltrestle/internal/model/cterror"
 	"github.com/cherviltrestle/cherviltrestle/internal/model/ctid"
 	"github.com/cherviltrestle/cherviltrestle/internal/model/ctposition"
@@ -35,6 +36,8 @@
 	Connections int
 	// LagEntries is how many of the newest log entries the replicas have not applied.
 	LagEntries int
+	// Stutter says which answers of members are sent twice. nil means none.
+	Stutter *ctstutter.Plan
 }
 
 // firstTerm is the group's term before the first promotion.
--- a/internal/lab/ctmembers/link.go
+++ b/internal/lab/ctmembers/link.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"github.com/cherviltrestle/cherviltrestle/internal/lab/ctstutter"
 	"github.com/cherviltrestle/cherviltrestle/internal/model/ctquery"
 )
 
@@ -21,6 +22,8 @@
 	answers chan ctquery.Answer
 	closed  chan struct{}
 	once    sync.Once
+	// repeater queues answers, some of them twice.
+	repeater ctstutter.Repeater[ctquery.Answer]
 
 	settings map[string]string
 	prepared map[string]ctquery.Shape
@@ -44,10 +47,21 @@
 		settings: make(map[string]string),
 		prepared: make(map[string]ctquery.Shape),
 	}
+	c.repeater.Plan, c.repeater.Send = g.Stutter, c.queueAnswer
 	go c.serve()
 	return c
 }
 
+// queueAnswer queues an answer. It fails once the connection is closed.
+func (c *conn) queueAnswer(answer ctquery.Answer) error {
+	select {
+	case c.answers <- answer:
+		return nil
+	case <-c.closed:
+		return io.ErrClosedPipe
+	}
+}
+
 // Send queues queries. It fails once the connection is closed.
 func (c *conn) Send(queries []ctquery.Query) error {
 	for _, q := range queries {
@@ -82,6 +96,7 @@
 
 // serve runs the queued queries one after another and queues their answers.
 func (c *conn) serve() {
+	defer c.repeater.Close()
 	for {
 		select {
 		case <-c.closed:
@@ -95,9 +110,7 @@
 					continue
 				}
 			}
-			select {
-			case c.answers <- answer:
-			case <-c.closed:
+			if c.repeater.Answer(answer) != nil {
 				return
 			}
 		}
