ctgateway: a query that fits on no line is TOOLARGE, and nothing is sent

A query of nearly 1 MiB is longer when it is sent on: MINPOS, our names of prepared statements. Since RawConn.Send refuses such a line before it writes, the connection was closed for it, a single write was INDOUBT though it was never sent, and reads were tried at up to three members.

An error of kind Invalid from Send now leaves the connection and its recorded state as they were; the caller gets TOOLARGE, an open transaction fails and is rolled back on its connection. Forwarded queries are answered in the same way.

--- a/internal/lab/ctmembers/group.go
+++ b/internal/lab/ctmembers/group.go
@@ -38,6 +38,9 @@
 	LagEntries int
 	// Stutter says which answers of members are sent twice. nil means none.
 	Stutter *ctstutter.Plan
+	// MaxArgumentsBytes is the length of the longest arguments of a write that fit on a line,
+	// or 0 if all do.
+	MaxArgumentsBytes int
 }
 
 // firstTerm is the group's term before the first promotion.
@@ -57,6 +60,8 @@
 	results map[string]result
 	// answersToDrop is how many of the next answers get lost.
 	answersToDrop int
+	// namesToLose is how many of the next executions find no prepared statement.
+	namesToLose int
 	// hold holds back the next answer; nil if none is to be held back.
 	hold *answerHold
 }
@@ -94,6 +99,8 @@
 	openConnections   int
 	// dialCount counts the attempts to open a connection, refused ones included.
 	dialCount int
+	// closeCount counts the connections that were closed.
+	closeCount int
 }
 
 // New returns a group with an empty log.
@@ -165,6 +172,25 @@
 	}
 }
 
+// LoseNames makes the next executions of prepared statements fail, as after a member has lost
+// a connection's prepared statements.
+func (g *Group) LoseNames(count int) {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	g.namesToLose = count
+}
+
+// losesNextName reports whether an execution finds no prepared statement.
+func (g *Group) losesNextName() bool {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	if g.namesToLose == 0 {
+		return false
+	}
+	g.namesToLose--
+	return true
+}
+
 // Violations returns the recorded violations.
 func (g *Group) Violations() []string {
 	g.mutex.Lock()
@@ -172,6 +198,13 @@
 	return append([]string(nil), g.violations...)
 }
 
+// CloseCount returns how many connections to a member were closed.
+func (g *Group) CloseCount(name ctid.Member) int {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	return g.members[name].closeCount
+}
+
 // DialCount returns how often opening a connection to a member was attempted.
 func (g *Group) DialCount(name ctid.Member) int {
 	g.mutex.Lock()
--- a/internal/lab/ctmembers/link.go
+++ b/internal/lab/ctmembers/link.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/cherviltrestle/cherviltrestle/internal/lab/ctstutter"
+	"github.com/cherviltrestle/cherviltrestle/internal/model/cterror"
 	"github.com/cherviltrestle/cherviltrestle/internal/model/ctquery"
 )
 
@@ -62,8 +63,15 @@
 	}
 }
 
-// Send queues queries. It fails once the connection is closed.
+// Send queues queries. It fails once the connection is closed, and with kind cterror.Invalid
+// if one of the queries does not fit on a line.
 func (c *conn) Send(queries []ctquery.Query) error {
+	for _, q := range queries {
+		write, ok := q.Statement.(ctquery.Write)
+		if limit := c.group.MaxArgumentsBytes; ok && limit > 0 && len(write.Arguments) > limit {
+			return cterror.New(cterror.Invalid, "a write does not fit on a line", "shorten it")
+		}
+	}
 	for _, q := range queries {
 		select {
 		case c.queries <- q:
@@ -91,6 +99,7 @@
 		c.group.mutex.Lock()
 		defer c.group.mutex.Unlock()
 		c.member.openConnections--
+		c.member.closeCount++
 	})
 }
 
@@ -231,6 +240,9 @@
 
 // executePrepared runs a prepared statement as a read or a write, by its shape.
 func (c *conn) executePrepared(q ctquery.Query, s ctquery.Execute, answer *ctquery.Answer) {
+	if c.group.losesNextName() {
+		clear(c.prepared)
+	}
 	shape, ok := c.prepared[string(s.Name)]
 	switch {
 	case !ok:
--- /dev/null
+++ b/internal/lab/ctmembers/refused_test.go
@@ -0,0 +1,58 @@
+package ctmembers_test
+
+import (
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/cherviltrestle/cherviltrestle/internal/lab/ctmembers"
+	"github.com/cherviltrestle/cherviltrestle/internal/model/ctconfig"
+	"github.com/cherviltrestle/cherviltrestle/internal/model/ctquery"
+)
+
+// assertCall checks the fault in the answer to a statement and the state after it.
+func assertCall(
+	t *testing.T, c *caller, statement ctquery.Statement, fault ctquery.Fault, state ctquery.Transaction,
+) {
+	t.Helper()
+	answer, _ := c.call(t, statement)
+	assert.Equal(t, answer.Fault, fault, "%T: %s", statement, answer.Text)
+	assert.Equal(t, answer.Transaction, state)
+}
+
+// inBothWays runs a subtest for each way of a statement to a member.
+func inBothWays(t *testing.T, options ctmembers.Options, run func(t *testing.T, f *fixture, c *caller)) {
+	t.Helper()
+	for _, w := range []way{direct, forwarded} {
+		t.Run(string(w), func(t *testing.T) {
+			f := newFixtureWith(t, w, options, ctconfig.FreshnessPrimary)
+			run(t, f, f.connect(t, "c"))
+			assertNoViolations(t, f)
+		})
+	}
+}
+
+// TestStatementThatFitsOnNoLine guards against a write that is reported as in doubt, or that
+// costs a connection, though it was never sent.
+func TestStatementThatFitsOnNoLine(t *testing.T) {
+	options := smallGroup
+	options.MaxArgumentsBytes = 10
+	large := ctquery.Write{Arguments: ctquery.Text("c " + strings.Repeat("x", options.MaxArgumentsBytes))}
+	small := ctquery.Write{Arguments: "c 1"}
+	inBothWays(t, options, func(t *testing.T, f *fixture, c *caller) {
+		assertCall(t, c, small, ctquery.FaultNone, ctquery.TransactionNone)
+		assertCall(t, c, large, ctquery.FaultTooLarge, ctquery.TransactionNone)
+		assertCall(t, c, ctquery.Begin{}, ctquery.FaultNone, ctquery.TransactionOpen)
+		assertCall(t, c, large, ctquery.FaultTooLarge, ctquery.TransactionFailed)
+		assertCall(t, c, ctquery.Rollback{}, ctquery.FaultNone, ctquery.TransactionNone)
+		assertCall(t, c, ctquery.Begin{}, ctquery.FaultNone, ctquery.TransactionOpen)
+		assertCall(t, c, small, ctquery.FaultNone, ctquery.TransactionOpen)
+		assertCall(t, c, large, ctquery.FaultTooLarge, ctquery.TransactionFailed)
+		assertCall(t, c, ctquery.Commit{}, ctquery.FaultAborted, ctquery.TransactionNone)
+		assertCall(t, c, small, ctquery.FaultNone, ctquery.TransactionNone)
+		assert.Equal(t, f.group.CloseCount(ctmembers.MemberName(0)), 0)
+		counts := f.group.WriteCounts()
+		assert.Equal(t, len(counts), 2, "%v", counts)
+	})
+}
--- a/internal/program/ctgateway/run.go
+++ b/internal/program/ctgateway/run.go
@@ -282,6 +282,9 @@
 		begin := e.run.Begin
 		begin.MinPoint = e.target.minPoint
 		answer, err := s.exchange(e, begin, deadline)
+		if err == nil && answer.Fault == ctquery.FaultTooLarge {
+			return s.replied(e, answer)
+		}
 		if err != nil || !answer.OK() {
 			return s.handleFailure(e, answer, err)
 		}
@@ -363,8 +366,13 @@
 		Abandoned: s.gateway.Pools.Stop.Abandoned(),
 	}
 	answer, err := conn.Run(s.dialog.State(), query, limits)
-	if cterror.KindOf(err) == cterror.Exhausted {
+	switch cterror.KindOf(err) {
+	case cterror.Exhausted:
 		return ctquery.Answer{Fault: ctquery.FaultBusy, Text: "the statement was not sent; retry now"}, nil
+	case cterror.Invalid:
+		return ctquery.Answer{
+			Fault: ctquery.FaultTooLarge, Text: "the message to the member would be over 1 MiB; nothing was sent",
+		}, nil
 	}
 	if err != nil {
 		return ctquery.Answer{}, err
--- a/internal/program/ctpools/conn.go
+++ b/internal/program/ctpools/conn.go
@@ -72,11 +72,12 @@
 }
 
 // Run runs a query with a session's state and waits for its answer. A nil state
-// leaves the connection's state as it is, for queries that depend on none. If the query was
-// not sent, Run returns an error of kind cterror.Exhausted. If no answer arrives that
-// belongs to the query, it returns one of kind cterror.Expired after the deadline or once the
-// query is abandoned, else of kind cterror.Unavailable. The connection can't be used after an
-// error.
+// leaves the connection's state as it is, for queries that depend on none. If the query can't
+// be sent on any connection, Run returns an error of kind cterror.Invalid, and the connection
+// can still be used. If the query was not sent, Run returns an error of kind
+// cterror.Exhausted. If no answer arrives that belongs to the query, it returns one of kind
+// cterror.Expired after the deadline or once the query is abandoned, else of kind
+// cterror.Unavailable. The connection can't be used after these errors.
 func (c *Conn) Run(state *ctdialog.State, query ctquery.Query, limits Limits) (ctquery.Answer, error) {
 	return c.executor.run(state, query, limits)
 }
--- a/internal/program/ctpools/direct.go
+++ b/internal/program/ctpools/direct.go
@@ -18,7 +18,8 @@
 // RawConn is a connection to a member, independent of its encoding. It has no pooling
 // and keeps no session state.
 type RawConn interface {
-	// Send sends all queries without waiting for answers between them.
+	// Send sends all queries without waiting for answers between them. If one of them does
+	// not fit on a line, it sends none and returns an error of kind cterror.Invalid.
 	Send(queries []ctquery.Query) error
 	// Receive waits for the next complete answer. It fails once the connection is
 	// closed.
@@ -103,6 +104,7 @@
 		return ctquery.Answer{}, errNotSent()
 	}
 	var queries []ctquery.Query
+	before := e.connectionState
 	if state != nil {
 		queries = e.connectionState.Update(state, query.Statement)
 	}
@@ -110,6 +112,9 @@
 	ahead := queriesOf(e.conversation.AheadConfirmation(query.Statement))
 	x := exchange{executor: e, limits: limits, confirming: len(queries)}
 	answers, err := x.run(append(queries, ahead...))
+	if cterror.KindOf(err) == cterror.Invalid {
+		e.connectionState = before
+	}
 	if err != nil {
 		return ctquery.Answer{}, err
 	}
@@ -192,13 +197,20 @@
 	unconfirmed bool
 }
 
-// run sends queries and waits for all their answers. If some don't arrive, it returns an
-// error of kind cterror.Expired after the deadline or once they are abandoned, else, or if an
-// answer is in doubt, of kind cterror.Unavailable. The connection can't be used after an error.
+// run sends queries and waits for all their answers. If one of them can't be sent on any
+// connection, it sends none and returns an error of kind cterror.Invalid; the connection can
+// still be used. If some answers don't arrive, it returns an error of kind cterror.Expired
+// after the deadline or once they are abandoned, else, or if an answer is in doubt, of kind
+// cterror.Unavailable. The connection can't be used after these errors.
 func (x *exchange) run(queries []ctquery.Query) ([]ctquery.Answer, error) {
 	e := x.executor
 	e.answerPending = true
-	if err := e.raw.Send(queries); err != nil {
+	err := e.raw.Send(queries)
+	if cterror.KindOf(err) == cterror.Invalid {
+		e.answerPending = false
+		return nil, err
+	}
+	if err != nil {
 		e.close()
 		return nil, cterror.Wrap(cterror.Unavailable, err, "send to the member", "try another member")
 	}
--- a/internal/program/ctpools/forwardserver.go
+++ b/internal/program/ctpools/forwardserver.go
@@ -16,6 +16,9 @@
 // ends.
 const rollbackTimeout = time.Second
 
+// tooLargeText describes ctquery.FaultTooLarge to a caller.
+const tooLargeText = "the message to the member would be over 1 MiB; nothing was sent"
+
 // servedStreams holds the streams over which this proxy forwards queries for others.
 type servedStreams struct {
 	mutex    sync.Mutex
@@ -122,13 +125,18 @@
 		return s.abort()
 	}
 	state := stateOf(frame)
-	if s.conn == nil && !s.acquire(frame, state, now) {
+	inTransaction := s.conn != nil
+	if !inTransaction && !s.acquire(frame, state, now) {
 		s.log(frame, "refused", now)
 		return &ctframe.ForwardReply{Refused: true}
 	}
 	sentAt := s.pools.Clock.Now()
 	limits := Limits{Deadline: now.Add(frame.AnswerTimeout), Abandoned: s.pools.Stop.Abandoned()}
 	answer, err := s.conn.Run(state, frame.Query.Query(), limits)
+	if cterror.KindOf(err) == cterror.Invalid {
+		s.log(frame, ctquery.FaultTooLarge.String(), now)
+		return s.refuseTooLarge(inTransaction)
+	}
 	if err != nil {
 		s.release(Result{Discard: true})
 		if cterror.KindOf(err) == cterror.Exhausted {
@@ -151,6 +159,18 @@
 	return &ctframe.ForwardReply{Answer: ctframe.NewQueryAnswer(answer)}
 }
 
+// refuseTooLarge returns the reply to a query that can't be sent on any connection. The
+// connection stays acquired if its transaction is open.
+func (s *forwardServer) refuseTooLarge(inTransaction bool) *ctframe.ForwardReply {
+	answer := ctquery.Answer{Fault: ctquery.FaultTooLarge, Text: tooLargeText}
+	if inTransaction {
+		answer.Transaction = ctquery.TransactionOpen
+	} else {
+		s.release(Result{})
+	}
+	return &ctframe.ForwardReply{Answer: ctframe.NewQueryAnswer(answer)}
+}
+
 // refusedByStop reports whether the planned stop of this proxy has come too far for a query:
 // for all once queries are abandoned, and before that for statements that don't end their
 // transaction.
