ctpools: a connection whose member lost a prepared statement is closed

In a transaction, a caller got NOSUCHSTMT for a statement that it had prepared, and the connection went back to the pool after the ROLLBACK, still recorded as having it: the next sessions failed on it, too. Only a single statement outside of transactions discarded it.

The connection is closed at the answer, which rolls its transaction back; the caller gets ABORTED, which is then true.

Seen to fail before: TestMemberThatLostAName (no_statement in a transaction, over both ways).

--- a/internal/decide/ctdialog/result.go
+++ b/internal/decide/ctdialog/result.go
@@ -85,6 +85,10 @@
 	case d.stage != stageNone:
 		d.stage = stageFailed
 		answer.Transaction = ctquery.TransactionFailed
+		if answer.Fault == ctquery.FaultNoStatement {
+			answer.Fault = ctquery.FaultAborted
+			answer.Text = "the member lost a prepared statement; the transaction is rolled back"
+		}
 		return Reply{Answer: answer, Rollback: true}
 	}
 	answer.Transaction = ctquery.TransactionNone
--- a/internal/lab/ctmembers/refused_test.go
+++ b/internal/lab/ctmembers/refused_test.go
@@ -56,3 +56,41 @@
 		assert.Equal(t, len(counts), 2, "%v", counts)
 	})
 }
+
+// TestMemberThatLostAName guards against a connection that is used again though its member no
+// longer knows the statements prepared on it.
+func TestMemberThatLostAName(t *testing.T) {
+	prepare := ctquery.Prepare{Name: "s", Shape: ctquery.Shape{Writes: true, Text: "w"}}
+	execute := ctquery.Execute{Name: "s", Arguments: "c 1"}
+	inBothWays(t, smallGroup, func(t *testing.T, f *fixture, c *caller) {
+		assertCall(t, c, prepare, ctquery.FaultNone, ctquery.TransactionNone)
+		assertCall(t, c, execute, ctquery.FaultNone, ctquery.TransactionNone)
+		t.Run("outside a transaction", func(t *testing.T) {
+			f.group.LoseNames(1)
+			assertCall(t, c, execute, ctquery.FaultNone, ctquery.TransactionNone)
+		})
+		for _, statements := range [][]ctquery.Statement{nil, {ctquery.Write{Arguments: "c 2"}}} {
+			t.Run("in a transaction", func(t *testing.T) {
+				assertCall(t, c, ctquery.Begin{}, ctquery.FaultNone, ctquery.TransactionOpen)
+				for _, statement := range statements {
+					assertCall(t, c, statement, ctquery.FaultNone, ctquery.TransactionOpen)
+				}
+				f.group.LoseNames(1)
+				answer, _ := c.call(t, execute)
+				promise := answer.Fault == ctquery.FaultAborted || answer.Fault == ctquery.FaultBusy
+				assert.Assert(t, answer.OK() || promise, "%+v", answer)
+				assertCall(t, c, ctquery.Rollback{}, ctquery.FaultNone, ctquery.TransactionNone)
+				assertCall(t, c, execute, ctquery.FaultNone, ctquery.TransactionNone)
+			})
+		}
+		t.Run("prepared again under its name", func(t *testing.T) {
+			assertCall(t, c, prepare, ctquery.FaultNone, ctquery.TransactionNone)
+			assertCall(t, c, ctquery.Deallocate{Name: "s"}, ctquery.FaultNone, ctquery.TransactionNone)
+			assertCall(t, c, execute, ctquery.FaultNoStatement, ctquery.TransactionNone)
+			assertCall(t, c, ctquery.Begin{}, ctquery.FaultNone, ctquery.TransactionOpen)
+			assertCall(t, c, prepare, ctquery.FaultNone, ctquery.TransactionOpen)
+			assertCall(t, c, execute, ctquery.FaultNone, ctquery.TransactionOpen)
+			assertCall(t, c, ctquery.Commit{}, ctquery.FaultNone, ctquery.TransactionNone)
+		})
+	})
+}
--- a/internal/program/ctpools/direct.go
+++ b/internal/program/ctpools/direct.go
@@ -133,6 +133,10 @@
 	}
 	answer := answers[last]
 	answer.Transaction = e.conversation.Transaction()
+	if answer.Fault == ctquery.FaultNoStatement {
+		// The member has lost what was set up on the connection, or some of it.
+		e.close()
+	}
 	return answer, err
 }
 
