ctbackend: close a connection on which an answer is in doubt

A caller of the PostgreSQL side could get the answer to an earlier request: answers were matched by their order alone, so that one which a backend server sends twice was taken for that of the next request, on a pooled connection for the next caller. DISCARD ALL accepted any answer as its own.

Nothing is sent now once a message has arrived that no request asked for, but for ParameterStatus, NoticeResponse and NotificationResponse, which may come at any time. The answer to a statement of the proxy itself must bear its command tag and leave the transaction as it was, and ReadyForQuery needs a state. A connection in doubt is closed, with one log line (answer_in_doubt: kind, member, connection) and the counter answers_in_doubt_total. That a repeated answer arrives between the sending of a request and its answer isn't recognised by this.

--- a/internal/link/ctbackend/conn.go
+++ b/internal/link/ctbackend/conn.go
@@ -45,6 +45,7 @@
 	processID         uint32
 	secretKey         []byte
 	broken            bool
+	doubt             Doubt
 	used              bool
 	transactionStatus byte
 }
@@ -73,11 +74,12 @@
 		return nil, errors.Wrap(err, "take over a backend connection")
 	}
 	return &Conn{
-		target:    target,
-		socket:    hijacked.Conn,
-		reader:    bufio.NewReaderSize(hijacked.Conn, readBufferBytes),
-		processID: hijacked.PID,
-		secretKey: hijacked.SecretKey,
+		target:            target,
+		socket:            hijacked.Conn,
+		reader:            bufio.NewReaderSize(hijacked.Conn, readBufferBytes),
+		processID:         hijacked.PID,
+		secretKey:         hijacked.SecretKey,
+		transactionStatus: TransactionIdle,
 	}, nil
 }
 
--- /dev/null
+++ b/internal/link/ctbackend/conn_test.go
@@ -0,0 +1,171 @@
+package ctbackend_test
+
+import (
+	"context"
+	"net"
+	"net/netip"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/jackc/pgx/v5/pgproto3"
+	"gotest.tools/v3/assert"
+
+	"github.com/cherviltrestle/cherviltrestle/internal/link/ctbackend"
+)
+
+// testTimeout limits the calls of a test, so that a fault can't make it hang.
+const testTimeout = 10 * time.Second
+
+// backend is the server's end of a connection. It encodes with the pgproto3 library, like
+// the package under test.
+type backend struct {
+	socket   net.Conn
+	protocol *pgproto3.Backend
+	// mutex guards the sending side of protocol.
+	mutex sync.Mutex
+}
+
+// dial opens a connection to a new backend and returns both ends.
+func dial(t *testing.T) (*ctbackend.Conn, *backend) {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = listener.Close() })
+	accepted := make(chan *backend, 1)
+	go func() {
+		socket, err := listener.Accept()
+		if err != nil {
+			return
+		}
+		b := &backend{socket: socket, protocol: pgproto3.NewBackend(socket, socket)}
+		_, _ = b.protocol.ReceiveStartupMessage()
+		b.send(&pgproto3.AuthenticationOk{}, &pgproto3.BackendKeyData{ProcessID: 7, SecretKey: []byte{0, 0, 0, 1}},
+			&pgproto3.ReadyForQuery{TxStatus: 'I'})
+		accepted <- b
+	}()
+	ctx, cancel := context.WithTimeout(context.Background(), testTimeout)
+	defer cancel()
+	target := ctbackend.Target{Database: "d", User: "u", Address: netip.MustParseAddrPort(listener.Addr().String())}
+	connection, err := ctbackend.Dial(ctx, target)
+	assert.NilError(t, err)
+	b := <-accepted
+	t.Cleanup(func() { _ = b.socket.Close() })
+	return connection, b
+}
+
+// send sends messages to the client.
+func (b *backend) send(messages ...pgproto3.BackendMessage) {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	for _, m := range messages {
+		b.protocol.Send(m)
+	}
+	_ = b.protocol.Flush()
+}
+
+// serve answers each query with the next answer. After the last one, it ignores queries.
+func (b *backend) serve(answers ...[]pgproto3.BackendMessage) {
+	for _, a := range answers {
+		if _, err := b.protocol.Receive(); err != nil {
+			return
+		}
+		b.send(a...)
+	}
+}
+
+// answer returns the answer to a SELECT of one row.
+func answer(value string) []pgproto3.BackendMessage {
+	return []pgproto3.BackendMessage{
+		&pgproto3.DataRow{Values: [][]byte{[]byte(value)}},
+		&pgproto3.CommandComplete{CommandTag: []byte("SELECT 1")},
+		&pgproto3.ReadyForQuery{TxStatus: 'I'},
+	}
+}
+
+// query runs a statement within testTimeout.
+func query(connection *ctbackend.Conn, text string) ([][]string, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), testTimeout)
+	defer cancel()
+	return connection.Query(ctx, text)
+}
+
+// assertDoubt checks that the connection is broken for the reason want.
+func assertDoubt(t *testing.T, connection *ctbackend.Conn, err error, want ctbackend.Doubt) {
+	t.Helper()
+	assert.Assert(t, err != nil, "the statement succeeded")
+	assert.Equal(t, connection.Doubt(), want)
+	assert.Assert(t, connection.Broken())
+}
+
+// awaitArrival waits until what the backend has sent can be read by the client.
+func awaitArrival() {
+	time.Sleep(50 * time.Millisecond)
+}
+
+// TestUnaskedMessages guards against taking an answer that a backend server sends again for
+// the answer to the next request.
+func TestUnaskedMessages(t *testing.T) {
+	t.Run("a repeated answer on an idle connection ends it", func(t *testing.T) {
+		connection, b := dial(t)
+		go b.serve(answer("1"), answer("2"))
+		_, err := query(connection, "SELECT 1")
+		assert.NilError(t, err)
+		b.send(answer("1")...)
+		awaitArrival()
+		_, err = query(connection, "SELECT 2")
+		assertDoubt(t, connection, err, ctbackend.DoubtUnasked)
+	})
+	t.Run("a repeated answer in the same packet ends it", func(t *testing.T) {
+		connection, b := dial(t)
+		go b.serve(append(answer("1"), answer("1")...), answer("2"))
+		_, err := query(connection, "SELECT 1")
+		assert.NilError(t, err)
+		_, err = query(connection, "SELECT 2")
+		assertDoubt(t, connection, err, ctbackend.DoubtUnasked)
+	})
+	t.Run("an answer of another statement doesn't count as a reset", func(t *testing.T) {
+		connection, b := dial(t)
+		go b.serve(answer("1"))
+		_, err := query(connection, "DISCARD ALL")
+		assertDoubt(t, connection, err, ctbackend.DoubtWrongAnswer)
+	})
+	t.Run("a bare ReadyForQuery is no answer", func(t *testing.T) {
+		connection, b := dial(t)
+		go b.serve([]pgproto3.BackendMessage{&pgproto3.ReadyForQuery{TxStatus: 'I'}})
+		_, err := query(connection, "SELECT 1")
+		assertDoubt(t, connection, err, ctbackend.DoubtWrongAnswer)
+	})
+	t.Run("a statement of our own changes no transaction", func(t *testing.T) {
+		connection, b := dial(t)
+		go b.serve([]pgproto3.BackendMessage{
+			&pgproto3.CommandComplete{CommandTag: []byte("SELECT 1")}, &pgproto3.ReadyForQuery{TxStatus: 'T'},
+		})
+		_, err := query(connection, "SELECT 1")
+		assertDoubt(t, connection, err, ctbackend.DoubtWrongAnswer)
+	})
+	for _, message := range []pgproto3.BackendMessage{
+		&pgproto3.ParameterStatus{Name: "TimeZone", Value: "UTC"},
+		&pgproto3.NoticeResponse{Message: "reloaded"},
+		&pgproto3.NotificationResponse{Channel: "c"},
+	} {
+		t.Run("a message that may come at any time is passed over", func(t *testing.T) {
+			connection, b := dial(t)
+			go b.serve(answer("2"))
+			b.send(message)
+			awaitArrival()
+			rows, err := query(connection, "SELECT 2")
+			assert.NilError(t, err)
+			assert.DeepEqual(t, rows, [][]string{{"2"}})
+		})
+	}
+	t.Run("a request is not sent over a connection that the server has closed", func(t *testing.T) {
+		connection, b := dial(t)
+		_ = b.socket.Close()
+		awaitArrival()
+		ctx, cancel := context.WithTimeout(context.Background(), testTimeout)
+		defer cancel()
+		result, err := connection.Run(ctx, []byte("Q\x00\x00\x00\x05\x00"), nil)
+		assert.Assert(t, err != nil && !result.Sent)
+	})
+}
--- a/internal/link/ctbackend/query.go
+++ b/internal/link/ctbackend/query.go
@@ -19,15 +19,25 @@
 // rowCollector is a Sink that collects the rows of an answer as text.
 type rowCollector struct {
 	rows [][]string
+	// tag is the last command tag, and endings is how many there are.
+	tag     string
+	endings int
 	// errorResponse is the last error in the answer. It is nil if there is none.
 	errorResponse *pgproto3.ErrorResponse
 }
 
-// HandleMessage records a row or an error and ignores other messages.
+// HandleMessage records a row, a command tag or an error and ignores other messages.
 func (r *rowCollector) HandleMessage(message Message) error {
 	switch message.Type() {
 	case 'D':
 		return r.addRow(message)
+	case TypeCommandComplete:
+		r.endings++
+		var complete pgproto3.CommandComplete
+		if err := complete.Decode(message[HeaderBytes:]); err != nil {
+			return errors.Wrap(err, "decode a command tag")
+		}
+		r.tag = string(complete.CommandTag)
 	case TypeErrorResponse:
 		r.errorResponse = &pgproto3.ErrorResponse{}
 		return r.errorResponse.Decode(message[HeaderBytes:])
@@ -51,16 +61,21 @@
 
 // Query runs a statement of the proxy itself, not of a caller, and returns its rows
 // as text. If the backend server answers with an error, the error has the kind
-// cterror.Unavailable and the connection remains usable.
+// cterror.Unavailable and the connection remains usable. If the answer can't be that to
+// the statement, the connection is broken.
 func (c *Conn) Query(ctx context.Context, sql string) ([][]string, error) {
 	payload, err := (&pgproto3.Query{String: sql}).Encode(nil)
 	if err != nil {
 		return nil, errors.Wrap(err, "encode a query")
 	}
 	var collector rowCollector
+	before := c.transactionStatus
 	if _, err := c.Run(ctx, payload, &collector); err != nil {
 		return nil, err
 	}
+	if err := c.checkAnswer(sql, &collector, before); err != nil {
+		return nil, err
+	}
 	if collector.errorResponse != nil {
 		return nil, cterror.Newf(cterror.Unavailable, "check the backend server's log",
 			"the backend server refused %q: %s (%s)", sql, collector.errorResponse.Message, collector.errorResponse.Code)
--- a/internal/link/ctbackend/run.go
+++ b/internal/link/ctbackend/run.go
@@ -43,6 +43,18 @@
 	return m[0]
 }
 
+// hasTransactionState reports whether a ReadyForQuery contains a transaction state.
+func (m Message) hasTransactionState() bool {
+	if len(m) != HeaderBytes+1 {
+		return false
+	}
+	switch m[HeaderBytes] {
+	case TransactionIdle, TransactionOpen, TransactionFailed:
+		return true
+	}
+	return false
+}
+
 // Sink receives the messages of an answer, one by one.
 type Sink interface {
 	// HandleMessage handles one message, which is valid only during the call. An
@@ -62,10 +74,15 @@
 
 // Run sends a request and passes each message of the answer to sink, including the
 // ReadyForQuery that ends it. If Run returns an error, the connection is broken. The
-// Result is valid with an error, too. When ctx ends, Run returns with an error.
+// Result is valid with an error, too. When ctx ends, Run returns with an error. If a message
+// has arrived that no request asked for, Run sends nothing.
 func (c *Conn) Run(ctx context.Context, payload []byte, sink Sink) (Result, error) {
 	stop := c.interruptOnDone(ctx)
 	defer stop()
+	if err := c.checkQuiet(); err != nil {
+		c.broken = true
+		return Result{}, err
+	}
 	if count, err := c.socket.Write(payload); err != nil {
 		c.broken = true
 		return Result{Sent: count > 0}, errors.Wrap(err, "send the request")
@@ -102,10 +119,13 @@
 			return Result{Sent: true}, err
 		}
 		buffer = message
+		if message.Type() == TypeReadyForQuery && !message.hasTransactionState() {
+			return Result{Sent: true}, c.fail(DoubtWrongAnswer, "ReadyForQuery has no transaction state")
+		}
 		if err := sink.HandleMessage(message); err != nil {
 			return Result{Sent: true}, err
 		}
-		if message.Type() == TypeReadyForQuery && len(message) > HeaderBytes {
+		if message.Type() == TypeReadyForQuery {
 			return Result{Sent: true, Transaction: message[HeaderBytes]}, nil
 		}
 	}
--- a/internal/program/ctholding/exchange.go
+++ b/internal/program/ctholding/exchange.go
@@ -254,7 +254,7 @@
 	defer x.stream.Close()
 	reusable := x.connection != nil && x.reset()
 	if x.connection != nil && !reusable {
-		x.connection.Close()
+		x.holder.closeConnection(x.first.Member, x.connection)
 		x.connection = nil
 	}
 	x.enqueue(queueEvent{
--- a/internal/program/ctholding/monitor.go
+++ b/internal/program/ctholding/monitor.go
@@ -68,7 +68,7 @@
 			continue
 		}
 		mon.monitorConnection(connection)
-		connection.Close()
+		mon.holder.closeConnection(mon.name, connection)
 	}
 }
 
@@ -207,6 +207,16 @@
 	return connection, nil
 }
 
+// closeConnection closes a connection to a member. It counts and logs an answer in doubt.
+func (h *Holder) closeConnection(name ctid.Member, connection *ctbackend.Conn) {
+	if doubt := connection.Doubt(); doubt != ctbackend.NoDoubt {
+		h.Metrics.AnswersInDoubt.WithLabelValues(string(doubt)).Inc()
+		h.Logger.Warn().Str("event", "answer_in_doubt").Str("kind", string(doubt)).
+			Str("member", string(name)).Uint32("connection", connection.ProcessID()).Send()
+	}
+	connection.Close()
+}
+
 // label identifies this proxy process to backend servers, by name and incarnation.
 func (h *Holder) label() string {
 	return string(h.Self.Name) + "/" + strconv.FormatUint(uint64(h.Self.Incarnation), 16)
