ctholding: hand an answer on only once a statement behind it confirms it

A caller of the PostgreSQL side got the rows of another read, or none, as the success of its own, if a backend server sent an earlier answer again between its request and its answer.

Behind each answer that is to count as a success, the holder now selects a text that it has never selected on the connection. If that text is not next, one answer too many was read: the connection is closed, and the outcome is unknown, so that a read goes to another member. It costs one round trip to the member for each request. In an aborted transaction only the error that says so can be expected.

--- a/internal/lab/ctstandin/conn.go
+++ b/internal/lab/ctstandin/conn.go
@@ -35,6 +35,7 @@
 	if err := s.completeStartup(sess, protocol); err != nil {
 		return
 	}
+	repeated := repeater{random: rand.New(rand.NewPCG(uint64(id), 0))}
 	for {
 		r, err := readRequest(protocol)
 		if err != nil {
@@ -42,9 +43,13 @@
 		}
 		s.enqueue(event{session: id, request: r})
 		reply := <-sess.answers
-		if _, err := socket.Write(reply.data); err != nil || reply.close {
+		data := append(repeated.recordRequest(), reply.data...)
+		if _, err := socket.Write(data); err != nil || reply.close {
 			return
 		}
+		if sess.servesRequests() {
+			repeated.recordAnswer(reply.data, s.currentFaults(&held).RepeatEvery)
+		}
 	}
 }
 
--- a/internal/lab/ctstandin/options.go
+++ b/internal/lab/ctstandin/options.go
@@ -58,6 +58,9 @@
 	// If CutEvery is n, every nth answer to a request that used a slot is broken off in
 	// its middle, and its connection is closed. If it is 0, no answer is broken off.
 	CutEvery int `json:"cut_every"`
+	// If RepeatEvery is n, every nth answer on a holder's connection for requests is sent
+	// twice, the second time before the answer to a later request. If it is 0, none is.
+	RepeatEvery int `json:"repeat_every"`
 	// NoAnnouncements stops the member's announcements.
 	NoAnnouncements bool `json:"mute"`
 }
--- a/internal/lab/ctstandin/session.go
+++ b/internal/lab/ctstandin/session.go
@@ -2,12 +2,14 @@
 
 import (
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/jackc/pgx/v5/pgproto3"
 
 	"github.com/cherviltrestle/cherviltrestle/internal/lab/ctsql"
 	"github.com/cherviltrestle/cherviltrestle/internal/lab/ctwal"
+	"github.com/cherviltrestle/cherviltrestle/internal/link/ctbackend"
 )
 
 // sessionID identifies a connection. The protocol reports it as the process ID.
@@ -111,7 +113,9 @@
 // isSystemStatement reports whether a statement serves the system's own work, such as
 // status, terms, replication or session settings. System statements use no slot.
 func isSystemStatement(statement ctsql.Statement) bool {
-	switch statement.(type) {
+	switch st := statement.(type) {
+	case ctsql.SelectLiteral:
+		return strings.HasPrefix(st.Value.Text, ctbackend.ConfirmationPrefix)
 	case ctsql.ReadStatus, ctsql.TryAdvisoryLock, ctsql.CountOtherHolders, ctsql.TerminateOthers,
 		ctsql.Fence, ctsql.Promote, ctsql.Follow, ctsql.ReadLog, ctsql.Discard, ctsql.Set:
 		return true
@@ -132,6 +136,11 @@
 	return time.Duration(seconds * float64(time.Second))
 }
 
+// servesRequests reports whether the connection is a holder's for requests.
+func (s *session) servesRequests() bool {
+	return strings.HasPrefix(s.applicationName, holderNamePrefix+"/")
+}
+
 // cancelledAnswer returns the error answer to a cancelled request.
 func (s *session) cancelledAnswer() []byte {
 	var w answerWriter
--- a/internal/link/ctbackend/conn.go
+++ b/internal/link/ctbackend/conn.go
@@ -39,13 +39,15 @@
 	// set it.
 	Incarnation ctid.Incarnation
 
-	target            Target
-	socket            net.Conn
-	reader            *bufio.Reader
-	processID         uint32
-	secretKey         []byte
-	broken            bool
-	doubt             Doubt
+	target    Target
+	socket    net.Conn
+	reader    *bufio.Reader
+	processID uint32
+	secretKey []byte
+	broken    bool
+	doubt     Doubt
+	// confirmations counts the calls of Confirm.
+	confirmations     uint64
 	used              bool
 	transactionStatus byte
 }
--- a/internal/link/ctbackend/conn_test.go
+++ b/internal/link/ctbackend/conn_test.go
@@ -90,6 +90,13 @@
 	return connection.Query(ctx, text)
 }
 
+// confirm confirms the answers so far within testTimeout.
+func confirm(connection *ctbackend.Conn) error {
+	ctx, cancel := context.WithTimeout(context.Background(), testTimeout)
+	defer cancel()
+	return connection.Confirm(ctx)
+}
+
 // assertDoubt checks that the connection is broken for the reason want.
 func assertDoubt(t *testing.T, connection *ctbackend.Conn, err error, want ctbackend.Doubt) {
 	t.Helper()
@@ -159,6 +166,31 @@
 			assert.DeepEqual(t, rows, [][]string{{"2"}})
 		})
 	}
+	t.Run("a repeated answer that comes for a request is found behind it", func(t *testing.T) {
+		connection, b := dial(t)
+		go b.serve(answer("1"), append(answer("1"), answer("2")...), answer(ctbackend.ConfirmationPrefix+"1"))
+		for range 2 {
+			_, err := query(connection, "SELECT 1")
+			assert.NilError(t, err)
+		}
+		assertDoubt(t, connection, confirm(connection), ctbackend.DoubtUnasked)
+	})
+	t.Run("a repeated answer that comes for a confirmation is found", func(t *testing.T) {
+		connection, b := dial(t)
+		go b.serve(answer("1"), answer("1"))
+		_, err := query(connection, "SELECT 1")
+		assert.NilError(t, err)
+		assertDoubt(t, connection, confirm(connection), ctbackend.DoubtUnconfirmed)
+	})
+	t.Run("a repeated confirmation confirms nothing", func(t *testing.T) {
+		connection, b := dial(t)
+		confirmation := answer(ctbackend.ConfirmationPrefix + "1")
+		go b.serve(confirmation, answer("1"), confirmation)
+		assert.NilError(t, confirm(connection))
+		_, err := query(connection, "SELECT 1")
+		assert.NilError(t, err)
+		assertDoubt(t, connection, confirm(connection), ctbackend.DoubtUnconfirmed)
+	})
 	t.Run("a request is not sent over a connection that the server has closed", func(t *testing.T) {
 		connection, b := dial(t)
 		_ = b.socket.Close()
--- a/internal/link/ctbackend/doubt.go
+++ b/internal/link/ctbackend/doubt.go
@@ -22,6 +22,8 @@
 	DoubtUnasked Doubt = "unasked_message"
 	// DoubtWrongAnswer means that an answer can't be that to its statement.
 	DoubtWrongAnswer Doubt = "wrong_answer"
+	// DoubtUnconfirmed means that an answer was not followed by its confirmation.
+	DoubtUnconfirmed Doubt = "unconfirmed_answer"
 )
 
 // The types of messages that a backend server may send at any time.
--- a/internal/program/ctholding/run.go
+++ b/internal/program/ctholding/run.go
@@ -43,6 +43,9 @@
 		return false
 	}
 	if runResult.Transaction != ctbackend.TransactionIdle {
+		if !x.confirmAnswer(ctx) {
+			return false
+		}
 		x.sendDone(ctframe.Done{InTransaction: true, Payload: relay.withheld})
 		x.enqueue(queueEvent{event: ctadmit.RequestDone{Exchange: x.number}})
 		return true
@@ -73,12 +76,25 @@
 	_ = x.stream.Write(&ctframe.OutcomeUnknown{Request: x.request, Reason: reason})
 }
 
+// confirmAnswer makes sure that the answers that the member has sent are those to the request
+// and the statements behind it. If they aren't, it reports the outcome as unknown and returns
+// false.
+func (x *exchange) confirmAnswer(ctx context.Context) bool {
+	if err := x.connection.Confirm(ctx); err != nil {
+		x.sendOutcomeUnknown(ctoutcome.ReasonConnectionLost)
+		return false
+	}
+	return true
+}
+
 // acknowledge sends the withheld end of an answer. A replica's is sent at once. A
 // primary's is sent after its writes were confirmed by a majority, if the lease is
 // still valid then.
 func (x *exchange) acknowledge(ctx context.Context, relay *relay) {
 	if x.first.Term == 0 {
-		x.sendDone(ctframe.Done{Point: x.applied, Payload: relay.withheld})
+		if x.confirmAnswer(ctx) {
+			x.sendDone(ctframe.Done{Point: x.applied, Payload: relay.withheld})
+		}
 		return
 	}
 	status, err := x.connection.Status(ctx)
@@ -90,6 +106,9 @@
 		x.sendOutcomeUnknown(ctoutcome.ReasonLeaseLost)
 		return
 	}
+	if !x.confirmAnswer(ctx) {
+		return
+	}
 	if reason := x.awaitConfirmation(status.Received); reason != ctoutcome.ReasonNone {
 		x.sendOutcomeUnknown(reason)
 		return
