ctgateway: send nothing over a connection that comes after queries are abandoned

At the end of a planned stop a statement that waited for a connection was at times answered INDOUBT instead of being refused: the session of an idle transaction ends then, its connection goes to the waiting statement, which was sent and abandoned at once. Once it has a connection, the session now looks again whether queries are abandoned.

--- a/internal/program/ctgateway/run.go
+++ b/internal/program/ctgateway/run.go
@@ -237,8 +237,8 @@
 }
 
 // acquire acquires a connection to the target, waiting until the send deadline, and
-// pins it to the session. If that fails, or if the target was replaced meanwhile, it
-// marks the member as tried and returns false.
+// pins it to the session. If that fails, or if the target was replaced or queries were
+// abandoned meanwhile, it marks the member as tried and returns false.
 func (s *session) acquire(e *execution) bool {
 	deadline := s.sendDeadline(e, s.gateway.Clock.Now())
 	if !e.target.primary && deadline.Before(e.sendBy) && !s.gateway.authorityLapsed(&s.held) {
@@ -254,7 +254,9 @@
 		e.tried.Add(e.target.member)
 		return false
 	}
-	if e.target.primary && s.gateway.termEnded(&s.held, s.route.Group, e.target.term) {
+	// The connection may have been released by a session that the planned stop has ended.
+	replaced := e.target.primary && s.gateway.termEnded(&s.held, s.route.Group, e.target.term)
+	if replaced || s.gateway.Pools.Stop.QueriesAbandoned() {
 		s.gateway.Pools.Release(&s.held, conn, ctpools.Result{})
 		e.tried.Add(e.target.member)
 		return false
