ctholding: do not reuse a connection for which a cancel request was sent

A caller's statement was cancelled though it had cancelled nothing: a backend server acts on a cancel request when it gets to it, and by then the pooled connection may run another caller's statement. Such a connection is now closed at the end of its exchange, so that a late request finds nothing.

--- a/internal/lab/ctproof/cancel_test.go
+++ b/internal/lab/ctproof/cancel_test.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"github.com/cherviltrestle/cherviltrestle/internal/lab/ctstandin"
 )
 
 // TestCancel checks that a cancel request ends the running statement of the
@@ -35,3 +37,25 @@
 		}
 	}
 }
+
+// TestLateCancel guards against a cancel request that takes effect on another caller's
+// statement: the backend server acts on it when the statement that it was for has ended and
+// the connection serves the next caller.
+func TestLateCancel(t *testing.T) {
+	fleet := start(t, smallFleet())
+	primary := startupParameters{"cherviltrestle.max_age": "1ns"}
+	first, second := open(t, fleet.Proxies[0], primary), open(t, fleet.Proxies[0], primary)
+	assert.NilError(t, fleet.SetFaults(fleet.Members[group][0], ctstandin.Faults{CancelDelay: 600}))
+	ended := make(chan error, 1)
+	go func() {
+		_, err := run(first, "SELECT pg_sleep(0.4)")
+		ended <- err
+	}()
+	time.Sleep(200 * time.Millisecond)
+	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
+	defer cancel()
+	assert.NilError(t, first.CancelRequest(ctx))
+	assert.NilError(t, <-ended)
+	_, err := run(second, "SELECT pg_sleep(1)")
+	assert.NilError(t, err)
+}
--- a/internal/lab/ctstandin/conn.go
+++ b/internal/lab/ctstandin/conn.go
@@ -81,6 +81,9 @@
 		return
 	}
 	var held ctlock.Held
+	if delay := s.currentFaults(&held).CancelDelay; delay > 0 {
+		<-s.Clock.After(delay.Duration())
+	}
 	secret := binary.BigEndian.Uint32(m.SecretKey)
 	found := false
 	s.sessions.With(&held, func(sessions map[sessionID]*session) {
--- a/internal/lab/ctstandin/options.go
+++ b/internal/lab/ctstandin/options.go
@@ -61,6 +61,8 @@
 	// If RepeatEvery is n, every nth answer on a holder's connection for requests is sent
 	// twice, the second time before the answer to a later request. If it is 0, none is.
 	RepeatEvery int `json:"repeat_every"`
+	// CancelDelay is the time from a cancel request to its effect.
+	CancelDelay Milliseconds `json:"cancel_delay_ms"`
 	// NoAnnouncements stops the member's announcements.
 	NoAnnouncements bool `json:"mute"`
 }
--- a/internal/program/ctholding/cancel.go
+++ b/internal/program/ctholding/cancel.go
@@ -24,6 +24,7 @@
 		for _, x := range m.exchanges {
 			if x.cancellableRequest == cancel.Request {
 				cancelBackend = x.cancel
+				x.cancelSent = true
 			}
 		}
 	})
@@ -45,3 +46,11 @@
 		x.cancel = x.connection.Cancel
 	})
 }
+
+// wasCancelled reports whether a cancel request was sent for the exchange's connection. The
+// backend server may act on it at any later time.
+func (x *exchange) wasCancelled() bool {
+	cancelled := false
+	x.holder.members.With(&x.held, func(map[ctid.Member]*member) { cancelled = x.cancelSent })
+	return cancelled
+}
--- a/internal/program/ctholding/exchange.go
+++ b/internal/program/ctholding/exchange.go
@@ -42,9 +42,10 @@
 	// connectionCounted reports whether the queue counts a connection for the
 	// exchange. The lock of the table of members guards it.
 	connectionCounted bool
-	// cancellableRequest is the request that cancel cancels; zero for none. The
-	// lock of the table of members guards both.
+	// cancellableRequest is the request that cancel cancels; zero for none. cancelSent reports
+	// whether cancel was called. The lock of the table of members guards all three.
 	cancellableRequest ctid.Request
+	cancelSent         bool
 	// abort cancels the context of the exchange. It is set once, at the start.
 	abort  context.CancelFunc
 	cancel func(ctx context.Context) error
@@ -266,7 +267,7 @@
 // reset restores the connection's session state to that of a new one and reports
 // whether it may be reused.
 func (x *exchange) reset() bool {
-	if x.connection.Broken() || x.connection.InTransaction() {
+	if x.connection.Broken() || x.connection.InTransaction() || x.wasCancelled() {
 		return false
 	}
 	if !x.connection.Used() {
