cthttp: refuse a body with anything behind its JSON value

ReadJSON decoded the first JSON value and took no notice of what follows, so that a part of a body was acted on: of two objects the first, and a body cut short behind the value.

--- a/internal/link/cthttp/http.go
+++ b/internal/link/cthttp/http.go
@@ -24,16 +24,32 @@
 }
 
 // ReadJSON decodes the JSON body of a request into value, which is a pointer. Errors are
-// of kind cterror.Invalid. An unknown field is an error too: it may be a misspelled one.
+// of kind cterror.Invalid. An unknown field is an error too: it may be a misspelled one. So
+// is anything but blanks behind the JSON value, or a body that is cut short there.
 func ReadJSON(w http.ResponseWriter, r *http.Request, value any) error {
 	decoder := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxBodyBytes))
 	decoder.DisallowUnknownFields()
-	if err := decoder.Decode(value); err != nil {
+	err := decoder.Decode(value)
+	if err == nil {
+		err = readEnd(decoder)
+	}
+	if err != nil {
 		return cterror.Wrap(cterror.Invalid, err, "read the body", "send one JSON object with the documented fields")
 	}
 	return nil
 }
 
+// readEnd returns an error unless the decoder's input ends.
+func readEnd(decoder *json.Decoder) error {
+	switch _, err := decoder.Token(); {
+	case errors.Is(err, io.EOF):
+		return nil
+	case err != nil:
+		return err
+	}
+	return errors.New("more follows the JSON value")
+}
+
 // WriteJSON sends a response with the status code and the value as a JSON body.
 func WriteJSON(w http.ResponseWriter, status int, value any) {
 	w.Header().Set("Content-Type", "application/json")
