--- a/internal/program/ctgateway/run.go
+++ b/internal/program/ctgateway/run.go
@@ -375,9 +375,10 @@
 		return ctquery.Answer{
 			Fault: ctquery.FaultTooLarge, Text: "the message to the member would be over 1 MiB; nothing was sent",
 		}, nil
-	}
-	if err != nil {
-		return ctquery.Answer{}, err
+	default:
+		if err != nil {
+			return ctquery.Answer{}, err
+		}
 	}
 	now := s.gateway.Clock.Now()
 	if s.pinned.primary {
