ctserver: refuse the address of no host, of many, or with a zone

A report of another writer could name 0.0.0.0 as a member's address, which connects a proxy to itself, or an IPv6 zone with any bytes, line ends included. Such an announcement now names no member.

--- a/internal/model/ctserver/announcement.go
+++ b/internal/model/ctserver/announcement.go
@@ -45,9 +45,10 @@
 	if err := a.checkNames(); err != nil {
 		return err
 	}
+	if err := a.checkAddress(); err != nil {
+		return err
+	}
 	switch {
-	case !a.Address.IsValid() || a.Address.Port() == 0:
-		return invalidError("address is missing", "give the IP number and port of the PostgreSQL listener")
 	case a.Incarnation == 0:
 		return invalidError("incarnation is 0", "give a number that grows with each start of the backend server")
 	case a.Role != RolePrimary && a.Role != RoleReplica:
@@ -72,6 +73,19 @@
 	return a.Connections - ReservedConnections
 }
 
+// checkAddress checks that the address is one host's and means the same on every other host.
+// A zone is text that only has a meaning on the sender's host.
+func (a *Announcement) checkAddress() error {
+	ip := a.Address.Addr()
+	switch {
+	case !a.Address.IsValid() || a.Address.Port() == 0:
+		return invalidError("address is missing", "give the IP number and port of the PostgreSQL listener")
+	case ip.Zone() != "" || ip.IsUnspecified() || ip.IsMulticast():
+		return invalidError("address is not that of one host", "give its IP number without a zone")
+	}
+	return nil
+}
+
 func (a *Announcement) checkNames() error {
 	if err := a.Group.Check(); err != nil {
 		return err
