ctpools: a member's message that is no answer is logged and counted

The connection was closed without a trace: a row with a lone LF, two COMPLETE in an answer or a MAC that is missing look like a broken connection. One answer_malformed line names the error (with the offset of an LF), the member and the connection.

--- a/internal/decide/ctreply/verdict.go
+++ b/internal/decide/ctreply/verdict.go
@@ -31,6 +31,8 @@
 const (
 	// DoubtUnasked: the answer arrived while no query was outstanding.
 	DoubtUnasked Doubt = "unasked"
+	// DoubtMalformed: what arrived is not an answer.
+	DoubtMalformed Doubt = "malformed"
 	// DoubtProofMissing: a read, a write or a commit succeeded without a proof.
 	DoubtProofMissing Doubt = "proof_missing"
 	// DoubtProofUnexpected: another statement succeeded with a proof.
--- a/internal/program/ctpools/direct.go
+++ b/internal/program/ctpools/direct.go
@@ -22,7 +22,7 @@
 	// not fit on a line, it sends none and returns an error of kind cterror.Invalid.
 	Send(queries []ctquery.Query) error
 	// Receive waits for the next complete answer. It fails once the connection is
-	// closed.
+	// closed, and with an error of kind cterror.Invalid if an answer can't be decoded.
 	Receive() (ctquery.Answer, error)
 	// Close may be called while Receive waits.
 	Close()
@@ -60,12 +60,15 @@
 	return e
 }
 
-// read receives answers until the connection ends. It closes the connection if more
-// answers arrive than the buffer holds.
+// read receives answers until the connection ends. It closes the connection if an answer can't
+// be decoded, or if more answers arrive than the buffer holds.
 func (e *directExecutor) read() {
 	defer e.close()
 	for {
 		answer, err := e.raw.Receive()
+		if cterror.KindOf(err) == cterror.Invalid {
+			e.reporter.reportMalformed(err)
+		}
 		if err != nil {
 			return
 		}
--- a/internal/program/ctpools/doubt.go
+++ b/internal/program/ctpools/doubt.go
@@ -24,6 +24,23 @@
 	return doubtReporter{logger: p.Logger, metrics: p.Metrics, member: member, number: number}
 }
 
+// reportMalformed reports that the connection brought something that is not an answer.
+func (r *doubtReporter) reportMalformed(err error) {
+	r.logger.Warn().Str("event", "answer_malformed").
+		Str("error", err.Error()).
+		Str("member", string(r.member)).
+		Uint64("connection", uint64(r.number)).
+		Send()
+	r.count(ctreply.DoubtMalformed)
+}
+
+// count counts an answer in the metrics, if there are any.
+func (r *doubtReporter) count(doubt ctreply.Doubt) {
+	if r.metrics != nil {
+		r.metrics.AnswersInDoubt.WithLabelValues(string(doubt)).Inc()
+	}
+}
+
 // report reports an answer. The statement is nil if no query was outstanding.
 func (r *doubtReporter) report(doubt ctreply.InDoubt, statement ctquery.Statement, answer ctquery.Answer) {
 	r.logger.Warn().Str("event", "answer_in_doubt").
@@ -37,7 +54,5 @@
 		Str("member", string(r.member)).
 		Uint64("connection", uint64(r.number)).
 		Send()
-	if r.metrics != nil {
-		r.metrics.AnswersInDoubt.WithLabelValues(string(doubt.Doubt)).Inc()
-	}
+	r.count(doubt.Doubt)
 }
--- a/internal/program/ctpools/stutter_test.go
+++ b/internal/program/ctpools/stutter_test.go
@@ -307,19 +307,24 @@
 		outcomes: make(map[ctquery.ID]ctquery.Answer),
 		point:    ctposition.Point{Term: 1, Position: 1},
 	}
-	self := ctview.Proxy{Name: "p1", FailureDomain: "d1", State: ctserver.StateReady}
-	s := &stutterSession{
-		member: member, random: rand.New(rand.NewPCG(seed, 2)),
-		pools: ctpools.New(member, self, nil, &ctclock.System{}, zerolog.Nop()),
+	return &stutterSession{
+		member: member, random: rand.New(rand.NewPCG(seed, 2)), pools: newMemberPools(member, zerolog.Nop()),
 	}
-	s.pools.ApplyView(&s.held, &ctview.View{
+}
+
+// newMemberPools returns the pools of a proxy that knows stutterMember alone.
+func newMemberPools(dialer ctpools.Dialer, logger zerolog.Logger) *ctpools.Pools {
+	var held ctlock.Held
+	self := ctview.Proxy{Name: "p1", FailureDomain: "d1", State: ctserver.StateReady}
+	pools := ctpools.New(dialer, self, nil, &ctclock.System{}, logger)
+	pools.ApplyView(&held, &ctview.View{
 		Members: map[ctid.Member]ctserver.Announcement{stutterMember: {
 			Group: "g", Member: stutterMember, FailureDomain: "d1", Incarnation: 1,
 			State: ctserver.StateReady, Slots: 2, Connections: 8,
 		}},
 		Proxies: map[ctid.Proxy]ctview.Proxy{self.Name: self},
 	})
-	return s
+	return pools
 }
 
 // Guards against a repeated answer that is taken for that of another query: a success, a
