--- a/internal/program/ctgateway/run.go
+++ b/internal/program/ctgateway/run.go
@@ -372,9 +372,7 @@
 	case cterror.Exhausted:
 		return ctquery.Answer{Fault: ctquery.FaultBusy, Text: "the statement was not sent; retry now"}, nil
 	case cterror.Invalid:
-		return ctquery.Answer{
-			Fault: ctquery.FaultTooLarge, Text: "the message to the member would be over 1 MiB; nothing was sent",
-		}, nil
+		return ctpools.TooLarge(), nil
 	default:
 		if err != nil {
 			return ctquery.Answer{}, err
--- a/internal/program/ctpools/conn.go
+++ b/internal/program/ctpools/conn.go
@@ -55,6 +55,13 @@
 	return cterror.New(cterror.Unavailable, "the member's answer does not belong to the query", "try another member")
 }
 
+// TooLarge returns the answer to a query that can't be sent on any connection.
+func TooLarge() ctquery.Answer {
+	return ctquery.Answer{
+		Fault: ctquery.FaultTooLarge, Text: "the message to the member would be over 1 MiB; nothing was sent",
+	}
+}
+
 // Conn is a pooled connection to a member. It belongs to one user at a time, from
 // Acquire to Release.
 type Conn struct {
--- a/internal/program/ctpools/forwardserver.go
+++ b/internal/program/ctpools/forwardserver.go
@@ -16,9 +16,6 @@
 // ends.
 const rollbackTimeout = time.Second
 
-// tooLargeText describes ctquery.FaultTooLarge to a caller.
-const tooLargeText = "the message to the member would be over 1 MiB; nothing was sent"
-
 // servedStreams holds the streams over which this proxy forwards queries for others.
 type servedStreams struct {
 	mutex    sync.Mutex
@@ -162,7 +159,7 @@
 // refuseTooLarge returns the reply to a query that can't be sent on any connection. The
 // connection stays acquired if its transaction is open.
 func (s *forwardServer) refuseTooLarge(inTransaction bool) *ctframe.ForwardReply {
-	answer := ctquery.Answer{Fault: ctquery.FaultTooLarge, Text: tooLargeText}
+	answer := TooLarge()
 	if inTransaction {
 		answer.Transaction = ctquery.TransactionOpen
 	} else {
