--- a/internal/lab/ctmembers/fixture_test.go
+++ b/internal/lab/ctmembers/fixture_test.go
@@ -1,6 +1,7 @@
 package ctmembers_test
 
 import (
+	"bytes"
 	"context"
 	"fmt"
 	"io"
@@ -171,6 +172,26 @@
 	gateway *ctgateway.Gateway
 	clock   *aheadClock
 	callers chan *caller
+	// log is that of the gateway.
+	log *logBuffer
+}
+
+// logBuffer is a log in memory. It is safe for concurrent use.
+type logBuffer struct {
+	mutex sync.Mutex
+	text  bytes.Buffer
+}
+
+func (b *logBuffer) Write(line []byte) (int, error) {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	return b.text.Write(line)
+}
+
+func (b *logBuffer) String() string {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	return b.text.String()
 }
 
 // primaryDatabase is the database whose route leads to the primary in each fixture.
@@ -199,7 +220,7 @@
 func newFixtureWith(t *testing.T, w way, options ctmembers.Options, freshness ctconfig.Freshness) *fixture {
 	t.Helper()
 	clock := &aheadClock{}
-	f := &fixture{group: ctmembers.New(options), clock: clock, callers: make(chan *caller, 1)}
+	f := &fixture{group: ctmembers.New(options), clock: clock, callers: make(chan *caller, 1), log: &logBuffer{}}
 	proxies := []ctview.Proxy{newProxy(1, "d1")}
 	self := proxies[0]
 	state := ctstate.New()
@@ -216,7 +237,7 @@
 	}
 	f.pools = ctpools.New(f.group, self, transport, clock, zerolog.Nop())
 	f.gateway = ctgateway.New(ctgateway.Options{
-		FailureDomain: self.FailureDomain, State: state, Pools: f.pools, Clock: clock, Logger: zerolog.Nop(),
+		FailureDomain: self.FailureDomain, State: state, Pools: f.pools, Clock: clock, Logger: zerolog.New(f.log),
 		NewCaller: func(net.Conn) ctgateway.Caller { return <-f.callers },
 		DecodeStatus: func(answer ctquery.Answer) (ctquery.Status, error) {
 			return ctquery.Status{Role: ctserver.RoleReplica, Received: answer.Point}, nil
--- a/internal/lab/ctmembers/refused_test.go
+++ b/internal/lab/ctmembers/refused_test.go
@@ -1,6 +1,7 @@
 package ctmembers_test
 
 import (
+	"fmt"
 	"strings"
 	"testing"
 
@@ -57,6 +58,20 @@
 	})
 }
 
+// TestRefusedTextIsLogged guards against a refused query that can't be told from one that the
+// caller never sent.
+func TestRefusedTextIsLogged(t *testing.T) {
+	f := newFixture(t, smallGroup, ctconfig.FreshnessPrimary)
+	c := f.connect(t, "c")
+	m := ctquery.Malformed{Reason: ctquery.MalformedLineFeed, Offset: 14, Byte: '\n'}
+	answer, id := c.call(t, m)
+	assert.Equal(t, answer.Fault, ctquery.FaultMalformed)
+	want := fmt.Sprintf(`"decision":"refuse_text","request":%q,"session":1,"database":"db",`, id) +
+		`"why":"line_feed","offset":14,"byte":10`
+	assert.Assert(t, strings.Contains(f.log.String(), want), f.log.String())
+	assertNoViolations(t, f)
+}
+
 // TestMemberThatLostAName guards against a connection that is used again though its member no
 // longer knows the statements prepared on it.
 func TestMemberThatLostAName(t *testing.T) {
--- a/internal/model/ctquery/malformed.go
+++ b/internal/model/ctquery/malformed.go
@@ -18,6 +18,8 @@
 	// MalformedStatement: the line is no query, or its statement is not one that callers may
 	// send.
 	MalformedStatement MalformedReason = "statement"
+	// MalformedTooLong: the line is longer than any line may be. Its session ends.
+	MalformedTooLong MalformedReason = "too_long"
 	// MalformedID: the id is missing, or is the one that stands for no id.
 	MalformedID MalformedReason = "id"
 	// MalformedLineFeed: the line contains an LF that is not part of its end.
--- a/internal/program/ctgateway/session.go
+++ b/internal/program/ctgateway/session.go
@@ -190,6 +190,9 @@
 		case errors.Is(err, os.ErrDeadlineExceeded):
 			s.handleReadDeadline()
 			continue
+		case cterror.KindOf(err) == cterror.Invalid:
+			s.logMalformed("", ctquery.Malformed{Reason: ctquery.MalformedTooLong})
+			return
 		default:
 			return
 		}
