ctframe, ctpools: forwarded queries are numbered, and replies echo the number

A reply that came twice, or late, was taken for that to the next query. Each request has a number on its stream, which the reply echoes. A reply with another number, with none, or to no request closes the stream, which rolls the transaction back. A query for a stream that has closed already is not sent, which is a true promise.

--- a/internal/link/ctframe/forward.go
+++ b/internal/link/ctframe/forward.go
@@ -26,8 +26,13 @@
 	AnswerTimeout  time.Duration `cbor:"6,keyasint,omitempty"`
 	// Priority orders the queries that wait for a connection. 0 is the most urgent.
 	Priority int `cbor:"7,keyasint,omitempty"`
+	// Number is that of the request on its stream, from 1.
+	Number RequestNumber `cbor:"8,keyasint,omitempty"`
 }
 
+// RequestNumber numbers the requests on a stream.
+type RequestNumber uint64
+
 // Check returns an error of kind cterror.Invalid if the member's name is invalid, the
 // statement is of an unknown kind, a text can't go on a line, or the shape is not the one that
 // the query executes.
@@ -64,6 +69,9 @@
 	// Stopping reports that the proxy is about to stop. It still runs the queries that it
 	// has already received.
 	Stopping bool `cbor:"5,keyasint,omitempty"`
+	// Number is that of the request; 0 if Stopping is set without one. A reply of an older
+	// process has none, so that it is rejected.
+	Number RequestNumber `cbor:"7,keyasint,omitempty"`
 }
 
 // statementKind is the kind of a statement on the wire. The numbers are part of the
--- a/internal/program/ctpools/forwarding.go
+++ b/internal/program/ctpools/forwarding.go
@@ -31,6 +31,10 @@
 	// a reply is outstanding. The mutex guards both.
 	stopping     bool
 	replyPending bool
+	// requests counts the requests, and awaited is the one whose reply has not arrived; 0 if
+	// there is none. The mutex guards both, too.
+	requests ctframe.RequestNumber
+	awaited  ctframe.RequestNumber
 }
 
 func newForwardingExecutor(member ctid.Member, stream ctframe.Stream, clock ctclock.Clock) *forwardingExecutor {
@@ -46,7 +50,7 @@
 }
 
 // read receives replies until the stream ends. It closes the stream on a frame of
-// another type, or if a reply arrives before the previous one was read.
+// another type, or if a reply does not belong to the outstanding request.
 func (e *forwardingExecutor) read() {
 	defer e.close()
 	for {
@@ -62,14 +66,23 @@
 			e.update(func() { e.stopping = true })
 			continue
 		}
-		select {
-		case e.replies <- reply:
-		default:
+		if !e.accept(reply) {
 			return
 		}
+		e.replies <- reply
 	}
 }
 
+// accept reports whether a reply belongs to the outstanding request. No other one does
+// then.
+func (e *forwardingExecutor) accept(reply *ctframe.ForwardReply) bool {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	awaited := e.awaited
+	e.awaited = 0
+	return awaited != 0 && reply.Number == awaited
+}
+
 // update runs change while it holds the mutex.
 func (e *forwardingExecutor) update(change func()) {
 	e.mutex.Lock()
@@ -108,6 +121,11 @@
 // run sends the query to the other proxy and waits for its reply. If the other proxy
 // did not send the query to the member, the answer has the fault ctquery.FaultBusy.
 func (e *forwardingExecutor) run(state *ctdialog.State, query ctquery.Query, limits Limits) (ctquery.Answer, error) {
+	select {
+	case <-e.closed:
+		return ctquery.Answer{}, errNotSent()
+	default:
+	}
 	now := e.clock.Now()
 	frame := &ctframe.Forward{
 		Member:         e.member,
@@ -120,7 +138,12 @@
 		frame.Parameters = state.Parameters()
 		frame.Shape = state.ShapeOf(query.Statement)
 	}
-	e.update(func() { e.replyPending = true })
+	e.update(func() {
+		e.replyPending = true
+		e.requests++
+		e.awaited = e.requests
+		frame.Number = e.requests
+	})
 	if err := e.stream.Write(frame); err != nil {
 		e.close()
 		return ctquery.Answer{}, cterror.Wrap(cterror.Unavailable, err, "send to the carrying proxy", "try another member")
--- a/internal/program/ctpools/forwardserver.go
+++ b/internal/program/ctpools/forwardserver.go
@@ -110,7 +110,9 @@
 func (s *forwardServer) answer(stream ctframe.Stream, frame *ctframe.Forward) error {
 	s.pools.answeringCount.Add(1)
 	defer s.pools.answeringCount.Add(-1)
-	return stream.Write(s.serve(frame))
+	reply := s.serve(frame)
+	reply.Number = frame.Number
+	return stream.Write(reply)
 }
 
 // serve runs one query and returns the reply for the other proxy. The connection stays
