ctcontrol: an older status is not taken for the answer to a fence

A status that a member sent twice was taken for that of the next probe, or for the answer to PAUSE or STEPDOWN, whose point decides which commits are kept.

Control's connections use the executor of the proxies' pools, which judges each answer, confirms a status like an earlier one, and uses no connection on which something has arrived unasked. A command that changes the member gets a new connection, on which nothing was received before. Answers in doubt are logged and counted.

--- a/internal/program/ctcontrol/client.go
+++ b/internal/program/ctcontrol/client.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"time"
 
 	"github.com/cherviltrestle/cherviltrestle/internal/decide/ctsuccession"
 	"github.com/cherviltrestle/cherviltrestle/internal/model/ctid"
@@ -11,14 +12,19 @@
 	"github.com/cherviltrestle/cherviltrestle/internal/program/ctpools"
 )
 
-// PersistentClient is a MemberClient that reuses one connection for each member.
+// queryTimeout bounds a command whose context has no deadline.
+const queryTimeout = time.Second
+
+// PersistentClient is a MemberClient that reuses one connection for each member. A command
+// that changes the member has a new connection: what it returns decides which commits are
+// kept, and nothing that was received before can be taken for its answer.
 type PersistentClient struct {
-	Dialer ctpools.Dialer
+	Opener ctpools.Opener
 	// DecodeStatus decodes a member's answer to a command.
 	DecodeStatus func(answer ctquery.Answer) (ctquery.Status, error)
 
 	mutex sync.Mutex
-	conns map[ctid.Member]ctpools.RawConn
+	conns map[ctid.Member]*ctpools.Conn
 }
 
 // Call sends a command to a member and returns the member's status. It dials again if a
@@ -26,36 +32,42 @@
 func (p *PersistentClient) Call(
 	ctx context.Context, server ctserver.Announcement, command ctsuccession.Command,
 ) (ctquery.Status, error) {
-	conn, reused, err := p.acquire(ctx, server)
+	if conn := p.acquire(server.Member); conn != nil {
+		if _, probes := command.(ctsuccession.Probe); probes && conn.Alive() {
+			status, err := p.callOver(ctx, conn, server.Member, command)
+			if err == nil || ctx.Err() != nil {
+				return status, err
+			}
+			// The member may have restarted since the connection was last used.
+		}
+		conn.Close()
+	}
+	conn, err := p.Opener.Open(ctx, server)
 	if err != nil {
 		return ctquery.Status{}, err
 	}
-	answer, err := roundTrip(ctx, conn, command)
-	if err != nil && reused && ctx.Err() == nil {
-		// The member may have restarted since the connection was last used.
-		conn.Close()
-		if conn, err = p.Dialer.Dial(ctx, server); err != nil {
-			return ctquery.Status{}, err
-		}
-		answer, err = roundTrip(ctx, conn, command)
+	return p.callOver(ctx, conn, server.Member, command)
+}
+
+// callOver sends a command over a connection, which it then keeps for reuse. It closes the
+// connection if no answer arrives that belongs to the command.
+func (p *PersistentClient) callOver(
+	ctx context.Context, conn *ctpools.Conn, member ctid.Member, command ctsuccession.Command,
+) (ctquery.Status, error) {
+	timeout := queryTimeout
+	if deadline, ok := ctx.Deadline(); ok {
+		timeout = time.Until(deadline)
 	}
+	limits := ctpools.Limits{Deadline: p.Opener.Clock.Now().Add(timeout), Abandoned: ctx.Done()}
+	answer, err := conn.Run(nil, ctquery.Query{Statement: statementOf(command)}, limits)
 	if err != nil {
 		conn.Close()
 		return ctquery.Status{}, err
 	}
-	p.release(server.Member, conn)
+	p.release(member, conn)
 	return p.DecodeStatus(answer)
 }
 
-func roundTrip(ctx context.Context, conn ctpools.RawConn, command ctsuccession.Command) (ctquery.Answer, error) {
-	stop := context.AfterFunc(ctx, conn.Close)
-	defer stop()
-	if err := conn.Send([]ctquery.Query{{Statement: statementOf(command)}}); err != nil {
-		return ctquery.Answer{}, err
-	}
-	return conn.Receive()
-}
-
 func statementOf(command ctsuccession.Command) ctquery.Statement {
 	switch c := command.(type) {
 	case ctsuccession.Pause:
@@ -68,28 +80,22 @@
 	return ctquery.ReadStatus{}
 }
 
-// acquire removes the idle connection to a member from the client, or dials one if there
+// acquire removes the idle connection to a member from the client. It returns nil if there
 // is none. The caller owns the connection until it closes or releases it.
-func (p *PersistentClient) acquire(
-	ctx context.Context, server ctserver.Announcement,
-) (conn ctpools.RawConn, reused bool, err error) {
+func (p *PersistentClient) acquire(member ctid.Member) *ctpools.Conn {
 	p.mutex.Lock()
-	conn, reused = p.conns[server.Member]
-	delete(p.conns, server.Member)
-	p.mutex.Unlock()
-	if reused {
-		return conn, true, nil
-	}
-	conn, err = p.Dialer.Dial(ctx, server)
-	return conn, false, err
+	defer p.mutex.Unlock()
+	conn := p.conns[member]
+	delete(p.conns, member)
+	return conn
 }
 
 // release stores a connection for reuse. It closes an idle one that it replaces.
-func (p *PersistentClient) release(member ctid.Member, conn ctpools.RawConn) {
+func (p *PersistentClient) release(member ctid.Member, conn *ctpools.Conn) {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
 	if p.conns == nil {
-		p.conns = make(map[ctid.Member]ctpools.RawConn)
+		p.conns = make(map[ctid.Member]*ctpools.Conn)
 	}
 	if previous, ok := p.conns[member]; ok {
 		previous.Close()
--- a/internal/program/ctmetric/control.go
+++ b/internal/program/ctmetric/control.go
@@ -33,6 +33,9 @@
 	// PromotionsSettled counts the promotions that were settled while this process led, by
 	// reason: answered, expired, or member_gone.
 	PromotionsSettled *prometheus.CounterVec
+	// AnswersInDoubt counts the answers of members that did not belong to their queries, by
+	// the kind of doubt.
+	AnswersInDoubt *prometheus.CounterVec
 	// Panics counts connections that ended because their goroutine panicked.
 	Panics prometheus.Counter
 }
@@ -58,7 +61,8 @@
 			"control_promotions_unsettled", "Promotions that may still take effect.", "group"),
 		PromotionsSettled: f.counterVec(
 			"control_promotions_settled_total", "Promotions that can't take effect any more.", "reason"),
-		Panics: f.counter("panics_total", panicsHelp),
+		AnswersInDoubt: f.counterVec("control_answers_in_doubt_total", answersInDoubtHelp, "kind"),
+		Panics:         f.counter("panics_total", panicsHelp),
 	}
 }
 
--- a/internal/program/ctmetric/metrics.go
+++ b/internal/program/ctmetric/metrics.go
@@ -18,7 +18,11 @@
 	bucketCount        = 16
 )
 
-const panicsHelp = "Connections that ended because their goroutine panicked."
+// The help of the metrics that proxy and control processes share.
+const (
+	panicsHelp         = "Connections that ended because their goroutine panicked."
+	answersInDoubtHelp = "Answers of members that did not belong to their queries."
+)
 
 // Metrics holds the Prometheus metrics of a proxy process.
 type Metrics struct {
@@ -93,8 +97,7 @@
 			"log_samples_dropped_total", "Points of members that may be primaries no more.", "source"),
 		GuardedCommits: f.counterVec(
 			"guarded_commits_total", "Commits checked at members that may be promoted at any moment.", "result"),
-		AnswersInDoubt: f.counterVec(
-			"answers_in_doubt_total", "Answers of members that did not belong to their queries.", "kind"),
+		AnswersInDoubt: f.counterVec("answers_in_doubt_total", answersInDoubtHelp, "kind"),
 		DoubtfulReopens: f.counter(
 			"doubtful_connections_reopened_total", "Connections opened after one was closed for such an answer."),
 		ViewVersion: f.gauge("view_version", "Version of the view in force."),
--- a/internal/program/ctnode/control.go
+++ b/internal/program/ctnode/control.go
@@ -10,8 +10,10 @@
 
 	"github.com/cherviltrestle/cherviltrestle/internal/link/cttcp"
 	"github.com/cherviltrestle/cherviltrestle/internal/model/ctconfig"
+	"github.com/cherviltrestle/cherviltrestle/internal/model/ctquery"
 	"github.com/cherviltrestle/cherviltrestle/internal/program/ctcontrol"
 	"github.com/cherviltrestle/cherviltrestle/internal/program/ctmetric"
+	"github.com/cherviltrestle/cherviltrestle/internal/program/ctpools"
 	"github.com/cherviltrestle/cherviltrestle/internal/state/ctjournal"
 	"github.com/cherviltrestle/cherviltrestle/internal/work/ctclock"
 )
@@ -21,7 +23,9 @@
 type ControlFrontends struct {
 	// OperatorHandler returns the handler for the HTTP calls of operators and members.
 	OperatorHandler func(service *ctcontrol.Service) http.Handler
-	Members         ctcontrol.MemberClient
+	Dialer          ctpools.Dialer
+	// DecodeStatus decodes a member's answer to a command.
+	DecodeStatus func(answer ctquery.Answer) (ctquery.Status, error)
 	// DecodeConfig decodes a configuration in the form in which operators write it.
 	DecodeConfig func(source []byte) (ctconfig.Document, error)
 	Promoter     ctcontrol.Promoter
@@ -51,6 +55,7 @@
 		logger.Warn().Str("event", "disk_refused").Str("error", err.Error()).Send()
 	}
 	metrics := ctmetric.NewControl(prometheus.NewRegistry())
+	clock := &ctclock.BootTime{}
 	service, err := ctcontrol.NewService(ctcontrol.ServiceOptions{
 		Name:          controlName(settings.IP),
 		Seeds:         settings.seedNames(),
@@ -60,12 +65,17 @@
 		Journal:       journal,
 		Transport:     cttcp.Transport{LocalAddress: settings.LocalIP},
 		Resolve:       settings.resolve,
-		Members:       frontends.Members,
-		Promoter:      frontends.Promoter,
-		DecodeConfig:  frontends.DecodeConfig,
-		Clock:         &ctclock.BootTime{},
-		Logger:        logger,
-		Metrics:       metrics,
+		Members: &ctcontrol.PersistentClient{
+			Opener: ctpools.Opener{
+				Dialer: frontends.Dialer, Clock: clock, Logger: logger, AnswersInDoubt: metrics.AnswersInDoubt,
+			},
+			DecodeStatus: frontends.DecodeStatus,
+		},
+		Promoter:     frontends.Promoter,
+		DecodeConfig: frontends.DecodeConfig,
+		Clock:        clock,
+		Logger:       logger,
+		Metrics:      metrics,
 	})
 	if err != nil {
 		return nil, err
--- a/internal/program/ctpools/conn.go
+++ b/internal/program/ctpools/conn.go
@@ -94,6 +94,11 @@
 	return c.executor.alive()
 }
 
+// Close closes a connection that belongs to no pool. Pooled ones are released instead.
+func (c *Conn) Close() {
+	c.close()
+}
+
 func (c *Conn) close() {
 	c.executor.close()
 }
--- a/internal/program/ctpools/doubt.go
+++ b/internal/program/ctpools/doubt.go
@@ -1,19 +1,20 @@
 package ctpools
 
 import (
+	"github.com/prometheus/client_golang/prometheus"
 	"github.com/rs/zerolog"
 
 	"github.com/cherviltrestle/cherviltrestle/internal/decide/ctreply"
 	"github.com/cherviltrestle/cherviltrestle/internal/model/ctid"
 	"github.com/cherviltrestle/cherviltrestle/internal/model/ctquery"
-	"github.com/cherviltrestle/cherviltrestle/internal/program/ctmetric"
 )
 
 // doubtReporter logs and counts the answers on one connection that don't belong to their
 // queries.
 type doubtReporter struct {
-	logger  zerolog.Logger
-	metrics *ctmetric.Metrics
+	logger zerolog.Logger
+	// answers counts them by kind; nil if nothing is counted.
+	answers *prometheus.CounterVec
 	member  ctid.Member
 	number  ctid.Connection
 }
@@ -21,7 +22,11 @@
 // reporter returns the reporter of a new connection to a member.
 func (p *Pools) reporter(member ctid.Member) doubtReporter {
 	number := ctid.Connection(p.connectionCount.Add(1))
-	return doubtReporter{logger: p.Logger, metrics: p.Metrics, member: member, number: number}
+	reporter := doubtReporter{logger: p.Logger, member: member, number: number}
+	if p.Metrics != nil {
+		reporter.answers = p.Metrics.AnswersInDoubt
+	}
+	return reporter
 }
 
 // reportMalformed reports that the connection brought something that is not an answer.
@@ -36,8 +41,8 @@
 
 // count counts an answer in the metrics, if there are any.
 func (r *doubtReporter) count(doubt ctreply.Doubt) {
-	if r.metrics != nil {
-		r.metrics.AnswersInDoubt.WithLabelValues(string(doubt)).Inc()
+	if r.answers != nil {
+		r.answers.WithLabelValues(string(doubt)).Inc()
 	}
 }
 
