ctreply: successive confirmations have different answers

A member that repeats many answers in a row, in their order, could repeat a fault or a status together with its whole confirmation, which was then accepted: a promise or a status that is another's. The states of the transaction in the answers of 8 successive confirmations outside a transaction now differ. In an open transaction no statement without a slot has answers that differ; that stays open.

--- a/internal/decide/ctreply/confirm.go
+++ b/internal/decide/ctreply/confirm.go
@@ -6,34 +6,48 @@
 // No shape has it: names of shapes are digests.
 const confirmingName = "confirmation"
 
-// openConfirmation confirms an answer after which a transaction is open, or may be.
-func openConfirmation() []ctquery.Statement {
-	prepare := ctquery.Prepare{Name: confirmingName, Shape: ctquery.Shape{Text: confirmingName}}
-	deallocate := ctquery.Deallocate{Name: confirmingName}
-	return []ctquery.Statement{prepare, deallocate, prepare, deallocate}
-}
+// patternBits is how many pairs of statements a confirmation outside a transaction has.
+const patternBits = 3
 
-// closedConfirmation confirms an answer after which no transaction is open. Its answers
-// differ in the state of the transaction, so that repeats seldom look like them.
-func closedConfirmation() []ctquery.Statement {
+// preparing returns a pair of statements that leave the state of the transaction as it is.
+func preparing() []ctquery.Statement {
 	return []ctquery.Statement{
-		ctquery.Begin{ReadOnly: true},
 		ctquery.Prepare{Name: confirmingName, Shape: ctquery.Shape{Text: confirmingName}},
-		ctquery.Rollback{},
 		ctquery.Deallocate{Name: confirmingName},
 	}
 }
 
+// openConfirmation confirms an answer after which a transaction is open, or may be.
+func openConfirmation() []ctquery.Statement {
+	return append(preparing(), preparing()...)
+}
+
+// closedConfirmation confirms an answer after which no transaction is open. The states in its
+// answers differ from those of the confirmations before, so that a repeat of one of them does
+// not look like it.
+func (c *Conversation) closedConfirmation() []ctquery.Statement {
+	var statements []ctquery.Statement
+	for bit := range patternBits {
+		if c.confirmations>>bit&1 == 0 {
+			statements = append(statements, preparing()...)
+			continue
+		}
+		statements = append(statements, ctquery.Begin{ReadOnly: true}, ctquery.Rollback{})
+	}
+	c.confirmations++
+	return statements
+}
+
 // Confirmation returns the statements that confirm the last answer. A failed transaction
 // accepts nothing but its end, so it is rolled back.
 func (c *Conversation) Confirmation() []ctquery.Statement {
 	switch {
 	case c.transaction == ctquery.TransactionFailed:
-		return append([]ctquery.Statement{ctquery.Rollback{}}, closedConfirmation()...)
+		return append([]ctquery.Statement{ctquery.Rollback{}}, c.closedConfirmation()...)
 	case c.mayBeOpen:
 		return openConfirmation()
 	}
-	return closedConfirmation()
+	return c.closedConfirmation()
 }
 
 // AheadConfirmation returns the statements to send together with a statement, because the
@@ -46,7 +60,7 @@
 	case begins || (rowsOf(statement) > 0 && c.transaction != ctquery.TransactionNone):
 		return openConfirmation()
 	}
-	return closedConfirmation()
+	return c.closedConfirmation()
 }
 
 // bareSuccessMayRepeat reports whether a statement has to be confirmed and a success like its
--- a/internal/decide/ctreply/conversation.go
+++ b/internal/decide/ctreply/conversation.go
@@ -24,6 +24,8 @@
 	faults fingerprints
 	// bare holds which successes without a proof were received.
 	bare [ctquery.TransactionFailed + 1]bareSuccesses
+	// confirmations counts the confirmations outside a transaction.
+	confirmations uint8
 	// shifted reports whether an answer was accepted that may be a repeat, since the last
 	// one that can't be. The answers may be shifted by one then.
 	shifted bool
--- a/internal/decide/ctreply/conversation_test.go
+++ b/internal/decide/ctreply/conversation_test.go
@@ -110,6 +110,20 @@
 	assert.Equal(t, conversation.Judge(ctquery.Read{}, fault("0", none)), ctreply.Unconfirmed{})
 }
 
+// Guards against a repeated confirmation that is taken for the next one.
+func TestConfirmationsDiffer(t *testing.T) {
+	var conversation ctreply.Conversation
+	seen := make(map[string]bool)
+	for range 8 {
+		var kinds string
+		for _, statement := range conversation.Confirmation() {
+			kinds += fmt.Sprintf("%T", statement)
+		}
+		assert.Assert(t, !seen[kinds])
+		seen[kinds] = true
+	}
+}
+
 // Guards against a confirmation that a transaction which is still open would refuse.
 func TestConfirmationFitsTheState(t *testing.T) {
 	assertFirst := func(t *testing.T, want ctquery.Statement, steps ...step) {
@@ -122,7 +136,7 @@
 	}
 	begun := step{ctquery.Begin{}, bare(open)}
 	t.Run("no transaction", func(t *testing.T) {
-		assertFirst(t, ctquery.Begin{}, step{ctquery.Read{}, fault("x", none)})
+		assertFirst(t, ctquery.Prepare{}, step{ctquery.Read{}, fault("x", none)})
 	})
 	t.Run("open", func(t *testing.T) {
 		assertFirst(t, ctquery.Prepare{}, begun, step{ctquery.Read{}, fault("x", open)})
--- a/internal/decide/ctreply/doc.go
+++ b/internal/decide/ctreply/doc.go
@@ -26,7 +26,9 @@
 
 Only the last proofsKept proofs are known: a repeat that comes after more answers than that
 is taken for a new one. An answer is confirmed falsely if as many repeats as there are
-confirming statements arrive behind it, in a row and each like the answer expected next.
+confirming statements arrive behind it, in a row, after the confirmation was sent and each
+like the answer expected next. Outside a transaction, the answers to 8 confirmations in a row
+differ; in an open one, all are alike.
 Faults are not forgotten: beyond faultsKept of them, every fault has to be confirmed.
 
 # Usage
--- a/internal/program/ctpools/stutter_test.go
+++ b/internal/program/ctpools/stutter_test.go
@@ -41,6 +41,8 @@
 	mutex  sync.Mutex
 	random *rand.Rand
 	dials  int
+	// inOrder makes it repeat any number of its last answers in a row.
+	inOrder bool
 	// outcomes holds the true answer to each query with an ID.
 	outcomes map[ctquery.ID]ctquery.Answer
 	// answered counts the true answers, and point the commits.
@@ -109,7 +111,7 @@
 			c.member.outcomes[query.ID] = answer
 		}
 		c.answers <- answer
-		if c.member.random.IntN(3) == 0 {
+		if c.member.inOrder || c.member.random.IntN(3) == 0 {
 			c.late = append(c.late, answer)
 		}
 	}
@@ -119,6 +121,15 @@
 
 // sendLate sends any of the repeats that are outstanding.
 func (c *stutterConn) sendLate() {
+	if c.member.inOrder {
+		if len(c.late) > 0 && c.member.random.IntN(4) == 0 {
+			for _, answer := range c.late[c.member.random.IntN(len(c.late)):] {
+				c.answers <- answer
+			}
+			c.late = nil
+		}
+		return
+	}
 	for len(c.late) > 0 && c.member.random.IntN(3) == 0 {
 		i := c.member.random.IntN(len(c.late))
 		c.answers <- c.late[i]
@@ -301,8 +312,9 @@
 
 const stutterMember ctid.Member = "m1"
 
-func newStutterSession(seed uint64) *stutterSession {
+func newStutterSession(seed uint64, inOrder bool) *stutterSession {
 	member := &stutterer{
+		inOrder:  inOrder,
 		random:   rand.New(rand.NewPCG(seed, 1)),
 		outcomes: make(map[ctquery.ID]ctquery.Answer),
 		point:    ctposition.Point{Term: 1, Position: 1},
@@ -330,10 +342,17 @@
 // Guards against a repeated answer that is taken for that of another query: a success, a
 // promise, a status or an end of a transaction that is not the query's own.
 func TestRepeatedAnswerIsNotTakenForAnother(t *testing.T) {
+	t.Run("each by itself", func(t *testing.T) { assertNoneWrong(t, false) })
+	t.Run("many in a row", func(t *testing.T) { assertNoneWrong(t, true) })
+}
+
+// assertNoneWrong runs operations with members that repeat answers by themselves or in a row.
+func assertNoneWrong(t *testing.T, inOrder bool) {
+	t.Helper()
 	var total stutterTally
 	var dials int
 	for seed := range uint64(stutterSeeds) {
-		s := newStutterSession(seed)
+		s := newStutterSession(seed, inOrder)
 		for range operationsPerSeed {
 			s.operate(t)
 		}
