--- a/internal/lab/ctsoak/doc.go
+++ b/internal/lab/ctsoak/doc.go
@@ -13,11 +13,18 @@
 address. A relay stands in front of the peer port of each process and in front of
 each member, so that connections can be cut in one direction, delayed, reset or
 stalled. Members, callers, operators and the promotion service run in the test
-process; package platform encodes their messages. The Checker receives each
+process; package platform encodes their HTTP messages, and package ctpeer, which
+shares no code with the product, those of the line protocol. The Checker receives each
 statement from the caller that sends it and from the member that runs it, and
 each promotion request as the service receives it. It records violations of the
 invariants.
 
+# Texts and repeated answers
+
+In each seed callers send any text (package cttext) and some queries that can't be passed
+on, members return any rows, and members send some answers twice (package ctstutter). Texts
+are compared byte for byte, and a success with the one answer that a member made for it.
+
 # Held requests
 
 The promotion service compares no epochs. A requestGate in front of it holds the
