ctbackend: confirm a status, so that it is not older than its query

A status that a backend server sends again, late, was taken for that of the next query: a position or a role older than it seems, on which the age of reads and the confirmation of writes depend. "a repeated status is not taken for a newer one" failed before ("err is nil", position 10 for 20). The monitor pays one round trip more for each poll; the holder of a primary none, as it asked before.

--- a/internal/link/ctbackend/conn_test.go
+++ b/internal/link/ctbackend/conn_test.go
@@ -12,6 +12,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/cherviltrestle/cherviltrestle/internal/link/ctbackend"
+	"github.com/cherviltrestle/cherviltrestle/internal/model/ctposition"
 )
 
 // testTimeout limits the calls of a test, so that a fault can't make it hang.
@@ -83,6 +84,17 @@
 	}
 }
 
+// status returns an answer to the status query with a received position.
+func status(received string) []pgproto3.BackendMessage {
+	var columns [][]byte
+	for _, column := range []string{"replica", "3", received, "10", "0", "1"} {
+		columns = append(columns, []byte(column))
+	}
+	messages := answer("")
+	messages[0] = &pgproto3.DataRow{Values: columns}
+	return messages
+}
+
 // query runs a statement within testTimeout.
 func query(connection *ctbackend.Conn, text string) ([][]string, error) {
 	ctx, cancel := context.WithTimeout(context.Background(), testTimeout)
@@ -191,6 +203,18 @@
 		assert.NilError(t, err)
 		assertDoubt(t, connection, confirm(connection), ctbackend.DoubtUnconfirmed)
 	})
+	t.Run("a repeated status is not taken for a newer one", func(t *testing.T) {
+		connection, b := dial(t)
+		confirmation := answer(ctbackend.ConfirmationPrefix + "1")
+		go b.serve(status("10"), confirmation, append(status("10"), status("20")...), confirmation)
+		ctx, cancel := context.WithTimeout(context.Background(), testTimeout)
+		defer cancel()
+		first, err := connection.Status(ctx)
+		assert.NilError(t, err)
+		assert.Equal(t, first.Received.Position, ctposition.Position(10))
+		second, err := connection.Status(ctx)
+		assert.Assert(t, err != nil, "%v", second)
+	})
 	t.Run("a request is not sent over a connection that the server has closed", func(t *testing.T) {
 		connection, b := dial(t)
 		_ = b.socket.Close()
--- a/internal/link/ctbackend/query.go
+++ b/internal/link/ctbackend/query.go
@@ -83,8 +83,9 @@
 	return collector.rows, nil
 }
 
-// Status queries the status of the member that the connection leads to. If the
-// answer can't be read, the error has the kind cterror.Invalid.
+// Status queries the status of the member that the connection leads to, and confirms it, so
+// that it isn't older than the call. If the answer can't be read, the error has the kind
+// cterror.Invalid.
 func (c *Conn) Status(ctx context.Context) (ctserver.Status, error) {
 	values, err := c.Query(ctx, ctserver.StatusQuery)
 	if err != nil {
@@ -93,7 +94,11 @@
 	if len(values) != 1 || len(values[0]) != statusColumns {
 		return ctserver.Status{}, newStatusError("it is not one row of six columns")
 	}
-	return parseStatus(values[0])
+	status, err := parseStatus(values[0])
+	if err != nil {
+		return ctserver.Status{}, err
+	}
+	return status, c.Confirm(ctx)
 }
 
 // parseStatus reads a row of ctserver.StatusQuery.
--- a/internal/program/ctholding/run.go
+++ b/internal/program/ctholding/run.go
@@ -87,9 +87,9 @@
 	return true
 }
 
-// acknowledge sends the withheld end of an answer. A replica's is sent at once. A
-// primary's is sent after its writes were confirmed by a majority, if the lease is
-// still valid then.
+// acknowledge sends the withheld end of an answer once it is confirmed, for a primary by the
+// status behind it. A primary's is sent after its writes were confirmed by a majority, too, if
+// the lease is still valid then.
 func (x *exchange) acknowledge(ctx context.Context, relay *relay) {
 	if x.first.Term == 0 {
 		if x.confirmAnswer(ctx) {
@@ -106,9 +106,6 @@
 		x.sendOutcomeUnknown(ctoutcome.ReasonLeaseLost)
 		return
 	}
-	if !x.confirmAnswer(ctx) {
-		return
-	}
 	if reason := x.awaitConfirmation(status.Received); reason != ctoutcome.ReasonNone {
 		x.sendOutcomeUnknown(reason)
 		return
