--- a/internal/lab/ctproof/transaction_test.go
+++ b/internal/lab/ctproof/transaction_test.go
@@ -49,3 +49,14 @@
 		assertTransactionLost(t, fleet, fleet.ProxiesAt(failureDomains[1])[0], holder)
 	})
 }
+
+// TestIsolationLevel guards against statements of the proxy's own that make the member refuse
+// those of the caller: an isolation level must be set before the transaction's first query.
+func TestIsolationLevel(t *testing.T) {
+	fleet := start(t, smallFleet())
+	session := open(t, fleet.Proxies[0], nil)
+	mustRun(t, session, "BEGIN")
+	mustRun(t, session, "SET TRANSACTION ISOLATION LEVEL SERIALIZABLE")
+	mustRun(t, session, "INSERT INTO tests (key, value) VALUES ('isolated', 'x')")
+	mustRun(t, session, "COMMIT")
+}
--- a/internal/lab/ctsql/parse.go
+++ b/internal/lab/ctsql/parse.go
@@ -59,6 +59,8 @@
 	}},
 	{pattern(`(?:commit|end)(?: transaction| work)?`), func([]string) Statement { return Commit{} }},
 	{pattern(`(?:rollback|abort)(?: transaction| work)?`), func([]string) Statement { return Rollback{} }},
+	{pattern(`set transaction .+`), func([]string) Statement { return SetTransaction{} }},
+	{pattern(`show ([a-z_.]+)`), func(p []string) Statement { return Show{Name: p[1]} }},
 	{pattern(`set ([a-z_.]+) (?:=|to) (.+)`), func(p []string) Statement {
 		return Set{Name: p[1], Value: strings.Trim(p[2], "'")}
 	}},
--- a/internal/lab/ctsql/statement.go
+++ b/internal/lab/ctsql/statement.go
@@ -81,6 +81,14 @@
 	Value string
 }
 
+// SetTransaction changes a characteristic of the transaction, such as its isolation level.
+type SetTransaction struct{}
+
+// Show returns a setting of the session.
+type Show struct {
+	Name string
+}
+
 // Discard resets the session to its initial state.
 type Discard struct{}
 
@@ -144,6 +152,8 @@
 func (Commit) isStatement()            {}
 func (Rollback) isStatement()          {}
 func (Set) isStatement()               {}
+func (SetTransaction) isStatement()    {}
+func (Show) isStatement()              {}
 func (Discard) isStatement()           {}
 func (Copy) isStatement()              {}
 func (ReadStatus) isStatement()        {}
@@ -167,7 +177,7 @@
 // ReturnsRows reports whether a statement returns rows.
 func ReturnsRows(statement Statement) bool {
 	switch statement.(type) {
-	case Select, SelectAll, Count, SelectLiteral, Sleep, DivideByZero, ReadStatus, TryAdvisoryLock,
+	case Select, SelectAll, Count, SelectLiteral, Show, Sleep, DivideByZero, ReadStatus, TryAdvisoryLock,
 		CountOtherHolders, TerminateOthers, Fence, Promote, Follow, ReadLog:
 		return true
 	}
--- a/internal/lab/ctstandin/execute.go
+++ b/internal/lab/ctstandin/execute.go
@@ -52,10 +52,15 @@
 		return result{tag: "ROLLBACK"}, nil
 	case ctsql.Set:
 		return s.applySetting(st)
+	case ctsql.SetTransaction:
+		return s.setTransaction()
+	case ctsql.Show:
+		return s.show(st)
 	case ctsql.Discard:
 		s.reset()
 		return result{tag: "DISCARD ALL"}, nil
 	}
+	s.hasSnapshot = s.inTransaction
 	if ctsql.ChangesRows(statement) {
 		return s.write(d, statement, parameters)
 	}
@@ -81,6 +86,26 @@
 	return result{tag: "SET"}, nil
 }
 
+// setTransaction accepts a characteristic of the transaction, which must come before the
+// first statement that reads or writes.
+func (s *session) setTransaction() (result, error) {
+	if s.hasSnapshot {
+		return result{}, &sqlError{"25001", "SET TRANSACTION ISOLATION LEVEL must be called before any query"}
+	}
+	return result{tag: "SET"}, nil
+}
+
+// show returns a setting that was set on the session.
+func (s *session) show(st ctsql.Show) (result, error) {
+	value, ok := s.settings[st.Name]
+	if !ok {
+		return result{}, &sqlError{"42704", "unrecognized configuration parameter " + strconv.Quote(st.Name)}
+	}
+	r := singleColumn(st.Name, value)
+	r.tag = "SHOW"
+	return r, nil
+}
+
 // commit ends the transaction and commits its writes. It fails if the member has
 // ceased to be the primary.
 func (s *session) commit(d *database) (result, error) {
--- a/internal/lab/ctstandin/session.go
+++ b/internal/lab/ctstandin/session.go
@@ -9,7 +9,6 @@
 
 	"github.com/cherviltrestle/cherviltrestle/internal/lab/ctsql"
 	"github.com/cherviltrestle/cherviltrestle/internal/lab/ctwal"
-	"github.com/cherviltrestle/cherviltrestle/internal/link/ctbackend"
 )
 
 // sessionID identifies a connection. The protocol reports it as the process ID.
@@ -33,6 +32,8 @@
 	// failed reports that a statement of the open transaction failed.
 	failed   bool
 	readOnly bool
+	// hasSnapshot reports whether a statement of the open transaction has read or written.
+	hasSnapshot bool
 	// writes are the changes that are not committed yet.
 	writes     []ctwal.Entry
 	terminated bool
@@ -113,11 +114,9 @@
 // isSystemStatement reports whether a statement serves the system's own work, such as
 // status, terms, replication or session settings. System statements use no slot.
 func isSystemStatement(statement ctsql.Statement) bool {
-	switch st := statement.(type) {
-	case ctsql.SelectLiteral:
-		return strings.HasPrefix(st.Value.Text, ctbackend.ConfirmationPrefix)
+	switch statement.(type) {
 	case ctsql.ReadStatus, ctsql.TryAdvisoryLock, ctsql.CountOtherHolders, ctsql.TerminateOthers,
-		ctsql.Fence, ctsql.Promote, ctsql.Follow, ctsql.ReadLog, ctsql.Discard, ctsql.Set:
+		ctsql.Fence, ctsql.Promote, ctsql.Follow, ctsql.ReadLog, ctsql.Discard, ctsql.Set, ctsql.Show:
 		return true
 	}
 	return false
@@ -164,7 +163,7 @@
 
 // endTransaction clears the state of the transaction and drops its writes.
 func (s *session) endTransaction() {
-	s.inTransaction, s.failed, s.readOnly, s.writes = false, false, false, nil
+	s.inTransaction, s.failed, s.readOnly, s.hasSnapshot, s.writes = false, false, false, false, nil
 }
 
 // reset drops the session's prepared statements, portals and settings.
--- a/internal/link/ctbackend/confirm.go
+++ b/internal/link/ctbackend/confirm.go
@@ -8,21 +8,28 @@
 	"github.com/pkg/errors"
 )
 
-// ConfirmationPrefix begins the text that a confirming statement selects.
-const ConfirmationPrefix = "cherviltrestle-confirm-"
+// confirmationParameter is the PostgreSQL parameter that holds the text of a confirmation.
+const confirmationParameter = "cherviltrestle.confirmation"
+
+// confirmationEndings is the number of statements in a confirmation.
+const confirmationEndings = 2
 
 // sqlStateAborted is the SQLSTATE in_failed_sql_transaction.
 const sqlStateAborted = "25P02"
 
 // Confirm makes sure that the answers that were read since the last call are those to the
-// requests that were sent since then. It selects a text that was never selected on the
-// connection before: if the backend server had sent one answer too many, the text would not
-// be next. If it isn't, the connection is broken. In an aborted transaction, which allows no
+// requests that were sent since then. It makes the backend server show a text that it never
+// showed on the connection before: if it had sent one answer too many, the text would not be
+// next. If it isn't, the connection is broken. In an aborted transaction, which allows no
 // statement, only the error that says so must be next.
+//
+// Neither statement takes a snapshot: the caller's next one may be a SET TRANSACTION, which
+// must come before any that does.
 func (c *Conn) Confirm(ctx context.Context) error {
 	c.confirmations++
-	text := ConfirmationPrefix + strconv.FormatUint(c.confirmations, 10)
-	payload, err := (&pgproto3.Query{String: "SELECT '" + text + "'"}).Encode(nil)
+	text := strconv.FormatUint(c.confirmations, 10)
+	sql := "SET LOCAL " + confirmationParameter + " = '" + text + "'; SHOW " + confirmationParameter
+	payload, err := (&pgproto3.Query{String: sql}).Encode(nil)
 	if err != nil {
 		return errors.Wrap(err, "encode a confirmation")
 	}
@@ -43,6 +50,6 @@
 	if state == TransactionFailed {
 		return r.errorResponse != nil && r.errorResponse.Code == sqlStateAborted && r.endings == 0
 	}
-	return r.errorResponse == nil && r.endings == 1 &&
+	return r.errorResponse == nil && r.endings == confirmationEndings &&
 		len(r.rows) == 1 && len(r.rows[0]) == 1 && r.rows[0][0] == text
 }
--- a/internal/link/ctbackend/conn_test.go
+++ b/internal/link/ctbackend/conn_test.go
@@ -95,6 +95,12 @@
 	return messages
 }
 
+// confirmation returns the answer to a confirmation with the text.
+func confirmation(text string) []pgproto3.BackendMessage {
+	set := &pgproto3.CommandComplete{CommandTag: []byte("SET")}
+	return append([]pgproto3.BackendMessage{set}, answer(text)...)
+}
+
 // query runs a statement within testTimeout.
 func query(connection *ctbackend.Conn, text string) ([][]string, error) {
 	ctx, cancel := context.WithTimeout(context.Background(), testTimeout)
@@ -180,7 +186,7 @@
 	}
 	t.Run("a repeated answer that comes for a request is found behind it", func(t *testing.T) {
 		connection, b := dial(t)
-		go b.serve(answer("1"), append(answer("1"), answer("2")...), answer(ctbackend.ConfirmationPrefix+"1"))
+		go b.serve(answer("1"), append(answer("1"), answer("2")...), confirmation("1"))
 		for range 2 {
 			_, err := query(connection, "SELECT 1")
 			assert.NilError(t, err)
@@ -196,8 +202,7 @@
 	})
 	t.Run("a repeated confirmation confirms nothing", func(t *testing.T) {
 		connection, b := dial(t)
-		confirmation := answer(ctbackend.ConfirmationPrefix + "1")
-		go b.serve(confirmation, answer("1"), confirmation)
+		go b.serve(confirmation("1"), answer("1"), confirmation("1"))
 		assert.NilError(t, confirm(connection))
 		_, err := query(connection, "SELECT 1")
 		assert.NilError(t, err)
@@ -205,8 +210,7 @@
 	})
 	t.Run("a repeated status is not taken for a newer one", func(t *testing.T) {
 		connection, b := dial(t)
-		confirmation := answer(ctbackend.ConfirmationPrefix + "1")
-		go b.serve(status("10"), confirmation, append(status("10"), status("20")...), confirmation)
+		go b.serve(status("10"), confirmation("1"), append(status("10"), status("20")...), confirmation("2"))
 		ctx, cancel := context.WithTimeout(context.Background(), testTimeout)
 		defer cancel()
 		first, err := connection.Status(ctx)
