ctbackend: refuse a connection on which something follows the greeting

What a backend server sent in one packet with its greeting stayed in the buffer of pgconn, of which the connection knows nothing: a whole message was lost, and the rest of a cut one would have been read as the beginning of the next. "a message behind the greeting ends the connection" failed before ("expected an error, got nil"). Parameters, notices and notifications are passed over.

--- a/internal/link/ctbackend/conn.go
+++ b/internal/link/ctbackend/conn.go
@@ -75,6 +75,10 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "take over a backend connection")
 	}
+	if err := checkGreetingEnded(ctx, hijacked); err != nil {
+		_ = hijacked.Conn.Close()
+		return nil, err
+	}
 	return &Conn{
 		target:            target,
 		socket:            hijacked.Conn,
@@ -85,6 +89,26 @@
 	}, nil
 }
 
+// checkGreetingEnded returns an error if pgconn has read more than the greeting, other than
+// messages that may come at any time.
+func checkGreetingEnded(ctx context.Context, connection *pgconn.HijackedConn) error {
+	deadline, _ := ctx.Deadline()
+	_ = connection.Conn.SetDeadline(deadline)
+	for connection.Frontend.ReadBufferLen() > 0 {
+		message, err := connection.Frontend.Receive()
+		if err != nil {
+			return cterror.Wrap(cterror.Unavailable, err, "read what follows a greeting", "check the backend server")
+		}
+		switch message.(type) {
+		case *pgproto3.ParameterStatus, *pgproto3.NoticeResponse, *pgproto3.NotificationResponse:
+		default:
+			return cterror.New(cterror.Unavailable, "the backend server sent a message behind its greeting",
+				"check the backend server")
+		}
+	}
+	return nil
+}
+
 // Broken reports whether the connection must not be used again, because it failed
 // or the rest of an earlier answer may still arrive on it.
 func (c *Conn) Broken() bool {
--- a/internal/link/ctbackend/conn_test.go
+++ b/internal/link/ctbackend/conn_test.go
@@ -29,6 +29,14 @@
 
 // dial opens a connection to a new backend and returns both ends.
 func dial(t *testing.T) (*ctbackend.Conn, *backend) {
+	t.Helper()
+	connection, b, err := tryDial(t)
+	assert.NilError(t, err)
+	return connection, b
+}
+
+// tryDial is dial, with messages that the backend sends right behind its greeting.
+func tryDial(t *testing.T, behind ...pgproto3.BackendMessage) (*ctbackend.Conn, *backend, error) {
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
@@ -41,18 +49,20 @@
 		}
 		b := &backend{socket: socket, protocol: pgproto3.NewBackend(socket, socket)}
 		_, _ = b.protocol.ReceiveStartupMessage()
-		b.send(&pgproto3.AuthenticationOk{}, &pgproto3.BackendKeyData{ProcessID: 7, SecretKey: []byte{0, 0, 0, 1}},
-			&pgproto3.ReadyForQuery{TxStatus: 'I'})
+		greeting := []pgproto3.BackendMessage{
+			&pgproto3.AuthenticationOk{}, &pgproto3.BackendKeyData{ProcessID: 7, SecretKey: []byte{0, 0, 0, 1}},
+			&pgproto3.ReadyForQuery{TxStatus: 'I'},
+		}
+		b.send(append(greeting, behind...)...)
 		accepted <- b
 	}()
 	ctx, cancel := context.WithTimeout(context.Background(), testTimeout)
 	defer cancel()
 	target := ctbackend.Target{Database: "d", User: "u", Address: netip.MustParseAddrPort(listener.Addr().String())}
 	connection, err := ctbackend.Dial(ctx, target)
-	assert.NilError(t, err)
 	b := <-accepted
 	t.Cleanup(func() { _ = b.socket.Close() })
-	return connection, b
+	return connection, b, err
 }
 
 // send sends messages to the client.
@@ -208,6 +218,14 @@
 		assert.NilError(t, err)
 		assertDoubt(t, connection, confirm(connection), ctbackend.DoubtUnconfirmed)
 	})
+	t.Run("a message behind the greeting ends the connection", func(t *testing.T) {
+		_, _, err := tryDial(t, answer("1")...)
+		assert.ErrorContains(t, err, "behind its greeting")
+	})
+	t.Run("a parameter behind the greeting is passed over", func(t *testing.T) {
+		_, _, err := tryDial(t, &pgproto3.ParameterStatus{Name: "TimeZone", Value: "UTC"})
+		assert.NilError(t, err)
+	})
 	t.Run("a repeated status is not taken for a newer one", func(t *testing.T) {
 		connection, b := dial(t)
 		go b.serve(status("10"), confirmation("1"), append(status("10"), status("20")...), confirmation("2"))
