--- a/internal/link/ctpg/statements.go
+++ b/internal/link/ctpg/statements.go
@@ -35,11 +35,12 @@
 	added bool
 }
 
-// statementClosing is a Close of a statement, and portalClosing one of a portal.
+// statementClosing is a Close of a statement.
 type statementClosing struct {
 	name string
 }
 
+// portalClosing is a Close of a portal, which changes no statement.
 type portalClosing struct{}
 
 func (preparation) isStatementChange()      {}
