ctpools: an exchange may have more than 64 answers

A caller that had set 64 parameters or more could lose the connection to the member under each of its statements: a read failed on one member after another, a write was INDOUBT. The reader of a connection closed it if more answers arrived than its buffer holds, on the ground that no exchange has as many; a session's parameters have no such bound. The reader now waits for the user to take them. What arrives unasked is still found before the next query.

Seen to fail before: TestManyParametersAreSetInOneExchange with 64 and 200 parameters ("the connection to the member broke").

--- a/internal/program/ctpools/direct.go
+++ b/internal/program/ctpools/direct.go
@@ -11,8 +11,8 @@
 	"github.com/cherviltrestle/cherviltrestle/internal/work/ctclock"
 )
 
-// maxPendingAnswers is how many received answers are buffered. No exchange sends more
-// queries at once.
+// maxPendingAnswers is how many received answers are buffered. Further ones wait in the
+// network.
 const maxPendingAnswers = 64
 
 // RawConn is a connection to a member, independent of its encoding. It has no pooling
@@ -61,7 +61,7 @@
 }
 
 // read receives answers until the connection ends. It closes the connection if an answer can't
-// be decoded, or if more answers arrive than the buffer holds.
+// be decoded.
 func (e *directExecutor) read() {
 	defer e.close()
 	for {
@@ -74,7 +74,7 @@
 		}
 		select {
 		case e.answers <- answer:
-		default:
+		case <-e.closed:
 			return
 		}
 	}
