--- a/internal/program/ctpools/doc.go
+++ b/internal/program/ctpools/doc.go
@@ -7,6 +7,14 @@
 closes a connection, even an idle one. Requests that find no free connection wait
 in order of priority, and in order of arrival within a priority.
 
+# Answers
+
+The protocol to the members numbers neither queries nor answers, and a member may send an
+answer twice. ctreply judges whether each answer belongs to its query. A connection on which
+one does not is closed; the answer is not handed on. A query is not sent over a connection on
+which something has arrived since the last answer. Opener opens connections with the same
+checks outside of the pools.
+
 # Forwarding
 
 A member may accept too few connections for all proxies. Then only the proxies of
