ctquery: at most 64 bytes of an ID are logged

The line run and the line carry logged the whole ID of a caller's query, which may be 1 MiB: a caller could fill the log at the pace of the network. Only the line refuse_text cut it off. All three use ID.ForLog now.

--- a/internal/model/ctquery/text.go
+++ b/internal/model/ctquery/text.go
@@ -57,6 +57,14 @@
 	return checkWithout("id", string(i), " \n")
 }
 
+// maxLoggedIDBytes is how much of an ID is logged. An ID may be as long as a line.
+const maxLoggedIDBytes = 64
+
+// ForLog returns the ID as it goes into logs: cut off behind its first maxLoggedIDBytes.
+func (i ID) ForLog() string {
+	return string(i[:min(len(i), maxLoggedIDBytes)])
+}
+
 // MarshalBinary implements encoding.BinaryMarshaler. It rejects invalid IDs.
 func (i ID) MarshalBinary() ([]byte, error) {
 	return []byte(i), i.Check()
--- a/internal/program/ctgateway/choose.go
+++ b/internal/program/ctgateway/choose.go
@@ -117,7 +117,7 @@
 	g.Metrics.Requests.WithLabelValues(string(s.route.Group), string(role), outcome).Inc()
 	g.Metrics.RequestSeconds.WithLabelValues(string(role)).Observe(elapsed.Seconds())
 	event := ctlog.Decision(&g.Logger, "run").
-		Str("request", string(e.run.Query.ID)).
+		Str("request", e.run.Query.ID.ForLog()).
 		Uint64("session", uint64(s.id)).
 		Str("group", string(s.route.Group)).
 		Str("member", string(e.target.member)).
--- a/internal/program/ctgateway/session.go
+++ b/internal/program/ctgateway/session.go
@@ -237,15 +237,11 @@
 	s.rollBack()
 }
 
-// maxLoggedIDBytes is how much of the id of a refused query is logged. The id may be as long
-// as the query.
-const maxLoggedIDBytes = 64
-
 // logMalformed logs and counts a query whose text was refused.
 func (s *session) logMalformed(id ctquery.ID, m ctquery.Malformed) {
 	s.gateway.Metrics.MalformedQueries.WithLabelValues(string(m.Reason)).Inc()
 	ctlog.Decision(&s.gateway.Logger, "refuse_text").
-		Str("request", string(id[:min(len(id), maxLoggedIDBytes)])).
+		Str("request", id.ForLog()).
 		Uint64("session", uint64(s.id)).
 		Str("database", string(s.database)).
 		Str("why", string(m.Reason)).
--- a/internal/program/ctpools/forwardserver.go
+++ b/internal/program/ctpools/forwardserver.go
@@ -202,7 +202,7 @@
 // log writes the log line of a forwarded query.
 func (s *forwardServer) log(frame *ctframe.Forward, outcome string, startedAt time.Time) {
 	ctlog.Decision(&s.pools.Logger, "carry").
-		Str("request", string(frame.Query.ID)).
+		Str("request", frame.Query.ID.ForLog()).
 		Str("member", string(frame.Member)).
 		Str("outcome", outcome).
 		Dur("took", s.pools.Clock.Now().Sub(startedAt)).
