--- a/internal/decide/ctreply/doc.go
+++ b/internal/decide/ctreply/doc.go
@@ -29,6 +29,8 @@
 confirming statements arrive behind it, in a row, after the confirmation was sent and each
 like the answer expected next. Outside a transaction, the answers to 8 confirmations in a row
 differ; in an open one, all are alike.
+An earlier fault that arrives again in place of a lost answer is confirmed, too: the answers
+behind it fit.
 Faults are not forgotten: beyond faultsKept of them, every fault has to be confirmed.
 
 # Usage
