ctbackend: a confirmation leaves the caller's unnamed statement and portal alone

In a transaction, a caller of the PostgreSQL side got the error 26000 (prepared statement "" does not exist) if it prepared the unnamed statement in one request and executed it in the next, as drivers do. Cause: since a confirmation comes between the two, and a simple query destroys the unnamed statement and portal. The stand-in didn't do so; it does now, as PostgreSQL is documented to. Not run against a real PostgreSQL server.

The confirmation is now sent with the extended protocol, under a name of our own that it closes itself. The tests' backend reads up to the Sync; its checks are the same.

Seen to fail before: TestUnnamedStatement ("prepared statement \"\" does not exist (SQLSTATE 26000)"), with the stand-in's change. TestIsolationLevel and TestRepeatedAnswers pass as before.

--- a/internal/lab/ctproof/transaction_test.go
+++ b/internal/lab/ctproof/transaction_test.go
@@ -1,6 +1,7 @@
 package ctproof
 
 import (
+	"context"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -60,3 +61,19 @@
 	mustRun(t, session, "INSERT INTO tests (key, value) VALUES ('isolated', 'x')")
 	mustRun(t, session, "COMMIT")
 }
+
+// TestUnnamedStatement guards against statements of the proxy's own that destroy the caller's
+// unnamed prepared statement: a simple query does. Drivers prepare it in one request and
+// execute it in the next.
+func TestUnnamedStatement(t *testing.T) {
+	fleet := start(t, smallFleet())
+	session := open(t, fleet.Proxies[0], nil)
+	ctx, cancel := context.WithTimeout(t.Context(), callTimeout)
+	defer cancel()
+	mustRun(t, session, "BEGIN")
+	_, err := session.Prepare(ctx, "", "INSERT INTO tests (key, value) VALUES ($1, $2)", nil)
+	assert.NilError(t, err)
+	result := session.ExecPrepared(ctx, "", [][]byte{[]byte("unnamed"), []byte("x")}, nil, nil).Read()
+	assert.NilError(t, result.Err)
+	mustRun(t, session, "COMMIT")
+}
--- a/internal/lab/ctstandin/run.go
+++ b/internal/lab/ctstandin/run.go
@@ -43,9 +43,12 @@
 	s.writes = nil
 }
 
-// runSimple runs the statements of a simple query. It reports true if the query must
-// wait for new log entries; a query waits only once.
+// runSimple runs the statements of a simple query, which destroys the unnamed prepared
+// statement and the unnamed portal. It reports true if the query must wait for new log
+// entries; a query waits only once.
 func (s *session) runSimple(server *Server, d *database, text string, w *answerWriter) (bool, error) {
+	delete(s.prepared, "")
+	delete(s.portals, "")
 	statements, err := ctsql.Parse(text)
 	if err != nil {
 		return false, err
--- a/internal/link/ctbackend/confirm.go
+++ b/internal/link/ctbackend/confirm.go
@@ -24,12 +24,12 @@
 // statement, only the error that says so must be next.
 //
 // Neither statement takes a snapshot: the caller's next one may be a SET TRANSACTION, which
-// must come before any that does.
+// must come before any that does. Both have names, as a simple query would destroy the
+// caller's unnamed statement and portal.
 func (c *Conn) Confirm(ctx context.Context) error {
 	c.confirmations++
 	text := strconv.FormatUint(c.confirmations, 10)
-	sql := "SET LOCAL " + confirmationParameter + " = '" + text + "'; SHOW " + confirmationParameter
-	payload, err := (&pgproto3.Query{String: sql}).Encode(nil)
+	payload, err := encodeConfirmation(text)
 	if err != nil {
 		return errors.Wrap(err, "encode a confirmation")
 	}
@@ -44,6 +44,27 @@
 	return nil
 }
 
+// encodeConfirmation encodes a request that sets the parameter to the text and shows it.
+func encodeConfirmation(text string) ([]byte, error) {
+	const name = confirmationParameter
+	var payload []byte
+	for _, sql := range []string{"SET LOCAL " + name + " = '" + text + "'", "SHOW " + name} {
+		for _, message := range []pgproto3.FrontendMessage{
+			&pgproto3.Parse{Name: name, Query: sql},
+			&pgproto3.Bind{DestinationPortal: name, PreparedStatement: name},
+			&pgproto3.Execute{Portal: name},
+			&pgproto3.Close{ObjectType: 'P', Name: name},
+			&pgproto3.Close{ObjectType: 'S', Name: name},
+		} {
+			var err error
+			if payload, err = message.Encode(payload); err != nil {
+				return nil, err
+			}
+		}
+	}
+	return (&pgproto3.Sync{}).Encode(payload)
+}
+
 // confirms reports whether the answer is the one to the confirmation with the text, in the
 // given transaction state.
 func (r *rowCollector) confirms(text string, state byte) bool {
--- a/internal/link/ctbackend/conn_test.go
+++ b/internal/link/ctbackend/conn_test.go
@@ -75,16 +75,30 @@
 	_ = b.protocol.Flush()
 }
 
-// serve answers each query with the next answer. After the last one, it ignores queries.
+// serve answers each request with the next answer. After the last one, it ignores requests.
 func (b *backend) serve(answers ...[]pgproto3.BackendMessage) {
 	for _, a := range answers {
-		if _, err := b.protocol.Receive(); err != nil {
+		if b.receiveRequest() != nil {
 			return
 		}
 		b.send(a...)
 	}
 }
 
+// receiveRequest receives a simple query, or the messages up to a Sync.
+func (b *backend) receiveRequest() error {
+	for {
+		message, err := b.protocol.Receive()
+		if err != nil {
+			return err
+		}
+		switch message.(type) {
+		case *pgproto3.Query, *pgproto3.Sync:
+			return nil
+		}
+	}
+}
+
 // answer returns the answer to a SELECT of one row.
 func answer(value string) []pgproto3.BackendMessage {
 	return []pgproto3.BackendMessage{
