--- a/internal/program/ctpools/exchange_test.go
+++ b/internal/program/ctpools/exchange_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -12,6 +13,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/cherviltrestle/cherviltrestle/internal/decide/ctdialog"
+	"github.com/cherviltrestle/cherviltrestle/internal/model/cterror"
 	"github.com/cherviltrestle/cherviltrestle/internal/model/ctquery"
 	"github.com/cherviltrestle/cherviltrestle/internal/model/ctserver"
 	"github.com/cherviltrestle/cherviltrestle/internal/program/ctpools"
@@ -89,3 +91,44 @@
 		})
 	}
 }
+
+// countingDialer opens one connection whose queries it counts.
+type countingDialer struct {
+	conn burstConn
+	sent atomic.Int64
+}
+
+func (d *countingDialer) Dial(context.Context, ctserver.Announcement) (ctpools.RawConn, error) {
+	d.conn.answers, d.conn.closed = make(chan ctquery.Answer), make(chan struct{})
+	return &countingConn{burstConn: &d.conn, sent: &d.sent}, nil
+}
+
+type countingConn struct {
+	*burstConn
+	sent *atomic.Int64
+}
+
+func (c *countingConn) Send(queries []ctquery.Query) error {
+	c.sent.Add(int64(len(queries)))
+	return c.burstConn.Send(queries)
+}
+
+// Guards against a query that is sent though an answer has arrived that none asked for: that it
+// was not sent is a promise to the caller.
+func TestNothingIsSentBehindAnUnaskedAnswer(t *testing.T) {
+	dialer := &countingDialer{}
+	opener := ctpools.Opener{Dialer: dialer, Clock: &ctclock.System{}, Logger: zerolog.Nop()}
+	conn, err := opener.Open(t.Context(), ctserver.Announcement{Member: "i-1"})
+	assert.NilError(t, err)
+	defer conn.Close()
+	limits := ctpools.Limits{Deadline: time.Now().Add(stutterAnswerTimeout)}
+	_, err = conn.Run(nil, ctquery.Query{ID: "a", Statement: ctquery.Read{Item: "x"}}, limits)
+	assert.NilError(t, err)
+	// Once the second one is taken, the first one is in the buffer.
+	for range 2 {
+		dialer.conn.answers <- ctquery.Answer{Proof: "proof of a"}
+	}
+	_, err = conn.Run(nil, ctquery.Query{ID: "b", Statement: ctquery.Write{Arguments: "x 1"}}, limits)
+	assert.Equal(t, cterror.KindOf(err), cterror.Exhausted)
+	assert.Equal(t, dialer.sent.Load(), int64(1))
+}
