--- a/internal/lab/ctsql/parse.go
+++ b/internal/lab/ctsql/parse.go
@@ -65,7 +65,7 @@
 		return Set{Name: p[1], Value: strings.Trim(p[2], "'")}
 	}},
 	{pattern(`set local ([a-z_.]+) (?:=|to) (.+)`), func(p []string) Statement {
-		return Set{Name: p[1], Value: strings.Trim(p[2], "'")}
+		return Set{Name: p[1], Value: strings.Trim(p[2], "'"), Local: true}
 	}},
 	{pattern(`discard all`), func([]string) Statement { return Discard{} }},
 	{pattern(`copy .+`), func([]string) Statement { return Copy{} }},
--- a/internal/lab/ctsql/statement.go
+++ b/internal/lab/ctsql/statement.go
@@ -75,10 +75,12 @@
 // Rollback rolls the transaction back.
 type Rollback struct{}
 
-// Set changes a setting of the session. SET LOCAL is parsed as Set, too.
+// Set changes a setting of the session, or of the transaction only.
 type Set struct {
 	Name  string
 	Value string
+	// Local reports whether the setting is the transaction's.
+	Local bool
 }
 
 // SetTransaction changes a characteristic of the transaction, such as its isolation level.
--- a/internal/lab/ctstandin/execute.go
+++ b/internal/lab/ctstandin/execute.go
@@ -78,7 +78,11 @@
 	return result{}, &sqlError{"25P02", "current transaction is aborted, commands ignored until end of transaction block"}
 }
 
+// applySetting sets a setting. SET LOCAL has no effect outside of a transaction.
 func (s *session) applySetting(st ctsql.Set) (result, error) {
+	if st.Local && !s.inTransaction {
+		return result{tag: "SET"}, nil
+	}
 	if s.settings == nil {
 		s.settings = make(map[string]string)
 	}
