ctpools: a fault of a read is confirmed after it was returned

A busy member's fault is like an earlier one on most connections, so each was followed by a round trip to confirm it, also for reads that go to another member anyway. A member keeps nothing of a read outside a transaction, or of a begin that is never used. Their faults are returned at once, and the connection is confirmed in the background before anybody uses it again. The name in confirmations is one byte long, as they cross regions.

--- a/internal/decide/ctreply/confirm.go
+++ b/internal/decide/ctreply/confirm.go
@@ -2,9 +2,9 @@
 
 import "github.com/cherviltrestle/cherviltrestle/internal/model/ctquery"
 
-// confirmingName is the name of the statement that a confirmation prepares and deallocates.
-// No shape has it: names of shapes are digests.
-const confirmingName = "confirmation"
+// confirmingName is the name of the statement that a confirmation prepares and deallocates. It
+// is short, as it is sent often. No shape has it: names of shapes are digests.
+const confirmingName = "c"
 
 // patternBits is how many pairs of statements a confirmation outside a transaction has.
 const patternBits = 3
--- a/internal/program/ctpools/conn.go
+++ b/internal/program/ctpools/conn.go
@@ -19,6 +19,11 @@
 	matches(state *ctdialog.State) bool
 	// alive reports whether another query may be run.
 	alive() bool
+	// unsettled reports whether settle has something to do. settle makes sure that the last
+	// answer belongs to its query, if that was not done before it was returned. After an error,
+	// the connection must be closed.
+	unsettled() bool
+	settle(limits Limits) error
 	close()
 	// closedInDoubt reports whether the connection was closed because an answer was in doubt.
 	closedInDoubt() bool
--- a/internal/program/ctpools/direct.go
+++ b/internal/program/ctpools/direct.go
@@ -43,6 +43,9 @@
 	closeOnce    sync.Once
 	// inDoubt reports that the connection was closed because an answer was in doubt.
 	inDoubt bool
+	// unconfirmed reports that the last answer was returned before it was confirmed. The
+	// confirmation comes before any other query.
+	unconfirmed bool
 	// answerPending reports that an answer is outstanding; the connection can't be
 	// used for another session then.
 	answerPending bool
@@ -102,7 +105,7 @@
 	if _, ends := query.Statement.(ctquery.Rollback); ends && e.conversation.Transaction() == ctquery.TransactionNone {
 		return ctquery.Answer{}, nil
 	}
-	if !e.alive() {
+	if !e.alive() || e.settle(limits) != nil {
 		e.close()
 		return ctquery.Answer{}, errNotSent()
 	}
@@ -122,19 +125,18 @@
 		return ctquery.Answer{}, err
 	}
 	last := len(queries) - 1
-	for _, answer := range answers[:last] {
-		if !answer.OK() {
-			e.close()
-			return ctquery.Answer{}, cterror.New(cterror.Unavailable,
-				"the member refused the session's state: "+answer.Text, "try another member")
-		}
+	if err := e.requireAccepted(answers[:last]); err != nil {
+		return ctquery.Answer{}, err
 	}
-	if x.unconfirmed && len(ahead) == 0 {
-		err = e.confirm(limits)
-	} else if len(ahead) > 0 {
+	answer := answers[last]
+	switch {
+	case len(ahead) > 0:
 		e.conversation.Confirmed()
+	case x.unconfirmed && e.mayWait(state, query.Statement, answer):
+		e.unconfirmed = true
+	case x.unconfirmed:
+		err = e.confirm(limits)
 	}
-	answer := answers[last]
 	answer.Transaction = e.conversation.Transaction()
 	if answer.Fault == ctquery.FaultNoStatement {
 		// The member has lost what was set up on the connection, or some of it.
@@ -143,6 +145,53 @@
 	return answer, err
 }
 
+// requireAccepted closes the connection and returns an error if the member refused a part of
+// the session's state.
+func (e *directExecutor) requireAccepted(answers []ctquery.Answer) error {
+	for _, answer := range answers {
+		if !answer.OK() {
+			e.close()
+			return cterror.New(cterror.Unavailable,
+				"the member refused the session's state: "+answer.Text, "try another member")
+		}
+	}
+	return nil
+}
+
+// mayWait reports whether an answer may be returned before it is confirmed: a fault after which a
+// member keeps nothing of the statement, whatever became of it. That is one of a read outside a
+// transaction, or of a begin, whose connection is closed if it took effect after all.
+func (e *directExecutor) mayWait(state *ctdialog.State, statement ctquery.Statement, answer ctquery.Answer) bool {
+	if answer.OK() || e.conversation.Transaction() != ctquery.TransactionNone {
+		return false
+	}
+	switch statement.(type) {
+	case ctquery.Read, ctquery.Begin:
+		return true
+	case ctquery.Execute:
+		if state == nil {
+			return false
+		}
+		shape := state.ShapeOf(statement)
+		return shape != nil && !shape.Writes
+	}
+	return false
+}
+
+// unsettled reports whether the last answer has yet to be confirmed.
+func (e *directExecutor) unsettled() bool {
+	return e.unconfirmed
+}
+
+// settle confirms the last answer if it was returned unconfirmed.
+func (e *directExecutor) settle(limits Limits) error {
+	if !e.unconfirmed {
+		return nil
+	}
+	e.unconfirmed = false
+	return e.confirm(limits)
+}
+
 // confirm makes sure that the last answer was not a repeat.
 func (e *directExecutor) confirm(limits Limits) error {
 	if !e.alive() {
--- a/internal/program/ctpools/forwarding.go
+++ b/internal/program/ctpools/forwarding.go
@@ -113,6 +113,15 @@
 	return !e.stopping && !e.replyPending
 }
 
+// unsettled is false: the other proxy settles its connections.
+func (e *forwardingExecutor) unsettled() bool {
+	return false
+}
+
+func (e *forwardingExecutor) settle(Limits) error {
+	return nil
+}
+
 // closedInDoubt is false: the other proxy counts such connections.
 func (e *forwardingExecutor) closedInDoubt() bool {
 	return false
--- a/internal/program/ctpools/pools.go
+++ b/internal/program/ctpools/pools.go
@@ -51,6 +51,8 @@
 	// same time, and maxForwardStreams is how many a proxy has for one member.
 	concurrentStreamOpens = 4
 	maxForwardStreams     = 16
+	// settleTimeout bounds the confirmation of an answer after its connection was released.
+	settleTimeout = time.Second
 	// reservedForControl is how many of a member's connections the proxies leave to
 	// control.
 	reservedForControl = 4
@@ -424,6 +426,10 @@
 // Release returns a connection to the pools and records the result of its last query. The
 // caller must not use the connection afterwards.
 func (p *Pools) Release(held *ctlock.Held, conn *Conn, result Result) {
+	if !result.Discard && conn.executor.unsettled() {
+		go p.settle(conn, result)
+		return
+	}
 	if result.Discard || !conn.Alive() {
 		conn.close()
 	}
@@ -450,6 +456,15 @@
 	})
 }
 
+// settle releases a connection once its last answer is confirmed, or discards it.
+func (p *Pools) settle(conn *Conn, result Result) {
+	var held ctlock.Held
+	if conn.executor.settle(Limits{Deadline: p.Clock.Now().Add(settleTimeout)}) != nil {
+		result.Discard = true
+	}
+	p.Release(&held, conn, result)
+}
+
 // recordResult updates what is known of a member from an answer.
 func (p *Pools) recordResult(m *memberPool, now time.Time, result Result) {
 	if !result.Answered {
