--- a/internal/program/ctpools/forwarding_test.go
+++ b/internal/program/ctpools/forwarding_test.go
@@ -12,6 +12,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/cherviltrestle/cherviltrestle/internal/link/ctframe"
+	"github.com/cherviltrestle/cherviltrestle/internal/model/ctid"
 	"github.com/cherviltrestle/cherviltrestle/internal/model/ctquery"
 	"github.com/cherviltrestle/cherviltrestle/internal/model/ctserver"
 	"github.com/cherviltrestle/cherviltrestle/internal/model/ctview"
@@ -20,6 +21,8 @@
 	"github.com/cherviltrestle/cherviltrestle/internal/work/ctlock"
 )
 
+const forwardedMember ctid.Member = "m1"
+
 // echoStream is a stream to a proxy whose replies carry the query's ID as their row.
 // replies returns those to a request.
 type echoStream struct {
@@ -71,14 +74,14 @@
 	pools := ctpools.New(nil, self, stream, &ctclock.System{}, zerolog.Nop())
 	var held ctlock.Held
 	member := ctserver.Announcement{
-		Group: "g", Member: stutterMember, FailureDomain: near.FailureDomain, Incarnation: 1,
+		Group: "g", Member: forwardedMember, FailureDomain: near.FailureDomain, Incarnation: 1,
 		State: ctserver.StateReady, Slots: 2, Connections: 5,
 	}
 	delta := &ctview.Delta{To: 1, Proxies: []ctview.Proxy{self, near}, Members: []ctserver.Announcement{member}}
 	view, err := (&ctview.View{}).Apply(delta)
 	assert.NilError(t, err)
 	pools.ApplyView(&held, view)
-	conn, err := pools.Acquire(&held, stutterMember, ctpools.AcquireOptions{Deadline: time.Now().Add(time.Second)})
+	conn, err := pools.Acquire(&held, forwardedMember, ctpools.AcquireOptions{Deadline: time.Now().Add(time.Second)})
 	assert.NilError(t, err)
 	return conn
 }
