--- a/internal/decide/ctreply/doc.go
+++ b/internal/decide/ctreply/doc.go
@@ -19,8 +19,9 @@
 A confirmation is a few statements of the proxy's own behind the one in question. They use
 no slot of the member, and leave the session's values and prepared statements as they are.
 If the answer was a repeat, the true answer arrives as that of the first confirming
-statement, and does not fit. Faults are confirmed when they arrive; the other answers at
-once, with statements that are sent together with the one in question.
+statement, and does not fit. Faults are confirmed when they arrive, or, if a member keeps
+nothing of their statements, before the connection is used again. The other answers are
+confirmed with statements that are sent together with the one in question.
 
 # Limits
 
--- a/internal/lab/ctproof/repeat_test.go
+++ b/internal/lab/ctproof/repeat_test.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"math/rand/v2"
-	"strings"
 	"testing"
 
 	"github.com/jackc/pgx/v5/pgconn"
@@ -11,6 +10,7 @@
 
 	"github.com/cherviltrestle/cherviltrestle/internal/lab/ctfleet"
 	"github.com/cherviltrestle/cherviltrestle/internal/lab/ctstandin"
+	"github.com/cherviltrestle/cherviltrestle/internal/lab/cttext"
 )
 
 // Settings of TestRepeatedAnswers.
@@ -25,31 +25,14 @@
 	repeatReads    = 20
 )
 
-// anyText returns a random text of characters that end lines or separate words in some
-// protocols, and others.
-func anyText(random *rand.Rand) string {
-	const characters = "ab \t\r\n\x01\x7f;'\"\\é"
-	var text strings.Builder
-	letters := []rune(characters)
-	for range 1 + random.IntN(20) {
-		text.WriteRune(letters[random.IntN(len(letters))])
-	}
-	return text.String()
-}
-
-// quote returns the SQL literal of a text.
-func quote(text string) string {
-	return "'" + strings.ReplaceAll(text, "'", "''") + "'"
-}
-
 // insertTexts inserts repeatKeys rows and returns their texts by key.
 func insertTexts(t *testing.T, fleet *ctfleet.Fleet, random *rand.Rand) []string {
 	t.Helper()
 	writer := open(t, fleet.Proxies[0], nil)
 	var texts []string
 	for key := range repeatKeys {
-		texts = append(texts, fmt.Sprintf("%d", key)+anyText(random))
-		mustRun(t, writer, fmt.Sprintf("INSERT INTO charts (key, value) VALUES ('k%d', %s)", key, quote(texts[key])))
+		texts = append(texts, fmt.Sprintf("%d", key)+cttext.Printable(random))
+		mustRun(t, writer, fmt.Sprintf("INSERT INTO charts (key, value) VALUES ('k%d', %s)", key, cttext.Quote(texts[key])))
 	}
 	return texts
 }
--- a/internal/lab/ctrawmember/members.go
+++ b/internal/lab/ctrawmember/members.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/cherviltrestle/cherviltrestle/internal/model/cterror"
+	"github.com/cherviltrestle/cherviltrestle/internal/model/ctposition"
 	"github.com/cherviltrestle/cherviltrestle/internal/model/ctquery"
 	"github.com/cherviltrestle/cherviltrestle/internal/model/ctserver"
 	"github.com/cherviltrestle/cherviltrestle/internal/program/ctpools"
@@ -211,6 +212,12 @@
 	return m.number
 }
 
+// DecodeNumber decodes a status of a Numbered, whose number it returns as the received position.
+func DecodeNumber(answer ctquery.Answer) (ctquery.Status, error) {
+	number, err := strconv.Atoi(answer.Rows[0])
+	return ctquery.Status{Received: ctposition.Point{Term: 1, Position: ctposition.Position(number)}}, err
+}
+
 // numberedConn is a connection to a Numbered. late is the answer to be repeated, or nil.
 type numberedConn struct {
 	*conn
--- a/internal/lab/ctrawmember/members_test.go
+++ b/internal/lab/ctrawmember/members_test.go
@@ -11,43 +11,31 @@
 	"github.com/rs/zerolog"
 	"gotest.tools/v3/assert"
 
-	"github.com/cherviltrestle/cherviltrestle/internal/decide/ctdialog"
 	"github.com/cherviltrestle/cherviltrestle/internal/lab/ctrawmember"
 	"github.com/cherviltrestle/cherviltrestle/internal/model/cterror"
 	"github.com/cherviltrestle/cherviltrestle/internal/model/ctquery"
-	"github.com/cherviltrestle/cherviltrestle/internal/model/ctserver"
 	"github.com/cherviltrestle/cherviltrestle/internal/program/ctmetric"
 	"github.com/cherviltrestle/cherviltrestle/internal/program/ctpools"
-	"github.com/cherviltrestle/cherviltrestle/internal/work/ctclock"
 	"github.com/cherviltrestle/cherviltrestle/internal/work/ctlock"
 )
 
 // open opens a connection to a member.
 func open(t *testing.T, dialer ctpools.Dialer) *ctpools.Conn {
 	t.Helper()
-	opener := ctpools.Opener{Dialer: dialer, Clock: &ctclock.System{}, Logger: zerolog.Nop()}
-	conn, err := opener.Open(t.Context(), ctserver.Announcement{Member: "i-1"})
+	conn, err := ctrawmember.Open(t.Context(), dialer)
 	assert.NilError(t, err)
 	t.Cleanup(conn.Close)
 	return conn
 }
 
-// run runs a statement in a session with parameters.
-func run(
-	conn *ctpools.Conn, parameters map[ctquery.Word]ctquery.Text, id ctquery.ID, statement ctquery.Statement,
-) (ctquery.Answer, error) {
-	limits := ctpools.Limits{Deadline: time.Now().Add(ctrawmember.AnswerTimeout)}
-	return conn.Run(ctdialog.NewState(parameters, nil), ctquery.Query{ID: id, Statement: statement}, limits)
-}
-
 // Guards against an untrue promise: a write has run, its answer is lost, and an earlier fault
 // that comes again in its place is confirmed, because the later answers fit again.
 func TestRepeatedFaultInPlaceOfALostAnswer(t *testing.T) {
 	conn := open(t, ctrawmember.Losing{})
-	answer, err := run(conn, nil, "a", ctquery.Read{Item: "x"})
+	answer, err := ctrawmember.Run(conn, nil, "a", ctquery.Read{Item: "x"})
 	assert.NilError(t, err)
 	assert.Equal(t, answer.Fault, ctquery.FaultBusy)
-	answer, err = run(conn, nil, "b", ctquery.Write{Arguments: "x 1"})
+	answer, err = ctrawmember.Run(conn, nil, "b", ctquery.Write{Arguments: "x 1"})
 	assert.Equal(t, cterror.KindOf(err), cterror.Unavailable, "the write that ran was answered %+v", answer)
 }
 
@@ -59,7 +47,7 @@
 			for i := range count {
 				parameters[ctquery.Word(fmt.Sprintf("v%d", i))] = "x"
 			}
-			answer, err := run(open(t, ctrawmember.NewBurst()), parameters, "a", ctquery.Read{Item: "x"})
+			answer, err := ctrawmember.Run(open(t, ctrawmember.NewBurst()), parameters, "a", ctquery.Read{Item: "x"})
 			assert.NilError(t, err)
 			assert.Equal(t, answer.Proof, ctrawmember.ProofOf("a"))
 		})
@@ -71,13 +59,13 @@
 func TestNothingIsSentBehindAnUnaskedAnswer(t *testing.T) {
 	member := ctrawmember.NewBurst()
 	conn := open(t, member)
-	_, err := run(conn, nil, "a", ctquery.Read{Item: "x"})
+	_, err := ctrawmember.Run(conn, nil, "a", ctquery.Read{Item: "x"})
 	assert.NilError(t, err)
 	// Once the second one is taken, the first one is in the buffer.
 	for range 2 {
 		member.Answer(ctquery.Answer{Proof: ctrawmember.ProofOf("a")})
 	}
-	_, err = run(conn, nil, "b", ctquery.Write{Arguments: "x 1"})
+	_, err = ctrawmember.Run(conn, nil, "b", ctquery.Write{Arguments: "x 1"})
 	assert.Equal(t, cterror.KindOf(err), cterror.Exhausted)
 	assert.Equal(t, member.Sent.Load(), int64(1))
 }
@@ -87,14 +75,14 @@
 	parameters := map[ctquery.Word]ctquery.Text{"v": "1"}
 	assertRead := func(t *testing.T, conn *ctpools.Conn, id ctquery.ID, want cterror.Kind) {
 		t.Helper()
-		_, err := run(conn, parameters, id, ctquery.Read{Item: "x"})
+		_, err := ctrawmember.Run(conn, parameters, id, ctquery.Read{Item: "x"})
 		assert.Equal(t, cterror.KindOf(err), want)
 	}
 	t.Run("values that were not sent are sent with the next statement", func(t *testing.T) {
 		member := &ctrawmember.Setting{}
 		conn := open(t, member)
 		assertRead(t, conn, ctrawmember.TooLargeID, cterror.Invalid)
-		_, err := run(conn, parameters, "a", ctquery.Read{Item: "x"})
+		_, err := ctrawmember.Run(conn, parameters, "a", ctquery.Read{Item: "x"})
 		assert.NilError(t, err)
 		assert.Equal(t, member.Sets, 1)
 	})
@@ -116,7 +104,7 @@
 	options := ctpools.AcquireOptions{Deadline: time.Now().Add(ctrawmember.AnswerTimeout)}
 	conn, err := pools.Acquire(&held, ctrawmember.MemberName, options)
 	assert.NilError(t, err)
-	_, err = run(conn, nil, "a", ctquery.Read{Item: "x"})
+	_, err = ctrawmember.Run(conn, nil, "a", ctquery.Read{Item: "x"})
 	assert.Equal(t, cterror.KindOf(err), cterror.Unavailable)
 	<-member.Closed()
 	for _, part := range []string{
--- a/internal/lab/ctrawmember/repeat_test.go
+++ b/internal/lab/ctrawmember/repeat_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"math/rand/v2"
-	"strconv"
 	"testing"
 	"time"
 
@@ -11,8 +10,6 @@
 
 	"github.com/cherviltrestle/cherviltrestle/internal/decide/ctsuccession"
 	"github.com/cherviltrestle/cherviltrestle/internal/lab/ctrawmember"
-	"github.com/cherviltrestle/cherviltrestle/internal/model/ctposition"
-	"github.com/cherviltrestle/cherviltrestle/internal/model/ctquery"
 	"github.com/cherviltrestle/cherviltrestle/internal/model/ctserver"
 	"github.com/cherviltrestle/cherviltrestle/internal/program/ctcontrol"
 	"github.com/cherviltrestle/cherviltrestle/internal/program/ctpools"
@@ -37,25 +34,17 @@
 	var total ctrawmember.Tally
 	dials := 0
 	for seed := range uint64(seeds) {
-		session := ctrawmember.NewSession(seed, inOrder)
-		for range operationsPerSeed {
-			assert.NilError(t, session.Operate())
-		}
-		tally := session.Tally()
+		tally, opened, err := ctrawmember.Play(seed, inOrder, operationsPerSeed)
+		assert.NilError(t, err)
 		if tally.Wrong() > 0 {
 			t.Errorf("seed %d: %+v", seed, tally)
 		}
 		total.Add(tally)
-		dials += session.Dials()
+		dials += opened
 	}
 	t.Logf("%+v, %d connections", total, dials)
 }
 
-func decodeNumber(answer ctquery.Answer) (ctquery.Status, error) {
-	number, err := strconv.Atoi(answer.Rows[0])
-	return ctquery.Status{Received: ctposition.Point{Term: 1, Position: ctposition.Position(number)}}, err
-}
-
 const (
 	numberedSeeds = 50
 	callsPerSeed  = 30
@@ -71,7 +60,7 @@
 	for seed := range uint64(numberedSeeds) {
 		member := ctrawmember.NewNumbered(seed)
 		client := &ctcontrol.PersistentClient{
-			Opener: ctpools.Opener{Dialer: member, Clock: &ctclock.System{}}, DecodeStatus: decodeNumber,
+			Opener: ctpools.Opener{Dialer: member, Clock: &ctclock.System{}}, DecodeStatus: ctrawmember.DecodeNumber,
 		}
 		choices := rand.New(rand.NewPCG(seed, 1))
 		for range callsPerSeed {
--- a/internal/lab/ctrawmember/session.go
+++ b/internal/lab/ctrawmember/session.go
@@ -1,6 +1,7 @@
 package ctrawmember
 
 import (
+	"context"
 	"fmt"
 	"math/rand/v2"
 	"strconv"
@@ -42,6 +43,18 @@
 	violations                  int
 }
 
+// Play runs operations of a new session and returns the counts and how many connections were
+// opened.
+func Play(seed uint64, inOrder bool, operations int) (tally Tally, dials int, err error) {
+	s := NewSession(seed, inOrder)
+	for range operations {
+		if err := s.Operate(); err != nil {
+			return s.Tally(), s.Dials(), err
+		}
+	}
+	return s.Tally(), s.Dials(), nil
+}
+
 // Operate runs a random operation.
 func (s *Session) Operate() error {
 	conn, err := s.pools.Acquire(&s.held, MemberName, ctpools.AcquireOptions{
@@ -204,3 +217,17 @@
 	t.violations += o.violations
 	t.harmlessFaults += o.harmlessFaults
 }
+
+// Open opens a connection to a member that belongs to no pool.
+func Open(ctx context.Context, dialer ctpools.Dialer) (*ctpools.Conn, error) {
+	opener := ctpools.Opener{Dialer: dialer, Clock: &ctclock.System{}, Logger: zerolog.Nop()}
+	return opener.Open(ctx, ctserver.Announcement{Member: MemberName})
+}
+
+// Run runs a statement of a session with parameters.
+func Run(
+	conn *ctpools.Conn, parameters map[ctquery.Word]ctquery.Text, id ctquery.ID, statement ctquery.Statement,
+) (ctquery.Answer, error) {
+	limits := ctpools.Limits{Deadline: time.Now().Add(AnswerTimeout)}
+	return conn.Run(ctdialog.NewState(parameters, nil), ctquery.Query{ID: id, Statement: statement}, limits)
+}
--- a/internal/link/ctbackend/conn_test.go
+++ b/internal/lab/ctscripted/backend_test.go
@@ -1,129 +1,41 @@
-package ctbackend_test
+package ctscripted_test
 
 import (
 	"context"
-	"net"
-	"net/netip"
-	"sync"
 	"testing"
 	"time"
 
 	"github.com/jackc/pgx/v5/pgproto3"
 	"gotest.tools/v3/assert"
 
+	"github.com/cherviltrestle/cherviltrestle/internal/lab/ctscripted"
 	"github.com/cherviltrestle/cherviltrestle/internal/link/ctbackend"
 	"github.com/cherviltrestle/cherviltrestle/internal/model/ctposition"
 )
 
+var answer, status, confirmation = ctscripted.Answer, ctscripted.Status, ctscripted.Confirmation
+
 // testTimeout limits the calls of a test, so that a fault can't make it hang.
 const testTimeout = 10 * time.Second
 
-// backend is the server's end of a connection. It encodes with the pgproto3 library, like
-// the package under test.
-type backend struct {
-	socket   net.Conn
-	protocol *pgproto3.Backend
-	// mutex guards the sending side of protocol.
-	mutex sync.Mutex
-}
-
-// dial opens a connection to a new backend and returns both ends.
-func dial(t *testing.T) (*ctbackend.Conn, *backend) {
+// dial opens a connection to a new backend server and returns both ends.
+func dial(t *testing.T) (*ctbackend.Conn, *ctscripted.Backend) {
 	t.Helper()
 	connection, b, err := tryDial(t)
 	assert.NilError(t, err)
 	return connection, b
 }
 
-// tryDial is dial, with messages that the backend sends right behind its greeting.
-func tryDial(t *testing.T, behind ...pgproto3.BackendMessage) (*ctbackend.Conn, *backend, error) {
+// tryDial is dial, with messages that the server sends right behind its greeting.
+func tryDial(t *testing.T, behind ...pgproto3.BackendMessage) (*ctbackend.Conn, *ctscripted.Backend, error) {
 	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	assert.NilError(t, err)
-	t.Cleanup(func() { _ = listener.Close() })
-	accepted := make(chan *backend, 1)
-	go func() {
-		socket, err := listener.Accept()
-		if err != nil {
-			return
-		}
-		b := &backend{socket: socket, protocol: pgproto3.NewBackend(socket, socket)}
-		_, _ = b.protocol.ReceiveStartupMessage()
-		greeting := []pgproto3.BackendMessage{
-			&pgproto3.AuthenticationOk{}, &pgproto3.BackendKeyData{ProcessID: 7, SecretKey: []byte{0, 0, 0, 1}},
-			&pgproto3.ReadyForQuery{TxStatus: 'I'},
-		}
-		b.send(append(greeting, behind...)...)
-		accepted <- b
-	}()
 	ctx, cancel := context.WithTimeout(context.Background(), testTimeout)
 	defer cancel()
-	target := ctbackend.Target{Database: "d", User: "u", Address: netip.MustParseAddrPort(listener.Addr().String())}
-	connection, err := ctbackend.Dial(ctx, target)
-	b := <-accepted
-	t.Cleanup(func() { _ = b.socket.Close() })
+	connection, b, err := ctscripted.Dial(ctx, behind...)
+	t.Cleanup(b.Close)
 	return connection, b, err
 }
 
-// send sends messages to the client.
-func (b *backend) send(messages ...pgproto3.BackendMessage) {
-	b.mutex.Lock()
-	defer b.mutex.Unlock()
-	for _, m := range messages {
-		b.protocol.Send(m)
-	}
-	_ = b.protocol.Flush()
-}
-
-// serve answers each request with the next answer. After the last one, it ignores requests.
-func (b *backend) serve(answers ...[]pgproto3.BackendMessage) {
-	for _, a := range answers {
-		if b.receiveRequest() != nil {
-			return
-		}
-		b.send(a...)
-	}
-}
-
-// receiveRequest receives a simple query, or the messages up to a Sync.
-func (b *backend) receiveRequest() error {
-	for {
-		message, err := b.protocol.Receive()
-		if err != nil {
-			return err
-		}
-		switch message.(type) {
-		case *pgproto3.Query, *pgproto3.Sync:
-			return nil
-		}
-	}
-}
-
-// answer returns the answer to a SELECT of one row.
-func answer(value string) []pgproto3.BackendMessage {
-	return []pgproto3.BackendMessage{
-		&pgproto3.DataRow{Values: [][]byte{[]byte(value)}},
-		&pgproto3.CommandComplete{CommandTag: []byte("SELECT 1")},
-		&pgproto3.ReadyForQuery{TxStatus: 'I'},
-	}
-}
-
-// status returns an answer to the status query with a received position.
-func status(received string) []pgproto3.BackendMessage {
-	var columns [][]byte
-	for _, column := range []string{"replica", "3", received, "10", "0", "1"} {
-		columns = append(columns, []byte(column))
-	}
-	messages := answer("")
-	messages[0] = &pgproto3.DataRow{Values: columns}
-	return messages
-}
-
-// confirmation returns the answer to the confirmation with the number.
-func confirmation(number string) []pgproto3.BackendMessage {
-	return answer("cherviltrestle_confirmation-" + number)
-}
-
 // query runs a statement within testTimeout.
 func query(connection *ctbackend.Conn, text string) ([][]string, error) {
 	ctx, cancel := context.WithTimeout(context.Background(), testTimeout)
@@ -156,17 +68,17 @@
 func TestUnaskedMessages(t *testing.T) {
 	t.Run("a repeated answer on an idle connection ends it", func(t *testing.T) {
 		connection, b := dial(t)
-		go b.serve(answer("1"), answer("2"))
+		go b.Serve(answer("1"), answer("2"))
 		_, err := query(connection, "SELECT 1")
 		assert.NilError(t, err)
-		b.send(answer("1")...)
+		b.Send(answer("1")...)
 		awaitArrival()
 		_, err = query(connection, "SELECT 2")
 		assertDoubt(t, connection, err, ctbackend.DoubtUnasked)
 	})
 	t.Run("a repeated answer in the same packet ends it", func(t *testing.T) {
 		connection, b := dial(t)
-		go b.serve(append(answer("1"), answer("1")...), answer("2"))
+		go b.Serve(append(answer("1"), answer("1")...), answer("2"))
 		_, err := query(connection, "SELECT 1")
 		assert.NilError(t, err)
 		_, err = query(connection, "SELECT 2")
@@ -174,19 +86,19 @@
 	})
 	t.Run("an answer of another statement doesn't count as a reset", func(t *testing.T) {
 		connection, b := dial(t)
-		go b.serve(answer("1"))
+		go b.Serve(answer("1"))
 		_, err := query(connection, "DISCARD ALL")
 		assertDoubt(t, connection, err, ctbackend.DoubtWrongAnswer)
 	})
 	t.Run("a bare ReadyForQuery is no answer", func(t *testing.T) {
 		connection, b := dial(t)
-		go b.serve([]pgproto3.BackendMessage{&pgproto3.ReadyForQuery{TxStatus: 'I'}})
+		go b.Serve([]pgproto3.BackendMessage{&pgproto3.ReadyForQuery{TxStatus: 'I'}})
 		_, err := query(connection, "SELECT 1")
 		assertDoubt(t, connection, err, ctbackend.DoubtWrongAnswer)
 	})
 	t.Run("a statement of our own changes no transaction", func(t *testing.T) {
 		connection, b := dial(t)
-		go b.serve([]pgproto3.BackendMessage{
+		go b.Serve([]pgproto3.BackendMessage{
 			&pgproto3.CommandComplete{CommandTag: []byte("SELECT 1")}, &pgproto3.ReadyForQuery{TxStatus: 'T'},
 		})
 		_, err := query(connection, "SELECT 1")
@@ -199,8 +111,8 @@
 	} {
 		t.Run("a message that may come at any time is passed over", func(t *testing.T) {
 			connection, b := dial(t)
-			go b.serve(answer("2"))
-			b.send(message)
+			go b.Serve(answer("2"))
+			b.Send(message)
 			awaitArrival()
 			rows, err := query(connection, "SELECT 2")
 			assert.NilError(t, err)
@@ -209,7 +121,7 @@
 	}
 	t.Run("a repeated answer that comes for a request is found behind it", func(t *testing.T) {
 		connection, b := dial(t)
-		go b.serve(answer("1"), append(answer("1"), answer("2")...), confirmation("1"))
+		go b.Serve(answer("1"), append(answer("1"), answer("2")...), confirmation("1"))
 		for range 2 {
 			_, err := query(connection, "SELECT 1")
 			assert.NilError(t, err)
@@ -218,14 +130,14 @@
 	})
 	t.Run("a repeated answer that comes for a confirmation is found", func(t *testing.T) {
 		connection, b := dial(t)
-		go b.serve(answer("1"), answer("1"))
+		go b.Serve(answer("1"), answer("1"))
 		_, err := query(connection, "SELECT 1")
 		assert.NilError(t, err)
 		assertDoubt(t, connection, confirm(connection), ctbackend.DoubtUnconfirmed)
 	})
 	t.Run("a repeated confirmation confirms nothing", func(t *testing.T) {
 		connection, b := dial(t)
-		go b.serve(confirmation("1"), answer("1"), confirmation("1"))
+		go b.Serve(confirmation("1"), answer("1"), confirmation("1"))
 		assert.NilError(t, confirm(connection))
 		_, err := query(connection, "SELECT 1")
 		assert.NilError(t, err)
@@ -241,7 +153,7 @@
 	})
 	t.Run("a repeated status is not taken for a newer one", func(t *testing.T) {
 		connection, b := dial(t)
-		go b.serve(status("10"), confirmation("1"), append(status("10"), status("20")...), confirmation("2"))
+		go b.Serve(status("10"), confirmation("1"), append(status("10"), status("20")...), confirmation("2"))
 		ctx, cancel := context.WithTimeout(context.Background(), testTimeout)
 		defer cancel()
 		first, err := connection.Status(ctx)
@@ -252,7 +164,7 @@
 	})
 	t.Run("a request is not sent over a connection that the server has closed", func(t *testing.T) {
 		connection, b := dial(t)
-		_ = b.socket.Close()
+		b.Close()
 		awaitArrival()
 		ctx, cancel := context.WithTimeout(context.Background(), testTimeout)
 		defer cancel()
--- a/internal/lab/cttext/text.go
+++ b/internal/lab/cttext/text.go
@@ -91,3 +91,19 @@
 	feeds := []string{"\n", "\nQUERY b WRITE y 1", "\n\n", "\nCOMMIT\n", "\x00\n", "\n\r"}
 	return statement + feeds[random.IntN(len(feeds))]
 }
+
+// Printable returns a random text of UTF-8 characters that end lines or separate words in some
+// protocols, and others.
+func Printable(random *rand.Rand) string {
+	letters := []rune("ab \t\r\n\x01\x7f;'\"\\é")
+	var text strings.Builder
+	for range 1 + random.IntN(20) {
+		text.WriteRune(letters[random.IntN(len(letters))])
+	}
+	return text.String()
+}
+
+// Quote returns the SQL literal of a text.
+func Quote(text string) string {
+	return "'" + strings.ReplaceAll(text, "'", "''") + "'"
+}
