ctbackend: a confirmation uses no slot outside a transaction

It is a SET and a SHOW now, as in a transaction, where it is a SET LOCAL; DISCARD ALL undoes it. TestLimits, TestRepeatedAnswers, TestIsolationLevel, TestUnnamedStatement and TestPreparedStatements pass.

--- a/internal/lab/ctscripted/backend.go
+++ b/internal/lab/ctscripted/backend.go
@@ -125,5 +125,6 @@
 
 // Confirmation returns the answer to the confirmation with the number.
 func Confirmation(number string) []pgproto3.BackendMessage {
-	return Answer("cherviltrestle_confirmation-" + number)
+	set := &pgproto3.CommandComplete{CommandTag: []byte("SET")}
+	return append([]pgproto3.BackendMessage{set}, Answer("cherviltrestle_confirmation-"+number)...)
 }
--- a/internal/link/ctbackend/confirm.go
+++ b/internal/link/ctbackend/confirm.go
@@ -11,9 +11,12 @@
 // confirmationName names the statement and the portal of a confirmation, and begins its text.
 const confirmationName = "cherviltrestle_confirmation"
 
-// confirmationParameter is the PostgreSQL parameter that holds the text in a transaction.
+// confirmationParameter is the PostgreSQL parameter that holds the text.
 const confirmationParameter = "cherviltrestle.confirmation"
 
+// confirmationEndings is how many statements a confirmation has.
+const confirmationEndings = 2
+
 // sqlStateAborted is the SQLSTATE in_failed_sql_transaction.
 const sqlStateAborted = "25P02"
 
@@ -25,8 +28,7 @@
 func (c *Conn) Confirm(ctx context.Context) error {
 	c.confirmations++
 	text := confirmationName + "-" + strconv.FormatUint(c.confirmations, 10)
-	statements := confirmation(text, c.transactionStatus)
-	payload, err := encodeNamed(statements)
+	payload, err := encodeNamed(confirmation(text, c.transactionStatus))
 	if err != nil {
 		return errors.Wrap(err, "encode a confirmation")
 	}
@@ -35,20 +37,22 @@
 	if _, err := c.Run(ctx, payload, &collector); err != nil {
 		return err
 	}
-	if c.transactionStatus != before || !collector.confirms(text, before, len(statements)) {
+	if c.transactionStatus != before || !collector.confirms(text, before) {
 		return c.fail(DoubtUnconfirmed, "another answer came in place of a confirmation")
 	}
 	return nil
 }
 
-// confirmation returns the statements that return the text. In a transaction they take no
-// snapshot, as the caller's next statement may be a SET TRANSACTION, which must come before any
-// that does. Outside of one, SET LOCAL would leave a warning in the backend server's log.
+// confirmation returns the statements that return the text. They take neither a slot nor a
+// snapshot: the caller's next statement may be a SET TRANSACTION, which must come before any that
+// does. Outside a transaction, SET LOCAL would leave a warning in the backend server's log;
+// DISCARD ALL undoes what SET leaves.
 func confirmation(text string, state byte) []string {
+	set := "SET LOCAL "
 	if state == TransactionIdle {
-		return []string{"SELECT '" + text + "'"}
+		set = "SET "
 	}
-	return []string{"SET LOCAL " + confirmationParameter + " = '" + text + "'", "SHOW " + confirmationParameter}
+	return []string{set + confirmationParameter + " = '" + text + "'", "SHOW " + confirmationParameter}
 }
 
 // encodeNamed encodes a request that runs statements under a name. A simple query would destroy
@@ -74,11 +78,11 @@
 }
 
 // confirms reports whether the answer is the one to the confirmation with the text, in the
-// given transaction state. The confirmation has as many statements as endings.
-func (r *rowCollector) confirms(text string, state byte, endings int) bool {
+// given transaction state.
+func (r *rowCollector) confirms(text string, state byte) bool {
 	if state == TransactionFailed {
 		return r.errorResponse != nil && r.errorResponse.Code == sqlStateAborted && r.endings == 0
 	}
-	return r.errorResponse == nil && r.endings == endings &&
+	return r.errorResponse == nil && r.endings == confirmationEndings &&
 		len(r.rows) == 1 && len(r.rows[0]) == 1 && r.rows[0][0] == text
 }
