--- a/internal/program/ctpools/pools.go
+++ b/internal/program/ctpools/pools.go
@@ -424,7 +424,8 @@
 }
 
 // Release returns a connection to the pools and records the result of its last query. The
-// caller must not use the connection afterwards.
+// caller must not use the connection afterwards. If the last answer has yet to be confirmed,
+// that is done first, in the background.
 func (p *Pools) Release(held *ctlock.Held, conn *Conn, result Result) {
 	if !result.Discard && conn.executor.unsettled() {
 		go p.settle(conn, result)
