--- a/internal/decide/ctdialog/dialog.go
+++ b/internal/decide/ctdialog/dialog.go
@@ -35,9 +35,9 @@
 	// wrote whether a write was planned in it.
 	readOnly bool
 	wrote    bool
-	// unreportedTimeout reports whether the transaction failed while the caller
-	// was idle and the caller has not received that error yet.
-	unreportedTimeout bool
+	// unreported is why the transaction failed between two queries, if the caller has not
+	// received that error yet.
+	unreported TransactionFailure
 	// begin is the caller's query that began the transaction.
 	begin ctquery.Query
 	// lastPoint is the log point of the latest answer of a member.
@@ -156,9 +156,9 @@
 		d.endTransaction()
 		return d.answerFault(ctquery.FaultAborted, "the transaction had failed and is rolled back")
 	}
-	if d.unreportedTimeout {
-		d.unreportedTimeout = false
-		return d.answerFault(ctquery.FaultAborted, "the transaction idled for too long and is rolled back")
+	if failure := d.unreported; failure != FailureNone {
+		d.unreported = FailureNone
+		return d.answerFault(ctquery.FaultAborted, failure.text())
 	}
 	return d.answerFault(ctquery.FaultMalformed, "the transaction failed; end it first")
 }
@@ -227,20 +227,40 @@
 	return run
 }
 
-// FailTransaction marks the open transaction as failed because it idled for too
-// long, and reports whether there was one. The caller receives the error as the
-// answer to its next query. The driver rolls the connection back.
-func (d *Dialog) FailTransaction() bool {
+// TransactionFailure says why a transaction failed between two queries.
+type TransactionFailure uint8
+
+// The reasons for which a transaction fails between two queries.
+const (
+	FailureNone TransactionFailure = iota
+	// FailureIdle means that it idled for too long.
+	FailureIdle
+	// FailureKeyWithdrawn means that the caller's key identifies its workspace no more.
+	FailureKeyWithdrawn
+)
+
+// text describes the failure to the caller.
+func (f TransactionFailure) text() string {
+	if f == FailureKeyWithdrawn {
+		return "the key was withdrawn and the transaction is rolled back"
+	}
+	return "the transaction idled for too long and is rolled back"
+}
+
+// FailTransaction marks the open transaction as failed, and reports whether there was
+// one. The caller receives the error as the answer to its next query. The driver rolls
+// the connection back.
+func (d *Dialog) FailTransaction(failure TransactionFailure) bool {
 	if d.stage != stageOpen && d.stage != stageDeclared {
 		return false
 	}
 	d.stage = stageFailed
-	d.unreportedTimeout = true
+	d.unreported = failure
 	return true
 }
 
 func (d *Dialog) endTransaction() {
-	d.unreportedTimeout = false
+	d.unreported = FailureNone
 	d.stage = stageNone
 	d.wrote = false
 	d.begin = ctquery.Query{}
--- a/internal/decide/ctdialog/dialog_test.go
+++ b/internal/decide/ctdialog/dialog_test.go
@@ -134,7 +134,7 @@
 	})
 	t.Run("the caller receives the error of an idle transaction once", func(t *testing.T) {
 		d := openTransaction(t, ctquery.Begin{}, write)
-		assert.Assert(t, d.FailTransaction())
+		assert.Assert(t, d.FailTransaction(ctdialog.FailureIdle))
 		assertAnswered(t, handle(d, write), ctquery.FaultAborted, ctquery.TransactionFailed)
 		assertAnswered(t, handle(d, write), ctquery.FaultMalformed, ctquery.TransactionFailed)
 		assertAnswered(t, handle(d, ctquery.Rollback{}), ctquery.FaultNone, ctquery.TransactionNone)
--- a/internal/lab/ctmembers/fixture_test.go
+++ b/internal/lab/ctmembers/fixture_test.go
@@ -41,6 +41,8 @@
 type caller struct {
 	name     string
 	database ctid.Database
+	// key is the digest of the key that the caller presents; zero if it presents none.
+	key ctid.KeyDigest
 	// startupFaults passes the fault with which the gateway refused the startup.
 	startupFaults chan ctquery.Fault
 	queries       chan ctquery.Query
@@ -57,7 +59,10 @@
 	interruptedFirst bool
 }
 
-func (c *caller) ReadStartup(time.Time) (ctid.Database, error) { return c.database, nil }
+func (c *caller) ReadStartup(time.Time) (ctgateway.Startup, error) {
+	return ctgateway.Startup{Database: c.database, Key: c.key}, nil
+}
+
 func (c *caller) RefuseStartup(fault ctquery.Fault, _ string) error {
 	c.startupFaults <- fault
 	c.Close()
@@ -218,6 +223,15 @@
 
 // newFixtureWith is newFixture with a proxy whose statements go a given way.
 func newFixtureWith(t *testing.T, w way, options ctmembers.Options, freshness ctconfig.Freshness) *fixture {
+	t.Helper()
+	return newConfiguredFixture(t, w, options, freshness, func(*ctconfig.Document) {})
+}
+
+// newConfiguredFixture is newFixtureWith with a configuration that the test completes.
+func newConfiguredFixture(
+	t *testing.T, w way, options ctmembers.Options, freshness ctconfig.Freshness,
+	configure func(document *ctconfig.Document),
+) *fixture {
 	t.Helper()
 	clock := &aheadClock{}
 	f := &fixture{group: ctmembers.New(options), clock: clock, callers: make(chan *caller, 1), log: &logBuffer{}}
@@ -245,16 +259,18 @@
 		Metrics: ctmetric.New(prometheus.NewRegistry()), TriggerReport: func() {},
 	})
 	var held ctlock.Held
+	document := ctconfig.Document{
+		Groups: []ctconfig.Group{{Name: options.Name, Promotion: ctconfig.PromotionExternal}},
+		Routes: []ctconfig.Route{
+			newRoute(options.Name, "db", freshness),
+			newRoute(options.Name, primaryDatabase, ctconfig.FreshnessPrimary),
+		},
+	}
+	configure(&document)
 	delta := &ctview.Delta{
 		To: 1, Proxies: proxies, Members: f.group.Announcements("d1"),
 		Groups: []ctview.Group{{Name: options.Name, Term: 1, Primary: ctmembers.MemberName(0)}},
-		Config: &ctview.Config{Revision: 1, Document: ctconfig.Document{
-			Groups: []ctconfig.Group{{Name: options.Name, Promotion: ctconfig.PromotionExternal}},
-			Routes: []ctconfig.Route{
-				newRoute(options.Name, "db", freshness),
-				newRoute(options.Name, primaryDatabase, ctconfig.FreshnessPrimary),
-			},
-		}},
+		Config: &ctview.Config{Revision: 1, Document: document},
 	}
 	_, view, err := state.ApplyDelta(&held, delta)
 	assert.NilError(t, err)
--- a/internal/lab/ctmembers/group.go
+++ b/internal/lab/ctmembers/group.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"net/netip"
 	"slices"
 	"strings"
@@ -58,6 +59,8 @@
 	violations []string
 	// results has the successful answers by their proofs.
 	results map[string]result
+	// workspaces has the workspace of the connection on which each query ran.
+	workspaces map[ctquery.ID]ctid.Workspace
 	// answersToDrop is how many of the next answers get lost.
 	answersToDrop int
 	// namesToLose is how many of the next executions find no prepared statement.
@@ -107,6 +110,7 @@
 func New(options Options) *Group {
 	g := &Group{
 		Options: options, members: make(map[ctid.Member]*member), term: firstTerm, results: make(map[string]result),
+		workspaces: make(map[ctquery.ID]ctid.Workspace),
 	}
 	for i := range options.Members {
 		name := MemberName(i)
@@ -223,9 +227,25 @@
 	return count
 }
 
+// recordWorkspace records for which workspace a member ran a query.
+func (g *Group) recordWorkspace(id ctquery.ID, workspace ctid.Workspace) {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	g.workspaces[id] = workspace
+}
+
+// Workspaces returns the workspace of the connection on which each query ran.
+func (g *Group) Workspaces() map[ctquery.ID]ctid.Workspace {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	return maps.Clone(g.workspaces)
+}
+
 // Dial opens a connection to a member. It uses a slot for the connect delay, and
 // fails if the member's connections are all in use.
-func (g *Group) Dial(_ context.Context, server ctserver.Announcement) (ctpools.RawConn, error) {
+func (g *Group) Dial(
+	_ context.Context, server ctserver.Announcement, workspace ctid.Workspace,
+) (ctpools.RawConn, error) {
 	m := g.members[server.Member]
 	g.mutex.Lock()
 	m.dialCount++
@@ -240,7 +260,7 @@
 	m.slots <- struct{}{}
 	time.Sleep(g.ConnectDelay)
 	<-m.slots
-	return newConn(g, m), nil
+	return newConn(g, m, workspace), nil
 }
 
 // recordViolation records behaviour that must never occur.
--- a/internal/lab/ctmembers/link.go
+++ b/internal/lab/ctmembers/link.go
@@ -8,6 +8,7 @@
 
 	"github.com/cherviltrestle/cherviltrestle/internal/lab/ctstutter"
 	"github.com/cherviltrestle/cherviltrestle/internal/model/cterror"
+	"github.com/cherviltrestle/cherviltrestle/internal/model/ctid"
 	"github.com/cherviltrestle/cherviltrestle/internal/model/ctquery"
 )
 
@@ -31,6 +32,8 @@
 
 	settings map[string]string
 	prepared map[string]ctquery.Shape
+	// workspace is the one that the connection serves.
+	workspace ctid.Workspace
 	// transaction is the open transaction, or nil.
 	transaction *transaction
 }
@@ -42,7 +45,7 @@
 }
 
 // newConn returns a connection and starts its serve goroutine, which ends at Close.
-func newConn(g *Group, m *member) *conn {
+func newConn(g *Group, m *member, workspace ctid.Workspace) *conn {
 	c := &conn{
 		group: g, member: m,
 		queries:  make(chan ctquery.Query, maxQueuedQueries),
@@ -50,6 +53,8 @@
 		closed:   make(chan struct{}),
 		settings: make(map[string]string),
 		prepared: make(map[string]ctquery.Shape),
+
+		workspace: workspace,
 	}
 	c.repeater.Plan, c.repeater.Send = g.Stutter, c.queueAnswer
 	go c.serve()
@@ -117,6 +122,7 @@
 			answer := c.run(q)
 			_, isStatus := q.Statement.(ctquery.ReadStatus)
 			if counted := !isStatus && q.ID != ""; counted {
+				c.group.recordWorkspace(q.ID, c.workspace)
 				c.group.awaitRelease(c.closed)
 				if c.group.dropNextAnswer() {
 					continue
--- a/internal/lab/ctrawmember/members.go
+++ b/internal/lab/ctrawmember/members.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/cherviltrestle/cherviltrestle/internal/model/cterror"
+	"github.com/cherviltrestle/cherviltrestle/internal/model/ctid"
 	"github.com/cherviltrestle/cherviltrestle/internal/model/ctposition"
 	"github.com/cherviltrestle/cherviltrestle/internal/model/ctquery"
 	"github.com/cherviltrestle/cherviltrestle/internal/model/ctserver"
@@ -20,7 +21,7 @@
 type Losing struct{}
 
 // Dial opens a connection.
-func (Losing) Dial(context.Context, ctserver.Announcement) (ctpools.RawConn, error) {
+func (Losing) Dial(context.Context, ctserver.Announcement, ctid.Workspace) (ctpools.RawConn, error) {
 	return &losingConn{conn: newConn(answerBuffer)}, nil
 }
 
@@ -72,7 +73,7 @@
 }
 
 // Dial opens a connection.
-func (m *Setting) Dial(context.Context, ctserver.Announcement) (ctpools.RawConn, error) {
+func (m *Setting) Dial(context.Context, ctserver.Announcement, ctid.Workspace) (ctpools.RawConn, error) {
 	return &settingConn{conn: newConn(answerBuffer), member: m}, nil
 }
 
@@ -113,7 +114,7 @@
 }
 
 // Dial returns the connection.
-func (m *Garbled) Dial(context.Context, ctserver.Announcement) (ctpools.RawConn, error) {
+func (m *Garbled) Dial(context.Context, ctserver.Announcement, ctid.Workspace) (ctpools.RawConn, error) {
 	return m, nil
 }
 
@@ -151,7 +152,7 @@
 }
 
 // Dial returns the connection.
-func (m *Burst) Dial(context.Context, ctserver.Announcement) (ctpools.RawConn, error) {
+func (m *Burst) Dial(context.Context, ctserver.Announcement, ctid.Workspace) (ctpools.RawConn, error) {
 	return m, nil
 }
 
@@ -198,7 +199,7 @@
 }
 
 // Dial opens a connection.
-func (m *Numbered) Dial(context.Context, ctserver.Announcement) (ctpools.RawConn, error) {
+func (m *Numbered) Dial(context.Context, ctserver.Announcement, ctid.Workspace) (ctpools.RawConn, error) {
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
 	m.dials++
--- a/internal/lab/ctrawmember/stutter.go
+++ b/internal/lab/ctrawmember/stutter.go
@@ -10,6 +10,7 @@
 	"sync"
 	"time"
 
+	"github.com/cherviltrestle/cherviltrestle/internal/model/ctid"
 	"github.com/cherviltrestle/cherviltrestle/internal/model/ctposition"
 	"github.com/cherviltrestle/cherviltrestle/internal/model/ctquery"
 	"github.com/cherviltrestle/cherviltrestle/internal/model/ctserver"
@@ -36,7 +37,7 @@
 }
 
 // Dial opens a connection.
-func (s *stutterer) Dial(context.Context, ctserver.Announcement) (ctpools.RawConn, error) {
+func (s *stutterer) Dial(context.Context, ctserver.Announcement, ctid.Workspace) (ctpools.RawConn, error) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	s.dials++
--- a/internal/link/ctframe/forward.go
+++ b/internal/link/ctframe/forward.go
@@ -28,6 +28,13 @@
 	Priority int `cbor:"7,keyasint,omitempty"`
 	// Number is that of the request on its stream, from 1.
 	Number RequestNumber `cbor:"8,keyasint,omitempty"`
+	// Workspace is the one whose caller sent the query; empty for a caller without one.
+	// WorkspacePriority is its priority, which orders queries of the same Priority.
+	Workspace         ctid.Workspace `cbor:"9,keyasint,omitempty"`
+	WorkspacePriority int            `cbor:"10,keyasint,omitempty"`
+	// Operation reports whether the query starts an operation, which counts toward the limit
+	// of its workspace.
+	Operation bool `cbor:"11,keyasint,omitempty"`
 }
 
 // RequestNumber numbers the requests on a stream.
@@ -40,6 +47,11 @@
 	if err := f.Member.Check(); err != nil {
 		return err
 	}
+	if f.Workspace != "" {
+		if err := f.Workspace.Check(); err != nil {
+			return err
+		}
+	}
 	if f.Query.Statement() == nil {
 		return cterror.New(cterror.Invalid, "the statement of a carried query is unknown", "upgrade this process")
 	}
@@ -60,8 +72,10 @@
 	// Answer is the member's answer to the query, or nil. The key 1 had another encoding of
 	// it and is not used again.
 	Answer *QueryAnswer `cbor:"6,keyasint,omitempty"`
-	// Refused reports that the query was not sent to the member.
-	Refused bool `cbor:"2,keyasint,omitempty"`
+	// Refused reports that the query was not sent to the member. RateLimited is set with it if
+	// the limit of the workspace is reached.
+	Refused     bool `cbor:"2,keyasint,omitempty"`
+	RateLimited bool `cbor:"8,keyasint,omitempty"`
 	// Unanswered reports that the query was sent to the member but no answer arrived.
 	// TimedOut is set with it if the answer did not arrive in time.
 	Unanswered bool `cbor:"3,keyasint,omitempty"`
--- a/internal/link/cthttp/http.go
+++ b/internal/link/cthttp/http.go
@@ -76,7 +76,7 @@
 		return http.StatusConflict
 	case cterror.Denied:
 		return http.StatusForbidden
-	case cterror.Exhausted:
+	case cterror.Exhausted, cterror.RateLimited:
 		return http.StatusTooManyRequests
 	case cterror.Unavailable, cterror.Expired:
 		return http.StatusServiceUnavailable
@@ -88,7 +88,7 @@
 
 // parseKind returns the kind with the given text form, or Internal if there is none.
 func parseKind(name string) cterror.Kind {
-	for k := cterror.Internal; k <= cterror.Expired; k++ {
+	for k := cterror.Internal; k <= cterror.RateLimited; k++ {
 		if k.String() == name {
 			return k
 		}
--- a/internal/model/ctconfig/doc.go
+++ b/internal/model/ctconfig/doc.go
@@ -10,6 +10,12 @@
 The zero value of a setting stands for the default that its comment states. The
 zero Document is a valid configuration without groups.
 
+# Workspaces and keys
+
+A workspace is a set of callers that share keys, a priority and a rate limit. The
+document holds digests of the keys. Where it requires keys, a caller is served as
+the workspace that holds its key.
+
 # Usage
 
 	settings := document.EffectiveSettings("fit-registry", now)
--- a/internal/model/ctconfig/document.go
+++ b/internal/model/ctconfig/document.go
@@ -66,6 +66,10 @@
 	Groups     []Group     `json:"groups" cbor:"groups"`
 	Exceptions []Exception `json:"exceptions,omitempty" cbor:"exceptions,omitempty"`
 	Routes     []Route     `json:"routes,omitempty" cbor:"routes,omitempty"`
+	// Workspaces declares the sets of callers that keys identify. If RequireKeys is set, a
+	// caller is served only with a key of one of them, except on anonymous routes.
+	Workspaces  []Workspace `json:"workspaces,omitempty" cbor:"workspaces,omitempty"`
+	RequireKeys bool        `json:"require_keys,omitempty" cbor:"require_keys,omitempty"`
 }
 
 // Check returns an error of kind cterror.Invalid for the first invalid or
@@ -81,6 +85,9 @@
 	if err := d.checkRoutes(declared); err != nil {
 		return err
 	}
+	if err := d.checkWorkspaces(); err != nil {
+		return err
+	}
 	return d.checkExceptions(declared)
 }
 
--- a/internal/model/ctconfig/patch.go
+++ b/internal/model/ctconfig/patch.go
@@ -9,24 +9,27 @@
 )
 
 // Patch contains the changes from one document to another. It does not preserve the
-// order of groups, exceptions and routes, which has no meaning.
+// order of groups, exceptions, routes and workspaces, which has no meaning.
 type Patch struct {
 	Defaults Settings `json:"defaults,omitzero" cbor:"defaults,omitzero"`
-	// Groups, Exceptions and Routes list the entries that are new or have changed.
+	// Groups, Exceptions, Routes and Workspaces list the entries that are new or have changed.
 	Groups            []Group      `json:"groups,omitempty" cbor:"groups,omitempty"`
 	RemovedGroups     []ctid.Group `json:"gone_groups,omitempty" cbor:"gone_groups,omitempty"`
 	Exceptions        []Exception  `json:"exceptions,omitempty" cbor:"exceptions,omitempty"`
 	RemovedExceptions []ctid.Group `json:"gone_exceptions,omitempty" cbor:"gone_exceptions,omitempty"`
 	Routes            []Route      `json:"routes,omitempty" cbor:"routes,omitempty"`
 	// RemovedRoutes lists the databases whose routes are removed.
-	RemovedRoutes []ctid.Database `json:"gone_routes,omitempty" cbor:"gone_routes,omitempty"`
+	RemovedRoutes     []ctid.Database  `json:"gone_routes,omitempty" cbor:"gone_routes,omitempty"`
+	Workspaces        []Workspace      `json:"workspaces,omitempty" cbor:"workspaces,omitempty"`
+	RemovedWorkspaces []ctid.Workspace `json:"gone_workspaces,omitempty" cbor:"gone_workspaces,omitempty"`
+	RequireKeys       bool             `json:"require_keys,omitempty" cbor:"require_keys,omitempty"`
 }
 
 // Check returns an error of kind cterror.Invalid for the first invalid entry. It
 // does not check the groups that exceptions and routes refer to, because the patch
-// need not contain them.
+// need not contain them. For the same reason, it compares the keys of changed workspaces only.
 func (p *Patch) Check() error {
-	changed := Document{Defaults: p.Defaults, Groups: p.Groups}
+	changed := Document{Defaults: p.Defaults, Groups: p.Groups, Workspaces: p.Workspaces}
 	if err := changed.Check(); err != nil {
 		return err
 	}
@@ -45,10 +48,11 @@
 
 // Diff returns the patch that turns the document before into the document after.
 func Diff(before, after *Document) Patch {
-	patch := Patch{Defaults: after.Defaults}
+	patch := Patch{Defaults: after.Defaults, RequireKeys: after.RequireKeys}
 	patch.Groups, patch.RemovedGroups = diffEntries(before.Groups, after.Groups, groupName)
 	patch.Exceptions, patch.RemovedExceptions = diffEntries(before.Exceptions, after.Exceptions, exceptionGroup)
 	patch.Routes, patch.RemovedRoutes = diffEntries(before.Routes, after.Routes, routeDatabase)
+	patch.Workspaces, patch.RemovedWorkspaces = diffEntries(before.Workspaces, after.Workspaces, workspaceName)
 	return patch
 }
 
@@ -59,6 +63,9 @@
 		Groups:     patchEntries(d.Groups, patch.Groups, patch.RemovedGroups, groupName),
 		Exceptions: patchEntries(d.Exceptions, patch.Exceptions, patch.RemovedExceptions, exceptionGroup),
 		Routes:     patchEntries(d.Routes, patch.Routes, patch.RemovedRoutes, routeDatabase),
+		Workspaces: patchEntries(d.Workspaces, patch.Workspaces, patch.RemovedWorkspaces, workspaceName),
+
+		RequireKeys: patch.RequireKeys,
 	}
 }
 
@@ -74,6 +81,10 @@
 	return r.Database
 }
 
+func workspaceName(w Workspace) ctid.Workspace {
+	return w.Name
+}
+
 // diffEntries returns the entries of after that are new or have changed, and the keys
 // of the entries that after lacks.
 func diffEntries[E any, N cmp.Ordered](before, after []E, key func(E) N) (changed []E, removed []N) {
--- a/internal/model/ctconfig/route.go
+++ b/internal/model/ctconfig/route.go
@@ -37,6 +37,9 @@
 	TargetLatency Duration `json:"target_latency,omitempty" cbor:"target_latency,omitempty"`
 	// Priority is 0 for the most urgent routes, and higher for less urgent ones.
 	Priority int `json:"priority,omitempty" cbor:"priority,omitempty"`
+	// Anonymous reports whether callers without a known key are served, although the
+	// document requires keys.
+	Anonymous bool `json:"anonymous,omitempty" cbor:"anonymous,omitempty"`
 }
 
 // Check returns an error of kind cterror.Invalid for the first invalid field.
--- a/internal/model/cterror/kind.go
+++ b/internal/model/cterror/kind.go
@@ -21,6 +21,8 @@
 	Denied
 	// Expired marks a deadline that has passed.
 	Expired
+	// RateLimited marks a request over its rate limit. A later retry may succeed.
+	RateLimited
 )
 
 // String returns the name of the kind in snake case, or "unknown" for an unknown
@@ -41,6 +43,8 @@
 		return "denied"
 	case Expired:
 		return "expired"
+	case RateLimited:
+		return "rate_limited"
 	}
 	return "unknown"
 }
--- a/internal/model/ctview/view.go
+++ b/internal/model/ctview/view.go
@@ -5,6 +5,7 @@
 	"maps"
 	"slices"
 
+	"github.com/cherviltrestle/cherviltrestle/internal/model/ctconfig"
 	"github.com/cherviltrestle/cherviltrestle/internal/model/cterror"
 	"github.com/cherviltrestle/cherviltrestle/internal/model/ctid"
 	"github.com/cherviltrestle/cherviltrestle/internal/model/ctserver"
@@ -22,6 +23,10 @@
 	// groupMembers and domainProxies are sorted indexes of Members and Proxies.
 	groupMembers  map[ctid.Group][]ctid.Member
 	domainProxies map[ctid.FailureDomain][]ctid.Proxy
+	// keyHolders maps the digests of keys to the indexes of the workspaces in the
+	// configuration. It was built for the configuration of keyRevision.
+	keyHolders  map[ctid.KeyDigest]int
+	keyRevision ctid.Revision
 }
 
 // Apply returns the view after the delta. If the view already has the delta's
@@ -97,6 +102,8 @@
 		Members: maps.Clone(v.Members),
 		Groups:  maps.Clone(v.Groups),
 		Config:  v.Config,
+
+		keyHolders: v.keyHolders, keyRevision: v.keyRevision,
 	}
 	if next.Proxies == nil {
 		next.Proxies = make(map[ctid.Proxy]Proxy)
@@ -163,6 +170,29 @@
 	for _, proxies := range v.domainProxies {
 		slices.Sort(proxies)
 	}
+	v.buildKeyIndex()
+}
+
+// buildKeyIndex fills keyHolders, unless it was built for the same configuration.
+func (v *View) buildKeyIndex() {
+	if v.keyHolders != nil && v.keyRevision == v.Config.Revision {
+		return
+	}
+	v.keyHolders, v.keyRevision = make(map[ctid.KeyDigest]int), v.Config.Revision
+	for i, w := range v.Config.Document.Workspaces {
+		for _, key := range w.Keys {
+			v.keyHolders[key] = i
+		}
+	}
+}
+
+// WorkspaceOf returns the workspace that holds a key, and whether there is one.
+func (v *View) WorkspaceOf(key ctid.KeyDigest) (ctconfig.Workspace, bool) {
+	i, ok := v.keyHolders[key]
+	if !ok {
+		return ctconfig.Workspace{}, false
+	}
+	return v.Config.Document.Workspaces[i], true
 }
 
 // MembersOf returns the names of a group's members in ascending order. The slice is
--- a/internal/program/ctgateway/choose.go
+++ b/internal/program/ctgateway/choose.go
@@ -120,6 +120,7 @@
 		Str("request", e.run.Query.ID.ForLog()).
 		Uint64("session", uint64(s.id)).
 		Str("group", string(s.route.Group)).
+		Str("workspace", string(s.workspace.Name)).
 		Str("member", string(e.target.member)).
 		Str("role", string(role)).
 		Uint64("term", uint64(e.target.term)).
--- a/internal/program/ctgateway/gateway.go
+++ b/internal/program/ctgateway/gateway.go
@@ -21,12 +21,19 @@
 	"github.com/cherviltrestle/cherviltrestle/internal/work/cttable"
 )
 
+// Startup is a caller's startup message.
+type Startup struct {
+	Database ctid.Database
+	// Key is the digest of the key that the caller presents; zero if it presents none.
+	Key ctid.KeyDigest
+}
+
 // Caller is a caller's connection. Its implementation hides the encoding of the
 // messages.
 type Caller interface {
-	// ReadStartup reads the startup message and returns the requested database. If
-	// the message can't be read, the error is of kind cterror.Invalid.
-	ReadStartup(deadline time.Time) (ctid.Database, error)
+	// ReadStartup reads the startup message. If the message can't be read, the error
+	// is of kind cterror.Invalid.
+	ReadStartup(deadline time.Time) (Startup, error)
 	// RefuseStartup answers the startup message with a fault.
 	RefuseStartup(fault ctquery.Fault, text string) error
 	// AcceptStartup answers the startup message with success.
--- a/internal/program/ctgateway/guard.go
+++ b/internal/program/ctgateway/guard.go
@@ -92,7 +92,7 @@
 
 // queryStatus returns the status of a member.
 func (g *Gateway) queryStatus(held *ctlock.Held, member ctid.Member, deadline time.Time) (ctquery.Status, error) {
-	conn, err := g.Pools.Acquire(held, member, ctpools.AcquireOptions{Deadline: deadline})
+	conn, err := g.Pools.Acquire(held, member, ctpools.AcquireOptions{AnyWorkspace: true, Deadline: deadline})
 	if err != nil {
 		return ctquery.Status{}, err
 	}
--- a/internal/program/ctgateway/run.go
+++ b/internal/program/ctgateway/run.go
@@ -46,10 +46,15 @@
 	answerBy time.Time
 	// attempts counts how often the statement was sent to a member.
 	attempts int
+	// sent reports whether a query was answered on the connection in use, so that the
+	// operation has started there.
+	sent bool
 	// tried holds the members that are not tried again before the next pause.
 	tried ctset.Set[ctid.Member]
 	// lastFault is the fault in the last answer of a failed attempt.
 	lastFault ctquery.Fault
+	// rateLimited reports that the rate limit of the workspace is reached.
+	rateLimited bool
 	// refusal says why the statement was refused, if it was.
 	refusal refusal
 	target  target
@@ -66,6 +71,8 @@
 	refusalPrimaryReplaced refusal = "primary_replaced"
 	// refusalStopping: this proxy is about to stop.
 	refusalStopping refusal = "planned_stop"
+	// refusalRateLimited: the rate limit of the caller's workspace is reached.
+	refusalRateLimited refusal = "rate_limited"
 )
 
 // target is the member that a statement is sent to.
@@ -102,6 +109,11 @@
 	return reply.Answer
 }
 
+// priority returns how urgent the session's requests are.
+func (s *session) priority() ctpools.Priority {
+	return ctpools.Priority{Route: s.route.Priority, Workspace: s.workspace.Priority}
+}
+
 func earlier(a, b time.Time) time.Time {
 	if a.Before(b) {
 		return a
@@ -180,11 +192,13 @@
 			continue
 		}
 		e.target = targets[0]
-		if !s.acquire(e) {
-			continue
+		if s.acquire(e) {
+			if result := s.runOnTarget(e); result != nil {
+				return result
+			}
 		}
-		if result := s.runOnTarget(e); result != nil {
-			return result
+		if e.rateLimited {
+			return s.refuseRateLimited(e)
 		}
 	}
 }
@@ -236,6 +250,15 @@
 	return ctdialog.Refused{Fault: fault, Text: "no member can run this now; retry after 250 ms"}
 }
 
+// refuseRateLimited returns the result of an operation over the rate limit of its workspace.
+func (s *session) refuseRateLimited(e *execution) ctdialog.Result {
+	e.refusal = refusalRateLimited
+	s.gateway.Metrics.RateLimited.Inc()
+	return ctdialog.Refused{
+		Fault: ctquery.FaultBusy, Text: "the rate limit of the workspace is reached; retry after 1000 ms",
+	}
+}
+
 // acquire acquires a connection to the target, waiting until the send deadline, and
 // pins it to the session. If that fails, or if the target was replaced or queries were
 // abandoned meanwhile, it marks the member as tried and returns false.
@@ -246,18 +269,21 @@
 		deadline = e.sendBy
 	}
 	conn, err := s.gateway.Pools.Acquire(&s.held, e.target.member, ctpools.AcquireOptions{
-		State:    s.dialog.State(),
-		Priority: s.route.Priority,
-		Deadline: deadline,
+		State:     s.dialog.State(),
+		Workspace: s.workspace.Name,
+		Operation: true,
+		Priority:  s.priority(),
+		Deadline:  deadline,
 	})
 	if err != nil {
+		e.rateLimited = cterror.KindOf(err) == cterror.RateLimited
 		e.tried.Add(e.target.member)
 		return false
 	}
 	// The connection may have been released by a session that the planned stop has ended.
 	replaced := e.target.primary && s.gateway.termEnded(&s.held, s.route.Group, e.target.term)
 	if replaced || s.gateway.Pools.Stop.QueriesAbandoned() {
-		s.gateway.Pools.Release(&s.held, conn, ctpools.Result{})
+		s.gateway.Pools.Release(&s.held, conn, ctpools.Result{NotRun: true})
 		e.tried.Add(e.target.member)
 		return false
 	}
@@ -274,6 +300,7 @@
 // transaction if there is one. It returns nil if another member may be tried.
 func (s *session) runOnTarget(e *execution) ctdialog.Result {
 	e.attempts++
+	e.sent = false
 	query := e.run.Query
 	deadline := e.answerBy
 	readOnly := e.run.Effect == ctdialog.EffectNone
@@ -322,6 +349,10 @@
 		return nil
 	}
 	e.lastFault = answer.Fault
+	if e.rateLimited {
+		s.unpin(ctpools.Result{NotRun: true})
+		return nil
+	}
 	if e.target.primary && answer.Fault == ctquery.FaultBusy {
 		e.attempts--
 	}
@@ -332,7 +363,7 @@
 	}
 	// If the member does not know a statement that was prepared on the connection, the
 	// connection's recorded state is wrong.
-	s.unpin(ctpools.Result{Discard: answer.Fault == ctquery.FaultNoStatement})
+	s.unpin(ctpools.Result{Discard: answer.Fault == ctquery.FaultNoStatement, NotRun: answer.Fault.NotRun()})
 	if answer.Fault.NotRun() {
 		if !now.Before(e.answerBy) {
 			return s.refuse(e)
@@ -364,11 +395,15 @@
 	conn := s.pinned.conn
 	sentAt := s.gateway.Clock.Now()
 	limits := ctpools.Limits{
-		SendDeadline: s.sendDeadline(e, sentAt), Deadline: deadline, Priority: s.route.Priority,
+		SendDeadline: s.sendDeadline(e, sentAt), Deadline: deadline, Priority: s.priority(),
+		Operation: !e.run.Pinned && !e.sent,
 		Abandoned: s.gateway.Pools.Stop.Abandoned(),
 	}
 	answer, err := conn.Run(s.dialog.State(), query, limits)
 	switch cterror.KindOf(err) {
+	case cterror.RateLimited:
+		e.rateLimited = true
+		return ctquery.Answer{Fault: ctquery.FaultBusy}, nil
 	case cterror.Exhausted:
 		return ctquery.Answer{Fault: ctquery.FaultBusy, Text: "the statement was not sent; retry now"}, nil
 	case cterror.Invalid:
@@ -379,6 +414,7 @@
 		}
 	}
 	now := s.gateway.Clock.Now()
+	e.sent = true
 	if s.pinned.primary {
 		s.gateway.addAnswerSample(&s.held, s.pinned.group, s.pinned.term, sampleFromStatement, sentAt, answer.Point)
 	}
--- a/internal/program/ctgateway/samples.go
+++ b/internal/program/ctgateway/samples.go
@@ -109,7 +109,7 @@
 		groupStateOf(groups, group.Name).sampling = false
 	})
 	deadline := g.Clock.Now().Add(sampleTimeout)
-	conn, err := g.Pools.Acquire(&held, group.Primary, ctpools.AcquireOptions{Deadline: deadline})
+	conn, err := g.Pools.Acquire(&held, group.Primary, ctpools.AcquireOptions{AnyWorkspace: true, Deadline: deadline})
 	if err != nil {
 		return
 	}
--- a/internal/program/ctgateway/session.go
+++ b/internal/program/ctgateway/session.go
@@ -42,10 +42,12 @@
 	caller  Caller
 	held    ctlock.Held
 	dialog  ctdialog.Dialog
-	// database is the one that the caller requested. route is its route in the
-	// configuration at the start of the current transaction or statement.
-	database ctid.Database
-	route    ctconfig.Route
+	// startup is the caller's startup message. route is the route of its database, and
+	// workspace the one that holds its key, in the configuration at the start of the current
+	// transaction or statement. The name of workspace is empty for a caller without one.
+	startup   Startup
+	route     ctconfig.Route
+	workspace ctconfig.Workspace
 	// pinned is the connection of the running statement or the open transaction; nil
 	// if there is neither.
 	pinned *pinnedConn
@@ -71,28 +73,16 @@
 func (g *Gateway) serve(socket net.Conn) {
 	s := &session{gateway: g, id: ctid.Session(g.lastSession.Add(1)), caller: g.NewCaller(socket)}
 	defer s.caller.Close()
-	database, err := s.caller.ReadStartup(time.Now().Add(startupMessageTimeout))
+	var err error
+	s.startup, err = s.caller.ReadStartup(time.Now().Add(startupMessageTimeout))
 	if err != nil {
 		s.logStartupError(err)
 		return
 	}
-	s.database = database
-	if !s.awaitReady() {
-		g.Logger.Info().Str("event", "start_refused").Str("database", string(database)).
-			Str("why", "just_started").Send()
-		_ = s.caller.RefuseStartup(ctquery.FaultBusy, "this proxy has just started; retry after 500 ms")
-		return
-	}
-	if g.primariesReached.Load() && g.authorityLapsed(&s.held) {
-		g.Logger.Info().Str("event", "start_refused").Str("database", string(database)).
-			Str("why", "no_authority").Send()
-		_ = s.caller.RefuseStartup(ctquery.FaultBusy, "this proxy is out of touch with control; retry now, elsewhere")
-		return
-	}
-	if !s.resolveRoute() {
-		fault, reason, text := s.noRouteFault()
-		g.Logger.Info().Str("event", "start_refused").Str("database", string(database)).Str("why", reason).Send()
-		_ = s.caller.RefuseStartup(fault, text)
+	if refused := s.admitStartup(); refused != nil {
+		g.Logger.Info().Str("event", "start_refused").Str("database", string(s.startup.Database)).
+			Str("why", refused.reason).Send()
+		_ = s.caller.RefuseStartup(refused.fault, refused.text)
 		return
 	}
 	if s.caller.AcceptStartup() != nil {
@@ -105,6 +95,26 @@
 	s.serveQueries()
 }
 
+// refusedStartup says why a startup message is refused.
+type refusedStartup struct {
+	fault ctquery.Fault
+	// reason is the value of the log key "why", and text describes it to the caller.
+	reason string
+	text   string
+}
+
+// admitStartup returns why the startup message is refused, or nil if it is not.
+func (s *session) admitStartup() *refusedStartup {
+	if !s.awaitReady() {
+		return &refusedStartup{ctquery.FaultBusy, "just_started", "this proxy has just started; retry after 500 ms"}
+	}
+	if s.gateway.primariesReached.Load() && s.gateway.authorityLapsed(&s.held) {
+		return &refusedStartup{ctquery.FaultBusy, "no_authority",
+			"this proxy is out of touch with control; retry now, elsewhere"}
+	}
+	return s.refusalOf(s.resolve())
+}
+
 // logStartupError logs that the startup message could not be read. It is of interest only if
 // the caller sent one.
 func (s *session) logStartupError(err error) {
@@ -125,7 +135,7 @@
 	for {
 		view := g.State.View(&s.held)
 		if !g.State.AuthorityExpiry(&s.held).IsZero() && view.Config.Revision > 0 &&
-			(!s.resolveRoute() || s.primaryReached(view)) {
+			(s.resolve() != accessGranted || s.primaryReached(view)) {
 			return true
 		}
 		if !g.Clock.Now().Before(deadline) {
@@ -145,16 +155,34 @@
 	return s.gateway.Pools.EverReached(&s.held, primary)
 }
 
-// noRouteFault returns the fault, the reason for the log and the text for a caller
-// whose database has no route. A proxy that may lack the newest configuration can't
-// know that there is no route; it answers that it is busy.
-func (s *session) noRouteFault() (fault ctquery.Fault, reason, text string) {
+// access says whether the configuration lets a caller use its database.
+type access uint8
+
+const (
+	accessGranted access = iota
+	// accessNoRoute means that no route leads to the database.
+	accessNoRoute
+	// accessDenied means that the caller needs a key, and no workspace holds the one that it
+	// presented.
+	accessDenied
+)
+
+// refusalOf returns why a caller without access is refused, or nil if it has access. A proxy that
+// may lack the newest configuration can't know that there is no route or that no workspace
+// holds the key; it answers that it is busy.
+func (s *session) refusalOf(a access) *refusedStartup {
+	if a == accessGranted {
+		return nil
+	}
 	g := s.gateway
 	if g.State.ConfigOutdated(&s.held) || !g.Clock.Now().Before(g.State.AuthorityExpiry(&s.held)) {
-		return ctquery.FaultBusy, "configuration_uncertain",
-			"this proxy may lack the newest configuration; retry now, elsewhere"
+		return &refusedStartup{ctquery.FaultBusy, "configuration_uncertain",
+			"this proxy may lack the newest configuration; retry now, elsewhere"}
+	}
+	if a == accessDenied {
+		return &refusedStartup{ctquery.FaultDenied, "unknown_key", "no workspace holds the key; present a valid one"}
 	}
-	return ctquery.FaultNoDatabase, "no_route", "no route leads to this database"
+	return &refusedStartup{ctquery.FaultNoDatabase, "no_route", "no route leads to this database"}
 }
 
 // finish rolls back the open transaction and removes the session from the table.
@@ -163,16 +191,32 @@
 	s.gateway.sessions.With(&s.held, func(sessions map[ctid.Session]*session) { delete(sessions, s.id) })
 }
 
-// resolveRoute looks up the route of the session's database in the current
-// configuration, stores it and marks its group as used. It reports whether there is
-// a route.
-func (s *session) resolveRoute() bool {
-	route, ok := s.gateway.State.View(&s.held).Config.Document.Route(s.database)
-	if ok {
-		s.route = route
-		s.gateway.markUsed(&s.held, route.Group)
+// resolve looks up the route of the session's database and the workspace that holds its
+// key in the current configuration, stores both and marks the route's group as used. It
+// returns whether the caller has access.
+func (s *session) resolve() access {
+	view := s.gateway.State.View(&s.held)
+	route, ok := view.Config.Document.Route(s.startup.Database)
+	if !ok {
+		return accessNoRoute
 	}
-	return ok
+	workspace, known := view.WorkspaceOf(s.startup.Key)
+	if !known && view.Config.Document.RequireKeys && !route.Anonymous {
+		return accessDenied
+	}
+	s.route, s.workspace = route, workspace
+	s.gateway.markUsed(&s.held, route.Group)
+	return accessGranted
+}
+
+// keyWithdrawn reports whether the workspace of the session's transaction does not hold the
+// caller's key any more.
+func (s *session) keyWithdrawn() bool {
+	if s.workspace.Name == "" {
+		return false
+	}
+	workspace, known := s.gateway.State.View(&s.held).WorkspaceOf(s.startup.Key)
+	return !known || workspace.Name != s.workspace.Name
 }
 
 // serveQueries serves the caller's queries until the session ends.
@@ -230,7 +274,7 @@
 	if !s.dialog.InTransaction() || s.closeWhenIdle.Load() {
 		return
 	}
-	if s.dialog.FailTransaction() {
+	if s.dialog.FailTransaction(ctdialog.FailureIdle) {
 		s.gateway.Logger.Info().Str("event", "decision").Str("decision", "end_transaction").
 			Uint64("session", uint64(s.id)).Str("why", "idle").Send()
 	}
@@ -243,22 +287,28 @@
 	ctlog.Decision(&s.gateway.Logger, "refuse_text").
 		Str("request", id.ForLog()).
 		Uint64("session", uint64(s.id)).
-		Str("database", string(s.database)).
+		Str("database", string(s.startup.Database)).
 		Str("why", string(m.Reason)).
 		Int("offset", m.Offset).
 		Uint8("byte", m.Byte).
 		Send()
 }
 
-// handleQuery returns the answer to one query. Outside a transaction, it resolves
-// the route again, as the configuration may have changed.
+// handleQuery returns the answer to one query. Outside a transaction, it resolves the route
+// and the workspace again, as the configuration may have changed. A transaction keeps its
+// route, but ends when the caller's key is withdrawn.
 func (s *session) handleQuery(query ctquery.Query) ctquery.Answer {
 	if m, ok := query.Statement.(ctquery.Malformed); ok {
 		s.logMalformed(query.ID, m)
 	}
-	if !s.dialog.InTransaction() && !s.resolveRoute() {
-		fault, _, text := s.noRouteFault()
-		return ctquery.Answer{Fault: fault, Text: text}
+	if !s.dialog.InTransaction() {
+		if refused := s.refusalOf(s.resolve()); refused != nil {
+			return ctquery.Answer{Fault: refused.fault, Text: refused.text}
+		}
+	} else if s.keyWithdrawn() && s.dialog.FailTransaction(ctdialog.FailureKeyWithdrawn) {
+		ctlog.Decision(&s.gateway.Logger, "end_transaction").Uint64("session", uint64(s.id)).
+			Str("why", "key_withdrawn").Send()
+		s.rollBack()
 	}
 	switch plan := s.dialog.HandleQuery(query).(type) {
 	case ctdialog.Answer:
--- a/internal/program/ctmetric/metrics.go
+++ b/internal/program/ctmetric/metrics.go
@@ -63,6 +63,10 @@
 	// one was closed for such an answer.
 	AnswersInDoubt  *prometheus.CounterVec
 	DoubtfulReopens prometheus.Counter
+	// EvictedConnections counts the connections that were closed to make room for another
+	// workspace, and RateLimited the operations refused because of a workspace's limit.
+	EvictedConnections prometheus.Counter
+	RateLimited        prometheus.Counter
 	// ViewVersion is the version of the view in force.
 	ViewVersion prometheus.Gauge
 	// Revision is the revision of the configuration in force.
@@ -100,6 +104,9 @@
 		AnswersInDoubt: f.counterVec("answers_in_doubt_total", answersInDoubtHelp, "kind"),
 		DoubtfulReopens: f.counter(
 			"doubtful_connections_reopened_total", "Connections opened after one was closed for such an answer."),
+		EvictedConnections: f.counter(
+			"evicted_connections_total", "Connections closed to make room for another workspace."),
+		RateLimited: f.counter("rate_limited_total", "Operations refused because of a workspace's rate limit."),
 		ViewVersion: f.gauge("view_version", "Version of the view in force."),
 		Revision:    f.gauge("config_revision", "Revision of the configuration in force."),
 		Reports:     f.counterVec("reports_total", "Reports to control.", "result"),
--- a/internal/program/ctpools/conn.go
+++ b/internal/program/ctpools/conn.go
@@ -1,6 +1,7 @@
 package ctpools
 
 import (
+	"net/netip"
 	"time"
 
 	"github.com/cherviltrestle/cherviltrestle/internal/decide/ctdialog"
@@ -39,9 +40,10 @@
 	// Abandoned ends the wait for the answer when it is closed, as the deadline does. If
 	// it is nil, nothing but the deadline ends the wait.
 	Abandoned <-chan struct{}
-	// Priority orders a forwarded query among those that wait for a connection; 0 is
-	// the most urgent.
-	Priority int
+	// Priority orders a forwarded query among those that wait for a connection.
+	Priority Priority
+	// Operation reports whether a forwarded query starts an operation.
+	Operation bool
 }
 
 // errAbandoned returns the error of a query that was abandoned.
@@ -55,6 +57,12 @@
 	return cterror.New(cterror.Exhausted, "the connection to the member can't be used any more", "use another one")
 }
 
+// errRateLimited returns the error of a query that was not sent, because the limit of its
+// workspace is reached.
+func errRateLimited() error {
+	return cterror.New(cterror.RateLimited, "the rate limit of the workspace is reached", "send fewer requests")
+}
+
 // errInDoubt returns the error of a query whose answer may be that of another one.
 func errInDoubt() error {
 	return cterror.New(cterror.Unavailable, "the member's answer does not belong to the query", "try another member")
@@ -77,6 +85,12 @@
 	executor    executor
 	// acquiredAt is when a user last acquired the connection; zero if none has.
 	acquiredAt time.Time
+	// workspace is the one that the connection serves; empty if it serves any.
+	workspace ctid.Workspace
+	// counted reports whether the user's operation counts toward the limit of the workspace.
+	counted bool
+	// peer is the proxy at the other end of a stream of peerStreams; invalid for others.
+	peer netip.AddrPort
 }
 
 func newConn(server ctserver.Announcement, e executor) *Conn {
@@ -85,8 +99,9 @@
 
 // Run runs a query with a session's state and waits for its answer. A nil state
 // leaves the connection's state as it is, for queries that depend on none. If the query can't
-// be sent on any connection, Run returns an error of kind cterror.Invalid, and the connection
-// can still be used. If the query was not sent, Run returns an error of kind
+// be sent on any connection, Run returns an error of kind cterror.Invalid, and if the limit of
+// its workspace is reached, one of kind cterror.RateLimited; the connection can still be used
+// then. If the query was not sent, Run returns an error of kind
 // cterror.Exhausted. If no answer arrives that belongs to the query, it returns one of kind
 // cterror.Expired after the deadline or once the query is abandoned, else of kind
 // cterror.Unavailable. The connection can't be used after these errors.
--- a/internal/program/ctpools/forwarding.go
+++ b/internal/program/ctpools/forwarding.go
@@ -19,7 +19,9 @@
 // forwardingExecutor sends queries over a stream to a proxy of the member's failure
 // domain, which runs them on its own connections. One goroutine uses it at a time.
 type forwardingExecutor struct {
-	member    ctid.Member
+	member ctid.Member
+	// workspace is the one whose queries the stream carries now; empty for callers without one.
+	workspace ctid.Workspace
 	stream    ctframe.Stream
 	clock     ctclock.Clock
 	replies   chan *ctframe.ForwardReply
@@ -31,6 +33,8 @@
 	// a reply is outstanding. The mutex guards both.
 	stopping     bool
 	replyPending bool
+	// peerSilent reports that a reply did not arrive in time. The user's goroutine alone uses it.
+	peerSilent bool
 	// requests counts the requests, and awaited is the one whose reply has not arrived; 0 if
 	// there is none. The mutex guards both, too.
 	requests ctframe.RequestNumber
@@ -141,7 +145,11 @@
 		Query:          ctframe.NewQuery(query),
 		AcquireTimeout: max(0, limits.SendDeadline.Sub(now)),
 		AnswerTimeout:  limits.Deadline.Sub(now),
-		Priority:       limits.Priority,
+		Priority:       limits.Priority.Route,
+		Workspace:      e.workspace,
+
+		WorkspacePriority: limits.Priority.Workspace,
+		Operation:         limits.Operation,
 	}
 	if state != nil {
 		frame.Parameters = state.Parameters()
@@ -183,6 +191,7 @@
 	case <-abandoned:
 		return nil, errAbandoned()
 	case <-timer.C:
+		e.peerSilent = true
 		return nil, cterror.New(cterror.Expired, "the carrying proxy did not answer in time", "try another member")
 	}
 }
@@ -193,6 +202,8 @@
 	switch {
 	case reply.Answer != nil:
 		return reply.Answer.Answer(), nil
+	case reply.RateLimited:
+		return ctquery.Answer{}, errRateLimited()
 	case reply.Refused:
 		return ctquery.Answer{Fault: ctquery.FaultBusy, Text: "the carrying proxy had no connection in time"}, nil
 	case reply.TimedOut:
--- a/internal/program/ctpools/forwardserver.go
+++ b/internal/program/ctpools/forwardserver.go
@@ -125,9 +125,12 @@
 	}
 	state := stateOf(frame)
 	inTransaction := s.conn != nil
-	if !inTransaction && !s.acquire(frame, state, now) {
-		s.log(frame, "refused", now)
-		return &ctframe.ForwardReply{Refused: true}
+	if !inTransaction {
+		if err := s.acquire(frame, state, now); err != nil {
+			limited := cterror.KindOf(err) == cterror.RateLimited
+			s.log(frame, "refused_"+cterror.KindOf(err).String(), now)
+			return &ctframe.ForwardReply{Refused: true, RateLimited: limited}
+		}
 	}
 	sentAt := s.pools.Clock.Now()
 	limits := Limits{Deadline: now.Add(frame.AnswerTimeout), Abandoned: s.pools.Stop.Abandoned()}
@@ -137,7 +140,7 @@
 		return s.refuseTooLarge(inTransaction)
 	}
 	if err != nil {
-		s.release(Result{Discard: true})
+		s.release(Result{Discard: true, NotRun: cterror.KindOf(err) == cterror.Exhausted})
 		if cterror.KindOf(err) == cterror.Exhausted {
 			s.log(frame, "not_sent", now)
 			return &ctframe.ForwardReply{Refused: true}
@@ -145,7 +148,10 @@
 		s.log(frame, "lost", now)
 		return &ctframe.ForwardReply{Unanswered: true, TimedOut: cterror.KindOf(err) == cterror.Expired}
 	}
-	result := Result{Answered: true, Applied: answer.Point, Discard: answer.Fault == ctquery.FaultNoStatement}
+	result := Result{
+		Answered: true, Applied: answer.Point, Discard: answer.Fault == ctquery.FaultNoStatement,
+		NotRun: !inTransaction && answer.Fault.NotRun(),
+	}
 	if answer.OK() {
 		result.Latency = s.pools.Clock.Now().Sub(sentAt)
 	}
@@ -165,7 +171,7 @@
 	if inTransaction {
 		answer.Transaction = ctquery.TransactionOpen
 	} else {
-		s.release(Result{})
+		s.release(Result{NotRun: true})
 	}
 	return &ctframe.ForwardReply{Answer: ctframe.NewQueryAnswer(answer)}
 }
@@ -204,6 +210,7 @@
 	ctlog.Decision(&s.pools.Logger, "carry").
 		Str("request", frame.Query.ID.ForLog()).
 		Str("member", string(frame.Member)).
+		Str("workspace", string(frame.Workspace)).
 		Str("outcome", outcome).
 		Dur("took", s.pools.Clock.Now().Sub(startedAt)).
 		Send()
@@ -219,21 +226,27 @@
 	return ctdialog.NewState(frame.Parameters, frame.Shape)
 }
 
-// acquire acquires one of this proxy's own connections and reports whether it got one.
-func (s *forwardServer) acquire(frame *ctframe.Forward, state *ctdialog.State, now time.Time) bool {
+// acquire acquires one of this proxy's own connections. It returns the errors of
+// Pools.Acquire.
+func (s *forwardServer) acquire(frame *ctframe.Forward, state *ctdialog.State, now time.Time) error {
 	if !s.pools.OwnsConnections(&s.held, frame.Member) {
-		return false
+		return cterror.New(cterror.Unavailable, "this proxy has no connections to the member", "use another proxy")
 	}
-	options := AcquireOptions{
-		State: state, Priority: frame.Priority, Deadline: now.Add(min(frame.AcquireTimeout, frame.AnswerTimeout)),
-	}
-	conn, err := s.pools.Acquire(&s.held, frame.Member, options)
+	_, isStatus := frame.Query.Statement().(ctquery.ReadStatus)
+	conn, err := s.pools.acquireOwn(&s.held, frame.Member, AcquireOptions{
+		State:        state,
+		Workspace:    frame.Workspace,
+		AnyWorkspace: isStatus,
+		Operation:    frame.Operation && !isStatus,
+		Priority:     Priority{Route: frame.Priority, Workspace: frame.WorkspacePriority},
+		Deadline:     now.Add(min(frame.AcquireTimeout, frame.AnswerTimeout)),
+	})
 	if err != nil {
-		return false
+		return err
 	}
 	s.conn = conn
 	s.pools.forwardedCount.Add(1)
-	return true
+	return nil
 }
 
 // release returns the connection to the pools.
--- a/internal/program/ctpools/memberstate.go
+++ b/internal/program/ctpools/memberstate.go
@@ -44,6 +44,10 @@
 			Applied: m.applied, AvoidUntil: m.avoidUntil,
 			Free: max(0, len(m.idle)+m.limit-m.open-len(m.waiters)),
 		}
+		if m.remote {
+			// Streams to the owners are opened on demand.
+			member.Free = 1
+		}
 		if p.Clock.Now().Before(m.nextDialAt) && len(m.idle) == 0 && m.open == 0 {
 			member.AvoidUntil = m.nextDialAt
 		}
--- a/internal/program/ctpools/opener.go
+++ b/internal/program/ctpools/opener.go
@@ -27,7 +27,7 @@
 
 // Open opens a connection to a member. The caller owns it until it calls Close.
 func (o *Opener) Open(ctx context.Context, server ctserver.Announcement) (*Conn, error) {
-	raw, err := o.Dialer.Dial(ctx, server)
+	raw, err := o.Dialer.Dial(ctx, server, "")
 	if err != nil {
 		return nil, err
 	}
--- /dev/null
+++ b/internal/program/ctpools/ownership.go
@@ -0,0 +1,158 @@
+package ctpools
+
+import (
+	"net/netip"
+	"slices"
+
+	"github.com/cherviltrestle/cherviltrestle/internal/decide/ctowner"
+	"github.com/cherviltrestle/cherviltrestle/internal/model/ctid"
+	"github.com/cherviltrestle/cherviltrestle/internal/model/ctserver"
+	"github.com/cherviltrestle/cherviltrestle/internal/model/ctview"
+)
+
+// ownedPart and ownedWhole are the part of a member's connections that the owners of
+// workspaces use. The rest stays free for processes that have lost power and come back: the
+// member counts their former connections for some seconds.
+const (
+	ownedPart  = 3
+	ownedWhole = 4
+)
+
+// ownership says which proxies open the connections of each workspace to the members of each
+// failure domain. It does not change once it is built.
+type ownership struct {
+	domains   map[ctid.FailureDomain]domainOwners
+	addresses map[ctid.Proxy]netip.AddrPort
+	// revision and sources identify what the ownership was built from.
+	revision ctid.Revision
+	sources  []ownershipSource
+}
+
+// domainOwners are the owners for the members of one failure domain.
+type domainOwners struct {
+	assignment ctowner.Assignment
+	proxies    []ctid.Proxy
+}
+
+// ownershipSource is a failure domain with members, and the proxies that may own their
+// connections.
+type ownershipSource struct {
+	domain  ctid.FailureDomain
+	proxies []ctid.Proxy
+}
+
+// updateOwnership computes who owns the connections in a view, or that connections serve
+// callers of any workspace. It does nothing if the proxies and the configuration are those of
+// the ownership in force.
+func (p *Pools) updateOwnership(view *ctview.View) {
+	if !view.Config.Document.RequireKeys || p.Transport == nil {
+		p.ownership.Store(nil)
+		return
+	}
+	sources := ownershipSources(view)
+	current := p.ownership.Load()
+	if current != nil && current.revision == view.Config.Revision &&
+		slices.EqualFunc(current.sources, sources, ownershipSource.equal) {
+		return
+	}
+	p.ownership.Store(newOwnership(view, sources))
+}
+
+func (s ownershipSource) equal(other ownershipSource) bool {
+	return s.domain == other.domain && slices.Equal(s.proxies, other.proxies)
+}
+
+// ownershipSources returns the failure domains of a view's members in ascending order, each
+// with the proxies that may own connections: those of the domain that are not about to stop,
+// or all such proxies if the domain has none.
+func ownershipSources(view *ctview.View) []ownershipSource {
+	fewest := make(map[ctid.FailureDomain]int)
+	for _, server := range view.Members {
+		if n, ok := fewest[server.FailureDomain]; !ok || server.Connections < n {
+			fewest[server.FailureDomain] = server.Connections
+		}
+	}
+	var sources []ownershipSource
+	for domain, connections := range fewest {
+		proxies := readyProxies(view, view.ProxiesOf(domain))
+		if len(proxies) == 0 {
+			for other := range view.Proxies {
+				proxies = append(proxies, other)
+			}
+			proxies = readyProxies(view, proxies)
+			slices.Sort(proxies)
+		}
+		// With fewer connections each, an owner could not serve two workspaces at once.
+		most := max(1, ownedConnections(connections)/minShare)
+		sources = append(sources, ownershipSource{domain: domain, proxies: proxies[:min(len(proxies), most)]})
+	}
+	slices.SortFunc(sources, func(a, b ownershipSource) int {
+		if a.domain < b.domain {
+			return -1
+		}
+		return 1
+	})
+	return sources
+}
+
+// readyProxies returns those of the proxies that are not about to stop.
+func readyProxies(view *ctview.View, proxies []ctid.Proxy) []ctid.Proxy {
+	var ready []ctid.Proxy
+	for _, name := range proxies {
+		if view.Proxies[name].State == ctserver.StateReady {
+			ready = append(ready, name)
+		}
+	}
+	return ready
+}
+
+// ownedConnections returns how many of a member's connections the owners may open together.
+func ownedConnections(connections int) int {
+	return (connections - reservedForControl) * ownedPart / ownedWhole
+}
+
+// newOwnership assigns the workspaces of a view's configuration to the proxies.
+func newOwnership(view *ctview.View, sources []ownershipSource) *ownership {
+	o := &ownership{
+		domains:   make(map[ctid.FailureDomain]domainOwners, len(sources)),
+		addresses: make(map[ctid.Proxy]netip.AddrPort, len(view.Proxies)),
+		revision:  view.Config.Revision,
+		sources:   sources,
+	}
+	var shares []ctowner.Share
+	for _, w := range view.Config.Document.Workspaces {
+		share := ctowner.Share{Workspace: w.Name}
+		if w.Limit != nil {
+			share.Load = w.Limit.PerSecond
+		}
+		shares = append(shares, share)
+	}
+	for _, source := range sources {
+		o.domains[source.domain] = domainOwners{
+			assignment: ctowner.Assign(source.proxies, shares), proxies: source.proxies,
+		}
+	}
+	for name, proxy := range view.Proxies {
+		o.addresses[name] = proxy.Address
+	}
+	return o
+}
+
+// shareOf returns a proxy's share of a member's connections.
+func (o *ownership) shareOf(self ctid.Proxy, server ctserver.Announcement) connectionShare {
+	owners := o.domains[server.FailureDomain].proxies
+	if !slices.Contains(owners, self) {
+		return connectionShare{remote: true}
+	}
+	return connectionShare{limit: max(1, ownedConnections(server.Connections)/len(owners))}
+}
+
+// largestOwned returns the largest workspace that a proxy owns for the members of a failure
+// domain. It is empty if there is none, or if connections serve callers of any workspace.
+func (o *ownership) largestOwned(self ctid.Proxy, domain ctid.FailureDomain) ctid.Workspace {
+	if o == nil {
+		return ""
+	}
+	workspace, _ := o.domains[domain].assignment.Largest(self)
+	return workspace
+}
--- /dev/null
+++ b/internal/program/ctpools/peerstreams.go
@@ -0,0 +1,240 @@
+package ctpools
+
+import (
+	"context"
+	"net/netip"
+	"time"
+
+	"github.com/cherviltrestle/cherviltrestle/internal/model/cterror"
+	"github.com/cherviltrestle/cherviltrestle/internal/model/ctid"
+	"github.com/cherviltrestle/cherviltrestle/internal/model/ctserver"
+	"github.com/cherviltrestle/cherviltrestle/internal/work/ctlock"
+)
+
+// Limits on the streams to the owners of workspaces.
+const (
+	// maxPeerStreams is how many streams a proxy has to one other proxy at most.
+	maxPeerStreams = 32
+	// workspaceIdleTimeout is how long a connection of one workspace, or a stream to an
+	// owner, may idle. Small workspaces use theirs every few seconds only.
+	workspaceIdleTimeout = 20 * time.Second
+	// ownerAttempts is how many owners are tried for one query.
+	ownerAttempts = 2
+	// silentPeerPause is how long a proxy is passed over after a reply of its did not arrive.
+	silentPeerPause = 500 * time.Millisecond
+)
+
+// peerStreams holds the streams to one other proxy. A stream carries the queries of one user
+// at a time, to any member.
+type peerStreams struct {
+	// idle holds the streams that no user has; the last one was returned last.
+	idle []idleStream
+	// open counts the streams that are open or being opened.
+	open int
+	// failures counts the consecutive failures. After one, the proxy is passed over until
+	// nextOpenAt.
+	failures   int
+	nextOpenAt time.Time
+}
+
+type idleStream struct {
+	executor *forwardingExecutor
+	since    time.Time
+}
+
+// acquireByOwner is Acquire where each connection serves one workspace: it takes one of this
+// proxy's own connections if it is an owner of the workspace, or else a stream to an owner.
+func (p *Pools) acquireByOwner(
+	held *ctlock.Held, o *ownership, name ctid.Member, options AcquireOptions,
+) (*Conn, error) {
+	server, ok := p.serverOf(held, name)
+	if !ok {
+		return nil, cterror.New(cterror.Unavailable, "the member is unknown", "try another member")
+	}
+	domain := o.domains[server.FailureDomain]
+	order := domain.assignment.Order(p.Self.Name, options.Workspace)
+	if options.AnyWorkspace && p.OwnsConnections(held, name) {
+		order = []ctid.Proxy{p.Self.Name}
+	}
+	err := cterror.New(cterror.Unavailable, "no proxy owns connections to the member", "try another member")
+	for _, owner := range order[:min(len(order), ownerAttempts)] {
+		if owner == p.Self.Name {
+			return p.acquireOwn(held, name, options)
+		}
+		var stream *forwardingExecutor
+		if stream, err = p.takeStream(held, o.addresses[owner], options.Deadline); err == nil {
+			return p.lendStream(held, server, o.addresses[owner], stream, options.Workspace), nil
+		}
+	}
+	return nil, err
+}
+
+// serverOf returns the announcement of a member in the view, and whether there is one.
+func (p *Pools) serverOf(held *ctlock.Held, name ctid.Member) (ctserver.Announcement, bool) {
+	var server ctserver.Announcement
+	found := false
+	p.members.With(held, func(members map[ctid.Member]*memberPool) {
+		if m, ok := members[name]; ok {
+			server, found = m.server, true
+		}
+	})
+	return server, found
+}
+
+// lendStream makes a stream the user's connection to a member.
+func (p *Pools) lendStream(
+	held *ctlock.Held, server ctserver.Announcement, peer netip.AddrPort, stream *forwardingExecutor,
+	workspace ctid.Workspace,
+) *Conn {
+	stream.member, stream.workspace = server.Member, workspace
+	conn := newConn(server, stream)
+	conn.peer, conn.workspace = peer, workspace
+	p.members.With(held, func(members map[ctid.Member]*memberPool) {
+		if m, ok := members[server.Member]; ok && m.server.Incarnation == server.Incarnation {
+			p.markAcquired(m, conn)
+			if m.answeredAt.IsZero() {
+				m.answeredAt = conn.acquiredAt
+			}
+		}
+	})
+	return conn
+}
+
+// takeStream takes an idle stream to another proxy, or opens one.
+func (p *Pools) takeStream(held *ctlock.Held, peer netip.AddrPort, deadline time.Time) (*forwardingExecutor, error) {
+	var stream *forwardingExecutor
+	mayOpen := false
+	now := p.Clock.Now()
+	p.peers.With(held, func(peers map[netip.AddrPort]*peerStreams) {
+		s, ok := peers[peer]
+		if !ok {
+			s = &peerStreams{}
+			peers[peer] = s
+		}
+		if stream = s.pop(); stream != nil {
+			return
+		}
+		if mayOpen = s.open < maxPeerStreams && !now.Before(s.nextOpenAt); mayOpen {
+			s.open++
+		}
+	})
+	switch {
+	case stream != nil:
+		return stream, nil
+	case !mayOpen:
+		return nil, cterror.New(cterror.Unavailable, "no stream to the owner can be opened now", "try another owner")
+	}
+	return p.openStream(held, peer, min(streamOpenTimeout, deadline.Sub(now)))
+}
+
+// pop removes the idle stream that was returned last and still works. It returns nil if there
+// is none.
+func (s *peerStreams) pop() *forwardingExecutor {
+	for len(s.idle) > 0 {
+		last := len(s.idle) - 1
+		stream := s.idle[last].executor
+		s.idle = s.idle[:last]
+		if stream.alive() {
+			return stream
+		}
+		stream.close()
+		s.open--
+	}
+	return nil
+}
+
+// openStream opens a stream that takeStream has counted.
+func (p *Pools) openStream(held *ctlock.Held, peer netip.AddrPort, timeout time.Duration) (*forwardingExecutor, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), timeout)
+	defer cancel()
+	stream, err := p.Transport.Open(ctx, peer)
+	p.peers.With(held, func(peers map[netip.AddrPort]*peerStreams) {
+		s, ok := peers[peer]
+		switch {
+		case !ok:
+		case err != nil:
+			s.open--
+			s.failures++
+			s.nextOpenAt = p.Clock.Now().Add(min(firstBackoff<<min(s.failures-1, 8), maxBackoff))
+		default:
+			s.failures = 0
+		}
+	})
+	if err != nil {
+		return nil, err
+	}
+	return newForwardingExecutor("", stream, p.Clock), nil
+}
+
+// returnStream is Release for a stream to an owner. If the owner has left a query unanswered,
+// the idle streams to it are closed too, since its VM may be gone.
+func (p *Pools) returnStream(held *ctlock.Held, conn *Conn, result Result) {
+	stream, ok := conn.executor.(*forwardingExecutor)
+	if result.Discard || !conn.Alive() {
+		conn.close()
+	}
+	p.members.With(held, func(members map[ctid.Member]*memberPool) {
+		if m, ok := members[conn.Member]; ok && m.server.Incarnation == conn.incarnation {
+			p.endUse(m, result)
+		}
+	})
+	p.peers.With(held, func(peers map[netip.AddrPort]*peerStreams) {
+		s, known := peers[conn.peer]
+		switch {
+		case !known || !ok:
+			conn.close()
+		case conn.Alive():
+			s.idle = append(s.idle, idleStream{executor: stream, since: p.Clock.Now()})
+		default:
+			s.open--
+			if stream.peerSilent {
+				s.nextOpenAt = p.Clock.Now().Add(silentPeerPause)
+				s.closeIdle(len(s.idle))
+			}
+		}
+	})
+}
+
+// closeIdle closes the first count idle streams.
+func (s *peerStreams) closeIdle(count int) {
+	for _, idle := range s.idle[:count] {
+		idle.executor.close()
+	}
+	s.idle = append(s.idle[:0], s.idle[count:]...)
+	s.open -= count
+}
+
+// closeIdleStreams closes the streams that have idled for too long, and forgets the proxies to
+// which none is left.
+func (p *Pools) closeIdleStreams(held *ctlock.Held) {
+	idleBefore := p.Clock.Now().Add(-workspaceIdleTimeout)
+	p.peers.With(held, func(peers map[netip.AddrPort]*peerStreams) {
+		for address, s := range peers {
+			count := 0
+			for count < len(s.idle) && s.idle[count].since.Before(idleBefore) {
+				count++
+			}
+			s.closeIdle(count)
+			if s.open == 0 && p.Clock.Now().After(s.nextOpenAt) {
+				delete(peers, address)
+			}
+		}
+	})
+}
+
+// reachRemote opens a stream to an owner of the member's connections in the background, so that
+// the member counts as reached and the first query finds a stream.
+func (p *Pools) reachRemote(m *memberPool) {
+	if p.Clock.Now().Before(m.nextDialAt) {
+		return
+	}
+	m.nextDialAt = p.Clock.Now().Add(streamOpenTimeout)
+	name := m.server.Member
+	go func() {
+		var held ctlock.Held
+		options := AcquireOptions{AnyWorkspace: true, Deadline: p.Clock.Now().Add(streamOpenTimeout)}
+		if conn, err := p.Acquire(&held, name, options); err == nil {
+			p.Release(&held, conn, Result{})
+		}
+	}()
+}
--- a/internal/program/ctpools/pools.go
+++ b/internal/program/ctpools/pools.go
@@ -1,6 +1,7 @@
 package ctpools
 
 import (
+	"cmp"
 	"context"
 	"net/netip"
 	"slices"
@@ -60,7 +61,18 @@
 
 // Dialer opens connections to members. An attempt ends with an error when ctx ends.
 type Dialer interface {
-	Dial(ctx context.Context, server ctserver.Announcement) (RawConn, error)
+	// Dial opens a connection that serves a workspace, or callers without one.
+	Dial(ctx context.Context, server ctserver.Announcement, workspace ctid.Workspace) (RawConn, error)
+}
+
+// Quotas limits how many operations of each workspace start.
+type Quotas interface {
+	// Admit counts an operation of a workspace that is about to start. If the workspace's
+	// limit is reached, it returns an error of kind cterror.RateLimited. It may wait until
+	// deadline to learn this proxy's share of the limit.
+	Admit(held *ctlock.Held, workspace ctid.Workspace, deadline time.Time) error
+	// Refund takes back the last operation that Admit counted, because it did not run.
+	Refund(held *ctlock.Held, workspace ctid.Workspace)
 }
 
 // Pools holds a proxy's connections to all members. Its exported fields are set
@@ -78,6 +90,8 @@
 	Stop ctstop.Stop
 	// Metrics is nil if nothing is counted.
 	Metrics *ctmetric.Metrics
+	// Quotas is nil if workspaces have no limits.
+	Quotas Quotas
 
 	// connectionCount numbers the connections to members.
 	connectionCount atomic.Uint64
@@ -88,6 +102,10 @@
 	// answered yet.
 	answeringCount atomic.Int64
 	members        cttable.Table[ctid.Member, memberPool]
+	peers          cttable.Table[netip.AddrPort, peerStreams]
+	// ownership says which proxies open the connections of each workspace. It is nil while
+	// connections serve callers of any workspace.
+	ownership atomic.Pointer[ownership]
 }
 
 // memberPool holds the connections to one member and what is known of the member.
@@ -111,6 +129,9 @@
 	// forwarderIndex is the index of the proxy that the last stream was opened to,
 	// modulo the length of forwarders.
 	forwarderIndex int
+	// remote reports whether other proxies open the connections to the member, by workspace.
+	// Then this proxy has none, and reaches the member over the streams to those proxies.
+	remote bool
 	// limit is how many connections may be open.
 	limit int
 	// waiters are the requests that wait for a connection, the most urgent first.
@@ -138,14 +159,34 @@
 type waiter struct {
 	// ready receives the connection. It is closed if none can be opened.
 	ready chan *Conn
-	// priority is 0 for the most urgent requests.
-	priority int
+	// priority is the most urgent one for the requests that are served first.
+	priority Priority
+	// workspace is the one that the connection must serve, unless anyWorkspace is set.
+	workspace    ctid.Workspace
+	anyWorkspace bool
+}
+
+// accepts reports whether a connection may be passed to the request.
+func (w *waiter) accepts(conn *Conn) bool {
+	return w.anyWorkspace || conn.workspace == w.workspace
+}
+
+// Priority orders the requests that wait for a connection. Lower values are more urgent, and
+// that of the route comes first.
+type Priority struct {
+	Route     int
+	Workspace int
+}
+
+// Compare compares the urgency of two priorities. The more urgent one is less.
+func (p Priority) Compare(other Priority) int {
+	return cmp.Or(cmp.Compare(p.Route, other.Route), cmp.Compare(p.Workspace, other.Workspace))
 }
 
 // enqueue inserts a request behind those of the same or a more urgent priority.
 func (m *memberPool) enqueue(w waiter) {
 	i := len(m.waiters)
-	for i > 0 && m.waiters[i-1].priority > w.priority {
+	for i > 0 && m.waiters[i-1].priority.Compare(w.priority) > 0 {
 		i--
 	}
 	m.waiters = slices.Insert(m.waiters, i, w)
@@ -156,8 +197,15 @@
 	// State is the session's state. Acquire prefers a connection that has its values
 	// already. It is nil if the request depends on no state.
 	State *ctdialog.State
-	// Priority is 0 for the most urgent requests, which are served first.
-	Priority int
+	// Workspace is the one whose query the connection is to run. AnyWorkspace is set for
+	// status queries of the system's own, which may use the connection of any workspace.
+	Workspace    ctid.Workspace
+	AnyWorkspace bool
+	// Operation reports whether the query starts an operation, which counts toward the limit
+	// of its workspace.
+	Operation bool
+	// Priority orders the requests that wait.
+	Priority Priority
 	// Deadline is the time until which the request waits for a connection.
 	Deadline time.Time
 }
@@ -170,14 +218,42 @@
 	return &Pools{
 		Dialer: dialer, Self: self, Transport: transport, Clock: clock, Logger: logger,
 		members: cttable.Table[ctid.Member, memberPool]{Rank: ctlock.RankMembers},
+		peers:   cttable.Table[netip.AddrPort, peerStreams]{Rank: ctlock.RankPeers},
 	}
 }
 
 // Acquire returns a connection to a member, if possible one that has the session's
 // values. The caller returns it with Release. The error is of kind
-// cterror.Exhausted if no connection became free in time, and cterror.Unavailable if
-// none can be opened.
+// cterror.Exhausted if no connection became free in time, cterror.Unavailable if
+// none can be opened, and cterror.RateLimited if the limit of the workspace is reached.
 func (p *Pools) Acquire(held *ctlock.Held, name ctid.Member, options AcquireOptions) (*Conn, error) {
+	if o := p.ownership.Load(); o != nil {
+		return p.acquireByOwner(held, o, name, options)
+	}
+	return p.acquireOwn(held, name, options)
+}
+
+// acquireOwn is Acquire for this proxy's own connections and, where they serve callers of any
+// workspace, for its streams. It counts an operation first.
+func (p *Pools) acquireOwn(held *ctlock.Held, name ctid.Member, options AcquireOptions) (*Conn, error) {
+	counted := options.Operation && p.Quotas != nil && options.Workspace != ""
+	if counted {
+		if err := p.Quotas.Admit(held, options.Workspace, options.Deadline); err != nil {
+			return nil, err
+		}
+	}
+	conn, err := p.takeConn(held, name, options)
+	switch {
+	case err == nil:
+		conn.counted = counted
+	case counted:
+		p.Quotas.Refund(held, options.Workspace)
+	}
+	return conn, err
+}
+
+// takeConn takes an idle connection, or waits for one.
+func (p *Pools) takeConn(held *ctlock.Held, name ctid.Member, options AcquireOptions) (*Conn, error) {
 	var conn *Conn
 	var ready chan *Conn
 	p.members.With(held, func(members map[ctid.Member]*memberPool) {
@@ -185,14 +261,18 @@
 		if !ok {
 			return
 		}
-		if conn = m.popIdle(options.State); conn != nil {
+		w := waiter{
+			priority: options.Priority, workspace: options.Workspace, anyWorkspace: options.AnyWorkspace,
+		}
+		if conn = m.popIdle(options.State, &w); conn != nil {
 			p.markAcquired(m, conn)
 			return
 		}
-		p.dialMore(m)
+		p.dialMore(m, options.Workspace)
 		if m.open > 0 {
 			ready = make(chan *Conn, 1)
-			m.enqueue(waiter{ready: ready, priority: options.Priority})
+			w.ready = ready
+			m.enqueue(w)
 		}
 	})
 	switch {
@@ -233,22 +313,27 @@
 	return nil, cterror.New(cterror.Exhausted, "no connection to the member became free in time", "try again soon")
 }
 
-// popIdle removes an idle connection and returns it, if possible one that has the
-// session's values. It returns nil if none is idle. Broken connections are closed.
-func (m *memberPool) popIdle(state *ctdialog.State) *Conn {
+// popIdle removes an idle connection that a waiter accepts and returns it, if possible one
+// that has the session's values. It returns nil if there is none. Broken connections are
+// closed.
+func (m *memberPool) popIdle(state *ctdialog.State, w *waiter) *Conn {
 	m.closeBroken()
-	best := len(m.idle) - 1
+	best := -1
+	for i, c := range slices.Backward(m.idle) {
+		if !w.accepts(c) {
+			continue
+		}
+		if best < 0 {
+			best = i
+		}
+		if state == nil || c.executor.matches(state) {
+			best = i
+			break
+		}
+	}
 	if best < 0 {
 		return nil
 	}
-	if state != nil {
-		for i, c := range slices.Backward(m.idle) {
-			if c.executor.matches(state) {
-				best = i
-				break
-			}
-		}
-	}
 	conn := m.idle[best]
 	m.idle = slices.Delete(m.idle, best, best+1)
 	return conn
@@ -297,16 +382,20 @@
 	}
 }
 
-// dialMore starts to open one more connection if the limits allow it. Only a few are
-// opened at a time, because opening one occupies a slot of the member and many
-// proxies may do so at once.
-func (p *Pools) dialMore(m *memberPool) {
+// dialMore starts to open one more connection for a workspace if the limits allow it. If the
+// connections of other workspaces use up the limit, it closes the one of them that has been
+// idle for the longest time. Only a few are opened at a time, because opening one occupies
+// a slot of the member and many proxies may do so at once.
+func (p *Pools) dialMore(m *memberPool, workspace ctid.Workspace) {
 	now := p.Clock.Now()
 	maxDialing := max(1, m.server.Slots/slotsPerDial)
 	if len(m.forwarders) > 0 {
 		maxDialing = concurrentStreamOpens
 	}
-	if m.open >= m.limit || m.dialing >= maxDialing || now.Before(m.nextDialAt) {
+	if m.dialing >= maxDialing || now.Before(m.nextDialAt) {
+		return
+	}
+	if m.open >= m.limit && !p.evictIdle(m, workspace) {
 		return
 	}
 	m.open++
@@ -316,13 +405,29 @@
 		m.forwarderIndex++
 		forwarder = m.forwarders[m.forwarderIndex%len(m.forwarders)]
 	}
-	go p.dial(m.server, forwarder)
+	go p.dial(m.server, forwarder, workspace)
 }
 
-// dial opens a connection and assigns it. If forwarder is valid, dial opens a stream
-// to the proxy at that address instead.
-func (p *Pools) dial(server ctserver.Announcement, forwarder netip.AddrPort) {
-	e, err := p.connect(server, forwarder)
+// evictIdle closes the connection of another workspace that has been idle for the longest time.
+// It reports whether the limit allows another connection then.
+func (p *Pools) evictIdle(m *memberPool, workspace ctid.Workspace) bool {
+	i := slices.IndexFunc(m.idle, func(c *Conn) bool { return c.workspace != workspace })
+	if i < 0 || m.open > m.limit {
+		return false
+	}
+	m.idle[i].close()
+	m.idle = slices.Delete(m.idle, i, i+1)
+	m.open--
+	if p.Metrics != nil {
+		p.Metrics.EvictedConnections.Inc()
+	}
+	return true
+}
+
+// dial opens a connection for a workspace and assigns it. If forwarder is valid, dial opens a
+// stream to the proxy at that address instead.
+func (p *Pools) dial(server ctserver.Announcement, forwarder netip.AddrPort, workspace ctid.Workspace) {
+	e, err := p.connect(server, forwarder, workspace)
 	var held ctlock.Held
 	if err != nil {
 		p.Logger.Info().Str("event", "dial_failed").Str("member", string(server.Member)).
@@ -331,6 +436,7 @@
 		return
 	}
 	conn := newConn(server, e)
+	conn.workspace = workspace
 	p.members.With(&held, func(members map[ctid.Member]*memberPool) {
 		m, ok := members[server.Member]
 		if !ok || m.server.Incarnation != server.Incarnation {
@@ -342,15 +448,22 @@
 		m.answeredAt = p.Clock.Now()
 		p.countReopened(m)
 		p.assign(m, conn)
-		if len(m.waiters) > 0 {
-			p.dialMore(m)
-		}
+		p.dialForWaiter(m)
 	})
 }
 
-// connect opens a connection to a member, or a stream to a proxy that forwards
+// dialForWaiter starts to open a connection for the most urgent request that waits, if any.
+func (p *Pools) dialForWaiter(m *memberPool) {
+	if len(m.waiters) > 0 {
+		p.dialMore(m, m.waiters[0].workspace)
+	}
+}
+
+// connect opens a connection to a member for a workspace, or a stream to a proxy that forwards
 // queries to it if forwarder is valid.
-func (p *Pools) connect(server ctserver.Announcement, forwarder netip.AddrPort) (executor, error) {
+func (p *Pools) connect(
+	server ctserver.Announcement, forwarder netip.AddrPort, workspace ctid.Workspace,
+) (executor, error) {
 	if forwarder.IsValid() {
 		ctx, cancel := context.WithTimeout(context.Background(), streamOpenTimeout)
 		defer cancel()
@@ -362,7 +475,7 @@
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), dialTimeout)
 	defer cancel()
-	raw, err := p.Dialer.Dial(ctx, server)
+	raw, err := p.Dialer.Dial(ctx, server, workspace)
 	if err != nil {
 		return nil, err
 	}
@@ -392,12 +505,12 @@
 	})
 }
 
-// assign passes a free connection to the first waiter. Without a waiter it makes the
-// connection idle, or closes it if more are open than the limit allows.
+// assign passes a free connection to the first waiter that accepts it. Without one it makes
+// the connection idle, or closes it if more are open than the limit allows.
 func (p *Pools) assign(m *memberPool, conn *Conn) {
-	if len(m.waiters) > 0 {
-		ready := m.waiters[0].ready
-		m.waiters = m.waiters[1:]
+	if i := slices.IndexFunc(m.waiters, func(w waiter) bool { return w.accepts(conn) }); i >= 0 {
+		ready := m.waiters[i].ready
+		m.waiters = slices.Delete(m.waiters, i, i+1)
 		p.markAcquired(m, conn)
 		ready <- conn
 		return
@@ -414,6 +527,9 @@
 type Result struct {
 	// Discard reports that the connection must not be used again.
 	Discard bool
+	// NotRun reports that nothing of the operation that the connection was acquired for ran,
+	// so that it does not count toward the limit of its workspace.
+	NotRun bool
 	// Answered reports that the member answered. The fields below count only then.
 	Answered bool
 	// Latency is how long the answer took; 0 leaves the known latency as it is.
@@ -431,6 +547,14 @@
 		go p.settle(conn, result)
 		return
 	}
+	if conn.counted && result.NotRun {
+		p.Quotas.Refund(held, conn.workspace)
+	}
+	conn.counted = false
+	if conn.peer.IsValid() {
+		p.returnStream(held, conn, result)
+		return
+	}
 	if result.Discard || !conn.Alive() {
 		conn.close()
 	}
@@ -440,23 +564,29 @@
 			conn.close()
 			return
 		}
-		now := p.Clock.Now()
-		m.running--
-		p.recordResult(m, now, result)
-		if m.running == 0 {
-			m.unansweredSince = time.Time{}
-		}
+		p.endUse(m, result)
 		if conn.Alive() {
 			p.assign(m, conn)
+			if len(m.idle) > 0 && m.dialing == 0 {
+				// Requests of other workspaces may wait beside an idle connection.
+				p.dialForWaiter(m)
+			}
 			return
 		}
 		m.forget(conn)
-		if len(m.waiters) > 0 {
-			p.dialMore(m)
-		}
+		p.dialForWaiter(m)
 	})
 }
 
+// endUse records that a user has released a connection or stream, and its result.
+func (p *Pools) endUse(m *memberPool, result Result) {
+	m.running--
+	p.recordResult(m, p.Clock.Now(), result)
+	if m.running == 0 {
+		m.unansweredSince = time.Time{}
+	}
+}
+
 // settle releases a connection once its last answer is confirmed, or discards it.
 func (p *Pools) settle(conn *Conn, result Result) {
 	var held ctlock.Held
--- a/internal/program/ctpools/view.go
+++ b/internal/program/ctpools/view.go
@@ -16,6 +16,7 @@
 // many connections to each of them this proxy may use.
 func (p *Pools) ApplyView(held *ctlock.Held, view *ctview.View) {
 	now := p.Clock.Now()
+	p.updateOwnership(view)
 	p.members.With(held, func(members map[ctid.Member]*memberPool) {
 		for name, m := range members {
 			if _, ok := view.Members[name]; !ok {
@@ -44,6 +45,8 @@
 	limit int
 	// forwarders is empty if the proxy has its own connections.
 	forwarders []netip.AddrPort
+	// remote reports whether the owners of each workspace have the connections instead.
+	remote bool
 }
 
 // minShare is the least number of connections per proxy with which all proxies open
@@ -55,6 +58,9 @@
 // have one, and they forward the queries of the others. Proxies of that domain are
 // chosen because a failure of the domain takes the member down as well.
 func (p *Pools) shareOf(view *ctview.View, server ctserver.Announcement) connectionShare {
+	if o := p.ownership.Load(); o != nil {
+		return o.shareOf(p.Self.Name, server)
+	}
 	connections := server.Connections - reservedForControl
 	share := connections / max(1, len(view.Proxies))
 	domainProxies := view.ProxiesOf(server.FailureDomain)
@@ -90,7 +96,7 @@
 	owns := false
 	p.members.With(held, func(members map[ctid.Member]*memberPool) {
 		m, ok := members[name]
-		owns = ok && len(m.forwarders) == 0
+		owns = ok && len(m.forwarders) == 0 && !m.remote
 	})
 	return owns
 }
@@ -98,14 +104,14 @@
 // updateMember applies a member's announcement and this proxy's share. Idle connections
 // are closed where the share shrinks or changes between own and forwarded.
 func (p *Pools) updateMember(m *memberPool, now time.Time, server ctserver.Announcement, share connectionShare) {
-	if (len(share.forwarders) > 0) != (len(m.forwarders) > 0) {
+	if (len(share.forwarders) > 0) != (len(m.forwarders) > 0) || share.remote != m.remote {
 		for _, c := range m.idle {
 			c.close()
 		}
 		m.open -= len(m.idle)
 		m.idle = nil
 	}
-	m.forwarders = share.forwarders
+	m.forwarders, m.remote = share.forwarders, share.remote
 	limit := share.limit
 	m.server = server
 	switch {
@@ -147,7 +153,12 @@
 // the member counts the proxy's connections for a while, and the restarted proxy
 // needs room for new ones.
 func (p *Pools) Maintain(held *ctlock.Held, usedGroups ctset.Set[ctid.Group]) {
-	idleBefore := p.Clock.Now().Add(-surplusIdleTimeout)
+	idleTimeout := surplusIdleTimeout
+	if p.ownership.Load() != nil {
+		idleTimeout = workspaceIdleTimeout
+		p.closeIdleStreams(held)
+	}
+	idleBefore := p.Clock.Now().Add(-idleTimeout)
 	p.members.With(held, func(members map[ctid.Member]*memberPool) {
 		for _, m := range members {
 			m.closeBroken()
@@ -160,9 +171,14 @@
 				m.idle = m.idle[1:]
 				m.open--
 			}
-			mayDial := m.answeredAt.IsZero() || len(m.forwarders) == 0
-			if m.open < minOpen && m.leavingSince.IsZero() && mayDial {
-				p.dialMore(m)
+			if m.open >= minOpen || !m.leavingSince.IsZero() {
+				continue
+			}
+			switch {
+			case m.remote && m.answeredAt.IsZero():
+				p.reachRemote(m)
+			case !m.remote && (m.answeredAt.IsZero() || len(m.forwarders) == 0):
+				p.dialMore(m, p.ownership.Load().largestOwned(p.Self.Name, m.server.FailureDomain))
 			}
 		}
 	})
--- a/internal/work/ctlock/rank.go
+++ b/internal/work/ctlock/rank.go
@@ -40,6 +40,8 @@
 	RankGroups
 	// RankMembers guards the members' queues and connections.
 	RankMembers
+	// RankPeers guards a proxy's idle streams to other proxies.
+	RankPeers
 	// RankStandin guards the database of a stand-in server.
 	RankStandin
 )
