--- a/internal/program/ctcontrol/reportrelay.go
+++ b/internal/program/ctcontrol/reportrelay.go
@@ -106,7 +106,8 @@
 	return batch.Replies, nil
 }
 
-// completeReply adds the log samples of the groups that the report names. If the proxy may
+// completeReply adds the log samples of the groups that the report names, or of all in a fleet
+// with few groups. If the proxy may
 // have an earlier view, it also adds the state of those groups and of all whose primary is
 // changing, and for a proxy whose authority has lapsed all that the leader sent.
 func completeReply(reply *ctview.Reply, report *ctview.Report, view *ctview.View, relay *ctview.Reply) {
@@ -115,7 +116,7 @@
 		return announcement.Group, ok
 	})
 	for _, sample := range relay.LogSamples {
-		if slices.Contains(used, sample.Group) {
+		if len(view.Groups) <= ctview.TrackAllLimit || slices.Contains(used, sample.Group) {
 			reply.LogSamples = append(reply.LogSamples, sample)
 		}
 	}
--- a/internal/program/ctcontrol/reportrelay_test.go
+++ b/internal/program/ctcontrol/reportrelay_test.go
@@ -43,6 +43,12 @@
 	t.Run("the samples of the groups in use", func(t *testing.T) {
 		assert.DeepEqual(t, complete(9, relay).LogSamples, []ctview.LogSample{{Group: "g1"}})
 	})
+	t.Run("in a fleet with few groups, the samples of all", func(t *testing.T) {
+		var reply ctview.Reply
+		few := &ctview.View{Version: 9, Groups: map[ctid.Group]ctview.Group{"g1": groups["g1"], "g2": groups["g2"]}}
+		completeReply(&reply, &ctview.Report{Version: 9}, few, relay)
+		assert.DeepEqual(t, reply.LogSamples, relay.LogSamples)
+	})
 	t.Run("to a proxy with an earlier view: the groups in use and those that change", func(t *testing.T) {
 		assert.Equal(t, len(complete(8, relay).Groups), 2)
 	})
--- a/internal/program/ctcontrol/succession.go
+++ b/internal/program/ctcontrol/succession.go
@@ -101,11 +101,30 @@
 			continue
 		}
 		machine.ApplyReport(now, l.group(name), report)
-		point, sampledAt, known := machine.Sample(now, l.group(name))
-		if known && !expiresAt.IsZero() {
-			reply.LogSamples = append(reply.LogSamples, ctview.LogSample{Group: name, Point: point, Age: now.Sub(sampledAt)})
+	}
+	if !expiresAt.IsZero() {
+		reply.LogSamples = l.logSamples(now, groups)
+	}
+}
+
+// logSamples returns the known samples of the logs of the groups in use. In a fleet with few
+// groups these are all groups: a proxy that lacks a sample queries the primary itself, and
+// those queries would grow with the number of proxies.
+func (l *leaderState) logSamples(now time.Time, used []ctid.Group) []ctview.LogSample {
+	if len(l.successions) <= ctview.TrackAllLimit {
+		used = slices.Sorted(maps.Keys(l.successions))
+	}
+	var samples []ctview.LogSample
+	for _, name := range used {
+		machine, ok := l.successions[name]
+		if !ok {
+			continue
+		}
+		if point, sampledAt, known := machine.Sample(now, l.group(name)); known {
+			samples = append(samples, ctview.LogSample{Group: name, Point: point, Age: now.Sub(sampledAt)})
 		}
 	}
+	return samples
 }
 
 // grantAuthority grants a proxy authority in the reply, and returns until when. It
