ctpools: fewer owners with more connections each, and no owner outside of a domain whose proxies have not reported yet

Change: owners use five eighths of a member's connections, four each or more; a domain without proxies has other owners only once the view is 3 s old.

--- a/internal/program/ctpools/forwardserver.go
+++ b/internal/program/ctpools/forwardserver.go
@@ -230,7 +230,7 @@
 // Pools.Acquire.
 func (s *forwardServer) acquire(frame *ctframe.Forward, state *ctdialog.State, now time.Time) error {
 	if !s.pools.OwnsConnections(&s.held, frame.Member) {
-		return cterror.New(cterror.Unavailable, "this proxy has no connections to the member", "use another proxy")
+		return cterror.New(cterror.Conflict, "this proxy has no connections to the member", "use another proxy")
 	}
 	_, isStatus := frame.Query.Statement().(ctquery.ReadStatus)
 	conn, err := s.pools.acquireOwn(&s.held, frame.Member, AcquireOptions{
--- a/internal/program/ctpools/ownership.go
+++ b/internal/program/ctpools/ownership.go
@@ -3,6 +3,7 @@
 import (
 	"net/netip"
 	"slices"
+	"time"
 
 	"github.com/cherviltrestle/cherviltrestle/internal/decide/ctowner"
 	"github.com/cherviltrestle/cherviltrestle/internal/model/ctid"
@@ -14,8 +15,11 @@
 // workspaces use. The rest stays free for processes that have lost power and come back: the
 // member counts their former connections for some seconds.
 const (
-	ownedPart  = 3
-	ownedWhole = 4
+	ownedPart  = 5
+	ownedWhole = 8
+	// minOwnerConnections is the least number of connections of an owner to a member. With
+	// fewer, an owner would often have to close that of another workspace.
+	minOwnerConnections = 4
 )
 
 // ownership says which proxies open the connections of each workspace to the members of each
@@ -28,6 +32,11 @@
 	sources  []ownershipSource
 }
 
+// partialViewPeriod is how long after the first view a failure domain without proxies is taken
+// for one whose proxies have not reported yet. A new leader of control sends its first views
+// before all proxies have reported to it.
+const partialViewPeriod = 3 * time.Second
+
 // domainOwners are the owners for the members of one failure domain.
 type domainOwners struct {
 	assignment ctowner.Assignment
@@ -49,7 +58,9 @@
 		p.ownership.Store(nil)
 		return
 	}
-	sources := ownershipSources(view)
+	now := p.Clock.Now()
+	p.firstViewAt.CompareAndSwap(nil, &now)
+	sources := ownershipSources(view, now.Sub(*p.firstViewAt.Load()) >= partialViewPeriod)
 	current := p.ownership.Load()
 	if current != nil && current.revision == view.Config.Revision &&
 		slices.EqualFunc(current.sources, sources, ownershipSource.equal) {
@@ -63,9 +74,9 @@
 }
 
 // ownershipSources returns the failure domains of a view's members in ascending order, each
-// with the proxies that may own connections: those of the domain that are not about to stop,
-// or all such proxies if the domain has none.
-func ownershipSources(view *ctview.View) []ownershipSource {
+// with the proxies that may own connections: those of the domain that are not about to stop. If
+// the domain has none and the view is complete, these are all such proxies.
+func ownershipSources(view *ctview.View, complete bool) []ownershipSource {
 	fewest := make(map[ctid.FailureDomain]int)
 	for _, server := range view.Members {
 		if n, ok := fewest[server.FailureDomain]; !ok || server.Connections < n {
@@ -75,15 +86,14 @@
 	var sources []ownershipSource
 	for domain, connections := range fewest {
 		proxies := readyProxies(view, view.ProxiesOf(domain))
-		if len(proxies) == 0 {
+		if len(proxies) == 0 && complete {
 			for other := range view.Proxies {
 				proxies = append(proxies, other)
 			}
 			proxies = readyProxies(view, proxies)
 			slices.Sort(proxies)
 		}
-		// With fewer connections each, an owner could not serve two workspaces at once.
-		most := max(1, ownedConnections(connections)/minShare)
+		most := max(1, ownedConnections(connections)/minOwnerConnections)
 		sources = append(sources, ownershipSource{domain: domain, proxies: proxies[:min(len(proxies), most)]})
 	}
 	slices.SortFunc(sources, func(a, b ownershipSource) int {
--- a/internal/program/ctpools/pools.go
+++ b/internal/program/ctpools/pools.go
@@ -106,6 +106,8 @@
 	// ownership says which proxies open the connections of each workspace. It is nil while
 	// connections serve callers of any workspace.
 	ownership atomic.Pointer[ownership]
+	// firstViewAt is when the first view was applied; nil before.
+	firstViewAt atomic.Pointer[time.Time]
 }
 
 // memberPool holds the connections to one member and what is known of the member.
