ctpools: owners that can't be reached are passed over, and other proxies tried

Cause: where a link was cut between proxies, each request for a workspace of an unreachable owner waited for the opening of a stream until its send deadline; the pause after a failure was 50 ms at first, and one other proxy was tried. Change: opening for 100 ms while another proxy is left, three further proxies, pauses from 250 ms to 4 s.

--- a/internal/decide/ctowner/assignment.go
+++ b/internal/decide/ctowner/assignment.go
@@ -132,9 +132,12 @@
 	return slices.Contains(a.Owners(workspace), proxy)
 }
 
+// standbyCount is how many proxies that are no owners are tried when the owners can't be reached.
+const standbyCount = 3
+
 // Order returns the proxies to which self sends the queries of a workspace, in the order in
 // which it tries them: itself if it is an owner, else the owners from one that a hash of
-// its own name selects, and behind them the first other proxy in the workspace's ranking.
+// its own name selects, and behind them the first other proxies in the workspace's ranking.
 func (a Assignment) Order(self ctid.Proxy, workspace ctid.Workspace) []ctid.Proxy {
 	owners := a.Owners(workspace)
 	if len(owners) == 0 {
@@ -146,8 +149,8 @@
 	}
 	order := append(slices.Clone(owners[start:]), owners[:start]...)
 	for _, proxy := range rank(a.proxies, workspace) {
-		if !slices.Contains(owners, proxy) {
-			return append(order, proxy)
+		if len(order) < len(owners)+standbyCount && !slices.Contains(owners, proxy) {
+			order = append(order, proxy)
 		}
 	}
 	return order
--- a/internal/decide/ctowner/assignment_test.go
+++ b/internal/decide/ctowner/assignment_test.go
@@ -93,7 +93,7 @@
 			assert.DeepEqual(t, a.Owners(s.Workspace), other.Owners(s.Workspace))
 		}
 	})
-	t.Run("an owner uses its own connections, and others end at a proxy that is no owner", func(t *testing.T) {
+	t.Run("an owner uses its own connections, and others end at proxies that are no owners", func(t *testing.T) {
 		owner := a.Owners("w5")[0]
 		assert.Equal(t, a.Order(owner, "w5")[0], owner)
 		order := a.Order("10.9.9.9", "w5")
--- a/internal/program/ctpools/peerstreams.go
+++ b/internal/program/ctpools/peerstreams.go
@@ -18,10 +18,16 @@
 	// workspaceIdleTimeout is how long a connection of one workspace, or a stream to an
 	// owner, may idle. Small workspaces use theirs every few seconds only.
 	workspaceIdleTimeout = 20 * time.Second
-	// ownerAttempts is how many owners are tried for one query.
-	ownerAttempts = 2
-	// silentPeerPause is how long a proxy is passed over after a reply of its did not arrive.
-	silentPeerPause = 500 * time.Millisecond
+	// ownerAttempts is how many proxies are tried for one query.
+	ownerAttempts = 3
+	// ownerOpenTimeout bounds the opening of a stream if another proxy can be tried. It is
+	// longer than a round trip between regions.
+	ownerOpenTimeout = 100 * time.Millisecond
+	// firstPeerPause is how long a proxy is passed over after a stream to it could not be opened,
+	// or a reply did not arrive in time. It doubles with each further failure, up to
+	// maxPeerPause.
+	firstPeerPause = 250 * time.Millisecond
+	maxPeerPause   = 4 * time.Second
 )
 
 // peerStreams holds the streams to one other proxy. A stream carries the queries of one user
@@ -57,13 +63,23 @@
 		order = []ctid.Proxy{p.Self.Name}
 	}
 	err := cterror.New(cterror.Unavailable, "no proxy owns connections to the member", "try another member")
-	for _, owner := range order[:min(len(order), ownerAttempts)] {
+	attempts := 0
+	for i, owner := range order {
 		if owner == p.Self.Name {
 			return p.acquireOwn(held, name, options)
 		}
-		var stream *forwardingExecutor
-		if stream, err = p.takeStream(held, o.addresses[owner], options.Deadline); err == nil {
-			return p.lendStream(held, server, o.addresses[owner], stream, options.Workspace), nil
+		peer := o.addresses[owner]
+		stream, opening := p.takeStream(held, peer, attempts < ownerAttempts)
+		if opening {
+			attempts++
+			timeout := min(streamOpenTimeout, options.Deadline.Sub(p.Clock.Now()))
+			if i+1 < len(order) {
+				timeout = min(timeout, ownerOpenTimeout)
+			}
+			stream, err = p.openStream(held, peer, timeout)
+		}
+		if stream != nil {
+			return p.lendStream(held, server, peer, stream, options.Workspace), nil
 		}
 	}
 	return nil, err
@@ -100,11 +116,11 @@
 	return conn
 }
 
-// takeStream takes an idle stream to another proxy, or opens one.
-func (p *Pools) takeStream(held *ctlock.Held, peer netip.AddrPort, deadline time.Time) (*forwardingExecutor, error) {
-	var stream *forwardingExecutor
-	mayOpen := false
-	now := p.Clock.Now()
+// takeStream takes an idle stream to another proxy. If there is none, it returns nil and whether
+// the caller is to open one, which is counted as open then.
+func (p *Pools) takeStream(
+	held *ctlock.Held, peer netip.AddrPort, mayOpen bool,
+) (stream *forwardingExecutor, opening bool) {
 	p.peers.With(held, func(peers map[netip.AddrPort]*peerStreams) {
 		s, ok := peers[peer]
 		if !ok {
@@ -114,17 +130,12 @@
 		if stream = s.pop(); stream != nil {
 			return
 		}
-		if mayOpen = s.open < maxPeerStreams && !now.Before(s.nextOpenAt); mayOpen {
+		opening = mayOpen && s.open < maxPeerStreams && !p.Clock.Now().Before(s.nextOpenAt)
+		if opening {
 			s.open++
 		}
 	})
-	switch {
-	case stream != nil:
-		return stream, nil
-	case !mayOpen:
-		return nil, cterror.New(cterror.Unavailable, "no stream to the owner can be opened now", "try another owner")
-	}
-	return p.openStream(held, peer, min(streamOpenTimeout, deadline.Sub(now)))
+	return stream, opening
 }
 
 // pop removes the idle stream that was returned last and still works. It returns nil if there
@@ -143,6 +154,12 @@
 	return nil
 }
 
+// pause makes the proxy passed over for a while.
+func (s *peerStreams) pause(now time.Time) {
+	s.failures++
+	s.nextOpenAt = now.Add(min(firstPeerPause<<min(s.failures-1, 8), maxPeerPause))
+}
+
 // openStream opens a stream that takeStream has counted.
 func (p *Pools) openStream(held *ctlock.Held, peer netip.AddrPort, timeout time.Duration) (*forwardingExecutor, error) {
 	ctx, cancel := context.WithTimeout(context.Background(), timeout)
@@ -154,8 +171,7 @@
 		case !ok:
 		case err != nil:
 			s.open--
-			s.failures++
-			s.nextOpenAt = p.Clock.Now().Add(min(firstBackoff<<min(s.failures-1, 8), maxBackoff))
+			s.pause(p.Clock.Now())
 		default:
 			s.failures = 0
 		}
@@ -188,7 +204,7 @@
 		default:
 			s.open--
 			if stream.peerSilent {
-				s.nextOpenAt = p.Clock.Now().Add(silentPeerPause)
+				s.pause(p.Clock.Now())
 				s.closeIdle(len(s.idle))
 			}
 		}
