ctquota: caps of workspaces as leases, and the leader's ledger of caps and charges

Cause: a workspace's rate limit has to hold over all proxies in every sliding window, also while proxies are cut off and leaders change. Holders get caps as leases with their reports; the ledger counts for each the highest cap that it may have used within the last window.

Ruled out: a reserve for new leaders that is bounded by the time since the last change. A leader's caps and charges may use the whole ceiling for some seconds after it knows all of them, so a successor may use the reserve only if its predecessor was steady.

--- a/internal/model/ctid/number.go
+++ b/internal/model/ctid/number.go
@@ -24,6 +24,10 @@
 // 1. Zero stands for no configuration.
 type Revision uint64
 
+// Operations is a number of operations of a workspace. An operation is a transaction, or a
+// statement outside of one.
+type Operations int64
+
 // Request identifies a caller's request. It is unique in the whole fleet.
 type Request struct {
 	Proxy       Proxy       `json:"proxy,omitempty" cbor:"proxy,omitempty"`
--- a/internal/model/ctview/report.go
+++ b/internal/model/ctview/report.go
@@ -86,6 +86,8 @@
 	Version Version `json:"version" cbor:"version"`
 	// Revision is the revision of the configuration in force at the proxy.
 	Revision ctid.Revision `json:"revision" cbor:"revision"`
+	// Quotas lists the workspaces with a rate limit whose operations the proxy starts.
+	Quotas []QuotaDemand `json:"quotas,omitempty" cbor:"quotas,omitempty"`
 }
 
 // FenceReport reports that a proxy enforces a fence. The proxy no longer sends
@@ -99,7 +101,8 @@
 }
 
 // Check returns an error of kind cterror.Invalid for the first fault in the proxy's
-// description, the announcements or the held members. It does not check other fields.
+// description, the announcements, the held members or the quotas. It does not check other
+// fields.
 func (r *Report) Check() error {
 	if err := r.Proxy.Check(); err != nil {
 		return err
@@ -117,7 +120,7 @@
 			return err
 		}
 	}
-	return nil
+	return r.checkQuotas()
 }
 
 // Lease permits a holder to acknowledge the writes of a group's term. The holder
@@ -152,6 +155,9 @@
 	Groups []Group `json:"groups,omitempty" cbor:"groups,omitempty"`
 	// LogSamples lists the recent points of the groups' logs that control knows.
 	LogSamples []LogSample `json:"samples,omitempty" cbor:"samples,omitempty"`
+	// Quotas renews the caps of the workspaces that the report lists. If it is nil, none is
+	// renewed.
+	Quotas *QuotaGrant `json:"quotas,omitempty" cbor:"quotas,omitempty"`
 	// Controls lists the control processes that take part in votes.
 	Controls []ctid.Control `json:"controls,omitempty" cbor:"controls,omitempty"`
 	// NotLeader reports that the replying process is not the leader of control.
@@ -169,14 +175,19 @@
 	Age time.Duration `json:"ago" cbor:"ago"`
 }
 
-// Check returns an error of kind cterror.Invalid for the first fault in the leases or
-// the delta. It does not check other fields.
+// Check returns an error of kind cterror.Invalid for the first fault in the leases, the
+// quotas or the delta. It does not check other fields.
 func (r *Reply) Check() error {
 	for _, l := range r.Leases {
 		if err := l.Group.Check(); err != nil {
 			return err
 		}
 	}
+	if r.Quotas != nil {
+		if err := r.Quotas.Check(); err != nil {
+			return err
+		}
+	}
 	if r.Delta == nil {
 		return nil
 	}
