ctlimits: rate limits of workspaces over all proxies, wired end to end

Cause: ctpools counted operations for an interface that nothing implemented. Owners now report their demand with each report and get caps with each reply; the leader's ledger decides on them, and batches of reports carry the caps back. Quotas gets Start and Cancel beside Admit: an operation may wait for a connection for up to its deadline after it was admitted, and counts from its start.

Ruled out: replies that list all caps. They list those that change, and renew the others.

--- a/internal/decide/ctquota/ledger.go
+++ b/internal/decide/ctquota/ledger.go
@@ -1,6 +1,8 @@
 package ctquota
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
 	"github.com/cherviltrestle/cherviltrestle/internal/model/ctconfig"
@@ -200,13 +202,34 @@
 	}
 }
 
-// Granted returns the sum of the caps that holders may use now.
-func (l *Ledger) Granted() ctid.Operations {
-	var granted ctid.Operations
-	for _, a := range l.accounts {
-		granted += a.sums.level
-	}
-	return granted
+// State is the state of one workspace in the ledger.
+type State struct {
+	Workspace ctid.Workspace
+	// Ceiling is how many operations may start in any window.
+	Ceiling ctid.Operations
+	// Caps is the sum of the caps that holders may use now, and Charges what counts in
+	// addition for caps that were lowered or have expired.
+	Caps    ctid.Operations
+	Charges ctid.Operations
+	// Asked is how many operations holders have reported as started or refused, and Full
+	// whether these are more than the limit allows.
+	Asked ctid.Operations
+	Full  bool
+	// Holders is the number of holders with a lease.
+	Holders int
+}
+
+// States returns the states of all workspaces with limits, in ascending order.
+func (l *Ledger) States() []State {
+	states := make([]State, 0, len(l.accounts))
+	for name, a := range l.accounts {
+		states = append(states, State{
+			Workspace: name, Ceiling: a.ceiling, Caps: a.sums.level, Charges: a.sums.committed - a.sums.level,
+			Asked: a.sums.asked, Full: a.full(), Holders: int(a.sums.live),
+		})
+	}
+	slices.SortFunc(states, func(a, b State) int { return cmp.Compare(a.Workspace, b.Workspace) })
+	return states
 }
 
 // Steady reports whether the caps and charges of all workspaces leave enough to a successor
--- a/internal/decide/ctquota/share.go
+++ b/internal/decide/ctquota/share.go
@@ -52,7 +52,7 @@
 	Refused ctid.Operations
 }
 
-// Admit decides on an operation. The first Undecided after a report asks for a newer cap.
+// Admit decides on an operation that is about to start.
 func (s *Share) Admit(now time.Time) Verdict {
 	s.prune(now)
 	valid := now.Before(s.expiresAt)
@@ -93,6 +93,11 @@
 	}
 }
 
+// CountRefused counts an operation that was undecided until its deadline.
+func (s *Share) CountRefused() {
+	s.refused++
+}
+
 // Report returns the share's demand for a report. waiting is the number of operations that
 // wait for a cap. An expired cap is given up: only a newer one can replace it.
 func (s *Share) Report(now time.Time, waiting ctid.Operations) Demand {
--- a/internal/program/ctcontrol/control.go
+++ b/internal/program/ctcontrol/control.go
@@ -9,6 +9,7 @@
 
 	"github.com/cherviltrestle/cherviltrestle/internal/decide/ctfailover"
 	"github.com/cherviltrestle/cherviltrestle/internal/decide/ctquorum"
+	"github.com/cherviltrestle/cherviltrestle/internal/decide/ctquota"
 	"github.com/cherviltrestle/cherviltrestle/internal/decide/ctregister"
 	"github.com/cherviltrestle/cherviltrestle/internal/link/ctrecord"
 	"github.com/cherviltrestle/cherviltrestle/internal/model/ctconfig"
@@ -72,6 +73,8 @@
 	// It is nil if operators change the configuration only with ChangeConfig, not with
 	// Publish.
 	DecodeConfig func(source []byte) (ctconfig.Document, error)
+	// Quotas say how strictly the rate limits of workspaces are enforced.
+	Quotas ctquota.Bounds
 	// Voters returns the control processes that vote. It is nil if proxies know them from
 	// their settings.
 	Voters func(held *ctlock.Held) []ctid.Control
@@ -97,6 +100,7 @@
 	var held ctlock.Held
 	c.state.With(&held, func(l *leaderState) {
 		l.self = options.Name
+		l.bounds = options.Quotas
 		l.results = make(map[ctquorum.Index]ctregister.Result)
 		l.waiters = make(map[ctquorum.ProposalID]chan<- ctregister.Result)
 	})
@@ -150,6 +154,7 @@
 		}
 		reply.Delta = l.deltaFor(now, report.Version, report.Revision)
 		c.applyToSuccessions(now, l, report, reply)
+		applyQuotas(now, l, report, reply)
 	})
 	return reply
 }
@@ -231,6 +236,7 @@
 	}
 	l.proxies.Tick(now)
 	c.expireOffers(now, l)
+	c.checkQuotas(now, l)
 	c.advanceAll(now, l)
 	if members, due := l.unsavedMembers(now); due && l.hasAuthority(now) {
 		c.propose(l, members, nil)
--- a/internal/program/ctcontrol/leader.go
+++ b/internal/program/ctcontrol/leader.go
@@ -70,6 +70,7 @@
 	// membersComparedAt is when the roster's members were last compared with those in the
 	// register.
 	membersComparedAt time.Time
+	quotaState
 }
 
 // decisionPending reports whether a decision on the group is proposed and not yet
@@ -110,6 +111,7 @@
 	l.leadingSince = now
 	l.initialViewSent = false
 	l.reportTimeout = reportTimeout
+	l.startQuotas(now)
 	for _, g := range l.register.Groups {
 		l.roster.SetGroup(g)
 	}
@@ -206,6 +208,7 @@
 func (l *leaderState) applyConfig(now time.Time, accepted ctconfig.AcceptedChange) {
 	document := accepted.Change.Document
 	l.roster.SetConfig(ctview.Config{Revision: accepted.Revision, Document: document})
+	l.ledgerOfCaps.SetLimits(document.Workspaces)
 	for _, g := range document.Groups {
 		if g.Promotion == ctconfig.PromotionExternal {
 			l.startSuccession(now, g.Name)
--- a/internal/program/ctcontrol/machine.go
+++ b/internal/program/ctcontrol/machine.go
@@ -132,6 +132,7 @@
 func (c *Control) BecomeFollower(leader ctquorum.Peer) {
 	var held ctlock.Held
 	c.state.With(&held, func(l *leaderState) {
+		l.recordLeader(c.Clock.Now(), leader)
 		l.leading = false
 		l.authorityExpiresAt = time.Time{}
 		l.leader = leader
--- /dev/null
+++ b/internal/program/ctcontrol/quotas.go
@@ -0,0 +1,134 @@
+package ctcontrol
+
+import (
+	"time"
+
+	"github.com/cherviltrestle/cherviltrestle/internal/decide/ctquorum"
+	"github.com/cherviltrestle/cherviltrestle/internal/decide/ctquota"
+	"github.com/cherviltrestle/cherviltrestle/internal/model/ctid"
+	"github.com/cherviltrestle/cherviltrestle/internal/model/ctset"
+	"github.com/cherviltrestle/cherviltrestle/internal/model/ctview"
+	"github.com/cherviltrestle/cherviltrestle/internal/program/ctlog"
+	"github.com/cherviltrestle/cherviltrestle/internal/work/ctlock"
+)
+
+const (
+	// quotaCheckInterval is how often the leader drops expired caps of silent holders and
+	// updates the metrics.
+	quotaCheckInterval = time.Second
+	// limitedLogDelay is for how long a workspace must be within its limit before the log
+	// says so: a hot one is within it for moments.
+	limitedLogDelay = 5 * time.Second
+)
+
+// quotaState is what a control process knows of the caps of workspaces.
+type quotaState struct {
+	bounds ctquota.Bounds
+	// ledgerOfCaps is the ledger since this process last became the leader; nil before.
+	ledgerOfCaps *ctquota.Ledger
+	checkedAt    time.Time
+	// limitedAt holds when each workspace that is logged as limited last was.
+	limitedAt map[ctid.Workspace]time.Time
+	// leaderChanges counts the leaders that this process has seen. steady reports whether the
+	// ledger of the last one was steady, so that this process may use what that one left.
+	leaderChanges uint64
+	steady        bool
+}
+
+// startQuotas creates the ledger of a new leader. It may use what predecessors have left if
+// the last one was steady, or if this process knows of none: the fleet has just started.
+func (l *leaderState) startQuotas(now time.Time) {
+	l.ledgerOfCaps = ctquota.NewLedger(l.bounds, now, l.steady || l.leaderChanges == 0)
+	l.limitedAt = make(map[ctid.Workspace]time.Time)
+	l.leaderChanges++
+	l.steady = false
+}
+
+// recordLeader records that another process leads, or that none is known to.
+func (l *leaderState) recordLeader(now time.Time, leader ctquorum.Peer) {
+	if l.leading {
+		l.steady = l.ledgerOfCaps.Steady(now)
+	}
+	if leader.Name != "" {
+		l.leaderChanges++
+		l.steady = false
+	}
+}
+
+// leaderNumber returns how many leaders this process has seen.
+func (c *Control) leaderNumber(held *ctlock.Held) uint64 {
+	var number uint64
+	c.state.With(held, func(l *leaderState) { number = l.leaderChanges })
+	return number
+}
+
+// recordSteadyQuotas records whether the ledger of the leader with a number is steady. It
+// does nothing if there was another leader since.
+func (c *Control) recordSteadyQuotas(held *ctlock.Held, number uint64, steady bool) {
+	c.state.With(held, func(l *leaderState) {
+		if l.leaderChanges == number && !l.leading {
+			l.steady = steady
+		}
+	})
+}
+
+// applyQuotas applies what a report says of caps, and renews them in the reply if it grants
+// authority. A proxy that stops leaves its caps to expire.
+func applyQuotas(now time.Time, l *leaderState, report *ctview.Report, reply *ctview.Reply) {
+	if report.Stopping {
+		return
+	}
+	reply.Quotas = l.ledgerOfCaps.Apply(now, &ctquota.Report{
+		Holder:    ctquota.Holder{Proxy: report.Proxy.Name, Incarnation: report.Proxy.Incarnation},
+		Number:    report.Number,
+		Demands:   report.Quotas,
+		Renewable: reply.AuthorityTTL > 0,
+	})
+}
+
+// checkQuotas drops expired caps, and reports the state of all workspaces with limits in the
+// metrics and the log.
+func (c *Control) checkQuotas(now time.Time, l *leaderState) {
+	if now.Sub(l.checkedAt) < quotaCheckInterval {
+		return
+	}
+	l.checkedAt = now
+	l.ledgerOfCaps.Expire(now)
+	var known ctset.Set[ctid.Workspace]
+	for _, state := range l.ledgerOfCaps.States() {
+		known.Add(state.Workspace)
+		name := string(state.Workspace)
+		c.Metrics.QuotaCaps.WithLabelValues(name).Set(float64(state.Caps))
+		c.Metrics.QuotaCharges.WithLabelValues(name).Set(float64(state.Charges))
+		c.logLimited(now, l, &state)
+	}
+	for name := range l.limitedAt {
+		if !known.Has(name) {
+			delete(l.limitedAt, name)
+			c.Metrics.QuotaCaps.DeleteLabelValues(string(name))
+			c.Metrics.QuotaCharges.DeleteLabelValues(string(name))
+		}
+	}
+}
+
+// logLimited logs when a workspace starts and stops to ask for more than its limit.
+func (c *Control) logLimited(now time.Time, l *leaderState, state *ctquota.State) {
+	limitedAt, logged := l.limitedAt[state.Workspace]
+	decision := "limit_workspace"
+	switch {
+	case state.Full:
+		l.limitedAt[state.Workspace] = now
+		if logged {
+			return
+		}
+	case logged && now.Sub(limitedAt) >= limitedLogDelay:
+		delete(l.limitedAt, state.Workspace)
+		decision = "stop_limiting_workspace"
+	default:
+		return
+	}
+	ctlog.Decision(&c.Logger, decision).Str("workspace", string(state.Workspace)).
+		Int64("asked", int64(state.Asked)).Int64("ceiling", int64(state.Ceiling)).
+		Int64("caps", int64(state.Caps)).Int64("charges", int64(state.Charges)).
+		Int("holders", state.Holders).Str("why", "demand_in_window").Send()
+}
--- a/internal/program/ctcontrol/service.go
+++ b/internal/program/ctcontrol/service.go
@@ -11,6 +11,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/cherviltrestle/cherviltrestle/internal/decide/ctquorum"
+	"github.com/cherviltrestle/cherviltrestle/internal/decide/ctquota"
 	"github.com/cherviltrestle/cherviltrestle/internal/link/ctframe"
 	"github.com/cherviltrestle/cherviltrestle/internal/model/ctconfig"
 	"github.com/cherviltrestle/cherviltrestle/internal/model/cterror"
@@ -46,8 +47,10 @@
 	// ApplyTimeout is how long after its acceptance a configuration must be in force on
 	// every proxy. 0 sets no limit.
 	ApplyTimeout time.Duration
-	Journal      *ctjournal.Journal
-	Transport    ctframe.Transport
+	// Quotas say how strictly the rate limits of workspaces are enforced.
+	Quotas    ctquota.Bounds
+	Journal   *ctjournal.Journal
+	Transport ctframe.Transport
 	// Resolve returns the address of a control process by its name.
 	Resolve  func(ctid.Control) (netip.AddrPort, bool)
 	Members  MemberClient
@@ -105,6 +108,7 @@
 		Logger:        options.Logger,
 		ReportTimeout: serviceReportTimeout,
 		ApplyTimeout:  options.ApplyTimeout,
+		Quotas:        options.Quotas,
 		Members:       options.Members,
 		Promoter:      options.Promoter,
 		Metrics:       options.Metrics,
--- a/internal/program/ctmetric/control.go
+++ b/internal/program/ctmetric/control.go
@@ -36,6 +36,10 @@
 	// AnswersInDoubt counts the answers of members that did not belong to their queries, by
 	// the kind of doubt.
 	AnswersInDoubt *prometheus.CounterVec
+	// QuotaCaps is the sum of the caps of operations that the leader has granted to holders,
+	// and QuotaCharges what counts in addition for former caps, by workspace.
+	QuotaCaps    *prometheus.GaugeVec
+	QuotaCharges *prometheus.GaugeVec
 	// Panics counts connections that ended because their goroutine panicked.
 	Panics prometheus.Counter
 }
@@ -62,7 +66,10 @@
 		PromotionsSettled: f.counterVec(
 			"control_promotions_settled_total", "Promotions that can't take effect any more.", "reason"),
 		AnswersInDoubt: f.counterVec("control_answers_in_doubt_total", answersInDoubtHelp, "kind"),
-		Panics:         f.counter("panics_total", panicsHelp),
+		QuotaCaps:      f.gaugeVec("control_quota_caps", "Caps of operations in a window.", "workspace"),
+		QuotaCharges: f.gaugeVec(
+			"control_quota_charges", "Operations that count for lowered and expired caps.", "workspace"),
+		Panics: f.counter("panics_total", panicsHelp),
 	}
 }
 
--- a/internal/program/ctmetric/metrics.go
+++ b/internal/program/ctmetric/metrics.go
@@ -67,6 +67,12 @@
 	// workspace, and RateLimited the operations refused because of a workspace's limit.
 	EvictedConnections prometheus.Counter
 	RateLimited        prometheus.Counter
+	// QuotaOperations counts operations by workspace and result: admitted or rejected at
+	// once, or expired after a wait for a cap. QuotaWaiting is how many wait for a cap, and
+	// QuotaCap is the cap in force, by workspace.
+	QuotaOperations *prometheus.CounterVec
+	QuotaWaiting    prometheus.Gauge
+	QuotaCap        *prometheus.GaugeVec
 	// ViewVersion is the version of the view in force.
 	ViewVersion prometheus.Gauge
 	// Revision is the revision of the configuration in force.
@@ -107,10 +113,14 @@
 		EvictedConnections: f.counter(
 			"evicted_connections_total", "Connections closed to make room for another workspace."),
 		RateLimited: f.counter("rate_limited_total", "Operations refused because of a workspace's rate limit."),
-		ViewVersion: f.gauge("view_version", "Version of the view in force."),
-		Revision:    f.gauge("config_revision", "Revision of the configuration in force."),
-		Reports:     f.counterVec("reports_total", "Reports to control.", "result"),
-		Panics:      f.counter("panics_total", panicsHelp),
+		QuotaOperations: f.counterVec(
+			"quota_operations_total", "Operations of workspaces with rate limits.", "workspace", "result"),
+		QuotaWaiting: f.gauge("quota_waiting", "Operations that wait for a cap."),
+		QuotaCap:     f.gaugeVec("quota_cap", "Operations that may start in a window here.", "workspace"),
+		ViewVersion:  f.gauge("view_version", "Version of the view in force."),
+		Revision:     f.gauge("config_revision", "Revision of the configuration in force."),
+		Reports:      f.counterVec("reports_total", "Reports to control.", "result"),
+		Panics:       f.counter("panics_total", panicsHelp),
 	}
 }
 
--- a/internal/program/ctnode/control.go
+++ b/internal/program/ctnode/control.go
@@ -62,6 +62,7 @@
 		Bootstrap:     settings.Bootstrap,
 		MaxDiskLosses: settings.MaxDiskLosses,
 		ApplyTimeout:  settings.proxyApplyTimeout(),
+		Quotas:        settings.Quotas,
 		Journal:       journal,
 		Transport:     cttcp.Transport{LocalAddress: settings.LocalIP},
 		Resolve:       settings.resolve,
--- a/internal/program/ctnode/proxy.go
+++ b/internal/program/ctnode/proxy.go
@@ -16,6 +16,7 @@
 	"github.com/cherviltrestle/cherviltrestle/internal/model/ctserver"
 	"github.com/cherviltrestle/cherviltrestle/internal/model/ctview"
 	"github.com/cherviltrestle/cherviltrestle/internal/program/ctgateway"
+	"github.com/cherviltrestle/cherviltrestle/internal/program/ctlimits"
 	"github.com/cherviltrestle/cherviltrestle/internal/program/ctmetric"
 	"github.com/cherviltrestle/cherviltrestle/internal/program/ctpools"
 	"github.com/cherviltrestle/cherviltrestle/internal/program/ctstate"
@@ -84,6 +85,15 @@
 	transport := tcpTransport{cttcp.Transport{LocalAddress: settings.LocalIP}}
 	p.pools = ctpools.New(frontends.Dialer, self, transport, clock, logger)
 	p.pools.Metrics = metrics
+	limits := ctlimits.New(ctlimits.Options{
+		Bounds:        settings.Quotas,
+		Owned:         p.pools,
+		Clock:         clock,
+		Logger:        logger,
+		Metrics:       metrics,
+		TriggerReport: func() { p.uplink.TriggerReport() },
+	})
+	p.pools.Quotas = limits
 	p.gateway = ctgateway.New(ctgateway.Options{
 		FailureDomain: settings.FailureDomain,
 		State:         state,
@@ -102,8 +112,9 @@
 		WatchTimeout:      watchTimeout,
 		State:             state,
 		Groups:            p.gateway,
+		Quotas:            limits,
 		Resolve:           settings.resolve,
-		Subscribers:       []ctuplink.ViewSubscriber{p.gateway},
+		Subscribers:       []ctuplink.ViewSubscriber{p.gateway, limits},
 		Transport:         transport,
 		Clock:             clock,
 		Logger:            logger,
--- a/internal/program/ctnode/settings.go
+++ b/internal/program/ctnode/settings.go
@@ -4,6 +4,7 @@
 	"net/netip"
 	"time"
 
+	"github.com/cherviltrestle/cherviltrestle/internal/decide/ctquota"
 	"github.com/cherviltrestle/cherviltrestle/internal/model/cterror"
 	"github.com/cherviltrestle/cherviltrestle/internal/model/ctid"
 )
@@ -41,6 +42,8 @@
 	ApplyTimeout time.Duration
 	// StopTimeout is how long a planned stop may take.
 	StopTimeout time.Duration
+	// Quotas say how strictly the rate limits of workspaces are enforced.
+	Quotas ctquota.Bounds
 	// MemoryMB is how much memory the process may use, in megabytes.
 	MemoryMB int
 }
--- a/internal/program/ctpools/conn.go
+++ b/internal/program/ctpools/conn.go
@@ -87,8 +87,10 @@
 	acquiredAt time.Time
 	// workspace is the one that the connection serves; empty if it serves any.
 	workspace ctid.Workspace
-	// counted reports whether the user's operation counts toward the limit of the workspace.
-	counted bool
+	// counted reports whether the user's operation counts toward the limit of the workspace,
+	// and countedAt since when.
+	counted   bool
+	countedAt time.Time
 	// peer is the proxy at the other end of a stream of peerStreams; invalid for others.
 	peer netip.AddrPort
 }
--- a/internal/program/ctpools/ownership.go
+++ b/internal/program/ctpools/ownership.go
@@ -138,6 +138,21 @@
 	return o
 }
 
+// OwnedWorkspaces returns the workspaces whose connections this proxy opens to members of any
+// failure domain, in ascending order.
+func (p *Pools) OwnedWorkspaces() []ctid.Workspace {
+	o := p.ownership.Load()
+	if o == nil {
+		return nil
+	}
+	var owned []ctid.Workspace
+	for _, domain := range o.domains {
+		owned = append(owned, domain.assignment.Owned(p.Self.Name)...)
+	}
+	slices.Sort(owned)
+	return slices.Compact(owned)
+}
+
 // shareOf returns a proxy's share of a member's connections.
 func (o *ownership) shareOf(self ctid.Proxy, server ctserver.Announcement) connectionShare {
 	owners := o.domains[server.FailureDomain].proxies
--- a/internal/program/ctpools/pools.go
+++ b/internal/program/ctpools/pools.go
@@ -67,12 +67,19 @@
 
 // Quotas limits how many operations of each workspace start.
 type Quotas interface {
-	// Admit counts an operation of a workspace that is about to start. If the workspace's
-	// limit is reached, it returns an error of kind cterror.RateLimited. It may wait until
-	// deadline to learn this proxy's share of the limit.
+	// Admit reserves room for an operation of a workspace. If the workspace's limit is
+	// reached, it returns an error of kind cterror.RateLimited. It may wait until deadline
+	// to learn this proxy's share of the limit, and returns an error of kind
+	// cterror.Exhausted if there is none by then. Start or Cancel must follow.
 	Admit(held *ctlock.Held, workspace ctid.Workspace, deadline time.Time) error
-	// Refund takes back the last operation that Admit counted, because it did not run.
-	Refund(held *ctlock.Held, workspace ctid.Workspace)
+	// Start counts an admitted operation that starts now, after it has waited for a
+	// connection, and returns the time. It returns the errors of Admit if this proxy's
+	// share does not allow the operation any more; there is no reservation then.
+	Start(held *ctlock.Held, workspace ctid.Workspace) (time.Time, error)
+	// Cancel gives up the reservation of an operation that does not start.
+	Cancel(held *ctlock.Held, workspace ctid.Workspace)
+	// Refund takes back the operation that Start counted at a time, because it did not run.
+	Refund(held *ctlock.Held, workspace ctid.Workspace, startedAt time.Time)
 }
 
 // Pools holds a proxy's connections to all members. Its exported fields are set
@@ -244,12 +251,18 @@
 	}
 	conn, err := p.takeConn(held, name, options)
 	switch {
-	case err == nil:
-		conn.counted = counted
-	case counted:
-		p.Quotas.Refund(held, options.Workspace)
+	case !counted:
+		return conn, err
+	case err != nil:
+		p.Quotas.Cancel(held, options.Workspace)
+		return nil, err
+	}
+	if conn.countedAt, err = p.Quotas.Start(held, options.Workspace); err != nil {
+		p.Release(held, conn, Result{})
+		return nil, err
 	}
-	return conn, err
+	conn.counted = true
+	return conn, nil
 }
 
 // takeConn takes an idle connection, or waits for one.
@@ -548,7 +561,7 @@
 		return
 	}
 	if conn.counted && result.NotRun {
-		p.Quotas.Refund(held, conn.workspace)
+		p.Quotas.Refund(held, conn.workspace, conn.countedAt)
 	}
 	conn.counted = false
 	if conn.peer.IsValid() {
--- a/internal/program/ctuplink/report.go
+++ b/internal/program/ctuplink/report.go
@@ -163,6 +163,7 @@
 	if reply.AuthorityTTL > 0 {
 		u.State.ExtendAuthority(held, sentAt.Add(ctdrift.LowerBound(time.Duration(reply.AuthorityTTL))))
 	}
+	u.renewCaps(held, sentAt, report, &reply.Reply)
 	for _, s := range reply.LogSamples {
 		u.Groups.AddSample(held, s.Group, sentAt.Add(-ctdrift.UpperBound(s.Age)), s.Point)
 	}
@@ -172,6 +173,15 @@
 	return nil
 }
 
+// renewCaps passes the caps in a reply on.
+func (u *Uplink) renewCaps(held *ctlock.Held, sentAt time.Time, report *ctview.Report, reply *ctview.Reply) {
+	if u.Quotas == nil || reply.Quotas == nil {
+		return
+	}
+	expiresAt := sentAt.Add(ctdrift.LowerBound(time.Duration(reply.Quotas.TTL)))
+	u.Quotas.RenewCaps(held, report.Quotas, reply.Quotas, expiresAt)
+}
+
 // buildReport returns a report of the proxy's state at the time now. It removes
 // announcements that have expired.
 func (u *Uplink) buildReport(held *ctlock.Held, now time.Time, number uint64) *ctview.Report {
@@ -192,6 +202,9 @@
 		report.Reachable, report.Unreachable, report.Fences = status.Reachable, status.Unreachable, status.Fences
 		report.Lapsed = u.State.AuthorityExpiry(held).Before(now.Add(callTimeout))
 	}
+	if u.Quotas != nil {
+		report.Quotas = u.Quotas.QuotaDemands(held, now)
+	}
 	oldest := now.Add(-announcementTTL)
 	u.announcements.With(held, func(entries map[ctid.Member]*announcementEntry) {
 		for name, entry := range entries {
--- a/internal/program/ctuplink/uplink.go
+++ b/internal/program/ctuplink/uplink.go
@@ -65,6 +65,16 @@
 	AddSample(held *ctlock.Held, group ctid.Group, sentAt time.Time, point ctposition.Point)
 }
 
+// QuotaSource supplies what reports say of the workspaces with rate limits, and receives the
+// caps in control's replies.
+type QuotaSource interface {
+	// QuotaDemands returns the demands for a report that is built at the time now. The proxy
+	// gives up the caps of the workspaces that it leaves out.
+	QuotaDemands(held *ctlock.Held, now time.Time) []ctview.QuotaDemand
+	// RenewCaps puts the caps of the workspaces in a report into force until expiresAt.
+	RenewCaps(held *ctlock.Held, reported []ctview.QuotaDemand, grant *ctview.QuotaGrant, expiresAt time.Time)
+}
+
 // GroupStatus is what a proxy reports of groups.
 type GroupStatus struct {
 	// Reachable lists the primaries that answer this proxy, and Unreachable those that
@@ -90,6 +100,8 @@
 	Members MemberSource
 	// Groups is nil unless an external service promotes the members of groups.
 	Groups StatusSource
+	// Quotas is nil if this proxy does not limit workspaces.
+	Quotas QuotaSource
 	// Resolve returns the address of a control process by the name that control sent. It
 	// is nil if the addresses in Seeds never change.
 	Resolve     func(ctid.Control) (netip.AddrPort, bool)
--- a/internal/work/ctlock/rank.go
+++ b/internal/work/ctlock/rank.go
@@ -42,6 +42,8 @@
 	RankMembers
 	// RankPeers guards a proxy's idle streams to other proxies.
 	RankPeers
+	// RankQuotas guards a proxy's caps of workspaces.
+	RankQuotas
 	// RankStandin guards the database of a stand-in server.
 	RankStandin
 )
