--- /dev/null
+++ b/internal/decide/ctquota/ledger_test.go
@@ -0,0 +1,244 @@
+package ctquota_test
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/cherviltrestle/cherviltrestle/internal/decide/ctquota"
+	"github.com/cherviltrestle/cherviltrestle/internal/model/ctconfig"
+	"github.com/cherviltrestle/cherviltrestle/internal/model/ctdrift"
+	"github.com/cherviltrestle/cherviltrestle/internal/model/ctid"
+	"github.com/cherviltrestle/cherviltrestle/internal/model/ctview"
+)
+
+// The workspace of the bench has a ceiling of 100 operations in 5 s, of which a leader grants 80.
+const (
+	benchCeiling  = 100
+	benchCapacity = 80
+	benchReserve  = benchCeiling - benchCapacity
+)
+
+var benchBounds = ctquota.Bounds{Window: 5 * time.Second}
+
+// windowTime and leaseTime are how long a leader counts a window and a lease by its clock.
+var (
+	windowTime = ctdrift.UpperBound(benchBounds.Window)
+	leaseTime  = ctdrift.UpperBound(ctquota.LeaseTTL)
+)
+
+// bench is a ledger with a clock of the test's.
+type bench struct {
+	ledger *ctquota.Ledger
+	now    time.Time
+	last   map[ctid.Proxy]uint64
+}
+
+// newBench returns a bench whose ledger knows all caps, and that none is in use.
+func newBench() *bench {
+	b := &bench{now: time.Unix(1000, 0), last: make(map[ctid.Proxy]uint64)}
+	b.lead(true)
+	b.now = b.now.Add(leaseTime + windowTime)
+	return b
+}
+
+// lead replaces the ledger by that of a new leader.
+func (b *bench) lead(reserve bool) {
+	b.ledger = ctquota.NewLedger(benchBounds, b.now, reserve)
+	b.ledger.SetLimits([]ctconfig.Workspace{limitedTo(benchCeiling)})
+}
+
+func limitedTo(ceiling float64) ctconfig.Workspace {
+	return ctconfig.Workspace{Name: "w", Limit: &ctconfig.RateLimit{Burst: ceiling}}
+}
+
+// message returns the next report of a holder that has a cap and asks for operations.
+func (b *bench) message(proxy ctid.Proxy, granted, asked ctid.Operations) *ctquota.Report {
+	b.last[proxy]++
+	return &ctquota.Report{
+		Holder: ctquota.Holder{Proxy: proxy, Incarnation: 1}, Number: b.last[proxy], Renewable: true,
+		Demands: []ctview.QuotaDemand{{Workspace: "w", Cap: granted, Started: asked}},
+	}
+}
+
+// apply applies a report and returns the cap that the holder has after the reply; 0 if it is
+// not renewed.
+func (b *bench) apply(report *ctquota.Report) ctid.Operations {
+	grant := b.ledger.Apply(b.now, report)
+	switch {
+	case grant == nil:
+		return 0
+	case len(grant.Caps) > 0:
+		return grant.Caps[0].Cap
+	}
+	return report.Demands[0].Cap
+}
+
+func (b *bench) report(proxy ctid.Proxy, granted, asked ctid.Operations) ctid.Operations {
+	return b.apply(b.message(proxy, granted, asked))
+}
+
+// assertFreeAfter checks that another holder gets at most the operations that are left over
+// until a time has passed, and more afterwards.
+func (b *bench) assertFreeAfter(t *testing.T, d time.Duration, left ctid.Operations) {
+	t.Helper()
+	b.now = b.now.Add(d - 200*time.Millisecond)
+	granted := b.report("other", 0, 1000)
+	assert.Assert(t, granted <= left, "%d granted, %d left", granted, left)
+	b.now = b.now.Add(400 * time.Millisecond)
+	again := b.report("other", granted, 1000)
+	assert.Assert(t, again > left, "%d granted after all has expired", again)
+}
+
+// A holder that is cut off at any step of a lease's life must not leave room to others while
+// it, or what it has started, still counts.
+func TestPartitionAtEachStep(t *testing.T) {
+	t.Run("before its report arrives: nothing counts", func(t *testing.T) {
+		b := newBench()
+		assert.Equal(t, b.report("other", 0, 1000), ctid.Operations(benchCapacity))
+	})
+	t.Run("before the reply arrives: the cap counts as if it had", func(t *testing.T) {
+		b := newBench()
+		assert.Equal(t, b.report("cut", 0, 1000), ctid.Operations(benchCapacity))
+		b.assertFreeAfter(t, leaseTime+windowTime, 0)
+	})
+	t.Run("while it uses the cap", func(t *testing.T) {
+		b := newBench()
+		b.report("cut", b.report("cut", 0, 1000), 1000)
+		b.assertFreeAfter(t, leaseTime+windowTime, 0)
+	})
+	t.Run("before a lower cap arrives: the higher one counts", func(t *testing.T) {
+		b := newBench()
+		b.report("cut", b.report("cut", 0, 1000), 1000)
+		b.report("other", 0, 1000)
+		lowered := b.report("cut", benchCapacity, benchCapacity)
+		assert.Assert(t, lowered < benchCapacity, "%d", lowered)
+		b.assertFreeAfter(t, leaseTime+windowTime, 0)
+	})
+	t.Run("after it has confirmed a lower cap: the difference counts for a window", func(t *testing.T) {
+		b := newBench()
+		b.report("cut", 0, 1000)
+		lowered := b.report("cut", benchCapacity, 8)
+		b.report("cut", lowered, 8)
+		b.assertFreeAfter(t, windowTime, 0)
+	})
+	t.Run("after it has given the cap up", func(t *testing.T) {
+		b := newBench()
+		b.report("cut", 0, 1000)
+		givenUp := b.message("cut", 0, 0)
+		givenUp.Demands = nil
+		b.ledger.Apply(b.now, givenUp)
+		b.assertFreeAfter(t, windowTime, 0)
+	})
+	t.Run("until it restarts", func(t *testing.T) {
+		b := newBench()
+		b.report("cut", 0, 1000)
+		restarted := b.message("cut", 0, 0)
+		restarted.Holder.Incarnation, restarted.Number = 2, 1
+		b.apply(restarted)
+		b.assertFreeAfter(t, windowTime, 0)
+	})
+	t.Run("after a change of the leader, before it reports", func(t *testing.T) {
+		b := newBench()
+		b.report("cut", 0, 1000)
+		b.lead(true)
+		b.assertFreeAfter(t, leaseTime+windowTime, benchReserve)
+	})
+	t.Run("after a change of the leader and its report", func(t *testing.T) {
+		b := newBench()
+		b.report("cut", 0, 1000)
+		b.lead(true)
+		assert.Equal(t, b.report("cut", benchCapacity, 0), ctid.Operations(benchCapacity))
+		b.assertFreeAfter(t, leaseTime+windowTime, benchReserve)
+	})
+	t.Run("after two changes of the leader", func(t *testing.T) {
+		b := newBench()
+		b.report("cut", 0, 1000)
+		b.lead(true)
+		b.lead(b.ledger.Steady(b.now))
+		b.assertFreeAfter(t, leaseTime+windowTime, 0)
+	})
+}
+
+// A report that arrives late must not make the ledger forget a newer cap.
+func TestLateReports(t *testing.T) {
+	t.Run("an earlier report of the same run", func(t *testing.T) {
+		b := newBench()
+		late := b.message("cut", 0, 0)
+		b.report("cut", 0, 1000)
+		assert.Assert(t, b.ledger.Apply(b.now, late) == nil)
+		b.assertFreeAfter(t, leaseTime+windowTime, 0)
+	})
+	t.Run("a report of a former run", func(t *testing.T) {
+		b := newBench()
+		late := b.message("cut", 0, 0)
+		late.Number = 99
+		restarted := b.message("cut", 0, 1000)
+		restarted.Holder.Incarnation = 2
+		b.apply(restarted)
+		assert.Assert(t, b.ledger.Apply(b.now, late) == nil)
+		b.assertFreeAfter(t, leaseTime+windowTime, 0)
+	})
+	t.Run("a cap that has expired is not believed", func(t *testing.T) {
+		b := newBench()
+		b.report("other", 0, 1000)
+		assert.Equal(t, b.report("late", 50, 1000), ctid.Operations(0))
+	})
+}
+
+// What a reply must say, and what it leaves out.
+func TestGrants(t *testing.T) {
+	t.Run("an idle owner gets a cap", func(t *testing.T) {
+		assert.Equal(t, newBench().report("a", 0, 0), ctid.Operations(2))
+	})
+	t.Run("a cap that does not change is left out", func(t *testing.T) {
+		b := newBench()
+		again := b.ledger.Apply(b.now, b.message("a", b.report("a", 0, 2), 2))
+		assert.Equal(t, len(again.Caps), 0)
+		assert.Equal(t, time.Duration(again.TTL), ctquota.LeaseTTL)
+	})
+	t.Run("a workspace over its limit is marked", func(t *testing.T) {
+		b := newBench()
+		grant := b.ledger.Apply(b.now, b.message("a", 0, 1000))
+		assert.Assert(t, grant.Caps[0].Limited)
+	})
+	t.Run("one that waits for the charges of others is not", func(t *testing.T) {
+		b := newBench()
+		b.report("a", 0, 1000)
+		b.report("a", benchCapacity, 10)
+		b.report("a", 0, 0)
+		grant := b.ledger.Apply(b.now, b.message("b", 0, 50))
+		assert.Assert(t, len(grant.Caps) == 0 || !grant.Caps[0].Limited)
+	})
+	t.Run("without authority nothing is renewed", func(t *testing.T) {
+		b := newBench()
+		report := b.message("a", 0, 0)
+		report.Renewable = false
+		assert.Assert(t, b.ledger.Apply(b.now, report) == nil)
+	})
+	t.Run("without limits nothing is granted", func(t *testing.T) {
+		b := newBench()
+		b.ledger.SetLimits([]ctconfig.Workspace{{Name: "w"}})
+		assert.Assert(t, b.ledger.Apply(b.now, &ctquota.Report{Renewable: true}) == nil)
+	})
+	t.Run("a holder without the newest configuration keeps a cap whose limit has ended", func(t *testing.T) {
+		b := newBench()
+		before := b.report("a", 0, 10)
+		b.ledger.SetLimits(nil)
+		assert.Equal(t, b.report("a", before, 10), before)
+	})
+	t.Run("a lower limit lowers all caps with the next reports", func(t *testing.T) {
+		b := newBench()
+		caps := map[ctid.Proxy]ctid.Operations{"a": b.report("a", 0, 40), "b": b.report("b", 0, 20)}
+		b.ledger.SetLimits([]ctconfig.Workspace{limitedTo(10)})
+		sum := ctid.Operations(0)
+		for _, proxy := range []ctid.Proxy{"a", "b", "a", "b"} {
+			caps[proxy] = b.report(proxy, caps[proxy], 30)
+		}
+		for _, granted := range caps {
+			sum += granted
+		}
+		assert.Assert(t, sum <= 8, "%v", caps)
+	})
+}
