--- /dev/null
+++ b/internal/program/ctcontrol/quotas_test.go
@@ -0,0 +1,146 @@
+package ctcontrol
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+	"gotest.tools/v3/assert"
+
+	"github.com/cherviltrestle/cherviltrestle/internal/decide/ctquorum"
+	"github.com/cherviltrestle/cherviltrestle/internal/decide/ctquota"
+	"github.com/cherviltrestle/cherviltrestle/internal/link/ctframe"
+	"github.com/cherviltrestle/cherviltrestle/internal/model/ctconfig"
+	"github.com/cherviltrestle/cherviltrestle/internal/model/ctid"
+	"github.com/cherviltrestle/cherviltrestle/internal/model/ctview"
+	"github.com/cherviltrestle/cherviltrestle/internal/work/ctclock"
+	"github.com/cherviltrestle/cherviltrestle/internal/work/ctlock"
+)
+
+// quotaBounds make the ceiling of the tests' workspace 100.
+var quotaBounds = ctquota.Bounds{Window: 5 * time.Second}
+
+// newQuotaLeader returns a control process that leads a fleet with one limited workspace.
+func newQuotaLeader() (*Control, *ctclock.Manual) {
+	clock := &ctclock.Manual{}
+	clock.Advance(time.Hour)
+	c := New(Options{Name: "a", Clock: clock, Quotas: quotaBounds, Logger: zerolog.Nop()})
+	var held ctlock.Held
+	c.state.With(&held, func(l *leaderState) { l.register.ConfigHistory = []ctconfig.AcceptedChange{limitedConfig()} })
+	lead(c, clock, 1)
+	return c, clock
+}
+
+// lead makes a control process the leader of an epoch.
+func lead(c *Control, clock *ctclock.Manual, epoch ctquorum.Epoch) {
+	c.BecomeLeader(epoch)
+	c.SetAuthority(clock.Now().Add(time.Hour))
+}
+
+// reportQuota sends a report on the workspace, as another control process forwards it, and
+// returns the cap that the proxy has after the reply; -1 if it is not renewed.
+func reportQuota(c *Control, proxy ctid.Proxy, number uint64, granted, started ctid.Operations) ctid.Operations {
+	var held ctlock.Held
+	reply := c.HandleReportBatch(&held, &ctframe.ReportBatch{Reports: []ctview.Report{{
+		Number: number, Proxy: ctview.Proxy{Name: proxy, Incarnation: 1}, Revision: 1,
+		Quotas: []ctview.QuotaDemand{{Workspace: "w", Cap: granted, Started: started}},
+	}}})
+	quotas := reply.Replies[0].Quotas
+	switch {
+	case quotas == nil:
+		return -1
+	case len(quotas.Caps) == 0:
+		return granted
+	}
+	return quotas.Caps[0].Cap
+}
+
+// Caps must reach proxies whose reports another control process forwards, and only with
+// authority.
+func TestQuotasInReplies(t *testing.T) {
+	t.Run("a batch carries caps back", func(t *testing.T) {
+		c, _ := newQuotaLeader()
+		assert.Assert(t, reportQuota(c, "p", 1, 0, 4) > 0)
+	})
+	t.Run("without authority none are renewed", func(t *testing.T) {
+		c, clock := newQuotaLeader()
+		c.SetAuthority(clock.Now())
+		assert.Equal(t, reportQuota(c, "p", 1, 0, 4), ctid.Operations(-1))
+	})
+	t.Run("a proxy that stops gets none", func(t *testing.T) {
+		c, _ := newQuotaLeader()
+		var held ctlock.Held
+		reply := c.HandleReport(&held, &ctview.Report{
+			Number: 1, Stopping: true, Quotas: []ctview.QuotaDemand{{Workspace: "w"}},
+		})
+		assert.Assert(t, reply.Quotas == nil)
+	})
+	t.Run("an empty batch to a process that never led", func(t *testing.T) {
+		var held ctlock.Held
+		reply := New(Options{Name: "a", Clock: &ctclock.Manual{}}).HandleReportBatch(&held, &ctframe.ReportBatch{})
+		assert.Assert(t, !reply.QuotasSteady)
+	})
+	t.Run("a fleet without limits has no quotas in replies", func(t *testing.T) {
+		c := New(Options{Name: "a", Clock: &ctclock.Manual{}})
+		lead(c, &ctclock.Manual{}, 1)
+		var held ctlock.Held
+		assert.Assert(t, c.HandleReport(&held, &ctview.Report{Number: 1}).Quotas == nil)
+	})
+}
+
+// A new leader may use what its predecessors left only if the last one was steady.
+func TestQuotaReserve(t *testing.T) {
+	const demand = 1000
+	// settle lets a leader's ledger know all that counts.
+	settle := func(clock *ctclock.Manual) { clock.Advance(8 * time.Second) }
+	t.Run("the first leader of a fleet uses it", func(t *testing.T) {
+		c, _ := newQuotaLeader()
+		assert.Equal(t, reportQuota(c, "p", 1, 0, demand), ctid.Operations(20))
+	})
+	t.Run("a leader that leads again at once does not", func(t *testing.T) {
+		c, clock := newQuotaLeader()
+		reportQuota(c, "p", 1, 0, demand)
+		c.BecomeFollower(ctquorum.Peer{})
+		lead(c, clock, 2)
+		assert.Equal(t, reportQuota(c, "q", 1, 0, demand), ctid.Operations(0))
+		assert.Equal(t, reportQuota(c, "p", 2, 20, demand), ctid.Operations(20))
+	})
+	t.Run("one that was steady does", func(t *testing.T) {
+		c, clock := newQuotaLeader()
+		settle(clock)
+		c.BecomeFollower(ctquorum.Peer{})
+		lead(c, clock, 2)
+		assert.Equal(t, reportQuota(c, "q", 1, 0, demand), ctid.Operations(20))
+	})
+	for _, steady := range []bool{true, false} {
+		t.Run(fmt.Sprintf("a follower of a leader whose ledger is steady: %t", steady), func(t *testing.T) {
+			c, clock := newQuotaLeader()
+			settle(clock)
+			c.BecomeFollower(ctquorum.Peer{Name: "b"})
+			var held ctlock.Held
+			c.recordSteadyQuotas(&held, c.leaderNumber(&held), steady)
+			c.BecomeFollower(ctquorum.Peer{})
+			lead(c, clock, 3)
+			assert.Equal(t, reportQuota(c, "q", 1, 0, demand) > 0, steady)
+		})
+	}
+	t.Run("what an earlier leader said does not count", func(t *testing.T) {
+		c, clock := newQuotaLeader()
+		c.BecomeFollower(ctquorum.Peer{Name: "b"})
+		var held ctlock.Held
+		earlier := c.leaderNumber(&held)
+		c.BecomeFollower(ctquorum.Peer{Name: "c"})
+		c.recordSteadyQuotas(&held, earlier, true)
+		lead(c, clock, 4)
+		assert.Equal(t, reportQuota(c, "q", 1, 0, demand), ctid.Operations(0))
+	})
+}
+
+// limitedConfig returns the configuration of a group, and a workspace whose ceiling is 100.
+func limitedConfig() ctconfig.AcceptedChange {
+	return ctconfig.AcceptedChange{Revision: 1, Change: ctconfig.Change{Document: ctconfig.Document{
+		Groups:     []ctconfig.Group{{Name: "g", Promotion: ctconfig.PromotionExternal}},
+		Workspaces: []ctconfig.Workspace{{Name: "w", Limit: &ctconfig.RateLimit{PerSecond: 20}}},
+	}}}
+}
--- a/internal/program/ctcontrol/reportrelay.go
+++ b/internal/program/ctcontrol/reportrelay.go
@@ -46,7 +46,7 @@
 	}
 	c.state.With(held, func(l *leaderState) {
 		ahead.add(l.groupsAhead(batch))
-		reply.QuotasSteady = l.ledgerOfCaps.Steady(c.Clock.Now())
+		reply.QuotasSteady = l.leading && l.ledgerOfCaps.Steady(c.Clock.Now())
 	})
 	reply.Relay.Groups = ahead.list()
 	return reply
