ctquota, ctcontrol: durable marks bound what leaders of control grant

Cause: a new leader, which does not know the caps of its predecessor, could grant a fifth of a limit for 7.5 s. Ruled out: a larger reserve (it takes from busy workspaces all the time), and waiting for what is unknown to expire. Change: the replicated log holds, for each workspace, a mark that follows the demand with headroom. A leader grants more only once a higher mark is durable, and its successor grants what lies between the mark that it found and a higher one. Caps last 3.5 s.

--- a/internal/decide/ctquota/account.go
+++ b/internal/decide/ctquota/account.go
@@ -7,19 +7,13 @@
 )
 
 const (
-	// steadyPart and ceilingParts say which part of the ceiling the caps and charges of a
-	// leader may use. The rest is for its successor, which does not know them yet.
-	steadyPart   = 4
-	ceilingParts = 5
 	// headroomDivisor is the part of a holder's demand that is added to it, and
 	// minimumCap what each holder is to have in addition, so that the first operation of an
 	// idle workspace finds a cap.
 	headroomDivisor = 4
-	minimumCap      = 2
-	// surplusFactor limits how many times its demand a holder may get while capacity is
-	// left. spareDivisor is the part of the capacity that stays free for new holders.
-	surplusFactor = 2
-	spareDivisor  = 6
+	minimumCap      = 3
+	// idleDivisor is the part of the ceiling that holders get equally, whatever their demand.
+	idleDivisor = 4
 	// sweepInterval is how often an account drops what has expired. In between, what has
 	// expired counts still.
 	sweepInterval = 100 * time.Millisecond
@@ -28,10 +22,17 @@
 // account holds the caps of one workspace.
 type account struct {
 	ceiling ctid.Operations
-	leases  map[Holder]*lease
+	// mark is the durable bound on the sum of caps and charges. base is the mark of the
+	// predecessors when this leader started: it bounds the caps and charges that the account
+	// does not know yet.
+	mark, base ctid.Operations
+	leases     map[Holder]*lease
 	// sums are the sums over all leases.
 	sums    sums
 	sweptAt time.Time
+	// proposed is the mark that was last proposed, and proposedAt when.
+	proposed   ctid.Operations
+	proposedAt time.Time
 }
 
 // sums are the sums of the fields of leases.
@@ -50,9 +51,9 @@
 	}
 }
 
-// capacity returns how many operations the caps and charges of a leader may sum up to.
+// capacity returns how many operations the caps and charges of all leaders may sum up to.
 func (a *account) capacity() ctid.Operations {
-	return a.ceiling * steadyPart / ceilingParts
+	return min(a.ceiling, a.mark)
 }
 
 // sweep drops what has expired.
@@ -83,43 +84,37 @@
 	a.sums.add(l, 1)
 }
 
-// steady reports whether the caps and charges leave enough of the ceiling to a successor.
-func (a *account) steady() bool {
-	return a.sums.committed <= a.capacity()
-}
-
 // full reports whether holders ask for more than the limit allows.
 func (a *account) full() bool {
-	return a.sums.asked > a.capacity()
+	return a.sums.asked > a.ceiling
 }
 
-// share returns what a holder is to have: its demand, and an equal part of what is left, up
-// to minimumCap. If the demands exceed the capacity, they are scaled down alike.
+// share returns what a holder is to have: its demand or an equal part of what is left,
+// whichever is more, and minimumCap. If the demands exceed the ceiling, they are scaled down
+// alike.
 func (a *account) share(l *lease) ctid.Operations {
-	capacity, demand := a.capacity(), l.demand()
-	if a.sums.demand > capacity {
-		share := demand * capacity / a.sums.demand
-		if demand > 0 && a.sums.level-l.level+share < capacity {
+	demand := l.demand()
+	if a.sums.demand > a.ceiling {
+		share := demand * a.ceiling / a.sums.demand
+		if demand > 0 && a.sums.level-l.level+share < a.ceiling {
 			// The parts that rounding leaves over go to the holders that report first.
 			share++
 		}
 		return share
 	}
-	left := capacity - capacity/spareDivisor - minimumCap*a.sums.live
-	if a.sums.demand > 0 && left > a.sums.demand {
-		return min(demand*surplusFactor, demand*left/a.sums.demand) + minimumCap
-	}
-	return demand + min(minimumCap, (capacity-a.sums.demand)/max(1, a.sums.live))
+	holders := max(1, a.sums.live)
+	left := (a.ceiling - a.sums.demand) / holders
+	idle := max(0, min(left-minimumCap, a.ceiling/(idleDivisor*holders)))
+	return max(demand, idle) + min(minimumCap, left)
 }
 
 // grant returns the cap for a holder, which is its share as far as others have not used up
-// what may be granted. known reports whether the account has all caps that may be in use,
-// and reserve whether holders may use more than predecessors of this leader granted otherwise.
-func (a *account) grant(l *lease, known, reserve bool) ctid.Operations {
+// what may be granted. known reports whether the account has all caps that may be in use.
+func (a *account) grant(l *lease, known bool) ctid.Operations {
 	share, capacity := a.share(l), a.capacity()
 	switch {
 	case a.sums.level > capacity:
-		// A lower limit is in force, or this leader has granted a part of its successor's.
+		// A lower limit is in force.
 		share = min(share, l.level*capacity/a.sums.level)
 	case !known:
 		share = max(share, l.level)
@@ -130,9 +125,6 @@
 		}
 		return min(share, l.committed()+capacity-a.sums.committed)
 	}
-	free := ctid.Operations(0)
-	if reserve {
-		free = max(0, a.ceiling-capacity-a.sums.extra)
-	}
+	free := max(0, capacity-a.base-a.sums.extra)
 	return min(share, max(l.committed(), l.legacy)+free)
 }
--- a/internal/decide/ctquota/bounds.go
+++ b/internal/decide/ctquota/bounds.go
@@ -14,7 +14,10 @@
 const DefaultWindow = 5 * time.Second
 
 // LeaseTTL is the duration of a cap, counted from when the holder sent its report.
-const LeaseTTL = 2500 * time.Millisecond
+//
+// It is longer than control takes to elect a leader after all its processes have restarted, so
+// that proxies that went on running still have their caps then.
+const LeaseTTL = 3500 * time.Millisecond
 
 // Bounds say how strictly the limits of workspaces are enforced.
 type Bounds struct {
--- a/internal/decide/ctquota/doc.go
+++ b/internal/decide/ctquota/doc.go
@@ -16,17 +16,19 @@
 before it. So it never started more in any window than its highest cap in that window. The
 ledger therefore counts for each holder the highest cap that the holder may have used
 within the last window, and grants increases only while the sum of these stays within
-steadyPart of the ceiling. A lowered cap counts until the holder's next report confirms it,
+the ceiling and within the workspace's mark. A lowered cap counts until the holder's next report confirms it,
 and an expired one until its lease has certainly ended; both count for one more window.
 
-A new leader does not know the caps of holders that it has not heard from. The caps that
-holders report to it sum up to at most steadyPart of the ceiling, so that it may grant the
-rest to anybody, until all that it does not know has expired. It grants none of the rest if
-a leader before it may have done the same within that time.
+A new leader does not know the caps of holders that it has not heard from. A mark bounds
+their sum: it is part of control's replicated log, and a leader grants more than the mark only
+after a higher one is durable. Until all that it does not know has expired, a new leader
+renews the caps that holders report, and grants others from what lies between the mark that it
+found and the one in force now. Marks follow the demand with some headroom, so that after a
+loss of power, when no holder has a cap any more, most of the usual demand is served at once.
 
 # Usage
 
-	ledger := ctquota.NewLedger(bounds, now, true)
+	ledger := ctquota.NewLedger(bounds, now, register.QuotaMarks)
 	ledger.SetLimits(now, document.Workspaces)
 	caps := ledger.Apply(now, ctquota.Report{...})
 */
--- a/internal/decide/ctquota/ledger.go
+++ b/internal/decide/ctquota/ledger.go
@@ -16,10 +16,10 @@
 // create one when a process becomes control's leader.
 type Ledger struct {
 	bounds Bounds
-	// knownAt is when the ledger has all caps and charges that may count. Until then, reserve
-	// says whether holders may use the part of the ceiling that predecessors left over.
+	// knownAt is when the ledger has all caps and charges that may count.
 	knownAt time.Time
-	reserve bool
+	// marks are the durable marks of all workspaces.
+	marks map[ctid.Workspace]ctid.Operations
 	// legacyAt is when all caps that predecessors granted have expired.
 	legacyAt time.Time
 	accounts map[ctid.Workspace]*account
@@ -44,11 +44,10 @@
 	Renewable bool
 }
 
-// NewLedger returns the ledger of a leader that starts now. reserve reports whether the
-// ledger of its predecessor was steady.
-func NewLedger(bounds Bounds, now time.Time, reserve bool) *Ledger {
+// NewLedger returns the ledger of a leader that starts now, with the durable marks.
+func NewLedger(bounds Bounds, now time.Time, marks map[ctid.Workspace]ctid.Operations) *Ledger {
 	return &Ledger{
-		bounds: bounds, reserve: reserve,
+		bounds: bounds, marks: marks,
 		knownAt:  now.Add(bounds.unknownTime()),
 		legacyAt: now.Add(ctdrift.UpperBound(LeaseTTL)),
 		accounts: make(map[ctid.Workspace]*account),
@@ -67,7 +66,7 @@
 		limited.Add(w.Name)
 		a, ok := l.accounts[w.Name]
 		if !ok {
-			a = &account{leases: make(map[Holder]*lease)}
+			a = &account{leases: make(map[Holder]*lease), mark: l.marks[w.Name], base: l.marks[w.Name]}
 			l.accounts[w.Name] = a
 		}
 		a.ceiling = l.bounds.Ceiling(*w.Limit)
@@ -79,6 +78,32 @@
 	}
 }
 
+// SetMarks puts durable marks into force.
+func (l *Ledger) SetMarks(marks map[ctid.Workspace]ctid.Operations) {
+	l.marks = marks
+	for name, a := range l.accounts {
+		if mark := marks[name]; mark > a.mark || mark == a.proposed {
+			a.mark = mark
+		}
+	}
+}
+
+// WantedMarks returns the marks that must be made durable. Until a higher one is, the caps and
+// charges of its workspace stay below the former one.
+func (l *Ledger) WantedMarks(now time.Time) map[ctid.Workspace]ctid.Operations {
+	var wanted map[ctid.Workspace]ctid.Operations
+	for name, a := range l.accounts {
+		a.sweep(now, l.bounds.countedWindow())
+		if mark, ok := a.wantedMark(now, !now.Before(l.knownAt)); ok {
+			if wanted == nil {
+				wanted = make(map[ctid.Workspace]ctid.Operations)
+			}
+			wanted[name] = mark
+		}
+	}
+	return wanted
+}
+
 // Apply records a report and returns the grant for the reply. It is nil if no workspace has
 // a limit, if the report is not the holder's newest one, or if it is not renewable.
 func (l *Ledger) Apply(now time.Time, report *Report) *ctview.QuotaGrant {
@@ -178,7 +203,7 @@
 	}
 	a.change(holder, func(held *lease) { held.usableUntil = now.Add(ctdrift.UpperBound(LeaseTTL)) })
 	held := a.leases[holder]
-	granted := a.grant(held, !now.Before(l.knownAt), l.reserve)
+	granted := a.grant(held, !now.Before(l.knownAt))
 	limited := a.full() && granted < held.demand()
 	a.change(holder, func(held *lease) { held.setLevel(max(held.level, granted), time.Time{}) })
 	return ctview.QuotaCap{Workspace: demand.Workspace, Cap: granted, Limited: limited}, granted != demand.Cap || limited
@@ -231,17 +256,3 @@
 	slices.SortFunc(states, func(a, b State) int { return cmp.Compare(a.Workspace, b.Workspace) })
 	return states
 }
-
-// Steady reports whether the caps and charges of all workspaces leave enough to a successor
-// of this leader. Once they do, they continue to, unless limits are lowered.
-func (l *Ledger) Steady(now time.Time) bool {
-	if now.Before(l.knownAt) {
-		return false
-	}
-	for _, a := range l.accounts {
-		if !a.steady() {
-			return false
-		}
-	}
-	return true
-}
--- a/internal/decide/ctregister/command.go
+++ b/internal/decide/ctregister/command.go
@@ -10,8 +10,8 @@
 	"github.com/cherviltrestle/cherviltrestle/internal/model/ctview"
 )
 
-// Command is one of Configure, Publish, SetGroup, SetMembers, SettlePromotions and
-// ReleaseRequester.
+// Command is one of Configure, Publish, SetGroup, SetMembers, SetQuotaMarks, SettlePromotions
+// and ReleaseRequester.
 type Command interface {
 	isCommand()
 }
@@ -55,6 +55,12 @@
 	Document ctconfig.Document `json:"-" cbor:"-"`
 }
 
+// SetQuotaMarks sets, for some workspaces, how many operations the caps that leaders grant to
+// proxies may sum up to. A new leader, which does not know those caps, relies on it.
+type SetQuotaMarks struct {
+	Marks map[ctid.Workspace]ctid.Operations `json:"marks" cbor:"marks"`
+}
+
 // SetMembers replaces the members that a new leader starts with.
 type SetMembers struct {
 	Members []ctserver.Announcement `json:"members" cbor:"members"`
@@ -85,6 +91,7 @@
 func (Publish) isCommand()          {}
 func (SetGroup) isCommand()         {}
 func (SetMembers) isCommand()       {}
+func (SetQuotaMarks) isCommand()    {}
 func (SettlePromotions) isCommand() {}
 
 // Result is one of Configured, Duplicate, Conflict, StaleRelease, GroupSet, MembersSet,
@@ -126,6 +133,9 @@
 // MembersSet reports that the members were replaced.
 type MembersSet struct{}
 
+// QuotaMarksSet reports that marks were set.
+type QuotaMarksSet struct{}
+
 // PromotionsSettled reports that promotions are not among the group's unsettled ones any
 // more. Promotions are those that were until then.
 type PromotionsSettled struct {
@@ -143,6 +153,7 @@
 func (RequesterReleased) isResult() {}
 func (PromotionsSettled) isResult() {}
 func (MembersSet) isResult()        {}
+func (QuotaMarksSet) isResult()     {}
 func (Configured) isResult()        {}
 func (Duplicate) isResult()         {}
 func (Conflict) isResult()          {}
--- a/internal/decide/ctregister/register.go
+++ b/internal/decide/ctregister/register.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"reflect"
 	"slices"
 	"time"
@@ -43,6 +44,8 @@
 	// Silent are members whose logs may have commits that no other log has, although nobody
 	// hears them.
 	Silent []ctserver.Announcement `json:"silent,omitempty" cbor:"silent,omitempty"`
+	// QuotaMarks bounds, by workspace, the sum of the caps that leaders grant to proxies.
+	QuotaMarks map[ctid.Workspace]ctid.Operations `json:"quota_marks,omitempty" cbor:"quota_marks,omitempty"`
 }
 
 // AuditEntry is a decision on a group that took effect.
@@ -64,6 +67,8 @@
 	case SetMembers:
 		r.Members, r.Silent = c.Members, c.Silent
 		return MembersSet{}
+	case SetQuotaMarks:
+		return r.setQuotaMarks(c)
 	case SettlePromotions:
 		return r.settlePromotions(c)
 	case ReleaseRequester:
@@ -72,6 +77,17 @@
 	return nil
 }
 
+// setQuotaMarks replaces the map, which a leader may still read.
+func (r *Register) setQuotaMarks(c SetQuotaMarks) Result {
+	marks := maps.Clone(r.QuotaMarks)
+	if marks == nil {
+		marks = make(map[ctid.Workspace]ctid.Operations, len(c.Marks))
+	}
+	maps.Copy(marks, c.Marks)
+	r.QuotaMarks = marks
+	return QuotaMarksSet{}
+}
+
 // CurrentConfig returns the newest accepted configuration, or the zero value before
 // the first.
 func (r *Register) CurrentConfig() ctconfig.AcceptedChange {
--- a/internal/link/ctframe/batch.go
+++ b/internal/link/ctframe/batch.go
@@ -38,9 +38,6 @@
 	// Relay has the groups that are ahead of the sender's view, and the log samples of the
 	// groups that the reports name.
 	Relay ctview.Reply `cbor:"relay"`
-	// QuotasSteady reports whether the caps and charges that the leader knows leave enough of
-	// the limits to its successor.
-	QuotasSteady bool `cbor:"quotas_steady,omitempty"`
 }
 
 // Check returns an error of kind cterror.Invalid for the first fault of a reply.
--- a/internal/link/ctrecord/record.go
+++ b/internal/link/ctrecord/record.go
@@ -19,6 +19,7 @@
 	kindSetMembers
 	kindSettlePromotions
 	kindReleaseRequester
+	kindSetQuotaMarks
 )
 
 // EncodeCommand returns the encoding of a command.
@@ -41,6 +42,8 @@
 		kind = kindSettlePromotions
 	case ctregister.ReleaseRequester:
 		kind = kindReleaseRequester
+	case ctregister.SetQuotaMarks:
+		kind = kindSetQuotaMarks
 	}
 	return append([]byte{kind}, body...), nil
 }
@@ -72,6 +75,12 @@
 		return c, nil
 	case kindSetMembers:
 		return decodeSetMembers(data[1:])
+	case kindSetQuotaMarks:
+		var c ctregister.SetQuotaMarks
+		if err := ctcbor.Unmarshal(data[1:], &c); err != nil {
+			return nil, damagedError(err)
+		}
+		return c, nil
 	case kindSettlePromotions:
 		var c ctregister.SettlePromotions
 		if err := ctcbor.Unmarshal(data[1:], &c); err != nil {
--- a/internal/program/ctcontrol/control.go
+++ b/internal/program/ctcontrol/control.go
@@ -221,8 +221,9 @@
 }
 
 // tick removes proxies and members whose reports have timed out and makes the decisions
-// that are due. It does nothing until the initial view delay has passed.
+// that are due. Until the initial view delay has passed, it proposes quota marks only.
 func (c *Control) tick(now time.Time, l *leaderState) {
+	c.proposeQuotaMarks(now, l)
 	if now.Sub(l.leadingSince) < initialViewDelay {
 		return
 	}
--- a/internal/program/ctcontrol/machine.go
+++ b/internal/program/ctcontrol/machine.go
@@ -81,6 +81,8 @@
 		l.roster.SetGroup(group)
 		l.notifyWatchers()
 		c.logSettled(r, settle.Reason)
+	case ctregister.QuotaMarksSet:
+		l.ledgerOfCaps.SetMarks(l.register.QuotaMarks)
 	case ctregister.RequesterReleased:
 		release, ok := command.(ctregister.ReleaseRequester)
 		if !ok || r.Requester.IsZero() {
@@ -132,7 +134,6 @@
 func (c *Control) BecomeFollower(leader ctquorum.Peer) {
 	var held ctlock.Held
 	c.state.With(&held, func(l *leaderState) {
-		l.recordLeader(c.Clock.Now(), leader)
 		l.leading = false
 		l.authorityExpiresAt = time.Time{}
 		l.leader = leader
--- a/internal/program/ctcontrol/quotas.go
+++ b/internal/program/ctcontrol/quotas.go
@@ -3,19 +3,21 @@
 import (
 	"time"
 
-	"github.com/cherviltrestle/cherviltrestle/internal/decide/ctquorum"
 	"github.com/cherviltrestle/cherviltrestle/internal/decide/ctquota"
+	"github.com/cherviltrestle/cherviltrestle/internal/decide/ctregister"
 	"github.com/cherviltrestle/cherviltrestle/internal/model/ctid"
 	"github.com/cherviltrestle/cherviltrestle/internal/model/ctset"
 	"github.com/cherviltrestle/cherviltrestle/internal/model/ctview"
 	"github.com/cherviltrestle/cherviltrestle/internal/program/ctlog"
-	"github.com/cherviltrestle/cherviltrestle/internal/work/ctlock"
 )
 
 const (
 	// quotaCheckInterval is how often the leader drops expired caps of silent holders and
 	// updates the metrics.
 	quotaCheckInterval = time.Second
+	// quotaMarkInterval is the least time between two proposals of marks, each of which is
+	// an entry of the replicated log.
+	quotaMarkInterval = 100 * time.Millisecond
 	// limitedLogDelay is for how long a workspace must be within its limit before the log
 	// says so: a hot one is within it for moments.
 	limitedLogDelay = 5 * time.Second
@@ -27,49 +29,16 @@
 	// ledgerOfCaps is the ledger since this process last became the leader; nil before.
 	ledgerOfCaps *ctquota.Ledger
 	checkedAt    time.Time
+	// marksCheckedAt is when marks were last compared with what caps need.
+	marksCheckedAt time.Time
 	// limitedAt holds when each workspace that is logged as limited last was.
 	limitedAt map[ctid.Workspace]time.Time
-	// leaderChanges counts the leaders that this process has seen. steady reports whether the
-	// ledger of the last one was steady, so that this process may use what that one left.
-	leaderChanges uint64
-	steady        bool
 }
 
-// startQuotas creates the ledger of a new leader. It may use what predecessors have left if
-// the last one was steady, or if this process knows of none: the fleet has just started.
+// startQuotas creates the ledger of a new leader.
 func (l *leaderState) startQuotas(now time.Time) {
-	l.ledgerOfCaps = ctquota.NewLedger(l.bounds, now, l.steady || l.leaderChanges == 0)
+	l.ledgerOfCaps = ctquota.NewLedger(l.bounds, now, l.register.QuotaMarks)
 	l.limitedAt = make(map[ctid.Workspace]time.Time)
-	l.leaderChanges++
-	l.steady = false
-}
-
-// recordLeader records that another process leads, or that none is known to.
-func (l *leaderState) recordLeader(now time.Time, leader ctquorum.Peer) {
-	if l.leading {
-		l.steady = l.ledgerOfCaps.Steady(now)
-	}
-	if leader.Name != "" {
-		l.leaderChanges++
-		l.steady = false
-	}
-}
-
-// leaderNumber returns how many leaders this process has seen.
-func (c *Control) leaderNumber(held *ctlock.Held) uint64 {
-	var number uint64
-	c.state.With(held, func(l *leaderState) { number = l.leaderChanges })
-	return number
-}
-
-// recordSteadyQuotas records whether the ledger of the leader with a number is steady. It
-// does nothing if there was another leader since.
-func (c *Control) recordSteadyQuotas(held *ctlock.Held, number uint64, steady bool) {
-	c.state.With(held, func(l *leaderState) {
-		if l.leaderChanges == number && !l.leading {
-			l.steady = steady
-		}
-	})
 }
 
 // applyQuotas applies what a report says of caps, and renews them in the reply if it grants
@@ -86,6 +55,17 @@
 	})
 }
 
+// proposeQuotaMarks proposes the marks that caps are waiting for.
+func (c *Control) proposeQuotaMarks(now time.Time, l *leaderState) {
+	if now.Sub(l.marksCheckedAt) < quotaMarkInterval || !l.hasAuthority(now) {
+		return
+	}
+	l.marksCheckedAt = now
+	if marks := l.ledgerOfCaps.WantedMarks(now); len(marks) > 0 {
+		c.propose(l, ctregister.SetQuotaMarks{Marks: marks}, nil)
+	}
+}
+
 // checkQuotas drops expired caps, and reports the state of all workspaces with limits in the
 // metrics and the log.
 func (c *Control) checkQuotas(now time.Time, l *leaderState) {
--- a/internal/program/ctcontrol/reportrelay.go
+++ b/internal/program/ctcontrol/reportrelay.go
@@ -44,10 +44,7 @@
 		answer.Delta, answer.Groups, answer.LogSamples = nil, nil, nil
 		reply.Replies = append(reply.Replies, *answer)
 	}
-	c.state.With(held, func(l *leaderState) {
-		ahead.add(l.groupsAhead(batch))
-		reply.QuotasSteady = l.leading && l.ledgerOfCaps.Steady(c.Clock.Now())
-	})
+	c.state.With(held, func(l *leaderState) { ahead.add(l.groupsAhead(batch)) })
 	reply.Relay.Groups = ahead.list()
 	return reply
 }
@@ -92,7 +89,6 @@
 func (s *Service) sendReports(ctx context.Context, reports []ctview.Report) ([]ctview.Reply, error) {
 	var held ctlock.Held
 	view := s.views.view(&held)
-	leaderNumber := s.control.leaderNumber(&held)
 	answer, err := s.retryLeader(ctx, relayTimeout, &ctframe.ReportBatch{
 		Version: view.Version, Revision: view.Config.Revision, Reports: reports,
 	})
@@ -103,7 +99,6 @@
 	if !ok {
 		return nil, unexpectedReplyError()
 	}
-	s.control.recordSteadyQuotas(&held, leaderNumber, batch.QuotasSteady)
 	view = s.views.applyGroups(&held, batch.Relay.Groups)
 	for i := range min(len(batch.Replies), len(reports)) {
 		completeReply(&batch.Replies[i], &reports[i], view, &batch.Relay)
