--- a/internal/decide/ctplace/order.go
+++ b/internal/decide/ctplace/order.go
@@ -27,6 +27,10 @@
 	// AvoidUntil is the time until which it is tried last, because it failed, was
 	// busy or was behind. It is zero if the member isn't avoided.
 	AvoidUntil time.Time
+	// Hint is the load that a forwarding proxy reported last. Standing is nil for a member
+	// that serves. Order ignores both.
+	Hint     Hint
+	Standing Standing
 }
 
 const (
@@ -39,7 +43,8 @@
 	primaryPenalty = 5 * time.Millisecond
 )
 
-// Order returns a copy of the candidates in the order in which to try them.
+// Order returns a copy of the candidates in the order in which to try them, by their expected
+// latencies alone. Choose replaces it where load is balanced.
 func Order(now time.Time, candidates []Candidate) []Candidate {
 	ordered := slices.Clone(candidates)
 	slices.SortStableFunc(ordered, func(a, b Candidate) int {
