--- a/internal/lab/ctmembers/group.go
+++ b/internal/lab/ctmembers/group.go
@@ -65,6 +65,8 @@
 	answersToDrop int
 	// namesToLose is how many of the next executions find no prepared statement.
 	namesToLose int
+	// failing is the member that fails its reads; empty if none does.
+	failing ctid.Member
 	// hold holds back the next answer; nil if none is to be held back.
 	hold *answerHold
 }
@@ -195,6 +197,20 @@
 	return true
 }
 
+// FailReads makes a member fail its reads, though it answers all else. An empty name ends it.
+func (g *Group) FailReads(name ctid.Member) {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	g.failing = name
+}
+
+// failsReads reports whether a member fails its reads.
+func (g *Group) failsReads(m *member) bool {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	return g.failing == m.name
+}
+
 // Violations returns the recorded violations.
 func (g *Group) Violations() []string {
 	g.mutex.Lock()
--- a/internal/lab/ctmembers/link.go
+++ b/internal/lab/ctmembers/link.go
@@ -224,6 +224,10 @@
 		return
 	}
 	c.checkOwner(q)
+	if c.group.failsReads(c.member) {
+		answer.Fault = ctquery.FaultFailed
+		return
+	}
 	var writes []entry
 	if c.transaction != nil {
 		writes = c.transaction.writes
--- a/internal/link/ctframe/forward.go
+++ b/internal/link/ctframe/forward.go
@@ -83,6 +83,9 @@
 	// Stopping reports that the proxy is about to stop. It still runs the queries that it
 	// has already received.
 	Stopping bool `cbor:"5,keyasint,omitempty"`
+	// Load is by how much the proxy expects the member's response time to be above the lowest;
+	// 0 if it doesn't say.
+	Load time.Duration `cbor:"9,keyasint,omitempty"`
 	// Number is that of the request; 0 if Stopping is set without one. A reply of an older
 	// process has none, so that it is rejected.
 	Number RequestNumber `cbor:"7,keyasint,omitempty"`
--- a/internal/program/ctgateway/choose.go
+++ b/internal/program/ctgateway/choose.go
@@ -57,15 +57,39 @@
 			FreeConnections: state.Free,
 			Applied:         state.Applied,
 			AvoidUntil:      state.AvoidUntil,
+			Hint:            state.Hint,
+			Standing:        state.Standing,
 		})
 	}
+	targets := s.order(now, candidates)
+	for i := range targets {
+		targets[i].term = group.Term
+		if !targets[i].primary {
+			targets[i].minPoint = minPoint
+		}
+	}
+	return targets
+}
+
+// order returns the candidates as targets, the one that is to run the statement first.
+func (s *session) order(now time.Time, candidates []ctplace.Candidate) []target {
+	g := s.gateway
 	var targets []target
-	for _, candidate := range ctplace.Order(now, candidates) {
-		next := target{member: candidate.Member, primary: candidate.Primary, term: group.Term}
-		if !candidate.Primary {
-			next.minPoint = minPoint
+	if !g.Pools.Balanced() {
+		for _, c := range ctplace.Order(now, candidates) {
+			targets = append(targets, target{member: c.Member, primary: c.Primary})
 		}
-		targets = append(targets, next)
+		return targets
+	}
+	decision := ctplace.Choose(now, candidates, g.Random)
+	for _, c := range decision.Ranked {
+		targets = append(targets, target{member: c.Member, primary: c.Primary, choice: decision.Why, wait: c.Wait})
+	}
+	if len(targets) > 0 {
+		g.Metrics.Choices.WithLabelValues(string(decision.Why)).Inc()
+	}
+	if decision.Why == ctplace.ReasonReadmission {
+		g.Pools.Probe(&s.held, targets[0].member)
 	}
 	return targets
 }
@@ -137,6 +161,9 @@
 	if e.run.Effect == ctdialog.EffectDurable && answer.OK() {
 		event.Stringer("point", answer.Point)
 	}
+	if e.target.choice != "" {
+		event.Str("choice", string(e.target.choice)).Dur("wait", e.target.wait)
+	}
 	event.Send()
 }
 
--- a/internal/program/ctgateway/gateway.go
+++ b/internal/program/ctgateway/gateway.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net"
 	"sync/atomic"
 	"time"
@@ -64,6 +65,9 @@
 	Clock        ctclock.Clock
 	Logger       zerolog.Logger
 	Metrics      *ctmetric.Metrics
+	// Random returns random numbers from 0 up to 1, for the choice among members; nil stands
+	// for rand.Float64.
+	Random func() float64
 	// TriggerReport makes the next report to control go out at once.
 	TriggerReport func()
 }
@@ -86,6 +90,9 @@
 
 // New returns a gateway without callers. Run starts its work.
 func New(options Options) *Gateway {
+	if options.Random == nil {
+		options.Random = rand.Float64
+	}
 	return &Gateway{
 		Options:  options,
 		groups:   cttable.Table[ctid.Group, groupState]{Rank: ctlock.RankGroups},
--- a/internal/program/ctgateway/run.go
+++ b/internal/program/ctgateway/run.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/cherviltrestle/cherviltrestle/internal/decide/ctdialog"
+	"github.com/cherviltrestle/cherviltrestle/internal/decide/ctplace"
 	"github.com/cherviltrestle/cherviltrestle/internal/model/cterror"
 	"github.com/cherviltrestle/cherviltrestle/internal/model/ctid"
 	"github.com/cherviltrestle/cherviltrestle/internal/model/ctposition"
@@ -83,6 +84,10 @@
 	term ctposition.Term
 	// minPoint is the point that the member must have applied; zero for a primary.
 	minPoint ctposition.Point
+	// choice is why the member was chosen, and wait the expected time until its answer. Both
+	// are zero if members are ordered by latency.
+	choice ctplace.Reason
+	wait   time.Duration
 }
 
 // run runs a statement on a member and returns the answer for the caller.
@@ -400,6 +405,7 @@
 		Abandoned: s.gateway.Pools.Stop.Abandoned(),
 	}
 	answer, err := conn.Run(s.dialog.State(), query, limits)
+	s.gateway.Pools.RecordOutcome(&s.held, conn, answer, err)
 	switch cterror.KindOf(err) {
 	case cterror.RateLimited:
 		e.rateLimited = true
--- a/internal/program/ctmetric/metrics.go
+++ b/internal/program/ctmetric/metrics.go
@@ -67,6 +67,10 @@
 	// workspace, and RateLimited the operations refused because of a workspace's limit.
 	EvictedConnections prometheus.Counter
 	RateLimited        prometheus.Counter
+	// Choices counts the members that were chosen for statements, by reason, and Ejections the
+	// members that were ejected because of the outcomes of their requests.
+	Choices   *prometheus.CounterVec
+	Ejections *prometheus.CounterVec
 	// ViewVersion is the version of the view in force.
 	ViewVersion prometheus.Gauge
 	// Revision is the revision of the configuration in force.
@@ -107,6 +111,9 @@
 		EvictedConnections: f.counter(
 			"evicted_connections_total", "Connections closed to make room for another workspace."),
 		RateLimited: f.counter("rate_limited_total", "Operations refused because of a workspace's rate limit."),
+		Choices:     f.counterVec("placement_choices_total", "Members chosen for statements.", "reason"),
+		Ejections: f.counterVec(
+			"member_ejections_total", "Ejections of members that failed a part of their requests.", "member"),
 		ViewVersion: f.gauge("view_version", "Version of the view in force."),
 		Revision:    f.gauge("config_revision", "Revision of the configuration in force."),
 		Reports:     f.counterVec("reports_total", "Reports to control.", "result"),
--- a/internal/program/ctpools/forwarding.go
+++ b/internal/program/ctpools/forwarding.go
@@ -35,6 +35,11 @@
 	replyPending bool
 	// peerSilent reports that a reply did not arrive in time. The user's goroutine alone uses it.
 	peerSilent bool
+	// pathFailed reports that the other proxy could not be reached or gave no reply, so that the
+	// last query says nothing about the member. The user's goroutine alone uses it.
+	pathFailed bool
+	// recordLoad receives the load of a member that a reply states; nil if none is recorded.
+	recordLoad func(member ctid.Member, load time.Duration)
 	// requests counts the requests, and awaited is the one whose reply has not arrived; 0 if
 	// there is none. The mutex guards both, too.
 	requests ctframe.RequestNumber
@@ -161,6 +166,7 @@
 		e.awaited = e.requests
 		frame.Number = e.requests
 	})
+	e.pathFailed = true
 	if err := e.stream.Write(frame); err != nil {
 		e.close()
 		return ctquery.Answer{}, cterror.Wrap(cterror.Unavailable, err, "send to the carrying proxy", "try another member")
@@ -169,7 +175,11 @@
 	if err != nil {
 		return ctquery.Answer{}, err
 	}
+	e.pathFailed = false
 	e.update(func() { e.replyPending = false })
+	if e.recordLoad != nil && reply.Load > 0 {
+		e.recordLoad(frame.Member, reply.Load)
+	}
 	return answerFrom(reply)
 }
 
--- a/internal/program/ctpools/forwardserver.go
+++ b/internal/program/ctpools/forwardserver.go
@@ -112,6 +112,7 @@
 	defer s.pools.answeringCount.Add(-1)
 	reply := s.serve(frame)
 	reply.Number = frame.Number
+	reply.Load = s.pools.loadOf(&s.held, frame.Member)
 	return stream.Write(reply)
 }
 
@@ -135,6 +136,7 @@
 	sentAt := s.pools.Clock.Now()
 	limits := Limits{Deadline: now.Add(frame.AnswerTimeout), Abandoned: s.pools.Stop.Abandoned()}
 	answer, err := s.conn.Run(state, frame.Query.Query(), limits)
+	s.pools.RecordOutcome(&s.held, s.conn, answer, err)
 	if cterror.KindOf(err) == cterror.Invalid {
 		s.log(frame, ctquery.FaultTooLarge.String(), now)
 		return s.refuseTooLarge(inTransaction)
--- a/internal/program/ctpools/memberstate.go
+++ b/internal/program/ctpools/memberstate.go
@@ -18,6 +18,10 @@
 	LeavingSince time.Time
 	// Latency is the moving mean of the member's recent response times.
 	Latency ctplace.Latency
+	// Hint is the load that a forwarding proxy reported last, and Standing what follows from
+	// the outcomes of requests.
+	Hint     ctplace.Hint
+	Standing ctplace.Standing
 	// Running counts the connections in use. Free counts those that are idle or may be
 	// opened, less the requests that wait for one.
 	Running int
@@ -41,7 +45,7 @@
 		found = true
 		member = MemberState{
 			Server: m.server, LeavingSince: m.leavingSince, Latency: m.latency, Running: m.running,
-			Applied: m.applied, AvoidUntil: m.avoidUntil,
+			Applied: m.applied, AvoidUntil: m.avoidUntil, Hint: m.hint, Standing: m.outcomes.Standing(p.Clock.Now()),
 			Free: max(0, len(m.idle)+m.limit-m.open-len(m.waiters)),
 		}
 		if m.remote {
--- a/internal/program/ctpools/peerstreams.go
+++ b/internal/program/ctpools/peerstreams.go
@@ -163,7 +163,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return newForwardingExecutor("", stream, p.Clock), nil
+	return p.newForwardingExecutor("", stream), nil
 }
 
 // returnStream is Release for a stream to an owner. If the owner has left a query unanswered,
--- a/internal/program/ctpools/pools.go
+++ b/internal/program/ctpools/pools.go
@@ -103,6 +103,8 @@
 	answeringCount atomic.Int64
 	members        cttable.Table[ctid.Member, memberPool]
 	peers          cttable.Table[netip.AddrPort, peerStreams]
+	// balanced reports whether Choose selects the members in the view in force.
+	balanced atomic.Bool
 	// ownership says which proxies open the connections of each workspace. It is nil while
 	// connections serve callers of any workspace.
 	ownership atomic.Pointer[ownership]
@@ -137,7 +139,9 @@
 	// waiters are the requests that wait for a connection, the most urgent first.
 	waiters []waiter
 
-	latency ctplace.Latency
+	latency  ctplace.Latency
+	hint     ctplace.Hint
+	outcomes ctplace.Outcomes
 	// running counts the connections that users have acquired.
 	running int
 	// applied is the point that the member's last answer reported.
@@ -471,7 +475,7 @@
 		if err != nil {
 			return nil, err
 		}
-		return newForwardingExecutor(server.Member, stream, p.Clock), nil
+		return p.newForwardingExecutor(server.Member, stream), nil
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), dialTimeout)
 	defer cancel()
