--- a/internal/decide/ctplace/choose.go
+++ b/internal/decide/ctplace/choose.go
@@ -25,8 +25,11 @@
 	// With less, all proxies would return at once to a member that was overloaded.
 	unseenWait = 40 * time.Millisecond
 	// runningWeight is the part of the expected response time that each statement which this
-	// process runs at a member adds. It is the only information that is never stale.
-	runningWeight = 1.5
+	// process runs at a member adds in a large fleet. It is the only information that is never
+	// stale. With halfWeightProxies proxies it is a half of that: in a small fleet, each proxy
+	// has several statements in flight at a member that is not overloaded.
+	runningWeight     = 2
+	halfWeightProxies = 20
 )
 
 // Class is the cost of the path to a member.
@@ -79,13 +82,13 @@
 }
 
 // Choose selects the member that is to run a statement. It prefers near members, and among
-// several of a class the one of two random ones with the shorter wait. random returns numbers
-// from 0 up to 1.
-func Choose(now time.Time, candidates []Candidate, random func() float64) Decision {
+// several of a class the one of two random ones with the shorter wait. proxies is the number of
+// proxies in the fleet, and random returns numbers from 0 up to 1.
+func Choose(now time.Time, candidates []Candidate, proxies int, random func() float64) Decision {
 	if len(candidates) == 0 {
 		return Decision{}
 	}
-	ranked := rank(now, candidates)
+	ranked := rank(now, candidates, proxies)
 	slices.SortStableFunc(ranked, func(a, b Ranked) int {
 		return cmp.Or(
 			cmp.Compare(lastRank(now, a), lastRank(now, b)),
@@ -159,12 +162,13 @@
 }
 
 // rank returns the candidates with their classes, waits and ejections.
-func rank(now time.Time, candidates []Candidate) []Ranked {
+func rank(now time.Time, candidates []Candidate, proxies int) []Ranked {
 	ranked := make([]Ranked, len(candidates))
 	paths := survey(now, candidates)
+	weight := runningWeight * float64(proxies) / float64(proxies+halfWeightProxies)
 	for i, c := range candidates {
 		class := paths.classOf(now, c)
-		ranked[i] = Ranked{Candidate: c, Class: class, Wait: expectedWait(now, c, class)}
+		ranked[i] = Ranked{Candidate: c, Class: class, Wait: expectedWait(now, c, class, weight)}
 	}
 	eject(now, ranked)
 	return ranked
@@ -258,8 +262,9 @@
 // expectedWait returns the time until a statement's answer that is expected on a candidate. It
 // follows the response times seen here, which count less with their age. The hint of a
 // forwarding proxy replaces them while it is newer, as after an answer without a response time:
-// all proxies see the same hints, and would follow them to one member.
-func expectedWait(now time.Time, c Candidate, class Class) time.Duration {
+// all proxies see the same hints, and would follow them to one member. Each statement that this
+// process runs there adds a part of the time, which is the weight.
+func expectedWait(now time.Time, c Candidate, class Class, weight float64) time.Duration {
 	floor, known := c.Latency.Floor(now)
 	base := floor + unseenWait
 	switch {
@@ -275,7 +280,7 @@
 	if known && c.Hint.ReceivedAt.After(c.Latency.observedAt) {
 		wait += time.Duration(float64(floor+c.Hint.Excess-wait) * c.Hint.weight(now))
 	}
-	wait += time.Duration(float64(wait) * float64(c.Running) * runningWeight)
+	wait += time.Duration(float64(wait) * float64(c.Running) * weight)
 	if c.Primary {
 		wait += primaryPenalty
 	}
--- a/internal/decide/ctplace/choose_test.go
+++ b/internal/decide/ctplace/choose_test.go
@@ -11,12 +11,16 @@
 	"github.com/cherviltrestle/cherviltrestle/internal/model/ctid"
 )
 
-// runMean returns the mean results of a scenario with 57 and 110 proxies and with information
+// runMean returns the mean results of a scenario with 57 and 110 proxies, or few, and with information
 // that is up to 0 and 400 ms old, and logs each.
 func runMean(t *testing.T, name string, s scenario, choose policy) result {
 	t.Helper()
 	var results []scenario
-	for _, proxies := range []int{57, 110} {
+	fleets := []int{57, 110}
+	if s.few {
+		fleets = []int{6, 12}
+	}
+	for _, proxies := range fleets {
 		for _, age := range []time.Duration{0, 400 * time.Millisecond} {
 			s.proxies, s.age = proxies, age
 			results = append(results, s)
@@ -61,15 +65,22 @@
 		assert.Assert(t, after.far <= before.far, "more statements leave their region: %s", after)
 		assert.Assert(t, after.rejected+after.unserved == 0)
 	})
+	compare("calm, few proxies", scenario{demand: [3]float64{0.6, 0.6, 0.6}, few: true},
+		func(t *testing.T, before, after result) {
+			assert.Assert(t, after.far <= before.far, "more statements leave their region: %s", after)
+			assert.Assert(t, after.rejected+after.unserved == 0)
+		})
 	compare("busy", scenario{demand: [3]float64{0.95, 0.95, 0.95}}, func(t *testing.T, before, after result) {
 		assertRelieved(t, before, after)
 		assert.Assert(t, after.spread < before.spread && after.far < before.far, "%s", after)
 	})
-	compare("one region", scenario{demand: [3]float64{0.95, 0.95, 0.95}, onePath: true},
-		func(t *testing.T, before, after result) {
-			assertRelieved(t, before, after)
-			assert.Assert(t, after.spread < before.spread, "%s", after)
-		})
+	for name, demand := range map[string]float64{"one region": 0.8, "one region, busy": 0.95} {
+		compare(name, scenario{demand: [3]float64{demand, demand, demand}, onePath: true},
+			func(t *testing.T, before, after result) {
+				assertRelieved(t, before, after)
+				assert.Assert(t, after.spread < before.spread, "the members' loads differ more: %s", after)
+			})
+	}
 	compare("one region, slow at times",
 		scenario{demand: [3]float64{0.6, 0.6, 0.6}, onePath: true, slowdown: slowMember}, assertRelieved)
 	compare("slow at times", scenario{demand: [3]float64{0.6, 0.6, 0.6}, slowdown: slowMember}, assertRelieved)
@@ -121,6 +132,9 @@
 	})
 }
 
+// fleet is the number of proxies.
+const fleet = 100
+
 // never and always are random numbers that keep a statement near, or send it far.
 func never() float64  { return 0.999 }
 func always() float64 { return 0 }
@@ -131,7 +145,7 @@
 
 func assertChosen(t *testing.T, random func() float64, want ctid.Member, why ctplace.Reason, c ...ctplace.Candidate) {
 	t.Helper()
-	decision := ctplace.Choose(now, c, random)
+	decision := ctplace.Choose(now, c, fleet, random)
 	assert.Equal(t, decision.Ranked[0].Member, want)
 	assert.Equal(t, decision.Why, why)
 	assert.Equal(t, len(decision.Ranked), len(c))
@@ -146,7 +160,7 @@
 	near, far := candidate("near", 10*time.Millisecond), candidate("far", 50*time.Millisecond)
 	farther := candidate("farther", 55*time.Millisecond)
 	t.Run("none", func(t *testing.T) {
-		assert.Equal(t, len(ctplace.Choose(now, nil, never).Ranked), 0)
+		assert.Equal(t, len(ctplace.Choose(now, nil, fleet, never).Ranked), 0)
 	})
 	t.Run("a near member that isn't overloaded stays preferred", func(t *testing.T) {
 		assertChosen(t, always, "near", ctplace.ReasonNear, far, near, farther)
@@ -180,7 +194,7 @@
 		assertChosen(t, always, "near", ctplace.ReasonNear, hinted, far)
 		later := func(age time.Duration) time.Duration {
 			hinted.Hint.ReceivedAt = now.Add(time.Millisecond)
-			return ctplace.Choose(now.Add(time.Millisecond+age), []ctplace.Candidate{hinted}, never).Ranked[0].Wait
+			return ctplace.Choose(now.Add(time.Millisecond+age), []ctplace.Candidate{hinted}, fleet, never).Ranked[0].Wait
 		}
 		assert.Assert(t, later(0) > 300*time.Millisecond)
 		assert.Assert(t, later(500*time.Millisecond) < later(0))
--- a/internal/decide/ctplace/doc.go
+++ b/internal/decide/ctplace/doc.go
@@ -19,7 +19,7 @@
 
 # Usage
 
-	decision := ctplace.Choose(now, candidates, rand.Float64)
+	decision := ctplace.Choose(now, candidates, proxies, rand.Float64)
 	member := decision.Ranked[0].Member
 */
 package ctplace
--- a/internal/decide/ctplace/model_test.go
+++ b/internal/decide/ctplace/model_test.go
@@ -29,19 +29,21 @@
 )
 
 // policy selects the member that is tried first.
-type policy func(now time.Time, candidates []ctplace.Candidate, random func() float64) ctid.Member
+type policy func(now time.Time, candidates []ctplace.Candidate, proxies int, random func() float64) ctid.Member
 
-func oldPolicy(now time.Time, candidates []ctplace.Candidate, _ func() float64) ctid.Member {
+func oldPolicy(now time.Time, candidates []ctplace.Candidate, _ int, _ func() float64) ctid.Member {
 	return ctplace.Order(now, candidates)[0].Member
 }
 
-func newPolicy(now time.Time, candidates []ctplace.Candidate, random func() float64) ctid.Member {
-	return ctplace.Choose(now, candidates, random).Ranked[0].Member
+func newPolicy(now time.Time, candidates []ctplace.Candidate, proxies int, random func() float64) ctid.Member {
+	return ctplace.Choose(now, candidates, proxies, random).Ranked[0].Member
 }
 
 // scenario is a run of the model: one group with a member in each region.
 type scenario struct {
 	proxies int
+	// few reports that there are 6 or 12 proxies, each with many statements in flight.
+	few bool
 	// age is how late a proxy learns of an answer at most.
 	age time.Duration
 	// demand is the statements of each region's proxies, as a part of what a member serves.
@@ -223,7 +225,7 @@
 			AvoidUntil: k.avoid, Hint: k.hint, Standing: k.outcomes.Standing(m.now),
 		})
 	}
-	name := m.choose(m.now, candidates, m.random.Float64)
+	name := m.choose(m.now, candidates, len(m.proxies), m.random.Float64)
 	r.member = slices.IndexFunc(m.members[:], func(c modelMember) bool { return c.name == name })
 	k := &m.proxies[r.proxy][r.member]
 	k.running++
--- a/internal/program/ctgateway/choose.go
+++ b/internal/program/ctgateway/choose.go
@@ -61,7 +61,7 @@
 			Standing:        state.Standing,
 		})
 	}
-	targets := s.order(now, candidates)
+	targets := s.order(now, candidates, len(view.Proxies))
 	for i := range targets {
 		targets[i].term = group.Term
 		if !targets[i].primary {
@@ -71,8 +71,9 @@
 	return targets
 }
 
-// order returns the candidates as targets, the one that is to run the statement first.
-func (s *session) order(now time.Time, candidates []ctplace.Candidate) []target {
+// order returns the candidates as targets, the one that is to run the statement first. proxies is
+// the number of proxies in the fleet.
+func (s *session) order(now time.Time, candidates []ctplace.Candidate, proxies int) []target {
 	g := s.gateway
 	var targets []target
 	if !g.Pools.Balanced() {
@@ -81,7 +82,7 @@
 		}
 		return targets
 	}
-	decision := ctplace.Choose(now, candidates, g.Random)
+	decision := ctplace.Choose(now, candidates, proxies, g.Random)
 	for _, c := range decision.Ranked {
 		targets = append(targets, target{member: c.Member, primary: c.Primary, choice: decision.Why, wait: c.Wait})
 	}
