platform, ctnode, ctpools: the setting proxy.placement selects the order of members

Without it, a configuration that requires keys balances load, and others keep the order by latency. The setting allows comparing both on one deployment.

--- a/internal/program/ctnode/proxy.go
+++ b/internal/program/ctnode/proxy.go
@@ -84,6 +84,7 @@
 	transport := tcpTransport{cttcp.Transport{LocalAddress: settings.LocalIP}}
 	p.pools = ctpools.New(frontends.Dialer, self, transport, clock, logger)
 	p.pools.Metrics = metrics
+	p.pools.Policy = settings.Placement
 	p.gateway = ctgateway.New(ctgateway.Options{
 		FailureDomain: settings.FailureDomain,
 		State:         state,
--- a/internal/program/ctnode/settings.go
+++ b/internal/program/ctnode/settings.go
@@ -4,6 +4,7 @@
 	"net/netip"
 	"time"
 
+	"github.com/cherviltrestle/cherviltrestle/internal/decide/ctplace"
 	"github.com/cherviltrestle/cherviltrestle/internal/model/cterror"
 	"github.com/cherviltrestle/cherviltrestle/internal/model/ctid"
 )
@@ -41,6 +42,8 @@
 	ApplyTimeout time.Duration
 	// StopTimeout is how long a planned stop may take.
 	StopTimeout time.Duration
+	// Placement says how members are selected; nil leaves it to the configuration.
+	Placement ctplace.Policy
 	// MemoryMB is how much memory the process may use, in megabytes.
 	MemoryMB int
 }
--- a/internal/program/ctpools/outcomes.go
+++ b/internal/program/ctpools/outcomes.go
@@ -8,10 +8,23 @@
 	"github.com/cherviltrestle/cherviltrestle/internal/model/cterror"
 	"github.com/cherviltrestle/cherviltrestle/internal/model/ctid"
 	"github.com/cherviltrestle/cherviltrestle/internal/model/ctquery"
+	"github.com/cherviltrestle/cherviltrestle/internal/model/ctview"
 	"github.com/cherviltrestle/cherviltrestle/internal/program/ctlog"
 	"github.com/cherviltrestle/cherviltrestle/internal/work/ctlock"
 )
 
+// updatePolicy determines the policy in force from the settings and the configuration.
+func (p *Pools) updatePolicy(view *ctview.View) {
+	switch p.Policy.(type) {
+	case ctplace.Balanced:
+		p.balanced.Store(true)
+	case ctplace.ByLatency:
+		p.balanced.Store(false)
+	default:
+		p.balanced.Store(view.Config.Document.RequireKeys)
+	}
+}
+
 // Balanced reports whether ctplace.Choose selects the members, and not their order by latency.
 // Then loads and outcomes are recorded, too.
 func (p *Pools) Balanced() bool {
--- a/internal/program/ctpools/pools.go
+++ b/internal/program/ctpools/pools.go
@@ -90,6 +90,9 @@
 	Stop ctstop.Stop
 	// Metrics is nil if nothing is counted.
 	Metrics *ctmetric.Metrics
+	// Policy says how members are selected; nil stands for ctplace.Balanced if the configuration
+	// requires keys, and else for ctplace.ByLatency.
+	Policy ctplace.Policy
 	// Quotas is nil if workspaces have no limits.
 	Quotas Quotas
 
@@ -103,7 +106,7 @@
 	answeringCount atomic.Int64
 	members        cttable.Table[ctid.Member, memberPool]
 	peers          cttable.Table[netip.AddrPort, peerStreams]
-	// balanced reports whether Choose selects the members in the view in force.
+	// balanced reports whether the policy in force is ctplace.Balanced.
 	balanced atomic.Bool
 	// ownership says which proxies open the connections of each workspace. It is nil while
 	// connections serve callers of any workspace.
--- a/internal/program/ctpools/view.go
+++ b/internal/program/ctpools/view.go
@@ -17,7 +17,7 @@
 func (p *Pools) ApplyView(held *ctlock.Held, view *ctview.View) {
 	now := p.Clock.Now()
 	p.updateOwnership(view)
-	p.balanced.Store(view.Config.Document.RequireKeys)
+	p.updatePolicy(view)
 	p.members.With(held, func(members map[ctid.Member]*memberPool) {
 		for name, m := range members {
 			if _, ok := view.Members[name]; !ok {
