ctcommand, ctgateway, ctnode: explain placement tells where a statement would run

The metrics listener of a proxy answers GET /placement with the decision for a database, a workspace and a kind of statement, made by the code that serves requests (candidates, ctplace.Decide), and sends nothing to a member. The command shows it as a table or as JSON. The members that may not run the statement are listed with the reason. The cap of a workspace is not shown yet, only its configured limit, and a control process can't be asked.

--- a/internal/decide/ctplace/choose.go
+++ b/internal/decide/ctplace/choose.go
@@ -53,8 +53,9 @@
 type Reason string
 
 // The reasons. ReasonOnly means that all others are avoided or ejected, if there are any, and
-// ReasonDrawn the one of two random members with the shorter wait.
+// ReasonLatency the lowest expected latency, ReasonDrawn the one of two random members with the shorter wait.
 const (
+	ReasonLatency        Reason = "latency"
 	ReasonOnly           Reason = "only"
 	ReasonNear           Reason = "near"
 	ReasonNearOverloaded Reason = "near_overloaded"
--- a/internal/decide/ctplace/latency.go
+++ b/internal/decide/ctplace/latency.go
@@ -69,6 +69,11 @@
 	return l.lowest, true
 }
 
+// ObservedAt returns when the last observation was made; zero if there was none.
+func (l *Latency) ObservedAt() time.Time {
+	return l.observedAt
+}
+
 // Excess returns by how much the expected response time is above the floor: the expected wait
 // at the member and the time of a statement that is not among the shortest.
 func (l *Latency) Excess(now time.Time) time.Duration {
--- a/internal/decide/ctplace/policy.go
+++ b/internal/decide/ctplace/policy.go
@@ -1,6 +1,10 @@
 package ctplace
 
-import "github.com/cherviltrestle/cherviltrestle/internal/model/cterror"
+import (
+	"time"
+
+	"github.com/cherviltrestle/cherviltrestle/internal/model/cterror"
+)
 
 // Policy says how members are selected: ByLatency or Balanced.
 type Policy interface {
@@ -13,6 +17,21 @@
 // Balanced selects them with Choose.
 type Balanced struct{}
 
+// Decide selects the member that is to run a statement as the policy says. The other arguments
+// are those of Choose.
+func Decide(now time.Time, policy Policy, candidates []Candidate, proxies int, random func() float64) Decision {
+	switch policy.(type) {
+	case Balanced:
+		return Choose(now, candidates, proxies, random)
+	default:
+		decision := Decision{Why: ReasonLatency}
+		for _, c := range Order(now, candidates) {
+			decision.Ranked = append(decision.Ranked, Ranked{Candidate: c, Wait: expectedLatency(now, c)})
+		}
+		return decision
+	}
+}
+
 func (ByLatency) isPolicy() {}
 func (Balanced) isPolicy()  {}
 
--- a/internal/lab/ctmembers/balance_test.go
+++ b/internal/lab/ctmembers/balance_test.go
@@ -10,8 +10,10 @@
 	"github.com/cherviltrestle/cherviltrestle/internal/decide/ctplace"
 	"github.com/cherviltrestle/cherviltrestle/internal/lab/ctmembers"
 	"github.com/cherviltrestle/cherviltrestle/internal/model/ctconfig"
+	"github.com/cherviltrestle/cherviltrestle/internal/model/cterror"
 	"github.com/cherviltrestle/cherviltrestle/internal/model/ctid"
 	"github.com/cherviltrestle/cherviltrestle/internal/model/ctquery"
+	"github.com/cherviltrestle/cherviltrestle/internal/program/ctgateway"
 	"github.com/cherviltrestle/cherviltrestle/internal/program/ctpools"
 	"github.com/cherviltrestle/cherviltrestle/internal/work/ctlock"
 )
@@ -64,6 +66,31 @@
 	}
 }
 
+// TestExplainedPlacement guards against an explanation that differs from the decision, or sends
+// something to a member.
+func TestExplainedPlacement(t *testing.T) {
+	f := newConfiguredFixture(t, forwarded, smallGroup, ctconfig.FreshnessPrimary, withWorkspaces(1))
+	c := f.connectAs(t, "w0.reader", "w0")
+	answer, _ := c.call(t, ctquery.Read{Item: "x"})
+	assert.Assert(t, answer.OK(), "%s", answer.Text)
+	ran := len(f.group.Workspaces())
+	placement, err := f.gateway.Explain("db", "w0", ctgateway.KindRead)
+	assert.NilError(t, err)
+	assert.Equal(t, placement.Member, ctmembers.MemberName(0))
+	assert.Equal(t, placement.Why, ctplace.ReasonOnly)
+	assert.Equal(t, len(placement.Members), smallGroup.Members)
+	assert.Assert(t, len(placement.Members[0].Through) > 0 && placement.Members[0].HintAgeMS >= 0)
+	assert.Equal(t, placement.Members[1].Excluded, "replica_not_allowed")
+	assert.Equal(t, len(f.group.Workspaces()), ran)
+	for _, refused := range []struct{ database, workspace, kind string }{
+		{"none", "w0", "read"}, {"db", "none", "read"}, {"db", "w0", "none"},
+	} {
+		_, err := f.gateway.Explain(
+			ctid.Database(refused.database), ctid.Workspace(refused.workspace), ctgateway.StatementKind(refused.kind))
+		assert.Equal(t, cterror.KindOf(err), cterror.Invalid)
+	}
+}
+
 // TestFailingMemberEjected guards against reads that are sent to a member again and again although
 // it fails them, and against one that stays ejected after it has recovered.
 func TestFailingMemberEjected(t *testing.T) {
--- a/internal/program/ctcommand/explain.go
+++ b/internal/program/ctcommand/explain.go
@@ -19,9 +19,9 @@
 func newExplain(environment Environment) *cobra.Command {
 	command := &cobra.Command{
 		Use:   "explain",
-		Short: "Show what was decided on a request or a group, when, by which process and why",
+		Short: "Show what was decided on a request or a group, or would be on a statement, and why",
 	}
-	command.AddCommand(newExplainRequest(), newExplainGroup())
+	command.AddCommand(newExplainRequest(), newExplainGroup(), newExplainPlacement())
 	command.SetOut(environment.Out)
 	return command
 }
--- a/internal/program/ctgateway/choose.go
+++ b/internal/program/ctgateway/choose.go
@@ -6,6 +6,7 @@
 	"github.com/cherviltrestle/cherviltrestle/internal/decide/ctdialog"
 	"github.com/cherviltrestle/cherviltrestle/internal/decide/ctplace"
 	"github.com/cherviltrestle/cherviltrestle/internal/model/ctconfig"
+	"github.com/cherviltrestle/cherviltrestle/internal/model/ctid"
 	"github.com/cherviltrestle/cherviltrestle/internal/model/ctposition"
 	"github.com/cherviltrestle/cherviltrestle/internal/model/ctquery"
 	"github.com/cherviltrestle/cherviltrestle/internal/model/ctserver"
@@ -24,17 +25,40 @@
 	leavingPrimaryGrace = 5 * time.Second
 )
 
-// targets returns the members that may run the statement and were not tried yet,
-// best first. It returns none while this proxy's configuration is outdated.
-func (s *session) targets(e *execution) []target {
+// exclusion is why a member may not run a statement; empty if it may.
+type exclusion string
+
+// The exclusions. A replica is not allowed if the statement needs the primary, or while it is
+// unknown which point replicas must have applied.
+const (
+	excludedPrimary exclusion = "primary_not_allowed"
+	excludedReplica exclusion = "replica_not_allowed"
+	excludedLeaving exclusion = "not_ready"
+)
+
+// candidates are the members that may run a statement.
+type candidates struct {
+	members []ctplace.Candidate
+	// excluded says why the others may not. Members that were tried are in neither.
+	excluded map[ctid.Member]exclusion
+	term     ctposition.Term
+	minPoint ctposition.Point
+	// proxies is the number of proxies in the fleet.
+	proxies int
+}
+
+// candidates returns the members that may run the statement and were not tried yet.
+// It returns none while this proxy's configuration is outdated.
+func (s *session) candidates(e *execution, now time.Time) candidates {
 	g := s.gateway
-	now := g.Clock.Now()
 	view := g.State.View(&s.held)
 	group := view.Groups[s.route.Group]
 	minPoint, replicaAllowed := s.replicaMinPoint(e, now)
-	var candidates []ctplace.Candidate
+	c := candidates{
+		excluded: make(map[ctid.Member]exclusion), term: group.Term, minPoint: minPoint, proxies: len(view.Proxies),
+	}
 	if g.State.ConfigOutdated(&s.held) {
-		return nil
+		return c
 	}
 	for _, name := range view.MembersOf(s.route.Group) {
 		state, ok := g.Pools.Member(&s.held, name)
@@ -42,13 +66,20 @@
 			continue
 		}
 		primary := name == group.Primary
-		if primary && !s.primaryAllowed(e, now, group, state) {
-			continue
+		why := exclusion("")
+		switch {
+		case primary && !s.primaryAllowed(e, now, group, state):
+			why = excludedPrimary
+		case !primary && !replicaAllowed:
+			why = excludedReplica
+		case !primary && state.Server.State != ctserver.StateReady:
+			why = excludedLeaving
 		}
-		if !primary && (!replicaAllowed || state.Server.State != ctserver.StateReady) {
+		if why != "" {
+			c.excluded[name] = why
 			continue
 		}
-		candidates = append(candidates, ctplace.Candidate{
+		c.members = append(c.members, ctplace.Candidate{
 			Member:          name,
 			Primary:         primary,
 			Local:           state.Server.FailureDomain == g.FailureDomain,
@@ -61,37 +92,30 @@
 			Standing:        state.Standing,
 		})
 	}
-	targets := s.order(now, candidates, len(view.Proxies))
-	for i := range targets {
-		targets[i].term = group.Term
-		if !targets[i].primary {
-			targets[i].minPoint = minPoint
-		}
-	}
-	return targets
+	return c
 }
 
-// order returns the candidates as targets, the one that is to run the statement first. proxies is
-// the number of proxies in the fleet.
-func (s *session) order(now time.Time, candidates []ctplace.Candidate, proxies int) []target {
+// targets returns the members that may run the statement and were not tried yet, the one that
+// is to run it first.
+func (s *session) targets(e *execution) []target {
 	g := s.gateway
-	var targets []target
-	if !g.Pools.Balanced() {
-		for _, c := range ctplace.Order(now, candidates) {
-			targets = append(targets, target{member: c.Member, primary: c.Primary})
-		}
-		return targets
-	}
-	decision := ctplace.Choose(now, candidates, proxies, g.Random)
-	for _, c := range decision.Ranked {
-		targets = append(targets, target{member: c.Member, primary: c.Primary, choice: decision.Why, wait: c.Wait})
+	now := g.Clock.Now()
+	c := s.candidates(e, now)
+	if len(c.members) == 0 {
+		return nil
 	}
-	if len(targets) > 0 {
-		g.Metrics.Choices.WithLabelValues(string(decision.Why)).Inc()
+	decision := ctplace.Decide(now, g.Pools.PolicyInForce(), c.members, c.proxies, g.Random)
+	targets := make([]target, len(decision.Ranked))
+	for i, r := range decision.Ranked {
+		targets[i] = target{member: r.Member, primary: r.Primary, term: c.term, choice: decision.Why, wait: r.Wait}
+		if !r.Primary {
+			targets[i].minPoint = c.minPoint
+		}
 	}
 	if decision.Why == ctplace.ReasonReadmission {
 		g.Pools.Probe(&s.held, targets[0].member)
 	}
+	g.Metrics.Choices.WithLabelValues(string(decision.Why)).Inc()
 	return targets
 }
 
@@ -162,7 +186,7 @@
 	if e.run.Effect == ctdialog.EffectDurable && answer.OK() {
 		event.Stringer("point", answer.Point)
 	}
-	if e.target.choice != "" {
+	if e.target.choice != "" && e.target.choice != ctplace.ReasonLatency {
 		event.Str("choice", string(e.target.choice)).Dur("wait", e.target.wait)
 	}
 	event.Send()
--- a/internal/program/ctgateway/run.go
+++ b/internal/program/ctgateway/run.go
@@ -84,8 +84,7 @@
 	term ctposition.Term
 	// minPoint is the point that the member must have applied; zero for a primary.
 	minPoint ctposition.Point
-	// choice is why the member was chosen, and wait the expected time until its answer. Both
-	// are zero if members are ordered by latency.
+	// choice is why the member was chosen, and wait the expected time until its answer.
 	choice ctplace.Reason
 	wait   time.Duration
 }
--- a/internal/program/ctnode/proxy.go
+++ b/internal/program/ctnode/proxy.go
@@ -140,7 +140,7 @@
 		return err
 	}
 	metricsServer, err := serveHTTP(
-		runCtx, p.settings.metricsAddress(), "metrics", metricRoutes(p.metrics.Handler()), p.logger)
+		runCtx, p.settings.metricsAddress(), "metrics", p.routes(), p.logger)
 	if err != nil {
 		return err
 	}
--- a/internal/program/ctpools/outcomes.go
+++ b/internal/program/ctpools/outcomes.go
@@ -25,10 +25,13 @@
 	}
 }
 
-// Balanced reports whether ctplace.Choose selects the members, and not their order by latency.
-// Then loads and outcomes are recorded, too.
-func (p *Pools) Balanced() bool {
-	return p.balanced.Load()
+// PolicyInForce returns how members are selected. Loads and outcomes are recorded only with
+// ctplace.Balanced.
+func (p *Pools) PolicyInForce() ctplace.Policy {
+	if p.balanced.Load() {
+		return ctplace.Balanced{}
+	}
+	return ctplace.ByLatency{}
 }
 
 // newForwardingExecutor returns the executor of a stream, which records the loads that the other
@@ -52,7 +55,7 @@
 // loadOf returns the load of a member for the replies to other proxies; 0 if it is not told.
 func (p *Pools) loadOf(held *ctlock.Held, name ctid.Member) time.Duration {
 	load := time.Duration(0)
-	if !p.Balanced() {
+	if !p.balanced.Load() {
 		return load
 	}
 	p.members.With(held, func(members map[ctid.Member]*memberPool) {
@@ -68,7 +71,7 @@
 // forwarding proxy. Status queries are not recorded: a member may answer them and fail others.
 func (p *Pools) RecordOutcome(held *ctlock.Held, conn *Conn, answer ctquery.Answer, err error) {
 	failed := memberFailed(conn, answer, err)
-	if !p.Balanced() || p.Stop.QueriesAbandoned() || (!failed && (err != nil || !answer.OK())) {
+	if !p.balanced.Load() || p.Stop.QueriesAbandoned() || (!failed && (err != nil || !answer.OK())) {
 		return
 	}
 	changed := false
@@ -118,6 +121,26 @@
 	event.Send()
 }
 
+// PathTo returns the proxies over which the queries of a workspace reach a member, in the order
+// in which they are tried. It returns this proxy if it has connections of its own.
+func (p *Pools) PathTo(held *ctlock.Held, name ctid.Member, workspace ctid.Workspace) []ctid.Proxy {
+	if o := p.ownership.Load(); o != nil {
+		server, _ := p.serverOf(held, name)
+		order := o.domains[server.FailureDomain].assignment.Order(p.Self.Name, workspace)
+		return order[:min(len(order), ownerAttempts)]
+	}
+	path := []ctid.Proxy{p.Self.Name}
+	p.members.With(held, func(members map[ctid.Member]*memberPool) {
+		if m, ok := members[name]; ok && len(m.forwarders) > 0 {
+			path = nil
+			for _, forwarder := range m.forwarders {
+				path = append(path, ctid.Proxy(forwarder.Addr().String()))
+			}
+		}
+	})
+	return path
+}
+
 // Probe records that a request is sent to a member that is being readmitted. Others are kept
 // away from it until its outcome is recorded.
 func (p *Pools) Probe(held *ctlock.Held, name ctid.Member) {
