ctpools: faults of writes are no failures of a member

A write runs at the primary alone, so that its fault can't be compared with other members and may be the caller's. Counted as a failure, a caller's faulty writes would have ejected a near primary for reads. Missing answers still count.

--- a/internal/lab/ctmembers/balance_test.go
+++ b/internal/lab/ctmembers/balance_test.go
@@ -55,6 +55,14 @@
 				assert.Assert(t, strings.Contains(f.log.String(), `"choice":"only"`))
 				assert.Equal(t, !f.firstMember(t).Hint.ReceivedAt.IsZero(), w == forwarded)
 			})
+			t.Run("with the setting", func(t *testing.T) {
+				f := newFixtureWith(t, w, smallGroup, ctconfig.FreshnessPrimary)
+				f.pools.Policy = ctplace.Balanced{}
+				f.configure(t, func(*ctconfig.Document) {})
+				answer, _ := f.connect(t, "reader").call(t, ctquery.Read{Item: "x"})
+				assert.Assert(t, answer.OK(), "%s", answer.Text)
+				assert.Assert(t, strings.Contains(f.log.String(), `"choice":"only"`))
+			})
 			t.Run("without workspaces", func(t *testing.T) {
 				f := newFixtureWith(t, w, smallGroup, ctconfig.FreshnessPrimary)
 				answer, _ := f.connect(t, "reader").call(t, ctquery.Read{Item: "x"})
--- a/internal/program/ctgateway/run.go
+++ b/internal/program/ctgateway/run.go
@@ -404,7 +404,7 @@
 		Abandoned: s.gateway.Pools.Stop.Abandoned(),
 	}
 	answer, err := conn.Run(s.dialog.State(), query, limits)
-	s.gateway.Pools.RecordOutcome(&s.held, conn, answer, err)
+	s.gateway.Pools.RecordOutcome(&s.held, conn, s.dialog.State(), query.Statement, answer, err)
 	switch cterror.KindOf(err) {
 	case cterror.RateLimited:
 		e.rateLimited = true
--- a/internal/program/ctpools/direct.go
+++ b/internal/program/ctpools/direct.go
@@ -165,17 +165,8 @@
 	if answer.OK() || e.conversation.Transaction() != ctquery.TransactionNone {
 		return false
 	}
-	switch statement.(type) {
-	case ctquery.Read, ctquery.Begin:
-		return true
-	case ctquery.Execute:
-		if state == nil {
-			return false
-		}
-		shape := state.ShapeOf(statement)
-		return shape != nil && !shape.Writes
-	}
-	return false
+	_, begins := statement.(ctquery.Begin)
+	return begins || reads(state, statement)
 }
 
 // unsettled reports whether the last answer has yet to be confirmed.
--- a/internal/program/ctpools/forwardserver.go
+++ b/internal/program/ctpools/forwardserver.go
@@ -136,7 +136,7 @@
 	sentAt := s.pools.Clock.Now()
 	limits := Limits{Deadline: now.Add(frame.AnswerTimeout), Abandoned: s.pools.Stop.Abandoned()}
 	answer, err := s.conn.Run(state, frame.Query.Query(), limits)
-	s.pools.RecordOutcome(&s.held, s.conn, answer, err)
+	s.pools.RecordOutcome(&s.held, s.conn, state, frame.Query.Statement(), answer, err)
 	if cterror.KindOf(err) == cterror.Invalid {
 		s.log(frame, ctquery.FaultTooLarge.String(), now)
 		return s.refuseTooLarge(inTransaction)
--- a/internal/program/ctpools/outcomes.go
+++ b/internal/program/ctpools/outcomes.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/cherviltrestle/cherviltrestle/internal/decide/ctdialog"
 	"github.com/cherviltrestle/cherviltrestle/internal/decide/ctplace"
 	"github.com/cherviltrestle/cherviltrestle/internal/link/ctframe"
 	"github.com/cherviltrestle/cherviltrestle/internal/model/cterror"
@@ -69,8 +70,10 @@
 // RecordOutcome records whether a member served a query of a caller that Conn.Run ran. Answers
 // that say nothing about the member's condition are ignored, and so are failures on the way to a
 // forwarding proxy. Status queries are not recorded: a member may answer them and fail others.
-func (p *Pools) RecordOutcome(held *ctlock.Held, conn *Conn, answer ctquery.Answer, err error) {
-	failed := memberFailed(conn, answer, err)
+func (p *Pools) RecordOutcome(
+	held *ctlock.Held, conn *Conn, state *ctdialog.State, statement ctquery.Statement, answer ctquery.Answer, err error,
+) {
+	failed := memberFailed(conn, answer, err, reads(state, statement))
 	if !p.balanced.Load() || p.Stop.QueriesAbandoned() || (!failed && (err != nil || !answer.OK())) {
 		return
 	}
@@ -94,8 +97,25 @@
 	}
 }
 
-// memberFailed reports whether a query failed because of the member.
-func memberFailed(conn *Conn, answer ctquery.Answer, err error) bool {
+// reads reports whether a statement is a read, or the execution of a prepared one.
+func reads(state *ctdialog.State, statement ctquery.Statement) bool {
+	switch statement.(type) {
+	case ctquery.Read:
+		return true
+	case ctquery.Execute:
+		if state == nil {
+			return false
+		}
+		shape := state.ShapeOf(statement)
+		return shape != nil && !shape.Writes
+	}
+	return false
+}
+
+// memberFailed reports whether a query failed because of the member. A fault counts only for a
+// read: one that is wrong fails at all members, while a write runs at the primary alone, so that
+// the fault may be the caller's.
+func memberFailed(conn *Conn, answer ctquery.Answer, err error, read bool) bool {
 	if forwarding, ok := conn.executor.(*forwardingExecutor); ok && forwarding.pathFailed {
 		return false
 	}
@@ -103,7 +123,7 @@
 		kind := cterror.KindOf(err)
 		return kind == cterror.Expired || kind == cterror.Unavailable
 	}
-	return answer.Fault == ctquery.FaultFailed || answer.Fault == ctquery.FaultTimeout
+	return read && (answer.Fault == ctquery.FaultFailed || answer.Fault == ctquery.FaultTimeout)
 }
 
 // reportStanding logs and counts an ejection or a readmission.
