--- a/internal/decide/ctplace/choose_test.go
+++ b/internal/decide/ctplace/choose_test.go
@@ -61,15 +61,13 @@
 		assert.Assert(t, after.rejected*2 < before.rejected, "members reject too many: %d", after.rejected)
 		assert.Assert(t, after.high < before.high && after.mean < before.mean, "waits are too long: %s", after)
 	}
-	compare("calm", scenario{demand: [3]float64{0.4, 0.4, 0.4}, duration: time.Minute}, func(t *testing.T, before, after result) {
+	assertCalm := func(t *testing.T, before, after result) {
+		t.Helper()
 		assert.Assert(t, after.far <= before.far, "more statements leave their region: %s", after)
 		assert.Assert(t, after.rejected+after.unserved == 0)
-	})
-	compare("calm, few proxies", scenario{demand: [3]float64{0.6, 0.6, 0.6}, few: true},
-		func(t *testing.T, before, after result) {
-			assert.Assert(t, after.far <= before.far, "more statements leave their region: %s", after)
-			assert.Assert(t, after.rejected+after.unserved == 0)
-		})
+	}
+	compare("calm", scenario{demand: [3]float64{0.4, 0.4, 0.4}, duration: time.Minute}, assertCalm)
+	compare("calm, few proxies", scenario{demand: [3]float64{0.6, 0.6, 0.6}, few: true}, assertCalm)
 	compare("busy", scenario{demand: [3]float64{0.9, 0.9, 0.9}}, func(t *testing.T, before, after result) {
 		assertRelieved(t, before, after)
 		assert.Assert(t, after.spread < before.spread && after.far < before.far, "%s", after)
