--- a/internal/program/ctmetric/metrics.go
+++ b/internal/program/ctmetric/metrics.go
@@ -73,6 +73,10 @@
 	QuotaOperations *prometheus.CounterVec
 	QuotaWaiting    prometheus.Gauge
 	QuotaCap        *prometheus.GaugeVec
+	// Choices counts the members that were chosen for statements, by reason, and Ejections the
+	// members that were ejected because of the outcomes of their requests.
+	Choices   *prometheus.CounterVec
+	Ejections *prometheus.CounterVec
 	// ViewVersion is the version of the view in force.
 	ViewVersion prometheus.Gauge
 	// Revision is the revision of the configuration in force.
@@ -121,6 +125,9 @@
 		Revision:     f.gauge("config_revision", "Revision of the configuration in force."),
 		Reports:      f.counterVec("reports_total", "Reports to control.", "result"),
 		Panics:       f.counter("panics_total", panicsHelp),
+		Choices:     f.counterVec("placement_choices_total", "Members chosen for statements.", "reason"),
+		Ejections: f.counterVec(
+			"member_ejections_total", "Ejections of members that failed a part of their requests.", "member"),
 	}
 }
 
--- a/internal/program/ctnode/proxy.go
+++ b/internal/program/ctnode/proxy.go
@@ -94,6 +94,7 @@
 		TriggerReport: func() { p.uplink.TriggerReport() },
 	})
 	p.pools.Quotas = limits
+	p.pools.Policy = settings.Placement
 	p.gateway = ctgateway.New(ctgateway.Options{
 		FailureDomain: settings.FailureDomain,
 		State:         state,
@@ -150,7 +151,7 @@
 		return err
 	}
 	metricsServer, err := serveHTTP(
-		runCtx, p.settings.metricsAddress(), "metrics", metricRoutes(p.metrics.Handler()), p.logger)
+		runCtx, p.settings.metricsAddress(), "metrics", p.routes(), p.logger)
 	if err != nil {
 		return err
 	}
--- a/internal/program/ctnode/settings.go
+++ b/internal/program/ctnode/settings.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/cherviltrestle/cherviltrestle/internal/decide/ctquota"
+	"github.com/cherviltrestle/cherviltrestle/internal/decide/ctplace"
 	"github.com/cherviltrestle/cherviltrestle/internal/model/cterror"
 	"github.com/cherviltrestle/cherviltrestle/internal/model/ctid"
 )
@@ -44,6 +45,8 @@
 	StopTimeout time.Duration
 	// Quotas say how strictly the rate limits of workspaces are enforced.
 	Quotas ctquota.Bounds
+	// Placement says how members are selected; nil leaves it to the configuration.
+	Placement ctplace.Policy
 	// MemoryMB is how much memory the process may use, in megabytes.
 	MemoryMB int
 }
