ctpools, ctgateway: admission control for members with scarce capacity

Statements on a proxy's own connections are counted while they are in flight, whoever sent them, and requests wait in ctadmission.Queue for the limit and for a connection. Streams to other proxies are not limited; the proxies at their ends limit theirs. A request that is not expected to start before its send deadline is rejected on arrival; the forwarding proxy returns the expected wait, and the caller's proxy refuses at once when all members have no room.

After a rejection the pauses between attempts grow and are random, also for primaries and statements of transactions, which were sent again every 15 ms. A statement that was rejected as busy is not held until the statement timeout any more, but for a half of the target latency. The text of a refusal states the expected wait, with jitter, in place of always 250 ms.

A member's rejection of a connection because of its limit is told apart from a failure. It does not make the member unreachable (which counted toward failover), and idle connections of other workspaces are reused meanwhile instead of pausing all attempts. An owner that has just started opens its part of the reserved connections only until it has tried whether there are more.

--- a/internal/lab/ctmembers/group.go
+++ b/internal/lab/ctmembers/group.go
@@ -255,7 +255,7 @@
 	}
 	g.mutex.Unlock()
 	if full {
-		return nil, cterror.New(cterror.Unavailable, "the member accepts no more connections", "close some")
+		return nil, cterror.New(cterror.Exhausted, "the member accepts no more connections", "close some")
 	}
 	m.slots <- struct{}{}
 	time.Sleep(g.ConnectDelay)
--- a/internal/link/ctframe/forward.go
+++ b/internal/link/ctframe/forward.go
@@ -76,6 +76,9 @@
 	// the limit of the workspace is reached.
 	Refused     bool `cbor:"2,keyasint,omitempty"`
 	RateLimited bool `cbor:"8,keyasint,omitempty"`
+	// RetryAfter is set with Refused if the proxy knows how long a query would wait. No other
+	// attempt is worthwhile before.
+	RetryAfter time.Duration `cbor:"10,keyasint,omitempty"`
 	// Unanswered reports that the query was sent to the member but no answer arrived.
 	// TimedOut is set with it if the answer did not arrive in time.
 	Unanswered bool `cbor:"3,keyasint,omitempty"`
--- a/internal/model/ctquery/answer.go
+++ b/internal/model/ctquery/answer.go
@@ -49,6 +49,9 @@
 	Transaction Transaction
 	// Point is the point in the member's log that the answer reports; zero if unknown.
 	Point ctposition.Point
+	// RetryAfter is set with FaultBusy if another proxy refused the query and knows how long it
+	// would wait. No other attempt is worthwhile before.
+	RetryAfter time.Duration
 }
 
 // Check returns an error of kind cterror.Invalid if a row or the proof can't go on a line.
--- a/internal/program/ctgateway/run.go
+++ b/internal/program/ctgateway/run.go
@@ -1,9 +1,11 @@
 package ctgateway
 
 import (
+	"fmt"
 	"time"
 
 	"github.com/cherviltrestle/cherviltrestle/internal/decide/ctdialog"
+	"github.com/cherviltrestle/cherviltrestle/internal/decide/ctretry"
 	"github.com/cherviltrestle/cherviltrestle/internal/model/cterror"
 	"github.com/cherviltrestle/cherviltrestle/internal/model/ctid"
 	"github.com/cherviltrestle/cherviltrestle/internal/model/ctposition"
@@ -18,9 +20,20 @@
 	// a member within that part of it. Otherwise it is refused, which leaves the
 	// caller time to try another proxy.
 	sendTimeoutDivisor = 5
-	// retryDelay is the pause before the next search for a member when none may run
+	// retryDelay is the shortest pause before the next search for a member when none may run
 	// the statement.
 	retryDelay = 15 * time.Millisecond
+	// busyTimeoutDivisor divides a route's target latency: a statement that members rejected as
+	// busy is sent again within that part of it. Its caller then has time to retry.
+	busyTimeoutDivisor = 2
+	// defaultRetryAfter is when a caller should retry if nothing is known of the wait, and
+	// minRetryAfter and maxRetryAfter bound what it is told. Up to the retryJitterDivisor-th
+	// part is added at random, so that callers don't come back together.
+	defaultRetryAfter   = 250 * time.Millisecond
+	minRetryAfter       = 100 * time.Millisecond
+	maxRetryAfter       = 2 * time.Second
+	retryJitterDivisor  = 2
+	rateLimitRetryAfter = time.Second
 	// readTimeoutDivisor divides a route's statement timeout: a read that is not
 	// answered within that part of it is sent to another member.
 	readTimeoutDivisor = 3
@@ -51,6 +64,12 @@
 	sent bool
 	// tried holds the members that are not tried again before the next pause.
 	tried ctset.Set[ctid.Member]
+	// exhausted holds those of the tried members at which the statement would wait for too
+	// long, and retryAfter is the longest known wait at them.
+	exhausted  ctset.Set[ctid.Member]
+	retryAfter time.Duration
+	// busyAnswers counts the answers with ctquery.FaultBusy.
+	busyAnswers int
 	// lastFault is the fault in the last answer of a failed attempt.
 	lastFault ctquery.Fault
 	// rateLimited reports that the rate limit of the workspace is reached.
@@ -140,6 +159,7 @@
 	if p == nil {
 		return ctdialog.Unanswered{}
 	}
+	random := s.gateway.Pools.Random
 	e.target = target{member: p.conn.Member, primary: p.primary, term: p.term}
 	if p.writable && s.gateway.termEnded(&s.held, p.group, p.term) {
 		e.refusal = refusalPrimaryReplaced
@@ -155,7 +175,8 @@
 		if !retry || !s.gateway.Clock.Now().Before(e.sendBy) {
 			return s.replied(e, answer)
 		}
-		<-s.gateway.Clock.After(retryDelay)
+		e.busyAnswers++
+		<-s.gateway.Clock.After(e.retryPause(random))
 	}
 }
 
@@ -203,19 +224,30 @@
 	}
 }
 
-// waitOrRefuse waits for retryDelay when no member may run the statement, and returns
-// nil. It returns a refusal if the statement must not wait any longer.
+// waitOrRefuse waits for a while when no member may run the statement, and returns
+// nil. It returns a refusal if the statement must not wait any longer, or if all members that
+// may run it are known to have no room in time.
 func (s *session) waitOrRefuse(e *execution) ctdialog.Result {
 	now := s.gateway.Clock.Now()
-	deadline := s.sendDeadline(e, now)
-	if e.attempts >= maxAttempts || !now.Add(retryDelay).Before(deadline) {
+	pause := e.retryPause(s.gateway.Pools.Random)
+	noRoom := e.tried.Len() > 0 && e.tried.Len() == e.exhausted.Len()
+	if noRoom || e.attempts >= maxAttempts || !now.Add(pause).Before(s.sendDeadline(e, now)) {
 		return s.refuse(e)
 	}
-	e.tried = ctset.Set[ctid.Member]{}
-	<-s.gateway.Clock.After(retryDelay)
+	e.tried, e.exhausted = ctset.Set[ctid.Member]{}, ctset.Set[ctid.Member]{}
+	<-s.gateway.Clock.After(pause)
 	return nil
 }
 
+// retryPause returns the pause before the next attempt. It is random and grows while members
+// answer that they are busy.
+func (e *execution) retryPause(random ctretry.Random) time.Duration {
+	if e.busyAnswers == 0 {
+		return retryDelay
+	}
+	return max(retryDelay, ctretry.Backoff(e.busyAnswers, random))
+}
+
 // sendDeadline returns until when a statement may wait to be sent to a member.
 // Normally that is e.sendBy. It is later after a first attempt, while the proxy has
 // just started, and during a change of the primary: a member should then be available
@@ -223,6 +255,9 @@
 // lapsed or if the configuration is outdated.
 func (s *session) sendDeadline(e *execution, now time.Time) time.Time {
 	switch {
+	case e.attempts > 0 && e.lastFault == ctquery.FaultBusy:
+		target := s.route.TargetLatency.Or(defaultTargetLatency)
+		return earlier(e.answerBy, e.startedAt.Add(target/busyTimeoutDivisor))
 	case e.attempts > 0 || !s.gateway.primariesReached.Load():
 		return e.answerBy
 	case s.gateway.authorityLapsed(&s.held) || s.gateway.State.ConfigOutdated(&s.held):
@@ -247,7 +282,29 @@
 	if e.lastFault == ctquery.FaultBehind {
 		fault = e.lastFault
 	}
-	return ctdialog.Refused{Fault: fault, Text: "no member can run this now; retry after 250 ms"}
+	text := "no member can run this now; " + s.retryText(s.expectedRetry(e))
+	return ctdialog.Refused{Fault: fault, Text: text}
+}
+
+// expectedRetry returns after how long another attempt can succeed: when the change of the primary
+// should be complete, or after the wait at the members that had no room.
+func (s *session) expectedRetry(e *execution) time.Duration {
+	group := s.gateway.State.View(&s.held).Groups[s.route.Group]
+	changeEnd := s.gateway.expectedChangeEnd(&s.held, group).Sub(s.gateway.Clock.Now())
+	switch {
+	case e.run.Primary && changeEnd > 0:
+		return changeEnd
+	case e.retryAfter > 0:
+		return e.retryAfter
+	}
+	return defaultRetryAfter
+}
+
+// retryText returns the part of a refusal's text that says when to retry.
+func (s *session) retryText(wait time.Duration) string {
+	wait = min(max(wait, minRetryAfter), maxRetryAfter)
+	wait += time.Duration(s.gateway.Pools.Random.Int64N(int64(wait) / retryJitterDivisor))
+	return fmt.Sprintf("retry after %d ms", wait.Milliseconds())
 }
 
 // refuseRateLimited returns the result of an operation over the rate limit of its workspace.
@@ -255,7 +312,7 @@
 	e.refusal = refusalRateLimited
 	s.gateway.Metrics.RateLimited.Inc()
 	return ctdialog.Refused{
-		Fault: ctquery.FaultBusy, Text: "the rate limit of the workspace is reached; retry after 1000 ms",
+		Fault: ctquery.FaultBusy, Text: "the rate limit of the workspace is reached; " + s.retryText(rateLimitRetryAfter),
 	}
 }
 
@@ -268,16 +325,20 @@
 		// Replicas keep serving while a change of the primary takes too long.
 		deadline = e.sendBy
 	}
-	conn, err := s.gateway.Pools.Acquire(&s.held, e.target.member, ctpools.AcquireOptions{
+	options := ctpools.AcquireOptions{
 		State:     s.dialog.State(),
 		Workspace: s.workspace.Name,
 		Operation: true,
 		Priority:  s.priority(),
 		Deadline:  deadline,
-	})
+	}
+	conn, err := s.gateway.Pools.Acquire(&s.held, e.target.member, options)
 	if err != nil {
 		e.rateLimited = cterror.KindOf(err) == cterror.RateLimited
 		e.tried.Add(e.target.member)
+		if cterror.KindOf(err) == cterror.Exhausted {
+			e.recordNoRoom(s.gateway.Pools.ExpectedWait(&s.held, e.target.member, options))
+		}
 		return false
 	}
 	// The connection may have been released by a session that the planned stop has ended.
@@ -296,6 +357,23 @@
 	return true
 }
 
+// recordNoRoom records that the statement would wait at the target for too long.
+func (e *execution) recordNoRoom(wait time.Duration) {
+	e.exhausted.Add(e.target.member)
+	e.retryAfter = max(e.retryAfter, wait)
+}
+
+// recordFault records the fault in an answer of the target.
+func (e *execution) recordFault(answer ctquery.Answer) {
+	e.lastFault = answer.Fault
+	if answer.Fault == ctquery.FaultBusy {
+		e.busyAnswers++
+	}
+	if answer.RetryAfter > 0 {
+		e.recordNoRoom(answer.RetryAfter)
+	}
+}
+
 // runOnTarget runs the statement on the pinned connection, after the BEGIN of its
 // transaction if there is one. It returns nil if another member may be tried.
 func (s *session) runOnTarget(e *execution) ctdialog.Result {
@@ -348,7 +426,7 @@
 		}
 		return nil
 	}
-	e.lastFault = answer.Fault
+	e.recordFault(answer)
 	if e.rateLimited {
 		s.unpin(ctpools.Result{NotRun: true})
 		return nil
--- a/internal/program/ctpools/conn.go
+++ b/internal/program/ctpools/conn.go
@@ -89,6 +89,10 @@
 	workspace ctid.Workspace
 	// counted reports whether the user's operation counts toward the limit of the workspace.
 	counted bool
+	// pools is set for connections to members, whose statements in flight are counted. inFlight
+	// reports whether one is.
+	pools    *Pools
+	inFlight bool
 	// peer is the proxy at the other end of a stream of peerStreams; invalid for others.
 	peer netip.AddrPort
 }
@@ -106,7 +110,10 @@
 // cterror.Expired after the deadline or once the query is abandoned, else of kind
 // cterror.Unavailable. The connection can't be used after these errors.
 func (c *Conn) Run(state *ctdialog.State, query ctquery.Query, limits Limits) (ctquery.Answer, error) {
-	return c.executor.run(state, query, limits)
+	if c.pools == nil {
+		return c.executor.run(state, query, limits)
+	}
+	return c.pools.runMeasured(c, state, query, limits)
 }
 
 // Alive reports whether the connection is open and no answer is outstanding.
--- a/internal/program/ctpools/forwarding.go
+++ b/internal/program/ctpools/forwarding.go
@@ -205,7 +205,9 @@
 	case reply.RateLimited:
 		return ctquery.Answer{}, errRateLimited()
 	case reply.Refused:
-		return ctquery.Answer{Fault: ctquery.FaultBusy, Text: "the carrying proxy had no connection in time"}, nil
+		return ctquery.Answer{
+			Fault: ctquery.FaultBusy, Text: "the carrying proxy had no connection in time", RetryAfter: reply.RetryAfter,
+		}, nil
 	case reply.TimedOut:
 		return ctquery.Answer{}, cterror.New(cterror.Expired, "the member did not answer in time", "try another member")
 	}
--- a/internal/program/ctpools/forwardserver.go
+++ b/internal/program/ctpools/forwardserver.go
@@ -129,7 +129,11 @@
 		if err := s.acquire(frame, state, now); err != nil {
 			limited := cterror.KindOf(err) == cterror.RateLimited
 			s.log(frame, "refused_"+cterror.KindOf(err).String(), now)
-			return &ctframe.ForwardReply{Refused: true, RateLimited: limited}
+			reply := &ctframe.ForwardReply{Refused: true, RateLimited: limited}
+			if cterror.KindOf(err) == cterror.Exhausted {
+				reply.RetryAfter = s.pools.ExpectedWait(&s.held, frame.Member, s.options(frame, state, now))
+			}
+			return reply
 		}
 	}
 	sentAt := s.pools.Clock.Now()
@@ -232,21 +236,26 @@
 	if !s.pools.OwnsConnections(&s.held, frame.Member) {
 		return cterror.New(cterror.Unavailable, "this proxy has no connections to the member", "use another proxy")
 	}
+	conn, err := s.pools.acquireOwn(&s.held, frame.Member, s.options(frame, state, now))
+	if err != nil {
+		return err
+	}
+	s.conn = conn
+	s.pools.forwardedCount.Add(1)
+	return nil
+}
+
+// options returns how a forwarded query waits for a connection.
+func (s *forwardServer) options(frame *ctframe.Forward, state *ctdialog.State, now time.Time) AcquireOptions {
 	_, isStatus := frame.Query.Statement().(ctquery.ReadStatus)
-	conn, err := s.pools.acquireOwn(&s.held, frame.Member, AcquireOptions{
+	return AcquireOptions{
 		State:        state,
 		Workspace:    frame.Workspace,
 		AnyWorkspace: isStatus,
 		Operation:    frame.Operation && !isStatus,
 		Priority:     Priority{Route: frame.Priority, Workspace: frame.WorkspacePriority},
 		Deadline:     now.Add(min(frame.AcquireTimeout, frame.AnswerTimeout)),
-	})
-	if err != nil {
-		return err
 	}
-	s.conn = conn
-	s.pools.forwardedCount.Add(1)
-	return nil
 }
 
 // release returns the connection to the pools.
--- a/internal/program/ctpools/memberstate.go
+++ b/internal/program/ctpools/memberstate.go
@@ -42,14 +42,18 @@
 		member = MemberState{
 			Server: m.server, LeavingSince: m.leavingSince, Latency: m.latency, Running: m.running,
 			Applied: m.applied, AvoidUntil: m.avoidUntil,
-			Free: max(0, len(m.idle)+m.limit-m.open-len(m.waiters)),
+			Free: max(0, len(m.idle)+m.limit-m.open-m.queue.Len()),
 		}
 		if m.remote {
 			// Streams to the owners are opened on demand.
 			member.Free = 1
 		}
-		if p.Clock.Now().Before(m.nextDialAt) && len(m.idle) == 0 && m.open == 0 {
-			member.AvoidUntil = m.nextDialAt
+		now := p.Clock.Now()
+		if now.Before(m.opening.NextAt()) && len(m.idle) == 0 && m.open == 0 {
+			member.AvoidUntil = m.opening.NextAt()
+		}
+		if pausedUntil := m.statements.PausedUntil(); pausedUntil.After(member.AvoidUntil) {
+			member.AvoidUntil = pausedUntil
 		}
 	})
 	return member, found
@@ -90,7 +94,7 @@
 		timedOut := !m.unansweredSince.IsZero() && now.Sub(m.unansweredSince) > unansweredTimeout &&
 			now.Sub(m.answeredAt) > unansweredTimeout
 		switch {
-		case m.failures > 1 && m.open == 0, timedOut:
+		case m.opening.Failures() > 1 && m.open == 0, timedOut:
 			reachability = Unreachable
 		case now.Sub(m.answeredAt) < reachableTTL:
 			reachability = Reachable
--- a/internal/program/ctpools/ownership.go
+++ b/internal/program/ctpools/ownership.go
@@ -3,6 +3,7 @@
 import (
 	"net/netip"
 	"slices"
+	"time"
 
 	"github.com/cherviltrestle/cherviltrestle/internal/decide/ctowner"
 	"github.com/cherviltrestle/cherviltrestle/internal/model/ctid"
@@ -18,6 +19,9 @@
 	ownedWhole = 4
 )
 
+// lostConnectionTTL is how long a member counts the connections of a process that lost power.
+const lostConnectionTTL = 3 * time.Second
+
 // ownership says which proxies open the connections of each workspace to the members of each
 // failure domain. It does not change once it is built.
 type ownership struct {
@@ -144,7 +148,11 @@
 	if !slices.Contains(owners, self) {
 		return connectionShare{remote: true}
 	}
-	return connectionShare{limit: max(1, ownedConnections(server.Connections)/len(owners))}
+	owned := ownedConnections(server.Connections)
+	return connectionShare{
+		limit: max(1, owned/len(owners)), processes: len(owners),
+		reserved: max(1, (server.Connections-reservedForControl-owned)/len(owners)),
+	}
 }
 
 // largestOwned returns the largest workspace that a proxy owns for the members of a failure
--- a/internal/program/ctpools/peerstreams.go
+++ b/internal/program/ctpools/peerstreams.go
@@ -225,10 +225,10 @@
 // reachRemote opens a stream to an owner of the member's connections in the background, so that
 // the member counts as reached and the first query finds a stream.
 func (p *Pools) reachRemote(m *memberPool) {
-	if p.Clock.Now().Before(m.nextDialAt) {
+	if p.Clock.Now().Before(m.nextReachAt) {
 		return
 	}
-	m.nextDialAt = p.Clock.Now().Add(streamOpenTimeout)
+	m.nextReachAt = p.Clock.Now().Add(streamOpenTimeout)
 	name := m.server.Member
 	go func() {
 		var held ctlock.Held
--- a/internal/program/ctpools/pools.go
+++ b/internal/program/ctpools/pools.go
@@ -1,7 +1,6 @@
 package ctpools
 
 import (
-	"cmp"
 	"context"
 	"net/netip"
 	"slices"
@@ -10,8 +9,10 @@
 
 	"github.com/rs/zerolog"
 
+	"github.com/cherviltrestle/cherviltrestle/internal/decide/ctadmission"
 	"github.com/cherviltrestle/cherviltrestle/internal/decide/ctdialog"
 	"github.com/cherviltrestle/cherviltrestle/internal/decide/ctplace"
+	"github.com/cherviltrestle/cherviltrestle/internal/decide/ctretry"
 	"github.com/cherviltrestle/cherviltrestle/internal/link/ctframe"
 	"github.com/cherviltrestle/cherviltrestle/internal/model/cterror"
 	"github.com/cherviltrestle/cherviltrestle/internal/model/ctid"
@@ -32,7 +33,7 @@
 	dialTimeout = time.Second
 	// streamOpenTimeout bounds the opening of a stream to a forwarding proxy.
 	streamOpenTimeout = 300 * time.Millisecond
-	// firstBackoff is the pause after a failed attempt to open a connection. It
+	// firstBackoff is the pause after a failed attempt to open a stream to an owner. It
 	// doubles with each further failure, up to maxBackoff.
 	firstBackoff = 50 * time.Millisecond
 	maxBackoff   = time.Second
@@ -92,6 +93,10 @@
 	Metrics *ctmetric.Metrics
 	// Quotas is nil if workspaces have no limits.
 	Quotas Quotas
+	// Random spreads the retries of proxies over time.
+	Random ctretry.Random
+	// startedAt is when the pools were made.
+	startedAt time.Time
 
 	// connectionCount numbers the connections to members.
 	connectionCount atomic.Uint64
@@ -120,6 +125,8 @@
 	// counts only those that are being opened.
 	open    int
 	dialing int
+	// dialingFor counts the connections that are being opened, by workspace.
+	dialingFor map[ctid.Workspace]int
 	// closedInDoubt counts the connections that were closed because an answer was in
 	// doubt, and not opened again since.
 	closedInDoubt int
@@ -134,8 +141,18 @@
 	remote bool
 	// limit is how many connections may be open.
 	limit int
-	// waiters are the requests that wait for a connection, the most urgent first.
-	waiters []waiter
+	// queue holds the requests that wait for a connection, and ready the channels that receive
+	// the connections. A channel is closed if none can be opened.
+	queue ctadmission.Queue
+	ready map[ctadmission.Ticket]chan *Conn
+	// statements limits the statements in flight on this proxy's own connections, and opening
+	// paces the attempts to open connections.
+	statements ctadmission.Limit
+	opening    ctadmission.Opening
+	// waking reports that serveWaiters runs again after a pause.
+	waking bool
+	// loggedBound is the bound of statements that was logged last.
+	loggedBound int
 
 	latency ctplace.Latency
 	// running counts the connections that users have acquired.
@@ -144,10 +161,8 @@
 	applied ctposition.Point
 	// avoidUntil is until when the member is used only as a last resort.
 	avoidUntil time.Time
-	// failures counts the consecutive failures to open a connection. After one, none
-	// is opened before nextDialAt.
-	failures   int
-	nextDialAt time.Time
+	// nextReachAt is before when reachRemote does nothing.
+	nextReachAt time.Time
 	// answeredAt is when the member last answered a query or a connection was opened.
 	// unansweredSince is since when acquired connections have brought no answer; zero
 	// while none is acquired.
@@ -155,42 +170,8 @@
 	unansweredSince time.Time
 }
 
-// waiter is a request that waits for a connection.
-type waiter struct {
-	// ready receives the connection. It is closed if none can be opened.
-	ready chan *Conn
-	// priority is the most urgent one for the requests that are served first.
-	priority Priority
-	// workspace is the one that the connection must serve, unless anyWorkspace is set.
-	workspace    ctid.Workspace
-	anyWorkspace bool
-}
-
-// accepts reports whether a connection may be passed to the request.
-func (w *waiter) accepts(conn *Conn) bool {
-	return w.anyWorkspace || conn.workspace == w.workspace
-}
-
-// Priority orders the requests that wait for a connection. Lower values are more urgent, and
-// that of the route comes first.
-type Priority struct {
-	Route     int
-	Workspace int
-}
-
-// Compare compares the urgency of two priorities. The more urgent one is less.
-func (p Priority) Compare(other Priority) int {
-	return cmp.Or(cmp.Compare(p.Route, other.Route), cmp.Compare(p.Workspace, other.Workspace))
-}
-
-// enqueue inserts a request behind those of the same or a more urgent priority.
-func (m *memberPool) enqueue(w waiter) {
-	i := len(m.waiters)
-	for i > 0 && m.waiters[i-1].priority.Compare(w.priority) > 0 {
-		i--
-	}
-	m.waiters = slices.Insert(m.waiters, i, w)
-}
+// Priority orders the requests that wait for a connection.
+type Priority = ctadmission.Priority
 
 // AcquireOptions says which connection a request prefers and how it waits for one.
 type AcquireOptions struct {
@@ -217,6 +198,7 @@
 ) *Pools {
 	return &Pools{
 		Dialer: dialer, Self: self, Transport: transport, Clock: clock, Logger: logger,
+		Random: systemRandom{}, startedAt: clock.Now(),
 		members: cttable.Table[ctid.Member, memberPool]{Rank: ctlock.RankMembers},
 		peers:   cttable.Table[netip.AddrPort, peerStreams]{Rank: ctlock.RankPeers},
 	}
@@ -252,41 +234,56 @@
 	return conn, err
 }
 
-// takeConn takes an idle connection, or waits for one.
+// takeConn takes an idle connection, or waits for one. It rejects a request at once that is not
+// expected to get one in time.
 func (p *Pools) takeConn(held *ctlock.Held, name ctid.Member, options AcquireOptions) (*Conn, error) {
 	var conn *Conn
 	var ready chan *Conn
+	var ticket ctadmission.Ticket
+	var tooLate error
 	p.members.With(held, func(members map[ctid.Member]*memberPool) {
 		m, ok := members[name]
 		if !ok {
 			return
 		}
-		w := waiter{
-			priority: options.Priority, workspace: options.Workspace, anyWorkspace: options.AnyWorkspace,
+		now := p.Clock.Now()
+		r := ctadmission.Request{
+			Priority: options.Priority, Workspace: options.Workspace, AnyWorkspace: options.AnyWorkspace,
+			AddedAt: now, Deadline: options.Deadline,
 		}
-		if conn = m.popIdle(options.State, &w); conn != nil {
+		admitted := m.admits(now, &r)
+		if admitted {
+			conn = m.popIdle(options.State, &r)
+		}
+		if conn != nil {
 			p.markAcquired(m, conn)
 			return
 		}
-		p.dialMore(m, options.Workspace)
-		if m.open > 0 {
+		if admitted || m.open == 0 {
+			p.dialMore(m, options.Workspace)
+		}
+		if tooLate = p.rejectLate(m, now, r); m.open > 0 && tooLate == nil {
 			ready = make(chan *Conn, 1)
-			w.ready = ready
-			m.enqueue(w)
+			ticket = m.enqueue(r, ready)
+			p.wakeLater(m, now)
 		}
 	})
 	switch {
 	case conn != nil:
 		return conn, nil
+	case tooLate != nil:
+		return nil, tooLate
 	case ready == nil:
 		return nil, cterror.New(cterror.Unavailable, "no connection to the member can be opened", "try another member")
 	}
-	return p.awaitConn(held, name, ready, options.Deadline)
+	return p.awaitConn(held, name, ready, ticket, options.Deadline)
 }
 
-// awaitConn waits until a connection is opened or released for the waiter with the
+// awaitConn waits until a connection is opened or released for the request with the
 // channel ready. It returns the errors of Acquire.
-func (p *Pools) awaitConn(held *ctlock.Held, name ctid.Member, ready chan *Conn, deadline time.Time) (*Conn, error) {
+func (p *Pools) awaitConn(
+	held *ctlock.Held, name ctid.Member, ready chan *Conn, ticket ctadmission.Ticket, deadline time.Time,
+) (*Conn, error) {
 	timer := time.NewTimer(deadline.Sub(p.Clock.Now()))
 	defer timer.Stop()
 	select {
@@ -299,8 +296,9 @@
 	case <-p.Stop.Abandoned():
 	}
 	p.members.With(held, func(members map[ctid.Member]*memberPool) {
-		if m, ok := members[name]; ok {
-			m.waiters = slices.DeleteFunc(m.waiters, func(w waiter) bool { return w.ready == ready })
+		if m, ok := members[name]; ok && m.ready[ticket] == ready {
+			m.queue.Remove(ticket)
+			delete(m.ready, ticket)
 		}
 	})
 	select {
@@ -313,14 +311,14 @@
 	return nil, cterror.New(cterror.Exhausted, "no connection to the member became free in time", "try again soon")
 }
 
-// popIdle removes an idle connection that a waiter accepts and returns it, if possible one
+// popIdle removes an idle connection that a request accepts and returns it, if possible one
 // that has the session's values. It returns nil if there is none. Broken connections are
 // closed.
-func (m *memberPool) popIdle(state *ctdialog.State, w *waiter) *Conn {
+func (m *memberPool) popIdle(state *ctdialog.State, r *ctadmission.Request) *Conn {
 	m.closeBroken()
 	best := -1
 	for i, c := range slices.Backward(m.idle) {
-		if !w.accepts(c) {
+		if !c.serves(r) {
 			continue
 		}
 		if best < 0 {
@@ -377,6 +375,7 @@
 func (p *Pools) markAcquired(m *memberPool, conn *Conn) {
 	conn.acquiredAt = p.Clock.Now()
 	m.running++
+	m.startStatement(conn)
 	if m.unansweredSince.IsZero() {
 		m.unansweredSince = conn.acquiredAt
 	}
@@ -392,14 +391,15 @@
 	if len(m.forwarders) > 0 {
 		maxDialing = concurrentStreamOpens
 	}
-	if m.dialing >= maxDialing || now.Before(m.nextDialAt) {
+	most := m.opening.Max(now, m.limit, m.dialing)
+	if m.dialing >= maxDialing || most == 0 {
 		return
 	}
-	if m.open >= m.limit && !p.evictIdle(m, workspace) {
+	if m.open >= most && !p.evictIdle(m, workspace, most) {
 		return
 	}
 	m.open++
-	m.dialing++
+	m.countDialing(workspace, 1)
 	var forwarder netip.AddrPort
 	if len(m.forwarders) > 0 {
 		m.forwarderIndex++
@@ -408,11 +408,22 @@
 	go p.dial(m.server, forwarder, workspace)
 }
 
+// countDialing adds a number to those of the connections that are being opened.
+func (m *memberPool) countDialing(workspace ctid.Workspace, n int) {
+	m.dialing += n
+	if m.dialingFor == nil {
+		m.dialingFor = make(map[ctid.Workspace]int)
+	}
+	if m.dialingFor[workspace] += n; m.dialingFor[workspace] == 0 {
+		delete(m.dialingFor, workspace)
+	}
+}
+
 // evictIdle closes the connection of another workspace that has been idle for the longest time.
-// It reports whether the limit allows another connection then.
-func (p *Pools) evictIdle(m *memberPool, workspace ctid.Workspace) bool {
+// It reports whether another connection may be opened then, of which most may be open.
+func (p *Pools) evictIdle(m *memberPool, workspace ctid.Workspace, most int) bool {
 	i := slices.IndexFunc(m.idle, func(c *Conn) bool { return c.workspace != workspace })
-	if i < 0 || m.open > m.limit {
+	if i < 0 || m.open > most {
 		return false
 	}
 	m.idle[i].close()
@@ -432,33 +443,28 @@
 	if err != nil {
 		p.Logger.Info().Str("event", "dial_failed").Str("member", string(server.Member)).
 			Stringer("address", server.Address).Str("error", err.Error()).Send()
-		p.recordDialFailure(&held, server)
+		p.recordDialFailure(&held, server, workspace, err)
 		return
 	}
 	conn := newConn(server, e)
 	conn.workspace = workspace
+	if !forwarder.IsValid() {
+		conn.pools = p
+	}
 	p.members.With(&held, func(members map[ctid.Member]*memberPool) {
 		m, ok := members[server.Member]
 		if !ok || m.server.Incarnation != server.Incarnation {
 			conn.close()
 			return
 		}
-		m.dialing--
-		m.failures = 0
+		m.countDialing(workspace, -1)
 		m.answeredAt = p.Clock.Now()
+		m.opening.Opened(m.answeredAt, m.open-m.dialing)
 		p.countReopened(m)
 		p.assign(m, conn)
-		p.dialForWaiter(m)
 	})
 }
 
-// dialForWaiter starts to open a connection for the most urgent request that waits, if any.
-func (p *Pools) dialForWaiter(m *memberPool) {
-	if len(m.waiters) > 0 {
-		p.dialMore(m, m.waiters[0].workspace)
-	}
-}
-
 // connect opens a connection to a member for a workspace, or a stream to a proxy that forwards
 // queries to it if forwarder is valid.
 func (p *Pools) connect(
@@ -484,43 +490,40 @@
 
 // recordDialFailure sets the pause before the next attempt. If no connection is left,
 // it fails all waiters.
-func (p *Pools) recordDialFailure(held *ctlock.Held, server ctserver.Announcement) {
+func (p *Pools) recordDialFailure(
+	held *ctlock.Held, server ctserver.Announcement, workspace ctid.Workspace, err error,
+) {
 	p.members.With(held, func(members map[ctid.Member]*memberPool) {
 		m, ok := members[server.Member]
 		if !ok || m.server.Incarnation != server.Incarnation {
 			return
 		}
-		m.dialing--
+		m.countDialing(workspace, -1)
 		m.open--
-		m.failures++
-		backoff := min(firstBackoff<<min(m.failures-1, 8), maxBackoff)
-		m.nextDialAt = p.Clock.Now().Add(backoff)
+		now := p.Clock.Now()
+		if cterror.KindOf(err) == cterror.Exhausted {
+			m.opening.Rejected(now, m.open-m.dialing, p.Random)
+		} else {
+			m.opening.Failed(now)
+		}
 		if m.open > 0 {
+			p.serveWaiters(m)
 			return
 		}
-		for _, w := range m.waiters {
-			close(w.ready)
-		}
-		m.waiters = nil
+		m.failWaiters()
 	})
 }
 
-// assign passes a free connection to the first waiter that accepts it. Without one it makes
-// the connection idle, or closes it if more are open than the limit allows.
+// assign makes a free connection idle and passes it to the next request that accepts it. It
+// closes the connection if no request does and more are open than the limit allows.
 func (p *Pools) assign(m *memberPool, conn *Conn) {
-	if i := slices.IndexFunc(m.waiters, func(w waiter) bool { return w.accepts(conn) }); i >= 0 {
-		ready := m.waiters[i].ready
-		m.waiters = slices.Delete(m.waiters, i, i+1)
-		p.markAcquired(m, conn)
-		ready <- conn
-		return
-	}
-	if m.open > m.limit {
+	m.idle = append(m.idle, conn)
+	p.serveWaiters(m)
+	if last := len(m.idle) - 1; m.open > m.limit && last >= 0 && m.idle[last] == conn {
 		conn.close()
+		m.idle = m.idle[:last]
 		m.open--
-		return
 	}
-	m.idle = append(m.idle, conn)
 }
 
 // Result is the outcome of running a query on a connection.
@@ -564,17 +567,14 @@
 			conn.close()
 			return
 		}
+		m.endStatement(conn)
 		p.endUse(m, result)
 		if conn.Alive() {
 			p.assign(m, conn)
-			if len(m.idle) > 0 && m.dialing == 0 {
-				// Requests of other workspaces may wait beside an idle connection.
-				p.dialForWaiter(m)
-			}
 			return
 		}
 		m.forget(conn)
-		p.dialForWaiter(m)
+		p.serveWaiters(m)
 	})
 }
 
--- a/internal/program/ctpools/view.go
+++ b/internal/program/ctpools/view.go
@@ -33,7 +33,11 @@
 				m = &memberPool{}
 				members[name] = m
 			}
-			p.updateMember(m, now, server, p.shareOf(view, server))
+			share := p.shareOf(view, server)
+			if !ok && share.reserved > 0 && now.Sub(p.startedAt) < lostConnectionTTL {
+				m.opening.Begin(now, share.reserved, p.Random)
+			}
+			p.updateMember(m, now, server, share)
 		}
 	})
 }
@@ -47,6 +51,11 @@
 	forwarders []netip.AddrPort
 	// remote reports whether the owners of each workspace have the connections instead.
 	remote bool
+	// processes is how many proxies have connections to the member.
+	processes int
+	// reserved is this proxy's part of the connections that are left to processes that have
+	// lost power; 0 if none are.
+	reserved int
 }
 
 // minShare is the least number of connections per proxy with which all proxies open
@@ -65,10 +74,10 @@
 	share := connections / max(1, len(view.Proxies))
 	domainProxies := view.ProxiesOf(server.FailureDomain)
 	if share >= minShare || p.Transport == nil || len(domainProxies) == 0 {
-		return connectionShare{limit: max(1, share)}
+		return connectionShare{limit: max(1, share), processes: len(view.Proxies)}
 	}
 	if p.Self.FailureDomain == server.FailureDomain {
-		return connectionShare{limit: max(1, connections/len(domainProxies))}
+		return connectionShare{limit: max(1, connections/len(domainProxies)), processes: len(domainProxies)}
 	}
 	return connectionShare{limit: maxForwardStreams, forwarders: p.forwarders(view, domainProxies)}
 }
@@ -114,6 +123,7 @@
 	m.forwarders, m.remote = share.forwarders, share.remote
 	limit := share.limit
 	m.server = server
+	m.statements.Slots, m.statements.Processes = server.Slots, share.processes
 	switch {
 	case server.State == ctserver.StateReady:
 		m.leavingSince = time.Time{}
@@ -138,10 +148,8 @@
 	for _, c := range m.idle {
 		c.close()
 	}
-	for _, w := range m.waiters {
-		close(w.ready)
-	}
-	m.idle, m.waiters = nil, nil
+	m.idle = nil
+	m.failWaiters()
 }
 
 // Maintain is called periodically. It opens a connection to each member of the groups
