--- a/internal/decide/ctadmission/queue.go
+++ b/internal/decide/ctadmission/queue.go
@@ -9,10 +9,12 @@
 )
 
 const (
-	// drainSmoothing is the weight of one interval in the mean interval between starts.
+	// drainSmoothing is the weight of one interval in the mean interval between starts, and
+	// maxInterval the longest that counts, so that a stall is forgotten soon.
 	drainSmoothing = 0.125
-	// drainTTL is how long that mean counts.
-	drainTTL = 5 * time.Second
+	maxInterval    = 200 * time.Millisecond
+	// minIntervals is how many intervals must be known before a wait is estimated.
+	minIntervals = 4
 )
 
 // Ticket identifies a request that waits.
@@ -54,12 +56,11 @@
 	// virtual times at which the last request of each workspace has had its share.
 	virtualTime int
 	finishTags  map[ctid.Workspace]int
-	// interval is the mean time between two starts while requests wait, as of startedAt.
-	// busySince is when the last one started since which requests have waited all the time;
-	// zero if none has.
-	interval  time.Duration
+	// startedAt is when the last request started; zero if none waited since. interval is the
+	// mean time between two starts since requests wait, and intervals counts these times.
 	startedAt time.Time
-	busySince time.Time
+	interval  time.Duration
+	intervals int
 }
 
 // Len returns how many requests wait.
@@ -150,22 +151,22 @@
 	}
 	q.virtualTime = q.startTag(workspace)
 	q.finishTags[workspace] = q.virtualTime + 1
-	if !q.busySince.IsZero() {
-		interval := now.Sub(q.busySince)
-		if now.Sub(q.startedAt) > drainTTL {
+	if !q.startedAt.IsZero() {
+		interval := min(now.Sub(q.startedAt), maxInterval)
+		if q.intervals == 0 {
 			q.interval = interval
 		}
 		q.interval += time.Duration(float64(interval-q.interval) * drainSmoothing)
-		q.startedAt = now
+		q.intervals++
 	}
-	q.busySince = now
+	q.startedAt = now
 	q.resetIfEmpty()
 }
 
 // resetIfEmpty forgets what counts only while requests wait.
 func (q *Queue) resetIfEmpty() {
 	if len(q.waiting) == 0 {
-		q.busySince = time.Time{}
+		q.startedAt, q.interval, q.intervals = time.Time{}, 0, 0
 		q.virtualTime = 0
 		clear(q.finishTags)
 	}
@@ -173,20 +174,20 @@
 
 // ExpectedWait returns how long a request that arrives now would wait, or 0 if that is not known.
 func (q *Queue) ExpectedWait(now time.Time, r Request) time.Duration {
-	ahead := q.countAhead(&r)
-	if ahead == 0 || q.interval == 0 || now.Sub(q.startedAt) > drainTTL {
+	if q.intervals < minIntervals {
 		return 0
 	}
-	return time.Duration(ahead) * q.interval
+	return time.Duration(q.countAhead(now, &r)) * q.interval
 }
 
 // countAhead returns how many of the waiting requests start before one that arrives now. Of other
 // workspaces with the same priority, as many do as of its own, and one more.
-func (q *Queue) countAhead(r *Request) int {
+func (q *Queue) countAhead(now time.Time, r *Request) int {
 	ahead := 0
 	same := make(map[ctid.Workspace]int)
 	for i := range q.waiting {
 		switch c := q.waiting[i].Priority.Compare(r.Priority); {
+		case !now.Before(q.waiting[i].Deadline):
 		case c < 0:
 			ahead++
 		case c == 0:
--- a/internal/program/ctpools/admission.go
+++ b/internal/program/ctpools/admission.go
@@ -150,34 +150,38 @@
 	}
 }
 
-// wakeLater arranges that serveWaiters runs after the current pause, if requests wait for its end.
+// wakeLater arranges that serveWaiters runs after the next pause, if requests wait for its end.
 func (p *Pools) wakeLater(m *memberPool, now time.Time) {
-	at := later(m.statements.PausedUntil(), m.opening.RetryAt())
-	if m.waking || m.queue.Len() == 0 || !now.Before(at) {
+	if m.queue.Len() == 0 {
+		return
+	}
+	p.wakeAt(m, now, m.statements.PausedUntil())
+	p.wakeAt(m, now, m.opening.RetryAt())
+}
+
+// wakeAt runs serveWaiters at a later time, unless it runs before that anyway.
+func (p *Pools) wakeAt(m *memberPool, now, at time.Time) {
+	if !now.Before(at) || (!m.wakesAt.IsZero() && !at.Before(m.wakesAt)) {
 		return
 	}
-	m.waking = true
+	m.wakesAt = at
 	name := m.server.Member
 	timer := p.Clock.After(max(minPause, at.Sub(now)))
 	go func() {
 		<-timer
 		var held ctlock.Held
 		p.members.With(&held, func(members map[ctid.Member]*memberPool) {
-			m.waking = false
-			if members[name] == m {
-				p.serveWaiters(m)
+			if members[name] != m {
+				return
 			}
+			if m.wakesAt.Equal(at) {
+				m.wakesAt = time.Time{}
+			}
+			p.serveWaiters(m)
 		})
 	}()
 }
 
-func later(a, b time.Time) time.Time {
-	if a.After(b) {
-		return a
-	}
-	return b
-}
-
 // startStatement counts a statement that is in flight on a connection.
 func (m *memberPool) startStatement(conn *Conn) {
 	if conn.pools != nil && !conn.inFlight {
--- a/internal/program/ctpools/pools.go
+++ b/internal/program/ctpools/pools.go
@@ -149,8 +149,8 @@
 	// paces the attempts to open connections.
 	statements ctadmission.Limit
 	opening    ctadmission.Opening
-	// waking reports that serveWaiters runs again after a pause.
-	waking bool
+	// wakesAt is when serveWaiters runs again after a pause; zero if it doesn't.
+	wakesAt time.Time
 	// loggedBound is the bound of statements that was logged last.
 	loggedBound int
 
