ctmembers, ctmetric: tests and metrics of admission control

Metrics: the queue, the statements in flight, the connections and the bound of each member with own connections, requests refused on arrival or after their wait, connections that members rejected because of their limit.

--- a/internal/lab/ctmembers/group.go
+++ b/internal/lab/ctmembers/group.go
@@ -99,7 +99,9 @@
 	// slots contains an element for each slot in use.
 	slots             chan struct{}
 	waitingStatements int
-	openConnections   int
+	// rejectedStatements counts the statements that found the queue full.
+	rejectedStatements int
+	openConnections    int
 	// dialCount counts the attempts to open a connection, refused ones included.
 	dialCount int
 	// closeCount counts the connections that were closed.
@@ -216,6 +218,13 @@
 	return g.members[name].dialCount
 }
 
+// RejectedCount returns how many statements a member rejected because its queue was full.
+func (g *Group) RejectedCount(name ctid.Member) int {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	return g.members[name].rejectedStatements
+}
+
 // WriteCounts returns how many committed writes each query ID has.
 func (g *Group) WriteCounts() map[ctquery.ID]int {
 	g.mutex.Lock()
@@ -390,7 +399,9 @@
 func (g *Group) acquireSlot(m *member) bool {
 	g.mutex.Lock()
 	full := m.waitingStatements >= g.QueueDepth
-	if !full {
+	if full {
+		m.rejectedStatements++
+	} else {
 		m.waitingStatements++
 	}
 	g.mutex.Unlock()
--- a/internal/program/ctmetric/metrics.go
+++ b/internal/program/ctmetric/metrics.go
@@ -40,13 +40,14 @@
 	// MalformedQueries counts queries that were answered without a member because their text
 	// can't be decoded or passed on, by reason.
 	MalformedQueries *prometheus.CounterVec
-	// WaitingRequests is the number of requests in the queue of each held member.
+	// WaitingRequests is the number of requests in the queue of each member.
 	WaitingRequests *prometheus.GaugeVec
-	// RunningRequests is the number of requests that run on each held member.
+	// RunningRequests is the number of requests that run on each member.
 	RunningRequests *prometheus.GaugeVec
 	// Connections is the number of connections to each held member.
 	Connections *prometheus.GaugeVec
-	// Refusals counts requests refused by the holder, by member and reason.
+	// Refusals counts requests refused by the process that has the member's connections, by
+	// member and reason.
 	Refusals *prometheus.CounterVec
 	// ConfirmSeconds measures how long committed writes wait for confirmation.
 	ConfirmSeconds prometheus.Histogram
@@ -67,6 +68,10 @@
 	// workspace, and RateLimited the operations refused because of a workspace's limit.
 	EvictedConnections prometheus.Counter
 	RateLimited        prometheus.Counter
+	// StatementBounds is the bound of the statements in flight at each member, 0 without one, and
+	// ConnectionsRejected counts the connections that members rejected because of their limit.
+	StatementBounds     *prometheus.GaugeVec
+	ConnectionsRejected *prometheus.CounterVec
 	// ViewVersion is the version of the view in force.
 	ViewVersion prometheus.Gauge
 	// Revision is the revision of the configuration in force.
@@ -94,9 +99,10 @@
 		WaitingRequests: f.gaugeVec("member_waiting", "Requests that wait for a member.", "member"),
 		RunningRequests: f.gaugeVec("member_running", "Requests that run on a member.", "member"),
 		Connections:     f.gaugeVec("member_connections", "Connections to a member.", "member"),
-		Refusals:        f.counterVec("member_refused_total", "Requests refused at the holder.", "member", "reason"),
-		ConfirmSeconds:  f.histogram("confirm_seconds", "Wait for the confirmation of writes."),
-		Samples:         f.counterVec("log_samples_total", "Samples of the ends of groups' logs.", "source"),
+		Refusals: f.counterVec(
+			"member_refused_total", "Requests refused where the member's connections are.", "member", "reason"),
+		ConfirmSeconds: f.histogram("confirm_seconds", "Wait for the confirmation of writes."),
+		Samples:        f.counterVec("log_samples_total", "Samples of the ends of groups' logs.", "source"),
 		SamplesDropped: f.counterVec(
 			"log_samples_dropped_total", "Points of members that may be primaries no more.", "source"),
 		GuardedCommits: f.counterVec(
@@ -107,6 +113,10 @@
 		EvictedConnections: f.counter(
 			"evicted_connections_total", "Connections closed to make room for another workspace."),
 		RateLimited: f.counter("rate_limited_total", "Operations refused because of a workspace's rate limit."),
+		StatementBounds: f.gaugeVec(
+			"member_statement_bound", "Bound of the statements in flight at a member; 0 without one.", "member"),
+		ConnectionsRejected: f.counterVec(
+			"member_connections_rejected_total", "Connections rejected because of a member's limit.", "member"),
 		ViewVersion: f.gauge("view_version", "Version of the view in force."),
 		Revision:    f.gauge("config_revision", "Revision of the configuration in force."),
 		Reports:     f.counterVec("reports_total", "Reports to control.", "result"),
--- a/internal/program/ctpools/admission.go
+++ b/internal/program/ctpools/admission.go
@@ -72,9 +72,39 @@
 	if r.AnyWorkspace || wait == 0 || now.Add(wait).Before(r.Deadline) {
 		return nil
 	}
+	p.countRefusal(m.server.Member, refusedOnArrival)
 	return cterror.New(cterror.Exhausted, "too many requests wait for the member", "try another member")
 }
 
+// refusalReason is why a request got no connection: a label of a metric.
+type refusalReason string
+
+const (
+	// refusedOnArrival: it was not expected to get one in time.
+	refusedOnArrival refusalReason = "on_arrival"
+	// refusedAfterWait: it got none by its deadline.
+	refusedAfterWait refusalReason = "after_wait"
+)
+
+// countRefusal counts a request that got no connection.
+func (p *Pools) countRefusal(name ctid.Member, reason refusalReason) {
+	if p.Metrics != nil {
+		p.Metrics.Refusals.WithLabelValues(string(name), string(reason)).Inc()
+	}
+}
+
+// setGauges sets the metrics of a member's load.
+func (p *Pools) setGauges(m *memberPool) {
+	if p.Metrics == nil || !m.limited() {
+		return
+	}
+	name := string(m.server.Member)
+	p.Metrics.WaitingRequests.WithLabelValues(name).Set(float64(m.queue.Len()))
+	p.Metrics.RunningRequests.WithLabelValues(name).Set(float64(m.statements.InFlight()))
+	p.Metrics.Connections.WithLabelValues(name).Set(float64(m.open))
+	p.Metrics.StatementBounds.WithLabelValues(name).Set(float64(m.statements.Bound()))
+}
+
 // ExpectedWait returns how long a request to a member would wait for a connection, or 0 if that
 // is not known.
 func (p *Pools) ExpectedWait(held *ctlock.Held, name ctid.Member, options AcquireOptions) time.Duration {
--- a/internal/program/ctpools/pools.go
+++ b/internal/program/ctpools/pools.go
@@ -308,6 +308,7 @@
 		}
 	default:
 	}
+	p.countRefusal(name, refusedAfterWait)
 	return nil, cterror.New(cterror.Exhausted, "no connection to the member became free in time", "try again soon")
 }
 
@@ -503,6 +504,9 @@
 		now := p.Clock.Now()
 		if cterror.KindOf(err) == cterror.Exhausted {
 			m.opening.Rejected(now, m.open-m.dialing, p.Random)
+			if p.Metrics != nil {
+				p.Metrics.ConnectionsRejected.WithLabelValues(string(server.Member)).Inc()
+			}
 		} else {
 			m.opening.Failed(now)
 		}
--- a/internal/program/ctpools/view.go
+++ b/internal/program/ctpools/view.go
@@ -169,6 +169,7 @@
 	idleBefore := p.Clock.Now().Add(-idleTimeout)
 	p.members.With(held, func(members map[ctid.Member]*memberPool) {
 		for _, m := range members {
+			p.setGauges(m)
 			m.closeBroken()
 			minOpen := 0
 			if usedGroups.Has(m.server.Group) {
