ctpools, ctgateway: fewer evictions under overload, and no wait beyond the target latency at start

In an overload every waiting request is overdue, so that closing other workspaces' connections for them would take up to a slot of each statement; now one such connection is opened per 200 ms. A proxy that had just started held requests until the statement timeout while any primary was not reached, which takes 3 s where members count old connections; it now holds them for the target latency at most. Found by review, not measured.

--- a/internal/program/ctgateway/run.go
+++ b/internal/program/ctgateway/run.go
@@ -254,12 +254,14 @@
 // soon. It is now if the change takes longer than expected, if the authority has
 // lapsed or if the configuration is outdated.
 func (s *session) sendDeadline(e *execution, now time.Time) time.Time {
+	target := s.route.TargetLatency.Or(defaultTargetLatency)
 	switch {
 	case e.attempts > 0 && e.lastFault == ctquery.FaultBusy:
-		target := s.route.TargetLatency.Or(defaultTargetLatency)
 		return earlier(e.answerBy, e.startedAt.Add(target/busyTimeoutDivisor))
-	case e.attempts > 0 || !s.gateway.primariesReached.Load():
+	case e.attempts > 0:
 		return e.answerBy
+	case !s.gateway.primariesReached.Load():
+		return earlier(e.answerBy, e.startedAt.Add(target))
 	case s.gateway.authorityLapsed(&s.held) || s.gateway.State.ConfigOutdated(&s.held):
 		return now
 	}
--- a/internal/program/ctpools/admission.go
+++ b/internal/program/ctpools/admission.go
@@ -20,6 +20,9 @@
 	// overdueAfter is how long the next request waits for a connection of its workspace before an
 	// idle one of another workspace is closed for it, though a later request could use that one.
 	overdueAfter = 40 * time.Millisecond
+	// overdueInterval is the least time between two such connections. In an overload all requests
+	// are overdue, and opening connections takes the place of statements.
+	overdueInterval = 200 * time.Millisecond
 )
 
 // systemRandom draws from the process-wide random source.
@@ -158,7 +161,11 @@
 // that are passed from one request to the next never become idle for those of other workspaces.
 func (p *Pools) dialForOverdue(m *memberPool, now time.Time) {
 	r, ok := m.queue.Peek(now, func(r *ctadmission.Request) bool { return m.admits(now, r) })
-	if ok && now.Sub(r.AddedAt) >= overdueAfter && m.dialingFor[r.Workspace] == 0 && !m.hasIdle(&r) {
+	if !ok || now.Sub(r.AddedAt) < overdueAfter || m.dialing > 0 || m.hasIdle(&r) {
+		return
+	}
+	if now.Sub(m.overdueAt) >= overdueInterval {
+		m.overdueAt = now
 		p.dialMore(m, r.Workspace)
 	}
 }
--- a/internal/program/ctpools/pools.go
+++ b/internal/program/ctpools/pools.go
@@ -151,6 +151,8 @@
 	opening    ctadmission.Opening
 	// wakesAt is when serveWaiters runs again after a pause; zero if it doesn't.
 	wakesAt time.Time
+	// overdueAt is when a connection was last opened for a request that was overdue.
+	overdueAt time.Time
 	// loggedBound is the bound of statements that was logged last.
 	loggedBound int
 
