--- a/internal/decide/ctadmission/queue_test.go
+++ b/internal/decide/ctadmission/queue_test.go
@@ -12,6 +12,11 @@
 	"github.com/cherviltrestle/cherviltrestle/internal/model/ctid"
 )
 
+const (
+	seed = 7
+	tick = time.Millisecond
+)
+
 var epoch = time.Unix(0, 0)
 
 func anyRequest(*ctadmission.Request) bool { return true }
--- a/internal/program/ctpools/peerstreams.go
+++ b/internal/program/ctpools/peerstreams.go
@@ -59,7 +59,13 @@
 	err := cterror.New(cterror.Unavailable, "no proxy owns connections to the member", "try another member")
 	for _, owner := range order[:min(len(order), ownerAttempts)] {
 		if owner == p.Self.Name {
-			return p.acquireOwn(held, name, options)
+			var conn *Conn
+			conn, err = p.acquireOwn(held, name, options)
+			if cterror.KindOf(err) != cterror.Unavailable {
+				return conn, err
+			}
+			// The member may accept no connection of this proxy, and have some of the next owner.
+			continue
 		}
 		var stream *forwardingExecutor
 		if stream, err = p.takeStream(held, o.addresses[owner], options.Deadline); err == nil {
--- a/internal/program/ctpools/view.go
+++ b/internal/program/ctpools/view.go
@@ -53,8 +53,8 @@
 	remote bool
 	// processes is how many proxies have connections to the member.
 	processes int
-	// reserved is this proxy's part of the connections that are left to processes that have
-	// lost power; 0 if none are.
+	// reserved is how many connections this proxy may open at first after its start, as the
+	// member may count former ones; 0 if any number up to limit.
 	reserved int
 }
 
@@ -77,7 +77,10 @@
 		return connectionShare{limit: max(1, share), processes: len(view.Proxies)}
 	}
 	if p.Self.FailureDomain == server.FailureDomain {
-		return connectionShare{limit: max(1, connections/len(domainProxies)), processes: len(domainProxies)}
+		limit := max(1, connections/len(domainProxies))
+		return connectionShare{
+			limit: limit, processes: len(domainProxies), reserved: max(1, limit*(ownedWhole-ownedPart)/ownedWhole),
+		}
 	}
 	return connectionShare{limit: maxForwardStreams, forwarders: p.forwarders(view, domainProxies)}
 }
