--- a/internal/lab/ctcontention/model_test.go
+++ b/internal/lab/ctcontention/model_test.go
@@ -61,6 +61,16 @@
 		})
 		assert.Assert(t, after.ConnectionsRejected < before.ConnectionsRejected && after.InTime > before.InTime)
 	})
+	t.Run("a proxy that sends far more than the others does not displace them", func(t *testing.T) {
+		d := ctcontention.Deployment{Count: 10, Share: 40, MaxConnections: 400}
+		before, after := compare(t, d, func(w *ctcontention.World) ctcontention.Result {
+			w.Skew = 30
+			w.Run(5*time.Second, usualRate/2)
+			return w.Measure(4*time.Second, usualRate/2)
+		})
+		assert.Assert(t, after.OthersInTime >= before.OthersInTime*95/100 && after.Rejected < before.Rejected/10)
+		assertServes(t, before, after)
+	})
 	// With 60 proxies, one statement of each is more than the member takes.
 	for _, c := range []struct {
 		count, share int
