ctpools, ctframe: the next owner where the first can open no connection

After a loss of power, an owner may find no free connection of a member while another owner of the workspace has some. The reply now tells this case apart, and the other owner is preferred for 250 ms.

--- a/internal/link/ctframe/forward.go
+++ b/internal/link/ctframe/forward.go
@@ -79,6 +79,9 @@
 	// RetryAfter is set with Refused if the proxy knows how long a query would wait. No other
 	// attempt is worthwhile before.
 	RetryAfter time.Duration `cbor:"10,keyasint,omitempty"`
+	// NoConnection is set with Refused if the proxy has no connection to the member and can
+	// open none now. Another owner may have one.
+	NoConnection bool `cbor:"11,keyasint,omitempty"`
 	// Unanswered reports that the query was sent to the member but no answer arrived.
 	// TimedOut is set with it if the answer did not arrive in time.
 	Unanswered bool `cbor:"3,keyasint,omitempty"`
--- a/internal/program/ctpools/forwarding.go
+++ b/internal/program/ctpools/forwarding.go
@@ -35,6 +35,9 @@
 	replyPending bool
 	// peerSilent reports that a reply did not arrive in time. The user's goroutine alone uses it.
 	peerSilent bool
+	// noConnection reports that the other proxy could open no connection to the member. The
+	// user's goroutine alone uses it.
+	noConnection bool
 	// requests counts the requests, and awaited is the one whose reply has not arrived; 0 if
 	// there is none. The mutex guards both, too.
 	requests ctframe.RequestNumber
@@ -170,6 +173,7 @@
 		return ctquery.Answer{}, err
 	}
 	e.update(func() { e.replyPending = false })
+	e.noConnection = reply.NoConnection
 	return answerFrom(reply)
 }
 
--- a/internal/program/ctpools/forwardserver.go
+++ b/internal/program/ctpools/forwardserver.go
@@ -127,13 +127,8 @@
 	inTransaction := s.conn != nil
 	if !inTransaction {
 		if err := s.acquire(frame, state, now); err != nil {
-			limited := cterror.KindOf(err) == cterror.RateLimited
 			s.log(frame, "refused_"+cterror.KindOf(err).String(), now)
-			reply := &ctframe.ForwardReply{Refused: true, RateLimited: limited}
-			if cterror.KindOf(err) == cterror.Exhausted {
-				reply.RetryAfter = s.pools.ExpectedWait(&s.held, frame.Member, s.options(frame, state, now))
-			}
-			return reply
+			return s.refusal(cterror.KindOf(err), frame, state, now)
 		}
 	}
 	sentAt := s.pools.Clock.Now()
@@ -168,6 +163,19 @@
 	return &ctframe.ForwardReply{Answer: ctframe.NewQueryAnswer(answer)}
 }
 
+// refusal returns the reply to a query for which acquire returned an error of the given kind.
+func (s *forwardServer) refusal(
+	kind cterror.Kind, frame *ctframe.Forward, state *ctdialog.State, now time.Time,
+) *ctframe.ForwardReply {
+	reply := &ctframe.ForwardReply{
+		Refused: true, RateLimited: kind == cterror.RateLimited, NoConnection: kind == cterror.Unavailable,
+	}
+	if kind == cterror.Exhausted {
+		reply.RetryAfter = s.pools.ExpectedWait(&s.held, frame.Member, s.options(frame, state, now))
+	}
+	return reply
+}
+
 // refuseTooLarge returns the reply to a query that can't be sent on any connection. The
 // connection stays acquired if its transaction is open.
 func (s *forwardServer) refuseTooLarge(inTransaction bool) *ctframe.ForwardReply {
--- a/internal/program/ctpools/peerstreams.go
+++ b/internal/program/ctpools/peerstreams.go
@@ -22,6 +22,9 @@
 	ownerAttempts = 2
 	// silentPeerPause is how long a proxy is passed over after a reply of its did not arrive.
 	silentPeerPause = 500 * time.Millisecond
+	// noConnectionPause is how long another owner is preferred to one that could open no
+	// connection to a member.
+	noConnectionPause = 250 * time.Millisecond
 )
 
 // peerStreams holds the streams to one other proxy. A stream carries the queries of one user
@@ -35,6 +38,8 @@
 	// nextOpenAt.
 	failures   int
 	nextOpenAt time.Time
+	// passedOver is until when another owner is preferred for a member.
+	passedOver map[ctid.Member]time.Time
 }
 
 type idleStream struct {
@@ -57,7 +62,7 @@
 		order = []ctid.Proxy{p.Self.Name}
 	}
 	err := cterror.New(cterror.Unavailable, "no proxy owns connections to the member", "try another member")
-	for _, owner := range order[:min(len(order), ownerAttempts)] {
+	for _, owner := range p.preferredOwners(held, o, name, order[:min(len(order), ownerAttempts)]) {
 		if owner == p.Self.Name {
 			var conn *Conn
 			conn, err = p.acquireOwn(held, name, options)
@@ -75,6 +80,33 @@
 	return nil, err
 }
 
+// preferredOwners returns the owners in the order in which to try them: last those that could open no
+// connection to the member lately.
+func (p *Pools) preferredOwners(
+	held *ctlock.Held, o *ownership, name ctid.Member, owners []ctid.Proxy,
+) []ctid.Proxy {
+	var preferred, others []ctid.Proxy
+	now := p.Clock.Now()
+	p.peers.With(held, func(peers map[netip.AddrPort]*peerStreams) {
+		for _, owner := range owners {
+			if s, ok := peers[o.addresses[owner]]; ok && now.Before(s.passedOver[name]) {
+				others = append(others, owner)
+				continue
+			}
+			preferred = append(preferred, owner)
+		}
+	})
+	return append(preferred, others...)
+}
+
+// passOver records that a proxy could open no connection to a member.
+func (s *peerStreams) passOver(name ctid.Member, until time.Time) {
+	if s.passedOver == nil {
+		s.passedOver = make(map[ctid.Member]time.Time)
+	}
+	s.passedOver[name] = until
+}
+
 // serverOf returns the announcement of a member in the view, and whether there is one.
 func (p *Pools) serverOf(held *ctlock.Held, name ctid.Member) (ctserver.Announcement, bool) {
 	var server ctserver.Announcement
@@ -186,6 +218,10 @@
 	})
 	p.peers.With(held, func(peers map[netip.AddrPort]*peerStreams) {
 		s, known := peers[conn.peer]
+		if known && ok && stream.noConnection {
+			stream.noConnection = false
+			s.passOver(conn.Member, p.Clock.Now().Add(noConnectionPause))
+		}
 		switch {
 		case !known || !ok:
 			conn.close()
