--- a/internal/program/ctgateway/run.go
+++ b/internal/program/ctgateway/run.go
@@ -85,6 +85,8 @@
 const (
 	// refusalNoMember: no member could run it in time. The log adds the last fault.
 	refusalNoMember refusal = "no_member_in_time_after_"
+	// refusalNoRoom: it would have waited for too long at all members that may run it.
+	refusalNoRoom refusal = "no_room_in_time"
 	// refusalPrimaryReplaced: its transaction is open at a primary that is or will be
 	// replaced.
 	refusalPrimaryReplaced refusal = "primary_replaced"
@@ -231,7 +233,12 @@
 	now := s.gateway.Clock.Now()
 	pause := e.retryPause(s.gateway.Pools.Random)
 	noRoom := e.tried.Len() > 0 && e.tried.Len() == e.exhausted.Len()
-	if noRoom || e.attempts >= maxAttempts || !now.Add(pause).Before(s.sendDeadline(e, now)) {
+	if noRoom {
+		result := s.refuse(e)
+		e.refusal = refusalNoRoom
+		return result
+	}
+	if e.attempts >= maxAttempts || !now.Add(pause).Before(s.sendDeadline(e, now)) {
 		return s.refuse(e)
 	}
 	e.tried, e.exhausted = ctset.Set[ctid.Member]{}, ctset.Set[ctid.Member]{}
@@ -255,8 +262,9 @@
 // lapsed or if the configuration is outdated.
 func (s *session) sendDeadline(e *execution, now time.Time) time.Time {
 	target := s.route.TargetLatency.Or(defaultTargetLatency)
+	group := s.gateway.State.View(&s.held).Groups[s.route.Group]
 	switch {
-	case e.attempts > 0 && e.lastFault == ctquery.FaultBusy:
+	case e.attempts > 0 && e.lastFault == ctquery.FaultBusy && !group.ChangingPrimary():
 		return earlier(e.answerBy, e.startedAt.Add(target/busyTimeoutDivisor))
 	case e.attempts > 0:
 		return e.answerBy
@@ -265,7 +273,6 @@
 	case s.gateway.authorityLapsed(&s.held) || s.gateway.State.ConfigOutdated(&s.held):
 		return now
 	}
-	group := s.gateway.State.View(&s.held).Groups[s.route.Group]
 	changeEnd := s.gateway.expectedChangeEnd(&s.held, group)
 	switch {
 	case changeEnd.IsZero():
--- a/internal/program/ctpools/doc.go
+++ b/internal/program/ctpools/doc.go
@@ -4,8 +4,14 @@
 connection has one user at a time.
 
 A reader goroutine waits on each connection. It finds out at once when the member
-closes a connection, even an idle one. Requests that find no free connection wait
-in order of priority, and in order of arrival within a priority.
+closes a connection, even an idle one.
+
+# Admission
+
+ctadmission decides which waiting request gets a connection, how many statements may be in flight
+at a member, and when connections are opened after the member has rejected some. Requests wait where
+the connections to the member are. A request that is not expected to get one in time is rejected
+on arrival.
 
 # Answers
 
