ctadmission: late responses set a bound only at members that reject statements

Cause, from review: where a member is slow but has idle slots, the responses of a busy proxy among many idle ones would have lowered its bound to 1, with pauses. Deployments with ample room must be served as before; now nothing is bounded before a member has rejected a statement.

--- a/internal/decide/ctadmission/doc.go
+++ b/internal/decide/ctadmission/doc.go
@@ -8,11 +8,12 @@
 Many proxies share a member that runs a few statements, queues some and rejects the
 rest. Without a limit, each proxy sends rejected statements again at once, and these
 attempts take the place of others. A Limit starts without a bound. When the member
-rejects a statement, or responds much later than usual, the bound is set below what
-was in flight, and then grows by one each round trip (additive increase,
-multiplicative decrease), so that proxies converge to equal shares. It is never below
-1. At that bound, rejections pause the sending for a random, growing time. The bound
-is removed when nothing has been rejected or late for some time.
+rejects a statement, the bound is set below what was in flight, and then grows by one
+each round trip (additive increase, multiplicative decrease), so that proxies converge
+to equal shares. For some time after a rejection, responses that take much longer than
+usual lower it, too. It is never below 1. At that bound, rejections pause the sending for
+a random, growing time. The bound is removed when nothing has been rejected or late for
+some time. Where no member rejects anything, there is none.
 
 # Queue
 
--- a/internal/decide/ctadmission/limit.go
+++ b/internal/decide/ctadmission/limit.go
@@ -22,6 +22,9 @@
 	smoothing = 0.1
 	// usualWindow is how long the shortest mean response time counts as usual, at least.
 	usualWindow = 10 * time.Second
+	// scarceTTL is how long after a rejection late responses lower the bound. Without rejections,
+	// the cause of late responses is a slow member, whose slots a bound would leave idle.
+	scarceTTL = time.Minute
 	// boundTTL is how long the bound stays after the last rejection or late response.
 	boundTTL = 5 * time.Second
 )
@@ -62,6 +65,8 @@
 	// loweredAt is when the bound was last lowered. Statements sent before tell nothing about
 	// it.
 	loweredAt time.Time
+	// rejectedAt is when the member last rejected a statement; zero if it never did.
+	rejectedAt time.Time
 	// rejections counts the recent rejections at the bound 1. Each response halves it.
 	rejections  int
 	pausedUntil time.Time
@@ -120,7 +125,7 @@
 		l.observe(now, o.Latency)
 		switch {
 		case sentAt.Before(l.loweredAt):
-		case l.late():
+		case l.late(now):
 			l.lower(now, lateFactor, before, l.lateFloor())
 			l.pauseIfLeast(now, random)
 		case l.bounded && before >= int(l.bound):
@@ -135,7 +140,7 @@
 	if !sentAt.Before(l.loweredAt) {
 		l.lower(now, rejectionFactor, before, 1)
 	}
-	l.loweredAt = now
+	l.loweredAt, l.rejectedAt = now, now
 	if int(l.bound) <= 1 {
 		l.rejections++
 		l.pausedUntil = now.Add(ctretry.Backoff(l.rejections, random))
@@ -187,8 +192,12 @@
 	l.usual = min(l.usual, l.mean)
 }
 
-// late reports whether responses take much longer than usual.
-func (l *Limit) late() bool {
+// late reports whether responses take much longer than usual at a member that has rejected
+// statements lately.
+func (l *Limit) late(now time.Time) bool {
+	if l.rejectedAt.IsZero() || now.Sub(l.rejectedAt) > scarceTTL {
+		return false
+	}
 	usual := l.usual
 	if l.usualBefore > 0 {
 		usual = min(usual, l.usualBefore)
--- a/internal/decide/ctadmission/limit_test.go
+++ b/internal/decide/ctadmission/limit_test.go
@@ -46,6 +46,19 @@
 			t.Fatalf("nothing is allowed: %+v", l)
 		}
 	}))
+	t.Run("is not set by late responses of a member that rejects nothing", func(t *testing.T) {
+		l := ctadmission.Limit{Slots: 4, Processes: 30}
+		random := rand.New(rand.NewPCG(seed, seed))
+		for i := range 200 {
+			now, latency := epoch.Add(time.Duration(i)*time.Second), 10*time.Millisecond
+			if i >= 100 {
+				latency *= 50
+			}
+			l.Start()
+			l.Finish(now.Add(latency), now, ctadmission.Answered{Latency: latency}, random)
+			assert.Equal(t, l.Bound(), 0)
+		}
+	})
 	t.Run("is removed when nothing has been rejected for some time", func(t *testing.T) {
 		l := ctadmission.Limit{Slots: 4, Processes: 1}
 		l.Start()
