--- a/internal/program/ctpools/forwarding.go
+++ b/internal/program/ctpools/forwarding.go
@@ -40,6 +40,9 @@
 	pathFailed bool
 	// recordLoad receives the load of a member that a reply states; nil if none is recorded.
 	recordLoad func(member ctid.Member, load time.Duration)
+	// noConnection reports that the other proxy could open no connection to the member. The
+	// user's goroutine alone uses it.
+	noConnection bool
 	// requests counts the requests, and awaited is the one whose reply has not arrived; 0 if
 	// there is none. The mutex guards both, too.
 	requests ctframe.RequestNumber
@@ -180,6 +183,7 @@
 	if e.recordLoad != nil && reply.Load > 0 {
 		e.recordLoad(frame.Member, reply.Load)
 	}
+	e.noConnection = reply.NoConnection
 	return answerFrom(reply)
 }
 
@@ -215,7 +219,9 @@
 	case reply.RateLimited:
 		return ctquery.Answer{}, errRateLimited()
 	case reply.Refused:
-		return ctquery.Answer{Fault: ctquery.FaultBusy, Text: "the carrying proxy had no connection in time"}, nil
+		return ctquery.Answer{
+			Fault: ctquery.FaultBusy, Text: "the carrying proxy had no connection in time", RetryAfter: reply.RetryAfter,
+		}, nil
 	case reply.TimedOut:
 		return ctquery.Answer{}, cterror.New(cterror.Expired, "the member did not answer in time", "try another member")
 	}
--- a/internal/program/ctpools/forwardserver.go
+++ b/internal/program/ctpools/forwardserver.go
@@ -128,9 +128,8 @@
 	inTransaction := s.conn != nil
 	if !inTransaction {
 		if err := s.acquire(frame, state, now); err != nil {
-			limited := cterror.KindOf(err) == cterror.RateLimited
 			s.log(frame, "refused_"+cterror.KindOf(err).String(), now)
-			return &ctframe.ForwardReply{Refused: true, RateLimited: limited}
+			return s.refusal(cterror.KindOf(err), frame, state, now)
 		}
 	}
 	sentAt := s.pools.Clock.Now()
@@ -166,6 +165,19 @@
 	return &ctframe.ForwardReply{Answer: ctframe.NewQueryAnswer(answer)}
 }
 
+// refusal returns the reply to a query for which acquire returned an error of the given kind.
+func (s *forwardServer) refusal(
+	kind cterror.Kind, frame *ctframe.Forward, state *ctdialog.State, now time.Time,
+) *ctframe.ForwardReply {
+	reply := &ctframe.ForwardReply{
+		Refused: true, RateLimited: kind == cterror.RateLimited, NoConnection: kind == cterror.Unavailable,
+	}
+	if kind == cterror.Exhausted {
+		reply.RetryAfter = s.pools.ExpectedWait(&s.held, frame.Member, s.options(frame, state, now))
+	}
+	return reply
+}
+
 // refuseTooLarge returns the reply to a query that can't be sent on any connection. The
 // connection stays acquired if its transaction is open.
 func (s *forwardServer) refuseTooLarge(inTransaction bool) *ctframe.ForwardReply {
@@ -234,21 +246,26 @@
 	if !s.pools.OwnsConnections(&s.held, frame.Member) {
 		return cterror.New(cterror.Conflict, "this proxy has no connections to the member", "use another proxy")
 	}
+	conn, err := s.pools.acquireOwn(&s.held, frame.Member, s.options(frame, state, now))
+	if err != nil {
+		return err
+	}
+	s.conn = conn
+	s.pools.forwardedCount.Add(1)
+	return nil
+}
+
+// options returns how a forwarded query waits for a connection.
+func (s *forwardServer) options(frame *ctframe.Forward, state *ctdialog.State, now time.Time) AcquireOptions {
 	_, isStatus := frame.Query.Statement().(ctquery.ReadStatus)
-	conn, err := s.pools.acquireOwn(&s.held, frame.Member, AcquireOptions{
+	return AcquireOptions{
 		State:        state,
 		Workspace:    frame.Workspace,
 		AnyWorkspace: isStatus,
 		Operation:    frame.Operation && !isStatus,
 		Priority:     Priority{Route: frame.Priority, Workspace: frame.WorkspacePriority},
 		Deadline:     now.Add(min(frame.AcquireTimeout, frame.AnswerTimeout)),
-	})
-	if err != nil {
-		return err
 	}
-	s.conn = conn
-	s.pools.forwardedCount.Add(1)
-	return nil
 }
 
 // release returns the connection to the pools.
--- a/internal/program/ctpools/outcomes.go
+++ b/internal/program/ctpools/outcomes.go
@@ -61,7 +61,7 @@
 	}
 	p.members.With(held, func(members map[ctid.Member]*memberPool) {
 		if m, ok := members[name]; ok {
-			load = ctplace.Load(p.Clock.Now(), m.latency, m.running, len(m.waiters))
+			load = ctplace.Load(p.Clock.Now(), m.latency, m.running, m.queue.Len())
 		}
 	})
 	return load
--- a/internal/program/ctpools/peerstreams.go
+++ b/internal/program/ctpools/peerstreams.go
@@ -28,6 +28,9 @@
 	// maxPeerPause.
 	firstPeerPause = 250 * time.Millisecond
 	maxPeerPause   = 4 * time.Second
+	// noConnectionPause is how long another owner is preferred to one that could open no
+	// connection to a member.
+	noConnectionPause = 250 * time.Millisecond
 )
 
 // peerStreams holds the streams to one other proxy. A stream carries the queries of one user
@@ -41,6 +44,8 @@
 	// nextOpenAt.
 	failures   int
 	nextOpenAt time.Time
+	// passedOver is until when another owner is preferred for a member.
+	passedOver map[ctid.Member]time.Time
 }
 
 type idleStream struct {
@@ -64,9 +69,16 @@
 	}
 	err := cterror.New(cterror.Unavailable, "no proxy owns connections to the member", "try another member")
 	attempts := 0
+	order = p.preferredOwners(held, o, name, order)
 	for i, owner := range order {
 		if owner == p.Self.Name {
-			return p.acquireOwn(held, name, options)
+			var conn *Conn
+			conn, err = p.acquireOwn(held, name, options)
+			if cterror.KindOf(err) != cterror.Unavailable {
+				return conn, err
+			}
+			// The member may accept no connection of this proxy, and have some of the next owner.
+			continue
 		}
 		peer := o.addresses[owner]
 		stream, opening := p.takeStream(held, peer, attempts < ownerAttempts)
@@ -85,6 +97,33 @@
 	return nil, err
 }
 
+// preferredOwners returns the owners in the order in which to try them: last those that could open no
+// connection to the member lately.
+func (p *Pools) preferredOwners(
+	held *ctlock.Held, o *ownership, name ctid.Member, owners []ctid.Proxy,
+) []ctid.Proxy {
+	var preferred, others []ctid.Proxy
+	now := p.Clock.Now()
+	p.peers.With(held, func(peers map[netip.AddrPort]*peerStreams) {
+		for _, owner := range owners {
+			if s, ok := peers[o.addresses[owner]]; ok && now.Before(s.passedOver[name]) {
+				others = append(others, owner)
+				continue
+			}
+			preferred = append(preferred, owner)
+		}
+	})
+	return append(preferred, others...)
+}
+
+// passOver records that a proxy could open no connection to a member.
+func (s *peerStreams) passOver(name ctid.Member, until time.Time) {
+	if s.passedOver == nil {
+		s.passedOver = make(map[ctid.Member]time.Time)
+	}
+	s.passedOver[name] = until
+}
+
 // serverOf returns the announcement of a member in the view, and whether there is one.
 func (p *Pools) serverOf(held *ctlock.Held, name ctid.Member) (ctserver.Announcement, bool) {
 	var server ctserver.Announcement
@@ -196,6 +235,10 @@
 	})
 	p.peers.With(held, func(peers map[netip.AddrPort]*peerStreams) {
 		s, known := peers[conn.peer]
+		if known && ok && stream.noConnection {
+			stream.noConnection = false
+			s.passOver(conn.Member, p.Clock.Now().Add(noConnectionPause))
+		}
 		switch {
 		case !known || !ok:
 			conn.close()
@@ -241,10 +284,10 @@
 // reachRemote opens a stream to an owner of the member's connections in the background, so that
 // the member counts as reached and the first query finds a stream.
 func (p *Pools) reachRemote(m *memberPool) {
-	if p.Clock.Now().Before(m.nextDialAt) {
+	if p.Clock.Now().Before(m.nextReachAt) {
 		return
 	}
-	m.nextDialAt = p.Clock.Now().Add(streamOpenTimeout)
+	m.nextReachAt = p.Clock.Now().Add(streamOpenTimeout)
 	name := m.server.Member
 	go func() {
 		var held ctlock.Held
