ctcrowd: crowds of clients that misbehave, against the real program

The tests start a control process, a proxy and a stand-in member with limits.memory_mb=80 and limits.fd_limit=300, and check that peak resident memory and open descriptors stay under these numbers and that ordinary requests are answered while the crowd is connected.

--- /dev/null
+++ b/internal/lab/ctcrowd/crowd_test.go
@@ -0,0 +1,108 @@
+package ctcrowd_test
+
+import (
+	"context"
+	"net/netip"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/cherviltrestle/cherviltrestle/internal/lab/ctcrowd"
+)
+
+// The limits in the settings, and the number of clients of a crowd. Clients that hold 0.9 MB each
+// exceed the limit together, several times with session values.
+const (
+	memory        ctcrowd.Megabytes = 80
+	descriptors                     = 300
+	crowdSize                       = 120
+	sessionsSize                    = 40
+	idleSize                        = 400
+	bodiesSize                      = 24
+	messages                        = 3
+	largePerState                   = 6
+	pipelined                       = 20_000
+	smallPiece                      = 2 << 10
+)
+
+// listener is what a crowd connects to.
+type listener func(*ctcrowd.System) netip.AddrPort
+
+// assertWithinLimits runs a crowd against a listener, and checks that ordinary requests are served while
+// the crowd is connected, and that the processes have stayed under their limits.
+func assertWithinLimits(t *testing.T, to listener, crowd ctcrowd.Crowd) {
+	t.Helper()
+	system := start(t)
+	crowd.Address = to(system)
+	defer crowd.Close()
+	crowd.Run()
+	assertUsage(t, system)
+	assert.Check(t, system.AwaitServed(context.Background()))
+	assert.Check(t, system.AwaitControlServed(context.Background()))
+	assertUsage(t, system)
+}
+
+// start starts a system with the limits of this package.
+func start(t *testing.T) *ctcrowd.System {
+	t.Helper()
+	system, err := ctcrowd.Start(ctcrowd.Options{
+		BinFolder: programFolder, Folder: t.ArtifactDir(), Memory: memory, Descriptors: descriptors,
+	})
+	assert.NilError(t, err)
+	t.Cleanup(system.Close)
+	return system
+}
+
+// assertUsage checks that both processes run, and that their peak memory and their descriptors are
+// under the limits.
+func assertUsage(t *testing.T, system *ctcrowd.System) {
+	t.Helper()
+	for _, p := range []ctcrowd.Process{system.Proxy, system.Control} {
+		usage, err := p.Usage()
+		assert.NilError(t, err)
+		t.Logf("%s: %+v", p.Name, usage)
+		assert.Check(t, usage.PeakMemory <= memory, "%s: more than %d MB", p.Name, memory)
+		assert.Check(t, usage.Descriptors <= descriptors, "%s: more than %d descriptors", p.Name, descriptors)
+	}
+}
+
+// TestCrowd guards against processes that exceed their limits, end or hang because of clients that
+// misbehave. Each line names one kind.
+func TestCrowd(t *testing.T) {
+	callers, peers := (*ctcrowd.System).CallerAddress, (*ctcrowd.System).ProxyPeerAddress
+	balancer, operators := (*ctcrowd.System).ReadinessAddress, (*ctcrowd.System).OperatorAddress
+	whole := ctcrowd.LargeMessages{Count: messages}
+	pieces := ctcrowd.LargeMessages{Count: messages, PieceBytes: smallPiece}
+	reads := ctcrowd.Pipeline{Count: pipelined, Item: "item"}
+	largeReads := ctcrowd.Pipeline{Count: pipelined, Item: "large"}
+	for _, c := range []struct {
+		name      string
+		to        listener
+		size      int
+		behaviour ctcrowd.Behaviour
+	}{
+		{"half a message", callers, crowdSize, ctcrowd.HalfMessage{}},
+		{"half a first message", callers, crowdSize, ctcrowd.HalfStartup{}},
+		{"large messages", callers, crowdSize, whole},
+		{"large messages in pieces", callers, crowdSize, pieces},
+		{"messages over the limit", callers, crowdSize, ctcrowd.TooLarge{}},
+		{"pipelined messages", callers, sessionsSize, reads},
+		{"pipelined large reads", callers, crowdSize, largeReads},
+		{"session values", callers, sessionsSize, ctcrowd.Values{Count: largePerState}},
+		{"prepared statements", callers, sessionsSize, ctcrowd.PreparedStatements{Count: largePerState}},
+		{"slow senders", callers, crowdSize, ctcrowd.SlowSender{}},
+		{"slow readers", callers, crowdSize, ctcrowd.SlowReader{}},
+		{"idle sessions", callers, idleSize, ctcrowd.Idle{}},
+		{"silent clients", callers, idleSize, ctcrowd.Silent{}},
+		{"half a frame", peers, crowdSize, ctcrowd.HalfFrame{}},
+		{"silent peers", peers, idleSize, ctcrowd.Silent{}},
+		{"silent probes", balancer, idleSize, ctcrowd.Silent{}},
+		{"large bodies", operators, bodiesSize, ctcrowd.Body{}},
+		{"half a body", operators, bodiesSize, ctcrowd.Body{Half: true}},
+		{"silent operators", operators, idleSize, ctcrowd.Silent{}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			assertWithinLimits(t, c.to, ctcrowd.Crowd{Size: c.size, Behaviour: c.behaviour})
+		})
+	}
+}
