--- /dev/null
+++ b/internal/decide/ctbudget/limits.go
@@ -0,0 +1,59 @@
+package ctbudget
+
+// Bytes is an amount of memory.
+type Bytes int64
+
+const (
+	// bytesPerMB converts the unit of the settings.
+	bytesPerMB = 1_000_000
+	// clientMemoryDivisor is the part of the process's memory for what every client needs, and
+	// clientBytes is that amount: a stack and buffers.
+	clientMemoryDivisor       = 8
+	clientBytes         Bytes = 16 << 10
+	// perClientDivisor is the part of all charges that one client may hold.
+	perClientDivisor = 4
+)
+
+// Resources are what a process may use. 0 means no limit.
+type Resources struct {
+	MemoryMB    int
+	Descriptors int
+}
+
+// Share says what clients of one kind may use of the resources.
+type Share struct {
+	// MemoryDivisor divides the memory of the process: all charges may add up to the result. The
+	// garbage collector lets the heap grow to twice of what is in use, and the process needs some
+	// memory itself.
+	MemoryDivisor int
+	// DescriptorDivisor divides the descriptors of the process.
+	DescriptorDivisor int
+	// Largest is the charge for the largest legal message. One client may always hold it.
+	Largest Bytes
+}
+
+// Limits are the limits of a Ledger. 0 means no limit.
+type Limits struct {
+	// Total is the limit of all charges, and PerClient that of the charges of one client.
+	Total, PerClient Bytes
+	// Clients is the limit of the number of clients.
+	Clients int
+}
+
+// LimitsOf returns the limits for a share of resources.
+func LimitsOf(resources Resources, share Share) Limits {
+	var limits Limits
+	if resources.MemoryMB > 0 && share.MemoryDivisor > 0 {
+		memory := Bytes(resources.MemoryMB) * bytesPerMB
+		limits.Total = max(memory/Bytes(share.MemoryDivisor), share.Largest)
+		limits.PerClient = max(limits.Total/perClientDivisor, share.Largest)
+		limits.Clients = max(1, int(memory/clientMemoryDivisor/clientBytes))
+	}
+	if resources.Descriptors > 0 && share.DescriptorDivisor > 0 {
+		byDescriptors := max(1, resources.Descriptors/share.DescriptorDivisor)
+		if limits.Clients == 0 || byDescriptors < limits.Clients {
+			limits.Clients = byDescriptors
+		}
+	}
+	return limits
+}
