settings: limits.fd_limit; ctcrowd: more kinds of clients, and clients in calm

The setting is only read so far. New cases: session values that are set up at the member, half frames and silent connections at control's peer port, and TestCalm (the smallest VM's limits, 60 idle sessions, statements and session values of nearly 1 MiB), which guards against limits that are too strict.

--- a/internal/lab/ctcrowd/crowd.go
+++ b/internal/lab/ctcrowd/crowd.go
@@ -4,10 +4,13 @@
 	"fmt"
 	"net"
 	"net/netip"
+	"os"
 	"strings"
 	"sync"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"github.com/cherviltrestle/cherviltrestle/internal/model/ctquery"
 	"github.com/cherviltrestle/cherviltrestle/platform"
 	"github.com/cherviltrestle/cherviltrestle/platform/ctpeer"
@@ -61,9 +64,11 @@
 	Item  string
 }
 
-// Values sets a number of large session values.
+// Values sets a number of large session values. If Read is set, it then reads, which sets the values up
+// at the member.
 type Values struct {
 	Count int
+	Read  bool
 }
 
 // PreparedStatements prepares a number of large statements.
@@ -131,6 +136,18 @@
 	group.Wait()
 }
 
+// Open returns how many connections the other end has not closed.
+func (c *Crowd) Open() int {
+	open := 0
+	for _, s := range c.sockets {
+		_ = s.SetReadDeadline(time.Now().Add(time.Millisecond))
+		if _, err := s.Read(make([]byte, 1)); errors.Is(err, os.ErrDeadlineExceeded) {
+			open++
+		}
+	}
+	return open
+}
+
 // Close closes the connections.
 func (c *Crowd) Close() {
 	for _, s := range c.sockets {
@@ -174,6 +191,9 @@
 		c.exchange(b.Count, b.PieceBytes, func(int) string { return "WRITE a" })
 	case Values:
 		c.exchange(b.Count, 0, func(i int) string { return fmt.Sprintf("SET v%d", i) })
+		if b.Read && c.send(queryLine("READ item"), 0) {
+			c.receive()
+		}
 	case PreparedStatements:
 		c.exchange(b.Count, 0, func(i int) string { return fmt.Sprintf("PREPARE p%d READ", i) })
 	case TooLarge:
--- a/internal/lab/ctcrowd/crowd_test.go
+++ b/internal/lab/ctcrowd/crowd_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/netip"
+	"strings"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -14,15 +15,20 @@
 // exceed the limit together, several times with session values.
 const (
 	memory        ctcrowd.Megabytes = 80
-	descriptors                     = 300
-	crowdSize                       = 120
-	sessionsSize                    = 40
-	idleSize                        = 400
-	bodiesSize                      = 24
-	messages                        = 3
-	largePerState                   = 6
-	pipelined                       = 20_000
-	smallPiece                      = 2 << 10
+	descriptors   int               = 300
+	crowdSize     int               = 120
+	sessionsSize  int               = 40
+	idleSize      int               = 400
+	bodiesSize    int               = 24
+	messages      int               = 3
+	largePerState int               = 6
+	pipelined     int               = 20_000
+	// smallestMemory and smallestDescriptors are those of a proxy on the smallest VM, and calmSessions
+	// is more than the sessions that it serves.
+	smallestMemory      ctcrowd.Megabytes = 136
+	smallestDescriptors int               = 3010
+	calmSessions        int               = 60
+	smallPiece                            = 2 << 10
 )
 
 // listener is what a crowd connects to.
@@ -32,7 +38,7 @@
 // the crowd is connected, and that the processes have stayed under their limits.
 func assertWithinLimits(t *testing.T, to listener, crowd ctcrowd.Crowd) {
 	t.Helper()
-	system := start(t)
+	system := start(t, memory, descriptors)
 	crowd.Address = to(system)
 	defer crowd.Close()
 	crowd.Run()
@@ -42,8 +48,8 @@
 	assertUsage(t, system)
 }
 
-// start starts a system with the limits of this package.
-func start(t *testing.T) *ctcrowd.System {
+// start starts a system with limits.
+func start(t *testing.T, memory ctcrowd.Megabytes, descriptors int) *ctcrowd.System {
 	t.Helper()
 	system, err := ctcrowd.Start(ctcrowd.Options{
 		BinFolder: programFolder, Folder: t.ArtifactDir(), Memory: memory, Descriptors: descriptors,
@@ -71,6 +77,7 @@
 func TestCrowd(t *testing.T) {
 	callers, peers := (*ctcrowd.System).CallerAddress, (*ctcrowd.System).ProxyPeerAddress
 	balancer, operators := (*ctcrowd.System).ReadinessAddress, (*ctcrowd.System).OperatorAddress
+	controlPeers := (*ctcrowd.System).ControlPeerAddress
 	whole := ctcrowd.LargeMessages{Count: messages}
 	pieces := ctcrowd.LargeMessages{Count: messages, PieceBytes: smallPiece}
 	reads := ctcrowd.Pipeline{Count: pipelined, Item: "item"}
@@ -89,6 +96,7 @@
 		{"pipelined messages", callers, sessionsSize, reads},
 		{"pipelined large reads", callers, crowdSize, largeReads},
 		{"session values", callers, sessionsSize, ctcrowd.Values{Count: largePerState}},
+		{"session values in use", callers, sessionsSize, ctcrowd.Values{Count: largePerState, Read: true}},
 		{"prepared statements", callers, sessionsSize, ctcrowd.PreparedStatements{Count: largePerState}},
 		{"slow senders", callers, crowdSize, ctcrowd.SlowSender{}},
 		{"slow readers", callers, crowdSize, ctcrowd.SlowReader{}},
@@ -96,6 +104,8 @@
 		{"silent clients", callers, idleSize, ctcrowd.Silent{}},
 		{"half a frame", peers, crowdSize, ctcrowd.HalfFrame{}},
 		{"silent peers", peers, idleSize, ctcrowd.Silent{}},
+		{"half a frame to control", controlPeers, crowdSize, ctcrowd.HalfFrame{}},
+		{"silent peers of control", controlPeers, idleSize, ctcrowd.Silent{}},
 		{"silent probes", balancer, idleSize, ctcrowd.Silent{}},
 		{"large bodies", operators, bodiesSize, ctcrowd.Body{}},
 		{"half a body", operators, bodiesSize, ctcrowd.Body{Half: true}},
@@ -106,3 +116,23 @@
 		})
 	}
 }
+
+// TestCalm guards against limits that refuse clients within the documented limits: statements of nearly
+// 1 MiB, several session values of that size, and as many sessions as the smallest VM serves and more.
+func TestCalm(t *testing.T) {
+	large := strings.Repeat("x", 1<<20-100)
+	system := start(t, smallestMemory, smallestDescriptors)
+	crowd := ctcrowd.Crowd{Address: system.CallerAddress(), Size: calmSessions, Behaviour: ctcrowd.Idle{}}
+	defer crowd.Close()
+	crowd.Run()
+	for name, statements := range map[string][]string{
+		"a large write":         {"WRITE a " + large},
+		"large writes":          {"WRITE a " + large, "WRITE a " + large, "WRITE a " + large},
+		"a large row":           {"READ large", "READ large"},
+		"large session values":  {"SET a " + large, "SET b " + large, "SET c " + large, "READ item"},
+		"a large prepared read": {"PREPARE p READ " + large, "EXECUTE p item"},
+	} {
+		t.Run(name, func(t *testing.T) { assert.Assert(t, system.Serves(t.Context(), statements...)) })
+	}
+	t.Run("the idle sessions are still open", func(t *testing.T) { assert.Equal(t, crowd.Open(), calmSessions) })
+}
--- a/internal/lab/ctcrowd/system.go
+++ b/internal/lab/ctcrowd/system.go
@@ -148,6 +148,9 @@
 // ProxyPeerAddress is where the proxy accepts streams of other processes.
 func (s *System) ProxyPeerAddress() netip.AddrPort { return s.address(proxyHost, peerPort) }
 
+// ControlPeerAddress is where the control process accepts streams of other processes.
+func (s *System) ControlPeerAddress() netip.AddrPort { return s.address(controlHost, peerPort) }
+
 // ReadinessAddress is where the proxy answers the load balancer's probes.
 func (s *System) ReadinessAddress() netip.AddrPort { return s.address(proxyHost, readinessPort) }
 
@@ -159,7 +162,7 @@
 	return ctnode.Settings{
 		Name: name, IP: s.address(host, peerPort).Addr(), FailureDomain: domain, PeerPort: peerPort, Bootstrap: true,
 		Seeds: []netip.Addr{s.address(controlHost, peerPort).Addr()}, ApplyTimeout: applyTimeout,
-		StopTimeout: stopTimeout, MemoryMB: int(s.Memory),
+		StopTimeout: stopTimeout, MemoryMB: int(s.Memory), DescriptorLimit: s.Descriptors,
 	}
 }
 
@@ -188,11 +191,7 @@
 // startProcess writes the settings of a process and starts it.
 func (s *System) startProcess(role string, settings ctnode.Settings) (Process, error) {
 	file := filepath.Join(s.Folder, settings.Name+".conf")
-	text := platform.RenderSettings(settings)
-	if s.Descriptors > 0 {
-		text += platform.RenderDescriptorLimit(s.Descriptors)
-	}
-	if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
+	if err := os.WriteFile(file, []byte(platform.RenderSettings(settings)), 0o600); err != nil {
 		return Process{}, errors.Wrap(err, "write settings")
 	}
 	p := ctfleet.NewProcess(settings.Name, filepath.Join(s.Folder, settings.Name+".log"),
@@ -241,22 +240,32 @@
 
 // AwaitServed waits until the proxy answers an ordinary request, which is repeated until then.
 func (s *System) AwaitServed(ctx context.Context) error {
-	return await(ctx, "the proxy answers an ordinary request", s.serves)
+	return await(ctx, "the proxy answers an ordinary request", func(ctx context.Context) bool {
+		return s.Serves(ctx, "READ item")
+	})
 }
 
-// serves opens a session, reads and reports whether that succeeded.
-func (s *System) serves(ctx context.Context) bool {
+// Serves opens a session, sends statements one after another and reports whether all succeeded.
+func (s *System) Serves(ctx context.Context, statements ...string) bool {
 	caller, _, err := ctpeer.Dial(ctx, s.CallerAddress(), database)
 	if err != nil || caller == nil {
 		return false
 	}
 	defer caller.Close()
 	deadline, _ := ctx.Deadline()
-	if caller.SetReadDeadline(deadline) != nil || caller.Send("ordinary", "READ item") != nil {
+	if caller.SetReadDeadline(deadline) != nil {
 		return false
 	}
-	answer, err := caller.Receive()
-	return err == nil && answer.OK()
+	for _, statement := range statements {
+		if caller.Send("ordinary", statement) != nil {
+			return false
+		}
+		answer, err := caller.Receive()
+		if err != nil || !answer.OK() {
+			return false
+		}
+	}
+	return true
 }
 
 // AwaitControlServed waits until the control process returns the configuration.
--- a/internal/program/ctnode/settings.go
+++ b/internal/program/ctnode/settings.go
@@ -41,8 +41,10 @@
 	ApplyTimeout time.Duration
 	// StopTimeout is how long a planned stop may take.
 	StopTimeout time.Duration
-	// MemoryMB is how much memory the process may use, in megabytes.
+	// MemoryMB is how much memory the process may use, in megabytes; 0 for no limit.
 	MemoryMB int
+	// DescriptorLimit is how many descriptors the process may have open; 0 for no limit.
+	DescriptorLimit int
 }
 
 // Check returns an error for the first missing setting among those that both roles
