ctframe, cttcp: the body of a frame gets memory as it arrives

A Meter is charged for the body as far as it has arrived, until the next read. Test: TestReadMetered (recorded charge at most twice of what arrived).

--- a/internal/link/ctframe/codec.go
+++ b/internal/link/ctframe/codec.go
@@ -46,6 +46,26 @@
 // Read reads and checks one frame. It returns io.EOF if the stream ended between two
 // frames, and an error of kind cterror.Invalid if the frame is malformed.
 func Read(r io.Reader) (Frame, error) {
+	return ReadMetered(r, nil)
+}
+
+// Meter limits what received frames may hold.
+type Meter interface {
+	// ChargeFrame returns an error if the peer may not hold a frame of a number of bytes, in place of
+	// that of the last call. 0 means that it holds none.
+	ChargeFrame(bytes int) error
+	// FrameArrived is called when a frame has arrived whole.
+	FrameArrived()
+}
+
+// ReadMetered is Read with a meter, unless that is nil. The meter is charged for the body of the
+// frame, as far as it has arrived, until the next call.
+func ReadMetered(r io.Reader, meter Meter) (Frame, error) {
+	if meter != nil {
+		if err := meter.ChargeFrame(0); err != nil {
+			return nil, err
+		}
+	}
 	var header [headerBytes]byte
 	if _, err := io.ReadFull(r, header[:]); err != nil {
 		if errors.Is(err, io.EOF) {
@@ -58,13 +78,43 @@
 		return nil, cterror.Newf(cterror.Invalid, "check that the peer is a cherviltrestle process of this version",
 			"frame of %d bytes is over the limit", size)
 	}
-	body := make([]byte, size-1)
-	if _, err := io.ReadFull(r, body); err != nil {
-		return nil, errors.Wrap(err, "read frame body")
+	body, err := readBody(r, int(size-1), meter)
+	if err != nil {
+		return nil, err
+	}
+	if meter != nil {
+		meter.FrameArrived()
 	}
 	return Decode(header[4], body)
 }
 
+// firstBodyBytes is how much memory the body of a frame gets before any of it has arrived. Most
+// frames are smaller.
+const firstBodyBytes = 16 << 10
+
+// readBody reads the body of a frame. Its memory at most doubles with what has arrived, whatever
+// length the header claims.
+func readBody(r io.Reader, size int, meter Meter) ([]byte, error) {
+	body := make([]byte, 0, min(size, firstBodyBytes))
+	for len(body) < size {
+		if len(body) == cap(body) {
+			grown := min(size, 2*cap(body))
+			if meter != nil {
+				if err := meter.ChargeFrame(grown); err != nil {
+					return nil, err
+				}
+			}
+			body = append(make([]byte, 0, grown), body...)
+		}
+		n, err := io.ReadFull(r, body[len(body):cap(body)])
+		body = body[:len(body)+n]
+		if err != nil {
+			return nil, errors.Wrap(err, "read frame body")
+		}
+	}
+	return body, nil
+}
+
 // Decode decodes and checks the body of a frame. wireKind is the kind in its header.
 // Errors are of kind cterror.Invalid.
 func Decode(wireKind byte, body []byte) (Frame, error) {
--- a/internal/link/ctframe/codec_test.go
+++ b/internal/link/ctframe/codec_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net/netip"
+	"strings"
 	"testing"
 	"time"
 
@@ -115,3 +116,51 @@
 	assert.Assert(t, ok)
 	assert.DeepEqual(t, read.HeldMembers, report.HeldMembers)
 }
+
+// recordingMeter records the largest charge, and denies those over a limit.
+type recordingMeter struct {
+	limit, largest, last int
+	arrived              int
+}
+
+func (m *recordingMeter) ChargeFrame(bytes int) error {
+	if bytes > m.limit {
+		return cterror.New(cterror.Exhausted, "too much", "send less")
+	}
+	m.last, m.largest = bytes, max(m.largest, bytes)
+	return nil
+}
+
+func (m *recordingMeter) FrameArrived() { m.arrived++ }
+
+// TestReadMetered guards against a frame whose claimed length is allocated before its body arrives, and
+// against a meter that isn't asked.
+func TestReadMetered(t *testing.T) {
+	const arrived = 100_000
+	claim := append([]byte{0x01, 0x40, 0, 0, 1}, make([]byte, arrived)...)
+	t.Run("a frame that ends midway", func(t *testing.T) {
+		meter := &recordingMeter{limit: ctframe.MaxBytes}
+		_, err := ctframe.ReadMetered(bytes.NewReader(claim), meter)
+		assert.ErrorIs(t, err, io.ErrUnexpectedEOF)
+		assert.Assert(t, meter.largest <= 2*arrived, meter.largest)
+		assert.Equal(t, meter.arrived, 0)
+	})
+	t.Run("a frame over the limit of the meter", func(t *testing.T) {
+		_, err := ctframe.ReadMetered(bytes.NewReader(claim), &recordingMeter{limit: arrived / 2})
+		assert.Equal(t, cterror.KindOf(err), cterror.Exhausted)
+	})
+	t.Run("whole frames", func(t *testing.T) {
+		meter := &recordingMeter{limit: ctframe.MaxBytes}
+		data, err := ctframe.Encode(&ctframe.Cancel{Member: ctid.Member(strings.Repeat("m", arrived))})
+		assert.NilError(t, err)
+		reader := bytes.NewReader(append(data, data...))
+		for range 2 {
+			_, _ = ctframe.ReadMetered(reader, meter)
+		}
+		assert.Equal(t, meter.arrived, 2)
+		assert.Assert(t, meter.largest >= arrived, meter.largest)
+		_, err = ctframe.ReadMetered(reader, meter)
+		assert.ErrorIs(t, err, io.EOF)
+		assert.Equal(t, meter.last, 0)
+	})
+}
--- a/internal/link/cttcp/stream.go
+++ b/internal/link/cttcp/stream.go
@@ -19,6 +19,8 @@
 
 // Stream is a ctframe.Stream over one TCP connection.
 type Stream struct {
+	// Meter limits what received frames may hold; nil for no limit. It is set before the first Read.
+	Meter  ctframe.Meter
 	socket net.Conn
 	reader *bufio.Reader
 	// mutex serializes writes.
@@ -42,7 +44,7 @@
 
 // Read waits for the next frame. Only one goroutine may call it at a time.
 func (s *Stream) Read() (ctframe.Frame, error) {
-	return ctframe.Read(s.reader)
+	return ctframe.ReadMetered(s.reader, s.Meter)
 }
 
 // Close closes the connection. Calls of Read and Write that wait then fail.
