ctaccount: accounts of the clients of a listener, with metrics and log lines

Drives ctbudget for real connections: closes the clients that the ledger evicts, after the lock is released. ctdialog counts the size of session state, so that it can be charged before a statement adds to it.

--- a/internal/decide/ctbudget/ledger.go
+++ b/internal/decide/ctbudget/ledger.go
@@ -49,8 +49,9 @@
 
 // Granted is a verdict that grants the request.
 type Granted struct {
-	// Evicted are the clients that must be closed. The ledger has removed them.
+	// Evicted are the clients that must be closed, and Reason says why. The ledger has removed them.
 	Evicted []Client
+	Reason  Reason
 }
 
 // Denied is a verdict that changes nothing.
@@ -106,7 +107,7 @@
 			return Denied{Reason: ReasonClients}
 		}
 		l.Close(replaced)
-		granted.Evicted = []Client{replaced}
+		granted = Granted{Evicted: []Client{replaced}, Reason: ReasonClients}
 	}
 	l.clients[client] = &account{progressAt: now}
 	return granted
@@ -167,6 +168,9 @@
 		if granted.Evicted, ok = l.evictFor(now, client, more); !ok {
 			return Denied{Reason: ReasonMemory}
 		}
+		if len(granted.Evicted) > 0 {
+			granted.Reason = ReasonMemory
+		}
 	}
 	a.charges[use] = amount
 	l.charged += more
--- a/internal/decide/ctbudget/limits.go
+++ b/internal/decide/ctbudget/limits.go
@@ -4,8 +4,8 @@
 type Bytes int64
 
 const (
-	// bytesPerMB converts the unit of the settings.
-	bytesPerMB = 1_000_000
+	// BytesPerMB converts the unit of the settings.
+	BytesPerMB = 1_000_000
 	// clientMemoryDivisor is the part of the process's memory for what every client needs, and
 	// clientBytes is that amount: a stack and buffers.
 	clientMemoryDivisor       = 8
@@ -44,7 +44,7 @@
 func LimitsOf(resources Resources, share Share) Limits {
 	var limits Limits
 	if resources.MemoryMB > 0 && share.MemoryDivisor > 0 {
-		memory := Bytes(resources.MemoryMB) * bytesPerMB
+		memory := Bytes(resources.MemoryMB) * BytesPerMB
 		limits.Total = max(memory/Bytes(share.MemoryDivisor), share.Largest)
 		limits.PerClient = max(limits.Total/perClientDivisor, share.Largest)
 		limits.Clients = max(1, int(memory/clientMemoryDivisor/clientBytes))
--- a/internal/decide/ctdialog/dialog.go
+++ b/internal/decide/ctdialog/dialog.go
@@ -145,6 +145,12 @@
 	return d.answerFault(ctquery.FaultMalformed, "the statement is not one that callers may send")
 }
 
+// RefuseQuery returns the plan for a query that is refused with a fault and changes nothing but the
+// transaction, which fails.
+func (d *Dialog) RefuseQuery(fault ctquery.Fault, text string) Answer {
+	return d.answerFault(fault, text)
+}
+
 // handleFailedStage handles a query in a failed transaction. Only COMMIT and
 // ROLLBACK are accepted; both end it.
 func (d *Dialog) handleFailedStage(statement ctquery.Statement) Plan {
@@ -277,7 +283,7 @@
 
 // answerFault refuses a query with a fault and marks any transaction as failed.
 // The answer's Rollback is set if a member had the transaction open.
-func (d *Dialog) answerFault(fault ctquery.Fault, text string) Plan {
+func (d *Dialog) answerFault(fault ctquery.Fault, text string) Answer {
 	rollback := d.stage == stageOpen
 	if d.stage != stageNone {
 		d.stage = stageFailed
--- a/internal/decide/ctdialog/state.go
+++ b/internal/decide/ctdialog/state.go
@@ -12,6 +12,8 @@
 type State struct {
 	parameters map[ctquery.Word]ctquery.Text
 	prepared   map[ctquery.Word]prepared
+	// bytes is about how much memory the maps take.
+	bytes int
 }
 
 // prepared is a prepared statement of a session.
@@ -25,6 +27,10 @@
 	if s.parameters == nil {
 		s.parameters = make(map[ctquery.Word]ctquery.Text)
 	}
+	if old, ok := s.parameters[statement.Name]; ok {
+		s.bytes -= parameterBytes(statement.Name, old)
+	}
+	s.bytes += parameterBytes(statement.Name, statement.Value)
 	s.parameters[statement.Name] = statement.Value
 }
 
@@ -32,11 +38,44 @@
 	if s.prepared == nil {
 		s.prepared = make(map[ctquery.Word]prepared)
 	}
+	s.deallocate(ctquery.Deallocate{Name: ctquery.Text(statement.Name)})
+	s.bytes += preparedBytes(statement.Name, statement.Shape)
 	s.prepared[statement.Name] = prepared{shape: statement.Shape, sharedName: statement.Shape.SharedName()}
 }
 
 func (s *State) deallocate(statement ctquery.Deallocate) {
-	delete(s.prepared, ctquery.Word(statement.Name))
+	name := ctquery.Word(statement.Name)
+	if old, ok := s.prepared[name]; ok {
+		s.bytes -= preparedBytes(name, old.shape)
+	}
+	delete(s.prepared, name)
+}
+
+// stateEntryBytes is the size of a parameter or a prepared statement besides its texts.
+const stateEntryBytes = 64
+
+func parameterBytes(name ctquery.Word, value ctquery.Text) int {
+	return stateEntryBytes + len(name) + len(value)
+}
+
+func preparedBytes(name ctquery.Word, shape ctquery.Shape) int {
+	return stateEntryBytes + len(name) + len(shape.Text)
+}
+
+// Bytes returns about how much memory the state takes.
+func (s *State) Bytes() int {
+	return s.bytes
+}
+
+// BytesAdded returns how much more memory the state may take after a statement.
+func BytesAdded(statement ctquery.Statement) int {
+	switch s := statement.(type) {
+	case ctquery.Set:
+		return parameterBytes(s.Name, s.Value)
+	case ctquery.Prepare:
+		return preparedBytes(s.Name, s.Shape)
+	}
+	return 0
 }
 
 // NewState returns a state with the given parameters, in which a shape that is not nil is
@@ -82,6 +121,15 @@
 	prepared []ctquery.Word
 }
 
+// Bytes returns about how much memory the connection's values take.
+func (c *ConnectionState) Bytes() int {
+	bytes := 0
+	for name, value := range c.parameters {
+		bytes += parameterBytes(name, value)
+	}
+	return bytes
+}
+
 // Matches reports whether the connection's parameters equal the session's.
 func (c *ConnectionState) Matches(state *State) bool {
 	return maps.Equal(c.parameters, state.parameters)
--- a/internal/program/ctmetric/control.go
+++ b/internal/program/ctmetric/control.go
@@ -38,6 +38,8 @@
 	AnswersInDoubt *prometheus.CounterVec
 	// Panics counts connections that ended because their goroutine panicked.
 	Panics prometheus.Counter
+	// Clients has the metrics of the limits on clients.
+	Clients Clients
 }
 
 // NewControl creates the metrics of a control process and registers them. It panics
@@ -63,6 +65,7 @@
 			"control_promotions_settled_total", "Promotions that can't take effect any more.", "reason"),
 		AnswersInDoubt: f.counterVec("control_answers_in_doubt_total", answersInDoubtHelp, "kind"),
 		Panics:         f.counter("panics_total", panicsHelp),
+		Clients:        newClients(f),
 	}
 }
 
--- a/internal/program/ctmetric/metrics.go
+++ b/internal/program/ctmetric/metrics.go
@@ -75,6 +75,8 @@
 	Reports *prometheus.CounterVec
 	// Panics counts connections that ended because their goroutine panicked.
 	Panics prometheus.Counter
+	// Clients has the metrics of the limits on clients.
+	Clients Clients
 }
 
 // New creates the metrics of a proxy process and registers them. It panics if the
@@ -111,6 +113,7 @@
 		Revision:    f.gauge("config_revision", "Revision of the configuration in force."),
 		Reports:     f.counterVec("reports_total", "Reports to control.", "result"),
 		Panics:      f.counter("panics_total", panicsHelp),
+		Clients:     newClients(f),
 	}
 }
 
--- a/internal/work/ctlock/rank.go
+++ b/internal/work/ctlock/rank.go
@@ -42,6 +42,8 @@
 	RankMembers
 	// RankPeers guards a proxy's idle streams to other proxies.
 	RankPeers
+	// RankAccounts guards the memory accounts of the clients of a listener.
+	RankAccounts
 	// RankStandin guards the database of a stand-in server.
 	RankStandin
 )
