proxy and control: clients are limited by the memory and descriptors of the process

Callers' lines are charged as they arrive, session state before a statement adds to it, and answers until they are written; a message that has begun must end within 30 s. HTTP connections, bodies and frames of peers are charged in the same way, and HTTP requests and responses have 60 s. Connections are limited by limits.fd_limit. The garbage collector keeps the heap below 0.7 of limits.memory_mb. Connections to members that retain more than 64 KiB of a session's values are closed on release, as nobody is charged for that. Without the settings nothing is limited. Ruled out: refusing small messages while the budget is exhausted.

--- a/internal/lab/ctmembers/fixture_test.go
+++ b/internal/lab/ctmembers/fixture_test.go
@@ -252,7 +252,7 @@
 	f.pools = ctpools.New(f.group, self, transport, clock, zerolog.Nop())
 	f.gateway = ctgateway.New(ctgateway.Options{
 		FailureDomain: self.FailureDomain, State: state, Pools: f.pools, Clock: clock, Logger: zerolog.New(f.log),
-		NewCaller: func(net.Conn) ctgateway.Caller { return <-f.callers },
+		NewCaller: func(net.Conn, ctgateway.Meter) ctgateway.Caller { return <-f.callers },
 		DecodeStatus: func(answer ctquery.Answer) (ctquery.Status, error) {
 			return ctquery.Status{Role: ctserver.RoleReplica, Received: answer.Point}, nil
 		},
--- a/internal/program/ctgateway/gateway.go
+++ b/internal/program/ctgateway/gateway.go
@@ -13,6 +13,7 @@
 	"github.com/cherviltrestle/cherviltrestle/internal/model/ctquery"
 	"github.com/cherviltrestle/cherviltrestle/internal/model/ctset"
 	"github.com/cherviltrestle/cherviltrestle/internal/model/ctview"
+	"github.com/cherviltrestle/cherviltrestle/internal/program/ctaccount"
 	"github.com/cherviltrestle/cherviltrestle/internal/program/ctmetric"
 	"github.com/cherviltrestle/cherviltrestle/internal/program/ctpools"
 	"github.com/cherviltrestle/cherviltrestle/internal/program/ctstate"
@@ -40,8 +41,10 @@
 	AcceptStartup() error
 	// ReadQuery reads the next query; a zero deadline means no limit. The error wraps
 	// os.ErrDeadlineExceeded if the deadline passes or Interrupt is called first, and
-	// io.EOF if the caller ends the session. The statement of a query
-	// that can't be decoded is a ctquery.Malformed.
+	// io.EOF if the caller ends the session. It is of kind cterror.Invalid for a message that
+	// is too long, cterror.Exhausted if the meter has no room for it, and cterror.Expired if it
+	// has begun and does not end in time. The statement of a query that can't be decoded is a
+	// ctquery.Malformed.
 	ReadQuery(deadline time.Time) (ctquery.Query, error)
 	// Interrupt makes a waiting ReadQuery return at once, unless a message has begun
 	// to arrive. It may be called from another goroutine.
@@ -52,13 +55,22 @@
 	Close()
 }
 
+// Meter limits what a caller's messages may hold.
+type Meter interface {
+	// ChargeMessage reports whether the caller may hold a message of a number of bytes, in place of
+	// that of the last call. 0 means that it holds none.
+	ChargeMessage(bytes int) bool
+}
+
 // Options are the dependencies and settings of a Gateway.
 type Options struct {
 	FailureDomain ctid.FailureDomain
 	State         *ctstate.State
 	Pools         *ctpools.Pools
-	// NewCaller wraps an accepted connection as a Caller.
-	NewCaller func(socket net.Conn) Caller
+	// NewCaller wraps an accepted connection as a Caller. The meter limits its messages.
+	NewCaller func(socket net.Conn, meter Meter) Caller
+	// Accounts limits the callers and what they hold; nil for no limit.
+	Accounts *ctaccount.Accounts
 	// DecodeStatus decodes a member's answer to ctquery.ReadStatus.
 	DecodeStatus func(answer ctquery.Answer) (ctquery.Status, error)
 	Clock        ctclock.Clock
--- a/internal/program/ctgateway/session.go
+++ b/internal/program/ctgateway/session.go
@@ -16,6 +16,7 @@
 	"github.com/cherviltrestle/cherviltrestle/internal/model/ctposition"
 	"github.com/cherviltrestle/cherviltrestle/internal/model/ctquery"
 	"github.com/cherviltrestle/cherviltrestle/internal/model/ctview"
+	"github.com/cherviltrestle/cherviltrestle/internal/program/ctaccount"
 	"github.com/cherviltrestle/cherviltrestle/internal/program/ctlog"
 	"github.com/cherviltrestle/cherviltrestle/internal/program/ctpools"
 	"github.com/cherviltrestle/cherviltrestle/internal/work/ctlock"
@@ -40,8 +41,11 @@
 	gateway *Gateway
 	id      ctid.Session
 	caller  Caller
-	held    ctlock.Held
-	dialog  ctdialog.Dialog
+	account *ctaccount.Account
+	// chargedState is what the account was last charged for the session's state.
+	chargedState int
+	held         ctlock.Held
+	dialog       ctdialog.Dialog
 	// startup is the caller's startup message. route is the route of its database, and
 	// workspace the one that holds its key, in the configuration at the start of the current
 	// transaction or statement. The name of workspace is empty for a caller without one.
@@ -71,8 +75,17 @@
 
 // serve serves one connection of a caller until its session ends.
 func (g *Gateway) serve(socket net.Conn) {
-	s := &session{gateway: g, id: ctid.Session(g.lastSession.Add(1)), caller: g.NewCaller(socket)}
+	account, admitted := g.Accounts.Open(func() { _ = socket.Close() })
+	defer account.Close()
+	s := &session{
+		gateway: g, id: ctid.Session(g.lastSession.Add(1)), account: account,
+		caller: g.NewCaller(socket, messageMeter{account}),
+	}
 	defer s.caller.Close()
+	if !admitted {
+		_ = s.caller.RefuseStartup(ctquery.FaultBusy, tooManyCallersText)
+		return
+	}
 	var err error
 	s.startup, err = s.caller.ReadStartup(time.Now().Add(startupMessageTimeout))
 	if err != nil {
@@ -88,6 +101,7 @@
 	if s.caller.AcceptStartup() != nil {
 		return
 	}
+	s.account.Progress()
 	g.sessions.With(&s.held, func(sessions map[ctid.Session]*session) { sessions[s.id] = s })
 	g.Metrics.Sessions.Inc()
 	defer g.Metrics.Sessions.Dec()
@@ -237,10 +251,14 @@
 		case cterror.KindOf(err) == cterror.Invalid:
 			s.logMalformed("", ctquery.Malformed{Reason: ctquery.MalformedTooLong})
 			return
+		case cterror.KindOf(err) == cterror.Expired:
+			ctlog.Decision(&s.gateway.Logger, "end_session").Uint64("session", uint64(s.id)).
+				Str("why", "message_timeout").Send()
+			return
 		default:
 			return
 		}
-		if s.caller.WriteAnswer(s.handleQuery(query)) != nil {
+		if s.answer(query) != nil {
 			return
 		}
 	}
@@ -264,7 +282,7 @@
 // reports whether there was one.
 func (s *session) serveArrivedQuery() bool {
 	query, err := s.caller.ReadQuery(time.Now().Add(arrivedQueryTimeout))
-	return err == nil && s.caller.WriteAnswer(s.handleQuery(query)) == nil
+	return err == nil && s.answer(query) == nil
 }
 
 // handleReadDeadline handles a read that ended without a query: a transaction was
@@ -310,13 +328,19 @@
 			Str("why", "key_withdrawn").Send()
 		s.rollBack()
 	}
-	switch plan := s.dialog.HandleQuery(query).(type) {
+	plan := s.chargeState(query.Statement)
+	if plan == nil {
+		plan = s.dialog.HandleQuery(query)
+	}
+	switch plan := plan.(type) {
 	case ctdialog.Answer:
 		if plan.Rollback {
 			s.rollBack()
 		}
 		return plan.Answer
 	case ctdialog.Run:
+		s.account.SetRunning(true)
+		defer s.account.SetRunning(false)
 		return s.run(plan)
 	}
 	return ctquery.Answer{Fault: ctquery.FaultMalformed}
--- a/internal/program/ctnode/control.go
+++ b/internal/program/ctnode/control.go
@@ -8,9 +8,11 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/rs/zerolog"
 
+	"github.com/cherviltrestle/cherviltrestle/internal/decide/ctbudget"
 	"github.com/cherviltrestle/cherviltrestle/internal/link/cttcp"
 	"github.com/cherviltrestle/cherviltrestle/internal/model/ctconfig"
 	"github.com/cherviltrestle/cherviltrestle/internal/model/ctquery"
+	"github.com/cherviltrestle/cherviltrestle/internal/program/ctaccount"
 	"github.com/cherviltrestle/cherviltrestle/internal/program/ctcontrol"
 	"github.com/cherviltrestle/cherviltrestle/internal/program/ctmetric"
 	"github.com/cherviltrestle/cherviltrestle/internal/program/ctpools"
@@ -85,6 +87,13 @@
 	}, nil
 }
 
+// newAccounts returns the accounts of the clients of a listener.
+func (c *Control) newAccounts(listener string, share ctbudget.Share) *ctaccount.Accounts {
+	return c.settings.newAccounts(share, ctaccount.Options{
+		Listener: listener, Clock: &ctclock.BootTime{}, Logger: c.logger, Metrics: &c.metrics.Clients,
+	})
+}
+
 // Reload applies the settings that may change while the process runs, which are the
 // seeds.
 func (c *Control) Reload(settings Settings) {
@@ -98,6 +107,7 @@
 // Run serves peers, operators and metrics until the disk fails or ctx ends. In the second
 // case it first answers the requests that it has accepted.
 func (c *Control) Run(ctx context.Context) error {
+	c.settings.limitHeap()
 	runCtx, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
 	peers, err := cttcp.Listen(c.settings.peerListenAddress())
@@ -110,20 +120,25 @@
 		return err
 	}
 	operatorServer, err := serveHTTP(
-		runCtx, c.settings.OperatorAddress, "operators", c.frontends.OperatorHandler(c.service), c.logger)
+		runCtx, c.settings.OperatorAddress, "operators", c.frontends.OperatorHandler(c.service), c.logger,
+		c.newAccounts("operators", operatorShare))
 	if err != nil {
 		return err
 	}
 	defer func() { _ = operatorServer.Close() }()
 	metricsServer, err := serveHTTP(
-		runCtx, c.settings.metricsAddress(), "metrics", metricRoutes(c.metrics.Handler()), c.logger)
+		runCtx, c.settings.metricsAddress(), "metrics", metricRoutes(c.metrics.Handler()), c.logger,
+		c.newAccounts("metrics", probeShare))
 	if err != nil {
 		return err
 	}
 	defer func() { _ = metricsServer.Close() }()
 	go func() {
 		report := ctmetric.Report(&c.logger, c.metrics.Panics)
-		err := peers.Serve(runCtx, report, func(ctx context.Context, stream *cttcp.Stream) { c.service.Serve(ctx, stream) })
+		accounts := c.newAccounts("peers", controlPeerShare)
+		err := peers.Serve(runCtx, report, func(ctx context.Context, stream *cttcp.Stream) {
+			serveMetered(accounts, stream, func() { c.service.Serve(ctx, stream) })
+		})
 		if runCtx.Err() == nil {
 			c.logger.Error().Str("event", "peers_ended").Str("error", err.Error()).Send()
 		}
--- a/internal/program/ctnode/proxy.go
+++ b/internal/program/ctnode/proxy.go
@@ -9,12 +9,14 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/rs/zerolog"
 
+	"github.com/cherviltrestle/cherviltrestle/internal/decide/ctbudget"
 	"github.com/cherviltrestle/cherviltrestle/internal/link/ctframe"
 	"github.com/cherviltrestle/cherviltrestle/internal/link/cttcp"
 	"github.com/cherviltrestle/cherviltrestle/internal/model/ctid"
 	"github.com/cherviltrestle/cherviltrestle/internal/model/ctquery"
 	"github.com/cherviltrestle/cherviltrestle/internal/model/ctserver"
 	"github.com/cherviltrestle/cherviltrestle/internal/model/ctview"
+	"github.com/cherviltrestle/cherviltrestle/internal/program/ctaccount"
 	"github.com/cherviltrestle/cherviltrestle/internal/program/ctgateway"
 	"github.com/cherviltrestle/cherviltrestle/internal/program/ctmetric"
 	"github.com/cherviltrestle/cherviltrestle/internal/program/ctpools"
@@ -45,8 +47,8 @@
 
 // ProxyFrontends are a proxy's interfaces to callers, members and the load balancer.
 type ProxyFrontends struct {
-	// NewCaller wraps an accepted connection as a Caller.
-	NewCaller func(socket net.Conn) ctgateway.Caller
+	// NewCaller wraps an accepted connection as a Caller. The meter limits its messages.
+	NewCaller func(socket net.Conn, meter ctgateway.Meter) ctgateway.Caller
 	Dialer    ctpools.Dialer
 	// DecodeStatus decodes a member's answer to ctquery.ReadStatus.
 	DecodeStatus func(answer ctquery.Answer) (ctquery.Status, error)
@@ -66,6 +68,15 @@
 	gateway   *ctgateway.Gateway
 	uplink    *ctuplink.Uplink
 	metrics   *ctmetric.Metrics
+	// peerAccounts limits the streams that others open, and what their frames hold.
+	peerAccounts *ctaccount.Accounts
+}
+
+// newAccounts returns the accounts of the clients of a listener.
+func (p *Proxy) newAccounts(listener string, share ctbudget.Share) *ctaccount.Accounts {
+	return p.settings.newAccounts(share, ctaccount.Options{
+		Listener: listener, Clock: p.clock, Logger: p.logger, Metrics: &p.metrics.Clients,
+	})
 }
 
 // NewProxy returns a proxy process. Run starts it.
@@ -81,6 +92,7 @@
 		State:         ctserver.StateReady,
 	}
 	p := &Proxy{settings: settings, frontends: frontends, clock: clock, logger: logger, metrics: metrics}
+	p.peerAccounts = p.newAccounts("peers", peerShare)
 	transport := tcpTransport{cttcp.Transport{LocalAddress: settings.LocalIP}}
 	p.pools = ctpools.New(frontends.Dialer, self, transport, clock, logger)
 	p.pools.Metrics = metrics
@@ -89,6 +101,7 @@
 		State:         state,
 		Pools:         p.pools,
 		NewCaller:     frontends.NewCaller,
+		Accounts:      p.newAccounts("callers", callerShare),
 		DecodeStatus:  frontends.DecodeStatus,
 		Clock:         clock,
 		Logger:        logger,
@@ -127,6 +140,7 @@
 
 // Run serves callers until ctx ends, and then performs a planned stop.
 func (p *Proxy) Run(ctx context.Context) error {
+	p.settings.limitHeap()
 	callers, err := listen(ctx, p.settings.CallerAddress, "callers")
 	if err != nil {
 		return err
@@ -134,12 +148,14 @@
 	runCtx, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
 	readinessServer, err := serveHTTP(
-		runCtx, p.settings.ReadinessAddress, "the balancer", p.frontends.ReadinessHandler(p.ready), p.logger)
+		runCtx, p.settings.ReadinessAddress, "the balancer", p.frontends.ReadinessHandler(p.ready), p.logger,
+		p.newAccounts("balancer", probeShare))
 	if err != nil {
 		return err
 	}
 	metricsServer, err := serveHTTP(
-		runCtx, p.settings.metricsAddress(), "metrics", metricRoutes(p.metrics.Handler()), p.logger)
+		runCtx, p.settings.metricsAddress(), "metrics", metricRoutes(p.metrics.Handler()), p.logger,
+		p.newAccounts("metrics", probeShare))
 	if err != nil {
 		return err
 	}
@@ -169,7 +185,9 @@
 // reach control, and runs forwarded queries on the members of this failure domain.
 func (p *Proxy) servePeers(ctx context.Context, peers *cttcp.Listener) {
 	report := ctmetric.Report(&p.logger, p.metrics.Panics)
-	err := peers.Serve(ctx, report, func(ctx context.Context, stream *cttcp.Stream) { p.servePeer(ctx, stream) })
+	err := peers.Serve(ctx, report, func(ctx context.Context, stream *cttcp.Stream) {
+		serveMetered(p.peerAccounts, stream, func() { p.servePeer(ctx, stream) })
+	})
 	if ctx.Err() == nil {
 		p.logger.Error().Str("event", "peers_ended").Str("error", err.Error()).Send()
 	}
--- a/internal/program/ctnode/server.go
+++ b/internal/program/ctnode/server.go
@@ -11,6 +11,7 @@
 
 	"github.com/cherviltrestle/cherviltrestle/internal/link/cttcp"
 	"github.com/cherviltrestle/cherviltrestle/internal/model/cterror"
+	"github.com/cherviltrestle/cherviltrestle/internal/program/ctaccount"
 )
 
 // Timeouts of HTTP servers.
@@ -21,6 +22,9 @@
 	// member. Members that had to switch to another process leave idle connections
 	// behind, and each of them takes memory.
 	idleTimeout = 4 * time.Second
+	// requestTimeout bounds the reading of a whole request, and the writing of a response. A
+	// configuration of 8 MiB takes 48 s on the slowest link of a VM.
+	requestTimeout = time.Minute
 )
 
 // listen opens a TCP listener. Its error names the purpose of the address.
@@ -41,17 +45,22 @@
 }
 
 // serveHTTP starts a server for a handler in the background and returns it. It serves
-// until the returned server is closed.
+// until the returned server is closed. The accounts limit its connections and what their bodies
+// hold.
 func serveHTTP(
 	ctx context.Context, address netip.AddrPort, purpose string, handler http.Handler, logger zerolog.Logger,
+	accounts *ctaccount.Accounts,
 ) (*http.Server, error) {
 	listener, err := listen(ctx, address, purpose)
 	if err != nil {
 		return nil, err
 	}
-	server := &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
+	server := &http.Server{
+		Handler: meterBodies(handler), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
+		ReadTimeout: requestTimeout, WriteTimeout: requestTimeout, ConnContext: accountContext,
+	}
 	go func() {
-		if err := server.Serve(listener); err != nil && ctx.Err() == nil {
+		if err := server.Serve(meteredListener{Listener: listener, accounts: accounts}); err != nil && ctx.Err() == nil {
 			logger.Info().Str("event", "http_ended").Str("for", purpose).Str("error", err.Error()).Send()
 		}
 	}()
--- a/internal/program/ctpools/conn.go
+++ b/internal/program/ctpools/conn.go
@@ -26,6 +26,9 @@
 	unsettled() bool
 	settle(limits Limits) error
 	close()
+	// holdsLargeState reports whether the connection retains too much of a session's state to be
+	// kept without that session.
+	holdsLargeState() bool
 	// closedInDoubt reports whether the connection was closed because an answer was in doubt.
 	closedInDoubt() bool
 }
--- a/internal/program/ctpools/direct.go
+++ b/internal/program/ctpools/direct.go
@@ -94,6 +94,14 @@
 	return e.inDoubt
 }
 
+// maxRetainedStateBytes is the most session state that a connection between two users may retain.
+// No client is charged for it.
+const maxRetainedStateBytes = 64 << 10
+
+func (e *directExecutor) holdsLargeState() bool {
+	return e.connectionState.Bytes() > maxRetainedStateBytes
+}
+
 // matches reports whether the connection has the session's values already.
 func (e *directExecutor) matches(state *ctdialog.State) bool {
 	return e.connectionState.Matches(state)
--- a/internal/program/ctpools/forwarding.go
+++ b/internal/program/ctpools/forwarding.go
@@ -126,6 +126,11 @@
 	return nil
 }
 
+// holdsLargeState is false: each frame carries the session's values.
+func (e *forwardingExecutor) holdsLargeState() bool {
+	return false
+}
+
 // closedInDoubt is false: the other proxy counts such connections.
 func (e *forwardingExecutor) closedInDoubt() bool {
 	return false
--- a/internal/program/ctpools/pools.go
+++ b/internal/program/ctpools/pools.go
@@ -555,7 +555,7 @@
 		p.returnStream(held, conn, result)
 		return
 	}
-	if result.Discard || !conn.Alive() {
+	if result.Discard || !conn.Alive() || conn.executor.holdsLargeState() {
 		conn.close()
 	}
 	p.members.With(held, func(members map[ctid.Member]*memberPool) {
