platform: large answers of members arrive only a few at once

Cause: an answer was charged only when it was written to the client, so that all connections to members could bring one at once. Above 64 KiB an answer now waits for one of limits.memory_mb/16/2 MiB slots (4 on the smallest VM) and is left in the socket until then; closing its connection ends the wait. Ruled out: closing the connection to the member, as a write's answer would be lost.

--- a/internal/decide/ctbudget/ledger_test.go
+++ b/internal/decide/ctbudget/ledger_test.go
@@ -110,6 +110,9 @@
 	smallest := LimitsOf(Resources{MemoryMB: 136, Descriptors: 3010}, share)
 	assert.Equal(t, smallest, Limits{Total: 34_000_000, PerClient: 8_500_000, Clients: 1003})
 	assert.Equal(t, LimitsOf(Resources{MemoryMB: 8}, share).Total, Bytes(4<<20))
+	assert.Equal(t, LargeAnswers(Resources{}), 0)
+	assert.Equal(t, LargeAnswers(Resources{MemoryMB: 136}), 4)
+	assert.Equal(t, LargeAnswers(Resources{MemoryMB: 8}), 1)
 }
 
 // TestLedgerProperty checks for any order of calls that no limit is exceeded, that the sum of the charges is
--- a/internal/decide/ctbudget/limits.go
+++ b/internal/decide/ctbudget/limits.go
@@ -10,6 +10,10 @@
 	// clientBytes is that amount: a stack and buffers.
 	clientMemoryDivisor       = 8
 	clientBytes         Bytes = 16 << 10
+	// answerMemoryDivisor is the part of the process's memory for large answers that arrive from
+	// members, and answerBytes what one with a row of 1 MiB takes.
+	answerMemoryDivisor       = 16
+	answerBytes         Bytes = 2 << 20
 	// perClientDivisor is the part of all charges that one client may hold.
 	perClientDivisor = 4
 )
@@ -57,3 +61,11 @@
 	}
 	return limits
 }
+
+// LargeAnswers returns how many large answers may arrive from members at once; 0 for no limit.
+func LargeAnswers(resources Resources) int {
+	if resources.MemoryMB == 0 {
+		return 0
+	}
+	return max(1, int(Bytes(resources.MemoryMB)*BytesPerMB/answerMemoryDivisor/answerBytes))
+}
--- a/internal/program/ctnode/limits.go
+++ b/internal/program/ctnode/limits.go
@@ -47,13 +47,21 @@
 	probeShare       = ctbudget.Share{MemoryDivisor: 16, DescriptorDivisor: 16}
 )
 
+func (s *Settings) resources() ctbudget.Resources {
+	return ctbudget.Resources{MemoryMB: s.MemoryMB, Descriptors: s.DescriptorLimit}
+}
+
 // newAccounts returns accounts whose limits are a share of the process's resources.
 func (s *Settings) newAccounts(share ctbudget.Share, options ctaccount.Options) *ctaccount.Accounts {
-	resources := ctbudget.Resources{MemoryMB: s.MemoryMB, Descriptors: s.DescriptorLimit}
-	options.Limits = ctbudget.LimitsOf(resources, share)
+	options.Limits = ctbudget.LimitsOf(s.resources(), share)
 	return ctaccount.New(options)
 }
 
+// NewAnswerSlots returns the slots for large answers that arrive from members.
+func (s *Settings) NewAnswerSlots() *ctaccount.Slots {
+	return ctaccount.NewSlots(ctbudget.LargeAnswers(s.resources()))
+}
+
 // limitHeap makes the garbage collector keep the heap within the process's memory.
 func (s *Settings) limitHeap() {
 	if s.MemoryMB > 0 {
