ctpg, ctentry: callers of the PostgreSQL front end are limited

The claimed length of a message is charged before the protocol reader allocates it, messages of one request are charged together, and prepared statements and parts of answers above 32 KiB have charges of their own. A request that has begun must end within 2 min, and one write to a caller within 1 min: a caller that stopped reading kept its goroutine, its stream and the member's connection forever. Entry.Serve no longer ends when a connection can't be accepted: after one such error, as for a lack of descriptors, the proxy accepted no caller any more.

Tests: TestCallerLimits, TestAcceptFailure, TestMeteredRequests, TestStalledReader.

--- a/internal/link/ctpg/answer.go
+++ b/internal/link/ctpg/answer.go
@@ -28,7 +28,7 @@
 // messages. Relay drops the answers to the Parse messages that NextRequest added, and
 // records which statements the answer confirms as prepared or closed.
 func (c *Caller) Relay(payload []byte) error {
-	_, err := c.socket.Write(c.statements.recordAnswer(payload))
+	_, err := c.writer.Write(c.statements.recordAnswer(payload))
 	return errors.Wrap(err, "relay an answer")
 }
 
@@ -45,7 +45,7 @@
 	if err != nil {
 		return errors.Wrap(err, "encode the token")
 	}
-	_, err = c.socket.Write(append(out, readyForQuery...))
+	_, err = c.writer.Write(append(out, readyForQuery...))
 	return errors.Wrap(err, "relay the end of an answer")
 }
 
--- a/internal/link/ctpg/caller.go
+++ b/internal/link/ctpg/caller.go
@@ -6,6 +6,7 @@
 	"encoding/binary"
 	"io"
 	"net"
+	"sync"
 	"time"
 
 	"github.com/jackc/pgx/v5/pgproto3"
@@ -50,6 +51,8 @@
 	TLS *tls.Config
 	// ProcessID is the process ID in the session's CancelKey.
 	ProcessID uint32
+	// Meter limits what requests hold. If it is nil, there is no limit.
+	Meter Meter
 }
 
 // Caller is the connection of a caller. It belongs to one goroutine; only Interrupt
@@ -60,7 +63,16 @@
 
 	socket     net.Conn
 	protocol   *pgproto3.Backend
+	reader     *meteredReader
+	writer     deadlineWriter
+	meter      Meter
 	statements statements
+	// inSession reports that FinishStartup was called: its requests have a time limit each.
+	inSession      bool
+	requestTimeout time.Duration
+	// mutex guards interrupted, which is set by Interrupt, and the read deadline afterwards.
+	mutex       sync.Mutex
+	interrupted bool
 }
 
 // CancelError is the error that Accept returns for a connection that sent a
@@ -79,7 +91,7 @@
 // the caller an error before it returns. Accept doesn't close the socket.
 func Accept(socket net.Conn, options Options) (*Caller, error) {
 	_ = socket.SetDeadline(time.Now().Add(startupTimeout))
-	c := &Caller{socket: socket}
+	c := &Caller{meter: options.Meter, requestTimeout: requestTimeout}
 	c.attach(socket)
 	message, err := c.negotiate(options)
 	if err != nil {
@@ -99,10 +111,19 @@
 	return c, nil
 }
 
+// Refuse sends a fatal error over a connection that Accept is not called for.
+func Refuse(socket net.Conn, state ctoutcome.SQLState, err error) {
+	c := &Caller{}
+	c.attach(socket)
+	c.SendFatal(state, err)
+}
+
 // attach sets the connection to read from and write to, plain or encrypted.
 func (c *Caller) attach(socket net.Conn) {
 	c.socket = socket
-	c.protocol = pgproto3.NewBackend(socket, socket)
+	c.reader = &meteredReader{source: socket, meter: c.meter, onBegin: c.beginRequest}
+	c.writer = deadlineWriter{socket: socket, timeout: writeTimeout}
+	c.protocol = pgproto3.NewBackend(c.reader, c.writer)
 	c.protocol.SetMaxBodyLen(MaxRequestBytes)
 }
 
@@ -194,11 +215,15 @@
 	if err := c.protocol.Flush(); err != nil {
 		return errors.Wrap(err, "finish the start-up")
 	}
+	c.inSession = true
 	return errors.Wrap(c.socket.SetDeadline(time.Time{}), "clear the deadline")
 }
 
 // Interrupt makes NextRequest return at once with an error. Any goroutine may call it.
 func (c *Caller) Interrupt() {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.interrupted = true
 	_ = c.socket.SetReadDeadline(time.Unix(1, 0))
 }
 
--- a/internal/link/ctpg/request.go
+++ b/internal/link/ctpg/request.go
@@ -1,6 +1,8 @@
 package ctpg
 
 import (
+	"time"
+
 	"github.com/jackc/pgx/v5/pgproto3"
 	"github.com/pkg/errors"
 
@@ -35,9 +37,12 @@
 
 // NextRequest waits for the caller's next request and returns it. The error has the kind
 // cterror.Invalid if a message is not supported or the request exceeds
-// MaxRequestBytes.
+// MaxRequestBytes, and cterror.Exhausted if the meter has no room for it. A request that has begun
+// must end within a time limit.
 func (c *Caller) NextRequest() (*Request, error) {
 	var b batch
+	c.reader.nextRequest()
+	defer c.setReadDeadline(time.Time{})
 	for {
 		message, err := c.protocol.Receive()
 		if err != nil {
--- a/internal/link/ctpg/statements.go
+++ b/internal/link/ctpg/statements.go
@@ -12,6 +12,8 @@
 type statements struct {
 	// byName contains the statements whose preparation a backend server has confirmed.
 	byName map[string]preparedStatement
+	// bytes is the size of the statements in byName.
+	bytes int
 	// onBackend contains the names of the statements that are prepared on the current
 	// backend connection.
 	onBackend ctset.Set[string]
@@ -132,17 +134,36 @@
 		if s.byName == nil {
 			s.byName = make(map[string]preparedStatement)
 		}
+		s.forget(change.name)
+		s.bytes += len(change.statement.parseMessage)
 		s.byName[change.name] = change.statement
 		s.onBackend.Add(change.name)
 		return !change.added
 	case statementClosing:
-		delete(s.byName, change.name)
+		s.forget(change.name)
 		s.onBackend.Remove(change.name)
 	case portalClosing:
 	}
 	return true
 }
 
+// forget removes a statement that may be prepared.
+func (s *statements) forget(name string) {
+	s.bytes -= len(s.byName[name].parseMessage)
+	delete(s.byName, name)
+}
+
+// StatementBytes returns how much memory the session's prepared statements take after a request.
+func (c *Caller) StatementBytes(request *Request) int {
+	bytes := c.statements.bytes
+	for _, change := range request.changes {
+		if p, ok := change.(preparation); ok && !p.added {
+			bytes += len(p.statement.parseMessage)
+		}
+	}
+	return bytes
+}
+
 // ResetPrepared records that the next request may run on another backend
 // connection, where none of the caller's statements are prepared.
 func (c *Caller) ResetPrepared() {
--- a/internal/model/ctoutcome/state.go
+++ b/internal/model/ctoutcome/state.go
@@ -7,6 +7,10 @@
 const (
 	// SQLStateResolutionUnknown is transaction_resolution_unknown.
 	SQLStateResolutionUnknown SQLState = "08007"
+	// SQLStateOutOfMemory is out_of_memory.
+	SQLStateOutOfMemory SQLState = "53200"
+	// SQLStateTooManyConnections is too_many_connections.
+	SQLStateTooManyConnections SQLState = "53300"
 	// SQLStateCannotConnectNow is cannot_connect_now.
 	SQLStateCannotConnectNow SQLState = "57P03"
 	// SQLStateConfigurationLimit is configuration_limit_exceeded.
--- a/internal/program/ctentry/callerconn.go
+++ b/internal/program/ctentry/callerconn.go
@@ -16,6 +16,7 @@
 	"github.com/cherviltrestle/cherviltrestle/internal/model/ctoutcome"
 	"github.com/cherviltrestle/cherviltrestle/internal/model/ctposition"
 	"github.com/cherviltrestle/cherviltrestle/internal/model/ctserver"
+	"github.com/cherviltrestle/cherviltrestle/internal/program/ctaccount"
 	"github.com/cherviltrestle/cherviltrestle/internal/work/ctlock"
 )
 
@@ -36,8 +37,11 @@
 	// effectLists passes effects from the worker to the connection's goroutine.
 	effectLists chan []ctsession.Effect
 
-	caller *ctpg.Caller
-	held   ctlock.Held
+	caller  *ctpg.Caller
+	account *ctaccount.Account
+	// chargedStatements is what the account was last charged for prepared statements.
+	chargedStatements int
+	held              ctlock.Held
 	// stream leads to a member's holder; nil if none is open.
 	stream ctframe.Stream
 	// role is that of the member to which a request was last sent.
@@ -61,12 +65,22 @@
 func (e *Entry) serve(socket net.Conn) {
 	id := ctid.Session(e.lastSession.Add(1))
 	defer func() { _ = socket.Close() }()
-	caller, err := ctpg.Accept(socket, e.callerOptions(id))
+	account, admitted := e.Accounts.Open(func() { _ = socket.Close() })
+	defer account.Close()
+	if !admitted {
+		_ = socket.SetDeadline(time.Now().Add(refusalTimeout))
+		ctpg.Refuse(socket, ctoutcome.SQLStateTooManyConnections, errTooManyCallers)
+		return
+	}
+	caller, err := ctpg.Accept(socket, e.callerOptions(id, account))
 	if err != nil {
 		e.handleAcceptError(err)
 		return
 	}
-	c := &callerConn{entry: e, caller: caller, effectLists: make(chan []ctsession.Effect, maxPendingEffectLists)}
+	account.Progress()
+	c := &callerConn{
+		entry: e, caller: caller, account: account, effectLists: make(chan []ctsession.Effect, maxPendingEffectLists),
+	}
 	if err := c.initSession(id); err != nil {
 		caller.SendFatal(ctoutcome.SQLStateProtocolViolation, err)
 		return
@@ -135,12 +149,18 @@
 			c.handleReadError(err)
 			return
 		}
+		if !c.chargeStatements(request) {
+			c.handleReadError(errTooManyStatements)
+			return
+		}
 		c.request = request
+		c.account.SetRunning(true)
 		c.startedAt = c.entry.Clock.Now()
 		c.entry.enqueue(c.session.ID, ctsession.RequestReceived{
 			Class: request.Class, Key: request.Key, InvalidKey: request.InvalidKey,
 		})
 		c.performUntilFinished()
+		c.account.SetRunning(false)
 	}
 }
 
@@ -153,8 +173,12 @@
 		return
 	default:
 	}
-	if cterror.KindOf(err) == cterror.Invalid {
+	switch cterror.KindOf(err) {
+	case cterror.Invalid:
 		c.caller.SendFatal(ctoutcome.SQLStateProtocolViolation, err)
+	case cterror.Exhausted:
+		c.caller.SendFatal(ctoutcome.SQLStateOutOfMemory, err)
+	default:
 	}
 	c.entry.enqueue(c.session.ID, ctsession.CallerClosed{})
 }
@@ -310,7 +334,7 @@
 		if a.Request != f.Request {
 			return mismatch(), false
 		}
-		if err := c.caller.Relay(a.Payload); err != nil {
+		if err := c.relay(a.Payload); err != nil {
 			return ctsession.CallerClosed{}, false
 		}
 		return nil, true
--- a/internal/program/ctentry/doc.go
+++ b/internal/program/ctentry/doc.go
@@ -21,7 +21,7 @@
 
 	entry := ctentry.New(options)
 	entry.Start(ctx)
-	err := entry.Serve(listener)
+	entry.Serve(listener)
 	ended := entry.Drain(ctx)
 */
 package ctentry
--- a/internal/program/ctentry/entry.go
+++ b/internal/program/ctentry/entry.go
@@ -8,7 +8,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/pkg/errors"
 	"github.com/rs/zerolog"
 
 	"github.com/cherviltrestle/cherviltrestle/internal/decide/ctretry"
@@ -16,10 +15,12 @@
 	"github.com/cherviltrestle/cherviltrestle/internal/decide/ctthrottle"
 	"github.com/cherviltrestle/cherviltrestle/internal/link/ctframe"
 	"github.com/cherviltrestle/cherviltrestle/internal/link/ctpg"
+	"github.com/cherviltrestle/cherviltrestle/internal/link/cttcp"
 	"github.com/cherviltrestle/cherviltrestle/internal/link/cttoken"
 	"github.com/cherviltrestle/cherviltrestle/internal/model/ctid"
 	"github.com/cherviltrestle/cherviltrestle/internal/model/ctoutcome"
 	"github.com/cherviltrestle/cherviltrestle/internal/model/ctview"
+	"github.com/cherviltrestle/cherviltrestle/internal/program/ctaccount"
 	"github.com/cherviltrestle/cherviltrestle/internal/program/ctmetric"
 	"github.com/cherviltrestle/cherviltrestle/internal/program/ctstate"
 	"github.com/cherviltrestle/cherviltrestle/internal/work/ctclock"
@@ -47,6 +48,8 @@
 	Metrics *ctmetric.Metrics
 	// TLS encrypts callers' connections. If it is nil, they are not encrypted.
 	TLS *tls.Config
+	// Accounts limits the callers and what they hold; nil for no limit.
+	Accounts *ctaccount.Accounts
 	// Workers is the number of workers. If it is 0, there is one per processor.
 	Workers int
 }
@@ -103,23 +106,17 @@
 	go e.timers.Run(ctx)
 }
 
-// Serve accepts callers until the listener fails, and serves each in a goroutine. It
-// returns nil if the listener was closed or the entry is draining.
-func (e *Entry) Serve(listener net.Listener) error {
-	for {
-		socket, err := listener.Accept()
-		if err != nil {
-			if e.draining.Load() || errors.Is(err, net.ErrClosed) {
-				return nil
-			}
-			return errors.Wrap(err, "accept a caller")
-		}
+// Serve accepts callers until the listener is closed, and serves each in a goroutine. A
+// connection that can't be accepted, as when the process has no descriptor left, does not end it.
+func (e *Entry) Serve(listener net.Listener) {
+	acceptor := cttcp.Acceptor{Listener: listener, Report: ctmetric.Report(&e.Logger, e.Metrics.Panics)}
+	_ = acceptor.Serve(func(socket net.Conn) {
 		e.connections.Add(1)
 		go func() {
 			defer e.connections.Done()
 			e.serve(socket)
 		}()
-	}
+	})
 }
 
 // Drain ends idle sessions at once and the others when their work is done. It waits for
@@ -282,6 +279,6 @@
 }
 
 // callerOptions returns the settings of a caller's connection.
-func (e *Entry) callerOptions(session ctid.Session) ctpg.Options {
-	return ctpg.Options{TLS: e.TLS, ProcessID: uint32(session)}
+func (e *Entry) callerOptions(session ctid.Session, account *ctaccount.Account) ctpg.Options {
+	return ctpg.Options{TLS: e.TLS, ProcessID: uint32(session), Meter: requestMeter{account}}
 }
--- a/internal/program/ctentry/mismatch_test.go
+++ b/internal/program/ctentry/mismatch_test.go
@@ -19,6 +19,7 @@
 	"github.com/cherviltrestle/cherviltrestle/internal/model/ctid"
 	"github.com/cherviltrestle/cherviltrestle/internal/model/ctserver"
 	"github.com/cherviltrestle/cherviltrestle/internal/model/ctview"
+	"github.com/cherviltrestle/cherviltrestle/internal/program/ctaccount"
 	"github.com/cherviltrestle/cherviltrestle/internal/program/ctentry"
 	"github.com/cherviltrestle/cherviltrestle/internal/program/ctmetric"
 	"github.com/cherviltrestle/cherviltrestle/internal/program/ctstate"
@@ -66,11 +67,17 @@
 	if s.holder.requests.Add(1) <= s.holder.mismatched {
 		request.Sequence += 7
 	}
-	payload, err := (&pgproto3.CommandComplete{CommandTag: []byte("SELECT 0")}).Encode(nil)
-	if err != nil {
-		return err
+	answer := []pgproto3.BackendMessage{&pgproto3.CommandComplete{CommandTag: []byte("SELECT 0")}}
+	if first.Payload[0] == 'P' {
+		answer = []pgproto3.BackendMessage{&pgproto3.ParseComplete{}, &pgproto3.ParameterDescription{}, &pgproto3.NoData{}}
+	}
+	var payload []byte
+	var err error
+	for _, message := range append(answer, &pgproto3.ReadyForQuery{TxStatus: 'I'}) {
+		if payload, err = message.Encode(payload); err != nil {
+			return err
+		}
 	}
-	payload, err = (&pgproto3.ReadyForQuery{TxStatus: 'I'}).Encode(payload)
 	s.answers <- &ctframe.Done{Request: request, Payload: payload}
 	return err
 }
@@ -110,22 +117,33 @@
 // connect starts an entry that sends requests to the holder, and opens a caller's
 // session at it.
 func connect(t *testing.T, h *holder) *pgconn.PgConn {
+	t.Helper()
+	listener, err := net.Listen("tcp", loopback)
+	assert.NilError(t, err)
+	startEntry(t, h, listener, nil)
+	session, err := pgconn.Connect(t.Context(), sessionURL(listener))
+	assert.NilError(t, err)
+	return session
+}
+
+// sessionURL returns the URL of a session at a listener.
+func sessionURL(listener net.Listener) string {
+	return "postgres://lab@" + listener.Addr().String() + "/charts?sslmode=disable"
+}
+
+// startEntry starts an entry that sends requests to the holder and limits its callers.
+func startEntry(t *testing.T, h *holder, listener net.Listener, accounts *ctaccount.Accounts) {
 	t.Helper()
 	ctx, cancel := context.WithCancel(context.Background())
 	t.Cleanup(cancel)
+	t.Cleanup(func() { _ = listener.Close() })
 	entry := ctentry.New(ctentry.Options{
 		Proxy: "a", FailureDomain: "a", State: newState(t), Transport: h, Sealer: &cttoken.Sealer{},
 		Clock: ctclock.System{}, Random: zeroRandom{}, Logger: zerolog.Nop(),
-		Metrics: ctmetric.New(prometheus.NewRegistry()),
+		Metrics: ctmetric.New(prometheus.NewRegistry()), Accounts: accounts,
 	})
 	entry.Start(ctx)
-	listener, err := net.Listen("tcp", loopback)
-	assert.NilError(t, err)
-	t.Cleanup(func() { _ = listener.Close() })
-	go func() { _ = entry.Serve(listener) }()
-	session, err := pgconn.Connect(ctx, "postgres://lab@"+listener.Addr().String()+"/charts?sslmode=disable")
-	assert.NilError(t, err)
-	return session
+	go entry.Serve(listener)
 }
 
 func assertRequestCount(t *testing.T, h *holder, want int32) {
--- a/internal/program/ctnode/control.go
+++ b/internal/program/ctnode/control.go
@@ -107,7 +107,7 @@
 // Run serves peers, operators and metrics until the disk fails or ctx ends. In the second
 // case it first answers the requests that it has accepted.
 func (c *Control) Run(ctx context.Context) error {
-	c.settings.limitHeap()
+	ctaccount.LimitHeap(c.settings.resources())
 	runCtx, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
 	peers, err := cttcp.Listen(c.settings.peerListenAddress())
--- a/internal/program/ctnode/limits.go
+++ b/internal/program/ctnode/limits.go
@@ -5,7 +5,6 @@
 	"io"
 	"net"
 	"net/http"
-	"runtime/debug"
 
 	"github.com/pkg/errors"
 
@@ -30,10 +29,6 @@
 	// largestForwardBytes is the size of the largest frame that a proxy sends to another one on behalf
 	// of a client: a statement of 1 MiB and the session state that it needs.
 	largestForwardBytes = 9 << 20
-	// heapNumerator and heapDenominator are the part of the process's memory at which the garbage
-	// collector works harder. The rest is for the program's text and what the kernel counts.
-	heapNumerator   = 7
-	heapDenominator = 10
 )
 
 // The shares of the clients of each listener. A fourth of the descriptors remains for connections that
@@ -62,13 +57,6 @@
 	return ctaccount.NewSlots(ctbudget.LargeAnswers(s.resources()))
 }
 
-// limitHeap makes the garbage collector keep the heap within the process's memory.
-func (s *Settings) limitHeap() {
-	if s.MemoryMB > 0 {
-		debug.SetMemoryLimit(int64(s.MemoryMB) * ctbudget.BytesPerMB * heapNumerator / heapDenominator)
-	}
-}
-
 // errBodyOverBudget is returned for a body for which there is no room.
 var errBodyOverBudget = cterror.New(cterror.Exhausted, "the bodies of requests take too much memory",
 	"send it again later")
--- a/internal/program/ctnode/proxy.go
+++ b/internal/program/ctnode/proxy.go
@@ -140,7 +140,7 @@
 
 // Run serves callers until ctx ends, and then performs a planned stop.
 func (p *Proxy) Run(ctx context.Context) error {
-	p.settings.limitHeap()
+	ctaccount.LimitHeap(p.settings.resources())
 	callers, err := listen(ctx, p.settings.CallerAddress, "callers")
 	if err != nil {
 		return err
--- a/internal/program/ctproxy/build.go
+++ b/internal/program/ctproxy/build.go
@@ -8,6 +8,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/rs/zerolog"
 
+	"github.com/cherviltrestle/cherviltrestle/internal/decide/ctbudget"
 	"github.com/cherviltrestle/cherviltrestle/internal/decide/ctretry"
 	"github.com/cherviltrestle/cherviltrestle/internal/link/ctbackend"
 	"github.com/cherviltrestle/cherviltrestle/internal/link/ctkey"
@@ -17,6 +18,7 @@
 	"github.com/cherviltrestle/cherviltrestle/internal/model/ctid"
 	"github.com/cherviltrestle/cherviltrestle/internal/model/ctserver"
 	"github.com/cherviltrestle/cherviltrestle/internal/model/ctview"
+	"github.com/cherviltrestle/cherviltrestle/internal/program/ctaccount"
 	"github.com/cherviltrestle/cherviltrestle/internal/program/ctentry"
 	"github.com/cherviltrestle/cherviltrestle/internal/program/ctholding"
 	"github.com/cherviltrestle/cherviltrestle/internal/program/ctmetric"
@@ -136,6 +138,11 @@
 	})
 }
 
+// resourcesOf returns what the settings let the process use.
+func resourcesOf(settings ctsettings.Proxy) ctbudget.Resources {
+	return ctbudget.Resources{MemoryMB: settings.MemoryMB, Descriptors: settings.Descriptors}
+}
+
 func newEntry(
 	settings ctsettings.Proxy, incarnation ctid.Incarnation, state *ctstate.State, transport *ctstream.Transport,
 	sealer *cttoken.Sealer, clock ctclock.Clock, random ctretry.Random, logger zerolog.Logger,
@@ -153,7 +160,11 @@
 		Logger:        logger,
 		Metrics:       metrics,
 		TLS:           encryption,
-		Workers:       settings.Workers,
+		Accounts: ctaccount.New(ctaccount.Options{
+			Listener: "callers", Limits: ctbudget.LimitsOf(resourcesOf(settings), ctentry.CallerShare),
+			Clock: clock, Logger: logger, Metrics: &metrics.Clients,
+		}),
+		Workers: settings.Workers,
 	})
 }
 
--- a/internal/program/ctproxy/proxy.go
+++ b/internal/program/ctproxy/proxy.go
@@ -13,6 +13,7 @@
 	"github.com/cherviltrestle/cherviltrestle/internal/link/ctquic"
 	"github.com/cherviltrestle/cherviltrestle/internal/model/cterror"
 	"github.com/cherviltrestle/cherviltrestle/internal/model/ctserver"
+	"github.com/cherviltrestle/cherviltrestle/internal/program/ctaccount"
 	"github.com/cherviltrestle/cherviltrestle/internal/program/ctentry"
 	"github.com/cherviltrestle/cherviltrestle/internal/program/ctholding"
 	"github.com/cherviltrestle/cherviltrestle/internal/program/ctmetric"
@@ -63,6 +64,7 @@
 	if err != nil {
 		return cterror.Wrap(cterror.Unavailable, err, "open the HTTP address", "choose a free TCP port")
 	}
+	ctaccount.LimitHeap(resourcesOf(p.settings))
 	running, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
 	p.holder.Start(running)
@@ -71,7 +73,7 @@
 	go p.servePeers(running)
 	server := &http.Server{Handler: p.routes(), ReadHeaderTimeout: headerTimeout}
 	go func() { _ = server.Serve(operators) }()
-	go func() { _ = p.entry.Serve(callers) }()
+	go p.entry.Serve(callers)
 	p.ready.Store(true)
 	p.logger.Info().Str("event", "started").
 		Str("listen", callers.Addr().String()).
--- a/internal/program/ctsettings/proxy.go
+++ b/internal/program/ctsettings/proxy.go
@@ -53,6 +53,10 @@
 	// If both are empty, callers are served without encryption.
 	CallerCertFile string
 	CallerKeyFile  string
+	// MemoryMB is how much memory the process may use, in megabytes, and Descriptors how many
+	// descriptors. 0 means no limit.
+	MemoryMB    int
+	Descriptors int
 }
 
 // Register declares the settings as flags.
@@ -74,6 +78,8 @@
 	flags.IntVar(&p.Workers, "workers", 0, "worker goroutines; 0 for one a processor")
 	flags.StringVar(&p.CallerCertFile, "caller-certificate", "", "PEM file with the certificate shown to callers")
 	flags.StringVar(&p.CallerKeyFile, "caller-key", "", "PEM file with the key of the caller certificate")
+	flags.IntVar(&p.MemoryMB, "memory-limit", 0, "megabytes of memory that the process may use; 0 for no limit")
+	flags.IntVar(&p.Descriptors, "descriptor-limit", 0, "descriptors that the process may use; 0 for no limit")
 }
 
 // Check returns an error of kind cterror.Invalid for the first setting that is
@@ -99,6 +105,10 @@
 		return outOfBoundsError("stop-time", "0s or more")
 	case p.Workers < 0:
 		return outOfBoundsError("workers", "0 or more")
+	case p.MemoryMB < 0:
+		return outOfBoundsError("memory-limit", "0 or more")
+	case p.Descriptors < 0:
+		return outOfBoundsError("descriptor-limit", "0 or more")
 	case (p.CallerCertFile == "") != (p.CallerKeyFile == ""):
 		return cterror.New(cterror.Invalid, "one of --caller-certificate and --caller-key is missing",
 			"give both, or neither to serve callers without encryption")
