ctnode: a client holds at most what a forwarded statement can carry

Cause: on VMs with more memory, the session state that a client may hold (a fourth of all charges) could exceed the frames that an owner accepts (9 MiB), and its forwarded statements would fail. Found by reading.

--- a/internal/decide/ctbudget/limits.go
+++ b/internal/decide/ctbudget/limits.go
@@ -34,6 +34,8 @@
 	DescriptorDivisor int
 	// Largest is the charge for the largest legal message. One client may always hold it.
 	Largest Bytes
+	// Most limits what one client may hold, whatever the resources are; 0 for no such limit.
+	Most Bytes
 }
 
 // Limits are the limits of a Ledger. 0 means no limit.
@@ -50,7 +52,11 @@
 	if resources.MemoryMB > 0 && share.MemoryDivisor > 0 {
 		memory := Bytes(resources.MemoryMB) * BytesPerMB
 		limits.Total = max(memory/Bytes(share.MemoryDivisor), share.Largest)
-		limits.PerClient = max(limits.Total/perClientDivisor, share.Largest)
+		limits.PerClient = limits.Total / perClientDivisor
+		if share.Most > 0 {
+			limits.PerClient = min(limits.PerClient, share.Most)
+		}
+		limits.PerClient = max(limits.PerClient, share.Largest)
 		limits.Clients = max(1, int(memory/clientMemoryDivisor/clientBytes))
 	}
 	if resources.Descriptors > 0 && share.DescriptorDivisor > 0 {
--- a/internal/program/ctnode/limits.go
+++ b/internal/program/ctnode/limits.go
@@ -27,7 +27,8 @@
 	// frameCopies is how often a frame is in memory: as it arrives and decoded.
 	frameCopies = 2
 	// largestForwardBytes is the size of the largest frame that a proxy sends to another one on behalf
-	// of a client: a statement of 1 MiB and the session state that it needs.
+	// of a client: a statement and the session state that it needs. A client may hold no more, as its
+	// statements could not be forwarded.
 	largestForwardBytes = 9 << 20
 )
 
