ctbudget: the largest legal message does not raise the limit of all clients

One client may now hold it alone, while the others hold at most a fourth of the share. Ruled out: refusing it, as it is legal.

--- a/internal/decide/ctbudget/ledger.go
+++ b/internal/decide/ctbudget/ledger.go
@@ -187,7 +187,13 @@
 // evictFor removes the clients that must be closed before a client is charged more. It returns false,
 // and removes none, if that would not suffice.
 func (l *Ledger) evictFor(now time.Time, client Client, more Bytes) ([]Client, bool) {
-	if l.limits.Total == 0 || l.charged+more <= l.limits.Total {
+	if l.limits.Total == 0 {
+		return nil, true
+	}
+	held := l.clients[client].held()
+	others := l.charged - held
+	allowed := max(l.limits.Total-held-more, l.limits.Total/othersDivisor)
+	if others <= allowed {
 		return nil, true
 	}
 	var candidates []candidate
@@ -200,9 +206,8 @@
 	slices.SortFunc(candidates, func(a, b candidate) int {
 		return cmp.Or(cmp.Compare(b.score, a.score), cmp.Compare(a.client, b.client))
 	})
-	remaining := l.charged + more
 	for i, c := range candidates {
-		if remaining -= c.held; remaining <= l.limits.Total {
+		if others -= c.held; others <= allowed {
 			var evicted []Client
 			for _, e := range candidates[:i+1] {
 				evicted = append(evicted, e.client)
--- a/internal/decide/ctbudget/limits.go
+++ b/internal/decide/ctbudget/limits.go
@@ -16,6 +16,9 @@
 	answerBytes         Bytes = 2 << 20
 	// perClientDivisor is the part of all charges that one client may hold.
 	perClientDivisor = 4
+	// othersDivisor is the part of all charges that the others may hold beside a client that holds more
+	// than the rest of them.
+	othersDivisor = 4
 )
 
 // Resources are what a process may use. 0 means no limit.
@@ -32,7 +35,8 @@
 	MemoryDivisor int
 	// DescriptorDivisor divides the descriptors of the process.
 	DescriptorDivisor int
-	// Largest is the charge for the largest legal message. One client may always hold it.
+	// Largest is the charge for the largest legal message. One client may hold it even where it exceeds
+	// what all charges may add up to, if the others hold little.
 	Largest Bytes
 	// Most limits what one client may hold, whatever the resources are; 0 for no such limit.
 	Most Bytes
@@ -40,7 +44,8 @@
 
 // Limits are the limits of a Ledger. 0 means no limit.
 type Limits struct {
-	// Total is the limit of all charges, and PerClient that of the charges of one client.
+	// Total is the limit of all charges, and PerClient that of the charges of one client. If PerClient
+	// is higher, all charges may add up to it and a fourth of Total.
 	Total, PerClient Bytes
 	// Clients is the limit of the number of clients.
 	Clients int
@@ -51,7 +56,7 @@
 	var limits Limits
 	if resources.MemoryMB > 0 && share.MemoryDivisor > 0 {
 		memory := Bytes(resources.MemoryMB) * BytesPerMB
-		limits.Total = max(memory/Bytes(share.MemoryDivisor), share.Largest)
+		limits.Total = memory / Bytes(share.MemoryDivisor)
 		limits.PerClient = limits.Total / perClientDivisor
 		if share.Most > 0 {
 			limits.PerClient = min(limits.PerClient, share.Most)
