--- a/internal/lab/ctcrowd/crowd.go
+++ b/internal/lab/ctcrowd/crowd.go
@@ -174,6 +174,8 @@
 		c.send(platform.ConfigRequestHeader(bodyBytes)+strings.Repeat(" ", size), pieceBytes)
 	case HalfFrame:
 		c.send(frameHeader+strings.Repeat("f", largeBytes), 0)
+	case HalfRequest, ClaimedRequest, EndlessRequest, Statements, Requests, IdleRequests:
+		c.runPostgreSQL(behaviour)
 	case Silent:
 	default:
 		if c.open() {
--- a/internal/lab/ctcrowd/crowd_test.go
+++ b/internal/lab/ctcrowd/crowd_test.go
@@ -63,13 +63,18 @@
 // under the limits.
 func assertUsage(t *testing.T, system *ctcrowd.System) {
 	t.Helper()
-	for _, p := range []ctcrowd.Process{system.Proxy, system.Control} {
-		usage, err := p.Usage()
-		assert.NilError(t, err)
-		t.Logf("%s: %+v", p.Name, usage)
-		assert.Check(t, usage.PeakMemory <= memory, "%s: more than %d MB", p.Name, memory)
-		assert.Check(t, usage.Descriptors <= descriptors, "%s: more than %d descriptors", p.Name, descriptors)
-	}
+	assertProcessUsage(t, system.Proxy)
+	assertProcessUsage(t, system.Control)
+}
+
+// assertProcessUsage is assertUsage for one process.
+func assertProcessUsage(t *testing.T, p ctcrowd.Process) {
+	t.Helper()
+	usage, err := p.Usage()
+	assert.NilError(t, err)
+	t.Logf("%s: %+v", p.Name, usage)
+	assert.Check(t, usage.PeakMemory <= memory, "%s: more than %d MB", p.Name, memory)
+	assert.Check(t, usage.Descriptors <= descriptors, "%s: more than %d descriptors", p.Name, descriptors)
 }
 
 // TestCrowd guards against processes that exceed their limits, end or hang because of clients that
@@ -136,3 +141,35 @@
 	}
 	t.Run("the idle sessions are still open", func(t *testing.T) { assert.Equal(t, crowd.Open(), calmSessions) })
 }
+
+// TestPostgreSQLCrowd is TestCrowd for the PostgreSQL front end.
+func TestPostgreSQLCrowd(t *testing.T) {
+	for _, c := range []struct {
+		name      string
+		size      int
+		behaviour ctcrowd.Behaviour
+	}{
+		{"half a request", crowdSize, ctcrowd.HalfRequest{}},
+		{"claimed requests", crowdSize, ctcrowd.ClaimedRequest{}},
+		{"requests without an end", crowdSize, ctcrowd.EndlessRequest{}},
+		{"prepared statements", sessionsSize, ctcrowd.Statements{Count: largePerState}},
+		{"pipelined requests", sessionsSize, ctcrowd.Requests{Count: pipelined}},
+		{"idle sessions", idleSize, ctcrowd.IdleRequests{}},
+		{"silent callers", idleSize, ctcrowd.Silent{}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			fleet, err := ctcrowd.StartPostgreSQL(ctcrowd.Options{
+				BinFolder: programFolder, Folder: t.ArtifactDir(), Memory: memory, Descriptors: descriptors,
+			})
+			assert.NilError(t, err)
+			defer fleet.Stop()
+			proxy := ctcrowd.Process{Process: fleet.Proxies[0]}
+			crowd := ctcrowd.Crowd{Address: proxy.Listen, Size: c.size, Behaviour: c.behaviour}
+			defer crowd.Close()
+			crowd.Run()
+			assertProcessUsage(t, proxy)
+			assert.Check(t, ctcrowd.AwaitPostgreSQLServed(t.Context(), proxy.Process))
+			assertProcessUsage(t, proxy)
+		})
+	}
+}
--- a/internal/lab/ctcrowd/main_test.go
+++ b/internal/lab/ctcrowd/main_test.go
@@ -7,7 +7,7 @@
 	"testing"
 )
 
-// programFolder is the folder with the program under test. TestMain builds it there.
+// programFolder is the folder with the programs under test. TestMain builds them there.
 var programFolder string
 
 func TestMain(m *testing.M) {
@@ -16,9 +16,9 @@
 		panic(err)
 	}
 	programFolder = folder
-	command := exec.Command("go", "build", "-o", folder+"/", "../../../cmd/cherviltrestle")
+	command := exec.Command("go", "build", "-o", folder+"/", "../../../cmd/...")
 	if output, err := command.CombinedOutput(); err != nil {
-		fmt.Printf("build the program: %v\n%s", err, output)
+		fmt.Printf("build the programs: %v\n%s", err, output)
 		os.Exit(1)
 	}
 	code := m.Run()
--- a/internal/lab/ctfleet/fleet.go
+++ b/internal/lab/ctfleet/fleet.go
@@ -51,6 +51,8 @@
 	// StopTimeout is how long a planned stop of a proxy may take; the proxies' default
 	// if it is 0.
 	StopTimeout time.Duration
+	// ProxyArguments are further arguments of the proxies.
+	ProxyArguments []string
 }
 
 // Options are the settings of Start.
@@ -274,6 +276,7 @@
 		if peers := relayAddresses(f.ProxiesAt(p.FailureDomain), p.Name); peers != "" {
 			p.arguments = append(p.arguments, "--peer-address", peers)
 		}
+		p.arguments = append(p.arguments, f.Shape.ProxyArguments...)
 	}
 	return nil
 }
