--- a/internal/program/ctmetric/control.go
+++ b/internal/program/ctmetric/control.go
@@ -42,6 +42,8 @@
 	QuotaCharges *prometheus.GaugeVec
 	// Panics counts connections that ended because their goroutine panicked.
 	Panics prometheus.Counter
+	// Clients has the metrics of the limits on clients.
+	Clients Clients
 }
 
 // NewControl creates the metrics of a control process and registers them. It panics
@@ -69,7 +71,8 @@
 		QuotaCaps:      f.gaugeVec("control_quota_caps", "Caps of operations in a window.", "workspace"),
 		QuotaCharges: f.gaugeVec(
 			"control_quota_charges", "Operations that count for lowered and expired caps.", "workspace"),
-		Panics: f.counter("panics_total", panicsHelp),
+		Panics:  f.counter("panics_total", panicsHelp),
+		Clients: newClients(f),
 	}
 }
 
--- a/internal/program/ctmetric/metrics.go
+++ b/internal/program/ctmetric/metrics.go
@@ -90,6 +90,8 @@
 	Reports *prometheus.CounterVec
 	// Panics counts connections that ended because their goroutine panicked.
 	Panics prometheus.Counter
+	// Clients has the metrics of the limits on clients.
+	Clients Clients
 }
 
 // New creates the metrics of a proxy process and registers them. It panics if the
@@ -138,6 +140,7 @@
 			"member_statement_bound", "Bound of the statements in flight at a member; 0 without one.", "member"),
 		ConnectionsRejected: f.counterVec(
 			"member_connections_rejected_total", "Connections rejected because of a member's limit.", "member"),
+		Clients: newClients(f),
 	}
 }
 
--- a/internal/program/ctnode/settings.go
+++ b/internal/program/ctnode/settings.go
@@ -4,8 +4,8 @@
 	"net/netip"
 	"time"
 
-	"github.com/cherviltrestle/cherviltrestle/internal/decide/ctquota"
 	"github.com/cherviltrestle/cherviltrestle/internal/decide/ctplace"
+	"github.com/cherviltrestle/cherviltrestle/internal/decide/ctquota"
 	"github.com/cherviltrestle/cherviltrestle/internal/model/cterror"
 	"github.com/cherviltrestle/cherviltrestle/internal/model/ctid"
 )
@@ -48,7 +48,10 @@
 	// Placement says how members are selected; nil leaves it to the configuration.
 	Placement ctplace.Policy
 	// MemoryMB is how much memory the process may use, in megabytes.
+	// MemoryMB is how much memory the process may use, in megabytes; 0 for no limit.
 	MemoryMB int
+	// DescriptorLimit is how many descriptors the process may have open; 0 for no limit.
+	DescriptorLimit int
 }
 
 // Check returns an error for the first missing setting among those that both roles
--- a/internal/work/ctlock/rank.go
+++ b/internal/work/ctlock/rank.go
@@ -44,6 +44,8 @@
 	RankPeers
 	// RankQuotas guards a proxy's caps of workspaces.
 	RankQuotas
+	// RankAccounts guards the memory accounts of the clients of a listener.
+	RankAccounts
 	// RankStandin guards the database of a stand-in server.
 	RankStandin
 )
