ctview, ctcontrol: the list of proxies counts as large, and replies to reports have no deltas

Cause: Delta.Large ignored proxies, so that a list of 300 of them (26 KB) was sent uncompressed, in the replies of the leader to reports as well as in those to watches. During a start each proxy is a change, and the first 64 were sent to all at once. For a batch of reports the leader built a delta for each proxy and discarded it.

Where an external service promotes members, only watches bring deltas, as it was for the proxies of the other control processes. A new leader notifies watchers at most every 50 ms until its initial view is complete.

--- a/internal/model/ctview/delta.go
+++ b/internal/model/ctview/delta.go
@@ -49,7 +49,7 @@
 	Document ctconfig.Document `json:"document" cbor:"document"`
 }
 
-// largeDeltaEntries is the highest number of routes, members or groups in a delta
+// largeDeltaEntries is the highest number of routes, proxies, members or groups in a delta
 // that is not large.
 const largeDeltaEntries = 50
 
@@ -63,7 +63,7 @@
 	case d.Config != nil:
 		routes = len(d.Config.Document.Routes)
 	}
-	return max(routes, len(d.Members), len(d.Groups)) > largeDeltaEntries
+	return max(routes, len(d.Proxies), len(d.Members), len(d.Groups)) > largeDeltaEntries
 }
 
 // Check returns an error of kind cterror.Invalid for the first invalid entry. Members are
--- a/internal/program/ctcontrol/control.go
+++ b/internal/program/ctcontrol/control.go
@@ -131,6 +131,13 @@
 // HandleReport applies a proxy's report and returns the reply. A process that does not
 // lead applies nothing and replies with the leader's address, if it knows it.
 func (c *Control) HandleReport(held *ctlock.Held, report *ctview.Report) *ctview.Reply {
+	return c.handleReport(held, report, false)
+}
+
+// handleReport is HandleReport. The reply to a relayed report has no delta: the process that
+// relays it has the view. Where an external service promotes members, no reply has one. The
+// proxy's watch brings it, and the groups in the reply are enough to act on.
+func (c *Control) handleReport(held *ctlock.Held, report *ctview.Report, relayed bool) *ctview.Reply {
 	reply := &ctview.Reply{Number: report.Number}
 	if c.Voters != nil && report.Number%reportsPerVoterList == 1 {
 		reply.Controls = c.Voters(held)
@@ -148,7 +155,9 @@
 		if changed {
 			l.notifyThrottled(now)
 		}
-		reply.Delta = l.deltaFor(now, report.Version, report.Revision)
+		if !relayed && len(l.successions) == 0 {
+			reply.Delta = l.deltaFor(now, report.Version, report.Revision)
+		}
 		c.applyToSuccessions(now, l, report, reply)
 	})
 	return reply
@@ -219,6 +228,9 @@
 // that are due. It does nothing until the initial view delay has passed.
 func (c *Control) tick(now time.Time, l *leaderState) {
 	if now.Sub(l.leadingSince) < initialViewDelay {
+		if l.notifyPending {
+			l.notifyThrottled(now)
+		}
 		return
 	}
 	before := l.roster.Version()
--- a/internal/program/ctcontrol/leader.go
+++ b/internal/program/ctcontrol/leader.go
@@ -292,14 +292,22 @@
 	unthrottledProxies = 64
 	// maxNotifyInterval limits the interval between two throttled notifications.
 	maxNotifyInterval = time.Second
+	// startNotifyInterval is the least interval during the initial view delay. All proxies of
+	// the fleet report to a new leader within that time, and each of them is a change.
+	startNotifyInterval = 50 * time.Millisecond
 )
 
-// notifyThrottled wakes the watchers, unless there are many proxies and the last
-// notification was too recent. In that case a later tick wakes them.
+// notifyThrottled wakes the watchers, unless there are many proxies or this process has become
+// the leader a short time ago, and the last notification was too recent. In that case a later
+// tick wakes them.
 func (l *leaderState) notifyThrottled(now time.Time) {
 	count := l.proxies.Count()
 	interval := min(time.Duration(count)*notifyIntervalPerProxy, maxNotifyInterval)
-	if count > unthrottledProxies && now.Sub(l.lastNotified) < interval {
+	starting := now.Sub(l.leadingSince) < initialViewDelay
+	if starting {
+		interval = max(interval, startNotifyInterval)
+	}
+	if (starting || count > unthrottledProxies) && now.Sub(l.lastNotified) < interval {
 		l.notifyPending = true
 		return
 	}
--- a/internal/program/ctcontrol/reportrelay.go
+++ b/internal/program/ctcontrol/reportrelay.go
@@ -25,7 +25,7 @@
 	sampled := make(map[ctid.Group]bool)
 	ahead := make(groupSet)
 	for i := range batch.Reports {
-		answer := c.HandleReport(held, &batch.Reports[i])
+		answer := c.handleReport(held, &batch.Reports[i], true)
 		if answer.NotLeader {
 			return nil
 		}
@@ -37,11 +37,8 @@
 		}
 		if batch.Reports[i].Lapsed {
 			ahead.add(answer.Groups)
-			if answer.Delta != nil {
-				ahead.add(answer.Delta.Groups)
-			}
 		}
-		answer.Delta, answer.Groups, answer.LogSamples = nil, nil, nil
+		answer.Groups, answer.LogSamples = nil, nil
 		reply.Replies = append(reply.Replies, *answer)
 	}
 	c.state.With(held, func(l *leaderState) { ahead.add(l.groupsAhead(batch)) })
--- a/internal/program/ctcontrol/succession.go
+++ b/internal/program/ctcontrol/succession.go
@@ -86,12 +86,7 @@
 	}
 	expiresAt := c.grantAuthority(now, l, report, reply)
 	groups := reportedGroups(report, l.groupOf)
-	if reply.Delta != nil && reply.Delta.Large() {
-		// A watch delivers the large delta. The groups below are enough for the proxy to
-		// act on.
-		reply.Delta = nil
-	}
-	if reply.Delta == nil && report.Version != l.roster.Version() {
+	if report.Version != l.roster.Version() {
 		reply.Groups = l.replyGroups(report, groups)
 	}
 	l.proxies.ApplyReport(now, report, expiresAt)
