--- a/internal/decide/ctseek/doc.go
+++ b/internal/decide/ctseek/doc.go
@@ -15,6 +15,10 @@
 limit, and is random. Proxies that lost control at the same moment thus neither return
 at the same moment nor keep a process that starts from answering the others.
 
+A process that can't answer now tells the proxy when to call again. The proxy keeps its stream
+and waits for that time and a random part of it more. After a few such replies it tries another
+process.
+
 # Usage
 
 	seeker := ctseek.Seeker{Self: self, Random: random}
--- a/internal/decide/ctseek/seeker.go
+++ b/internal/decide/ctseek/seeker.go
@@ -9,10 +9,10 @@
 )
 
 const (
-	// firstDelay is the limit of the delay in the first round of attempts, and maxDelay
-	// that in later rounds.
+	// firstDelay is the limit of the delay in the first round of attempts. It doubles with
+	// each round up to maxDelay.
 	firstDelay = 30 * time.Millisecond
-	maxDelay   = 480 * time.Millisecond
+	maxDelay   = 720 * time.Millisecond
 	// directEvery is how many attempts there are for each one that goes directly to control
 	// once all processes have failed. The others go to relays.
 	directEvery = 4
@@ -63,8 +63,10 @@
 	Self   netip.AddrPort
 	Random Random
 
-	// attempts counts the failed attempts since the last answer.
-	attempts int
+	// attempts counts the failed attempts since the last answer, and deferrals the requests to
+	// call again.
+	attempts  int
+	deferrals int
 	// last is the process of control that was selected last, and lastFailed reports
 	// whether it failed.
 	last       netip.AddrPort
@@ -165,23 +167,25 @@
 
 // RecordAnswer records that the target answered.
 func (s *Seeker) RecordAnswer() {
-	s.attempts, s.lastFailed = 0, false
+	s.attempts, s.deferrals, s.lastFailed = 0, 0, false
 }
 
 // RecordFailure records that the target could not be reached, did not answer in time, or
 // could not serve the proxy.
 func (s *Seeker) RecordFailure() {
 	s.attempts++
+	s.deferrals = 0
 	s.lastFailed = true
 }
 
 // Restart makes the next attempt begin at the preferred process again.
 func (s *Seeker) Restart() {
-	s.attempts, s.lastFailed = 0, false
+	s.attempts, s.deferrals, s.lastFailed = 0, 0, false
 	s.last = netip.AddrPort{}
 }
 
-// Delay returns the time before the next attempt. It is random, so that proxies spread.
+// Delay returns the time before the next attempt. It is random between nothing and a limit, so
+// that proxies which failed together spread over the whole time.
 func (s *Seeker) Delay(controlCount int) time.Duration {
 	limit := maxDelay
 	round := s.attempts / max(controlCount, 1)
@@ -191,8 +195,7 @@
 			break
 		}
 	}
-	half := int64(limit / 2)
-	return time.Duration(half + s.Random.Int64N(half+1))
+	return time.Duration(s.Random.Int64N(int64(limit) + 1))
 }
 
 // Retention returns how long a stream to a target is used. The proxy then returns to the
--- a/internal/decide/ctseek/seeker_test.go
+++ b/internal/decide/ctseek/seeker_test.go
@@ -154,3 +154,43 @@
 		assert.Assert(t, fast >= proxies*len(controls), "%d attempts", fast)
 	})
 }
+
+// TestDeferral guards against proxies that open new streams to processes which only ask them to
+// wait, and against one that stays at a process which is cut off from the leader.
+func TestDeferral(t *testing.T) {
+	const after = 100 * time.Millisecond
+	controls := sixControls()
+	// stays returns how often a proxy calls a process again that always defers it.
+	stays := func(t *testing.T, s *ctseek.Seeker, deferral ctseek.Deferral) int {
+		t.Helper()
+		for count := 0; ; count++ {
+			delay, stay := s.RecordDeferral(deferral)
+			assert.Assert(t, delay >= after && delay <= 2*after, "%v", delay)
+			if !stay {
+				return count
+			}
+		}
+	}
+	t.Run("a proxy calls a busy process again for a while, then another one", func(t *testing.T) {
+		s := newSeeker(0)
+		first := nextControl(t, s, controls, nil)
+		assert.Assert(t, stays(t, s, ctseek.Busy{After: after}) > 2)
+		assert.Assert(t, nextControl(t, s, controls, nil) != first)
+	})
+	t.Run("it leaves a process without a leader before its authority expires", func(t *testing.T) {
+		const interval, held, lifetime = time.Second, 500 * time.Millisecond, 2500 * time.Millisecond
+		s := newSeeker(0)
+		nextControl(t, s, controls, nil)
+		calls := time.Duration(stays(t, s, ctseek.Leaderless{After: after}) + 1)
+		assert.Assert(t, interval+calls*(held+2*after) < lifetime)
+	})
+	t.Run("an answer ends the count", func(t *testing.T) {
+		s := newSeeker(0)
+		nextControl(t, s, controls, nil)
+		for range 20 {
+			_, stay := s.RecordDeferral(ctseek.Leaderless{After: after})
+			assert.Assert(t, stay)
+			s.RecordAnswer()
+		}
+	})
+}
