ctcontrol, ctuplink, cttcp: control decides on frames before it decodes them

The peers' listener of a control process asks ctintake.Gate about each connection; those of control processes are always accepted. A report that waits for the leader holds no slot and waits no longer than its proxy. Instead of "not the leader" a process answers Retry, and the proxy keeps its stream.

Metrics: control_intake_total, control_intake_wait_seconds, control_connections_total. Log: the decision shed_load, at most once a second.

--- a/internal/link/ctframe/codec.go
+++ b/internal/link/ctframe/codec.go
@@ -46,23 +46,11 @@
 // Read reads and checks one frame. It returns io.EOF if the stream ended between two
 // frames, and an error of kind cterror.Invalid if the frame is malformed.
 func Read(r io.Reader) (Frame, error) {
-	var header [headerBytes]byte
-	if _, err := io.ReadFull(r, header[:]); err != nil {
-		if errors.Is(err, io.EOF) {
-			return nil, io.EOF
-		}
-		return nil, errors.Wrap(err, "read frame header")
-	}
-	size := binary.BigEndian.Uint32(header[:])
-	if size < 1 || size > MaxBytes {
-		return nil, cterror.Newf(cterror.Invalid, "check that the peer is a cherviltrestle process of this version",
-			"frame of %d bytes is over the limit", size)
-	}
-	body := make([]byte, size-1)
-	if _, err := io.ReadFull(r, body); err != nil {
-		return nil, errors.Wrap(err, "read frame body")
+	raw, err := ReadRaw(r)
+	if err != nil {
+		return nil, err
 	}
-	return Decode(header[4], body)
+	return raw.Decode()
 }
 
 // Decode decodes and checks the body of a frame. wireKind is the kind in its header.
--- a/internal/link/ctframe/fleet.go
+++ b/internal/link/ctframe/fleet.go
@@ -61,6 +61,9 @@
 	Version ctview.Version `cbor:"version"`
 	// Revision is the revision of the configuration in the sender's view.
 	Revision ctid.Revision `cbor:"revision,omitempty"`
+	// Mirror reports that the sender is a control process, which answers the watches of its
+	// proxies from the view.
+	Mirror bool `cbor:"mirror,omitempty"`
 }
 
 // Fetch requests the view of another proxy. A proxy without a view sends it while it
--- a/internal/link/ctframe/frame.go
+++ b/internal/link/ctframe/frame.go
@@ -51,6 +51,7 @@
 	kindFetchOffersReply
 	kindReportOffer
 	kindSettledReply
+	kindRetry
 )
 
 // constructors contains, for each kind, a function that returns an empty frame.
@@ -87,6 +88,7 @@
 	kindReportOffer:    func() Frame { return &ReportOffer{} },
 	kindSettledReply:   func() Frame { return &SettledReply{} },
 
+	kindRetry:            func() Frame { return &Retry{} },
 	kindReportBatch:      func() Frame { return &ReportBatch{} },
 	kindReportBatchReply: func() Frame { return &ReportBatchReply{} },
 	kindFetchOffersReply: func() Frame { return &FetchOffersReply{} },
--- /dev/null
+++ b/internal/link/ctframe/retry.go
@@ -0,0 +1,14 @@
+package ctframe
+
+import "time"
+
+// Retry answers a Report or a Watch that control can't answer now. The sender keeps the stream
+// and sends another one after a time, to which it adds a random part.
+type Retry struct {
+	After time.Duration `cbor:"after"`
+	// Leaderless reports that the process has no reply from a leader. Otherwise it has too
+	// much to do.
+	Leaderless bool `cbor:"leaderless,omitempty"`
+}
+
+func (*Retry) kind() kind { return kindRetry }
--- a/internal/link/cttcp/socket.go
+++ b/internal/link/cttcp/socket.go
@@ -54,3 +54,32 @@
 	}
 	return errors.Wrap(optionErr, "tune a socket")
 }
+
+// sinceLastData returns how long ago the kernel received the last data of a connection. It
+// returns 0 if that is unknown.
+func sinceLastData(socket net.Conn) time.Duration {
+	tcp, ok := socket.(*net.TCPConn)
+	if !ok {
+		return 0
+	}
+	raw, err := tcp.SyscallConn()
+	if err != nil {
+		return 0
+	}
+	var since time.Duration
+	_ = raw.Control(func(fd uintptr) {
+		if info, err := unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO); err == nil {
+			since = time.Duration(info.Last_data_recv) * time.Millisecond
+		}
+	})
+	return since
+}
+
+// reset closes a connection so that the peer sees at once that it was not accepted, and the
+// kernel retains no state of it.
+func reset(socket net.Conn) {
+	if tcp, ok := socket.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0)
+	}
+	_ = socket.Close()
+}
--- a/internal/link/cttcp/stream.go
+++ b/internal/link/cttcp/stream.go
@@ -45,6 +45,15 @@
 	return ctframe.Read(s.reader)
 }
 
+// ReadRaw is Read without decoding. The kernel says how long ago the frame's last byte arrived.
+func (s *Stream) ReadRaw() (ctframe.Raw, error) {
+	raw, err := ctframe.ReadRaw(s.reader)
+	if err == nil && s.reader.Buffered() == 0 {
+		raw.Waited = sinceLastData(s.socket)
+	}
+	return raw, err
+}
+
 // Close closes the connection. Calls of Read and Write that wait then fail.
 func (s *Stream) Close() {
 	_ = s.socket.Close()
@@ -73,6 +82,9 @@
 
 // Listener accepts streams from other processes.
 type Listener struct {
+	// Admit reports whether a connection from an address is accepted. It is nil if all are.
+	Admit func(remote netip.Addr) bool
+
 	listener net.Listener
 }
 
@@ -94,6 +106,10 @@
 ) error {
 	acceptor := Acceptor{Listener: l.listener, Report: report}
 	return acceptor.Serve(func(socket net.Conn) {
+		if l.Admit != nil && !l.Admit(addressOf(socket.RemoteAddr()).Addr()) {
+			reset(socket)
+			return
+		}
 		stream := NewStream(socket)
 		go func() {
 			defer stream.Close()
@@ -109,9 +125,14 @@
 
 // Address returns the address at which the listener accepts streams.
 func (l *Listener) Address() netip.AddrPort {
-	address, ok := l.listener.Addr().(*net.TCPAddr)
+	return addressOf(l.listener.Addr())
+}
+
+// addressOf returns a TCP address, or an invalid one if it is not of TCP.
+func addressOf(address net.Addr) netip.AddrPort {
+	tcp, ok := address.(*net.TCPAddr)
 	if !ok {
 		return netip.AddrPort{}
 	}
-	return address.AddrPort()
+	return netip.AddrPortFrom(tcp.AddrPort().Addr().Unmap(), tcp.AddrPort().Port())
 }
--- a/internal/program/ctcontrol/forward.go
+++ b/internal/program/ctcontrol/forward.go
@@ -114,7 +114,7 @@
 	var held ctlock.Held
 	leader, self := s.awaitLeader(ctx, &held)
 	if self {
-		return checkReply(s.handleFrame(ctx, &held, frame))
+		return checkReply(s.handleFrame(ctx, &held, nil, frame))
 	}
 	address, ok := s.Resolve(leader)
 	if leader == "" || leader == s.Name || !ok {
--- a/internal/program/ctcontrol/service.go
+++ b/internal/program/ctcontrol/service.go
@@ -10,6 +10,7 @@
 
 	"github.com/rs/zerolog"
 
+	"github.com/cherviltrestle/cherviltrestle/internal/decide/ctintake"
 	"github.com/cherviltrestle/cherviltrestle/internal/decide/ctquorum"
 	"github.com/cherviltrestle/cherviltrestle/internal/link/ctframe"
 	"github.com/cherviltrestle/cherviltrestle/internal/model/ctconfig"
@@ -20,6 +21,7 @@
 	"github.com/cherviltrestle/cherviltrestle/internal/state/ctjournal"
 	"github.com/cherviltrestle/cherviltrestle/internal/work/ctclock"
 	"github.com/cherviltrestle/cherviltrestle/internal/work/ctlock"
+	"github.com/cherviltrestle/cherviltrestle/internal/work/cttable"
 )
 
 const (
@@ -70,6 +72,11 @@
 	announcements *announcementRelay
 	reports       *batcher[ctview.Report, ctview.Reply]
 	views         *viewRelay
+	// frames decides on frames, and transfers on large views for proxies. gate bounds the
+	// accepted connections.
+	frames    *intake
+	transfers *intake
+	gate      cttable.Cell[ctintake.Gate]
 
 	// mutex guards idleStreams and compressed.
 	mutex       sync.Mutex
@@ -125,9 +132,25 @@
 	s.announcements = newAnnouncementRelay(options.Clock, s.sendToLeader)
 	s.reports = newBatcher(options.Clock, relayTimeout, s.sendReports)
 	s.views = newViewRelay()
+	s.startIntake()
 	return s, nil
 }
 
+// startIntake creates the queues of frames and the bound of connections.
+func (s *Service) startIntake() {
+	s.frames = newIntake(s.Clock, &s.Logger, s.Metrics, ctintake.Queue{
+		Slots: ctintake.FrameSlots, MaxWait: ctintake.MaxFrameWait,
+	})
+	s.transfers = newIntake(s.Clock, &s.Logger, s.Metrics, ctintake.Queue{
+		Slots: ctintake.ViewSlots, MaxWait: ctintake.MaxViewWait, HandlingTime: ctintake.ViewTime,
+	})
+	s.gate = cttable.Cell[ctintake.Gate]{Rank: ctlock.RankIntake}
+	var held ctlock.Held
+	s.gate.With(&held, func(gate *ctintake.Gate) {
+		*gate = ctintake.Gate{Rate: ctintake.AcceptRate, Burst: ctintake.AcceptBurst}
+	})
+}
+
 func voterNames(voters []ctquorum.Peer) []ctid.Control {
 	var names []ctid.Control
 	for _, v := range voters {
@@ -199,15 +222,13 @@
 	s.replica.SetSeeds(&held, seeds)
 }
 
-// Serve serves one stream that another process opened, until it ends.
-func (s *Service) Serve(ctx context.Context, stream ctframe.Stream) {
-	s.replica.serveStream(ctx, stream, s.handleFrame)
-}
-
-// handleFrame returns the reply to a request and records the request in the metrics.
-func (s *Service) handleFrame(ctx context.Context, held *ctlock.Held, frame ctframe.Frame) ctframe.Frame {
+// handleFrame returns the reply to a request and records the request in the metrics. from is
+// the stream on which it arrived, or nil for a request of this process.
+func (s *Service) handleFrame(
+	ctx context.Context, held *ctlock.Held, from *peer, frame ctframe.Frame,
+) ctframe.Frame {
 	start := s.Clock.Now()
-	reply := s.dispatch(ctx, held, frame)
+	reply := s.dispatch(ctx, held, from, frame)
 	name, result := strings.TrimPrefix(fmt.Sprintf("%T", frame), "*ctframe."), "answered"
 	switch a := reply.(type) {
 	case *ctframe.ErrorReply:
@@ -216,6 +237,8 @@
 		if a.NotLeader {
 			result = "unready"
 		}
+	case *ctframe.Retry:
+		result = "deferred"
 	}
 	s.Metrics.Replies.WithLabelValues(name, result).Inc()
 	s.Metrics.ReplySeconds.WithLabelValues(name).Observe(s.Clock.Now().Sub(start).Seconds())
@@ -224,17 +247,18 @@
 
 // dispatch returns the reply to a request. A process that does not lead returns an error
 // reply, or a report reply with NotLeader set.
-func (s *Service) dispatch(ctx context.Context, held *ctlock.Held, frame ctframe.Frame) ctframe.Frame {
+func (s *Service) dispatch(
+	ctx context.Context, held *ctlock.Held, from *peer, frame ctframe.Frame,
+) ctframe.Frame {
 	switch f := frame.(type) {
 	case *ctframe.Report:
-		return s.replyFrame(s.handleReport(ctx, held, &f.Report))
+		return s.handleReport(ctx, held, from, &f.Report)
 	case *ctframe.ReportBatch:
 		return s.handleReportBatch(held, f)
 	case *ctframe.Watch:
-		ctx, cancel := context.WithTimeout(ctx, serviceWatchTimeout)
-		defer cancel()
-		return s.replyFrame(s.watchView(ctx, held, f))
+		return s.handleWatch(ctx, held, from, f)
 	case *ctframe.Publish:
+		from.releaseSlot()
 		ctx, cancel := context.WithTimeout(ctx, forwardTimeout)
 		defer cancel()
 		return replyOrError(s.control.Publish(ctx, held, f), &ctframe.PublishReply{})
@@ -258,19 +282,6 @@
 	return &ctframe.ErrorReply{Kind: cterror.Invalid.String(), Message: "control does not serve this frame"}
 }
 
-// handleReport returns the leader's reply to a proxy's report. If another process leads,
-// it is forwarded; if that fails, the reply makes the proxy try another process.
-func (s *Service) handleReport(ctx context.Context, held *ctlock.Held, report *ctview.Report) *ctview.Reply {
-	reply := s.control.HandleReport(held, report)
-	if !reply.NotLeader {
-		return reply
-	}
-	if relayed, ok := s.reports.call(ctx, held, *report); ok {
-		return &relayed
-	}
-	return reply
-}
-
 // handleReportBatch returns the replies to reports that another control process forwards.
 func (s *Service) handleReportBatch(held *ctlock.Held, batch *ctframe.ReportBatch) ctframe.Frame {
 	reply := s.control.HandleReportBatch(held, batch)
--- a/internal/program/ctcontrol/viewrelay.go
+++ b/internal/program/ctcontrol/viewrelay.go
@@ -126,7 +126,7 @@
 		return notFollowingError()
 	}
 	view := s.views.view(held)
-	watch := &ctframe.Watch{Version: view.Version, Revision: view.Config.Revision}
+	watch := &ctframe.Watch{Version: view.Version, Revision: view.Config.Revision, Mirror: true}
 	answer, err := s.callLeaderWithin(ctx, followTimeout, watch)
 	if err != nil {
 		return err
--- a/internal/program/ctmetric/control.go
+++ b/internal/program/ctmetric/control.go
@@ -36,6 +36,13 @@
 	// AnswersInDoubt counts the answers of members that did not belong to their queries, by
 	// the kind of doubt.
 	AnswersInDoubt *prometheus.CounterVec
+	// Intake counts the frames that needed a slot by the work that they ask for and the
+	// decision: served, rejected or dropped.
+	Intake *prometheus.CounterVec
+	// IntakeWaitSeconds measures the time from the arrival of a frame to that decision.
+	IntakeWaitSeconds *prometheus.HistogramVec
+	// Connections counts the connections of other processes by decision: accepted or rejected.
+	Connections *prometheus.CounterVec
 	// Panics counts connections that ended because their goroutine panicked.
 	Panics prometheus.Counter
 }
@@ -62,7 +69,11 @@
 		PromotionsSettled: f.counterVec(
 			"control_promotions_settled_total", "Promotions that can't take effect any more.", "reason"),
 		AnswersInDoubt: f.counterVec("control_answers_in_doubt_total", answersInDoubtHelp, "kind"),
-		Panics:         f.counter("panics_total", panicsHelp),
+		Intake:         f.counterVec("control_intake_total", "Frames by decision of the intake.", "work", "decision"),
+		IntakeWaitSeconds: f.histogramVec(
+			"control_intake_wait_seconds", "Time from the arrival of a frame to the decision of the intake.", "work"),
+		Connections: f.counterVec("control_connections_total", "Connections of other processes.", "decision"),
+		Panics:      f.counter("panics_total", panicsHelp),
 	}
 }
 
--- a/internal/program/ctnode/control.go
+++ b/internal/program/ctnode/control.go
@@ -105,6 +105,7 @@
 		return err
 	}
 	defer func() { _ = peers.Close() }()
+	peers.Admit = c.service.AdmitConnection
 	// Connections that arrive before the disk has been read wait in the listener's queue.
 	if err := c.service.Start(runCtx); err != nil {
 		return err
--- a/internal/program/ctuplink/relay.go
+++ b/internal/program/ctuplink/relay.go
@@ -34,7 +34,7 @@
 			upstream = u.openUpstream(ctx, &held)
 		}
 		answer := callOrNil(ctx, upstream, frame, timeout)
-		if reply, ok := answer.(*ctframe.ReportReply); !ok || reply.NotLeader {
+		if !isUpstreamAnswer(answer) {
 			if upstream != nil {
 				upstream.Close()
 				upstream = nil
@@ -51,6 +51,18 @@
 	}
 }
 
+// isUpstreamAnswer reports whether a frame of the upstream is for the other proxy. Otherwise the
+// upstream can't be used any more.
+func isUpstreamAnswer(answer ctframe.Frame) bool {
+	switch a := answer.(type) {
+	case *ctframe.ReportReply:
+		return !a.NotLeader
+	case *ctframe.Retry:
+		return true
+	}
+	return false
+}
+
 // relayTimeout returns how long the answer to a frame may take, and whether frames of
 // its type are forwarded.
 func (u *Uplink) relayTimeout(frame ctframe.Frame) (time.Duration, bool) {
--- a/internal/program/ctuplink/report.go
+++ b/internal/program/ctuplink/report.go
@@ -22,6 +22,9 @@
 	for number := uint64(1); ctx.Err() == nil && !u.deregistered.Load(); number++ {
 		err := u.reportOnce(ctx, link, &held, func(now time.Time) *ctview.Report { return u.buildReport(&held, now, number) })
 		if err != nil {
+			if u.recordDeferral(ctx, link, err) {
+				continue
+			}
 			u.Metrics.Reports.WithLabelValues("failed").Inc()
 			u.recordControlLost(link, err)
 			u.pauseAfterFailure(ctx, link, &held)
@@ -41,11 +44,7 @@
 // the wait: it would defeat the backoff, and the next report contains it anyway.
 func (u *Uplink) pauseAfterFailure(ctx context.Context, link *controlLink, held *ctlock.Held) {
 	link.seeker.RecordFailure()
-	delay := min(link.seeker.Delay(len(u.controlAddresses(held))), u.HeartbeatInterval)
-	select {
-	case <-ctx.Done():
-	case <-u.Clock.After(delay):
-	}
+	u.pause(ctx, link.seeker.Delay(len(u.controlAddresses(held))))
 }
 
 const (
@@ -140,6 +139,9 @@
 	if err != nil {
 		return err
 	}
+	if retry, ok := answer.(*ctframe.Retry); ok {
+		return newDeferredError(retry)
+	}
 	if u.Groups != nil && !report.Lapsed && !u.Clock.Now().Before(u.State.AuthorityExpiry(held)) {
 		link.close()
 		return cterror.New(cterror.Expired, "the authority has lapsed since the report", "report again")
--- a/internal/program/ctuplink/watch.go
+++ b/internal/program/ctuplink/watch.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net/netip"
 	"time"
 
@@ -43,7 +44,8 @@
 			w.awaitRoute(ctx)
 			continue
 		}
-		if err := w.watchOnce(ctx, current.address, &held); err == nil {
+		err := w.watchOnce(ctx, current.address, &held)
+		if err == nil || w.pauseAfterDeferral(ctx, err) {
 			w.delay = 0
 			continue
 		}
@@ -62,13 +64,10 @@
 	}
 }
 
-// pause waits after a failure, longer after each in a row.
+// pause waits after a failure, for a random time whose limit grows with each in a row.
 func (w *watcher) pause(ctx context.Context) {
 	w.delay = min(max(2*w.delay, watchRetryDelay), maxWatchRetryDelay)
-	select {
-	case <-ctx.Done():
-	case <-w.uplink.Clock.After(w.delay):
-	}
+	w.uplink.pause(ctx, rand.N(w.delay))
 }
 
 // watchOnce sends one watch to the process at an address and applies its reply, which
@@ -83,6 +82,9 @@
 	if err != nil {
 		return err
 	}
+	if retry, ok := answer.(*ctframe.Retry); ok {
+		return newDeferredError(retry)
+	}
 	reply, ok := answer.(*ctframe.ReportReply)
 	if !ok || reply.NotLeader {
 		return cterror.New(cterror.Unavailable, "the control process can't serve a watch", "use another control process")
--- a/internal/work/ctlock/rank.go
+++ b/internal/work/ctlock/rank.go
@@ -15,6 +15,9 @@
 	// RankAnnouncements guards the reports of members: the announcements that a
 	// proxy received, and the reports that a control process forwards to the leader.
 	RankAnnouncements
+	// RankIntake guards the queues of frames of a control process and the bound of its
+	// connections.
+	RankIntake
 	// RankUplink guards the state of a proxy's link to control: the proxy's
 	// life-cycle state and the addresses of the control processes.
 	RankUplink
