--- a/internal/lab/ctstartup/control.go
+++ b/internal/lab/ctstartup/control.go
@@ -1,12 +1,18 @@
 package ctstartup
 
-import "time"
+import (
+	"time"
+
+	"github.com/cherviltrestle/cherviltrestle/internal/decide/ctintake"
+	"github.com/cherviltrestle/cherviltrestle/internal/decide/ctseek"
+)
 
 // Timeouts and intervals of control, as in packages ctcontrol and ctquorum.
 const (
 	relayTimeout      = 500 * time.Millisecond
 	watchWait         = 1500 * time.Millisecond
 	leaderRetryDelay  = 50 * time.Millisecond
+	leaderlessDelay   = 100 * time.Millisecond
 	heartbeatInterval = 60 * time.Millisecond
 	electionTimeout   = 300 * time.Millisecond
 	// electionTime is how long an election takes.
@@ -14,6 +20,8 @@
 	notifyIntervalPerProxy = time.Millisecond
 	maxNotifyInterval      = time.Second
 	unthrottledProxies     = 64
+	initialViewDelay       = 1200 * time.Millisecond
+	startNotifyInterval    = 50 * time.Millisecond
 	// authorityTTL is how long the authority lasts that a reply grants, from the report on.
 	authorityTTL = 2500 * time.Millisecond
 )
@@ -30,12 +38,16 @@
 	index     int
 	up        bool
 	cpu, link resource
+	intake    *intake
+	transfers *intake
+	gate      ctintake.Gate
 	// accepted lists when connections were accepted.
 	accepted []time.Duration
 	// batch holds the reports that wait for the leader. sending reports whether an earlier
 	// batch is under way.
-	batch   []*exchange
-	sending bool
+	batch        []*exchange
+	sending      bool
+	leadingSince time.Duration
 	// joined holds the proxies that have reported to this process as the leader.
 	joined map[*proxy]bool
 	// view is the newest view here, and watchers are the watches that wait for a newer one.
@@ -52,8 +64,13 @@
 func newControl(w *world, index int) *control {
 	return &control{
 		world: w, index: index,
-		cpu:  resource{world: w, rate: coreShare / w.plan.Load},
-		link: resource{world: w, rate: w.plan.LinkRate},
+		cpu:    resource{world: w, rate: coreShare / w.plan.Load},
+		link:   resource{world: w, rate: w.plan.LinkRate},
+		intake: newIntake(w, ctintake.Queue{Slots: ctintake.FrameSlots, MaxWait: ctintake.MaxFrameWait}),
+		transfers: newIntake(w, ctintake.Queue{
+			Slots: ctintake.ViewSlots, MaxWait: ctintake.MaxViewWait, HandlingTime: ctintake.ViewTime,
+		}),
+		gate: ctintake.Gate{Rate: ctintake.AcceptRate, Burst: ctintake.AcceptBurst},
 	}
 }
 
@@ -71,8 +88,12 @@
 	c.link.use(float64(size), func() { c.world.after(latency(c.index, to.index), done) })
 }
 
-// accept accepts a connection.
+// accept accepts a connection, or resets it.
 func (c *control) accept(s *stream) {
+	if !c.gate.Admit(c.world.timestamp()) {
+		c.world.after(latency(s.proxy.index, c.index), s.reset)
+		return
+	}
 	c.compute(acceptCost, func() {
 		c.accepted = append(c.accepted, c.world.now)
 		s.accepted = true
@@ -87,11 +108,29 @@
 		return
 	}
 	s.waiting = nil
+	s.endTransfer()
 	if x.watch {
 		c.compute(smallCost, func() { c.handleWatch(x) })
 		return
 	}
-	c.compute(reportCost, func() { c.handleReport(x) })
+	c.compute(readCost, func() {
+		var work ctintake.Work = ctintake.FirstReport{}
+		if s.served {
+			work = ctintake.Renewal{}
+		}
+		c.intake.arrive(admission{
+			work: work, arrivedAt: x.arrivedAt, patience: callTimeout,
+			start: func(end func()) {
+				c.compute(reportCost, func() {
+					end()
+					c.handleReport(x)
+				})
+			},
+			reject: func(after time.Duration) {
+				c.compute(readCost, func() { x.answer(c.world.sizes.small, reply{deferral: ctseek.Busy{After: after}}) })
+			},
+		})
+	})
 }
 
 // handleReport answers a report, or adds it to the next batch to the leader.
@@ -108,7 +147,7 @@
 // expire answers a report that has waited for too long for the leader's reply.
 func (c *control) expire(x *exchange) {
 	if !x.answered {
-		x.answer(c.world.sizes.small, reply{notLeader: true})
+		x.answer(c.world.sizes.small, reply{deferral: ctseek.Leaderless{After: leaderlessDelay}})
 	}
 }
 
@@ -161,38 +200,45 @@
 		return
 	}
 	c.send(leader, len(batch)*c.world.sizes.report, func() {
-		leader.compute(smallCost+time.Duration(len(batch))*batchedCost, func() {
-			if c.world.leader != leader {
-				leader.send(c, c.world.sizes.small, retry)
-				return
-			}
-			for _, x := range batch {
-				leader.join(x.proxy)
-			}
-			leader.send(c, len(batch)*c.world.sizes.small, func() {
-				for _, x := range batch {
-					c.grant(x, false)
-				}
-				end()
-			})
+		leader.intake.arrive(admission{
+			work: ctintake.Call{}, arrivedAt: c.world.now, patience: relayTimeout,
+			start: func(done func()) {
+				leader.compute(smallCost+time.Duration(len(batch))*batchedCost, func() {
+					done()
+					if c.world.leader != leader {
+						leader.send(c, c.world.sizes.small, retry)
+						return
+					}
+					c.finishBatch(leader, batch, end)
+				})
+			},
 		})
 	})
 }
 
-// grant answers a report with authority. The leader adds a delta that is not large.
+// finishBatch answers the reports of a batch that the leader has handled.
+func (c *control) finishBatch(leader *control, batch []*exchange, end func()) {
+	for _, x := range batch {
+		leader.join(x.proxy)
+	}
+	leader.send(c, len(batch)*c.world.sizes.small, func() {
+		for _, x := range batch {
+			c.grant(x, false)
+		}
+		end()
+	})
+}
+
+// grant answers a report with authority.
 func (c *control) grant(x *exchange, leading bool) {
 	if x.answered {
 		return
 	}
-	size, answer := c.world.sizes.reply, reply{authority: true}
 	if leading {
 		c.join(x.proxy)
-		if delta := c.world.sizes.delta(x.proxy.view, c.view); !delta.large && delta.size > 0 {
-			size += delta.size
-			answer.view = c.view
-		}
 	}
-	x.answer(size, answer)
+	x.stream.served = true
+	x.answer(c.world.sizes.reply, reply{authority: true})
 }
 
 // join adds a proxy to the leader's view.
@@ -208,8 +254,12 @@
 // notifyThrottled wakes the watchers, or later if they were woken a short time ago.
 func (c *control) notifyThrottled() {
 	interval := min(time.Duration(len(c.joined))*notifyIntervalPerProxy, maxNotifyInterval)
+	starting := c.world.now-c.leadingSince < initialViewDelay
+	if starting {
+		interval = max(interval, startNotifyInterval)
+	}
 	wait := c.lastNotified + interval - c.world.now
-	if len(c.joined) <= unthrottledProxies || wait <= 0 {
+	if (!starting && len(c.joined) <= unthrottledProxies) || wait <= 0 {
 		c.notify()
 		return
 	}
@@ -267,9 +317,19 @@
 	}
 	view := c.view
 	delta := c.world.sizes.delta(x.proxy.view, view)
-	cost := smallCost
-	if delta.whole {
-		cost = viewCost
+	if !delta.large {
+		c.compute(smallCost, func() { x.answer(delta.size, reply{view: view}) })
+		return
 	}
-	c.compute(cost, func() { x.answer(delta.size, reply{view: view}) })
+	c.transfers.arrive(admission{
+		work: ctintake.View{}, arrivedAt: c.world.now, patience: watchTimeout,
+		start: func(end func()) {
+			x.stream.transferEnd = end
+			c.world.after(ctintake.MaxViewTime, end)
+			c.compute(viewCost, func() { x.answer(delta.size, reply{view: view}) })
+		},
+		reject: func(after time.Duration) {
+			c.compute(readCost, func() { x.answer(c.world.sizes.small, reply{deferral: ctseek.Busy{After: after}}) })
+		},
+	})
 }
--- a/internal/lab/ctstartup/election.go
+++ b/internal/lab/ctstartup/election.go
@@ -9,7 +9,7 @@
 	w.leader = c
 	c.joined = make(map[*proxy]bool)
 	c.view = viewState{epoch: w.epoch}
-	c.lastNotified, c.notifyPending = w.now, false
+	c.lastNotified, c.notifyPending, c.leadingSince = w.now, false, w.now
 	for _, other := range w.controls {
 		other.heardAt = w.now
 	}
@@ -54,21 +54,28 @@
 // delta is a change of a view as it is sent.
 type delta struct {
 	size int
-	// whole reports whether it has the whole view, and large whether it is compressed and left
-	// out of the replies to reports.
-	whole, large bool
+	// large reports whether it is compressed and left out of the replies to reports.
+	large bool
 }
 
-// delta returns the change from one view to another. As in ctview.Delta, the number of
-// proxies does not make it large.
+// largeDeltaProxies is as in ctview.Delta.
+const largeDeltaProxies = 50
+
+// delta returns the change from one view to another. It is compressed if it is large.
 func (z sizes) delta(from, to viewState) delta {
-	switch {
-	case from == to:
+	if from == to {
 		return delta{}
-	case from.epoch == 0:
-		return delta{size: z.packedConfig + z.packedRest + to.proxies*z.packedProxy, whole: true, large: true}
-	case from.epoch != to.epoch:
-		return delta{size: z.rest + to.proxies*z.proxy, whole: true}
 	}
-	return delta{size: z.small + (to.proxies-from.proxies)*z.proxy}
+	count, rest, packedRest := to.proxies-from.proxies, z.small, z.small
+	if from.epoch != to.epoch {
+		count, rest, packedRest = to.proxies, z.rest, z.packedRest
+	}
+	// The whole configuration has enough routes for a large delta.
+	if from.epoch == 0 {
+		return delta{size: z.packedConfig + packedRest + count*z.packedProxy, large: true}
+	}
+	if count > largeDeltaProxies {
+		return delta{size: packedRest + count*z.packedProxy, large: true}
+	}
+	return delta{size: rest + count*z.proxy}
 }
--- a/internal/lab/ctstartup/proxy.go
+++ b/internal/lab/ctstartup/proxy.go
@@ -20,7 +20,9 @@
 
 // reply is what a proxy receives.
 type reply struct {
-	authority, notLeader bool
+	authority bool
+	// deferral asks the proxy to call again; nil if the reply is an answer.
+	deferral ctseek.Deferral
 	// view is the view that the reply brings; zero if it brings none.
 	view viewState
 }
@@ -35,6 +37,28 @@
 	waiting *exchange
 	// transfer is the reply that is being sent.
 	transfer *job
+	// served reports whether a report was answered on the stream.
+	served bool
+	// transferEnd ends the transmission of a large view; nil if there is none.
+	transferEnd func()
+	// failed is called when the control process resets the connection.
+	failed func()
+}
+
+// reset is what a proxy sees when the control process refuses to accept its connection.
+func (s *stream) reset() {
+	if s.open && s.failed != nil {
+		s.failed()
+	}
+}
+
+// endTransfer ends the transmission of a large view: its receiver has sent another frame, or
+// is gone.
+func (s *stream) endTransfer() {
+	if s.transferEnd != nil {
+		s.transferEnd()
+		s.transferEnd = nil
+	}
 }
 
 // exchange is a report or a watch with its reply.
@@ -42,6 +66,8 @@
 	proxy  *proxy
 	stream *stream
 	watch  bool
+	// arrivedAt is when the control process received the frame.
+	arrivedAt time.Duration
 	// answered reports whether a reply was sent.
 	answered bool
 	received func(reply)
@@ -146,8 +172,8 @@
 			return
 		}
 		ended = true
-		if r.notLeader {
-			p.failReport()
+		if r.deferral != nil {
+			p.defers(r.deferral)
 			return
 		}
 		p.seeker.RecordAnswer()
@@ -161,20 +187,32 @@
 		interval := min(time.Duration(p.view.proxies)*intervalPerProxy, maxReportInterval)
 		w.after(max(heartbeat, interval), p.report)
 	}
-	p.deliver(x)
-	w.after(callTimeout, func() {
+	fail := func() {
 		if !ended {
 			ended = true
 			p.failReport()
 		}
-	})
+	}
+	s.failed = fail
+	p.deliver(x)
+	w.after(callTimeout, fail)
+}
+
+// defers reports again after the time that a control process asked for.
+func (p *proxy) defers(deferral ctseek.Deferral) {
+	delay, stay := p.seeker.RecordDeferral(deferral)
+	if !stay {
+		p.reports.close()
+		p.reports, p.route = nil, nil
+	}
+	p.world.after(delay, p.report)
 }
 
 // deliver sends a frame to the control process of its stream.
 func (p *proxy) deliver(x *exchange) {
 	s := x.stream
 	p.world.after(latency(p.index, s.control.index), func() {
-		s.waiting = x
+		s.waiting, x.arrivedAt = x, p.world.now
 		s.control.receiveNext(s)
 	})
 }
@@ -184,7 +222,7 @@
 	p.reports.close()
 	p.reports, p.route = nil, nil
 	p.seeker.RecordFailure()
-	p.world.after(min(p.seeker.Delay(controlCount), heartbeat), p.report)
+	p.world.after(p.seeker.Delay(controlCount), p.report)
 }
 
 // close closes a stream, which may be nil. What is being sent over it stops.
@@ -192,6 +230,7 @@
 	if s != nil && s.open {
 		s.open = false
 		s.control.link.cancel(s.transfer)
+		s.endTransfer()
 	}
 }
 
@@ -231,15 +270,19 @@
 	ended := false
 	x := &exchange{proxy: p, stream: p.watches, watch: true}
 	x.received = func(r reply) {
-		if !ended {
-			ended = true
-			p.watchDelay = 0
-			p.apply(r.view)
-			p.watch()
+		if ended {
+			return
 		}
+		ended = true
+		p.watchDelay = 0
+		if busy, ok := r.deferral.(ctseek.Busy); ok {
+			p.world.after(busy.After+p.world.uniform(busy.After), p.watch)
+			return
+		}
+		p.apply(r.view)
+		p.watch()
 	}
-	p.deliver(x)
-	p.world.after(watchTimeout, func() {
+	fail := func() {
 		if ended {
 			return
 		}
@@ -248,5 +291,8 @@
 		p.watches = nil
 		p.watchDelay = min(max(2*p.watchDelay, watchRetryDelay), maxWatchDelay)
 		p.world.after(p.watchDelay, p.watch)
-	})
+	}
+	p.watches.failed = fail
+	p.deliver(x)
+	p.world.after(watchTimeout, fail)
 }
--- a/internal/lab/ctstartup/run.go
+++ b/internal/lab/ctstartup/run.go
@@ -31,6 +31,9 @@
 	// took 54% of a core.
 	acceptCost = 500 * time.Microsecond
 	reportCost = 1200 * time.Microsecond
+	// readCost is the processor time for reading a frame without decoding it, or for sending a
+	// rejection.
+	readCost = 50 * time.Microsecond
 	// batchedCost is the processor time of the leader for a report in a batch.
 	batchedCost = 150 * time.Microsecond
 	// viewCost is the processor time for sending a whole view.
--- a/internal/lab/ctstartup/world.go
+++ b/internal/lab/ctstartup/world.go
@@ -68,6 +68,11 @@
 	w.now = end
 }
 
+// timestamp returns the present for decisions that take a time.
+func (w *world) timestamp() time.Time {
+	return time.Unix(0, 0).Add(w.now)
+}
+
 // uniform returns a random duration below a limit.
 func (w *world) uniform(limit time.Duration) time.Duration {
 	return time.Duration(w.random.Int64N(int64(limit)))
