--- a/internal/link/cttcp/acceptor_test.go
+++ b/internal/link/cttcp/acceptor_test.go
@@ -6,6 +6,7 @@
 	"net/netip"
 	"syscall"
 	"testing"
+	"time"
 
 	"github.com/pkg/errors"
 	"gotest.tools/v3/assert"
@@ -90,3 +91,61 @@
 		assert.Assert(t, errors.Is(<-served, net.ErrClosed))
 	})
 }
+
+// TestAdmit guards against a listener that serves connections over the bound, and against peers
+// that wait for a reply on them.
+func TestAdmit(t *testing.T) {
+	listener, err := cttcp.Listen(netip.MustParseAddrPort("127.0.0.1:0"))
+	assert.NilError(t, err)
+	first := true
+	listener.Admit = func(netip.Addr) bool {
+		admitted := first
+		first = false
+		return admitted
+	}
+	served := make(chan error, 1)
+	go func() {
+		served <- listener.Serve(context.Background(), func(cttcp.Failure) {}, func(_ context.Context, stream *cttcp.Stream) {
+			if raw, err := stream.ReadRaw(); err == nil && raw.Empty() != nil {
+				_ = stream.Write(&ctframe.Ack{})
+			}
+		})
+	}()
+	call := func() error {
+		stream, err := cttcp.Transport{}.Open(context.Background(), listener.Address())
+		if err != nil {
+			return err
+		}
+		defer stream.Close()
+		_, err = ctframe.Call(context.Background(), stream, &ctframe.Recall{})
+		return err
+	}
+	assert.NilError(t, call())
+	assert.Assert(t, call() != nil)
+	assert.NilError(t, listener.Close())
+	assert.Assert(t, errors.Is(<-served, net.ErrClosed))
+}
+
+// TestWaited guards against reports that are answered after their senders have given up, because
+// they seem to have just arrived when a busy process reads them.
+func TestWaited(t *testing.T) {
+	listener, err := cttcp.Listen(netip.MustParseAddrPort("127.0.0.1:0"))
+	assert.NilError(t, err)
+	const pause = 100 * time.Millisecond
+	read := make(chan ctframe.Raw, 1)
+	go func() {
+		_ = listener.Serve(context.Background(), func(cttcp.Failure) {}, func(_ context.Context, stream *cttcp.Stream) {
+			time.Sleep(pause)
+			raw, err := stream.ReadRaw()
+			if err == nil {
+				read <- raw
+			}
+		})
+	}()
+	stream, err := cttcp.Transport{}.Open(context.Background(), listener.Address())
+	assert.NilError(t, err)
+	assert.NilError(t, stream.Write(&ctframe.Recall{}))
+	assert.Assert(t, (<-read).Waited > 0)
+	stream.Close()
+	assert.NilError(t, listener.Close())
+}
--- a/internal/program/ctuplink/uplink_test.go
+++ b/internal/program/ctuplink/uplink_test.go
@@ -39,6 +39,8 @@
 	lapsed       bool
 	authorityTTL time.Duration
 	replies      map[ctview.Version]*ctview.Delta
+	// deferrals and watchDeferrals are how many of the next reports and watches are deferred.
+	deferrals, watchDeferrals int
 }
 
 // set changes the stub under its lock.
@@ -105,12 +107,20 @@
 	}
 	switch f := frame.(type) {
 	case *ctframe.Report:
+		if s.deferrals > 0 {
+			s.deferrals--
+			return &ctframe.Retry{After: time.Millisecond}, nil
+		}
 		s.reports++
 		s.lapsed = f.Lapsed
 		return &ctframe.ReportReply{Reply: ctview.Reply{
 			Number: f.Number, AuthorityTTL: ctconfig.Duration(s.authorityTTL),
 		}}, nil
 	case *ctframe.Watch:
+		if s.watchDeferrals > 0 {
+			s.watchDeferrals--
+			return &ctframe.Retry{After: time.Millisecond}, nil
+		}
 		if delta, ok := s.replies[f.Version]; ok {
 			s.watches++
 			return &ctframe.ReportReply{Reply: ctview.Reply{Delta: delta}}, nil
@@ -221,6 +231,26 @@
 	})
 }
 
+// TestDeferral guards against proxies that open new streams because a control process asks them to
+// wait, and against one that waits at the same process forever.
+func TestDeferral(t *testing.T) {
+	views := map[ctview.Version]*ctview.Delta{0: {To: 1}}
+	t.Run("a deferred report is sent again over the same stream, and so is a watch", func(t *testing.T) {
+		control := &controlStub{replies: views, deferrals: 3, watchDeferrals: 10}
+		seen := &versions{}
+		startUplink(t, control, seen)
+		eventually(t, func() bool { return seen.last() == 1 })
+		assert.Equal(t, control.count(&control.deferrals)+control.count(&control.watchDeferrals), 0)
+		assert.Equal(t, control.count(&control.opened), 2)
+	})
+	t.Run("a proxy that is always deferred tries other processes", func(t *testing.T) {
+		const many = 1_000_000
+		control := &controlStub{replies: views, deferrals: many}
+		startUplink(t, control, &versions{})
+		eventually(t, func() bool { return control.count(&control.opened) > 2 })
+	})
+}
+
 // TestLapsedAuthority guards against a report that doesn't tell control that the proxy may
 // have missed changes of primaries.
 func TestLapsedAuthority(t *testing.T) {
