--- a/internal/program/ctcontrol/intake_test.go
+++ b/internal/program/ctcontrol/intake_test.go
@@ -188,7 +188,8 @@
 	s.replica.node.Rank = ctlock.RankQuorum
 	var held ctlock.Held
 	s.replica.node.With(&held, func(n **ctquorum.Node) {
-		*n = ctquorum.New(s.Clock.Now(), ctquorum.Peer{Name: s.Name, Incarnation: 1}, ctquorum.PersistentState{}, nil, systemRandom{})
+		self := ctquorum.Peer{Name: s.Name, Incarnation: 1}
+		*n = ctquorum.New(s.Clock.Now(), self, ctquorum.PersistentState{}, nil, systemRandom{})
 	})
 	proxy, control := netip.MustParseAddr("10.0.1.1"), netip.MustParseAddr("10.0.0.2")
 	for range ctintake.AcceptBurst {
