--- a/internal/program/ctuplink/report.go
+++ b/internal/program/ctuplink/report.go
@@ -110,7 +110,8 @@
 }
 
 // Deregister sends the last report, which says that this proxy stops and has released
-// all that it held. Run begins no report after it.
+// all that it held. Run begins no report after it. If control defers the report, it is sent
+// again until ctx ends.
 func (u *Uplink) Deregister(ctx context.Context) error {
 	u.deregistered.Store(true)
 	link := u.newLink()
@@ -119,11 +120,16 @@
 	if current := u.route.Get(&held); current.address.IsValid() && !current.relayed {
 		link.seeker.Prefer(current.address)
 	}
-	return u.reportOnce(ctx, link, &held, func(now time.Time) *ctview.Report {
-		report := u.buildReport(&held, now, finalReportNumber)
-		report.Stopping = true
-		return report
-	})
+	for {
+		err := u.reportOnce(ctx, link, &held, func(now time.Time) *ctview.Report {
+			report := u.buildReport(&held, now, finalReportNumber)
+			report.Stopping = true
+			return report
+		})
+		if ctx.Err() != nil || !u.recordDeferral(ctx, link, err) {
+			return err
+		}
+	}
 }
 
 // reportOnce builds a report, sends it and applies its reply. What the reply grants counts
--- a/internal/program/ctuplink/uplink_test.go
+++ b/internal/program/ctuplink/uplink_test.go
@@ -243,6 +243,14 @@
 		assert.Equal(t, control.count(&control.deferrals)+control.count(&control.watchDeferrals), 0)
 		assert.Equal(t, control.count(&control.opened), 2)
 	})
+	t.Run("the last report of a proxy is sent again", func(t *testing.T) {
+		control := &controlStub{replies: views}
+		u := startUplink(t, control, &versions{})
+		eventually(t, func() bool { return control.count(&control.reports) > 0 })
+		control.set(func() { control.deferrals = 3 })
+		assert.NilError(t, u.Deregister(context.Background()))
+		assert.Equal(t, control.count(&control.deferrals), 0)
+	})
 	t.Run("a proxy that is always deferred tries other processes", func(t *testing.T) {
 		const many = 1_000_000
 		control := &controlStub{replies: views, deferrals: many}
