--- a/internal/link/ctframe/codec.go
+++ b/internal/link/ctframe/codec.go
@@ -61,31 +61,11 @@
 // ReadMetered is Read with a meter, unless that is nil. The meter is charged for the body of the
 // frame, as far as it has arrived, until the next call.
 func ReadMetered(r io.Reader, meter Meter) (Frame, error) {
-	if meter != nil {
-		if err := meter.ChargeFrame(0); err != nil {
-			return nil, err
-		}
-	}
-	var header [headerBytes]byte
-	if _, err := io.ReadFull(r, header[:]); err != nil {
-		if errors.Is(err, io.EOF) {
-			return nil, io.EOF
-		}
-		return nil, errors.Wrap(err, "read frame header")
-	}
-	size := binary.BigEndian.Uint32(header[:])
-	if size < 1 || size > MaxBytes {
-		return nil, cterror.Newf(cterror.Invalid, "check that the peer is a cherviltrestle process of this version",
-			"frame of %d bytes is over the limit", size)
-	}
-	body, err := readBody(r, int(size-1), meter)
+	raw, err := ReadRaw(r, meter)
 	if err != nil {
 		return nil, err
 	}
-	if meter != nil {
-		meter.FrameArrived()
-	}
-	return Decode(header[4], body)
+	return raw.Decode()
 }
 
 // firstBodyBytes is how much memory the body of a frame gets before any of it has arrived. Most
--- a/internal/program/ctmetric/control.go
+++ b/internal/program/ctmetric/control.go
@@ -40,6 +40,13 @@
 	// and QuotaCharges what counts in addition for former caps, by workspace.
 	QuotaCaps    *prometheus.GaugeVec
 	QuotaCharges *prometheus.GaugeVec
+	// Intake counts the frames that needed a slot by the work that they ask for and the
+	// decision: served, rejected or dropped.
+	Intake *prometheus.CounterVec
+	// IntakeWaitSeconds measures the time from the arrival of a frame to that decision.
+	IntakeWaitSeconds *prometheus.HistogramVec
+	// Connections counts the connections of other processes by decision: accepted or rejected.
+	Connections *prometheus.CounterVec
 	// Panics counts connections that ended because their goroutine panicked.
 	Panics prometheus.Counter
 	// Clients has the metrics of the limits on clients.
@@ -73,6 +80,10 @@
 			"control_quota_charges", "Operations that count for lowered and expired caps.", "workspace"),
 		Panics:  f.counter("panics_total", panicsHelp),
 		Clients: newClients(f),
+		Intake:  f.counterVec("control_intake_total", "Frames by decision of the intake.", "work", "decision"),
+		IntakeWaitSeconds: f.histogramVec(
+			"control_intake_wait_seconds", "Time from the arrival of a frame to the decision of the intake.", "work"),
+		Connections: f.counterVec("control_connections_total", "Connections of other processes.", "decision"),
 	}
 }
 
