ctquota: confirmed reports release what a holder has not used

Cause: the ledger charged the difference of a lowered cap for a window, also the part that the holder had never used. After a change of a primary, half of a workspace's demand moves to other holders, and what they ask for was charged to the former ones. A report says how many operations started in its window, and in windows that end later the holder has at most that many or its cap.

Ruled out: demand from the last second only. The operations that started do count in the window.

--- a/internal/decide/ctquota/doc.go
+++ b/internal/decide/ctquota/doc.go
@@ -13,11 +13,11 @@
 # Safety
 
 A holder starts an operation only while fewer than cap operations started in the window
-before it. So it never started more in any window than its highest cap in that window. The
-ledger therefore counts for each holder the highest cap that the holder may have used
-within the last window, and grants increases only while the sum of these stays within
-steadyPart of the ceiling. A lowered cap counts until the holder's next report confirms it,
-and an expired one until its lease has certainly ended; both count for one more window.
+before it. So in any window that ends after a report, it starts at most its cap, or what the
+report says had started before, whichever is more. The ledger counts that for each holder,
+and grants increases only while the sum stays within steadyPart of the ceiling. A lowered
+cap counts until the holder's next report confirms it. The cap of a holder that is not heard
+of counts until its lease has certainly ended, and for one more window.
 
 A new leader does not know the caps of holders that it has not heard from. The caps that
 holders report to it sum up to at most steadyPart of the ceiling, so that it may grant the
--- a/internal/decide/ctquota/ledger.go
+++ b/internal/decide/ctquota/ledger.go
@@ -146,11 +146,11 @@
 	record.workspaces.Add(demand.Workspace)
 	a.change(report.Holder, func(held *lease) {
 		held.expire(now, window)
-		if held.usableUntil.IsZero() && len(held.charges) == 0 && now.Before(l.legacyAt) {
-			held.legacy = demand.Cap
-			held.level, held.usableUntil = held.legacy, l.legacyAt
+		if held.usableUntil.IsZero() && held.charge == 0 && now.Before(l.legacyAt) {
+			held.legacy = max(demand.Cap, demand.Started)
+			held.level, held.usableUntil = demand.Cap, l.legacyAt
 		}
-		held.setLevel(min(demand.Cap, held.level), now.Add(window))
+		held.confirm(demand.Cap, demand.Started, now.Add(window))
 		held.asked = demand.Started + demand.Refused
 	})
 }
@@ -164,8 +164,7 @@
 	window := l.bounds.countedWindow()
 	a.change(holder, func(held *lease) {
 		held.expire(now, window)
-		held.setLevel(0, now.Add(window))
-		held.usableUntil, held.asked = time.Time{}, 0
+		held.end(now.Add(window))
 	})
 }
 
@@ -180,7 +179,7 @@
 	held := a.leases[holder]
 	granted := a.grant(held, !now.Before(l.knownAt), l.reserve)
 	limited := a.full() && granted < held.demand()
-	a.change(holder, func(held *lease) { held.setLevel(max(held.level, granted), time.Time{}) })
+	a.change(holder, func(held *lease) { held.level = max(held.level, granted) })
 	return ctview.QuotaCap{Workspace: demand.Workspace, Cap: granted, Limited: limited}, granted != demand.Cap || limited
 }
 
