ctquota: a larger surplus while capacity is left

Cause: a workspace that starts to send from nothing doubled its caps with each report, and operations within the limit waited meanwhile.

--- a/internal/decide/ctquota/account.go
+++ b/internal/decide/ctquota/account.go
@@ -18,7 +18,7 @@
 	minimumCap      = 2
 	// surplusFactor limits how many times its demand a holder may get while capacity is
 	// left. spareDivisor is the part of the capacity that stays free for new holders.
-	surplusFactor = 2
+	surplusFactor = 4
 	spareDivisor  = 6
 	// sweepInterval is how often an account drops what has expired. In between, what has
 	// expired counts still.
