ctcontrol, ctuplink, ctframe: caps leave the metrics with the leader, and more tests

Metrics of a process that leads no more, and of workspaces whose limit has ended, are removed.

ctview: a reply with a negative duration of authority or of a write lease is invalid.

The test of the leader's reserve reported operations as started that no cap allowed; it reports them as refused.

--- a/internal/link/ctframe/quota_test.go
+++ b/internal/link/ctframe/quota_test.go
@@ -85,3 +85,47 @@
 	size := len(encode(t, with)) - len(encode(t, without)) - fieldBytes
 	assert.Assert(t, size <= maxBytes, "%d bytes", size)
 }
+
+// FuzzQuotas guards against frames that bring numbers into the leader's or a holder's sums that
+// are out of range, however they are encoded.
+func FuzzQuotas(f *testing.F) {
+	const headerBytes = 5
+	for _, frame := range []ctframe.Frame{
+		newQuotaReport(ctview.QuotaDemand{Workspace: "w", Cap: 7, Started: 5, Refused: 2}),
+		&ctframe.ReportReply{Reply: newQuotaReply(ctview.QuotaCap{Workspace: "w", Cap: 7, Limited: true})},
+	} {
+		data, err := ctframe.Encode(frame)
+		if err != nil {
+			f.Fatal(err)
+		}
+		f.Add(data[headerBytes-1], data[headerBytes:])
+	}
+	f.Fuzz(func(t *testing.T, kind byte, body []byte) {
+		frame, err := ctframe.Decode(kind, body)
+		if err != nil {
+			return
+		}
+		switch decoded := frame.(type) {
+		case *ctframe.Report:
+			for _, d := range decoded.Quotas {
+				assertInRange(t, d.Workspace, d.Cap, d.Started, d.Refused)
+			}
+		case *ctframe.ReportReply:
+			if decoded.Quotas == nil {
+				return
+			}
+			assert.Assert(t, decoded.Quotas.TTL >= 0)
+			for _, c := range decoded.Quotas.Caps {
+				assertInRange(t, c.Workspace, c.Cap)
+			}
+		}
+	})
+}
+
+func assertInRange(t *testing.T, workspace ctid.Workspace, numbers ...ctid.Operations) {
+	t.Helper()
+	assert.NilError(t, workspace.Check())
+	for _, n := range numbers {
+		assert.Assert(t, n >= 0 && n <= ctview.MaxOperations, "%d operations", n)
+	}
+}
--- a/internal/model/ctview/quota.go
+++ b/internal/model/ctview/quota.go
@@ -56,7 +56,7 @@
 // Check returns an error of kind cterror.Invalid for the first invalid duration, name or number.
 func (g *QuotaGrant) Check() error {
 	if g.TTL < 0 {
-		return cterror.New(cterror.Invalid, "caps have a negative duration", "check that all processes have one version")
+		return negativeTTLError()
 	}
 	if len(g.Caps) > maxReportEntries {
 		return cterror.New(cterror.Invalid, "reply lists more than 4096 caps", "declare fewer workspaces")
@@ -72,6 +72,12 @@
 	return nil
 }
 
+// negativeTTLError returns the error for a lease with a negative duration. Its text form
+// can't be decoded, so that a process could not pass it on.
+func negativeTTLError() error {
+	return cterror.New(cterror.Invalid, "a lease has a negative duration", "check that all processes have one version")
+}
+
 func checkOperations(workspace ctid.Workspace, n ctid.Operations) error {
 	if n < 0 || n > MaxOperations {
 		return cterror.Newf(cterror.Invalid, "check that all processes have one version",
--- a/internal/model/ctview/quota_test.go
+++ b/internal/model/ctview/quota_test.go
@@ -34,6 +34,12 @@
 		grant := ctview.QuotaGrant{Caps: []ctview.QuotaCap{{}}}
 		assertQuotaInvalid(t, grant.Check())
 	})
+	t.Run("a negative duration of authority or of a write lease", func(t *testing.T) {
+		reply := ctview.Reply{AuthorityTTL: -1}
+		assertQuotaInvalid(t, reply.Check())
+		reply = ctview.Reply{Leases: []ctview.Lease{{Group: "g", TTL: -1}}}
+		assertQuotaInvalid(t, reply.Check())
+	})
 	t.Run("a negative duration", func(t *testing.T) {
 		grant := ctview.QuotaGrant{TTL: -1}
 		assertQuotaInvalid(t, grant.Check())
--- a/internal/model/ctview/report.go
+++ b/internal/model/ctview/report.go
@@ -175,13 +175,19 @@
 	Age time.Duration `json:"ago" cbor:"ago"`
 }
 
-// Check returns an error of kind cterror.Invalid for the first fault in the leases, the
-// quotas or the delta. It does not check other fields.
+// Check returns an error of kind cterror.Invalid for the first fault in the authority, the
+// leases, the quotas or the delta. It does not check other fields.
 func (r *Reply) Check() error {
+	if r.AuthorityTTL < 0 {
+		return negativeTTLError()
+	}
 	for _, l := range r.Leases {
 		if err := l.Group.Check(); err != nil {
 			return err
 		}
+		if l.TTL < 0 {
+			return negativeTTLError()
+		}
 	}
 	if r.Quotas != nil {
 		if err := r.Quotas.Check(); err != nil {
--- a/internal/program/ctcontrol/machine.go
+++ b/internal/program/ctcontrol/machine.go
@@ -133,6 +133,7 @@
 	var held ctlock.Held
 	c.state.With(&held, func(l *leaderState) {
 		l.recordLeader(c.Clock.Now(), leader)
+		c.clearQuotaMetrics(l)
 		l.leading = false
 		l.authorityExpiresAt = time.Time{}
 		l.leader = leader
--- a/internal/program/ctcontrol/quotas.go
+++ b/internal/program/ctcontrol/quotas.go
@@ -27,6 +27,8 @@
 	// ledgerOfCaps is the ledger since this process last became the leader; nil before.
 	ledgerOfCaps *ctquota.Ledger
 	checkedAt    time.Time
+	// measured holds the workspaces that the metrics list.
+	measured ctset.Set[ctid.Workspace]
 	// limitedAt holds when each workspace that is logged as limited last was.
 	limitedAt map[ctid.Workspace]time.Time
 	// leaderChanges counts the leaders that this process has seen. steady reports whether the
@@ -94,16 +96,17 @@
 	}
 	l.checkedAt = now
 	l.ledgerOfCaps.Expire(now)
-	var known ctset.Set[ctid.Workspace]
+	before := l.measured
+	l.measured = ctset.Set[ctid.Workspace]{}
 	for _, state := range l.ledgerOfCaps.States() {
-		known.Add(state.Workspace)
+		l.measured.Add(state.Workspace)
 		name := string(state.Workspace)
 		c.Metrics.QuotaCaps.WithLabelValues(name).Set(float64(state.Caps))
 		c.Metrics.QuotaCharges.WithLabelValues(name).Set(float64(state.Charges))
 		c.logLimited(now, l, &state)
 	}
-	for name := range l.limitedAt {
-		if !known.Has(name) {
+	for _, name := range before.Sorted() {
+		if !l.measured.Has(name) {
 			delete(l.limitedAt, name)
 			c.Metrics.QuotaCaps.DeleteLabelValues(string(name))
 			c.Metrics.QuotaCharges.DeleteLabelValues(string(name))
@@ -111,6 +114,13 @@
 	}
 }
 
+// clearQuotaMetrics removes the caps from the metrics of a process that leads no more.
+func (c *Control) clearQuotaMetrics(l *leaderState) {
+	l.measured = ctset.Set[ctid.Workspace]{}
+	c.Metrics.QuotaCaps.Reset()
+	c.Metrics.QuotaCharges.Reset()
+}
+
 // logLimited logs when a workspace starts and stops to ask for more than its limit.
 func (c *Control) logLimited(now time.Time, l *leaderState, state *ctquota.State) {
 	limitedAt, logged := l.limitedAt[state.Workspace]
--- a/internal/program/ctcontrol/quotas_test.go
+++ b/internal/program/ctcontrol/quotas_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"github.com/prometheus/client_golang/prometheus/testutil"
 	"github.com/rs/zerolog"
 	"gotest.tools/v3/assert"
 
@@ -40,11 +41,11 @@
 
 // reportQuota sends a report on the workspace, as another control process forwards it, and
 // returns the cap that the proxy has after the reply; -1 if it is not renewed.
-func reportQuota(c *Control, proxy ctid.Proxy, number uint64, granted, started ctid.Operations) ctid.Operations {
+func reportQuota(c *Control, proxy ctid.Proxy, number uint64, granted, refused ctid.Operations) ctid.Operations {
 	var held ctlock.Held
 	reply := c.HandleReportBatch(&held, &ctframe.ReportBatch{Reports: []ctview.Report{{
 		Number: number, Proxy: ctview.Proxy{Name: proxy, Incarnation: 1}, Revision: 1,
-		Quotas: []ctview.QuotaDemand{{Workspace: "w", Cap: granted, Started: started}},
+		Quotas: []ctview.QuotaDemand{{Workspace: "w", Cap: granted, Refused: refused}},
 	}}})
 	quotas := reply.Replies[0].Quotas
 	switch {
@@ -137,6 +138,35 @@
 	})
 }
 
+// The metrics must list the caps of the leader alone, and no workspace without a limit.
+func TestQuotaMetrics(t *testing.T) {
+	// check makes the periodic checks of the leader.
+	check := func(c *Control, clock *ctclock.Manual) {
+		clock.Advance(2 * time.Second)
+		var held ctlock.Held
+		c.state.With(&held, func(l *leaderState) { c.tick(clock.Now(), l) })
+	}
+	c, clock := newQuotaLeader()
+	granted := reportQuota(c, "p", 1, 0, 4)
+	check(c, clock)
+	t.Run("the leader has the caps", func(t *testing.T) {
+		assert.Equal(t, testutil.ToFloat64(c.Metrics.QuotaCaps.WithLabelValues("w")), float64(granted))
+	})
+	t.Run("a limit that has ended is not listed", func(t *testing.T) {
+		var held ctlock.Held
+		c.state.With(&held, func(l *leaderState) { l.ledgerOfCaps.SetLimits(nil) })
+		check(c, clock)
+		assert.Equal(t, testutil.CollectAndCount(c.Metrics.QuotaCaps), 0)
+	})
+	t.Run("a process that leads no more lists none", func(t *testing.T) {
+		other, clock := newQuotaLeader()
+		check(other, clock)
+		assert.Equal(t, testutil.CollectAndCount(other.Metrics.QuotaCaps), 1)
+		other.BecomeFollower(ctquorum.Peer{})
+		assert.Equal(t, testutil.CollectAndCount(other.Metrics.QuotaCaps), 0)
+	})
+}
+
 // limitedConfig returns the configuration of a group, and a workspace whose ceiling is 100.
 func limitedConfig() ctconfig.AcceptedChange {
 	return ctconfig.AcceptedChange{Revision: 1, Change: ctconfig.Change{Document: ctconfig.Document{
--- a/internal/program/ctuplink/uplink_test.go
+++ b/internal/program/ctuplink/uplink_test.go
@@ -14,6 +14,7 @@
 
 	"github.com/cherviltrestle/cherviltrestle/internal/link/ctframe"
 	"github.com/cherviltrestle/cherviltrestle/internal/model/ctconfig"
+	"github.com/cherviltrestle/cherviltrestle/internal/model/ctdrift"
 	"github.com/cherviltrestle/cherviltrestle/internal/model/ctid"
 	"github.com/cherviltrestle/cherviltrestle/internal/model/ctposition"
 	"github.com/cherviltrestle/cherviltrestle/internal/model/ctserver"
@@ -39,6 +40,8 @@
 	lapsed       bool
 	authorityTTL time.Duration
 	replies      map[ctview.Version]*ctview.Delta
+	// quotas is what replies grant.
+	quotas *ctview.QuotaGrant
 }
 
 // set changes the stub under its lock.
@@ -108,7 +111,7 @@
 		s.reports++
 		s.lapsed = f.Lapsed
 		return &ctframe.ReportReply{Reply: ctview.Reply{
-			Number: f.Number, AuthorityTTL: ctconfig.Duration(s.authorityTTL),
+			Number: f.Number, AuthorityTTL: ctconfig.Duration(s.authorityTTL), Quotas: s.quotas,
 		}}, nil
 	case *ctframe.Watch:
 		if delta, ok := s.replies[f.Version]; ok {
@@ -148,6 +151,14 @@
 }
 
 func startUplink(t *testing.T, control *controlStub, subscriber ctuplink.ViewSubscriber) *ctuplink.Uplink {
+	t.Helper()
+	return startUplinkWith(t, control, subscriber, nil)
+}
+
+// startUplinkWith is startUplink for a proxy that limits workspaces, unless quotas is nil.
+func startUplinkWith(
+	t *testing.T, control *controlStub, subscriber ctuplink.ViewSubscriber, quotas ctuplink.QuotaSource,
+) *ctuplink.Uplink {
 	t.Helper()
 	u := ctuplink.New(ctuplink.Options{
 		Self: ctview.Proxy{
@@ -158,6 +169,7 @@
 		HeartbeatInterval: time.Second,
 		State:             ctstate.New(),
 		Groups:            noGroups{},
+		Quotas:            quotas,
 		Resolve:           func(ctid.Control) (netip.AddrPort, bool) { return netip.AddrPort{}, false },
 		Subscribers:       []ctuplink.ViewSubscriber{subscriber},
 		Transport:         control,
@@ -240,3 +252,62 @@
 		})
 	})
 }
+
+// recordedQuotas is a QuotaSource that lists one demand and records what is renewed.
+type recordedQuotas struct {
+	mutex sync.Mutex
+	// reportedAt is when the last report was built.
+	reportedAt time.Time
+	renewed    []renewal
+}
+
+type renewal struct {
+	reported []ctview.QuotaDemand
+	grant    ctview.QuotaGrant
+	// lifetime is the time from the report until the caps expire.
+	lifetime time.Duration
+}
+
+func (q *recordedQuotas) QuotaDemands(_ *ctlock.Held, now time.Time) []ctview.QuotaDemand {
+	q.mutex.Lock()
+	defer q.mutex.Unlock()
+	q.reportedAt = now
+	return []ctview.QuotaDemand{{Workspace: "w", Started: 3}}
+}
+
+func (q *recordedQuotas) RenewCaps(
+	_ *ctlock.Held, reported []ctview.QuotaDemand, grant *ctview.QuotaGrant, expiresAt time.Time,
+) {
+	q.mutex.Lock()
+	defer q.mutex.Unlock()
+	q.renewed = append(q.renewed, renewal{reported: reported, grant: *grant, lifetime: expiresAt.Sub(q.reportedAt)})
+}
+
+func (q *recordedQuotas) renewals() []renewal {
+	q.mutex.Lock()
+	defer q.mutex.Unlock()
+	return append([]renewal(nil), q.renewed...)
+}
+
+// TestQuotas guards against caps that outlast their lease, and against caps without a grant.
+func TestQuotas(t *testing.T) {
+	const ttl = time.Hour
+	control, quotas := &controlStub{authorityTTL: time.Hour}, &recordedQuotas{}
+	u := startUplinkWith(t, control, &versions{}, quotas)
+	t.Run("a reply without a grant renews nothing", func(t *testing.T) {
+		eventually(t, func() bool { return control.count(&control.reports) > 0 })
+		assert.Equal(t, len(quotas.renewals()), 0)
+	})
+	t.Run("a grant counts from when the report was built, less the drift of clocks", func(t *testing.T) {
+		grant := ctview.QuotaGrant{TTL: ctconfig.Duration(ttl), Caps: []ctview.QuotaCap{{Workspace: "w", Cap: 9}}}
+		control.set(func() { control.quotas = &grant })
+		eventually(t, func() bool {
+			u.TriggerReport()
+			return len(quotas.renewals()) > 0
+		})
+		first := quotas.renewals()[0]
+		assert.DeepEqual(t, first.grant, grant)
+		assert.DeepEqual(t, first.reported, []ctview.QuotaDemand{{Workspace: "w", Started: 3}})
+		assert.Equal(t, first.lifetime, ctdrift.LowerBound(ttl))
+	})
+}
