ctquota: a new leader divides its reserve fairly

Cause: after a loss of all processes, the first holder to report took the whole reserve, and the owners in other failure domains got nothing for 7.6 s. Parts follow what each holder asks for beyond its former cap now. What rounding leaves over goes to holders whose part was rounded down only.

Ruled out: a former cap as a lower bound of what a holder keeps. Under a limit that was lowered meanwhile it allows too much (found by the property test: caps of 3 where 2 were allowed); former caps are scaled to the capacity of the limit in force.

--- a/internal/decide/ctquota/account.go
+++ b/internal/decide/ctquota/account.go
@@ -36,13 +36,15 @@
 
 // sums are the sums of the fields of leases.
 type sums struct {
-	level, committed, extra, asked, demand, live ctid.Operations
+	level, committed, legacy, extra, wanted, asked, demand, live ctid.Operations
 }
 
 func (s *sums) add(l *lease, sign ctid.Operations) {
 	s.level += sign * l.level
 	s.committed += sign * l.committed()
 	s.extra += sign * l.extra()
+	s.legacy += sign * l.legacy
+	s.wanted += sign * l.wanted()
 	s.asked += sign * l.asked
 	s.demand += sign * l.demand()
 	if !l.usableUntil.IsZero() {
@@ -98,8 +100,8 @@
 func (a *account) share(l *lease) ctid.Operations {
 	capacity, demand := a.capacity(), l.demand()
 	if a.sums.demand > capacity {
-		share := demand * capacity / a.sums.demand
-		if demand > 0 && a.sums.level-l.level+share < capacity {
+		share, rest := demand*capacity/a.sums.demand, demand*capacity%a.sums.demand
+		if rest > 0 && a.sums.level-l.level+share < capacity {
 			// The parts that rounding leaves over go to the holders that report first.
 			share++
 		}
@@ -112,27 +114,53 @@
 	return demand + min(minimumCap, (capacity-a.sums.demand)/max(1, a.sums.live))
 }
 
+// kept returns what a holder may keep of that which predecessors have granted. It is less
+// than that if a lower limit is in force.
+func (a *account) kept(l *lease) ctid.Operations {
+	if a.sums.legacy > a.capacity() {
+		return l.legacy * a.capacity() / a.sums.legacy
+	}
+	return l.legacy
+}
+
+// newcomerShare returns what a holder is to have while this leader does not know all caps:
+// that which its predecessor has granted, and a fair part of the reserve.
+func (a *account) newcomerShare(l *lease, reserve ctid.Operations) ctid.Operations {
+	wanted := l.wanted()
+	if a.sums.wanted <= reserve {
+		minimum := min(minimumCap, (reserve-a.sums.wanted)/max(1, a.sums.live))
+		return a.kept(l) + max(wanted, minimum-l.legacy)
+	}
+	part, rest := wanted*reserve/a.sums.wanted, wanted*reserve%a.sums.wanted
+	if rest > 0 && a.sums.extra-l.extra()+part < reserve {
+		part++
+	}
+	return a.kept(l) + part
+}
+
 // grant returns the cap for a holder, which is its share as far as others have not used up
 // what may be granted. known reports whether the account has all caps that may be in use,
 // and reserve whether holders may use more than predecessors of this leader granted otherwise.
 func (a *account) grant(l *lease, known, reserve bool) ctid.Operations {
-	share, capacity := a.share(l), a.capacity()
-	switch {
-	case a.sums.level > capacity:
+	capacity := a.capacity()
+	share := a.share(l)
+	free, base := ctid.Operations(0), max(l.committed(), l.legacy)
+	if !known {
+		if reserve {
+			free = a.ceiling - capacity
+		}
+		share = a.newcomerShare(l, free)
+		free = max(0, free-a.sums.extra)
+	}
+	if a.sums.level > capacity {
 		// A lower limit is in force, or this leader has granted a part of its successor's.
 		share = min(share, l.level*capacity/a.sums.level)
-	case !known:
-		share = max(share, l.level)
 	}
-	if known {
-		if a.sums.committed > capacity {
-			return min(share, l.level)
-		}
-		return min(share, l.committed()+capacity-a.sums.committed)
-	}
-	free := ctid.Operations(0)
-	if reserve {
-		free = max(0, a.ceiling-capacity-a.sums.extra)
+	switch {
+	case !known:
+		return min(share, base+free)
+	case a.sums.committed > capacity:
+		return min(share, l.level)
 	}
-	return min(share, max(l.committed(), l.legacy)+free)
+	return min(share, l.committed()+capacity-a.sums.committed)
 }
--- a/internal/decide/ctquota/lease.go
+++ b/internal/decide/ctquota/lease.go
@@ -33,6 +33,11 @@
 	return l.asked + (l.asked+headroomDivisor-1)/headroomDivisor
 }
 
+// wanted returns the part of the demand that predecessors of this leader have not granted.
+func (l *lease) wanted() ctid.Operations {
+	return max(0, l.demand()-l.legacy)
+}
+
 // committed returns how many operations count for the holder: those in any window that ends
 // from now on, if it uses its cap.
 func (l *lease) committed() ctid.Operations {
--- a/internal/decide/ctquota/ledger_test.go
+++ b/internal/decide/ctquota/ledger_test.go
@@ -198,6 +198,24 @@
 	})
 }
 
+// After a loss of all processes, the first holders to report must not take all that a new
+// leader may grant.
+func TestReserveIsShared(t *testing.T) {
+	b := newBench()
+	b.lead(true)
+	proxies := []ctid.Proxy{"a", "b", "c", "d"}
+	caps := make(map[ctid.Proxy]ctid.Operations)
+	for range 4 {
+		for _, proxy := range proxies {
+			caps[proxy] = b.report(proxy, caps[proxy], 30)
+		}
+		b.now = b.now.Add(reportInterval)
+	}
+	for _, proxy := range proxies {
+		assert.Assert(t, caps[proxy] >= benchReserve/4-1 && caps[proxy] <= benchReserve/4+1, "%v", caps)
+	}
+}
+
 // What a reply must say, and what it leaves out.
 func TestGrants(t *testing.T) {
 	t.Run("an idle owner gets a cap", func(t *testing.T) {
