--- a/internal/decide/ctquota/account.go
+++ b/internal/decide/ctquota/account.go
@@ -11,9 +11,10 @@
 	// minimumCap what each holder is to have in addition, so that the first operation of an
 	// idle workspace finds a cap.
 	headroomDivisor = 4
-	minimumCap      = 3
-	// idleDivisor is the part of the ceiling that holders get equally, whatever their demand.
-	idleDivisor = 4
+	minimumCap      = 2
+	// idleDivisor is the part of the ceiling that holders get equally while the workspace is
+	// hardly used, so that its caps need not grow from report to report at first.
+	idleDivisor = 8
 	// sweepInterval is how often an account drops what has expired. In between, what has
 	// expired counts still.
 	sweepInterval = 100 * time.Millisecond
@@ -37,13 +38,15 @@
 
 // sums are the sums of the fields of leases.
 type sums struct {
-	level, committed, extra, asked, demand, live ctid.Operations
+	level, committed, legacy, extra, wanted, asked, demand, live ctid.Operations
 }
 
 func (s *sums) add(l *lease, sign ctid.Operations) {
 	s.level += sign * l.level
 	s.committed += sign * l.committed()
 	s.extra += sign * l.extra()
+	s.legacy += sign * l.legacy
+	s.wanted += sign * l.wanted()
 	s.asked += sign * l.asked
 	s.demand += sign * l.demand()
 	if !l.usableUntil.IsZero() {
@@ -56,6 +59,12 @@
 	return min(a.ceiling, a.mark)
 }
 
+// reserve returns how many operations a leader that does not know all caps may grant in addition
+// to its predecessors.
+func (a *account) reserve() ctid.Operations {
+	return max(0, a.capacity()-a.base)
+}
+
 // sweep drops what has expired.
 func (a *account) sweep(now time.Time, window time.Duration) {
 	if now.Sub(a.sweptAt) < sweepInterval {
@@ -89,42 +98,66 @@
 	return a.sums.asked > a.ceiling
 }
 
-// share returns what a holder is to have: its demand or an equal part of what is left,
-// whichever is more, and minimumCap. If the demands exceed the ceiling, they are scaled down
-// alike.
+// share returns what a holder is to have: its demand, and an equal part of what is left, up
+// to minimumCap, or more while the workspace is hardly used. If the demands exceed the
+// ceiling, they are scaled down alike.
 func (a *account) share(l *lease) ctid.Operations {
 	demand := l.demand()
 	if a.sums.demand > a.ceiling {
-		share := demand * a.ceiling / a.sums.demand
-		if demand > 0 && a.sums.level-l.level+share < a.ceiling {
+		share, rest := demand*a.ceiling/a.sums.demand, demand*a.ceiling%a.sums.demand
+		if rest > 0 && a.sums.level-l.level+share < a.ceiling {
 			// The parts that rounding leaves over go to the holders that report first.
 			share++
 		}
 		return share
 	}
 	holders := max(1, a.sums.live)
-	left := (a.ceiling - a.sums.demand) / holders
-	idle := max(0, min(left-minimumCap, a.ceiling/(idleDivisor*holders)))
-	return max(demand, idle) + min(minimumCap, left)
+	if idle := a.ceiling / (idleDivisor * holders); a.sums.demand*idleDivisor < a.ceiling {
+		demand = max(demand, idle)
+	}
+	return demand + min(minimumCap, (a.ceiling-a.sums.demand)/holders)
+}
+
+// kept returns what a holder may keep of that which predecessors have granted. It is less
+// than that if a lower limit is in force.
+func (a *account) kept(l *lease) ctid.Operations {
+	if a.sums.legacy > a.capacity() {
+		return l.legacy * a.capacity() / a.sums.legacy
+	}
+	return l.legacy
+}
+
+// newcomerShare returns what a holder is to have while this leader does not know all caps:
+// that which its predecessor has granted, and a fair part of the reserve.
+func (a *account) newcomerShare(l *lease, reserve ctid.Operations) ctid.Operations {
+	wanted := l.wanted()
+	if a.sums.wanted <= reserve {
+		minimum := min(minimumCap, (reserve-a.sums.wanted)/max(1, a.sums.live))
+		return a.kept(l) + max(wanted, minimum-l.legacy)
+	}
+	part, rest := wanted*reserve/a.sums.wanted, wanted*reserve%a.sums.wanted
+	if rest > 0 && a.sums.extra-l.extra()+part < reserve {
+		part++
+	}
+	return a.kept(l) + part
 }
 
 // grant returns the cap for a holder, which is its share as far as others have not used up
 // what may be granted. known reports whether the account has all caps that may be in use.
 func (a *account) grant(l *lease, known bool) ctid.Operations {
-	share, capacity := a.share(l), a.capacity()
-	switch {
-	case a.sums.level > capacity:
+	capacity, share := a.capacity(), a.share(l)
+	if !known {
+		share = a.newcomerShare(l, a.reserve())
+	}
+	if a.sums.level > capacity {
 		// A lower limit is in force.
 		share = min(share, l.level*capacity/a.sums.level)
-	case !known:
-		share = max(share, l.level)
 	}
-	if known {
-		if a.sums.committed > capacity {
-			return min(share, l.level)
-		}
-		return min(share, l.committed()+capacity-a.sums.committed)
+	switch {
+	case !known:
+		return min(share, max(l.committed(), l.legacy)+max(0, a.reserve()-a.sums.extra))
+	case a.sums.committed > capacity:
+		return min(share, l.level)
 	}
-	free := max(0, capacity-a.base-a.sums.extra)
-	return min(share, max(l.committed(), l.legacy)+free)
+	return min(share, l.committed()+capacity-a.sums.committed)
 }
--- a/internal/decide/ctquota/mark.go
+++ b/internal/decide/ctquota/mark.go
@@ -9,9 +9,11 @@
 const (
 	// markHeadroomDivisor is the part of the need that is added to a mark, so that small
 	// changes of demand need no other mark.
-	markHeadroomDivisor = 8
-	// lowerFactor is how many times the need a mark must be before it is lowered.
-	lowerFactor = 2
+	markHeadroomDivisor = 16
+	// surplusDivisor is the part of a mark by which it must exceed what is wanted before it is
+	// lowered, and lowerInterval the least time after another proposal.
+	surplusDivisor = 8
+	lowerInterval  = 2 * time.Second
 	// proposalTimeout is how long after its proposal a mark is proposed again, if it was not
 	// committed.
 	proposalTimeout = time.Second
@@ -20,20 +22,17 @@
 // need returns how many operations the caps and charges would sum up to if each holder had
 // its share.
 func (a *account) need(known bool) ctid.Operations {
+	if !known {
+		return min(a.ceiling, a.base+max(a.sums.extra, a.sums.wanted+minimumCap*a.sums.live))
+	}
 	need := ctid.Operations(0)
 	for _, l := range a.leases {
 		wanted := l.committed()
 		if !l.usableUntil.IsZero() {
-			wanted = max(wanted, a.share(l))
-		}
-		if !known {
-			wanted = max(0, wanted-l.legacy)
+			wanted = max(l.charge, a.share(l))
 		}
 		need += wanted
 	}
-	if !known {
-		need += a.base
-	}
 	return min(need, a.ceiling)
 }
 
@@ -42,16 +41,17 @@
 func (a *account) wantedMark(now time.Time, known bool) (ctid.Operations, bool) {
 	need := a.need(known)
 	wanted := min(a.ceiling, need+need/markHeadroomDivisor+minimumCap)
+	sinceProposal := now.Sub(a.proposedAt)
 	switch {
 	case need > a.mark:
-	case known && wanted*lowerFactor < a.mark && a.sums.committed <= wanted:
+		if a.proposed == wanted && sinceProposal < proposalTimeout {
+			return 0, false
+		}
+	case known && a.mark-wanted > a.mark/surplusDivisor && a.sums.committed <= wanted && sinceProposal >= lowerInterval:
 		a.mark = wanted
 	default:
 		return 0, false
 	}
-	if a.proposed == wanted && now.Sub(a.proposedAt) < proposalTimeout {
-		return 0, false
-	}
 	a.proposed, a.proposedAt = wanted, now
 	return wanted, true
 }
--- a/internal/lab/ctmembers/quota_test.go
+++ b/internal/lab/ctmembers/quota_test.go
@@ -89,8 +89,19 @@
 	return ctframe.Read(bytes.NewReader(data))
 }
 
+// marksOf returns marks that let a leader grant the whole limits of all workspaces.
+func marksOf(document *ctconfig.Document, bounds ctquota.Bounds) map[ctid.Workspace]ctid.Operations {
+	marks := make(map[ctid.Workspace]ctid.Operations)
+	for _, w := range document.Workspaces {
+		if w.Limit != nil {
+			marks[w.Name] = bounds.Ceiling(*w.Limit)
+		}
+	}
+	return marks
+}
+
 // limit gives the fixture's proxy, or the one that carries its queries, limits with caps from
-// a control process whose ledger is steady.
+// a control process that knows all that counts.
 func (f *fixture) limit(t *testing.T, self ctview.Proxy) {
 	t.Helper()
 	var held ctlock.Held
@@ -101,6 +112,7 @@
 		ConfigHistory: []ctconfig.AcceptedChange{{Revision: 1, Change: ctconfig.Change{
 			ID: "first", Author: "test", Document: view.Config.Document,
 		}}},
+		QuotaMarks: marksOf(&view.Config.Document, bounds),
 	})
 	assert.NilError(t, err)
 	assert.NilError(t, control.Restore(snapshot))
