--- a/internal/lab/ctcrowd/crowd_test.go
+++ b/internal/lab/ctcrowd/crowd_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/netip"
+	"slices"
 	"strings"
 	"testing"
 
@@ -139,6 +140,13 @@
 	} {
 		t.Run(name, func(t *testing.T) { assert.Assert(t, system.Serves(t.Context(), statements...)) })
 	}
+	t.Run("a session goes on after a value over its limit", func(t *testing.T) {
+		accepted := system.CountAccepted(t.Context(), append(slices.Repeat([]string{"SET a " + large}, largePerState),
+			"SET b "+large, "SET c "+large, "SET d "+large, "SET e "+large, "SET f "+large, "SET g "+large, "SET h "+large,
+			"SET i "+large, "SET j "+large, "READ item")...)
+		assert.Assert(t, accepted >= 2*largePerState, accepted)
+		assert.Assert(t, accepted < largePerState+10, accepted)
+	})
 	t.Run("the idle sessions are still open", func(t *testing.T) { assert.Equal(t, crowd.Open(), calmSessions) })
 }
 
--- a/internal/lab/ctcrowd/system.go
+++ b/internal/lab/ctcrowd/system.go
@@ -247,25 +247,35 @@
 
 // Serves opens a session, sends statements one after another and reports whether all succeeded.
 func (s *System) Serves(ctx context.Context, statements ...string) bool {
+	return s.CountAccepted(ctx, statements...) == len(statements)
+}
+
+// CountAccepted opens a session, sends statements one after another and returns how many succeeded. It
+// returns -1 if the session ended before the last of them was answered.
+func (s *System) CountAccepted(ctx context.Context, statements ...string) int {
 	caller, _, err := ctpeer.Dial(ctx, s.CallerAddress(), database)
 	if err != nil || caller == nil {
-		return false
+		return -1
 	}
 	defer caller.Close()
 	deadline, _ := ctx.Deadline()
 	if caller.SetReadDeadline(deadline) != nil {
-		return false
+		return -1
 	}
+	accepted := 0
 	for _, statement := range statements {
 		if caller.Send("ordinary", statement) != nil {
-			return false
+			return -1
 		}
 		answer, err := caller.Receive()
-		if err != nil || !answer.OK() {
-			return false
+		if err != nil {
+			return -1
+		}
+		if answer.OK() {
+			accepted++
 		}
 	}
-	return true
+	return accepted
 }
 
 // AwaitControlServed waits until the control process returns the configuration.
