--- a/internal/link/ctrecord/record.go
+++ b/internal/link/ctrecord/record.go
@@ -76,11 +76,7 @@
 	case kindSetMembers:
 		return decodeSetMembers(data[1:])
 	case kindSetQuotaMarks:
-		var c ctregister.SetQuotaMarks
-		if err := ctcbor.Unmarshal(data[1:], &c); err != nil {
-			return nil, damagedError(err)
-		}
-		return c, nil
+		return decodeSetQuotaMarks(data[1:])
 	case kindSettlePromotions:
 		var c ctregister.SettlePromotions
 		if err := ctcbor.Unmarshal(data[1:], &c); err != nil {
@@ -97,6 +93,20 @@
 	return nil, cterror.Newf(cterror.Invalid, "upgrade this process", "command kind %d is unknown", data[0])
 }
 
+// decodeSetQuotaMarks decodes a SetQuotaMarks command.
+func decodeSetQuotaMarks(data []byte) (ctregister.Command, error) {
+	var c ctregister.SetQuotaMarks
+	if err := ctcbor.Unmarshal(data, &c); err != nil {
+		return nil, damagedError(err)
+	}
+	for workspace, mark := range c.Marks {
+		if mark < 0 {
+			return nil, cterror.Newf(cterror.Invalid, "give a number from 0", "workspace %q has mark %d", workspace, mark)
+		}
+	}
+	return c, nil
+}
+
 // decodeSetMembers decodes a SetMembers command without the members whose announcement is
 // invalid. An error would end every control process that replays the log, again and again.
 func decodeSetMembers(data []byte) (ctregister.Command, error) {
--- a/internal/program/ctpools/pools.go
+++ b/internal/program/ctpools/pools.go
@@ -33,10 +33,6 @@
 	dialTimeout = time.Second
 	// streamOpenTimeout bounds the opening of a stream to a forwarding proxy.
 	streamOpenTimeout = 300 * time.Millisecond
-	// firstBackoff is the pause after a failed attempt to open a stream to an owner. It
-	// doubles with each further failure, up to maxBackoff.
-	firstBackoff = 50 * time.Millisecond
-	maxBackoff   = time.Second
 	// unansweredTimeout is how long a member may leave all queries unanswered before
 	// it counts as unreachable.
 	unansweredTimeout = 500 * time.Millisecond
