--- a/internal/program/ctcontrol/quotas.go
+++ b/internal/program/ctcontrol/quotas.go
@@ -17,7 +17,7 @@
 	quotaCheckInterval = time.Second
 	// quotaMarkInterval is the least time between two proposals of marks, each of which is
 	// an entry of the replicated log.
-	quotaMarkInterval = 100 * time.Millisecond
+	quotaMarkInterval = 50 * time.Millisecond
 	// limitedLogDelay is for how long a workspace must be within its limit before the log
 	// says so: a hot one is within it for moments.
 	limitedLogDelay = 5 * time.Second
--- a/internal/program/ctpools/forwardserver.go
+++ b/internal/program/ctpools/forwardserver.go
@@ -243,10 +243,12 @@
 // acquire acquires one of this proxy's own connections. It returns the errors of
 // Pools.Acquire.
 func (s *forwardServer) acquire(frame *ctframe.Forward, state *ctdialog.State, now time.Time) error {
+	options := s.options(frame, state, now)
+	s.pools.awaitMembers(options.Deadline)
 	if !s.pools.OwnsConnections(&s.held, frame.Member) {
 		return cterror.New(cterror.Conflict, "this proxy has no connections to the member", "use another proxy")
 	}
-	conn, err := s.pools.acquireOwn(&s.held, frame.Member, s.options(frame, state, now))
+	conn, err := s.pools.acquireOwn(&s.held, frame.Member, options)
 	if err != nil {
 		return err
 	}
@@ -268,6 +270,21 @@
 	}
 }
 
+// awaitMembers waits, until deadline, for the first view that has members. Other proxies may send
+// queries to one that has just started before it has received its view.
+func (p *Pools) awaitMembers(deadline time.Time) {
+	select {
+	case <-p.membersKnown:
+		return
+	default:
+	}
+	select {
+	case <-p.membersKnown:
+	case <-p.Clock.After(deadline.Sub(p.Clock.Now())):
+	case <-p.Stop.Abandoned():
+	}
+}
+
 // release returns the connection to the pools.
 func (s *forwardServer) release(result Result) {
 	s.pools.Release(&s.held, s.conn, result)
--- a/internal/program/ctpools/pools.go
+++ b/internal/program/ctpools/pools.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/netip"
 	"slices"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -121,6 +122,9 @@
 	ownership atomic.Pointer[ownership]
 	// firstViewAt is when the first view was applied; nil before.
 	firstViewAt atomic.Pointer[time.Time]
+	// membersKnown is closed once a view with members was applied.
+	membersKnown     chan struct{}
+	membersKnownOnce sync.Once
 }
 
 // memberPool holds the connections to one member and what is known of the member.
@@ -215,6 +219,8 @@
 		Random: systemRandom{}, startedAt: clock.Now(),
 		members: cttable.Table[ctid.Member, memberPool]{Rank: ctlock.RankMembers},
 		peers:   cttable.Table[netip.AddrPort, peerStreams]{Rank: ctlock.RankPeers},
+
+		membersKnown: make(chan struct{}),
 	}
 }
 
--- a/internal/program/ctpools/view.go
+++ b/internal/program/ctpools/view.go
@@ -41,6 +41,9 @@
 			p.updateMember(m, now, server, share)
 		}
 	})
+	if len(view.Members) > 0 {
+		p.membersKnownOnce.Do(func() { close(p.membersKnown) })
+	}
 }
 
 // connectionShare says how a proxy gets to a member: over its own connections, or
