ctpools: a proxy that is no owner in its own view serves as a standby

Cause: while a fleet starts, proxies have different parts of the view and disagree on who the owners of a failure domain are. Change: where the connections that owners leave free suffice, each proxy of the domain may open one.

--- a/internal/program/ctpools/ownership.go
+++ b/internal/program/ctpools/ownership.go
@@ -30,6 +30,8 @@
 type ownership struct {
 	domains   map[ctid.FailureDomain]domainOwners
 	addresses map[ctid.Proxy]netip.AddrPort
+	// domainSizes is the number of proxies in each failure domain.
+	domainSizes map[ctid.FailureDomain]int
 	// revision and sources identify what the ownership was built from.
 	revision ctid.Revision
 	sources  []ownershipSource
@@ -130,7 +132,9 @@
 		domains:   make(map[ctid.FailureDomain]domainOwners, len(sources)),
 		addresses: make(map[ctid.Proxy]netip.AddrPort, len(view.Proxies)),
 		revision:  view.Config.Revision,
-		sources:   sources,
+
+		domainSizes: make(map[ctid.FailureDomain]int),
+		sources:     sources,
 	}
 	var shares []ctowner.Share
 	for _, w := range view.Config.Document.Workspaces {
@@ -147,6 +151,7 @@
 	}
 	for name, proxy := range view.Proxies {
 		o.addresses[name] = proxy.Address
+		o.domainSizes[proxy.FailureDomain]++
 	}
 	return o
 }
@@ -167,10 +172,18 @@
 }
 
 // shareOf returns a proxy's share of a member's connections.
-func (o *ownership) shareOf(self ctid.Proxy, server ctserver.Announcement) connectionShare {
+//
+// Proxies with different views may disagree on who the owners are, as while a fleet starts. So a
+// proxy of the member's failure domain that is no owner in its own view serves as a standby.
+func (o *ownership) shareOf(self ctview.Proxy, server ctserver.Announcement) connectionShare {
 	owners := o.domains[server.FailureDomain].proxies
-	if !slices.Contains(owners, self) {
-		return connectionShare{remote: true}
+	if !slices.Contains(owners, self.Name) {
+		spare := server.Connections - reservedForControl - ownedConnections(server.Connections)
+		standby := self.FailureDomain == server.FailureDomain && o.domainSizes[self.FailureDomain] <= spare
+		if !standby {
+			return connectionShare{remote: true}
+		}
+		return connectionShare{limit: 1, standby: true, processes: len(owners)}
 	}
 	owned := ownedConnections(server.Connections)
 	return connectionShare{
--- a/internal/program/ctpools/peerstreams.go
+++ b/internal/program/ctpools/peerstreams.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/netip"
+	"slices"
 	"time"
 
 	"github.com/cherviltrestle/cherviltrestle/internal/model/cterror"
@@ -64,7 +65,7 @@
 	}
 	domain := o.domains[server.FailureDomain]
 	order := domain.assignment.Order(p.Self.Name, options.Workspace)
-	if options.AnyWorkspace && p.OwnsConnections(held, name) {
+	if options.AnyWorkspace && slices.Contains(domain.proxies, p.Self.Name) {
 		order = []ctid.Proxy{p.Self.Name}
 	}
 	err := cterror.New(cterror.Unavailable, "no proxy owns connections to the member", "try another member")
--- a/internal/program/ctpools/pools.go
+++ b/internal/program/ctpools/pools.go
@@ -153,6 +153,9 @@
 	// remote reports whether other proxies open the connections to the member, by workspace.
 	// Then this proxy has none, and reaches the member over the streams to those proxies.
 	remote bool
+	// standby reports whether this proxy owns no workspace's connections to the member, and opens
+	// one only for queries that others forward to it.
+	standby bool
 	// limit is how many connections may be open.
 	limit int
 	// queue holds the requests that wait for a connection, and ready the channels that receive
--- a/internal/program/ctpools/view.go
+++ b/internal/program/ctpools/view.go
@@ -55,6 +55,9 @@
 	forwarders []netip.AddrPort
 	// remote reports whether the owners of each workspace have the connections instead.
 	remote bool
+	// standby reports whether the proxy is no owner and opens a connection only for queries that
+	// others forward to it.
+	standby bool
 	// processes is how many proxies have connections to the member.
 	processes int
 	// reserved is how many connections this proxy may open at first after its start, as the
@@ -72,7 +75,7 @@
 // chosen because a failure of the domain takes the member down as well.
 func (p *Pools) shareOf(view *ctview.View, server ctserver.Announcement) connectionShare {
 	if o := p.ownership.Load(); o != nil {
-		return o.shareOf(p.Self.Name, server)
+		return o.shareOf(p.Self, server)
 	}
 	connections := server.Connections - reservedForControl
 	share := connections / max(1, len(view.Proxies))
@@ -127,7 +130,7 @@
 		m.open -= len(m.idle)
 		m.idle = nil
 	}
-	m.forwarders, m.remote = share.forwarders, share.remote
+	m.forwarders, m.remote, m.standby = share.forwarders, share.remote, share.standby
 	limit := share.limit
 	m.server = server
 	m.statements.Slots, m.statements.Processes = server.Slots, share.processes
@@ -179,7 +182,8 @@
 			p.setGauges(m)
 			m.closeBroken()
 			minOpen := 0
-			if usedGroups.Has(m.server.Group) {
+			used := usedGroups.Has(m.server.Group)
+			if used && !m.standby {
 				minOpen = 1
 			}
 			for m.open > minOpen && len(m.idle) > 0 && m.idle[0].acquiredAt.Before(idleBefore) {
@@ -187,13 +191,13 @@
 				m.idle = m.idle[1:]
 				m.open--
 			}
-			if m.open >= minOpen || !m.leavingSince.IsZero() {
-				continue
-			}
 			switch {
-			case m.remote && m.answeredAt.IsZero():
-				p.reachRemote(m)
-			case !m.remote && (m.answeredAt.IsZero() || len(m.forwarders) == 0):
+			case !used || m.open >= max(minOpen, 1) || !m.leavingSince.IsZero():
+			case m.remote || m.standby:
+				if m.answeredAt.IsZero() {
+					p.reachRemote(m)
+				}
+			case m.answeredAt.IsZero() || len(m.forwarders) == 0:
 				p.dialMore(m, p.ownership.Load().largestOwned(p.Self.Name, m.server.FailureDomain))
 			}
 		}
