--- a/internal/program/ctpools/view.go
+++ b/internal/program/ctpools/view.go
@@ -191,15 +191,22 @@
 				m.idle = m.idle[1:]
 				m.open--
 			}
-			switch {
-			case !used || m.open >= max(minOpen, 1) || !m.leavingSince.IsZero():
-			case m.remote || m.standby:
-				if m.answeredAt.IsZero() {
-					p.reachRemote(m)
-				}
-			case m.answeredAt.IsZero() || len(m.forwarders) == 0:
-				p.dialMore(m, p.ownership.Load().largestOwned(p.Self.Name, m.server.FailureDomain))
+			if used && m.open == 0 && m.leavingSince.IsZero() {
+				p.openFirst(m)
 			}
 		}
 	})
 }
+
+// openFirst opens a connection to a member that has none. Where others own the connections, it
+// opens a stream to an owner, until the member was reached once.
+func (p *Pools) openFirst(m *memberPool) {
+	switch {
+	case m.remote || m.standby:
+		if m.answeredAt.IsZero() {
+			p.reachRemote(m)
+		}
+	case m.answeredAt.IsZero() || len(m.forwarders) == 0:
+		p.dialMore(m, p.ownership.Load().largestOwned(p.Self.Name, m.server.FailureDomain))
+	}
+}
