ctpools: owners use half of a member's connections

Cause: after a loss of power, members count former connections for 3 s, and owners that came back could open two connections each for about seven workspaces. Change: owners use half in place of five eighths, so fewer of them have four each, and four are free for each to come back.

--- a/internal/program/ctpools/ownership.go
+++ b/internal/program/ctpools/ownership.go
@@ -15,8 +15,8 @@
 // workspaces use. The rest stays free for processes that have lost power and come back: the
 // member counts their former connections for some seconds.
 const (
-	ownedPart  = 5
-	ownedWhole = 8
+	ownedPart  = 1
+	ownedWhole = 2
 	// minOwnerConnections is the least number of connections of an owner to a member. With
 	// fewer, an owner would often have to close that of another workspace.
 	minOwnerConnections = 4
