--- a/internal/decide/ctadmission/limit.go
+++ b/internal/decide/ctadmission/limit.go
@@ -108,7 +108,7 @@
 	l.inFlight++
 }
 
-// Discard stops counting a statement that was not sent.
+// Discard stops counting a statement that was not sent, or whose outcome is unknown.
 func (l *Limit) Discard() {
 	l.inFlight = max(0, l.inFlight-1)
 }
--- a/internal/decide/ctbudget/ledger.go
+++ b/internal/decide/ctbudget/ledger.go
@@ -65,7 +65,8 @@
 // account is what the ledger knows of a client.
 type account struct {
 	charges [useCount]Bytes
-	// progressAt is when the client last completed a message or read an answer.
+	// progressAt is when the client was added, last completed a message or read an answer, or a
+	// statement of it last started or ended.
 	progressAt time.Time
 	// started reports whether the first message is complete, and running whether a statement runs.
 	started, running bool
@@ -153,7 +154,8 @@
 	}
 }
 
-// Charge sets what a client holds for a use.
+// Charge sets what a client holds for a use. An amount that is not higher than before is granted
+// unless the client has been closed.
 func (l *Ledger) Charge(now time.Time, client Client, use Use, amount Bytes) Verdict {
 	a, ok := l.clients[client]
 	if !ok {
--- a/internal/decide/ctbudget/limits.go
+++ b/internal/decide/ctbudget/limits.go
@@ -6,18 +6,18 @@
 const (
 	// BytesPerMB converts the unit of the settings.
 	BytesPerMB = 1_000_000
-	// clientMemoryDivisor is the part of the process's memory for what every client needs, and
-	// clientBytes is that amount: a stack and buffers.
+	// clientMemoryDivisor divides the process's memory: the quotient is for what every client needs
+	// whatever it sends, and clientBytes is that amount for one client: a stack and buffers.
 	clientMemoryDivisor       = 8
 	clientBytes         Bytes = 16 << 10
-	// answerMemoryDivisor is the part of the process's memory for large answers that arrive from
-	// members, and answerBytes what one with a row of 1 MiB takes.
+	// answerMemoryDivisor divides the process's memory: the quotient is for large answers that arrive
+	// from members, and answerBytes what one with a row of 1 MiB takes.
 	answerMemoryDivisor       = 16
 	answerBytes         Bytes = 2 << 20
-	// perClientDivisor is the part of all charges that one client may hold.
+	// perClientDivisor divides the limit of all charges: one client may hold the quotient.
 	perClientDivisor = 4
-	// othersDivisor is the part of all charges that the others may hold beside a client that holds more
-	// than the rest of them.
+	// othersDivisor divides the limit of all charges: the other clients may always hold the quotient
+	// together, however much one client holds.
 	othersDivisor = 4
 )
 
--- a/internal/decide/ctintake/gate.go
+++ b/internal/decide/ctintake/gate.go
@@ -9,21 +9,21 @@
 	// many at once after a rest.
 	Rate, Burst int
 
-	// full is when a burst is possible again.
-	full time.Time
+	// refilledAt is when a whole burst is possible again, as in the generic cell rate algorithm.
+	refilledAt time.Time
 }
 
 // Admit reports whether a connection that arrives now is accepted, and counts it if it is.
 func (g *Gate) Admit(now time.Time) bool {
 	interval := time.Second / time.Duration(g.Rate)
-	full := g.full
-	if full.Before(now) {
-		full = now
+	refilled := g.refilledAt
+	if refilled.Before(now) {
+		refilled = now
 	}
-	full = full.Add(interval)
-	if full.Sub(now) > time.Duration(g.Burst)*interval {
+	refilled = refilled.Add(interval)
+	if refilled.Sub(now) > time.Duration(g.Burst)*interval {
 		return false
 	}
-	g.full = full
+	g.refilledAt = refilled
 	return true
 }
--- a/internal/decide/ctowner/doc.go
+++ b/internal/decide/ctowner/doc.go
@@ -15,7 +15,7 @@
 
 Each workspace ranks the proxies by rendezvous hashing. A change of one proxy then
 moves only the workspaces that it owned. A proxy that has 1.25 times its share of the
-load is passed over, which bounds the load of the unluckiest proxy (consistent hashing
+load is passed over, which bounds the highest load of a proxy (consistent hashing
 with bounded loads). Processes with the same view compute the same assignment. Processes
 with different views may disagree for a while: that costs connections, never correctness.
 
--- a/internal/decide/ctplace/choose.go
+++ b/internal/decide/ctplace/choose.go
@@ -19,8 +19,8 @@
 	// at one value, they would overload both members in turn.
 	farMargin = 10 * time.Millisecond
 	farRange  = 40 * time.Millisecond
-	// bestFew is how many members two are drawn from.
-	bestFew = 3
+	// drawPool is how many of the best members two are drawn from.
+	drawPool = 3
 	// unseenWait is added to the lowest response time of a member without recent answers.
 	// With less, all proxies would return at once to a member that was overloaded.
 	unseenWait = 40 * time.Millisecond
@@ -52,16 +52,22 @@
 // Reason is why a member was chosen: a value of the log key "choice".
 type Reason string
 
-// The reasons. ReasonOnly means that all others are avoided or ejected, if there are any, and
-// ReasonLatency the lowest expected latency, ReasonDrawn the one of two random members with the shorter wait.
+// The reasons.
 const (
-	ReasonLatency        Reason = "latency"
-	ReasonOnly           Reason = "only"
-	ReasonNear           Reason = "near"
+	// ReasonLatency: it has the lowest expected latency (ByLatency).
+	ReasonLatency Reason = "latency"
+	// ReasonOnly: all others, if there are any, are avoided or ejected.
+	ReasonOnly Reason = "only"
+	// ReasonNear: it is the only near member.
+	ReasonNear Reason = "near"
+	// ReasonNearOverloaded: it is far, and the wait for the near members is longer.
 	ReasonNearOverloaded Reason = "near_overloaded"
-	ReasonDrawn          Reason = "shorter_of_two"
-	ReasonReadmission    Reason = "readmission"
-	ReasonLastResort     Reason = "last_resort"
+	// ReasonDrawn: it has the shorter wait of two random members.
+	ReasonDrawn Reason = "shorter_of_two"
+	// ReasonReadmission: it was ejected, and gets a single request.
+	ReasonReadmission Reason = "readmission"
+	// ReasonLastResort: all members are avoided or ejected.
+	ReasonLastResort Reason = "last_resort"
 )
 
 // Ranked is a candidate with what the choice knows of it.
@@ -92,7 +98,7 @@
 	ranked := rank(now, candidates, proxies)
 	slices.SortStableFunc(ranked, func(a, b Ranked) int {
 		return cmp.Or(
-			cmp.Compare(lastRank(now, a), lastRank(now, b)),
+			cmp.Compare(tier(now, a), tier(now, b)),
 			cmp.Compare(a.Class, b.Class),
 			cmp.Compare(a.Wait, b.Wait),
 			cmp.Compare(a.Member, b.Member),
@@ -106,10 +112,10 @@
 
 // choose returns the index of the chosen one of sorted candidates.
 func choose(now time.Time, ranked []Ranked, random func() float64) (int, Reason) {
-	best := lastRank(now, ranked[0])
+	best := tier(now, ranked[0])
 	usable, near := 0, 0
 	for _, r := range ranked {
-		if lastRank(now, r) != best {
+		if tier(now, r) != best {
 			break
 		}
 		usable++
@@ -147,7 +153,7 @@
 // draw returns the index of the one with the shorter wait of two random candidates among the
 // best few from index first to before end. They are sorted by their waits.
 func draw(ranked []Ranked, first, end int, random func() float64) int {
-	n := min(end-first, bestFew)
+	n := min(end-first, drawPool)
 	if n < 2 {
 		return first
 	}
@@ -165,7 +171,7 @@
 // rank returns the candidates with their classes, waits and ejections.
 func rank(now time.Time, candidates []Candidate, proxies int) []Ranked {
 	ranked := make([]Ranked, len(candidates))
-	paths := survey(now, candidates)
+	paths := pathsTo(now, candidates)
 	weight := runningWeight * float64(proxies) / float64(proxies+halfWeightProxies)
 	for i, c := range candidates {
 		class := paths.classOf(now, c)
@@ -185,7 +191,8 @@
 	unseen    bool
 }
 
-func survey(now time.Time, candidates []Candidate) paths {
+// pathsTo returns what is known of the paths to the candidates.
+func pathsTo(now time.Time, candidates []Candidate) paths {
 	var p paths
 	for _, c := range candidates {
 		floor, known := c.Latency.Floor(now)
@@ -251,9 +258,9 @@
 	return now
 }
 
-// lastRank returns 0 for a candidate that may be chosen, 1 for one that is avoided, and 2 for
+// tier returns 0 for a candidate that may be chosen, 1 for one that is avoided, and 2 for
 // one that is ejected.
-func lastRank(now time.Time, r Ranked) int {
+func tier(now time.Time, r Ranked) int {
 	if r.Ejected {
 		return 2
 	}
--- a/internal/decide/ctquota/account.go
+++ b/internal/decide/ctquota/account.go
@@ -7,13 +7,13 @@
 )
 
 const (
-	// headroomDivisor is the part of a holder's demand that is added to it, and
-	// minimumCap what each holder is to have in addition, so that the first operation of an
-	// idle workspace finds a cap.
+	// headroomDivisor divides a holder's demand: the quotient is added to it as headroom.
+	// minimumCap is what each holder is to have in addition, in operations, so that the first
+	// operation of an idle workspace finds a cap.
 	headroomDivisor = 4
 	minimumCap      = 2
-	// idleDivisor is the part of the ceiling that holders get equally while the workspace is
-	// hardly used, so that its caps need not grow from report to report at first.
+	// idleDivisor divides the ceiling: holders get equal parts of the quotient while the workspace
+	// is hardly used, so that its caps need not grow from report to report at first.
 	idleDivisor = 8
 	// sweepInterval is how often an account drops what has expired. In between, what has
 	// expired counts still.
@@ -118,28 +118,28 @@
 	return demand + min(minimumCap, (a.ceiling-a.sums.demand)/holders)
 }
 
-// kept returns what a holder may keep of that which predecessors have granted. It is less
-// than that if a lower limit is in force.
-func (a *account) kept(l *lease) ctid.Operations {
+// legacyShare returns what a holder may keep of what predecessors of this leader have granted. It
+// is less than that if a lower limit is in force.
+func (a *account) legacyShare(l *lease) ctid.Operations {
 	if a.sums.legacy > a.capacity() {
 		return l.legacy * a.capacity() / a.sums.legacy
 	}
 	return l.legacy
 }
 
-// newcomerShare returns what a holder is to have while this leader does not know all caps:
-// that which its predecessor has granted, and a fair part of the reserve.
-func (a *account) newcomerShare(l *lease, reserve ctid.Operations) ctid.Operations {
+// provisionalShare returns what a holder is to have while this leader does not know all caps:
+// what predecessors have granted, and a fair part of the reserve.
+func (a *account) provisionalShare(l *lease, reserve ctid.Operations) ctid.Operations {
 	wanted := l.wanted()
 	if a.sums.wanted <= reserve {
 		minimum := min(minimumCap, (reserve-a.sums.wanted)/max(1, a.sums.live))
-		return a.kept(l) + max(wanted, minimum-l.legacy)
+		return a.legacyShare(l) + max(wanted, minimum-l.legacy)
 	}
 	part, rest := wanted*reserve/a.sums.wanted, wanted*reserve%a.sums.wanted
 	if rest > 0 && a.sums.extra-l.extra()+part < reserve {
 		part++
 	}
-	return a.kept(l) + part
+	return a.legacyShare(l) + part
 }
 
 // grant returns the cap for a holder, which is its share as far as others have not used up
@@ -147,7 +147,7 @@
 func (a *account) grant(l *lease, known bool) ctid.Operations {
 	capacity, share := a.capacity(), a.share(l)
 	if !known {
-		share = a.newcomerShare(l, a.reserve())
+		share = a.provisionalShare(l, a.reserve())
 	}
 	if a.sums.level > capacity {
 		// A lower limit is in force.
--- a/internal/decide/ctquota/bounds.go
+++ b/internal/decide/ctquota/bounds.go
@@ -23,13 +23,13 @@
 type Bounds struct {
 	// Window is the length of the sliding window; 0 means DefaultWindow.
 	Window time.Duration
-	// Overage is the part by which the operations in a window may exceed the limit, and
-	// Slack a number of operations by which they may exceed it in addition.
+	// Overage is the fraction of the limit by which the operations in a window may exceed it,
+	// and Slack a number of operations by which they may exceed it in addition.
 	Overage float64
 	Slack   float64
 }
 
-// WindowOrDefault returns the window.
+// WindowOrDefault returns Window, or DefaultWindow if that is not set.
 func (b Bounds) WindowOrDefault() time.Duration {
 	if b.Window <= 0 {
 		return DefaultWindow
--- a/internal/decide/ctquota/doc.go
+++ b/internal/decide/ctquota/doc.go
@@ -29,7 +29,7 @@
 # Usage
 
 	ledger := ctquota.NewLedger(bounds, now, register.QuotaMarks)
-	ledger.SetLimits(now, document.Workspaces)
-	caps := ledger.Apply(now, ctquota.Report{...})
+	ledger.SetLimits(document.Workspaces)
+	grant := ledger.Apply(now, &ctquota.Report{...})
 */
 package ctquota
--- a/internal/decide/ctquota/ledger.go
+++ b/internal/decide/ctquota/ledger.go
@@ -13,7 +13,7 @@
 )
 
 // Ledger holds the caps and charges of all workspaces that have a limit. Use NewLedger to
-// create one when a process becomes control's leader.
+// create one when a process becomes control's leader. It must not be used concurrently.
 type Ledger struct {
 	bounds Bounds
 	// knownAt is when the ledger has all caps and charges that may count.
@@ -55,7 +55,8 @@
 	}
 }
 
-// SetLimits sets the limits of the workspaces in a configuration.
+// SetLimits sets the limits of the workspaces in a configuration. It drops the caps and charges of
+// workspaces without a limit.
 func (l *Ledger) SetLimits(workspaces []ctconfig.Workspace) {
 	var limited ctset.Set[ctid.Workspace]
 	for i := range workspaces {
--- a/internal/decide/ctquota/mark.go
+++ b/internal/decide/ctquota/mark.go
@@ -7,11 +7,11 @@
 )
 
 const (
-	// markHeadroomDivisor is the part of the need that is added to a mark, so that small
+	// markHeadroomDivisor divides the need: the quotient is added to a mark, so that small
 	// changes of demand need no other mark.
 	markHeadroomDivisor = 16
-	// surplusDivisor is the part of a mark by which it must exceed what is wanted before it is
-	// lowered, and lowerInterval the least time after another proposal.
+	// surplusDivisor divides a mark: it is lowered if it exceeds what is wanted by more than the
+	// quotient, and lowerInterval the least time after another proposal.
 	surplusDivisor = 8
 	lowerInterval  = 2 * time.Second
 	// proposalTimeout is how long after its proposal a mark is proposed again, if it was not
--- a/internal/decide/ctquota/share.go
+++ b/internal/decide/ctquota/share.go
@@ -29,6 +29,7 @@
 func (Undecided) verdict() {}
 
 // Share is a holder's part of the limit of one workspace. Set Bounds before first use.
+// It must not be used concurrently.
 type Share struct {
 	Bounds Bounds
 
