--- a/internal/model/ctview/view.go
+++ b/internal/model/ctview/view.go
@@ -38,12 +38,12 @@
 		return v, nil
 	}
 	if delta.From > v.Version {
-		return v, cterror.Newf(cterror.Conflict, "ask for a delta from the version in hand",
-			"view delta builds on version %d, version %d is in hand", delta.From, v.Version)
+		return v, cterror.Newf(cterror.Conflict, "ask for a delta from the current version",
+			"view delta builds on version %d, version %d is current", delta.From, v.Version)
 	}
 	if p := delta.ConfigPatch; p != nil && p.Base != v.Config.Revision {
-		return v, cterror.Newf(cterror.Conflict, "ask for a delta from the version in hand",
-			"patch builds on configuration %s, %s is in hand", p.Base, v.Config.Revision)
+		return v, cterror.Newf(cterror.Conflict, "ask for a delta from the current version",
+			"patch builds on configuration %s, %s is current", p.Base, v.Config.Revision)
 	}
 	next := v.copy()
 	if delta.From == 0 {
--- a/internal/program/ctcontrol/leader.go
+++ b/internal/program/ctcontrol/leader.go
@@ -208,7 +208,7 @@
 func (l *leaderState) applyConfig(now time.Time, accepted ctconfig.AcceptedChange) {
 	document := accepted.Change.Document
 	l.roster.SetConfig(ctview.Config{Revision: accepted.Revision, Document: document})
-	l.ledgerOfCaps.SetLimits(document.Workspaces)
+	l.quotaLedger.SetLimits(document.Workspaces)
 	for _, g := range document.Groups {
 		if g.Promotion == ctconfig.PromotionExternal {
 			l.startSuccession(now, g.Name)
--- a/internal/program/ctcontrol/machine.go
+++ b/internal/program/ctcontrol/machine.go
@@ -82,7 +82,7 @@
 		l.notifyWatchers()
 		c.logSettled(r, settle.Reason)
 	case ctregister.QuotaMarksSet:
-		l.ledgerOfCaps.SetMarks(l.register.QuotaMarks)
+		l.quotaLedger.SetMarks(l.register.QuotaMarks)
 	case ctregister.RequesterReleased:
 		release, ok := command.(ctregister.ReleaseRequester)
 		if !ok || r.Requester.IsZero() {
--- a/internal/program/ctcontrol/peer.go
+++ b/internal/program/ctcontrol/peer.go
@@ -14,13 +14,13 @@
 )
 
 const (
-	// reportPatience is how long a proxy waits for the reply to a report.
-	reportPatience = 700 * time.Millisecond
-	// replyReserve is the part of reportPatience for the way of the reply.
+	// proxyReportTimeout is how long a proxy waits for the reply to a report.
+	proxyReportTimeout = 700 * time.Millisecond
+	// replyReserve is the part of proxyReportTimeout that is left for the transmission of the reply.
 	replyReserve = 100 * time.Millisecond
-	// viewPatience is how long a view may wait to be sent: a part of the time after which a
+	// viewQueueTimeout is how long a view may wait to be sent: a part of the time after which a
 	// proxy gives up its watch.
-	viewPatience = 1500 * time.Millisecond
+	viewQueueTimeout = 1500 * time.Millisecond
 	// leaderlessRetry is when a proxy is to report again if there was no reply from the leader.
 	leaderlessRetry = 100 * time.Millisecond
 )
@@ -32,7 +32,7 @@
 	held    ctlock.Held
 	// answered reports whether a report was answered on the stream.
 	answered bool
-	// slot is that of the frame in hand, and receivedAt is when the process received it.
+	// slot is that of the frame being handled, and receivedAt is when the process received it.
 	slot       *slot
 	receivedAt time.Time
 	// transfer is the slot of the whole view that was sent last, until the next frame.
@@ -96,7 +96,7 @@
 	case nil, *ctframe.Quorum, *ctframe.Watch:
 		return arrival, false
 	case *ctframe.Report:
-		arrival.Work, arrival.Patience = ctintake.FirstReport{}, reportPatience
+		arrival.Work, arrival.Patience = ctintake.FirstReport{}, proxyReportTimeout
 		if p.answered {
 			arrival.Work = ctintake.Renewal{}
 		}
@@ -106,7 +106,7 @@
 	return arrival, true
 }
 
-// releaseSlot releases the slot of the frame in hand, which from now on only waits. p is nil
+// releaseSlot releases the slot of the frame being handled, which from now on only waits. p is nil
 // for a frame of this process.
 func (p *peer) releaseSlot() {
 	if p != nil {
@@ -114,9 +114,9 @@
 	}
 }
 
-// reportTime returns how long the report in hand may wait for the leader's reply.
+// reportTime returns how long the report being handled may wait for the leader's reply.
 func (p *peer) reportTime(now time.Time) time.Duration {
-	return min(relayTimeout, p.receivedAt.Add(reportPatience-replyReserve).Sub(now))
+	return min(relayTimeout, p.receivedAt.Add(proxyReportTimeout-replyReserve).Sub(now))
 }
 
 // handleReport returns the leader's reply to a proxy's report. If another process leads,
@@ -141,8 +141,8 @@
 }
 
 // handleWatch answers a watch once there is a newer view or the time is over. Only a few whole
-// views are on their way to proxies at once: over a slow link, all of them together would
-// arrive too late.
+// views are transmitted to proxies at once: over a slow link, all of them together would arrive
+// too late.
 func (s *Service) handleWatch(
 	ctx context.Context, held *ctlock.Held, from *peer, watch *ctframe.Watch,
 ) ctframe.Frame {
@@ -152,7 +152,7 @@
 	if from == nil || watch.Mirror || reply.Delta == nil || reply.Delta.From != 0 {
 		return s.replyFrame(reply)
 	}
-	effect, transfer := s.transfers.enter(ctx, held, ctintake.Arrival{Work: ctintake.View{}, Patience: viewPatience})
+	effect, transfer := s.transfers.enter(ctx, held, ctintake.Arrival{Work: ctintake.View{}, Patience: viewQueueTimeout})
 	switch e := effect.(type) {
 	case ctintake.Reject:
 		return &ctframe.Retry{After: e.After}
--- a/internal/program/ctcontrol/quotas.go
+++ b/internal/program/ctcontrol/quotas.go
@@ -19,16 +19,16 @@
 	// an entry of the replicated log.
 	quotaMarkInterval = 50 * time.Millisecond
 	// limitedLogDelay is for how long a workspace must be within its limit before the log
-	// says so: a hot one is within it for moments.
+	// says so. One with high demand is within it for short times.
 	limitedLogDelay = 5 * time.Second
 )
 
 // quotaState is what a control process knows of the caps of workspaces.
 type quotaState struct {
 	bounds ctquota.Bounds
-	// ledgerOfCaps is the ledger since this process last became the leader; nil before.
-	ledgerOfCaps *ctquota.Ledger
-	checkedAt    time.Time
+	// quotaLedger has the caps since this process last became the leader; nil before.
+	quotaLedger *ctquota.Ledger
+	checkedAt   time.Time
 	// marksCheckedAt is when marks were last compared with what caps need.
 	marksCheckedAt time.Time
 	// measured holds the workspaces that the metrics list.
@@ -39,7 +39,7 @@
 
 // startQuotas creates the ledger of a new leader.
 func (l *leaderState) startQuotas(now time.Time) {
-	l.ledgerOfCaps = ctquota.NewLedger(l.bounds, now, l.register.QuotaMarks)
+	l.quotaLedger = ctquota.NewLedger(l.bounds, now, l.register.QuotaMarks)
 	l.limitedAt = make(map[ctid.Workspace]time.Time)
 }
 
@@ -49,7 +49,7 @@
 	if report.Stopping {
 		return
 	}
-	reply.Quotas = l.ledgerOfCaps.Apply(now, &ctquota.Report{
+	reply.Quotas = l.quotaLedger.Apply(now, &ctquota.Report{
 		Holder:    ctquota.Holder{Proxy: report.Proxy.Name, Incarnation: report.Proxy.Incarnation},
 		Number:    report.Number,
 		Demands:   report.Quotas,
@@ -63,7 +63,7 @@
 		return
 	}
 	l.marksCheckedAt = now
-	if marks := l.ledgerOfCaps.WantedMarks(now); len(marks) > 0 {
+	if marks := l.quotaLedger.WantedMarks(now); len(marks) > 0 {
 		c.propose(l, ctregister.SetQuotaMarks{Marks: marks}, nil)
 	}
 }
@@ -75,10 +75,10 @@
 		return
 	}
 	l.checkedAt = now
-	l.ledgerOfCaps.Expire(now)
+	l.quotaLedger.Expire(now)
 	before := l.measured
 	l.measured = ctset.Set[ctid.Workspace]{}
-	for _, state := range l.ledgerOfCaps.States() {
+	for _, state := range l.quotaLedger.States() {
 		l.measured.Add(state.Workspace)
 		name := string(state.Workspace)
 		c.Metrics.QuotaCaps.WithLabelValues(name).Set(float64(state.Caps))
--- a/internal/program/ctcontrol/quotas_test.go
+++ b/internal/program/ctcontrol/quotas_test.go
@@ -153,7 +153,7 @@
 	})
 	t.Run("a limit that has ended is not listed", func(t *testing.T) {
 		var held ctlock.Held
-		c.state.With(&held, func(l *leaderState) { l.ledgerOfCaps.SetLimits(nil) })
+		c.state.With(&held, func(l *leaderState) { l.quotaLedger.SetLimits(nil) })
 		check(c, clock)
 		assert.Equal(t, testutil.CollectAndCount(c.Metrics.QuotaCaps), 0)
 	})
--- a/internal/program/ctentry/account.go
+++ b/internal/program/ctentry/account.go
@@ -10,7 +10,7 @@
 )
 
 const (
-	// requestCopies is how often a request is in memory: as it arrives, as a batch of messages, with the
+	// requestCopies is how many copies of a request are in memory: as it arrives, as a batch of messages, with the
 	// statements that it needs, and in a frame.
 	requestCopies = 4
 	// uncountedBytes is the size up to which a part of an answer, or the prepared statements of a
--- a/internal/program/ctgateway/account.go
+++ b/internal/program/ctgateway/account.go
@@ -9,10 +9,11 @@
 )
 
 const (
-	// messageCopies is how often a message is in memory: as it arrives and as text, or as text and as
-	// it is sent to a member.
+	// messageCopies is how many copies of a message are in memory: as it arrives and as text, or as
+	// text and as it is sent to a member.
 	messageCopies = 2
-	// answerCopies is how often an answer is in memory: as rows and as it is sent to the caller.
+	// answerCopies is how many copies of an answer are in memory: as rows and as it is sent to the
+	// caller.
 	answerCopies = 2
 	// uncountedBytes is the size up to which an answer, or the state of a session, is covered by the
 	// limit on the number of callers.
--- a/internal/program/ctnode/limits.go
+++ b/internal/program/ctnode/limits.go
@@ -17,14 +17,14 @@
 )
 
 const (
-	// bodyCopies is how often a body is in memory: as it arrives, twice while the buffer grows, and
-	// decoded.
+	// bodyCopies is how many copies of a body are in memory at most: two while its buffer grows, and
+	// the decoded one.
 	bodyCopies = 3
 	// bodyStepBytes is by how much the charge for a body grows.
 	bodyStepBytes = 64 << 10
 	// largestBodyBytes is the size of the largest legal body, a configuration.
 	largestBodyBytes = 8 << 20
-	// frameCopies is how often a frame is in memory: as it arrives and decoded.
+	// frameCopies is how many copies of a frame are in memory: as it arrives and decoded.
 	frameCopies = 2
 	// largestForwardBytes is the size of the largest frame that a proxy sends to another one on behalf
 	// of a client: a statement and the session state that it needs. A client may hold no more, as its
--- a/internal/program/ctnode/server.go
+++ b/internal/program/ctnode/server.go
@@ -23,7 +23,7 @@
 	// behind, and each of them takes memory.
 	idleTimeout = 4 * time.Second
 	// requestTimeout bounds the reading of a whole request, and the writing of a response. A
-	// configuration of 8 MiB takes 48 s on the slowest link of a VM.
+	// configuration of 8 MiB takes 48 s on a link of 1.4 Mbit/s.
 	requestTimeout = time.Minute
 )
 
--- a/internal/program/ctpools/admission.go
+++ b/internal/program/ctpools/admission.go
@@ -149,7 +149,7 @@
 		ready <- conn
 	}
 	p.dialForWaiter(m, now)
-	p.wakeLater(m, now)
+	p.scheduleWake(m, now)
 }
 
 // hasIdle reports whether an idle connection may be passed to a request.
@@ -187,8 +187,8 @@
 	}
 }
 
-// wakeLater arranges that serveWaiters runs after the next pause, if requests wait for its end.
-func (p *Pools) wakeLater(m *memberPool, now time.Time) {
+// scheduleWake arranges that serveWaiters runs after the next pause, if requests wait for its end.
+func (p *Pools) scheduleWake(m *memberPool, now time.Time) {
 	if m.queue.Len() == 0 {
 		return
 	}
--- a/internal/program/ctpools/ownership.go
+++ b/internal/program/ctpools/ownership.go
@@ -11,12 +11,12 @@
 	"github.com/cherviltrestle/cherviltrestle/internal/model/ctview"
 )
 
-// ownedPart and ownedWhole are the part of a member's connections that the owners of
-// workspaces use. The rest stays free for processes that have lost power and come back: the
+// ownedNumerator and ownedDenominator are the fraction of a member's connections that the owners
+// of workspaces use. The rest stays free for processes that have lost power and come back: the
 // member counts their former connections for some seconds.
 const (
-	ownedPart  = 5
-	ownedWhole = 8
+	ownedNumerator   = 5
+	ownedDenominator = 8
 	// minOwnerConnections is the least number of connections of an owner to a member. With
 	// fewer, an owner would often have to close that of another workspace.
 	minOwnerConnections = 4
@@ -55,9 +55,10 @@
 	proxies []ctid.Proxy
 }
 
-// updateOwnership computes who owns the connections in a view, or that connections serve
-// callers of any workspace. It does nothing if the proxies and the configuration are those of
-// the ownership in force.
+// updateOwnership computes who owns the connections in a view. There are no owners if the
+// configuration requires no keys or this proxy has no transport: connections then serve callers of
+// any workspace. It does nothing if the proxies and the configuration are those of the ownership
+// in force.
 func (p *Pools) updateOwnership(view *ctview.View) {
 	if !view.Config.Document.RequireKeys || p.Transport == nil {
 		p.ownership.Store(nil)
@@ -123,7 +124,7 @@
 
 // ownedConnections returns how many of a member's connections the owners may open together.
 func ownedConnections(connections int) int {
-	return (connections - reservedForControl) * ownedPart / ownedWhole
+	return (connections - reservedForControl) * ownedNumerator / ownedDenominator
 }
 
 // newOwnership assigns the workspaces of a view's configuration to the proxies.
--- a/internal/program/ctpools/peerstreams.go
+++ b/internal/program/ctpools/peerstreams.go
@@ -194,7 +194,7 @@
 	return nil
 }
 
-// pause makes the proxy passed over for a while.
+// pause records a failure: no stream to the proxy is opened for a while.
 func (s *peerStreams) pause(now time.Time) {
 	s.failures++
 	s.nextOpenAt = now.Add(min(firstPeerPause<<min(s.failures-1, 8), maxPeerPause))
@@ -223,7 +223,7 @@
 }
 
 // returnStream is Release for a stream to an owner. If the owner has left a query unanswered,
-// the idle streams to it are closed too, since its VM may be gone.
+// the idle streams to it are closed too, since its machine may have failed.
 func (p *Pools) returnStream(held *ctlock.Held, conn *Conn, result Result) {
 	stream, ok := conn.executor.(*forwardingExecutor)
 	if result.Discard || !conn.Alive() {
--- a/internal/program/ctpools/pools.go
+++ b/internal/program/ctpools/pools.go
@@ -294,7 +294,7 @@
 		if tooLate = p.rejectLate(m, now, r); m.open > 0 && tooLate == nil {
 			ready = make(chan *Conn, 1)
 			ticket = m.enqueue(r, ready)
-			p.wakeLater(m, now)
+			p.scheduleWake(m, now)
 		}
 	})
 	switch {
--- a/internal/program/ctpools/view.go
+++ b/internal/program/ctpools/view.go
@@ -86,7 +86,8 @@
 	if p.Self.FailureDomain == server.FailureDomain {
 		limit := max(1, connections/len(domainProxies))
 		return connectionShare{
-			limit: limit, processes: len(domainProxies), reserved: max(1, limit*(ownedWhole-ownedPart)/ownedWhole),
+			limit: limit, processes: len(domainProxies),
+			reserved: max(1, limit*(ownedDenominator-ownedNumerator)/ownedDenominator),
 		}
 	}
 	return connectionShare{limit: maxForwardStreams, forwarders: p.forwarders(view, domainProxies)}
