--- a/internal/decide/ctquota/account.go
+++ b/internal/decide/ctquota/account.go
@@ -22,6 +22,7 @@
 
 // account holds the caps of one workspace.
 type account struct {
+	// ceiling is how many operations may start in any window.
 	ceiling ctid.Operations
 	// mark is the durable bound on the sum of caps and charges. base is the mark of the
 	// predecessors when this leader started: it bounds the caps and charges that the account
@@ -36,7 +37,8 @@
 	proposedAt time.Time
 }
 
-// sums are the sums of the fields of leases.
+// sums are the sums of the fields of leases and of what their methods return. live is the number
+// of leases that holders may use.
 type sums struct {
 	level, committed, legacy, extra, wanted, asked, demand, live ctid.Operations
 }
--- a/internal/program/ctaccount/account.go
+++ b/internal/program/ctaccount/account.go
@@ -33,7 +33,8 @@
 // state is what the lock guards.
 type state struct {
 	ledger *ctbudget.Ledger
-	last   ctbudget.Client
+	// lastClient is the client that was opened last.
+	lastClient ctbudget.Client
 	// closers has the function that closes each client.
 	closers map[ctbudget.Client]func()
 }
@@ -67,8 +68,8 @@
 	}
 	account := &Account{accounts: a}
 	ok := a.decide(func(s *state) ctbudget.Verdict {
-		s.last++
-		account.client = s.last
+		s.lastClient++
+		account.client = s.lastClient
 		verdict := s.ledger.Open(a.Clock.Now(), account.client)
 		if _, granted := verdict.(ctbudget.Granted); granted {
 			s.closers[account.client] = closeClient
@@ -81,7 +82,8 @@
 	return account, true
 }
 
-// Charge sets what the client holds for a use. It reports whether the client may hold that.
+// Charge sets what the client holds for a use. It reports whether the client may hold that, and
+// changes nothing if not. Other clients may be closed for it.
 func (c *Account) Charge(use ctbudget.Use, amount ctbudget.Bytes) bool {
 	if c == nil {
 		return true
@@ -144,7 +146,7 @@
 		return true
 	case ctbudget.Denied:
 		if v.Reason == ctbudget.ReasonClosed {
-			// The eviction was recorded.
+			// The eviction was recorded when it happened.
 			return false
 		}
 		a.Metrics.Denied.WithLabelValues(a.Listener, string(v.Reason)).Inc()
--- a/internal/program/ctcontrol/intake.go
+++ b/internal/program/ctcontrol/intake.go
@@ -69,7 +69,8 @@
 	select {
 	case effect = <-decided:
 	case <-ctx.Done():
-		// The process ends, so that a slot which is assigned from now on is not missed.
+		// A slot that is assigned from now on is never released. That does no harm, as ctx ends
+		// with the process.
 	}
 	now := i.clock.Now()
 	work, decision := workName(arrival.Work), "served"
--- a/internal/program/ctcontrol/peer.go
+++ b/internal/program/ctcontrol/peer.go
@@ -14,7 +14,8 @@
 )
 
 const (
-	// proxyReportTimeout is how long a proxy waits for the reply to a report.
+	// proxyReportTimeout is how long a proxy waits for the reply to a report: callTimeout of package
+	// ctuplink.
 	proxyReportTimeout = 700 * time.Millisecond
 	// replyReserve is the part of proxyReportTimeout that is left for the transmission of the reply.
 	replyReserve = 100 * time.Millisecond
--- a/internal/program/ctentry/account.go
+++ b/internal/program/ctentry/account.go
@@ -10,8 +10,8 @@
 )
 
 const (
-	// requestCopies is how many copies of a request are in memory: as it arrives, as a batch of messages, with the
-	// statements that it needs, and in a frame.
+	// requestCopies is how many copies of a request are in memory: as it arrives, as a batch of
+	// messages, with the statements that it needs, and in a frame.
 	requestCopies = 4
 	// uncountedBytes is the size up to which a part of an answer, or the prepared statements of a
 	// session, are covered by the limit on the number of callers.
