--- a/internal/lab/ctcontention/scheme.go
+++ b/internal/lab/ctcontention/scheme.go
@@ -26,29 +26,29 @@
 	resendDelay(rejections int) time.Duration
 }
 
-// present is the scheme without admission control: connections are opened after a pause that
+// uncontrolled is the scheme without admission control: connections are opened after a pause that
 // doubles, and a rejected statement is sent again after 15 ms.
-type present struct {
+type uncontrolled struct {
 	failures int
 	nextAt   time.Time
 }
 
-func (p *present) maxOpen(now time.Time, share, _ int) int {
-	if now.Before(p.nextAt) {
+func (u *uncontrolled) maxOpen(now time.Time, share, _ int) int {
+	if now.Before(u.nextAt) {
 		return 0
 	}
 	return share
 }
-func (p *present) opened(time.Time, int) { p.failures = 0 }
-func (p *present) openRejected(now time.Time, _ int) {
-	p.nextAt = now.Add(min(50*time.Millisecond<<min(p.failures, 8), time.Second))
-	p.failures++
+func (u *uncontrolled) opened(time.Time, int) { u.failures = 0 }
+func (u *uncontrolled) openRejected(now time.Time, _ int) {
+	u.nextAt = now.Add(min(50*time.Millisecond<<min(u.failures, 8), time.Second))
+	u.failures++
 }
-func (p *present) maySend(time.Time) bool              { return true }
-func (p *present) sent(time.Time)                      {}
-func (p *present) answered(time.Time, time.Time, bool) {}
-func (p *present) restarted(time.Time)                 {}
-func (p *present) resendDelay(int) time.Duration       { return 15 * time.Millisecond }
+func (u *uncontrolled) maySend(time.Time) bool              { return true }
+func (u *uncontrolled) sent(time.Time)                      {}
+func (u *uncontrolled) answered(time.Time, time.Time, bool) {}
+func (u *uncontrolled) restarted(time.Time)                 {}
+func (u *uncontrolled) resendDelay(int) time.Duration       { return 15 * time.Millisecond }
 
 // controlled is the scheme with admission control.
 type controlled struct {
@@ -78,7 +78,7 @@
 
 // WithoutControl returns a scheme for each proxy of a deployment without admission control.
 func WithoutControl(Deployment, *rand.Rand) Scheme {
-	return &present{}
+	return &uncontrolled{}
 }
 
 // WithControl returns a scheme for each proxy of a deployment with admission control.
--- a/internal/lab/ctstartup/control.go
+++ b/internal/lab/ctstartup/control.go
@@ -120,7 +120,7 @@
 			work = ctintake.Renewal{}
 		}
 		c.intake.arrive(admission{
-			work: work, arrivedAt: x.arrivedAt, patience: callTimeout,
+			work: work, arrivedAt: x.arrivedAt, timeout: callTimeout,
 			start: func(end func()) {
 				c.compute(reportCost, func() {
 					end()
@@ -202,7 +202,7 @@
 	}
 	c.send(leader, len(batch)*c.world.sizes.report, func() {
 		leader.intake.arrive(admission{
-			work: ctintake.Call{}, arrivedAt: c.world.now, patience: relayTimeout,
+			work: ctintake.Call{}, arrivedAt: c.world.now, timeout: relayTimeout,
 			start: func(done func()) {
 				leader.compute(smallCost+time.Duration(len(batch))*batchedCost, func() {
 					done()
@@ -332,7 +332,7 @@
 		return
 	}
 	c.transfers.arrive(admission{
-		work: ctintake.View{}, arrivedAt: c.world.now, patience: watchTimeout,
+		work: ctintake.View{}, arrivedAt: c.world.now, timeout: watchTimeout,
 		start: func(end func()) {
 			x.stream.transferEnd = end
 			c.world.after(ctintake.MaxViewTime, end)
--- a/internal/lab/ctstartup/intake.go
+++ b/internal/lab/ctstartup/intake.go
@@ -19,7 +19,7 @@
 type admission struct {
 	work      ctintake.Work
 	arrivedAt time.Duration
-	patience  time.Duration
+	timeout   time.Duration
 	// start handles the frame and calls end when it is done.
 	start func(end func())
 	// reject answers it with the time after which to try again. It is nil for work that is
@@ -36,7 +36,7 @@
 	i.last++
 	i.pending[i.last] = a
 	i.perform(i.queue.Step(i.world.timestamp(), ctintake.Arrival{
-		Ticket: i.last, Work: a.work, Waited: i.world.now - a.arrivedAt, Patience: a.patience,
+		Ticket: i.last, Work: a.work, Waited: i.world.now - a.arrivedAt, Patience: a.timeout,
 	}))
 }
 
--- a/internal/lab/ctstartup/proxy.go
+++ b/internal/lab/ctstartup/proxy.go
@@ -92,7 +92,7 @@
 	})
 }
 
-// proxy is a proxy.
+// proxy is a proxy of the fleet, with its streams to control.
 type proxy struct {
 	world  *world
 	index  int
@@ -173,7 +173,7 @@
 		}
 		ended = true
 		if r.deferral != nil {
-			p.defers(r.deferral)
+			p.deferReport(r.deferral)
 			return
 		}
 		p.seeker.RecordAnswer()
@@ -198,8 +198,8 @@
 	w.after(callTimeout, fail)
 }
 
-// defers reports again after the time that a control process asked for.
-func (p *proxy) defers(deferral ctseek.Deferral) {
+// deferReport reports again after the time that a control process asked for.
+func (p *proxy) deferReport(deferral ctseek.Deferral) {
 	delay, stay := p.seeker.RecordDeferral(deferral)
 	if !stay {
 		p.reports.close()
