--- a/internal/program/ctgateway/session.go
+++ b/internal/program/ctgateway/session.go
@@ -109,8 +109,8 @@
 	s.serveQueries()
 }
 
-// refusedStartup says why a startup message is refused.
-type refusedStartup struct {
+// callerRefusal says why a startup message, or a query outside a transaction, is refused.
+type callerRefusal struct {
 	fault ctquery.Fault
 	// reason is the value of the log key "why", and text describes it to the caller.
 	reason string
@@ -118,12 +118,12 @@
 }
 
 // admitStartup returns why the startup message is refused, or nil if it is not.
-func (s *session) admitStartup() *refusedStartup {
+func (s *session) admitStartup() *callerRefusal {
 	if !s.awaitReady() {
-		return &refusedStartup{ctquery.FaultBusy, "just_started", "this proxy has just started; retry after 500 ms"}
+		return &callerRefusal{ctquery.FaultBusy, "just_started", "this proxy has just started; retry after 500 ms"}
 	}
 	if s.gateway.primariesReached.Load() && s.gateway.authorityLapsed(&s.held) {
-		return &refusedStartup{ctquery.FaultBusy, "no_authority",
+		return &callerRefusal{ctquery.FaultBusy, "no_authority",
 			"this proxy is out of touch with control; retry now, elsewhere"}
 	}
 	return s.refusalOf(s.resolve())
@@ -184,19 +184,19 @@
 // refusalOf returns why a caller without access is refused, or nil if it has access. A proxy that
 // may lack the newest configuration can't know that there is no route or that no workspace
 // holds the key; it answers that it is busy.
-func (s *session) refusalOf(a access) *refusedStartup {
+func (s *session) refusalOf(a access) *callerRefusal {
 	if a == accessGranted {
 		return nil
 	}
 	g := s.gateway
 	if g.State.ConfigOutdated(&s.held) || !g.Clock.Now().Before(g.State.AuthorityExpiry(&s.held)) {
-		return &refusedStartup{ctquery.FaultBusy, "configuration_uncertain",
+		return &callerRefusal{ctquery.FaultBusy, "configuration_uncertain",
 			"this proxy may lack the newest configuration; retry now, elsewhere"}
 	}
 	if a == accessDenied {
-		return &refusedStartup{ctquery.FaultDenied, "unknown_key", "no workspace holds the key; present a valid one"}
+		return &callerRefusal{ctquery.FaultDenied, "unknown_key", "no workspace holds the key; present a valid one"}
 	}
-	return &refusedStartup{ctquery.FaultNoDatabase, "no_route", "no route leads to this database"}
+	return &callerRefusal{ctquery.FaultNoDatabase, "no_route", "no route leads to this database"}
 }
 
 // finish rolls back the open transaction and removes the session from the table.
