--- a/internal/decide/ctintake/queue.go
+++ b/internal/decide/ctintake/queue.go
@@ -89,8 +89,8 @@
 		return []Effect{Start{Ticket: a.Ticket}}
 	}
 	own := waiter{ticket: a.Ticket, arrivedAt: now.Add(-a.Waited)}
-	if a.Patience > 0 {
-		own.deadline = own.arrivedAt.Add(a.Patience)
+	if a.Timeout > 0 {
+		own.deadline = own.arrivedAt.Add(a.Timeout)
 	}
 	if own.expired(now) {
 		return []Effect{Drop{Ticket: a.Ticket}}
--- a/internal/decide/ctintake/queue_test.go
+++ b/internal/decide/ctintake/queue_test.go
@@ -10,7 +10,7 @@
 	"github.com/cherviltrestle/cherviltrestle/internal/decide/ctintake"
 )
 
-const patience = 700 * time.Millisecond
+const timeout = 700 * time.Millisecond
 
 // fixture is a queue with a clock. It counts the tickets.
 type fixture struct {
@@ -30,7 +30,7 @@
 func (f *fixture) arrive(work ctintake.Work, waited time.Duration) (ctintake.Ticket, []ctintake.Effect) {
 	f.last++
 	return f.last, f.queue.Step(f.now, ctintake.Arrival{
-		Ticket: f.last, Work: work, Waited: waited, Patience: patience,
+		Ticket: f.last, Work: work, Waited: waited, Timeout: timeout,
 	})
 }
 
@@ -98,14 +98,14 @@
 	})
 	t.Run("a report whose sender has given up is not answered", func(t *testing.T) {
 		f := newFixture(1)
-		ticket, effects := f.arrive(ctintake.Renewal{}, patience)
+		ticket, effects := f.arrive(ctintake.Renewal{}, timeout)
 		assert.DeepEqual(t, effects, []ctintake.Effect{ctintake.Drop{Ticket: ticket}})
 	})
 	t.Run("a sender that gives up while its report waits is not answered", func(t *testing.T) {
 		f := newFixture(1)
 		f.arrive(ctintake.Call{}, 0)
 		ticket, _ := f.arrive(ctintake.Renewal{}, 0)
-		assert.DeepEqual(t, f.complete(patience), []ctintake.Effect{ctintake.Drop{Ticket: ticket}})
+		assert.DeepEqual(t, f.complete(timeout), []ctintake.Effect{ctintake.Drop{Ticket: ticket}})
 	})
 	t.Run("rejected senders return one after another", func(t *testing.T) {
 		f := newFixture(1)
@@ -128,7 +128,7 @@
 			_, effects := f.arrive(ctintake.Renewal{}, 0)
 			assertStarts(t, effects)
 		}
-		_, effects := f.arrive(ctintake.Renewal{}, patience/2)
+		_, effects := f.arrive(ctintake.Renewal{}, timeout/2)
 		assertRejects(t, effects)
 	})
 }
--- a/internal/decide/ctintake/work.go
+++ b/internal/decide/ctintake/work.go
@@ -67,9 +67,9 @@
 type Arrival struct {
 	Ticket Ticket
 	Work   Work
-	// Waited is how long ago the process received the frame, and Patience how long after
-	// that its sender gives up. A Patience of 0 sets no limit.
-	Waited, Patience time.Duration
+	// Waited is how long ago the process received the frame, and Timeout how long after
+	// that its sender gives up. A Timeout of 0 sets no limit.
+	Waited, Timeout time.Duration
 }
 
 // Completion is the end of the handling of a frame that was started.
--- a/internal/program/ctpools/ownership.go
+++ b/internal/program/ctpools/ownership.go
@@ -1,6 +1,7 @@
 package ctpools
 
 import (
+	"cmp"
 	"net/netip"
 	"slices"
 	"time"
@@ -11,12 +12,11 @@
 	"github.com/cherviltrestle/cherviltrestle/internal/model/ctview"
 )
 
-// ownedPart and ownedWhole are the part of a member's connections that the owners of
-// workspaces use. The rest stays free for processes that have lost power and come back: the
-// member counts their former connections for some seconds.
 const (
-	ownedPart  = 1
-	ownedWhole = 2
+	// ownedDivisor is the part of a member's connections that the owners of workspaces use. The
+	// rest stays free for processes that have lost power and come back: the member counts their
+	// former connections for some seconds.
+	ownedDivisor = 2
 	// minOwnerConnections is the least number of connections of an owner to a member. With
 	// fewer, an owner would often have to close that of another workspace.
 	minOwnerConnections = 4
@@ -55,9 +55,10 @@
 	proxies []ctid.Proxy
 }
 
-// updateOwnership computes who owns the connections in a view, or that connections serve
-// callers of any workspace. It does nothing if the proxies and the configuration are those of
-// the ownership in force.
+// updateOwnership computes who owns the connections in a view. There are no owners if the
+// configuration requires no keys or this proxy has no transport: connections then serve callers of
+// any workspace. It does nothing if the proxies and the configuration are those of the ownership
+// in force.
 func (p *Pools) updateOwnership(view *ctview.View) {
 	if !view.Config.Document.RequireKeys || p.Transport == nil {
 		p.ownership.Store(nil)
@@ -101,12 +102,7 @@
 		most := max(1, ownedConnections(connections)/minOwnerConnections)
 		sources = append(sources, ownershipSource{domain: domain, proxies: proxies[:min(len(proxies), most)]})
 	}
-	slices.SortFunc(sources, func(a, b ownershipSource) int {
-		if a.domain < b.domain {
-			return -1
-		}
-		return 1
-	})
+	slices.SortFunc(sources, func(a, b ownershipSource) int { return cmp.Compare(a.domain, b.domain) })
 	return sources
 }
 
@@ -123,7 +119,7 @@
 
 // ownedConnections returns how many of a member's connections the owners may open together.
 func ownedConnections(connections int) int {
-	return (connections - reservedForControl) * ownedPart / ownedWhole
+	return (connections - reservedForControl) / ownedDivisor
 }
 
 // newOwnership assigns the workspaces of a view's configuration to the proxies.
