--- a/internal/program/ctpools/view.go
+++ b/internal/program/ctpools/view.go
@@ -65,6 +65,13 @@
 	reserved int
 }
 
+// startNumerator and startDenominator are the fraction of its share that a proxy opens at first
+// after its start, as the member may still count its former connections.
+const (
+	startNumerator   = 3
+	startDenominator = 8
+)
+
 // minShare is the least number of connections per proxy with which all proxies open
 // their own. With fewer, queries are forwarded.
 const minShare = 2
@@ -87,7 +94,7 @@
 		limit := max(1, connections/len(domainProxies))
 		return connectionShare{
 			limit: limit, processes: len(domainProxies),
-			reserved: max(1, limit*(ownedDenominator-ownedNumerator)/ownedDenominator),
+			reserved: max(1, limit*startNumerator/startDenominator),
 		}
 	}
 	return connectionShare{limit: maxForwardStreams, forwarders: p.forwarders(view, domainProxies)}
