ctaccount, ctpools, ctframe: one place for what two packages had each

Cause: a reader of the limits finds the charge for session state written twice, two errors for one rate limit, the report timeout of 0.7 s as two constants that must agree, and ctbudget.Share.Most, which no listener sets.

Change: ctaccount.Usage charges for state and prepared statements, ctpools.ErrRateLimited is the only error of a rate limit, ctframe.ReportTimeout is used by ctuplink and ctcontrol, and Share.Most is removed with the two assertions about it. The assertion about the least limit of a client stays, without Most.

Result: no change of behaviour is intended. TestUsage covers the new type.

--- a/internal/decide/ctbudget/ledger_test.go
+++ b/internal/decide/ctbudget/ledger_test.go
@@ -119,9 +119,7 @@
 	assert.Equal(t, LimitsOf(Resources{}, share), Limits{})
 	smallest := LimitsOf(Resources{MemoryMB: 136, Descriptors: 3010}, share)
 	assert.Equal(t, smallest, Limits{Total: 34_000_000, PerClient: 8_500_000, Clients: 1003})
-	bounded := Share{MemoryDivisor: 4, Largest: 4 << 20, Most: 5 << 20}
-	assert.Equal(t, LimitsOf(Resources{MemoryMB: 136}, bounded).PerClient, Bytes(5<<20))
-	assert.Equal(t, LimitsOf(Resources{MemoryMB: 40}, bounded).PerClient, Bytes(4<<20))
+	assert.Equal(t, LimitsOf(Resources{MemoryMB: 40}, share).PerClient, Bytes(4<<20))
 	assert.Equal(t, LimitsOf(Resources{MemoryMB: 8}, share), Limits{Total: 2_000_000, PerClient: 4 << 20, Clients: 61})
 	assert.Equal(t, LargeAnswers(Resources{}), 0)
 	assert.Equal(t, LargeAnswers(Resources{MemoryMB: 136}), 4)
--- a/internal/decide/ctbudget/limits.go
+++ b/internal/decide/ctbudget/limits.go
@@ -38,8 +38,6 @@
 	// Largest is the charge for the largest legal message. One client may hold it even where it exceeds
 	// what all charges may add up to, if the others hold little.
 	Largest Bytes
-	// Most limits what one client may hold, whatever the resources are; 0 for no such limit.
-	Most Bytes
 }
 
 // Limits are the limits of a Ledger. 0 means no limit.
@@ -57,11 +55,7 @@
 	if resources.MemoryMB > 0 && share.MemoryDivisor > 0 {
 		memory := Bytes(resources.MemoryMB) * BytesPerMB
 		limits.Total = memory / Bytes(share.MemoryDivisor)
-		limits.PerClient = limits.Total / perClientDivisor
-		if share.Most > 0 {
-			limits.PerClient = min(limits.PerClient, share.Most)
-		}
-		limits.PerClient = max(limits.PerClient, share.Largest)
+		limits.PerClient = max(limits.Total/perClientDivisor, share.Largest)
 		limits.Clients = max(1, int(memory/clientMemoryDivisor/clientBytes))
 	}
 	if resources.Descriptors > 0 && share.DescriptorDivisor > 0 {
--- a/internal/decide/ctintake/limit.go
+++ b/internal/decide/ctintake/limit.go
@@ -7,8 +7,8 @@
 	// FrameSlots is how many frames are decoded and handled at once. With few, a message of
 	// the replicated log waits for few others before the processor is given to it.
 	FrameSlots = 4
-	// MaxFrameWait is how long a first report may be expected to wait: a part of the 0.7 s
-	// after which its sender gives up.
+	// MaxFrameWait is how long a first report may be expected to wait: half of the time after
+	// which its sender gives up.
 	MaxFrameWait = 350 * time.Millisecond
 	// ViewSlots is how many whole views are transmitted at once, so that each arrives before
 	// its receiver gives up, whatever the link.
--- a/internal/lab/ctstartup/proxy.go
+++ b/internal/lab/ctstartup/proxy.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/cherviltrestle/cherviltrestle/internal/decide/ctseek"
+	"github.com/cherviltrestle/cherviltrestle/internal/link/ctframe"
 )
 
 // Timeouts, delays and intervals of a proxy, as in package ctuplink.
@@ -12,7 +13,7 @@
 	heartbeat         = 400 * time.Millisecond
 	intervalPerProxy  = 3 * time.Millisecond
 	maxReportInterval = time.Second
-	callTimeout       = 700 * time.Millisecond
+	callTimeout       = ctframe.ReportTimeout
 	watchTimeout      = 3500 * time.Millisecond
 	watchRetryDelay   = 30 * time.Millisecond
 	maxWatchDelay     = 480 * time.Millisecond
--- a/internal/link/ctframe/fleet.go
+++ b/internal/link/ctframe/fleet.go
@@ -66,6 +66,10 @@
 	Mirror bool `cbor:"mirror,omitempty"`
 }
 
+// ReportTimeout is how long a proxy waits for the reply to a Report before it gives up the stream.
+// Control neither handles nor forwards a report for longer.
+const ReportTimeout = 700 * time.Millisecond
+
 // Fetch requests the view of another proxy. A proxy without a view sends it while it
 // can't reach control.
 type Fetch struct {
--- a/internal/program/ctaccount/account_test.go
+++ b/internal/program/ctaccount/account_test.go
@@ -96,3 +96,17 @@
 	assert.Assert(t, slots.Acquire(nil))
 	assert.Assert(t, ctaccount.NewSlots(0).Acquire(nil))
 }
+
+// TestUsage guards against a charge for small amounts, and against one that stays after a refusal.
+func TestUsage(t *testing.T) {
+	f := newFixture(ctbudget.Limits{Total: 100, PerClient: 100})
+	account, _ := f.open(t)
+	usage := ctaccount.Usage{Account: account, Use: ctbudget.UseState, Uncounted: 10}
+	assert.Assert(t, usage.Set(10))
+	f.assertMetrics(t, 1, 0, 0)
+	assert.Assert(t, usage.Set(60))
+	assert.Assert(t, !usage.Set(101))
+	f.assertMetrics(t, 1, 60, 0)
+	assert.Assert(t, usage.Set(5))
+	f.assertMetrics(t, 1, 0, 0)
+}
--- a/internal/program/ctcontrol/intake_test.go
+++ b/internal/program/ctcontrol/intake_test.go
@@ -135,7 +135,7 @@
 		assert.Equal(t, len(serve(s, invalid, invalid)), 2)
 	})
 	t.Run("a report whose proxy has given up is not answered", func(t *testing.T) {
-		assert.Equal(t, len(serve(newFollower(t), rawFrame(t, testReport(), proxyReportTimeout))), 0)
+		assert.Equal(t, len(serve(newFollower(t), rawFrame(t, testReport(), ctframe.ReportTimeout))), 0)
 	})
 	t.Run("a message of the replicated log needs no slot", func(t *testing.T) {
 		s := newFollower(t)
--- a/internal/program/ctcontrol/peer.go
+++ b/internal/program/ctcontrol/peer.go
@@ -14,10 +14,7 @@
 )
 
 const (
-	// proxyReportTimeout is how long a proxy waits for the reply to a report: callTimeout of package
-	// ctuplink.
-	proxyReportTimeout = 700 * time.Millisecond
-	// replyReserve is the part of proxyReportTimeout that is left for the transmission of the reply.
+	// replyReserve is the part of ctframe.ReportTimeout that is left for the transmission of the reply.
 	replyReserve = 100 * time.Millisecond
 	// viewQueueTimeout is how long a view may wait to be sent: a part of the time after which a
 	// proxy gives up its watch.
@@ -97,7 +94,7 @@
 	case nil, *ctframe.Quorum, *ctframe.Watch:
 		return arrival, false
 	case *ctframe.Report:
-		arrival.Work, arrival.Timeout = ctintake.FirstReport{}, proxyReportTimeout
+		arrival.Work, arrival.Timeout = ctintake.FirstReport{}, ctframe.ReportTimeout
 		if p.answered {
 			arrival.Work = ctintake.Renewal{}
 		}
@@ -117,7 +114,7 @@
 
 // reportTime returns how long the report being handled may wait for the leader's reply.
 func (p *peer) reportTime(now time.Time) time.Duration {
-	return min(relayTimeout, p.receivedAt.Add(proxyReportTimeout-replyReserve).Sub(now))
+	return min(relayTimeout, p.receivedAt.Add(ctframe.ReportTimeout-replyReserve).Sub(now))
 }
 
 // handleReport returns the leader's reply to a proxy's report. If another process leads,
--- a/internal/program/ctentry/account.go
+++ b/internal/program/ctentry/account.go
@@ -47,21 +47,9 @@
 	return m.account.Charge(ctbudget.UseMessage, requestCopies*ctbudget.Bytes(bytes))
 }
 
-// chargeStatements charges for the prepared statements that the session has after a request. It reports
-// whether there is room for them.
-func (c *callerConn) chargeStatements(request *ctpg.Request) bool {
-	bytes := c.caller.StatementBytes(request)
-	if bytes <= uncountedBytes {
-		bytes = 0
-	}
-	if bytes == c.chargedStatements {
-		return true
-	}
-	if !c.account.Charge(ctbudget.UseState, ctbudget.Bytes(bytes)) {
-		return false
-	}
-	c.chargedStatements = bytes
-	return true
+// newStatementUsage returns the charge for the prepared statements of a session.
+func newStatementUsage(account *ctaccount.Account) ctaccount.Usage {
+	return ctaccount.Usage{Account: account, Use: ctbudget.UseState, Uncounted: uncountedBytes}
 }
 
 // relay sends a part of an answer to the caller. Meanwhile the caller may be closed for others.
--- a/internal/program/ctentry/callerconn.go
+++ b/internal/program/ctentry/callerconn.go
@@ -7,6 +7,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/cherviltrestle/cherviltrestle/internal/decide/ctbudget"
 	"github.com/cherviltrestle/cherviltrestle/internal/decide/ctroute"
 	"github.com/cherviltrestle/cherviltrestle/internal/decide/ctsession"
 	"github.com/cherviltrestle/cherviltrestle/internal/link/ctframe"
@@ -39,9 +40,9 @@
 
 	caller  *ctpg.Caller
 	account *ctaccount.Account
-	// chargedStatements is what the account was last charged for prepared statements.
-	chargedStatements int
-	held              ctlock.Held
+	// statementUsage is the charge for the prepared statements.
+	statementUsage ctaccount.Usage
+	held           ctlock.Held
 	// stream leads to a member's holder; nil if none is open.
 	stream ctframe.Stream
 	// role is that of the member to which a request was last sent.
@@ -79,7 +80,8 @@
 	}
 	account.Progress()
 	c := &callerConn{
-		entry: e, caller: caller, account: account, effectLists: make(chan []ctsession.Effect, maxPendingEffectLists),
+		entry: e, caller: caller, account: account, statementUsage: newStatementUsage(account),
+		effectLists: make(chan []ctsession.Effect, maxPendingEffectLists),
 	}
 	if err := c.initSession(id); err != nil {
 		caller.SendFatal(ctoutcome.SQLStateProtocolViolation, err)
@@ -149,7 +151,7 @@
 			c.handleReadError(err)
 			return
 		}
-		if !c.chargeStatements(request) {
+		if !c.statementUsage.Set(ctbudget.Bytes(c.caller.StatementBytes(request))) {
 			c.handleReadError(errTooManyStatements)
 			return
 		}
--- a/internal/program/ctgateway/account.go
+++ b/internal/program/ctgateway/account.go
@@ -49,7 +49,7 @@
 // answer handles a query and writes its answer.
 func (s *session) answer(query ctquery.Query) error {
 	answer := s.handleQuery(query)
-	s.chargeStateBytes(s.dialog.State().Bytes())
+	s.stateUsage.Set(ctbudget.Bytes(s.dialog.State().Bytes()))
 	bytes := len(answer.Text) + len(answer.Proof)
 	for _, row := range answer.Rows {
 		bytes += len(row)
@@ -74,23 +74,13 @@
 	if added == 0 {
 		return nil
 	}
-	if s.chargeStateBytes(s.dialog.State().Bytes() + added) {
+	if s.stateUsage.Set(ctbudget.Bytes(s.dialog.State().Bytes() + added)) {
 		return nil
 	}
 	return s.dialog.RefuseQuery(ctquery.FaultTooLarge, tooMuchStateText)
 }
 
-// chargeStateBytes charges the account for a state of a size. It reports whether there is room.
-func (s *session) chargeStateBytes(bytes int) bool {
-	if bytes <= uncountedBytes {
-		bytes = 0
-	}
-	if bytes == s.chargedState {
-		return true
-	}
-	if !s.account.Charge(ctbudget.UseState, ctbudget.Bytes(bytes)) {
-		return false
-	}
-	s.chargedState = bytes
-	return true
+// newStateUsage returns the charge for the state of a session.
+func newStateUsage(account *ctaccount.Account) ctaccount.Usage {
+	return ctaccount.Usage{Account: account, Use: ctbudget.UseState, Uncounted: uncountedBytes}
 }
--- a/internal/program/ctgateway/session.go
+++ b/internal/program/ctgateway/session.go
@@ -42,10 +42,10 @@
 	id      ctid.Session
 	caller  Caller
 	account *ctaccount.Account
-	// chargedState is what the account was last charged for the session's state.
-	chargedState int
-	held         ctlock.Held
-	dialog       ctdialog.Dialog
+	// stateUsage is the charge for the session's state.
+	stateUsage ctaccount.Usage
+	held       ctlock.Held
+	dialog     ctdialog.Dialog
 	// startup is the caller's startup message. route is the route of its database, and
 	// workspace the one that holds its key, in the configuration at the start of the current
 	// transaction or statement. The name of workspace is empty for a caller without one.
@@ -79,7 +79,7 @@
 	defer account.Close()
 	s := &session{
 		gateway: g, id: ctid.Session(g.lastSession.Add(1)), account: account,
-		caller: g.NewCaller(socket, messageMeter{account}),
+		stateUsage: newStateUsage(account), caller: g.NewCaller(socket, messageMeter{account}),
 	}
 	defer s.caller.Close()
 	if !admitted {
--- a/internal/program/ctlimits/limits.go
+++ b/internal/program/ctlimits/limits.go
@@ -131,7 +131,7 @@
 		case ctquota.Admitted:
 			return nil
 		case ctquota.Rejected:
-			return rateLimitedError()
+			return ctpools.ErrRateLimited()
 		case ctquota.Undecided:
 			if d.expired {
 				return noCapError()
@@ -239,7 +239,7 @@
 			err = noCapError()
 		case e.share.Start(now):
 		case e.share.Limited():
-			err = rateLimitedError()
+			err = ctpools.ErrRateLimited()
 		default:
 			err = noCapError()
 		}
@@ -275,10 +275,6 @@
 	return e
 }
 
-func rateLimitedError() error {
-	return cterror.New(cterror.RateLimited, "the rate limit of the workspace is reached", "send less, or raise the limit")
-}
-
 func noCapError() error {
 	return cterror.New(cterror.Exhausted, "no part of the workspace's rate limit was granted in time", "try again soon")
 }
--- a/internal/program/ctnode/limits.go
+++ b/internal/program/ctnode/limits.go
@@ -27,8 +27,7 @@
 	// frameCopies is how many copies of a frame are in memory: as it arrives and decoded.
 	frameCopies = 2
 	// largestForwardBytes is the size of the largest frame that a proxy sends to another one on behalf
-	// of a client: a statement and the session state that it needs. A client may hold no more, as its
-	// statements could not be forwarded.
+	// of a client: a statement and the session state that it needs.
 	largestForwardBytes = 9 << 20
 )
 
--- a/internal/program/ctpools/conn.go
+++ b/internal/program/ctpools/conn.go
@@ -60,10 +60,10 @@
 	return cterror.New(cterror.Exhausted, "the connection to the member can't be used any more", "use another one")
 }
 
-// errRateLimited returns the error of a query that was not sent, because the limit of its
-// workspace is reached.
-func errRateLimited() error {
-	return cterror.New(cterror.RateLimited, "the rate limit of the workspace is reached", "send fewer requests")
+// ErrRateLimited returns the error of kind cterror.RateLimited for an operation that did not start,
+// because the limit of its workspace is reached.
+func ErrRateLimited() error {
+	return cterror.New(cterror.RateLimited, "the rate limit of the workspace is reached", "send less, or raise the limit")
 }
 
 // errInDoubt returns the error of a query whose answer may be that of another one.
--- a/internal/program/ctpools/forwarding.go
+++ b/internal/program/ctpools/forwarding.go
@@ -222,7 +222,7 @@
 	case reply.Answer != nil:
 		return reply.Answer.Answer(), nil
 	case reply.RateLimited:
-		return ctquery.Answer{}, errRateLimited()
+		return ctquery.Answer{}, ErrRateLimited()
 	case reply.Refused:
 		return ctquery.Answer{
 			Fault: ctquery.FaultBusy, Text: "the carrying proxy had no connection in time", RetryAfter: reply.RetryAfter,
--- a/internal/program/ctuplink/uplink.go
+++ b/internal/program/ctuplink/uplink.go
@@ -24,7 +24,7 @@
 // Timeouts, delays and lifetimes of the uplink.
 const (
 	// callTimeout bounds a call, such as a report with its reply.
-	callTimeout = 700 * time.Millisecond
+	callTimeout = ctframe.ReportTimeout
 	// defaultWatchTimeout bounds a watch with its reply if the options set no limit.
 	defaultWatchTimeout = 10 * time.Second
 	// relayOpenTimeout bounds the opening of a stream to control for another proxy.
