--- a/internal/decide/ctadmission/limit.go
+++ b/internal/decide/ctadmission/limit.go
@@ -42,7 +42,7 @@
 // Rejected means that the member rejected the statement because it had no room.
 type Rejected struct{}
 
-// Unmeasured means that nothing follows for the member's load.
+// Unmeasured is the outcome of a statement that says nothing about the member's load.
 type Unmeasured struct{}
 
 func (Answered) isOutcome()   {}
--- a/internal/decide/ctadmission/opening.go
+++ b/internal/decide/ctadmission/opening.go
@@ -15,8 +15,8 @@
 	// limit while no connection is open. It doubles up to maxRejectionPause.
 	firstRejectionPause = 100 * time.Millisecond
 	maxRejectionPause   = 800 * time.Millisecond
-	// firstProbePause is the longest time until one connection more is tried while some are
-	// open. It doubles up to maxProbePause.
+	// firstProbePause is the longest pause before the attempt to open one connection more while
+	// some are open. It doubles up to maxProbePause.
 	firstProbePause = 600 * time.Millisecond
 	maxProbePause   = 1500 * time.Millisecond
 	// startPause is the longest time until a process that has just started tries more connections
@@ -33,7 +33,7 @@
 	// nextAt is when the next attempt may be made, after one without an open connection failed.
 	nextAt time.Time
 	// accepted is how many connections the member accepted when it rejected one more; 0 if it
-	// has rejected none lately. One more is tried at probeAt.
+	// has rejected none lately. The attempt at one more is due at probeAt.
 	accepted int
 	probeAt  time.Time
 }
--- a/internal/decide/ctadmission/queue.go
+++ b/internal/decide/ctadmission/queue.go
@@ -80,7 +80,8 @@
 	return r.Ticket
 }
 
-// before reports whether a request comes before an earlier one of the same workspace.
+// before reports whether a request is ahead of one that was added earlier. Workspaces don't count
+// here: next chooses between them within a priority.
 func (r *Request) before(earlier *Request) bool {
 	return cmp.Or(r.Priority.Compare(earlier.Priority), r.Deadline.Compare(earlier.Deadline)) < 0
 }
--- a/internal/decide/ctbudget/doc.go
+++ b/internal/decide/ctbudget/doc.go
@@ -2,6 +2,12 @@
 Package ctbudget decides how much memory the clients of a process may hold, how many of them may be
 connected, and which one is closed when there is no room for another.
 
+# Load
+
+The package answers clients that nobody controls: large messages from many of them at once, answers
+that are not read, and crowds that stop half-way. Each client alone may be legal, and all together
+need more memory or descriptors than the process has.
+
 # Limits
 
 The limits come from the memory and the descriptors that the process may use. A client is charged for
--- a/internal/decide/ctowner/assignment.go
+++ b/internal/decide/ctowner/assignment.go
@@ -132,7 +132,7 @@
 	return slices.Contains(a.Owners(workspace), proxy)
 }
 
-// standbyCount is how many proxies that are no owners are tried when the owners can't be reached.
+// standbyCount is how many proxies are the fallback when the owners can't be reached.
 const standbyCount = 3
 
 // Order returns the proxies to which self sends the queries of a workspace, in the order in
--- a/internal/decide/ctplace/choose.go
+++ b/internal/decide/ctplace/choose.go
@@ -206,7 +206,7 @@
 }
 
 // classOf returns the class of a candidate. If none is certainly near, those that have not
-// answered count as near, so that they are tried, and else the nearest ones.
+// answered count as near, as one of them may be, and if all have, the nearest ones do.
 func (p *paths) classOf(now time.Time, c Candidate) Class {
 	floor, known := c.Latency.Floor(now)
 	var near bool
--- a/internal/decide/ctquota/doc.go
+++ b/internal/decide/ctquota/doc.go
@@ -3,6 +3,11 @@
 number summed over all proxies stays within the limit of the workspace in every sliding
 window.
 
+# Load
+
+The package answers a workspace that sends more than its limit through many proxies at once, and
+whose demand moves between them. Asking control for each operation would add a round trip to it.
+
 # Parts
 
 A proxy at which the operations of a workspace are counted is a holder. A Share is a
--- a/internal/decide/ctquota/ledger.go
+++ b/internal/decide/ctquota/ledger.go
@@ -170,14 +170,14 @@
 	window := l.bounds.countedWindow()
 	a.sweep(now, window)
 	record.workspaces.Add(demand.Workspace)
-	a.change(report.Holder, func(held *lease) {
-		held.expire(now, window)
-		if held.usableUntil.IsZero() && held.charge == 0 && now.Before(l.legacyAt) {
-			held.legacy = max(demand.Cap, demand.Started)
-			held.level, held.usableUntil = demand.Cap, l.legacyAt
+	a.change(report.Holder, func(entry *lease) {
+		entry.expire(now, window)
+		if entry.usableUntil.IsZero() && entry.charge == 0 && now.Before(l.legacyAt) {
+			entry.legacy = max(demand.Cap, demand.Started)
+			entry.level, entry.usableUntil = demand.Cap, l.legacyAt
 		}
-		held.confirm(demand.Cap, demand.Started, now.Add(window))
-		held.asked = demand.Started + demand.Refused
+		entry.confirm(demand.Cap, demand.Started, now.Add(window))
+		entry.asked = demand.Started + demand.Refused
 	})
 }
 
@@ -188,9 +188,9 @@
 		return
 	}
 	window := l.bounds.countedWindow()
-	a.change(holder, func(held *lease) {
-		held.expire(now, window)
-		held.end(now.Add(window))
+	a.change(holder, func(entry *lease) {
+		entry.expire(now, window)
+		entry.end(now.Add(window))
 	})
 }
 
@@ -201,11 +201,11 @@
 	if !ok {
 		return ctview.QuotaCap{}, false
 	}
-	a.change(holder, func(held *lease) { held.usableUntil = now.Add(ctdrift.UpperBound(LeaseTTL)) })
-	held := a.leases[holder]
-	granted := a.grant(held, !now.Before(l.knownAt))
-	limited := a.full() && granted < held.demand()
-	a.change(holder, func(held *lease) { held.level = max(held.level, granted) })
+	a.change(holder, func(entry *lease) { entry.usableUntil = now.Add(ctdrift.UpperBound(LeaseTTL)) })
+	entry := a.leases[holder]
+	granted := a.grant(entry, !now.Before(l.knownAt))
+	limited := a.full() && granted < entry.demand()
+	a.change(holder, func(entry *lease) { entry.level = max(entry.level, granted) })
 	return ctview.QuotaCap{Workspace: demand.Workspace, Cap: granted, Limited: limited}, granted != demand.Cap || limited
 }
 
--- a/internal/decide/ctquota/ledger_test.go
+++ b/internal/decide/ctquota/ledger_test.go
@@ -13,45 +13,45 @@
 	"github.com/cherviltrestle/cherviltrestle/internal/model/ctview"
 )
 
-// The workspace of the bench has a ceiling of 100 operations in 5 s and a mark of 80.
+// The workspace of the fixture has a ceiling of 100 operations in 5 s and a mark of 80.
 const (
-	benchCeiling  = 100
-	benchCapacity = 80
-	benchReserve  = benchCeiling - benchCapacity
+	fixtureCeiling  = 100
+	fixtureCapacity = 80
+	fixtureReserve  = fixtureCeiling - fixtureCapacity
 )
 
-var benchBounds = ctquota.Bounds{Window: 5 * time.Second}
+var fixtureBounds = ctquota.Bounds{Window: 5 * time.Second}
 
 // windowTime and leaseTime are how long a leader counts a window and a lease by its clock.
 var (
-	windowTime = ctdrift.UpperBound(benchBounds.Window)
+	windowTime = ctdrift.UpperBound(fixtureBounds.Window)
 	leaseTime  = ctdrift.UpperBound(ctquota.LeaseTTL)
 )
 
-// bench is a ledger with a clock of the test's.
-type bench struct {
+// fixture is a ledger with a clock of the test's.
+type fixture struct {
 	ledger *ctquota.Ledger
 	now    time.Time
 	last   map[ctid.Proxy]uint64
 }
 
-// newBench returns a bench whose ledger knows all caps, and that none is in use.
-func newBench() *bench {
-	b := &bench{now: time.Unix(1000, 0), last: make(map[ctid.Proxy]uint64)}
+// newFixture returns a fixture whose ledger knows all caps, and that none is in use.
+func newFixture() *fixture {
+	b := &fixture{now: time.Unix(1000, 0), last: make(map[ctid.Proxy]uint64)}
 	b.lead(0)
-	b.setMark(benchCapacity)
+	b.setMark(fixtureCapacity)
 	b.now = b.now.Add(leaseTime + windowTime)
 	return b
 }
 
 // lead replaces the ledger by that of a new leader, which finds a mark.
-func (b *bench) lead(mark ctid.Operations) {
-	b.ledger = ctquota.NewLedger(benchBounds, b.now, map[ctid.Workspace]ctid.Operations{"w": mark})
-	b.ledger.SetLimits([]ctconfig.Workspace{limitedTo(benchCeiling)})
+func (b *fixture) lead(mark ctid.Operations) {
+	b.ledger = ctquota.NewLedger(fixtureBounds, b.now, map[ctid.Workspace]ctid.Operations{"w": mark})
+	b.ledger.SetLimits([]ctconfig.Workspace{limitedTo(fixtureCeiling)})
 }
 
 // setMark makes a mark durable.
-func (b *bench) setMark(mark ctid.Operations) {
+func (b *fixture) setMark(mark ctid.Operations) {
 	b.ledger.SetMarks(map[ctid.Workspace]ctid.Operations{"w": mark})
 }
 
@@ -60,7 +60,7 @@
 }
 
 // message returns the next report of a holder that has a cap and asks for operations.
-func (b *bench) message(proxy ctid.Proxy, granted, asked ctid.Operations) *ctquota.Report {
+func (b *fixture) message(proxy ctid.Proxy, granted, asked ctid.Operations) *ctquota.Report {
 	b.last[proxy]++
 	started := min(asked, granted)
 	return &ctquota.Report{
@@ -71,7 +71,7 @@
 
 // apply applies a report and returns the cap that the holder has after the reply; 0 if it is
 // not renewed.
-func (b *bench) apply(report *ctquota.Report) ctid.Operations {
+func (b *fixture) apply(report *ctquota.Report) ctid.Operations {
 	grant := b.ledger.Apply(b.now, report)
 	switch {
 	case grant == nil:
@@ -82,13 +82,13 @@
 	return report.Demands[0].Cap
 }
 
-func (b *bench) report(proxy ctid.Proxy, granted, asked ctid.Operations) ctid.Operations {
+func (b *fixture) report(proxy ctid.Proxy, granted, asked ctid.Operations) ctid.Operations {
 	return b.apply(b.message(proxy, granted, asked))
 }
 
 // assertFreeAfter checks that another holder gets at most the operations that are left over
 // until a time has passed, and more afterwards.
-func (b *bench) assertFreeAfter(t *testing.T, d time.Duration, left ctid.Operations) {
+func (b *fixture) assertFreeAfter(t *testing.T, d time.Duration, left ctid.Operations) {
 	t.Helper()
 	b.now = b.now.Add(d - 200*time.Millisecond)
 	granted := b.report("other", 0, 1000)
@@ -102,46 +102,46 @@
 // it, or what it has started, still counts.
 func TestPartitionAtEachStep(t *testing.T) {
 	t.Run("before its report arrives: nothing counts", func(t *testing.T) {
-		b := newBench()
-		assert.Equal(t, b.report("other", 0, 1000), ctid.Operations(benchCapacity))
+		b := newFixture()
+		assert.Equal(t, b.report("other", 0, 1000), ctid.Operations(fixtureCapacity))
 	})
 	t.Run("before the reply arrives: the cap counts as if it had", func(t *testing.T) {
-		b := newBench()
-		assert.Equal(t, b.report("cut", 0, 1000), ctid.Operations(benchCapacity))
+		b := newFixture()
+		assert.Equal(t, b.report("cut", 0, 1000), ctid.Operations(fixtureCapacity))
 		b.assertFreeAfter(t, leaseTime+windowTime, 0)
 	})
 	t.Run("while it uses the cap", func(t *testing.T) {
-		b := newBench()
+		b := newFixture()
 		b.report("cut", b.report("cut", 0, 1000), 1000)
 		b.assertFreeAfter(t, leaseTime+windowTime, 0)
 	})
 	t.Run("before a lower cap arrives: the higher one counts", func(t *testing.T) {
-		b := newBench()
+		b := newFixture()
 		b.report("cut", b.report("cut", 0, 1000), 1000)
 		b.report("other", 0, 1000)
-		lowered := b.report("cut", benchCapacity, benchCapacity)
-		assert.Assert(t, lowered < benchCapacity, "%d", lowered)
+		lowered := b.report("cut", fixtureCapacity, fixtureCapacity)
+		assert.Assert(t, lowered < fixtureCapacity, "%d", lowered)
 		b.assertFreeAfter(t, leaseTime+windowTime, 0)
 	})
 	t.Run("after it has confirmed a lower cap: what it has started counts", func(t *testing.T) {
 		const started = 60
-		b := newBench()
+		b := newFixture()
 		b.report("cut", 0, 1000)
 		confirmed := b.message("cut", 5, started)
 		confirmed.Demands[0].Started, confirmed.Demands[0].Refused = started, 0
 		confirmed.Renewable = false
 		b.apply(confirmed)
-		b.assertFreeAfter(t, leaseTime+windowTime, benchCapacity-started)
+		b.assertFreeAfter(t, leaseTime+windowTime, fixtureCapacity-started)
 	})
 	t.Run("after it has confirmed that it started little: the rest is free at once", func(t *testing.T) {
-		b := newBench()
+		b := newFixture()
 		b.report("cut", 0, 1000)
-		lowered := b.report("cut", benchCapacity, 8)
+		lowered := b.report("cut", fixtureCapacity, 8)
 		b.report("cut", lowered, 8)
-		assert.Equal(t, b.report("other", 0, 1000), benchCapacity-lowered)
+		assert.Equal(t, b.report("other", 0, 1000), fixtureCapacity-lowered)
 	})
 	t.Run("after it has given the cap up", func(t *testing.T) {
-		b := newBench()
+		b := newFixture()
 		b.report("cut", 0, 1000)
 		givenUp := b.message("cut", 0, 0)
 		givenUp.Demands = nil
@@ -149,7 +149,7 @@
 		b.assertFreeAfter(t, windowTime, 0)
 	})
 	t.Run("until it restarts", func(t *testing.T) {
-		b := newBench()
+		b := newFixture()
 		b.report("cut", 0, 1000)
 		restarted := b.message("cut", 0, 0)
 		restarted.Holder.Incarnation, restarted.Number = 2, 1
@@ -157,35 +157,35 @@
 		b.assertFreeAfter(t, windowTime, 0)
 	})
 	t.Run("after a change of the leader, before it reports", func(t *testing.T) {
-		b := newBench()
+		b := newFixture()
 		b.report("cut", 0, 1000)
-		b.lead(benchCapacity)
-		b.setMark(benchCeiling)
-		b.assertFreeAfter(t, leaseTime+windowTime, benchReserve)
+		b.lead(fixtureCapacity)
+		b.setMark(fixtureCeiling)
+		b.assertFreeAfter(t, leaseTime+windowTime, fixtureReserve)
 	})
 	t.Run("after a change of the leader and its report", func(t *testing.T) {
-		b := newBench()
+		b := newFixture()
 		b.report("cut", 0, 1000)
-		b.lead(benchCapacity)
-		b.setMark(benchCeiling)
-		assert.Equal(t, b.report("cut", benchCapacity, 0), ctid.Operations(benchCapacity))
-		b.assertFreeAfter(t, leaseTime+windowTime, benchReserve)
+		b.lead(fixtureCapacity)
+		b.setMark(fixtureCeiling)
+		assert.Equal(t, b.report("cut", fixtureCapacity, 0), ctid.Operations(fixtureCapacity))
+		b.assertFreeAfter(t, leaseTime+windowTime, fixtureReserve)
 	})
 	t.Run("after two changes of the leader", func(t *testing.T) {
-		b := newBench()
+		b := newFixture()
 		b.report("cut", 0, 1000)
-		b.lead(benchCapacity)
-		b.setMark(benchCeiling)
-		b.lead(benchCeiling)
+		b.lead(fixtureCapacity)
+		b.setMark(fixtureCeiling)
+		b.lead(fixtureCeiling)
 		b.assertFreeAfter(t, leaseTime+windowTime, 0)
 	})
 	t.Run("after a change of the leader whose higher mark is not durable", func(t *testing.T) {
-		b := newBench()
+		b := newFixture()
 		b.report("cut", 0, 1000)
-		b.lead(benchCapacity)
+		b.lead(fixtureCapacity)
 		assert.Assert(t, b.ledger.WantedMarks(b.now) == nil)
 		assert.Equal(t, b.report("other", 0, 1000), ctid.Operations(0))
-		assert.Equal(t, b.ledger.WantedMarks(b.now)["w"], ctid.Operations(benchCeiling))
+		assert.Equal(t, b.ledger.WantedMarks(b.now)["w"], ctid.Operations(fixtureCeiling))
 		assert.Equal(t, b.report("other", 0, 1000), ctid.Operations(0))
 	})
 }
@@ -193,15 +193,15 @@
 // A mark must rise before the caps do, and bind this leader as soon as a lower one is proposed.
 func TestMarks(t *testing.T) {
 	t.Run("caps wait for a higher mark", func(t *testing.T) {
-		b := newBench()
-		assert.Equal(t, b.report("a", 0, 1000), ctid.Operations(benchCapacity))
-		assert.Equal(t, b.ledger.WantedMarks(b.now)["w"], ctid.Operations(benchCeiling))
-		assert.Equal(t, b.report("a", benchCapacity, 1000), ctid.Operations(benchCapacity))
-		b.setMark(benchCeiling)
-		assert.Equal(t, b.report("a", benchCapacity, 1000), ctid.Operations(benchCeiling))
+		b := newFixture()
+		assert.Equal(t, b.report("a", 0, 1000), ctid.Operations(fixtureCapacity))
+		assert.Equal(t, b.ledger.WantedMarks(b.now)["w"], ctid.Operations(fixtureCeiling))
+		assert.Equal(t, b.report("a", fixtureCapacity, 1000), ctid.Operations(fixtureCapacity))
+		b.setMark(fixtureCeiling)
+		assert.Equal(t, b.report("a", fixtureCapacity, 1000), ctid.Operations(fixtureCeiling))
 	})
 	t.Run("a mark that was not committed is proposed again", func(t *testing.T) {
-		b := newBench()
+		b := newFixture()
 		b.report("a", 0, 1000)
 		assert.Equal(t, len(b.ledger.WantedMarks(b.now)), 1)
 		assert.Equal(t, len(b.ledger.WantedMarks(b.now)), 0)
@@ -209,32 +209,32 @@
 		assert.Equal(t, len(b.ledger.WantedMarks(b.now)), 1)
 	})
 	t.Run("a lower mark binds before it is durable", func(t *testing.T) {
-		b := newBench()
+		b := newFixture()
 		b.report("a", 0, 0)
 		lowered, ok := b.ledger.WantedMarks(b.now)["w"]
-		assert.Assert(t, ok && lowered < benchCapacity/2)
+		assert.Assert(t, ok && lowered < fixtureCapacity/2)
 		assert.Equal(t, b.report("a", 0, 1000), lowered)
 	})
 	t.Run("no lower mark while a former cap counts", func(t *testing.T) {
-		b := newBench()
+		b := newFixture()
 		b.report("a", 0, 1000)
-		b.report("a", benchCapacity, 0)
+		b.report("a", fixtureCapacity, 0)
 		wanted := b.ledger.WantedMarks(b.now)["w"]
-		assert.Assert(t, wanted == 0 || wanted >= benchCapacity)
+		assert.Assert(t, wanted == 0 || wanted >= fixtureCapacity)
 	})
 }
 
 // A report that arrives late must not make the ledger forget a newer cap.
 func TestLateReports(t *testing.T) {
 	t.Run("an earlier report of the same run", func(t *testing.T) {
-		b := newBench()
+		b := newFixture()
 		late := b.message("cut", 0, 0)
 		b.report("cut", 0, 1000)
 		assert.Assert(t, b.ledger.Apply(b.now, late) == nil)
 		b.assertFreeAfter(t, leaseTime+windowTime, 0)
 	})
 	t.Run("a report of a former run", func(t *testing.T) {
-		b := newBench()
+		b := newFixture()
 		late := b.message("cut", 0, 0)
 		late.Number = 99
 		restarted := b.message("cut", 0, 1000)
@@ -244,7 +244,7 @@
 		b.assertFreeAfter(t, leaseTime+windowTime, 0)
 	})
 	t.Run("a cap that has expired is not believed", func(t *testing.T) {
-		b := newBench()
+		b := newFixture()
 		b.report("other", 0, 1000)
 		assert.Equal(t, b.report("late", 50, 1000), ctid.Operations(0))
 	})
@@ -253,9 +253,9 @@
 // After a loss of all processes, the first holders to report must not take all that a new
 // leader may grant.
 func TestReserveIsShared(t *testing.T) {
-	b := newBench()
-	b.lead(benchCapacity)
-	b.setMark(benchCeiling)
+	b := newFixture()
+	b.lead(fixtureCapacity)
+	b.setMark(fixtureCeiling)
 	proxies := []ctid.Proxy{"a", "b", "c", "d"}
 	caps := make(map[ctid.Proxy]ctid.Operations)
 	for range 4 {
@@ -265,53 +265,53 @@
 		b.now = b.now.Add(reportInterval)
 	}
 	for _, proxy := range proxies {
-		assert.Assert(t, caps[proxy] >= benchReserve/4-1 && caps[proxy] <= benchReserve/4+1, "%v", caps)
+		assert.Assert(t, caps[proxy] >= fixtureReserve/4-1 && caps[proxy] <= fixtureReserve/4+1, "%v", caps)
 	}
 }
 
 // What a reply must say, and what it leaves out.
 func TestGrants(t *testing.T) {
 	t.Run("an idle owner gets a cap", func(t *testing.T) {
-		assert.Equal(t, newBench().report("a", 0, 0), ctid.Operations(benchCeiling/8+2))
+		assert.Equal(t, newFixture().report("a", 0, 0), ctid.Operations(fixtureCeiling/8+2))
 	})
 	t.Run("a cap that does not change is left out", func(t *testing.T) {
-		b := newBench()
+		b := newFixture()
 		again := b.ledger.Apply(b.now, b.message("a", b.report("a", 0, 2), 2))
 		assert.Equal(t, len(again.Caps), 0)
 		assert.Equal(t, time.Duration(again.TTL), ctquota.LeaseTTL)
 	})
 	t.Run("a workspace over its limit is marked", func(t *testing.T) {
-		b := newBench()
+		b := newFixture()
 		grant := b.ledger.Apply(b.now, b.message("a", 0, 1000))
 		assert.Assert(t, grant.Caps[0].Limited)
 	})
 	t.Run("one that waits for the charges of others is not", func(t *testing.T) {
-		b := newBench()
+		b := newFixture()
 		b.report("a", 0, 1000)
-		b.report("a", benchCapacity, 10)
+		b.report("a", fixtureCapacity, 10)
 		b.report("a", 0, 0)
 		grant := b.ledger.Apply(b.now, b.message("b", 0, 50))
 		assert.Assert(t, len(grant.Caps) == 0 || !grant.Caps[0].Limited)
 	})
 	t.Run("without authority nothing is renewed", func(t *testing.T) {
-		b := newBench()
+		b := newFixture()
 		report := b.message("a", 0, 0)
 		report.Renewable = false
 		assert.Assert(t, b.ledger.Apply(b.now, report) == nil)
 	})
 	t.Run("without limits nothing is granted", func(t *testing.T) {
-		b := newBench()
+		b := newFixture()
 		b.ledger.SetLimits([]ctconfig.Workspace{{Name: "w"}})
 		assert.Assert(t, b.ledger.Apply(b.now, &ctquota.Report{Renewable: true}) == nil)
 	})
 	t.Run("a holder without the newest configuration keeps a cap whose limit has ended", func(t *testing.T) {
-		b := newBench()
+		b := newFixture()
 		before := b.report("a", 0, 10)
 		b.ledger.SetLimits(nil)
 		assert.Equal(t, b.report("a", before, 10), before)
 	})
 	t.Run("a lower limit lowers all caps with the next reports", func(t *testing.T) {
-		b := newBench()
+		b := newFixture()
 		caps := map[ctid.Proxy]ctid.Operations{"a": b.report("a", 0, 40), "b": b.report("b", 0, 20)}
 		b.ledger.SetLimits([]ctconfig.Workspace{limitedTo(10)})
 		sum := ctid.Operations(0)
--- a/internal/decide/ctquota/share_test.go
+++ b/internal/decide/ctquota/share_test.go
@@ -16,7 +16,7 @@
 
 // newShare returns a share with a cap that is valid for a minute.
 func newShare(granted ctid.Operations, limited bool) *ctquota.Share {
-	s := &ctquota.Share{Bounds: benchBounds}
+	s := &ctquota.Share{Bounds: fixtureBounds}
 	s.Renew(granted, limited, shareStart.Add(time.Minute))
 	return s
 }
@@ -149,7 +149,7 @@
 			}
 			count := ctid.Operations(0)
 			for _, at := range started {
-				if at.After(now.Add(-benchBounds.Window)) {
+				if at.After(now.Add(-fixtureBounds.Window)) {
 					count++
 				}
 			}
--- a/internal/decide/ctquota/world_test.go
+++ b/internal/decide/ctquota/world_test.go
@@ -5,14 +5,10 @@
 	"maps"
 	"math"
 	"math/rand/v2"
-	"testing"
 	"time"
 
-	"gotest.tools/v3/assert"
-
 	"github.com/cherviltrestle/cherviltrestle/internal/decide/ctquota"
 	"github.com/cherviltrestle/cherviltrestle/internal/model/ctconfig"
-	"github.com/cherviltrestle/cherviltrestle/internal/model/ctdrift"
 	"github.com/cherviltrestle/cherviltrestle/internal/model/ctid"
 	"github.com/cherviltrestle/cherviltrestle/internal/model/ctview"
 )
@@ -81,41 +77,6 @@
 	proposals int
 }
 
-// holder is one run of a proxy.
-type holder struct {
-	name        ctid.Proxy
-	incarnation ctid.Incarnation
-	clock       clock
-	shares      []*ctquota.Share
-	run         *run
-	queued      []queued
-	// waiting holds, for each workspace, the times until which operations wait for a cap.
-	waiting [][]time.Duration
-	// cut holders lose all messages, and paused ones do nothing.
-	cutUntil, pausedUntil time.Duration
-	number                uint64
-	nextReport            time.Duration
-	awaiting              uint64
-	sentAt                time.Duration
-	reported              []ctview.QuotaDemand
-	// parts are the holder's parts of the demand for each workspace.
-	parts []float64
-}
-
-// run holds when the operations of the largest workspace started that one run of a holder has
-// counted within the last window.
-type run struct {
-	holder  *holder
-	shares  []*ctquota.Share
-	started []time.Duration
-}
-
-// queued is an admitted operation that waits for a connection.
-type queued struct {
-	workspace int
-	at        time.Duration
-}
-
 // arrival is a message that is under way.
 type arrival struct {
 	at          time.Duration
@@ -175,19 +136,6 @@
 	}
 }
 
-// restart begins a new run of a holder, which has no caps.
-func (w *world) restart(h *holder) {
-	h.incarnation++
-	h.clock = w.newClock()
-	h.shares, h.queued, h.awaiting, h.number = nil, nil, 0, 0
-	h.waiting = make([][]time.Duration, len(w.limits))
-	for range w.limits {
-		h.shares = append(h.shares, &ctquota.Share{Bounds: w.bounds})
-	}
-	h.run = &run{holder: h, shares: h.shares}
-	w.runs = append(w.runs, h.run)
-}
-
 // changeLeader makes another process the leader, with an empty ledger.
 func (w *world) changeLeader() {
 	for _, proposed := range w.proposals {
@@ -318,166 +266,3 @@
 func (w *world) delay() time.Duration {
 	return time.Duration(w.random.Int64N(int64(maxDelay)))
 }
-
-// renew applies a reply.
-func (w *world) renew(h *holder, grant *ctview.QuotaGrant) {
-	h.awaiting = 0
-	ttl := ctdrift.LowerBound(time.Duration(grant.TTL))
-	renewed := make(map[ctid.Workspace]ctview.QuotaCap)
-	for _, d := range h.reported {
-		renewed[d.Workspace] = ctview.QuotaCap{Workspace: d.Workspace, Cap: d.Cap}
-	}
-	for _, c := range grant.Caps {
-		renewed[c.Workspace] = c
-	}
-	for i := range h.shares {
-		if c, ok := renewed[workspaceName(i)]; ok {
-			h.shares[i].Renew(c.Cap, c.Limited, h.clock.read(h.sentAt).Add(ttl))
-		}
-	}
-}
-
-// report sends a report if it is time for one and none awaits its reply.
-func (w *world) report(i int, h *holder) {
-	if w.now < h.nextReport || (h.awaiting != 0 && w.now < h.sentAt+callTimeout) {
-		return
-	}
-	h.number++
-	h.awaiting, h.sentAt, h.nextReport = h.number, w.now, w.now+reportInterval
-	h.reported = nil
-	now := h.clock.read(w.now)
-	for j, s := range h.shares {
-		if h.parts[j] == 0 {
-			continue
-		}
-		d := s.Report(now, ctid.Operations(len(h.waiting[j])))
-		h.reported = append(h.reported, ctview.QuotaDemand{
-			Workspace: workspaceName(j), Cap: d.Cap, Started: d.Started, Refused: d.Refused,
-		})
-	}
-	w.arrivals = append(w.arrivals, arrival{
-		at: w.now + w.delay(), holder: i, incarnation: h.incarnation, number: h.number,
-		report: &ctquota.Report{
-			Holder: ctquota.Holder{Proxy: h.name, Incarnation: h.incarnation}, Number: h.number,
-			Demands: h.reported, Renewable: true,
-		},
-	})
-}
-
-// operate starts the operations of one step.
-func (w *world) operate(h *holder) {
-	now := h.clock.read(w.now)
-	for _, q := range h.queued {
-		if q.at <= w.now && h.shares[q.workspace].Start(now) {
-			w.starts[q.workspace] = append(w.starts[q.workspace], w.now)
-			if q.workspace == 0 {
-				h.run.started = append(h.run.started, w.now)
-			}
-			w.outcomes.admitted++
-		}
-	}
-	kept := h.queued[:0]
-	for _, q := range h.queued {
-		if q.at > w.now {
-			kept = append(kept, q)
-		}
-	}
-	h.queued = kept
-	for i := range h.shares {
-		for range w.draw(w.usual[i] * h.parts[i] * w.step.Seconds()) {
-			h.waiting[i] = append(h.waiting[i], w.now+maxWait)
-		}
-		w.admit(h, i, now)
-	}
-}
-
-// admit decides on the operations of a workspace that are new or wait for a cap.
-func (w *world) admit(h *holder, workspace int, now time.Time) {
-	undecided := h.waiting[workspace][:0]
-	for _, until := range h.waiting[workspace] {
-		switch h.shares[workspace].Admit(now).(type) {
-		case ctquota.Admitted:
-			h.queued = append(h.queued, queued{workspace: workspace, at: w.now + w.queueing()})
-		case ctquota.Rejected:
-			w.outcomes.rejected++
-		case ctquota.Undecided:
-			if w.now >= until {
-				w.outcomes.expired++
-				continue
-			}
-			undecided = append(undecided, until)
-			h.nextReport = min(h.nextReport, h.sentAt+triggerInterval)
-		}
-	}
-	h.waiting[workspace] = undecided
-}
-
-// queueing returns how long an operation waits for a connection.
-func (w *world) queueing() time.Duration {
-	if w.random.IntN(4) > 0 {
-		return w.step
-	}
-	return time.Duration(w.random.Int64N(int64(maxQueueing)))
-}
-
-// draw returns a random number of operations with the given mean.
-func (w *world) draw(mean float64) int {
-	count := int(mean)
-	if w.random.Float64() < mean-float64(count) {
-		count++
-	}
-	return count
-}
-
-// assertWithinCeilings checks that no window of any workspace has more operations than the
-// highest ceiling that counts in it.
-func assertWithinCeilings(t assert.TestingT, w *world) {
-	window := w.bounds.WindowOrDefault()
-	for i, starts := range w.starts {
-		first := 0
-		for last, at := range starts {
-			for starts[first] <= at-window {
-				first++
-			}
-			allowed := w.allowed(i, at)
-			count := ctid.Operations(last - first + 1)
-			assert.Assert(t, count <= allowed, "%s: %d operations in the window before %s, %d allowed",
-				workspaceName(i), count, at, allowed)
-		}
-	}
-}
-
-// assertCapsWithinCeilings checks that the largest workspace would have stayed within its
-// ceiling if all holders had used their caps at any moment.
-func assertCapsWithinCeilings(t assert.TestingT, w *world) {
-	for i, sum := range w.potentials {
-		at := time.Duration(i) * w.step
-		allowed := w.allowed(0, at)
-		assert.Assert(t, sum <= allowed, "caps of %d in the window before %s, %d allowed", sum, at, allowed)
-	}
-}
-
-// allowed returns the highest ceiling of a workspace that counts in the window before a time.
-func (w *world) allowed(workspace int, at time.Duration) ctid.Operations {
-	allowed := ctid.Operations(0)
-	for _, c := range w.ceilings[workspace] {
-		if c.from <= at && c.until > at-w.bounds.WindowOrDefault() {
-			allowed = max(allowed, c.operations)
-		}
-	}
-	return allowed
-}
-
-// assertServed checks that at least a part of a workspace's demand was started since a time.
-func assertServed(t *testing.T, w *world, workspace int, since time.Duration, part float64) {
-	t.Helper()
-	count := 0
-	for _, at := range w.starts[workspace] {
-		if at >= since {
-			count++
-		}
-	}
-	wanted := w.usual[workspace] * (w.now - since).Seconds() * part
-	assert.Assert(t, float64(count) >= wanted, "%s: %d operations started of %.0f", workspaceName(workspace), count,
-		wanted)
-}
--- a/internal/link/ctpg/caller.go
+++ b/internal/link/ctpg/caller.go
@@ -67,7 +67,7 @@
 	writer     deadlineWriter
 	meter      Meter
 	statements statements
-	// inSession reports that FinishStartup was called: its requests have a time limit each.
+	// inSession reports that FinishStartup was called, so that requests have requestTimeout each.
 	inSession      bool
 	requestTimeout time.Duration
 	// mutex guards interrupted, which is set by Interrupt, and the read deadline afterwards.
--- a/internal/link/ctpg/meter.go
+++ b/internal/link/ctpg/meter.go
@@ -154,7 +154,7 @@
 	}
 }
 
-// deadlineWriter writes to a connection, each time within a time limit.
+// deadlineWriter writes to a connection with a timeout for each write.
 type deadlineWriter struct {
 	socket  net.Conn
 	timeout time.Duration
--- a/internal/link/ctpg/meter_test.go
+++ b/internal/link/ctpg/meter_test.go
@@ -13,7 +13,7 @@
 	"github.com/cherviltrestle/cherviltrestle/internal/model/cterror"
 )
 
-// shortTimeout is a time limit that a test lets pass.
+// shortTimeout is a timeout that a test lets pass.
 const shortTimeout = 10 * time.Millisecond
 
 // recordingMeter records the charges, and denies those over a limit.
--- a/internal/link/ctpg/request.go
+++ b/internal/link/ctpg/request.go
@@ -38,7 +38,7 @@
 // NextRequest waits for the caller's next request and returns it. The error has the kind
 // cterror.Invalid if a message is not supported or the request exceeds
 // MaxRequestBytes, and cterror.Exhausted if the meter has no room for it. A request that has begun
-// must end within a time limit.
+// must end within requestTimeout.
 func (c *Caller) NextRequest() (*Request, error) {
 	var b batch
 	c.reader.nextRequest()
--- a/internal/program/ctcontrol/control.go
+++ b/internal/program/ctcontrol/control.go
@@ -138,9 +138,10 @@
 	return c.handleReport(held, report, false)
 }
 
-// handleReport is HandleReport. The reply to a relayed report has no delta: the process that
-// relays it has the view. Where an external service promotes members, no reply has one. The
-// proxy's watch brings it, and the groups in the reply are enough to act on.
+// handleReport is HandleReport for reports of proxies and for relayed ones. The reply to a relayed
+// report has no delta, as the process that relays it has the view. No reply has one where an
+// external service promotes members: the proxy's watch returns the delta, and the groups in the
+// reply are enough to act on.
 func (c *Control) handleReport(held *ctlock.Held, report *ctview.Report, relayed bool) *ctview.Reply {
 	reply := &ctview.Reply{Number: report.Number}
 	if c.Voters != nil && report.Number%reportsPerVoterList == 1 {
--- a/internal/program/ctcontrol/reportrelay.go
+++ b/internal/program/ctcontrol/reportrelay.go
@@ -104,9 +104,9 @@
 }
 
 // completeReply adds the log samples of the groups that the report names, or of all in a fleet
-// with few groups. If the proxy may
-// have an earlier view, it also adds the state of those groups and of all whose primary is
-// changing, and for a proxy whose authority has lapsed all that the leader sent.
+// with few groups. If the proxy may have an earlier view, it also adds the state of those groups
+// and of all whose primary is changing, and for a proxy whose authority has lapsed all that the
+// leader sent.
 func completeReply(reply *ctview.Reply, report *ctview.Report, view *ctview.View, relay *ctview.Reply) {
 	used := reportedGroups(report, func(member ctid.Member) (ctid.Group, bool) {
 		announcement, ok := view.Members[member]
--- a/internal/program/ctnode/settings.go
+++ b/internal/program/ctnode/settings.go
@@ -47,7 +47,6 @@
 	Quotas ctquota.Bounds
 	// Placement says how members are selected; nil leaves it to the configuration.
 	Placement ctplace.Policy
-	// MemoryMB is how much memory the process may use, in megabytes.
 	// MemoryMB is how much memory the process may use, in megabytes; 0 for no limit.
 	MemoryMB int
 	// DescriptorLimit is how many descriptors the process may have open; 0 for no limit.
--- a/internal/program/ctpools/ownership.go
+++ b/internal/program/ctpools/ownership.go
@@ -20,11 +20,14 @@
 	// minOwnerConnections is the least number of connections of an owner to a member. With
 	// fewer, an owner would often have to close that of another workspace.
 	minOwnerConnections = 4
+	// lostConnectionTTL is how long a member counts the connections of a process that lost power.
+	lostConnectionTTL = 3 * time.Second
+	// partialViewPeriod is how long after the first view a failure domain without proxies is taken
+	// for one whose proxies have not reported yet. A new leader of control sends its first views
+	// before all proxies have reported to it.
+	partialViewPeriod = 3 * time.Second
 )
 
-// lostConnectionTTL is how long a member counts the connections of a process that lost power.
-const lostConnectionTTL = 3 * time.Second
-
 // ownership says which proxies open the connections of each workspace to the members of each
 // failure domain. It does not change once it is built.
 type ownership struct {
@@ -37,11 +40,6 @@
 	sources  []ownershipSource
 }
 
-// partialViewPeriod is how long after the first view a failure domain without proxies is taken
-// for one whose proxies have not reported yet. A new leader of control sends its first views
-// before all proxies have reported to it.
-const partialViewPeriod = 3 * time.Second
-
 // domainOwners are the owners for the members of one failure domain.
 type domainOwners struct {
 	assignment ctowner.Assignment
@@ -128,9 +126,9 @@
 		domains:   make(map[ctid.FailureDomain]domainOwners, len(sources)),
 		addresses: make(map[ctid.Proxy]netip.AddrPort, len(view.Proxies)),
 		revision:  view.Config.Revision,
+		sources:   sources,
 
 		domainSizes: make(map[ctid.FailureDomain]int),
-		sources:     sources,
 	}
 	var shares []ctowner.Share
 	for _, w := range view.Config.Document.Workspaces {
