--- a/internal/decide/ctquorum/cluster_test.go
+++ b/internal/decide/ctquorum/cluster_test.go
@@ -30,6 +30,8 @@
 	violations   []string
 	// voterCount is the VoterCount of the nodes.
 	voterCount int
+	// seedNames lists the processes that a starting process knows; all others if it is empty.
+	seedNames []ctid.Control
 }
 
 // process is a process of control with its disk. Its node is nil while it is stopped.
@@ -83,7 +85,8 @@
 func (c *cluster) start(m *process) {
 	var seeds []ctquorum.Peer
 	for _, o := range c.processes {
-		if o != m {
+		isSeed := len(c.seedNames) == 0 || slices.Contains(c.seedNames, o.peer.Name)
+		if o != m && isSeed {
 			seeds = append(seeds, ctquorum.Peer{Name: o.peer.Name})
 		}
 	}
