ctframe: a fetch of offers without a requester's name is rejected

Cause: FetchOffers had no Check, so a frame without the name was decoded; encoded again, it holds an empty name, which every process rejects, and the stream closes. Change: FetchOffers checks the name.

--- a/internal/link/ctframe/codec_test.go
+++ b/internal/link/ctframe/codec_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"errors"
+	"fmt"
 	"io"
 	"net/netip"
 	"strings"
@@ -101,6 +102,22 @@
 	})
 }
 
+// TestEmptyBodies guards against a frame that is accepted without a field that it needs: what
+// it is encoded to again is then rejected by the next process.
+func TestEmptyBodies(t *testing.T) {
+	const lastKind = 0x23
+	for kind := byte(1); kind <= lastKind; kind++ {
+		t.Run(fmt.Sprintf("kind %#x", kind), func(t *testing.T) {
+			frame, err := ctframe.Decode(kind, []byte{0xa0})
+			if err != nil {
+				return
+			}
+			_, err = ctframe.Read(bytes.NewReader(encode(t, frame)))
+			assert.NilError(t, err)
+		})
+	}
+}
+
 // TestReportOfMemberNeverSampled checks that a report stays valid if it lists a member
 // whose status was never sampled. All fields of such a status are zero.
 func TestReportOfMemberNeverSampled(t *testing.T) {
--- a/internal/link/ctframe/control.go
+++ b/internal/link/ctframe/control.go
@@ -108,6 +108,11 @@
 	Fetch ctpromotion.Fetch `cbor:"fetch"`
 }
 
+// Check returns an error of kind cterror.Invalid if the name of the requester is invalid.
+func (f *FetchOffers) Check() error {
+	return f.Fetch.Control.Check()
+}
+
 // FetchOffersReply answers FetchOffers. Each offer is sent once.
 type FetchOffersReply struct {
 	Offers []ctpromotion.Offer `cbor:"offers,omitempty"`
