ctcontrol, ctquorum: logs and metrics of joins and of lost voters

Neither the requests to join nor what came of them are logged, and the leader says nothing of its learners and of voters that it has lost. A replica logs join_pending with the stream and the last message of each process, joined, join_rejected with the reason, learner_added, learner_removed, voters_at_risk and voters_safe. Metrics: control_state, control_voters, control_learners, control_log_lag_entries, control_join_requests_total, control_peer_streams_total, control_peer_connections_rejected_total. No decision changes.

--- a/internal/program/ctcontrol/intake_test.go
+++ b/internal/program/ctcontrol/intake_test.go
@@ -21,6 +21,7 @@
 	"github.com/cherviltrestle/cherviltrestle/internal/program/ctmetric"
 	"github.com/cherviltrestle/cherviltrestle/internal/work/ctclock"
 	"github.com/cherviltrestle/cherviltrestle/internal/work/ctlock"
+	"github.com/cherviltrestle/cherviltrestle/internal/work/cttable"
 )
 
 // rawStub is a stream that brings the given frames and then ends. It records the replies.
@@ -70,7 +71,7 @@
 			},
 		},
 		control: New(Options{Name: "10.0.0.1", Clock: &ctclock.Manual{}}),
-		replica: &Replica{},
+		replica: &Replica{links: links{table: cttable.Table[ctid.Control, link]{Rank: ctlock.RankLinks}}},
 		views:   newViewRelay(),
 	}
 	s.startIntake()
--- /dev/null
+++ b/internal/program/ctcontrol/links.go
@@ -0,0 +1,138 @@
+package ctcontrol
+
+import (
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/cherviltrestle/cherviltrestle/internal/decide/ctquorum"
+	"github.com/cherviltrestle/cherviltrestle/internal/model/ctid"
+	"github.com/cherviltrestle/cherviltrestle/internal/work/ctlock"
+	"github.com/cherviltrestle/cherviltrestle/internal/work/cttable"
+)
+
+// maxLinks bounds the processes of which the messages are recorded.
+const maxLinks = 64
+
+// link records the messages between this process and another control process.
+type link struct {
+	// open reports whether the stream to the process is open, and lastError why it was last
+	// closed or not opened.
+	open      bool
+	lastError string
+	// received names the last message from the process, which came at receivedAt.
+	received   string
+	receivedAt time.Time
+	// discarded counts messages for an earlier incarnation of this process.
+	discarded uint64
+}
+
+// linkState is a link as the log shows it.
+type linkState struct {
+	Process ctid.Control `json:"process"`
+	// Asked reports whether the process is asked to join.
+	Asked      bool   `json:"asked"`
+	StreamOpen bool   `json:"stream_open"`
+	LastError  string `json:"last_error,omitempty"`
+	Received   string `json:"received,omitempty"`
+	// ReceivedBefore is the time since the last message, in seconds.
+	ReceivedBefore float64 `json:"received_before_s,omitempty"`
+	Discarded      uint64  `json:"discarded,omitempty"`
+}
+
+// links records the messages between this process and all other control processes.
+type links struct {
+	table cttable.Table[ctid.Control, link]
+}
+
+// update changes the record of a process. It does nothing if there are too many records.
+func (l *links) update(name ctid.Control, change func(k *link)) {
+	var held ctlock.Held
+	l.table.With(&held, func(rows map[ctid.Control]*link) {
+		k, ok := rows[name]
+		if !ok {
+			if len(rows) >= maxLinks {
+				return
+			}
+			k = &link{}
+			rows[name] = k
+		}
+		change(k)
+	})
+}
+
+// setOpen records that the stream to a process was opened.
+func (l *links) setOpen(name ctid.Control) {
+	l.update(name, func(k *link) { k.open, k.lastError = true, "" })
+}
+
+// setClosed records that the stream to a process could not be opened or was closed.
+func (l *links) setClosed(name ctid.Control, err error) {
+	l.update(name, func(k *link) { k.open, k.lastError = false, err.Error() })
+}
+
+// addReceived records a message from a process, and whether it was discarded.
+func (l *links) addReceived(now time.Time, name ctid.Control, message ctquorum.Message, discarded bool) {
+	l.update(name, func(k *link) {
+		k.received, k.receivedAt = messageName(message), now
+		if discarded {
+			k.discarded++
+		}
+	})
+}
+
+// states returns the records by name, with those of the asked processes among them.
+func (l *links) states(held *ctlock.Held, now time.Time, asked []ctid.Control) []linkState {
+	var states []linkState
+	l.table.With(held, func(rows map[ctid.Control]*link) {
+		for name, k := range rows {
+			state := linkState{
+				Process: name, Asked: slices.Contains(asked, name), StreamOpen: k.open, LastError: k.lastError,
+				Received: k.received, Discarded: k.discarded,
+			}
+			if k.received != "" {
+				state.ReceivedBefore = now.Sub(k.receivedAt).Seconds()
+			}
+			states = append(states, state)
+		}
+		for _, name := range asked {
+			if _, ok := rows[name]; !ok {
+				states = append(states, linkState{Process: name, Asked: true})
+			}
+		}
+	})
+	slices.SortFunc(states, func(a, b linkState) int { return strings.Compare(string(a.Process), string(b.Process)) })
+	return states
+}
+
+// senders returns the processes from which messages have come.
+func (l *links) senders(held *ctlock.Held) []ctid.Control {
+	var names []ctid.Control
+	l.table.With(held, func(rows map[ctid.Control]*link) {
+		for name, k := range rows {
+			if k.received != "" {
+				names = append(names, name)
+			}
+		}
+	})
+	return names
+}
+
+// messageName returns the name of a message in logs.
+func messageName(message ctquorum.Message) string {
+	switch message.(type) {
+	case ctquorum.VoteRequest:
+		return "vote_request"
+	case ctquorum.VoteReply:
+		return "vote_reply"
+	case ctquorum.AppendRequest:
+		return "append_request"
+	case ctquorum.AppendReply:
+		return "append_reply"
+	case ctquorum.InstallSnapshot:
+		return "install_snapshot"
+	case ctquorum.JoinRequest:
+		return "join_request"
+	}
+	return "unknown"
+}
--- a/internal/program/ctcontrol/peer.go
+++ b/internal/program/ctcontrol/peer.go
@@ -174,6 +174,8 @@
 	result := "rejected"
 	if admitted {
 		result = "accepted"
+	} else if s.anyHasAddress(s.replica.links.senders(&held), remote) {
+		s.Metrics.PeerConnectionsRejected.Inc()
 	}
 	s.Metrics.Connections.WithLabelValues(result).Inc()
 	return admitted
@@ -181,7 +183,11 @@
 
 // isControl reports whether an address is that of a seed or a voter.
 func (s *Service) isControl(held *ctlock.Held, remote netip.Addr) bool {
-	names := slices.Concat(s.Seeds, voterNames(s.replica.Voters(held)))
+	return s.anyHasAddress(slices.Concat(s.Seeds, voterNames(s.replica.Voters(held))), remote)
+}
+
+// anyHasAddress reports whether an address is that of one of the control processes.
+func (s *Service) anyHasAddress(names []ctid.Control, remote netip.Addr) bool {
 	return slices.ContainsFunc(names, func(name ctid.Control) bool {
 		address, ok := s.Resolve(name)
 		return ok && address.Addr() == remote
--- a/internal/program/ctcontrol/replica.go
+++ b/internal/program/ctcontrol/replica.go
@@ -11,6 +11,7 @@
 	"github.com/cherviltrestle/cherviltrestle/internal/decide/ctquorum"
 	"github.com/cherviltrestle/cherviltrestle/internal/link/ctframe"
 	"github.com/cherviltrestle/cherviltrestle/internal/model/ctid"
+	"github.com/cherviltrestle/cherviltrestle/internal/program/ctmetric"
 	"github.com/cherviltrestle/cherviltrestle/internal/work/ctclock"
 	"github.com/cherviltrestle/cherviltrestle/internal/work/ctlock"
 	"github.com/cherviltrestle/cherviltrestle/internal/work/ctpool"
@@ -82,11 +83,15 @@
 	voterCount int
 	clock      ctclock.Clock
 	logger     zerolog.Logger
-	machine    StateMachine
+	// metrics may be nil.
+	metrics *ctmetric.Control
+	machine StateMachine
 
 	node     cttable.Cell[*ctquorum.Node]
 	pool     ctpool.Pool[ctquorum.Event]
 	outboxes map[ctid.Control]chan *ctframe.Quorum
+	links    links
+	watch    quorumWatch
 	ctx      context.Context
 	failed   chan error
 }
@@ -114,6 +119,7 @@
 		*n = ctquorum.New(r.clock.Now(), r.self, durable, seeds, random)
 		(*n).VoterCount = r.voterCount
 	})
+	r.startWatch()
 	r.outboxes = make(map[ctid.Control]chan *ctframe.Quorum)
 	r.ctx = ctx
 	for _, c := range r.peers {
@@ -147,10 +153,16 @@
 // Receive queues a message of another control process. It drops a message for another
 // process or for an earlier incarnation of this process's disk.
 func (r *Replica) Receive(frame *ctframe.Quorum) {
-	if frame.To.Name != r.self.Name || (frame.To.Incarnation != 0 && frame.To.Incarnation != r.self.Incarnation) {
+	if frame.To.Name != r.self.Name {
 		return
 	}
-	r.pool.Put(0, ctquorum.Received{From: frame.From, Message: frame.Message()})
+	message := frame.Message()
+	earlier := frame.To.Incarnation != 0 && frame.To.Incarnation != r.self.Incarnation
+	r.links.addReceived(r.clock.Now(), frame.From.Name, message, earlier)
+	if earlier {
+		return
+	}
+	r.pool.Put(0, ctquorum.Received{From: frame.From, Message: message})
 }
 
 // serveStream receives the messages of other control processes on a stream and answers
@@ -212,10 +224,15 @@
 	var effects []ctquorum.Effect
 	var expiresAt time.Time
 	compact := false
+	now := r.clock.Now()
+	var status ctquorum.Status
 	r.node.With(held, func(n **ctquorum.Node) {
-		effects = (*n).Step(r.clock.Now(), event)
+		effects = (*n).Step(now, event)
 		expiresAt = (*n).AuthorityExpiry()
 		compact = (*n).LogLength() > compactEntries || (*n).LogBytes() > compactBytes
+		if r.watch.wants(now, event) {
+			status = (*n).Status(now)
+		}
 	})
 	for _, effect := range effects {
 		if err := r.perform(effect); err != nil {
@@ -224,6 +241,9 @@
 		}
 	}
 	r.machine.SetAuthority(expiresAt)
+	if status != nil {
+		r.watch.observe(held, now, event, status)
+	}
 	if _, compacted := event.(ctquorum.SnapshotCreated); compact && !compacted {
 		r.compact(held)
 	}
@@ -346,6 +366,7 @@
 			attempts = 1
 		}
 		if err := stream.Write(frame); err != nil {
+			r.links.setClosed(peer.Name, err)
 			stream.Close()
 			stream = nil
 		}
@@ -363,8 +384,12 @@
 	defer cancel()
 	stream, err := r.transport.Open(openCtx, peer.Address)
 	if err == nil {
+		r.links.setOpen(peer.Name)
+		r.metrics.PeerStreams.WithLabelValues("opened").Inc()
 		return stream
 	}
+	r.links.setClosed(peer.Name, err)
+	r.metrics.PeerStreams.WithLabelValues("failed").Inc()
 	select {
 	case <-ctx.Done():
 	case <-r.clock.After(reopenDelay):
--- a/internal/program/ctcontrol/service.go
+++ b/internal/program/ctcontrol/service.go
@@ -103,6 +103,7 @@
 		voterCount: 2*options.MaxDiskLosses + 1,
 		clock:      options.Clock,
 		logger:     options.Logger,
+		metrics:    options.Metrics,
 	}
 	for _, name := range options.Seeds {
 		if address, ok := options.Resolve(name); ok && name != options.Name {
--- a/internal/program/ctmetric/control.go
+++ b/internal/program/ctmetric/control.go
@@ -47,6 +47,22 @@
 	IntakeWaitSeconds *prometheus.HistogramVec
 	// Connections counts the connections of other processes by decision: accepted or rejected.
 	Connections *prometheus.CounterVec
+	// PeerConnectionsRejected counts the rejected connections from addresses of control processes
+	// that had sent messages before.
+	PeerConnectionsRejected prometheus.Counter
+	// PeerStreams counts the streams to other control processes that were opened or failed to open.
+	PeerStreams *prometheus.CounterVec
+	// QuorumState is 1 for what this process does in the quorum: it leads, follows, joins, knows no
+	// leader as a voter, and votes.
+	QuorumState *prometheus.GaugeVec
+	// QuorumVoters is the number of voters by state: reachable, silent, or replaced by a later
+	// incarnation. QuorumLearners is the number of learners, and QuorumLag how many entries of
+	// the log each process lacks. Only a leader has them.
+	QuorumVoters   *prometheus.GaugeVec
+	QuorumLearners prometheus.Gauge
+	QuorumLag      *prometheus.GaugeVec
+	// JoinRequests counts the requests to join that this process received, by outcome.
+	JoinRequests *prometheus.CounterVec
 	// Panics counts connections that ended because their goroutine panicked.
 	Panics prometheus.Counter
 	// Clients has the metrics of the limits on clients.
@@ -84,6 +100,14 @@
 		IntakeWaitSeconds: f.histogramVec(
 			"control_intake_wait_seconds", "Time from the arrival of a frame to the decision of the intake.", "work"),
 		Connections: f.counterVec("control_connections_total", "Connections of other processes.", "decision"),
+		PeerConnectionsRejected: f.counter(
+			"control_peer_connections_rejected_total", "Rejected connections from known control processes."),
+		PeerStreams:    f.counterVec("control_peer_streams_total", "Streams to other control processes.", "result"),
+		QuorumState:    f.gaugeVec("control_state", "What this process does in the quorum.", "state"),
+		QuorumVoters:   f.gaugeVec("control_voters", "Voters, on the leader.", "state"),
+		QuorumLearners: f.gauge("control_learners", "Processes that receive the log and don't vote, on the leader."),
+		QuorumLag:      f.gaugeVec("control_log_lag_entries", "Entries that a process lacks, on the leader.", "process"),
+		JoinRequests:   f.counterVec("control_join_requests_total", "Received requests to join.", "outcome"),
 	}
 }
 
--- a/internal/work/ctlock/rank.go
+++ b/internal/work/ctlock/rank.go
@@ -18,6 +18,8 @@
 	// RankIntake guards the queues of frames of a control process and the bound of its
 	// connections.
 	RankIntake
+	// RankLinks guards the records of the messages between control processes.
+	RankLinks
 	// RankUplink guards the state of a proxy's link to control: the proxy's
 	// life-cycle state and the addresses of the control processes.
 	RankUplink
