ctquorum, ctframe, ctcontrol: a joining process finds a leader that is no seed

Cause: a process with an empty disk sent its request to join to its seeds alone, and a process that doesn't lead dropped the request without an answer. Where no seed led, or the seeds were gone or cut off, the leader never heard of the new incarnation.

Change: each process answers a request to join with a JoinReply: what came of it, the leader that it follows, and the voters that it knows. The joining process asks these too (at most 16 learned names, each once in 100 ms, until it follows a leader whose log names the voters). A message to its lost disk shows it a sender to ask, so that the leader is found without any seed, and with leaders of the version before. A reply is sent only to a request that says that its sender understands it. Node.JoinAnswers shows whom a joining process asked and what it was answered. The cluster of the tests passes a message to a lost disk on as Replica.Receive does.

--- a/internal/decide/ctquorum/cluster_test.go
+++ b/internal/decide/ctquorum/cluster_test.go
@@ -183,10 +183,14 @@
 		return
 	}
 	for _, m := range c.processes {
-		// Packets are routed by name. A packet to the incarnation of a lost disk
-		// reaches no process; incarnation 0 matches any.
-		if m.peer.Name == p.to.Name && (p.to.Incarnation == 0 || p.to.Incarnation == m.peer.Incarnation) {
+		// Packets are routed by name; incarnation 0 matches any. Of a packet to the
+		// incarnation of a lost disk, a process learns only the sender.
+		switch {
+		case m.peer.Name != p.to.Name:
+		case p.to.Incarnation == 0 || p.to.Incarnation == m.peer.Incarnation:
 			c.step(m, ctquorum.Received{From: p.from, Message: p.message})
+		case p.to.Incarnation < m.peer.Incarnation:
+			c.step(m, ctquorum.Misaddressed{From: p.from})
 		}
 	}
 }
--- a/internal/decide/ctquorum/doc.go
+++ b/internal/decide/ctquorum/doc.go
@@ -33,6 +33,16 @@
 then the earlier incarnation of its name is removed. Voters are added and removed
 one at a time. A process votes only while its own log names it as a voter.
 
+# Finding the leader
+
+A joining process sends a JoinRequest to its seeds, to the voters in its log, and to
+the processes that it is told of. The JoinReply of any process names the leader that
+it follows and the voters that it knows. The joining process then asks these too, so it
+finds a leader that is not a seed. Requests are not forwarded. The other voters also
+send messages to the earlier incarnation of its name. Their senders are asked as well
+(Misaddressed), so the leader is found even if all seeds are gone. What a process is
+told only decides whom it asks: it votes and follows by the rules above.
+
 With Node.VoterCount, the leader keeps that many voters, which should be an odd number: of
 an even one, neither half of a cut into halves is a majority. Processes that join beyond
 it are standbys. They remain learners, and one takes the place of a voter that has been
--- a/internal/decide/ctquorum/event.go
+++ b/internal/decide/ctquorum/event.go
@@ -15,6 +15,13 @@
 	Message Message
 }
 
+// Misaddressed reports that a peer sent a message to an earlier incarnation of this
+// process, whose disk is lost. The message itself is dropped: only its sender is of use,
+// because it leads or campaigns, or follows a leader.
+type Misaddressed struct {
+	From Peer
+}
+
 // Propose asks to append a command to the log. Only a leader can append it. The
 // outcome is reported by a Committed or a Rejected effect.
 type Propose struct {
@@ -38,6 +45,7 @@
 
 func (Tick) isEvent()            {}
 func (Received) isEvent()        {}
+func (Misaddressed) isEvent()    {}
 func (Propose) isEvent()         {}
 func (RemoveVoter) isEvent()     {}
 func (SnapshotCreated) isEvent() {}
@@ -175,6 +183,20 @@
 // caught up, as a voter.
 type JoinRequest struct {
 	Epoch Epoch `json:"epoch" cbor:"epoch"`
+	// WantsReply reports that the sender understands JoinReply. Processes of earlier
+	// versions don't.
+	WantsReply bool `json:"reply,omitempty" cbor:"reply,omitempty"`
+}
+
+// JoinReply answers a JoinRequest that wants a reply. It names the processes to ask next;
+// nobody forwards a request.
+type JoinReply struct {
+	Epoch   Epoch       `json:"epoch" cbor:"epoch"`
+	Outcome JoinOutcome `json:"outcome" cbor:"outcome"`
+	// Leader is the leader that the sender follows, or the zero value for none.
+	Leader Peer `json:"leader" cbor:"leader"`
+	// Voters are the voters that the sender knows of.
+	Voters []Peer `json:"voters,omitempty" cbor:"voters,omitempty"`
 }
 
 func (VoteRequest) isMessage()     {}
@@ -183,3 +205,4 @@
 func (AppendReply) isMessage()     {}
 func (InstallSnapshot) isMessage() {}
 func (JoinRequest) isMessage()     {}
+func (JoinReply) isMessage()       {}
--- a/internal/decide/ctquorum/log.go
+++ b/internal/decide/ctquorum/log.go
@@ -20,8 +20,9 @@
 	case AppendReply:
 		n.handleAppendReply(now, from, m)
 	case JoinRequest:
-		n.addLearner(now, from)
-		n.recordNewIncarnation(now, from)
+		n.handleJoinRequest(now, from, m)
+	case JoinReply:
+		n.handleJoinReply(now, from, m)
 	}
 }
 
@@ -137,6 +138,7 @@
 	}
 	n.lastLeaderContact = now
 	n.justStarted = false
+	n.endJoin()
 	n.resetElectionTimer(now)
 }
 
--- a/internal/decide/ctquorum/node.go
+++ b/internal/decide/ctquorum/node.go
@@ -20,8 +20,6 @@
 	heartbeatInterval = 60 * time.Millisecond
 	// startupVoteInterval is the time between two startup votes of a process.
 	startupVoteInterval = 50 * time.Millisecond
-	// joinInterval is the time between two requests to join.
-	joinInterval = 100 * time.Millisecond
 )
 
 // Limits of one AppendRequest. A single larger entry is still sent.
@@ -72,7 +70,11 @@
 	lastLeaderContact time.Time
 	// electionAt is when the process starts a pre-vote.
 	electionAt time.Time
-	nextJoinAt time.Time
+	// learned holds the names of processes that a joining process was told of, the latest
+	// first. They have no incarnation.
+	learned []Peer
+	// joins holds, by name, the processes that a joining process asks.
+	joins map[ctid.Control]JoinAnswer
 	// votes holds the votes received in the current election or pre-vote.
 	votes map[Peer]bool
 	// justStarted reports that no message from a leader was received since the
@@ -131,6 +133,8 @@
 		n.tick(now)
 	case Received:
 		n.receive(now, e.From, e.Message)
+	case Misaddressed:
+		n.handleMisaddressed(now, e.From)
 	case Propose:
 		n.propose(now, e)
 	case RemoveVoter:
@@ -268,22 +272,6 @@
 	n.becomeFollower(now, n.state.Epoch, Peer{})
 }
 
-// requestJoin sends requests to be added to the seeds and to the voters in the log,
-// unless a leader already sends its log to this process. All seeds may be gone.
-func (n *Node) requestJoin(now time.Time) {
-	if now.Before(n.nextJoinAt) || (n.leader != (Peer{}) && n.hasRecentLeader(now)) {
-		return
-	}
-	n.nextJoinAt = now.Add(joinInterval)
-	asked := map[ctid.Control]bool{n.self.Name: true}
-	for _, peer := range slices.Concat(n.seeds, n.state.voters()) {
-		if !asked[peer.Name] {
-			asked[peer.Name] = true
-			n.send(Peer{Name: peer.Name}, JoinRequest{Epoch: n.state.Epoch})
-		}
-	}
-}
-
 // becomeFollower makes the process a follower in an epoch. A leader's pending
 // proposals are rejected.
 func (n *Node) becomeFollower(now time.Time, epoch Epoch, leader Peer) {
--- a/internal/decide/ctquorum/voters_test.go
+++ b/internal/decide/ctquorum/voters_test.go
@@ -157,6 +157,12 @@
 	rapid.Check(t, func(t *rapid.T) {
 		c := newClusterOf(rapid.Uint64().Draw(t, "seed"), sixProcesses, fiveVoters)
 		c.run(settleDuration)
+		if rapid.Bool().Draw(t, "few seeds") {
+			firstSeed := rapid.IntRange(0, sixProcesses-1).Draw(t, "first seed")
+			for i := range seedCount {
+				c.seedNames = append(c.seedNames, c.processes[(firstSeed+i)%sixProcesses].peer.Name)
+			}
+		}
 		for range rapid.IntRange(1, 6).Draw(t, "rounds") {
 			c.proposeSome(rapid.IntRange(1, 4).Draw(t, "commands"))
 			if rapid.Bool().Draw(t, "cut") {
--- a/internal/link/ctframe/codec_test.go
+++ b/internal/link/ctframe/codec_test.go
@@ -11,6 +11,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/cherviltrestle/cherviltrestle/internal/decide/ctquorum"
 	"github.com/cherviltrestle/cherviltrestle/internal/link/ctframe"
 	"github.com/cherviltrestle/cherviltrestle/internal/model/cterror"
 	"github.com/cherviltrestle/cherviltrestle/internal/model/ctid"
@@ -83,12 +84,14 @@
 }
 
 func FuzzDecode(f *testing.F) {
-	data, err := ctframe.Encode(newFirstRequest())
-	if err != nil {
-		f.Fatal(err)
-	}
 	const headerBytes = 5
-	f.Add(data[headerBytes-1], data[headerBytes:])
+	for _, frame := range []ctframe.Frame{newFirstRequest(), newJoinReply(ctquorum.JoinAccepted)} {
+		data, err := ctframe.Encode(frame)
+		if err != nil {
+			f.Fatal(err)
+		}
+		f.Add(data[headerBytes-1], data[headerBytes:])
+	}
 	f.Fuzz(func(t *testing.T, kind byte, body []byte) {
 		frame, err := ctframe.Decode(kind, body)
 		if err != nil {
--- a/internal/link/ctframe/quorum.go
+++ b/internal/link/ctframe/quorum.go
@@ -18,6 +18,7 @@
 	AppendReply     *ctquorum.AppendReply     `cbor:"appended,omitempty"`
 	InstallSnapshot *ctquorum.InstallSnapshot `cbor:"install,omitempty"`
 	JoinRequest     *ctquorum.JoinRequest     `cbor:"join,omitempty"`
+	JoinReply       *ctquorum.JoinReply       `cbor:"joined,omitempty"`
 }
 
 // NewQuorum returns the frame that contains the message.
@@ -36,6 +37,8 @@
 		q.InstallSnapshot = &m
 	case ctquorum.JoinRequest:
 		q.JoinRequest = &m
+	case ctquorum.JoinReply:
+		q.JoinReply = &m
 	}
 	return q
 }
@@ -55,11 +58,14 @@
 		return *q.InstallSnapshot
 	case q.JoinRequest != nil:
 		return *q.JoinRequest
+	case q.JoinReply != nil:
+		return *q.JoinReply
 	}
 	return nil
 }
 
-// Check returns an error of kind cterror.Invalid if the sender or the message is missing.
+// Check returns an error of kind cterror.Invalid if the sender or the message is missing or
+// invalid.
 func (q *Quorum) Check() error {
 	if err := q.From.Name.Check(); err != nil {
 		return err
@@ -68,6 +74,9 @@
 		return cterror.New(cterror.Invalid, "a message between control processes is incomplete",
 			"check that all control processes have one version")
 	}
+	if q.JoinReply != nil {
+		return q.JoinReply.Outcome.Check()
+	}
 	return nil
 }
 
--- a/internal/program/ctcontrol/replica.go
+++ b/internal/program/ctcontrol/replica.go
@@ -145,12 +145,16 @@
 }
 
 // Receive queues a message of another control process. It drops a message for another
-// process or for an earlier incarnation of this process's disk.
+// process. Of a message for an earlier incarnation of this process's disk it queues only
+// the sender.
 func (r *Replica) Receive(frame *ctframe.Quorum) {
-	if frame.To.Name != r.self.Name || (frame.To.Incarnation != 0 && frame.To.Incarnation != r.self.Incarnation) {
-		return
+	switch {
+	case frame.To.Name != r.self.Name:
+	case frame.To.Incarnation == 0 || frame.To.Incarnation == r.self.Incarnation:
+		r.pool.Put(0, ctquorum.Received{From: frame.From, Message: frame.Message()})
+	case frame.To.Incarnation < r.self.Incarnation:
+		r.pool.Put(0, ctquorum.Misaddressed{From: frame.From})
 	}
-	r.pool.Put(0, ctquorum.Received{From: frame.From, Message: frame.Message()})
 }
 
 // serveStream receives the messages of other control processes on a stream and answers
