--- a/internal/decide/ctquorum/status.go
+++ b/internal/decide/ctquorum/status.go
@@ -84,7 +84,7 @@
 // askedToJoin returns the processes to which requestJoin writes.
 func (n *Node) askedToJoin() []ctid.Control {
 	var names []ctid.Control
-	for _, peer := range slices.Concat(n.seeds, n.state.voters()) {
+	for _, peer := range slices.Concat(n.learned, n.seeds, n.state.voters()) {
 		if peer.Name != n.self.Name && !slices.Contains(names, peer.Name) {
 			names = append(names, peer.Name)
 		}
--- a/internal/program/ctcontrol/links.go
+++ b/internal/program/ctcontrol/links.go
@@ -133,6 +133,8 @@
 		return "install_snapshot"
 	case ctquorum.JoinRequest:
 		return "join_request"
+	case ctquorum.JoinReply:
+		return "join_reply"
 	}
 	return "unknown"
 }
--- a/internal/program/ctcontrol/replica.go
+++ b/internal/program/ctcontrol/replica.go
@@ -151,18 +151,21 @@
 }
 
 // Receive queues a message of another control process. It drops a message for another
-// process or for an earlier incarnation of this process's disk.
+// process. Of a message for an earlier incarnation of this process's disk it queues only
+// the sender.
 func (r *Replica) Receive(frame *ctframe.Quorum) {
 	if frame.To.Name != r.self.Name {
 		return
 	}
 	message := frame.Message()
-	earlier := frame.To.Incarnation != 0 && frame.To.Incarnation != r.self.Incarnation
-	r.links.addReceived(r.clock.Now(), frame.From.Name, message, earlier)
-	if earlier {
-		return
+	current := frame.To.Incarnation == 0 || frame.To.Incarnation == r.self.Incarnation
+	r.links.addReceived(r.clock.Now(), frame.From.Name, message, !current)
+	switch {
+	case current:
+		r.pool.Put(0, ctquorum.Received{From: frame.From, Message: message})
+	case frame.To.Incarnation < r.self.Incarnation:
+		r.pool.Put(0, ctquorum.Misaddressed{From: frame.From})
 	}
-	r.pool.Put(0, ctquorum.Received{From: frame.From, Message: message})
 }
 
 // serveStream receives the messages of other control processes on a stream and answers
