ctfleet: a start that fails shows the logs of control

A fleet that doesn't start keeps no logs, so the cause can't be told. Change: the error has the end of each control process's log, and whether it runs.

--- a/internal/lab/ctfleet/fleet.go
+++ b/internal/lab/ctfleet/fleet.go
@@ -351,6 +351,21 @@
 	return f.applyInitialConfig()
 }
 
+// controlLogs returns the names of the control processes, whether they run, and the last bytes of
+// their logs.
+func (f *Fleet) controlLogs() string {
+	const tailBytes = 4000
+	var logs strings.Builder
+	for _, p := range f.Controls {
+		data, err := os.ReadFile(p.LogFile)
+		if err != nil {
+			data = []byte(err.Error())
+		}
+		fmt.Fprintf(&logs, "%s, running %t:\n%s\n", p.Name, p.Running(), data[max(0, len(data)-tailBytes):])
+	}
+	return logs.String()
+}
+
 // applyInitialConfig applies the configuration of the shape. It retries, since control
 // does not accept changes right after its start.
 func (f *Fleet) applyInitialConfig() error {
@@ -369,5 +384,5 @@
 		}
 		time.Sleep(retryDelay)
 	}
-	return errors.Errorf("control did not accept the initial configuration: %s", output)
+	return errors.Errorf("control did not accept the initial configuration: %s\n%s", output, f.controlLogs())
 }
