ctcontrol: outboxes have a file of their own

Change: outbox.go holds the outbox, a type now, its delivery and their limits. Functions are moved, not changed; the context of a delivery is that of its outbox. Measured: the tests of ctcontrol pass.

--- /dev/null
+++ b/internal/program/ctcontrol/outbox.go
@@ -0,0 +1,121 @@
+package ctcontrol
+
+import (
+	"context"
+	"time"
+
+	"github.com/cherviltrestle/cherviltrestle/internal/decide/ctquorum"
+	"github.com/cherviltrestle/cherviltrestle/internal/link/ctframe"
+	"github.com/cherviltrestle/cherviltrestle/internal/model/ctid"
+)
+
+const (
+	// outboxSize is how many messages to a peer may be queued. More are dropped, as a
+	// network may drop them.
+	outboxSize = 64
+	// reopenDelay is the pause after an attempt to reach a peer has failed.
+	reopenDelay = 20 * time.Millisecond
+	// openTimeout bounds the opening of a stream to a peer. A VM that is still powered
+	// off does not answer, and a lost first packet is sent again only after a second. A
+	// new attempt reaches the VM sooner once it is up.
+	openTimeout = 120 * time.Millisecond
+	// slowOpenTimeout replaces openTimeout in one of attemptsPerSlowOpen attempts, so
+	// that a peer can also be reached over a slow network.
+	slowOpenTimeout     = 900 * time.Millisecond
+	attemptsPerSlowOpen = 5
+)
+
+// outbox holds the messages to one peer that a goroutine delivers.
+type outbox struct {
+	peer   PeerAddress
+	frames chan *ctframe.Quorum
+	// close ends the delivery and drops the messages that are left.
+	close context.CancelFunc
+}
+
+// send puts a message into the peer's outbox, or drops it if that is full or the peer's
+// address is unknown.
+func (r *Replica) send(e ctquorum.Send) {
+	o, ok := r.outboxes[e.To.Name]
+	if !ok {
+		if o, ok = r.openResolvedOutbox(e.To.Name); !ok {
+			return
+		}
+	}
+	select {
+	case o.frames <- ctframe.NewQuorum(r.self, e.To, e.Message):
+	default:
+	}
+}
+
+// openOutbox creates an outbox and starts the goroutine that delivers its messages.
+func (r *Replica) openOutbox(peer PeerAddress) *outbox {
+	ctx, cancel := context.WithCancel(r.ctx)
+	o := &outbox{peer: peer, frames: make(chan *ctframe.Quorum, outboxSize), close: cancel}
+	r.outboxes[peer.Name] = o
+	go r.deliver(ctx, peer, o.frames)
+	return o
+}
+
+// openResolvedOutbox creates an outbox to a process that is not among the peers, if its
+// address can be resolved. Only the worker calls it.
+func (r *Replica) openResolvedOutbox(name ctid.Control) (*outbox, bool) {
+	if r.resolve == nil {
+		return nil, false
+	}
+	address, ok := r.resolve(name)
+	if !ok {
+		return nil, false
+	}
+	return r.openOutbox(PeerAddress{Name: name, Address: address}), true
+}
+
+// deliver sends the messages of an outbox until ctx ends. It opens the stream again after
+// a failure, which loses the message that was to be sent.
+func (r *Replica) deliver(ctx context.Context, peer PeerAddress, frames <-chan *ctframe.Quorum) {
+	var stream ctframe.Stream
+	defer func() {
+		if stream != nil {
+			stream.Close()
+		}
+	}()
+	for attempts := 1; ; {
+		var frame *ctframe.Quorum
+		select {
+		case <-ctx.Done():
+			return
+		case frame = <-frames:
+		}
+		if stream == nil {
+			if stream = r.dial(ctx, peer, attempts); stream == nil {
+				attempts++
+				continue
+			}
+			attempts = 1
+		}
+		if err := stream.Write(frame); err != nil {
+			stream.Close()
+			stream = nil
+		}
+	}
+}
+
+// dial tries to open a stream to a peer. It returns nil after a failure and a delay.
+// attempts counts those since the last success, from 1.
+func (r *Replica) dial(ctx context.Context, peer PeerAddress, attempts int) ctframe.Stream {
+	timeout := openTimeout
+	if attempts%attemptsPerSlowOpen == 0 {
+		timeout = slowOpenTimeout
+	}
+	openCtx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	stream, err := r.transport.Open(openCtx, peer.Address)
+	if err == nil {
+		return stream
+	}
+	select {
+	case <-ctx.Done():
+	case <-r.clock.After(reopenDelay):
+	}
+	return nil
+}
--- a/internal/program/ctcontrol/replica.go
+++ b/internal/program/ctcontrol/replica.go
@@ -20,19 +20,6 @@
 const (
 	// quorumTickInterval is the interval between two Tick events of the node.
 	quorumTickInterval = 20 * time.Millisecond
-	// outboxSize is how many messages to a peer may be queued. More are dropped, as a
-	// network may drop them.
-	outboxSize = 64
-	// reopenDelay is the pause after an attempt to reach a peer has failed.
-	reopenDelay = 20 * time.Millisecond
-	// openTimeout bounds the opening of a stream to a peer. A VM that is still powered
-	// off does not answer, and a lost first packet is sent again only after a second. A
-	// new attempt reaches the VM sooner once it is up.
-	openTimeout = 120 * time.Millisecond
-	// slowOpenTimeout replaces openTimeout in one of attemptsPerSlowOpen attempts, so
-	// that a peer can also be reached over a slow network.
-	slowOpenTimeout     = 900 * time.Millisecond
-	attemptsPerSlowOpen = 5
 	// compactEntries is the number of log entries above which a snapshot is made.
 	compactEntries = 2000
 	// compactBytes is the number of command bytes in the log above which a snapshot is
@@ -86,7 +73,7 @@
 
 	node     cttable.Cell[*ctquorum.Node]
 	pool     ctpool.Pool[ctquorum.Event]
-	outboxes map[ctid.Control]chan *ctframe.Quorum
+	outboxes map[ctid.Control]*outbox
 	ctx      context.Context
 	failed   chan error
 }
@@ -114,7 +101,7 @@
 		*n = ctquorum.New(r.clock.Now(), r.self, durable, seeds, random)
 		(*n).VoterCount = r.voterCount
 	})
-	r.outboxes = make(map[ctid.Control]chan *ctframe.Quorum)
+	r.outboxes = make(map[ctid.Control]*outbox)
 	r.ctx = ctx
 	for _, c := range r.peers {
 		r.openOutbox(c)
@@ -289,89 +276,3 @@
 	r.node.With(held, func(n **ctquorum.Node) { index = (*n).AppliedIndex() })
 	r.handle(held, ctquorum.SnapshotCreated{Index: index, Data: data})
 }
-
-// send puts a message into the peer's outbox, or drops it if that is full or the peer's
-// address is unknown.
-func (r *Replica) send(e ctquorum.Send) {
-	outbox, ok := r.outboxes[e.To.Name]
-	if !ok {
-		if outbox, ok = r.openResolvedOutbox(e.To.Name); !ok {
-			return
-		}
-	}
-	select {
-	case outbox <- ctframe.NewQuorum(r.self, e.To, e.Message):
-	default:
-	}
-}
-
-// openOutbox creates an outbox and starts the goroutine that delivers its messages.
-func (r *Replica) openOutbox(peer PeerAddress) chan *ctframe.Quorum {
-	outbox := make(chan *ctframe.Quorum, outboxSize)
-	r.outboxes[peer.Name] = outbox
-	go r.deliver(r.ctx, peer, outbox)
-	return outbox
-}
-
-// openResolvedOutbox creates an outbox to a process that is not among the peers, if its
-// address can be resolved. Only the worker calls it.
-func (r *Replica) openResolvedOutbox(name ctid.Control) (chan *ctframe.Quorum, bool) {
-	if r.resolve == nil {
-		return nil, false
-	}
-	address, ok := r.resolve(name)
-	if !ok {
-		return nil, false
-	}
-	return r.openOutbox(PeerAddress{Name: name, Address: address}), true
-}
-
-// deliver sends the messages of an outbox until ctx ends. It opens the stream again after
-// a failure, which loses the message that was to be sent.
-func (r *Replica) deliver(ctx context.Context, peer PeerAddress, outbox <-chan *ctframe.Quorum) {
-	var stream ctframe.Stream
-	defer func() {
-		if stream != nil {
-			stream.Close()
-		}
-	}()
-	for attempts := 1; ; {
-		var frame *ctframe.Quorum
-		select {
-		case <-ctx.Done():
-			return
-		case frame = <-outbox:
-		}
-		if stream == nil {
-			if stream = r.dial(ctx, peer, attempts); stream == nil {
-				attempts++
-				continue
-			}
-			attempts = 1
-		}
-		if err := stream.Write(frame); err != nil {
-			stream.Close()
-			stream = nil
-		}
-	}
-}
-
-// dial tries to open a stream to a peer. It returns nil after a failure and a delay.
-// attempts counts those since the last success, from 1.
-func (r *Replica) dial(ctx context.Context, peer PeerAddress, attempts int) ctframe.Stream {
-	timeout := openTimeout
-	if attempts%attemptsPerSlowOpen == 0 {
-		timeout = slowOpenTimeout
-	}
-	openCtx, cancel := context.WithTimeout(ctx, timeout)
-	defer cancel()
-	stream, err := r.transport.Open(openCtx, peer.Address)
-	if err == nil {
-		return stream
-	}
-	select {
-	case <-ctx.Done():
-	case <-r.clock.After(reopenDelay):
-	}
-	return nil
-}
