ctcontrol: a process that lost its disk is answered on a new stream

Cause: the stream of an outbox stayed open to the process before, and nothing but TCP ended it. The leader's log, and the answers to a request to join, went into it.

Change: the worker notes the latest incarnation that each peer was heard from. A message of a later one closes the outbox and opens another, which also ends an attempt to connect that may take 0.9 s. At first contact this costs one more connection for each peer.

A process that kept its disk has the same incarnation, so its peers still wait for TCP.

--- a/internal/program/ctcontrol/outbox.go
+++ b/internal/program/ctcontrol/outbox.go
@@ -29,6 +29,8 @@
 type outbox struct {
 	peer   PeerAddress
 	frames chan *ctframe.Quorum
+	// incarnation is the latest one of the peer that was heard from. Only the worker uses it.
+	incarnation ctid.Incarnation
 	// close ends the delivery and drops the messages that are left.
 	close context.CancelFunc
 }
@@ -57,6 +59,18 @@
 	return o
 }
 
+// renewOutbox replaces the outbox to a peer that is heard from under a later incarnation than
+// before. The open stream may lead to the process that lost its disk, and TCP takes seconds to
+// give it up if that process's VM lost power. Only the worker calls it.
+func (r *Replica) renewOutbox(from ctquorum.Peer) {
+	o, ok := r.outboxes[from.Name]
+	if !ok || from.Incarnation <= o.incarnation {
+		return
+	}
+	o.close()
+	r.openOutbox(o.peer).incarnation = from.Incarnation
+}
+
 // openResolvedOutbox creates an outbox to a process that is not among the peers, if its
 // address can be resolved. Only the worker calls it.
 func (r *Replica) openResolvedOutbox(name ctid.Control) (*outbox, bool) {
--- a/internal/program/ctcontrol/replica.go
+++ b/internal/program/ctcontrol/replica.go
@@ -200,6 +200,9 @@
 // handle passes an event to the node and performs the resulting effects in order. Only
 // the worker calls it. The node is not locked while the effects are performed.
 func (r *Replica) handle(held *ctlock.Held, event ctquorum.Event) {
+	if received, ok := event.(ctquorum.Received); ok {
+		r.renewOutbox(received.From)
+	}
 	var effects []ctquorum.Effect
 	var expiresAt time.Time
 	compact := false
