ctcontrol: join_pending shows what was answered

Cause: a request to join is answered now; the log line of a pending join showed only whom the process asks. Change: Joining lists the JoinAnswers of the node in place of a list of names that stood twice; the line has answer, answer_leader and answered_before_s for each process. Measured: the tests of ctquorum and ctcontrol pass.

--- a/internal/decide/ctquorum/status.go
+++ b/internal/decide/ctquorum/status.go
@@ -4,8 +4,6 @@
 	"fmt"
 	"slices"
 	"time"
-
-	"github.com/cherviltrestle/cherviltrestle/internal/model/ctid"
 )
 
 // Status is what a process does in the quorum: Leading, Following or Joining.
@@ -39,8 +37,8 @@
 	Since time.Time
 	// HeardLeader reports that a message from a leader has come since the start.
 	HeardLeader bool
-	// Asked lists the processes to which requests to join are sent.
-	Asked []ctid.Control
+	// Asked lists the processes to which requests to join are sent, and what they answered.
+	Asked []JoinAnswer
 }
 
 func (Leading) isStatus()   {}
@@ -75,21 +73,10 @@
 	switch {
 	case n.role == roleLeader:
 		return n.leadingStatus(now)
-	case n.isVoter(), n.leader != (Peer{}) && n.hasRecentLeader(now):
-		return Following{Leader: n.leader, Votes: n.isVoter()}
-	}
-	return Joining{Since: n.lastLeaderContact, HeardLeader: !n.justStarted, Asked: n.askedToJoin()}
-}
-
-// askedToJoin returns the processes to which requestJoin writes.
-func (n *Node) askedToJoin() []ctid.Control {
-	var names []ctid.Control
-	for _, peer := range slices.Concat(n.learned, n.seeds, n.state.voters()) {
-		if peer.Name != n.self.Name && !slices.Contains(names, peer.Name) {
-			names = append(names, peer.Name)
-		}
+	case n.joining(now):
+		return Joining{Since: n.lastLeaderContact, HeardLeader: !n.justStarted, Asked: n.JoinAnswers()}
 	}
-	return names
+	return Following{Leader: n.leader, Votes: n.isVoter()}
 }
 
 func (n *Node) leadingStatus(now time.Time) Leading {
--- a/internal/decide/ctquorum/status_test.go
+++ b/internal/decide/ctquorum/status_test.go
@@ -86,6 +86,10 @@
 		status := statusOf[ctquorum.Joining](t, c, lost)
 		assert.Equal(t, status.Since, started)
 		assert.Assert(t, !status.HeardLeader)
-		assert.DeepEqual(t, status.Asked, c.seedNames)
+		for _, a := range status.Asked {
+			assert.Assert(t, slices.Contains(c.seedNames, a.From.Name))
+			assert.Equal(t, a.Outcome, ctquorum.JoinOutcome(""))
+		}
+		assert.Equal(t, len(status.Asked), seedCount)
 	})
 }
--- a/internal/program/ctcontrol/links.go
+++ b/internal/program/ctcontrol/links.go
@@ -1,6 +1,7 @@
 package ctcontrol
 
 import (
+	"maps"
 	"slices"
 	"strings"
 	"time"
@@ -38,6 +39,11 @@
 	// ReceivedBefore is the time since the last message, in seconds.
 	ReceivedBefore float64 `json:"received_before_s,omitempty"`
 	Discarded      uint64  `json:"discarded,omitempty"`
+	// Answer is the last answer to a request to join, with the leader that it named and the time
+	// since then, in seconds.
+	Answer         ctquorum.JoinOutcome `json:"answer,omitempty"`
+	AnswerLeader   ctid.Control         `json:"answer_leader,omitempty"`
+	AnsweredBefore float64              `json:"answered_before_s,omitempty"`
 }
 
 // links records the messages between this process and all other control processes.
@@ -82,27 +88,29 @@
 }
 
 // states returns the records by name, with those of the asked processes among them.
-func (l *links) states(held *ctlock.Held, now time.Time, asked []ctid.Control) []linkState {
-	var states []linkState
+func (l *links) states(held *ctlock.Held, now time.Time, asked []ctquorum.JoinAnswer) []linkState {
+	states := make(map[ctid.Control]linkState)
+	for _, a := range asked {
+		state := linkState{Process: a.From.Name, Asked: true, Answer: a.Outcome, AnswerLeader: a.Leader.Name}
+		if a.Outcome != "" {
+			state.AnsweredBefore = now.Sub(a.At).Seconds()
+		}
+		states[a.From.Name] = state
+	}
 	l.table.With(held, func(rows map[ctid.Control]*link) {
 		for name, k := range rows {
-			state := linkState{
-				Process: name, Asked: slices.Contains(asked, name), StreamOpen: k.open, LastError: k.lastError,
-				Received: k.received, Discarded: k.discarded,
-			}
+			state := states[name]
+			state.Process, state.StreamOpen, state.LastError = name, k.open, k.lastError
+			state.Received, state.Discarded = k.received, k.discarded
 			if k.received != "" {
 				state.ReceivedBefore = now.Sub(k.receivedAt).Seconds()
 			}
-			states = append(states, state)
-		}
-		for _, name := range asked {
-			if _, ok := rows[name]; !ok {
-				states = append(states, linkState{Process: name, Asked: true})
-			}
+			states[name] = state
 		}
 	})
-	slices.SortFunc(states, func(a, b linkState) int { return strings.Compare(string(a.Process), string(b.Process)) })
-	return states
+	return slices.SortedFunc(maps.Values(states), func(a, b linkState) int {
+		return strings.Compare(string(a.Process), string(b.Process))
+	})
 }
 
 // senders returns the processes from which messages have come.
--- a/internal/program/ctcontrol/watchquorum_test.go
+++ b/internal/program/ctcontrol/watchquorum_test.go
@@ -90,10 +90,13 @@
 		b.replica.links.setOpen("a")
 		b.replica.links.addReceived(b.now, "d", ctquorum.AppendRequest{}, true)
 		b.replica.links.setClosed("b", errors.New("connection rejected"))
-		joining := ctquorum.Joining{Since: b.now, Asked: []ctid.Control{"a", "b", "c"}}
+		joining := ctquorum.Joining{Since: b.now, Asked: []ctquorum.JoinAnswer{
+			{From: ctquorum.Peer{Name: "a"}, At: b.now, Outcome: ctquorum.JoinNotLeading, Leader: ctquorum.Peer{Name: "d"}},
+			{From: ctquorum.Peer{Name: "b"}}, {From: ctquorum.Peer{Name: "c"}},
+		}}
 		b.play(7*time.Second, joining)
 		assertLines(t, b, "join_pending", 3,
-			`"for_s":6`, `{"process":"a","asked":true,"stream_open":true}`,
+			`"for_s":6`, `{"process":"a","asked":true,"stream_open":true,"answer":"not_leading","answer_leader":"d","answered_before_s":6`,
 			`{"process":"b","asked":true,"stream_open":false,"last_error":"connection rejected"}`,
 			`{"process":"c","asked":true,"stream_open":false}`,
 			`"received":"append_request"`, `"discarded":1`)
