ctcontrol, ctuplink: a process without a leader names the others

Seen: a proxy that has started knows the seeds in its settings alone. If none of them has the leader, as when they are all in one half of a split fleet, or when those that are up have just lost their disks, it has no authority and no view until one of them has, though another control process leads and could be reached.

Cause: a process that has no reply from a leader answers a report with Retry, which says when to report again but not whom to ask. Only a leader's reply names control processes.

Change: Retry lists the leader that the process follows and the voters in its log. A build before ignores the new field.

Measured: TestSeedsWithoutLeader failed before ("the condition was not met" after 10 s) and passes; the new subtest of TestServe failed with no names and passes. Both packages pass with the race detector.

--- a/internal/program/ctcontrol/intake_test.go
+++ b/internal/program/ctcontrol/intake_test.go
@@ -73,6 +73,8 @@
 		replica: &Replica{},
 		views:   newViewRelay(),
 	}
+	s.replica.node.Rank = ctlock.RankQuorum
+	setLog(s, ctquorum.PersistentState{})
 	s.startIntake()
 	queue := ctintake.Queue{Slots: 1, HandlingTime: time.Second}
 	s.frames = newIntake(s.Clock, &s.Logger, s.Metrics, queue)
@@ -86,6 +88,15 @@
 	return s
 }
 
+// setLog replaces the durable state of the replicated log.
+func setLog(s *Service, state ctquorum.PersistentState) {
+	var held ctlock.Held
+	s.replica.node.With(&held, func(n **ctquorum.Node) {
+		self := ctquorum.Peer{Name: s.Name, Incarnation: 1}
+		*n = ctquorum.New(s.Clock.Now(), self, state, nil, systemRandom{})
+	})
+}
+
 // useSlot takes the only slot of an intake.
 func useSlot(t *testing.T, i *intake) *slot {
 	t.Helper()
@@ -147,6 +158,16 @@
 		s := newFollower(t)
 		assertRetry(t, serve(s, rawFrame(t, testReport(), 0)), true)
 	})
+	t.Run("its reply names the control processes that the proxy may ask instead", func(t *testing.T) {
+		s := newFollower(t)
+		voters := []ctquorum.Peer{{Name: s.Name, Incarnation: 1}, {Name: "10.0.0.7", Incarnation: 1}}
+		setLog(s, ctquorum.BootstrapVoters(voters))
+		replies := serve(s, rawFrame(t, testReport(), 0))
+		assertRetry(t, replies, true)
+		retry, ok := replies[0].(*ctframe.Retry)
+		assert.Assert(t, ok)
+		assert.DeepEqual(t, retry.Controls, []ctid.Control{s.Name, "10.0.0.7"})
+	})
 	t.Run("its slot is free again", func(t *testing.T) {
 		s := newFollower(t)
 		serve(s, rawFrame(t, testReport(), 0))
@@ -185,12 +206,6 @@
 // else, and against a bound that keeps control processes from each other.
 func TestAdmitConnection(t *testing.T) {
 	s := newFollower(t)
-	s.replica.node.Rank = ctlock.RankQuorum
-	var held ctlock.Held
-	s.replica.node.With(&held, func(n **ctquorum.Node) {
-		self := ctquorum.Peer{Name: s.Name, Incarnation: 1}
-		*n = ctquorum.New(s.Clock.Now(), self, ctquorum.PersistentState{}, nil, systemRandom{})
-	})
 	proxy, control := netip.MustParseAddr("10.0.1.1"), netip.MustParseAddr("10.0.0.2")
 	for range ctintake.AcceptBurst {
 		assert.Assert(t, s.AdmitConnection(proxy))
--- a/internal/program/ctcontrol/peer.go
+++ b/internal/program/ctcontrol/peer.go
@@ -135,7 +135,7 @@
 	if relayed, ok := s.reports.call(ctx, held, *report); ok {
 		return s.replyFrame(&relayed)
 	}
-	return &ctframe.Retry{After: leaderlessRetry, Leaderless: true}
+	return &ctframe.Retry{After: leaderlessRetry, Leaderless: true, Controls: s.replica.Controls(held)}
 }
 
 // handleWatch answers a watch once there is a newer view or the time is over. Only a few whole
--- a/internal/program/ctcontrol/replica.go
+++ b/internal/program/ctcontrol/replica.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net/netip"
+	"slices"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -183,6 +184,23 @@
 	return voters
 }
 
+// Controls returns the names of the control processes that this process knows of beside its seeds:
+// the leader and the voters.
+func (r *Replica) Controls(held *ctlock.Held) []ctid.Control {
+	var names []ctid.Control
+	r.node.With(held, func(n **ctquorum.Node) {
+		if leader := (*n).Leader(); leader != (ctquorum.Peer{}) {
+			names = append(names, leader.Name)
+		}
+		for _, name := range voterNames((*n).Voters()) {
+			if !slices.Contains(names, name) {
+				names = append(names, name)
+			}
+		}
+	})
+	return names
+}
+
 // SetSeeds replaces the processes that this process asks to let it join.
 func (r *Replica) SetSeeds(held *ctlock.Held, names []ctid.Control) {
 	var seeds []ctquorum.Peer
--- a/internal/program/ctuplink/report.go
+++ b/internal/program/ctuplink/report.go
@@ -146,6 +146,7 @@
 		return err
 	}
 	if retry, ok := answer.(*ctframe.Retry); ok {
+		u.addControls(held, retry.Controls)
 		return newDeferredError(retry)
 	}
 	if u.Groups != nil && !report.Lapsed && !u.Clock.Now().Before(u.State.AuthorityExpiry(held)) {
--- a/internal/program/ctuplink/uplink.go
+++ b/internal/program/ctuplink/uplink.go
@@ -124,7 +124,7 @@
 	state cttable.Cell[ctserver.State]
 	// seeds holds control's addresses in the settings.
 	seeds cttable.Cell[[]netip.AddrPort]
-	// controls holds the addresses of the control processes that the last reply named.
+	// controls holds the addresses of the control processes that control's replies named.
 	controls cttable.Cell[[]netip.AddrPort]
 	// route is how the last report was answered. Its address is invalid while reports
 	// fail.
--- a/internal/program/ctuplink/uplink_test.go
+++ b/internal/program/ctuplink/uplink_test.go
@@ -42,6 +42,10 @@
 	replies      map[ctview.Version]*ctview.Delta
 	// deferrals and watchDeferrals are how many of the next reports and watches are deferred.
 	deferrals, watchDeferrals int
+	// leader is the only address whose process has a leader; the zero value if all have one. The
+	// others name the processes in named.
+	leader netip.AddrPort
+	named  []ctid.Control
 	// quotas is what replies grant.
 	quotas *ctview.QuotaGrant
 }
@@ -59,14 +63,16 @@
 	return *field
 }
 
-func (s *controlStub) Open(context.Context, netip.AddrPort) (ctframe.Stream, error) {
+func (s *controlStub) Open(_ context.Context, address netip.AddrPort) (ctframe.Stream, error) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	s.opened++
 	if s.down {
 		return nil, errRefused
 	}
-	return &streamStub{control: s, frames: make(chan ctframe.Frame, 1), closed: make(chan struct{})}, nil
+	return &streamStub{
+		control: s, address: address, frames: make(chan ctframe.Frame, 1), closed: make(chan struct{}),
+	}, nil
 }
 
 func (*controlStub) Disconnect(netip.AddrPort) {}
@@ -74,6 +80,7 @@
 // streamStub answers each report, and each watch once there is a newer view.
 type streamStub struct {
 	control *controlStub
+	address netip.AddrPort
 	frames  chan ctframe.Frame
 	once    sync.Once
 	closed  chan struct{}
@@ -89,7 +96,7 @@
 func (s *streamStub) Read() (ctframe.Frame, error) {
 	frame := <-s.frames
 	for {
-		reply, err := s.control.answer(frame)
+		reply, err := s.control.answer(s.address, frame)
 		if reply != nil || err != nil {
 			return reply, err
 		}
@@ -101,8 +108,8 @@
 	}
 }
 
-// answer returns the reply to a frame, or nil for a watch without a newer view.
-func (s *controlStub) answer(frame ctframe.Frame) (ctframe.Frame, error) {
+// answer returns the reply of a process to a frame, or nil for a watch without a newer view.
+func (s *controlStub) answer(address netip.AddrPort, frame ctframe.Frame) (ctframe.Frame, error) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	if s.down {
@@ -110,6 +117,9 @@
 	}
 	switch f := frame.(type) {
 	case *ctframe.Report:
+		if s.leader.IsValid() && address != s.leader {
+			return &ctframe.Retry{After: time.Millisecond, Leaderless: true, Controls: s.named}, nil
+		}
 		if s.deferrals > 0 {
 			s.deferrals--
 			return &ctframe.Retry{After: time.Millisecond}, nil
@@ -180,12 +190,15 @@
 		State:             ctstate.New(),
 		Groups:            noGroups{},
 		Quotas:            quotas,
-		Resolve:           func(ctid.Control) (netip.AddrPort, bool) { return netip.AddrPort{}, false },
-		Subscribers:       []ctuplink.ViewSubscriber{subscriber},
-		Transport:         control,
-		Clock:             ctclock.System{},
-		Logger:            zerolog.Nop(),
-		Metrics:           ctmetric.New(prometheus.NewRegistry()),
+		Resolve: func(name ctid.Control) (netip.AddrPort, bool) {
+			address, err := netip.ParseAddr(string(name))
+			return netip.AddrPortFrom(address, 1), err == nil
+		},
+		Subscribers: []ctuplink.ViewSubscriber{subscriber},
+		Transport:   control,
+		Clock:       ctclock.System{},
+		Logger:      zerolog.Nop(),
+		Metrics:     ctmetric.New(prometheus.NewRegistry()),
 	})
 	ctx, cancel := context.WithCancel(context.Background())
 	t.Cleanup(cancel)
@@ -271,6 +284,18 @@
 	})
 }
 
+// TestSeedsWithoutLeader guards against a proxy that, after its start, knows its seeds alone and asks
+// only them while another control process has the leader.
+func TestSeedsWithoutLeader(t *testing.T) {
+	const leader = "127.0.0.9"
+	control := &controlStub{
+		leader: netip.AddrPortFrom(netip.MustParseAddr(leader), 1),
+		named:  []ctid.Control{"127.0.0.2", "127.0.0.8", leader, "no address"},
+	}
+	startUplink(t, control, &versions{})
+	eventually(t, func() bool { return control.count(&control.reports) > 0 })
+}
+
 // TestLapsedAuthority guards against a report that doesn't tell control that the proxy may
 // have missed changes of primaries.
 func TestLapsedAuthority(t *testing.T) {
