ctcontrol: the first answer to a proxy names the voters

Seen: for up to eight reports after the first answer (8 s in a fleet of 300 proxies) a proxy that has started knows its seeds alone, and then loses control with them.

Cause: only the reply to every eighth report lists the voters, counted from the first report, whether or not that was answered. A proxy whose first reports failed, as at a start beside an election, gets its first answer to a later one.

Change: a reply to a proxy whose authority has lapsed lists them too. A proxy has none before its first answer.

Measured: TestVoterList/so_is_a_later_one_of_a_proxy_without_authority failed before (no names) and passes; the package passes with the race detector.

--- a/internal/program/ctcontrol/control.go
+++ b/internal/program/ctcontrol/control.go
@@ -41,7 +41,7 @@
 )
 
 // reportsPerVoterList is the number of reports of a proxy per reply that lists control's
-// voters.
+// voters. The replies to a proxy whose authority has lapsed always do.
 const reportsPerVoterList = 8
 
 // Proposer appends commands to the replicated log. Its Propose does not wait for the
@@ -144,7 +144,7 @@
 // reply are enough to act on.
 func (c *Control) handleReport(held *ctlock.Held, report *ctview.Report, relayed bool) *ctview.Reply {
 	reply := &ctview.Reply{Number: report.Number}
-	if c.Voters != nil && report.Number%reportsPerVoterList == 1 {
+	if c.Voters != nil && (report.Lapsed || report.Number%reportsPerVoterList == 1) {
 		reply.Controls = c.Voters(held)
 	}
 	c.state.With(held, func(l *leaderState) {
--- a/internal/program/ctcontrol/leader_test.go
+++ b/internal/program/ctcontrol/leader_test.go
@@ -8,6 +8,9 @@
 
 	"github.com/cherviltrestle/cherviltrestle/internal/model/ctconfig"
 	"github.com/cherviltrestle/cherviltrestle/internal/model/ctid"
+	"github.com/cherviltrestle/cherviltrestle/internal/model/ctview"
+	"github.com/cherviltrestle/cherviltrestle/internal/work/ctclock"
+	"github.com/cherviltrestle/cherviltrestle/internal/work/ctlock"
 )
 
 // TestConfigTimeLeft checks how long proxies may act on older configurations.
@@ -40,3 +43,27 @@
 		})
 	}
 }
+
+// TestVoterList guards against a proxy that still knows its seeds alone after control has answered
+// it, because its first reports failed and a later one is answered without the voters.
+func TestVoterList(t *testing.T) {
+	voters := []ctid.Control{"a", "b"}
+	c := New(Options{
+		Name: "a", Clock: ctclock.System{}, Voters: func(*ctlock.Held) []ctid.Control { return voters },
+	})
+	for _, test := range []struct {
+		name   string
+		report ctview.Report
+		listed []ctid.Control
+	}{
+		{"the first report is answered with the voters", ctview.Report{Number: 1}, voters},
+		{"so is a later one of a proxy without authority", ctview.Report{Number: 3, Lapsed: true}, voters},
+		{"most replies list none", ctview.Report{Number: 3}, nil},
+		{"a reply from time to time does", ctview.Report{Number: 1 + reportsPerVoterList}, voters},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			var held ctlock.Held
+			assert.DeepEqual(t, c.HandleReport(&held, &test.report).Controls, test.listed)
+		})
+	}
+}
