ctcontrol, ctuplink: a process that has not joined turns proxies away at once

Seen: a proxy whose first choice is a control process that lost its disk reports there twice before it asks another one.

Cause: such a process waits for a leader like one that has lost it a moment ago, and its answer does not tell the two apart, so that the proxy stays once.

Change: a process that has neither a leader nor voters in its log answers a report at once, with the new field Unjoined of Retry. The proxy counts that as a failure and goes on to the next process after the usual backoff. A build before sees an answer without a leader.

Measured: TestUnjoinedControl failed before (a second report at the same process) and passes; the new subtest of TestServe failed before (the report was queued for the leader) and passes. Both packages pass with the race detector.

--- a/internal/link/ctframe/retry.go
+++ b/internal/link/ctframe/retry.go
@@ -13,6 +13,9 @@
 	// Leaderless reports that the process has no reply from a leader. Otherwise it has too
 	// much to do.
 	Leaderless bool `cbor:"leaderless,omitempty"`
+	// Unjoined reports that the process has neither a leader nor a log, so that another one has to
+	// be asked. Leaderless is set, too.
+	Unjoined bool `cbor:"unjoined,omitempty"`
 	// Controls lists control processes that may have a leader, if this one has none.
 	Controls []ctid.Control `cbor:"controls,omitempty"`
 }
--- a/internal/program/ctcontrol/intake_test.go
+++ b/internal/program/ctcontrol/intake_test.go
@@ -74,7 +74,7 @@
 		views:   newViewRelay(),
 	}
 	s.replica.node.Rank = ctlock.RankQuorum
-	setLog(s, ctquorum.PersistentState{})
+	setLog(s, ctquorum.BootstrapVoters([]ctquorum.Peer{{Name: s.Name, Incarnation: 1}}))
 	s.startIntake()
 	queue := ctintake.Queue{Slots: 1, HandlingTime: time.Second}
 	s.frames = newIntake(s.Clock, &s.Logger, s.Metrics, queue)
@@ -168,6 +168,15 @@
 		assert.Assert(t, ok)
 		assert.DeepEqual(t, retry.Controls, []ctid.Control{s.Name, "10.0.0.7"})
 	})
+	t.Run("a process that has not joined the others says so without waiting for a leader", func(t *testing.T) {
+		s := newFollower(t)
+		setLog(s, ctquorum.PersistentState{})
+		s.reports = nil
+		replies := serve(s, rawFrame(t, testReport(), 0))
+		assertRetry(t, replies, true)
+		retry, ok := replies[0].(*ctframe.Retry)
+		assert.Assert(t, ok && retry.Unjoined)
+	})
 	t.Run("its slot is free again", func(t *testing.T) {
 		s := newFollower(t)
 		serve(s, rawFrame(t, testReport(), 0))
--- a/internal/program/ctcontrol/peer.go
+++ b/internal/program/ctcontrol/peer.go
@@ -118,7 +118,8 @@
 }
 
 // handleReport returns the leader's reply to a proxy's report. If another process leads,
-// the report is forwarded; if that fails, the proxy is to report again.
+// the report is forwarded; if that fails, the proxy is to report again. A process that has not
+// joined the others answers at once, so that the proxy asks another one.
 func (s *Service) handleReport(
 	ctx context.Context, held *ctlock.Held, from *peer, report *ctview.Report,
 ) ctframe.Frame {
@@ -126,6 +127,9 @@
 	if !reply.NotLeader {
 		return s.replyFrame(reply)
 	}
+	if !s.replica.HasJoined(held) {
+		return &ctframe.Retry{After: leaderlessRetry, Leaderless: true, Unjoined: true}
+	}
 	if from != nil {
 		from.releaseSlot()
 		var cancel context.CancelFunc
--- a/internal/program/ctcontrol/replica.go
+++ b/internal/program/ctcontrol/replica.go
@@ -201,6 +201,16 @@
 	return names
 }
 
+// HasJoined reports whether this process has a leader or knows the voters from its log. One that
+// lost its disk has neither until a leader sends it the log.
+func (r *Replica) HasJoined(held *ctlock.Held) bool {
+	joined := false
+	r.node.With(held, func(n **ctquorum.Node) {
+		joined = (*n).Leader() != (ctquorum.Peer{}) || len((*n).Voters()) > 0
+	})
+	return joined
+}
+
 // SetSeeds replaces the processes that this process asks to let it join.
 func (r *Replica) SetSeeds(held *ctlock.Held, names []ctid.Control) {
 	var seeds []ctquorum.Peer
--- a/internal/program/ctuplink/report.go
+++ b/internal/program/ctuplink/report.go
@@ -147,6 +147,11 @@
 	}
 	if retry, ok := answer.(*ctframe.Retry); ok {
 		u.addControls(held, retry.Controls)
+		if retry.Unjoined {
+			link.close()
+			return cterror.New(cterror.Unavailable, "the control process has not joined the others",
+				"use another control process")
+		}
 		return newDeferredError(retry)
 	}
 	if u.Groups != nil && !report.Lapsed && !u.Clock.Now().Before(u.State.AuthorityExpiry(held)) {
--- a/internal/program/ctuplink/uplink_test.go
+++ b/internal/program/ctuplink/uplink_test.go
@@ -46,6 +46,9 @@
 	// others name the processes in named.
 	leader netip.AddrPort
 	named  []ctid.Control
+	// unjoined is a process that has not joined the others. reportsThere counts the reports to it.
+	unjoined     netip.AddrPort
+	reportsThere int
 	// quotas is what replies grant.
 	quotas *ctview.QuotaGrant
 }
@@ -117,6 +120,10 @@
 	}
 	switch f := frame.(type) {
 	case *ctframe.Report:
+		if address == s.unjoined {
+			s.reportsThere++
+			return &ctframe.Retry{After: time.Millisecond, Leaderless: true, Unjoined: true}, nil
+		}
 		if s.leader.IsValid() && address != s.leader {
 			return &ctframe.Retry{After: time.Millisecond, Leaderless: true, Controls: s.named}, nil
 		}
@@ -296,6 +303,17 @@
 	eventually(t, func() bool { return control.count(&control.reports) > 0 })
 }
 
+// TestUnjoinedControl guards against a proxy that waits at a control process which lost its disk and
+// has not joined the others, while its authority expires.
+func TestUnjoinedControl(t *testing.T) {
+	seed := netip.AddrPortFrom(netip.MustParseAddr("127.0.0.2"), 1)
+	control := &controlStub{unjoined: seed, replies: map[ctview.Version]*ctview.Delta{0: {To: 1}}}
+	seen := &versions{}
+	startUplink(t, control, seen)
+	eventually(t, func() bool { return seen.last() == 1 && control.count(&control.reports) > 0 })
+	assert.Equal(t, control.count(&control.reportsThere), 1)
+}
+
 // TestLapsedAuthority guards against a report that doesn't tell control that the proxy may
 // have missed changes of primaries.
 func TestLapsedAuthority(t *testing.T) {
