ctcontrol: a process that has not joined names those that it asks

Seen: a proxy that knows its seeds alone is turned away by a seed that lost its disk and learns nobody else to ask, though that seed has been told who leads.

Cause: such a process has no voters in its log to name.

Change: it names the processes that it asks to let it join, and their leaders.

Measured: the subtest of TestServe failed before (no names) and passes; the package passes with the race detector.

--- a/internal/program/ctcontrol/intake_test.go
+++ b/internal/program/ctcontrol/intake_test.go
@@ -168,14 +168,21 @@
 		assert.Assert(t, ok)
 		assert.DeepEqual(t, retry.Controls, []ctid.Control{s.Name, "10.0.0.7"})
 	})
-	t.Run("a process that has not joined the others says so without waiting for a leader", func(t *testing.T) {
+	t.Run("a process that has not joined the others says so at once, and whom it asks", func(t *testing.T) {
 		s := newFollower(t)
 		setLog(s, ctquorum.PersistentState{})
 		s.reports = nil
+		var held ctlock.Held
+		s.replica.node.With(&held, func(n **ctquorum.Node) {
+			other := ctquorum.Peer{Name: "10.0.0.7", Incarnation: 1}
+			(*n).Step(s.Clock.Now(), ctquorum.Misaddressed{From: other})
+			(*n).Step(s.Clock.Now(), ctquorum.Tick{})
+		})
 		replies := serve(s, rawFrame(t, testReport(), 0))
 		assertRetry(t, replies, true)
 		retry, ok := replies[0].(*ctframe.Retry)
 		assert.Assert(t, ok && retry.Unjoined)
+		assert.DeepEqual(t, retry.Controls, []ctid.Control{"10.0.0.7"})
 	})
 	t.Run("its slot is free again", func(t *testing.T) {
 		s := newFollower(t)
--- a/internal/program/ctcontrol/peer.go
+++ b/internal/program/ctcontrol/peer.go
@@ -128,7 +128,7 @@
 		return s.replyFrame(reply)
 	}
 	if !s.replica.HasJoined(held) {
-		return &ctframe.Retry{After: leaderlessRetry, Leaderless: true, Unjoined: true}
+		return &ctframe.Retry{After: leaderlessRetry, Leaderless: true, Unjoined: true, Controls: s.replica.Controls(held)}
 	}
 	if from != nil {
 		from.releaseSlot()
--- a/internal/program/ctcontrol/replica.go
+++ b/internal/program/ctcontrol/replica.go
@@ -188,20 +188,22 @@
 	return voters
 }
 
-// Controls returns the names of the control processes that this process knows of beside its seeds:
-// the leader and the voters.
+// Controls returns the names of the control processes that this process knows of: the leader, the
+// voters and, while it joins, those that it asks.
 func (r *Replica) Controls(held *ctlock.Held) []ctid.Control {
-	var names []ctid.Control
+	var known []ctquorum.Peer
 	r.node.With(held, func(n **ctquorum.Node) {
-		if leader := (*n).Leader(); leader != (ctquorum.Peer{}) {
-			names = append(names, leader.Name)
-		}
-		for _, name := range voterNames((*n).Voters()) {
-			if !slices.Contains(names, name) {
-				names = append(names, name)
-			}
+		known = append([]ctquorum.Peer{(*n).Leader()}, (*n).Voters()...)
+		for _, answer := range (*n).JoinAnswers() {
+			known = append(known, answer.Leader, answer.From)
 		}
 	})
+	var names []ctid.Control
+	for _, name := range voterNames(known) {
+		if name != "" && !slices.Contains(names, name) {
+			names = append(names, name)
+		}
+	}
 	return names
 }
 
