ctcontrol: announcements that found no leader are sent to the next one

Seen: a member whose unchanged announcement was accepted just before a change of leaders is missing at the new leader until it announces itself again, one heartbeat later, and may be missing in the leader's first view. The announcement had been acknowledged.

Change: they count as unsent again, unless they arrived 2 s ago or earlier: a later one would make a member that has ended look alive. Changed announcements were not affected, as they are acknowledged only once the leader has them.

Measured: TestRelay/unchanged_announcements_that_found_no_leader_reach_the_next_one failed before (1 announcement received instead of 2) and passes; the package passes with the race detector.

--- a/internal/program/ctcontrol/announcementrelay.go
+++ b/internal/program/ctcontrol/announcementrelay.go
@@ -22,6 +22,9 @@
 	// cachedMemberTTL is how long a member stays in the cache after its last
 	// announcement.
 	cachedMemberTTL = 10 * time.Second
+	// resendPeriod is how long after its arrival an unchanged announcement may be sent again.
+	// A later one would make a member that has ended look alive.
+	resendPeriod = 2 * time.Second
 )
 
 // announcementCache holds the latest announcement of each member that reports through
@@ -88,6 +91,17 @@
 	return batch
 }
 
+// putBack marks the announcements of a batch that did not reach the leader for the next one, unless
+// they are too old.
+func (c *announcementCache) putBack(now time.Time, batch []ctserver.Announcement) {
+	for _, announcement := range batch {
+		entry, ok := c.members[announcement.Member]
+		if ok && entry.announcement == announcement && now.Sub(entry.lastReport) < resendPeriod {
+			entry.unsent = true
+		}
+	}
+}
+
 // extend extends the cache's validity after the leader has accepted a batch.
 func (c *announcementCache) extend(now time.Time) {
 	c.validUntil = now.Add(cacheTTL)
@@ -152,11 +166,22 @@
 			return
 		case <-r.clock.After(batchInterval):
 		}
-		var batch []ctserver.Announcement
-		r.cache.With(&held, func(c *announcementCache) { batch = c.nextBatch(r.clock.Now()) })
-		if len(batch) == 0 || r.send(ctx, &ctframe.Gathered{Announcements: batch}) != nil {
-			continue
-		}
-		r.cache.With(&held, func(c *announcementCache) { c.extend(r.clock.Now()) })
+		// After an error, those that are not too old are sent with the next batch.
+		_ = r.sendUnchanged(ctx, &held)
+	}
+}
+
+// sendUnchanged sends the unchanged announcements that wait to the leader.
+func (r *announcementRelay) sendUnchanged(ctx context.Context, held *ctlock.Held) error {
+	var batch []ctserver.Announcement
+	r.cache.With(held, func(c *announcementCache) { batch = c.nextBatch(r.clock.Now()) })
+	if len(batch) == 0 {
+		return nil
+	}
+	if err := r.send(ctx, &ctframe.Gathered{Announcements: batch}); err != nil {
+		r.cache.With(held, func(c *announcementCache) { c.putBack(r.clock.Now(), batch) })
+		return err
 	}
+	r.cache.With(held, func(c *announcementCache) { c.extend(r.clock.Now()) })
+	return nil
 }
--- a/internal/program/ctcontrol/announcementrelay_test.go
+++ b/internal/program/ctcontrol/announcementrelay_test.go
@@ -35,6 +35,12 @@
 	return nil
 }
 
+func (s *leaderStub) setDown(down bool) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.down = down
+}
+
 func readyReplica(sequence uint64) ctserver.Announcement {
 	return ctserver.Announcement{
 		Group: "g", Member: "m", FailureDomain: "d", Address: netip.MustParseAddrPort("127.0.0.1:1"), Incarnation: 1,
@@ -79,6 +85,24 @@
 		r.run(ctx)
 		assertReceived(t, s, 2)
 	})
+	t.Run("unchanged announcements that found no leader reach the next one", func(t *testing.T) {
+		r, s := start(t)
+		assert.NilError(t, r.announce(ctx, readyReplica(2)))
+		s.setDown(true)
+		assert.ErrorContains(t, r.sendUnchanged(ctx, &ctlock.Held{}), "no leader")
+		s.setDown(false)
+		assert.NilError(t, r.sendUnchanged(ctx, &ctlock.Held{}))
+		assertReceived(t, s, 2)
+	})
+	t.Run("old ones don't, as their members may have ended", func(t *testing.T) {
+		r, _ := start(t)
+		r.cache.With(&ctlock.Held{}, func(c *announcementCache) {
+			now := time.Now()
+			assert.Assert(t, c.acceptUnchanged(now, readyReplica(2)))
+			c.putBack(now.Add(resendPeriod), c.nextBatch(now))
+			assert.Equal(t, len(c.nextBatch(now)), 0)
+		})
+	})
 	for _, c := range []struct {
 		name  string
 		alter func(a *ctserver.Announcement)
@@ -101,9 +125,7 @@
 	}
 	t.Run("nothing is accepted here once the cache has expired", func(t *testing.T) {
 		r, s := start(t)
-		s.mutex.Lock()
-		s.down = true
-		s.mutex.Unlock()
+		s.setDown(true)
 		r.cache.With(&ctlock.Held{}, func(c *announcementCache) { c.validUntil = time.Now().Add(-time.Second) })
 		assert.ErrorContains(t, r.announce(ctx, readyReplica(2)), "leader has not answered")
 	})
