ctuplink: the last report of a proxy goes on to the next process

Seen: a proxy that stops is counted until its reports have been missing for 3 s if the first control process that its last report goes to is gone, or lost its disk: its share of the connections to members stays unused for that long.

Cause: the last report is sent again only if control defers it. After any other failure it is given up, though other processes may have the leader.

Change: after a failure it goes to the next process, with the usual backoff, until the caller's time is over.

Measured: both failures of TestDeregisterWithoutFirstControl failed before and pass; the package passes with the race detector.

--- a/internal/program/ctproxy/proxy.go
+++ b/internal/program/ctproxy/proxy.go
@@ -34,6 +34,8 @@
 	// answers. answerGrace is the part of it in which callers are told of what was given up.
 	stopReserve = time.Second
 	answerGrace = 300 * time.Millisecond
+	// deregisterTimeout bounds the last report to control.
+	deregisterTimeout = 700 * time.Millisecond
 	// headerTimeout bounds reading the header of an HTTP request.
 	headerTimeout = 5 * time.Second
 )
@@ -136,6 +138,8 @@
 // deregister notifies control that the proxy stops. If control can't be reached, it
 // notices when the reports cease.
 func (p *Proxy) deregister(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, deregisterTimeout)
+	defer cancel()
 	if err := p.uplink.Deregister(ctx); err != nil {
 		p.logger.Info().Str("event", "parting_failed").Str("error", err.Error()).Send()
 	}
--- a/internal/program/ctuplink/report.go
+++ b/internal/program/ctuplink/report.go
@@ -111,7 +111,7 @@
 
 // Deregister sends the last report, which says that this proxy stops and has released
 // all that it held. Run begins no report after it. If control defers the report, it is sent
-// again until ctx ends.
+// again, and after a failure to the next process, until ctx ends.
 func (u *Uplink) Deregister(ctx context.Context) error {
 	u.deregistered.Store(true)
 	link := u.newLink()
@@ -126,9 +126,12 @@
 			report.Stopping = true
 			return report
 		})
-		if ctx.Err() != nil || !u.recordDeferral(ctx, link, err) {
+		if err == nil || ctx.Err() != nil {
 			return err
 		}
+		if !u.recordDeferral(ctx, link, err) {
+			u.pauseAfterFailure(ctx, link, &held)
+		}
 	}
 }
 
--- a/internal/program/ctuplink/uplink_test.go
+++ b/internal/program/ctuplink/uplink_test.go
@@ -49,6 +49,8 @@
 	// unjoined is a process that has not joined the others. reportsThere counts the reports to it.
 	unjoined     netip.AddrPort
 	reportsThere int
+	// gone is a process that does not run.
+	gone netip.AddrPort
 	// quotas is what replies grant.
 	quotas *ctview.QuotaGrant
 }
@@ -70,7 +72,7 @@
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	s.opened++
-	if s.down {
+	if s.down || address == s.gone {
 		return nil, errRefused
 	}
 	return &streamStub{
@@ -187,7 +189,18 @@
 	t *testing.T, control *controlStub, subscriber ctuplink.ViewSubscriber, quotas ctuplink.QuotaSource,
 ) *ctuplink.Uplink {
 	t.Helper()
-	u := ctuplink.New(ctuplink.Options{
+	u := newUplink(control, subscriber, quotas)
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	go u.Run(ctx)
+	return u
+}
+
+// newUplink returns an uplink that does not run.
+func newUplink(
+	control *controlStub, subscriber ctuplink.ViewSubscriber, quotas ctuplink.QuotaSource,
+) *ctuplink.Uplink {
+	return ctuplink.New(ctuplink.Options{
 		Self: ctview.Proxy{
 			Name: "p", FailureDomain: "d", Address: netip.MustParseAddrPort("127.0.0.1:1"), Incarnation: 1,
 			State: ctserver.StateReady,
@@ -207,10 +220,6 @@
 		Logger:      zerolog.Nop(),
 		Metrics:     ctmetric.New(prometheus.NewRegistry()),
 	})
-	ctx, cancel := context.WithCancel(context.Background())
-	t.Cleanup(cancel)
-	go u.Run(ctx)
-	return u
 }
 
 // eventually waits for a condition, for at most ten seconds.
@@ -314,6 +323,33 @@
 	assert.Equal(t, control.count(&control.reportsThere), 1)
 }
 
+// TestDeregisterWithoutFirstControl guards against a proxy that stops and whose last report is lost,
+// because the first control process that it asks can't be reached or has no leader.
+func TestDeregisterWithoutFirstControl(t *testing.T) {
+	address := func(ip string) netip.AddrPort { return netip.AddrPortFrom(netip.MustParseAddr(ip), 1) }
+	for _, c := range []struct {
+		name    string
+		control *controlStub
+	}{
+		{"it can't be reached", &controlStub{gone: address("127.0.0.2")}},
+		{"it has not joined the others", &controlStub{unjoined: address("127.0.0.2")}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			u := newUplink(c.control, &versions{}, nil)
+			ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+			defer cancel()
+			assert.NilError(t, u.Deregister(ctx))
+			assert.Equal(t, c.control.count(&c.control.reports), 1)
+		})
+	}
+	t.Run("no control process can be reached until the time is over", func(t *testing.T) {
+		u := newUplink(&controlStub{down: true}, &versions{}, nil)
+		ctx, cancel := context.WithTimeout(context.Background(), 50*time.Millisecond)
+		defer cancel()
+		assert.ErrorContains(t, u.Deregister(ctx), "refused")
+	})
+}
+
 // TestLapsedAuthority guards against a report that doesn't tell control that the proxy may
 // have missed changes of primaries.
 func TestLapsedAuthority(t *testing.T) {
