ctcontrol: all known control processes connect beyond the bound

Effect: while many proxies try to connect, as when control has no leader, a process that joins at a new address, a standby that receives the log, and the leader of a process that lost its disk count among the proxies, and their connections are turned away like those of proxies.

Cause: the bound leaves out the addresses of the seeds at the start and of the voters in the log. New seeds of the settings don't reach it, and a process that joins is neither a seed nor a voter, nor does it know the voters.

Change: it leaves out the seeds now in force, the leader, the voters, the processes that this one asks to join, and those that have sent a message of the replicated log. control_connections_total counts them as `control` if they are beyond the bound. control_peer_connections_rejected_total is gone: it counted senders of such messages that were turned away, of which there are none now.

Measured: all three subtests of TestAdmitControl failed before (turned away) and pass; TestAdmitConnection is unchanged; the package passes with the race detector.

--- a/internal/program/ctcontrol/intake_test.go
+++ b/internal/program/ctcontrol/intake_test.go
@@ -230,3 +230,37 @@
 	assert.Assert(t, !s.AdmitConnection(proxy))
 	assert.Assert(t, s.AdmitConnection(control))
 }
+
+// TestAdmitControl guards against control processes that are turned away among many proxies, because
+// they are neither voters nor seeds of the settings at the start.
+func TestAdmitControl(t *testing.T) {
+	other := ctquorum.Peer{Name: "10.0.0.7", Incarnation: 1}
+	address := netip.MustParseAddr(string(other.Name))
+	for _, c := range []struct {
+		name  string
+		learn func(s *Service, held *ctlock.Held)
+	}{
+		{"a process that sends messages, as one that joins or receives the log", func(s *Service, _ *ctlock.Held) {
+			s.replica.links.addReceived(s.Clock.Now(), other.Name, ctquorum.JoinRequest{}, false)
+		}},
+		{"a seed of the settings now in force", func(s *Service, _ *ctlock.Held) {
+			s.SetSeeds([]ctid.Control{other.Name})
+		}},
+		{"the leader, known to a process that lost its disk by name", func(s *Service, held *ctlock.Held) {
+			setLog(s, ctquorum.PersistentState{})
+			s.replica.node.With(held, func(n **ctquorum.Node) {
+				(*n).Step(s.Clock.Now(), ctquorum.Misaddressed{From: other})
+				(*n).Step(s.Clock.Now(), ctquorum.Tick{})
+			})
+		}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			s := newFollower(t)
+			var held ctlock.Held
+			c.learn(s, &held)
+			for s.AdmitConnection(netip.MustParseAddr("10.0.1.1")) {
+			}
+			assert.Assert(t, s.AdmitConnection(address))
+		})
+	}
+}
--- a/internal/program/ctcontrol/service.go
+++ b/internal/program/ctcontrol/service.go
@@ -75,11 +75,11 @@
 	announcements *announcementRelay
 	reports       *batcher[ctview.Report, ctview.Reply]
 	views         *viewRelay
-	// frames decides on frames, and transfers on whole views for proxies. gate bounds the
-	// accepted connections.
+	// frames decides on frames, and transfers on whole views for proxies. admission
+	// bounds the accepted connections.
 	frames    *intake
 	transfers *intake
-	gate      cttable.Cell[ctintake.Gate]
+	admission cttable.Cell[admission]
 
 	// mutex guards idleStreams and compressed.
 	mutex       sync.Mutex
@@ -149,10 +149,11 @@
 	s.transfers = newIntake(s.Clock, &s.Logger, s.Metrics, ctintake.Queue{
 		Slots: ctintake.ViewSlots, MaxWait: ctintake.MaxViewWait, HandlingTime: ctintake.ViewTime,
 	})
-	s.gate = cttable.Cell[ctintake.Gate]{Rank: ctlock.RankIntake}
+	s.admission = cttable.Cell[admission]{Rank: ctlock.RankIntake}
 	var held ctlock.Held
-	s.gate.With(&held, func(gate *ctintake.Gate) {
-		*gate = ctintake.Gate{Rate: ctintake.AcceptRate, Burst: ctintake.AcceptBurst}
+	s.admission.With(&held, func(a *admission) {
+		a.gate = ctintake.Gate{Rate: ctintake.AcceptRate, Burst: ctintake.AcceptBurst}
+		a.seeds = s.Seeds
 	})
 }
 
@@ -225,6 +226,7 @@
 func (s *Service) SetSeeds(seeds []ctid.Control) {
 	var held ctlock.Held
 	s.replica.SetSeeds(&held, seeds)
+	s.admission.With(&held, func(a *admission) { a.seeds = seeds })
 }
 
 // handleFrame returns the reply to a request and records the request in the metrics. from is
--- a/internal/program/ctmetric/control.go
+++ b/internal/program/ctmetric/control.go
@@ -45,11 +45,9 @@
 	Intake *prometheus.CounterVec
 	// IntakeWaitSeconds measures the time from the arrival of a frame to that decision.
 	IntakeWaitSeconds *prometheus.HistogramVec
-	// Connections counts the connections of other processes by decision: accepted or rejected.
+	// Connections counts the connections of other processes by decision: accepted, control (accepted
+	// beyond the bound, as it is of a control process) or rejected.
 	Connections *prometheus.CounterVec
-	// PeerConnectionsRejected counts the rejected connections from addresses of control processes
-	// that had sent messages before.
-	PeerConnectionsRejected prometheus.Counter
 	// PeerStreams counts the streams to other control processes that were opened or failed to open.
 	PeerStreams *prometheus.CounterVec
 	// QuorumState is 1 for what this process does in the quorum: it leads, follows, joins, knows no
@@ -99,9 +97,7 @@
 		Intake:  f.counterVec("control_intake_total", "Frames by decision of the intake.", "work", "decision"),
 		IntakeWaitSeconds: f.histogramVec(
 			"control_intake_wait_seconds", "Time from the arrival of a frame to the decision of the intake.", "work"),
-		Connections: f.counterVec("control_connections_total", "Connections of other processes.", "decision"),
-		PeerConnectionsRejected: f.counter(
-			"control_peer_connections_rejected_total", "Rejected connections from known control processes."),
+		Connections:    f.counterVec("control_connections_total", "Connections of other processes.", "decision"),
 		PeerStreams:    f.counterVec("control_peer_streams_total", "Streams to other control processes.", "result"),
 		QuorumState:    f.gaugeVec("control_state", "What this process does in the quorum.", "state"),
 		QuorumVoters:   f.gaugeVec("control_voters", "Voters, on the leader.", "state"),
