ctintake, ctcontrol: a new address connects beyond the bound

Effect: while many proxies try to connect, a control process at a new address is turned away by those that it wants to join, like any proxy. Nobody can know it before its first message.

Cause: one bound for all connections, of which a process gets a share by chance.

Change: an address of which no connection was accepted for 10 s is accepted beyond the bound of 100 a second, for at most 1024 addresses. With 300 proxies that is at most 30 more connections a second. A process that has joined by its first message is known from then on.

Measured: the new assertion of TestAdmitConnection failed before (turned away) and passes, and so does TestNewAddress. The packages pass with the race detector.

--- a/internal/decide/ctintake/doc.go
+++ b/internal/decide/ctintake/doc.go
@@ -22,7 +22,9 @@
 # Connections
 
 A Gate bounds the connections that are accepted in a second. It matters only where peers don't
-follow the times that they are given.
+follow the times that they are given. An address that had no connection for a while is accepted
+beyond that bound: a control process that is new is known to nobody yet, and must reach the others
+however many proxies try. Recent holds the addresses that have had one.
 
 # Usage
 
--- a/internal/decide/ctintake/limit.go
+++ b/internal/decide/ctintake/limit.go
@@ -24,4 +24,15 @@
 	// once, and then 100 a second.
 	AcceptRate  = 100
 	AcceptBurst = 600
+	// ReservePeriod is how long an address must have had no accepted connection for one beyond
+	// these bounds, and MaxReserved the number of addresses for which that is recorded.
+	ReservePeriod = 10 * time.Second
+	MaxReserved   = 1024
 )
+
+// NewGate returns the gate of a control process.
+func NewGate() Gate {
+	return Gate{
+		Rate: AcceptRate, Burst: AcceptBurst, Connected: Recent{Period: ReservePeriod, Limit: MaxReserved},
+	}
+}
--- a/internal/lab/ctstartup/control.go
+++ b/internal/lab/ctstartup/control.go
@@ -71,7 +71,7 @@
 		transfers: newIntake(w, ctintake.Queue{
 			Slots: ctintake.ViewSlots, MaxWait: ctintake.MaxViewWait, HandlingTime: ctintake.ViewTime,
 		}),
-		gate: ctintake.Gate{Rate: ctintake.AcceptRate, Burst: ctintake.AcceptBurst},
+		gate: ctintake.NewGate(),
 	}
 }
 
@@ -91,7 +91,7 @@
 
 // accept accepts a connection, or resets it.
 func (c *control) accept(s *stream) {
-	if !c.gate.Admit(c.world.timestamp()) {
+	if !c.gate.AdmitFrom(c.world.timestamp(), addressOf(proxyRole, s.proxy.index)) {
 		c.world.after(latency(s.proxy.index, c.index), s.reset)
 		return
 	}
--- a/internal/program/ctcontrol/admission.go
+++ b/internal/program/ctcontrol/admission.go
@@ -37,7 +37,7 @@
 
 func (s *Service) decideConnection(held *ctlock.Held, remote netip.Addr) connectionDecision {
 	admitted := false
-	s.admission.With(held, func(a *admission) { admitted = a.gate.Admit(s.Clock.Now()) })
+	s.admission.With(held, func(a *admission) { admitted = a.gate.AdmitFrom(s.Clock.Now(), remote) })
 	switch {
 	case admitted:
 		return connectionAccepted
--- a/internal/program/ctcontrol/intake_test.go
+++ b/internal/program/ctcontrol/intake_test.go
@@ -228,7 +228,17 @@
 		assert.Assert(t, s.AdmitConnection(proxy))
 	}
 	assert.Assert(t, !s.AdmitConnection(proxy))
-	assert.Assert(t, s.AdmitConnection(control))
+	// The second connection shows that the address is known: any may have a first one.
+	assert.Assert(t, s.AdmitConnection(control) && s.AdmitConnection(control))
+	joining := netip.MustParseAddr("10.0.0.7")
+	assert.Assert(t, s.AdmitConnection(joining))
+	assert.Assert(t, !s.AdmitConnection(joining))
+}
+
+// exhaust connects from a proxy until it is turned away.
+func exhaust(s *Service) {
+	for s.AdmitConnection(netip.MustParseAddr("10.0.1.1")) {
+	}
 }
 
 // TestAdmitControl guards against control processes that are turned away among many proxies, because
@@ -258,9 +268,9 @@
 			s := newFollower(t)
 			var held ctlock.Held
 			c.learn(s, &held)
-			for s.AdmitConnection(netip.MustParseAddr("10.0.1.1")) {
-			}
-			assert.Assert(t, s.AdmitConnection(address))
+			exhaust(s)
+			// Any address may have a first connection.
+			assert.Assert(t, s.AdmitConnection(address) && s.AdmitConnection(address))
 		})
 	}
 }
--- a/internal/program/ctcontrol/service.go
+++ b/internal/program/ctcontrol/service.go
@@ -152,7 +152,7 @@
 	s.admission = cttable.Cell[admission]{Rank: ctlock.RankIntake}
 	var held ctlock.Held
 	s.admission.With(&held, func(a *admission) {
-		a.gate = ctintake.Gate{Rate: ctintake.AcceptRate, Burst: ctintake.AcceptBurst}
+		a.gate = ctintake.NewGate()
 		a.seeds = s.Seeds
 	})
 }
