--- a/internal/program/ctcontrol/replica.go
+++ b/internal/program/ctcontrol/replica.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net/netip"
+	"slices"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -185,6 +186,35 @@
 	return voters
 }
 
+// Controls returns the names of the control processes that this process knows of: the leader, the
+// voters and, while it joins, those that it asks.
+func (r *Replica) Controls(held *ctlock.Held) []ctid.Control {
+	var known []ctquorum.Peer
+	r.node.With(held, func(n **ctquorum.Node) {
+		known = append([]ctquorum.Peer{(*n).Leader()}, (*n).Voters()...)
+		for _, answer := range (*n).JoinAnswers() {
+			known = append(known, answer.Leader, answer.From)
+		}
+	})
+	var names []ctid.Control
+	for _, name := range voterNames(known) {
+		if name != "" && !slices.Contains(names, name) {
+			names = append(names, name)
+		}
+	}
+	return names
+}
+
+// HasJoined reports whether this process has a leader or knows the voters from its log. One that
+// lost its disk has neither until a leader sends it the log.
+func (r *Replica) HasJoined(held *ctlock.Held) bool {
+	joined := false
+	r.node.With(held, func(n **ctquorum.Node) {
+		joined = (*n).Leader() != (ctquorum.Peer{}) || len((*n).Voters()) > 0
+	})
+	return joined
+}
+
 // SetSeeds replaces the processes that this process asks to let it join.
 func (r *Replica) SetSeeds(held *ctlock.Held, names []ctid.Control) {
 	var seeds []ctquorum.Peer
--- a/internal/program/ctuplink/uplink_test.go
+++ b/internal/program/ctuplink/uplink_test.go
@@ -42,6 +42,15 @@
 	replies      map[ctview.Version]*ctview.Delta
 	// deferrals and watchDeferrals are how many of the next reports and watches are deferred.
 	deferrals, watchDeferrals int
+	// leader is the only address whose process has a leader; the zero value if all have one. The
+	// others name the processes in named.
+	leader netip.AddrPort
+	named  []ctid.Control
+	// unjoined is a process that has not joined the others. reportsThere counts the reports to it.
+	unjoined     netip.AddrPort
+	reportsThere int
+	// gone is a process that does not run.
+	gone netip.AddrPort
 	// quotas is what replies grant.
 	quotas *ctview.QuotaGrant
 }
@@ -59,14 +68,16 @@
 	return *field
 }
 
-func (s *controlStub) Open(context.Context, netip.AddrPort) (ctframe.Stream, error) {
+func (s *controlStub) Open(_ context.Context, address netip.AddrPort) (ctframe.Stream, error) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	s.opened++
-	if s.down {
+	if s.down || address == s.gone {
 		return nil, errRefused
 	}
-	return &streamStub{control: s, frames: make(chan ctframe.Frame, 1), closed: make(chan struct{})}, nil
+	return &streamStub{
+		control: s, address: address, frames: make(chan ctframe.Frame, 1), closed: make(chan struct{}),
+	}, nil
 }
 
 func (*controlStub) Disconnect(netip.AddrPort) {}
@@ -74,6 +85,7 @@
 // streamStub answers each report, and each watch once there is a newer view.
 type streamStub struct {
 	control *controlStub
+	address netip.AddrPort
 	frames  chan ctframe.Frame
 	once    sync.Once
 	closed  chan struct{}
@@ -89,7 +101,7 @@
 func (s *streamStub) Read() (ctframe.Frame, error) {
 	frame := <-s.frames
 	for {
-		reply, err := s.control.answer(frame)
+		reply, err := s.control.answer(s.address, frame)
 		if reply != nil || err != nil {
 			return reply, err
 		}
@@ -101,8 +113,8 @@
 	}
 }
 
-// answer returns the reply to a frame, or nil for a watch without a newer view.
-func (s *controlStub) answer(frame ctframe.Frame) (ctframe.Frame, error) {
+// answer returns the reply of a process to a frame, or nil for a watch without a newer view.
+func (s *controlStub) answer(address netip.AddrPort, frame ctframe.Frame) (ctframe.Frame, error) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	if s.down {
@@ -110,6 +122,13 @@
 	}
 	switch f := frame.(type) {
 	case *ctframe.Report:
+		if address == s.unjoined {
+			s.reportsThere++
+			return &ctframe.Retry{After: time.Millisecond, Leaderless: true, Unjoined: true}, nil
+		}
+		if s.leader.IsValid() && address != s.leader {
+			return &ctframe.Retry{After: time.Millisecond, Leaderless: true, Controls: s.named}, nil
+		}
 		if s.deferrals > 0 {
 			s.deferrals--
 			return &ctframe.Retry{After: time.Millisecond}, nil
@@ -170,7 +189,18 @@
 	t *testing.T, control *controlStub, subscriber ctuplink.ViewSubscriber, quotas ctuplink.QuotaSource,
 ) *ctuplink.Uplink {
 	t.Helper()
-	u := ctuplink.New(ctuplink.Options{
+	u := newUplink(control, subscriber, quotas)
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	go u.Run(ctx)
+	return u
+}
+
+// newUplink returns an uplink that does not run.
+func newUplink(
+	control *controlStub, subscriber ctuplink.ViewSubscriber, quotas ctuplink.QuotaSource,
+) *ctuplink.Uplink {
+	return ctuplink.New(ctuplink.Options{
 		Self: ctview.Proxy{
 			Name: "p", FailureDomain: "d", Address: netip.MustParseAddrPort("127.0.0.1:1"), Incarnation: 1,
 			State: ctserver.StateReady,
@@ -180,17 +210,16 @@
 		State:             ctstate.New(),
 		Groups:            noGroups{},
 		Quotas:            quotas,
-		Resolve:           func(ctid.Control) (netip.AddrPort, bool) { return netip.AddrPort{}, false },
-		Subscribers:       []ctuplink.ViewSubscriber{subscriber},
-		Transport:         control,
-		Clock:             ctclock.System{},
-		Logger:            zerolog.Nop(),
-		Metrics:           ctmetric.New(prometheus.NewRegistry()),
+		Resolve: func(name ctid.Control) (netip.AddrPort, bool) {
+			address, err := netip.ParseAddr(string(name))
+			return netip.AddrPortFrom(address, 1), err == nil
+		},
+		Subscribers: []ctuplink.ViewSubscriber{subscriber},
+		Transport:   control,
+		Clock:       ctclock.System{},
+		Logger:      zerolog.Nop(),
+		Metrics:     ctmetric.New(prometheus.NewRegistry()),
 	})
-	ctx, cancel := context.WithCancel(context.Background())
-	t.Cleanup(cancel)
-	go u.Run(ctx)
-	return u
 }
 
 // eventually waits for a condition, for at most ten seconds.
@@ -271,6 +300,56 @@
 	})
 }
 
+// TestSeedsWithoutLeader guards against a proxy that, after its start, knows its seeds alone and asks
+// only them while another control process has the leader.
+func TestSeedsWithoutLeader(t *testing.T) {
+	const leader = "127.0.0.9"
+	control := &controlStub{
+		leader: netip.AddrPortFrom(netip.MustParseAddr(leader), 1),
+		named:  []ctid.Control{"127.0.0.2", "127.0.0.8", leader, "no address"},
+	}
+	startUplink(t, control, &versions{})
+	eventually(t, func() bool { return control.count(&control.reports) > 0 })
+}
+
+// TestUnjoinedControl guards against a proxy that waits at a control process which lost its disk and
+// has not joined the others, while its authority expires.
+func TestUnjoinedControl(t *testing.T) {
+	seed := netip.AddrPortFrom(netip.MustParseAddr("127.0.0.2"), 1)
+	control := &controlStub{unjoined: seed, replies: map[ctview.Version]*ctview.Delta{0: {To: 1}}}
+	seen := &versions{}
+	startUplink(t, control, seen)
+	eventually(t, func() bool { return seen.last() == 1 && control.count(&control.reports) > 0 })
+	assert.Equal(t, control.count(&control.reportsThere), 1)
+}
+
+// TestDeregisterWithoutFirstControl guards against a proxy that stops and whose last report is lost,
+// because the first control process that it asks can't be reached or has no leader.
+func TestDeregisterWithoutFirstControl(t *testing.T) {
+	address := func(ip string) netip.AddrPort { return netip.AddrPortFrom(netip.MustParseAddr(ip), 1) }
+	for _, c := range []struct {
+		name    string
+		control *controlStub
+	}{
+		{"it can't be reached", &controlStub{gone: address("127.0.0.2")}},
+		{"it has not joined the others", &controlStub{unjoined: address("127.0.0.2")}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			u := newUplink(c.control, &versions{}, nil)
+			ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+			defer cancel()
+			assert.NilError(t, u.Deregister(ctx))
+			assert.Equal(t, c.control.count(&c.control.reports), 1)
+		})
+	}
+	t.Run("no control process can be reached until the time is over", func(t *testing.T) {
+		u := newUplink(&controlStub{down: true}, &versions{}, nil)
+		ctx, cancel := context.WithTimeout(context.Background(), 50*time.Millisecond)
+		defer cancel()
+		assert.ErrorContains(t, u.Deregister(ctx), "refused")
+	})
+}
+
 // TestLapsedAuthority guards against a report that doesn't tell control that the proxy may
 // have missed changes of primaries.
 func TestLapsedAuthority(t *testing.T) {
