ctlonemember: the stand-in for a group of one member, out of ctcrowd

Cause: another lab needs a member that is always the primary and keeps nothing but its position. Change: ctcrowd's member is a package of its own; nothing else changes.

--- a/internal/lab/ctcrowd/crowd.go
+++ b/internal/lab/ctcrowd/crowd.go
@@ -11,6 +11,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/cherviltrestle/cherviltrestle/internal/lab/ctlonemember"
 	"github.com/cherviltrestle/cherviltrestle/internal/model/ctquery"
 	"github.com/cherviltrestle/cherviltrestle/platform"
 	"github.com/cherviltrestle/cherviltrestle/platform/ctpeer"
@@ -205,7 +206,7 @@
 	case SlowSender:
 		c.sendSlowly()
 	case SlowReader:
-		if c.send(strings.Repeat(queryLine("READ "+largeItem), slowReads), 0) {
+		if c.send(strings.Repeat(queryLine("READ "+ctlonemember.LargeItem), slowReads), 0) {
 			_ = c.caller.SetReadDeadline(time.Now().Add(stepTimeout))
 			_, _ = c.socket.Read(make([]byte, smallPieceBytes))
 		}
--- a/internal/lab/ctcrowd/system.go
+++ b/internal/lab/ctcrowd/system.go
@@ -12,6 +12,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/cherviltrestle/cherviltrestle/internal/lab/ctfleet"
+	"github.com/cherviltrestle/cherviltrestle/internal/lab/ctlonemember"
 	"github.com/cherviltrestle/cherviltrestle/internal/model/ctconfig"
 	"github.com/cherviltrestle/cherviltrestle/internal/model/ctid"
 	"github.com/cherviltrestle/cherviltrestle/internal/model/ctserver"
@@ -109,7 +110,7 @@
 		return errors.Wrap(err, "open the member's address")
 	}
 	s.listeners = append(s.listeners, listener)
-	go newMember(listener).serve()
+	go ctlonemember.New(listener).Serve()
 	if err := s.startControl(); err != nil {
 		return err
 	}
@@ -208,7 +209,7 @@
 		callCtx, cancel := context.WithTimeout(ctx, callTimeout)
 		_, _ = client.Report(callCtx, s.OperatorAddress(), ctserver.Announcement{
 			Group: groupName, Member: memberName, FailureDomain: domain, Address: s.address(memberHost, memberPort),
-			Slots: memberSlots, Role: ctserver.RolePrimary, State: ctserver.StateReady, Incarnation: incarnation,
+			Slots: ctlonemember.Slots, Role: ctserver.RolePrimary, State: ctserver.StateReady, Incarnation: incarnation,
 			Sequence: sequence,
 		})
 		cancel()
--- a/internal/lab/ctcrowd/member.go
+++ b/internal/lab/ctlonemember/member.go
@@ -1,4 +1,12 @@
-package ctcrowd
+/*
+Package ctlonemember has a stand-in for a database group of one member: a primary that keeps nothing but its
+position. It speaks through package ctpeer, which shares no code with the product.
+
+# Usage
+
+	go ctlonemember.New(listener).Serve()
+*/
+package ctlonemember
 
 import (
 	"fmt"
@@ -13,18 +21,18 @@
 )
 
 const (
-	// memberSlots is how many statements the member runs at once.
-	memberSlots = 5
-	// largeItem is the item whose read returns one row of largeRowBytes.
-	largeItem     = "large"
+	// Slots is how many statements the member runs at once.
+	Slots = 5
+	// LargeItem is the item whose read returns one row of largeRowBytes.
+	LargeItem     = "large"
 	largeRowBytes = 900 << 10
 )
 
 // term is the member's term.
 const term ctposition.Term = 3
 
-// member is the stand-in member, a primary that keeps nothing but its position.
-type member struct {
+// Member is the stand-in. Several goroutines may connect to it.
+type Member struct {
 	listener net.Listener
 	position atomic.Uint64
 	// proofs counts the proofs. The proxy doubts an answer whose proof is that of an earlier one.
@@ -33,23 +41,24 @@
 	slots chan struct{}
 }
 
-func newMember(listener net.Listener) *member {
-	m := &member{listener: listener, slots: make(chan struct{}, memberSlots)}
+// New returns a member that accepts connections from a listener once Serve is called.
+func New(listener net.Listener) *Member {
+	m := &Member{listener: listener, slots: make(chan struct{}, Slots)}
 	m.position.Add(1)
 	return m
 }
 
-func (m *member) point() ctposition.Point {
+func (m *Member) point() ctposition.Point {
 	return ctposition.Point{Term: term, Position: ctposition.Position(m.position.Load())}
 }
 
 // newProof returns the proof of an answer.
-func (m *member) newProof() string {
+func (m *Member) newProof() string {
 	return fmt.Sprintf("proof-%d", m.proofs.Add(1))
 }
 
-// serve accepts connections until the listener is closed.
-func (m *member) serve() {
+// Serve accepts connections until the listener is closed.
+func (m *Member) Serve() {
 	for {
 		socket, err := m.listener.Accept()
 		if err != nil {
@@ -59,7 +68,7 @@
 	}
 }
 
-func (m *member) serveConnection(socket net.Conn) {
+func (m *Member) serveConnection(socket net.Conn) {
 	defer func() { _ = socket.Close() }()
 	conn := ctpeer.Accept(socket)
 	if _, err := conn.ReadStartup(); err != nil {
@@ -83,12 +92,12 @@
 }
 
 // answerTo returns the answer to a query.
-func (m *member) answerTo(query ctpeer.Query) ctpeer.Answer {
+func (m *Member) answerTo(query ctpeer.Query) ctpeer.Answer {
 	var answer ctpeer.Answer
 	switch s := query.Statement.(type) {
 	case ctpeer.Read:
 		answer.Rows, answer.Proof = []string{"row"}, m.newProof()
-		if s.Item == largeItem {
+		if s.Item == LargeItem {
 			answer.Rows[0] = strings.Repeat("r", largeRowBytes)
 		}
 	case ctpeer.Write, ctpeer.Execute, ctpeer.Commit:
