--- /dev/null
+++ b/internal/lab/ctdiskloss/run.go
@@ -0,0 +1,101 @@
+package ctdiskloss
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/cherviltrestle/cherviltrestle/internal/model/ctid"
+)
+
+// Bounds of the platform's contract.
+const (
+	// CatchUp is the time after which a process that came back with an empty disk counts no more as lost.
+	CatchUp = 6 * time.Second
+	// AckTimeout is how long control may take to acknowledge a change.
+	AckTimeout = 8 * time.Second
+	// RecoverTimeout is how long after the last fault callers are served again.
+	RecoverTimeout = 15 * time.Second
+)
+
+// downTime is how long processes are down.
+const downTime = time.Second
+
+// Run plays a plan and returns the broken rules. An error means that the run could not go on.
+func (s *System) Run(ctx context.Context, plan Plan) ([]Violation, error) {
+	for i, victims := range plan.Losses {
+		lost := plan.selectVictims(victims, s.controls, s.leader(), i+1)
+		for _, p := range lost {
+			p.lostAt = i + 1
+		}
+		isLast := i == len(plan.Losses)-1
+		s.logStep(fmt.Sprintf("%T", victims), lost, isLast)
+		down := lost
+		if isLast {
+			down = s.processes()
+		}
+		if err := s.strike(ctx, lost, down); err != nil {
+			return s.violations, err
+		}
+		if isLast {
+			s.judgeRecovery(ctx)
+			s.judgeChange(ctx)
+			continue
+		}
+		s.judgeJoins(ctx)
+	}
+	return s.violations, nil
+}
+
+// strike publishes a change, kills processes right after its acknowledgement and starts them again, some
+// with empty disks.
+func (s *System) strike(ctx context.Context, lost, down []*process) error {
+	s.judgeChange(ctx)
+	kill(down)
+	for _, p := range lost {
+		if err := p.loseDisk(); err != nil {
+			return err
+		}
+	}
+	sleep(ctx, downTime)
+	for _, p := range down {
+		if err := p.start(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// kill kills processes at the same moment, as nearly as possible.
+func kill(processes []*process) {
+	done := make(chan struct{})
+	for _, p := range processes {
+		go func() {
+			p.Kill()
+			done <- struct{}{}
+		}()
+	}
+	for range processes {
+		<-done
+	}
+}
+
+// leader returns the control process that others follow, or an empty name.
+func (s *System) leader() ctid.Control {
+	for _, c := range s.controls {
+		if v, err := c.view(); err == nil && v.leader == c.peer() && c.Running() {
+			return v.leader
+		}
+	}
+	return ""
+}
+
+// logStep logs which processes a loss strikes.
+func (s *System) logStep(victims string, lost []*process, allPower bool) {
+	var names []string
+	for _, p := range lost {
+		names = append(names, p.Name)
+	}
+	s.Logger.Info().Str("event", "disks_lost").Str("victims", victims).Strs("processes", names).
+		Str("leader", string(s.leader())).Bool("all_power", allPower).Send()
+}
