ctcontrol: only a leader with authority answers reads of the configuration

Callers saw: `config history` that lacked the last accepted change. Cause: GET /v1/config and /v1/deeds were answered from the state of the process that got them. A follower applies a change later than the leader confirms it, and one that is cut off doesn't apply it at all; rule CONFIG allows an error, but no older version. CurrentConfig (Recall) needs authority already. Status is still answered by each process.

--- a/internal/program/ctcontrol/change.go
+++ b/internal/program/ctcontrol/change.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/cherviltrestle/cherviltrestle/internal/decide/ctquorum"
 	"github.com/cherviltrestle/cherviltrestle/internal/decide/ctregister"
@@ -47,8 +48,12 @@
 // notLeaderError returns the error for a caller that needs the leader. It names the
 // leader if one is known.
 func notLeaderError(l *leaderState) error {
-	if l.leader.Name == "" {
+	switch l.leader.Name {
+	case "":
 		return cterror.New(cterror.Unavailable, "no control process leads now", "try again in a second")
+	case l.self:
+		return cterror.New(
+			cterror.Unavailable, "this control process leads, but has no authority now", "try again in a second")
 	}
 	return cterror.Newf(cterror.Unavailable, "name its HTTP address with --control-http",
 		"this control process does not lead; %s does", l.leader.Name)
@@ -89,16 +94,22 @@
 	return status
 }
 
-// ConfigHistory returns the accepted configurations, the newest last.
-func (c *Control) ConfigHistory(held *ctlock.Held) []ctconfig.AcceptedChange {
+// ConfigHistory returns the accepted configurations, the newest last. It fails without
+// authority, because a newer configuration may then be in force.
+func (c *Control) ConfigHistory(held *ctlock.Held) ([]ctconfig.AcceptedChange, error) {
 	var history []ctconfig.AcceptedChange
-	c.state.With(held, func(l *leaderState) { history = append(history, l.register.ConfigHistory...) })
-	return history
+	err := c.withAuthority(held, func(_ time.Time, l *leaderState) {
+		history = append(history, l.register.ConfigHistory...)
+	})
+	return history, err
 }
 
-// AuditLog returns the recorded decisions on groups, the newest last.
-func (c *Control) AuditLog(held *ctlock.Held) []ctregister.AuditEntry {
+// AuditLog returns the recorded decisions on groups, the newest last. It fails without
+// authority, because later decisions may then have been made.
+func (c *Control) AuditLog(held *ctlock.Held) ([]ctregister.AuditEntry, error) {
 	var entries []ctregister.AuditEntry
-	c.state.With(held, func(l *leaderState) { entries = append(entries, l.register.AuditLog...) })
-	return entries
+	err := c.withAuthority(held, func(_ time.Time, l *leaderState) {
+		entries = append(entries, l.register.AuditLog...)
+	})
+	return entries, err
 }
--- a/internal/program/ctcontrol/operators.go
+++ b/internal/program/ctcontrol/operators.go
@@ -54,7 +54,8 @@
 
 func (o operatorAPI) configHistory(w http.ResponseWriter, _ *http.Request) {
 	var held ctlock.Held
-	cthttp.WriteJSON(w, http.StatusOK, o.control.ConfigHistory(&held))
+	history, err := o.control.ConfigHistory(&held)
+	writeRead(w, history, err)
 }
 
 func (o operatorAPI) status(w http.ResponseWriter, _ *http.Request) {
@@ -66,5 +67,15 @@
 
 func (o operatorAPI) auditLog(w http.ResponseWriter, _ *http.Request) {
 	var held ctlock.Held
-	cthttp.WriteJSON(w, http.StatusOK, o.control.AuditLog(&held))
+	entries, err := o.control.AuditLog(&held)
+	writeRead(w, entries, err)
+}
+
+// writeRead writes what was read, or the error.
+func writeRead(w http.ResponseWriter, read any, err error) {
+	if err != nil {
+		cthttp.WriteError(w, err)
+		return
+	}
+	cthttp.WriteJSON(w, http.StatusOK, read)
 }
--- a/internal/program/ctcontrol/watchquorum_test.go
+++ b/internal/program/ctcontrol/watchquorum_test.go
@@ -96,7 +96,8 @@
 		}}
 		b.play(7*time.Second, joining)
 		assertLines(t, b, "join_pending", 3,
-			`"for_s":6`, `{"process":"a","asked":true,"stream_open":true,"answer":"not_leading","answer_leader":"d","answered_before_s":6`,
+			`"for_s":6`, `{"process":"a","asked":true,"stream_open":true,`,
+			`"answer":"not_leading","answer_leader":"d","answered_before_s":6`,
 			`{"process":"b","asked":true,"stream_open":false,"last_error":"connection rejected"}`,
 			`{"process":"c","asked":true,"stream_open":false}`,
 			`"received":"append_request"`, `"discarded":1`)
