ctcontrol, ctcommand: status shows voters, learners and how many more losses stop control

Cause: the status named the voters only. That some of them are lost, or that a process is still joining, was to be seen in no place before control stopped. Change: the JSON of status has authority and quorum: the state of the process, of a leader its voters and learners with how far each is behind and how long silent, how many are lost and how many more losses stop control, and of a process that joins whom it asks and what came back. The fields that exist stay. The commands status and explain group ask the control processes until one with authority answers, and show the first answer if none does.

--- a/internal/program/ctcommand/explain.go
+++ b/internal/program/ctcommand/explain.go
@@ -13,7 +13,6 @@
 	"github.com/cherviltrestle/cherviltrestle/internal/model/ctid"
 	"github.com/cherviltrestle/cherviltrestle/internal/model/ctserver"
 	"github.com/cherviltrestle/cherviltrestle/internal/model/ctview"
-	"github.com/cherviltrestle/cherviltrestle/internal/program/ctcontrol"
 )
 
 func newExplain(environment Environment) *cobra.Command {
@@ -89,8 +88,8 @@
 // from control. It returns an error of kind cterror.Invalid if the group is not
 // declared.
 func (c *client) explainGroup(command *cobra.Command, name ctid.Group, now time.Time) (*groupExplanation, error) {
-	var status ctcontrol.Status
-	if err := c.call(command.Context(), http.MethodGet, "/v1/status", nil, &status); err != nil {
+	status, err := c.status(command.Context())
+	if err != nil {
 		return nil, err
 	}
 	var entries []ctregister.AuditEntry
--- a/internal/program/ctcommand/status.go
+++ b/internal/program/ctcommand/status.go
@@ -1,10 +1,13 @@
 package ctcommand
 
 import (
+	"context"
 	"net/http"
+	"time"
 
 	"github.com/spf13/cobra"
 
+	"github.com/cherviltrestle/cherviltrestle/internal/decide/ctquorum"
 	"github.com/cherviltrestle/cherviltrestle/internal/decide/ctregister"
 	"github.com/cherviltrestle/cherviltrestle/internal/program/ctcontrol"
 )
@@ -16,11 +19,11 @@
 		Short: "Show the fleet: proxies, members, groups and the configuration in force",
 		Args:  cobra.NoArgs,
 		RunE: func(command *cobra.Command, _ []string) error {
-			var status ctcontrol.Status
-			if err := c.call(command.Context(), http.MethodGet, "/v1/status", nil, &status); err != nil {
+			status, err := c.status(command.Context())
+			if err != nil {
 				return err
 			}
-			return c.print(command, status, func() { printStatus(command, &status) })
+			return c.print(command, status, func() { printStatus(command, status) })
 		},
 	}
 	c.register(command.Flags())
@@ -28,12 +31,37 @@
 	return command
 }
 
+// status requests the state of the fleet from the control processes, in turn until the leader
+// answers. Without its answer, it returns the first one.
+func (c *client) status(ctx context.Context) (*ctcontrol.Status, error) {
+	if err := c.check(); err != nil {
+		return nil, err
+	}
+	var first *ctcontrol.Status
+	var lastErr error
+	for _, address := range c.control {
+		status := &ctcontrol.Status{}
+		if err := callAddress(ctx, http.MethodGet, "http://"+address.String()+"/v1/status", nil, status); err != nil {
+			lastErr = err
+			continue
+		}
+		if status.Authority {
+			return status, nil
+		}
+		if first == nil {
+			first = status
+		}
+	}
+	if first == nil {
+		return nil, lastErr
+	}
+	return first, nil
+}
+
 // printStatus writes the status as text.
 func printStatus(command *cobra.Command, status *ctcontrol.Status) {
 	command.Printf("control: %s answers, %s leads\n", status.Control, status.Leader)
-	for _, v := range status.Voters {
-		command.Printf("  voter %s (disk %x)\n", v.Name, uint64(v.Incarnation))
-	}
+	printQuorum(command, status)
 	command.Printf("configuration: revision %s, not confirmed by %d proxies\n",
 		status.Revision, len(status.Unconfirmed))
 	for _, name := range status.Unconfirmed {
@@ -57,6 +85,60 @@
 	}
 }
 
+// printQuorum writes what the process knows of control's voters. One that does not lead knows
+// their names only.
+func printQuorum(command *cobra.Command, status *ctcontrol.Status) {
+	quorum := &status.Quorum
+	if quorum.Margin != "" {
+		command.Printf("voters: %s\n", quorum.Margin)
+	}
+	for _, v := range quorum.Voters {
+		printPeer(command, "voter", v)
+	}
+	for _, l := range quorum.Learners {
+		printPeer(command, "learner", l)
+	}
+	if len(quorum.Voters) == 0 {
+		for _, v := range status.Voters {
+			command.Printf("  voter %s (disk %x)\n", v.Name, uint64(v.Incarnation))
+		}
+	}
+	if quorum.JoiningFor > 0 {
+		command.Printf("%s has heard no leader for %s\n", status.Control, time.Duration(quorum.JoiningFor))
+	}
+	for i := range quorum.Processes {
+		printLink(command, &quorum.Processes[i])
+	}
+}
+
+// printLink writes what came back from a process that is asked to join, or that wrote.
+func printLink(command *cobra.Command, l *ctcontrol.LinkState) {
+	command.Printf("  %s: ", l.Process)
+	switch {
+	case !l.Asked:
+		command.Printf("not asked; its last message is %s", l.Received)
+	case l.Answer != "" && l.AnswerLeader != "":
+		command.Printf("answered %s, follows %s", l.Answer, l.AnswerLeader)
+	case l.Answer != "":
+		command.Printf("answered %s", l.Answer)
+	case l.StreamOpen:
+		command.Printf("asked, no answer")
+	default:
+		command.Printf("no stream (%s)", l.LastError)
+	}
+	command.Println()
+}
+
+// printPeer writes how far a process is that receives the log.
+func printPeer(command *cobra.Command, role string, p ctcontrol.PeerProgress) {
+	command.Printf("  %s %s (disk %x): %d entries behind, silent for %s", role, p.Name, uint64(p.Incarnation),
+		p.Behind, time.Duration(p.Silent))
+	if p.Lost != ctquorum.NotLost {
+		command.Printf(", lost: %s", p.Lost)
+	}
+	command.Println()
+}
+
 // newDeeds returns the command deeds, which lists the audit entries.
 func newDeeds(environment Environment) *cobra.Command {
 	var c client
--- a/internal/program/ctcontrol/change.go
+++ b/internal/program/ctcontrol/change.go
@@ -4,12 +4,9 @@
 	"context"
 	"time"
 
-	"github.com/cherviltrestle/cherviltrestle/internal/decide/ctquorum"
 	"github.com/cherviltrestle/cherviltrestle/internal/decide/ctregister"
 	"github.com/cherviltrestle/cherviltrestle/internal/model/ctconfig"
 	"github.com/cherviltrestle/cherviltrestle/internal/model/cterror"
-	"github.com/cherviltrestle/cherviltrestle/internal/model/ctid"
-	"github.com/cherviltrestle/cherviltrestle/internal/model/ctview"
 	"github.com/cherviltrestle/cherviltrestle/internal/work/ctlock"
 )
 
@@ -59,41 +56,6 @@
 		"this control process does not lead; %s does", l.leader.Name)
 }
 
-// Status is the state of the fleet as shown to operators.
-type Status struct {
-	// Control is the process that answers. Leader is the process that leads, and is empty
-	// if none is known.
-	Control  ctid.Control    `json:"control"`
-	Leader   ctid.Control    `json:"leader"`
-	Voters   []ctquorum.Peer `json:"voters"`
-	Revision ctid.Revision   `json:"revision"`
-	// Unconfirmed lists the proxies that have not reported the revision in force.
-	Unconfirmed []ctid.Proxy  `json:"unconfirmed"`
-	View        *ctview.Delta `json:"view"`
-	// Blocked maps each group whose change of primary is wanted but cannot proceed to the
-	// reason.
-	Blocked map[ctid.Group]string `json:"blocked,omitempty"`
-}
-
-// Status returns the state of the fleet as this process knows it. Only the leader's view
-// is current. The list of voters is left empty.
-func (c *Control) Status(held *ctlock.Held) Status {
-	var status Status
-	c.state.With(held, func(l *leaderState) {
-		status.Control, status.Leader = c.Name, l.leader.Name
-		status.Revision = l.register.CurrentConfig().Revision
-		status.Unconfirmed = l.roster.ProxiesBehind(status.Revision)
-		status.View = l.roster.DeltaSince(0, 0)
-		status.Blocked = make(map[ctid.Group]string)
-		for name, reason := range l.blocked {
-			if reason != "" {
-				status.Blocked[name] = string(reason)
-			}
-		}
-	})
-	return status
-}
-
 // ConfigHistory returns the accepted configurations, the newest last. It fails without
 // authority, because a newer configuration may then be in force.
 func (c *Control) ConfigHistory(held *ctlock.Held) ([]ctconfig.AcceptedChange, error) {
--- a/internal/program/ctcontrol/links.go
+++ b/internal/program/ctcontrol/links.go
@@ -28,8 +28,8 @@
 	discarded uint64
 }
 
-// linkState is a link as the log shows it.
-type linkState struct {
+// LinkState is a link as logs and operators see it.
+type LinkState struct {
 	Process ctid.Control `json:"process"`
 	// Asked reports whether the process is asked to join.
 	Asked      bool   `json:"asked"`
@@ -88,10 +88,10 @@
 }
 
 // states returns the records by name, with those of the asked processes among them.
-func (l *links) states(held *ctlock.Held, now time.Time, asked []ctquorum.JoinAnswer) []linkState {
-	states := make(map[ctid.Control]linkState)
+func (l *links) states(held *ctlock.Held, now time.Time, asked []ctquorum.JoinAnswer) []LinkState {
+	states := make(map[ctid.Control]LinkState)
 	for _, a := range asked {
-		state := linkState{Process: a.From.Name, Asked: true, Answer: a.Outcome, AnswerLeader: a.Leader.Name}
+		state := LinkState{Process: a.From.Name, Asked: true, Answer: a.Outcome, AnswerLeader: a.Leader.Name}
 		if a.Outcome != "" {
 			state.AnsweredBefore = now.Sub(a.At).Seconds()
 		}
@@ -108,7 +108,7 @@
 			states[name] = state
 		}
 	})
-	return slices.SortedFunc(maps.Values(states), func(a, b linkState) int {
+	return slices.SortedFunc(maps.Values(states), func(a, b LinkState) int {
 		return strings.Compare(string(a.Process), string(b.Process))
 	})
 }
--- a/internal/program/ctcontrol/operators.go
+++ b/internal/program/ctcontrol/operators.go
@@ -60,9 +60,15 @@
 
 func (o operatorAPI) status(w http.ResponseWriter, _ *http.Request) {
 	var held ctlock.Held
-	status := o.control.Status(&held)
-	status.Voters = o.replica.Voters(&held)
-	cthttp.WriteJSON(w, http.StatusOK, status)
+	cthttp.WriteJSON(w, http.StatusOK, o.currentStatus(&held))
+}
+
+// currentStatus returns the state of the fleet as this process knows it.
+func (o operatorAPI) currentStatus(held *ctlock.Held) Status {
+	status := o.control.Status(held)
+	status.Voters = o.replica.Voters(held)
+	status.Quorum = o.replica.QuorumStatus(held)
+	return status
 }
 
 func (o operatorAPI) auditLog(w http.ResponseWriter, _ *http.Request) {
