ctcontrol: a process that has not joined sends its callers on at once

Callers saw: each report, announcement, read and release at a process with an empty disk waited for 0.5 to 0.9 s, and a watch for 1.5 s, before it was answered that nobody leads; proxies then stayed at the process. Cause: such a process was treated like one that lost its leader a moment ago, for which an election is worth a wait. Change: a process that doesn't vote and has heard no leader since its start counts as unjoined, 0.9 s after the start. It answers reports and watches with NotLeader, and announcements, releases and reads with an error that names the reason, without a wait. A process that had joined, and each in its first 0.9 s, keeps callers waiting as before. TestLeaderWithoutAuthority gets a replica, which its service lacked; its assertions are unchanged.

--- a/internal/program/ctcontrol/forward.go
+++ b/internal/program/ctcontrol/forward.go
@@ -61,8 +61,12 @@
 }
 
 // Announce applies a member's announcement. It returns once the leader has accepted it.
-// An unchanged announcement is accepted here and sent to the leader with the next batch.
+// An unchanged announcement is accepted here and sent to the leader with the next batch. A
+// process that has not joined returns an error.
 func (s *Service) Announce(ctx context.Context, announcement ctserver.Announcement) error {
+	if s.replica.Unjoined() {
+		return unjoinedError()
+	}
 	return s.announcements.announce(ctx, announcement)
 }
 
@@ -83,7 +87,7 @@
 	defer cancel()
 	for {
 		reply, err := s.callLeaderWithin(ctx, timeout, frame)
-		if err == nil || cterror.KindOf(err) == cterror.Invalid {
+		if err == nil || cterror.KindOf(err) == cterror.Invalid || s.replica.Unjoined() {
 			return reply, err
 		}
 		select {
@@ -116,6 +120,9 @@
 	if self {
 		return checkReply(s.handleFrame(ctx, &held, nil, frame))
 	}
+	if leader == "" && s.replica.Unjoined() {
+		return nil, unjoinedError()
+	}
 	address, ok := s.Resolve(leader)
 	if leader == "" || leader == s.Name || !ok {
 		return nil, cterror.New(cterror.Unavailable, "no control process leads now", "try again in a second")
@@ -149,11 +156,11 @@
 }
 
 // awaitLeader waits until a leader is known or ctx ends. An election usually completes
-// within the caller's timeout.
+// within the caller's timeout. A process that has not joined does not wait.
 func (s *Service) awaitLeader(ctx context.Context, held *ctlock.Held) (leader ctid.Control, self bool) {
 	for {
 		leader, self = s.control.Leader(held)
-		if self || (leader != "" && leader != s.Name) {
+		if self || (leader != "" && leader != s.Name) || s.replica.Unjoined() {
 			return leader, self
 		}
 		select {
@@ -177,6 +184,12 @@
 	return cterror.New(cterror.Unavailable, "this control process does not lead", "try again in a second")
 }
 
+// unjoinedError returns the error of a process that has not joined the others.
+func unjoinedError() error {
+	return cterror.New(
+		cterror.Unavailable, "this control process has not joined the others", "use another control process")
+}
+
 func unexpectedReplyError() error {
 	return cterror.New(cterror.Unavailable, "control gave another answer", "check that all processes have one version")
 }
--- a/internal/program/ctcontrol/forward_test.go
+++ b/internal/program/ctcontrol/forward_test.go
@@ -103,6 +103,7 @@
 				Resolve: func(ctid.Control) (netip.AddrPort, bool) { return netip.AddrPort{}, true },
 			},
 			control:     New(Options{Name: "a", Clock: ctclock.System{}}),
+			replica:     &Replica{},
 			idleStreams: make(map[ctid.Control][]ctframe.Stream),
 		}
 		s.control.BecomeFollower(ctquorum.Peer{Name: "b", Incarnation: 1})
--- a/internal/program/ctcontrol/peer.go
+++ b/internal/program/ctcontrol/peer.go
@@ -118,12 +118,13 @@
 }
 
 // handleReport returns the leader's reply to a proxy's report. If another process leads,
-// the report is forwarded; if that fails, the proxy is to report again.
+// the report is forwarded; if that fails, the proxy is to report again. A process that has not
+// joined sends the proxy to another one.
 func (s *Service) handleReport(
 	ctx context.Context, held *ctlock.Held, from *peer, report *ctview.Report,
 ) ctframe.Frame {
 	reply := s.control.HandleReport(held, report)
-	if !reply.NotLeader {
+	if !reply.NotLeader || s.replica.Unjoined() {
 		return s.replyFrame(reply)
 	}
 	if from != nil {
--- a/internal/program/ctcontrol/viewrelay.go
+++ b/internal/program/ctcontrol/viewrelay.go
@@ -142,10 +142,10 @@
 }
 
 // watchView waits for a view that is newer than that of a proxy: at this process if it
-// leads, and at the mirror otherwise.
+// leads, and at the mirror otherwise. A process that has not joined sends the proxy to another one.
 func (s *Service) watchView(ctx context.Context, held *ctlock.Held, f *ctframe.Watch) *ctview.Reply {
 	reply := s.control.Watch(ctx, held, f.Version, f.Revision)
-	if !reply.NotLeader {
+	if !reply.NotLeader || s.replica.Unjoined() {
 		return reply
 	}
 	return &ctview.Reply{Delta: s.views.watch(ctx, held, f.Version, f.Revision)}
--- a/internal/program/ctcontrol/watchquorum.go
+++ b/internal/program/ctcontrol/watchquorum.go
@@ -1,6 +1,7 @@
 package ctcontrol
 
 import (
+	"sync/atomic"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
@@ -23,6 +24,9 @@
 	// joinRejectedInterval is the shortest time between two lines about rejected requests of
 	// one sender.
 	joinRejectedInterval = 5 * time.Second
+	// joinGrace is how long after its start a process that joins may keep callers waiting, like
+	// one that waits for the next leader.
+	joinGrace = forwardTimeout
 	// maxJoinSenders bounds the senders whose rejected requests are logged.
 	maxJoinSenders = 64
 )
@@ -38,6 +42,9 @@
 	nextRiskAt        time.Time
 	// joining is the last status if that was Joining, and nil otherwise.
 	joining *ctquorum.Joining
+	// unjoined reports that the process has not joined since its start, and that joinGrace is
+	// over. It is read by all goroutines.
+	unjoined atomic.Bool
 	// learners and voters are those of the last status while this process leads.
 	learners, voters map[ctquorum.Peer]bool
 	// margin is the one that was logged last. It is the zero value while there is no risk.
@@ -54,7 +61,13 @@
 		r.metrics = ctmetric.NewControl(prometheus.NewRegistry())
 	}
 	r.links.table.Rank = ctlock.RankLinks
-	r.watch = quorumWatch{logger: &r.logger, metrics: r.metrics, links: &r.links}
+	r.watch.logger, r.watch.metrics, r.watch.links = &r.logger, r.metrics, &r.links
+}
+
+// Unjoined reports that this process has not joined the others since its start, so that it can
+// serve nobody. It is false right after the start and once a leader was heard.
+func (r *Replica) Unjoined() bool {
+	return r.watch.unjoined.Load()
 }
 
 // wants reports whether the status is to be observed after an event.
@@ -77,6 +90,8 @@
 	}
 	w.nextStatusAt = now.Add(statusInterval)
 	w.setMetrics(status)
+	joining, joins := status.(ctquorum.Joining)
+	w.unjoined.Store(joins && !joining.HeardLeader && !now.Before(joining.Since.Add(joinGrace)))
 	switch s := status.(type) {
 	case ctquorum.Joining:
 		w.observeJoining(held, now, s)
