ctcontrol: the status of a process without a leader can be read

Operators saw: `status` at a process that knows no leader failed with "control name is empty", so at the time when it is needed. Cause: the JSON had an empty leader, and names check themselves when decoded. Change: the field leader is left out where no leader is known. Clients that read it as text see an empty one as before. Measured: the new subtest of TestStatus fails before with that error and passes now.

--- a/internal/program/ctcontrol/status.go
+++ b/internal/program/ctcontrol/status.go
@@ -15,7 +15,7 @@
 	// Control is the process that answers. Leader is the process that leads, and is empty
 	// if none is known.
 	Control  ctid.Control    `json:"control"`
-	Leader   ctid.Control    `json:"leader"`
+	Leader   ctid.Control    `json:"leader,omitempty"`
 	Voters   []ctquorum.Peer `json:"voters"`
 	Revision ctid.Revision   `json:"revision"`
 	// Unconfirmed lists the proxies that have not reported the revision in force.
--- a/internal/program/ctcontrol/status_test.go
+++ b/internal/program/ctcontrol/status_test.go
@@ -1,14 +1,28 @@
 package ctcontrol
 
 import (
+	"encoding/json"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
 	"github.com/cherviltrestle/cherviltrestle/internal/decide/ctquorum"
+	"github.com/cherviltrestle/cherviltrestle/internal/work/ctlock"
 )
 
-// TestStatus guards against lost voters that no operator sees.
+// statusOf returns the status of a process as its HTTP interface encodes it, decoded again.
+func statusOf(t *testing.T, s *Service) Status {
+	t.Helper()
+	var held ctlock.Held
+	data, err := json.Marshal(operatorAPI{control: s.control, replica: s.replica}.currentStatus(&held))
+	assert.NilError(t, err)
+	var status Status
+	assert.NilError(t, json.Unmarshal(data, &status), string(data))
+	return status
+}
+
+// TestStatus guards against a status that can't be read when it is needed most: without a leader.
 func TestStatus(t *testing.T) {
 	t.Run("a leader shows its lost voters and its learners", func(t *testing.T) {
 		status := leaderQuorumStatus(leading(2, ctquorum.Peer{Name: "f", Incarnation: 9}))
@@ -18,4 +32,12 @@
 		assert.Equal(t, status.Voters[0].Lost, ctquorum.LossSilent)
 		assert.Equal(t, status.Learners[0].Behind, ctquorum.Index(12))
 	})
+	t.Run("a process that joins shows whom it asks and for how long", func(t *testing.T) {
+		s, _ := newJoining(t, 5*time.Second, "10.0.0.2")
+		status := statusOf(t, s)
+		assert.Equal(t, status.Quorum.State, stateJoins)
+		assert.Equal(t, time.Duration(status.Quorum.JoiningFor), 5*time.Second)
+		assert.Equal(t, len(status.Quorum.Processes), 1)
+		assert.Assert(t, status.Quorum.Processes[0].Asked)
+	})
 }
