--- a/internal/program/ctcontrol/change.go
+++ b/internal/program/ctcontrol/change.go
@@ -2,13 +2,11 @@
 
 import (
 	"context"
+	"time"
 
-	"github.com/cherviltrestle/cherviltrestle/internal/decide/ctquorum"
 	"github.com/cherviltrestle/cherviltrestle/internal/decide/ctregister"
 	"github.com/cherviltrestle/cherviltrestle/internal/model/ctconfig"
 	"github.com/cherviltrestle/cherviltrestle/internal/model/cterror"
-	"github.com/cherviltrestle/cherviltrestle/internal/model/ctid"
-	"github.com/cherviltrestle/cherviltrestle/internal/model/ctview"
 	"github.com/cherviltrestle/cherviltrestle/internal/work/ctlock"
 )
 
@@ -47,58 +45,33 @@
 // notLeaderError returns the error for a caller that needs the leader. It names the
 // leader if one is known.
 func notLeaderError(l *leaderState) error {
-	if l.leader.Name == "" {
+	switch l.leader.Name {
+	case "":
 		return cterror.New(cterror.Unavailable, "no control process leads now", "try again in a second")
+	case l.self:
+		return cterror.New(
+			cterror.Unavailable, "this control process leads, but has no authority now", "try again in a second")
 	}
 	return cterror.Newf(cterror.Unavailable, "name its HTTP address with --control-http",
 		"this control process does not lead; %s does", l.leader.Name)
 }
 
-// Status is the state of the fleet as shown to operators.
-type Status struct {
-	// Control is the process that answers. Leader is the process that leads, and is empty
-	// if none is known.
-	Control  ctid.Control    `json:"control"`
-	Leader   ctid.Control    `json:"leader"`
-	Voters   []ctquorum.Peer `json:"voters"`
-	Revision ctid.Revision   `json:"revision"`
-	// Unconfirmed lists the proxies that have not reported the revision in force.
-	Unconfirmed []ctid.Proxy  `json:"unconfirmed"`
-	View        *ctview.Delta `json:"view"`
-	// Blocked maps each group whose change of primary is wanted but cannot proceed to the
-	// reason.
-	Blocked map[ctid.Group]string `json:"blocked,omitempty"`
-}
-
-// Status returns the state of the fleet as this process knows it. Only the leader's view
-// is current. The list of voters is left empty.
-func (c *Control) Status(held *ctlock.Held) Status {
-	var status Status
-	c.state.With(held, func(l *leaderState) {
-		status.Control, status.Leader = c.Name, l.leader.Name
-		status.Revision = l.register.CurrentConfig().Revision
-		status.Unconfirmed = l.roster.ProxiesBehind(status.Revision)
-		status.View = l.roster.DeltaSince(0, 0)
-		status.Blocked = make(map[ctid.Group]string)
-		for name, reason := range l.blocked {
-			if reason != "" {
-				status.Blocked[name] = string(reason)
-			}
-		}
-	})
-	return status
-}
-
-// ConfigHistory returns the accepted configurations, the newest last.
-func (c *Control) ConfigHistory(held *ctlock.Held) []ctconfig.AcceptedChange {
+// ConfigHistory returns the accepted configurations, the newest last. It fails without
+// authority, because a newer configuration may then be in force.
+func (c *Control) ConfigHistory(held *ctlock.Held) ([]ctconfig.AcceptedChange, error) {
 	var history []ctconfig.AcceptedChange
-	c.state.With(held, func(l *leaderState) { history = append(history, l.register.ConfigHistory...) })
-	return history
+	err := c.withAuthority(held, func(_ time.Time, l *leaderState) {
+		history = append(history, l.register.ConfigHistory...)
+	})
+	return history, err
 }
 
-// AuditLog returns the recorded decisions on groups, the newest last.
-func (c *Control) AuditLog(held *ctlock.Held) []ctregister.AuditEntry {
+// AuditLog returns the recorded decisions on groups, the newest last. It fails without
+// authority, because later decisions may then have been made.
+func (c *Control) AuditLog(held *ctlock.Held) ([]ctregister.AuditEntry, error) {
 	var entries []ctregister.AuditEntry
-	c.state.With(held, func(l *leaderState) { entries = append(entries, l.register.AuditLog...) })
-	return entries
+	err := c.withAuthority(held, func(_ time.Time, l *leaderState) {
+		entries = append(entries, l.register.AuditLog...)
+	})
+	return entries, err
 }
--- a/internal/program/ctcontrol/operators.go
+++ b/internal/program/ctcontrol/operators.go
@@ -54,17 +54,34 @@
 
 func (o operatorAPI) configHistory(w http.ResponseWriter, _ *http.Request) {
 	var held ctlock.Held
-	cthttp.WriteJSON(w, http.StatusOK, o.control.ConfigHistory(&held))
+	history, err := o.control.ConfigHistory(&held)
+	writeRead(w, history, err)
 }
 
 func (o operatorAPI) status(w http.ResponseWriter, _ *http.Request) {
 	var held ctlock.Held
-	status := o.control.Status(&held)
-	status.Voters = o.replica.Voters(&held)
-	cthttp.WriteJSON(w, http.StatusOK, status)
+	cthttp.WriteJSON(w, http.StatusOK, o.currentStatus(&held))
+}
+
+// currentStatus returns the state of the fleet as this process knows it.
+func (o operatorAPI) currentStatus(held *ctlock.Held) Status {
+	status := o.control.Status(held)
+	status.Voters = o.replica.Voters(held)
+	status.Quorum = o.replica.QuorumStatus(held)
+	return status
 }
 
 func (o operatorAPI) auditLog(w http.ResponseWriter, _ *http.Request) {
 	var held ctlock.Held
-	cthttp.WriteJSON(w, http.StatusOK, o.control.AuditLog(&held))
+	entries, err := o.control.AuditLog(&held)
+	writeRead(w, entries, err)
+}
+
+// writeRead writes what was read, or the error.
+func writeRead(w http.ResponseWriter, read any, err error) {
+	if err != nil {
+		cthttp.WriteError(w, err)
+		return
+	}
+	cthttp.WriteJSON(w, http.StatusOK, read)
 }
--- a/internal/program/ctcontrol/peer.go
+++ b/internal/program/ctcontrol/peer.go
@@ -124,7 +124,7 @@
 	if !reply.NotLeader {
 		return s.replyFrame(reply)
 	}
-	if !s.replica.HasJoined(held) {
+	if s.replica.Unjoined() {
 		return &ctframe.Retry{After: leaderlessRetry, Leaderless: true, Unjoined: true, Controls: s.replica.Controls(held)}
 	}
 	if from != nil {
