ctquorum: long or changing lists don't make a joining process ask more

Seen: by an independent review; no operator has reported it. Cause: the learned names are bounded, but not the requests: a name that newer ones replaced was forgotten together with the time at which it was asked, so that changing answers made new requests at each tick. A long list replaced the leader that another process had named before it was asked. Change: of the learned names at most 16 are asked in an interval, counting those that were replaced; a reply teaches at most 8 names, the leader first.

--- a/internal/decide/ctquorum/join.go
+++ b/internal/decide/ctquorum/join.go
@@ -12,6 +12,9 @@
 // joinInterval is the time between two requests to join to the same process.
 const joinInterval = 100 * time.Millisecond
 
+// maxNamesPerReply is how many names a joining process learns from one reply.
+const maxNamesPerReply = 8
+
 // maxLearnedNames is how many names of processes a joining process keeps that it was told
 // of. It is more than twice the most voters, so that names from a process that was cut off
 // leave room for those in force.
@@ -87,21 +90,46 @@
 	if !n.joining(now) {
 		return
 	}
-	joins := make(map[ctid.Control]JoinAnswer)
-	for _, peer := range slices.Concat(n.learned, n.seeds, n.state.voters()) {
+	given := slices.Concat(n.seeds, n.state.voters())
+	joins, learnedAsked := n.recentJoins(now, given)
+	for _, peer := range slices.Concat(n.learned, given) {
 		if _, ok := joins[peer.Name]; ok || peer.Name == n.self.Name {
 			continue
 		}
-		answer, ok := n.joins[peer.Name]
-		if !ok || !now.Before(answer.AskedAt.Add(joinInterval)) {
-			answer.From.Name, answer.AskedAt = peer.Name, now
-			n.send(Peer{Name: peer.Name}, JoinRequest{Epoch: n.state.Epoch, WantsReply: true})
+		if !containsName(given, peer.Name) {
+			if learnedAsked == maxLearnedNames {
+				continue
+			}
+			learnedAsked++
 		}
+		answer := n.joins[peer.Name]
+		answer.From.Name, answer.AskedAt = peer.Name, now
 		joins[peer.Name] = answer
+		n.send(Peer{Name: peer.Name}, JoinRequest{Epoch: n.state.Epoch, WantsReply: true})
 	}
 	n.joins = joins
 }
 
+// recentJoins returns the processes that were asked within joinInterval, and how many of them are
+// not among the given ones. They include names that were learned and then replaced by newer ones.
+func (n *Node) recentJoins(now time.Time, given []Peer) (map[ctid.Control]JoinAnswer, int) {
+	recent, learned := make(map[ctid.Control]JoinAnswer), 0
+	for name, answer := range n.joins {
+		if !now.Before(answer.AskedAt.Add(joinInterval)) {
+			continue
+		}
+		recent[name] = answer
+		if !containsName(given, name) {
+			learned++
+		}
+	}
+	return recent, learned
+}
+
+func containsName(peers []Peer, name ctid.Control) bool {
+	return slices.ContainsFunc(peers, func(p Peer) bool { return p.Name == name })
+}
+
 // learn adds processes to those that are asked. The oldest beyond maxLearnedNames are
 // dropped.
 func (n *Node) learn(peers ...Peer) {
@@ -159,7 +187,8 @@
 		return
 	}
 	n.joins[from.Name] = JoinAnswer{From: from, AskedAt: asked.AskedAt, At: now, Outcome: m.Outcome, Leader: m.Leader}
-	n.learn(append([]Peer{m.Leader}, m.Voters...)...)
+	names := append([]Peer{m.Leader}, m.Voters...)
+	n.learn(names[:min(len(names), maxNamesPerReply)]...)
 }
 
 // handleMisaddressed learns the sender of a message to the lost disk of this process.
--- a/internal/decide/ctquorum/joinreply_test.go
+++ b/internal/decide/ctquorum/joinreply_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -161,3 +162,36 @@
 		assert.Equal(t, len(n.JoinAnswers()), 1)
 	})
 }
+
+// TestJoinAsksAreBounded covers a process whose answers name other processes each time: the
+// joining process forgot whom it had asked, and asked more of them than its bound allows.
+func TestJoinAsksAreBounded(t *testing.T) {
+	const bound = 16 + 1
+	reply := func(first, names int) ctquorum.Received {
+		message := ctquorum.JoinReply{Outcome: ctquorum.JoinNotLeading}
+		for i := range names {
+			message.Voters = append(message.Voters, ctquorum.Peer{Name: ctid.Control(fmt.Sprintf("p-%d", first+i)), Incarnation: 1})
+		}
+		return ctquorum.Received{From: peerA, Message: message}
+	}
+	t.Run("with other names in each answer", func(t *testing.T) {
+		n, now := newJoiningNode()
+		asked, intervals := 0, 10
+		for i := range intervals * 5 {
+			asked += len(askedBy(n.Step(now.Add(time.Duration(i)*tickStep), ctquorum.Tick{})))
+			n.Step(now.Add(time.Duration(i)*tickStep), reply(i*16, 16))
+		}
+		assert.Assert(t, asked <= bound*intervals, "%d requests in %d intervals", asked, intervals)
+	})
+	t.Run("a long list leaves the leader that another process named", func(t *testing.T) {
+		n, now := newJoiningNode()
+		n.SetSeeds([]ctquorum.Peer{{Name: peerA.Name}, {Name: peerB.Name}})
+		n.Step(now, ctquorum.Tick{})
+		n.Step(now, ctquorum.Received{From: peerB, Message: ctquorum.JoinReply{
+			Outcome: ctquorum.JoinNotLeading, Leader: peerC,
+		}})
+		n.Step(now, reply(0, 100))
+		asked := askedBy(n.Step(now.Add(tickStep), ctquorum.Tick{}))
+		assert.Assert(t, slices.Contains(asked, peerC.Name), "%v", asked)
+	})
+}
