ctquorum, ctcontrol: a process with an old log finds the leader

Callers saw: nothing by itself; a control process that had been away stayed out of the quorum, and one loss less was borne. Cause: a process whose log still names it as a voter sent votes alone, to the voters in that log under their incarnations of the time. Those that follow refuse without naming their leader, those that lost their disks drop a message to the earlier one. If the leader isn't in that log, it never hears of the process. The process counted as a voter without a leader, so no line was logged. Change: a voter that has heard no leader for 1 s asks like a joining process. Such a request doesn't make a voter count as heard from: the leader doesn't reach it.

--- a/internal/decide/ctquorum/doc.go
+++ b/internal/decide/ctquorum/doc.go
@@ -43,6 +43,10 @@
 (Misaddressed), so the leader is found even if all seeds are gone. What a process is
 told only decides whom it asks: it votes and follows by the rules above.
 
+A voter that has heard no leader for leaderSearchDelay does the same. Its own log may be so
+old that the voters in it have been replaced since, and then no vote or refusal shows it who
+leads. The leader sends it the log as to any learner.
+
 With Node.VoterCount, the leader keeps that many voters, which should be an odd number: of
 an even one, neither half of a cut into halves is a majority. Processes that join beyond
 it are standbys. They remain learners, and one takes the place of a voter that has been
--- a/internal/decide/ctquorum/election.go
+++ b/internal/decide/ctquorum/election.go
@@ -203,6 +203,7 @@
 func (n *Node) becomeLeader(now time.Time) {
 	n.role = roleLeader
 	n.justStarted = false
+	n.endJoin()
 	n.leader = n.self
 	n.lastLeaderContact = now
 	n.leaderReady = false
--- a/internal/decide/ctquorum/join.go
+++ b/internal/decide/ctquorum/join.go
@@ -12,6 +12,10 @@
 // joinInterval is the time between two requests to join to the same process.
 const joinInterval = 100 * time.Millisecond
 
+// leaderSearchDelay is how long a voter hears no leader before it looks for one like a joining
+// process. Its log may be so old that none of the voters in it can tell it that it was replaced.
+const leaderSearchDelay = time.Second
+
 // maxNamesPerReply is how many names a joining process learns from one reply.
 const maxNamesPerReply = 8
 
@@ -60,7 +64,7 @@
 }
 
 // JoinAnswers returns, by name, the processes that this one asks to let it join. It
-// returns none if this process is a voter or follows a leader.
+// returns none if this process leads or follows a leader.
 func (n *Node) JoinAnswers() []JoinAnswer {
 	answers := make([]JoinAnswer, 0, len(n.joins))
 	for _, a := range n.joins {
@@ -72,7 +76,13 @@
 
 // joining reports whether the process looks for a leader that lets it join.
 func (n *Node) joining(now time.Time) bool {
-	return !n.isVoter() && n.recentLeader(now) == Peer{}
+	switch {
+	case n.role == roleLeader:
+		return false
+	case n.isVoter():
+		return !now.Before(n.lastLeaderContact.Add(leaderSearchDelay))
+	}
+	return n.recentLeader(now) == Peer{}
 }
 
 // recentLeader returns the leader, or the zero value if none is known or it has been
--- a/internal/decide/ctquorum/membership.go
+++ b/internal/decide/ctquorum/membership.go
@@ -47,6 +47,10 @@
 	if n.role != roleLeader || !n.leaderReady {
 		return
 	}
+	if slices.Contains(n.state.voters(), from) {
+		// A voter that asks has not heard the leader, so it counts as silent.
+		return
+	}
 	last, _ := n.state.last()
 	n.addFollower(now, from, last+1)
 	n.followers[from].lastSeen = now
--- a/internal/decide/ctquorum/node.go
+++ b/internal/decide/ctquorum/node.go
@@ -254,12 +254,12 @@
 		}
 		n.stepDownWithoutMajority(now)
 	case !n.isVoter():
-		n.requestJoin(now)
 	case !now.Before(n.electionAt):
 		n.campaign(now, true)
 	case n.justStarted && n.role == roleFollower && !now.Before(n.nextStartupVoteAt):
 		n.sendStartupVoteRequests(now)
 	}
+	n.requestJoin(now)
 }
 
 // stepDownWithoutMajority makes a leader a follower once its authority expired two
--- a/internal/decide/ctquorum/status.go
+++ b/internal/decide/ctquorum/status.go
@@ -31,8 +31,11 @@
 	Votes bool
 }
 
-// Joining is the status of a process that doesn't vote and hears no leader.
+// Joining is the status of a process that looks for a leader: one that doesn't vote and hears
+// none, or a voter that has heard none for leaderSearchDelay.
 type Joining struct {
+	// Votes reports that the process's own log names it as a voter. The log may be old.
+	Votes bool
 	// Since is when the last message from a leader came, or the start of the process.
 	Since time.Time
 	// HeardLeader reports that a message from a leader has come since the start.
@@ -74,7 +77,7 @@
 	case n.role == roleLeader:
 		return n.leadingStatus(now)
 	case n.joining(now):
-		return Joining{Since: n.lastLeaderContact, HeardLeader: !n.justStarted, Asked: n.JoinAnswers()}
+		return Joining{Votes: n.isVoter(), Since: n.lastLeaderContact, HeardLeader: !n.justStarted, Asked: n.JoinAnswers()}
 	}
 	return Following{Leader: n.leader, Votes: n.isVoter()}
 }
@@ -137,9 +140,9 @@
 	return max(0, m.Voters-m.Lost-m.Voters/2)
 }
 
-// AtRisk reports that voters are lost and that at most one more loss stops control.
+// AtRisk reports that voters are lost, so that fewer more losses are borne than with all of them.
 func (m Margin) AtRisk() bool {
-	return m.Lost > 0 && m.StoppingLosses() <= 1
+	return m.Lost > 0
 }
 
 // String describes the margin to operators.
--- a/internal/program/ctcontrol/quorummetrics.go
+++ b/internal/program/ctcontrol/quorummetrics.go
@@ -28,7 +28,7 @@
 		states[stateFollows] = s.Leader != (ctquorum.Peer{})
 		states[stateNoLeader] = !states[stateFollows]
 	case ctquorum.Joining:
-		states[stateJoins] = true
+		votes, states[stateJoins], states[stateNoLeader] = s.Votes, !s.Votes, s.Votes
 	}
 	states[stateVotes] = votes
 	for state, holds := range states {
--- a/internal/program/ctcontrol/status.go
+++ b/internal/program/ctcontrol/status.go
@@ -67,7 +67,7 @@
 	Voters   []PeerProgress `json:"voters,omitempty"`
 	Learners []PeerProgress `json:"learners,omitempty"`
 	// JoiningFor is the time since the last message from a leader, or since the start, of a
-	// process that joins, and Processes whom it asks and what came back.
+	// process that looks for a leader, and Processes whom it asks and what came back.
 	JoiningFor ctconfig.Duration `json:"joining_for,omitempty"`
 	Processes  []LinkState       `json:"processes,omitempty"`
 }
@@ -92,9 +92,7 @@
 	case ctquorum.Leading:
 		return leaderQuorumStatus(s)
 	case ctquorum.Joining:
-		return QuorumStatus{
-			State: stateJoins, JoiningFor: roundedDuration(now.Sub(s.Since)), Processes: r.links.states(held, now, s.Asked),
-		}
+		return r.joiningQuorumStatus(held, now, s)
 	case ctquorum.Following:
 		if s.Leader != (ctquorum.Peer{}) {
 			return QuorumStatus{State: stateFollows, Votes: s.Votes}
@@ -103,6 +101,16 @@
 	return QuorumStatus{State: stateNoLeader, Votes: true}
 }
 
+func (r *Replica) joiningQuorumStatus(held *ctlock.Held, now time.Time, s ctquorum.Joining) QuorumStatus {
+	status := QuorumStatus{
+		State: stateJoins, JoiningFor: roundedDuration(now.Sub(s.Since)), Processes: r.links.states(held, now, s.Asked),
+	}
+	if s.Votes {
+		status.State, status.Votes = stateNoLeader, true
+	}
+	return status
+}
+
 func leaderQuorumStatus(s ctquorum.Leading) QuorumStatus {
 	margin := s.Margin()
 	return QuorumStatus{
--- a/internal/program/ctcontrol/watchquorum.go
+++ b/internal/program/ctcontrol/watchquorum.go
@@ -91,7 +91,7 @@
 	w.nextStatusAt = now.Add(statusInterval)
 	w.setMetrics(status)
 	joining, joins := status.(ctquorum.Joining)
-	w.unjoined.Store(joins && !joining.HeardLeader && !now.Before(joining.Since.Add(joinGrace)))
+	w.unjoined.Store(joins && !joining.Votes && !joining.HeardLeader && !now.Before(joining.Since.Add(joinGrace)))
 	switch s := status.(type) {
 	case ctquorum.Joining:
 		w.observeJoining(held, now, s)
@@ -115,7 +115,7 @@
 	}
 	w.nextJoinPendingAt = now.Add(joinLogInterval)
 	w.logger.Warn().Str("event", "join_pending").Float64("for_s", now.Sub(s.Since).Seconds()).
-		Bool("joined_before", s.HeardLeader).
+		Bool("joined_before", s.HeardLeader).Bool("votes", s.Votes).
 		Interface("processes", w.links.states(held, now, s.Asked)).Send()
 }
 
@@ -168,7 +168,7 @@
 	return set
 }
 
-// observeMargin warns when one more loss of a voter stops control, and logs the end of that.
+// observeMargin warns when voters are lost, and logs the end of that.
 func (w *quorumWatch) observeMargin(now time.Time, s ctquorum.Leading) {
 	margin := s.Margin()
 	if !margin.AtRisk() {
--- a/internal/program/ctcontrol/watchquorum_test.go
+++ b/internal/program/ctcontrol/watchquorum_test.go
@@ -128,12 +128,14 @@
 
 // TestWatchVoters guards against a loss of the majority without a warning before it.
 func TestWatchVoters(t *testing.T) {
-	t.Run("lost voters are logged when one more loss stops control, and when that is over", func(t *testing.T) {
+	t.Run("lost voters are logged with how many more losses stop control, and when that is over", func(t *testing.T) {
 		b := newWatchBench()
-		b.play(3*time.Second, leading(1))
+		b.play(3*time.Second, leading(0))
 		assertLines(t, b, "voters_at_risk", 0)
+		b.play(3*time.Second, leading(1))
+		assertLines(t, b, "voters_at_risk", 1, "1 of 5 voters lost, 2 more losses stop control", `"name":"a"`)
 		b.play(10*time.Second, leading(2))
-		assertLines(t, b, "voters_at_risk", 1,
+		assertLines(t, b, "voters_at_risk", 2,
 			"2 of 5 voters lost, one more loss stops control", `"name":"b"`, `"why":"silent"`)
 		assertWatchMetric(t, b, "control_voters", "silent", 2)
 		b.play(3*time.Second, leading(0))
