--- a/internal/program/ctcontrol/forward.go
+++ b/internal/program/ctcontrol/forward.go
@@ -5,6 +5,8 @@
 	"net/netip"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"github.com/cherviltrestle/cherviltrestle/internal/link/ctframe"
 	"github.com/cherviltrestle/cherviltrestle/internal/model/cterror"
 	"github.com/cherviltrestle/cherviltrestle/internal/model/ctid"
@@ -64,8 +66,9 @@
 // An unchanged announcement is accepted here and sent to the leader with the next batch. A
 // process that has not joined returns an error.
 func (s *Service) Announce(ctx context.Context, announcement ctserver.Announcement) error {
-	if s.replica.Unjoined() {
-		return unjoinedError()
+	var held ctlock.Held
+	if !s.replica.HasJoined(&held) {
+		return errUnjoined
 	}
 	return s.announcements.announce(ctx, announcement)
 }
@@ -87,7 +90,7 @@
 	defer cancel()
 	for {
 		reply, err := s.callLeaderWithin(ctx, timeout, frame)
-		if err == nil || cterror.KindOf(err) == cterror.Invalid || s.replica.Unjoined() {
+		if err == nil || cterror.KindOf(err) == cterror.Invalid || errors.Is(err, errUnjoined) {
 			return reply, err
 		}
 		select {
@@ -120,8 +123,8 @@
 	if self {
 		return checkReply(s.handleFrame(ctx, &held, nil, frame))
 	}
-	if leader == "" && s.replica.Unjoined() {
-		return nil, unjoinedError()
+	if leader == "" && !s.replica.HasJoined(&held) {
+		return nil, errUnjoined
 	}
 	address, ok := s.Resolve(leader)
 	if leader == "" || leader == s.Name || !ok {
@@ -160,7 +163,7 @@
 func (s *Service) awaitLeader(ctx context.Context, held *ctlock.Held) (leader ctid.Control, self bool) {
 	for {
 		leader, self = s.control.Leader(held)
-		if self || (leader != "" && leader != s.Name) || s.replica.Unjoined() {
+		if self || (leader != "" && leader != s.Name) || !s.replica.HasJoined(held) {
 			return leader, self
 		}
 		select {
@@ -184,11 +187,9 @@
 	return cterror.New(cterror.Unavailable, "this control process does not lead", "try again in a second")
 }
 
-// unjoinedError returns the error of a process that has not joined the others.
-func unjoinedError() error {
-	return cterror.New(
-		cterror.Unavailable, "this control process has not joined the others", "use another control process")
-}
+// errUnjoined is the error of a process that has not joined the others.
+var errUnjoined = cterror.New(
+	cterror.Unavailable, "this control process has not joined the others", "use another control process")
 
 func unexpectedReplyError() error {
 	return cterror.New(cterror.Unavailable, "control gave another answer", "check that all processes have one version")
--- a/internal/program/ctcontrol/viewrelay.go
+++ b/internal/program/ctcontrol/viewrelay.go
@@ -145,7 +145,7 @@
 // leads, and at the mirror otherwise. A process that has not joined sends the proxy to another one.
 func (s *Service) watchView(ctx context.Context, held *ctlock.Held, f *ctframe.Watch) *ctview.Reply {
 	reply := s.control.Watch(ctx, held, f.Version, f.Revision)
-	if !reply.NotLeader || s.replica.Unjoined() {
+	if !reply.NotLeader || !s.replica.HasJoined(held) {
 		return reply
 	}
 	return &ctview.Reply{Delta: s.views.watch(ctx, held, f.Version, f.Revision)}
