ctdiskloss: no process ends by itself or logs a panic or a data race

Cause: the lab judged joins, changes and service alone; a process that ended by itself would have shown only through these. Change: RuleRuns, before each loss and at the end.

--- a/internal/lab/ctdiskloss/doc.go
+++ b/internal/lab/ctdiskloss/doc.go
@@ -18,6 +18,7 @@
   - RuleConfig: a change is acknowledged within AckTimeout, and the newest acknowledged one is read back at
     all control processes after the last fault.
   - RuleServed: each proxy serves a read within RecoverTimeout after the last fault.
+  - RuleRuns: no process ends by itself or logs a panic or a data race.
 
 Rules are judged by what processes answer and by what they log: the lines started, lead_control,
 follow_control and control_voters. A change has a higher number than those before, so that reading the
--- a/internal/lab/ctdiskloss/judge.go
+++ b/internal/lab/ctdiskloss/judge.go
@@ -1,8 +1,10 @@
 package ctdiskloss
 
 import (
+	"bytes"
 	"context"
 	"fmt"
+	"os"
 	"slices"
 	"time"
 
@@ -18,6 +20,7 @@
 	RuleJoin   Rule = "join"
 	RuleConfig Rule = "config"
 	RuleServed Rule = "served"
+	RuleRuns   Rule = "runs"
 )
 
 // Violation is a broken rule.
@@ -71,6 +74,18 @@
 	}
 }
 
+// judgeProcesses checks that all processes run and have logged no failure of their own.
+func (s *System) judgeProcesses() {
+	for _, p := range s.processes() {
+		s.check(p.Running(), RuleRuns, "%s has ended by itself", p.Name)
+		log, err := os.ReadFile(p.LogFile)
+		s.check(err == nil, RuleRuns, "the log of %s can't be read: %v", p.Name, err)
+		for _, marker := range []string{"panic:", "fatal error:", "DATA RACE"} {
+			s.check(!bytes.Contains(log, []byte(marker)), RuleRuns, "the log of %s has %q", p.Name, marker)
+		}
+	}
+}
+
 // awaitEach waits for a condition of each process, and sends on the process's channel whether it was reached
 // before ctx ended.
 func awaitEach(
--- a/internal/lab/ctdiskloss/run.go
+++ b/internal/lab/ctdiskloss/run.go
@@ -34,12 +34,14 @@
 		if isLast {
 			down = s.processes()
 		}
+		s.judgeProcesses()
 		if err := s.strike(ctx, lost, down); err != nil {
 			return s.violations, err
 		}
 		if isLast {
 			s.judgeRecovery(ctx)
 			s.judgeChange(ctx)
+			s.judgeProcesses()
 			continue
 		}
 		s.judgeJoins(ctx)
