ctdiskloss: some lost control processes come back at another address

Change: a Loss may replace one of its victims that is no seed by a process with another name, address and an empty disk.

--- a/internal/lab/ctdiskloss/doc.go
+++ b/internal/lab/ctdiskloss/doc.go
@@ -6,10 +6,11 @@
 # Parts
 
 A System is six control processes, three of which are the seeds of all, two proxies and a group of one
-member (package ctlonemember). A Plan is a list of Losses. A Loss strikes right after a change was acknowledged: two
-control processes are killed and start again with empty disks. The next one strikes CatchUp after they
-are back, at other control processes. With the last loss all other processes are killed too, as by a
-loss of power. Which processes a Loss strikes is decided by its Victims.
+member (package ctlonemember). A Plan is a list of Losses. A Loss strikes right after a change was
+acknowledged: two control processes are killed and start again with empty disks, some of them at
+another address. The next one strikes CatchUp after they are back, at other control processes. With the
+last loss all other processes are killed too, as by a loss of power. Which processes a Loss strikes is
+decided by its Victims.
 
 # Rules
 
--- a/internal/lab/ctdiskloss/plan.go
+++ b/internal/lab/ctdiskloss/plan.go
@@ -31,9 +31,17 @@
 func (Oldest) isVictims()  {}
 func (Drawn) isVictims()   {}
 
+// Loss is the loss of maxDiskLosses disks.
+type Loss struct {
+	Victims Victims
+	// Replaced is how many of the victims are gone for good. Others with empty disks start in their place at
+	// other addresses. Seeds come back, as the settings of all name them.
+	Replaced int
+}
+
 // Plan is a list of losses.
 type Plan struct {
-	Losses []Victims
+	Losses []Loss
 	random *rand.Rand
 }
 
@@ -41,12 +49,12 @@
 // whose disks have lasted longest.
 func NewPlan(seed Seed) Plan {
 	const drawnLosses = 2
-	p := Plan{Losses: []Victims{Leading{}}, random: rand.New(rand.NewPCG(uint64(seed), 0))}
+	p := Plan{Losses: []Loss{{Victims: Leading{}}}, random: rand.New(rand.NewPCG(uint64(seed), 0))}
 	kinds := []Victims{Leading{}, Seeds{}, Oldest{}, Drawn{}}
 	for range drawnLosses {
-		p.Losses = append(p.Losses, kinds[p.random.IntN(len(kinds))])
+		p.Losses = append(p.Losses, Loss{Victims: kinds[p.random.IntN(len(kinds))], Replaced: p.random.IntN(2)})
 	}
-	p.Losses = append(p.Losses, Oldest{})
+	p.Losses = append(p.Losses, Loss{Victims: Oldest{}})
 	return p
 }
 
--- a/internal/lab/ctdiskloss/run.go
+++ b/internal/lab/ctdiskloss/run.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"time"
 
 	"github.com/cherviltrestle/cherviltrestle/internal/model/ctid"
@@ -23,19 +24,19 @@
 
 // Run plays a plan and returns the broken rules. An error means that the run could not go on.
 func (s *System) Run(ctx context.Context, plan Plan) ([]Violation, error) {
-	for i, victims := range plan.Losses {
-		lost := plan.selectVictims(victims, s.controls, s.leader(), i+1)
+	for i, loss := range plan.Losses {
+		lost := plan.selectVictims(loss.Victims, s.controls, s.leader(), i+1)
 		for _, p := range lost {
 			p.lostAt = i + 1
 		}
 		isLast := i == len(plan.Losses)-1
-		s.logStep(fmt.Sprintf("%T", victims), lost, isLast)
+		s.logStep(loss, lost, isLast)
 		down := lost
 		if isLast {
 			down = s.processes()
 		}
 		s.judgeProcesses()
-		if err := s.strike(ctx, lost, down); err != nil {
+		if err := s.strike(ctx, loss, lost, down); err != nil {
 			return s.violations, err
 		}
 		if isLast {
@@ -50,17 +51,23 @@
 }
 
 // strike publishes a change, kills processes right after its acknowledgement and starts them again, some
-// with empty disks.
-func (s *System) strike(ctx context.Context, lost, down []*process) error {
+// with empty disks. Some of these are replaced.
+func (s *System) strike(ctx context.Context, loss Loss, lost, down []*process) error {
 	s.judgeChange(ctx)
 	kill(down)
+	started := slices.Clone(down)
+	replaced := 0
 	for _, p := range lost {
 		if err := p.loseDisk(); err != nil {
 			return err
 		}
+		if replaced < loss.Replaced && !p.isSeed {
+			replaced++
+			started[slices.Index(started, p)] = s.replace(p)
+		}
 	}
 	sleep(ctx, downTime)
-	for _, p := range down {
+	for _, p := range started {
 		if err := p.start(); err != nil {
 			return err
 		}
@@ -93,11 +100,12 @@
 }
 
 // logStep logs which processes a loss strikes.
-func (s *System) logStep(victims string, lost []*process, allPower bool) {
+func (s *System) logStep(loss Loss, lost []*process, allPower bool) {
 	var names []string
 	for _, p := range lost {
 		names = append(names, p.Name)
 	}
-	s.Logger.Info().Str("event", "disks_lost").Str("victims", victims).Strs("processes", names).
+	s.Logger.Info().Str("event", "disks_lost").Str("victims", fmt.Sprintf("%T", loss.Victims)).
+		Int("replaced", loss.Replaced).Strs("processes", names).
 		Str("leader", string(s.leader())).Bool("all_power", allPower).Send()
 }
--- a/internal/lab/ctdiskloss/system.go
+++ b/internal/lab/ctdiskloss/system.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/netip"
 	"path/filepath"
+	"slices"
 	"time"
 
 	"github.com/pkg/errors"
@@ -70,8 +71,10 @@
 type System struct {
 	Options
 	controls, proxies []*process
-	operator          operator
-	violations        []Violation
+	// replacements counts the control processes that have replaced others.
+	replacements int
+	operator     operator
+	violations   []Violation
 
 	subnet    ctfleet.Subnet
 	listeners []net.Listener
@@ -153,16 +156,32 @@
 	}
 }
 
+// newControl prepares the control process of a number. Those after the first controlCount replace others.
+func (s *System) newControl(i int) *process {
+	settings := s.settings("control", controlAddresses, i)
+	settings.OperatorAddress = netip.AddrPortFrom(settings.IP, operatorPort)
+	settings.PromoterAddress = netip.AddrPortFrom(s.subnet.Address(ownAddresses, 1), promoterPort)
+	settings.DataFolder = filepath.Join(s.Folder, "data-"+settings.Name)
+	p := s.newProcess("control", settings)
+	p.isSeed = i < seedCount
+	return p
+}
+
+// replace prepares a control process at an address of its own in place of one that is gone for good, and
+// returns it.
+func (s *System) replace(gone *process) *process {
+	s.replacements++
+	p := s.newControl(controlCount + s.replacements - 1)
+	p.settings.FailureDomain, p.settings.Bootstrap = gone.settings.FailureDomain, false
+	p.lostAt = gone.lostAt
+	s.controls[slices.Index(s.controls, gone)] = p
+	return p
+}
+
 // addProcesses prepares the control processes and proxies.
 func (s *System) addProcesses() {
 	for i := range controlCount {
-		settings := s.settings("control", controlAddresses, i)
-		settings.OperatorAddress = netip.AddrPortFrom(settings.IP, operatorPort)
-		settings.PromoterAddress = netip.AddrPortFrom(s.subnet.Address(ownAddresses, 1), promoterPort)
-		settings.DataFolder = filepath.Join(s.Folder, "data-"+settings.Name)
-		p := s.newProcess("control", settings)
-		p.isSeed = i < seedCount
-		s.controls = append(s.controls, p)
+		s.controls = append(s.controls, s.newControl(i))
 	}
 	for i := range proxyCount {
 		settings := s.settings("proxy", proxyAddresses, i)
