--- a/internal/lab/ctdiskloss/doc.go
+++ b/internal/lab/ctdiskloss/doc.go
@@ -6,10 +6,11 @@
 # Parts
 
 A System is six control processes, three of which are the seeds of all, two proxies and a group of one
-member (package ctlonemember). A Plan is a list of Losses. A Loss strikes right after a change was acknowledged: two
-control processes are killed and start again with empty disks. The next one strikes CatchUp after they
-are back, at other control processes. With the last loss all other processes are killed too, as by a
-loss of power. Which processes a Loss strikes is decided by its Victims.
+member (package ctlonemember). A Plan is a list of Losses. A Loss strikes right after a change was
+acknowledged: two control processes are killed and start again with empty disks, some of them at
+another address. The next one strikes CatchUp after they are back, at other control processes. With the
+last loss all other processes are killed too, as by a loss of power. Which processes a Loss strikes is
+decided by its Victims.
 
 # Rules
 
@@ -18,6 +19,7 @@
   - RuleConfig: a change is acknowledged within AckTimeout, and the newest acknowledged one is read back at
     all control processes after the last fault.
   - RuleServed: each proxy serves a read within RecoverTimeout after the last fault.
+  - RuleRuns: no process ends by itself or logs a panic or a data race.
 
 Rules are judged by what processes answer and by what they log: the lines started, lead_control,
 follow_control and control_voters. A change has a higher number than those before, so that reading the
