ctcontrol, ctquorum: a voter that knows no leader shows it

Cause: only processes without a vote showed that they hear no leader. One that returns with an old log which names it a voter asks voters that are gone, and neither its log nor its status says so (found by a review). Change: Following has the time since the last message of a leader. The line leader_missing, at most one in 2 s, and the status (leaderless_for, processes) show who writes to the voter. Service.StatusHandler serves the status.

--- a/internal/decide/ctquorum/status.go
+++ b/internal/decide/ctquorum/status.go
@@ -29,6 +29,8 @@
 	Leader Peer
 	// Votes reports that the process is a voter.
 	Votes bool
+	// Since is when the last message from a leader came, or the start of the process.
+	Since time.Time
 }
 
 // Joining is the status of a process that doesn't vote and hears no leader.
@@ -76,7 +78,7 @@
 	case n.joining(now):
 		return Joining{Since: n.lastLeaderContact, HeardLeader: !n.justStarted, Asked: n.JoinAnswers()}
 	}
-	return Following{Leader: n.leader, Votes: n.isVoter()}
+	return Following{Leader: n.leader, Votes: n.isVoter(), Since: n.lastLeaderContact}
 }
 
 func (n *Node) leadingStatus(now time.Time) Leading {
--- a/internal/program/ctcommand/status.go
+++ b/internal/program/ctcommand/status.go
@@ -103,8 +103,8 @@
 			command.Printf("  voter %s (disk %x)\n", v.Name, uint64(v.Incarnation))
 		}
 	}
-	if quorum.JoiningFor > 0 {
-		command.Printf("%s has heard no leader for %s\n", status.Control, time.Duration(quorum.JoiningFor))
+	if quorum.LeaderlessFor > 0 {
+		command.Printf("%s has heard no leader for %s\n", status.Control, time.Duration(quorum.LeaderlessFor))
 	}
 	for i := range quorum.Processes {
 		printLink(command, &quorum.Processes[i])
@@ -115,8 +115,10 @@
 func printLink(command *cobra.Command, l *ctcontrol.LinkState) {
 	command.Printf("  %s: ", l.Process)
 	switch {
+	case !l.Asked && l.Received != "":
+		command.Printf("not asked to join; its last message is %s", l.Received)
 	case !l.Asked:
-		command.Printf("not asked; its last message is %s", l.Received)
+		command.Printf("not asked to join; no message from it")
 	case l.Answer != "" && l.AnswerLeader != "":
 		command.Printf("answered %s, follows %s", l.Answer, l.AnswerLeader)
 	case l.Answer != "":
--- a/internal/program/ctcommand/status_test.go
+++ b/internal/program/ctcommand/status_test.go
@@ -17,9 +17,10 @@
 		"lost":2,"stopping_losses":1,"margin":"2 of 5 voters lost, one more loss stops control",
 		"voters":[{"name":"c","incarnation":1,"silent":"4s","behind":12,"lost":"silent"}],
 		"learners":[{"name":"f","incarnation":9,"silent":"20ms","behind":0}]}}`
-	joiningStatus = `{"control":"d","quorum":{"state":"joins","joining_for":"8s","processes":[
+	joiningStatus = `{"control":"d","quorum":{"state":"joins","leaderless_for":"8s","processes":[
 		{"process":"a","asked":true,"stream_open":false,"last_error":"connection refused"},
-		{"process":"b","asked":true,"stream_open":true,"answer":"not_leading","answer_leader":"c"}]}}`
+		{"process":"b","asked":true,"stream_open":true,"answer":"not_leading","answer_leader":"c"},
+		{"process":"e","asked":false,"stream_open":false,"received":"append_request"}]}}`
 )
 
 // runStatus runs the command status at processes with the given answers.
@@ -59,6 +60,7 @@
 	})
 	t.Run("a process that joins shows whom it asks", func(t *testing.T) {
 		assertPrints(t, runStatus(t, joiningStatus), "d has heard no leader for 8s",
-			`a: no stream (connection refused)`, `b: answered not_leading, follows c`)
+			`a: no stream (connection refused)`, `b: answered not_leading, follows c`,
+			`e: not asked to join; its last message is append_request`)
 	})
 }
--- a/internal/program/ctcontrol/operators.go
+++ b/internal/program/ctcontrol/operators.go
@@ -60,15 +60,15 @@
 
 func (o operatorAPI) status(w http.ResponseWriter, _ *http.Request) {
 	var held ctlock.Held
-	cthttp.WriteJSON(w, http.StatusOK, o.currentStatus(&held))
+	status := o.control.Status(&held)
+	status.Voters = o.replica.Voters(&held)
+	status.Quorum = o.replica.QuorumStatus(&held)
+	cthttp.WriteJSON(w, http.StatusOK, status)
 }
 
-// currentStatus returns the state of the fleet as this process knows it.
-func (o operatorAPI) currentStatus(held *ctlock.Held) Status {
-	status := o.control.Status(held)
-	status.Voters = o.replica.Voters(held)
-	status.Quorum = o.replica.QuorumStatus(held)
-	return status
+// StatusHandler returns the handler of operators' requests for the status.
+func (s *Service) StatusHandler() http.Handler {
+	return http.HandlerFunc(operatorAPI{control: s.control, replica: s.replica}.status)
 }
 
 func (o operatorAPI) auditLog(w http.ResponseWriter, _ *http.Request) {
--- a/internal/program/ctcontrol/status.go
+++ b/internal/program/ctcontrol/status.go
@@ -66,10 +66,11 @@
 	// Voters and Learners are the processes that receive the log.
 	Voters   []PeerProgress `json:"voters,omitempty"`
 	Learners []PeerProgress `json:"learners,omitempty"`
-	// JoiningFor is the time since the last message from a leader, or since the start, of a
-	// process that joins, and Processes whom it asks and what came back.
-	JoiningFor ctconfig.Duration `json:"joining_for,omitempty"`
-	Processes  []LinkState       `json:"processes,omitempty"`
+	// LeaderlessFor is the time since the last message from a leader, or since the start, of a
+	// process that knows no leader. Processes are those that it asks to join, and those that
+	// wrote to it.
+	LeaderlessFor ctconfig.Duration `json:"leaderless_for,omitempty"`
+	Processes     []LinkState       `json:"processes,omitempty"`
 }
 
 // PeerProgress is what a leader knows of a process that receives the log.
@@ -93,14 +94,19 @@
 		return leaderQuorumStatus(s)
 	case ctquorum.Joining:
 		return QuorumStatus{
-			State: stateJoins, JoiningFor: roundedDuration(now.Sub(s.Since)), Processes: r.links.states(held, now, s.Asked),
+			State: stateJoins, LeaderlessFor: roundedDuration(now.Sub(s.Since)),
+			Processes: r.links.states(held, now, s.Asked),
 		}
 	case ctquorum.Following:
 		if s.Leader != (ctquorum.Peer{}) {
 			return QuorumStatus{State: stateFollows, Votes: s.Votes}
 		}
+		return QuorumStatus{
+			State: stateNoLeader, Votes: s.Votes, LeaderlessFor: roundedDuration(now.Sub(s.Since)),
+			Processes: r.links.states(held, now, nil),
+		}
 	}
-	return QuorumStatus{State: stateNoLeader, Votes: true}
+	return QuorumStatus{}
 }
 
 func leaderQuorumStatus(s ctquorum.Leading) QuorumStatus {
--- a/internal/program/ctcontrol/status_test.go
+++ b/internal/program/ctcontrol/status_test.go
@@ -2,23 +2,23 @@
 
 import (
 	"encoding/json"
+	"net/http"
+	"net/http/httptest"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
 
 	"github.com/cherviltrestle/cherviltrestle/internal/decide/ctquorum"
-	"github.com/cherviltrestle/cherviltrestle/internal/work/ctlock"
 )
 
 // statusOf returns the status of a process as its HTTP interface encodes it, decoded again.
 func statusOf(t *testing.T, s *Service) Status {
 	t.Helper()
-	var held ctlock.Held
-	data, err := json.Marshal(operatorAPI{control: s.control, replica: s.replica}.currentStatus(&held))
-	assert.NilError(t, err)
+	response := httptest.NewRecorder()
+	s.StatusHandler().ServeHTTP(response, httptest.NewRequest(http.MethodGet, "/", http.NoBody))
 	var status Status
-	assert.NilError(t, json.Unmarshal(data, &status), string(data))
+	assert.NilError(t, json.Unmarshal(response.Body.Bytes(), &status), response.Body)
 	return status
 }
 
@@ -35,7 +35,7 @@
 	t.Run("a process that joins shows whom it asks and for how long", func(t *testing.T) {
 		status := statusOf(t, newJoining(t, 5*time.Second, "10.0.0.2"))
 		assert.Equal(t, status.Quorum.State, stateJoins)
-		assert.Equal(t, time.Duration(status.Quorum.JoiningFor), 5*time.Second)
+		assert.Equal(t, time.Duration(status.Quorum.LeaderlessFor), 5*time.Second)
 		assert.Equal(t, len(status.Quorum.Processes), 1)
 		assert.Assert(t, status.Quorum.Processes[0].Asked)
 	})
--- a/internal/program/ctcontrol/watchquorum.go
+++ b/internal/program/ctcontrol/watchquorum.go
@@ -15,8 +15,8 @@
 const (
 	// statusInterval is the time between two looks at the status of the node.
 	statusInterval = 100 * time.Millisecond
-	// joinLogInterval is the shortest time between two lines about a join that is pending,
-	// and the shortest join of a process that had joined before that is logged.
+	// joinLogInterval is the shortest time between two lines about a join that is pending or
+	// a leader that is missing, and the shortest join of a process that had joined before that is logged.
 	joinLogInterval = 2 * time.Second
 	// riskLogInterval is the shortest time between two lines about voters at risk.
 	riskLogInterval = 2 * time.Second
@@ -83,6 +83,8 @@
 	case ctquorum.Following:
 		if s.Leader != (ctquorum.Peer{}) {
 			w.observeJoined(now, s.Leader)
+		} else {
+			w.observeLeaderless(held, now, s)
 		}
 	case ctquorum.Leading:
 		w.observeLearners(s)
@@ -104,6 +106,17 @@
 		Interface("processes", w.links.states(held, now, s.Asked)).Send()
 }
 
+// observeLeaderless logs that a voter knows no leader, and which processes write to it. One that
+// returns with an old log may ask voters that are gone.
+func (w *quorumWatch) observeLeaderless(held *ctlock.Held, now time.Time, s ctquorum.Following) {
+	if now.Before(s.Since.Add(joinLogInterval)) || now.Before(w.nextJoinPendingAt) {
+		return
+	}
+	w.nextJoinPendingAt = now.Add(joinLogInterval)
+	w.logger.Warn().Str("event", "leader_missing").Float64("for_s", now.Sub(s.Since).Seconds()).
+		Interface("processes", w.links.states(held, now, nil)).Send()
+}
+
 // observeJoined logs the end of a join.
 func (w *quorumWatch) observeJoined(now time.Time, leader ctquorum.Peer) {
 	if w.joining == nil {
--- a/internal/program/ctcontrol/watchquorum_test.go
+++ b/internal/program/ctcontrol/watchquorum_test.go
@@ -113,6 +113,15 @@
 		b.play(time.Second, following)
 		assert.Equal(t, b.log.Len(), 0)
 	})
+	t.Run("a voter that knows no leader logs who writes to it", func(t *testing.T) {
+		b := newWatchBench()
+		b.replica.links.addReceived(b.now, "d", ctquorum.VoteReply{}, false)
+		b.play(time.Second, ctquorum.Following{Votes: true, Since: b.now})
+		assertLines(t, b, "leader_missing", 0)
+		b.play(6*time.Second, ctquorum.Following{Votes: true, Since: b.now.Add(-time.Second)})
+		assertLines(t, b, "leader_missing", 3, `"for_s":6`, `"process":"d"`, `"received":"vote_reply"`)
+		assertWatchMetric(t, b, "control_state", "knows_no_leader", 1)
+	})
 	t.Run("requests that are not accepted are logged once in some seconds", func(t *testing.T) {
 		b := newWatchBench()
 		for range 20 {
