--- a/internal/program/ctnode/control.go
+++ b/internal/program/ctnode/control.go
@@ -101,6 +101,14 @@
 	c.service.SetSeeds(settings.seedNames())
 }
 
+// routes returns the handler for metrics and the status.
+func (c *Control) routes() http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle("GET /metrics", c.metrics.Handler())
+	mux.Handle("GET /v1/status", c.service.StatusHandler())
+	return mux
+}
+
 // answerTimeout is how long a planned stop waits until the requests of operators and
 // members that have been accepted are answered.
 const answerTimeout = 1500 * time.Millisecond
@@ -129,7 +137,7 @@
 	}
 	defer func() { _ = operatorServer.Close() }()
 	metricsServer, err := serveHTTP(
-		runCtx, c.settings.metricsAddress(), "metrics", metricRoutes(c.metrics.Handler()), c.logger,
+		runCtx, c.settings.metricsAddress(), "metrics", c.routes(), c.logger,
 		c.newAccounts("metrics", probeShare))
 	if err != nil {
 		return err
--- a/internal/program/ctnode/server.go
+++ b/internal/program/ctnode/server.go
@@ -37,13 +37,6 @@
 	return listener, nil
 }
 
-// metricRoutes returns a handler that serves metrics at /metrics.
-func metricRoutes(handler http.Handler) http.Handler {
-	mux := http.NewServeMux()
-	mux.Handle("GET /metrics", handler)
-	return mux
-}
-
 // serveHTTP starts a server for a handler in the background and returns it. It serves
 // until the returned server is closed. The accounts limit its connections and what their bodies
 // hold.
