ctcontrol: a request to join that is passed on to the leader is no warning

Cause: a request to join at a process that follows is answered with the leader since, so that it is part of each join. Change: join_rejected with why not_leader has the level info.

--- a/internal/program/ctcontrol/watchquorum.go
+++ b/internal/program/ctcontrol/watchquorum.go
@@ -211,7 +211,12 @@
 		return
 	}
 	w.joinRejectedAt[from.Name] = now
-	w.logger.Warn().Str("event", "join_rejected").Str("from", string(from.Name)).
+	level := zerolog.WarnLevel
+	if outcome == joinNotLeader {
+		// The sender goes on to the leader.
+		level = zerolog.InfoLevel
+	}
+	w.logger.WithLevel(level).Str("event", "join_rejected").Str("from", string(from.Name)).
 		Uint64("incarnation", uint64(from.Incarnation)).Str("why", outcome).Str("leader", string(leader.Name)).Send()
 }
 
