--- a/internal/program/ctcommand/status.go
+++ b/internal/program/ctcommand/status.go
@@ -103,8 +103,8 @@
 			command.Printf("  voter %s (disk %x)\n", v.Name, uint64(v.Incarnation))
 		}
 	}
-	if quorum.LeaderlessFor > 0 {
-		command.Printf("%s has heard no leader for %s\n", status.Control, time.Duration(quorum.LeaderlessFor))
+	if quorum.JoiningFor > 0 {
+		command.Printf("%s has heard no leader for %s\n", status.Control, time.Duration(quorum.JoiningFor))
 	}
 	for i := range quorum.Processes {
 		printLink(command, &quorum.Processes[i])
--- a/internal/program/ctcommand/status_test.go
+++ b/internal/program/ctcommand/status_test.go
@@ -17,7 +17,7 @@
 		"lost":2,"stopping_losses":1,"margin":"2 of 5 voters lost, one more loss stops control",
 		"voters":[{"name":"c","incarnation":1,"silent":"4s","behind":12,"lost":"silent"}],
 		"learners":[{"name":"f","incarnation":9,"silent":"20ms","behind":0}]}}`
-	joiningStatus = `{"control":"d","quorum":{"state":"joins","leaderless_for":"8s","processes":[
+	joiningStatus = `{"control":"d","quorum":{"state":"joins","joining_for":"8s","processes":[
 		{"process":"a","asked":true,"stream_open":false,"last_error":"connection refused"},
 		{"process":"b","asked":true,"stream_open":true,"answer":"not_leading","answer_leader":"c"},
 		{"process":"e","asked":false,"stream_open":false,"received":"append_request"}]}}`
--- a/internal/program/ctcontrol/status_test.go
+++ b/internal/program/ctcontrol/status_test.go
@@ -33,9 +33,10 @@
 		assert.Equal(t, status.Learners[0].Behind, ctquorum.Index(12))
 	})
 	t.Run("a process that joins shows whom it asks and for how long", func(t *testing.T) {
-		status := statusOf(t, newJoining(t, 5*time.Second, "10.0.0.2"))
+		s, _ := newJoining(t, 5*time.Second, "10.0.0.2")
+		status := statusOf(t, s)
 		assert.Equal(t, status.Quorum.State, stateJoins)
-		assert.Equal(t, time.Duration(status.Quorum.LeaderlessFor), 5*time.Second)
+		assert.Equal(t, time.Duration(status.Quorum.JoiningFor), 5*time.Second)
 		assert.Equal(t, len(status.Quorum.Processes), 1)
 		assert.Assert(t, status.Quorum.Processes[0].Asked)
 	})
--- a/internal/program/ctcontrol/unjoined_test.go
+++ b/internal/program/ctcontrol/unjoined_test.go
@@ -16,26 +16,32 @@
 	"github.com/cherviltrestle/cherviltrestle/internal/work/ctlock"
 )
 
-// newJoining returns a control process with an empty log that has asked the seeds to join for a
-// time and has heard no leader.
-func newJoining(t *testing.T, d time.Duration, seeds ...ctid.Control) *Service {
+// newJoining returns a control process that has asked the seeds to join for a time and has heard
+// no leader.
+func newJoining(t *testing.T, d time.Duration, seeds ...ctid.Control) (*Service, *ctclock.Manual) {
 	t.Helper()
 	s, clock := newFollower(t), &ctclock.Manual{}
 	s.Clock = clock
 	s.Resolve = func(ctid.Control) (netip.AddrPort, bool) { return netip.AddrPort{}, false }
-	r := s.replica
-	r.self, r.clock, r.machine = ctquorum.Peer{Name: s.Name, Incarnation: 1}, clock, s.control
+	r := &Replica{self: ctquorum.Peer{Name: s.Name, Incarnation: 1}, clock: clock, machine: s.control}
 	r.startWatch()
-	setLog(s, ctquorum.PersistentState{})
+	r.node.Rank = ctlock.RankQuorum
 	var held ctlock.Held
-	r.SetSeeds(&held, seeds)
+	var peers []ctquorum.Peer
+	for _, name := range seeds {
+		peers = append(peers, ctquorum.Peer{Name: name})
+	}
+	r.node.With(&held, func(n **ctquorum.Node) {
+		*n = ctquorum.New(clock.Now(), r.self, ctquorum.PersistentState{}, peers, systemRandom{})
+	})
+	s.replica = r
 	clock.Advance(d)
 	r.handle(&held, ctquorum.Tick{})
 	s.announcements = newAnnouncementRelay(clock, s.sendToLeader)
 	ctx, cancel := context.WithCancel(context.Background())
 	t.Cleanup(cancel)
 	go s.announcements.run(ctx)
-	return s
+	return s, clock
 }
 
 // assertNotLeader checks that the only reply sends the proxy to another control process.
@@ -47,9 +53,19 @@
 	assert.Assert(t, reply.NotLeader)
 }
 
+// assertUnjoined checks that the only reply says that the process has not joined, and whom it asks.
+func assertUnjoined(t *testing.T, replies []ctframe.Frame, asked ...ctid.Control) {
+	t.Helper()
+	assertRetry(t, replies, true)
+	retry, ok := replies[0].(*ctframe.Retry)
+	assert.Assert(t, ok && retry.Unjoined)
+	assert.DeepEqual(t, retry.Controls, asked)
+}
+
 // TestUnjoined guards against proxies, members and operators that wait at a control process that
 // has not joined the others and can't serve them.
 func TestUnjoined(t *testing.T) {
+	const long = 5 * time.Second
 	for _, call := range []struct {
 		name string
 		do   func(s *Service) error
@@ -65,10 +81,30 @@
 		{"a deregistration", func(s *Service) error { return s.DeregisterMember(context.Background(), "m") }},
 	} {
 		t.Run(call.name+" is rejected", func(t *testing.T) {
-			assert.ErrorContains(t, call.do(newJoining(t, time.Second)), "has not joined")
+			s, _ := newJoining(t, long)
+			assert.ErrorContains(t, call.do(s), "has not joined")
 		})
 	}
+	t.Run("a report is sent to another process, of which it names those that it asks", func(t *testing.T) {
+		s, _ := newJoining(t, long, "10.0.0.7")
+		s.reports = nil
+		assertUnjoined(t, serve(s, rawFrame(t, testReport(), 0)), "10.0.0.7")
+	})
 	t.Run("a watch is sent to another process", func(t *testing.T) {
-		assertNotLeader(t, serve(newJoining(t, time.Second), rawFrame(t, &ctframe.Watch{}, 0)))
+		s, _ := newJoining(t, long)
+		assertNotLeader(t, serve(s, rawFrame(t, &ctframe.Watch{}, 0)))
+	})
+	t.Run("a report waits for the join right after the start", func(t *testing.T) {
+		s, _ := newJoining(t, quorumTickInterval)
+		assertRetry(t, serve(s, rawFrame(t, testReport(), 0)), true)
+	})
+	t.Run("a report waits for the next leader at a process that had joined", func(t *testing.T) {
+		s, clock := newJoining(t, long)
+		var held ctlock.Held
+		leader := ctquorum.Peer{Name: "10.0.0.2", Incarnation: 1}
+		s.replica.handle(&held, ctquorum.Received{From: leader, Message: ctquorum.AppendRequest{}})
+		clock.Advance(long)
+		s.replica.handle(&held, ctquorum.Tick{})
+		assertRetry(t, serve(s, rawFrame(t, testReport(), 0)), true)
 	})
 }
--- a/internal/program/ctcontrol/watchquorum.go
+++ b/internal/program/ctcontrol/watchquorum.go
@@ -1,6 +1,7 @@
 package ctcontrol
 
 import (
+	"sync/atomic"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
@@ -15,14 +16,17 @@
 const (
 	// statusInterval is the time between two looks at the status of the node.
 	statusInterval = 100 * time.Millisecond
-	// joinLogInterval is the shortest time between two lines about a join that is pending or
-	// a leader that is missing, and the shortest join of a process that had joined before that is logged.
+	// joinLogInterval is the shortest time between two lines about a join that is pending,
+	// and the shortest join of a process that had joined before that is logged.
 	joinLogInterval = 2 * time.Second
 	// riskLogInterval is the shortest time between two lines about voters at risk.
 	riskLogInterval = 2 * time.Second
 	// joinRejectedInterval is the shortest time between two lines about rejected requests of
 	// one sender.
 	joinRejectedInterval = 5 * time.Second
+	// joinGrace is how long after its start a process that joins may keep callers waiting, like
+	// one that waits for the next leader.
+	joinGrace = forwardTimeout
 	// maxJoinSenders bounds the senders whose rejected requests are logged.
 	maxJoinSenders = 64
 )
@@ -38,6 +42,9 @@
 	nextRiskAt        time.Time
 	// joining is the last status if that was Joining, and nil otherwise.
 	joining *ctquorum.Joining
+	// unjoined reports that the process has not joined since its start, and that joinGrace is
+	// over. It is read by all goroutines.
+	unjoined atomic.Bool
 	// learners and voters are those of the last status while this process leads.
 	learners, voters map[ctquorum.Peer]bool
 	// margin is the one that was logged last. It is the zero value while there is no risk.
@@ -54,7 +61,13 @@
 		r.metrics = ctmetric.NewControl(prometheus.NewRegistry())
 	}
 	r.links.table.Rank = ctlock.RankLinks
-	r.watch = quorumWatch{logger: &r.logger, metrics: r.metrics, links: &r.links}
+	r.watch.logger, r.watch.metrics, r.watch.links = &r.logger, r.metrics, &r.links
+}
+
+// Unjoined reports that this process has not joined the others since its start, so that it can
+// serve nobody. It is false right after the start and once a leader was heard.
+func (r *Replica) Unjoined() bool {
+	return r.watch.unjoined.Load()
 }
 
 // wants reports whether the status is to be observed after an event.
@@ -77,14 +90,14 @@
 	}
 	w.nextStatusAt = now.Add(statusInterval)
 	w.setMetrics(status)
+	joining, joins := status.(ctquorum.Joining)
+	w.unjoined.Store(joins && !joining.Votes && !joining.HeardLeader && !now.Before(joining.Since.Add(joinGrace)))
 	switch s := status.(type) {
 	case ctquorum.Joining:
 		w.observeJoining(held, now, s)
 	case ctquorum.Following:
 		if s.Leader != (ctquorum.Peer{}) {
 			w.observeJoined(now, s.Leader)
-		} else {
-			w.observeLeaderless(held, now, s)
 		}
 	case ctquorum.Leading:
 		w.observeLearners(s)
@@ -102,21 +115,10 @@
 	}
 	w.nextJoinPendingAt = now.Add(joinLogInterval)
 	w.logger.Warn().Str("event", "join_pending").Float64("for_s", now.Sub(s.Since).Seconds()).
-		Bool("joined_before", s.HeardLeader).
+		Bool("joined_before", s.HeardLeader).Bool("votes", s.Votes).
 		Interface("processes", w.links.states(held, now, s.Asked)).Send()
 }
 
-// observeLeaderless logs that a voter knows no leader, and which processes write to it. One that
-// returns with an old log may ask voters that are gone.
-func (w *quorumWatch) observeLeaderless(held *ctlock.Held, now time.Time, s ctquorum.Following) {
-	if now.Before(s.Since.Add(joinLogInterval)) || now.Before(w.nextJoinPendingAt) {
-		return
-	}
-	w.nextJoinPendingAt = now.Add(joinLogInterval)
-	w.logger.Warn().Str("event", "leader_missing").Float64("for_s", now.Sub(s.Since).Seconds()).
-		Interface("processes", w.links.states(held, now, nil)).Send()
-}
-
 // observeJoined logs the end of a join.
 func (w *quorumWatch) observeJoined(now time.Time, leader ctquorum.Peer) {
 	if w.joining == nil {
@@ -166,7 +168,7 @@
 	return set
 }
 
-// observeMargin warns when one more loss of a voter stops control, and logs the end of that.
+// observeMargin warns when voters are lost, and logs the end of that.
 func (w *quorumWatch) observeMargin(now time.Time, s ctquorum.Leading) {
 	margin := s.Margin()
 	if !margin.AtRisk() {
