--- a/internal/program/ctcommand/status.go
+++ b/internal/program/ctcommand/status.go
@@ -115,8 +115,10 @@
 func printLink(command *cobra.Command, l *ctcontrol.LinkState) {
 	command.Printf("  %s: ", l.Process)
 	switch {
+	case !l.Asked && l.Received != "":
+		command.Printf("not asked to join; its last message is %s", l.Received)
 	case !l.Asked:
-		command.Printf("not asked; its last message is %s", l.Received)
+		command.Printf("not asked to join; no message from it")
 	case l.Answer != "" && l.AnswerLeader != "":
 		command.Printf("answered %s, follows %s", l.Answer, l.AnswerLeader)
 	case l.Answer != "":
