ctquorum: a distant learner votes again under steady commands

Seen: in the model, a process that had lost its disk and whose messages take 40 ms or more follows the leader but never becomes a voter while a command is committed every 20 ms, nor with 60 ms and 80 ms between commands.

Cause: a learner counted as caught up only if its answer named the last committed entry. A majority that is nearer commits the next entry before the answer arrives.

Change: a learner has also caught up if it has all entries that were committed when the leader sent the round that it answered, at most an election timeout ago. The leader records the commit index with the send time of each round. An earlier incarnation of a voter is never added again: it would count as caught up for a moment after it was removed.

--- a/internal/decide/ctquorum/election.go
+++ b/internal/decide/ctquorum/election.go
@@ -222,6 +222,6 @@
 		return
 	}
 	if _, ok := n.followers[peer]; !ok {
-		n.followers[peer] = &follower{nextIndex: nextIndex, sentAt: make(map[Round]time.Time), lastSeen: now}
+		n.followers[peer] = &follower{nextIndex: nextIndex, sent: make(map[Round]sentRound), lastSeen: now}
 	}
 }
--- a/internal/decide/ctquorum/log.go
+++ b/internal/decide/ctquorum/log.go
@@ -60,7 +60,7 @@
 	n.round++
 	for _, peer := range n.sortedFollowers() {
 		f := n.followers[peer]
-		f.sentAt[n.round] = now
+		f.sent[n.round] = sentRound{at: now, commitIndex: n.commitIndex}
 		n.sendLog(peer, f)
 	}
 }
@@ -204,19 +204,19 @@
 	n.removeUnreachableLearners(now)
 }
 
-// recordReply records that a round was answered. Send times of this round and of
+// recordReply records that a round was answered. The records of this round and of
 // earlier ones are discarded.
 func (f *follower) recordReply(round Round) {
-	sent, ok := f.sentAt[round]
+	sent, ok := f.sent[round]
 	if !ok {
 		return
 	}
-	if sent.After(f.lastAnsweredSentAt) {
-		f.lastAnsweredSentAt = sent
+	if sent.at.After(f.lastAnswered.at) {
+		f.lastAnswered = sent
 	}
-	for r := range f.sentAt {
+	for r := range f.sent {
 		if r <= round {
-			delete(f.sentAt, r)
+			delete(f.sent, r)
 		}
 	}
 }
--- a/internal/decide/ctquorum/membership.go
+++ b/internal/decide/ctquorum/membership.go
@@ -121,7 +121,7 @@
 	anyNeeded := n.VoterCount == 0 || len(voters) < n.VoterCount || unreachable
 	needed, found := Peer{}, false
 	for _, peer := range n.sortedFollowers() {
-		if slices.Contains(voters, peer) || !n.caughtUp(now, peer) {
+		if slices.Contains(voters, peer) || hasLaterIncarnation(voters, peer) || !n.caughtUp(now, peer) {
 			continue
 		}
 		if _, ok := earlierIncarnation(voters, peer); ok {
@@ -134,10 +134,16 @@
 	return needed, found
 }
 
-// caughtUp reports whether a learner is reachable and has all committed entries.
+// caughtUp reports whether a learner is reachable and has all committed entries, or at
+// least those that were committed when the leader sent the round that it has just answered.
+// Under steady commands, the answers of a distant learner never name the last entry.
 func (n *Node) caughtUp(now time.Time, learner Peer) bool {
 	f := n.followers[learner]
-	return f.matchIndex > 0 && f.matchIndex >= n.commitIndex && now.Sub(f.lastSeen) <= voterTimeout
+	if f.matchIndex == 0 || now.Sub(f.lastSeen) > voterTimeout {
+		return false
+	}
+	recent := now.Sub(f.lastAnswered.at) <= ElectionTimeout
+	return f.matchIndex >= n.commitIndex || (recent && f.matchIndex >= f.lastAnswered.commitIndex)
 }
 
 // earlierIncarnation returns the voter that is an earlier incarnation of peer.
@@ -149,3 +155,11 @@
 	}
 	return Peer{}, false
 }
+
+// hasLaterIncarnation reports whether a voter is a later incarnation of peer, whose disk is
+// lost for good then.
+func hasLaterIncarnation(voters []Peer, peer Peer) bool {
+	return slices.ContainsFunc(voters, func(v Peer) bool {
+		return v.Name == peer.Name && v.Incarnation > peer.Incarnation
+	})
+}
--- a/internal/decide/ctquorum/node.go
+++ b/internal/decide/ctquorum/node.go
@@ -103,15 +103,22 @@
 	nextIndex Index
 	// matchIndex is the last index that the follower is known to have on disk.
 	matchIndex Index
-	// sentAt holds the send times of rounds that are not answered yet.
-	sentAt map[Round]time.Time
-	// lastAnsweredSentAt is when the latest answered round was sent.
-	lastAnsweredSentAt time.Time
+	// sent holds the rounds that are not answered yet.
+	sent map[Round]sentRound
+	// lastAnswered is the latest answered round.
+	lastAnswered sentRound
 	// lastSeen is when the last reply or request to join was received, or when the
 	// follower was added.
 	lastSeen time.Time
 }
 
+// sentRound is the leader's record of a round that it sent to a follower.
+type sentRound struct {
+	at time.Time
+	// commitIndex is the leader's commit index at that time.
+	commitIndex Index
+}
+
 // New returns the node of a process that starts with the state read from its disk.
 // The seeds are the other processes to which it may send requests to join.
 func New(now time.Time, self Peer, state PersistentState, seeds []Peer, random Random) *Node {
@@ -196,8 +203,8 @@
 		if v == n.self {
 			continue
 		}
-		if f, ok := n.followers[v]; ok && !f.lastAnsweredSentAt.IsZero() {
-			sendTimes = append(sendTimes, f.lastAnsweredSentAt)
+		if f, ok := n.followers[v]; ok && !f.lastAnswered.at.IsZero() {
+			sendTimes = append(sendTimes, f.lastAnswered.at)
 		}
 	}
 	needed := majority(voters) - 1
