ctquorum: a new leader removes a voter that hasn't answered it first

Cause: a voter counts as unreachable after 3 s of silence, and to a new leader every voter has just been heard. If it took over six voters, of which two were gone, it removed the last by name, which may answer, while both that are gone stayed. Of the five left only three answer, so that one more restart stops control, until a standby takes a place 3 s later. A loss that the contract allows doesn't meet this: two lost disks have their time to catch up first (TestSecondLoss).

Change: where no voter has been unreachable, the surplus one is one that has not answered this leader yet.

--- a/internal/decide/ctquorum/membership.go
+++ b/internal/decide/ctquorum/membership.go
@@ -1,6 +1,7 @@
 package ctquorum
 
 import (
+	"cmp"
 	"slices"
 	"time"
 )
@@ -87,20 +88,25 @@
 }
 
 // surplusVoter returns the voter to remove where there are too many: the one that has
-// been unreachable for the longest time or, if all are reachable, the last by name. It
-// never returns this process.
+// been unreachable for the longest time or, if none has, one that has not answered this
+// leader yet, or else the last by name. It never returns this process.
 func (n *Node) surplusVoter(now time.Time, voters []Peer) Peer {
-	var surplus Peer
-	for _, v := range voters {
-		if v == n.self {
-			continue
-		}
-		switch silence, longest := n.silence(now, v), n.silence(now, surplus); {
-		case silence > longest, silence == longest && v.Name > surplus.Name:
-			surplus = v
-		}
+	others := withoutPeer(voters, n.self)
+	return slices.MaxFunc(others, func(a, b Peer) int {
+		return cmp.Or(
+			cmp.Compare(n.silence(now, a), n.silence(now, b)),
+			-cmp.Compare(n.answers(a), n.answers(b)),
+			cmp.Compare(a.Name, b.Name),
+		)
+	})
+}
+
+// answers returns 1 if a voter has answered this leader, or else 0.
+func (n *Node) answers(voter Peer) int {
+	if f, ok := n.followers[voter]; ok && !f.lastAnswered.at.IsZero() {
+		return 1
 	}
-	return surplus
+	return 0
 }
 
 // silence returns for how long a voter has sent nothing, or 0 if that is less than
