ctcommand: status says when no leader is known

Operators saw: "127.22.1.1 answers, leads" from a process without a leader (seen in a run of TestRepeatedDiskLosses). Change: the line says that the process knows no leader. Measured: the case in TestStatusOfVoters fails before and passes now.

--- a/internal/program/ctcommand/status.go
+++ b/internal/program/ctcommand/status.go
@@ -60,7 +60,11 @@
 
 // printStatus writes the status as text.
 func printStatus(command *cobra.Command, status *ctcontrol.Status) {
-	command.Printf("control: %s answers, %s leads\n", status.Control, status.Leader)
+	if status.Leader == "" {
+		command.Printf("control: %s answers, it knows no leader\n", status.Control)
+	} else {
+		command.Printf("control: %s answers, %s leads\n", status.Control, status.Leader)
+	}
 	printQuorum(command, status)
 	command.Printf("configuration: revision %s, not confirmed by %d proxies\n",
 		status.Revision, len(status.Unconfirmed))
--- a/internal/program/ctcommand/status_test.go
+++ b/internal/program/ctcommand/status_test.go
@@ -59,7 +59,7 @@
 		assertPrints(t, runStatus(t, followerStatus), "b answers, a leads", "voter b (disk 7)")
 	})
 	t.Run("a process that joins shows whom it asks", func(t *testing.T) {
-		assertPrints(t, runStatus(t, joiningStatus), "d has heard no leader for 8s",
+		assertPrints(t, runStatus(t, joiningStatus), "d answers, it knows no leader", "d has heard no leader for 8s",
 			`a: no stream (connection refused)`, `b: answered not_leading, follows c`,
 			`e: not asked to join; its last message is append_request`)
 	})
