ctcontrol: the lag of a process is that of its latest incarnation

Operators saw: status listed an earlier incarnation of a voter as a learner that is 13 entries behind (up to 10 s after it was replaced); control_log_lag_entries has one value for each name and took that of the learner (found by reading). Change: the latest incarnation of a name counts. Measured: the new subtest of TestWatchVoters fails before (12 for 0) and passes now, with the race detector too.

--- a/internal/program/ctcontrol/quorummetrics.go
+++ b/internal/program/ctcontrol/quorummetrics.go
@@ -1,6 +1,8 @@
 package ctcontrol
 
 import (
+	"slices"
+
 	"github.com/cherviltrestle/cherviltrestle/internal/decide/ctquorum"
 	"github.com/cherviltrestle/cherviltrestle/internal/model/ctid"
 )
@@ -47,30 +49,37 @@
 	voters := map[string]int{
 		voterReachable: 0, string(ctquorum.LossSilent): 0, string(ctquorum.LossReplaced): 0,
 	}
-	lags := make(map[ctid.Control]ctquorum.Index)
 	for _, v := range s.Voters {
 		state := voterReachable
 		if v.Loss != ctquorum.NotLost {
 			state = string(v.Loss)
 		}
 		voters[state]++
-		lags[v.Peer.Name] = v.Behind
-	}
-	for _, l := range s.Learners {
-		lags[l.Peer.Name] = l.Behind
 	}
 	for state, count := range voters {
 		w.metrics.QuorumVoters.WithLabelValues(state).Set(float64(count))
 	}
 	w.metrics.QuorumLearners.Set(float64(len(s.Learners)))
+	w.setLags(slices.Concat(s.Voters, s.Learners))
+}
+
+// setLags sets the metric of how many entries each process lacks. Of a process with several
+// incarnations the latest counts.
+func (w *quorumWatch) setLags(peers []ctquorum.PeerStatus) {
+	latest := make(map[ctid.Control]ctquorum.PeerStatus)
+	for _, p := range peers {
+		if latest[p.Peer.Name].Peer.Incarnation <= p.Peer.Incarnation {
+			latest[p.Peer.Name] = p
+		}
+	}
 	for name := range w.lags {
-		if _, ok := lags[name]; !ok {
+		if _, ok := latest[name]; !ok {
 			w.metrics.QuorumLag.DeleteLabelValues(string(name))
 		}
 	}
-	w.lags = make(map[ctid.Control]bool, len(lags))
-	for name, lag := range lags {
+	w.lags = make(map[ctid.Control]bool, len(latest))
+	for name, p := range latest {
 		w.lags[name] = true
-		w.metrics.QuorumLag.WithLabelValues(string(name)).Set(float64(lag))
+		w.metrics.QuorumLag.WithLabelValues(string(name)).Set(float64(p.Behind))
 	}
 }
--- a/internal/program/ctcontrol/watchquorum_test.go
+++ b/internal/program/ctcontrol/watchquorum_test.go
@@ -141,6 +141,13 @@
 		b.play(3*time.Second, leading(0))
 		assertLines(t, b, "voters_safe", 1)
 	})
+	t.Run("the lag of a process is that of its latest incarnation", func(t *testing.T) {
+		b := newWatchBench()
+		status := leading(0, ctquorum.Peer{Name: "a", Incarnation: 1})
+		status.Voters[0].Peer.Incarnation = 2
+		b.play(time.Second, status)
+		assertWatchMetric(t, b, "control_log_lag_entries", "a", 0)
+	})
 	t.Run("learners are logged as they come and go", func(t *testing.T) {
 		b := newWatchBench()
 		learner := ctquorum.Peer{Name: "f", Incarnation: 9}
