ctquorum: the incarnation that was heard from last keeps the vote

Effect: a control process that loses its disk while its clock is behind the time at which its earlier disk was created never keeps its vote. The leader adds it and removes it again without end, a storm of entries, and the lost incarnation stays a voter. The next loss of two disks leaves no majority.

Cause: an incarnation is the time of day at which a disk was empty, and of two incarnations of one name the lower one counts as lost. A time of day may be set back.

Change: of two incarnations of one name, the leader takes the one that it heard from first for lost; the numbers decide only if it heard from both at the same time. The startup vote still asks for a later number: there, a message that is late must not count as the loss of a voter.

--- a/internal/decide/ctquorum/doc.go
+++ b/internal/decide/ctquorum/doc.go
@@ -30,7 +30,8 @@
 A voter is identified by a name and the incarnation of its disk. A process with
 an empty disk has a new incarnation, so it is not a voter. It asks to join and
 receives the log as a learner. Once it has caught up, it is added as a voter, and
-then the earlier incarnation of its name is removed. Voters are added and removed
+then the other incarnation of its name is removed, which was heard from before it. The
+higher number need not be the later one, as clocks are set back. Voters are added and removed
 one at a time. A process votes only while its own log names it as a voter.
 
 # Finding the leader
@@ -39,7 +40,7 @@
 the processes that it is told of. The JoinReply of any process names the leader that
 it follows and the voters that it knows. The joining process then asks these too, so it
 finds a leader that is not a seed. Requests are not forwarded. The other voters also
-send messages to the earlier incarnation of its name. Their senders are asked as well
+send messages to the lost incarnation of its name. Their senders are asked as well
 (Misaddressed), so the leader is found even if all seeds are gone. What a process is
 told only decides whom it asks: it votes and follows by the rules above.
 
--- a/internal/decide/ctquorum/membership.go
+++ b/internal/decide/ctquorum/membership.go
@@ -1,6 +1,7 @@
 package ctquorum
 
 import (
+	"cmp"
 	"slices"
 	"time"
 )
@@ -68,7 +69,7 @@
 }
 
 // reviseVoters makes at most one change of the voters, and none while another is
-// pending: it removes the earlier incarnation of a voter, removes a voter beyond
+// pending: it removes the replaced incarnation of a voter, removes a voter beyond
 // VoterCount, or adds a learner that has caught up and is needed.
 func (n *Node) reviseVoters(now time.Time) {
 	if n.role != roleLeader || !n.leaderReady || n.voterChangePending() {
@@ -76,7 +77,7 @@
 	}
 	voters := n.state.voters()
 	for _, v := range voters {
-		if old, ok := earlierIncarnation(voters, v); ok {
+		if old, ok := n.replaced(voters, v); ok {
 			n.append(now, Entry{Voters: withoutPeer(voters, old)})
 			return
 		}
@@ -128,7 +129,7 @@
 		if slices.Contains(voters, peer) || !n.caughtUp(now, peer) {
 			continue
 		}
-		if _, ok := earlierIncarnation(voters, peer); ok {
+		if _, ok := n.replaced(voters, peer); ok {
 			return peer, true
 		}
 		if anyNeeded && !found {
@@ -144,10 +145,16 @@
 	return f.matchIndex > 0 && f.matchIndex >= n.commitIndex && now.Sub(f.lastSeen) <= voterTimeout
 }
 
-// earlierIncarnation returns the voter that is an earlier incarnation of peer.
-func earlierIncarnation(voters []Peer, peer Peer) (Peer, bool) {
+// replaced returns the voter whose process runs as peer now: another incarnation of its name, which was
+// heard from before peer. The numbers decide only between two that were heard from at the same time,
+// because a clock that is set back gives a new incarnation the lower one.
+func (n *Node) replaced(voters []Peer, peer Peer) (Peer, bool) {
 	for _, v := range voters {
-		if v.Name == peer.Name && v.Incarnation < peer.Incarnation {
+		if v.Name != peer.Name || v == peer || v == n.self {
+			continue
+		}
+		order := cmp.Compare(v.Incarnation, peer.Incarnation)
+		if peer == n.self || cmp.Or(n.followers[v].lastSeen.Compare(n.followers[peer].lastSeen), order) < 0 {
 			return v, true
 		}
 	}
