ctcontrol: messages to a lost disk of a higher number show whom to ask

Cause: Receive takes only messages to a lower incarnation for such ones.

Change: each message to another incarnation of this process's name counts, as the running process has the only disk of that name. The cluster of the tests does the same.

--- a/internal/decide/ctquorum/cluster_test.go
+++ b/internal/decide/ctquorum/cluster_test.go
@@ -189,7 +189,7 @@
 		case m.peer.Name != p.to.Name:
 		case p.to.Incarnation == 0 || p.to.Incarnation == m.peer.Incarnation:
 			c.step(m, ctquorum.Received{From: p.from, Message: p.message})
-		case p.to.Incarnation < m.peer.Incarnation:
+		default:
 			c.step(m, ctquorum.Misaddressed{From: p.from})
 		}
 	}
--- a/internal/decide/ctquorum/event.go
+++ b/internal/decide/ctquorum/event.go
@@ -15,7 +15,7 @@
 	Message Message
 }
 
-// Misaddressed reports that a peer sent a message to an earlier incarnation of this
+// Misaddressed reports that a peer sent a message to another incarnation of this
 // process, whose disk is lost. The message itself is dropped: only its sender is of use,
 // because it leads or campaigns, or follows a leader.
 type Misaddressed struct {
--- a/internal/program/ctcontrol/replica.go
+++ b/internal/program/ctcontrol/replica.go
@@ -139,8 +139,8 @@
 }
 
 // Receive queues a message of another control process. It drops a message for another
-// process. Of a message for an earlier incarnation of this process's disk it queues only
-// the sender.
+// process. Of a message for another incarnation of this process's disk it queues only the
+// sender.
 func (r *Replica) Receive(frame *ctframe.Quorum) {
 	if frame.To.Name != r.self.Name {
 		return
@@ -148,12 +148,11 @@
 	message := frame.Message()
 	current := frame.To.Incarnation == 0 || frame.To.Incarnation == r.self.Incarnation
 	r.links.addReceived(r.clock.Now(), frame.From.Name, message, !current)
-	switch {
-	case current:
-		r.pool.Put(0, ctquorum.Received{From: frame.From, Message: message})
-	case frame.To.Incarnation < r.self.Incarnation:
+	if !current {
 		r.pool.Put(0, ctquorum.Misaddressed{From: frame.From})
+		return
 	}
+	r.pool.Put(0, ctquorum.Received{From: frame.From, Message: message})
 }
 
 // serveStream receives the messages of other control processes on a stream and answers
