--- a/internal/decide/ctquorum/membership.go
+++ b/internal/decide/ctquorum/membership.go
@@ -92,20 +92,25 @@
 }
 
 // surplusVoter returns the voter to remove where there are too many: the one that has
-// been unreachable for the longest time or, if all are reachable, the last by name. It
-// never returns this process.
+// been unreachable for the longest time or, if none has, one that has not answered this
+// leader yet, or else the last by name. It never returns this process.
 func (n *Node) surplusVoter(now time.Time, voters []Peer) Peer {
-	var surplus Peer
-	for _, v := range voters {
-		if v == n.self {
-			continue
-		}
-		switch silence, longest := n.silence(now, v), n.silence(now, surplus); {
-		case silence > longest, silence == longest && v.Name > surplus.Name:
-			surplus = v
-		}
+	others := withoutPeer(voters, n.self)
+	return slices.MaxFunc(others, func(a, b Peer) int {
+		return cmp.Or(
+			cmp.Compare(n.silence(now, a), n.silence(now, b)),
+			-cmp.Compare(n.answers(a), n.answers(b)),
+			cmp.Compare(a.Name, b.Name),
+		)
+	})
+}
+
+// answers returns 1 if a voter has answered this leader, or else 0.
+func (n *Node) answers(voter Peer) int {
+	if f, ok := n.followers[voter]; ok && !f.lastAnswered.at.IsZero() {
+		return 1
 	}
-	return surplus
+	return 0
 }
 
 // silence returns for how long a voter has sent nothing, or 0 if that is less than
@@ -126,7 +131,7 @@
 	anyNeeded := n.VoterCount == 0 || len(voters) < n.VoterCount || unreachable
 	needed, found := Peer{}, false
 	for _, peer := range n.sortedFollowers() {
-		if slices.Contains(voters, peer) || !n.caughtUp(now, peer) {
+		if slices.Contains(voters, peer) || hasLaterIncarnation(voters, peer) || !n.caughtUp(now, peer) {
 			continue
 		}
 		if _, ok := n.replaced(voters, peer); ok {
@@ -139,10 +144,16 @@
 	return needed, found
 }
 
-// caughtUp reports whether a learner is reachable and has all committed entries.
+// caughtUp reports whether a learner is reachable and has all committed entries, or at
+// least those that were committed when the leader sent the round that it has just answered.
+// Under steady commands, the answers of a distant learner never name the last entry.
 func (n *Node) caughtUp(now time.Time, learner Peer) bool {
 	f := n.followers[learner]
-	return f.matchIndex > 0 && f.matchIndex >= n.commitIndex && now.Sub(f.lastSeen) <= voterTimeout
+	if f.matchIndex == 0 || now.Sub(f.lastSeen) > voterTimeout {
+		return false
+	}
+	recent := now.Sub(f.lastAnswered.at) <= ElectionTimeout
+	return f.matchIndex >= n.commitIndex || (recent && f.matchIndex >= f.lastAnswered.commitIndex)
 }
 
 // replaced returns the voter whose process runs as peer now: another incarnation of its name, which was
@@ -160,3 +171,11 @@
 	}
 	return Peer{}, false
 }
+
+// hasLaterIncarnation reports whether a voter is a later incarnation of peer, whose disk is
+// lost for good then.
+func hasLaterIncarnation(voters []Peer, peer Peer) bool {
+	return slices.ContainsFunc(voters, func(v Peer) bool {
+		return v.Name == peer.Name && v.Incarnation > peer.Incarnation
+	})
+}
