--- a/internal/lab/ctdiskloss/doc.go
+++ b/internal/lab/ctdiskloss/doc.go
@@ -10,7 +10,8 @@
 acknowledged: two control processes are killed and start again with empty disks, some of them at
 another address. The next one strikes CatchUp after they are back, at other control processes. With the
 last loss all other processes are killed too, as by a loss of power. Which processes a Loss strikes is
-decided by its Victims.
+decided by its Victims. Before the first loss, leaders that are seeds are restarted until another
+control process leads.
 
 # Rules
 
@@ -25,6 +26,9 @@
 follow_control and control_voters. A change has a higher number than those before, so that reading the
 newest one back covers them all.
 
+A stall of the lab's machine disturbs all processes, and the contract counts them as lost then: the bounds
+hold from the end of the stall on. Stalls are measured by a probe that writes and syncs a file.
+
 What this lab can't do: a killed process keeps what it had written without a sync.
 
 # Usage
--- a/internal/lab/ctdiskloss/operator.go
+++ b/internal/lab/ctdiskloss/operator.go
@@ -31,11 +31,11 @@
 	acknowledgedBody     []byte
 }
 
-// publish sends the next release to one control process after another, and reports whether one
-// acknowledged it in time.
-func (o *operator) publish(ctx context.Context, controls []*process, timeout time.Duration) bool {
+// newChange makes the next release. The returned function sends it to one control process, in turn, and reports
+// whether that one acknowledged it.
+func (o *operator) newChange() func(ctx context.Context, controls []*process) bool {
 	o.newest++
-	release := o.newest
+	release, next := o.newest, int(o.newest)
 	body, err := platform.RenderConfig(release, ctconfig.Document{
 		Groups: []ctconfig.Group{{Name: groupName, Connections: connections}},
 		Routes: []ctconfig.Route{{
@@ -43,21 +43,20 @@
 			StatementTimeout: ctconfig.Duration(statementTimeout), TargetLatency: ctconfig.Duration(statementTimeout),
 		}},
 	})
-	if err != nil {
-		return false
-	}
-	next := int(release)
-	return await(ctx, timeout, func(ctx context.Context) bool {
+	return func(ctx context.Context, controls []*process) bool {
 		callCtx, cancel := context.WithTimeout(ctx, callTimeout)
 		defer cancel()
 		next++
+		if err != nil {
+			return false
+		}
 		status, err := o.client.Publish(callCtx, controls[next%len(controls)].operatorAddress(), body)
 		if err != nil || status != http.StatusOK {
 			return false
 		}
 		o.acknowledged, o.acknowledgedBody = release, body
 		return true
-	})
+	}
 }
 
 // readsBack reports whether a control process returns the newest acknowledged release, or a newer one that
--- a/internal/lab/ctdiskloss/run.go
+++ b/internal/lab/ctdiskloss/run.go
@@ -6,7 +6,7 @@
 	"slices"
 	"time"
 
-	"github.com/cherviltrestle/cherviltrestle/internal/model/ctid"
+	"github.com/pkg/errors"
 )
 
 // Bounds of the platform's contract.
@@ -24,6 +24,9 @@
 
 // Run plays a plan and returns the broken rules. An error means that the run could not go on.
 func (s *System) Run(ctx context.Context, plan Plan) ([]Violation, error) {
+	if err := s.moveLead(ctx); err != nil {
+		return s.violations, err
+	}
 	for i, loss := range plan.Losses {
 		lost := plan.selectVictims(loss.Victims, s.controls, s.leader(), i+1)
 		for _, p := range lost {
@@ -89,14 +92,38 @@
 	}
 }
 
-// leader returns the control process that others follow, or an empty name.
-func (s *System) leader() ctid.Control {
+// moveLead restarts leaders that are seeds until another control process leads, so that no seed can answer
+// for the leader when seeds lose their disks. It returns when the restarts count no more as losses.
+func (s *System) moveLead(ctx context.Context) error {
+	const attempts = 12
+	for range attempts {
+		var leader *process
+		if !await(ctx, func(context.Context) bool { leader = s.leader(); return leader != nil }) {
+			return errors.Errorf("no control process led in %s", startTimeout)
+		}
+		if !leader.isSeed {
+			s.judgeJoins(ctx)
+			return nil
+		}
+		leader.Kill()
+		if !await(ctx, func(context.Context) bool { return s.leader() != nil }) {
+			return errors.Errorf("no other control process led in %s", startTimeout)
+		}
+		if err := leader.start(); err != nil {
+			return err
+		}
+	}
+	return errors.New("only seeds led")
+}
+
+// leader returns the running control process that leads, or nil.
+func (s *System) leader() *process {
 	for _, c := range s.controls {
 		if v, err := c.view(); err == nil && v.leader == c.peer() && c.Running() {
-			return v.leader
+			return c
 		}
 	}
-	return ""
+	return nil
 }
 
 // logStep logs which processes a loss strikes.
@@ -105,7 +132,11 @@
 	for _, p := range lost {
 		names = append(names, p.Name)
 	}
+	leader := ""
+	if l := s.leader(); l != nil {
+		leader = l.Name
+	}
 	s.Logger.Info().Str("event", "disks_lost").Str("victims", fmt.Sprintf("%T", loss.Victims)).
 		Int("replaced", loss.Replaced).Strs("processes", names).
-		Str("leader", string(s.leader())).Bool("all_power", allPower).Send()
+		Int("stalls", s.stalls.stallCount()).Str("leader", leader).Bool("all_power", allPower).Send()
 }
