ctquorum: which incarnation of a name is lost is decided in one place

Cause: two branches met: a learner that is an earlier incarnation of a voter is never added again (by number), and the incarnation that was heard from last keeps the vote (by time). Together, a process whose clock had been set back didn't vote again where no standby takes the place. Change: isReplaced asks replaced, for learners and for the status.

--- a/internal/decide/ctquorum/clockstep_test.go
+++ b/internal/decide/ctquorum/clockstep_test.go
@@ -64,3 +64,17 @@
 		})
 	}
 }
+
+// TestLostDiskBehindClockWithoutStandby guards against a process that never votes again after a clock was
+// set back, because the lost voter of its name has the higher number.
+func TestLostDiskBehindClockWithoutStandby(t *testing.T) {
+	const ahead, behind ctid.Incarnation = 100, 50
+	c := newFive()
+	lost := c.followers()[0]
+	c.loseDiskAs(lost, ahead)
+	c.run(settleDuration)
+	c.loseDiskAs(lost, behind)
+	c.runBounded(t, settleDuration)
+	assertFiveVoters(t, c)
+	assert.Assert(t, slices.Contains(c.leader().node.Voters(), lost.peer))
+}
--- a/internal/decide/ctquorum/status.go
+++ b/internal/decide/ctquorum/status.go
@@ -88,7 +88,7 @@
 	for _, v := range voters {
 		voter := n.peerStatus(now, v)
 		switch {
-		case n.hasLaterIncarnation(voters, v):
+		case n.isReplaced(voters, v) || n.isReplaced(n.sortedFollowers(), v):
 			voter.Loss = LossReplaced
 		case voter.Silence > voterTimeout:
 			voter.Loss = LossSilent
@@ -112,12 +112,6 @@
 	return PeerStatus{Peer: peer, Silence: now.Sub(f.lastSeen), Behind: last - min(last, f.matchIndex)}
 }
 
-// hasLaterIncarnation reports whether a voter or a learner is a later incarnation of voter.
-func (n *Node) hasLaterIncarnation(voters []Peer, voter Peer) bool {
-	later := func(p Peer) bool { return p.Name == voter.Name && p.Incarnation > voter.Incarnation }
-	return slices.ContainsFunc(voters, later) || slices.ContainsFunc(n.sortedFollowers(), later)
-}
-
 // Margin is how far a leader's voters are from the loss of their majority.
 type Margin struct {
 	// Voters is the number of voters, and Lost how many of them are lost.
