ctquorum: a leader remembers a bounded number of rounds for a silent voter

Cause: each round of the log leaves a record until the follower answers it or a later one; a voter that is away answers none, so that the leader's memory grew by a record each 60 ms, for as long as no standby takes the place. Change: the 1024 latest rounds of each follower are kept. Older answers don't extend the authority in any case.

--- a/internal/decide/ctquorum/log.go
+++ b/internal/decide/ctquorum/log.go
@@ -61,6 +61,7 @@
 	for _, peer := range n.sortedFollowers() {
 		f := n.followers[peer]
 		f.sent[n.round] = sentRound{at: now, commitIndex: n.commitIndex}
+		delete(f.sent, n.round-min(n.round, maxUnansweredRounds))
 		n.sendLog(peer, f)
 	}
 }
--- a/internal/decide/ctquorum/membership_test.go
+++ b/internal/decide/ctquorum/membership_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
@@ -29,3 +30,14 @@
 	}
 	assert.DeepEqual(t, n.Voters(), []ctquorum.Peer{peerA, peerC, voters[3]})
 }
+
+// TestSilentVoter guards against memory that grows for as long as a voter is away.
+func TestSilentVoter(t *testing.T) {
+	const minutes, bound = 5, 1024
+	c := newFive()
+	away := c.followers()[0]
+	away.node = nil
+	c.run(minutes * time.Minute)
+	rounds := c.leader().node.UnansweredRounds(away.peer)
+	assert.Assert(t, rounds <= bound, "%d rounds", rounds)
+}
--- a/internal/decide/ctquorum/node.go
+++ b/internal/decide/ctquorum/node.go
@@ -28,6 +28,9 @@
 	maxAppendBytes   = 1 << 20
 )
 
+// maxUnansweredRounds is how many rounds a leader remembers for a follower that does not answer.
+const maxUnansweredRounds = 1024
+
 // Random generates random numbers.
 type Random interface {
 	// Int64N returns a number from 0 to n-1.
