ctquorum: a process that lost its disk behind its clock takes its own place

Effect: a process whose new incarnation has the lower number stays a standby while the lost one votes, until that has been silent for 3 s and another standby takes its place.

Cause: a learner is passed over if a voter of its name has a higher number.

Change: it is passed over if the voter of its name was heard from later. That keeps an incarnation whose disk is lost out as before, because it sends nothing any more.

--- a/internal/decide/ctquorum/membership.go
+++ b/internal/decide/ctquorum/membership.go
@@ -131,7 +131,7 @@
 	anyNeeded := n.VoterCount == 0 || len(voters) < n.VoterCount || unreachable
 	needed, found := Peer{}, false
 	for _, peer := range n.sortedFollowers() {
-		if slices.Contains(voters, peer) || hasLaterIncarnation(voters, peer) || !n.caughtUp(now, peer) {
+		if slices.Contains(voters, peer) || n.runsAs(voters, peer) || !n.caughtUp(now, peer) {
 			continue
 		}
 		if _, ok := n.replaced(voters, peer); ok {
@@ -172,10 +172,11 @@
 	return Peer{}, false
 }
 
-// hasLaterIncarnation reports whether a voter is a later incarnation of peer, whose disk is
+// runsAs reports whether the process of peer runs as one of the voters now. The disk of peer is
 // lost for good then.
-func hasLaterIncarnation(voters []Peer, peer Peer) bool {
+func (n *Node) runsAs(voters []Peer, peer Peer) bool {
 	return slices.ContainsFunc(voters, func(v Peer) bool {
-		return v.Name == peer.Name && v.Incarnation > peer.Incarnation
+		_, lost := n.replaced([]Peer{peer}, v)
+		return lost
 	})
 }
