ctcontrol: control processes that are gone leave a bounded number of outboxes

Seen: by an independent review; no operator has reported it. Cause: an outbox with its goroutine was kept for each name that a process ever wrote to, and replaced processes have new names. The records of messages had a bound, but once it was reached no other process was recorded. Change: 64 outboxes at most; a new one replaces the one that was not used for the longest time. A new record replaces the one of the process that was heard from longest ago.

--- a/internal/program/ctcontrol/links.go
+++ b/internal/program/ctcontrol/links.go
@@ -51,14 +51,14 @@
 	table cttable.Table[ctid.Control, link]
 }
 
-// update changes the record of a process. It does nothing if there are too many records.
+// update changes the record of a process. The one that was heard from longest ago makes room for it.
 func (l *links) update(name ctid.Control, change func(k *link)) {
 	var held ctlock.Held
 	l.table.With(&held, func(rows map[ctid.Control]*link) {
 		k, ok := rows[name]
 		if !ok {
 			if len(rows) >= maxLinks {
-				return
+				evictOldest(rows)
 			}
 			k = &link{}
 			rows[name] = k
@@ -67,6 +67,13 @@
 	})
 }
 
+// evictOldest removes the record of the process that was heard from longest ago.
+func evictOldest(rows map[ctid.Control]*link) {
+	delete(rows, slices.MinFunc(slices.Collect(maps.Keys(rows)), func(a, b ctid.Control) int {
+		return rows[a].receivedAt.Compare(rows[b].receivedAt)
+	}))
+}
+
 // setOpen records that the stream to a process was opened.
 func (l *links) setOpen(name ctid.Control) {
 	l.update(name, func(k *link) { k.open, k.lastError = true, "" })
--- a/internal/program/ctcontrol/outbox.go
+++ b/internal/program/ctcontrol/outbox.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/cherviltrestle/cherviltrestle/internal/decide/ctquorum"
@@ -23,14 +25,18 @@
 	// that a peer can also be reached over a slow network.
 	slowOpenTimeout     = 900 * time.Millisecond
 	attemptsPerSlowOpen = 5
+	// maxOutboxes bounds the outboxes, of which control processes that are gone leave some.
+	maxOutboxes = 64
 )
 
 // outbox holds the messages to one peer that a goroutine delivers.
 type outbox struct {
 	peer   PeerAddress
 	frames chan *ctframe.Quorum
-	// incarnation is the latest one of the peer that was heard from. Only the worker uses it.
+	// incarnation is the latest one of the peer that was heard from, and usedAt is when a message
+	// was last put in. Only the worker uses them.
 	incarnation ctid.Incarnation
+	usedAt      time.Time
 	// close ends the delivery and drops the messages that are left.
 	close context.CancelFunc
 }
@@ -44,6 +50,7 @@
 			return
 		}
 	}
+	o.usedAt = r.clock.Now()
 	select {
 	case o.frames <- ctframe.NewQuorum(r.self, e.To, e.Message):
 	default:
@@ -81,9 +88,21 @@
 	if !ok {
 		return nil, false
 	}
+	if len(r.outboxes) >= maxOutboxes {
+		r.closeIdlestOutbox()
+	}
 	return r.openOutbox(PeerAddress{Name: name, Address: address}), true
 }
 
+// closeIdlestOutbox closes the outbox that was not used for the longest time.
+func (r *Replica) closeIdlestOutbox() {
+	idlest := slices.MinFunc(slices.Collect(maps.Values(r.outboxes)), func(a, b *outbox) int {
+		return a.usedAt.Compare(b.usedAt)
+	})
+	idlest.close()
+	delete(r.outboxes, idlest.peer.Name)
+}
+
 // deliver sends the messages of an outbox until ctx ends. It opens the stream again after
 // a failure, which loses the message that was to be sent.
 func (r *Replica) deliver(ctx context.Context, peer PeerAddress, frames <-chan *ctframe.Quorum) {
--- a/internal/program/ctcontrol/outbox_test.go
+++ b/internal/program/ctcontrol/outbox_test.go
@@ -2,17 +2,22 @@
 
 import (
 	"context"
+	"fmt"
 	"net/netip"
+	"slices"
 	"sync/atomic"
 	"testing"
 	"time"
 
+	"github.com/pkg/errors"
 	"gotest.tools/v3/assert"
 
 	"github.com/cherviltrestle/cherviltrestle/internal/decide/ctquorum"
 	"github.com/cherviltrestle/cherviltrestle/internal/link/ctframe"
+	"github.com/cherviltrestle/cherviltrestle/internal/model/ctid"
 	"github.com/cherviltrestle/cherviltrestle/internal/state/ctstore"
 	"github.com/cherviltrestle/cherviltrestle/internal/work/ctclock"
+	"github.com/cherviltrestle/cherviltrestle/internal/work/ctlock"
 )
 
 // sentFrame is a message of the replicated log and the number of the stream that it was sent on.
@@ -134,3 +139,39 @@
 		assert.Equal(t, replyTo(later), kept)
 	})
 }
+
+// closedTransport is a transport to processes that don't answer.
+type closedTransport struct{}
+
+func (closedTransport) Open(context.Context, netip.AddrPort) (ctframe.Stream, error) {
+	return nil, errors.New("no answer")
+}
+
+// TestProcessesThatAreGone guards against a process that keeps an outbox with its goroutine, or a record, for
+// each control process that it was ever told of.
+func TestProcessesThatAreGone(t *testing.T) {
+	const names = 1000
+	r := &Replica{
+		self: ctquorum.Peer{Name: "a", Incarnation: 1}, ctx: t.Context(),
+		clock: ctclock.System{}, transport: closedTransport{},
+		resolve:  func(ctid.Control) (netip.AddrPort, bool) { return netip.MustParseAddrPort("10.0.9.9:1"), true },
+		outboxes: make(map[ctid.Control]*outbox),
+	}
+	r.startWatch()
+	last := ctid.Control("")
+	for i := range names {
+		last = ctid.Control(fmt.Sprintf("10.1.%d.%d", i/250, i%250))
+		r.send(ctquorum.Send{To: ctquorum.Peer{Name: last}, Message: ctquorum.JoinRequest{}})
+		r.links.addReceived(r.clock.Now(), last, ctquorum.JoinReply{}, false)
+	}
+	t.Run("leave a bounded number of outboxes, the latest among them", func(t *testing.T) {
+		assert.Equal(t, len(r.outboxes), maxOutboxes)
+		assert.Assert(t, r.outboxes[last] != nil)
+	})
+	t.Run("leave a bounded number of records, the latest among them", func(t *testing.T) {
+		var held ctlock.Held
+		senders := r.links.senders(&held)
+		assert.Equal(t, len(senders), maxLinks)
+		assert.Assert(t, slices.Contains(senders, last))
+	})
+}
