ctquorum: two voters that are both needed agree on an epoch

Cause: a refused pre-vote didn't say in which epoch its sender is. Where the voter with the longer log is one epoch behind another one, which has voted for a process that is gone, it asks again and again for that same epoch and is refused; the other one is refused because its log is shorter. If both are needed for a majority, nobody leads ever again. Change: the answer to a pre-vote has the epoch of its sender. A process that asks and knows no leader takes over a later one. A process of the version before leaves the field out, and nothing changes with it.

--- a/internal/decide/ctquorum/election.go
+++ b/internal/decide/ctquorum/election.go
@@ -138,7 +138,7 @@
 	grant := n.isVoter() && n.upToDate(m) && (bothJustStarted || !n.hasRecentLeader(now))
 	if m.PreVote {
 		grant = grant && m.Epoch > n.state.Epoch
-		n.send(from, VoteReply{Epoch: m.Epoch, Granted: grant, PreVote: true})
+		n.send(from, VoteReply{Epoch: m.Epoch, Granted: grant, PreVote: true, CurrentEpoch: n.state.Epoch})
 		return
 	}
 	if !grant || m.Epoch < n.state.Epoch {
@@ -175,17 +175,14 @@
 	return m.LastIndex >= lastIndex
 }
 
-// handleVoteReply counts a vote that belongs to the current election or pre-vote. A
-// refusal from a later epoch makes the process a follower in that epoch.
+// handleVoteReply counts a vote that belongs to the current election or pre-vote.
 func (n *Node) handleVoteReply(now time.Time, from Peer, m VoteReply) {
 	if m.PreVote && m.JustStarted {
 		n.handleStartupVoteReply(now, from, m)
 		return
 	}
 	if !m.Granted {
-		if m.Epoch > n.state.Epoch && !m.PreVote {
-			n.becomeFollower(now, m.Epoch, Peer{})
-		}
+		n.handleRefusedVote(now, m)
 		return
 	}
 	expected := m.Epoch == n.state.Epoch && n.role == roleCandidate && !m.PreVote
@@ -197,6 +194,19 @@
 	n.countVotes(now)
 }
 
+// handleRefusedVote makes the process a follower in the later epoch of a process that refused its
+// vote. A refused pre-vote does so only while no leader is known: the next one then asks for an epoch
+// in which the other process has not voted yet.
+func (n *Node) handleRefusedVote(now time.Time, m VoteReply) {
+	epoch := m.Epoch
+	if m.PreVote {
+		epoch = m.CurrentEpoch
+	}
+	if epoch > n.state.Epoch && (!m.PreVote || n.role == rolePreCandidate) {
+		n.becomeFollower(now, epoch, Peer{})
+	}
+}
+
 // becomeLeader makes the process the leader of its epoch. It appends an empty entry,
 // because entries of earlier epochs are committed only together with one of the
 // leader's own epoch.
--- a/internal/decide/ctquorum/event.go
+++ b/internal/decide/ctquorum/event.go
@@ -147,6 +147,9 @@
 	PreVote bool  `json:"pre,omitempty" cbor:"pre,omitempty"`
 	// JustStarted marks the answer to a startup vote.
 	JustStarted bool `json:"fresh,omitempty" cbor:"fresh,omitempty"`
+	// CurrentEpoch is the epoch of the sender, in the answer to a pre-vote. Processes of earlier
+	// versions leave it out.
+	CurrentEpoch Epoch `json:"current,omitempty" cbor:"current,omitempty"`
 }
 
 // AppendRequest sends the leader's entries that follow PrevIndex. It is a heartbeat
