--- a/internal/lab/ctdiskloss/stall.go
+++ b/internal/lab/ctdiskloss/stall.go
@@ -19,7 +19,7 @@
 )
 
 // stalls records when the machine of the lab stalled: a write took long to be synced, or a goroutine to be
-// scheduled. All processes are disturbed then, and bounds hold from the end of the disturbance on.
+// scheduled. All processes stand still then, and bounds hold from the end of the stall on.
 type stalls struct {
 	mutex sync.Mutex
 	last  time.Time
