ctquorum: a voter that is removed because it is gone isn't added again

Operators would have seen a voter that can't be removed, in fleets where every process votes. Cause: a learner counts as caught up by the answer to a recent round. A voter that has just ended answered less than 0.3 s ago, so the removed one was added again at once. Change: the round must follow the last change of the voters.

--- a/internal/decide/ctquorum/learner_test.go
+++ b/internal/decide/ctquorum/learner_test.go
@@ -8,6 +8,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/cherviltrestle/cherviltrestle/internal/decide/ctquorum"
 	"github.com/cherviltrestle/cherviltrestle/internal/model/ctid"
 )
 
@@ -41,3 +42,16 @@
 		assert.Assert(t, !slices.Contains(c.leader().node.Voters(), lost.peer))
 	})
 }
+
+// TestRemovedVoterThatIsGone guards against a voter that is removed because it is gone and at once added
+// again, as its last answer came just before.
+func TestRemovedVoterThatIsGone(t *testing.T) {
+	c := newCluster(1)
+	c.run(settleDuration)
+	gone := c.followers()[0]
+	gone.node = nil
+	c.step(c.leader(), ctquorum.RemoveVoter{ID: 1, Peer: gone.peer})
+	c.run(time.Second)
+	assert.Equal(t, len(c.leader().node.Voters()), clusterSize-1)
+	assertNoViolations(t, c)
+}
--- a/internal/decide/ctquorum/log.go
+++ b/internal/decide/ctquorum/log.go
@@ -33,6 +33,7 @@
 	n.state.Entries = append(n.state.Entries, entry)
 	n.persist(entry.Index)
 	if len(entry.Voters) > 0 {
+		n.votersChangedAt = now
 		for _, v := range entry.Voters {
 			n.addFollower(now, v, entry.Index)
 		}
--- a/internal/decide/ctquorum/membership.go
+++ b/internal/decide/ctquorum/membership.go
@@ -146,13 +146,14 @@
 
 // caughtUp reports whether a learner is reachable and has all committed entries, or at
 // least those that were committed when the leader sent the round that it has just answered.
-// Under steady commands, the answers of a distant learner never name the last entry.
+// Under steady commands, the answers of a distant learner never name the last entry. The round
+// must follow the last change of the voters: a voter that was just removed may be gone.
 func (n *Node) caughtUp(now time.Time, learner Peer) bool {
 	f := n.followers[learner]
 	if f.matchIndex == 0 || now.Sub(f.lastSeen) > voterTimeout {
 		return false
 	}
-	recent := now.Sub(f.lastAnswered.at) <= ElectionTimeout
+	recent := now.Sub(f.lastAnswered.at) <= ElectionTimeout && !f.lastAnswered.at.Before(n.votersChangedAt)
 	return f.matchIndex >= n.commitIndex || (recent && f.matchIndex >= f.lastAnswered.commitIndex)
 }
 
--- a/internal/decide/ctquorum/node.go
+++ b/internal/decide/ctquorum/node.go
@@ -90,6 +90,8 @@
 	followers       map[Peer]*follower
 	round           Round
 	nextHeartbeatAt time.Time
+	// votersChangedAt is when this leader last appended a change of the voters.
+	votersChangedAt time.Time
 	// proposals holds this leader's proposals that are not committed yet.
 	proposals map[Index]ProposalID
 	// leaderReady reports that this leader has committed an entry of its own
