--- a/internal/decide/ctquorum/doc.go
+++ b/internal/decide/ctquorum/doc.go
@@ -34,6 +34,11 @@
 higher number need not be the later one, as clocks are set back. Voters are added and removed
 one at a time. A process votes only while its own log names it as a voter.
 
+With Node.VoterCount, the leader keeps that many voters, which should be an odd number: of
+an even one, neither half of a cut into halves is a majority. Processes that join beyond
+it are standbys. They remain learners, and one takes the place of a voter that has been
+silent for voterTimeout.
+
 # Finding the leader
 
 A joining process sends a JoinRequest to its seeds, to the voters in its log, and to
@@ -48,11 +53,6 @@
 old that the voters in it have been replaced since, and then no vote or refusal shows it who
 leads. The leader sends it the log as to any learner.
 
-With Node.VoterCount, the leader keeps that many voters, which should be an odd number: of
-an even one, neither half of a cut into halves is a majority. Processes that join beyond
-it are standbys. They remain learners, and one takes the place of a voter that has been
-silent for voterTimeout.
-
 # Usage
 
 	node := ctquorum.New(now, self, state, seeds, random)
--- a/internal/link/ctframe/control.go
+++ b/internal/link/ctframe/control.go
@@ -108,7 +108,7 @@
 	Fetch ctpromotion.Fetch `cbor:"fetch"`
 }
 
-// Check returns an error of kind cterror.Invalid if the name of the requester is invalid.
+// Check returns an error of kind cterror.Invalid if the name of the asking process is invalid.
 func (f *FetchOffers) Check() error {
 	return f.Fetch.Control.Check()
 }
--- a/internal/program/ctcontrol/watchquorum.go
+++ b/internal/program/ctcontrol/watchquorum.go
@@ -14,7 +14,7 @@
 )
 
 const (
-	// statusInterval is the time between two looks at the status of the node.
+	// statusInterval is the time between two observations of the status of the node.
 	statusInterval = 100 * time.Millisecond
 	// joinLogInterval is the shortest time between two lines about a join that is pending,
 	// and the shortest join of a process that had joined before that is logged.
