review: the primary of an earlier term covers a lost log, and an acknowledged commit is lost

Cause: a lost log counts as covered by the status of a primary of any term, if the leader has not heard the present one.

--- a/review/lab2/fleet.go
+++ b/review/lab2/fleet.go
@@ -152,7 +152,7 @@
 func (f *fleet) sendReport(m *member, control *process) bool {
 	g := m.group
 	g.mutex.Lock()
-	if !m.running {
+	if !m.running || m.cut {
 		g.mutex.Unlock()
 		return true
 	}
--- a/review/lab2/group.go
+++ b/review/lab2/group.go
@@ -51,12 +51,14 @@
 
 // member is one server of a group. The group's mutex guards its fields.
 type member struct {
-	group    *group
-	id       string
-	address  string
-	zone     string
-	running  bool
-	deaf     bool
+	group   *group
+	id      string
+	address string
+	zone    string
+	running bool
+	deaf    bool
+	// cut reports that a partition separates the member from everything else.
+	cut      bool
 	state    string
 	primary  bool
 	term     int
@@ -136,8 +138,8 @@
 		g.mutex.Lock()
 		for _, m := range g.members {
 			switch {
-			case !m.running:
-			case m.primary && m != g.latest && g.latest.running:
+			case !m.running || m.cut:
+			case m.primary && m != g.latest && g.latest.running && !g.latest.cut:
 				if m.reached.IsZero() {
 					m.reached = time.Now()
 				}
@@ -158,7 +160,7 @@
 func (m *member) receive() {
 	var source *member
 	for _, p := range m.group.members {
-		if p.running && p.primary && p.term >= max(m.term, m.paused) && (source == nil || p.term > source.term) {
+		if p.running && !p.cut && p.primary && p.term >= max(m.term, m.paused) && (source == nil || p.term > source.term) {
 			source = p
 		}
 	}
@@ -172,6 +174,22 @@
 	m.log = slices.Clone(source.log)
 }
 
+// awaitPath waits until no partition separates the member. The caller holds the mutex.
+func (m *member) awaitPath() {
+	for m.cut && m.running {
+		m.group.changed.Wait()
+	}
+}
+
+// setCut begins or ends a partition that separates the member from everything else.
+func (m *member) setCut(cut bool) {
+	m.group.mutex.Lock()
+	defer m.group.mutex.Unlock()
+	m.cut = cut
+	m.group.changed.Broadcast()
+	m.report()
+}
+
 func (m *member) position() string {
 	if len(m.log) == 0 {
 		return "3.0"
@@ -190,7 +208,7 @@
 	defer g.mutex.Unlock()
 	i := slices.IndexFunc(g.members, func(m *member) bool { return m.id == id })
 	g.rec.add("platform: promotion of %s asked by %s, token %s", id, holder, token)
-	if i < 0 || !g.members[i].running {
+	if i < 0 || !g.members[i].running || g.members[i].cut {
 		return 409
 	}
 	m := g.members[i]
@@ -268,6 +286,7 @@
 		return
 	}
 	m.group.mutex.Lock()
+	m.awaitPath()
 	position := m.position()
 	m.group.mutex.Unlock()
 	fmt.Fprintf(c, "READY I %s\r\n", position)
@@ -324,6 +343,7 @@
 	}
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
+	m.awaitPath()
 	if !m.running {
 		return "", false
 	}
@@ -407,7 +427,7 @@
 	for m.running && m.primary {
 		count := 0
 		for _, o := range g.members {
-			if o != m && o.running && o.has(id) {
+			if o != m && o.running && !o.cut && !m.cut && o.has(id) {
 				count++
 			}
 		}
--- a/review/lab2/main.go
+++ b/review/lab2/main.go
@@ -24,6 +24,7 @@
 
 var cases = map[string]func(f *fleet, trouble bool) outcome{
 	"lost-log":     lostLog,
+	"old-primary":  oldPrimary,
 	"large-answer": largeAnswer,
 	"unanswered":   unanswered,
 }
