review: a write takes effect twice after a repeated fault; the cases in the order of their gravity

Cause: a fault that comes again in the place of a lost answer is confirmed by the answers behind it.

--- a/review/lab2/group.go
+++ b/review/lab2/group.go
@@ -45,6 +45,9 @@
 	lost []string
 	// large has the rows of items whose data is large.
 	large map[string][]string
+	// busy makes each connection's first write be answered with RETRY. With stutter, the answer to the
+	// next write on that connection is lost, and that RETRY comes a second time.
+	busy, stutter bool
 	// runs counts how often a query took effect, by id.
 	runs map[string]int
 }
@@ -266,6 +269,10 @@
 	readOnly bool
 	writes   map[string]string
 	txID     string
+	// retried is the RETRY that the connection's first write was answered with, and repeated reports
+	// that it has come twice.
+	retried  string
+	repeated bool
 }
 
 func (m *member) serve(c net.Conn) {
@@ -400,6 +407,17 @@
 		if !m.primary || v.readOnly && v.open {
 			return v.fault("READONLY"), true
 		}
+		if g.busy && v.retried == "" {
+			g.rec.add("member %s doesn't run %s: RETRY", m.id, id)
+			v.retried = v.fault("RETRY")
+			return v.retried, true
+		}
+		if g.stutter && v.retried != "" && !v.repeated {
+			v.repeated = true
+			_, ok := v.commit(id, map[string]string{words[1]: words[2]})
+			g.rec.add("trouble: the answer to %s is lost, and the RETRY of before comes a second time", id)
+			return v.retried, ok
+		}
 		if v.open {
 			v.writes[words[1]] = words[2]
 			return v.done(nil, mac()), true
--- a/review/lab2/main.go
+++ b/review/lab2/main.go
@@ -26,6 +26,7 @@
 	"lost-log":     lostLog,
 	"old-primary":  oldPrimary,
 	"large-answer": largeAnswer,
+	"lost-answer":  lostAnswer,
 	"unanswered":   unanswered,
 }
 
