--- a/review/lab2/fleet.go
+++ b/review/lab2/fleet.go
@@ -105,7 +105,7 @@
 			w.WriteHeader(400)
 			return
 		}
-		w.WriteHeader(g.promote(body.ID, r.Header.Get("Duty-Holder"), r.Header.Get("Fencing-Token")))
+		w.WriteHeader(g.promote(body.ID, r.Header.Get(names.PromotionHolderHeader), r.Header.Get(names.PromotionTokenHeader)))
 	})
 	go func() { _ = http.Serve(listener, mux) }()
 	return nil
@@ -166,7 +166,7 @@
 		"cold_remaining_ms": 0, "db_role": role, "sequence": m.sequence, "born": m.born,
 	})
 	g.mutex.Unlock()
-	status, _ := f.call(http.MethodPut, control, "/-/instances/"+m.id, body)
+	status, _ := f.call(http.MethodPut, control, names.MembersPath+m.id, body)
 	return status == 200
 }
 
@@ -187,7 +187,7 @@
 // leave deregisters a draining member and ends it.
 func (f *fleet) leave(m *member) {
 	for i := range 20 {
-		if status, _ := f.call(http.MethodDelete, f.controls[i%len(f.controls)], "/-/instances/"+m.id, nil); status == 200 {
+		if status, _ := f.call(http.MethodDelete, f.controls[i%len(f.controls)], names.MembersPath+m.id, nil); status == 200 {
 			break
 		}
 		time.Sleep(50 * time.Millisecond)
@@ -222,7 +222,7 @@
 func (f *fleet) publish(config any, limit time.Duration) bool {
 	body, _ := json.Marshal(config)
 	for begin, i := time.Now(), 0; time.Since(begin) < limit; i++ {
-		status, _ := f.call(http.MethodPut, f.controls[i%len(f.controls)], "/-/config", body)
+		status, _ := f.call(http.MethodPut, f.controls[i%len(f.controls)], names.ConfigPath, body)
 		if status == 200 {
 			f.rec.add("operator: configuration acknowledged")
 			return true
--- a/review/lab2/group.go
+++ b/review/lab2/group.go
@@ -289,7 +289,7 @@
 		return
 	}
 	if fields[1] != m.group.service || (len(fields) > 3 && fields[3] != m.id) {
-		fmt.Fprintf(c, "ERROR WRONGNODE %s\r\n", m.id)
+		fmt.Fprintf(c, "ERROR %s %s\r\n", names.WrongMember, m.id)
 		return
 	}
 	m.group.mutex.Lock()
@@ -341,7 +341,7 @@
 func (v *conversation) answer(id, text string) (string, bool) {
 	m, g := v.m, v.m.group
 	minPosition := ""
-	if rest, ok := strings.CutPrefix(text, "MINPOS "); ok {
+	if rest, ok := strings.CutPrefix(text, names.MinPosition+" "); ok {
 		minPosition, text, _ = strings.Cut(rest, " ")
 	}
 	words := strings.Split(text, " ")
@@ -360,7 +360,7 @@
 	if words[0] == "EXECUTE" && len(words) > 2 {
 		p, ok := v.prepared[words[1]]
 		if !ok {
-			return v.fault("NOSUCHSTMT"), true
+			return v.fault(names.UnknownStatement), true
 		}
 		words = append([]string{p[0]}, words[2:]...)
 	}
