review: the runs of review/7 and review/10 depend less on moments

Change: 0.6 s between the two in review/7, whose cut begins 0.5 s later; rows of 100 bytes instead of 1 MB in review/10.

--- a/review/lab2/group.go
+++ b/review/lab2/group.go
@@ -43,8 +43,8 @@
 	acked []string
 	// lost has what the rule LOST forbids.
 	lost []string
-	// large has the rows of items whose data is large.
-	large map[string][]string
+	// large has the rows of items whose data is large, as they go on the wire.
+	large map[string]string
 	// busy makes each connection's first write be answered with RETRY. With stutter, the answer to the
 	// next write on that connection is lost, and that RETRY comes a second time.
 	busy, stutter bool
@@ -392,8 +392,8 @@
 		return v.done(nil, "-"), true
 	case "READ":
 		if rows, ok := g.large[words[1]]; ok {
-			g.rec.add("member %s runs %s READ %s -> %d rows of %d bytes", m.id, id, words[1], len(rows), len(rows[0]))
-			return v.done(rows, mac()), true
+			g.rec.add("member %s runs %s READ %s -> rows of %d bytes in all", m.id, id, words[1], len(rows))
+			return rows + v.done(nil, mac()), true
 		}
 		data := "none"
 		for _, e := range m.log {
--- a/review/lab2/largeanswer.go
+++ b/review/lab2/largeanswer.go
@@ -12,8 +12,8 @@
 
 const (
 	// largeRows and smallRows are how many rows the answer has, with and without the trouble.
-	largeRows, smallRows = 222, 2
-	rowBytes             = 1 << 20 * 99 / 100
+	largeRows, smallRows = 1_400_000, 2
+	rowBytes             = 100
 	// endsPerMachine and machinesWithEnds are the limits of the rule Fault.
 	endsPerMachine, machinesWithEnds = 3, 2
 )
@@ -71,11 +71,7 @@
 	if trouble {
 		rows = largeRows
 	}
-	row := strings.Repeat("x", rowBytes)
-	g.large = map[string][]string{"big": nil}
-	for range rows {
-		g.large["big"] = append(g.large["big"], row)
-	}
+	g.large = map[string]string{"big": rowsOf(rows, rowBytes)}
 	for i, id := range []string{"i-aaaa", "i-bbbb", "i-cccc"} {
 		if _, err := f.startMember(g, id, i+1, i == 0); err != nil {
 			return unrun
--- a/review/lab2/oldprimary.go
+++ b/review/lab2/oldprimary.go
@@ -36,7 +36,7 @@
 	g.ack(first.id)
 	f.drain(leaving)
 	drainedAt := time.Now()
-	time.Sleep(drainPeriod - 4*time.Second)
+	time.Sleep(drainPeriod - 3500*time.Millisecond)
 
 	cutAt := time.Now()
 	if trouble {
@@ -74,11 +74,11 @@
 			_ = p.start()
 		}()
 	}
-	time.Sleep(time.Until(crashedAt.Add(2 * time.Second)))
+	time.Sleep(time.Until(crashedAt.Add(1500 * time.Millisecond)))
 	time.Sleep(time.Until(drainedAt.Add(drainPeriod)))
 	f.leave(leaving)
 	if trouble {
-		time.Sleep(200 * time.Millisecond)
+		time.Sleep(600 * time.Millisecond)
 		f.rec.add("the primary %s can be reached again, after %.1f s", old.id, time.Since(cutAt).Seconds())
 		old.setCut(false)
 		time.Sleep(time.Until(crashedAt.Add(crashTime)))
--- a/review/lab2/unanswered.go
+++ b/review/lab2/unanswered.go
@@ -17,10 +17,7 @@
 // half a second before. Each request reaches a member, which answers it in full at once.
 func unanswered(f *fleet, trouble bool) outcome {
 	g := f.newGroup("fit1")
-	g.large = map[string][]string{"export": nil}
-	for range exportRows {
-		g.large["export"] = append(g.large["export"], strings.Repeat("x", exportRowBytes))
-	}
+	g.large = map[string]string{"export": rowsOf(exportRows, exportRowBytes)}
 	for i, id := range []string{"i-aaaa", "i-bbbb", "i-cccc"} {
 		if _, err := f.startMember(g, id, i+1, i == 0); err != nil {
 			return unrun
@@ -77,3 +74,8 @@
 	// Without planned work the rule does not count a request that is cut off.
 	return held
 }
+
+// rowsOf returns rows of a number of bytes, as they go on the wire.
+func rowsOf(count, bytes int) string {
+	return strings.Repeat("ROW "+strings.Repeat("x", bytes)+"\r\n", count)
+}
