control: lost logs are durable before they are confirmed

Cause: that a member has lost its log was in the leader's memory alone. The next leader took "no known member has received more" for "nothing is missing". Its choose_candidate line shows two members and none_ahead, 1.6 s after the earlier leader's drop_member line for the third.

Change: the register holds, by group and term, the lost logs that the primary has not covered since and the point that covers the others, in the command that takes the members out. Reports of new runs and deregistrations are answered once that is durable. A silent member that ends or starts again without its log, one replaced at its address by another group's, and one that answers without announcing itself count as well. Losses end with the term in the register, not when the next one is proposed. The loss of the primary's own log no longer makes a promotion wait. Control's log says which log a change waits for.

Why it works: a log is among the register's members or among its lost ones, in one command, so each leader starts with it; until the present primary has reported its log, or a replica has that point, nobody is promoted.

--- a/internal/decide/ctregister/command.go
+++ b/internal/decide/ctregister/command.go
@@ -61,11 +61,15 @@
 	Marks map[ctid.Workspace]ctid.Operations `json:"marks" cbor:"marks"`
 }
 
-// SetMembers replaces the members that a new leader starts with.
+// SetMembers replaces the members that a new leader starts with. A member's log is either among
+// them or among the lost ones: one command replaces both.
 type SetMembers struct {
 	Members []ctserver.Announcement `json:"members" cbor:"members"`
 	// Silent are members that are neither heard nor known to be gone.
 	Silent []ctserver.Announcement `json:"silent,omitempty" cbor:"silent,omitempty"`
+	// Lost replaces the groups' lost logs. It is nil, not empty, in a command of a version
+	// that does not record them, which then stay as they are.
+	Lost []ctview.LostLogs `json:"lost" cbor:"lost"`
 }
 
 // SettlePromotions removes promotions from a group's unsettled ones, because none of them
@@ -130,8 +134,11 @@
 	Applied bool
 }
 
-// MembersSet reports that the members were replaced.
-type MembersSet struct{}
+// MembersSet reports that the members were replaced. Lost are the groups' lost logs that differ
+// from those before.
+type MembersSet struct {
+	Lost []ctview.LostLogs
+}
 
 // QuotaMarksSet reports that marks were set.
 type QuotaMarksSet struct{}
--- a/internal/decide/ctregister/register.go
+++ b/internal/decide/ctregister/register.go
@@ -44,6 +44,8 @@
 	// Silent are members whose logs may have commits that no other log has, although nobody
 	// hears them.
 	Silent []ctserver.Announcement `json:"silent,omitempty" cbor:"silent,omitempty"`
+	// Lost holds the logs that the groups' members have lost in their present terms.
+	Lost map[ctid.Group]ctview.LostLogs `json:"lost,omitempty" cbor:"lost,omitempty"`
 	// QuotaMarks bounds, by workspace, the sum of the caps that leaders grant to proxies.
 	QuotaMarks map[ctid.Workspace]ctid.Operations `json:"quota_marks,omitempty" cbor:"quota_marks,omitempty"`
 }
@@ -65,8 +67,7 @@
 	case SetGroup:
 		return r.setGroup(c)
 	case SetMembers:
-		r.Members, r.Silent = c.Members, c.Silent
-		return MembersSet{}
+		return r.setMembers(c)
 	case SetQuotaMarks:
 		return r.setQuotaMarks(c)
 	case SettlePromotions:
@@ -77,6 +78,28 @@
 	return nil
 }
 
+// setMembers replaces the members and the lost logs. It leaves out the losses of earlier terms,
+// which the leader recorded before it knew of the group's present one.
+func (r *Register) setMembers(c SetMembers) Result {
+	r.Members, r.Silent = c.Members, c.Silent
+	if c.Lost == nil {
+		return MembersSet{}
+	}
+	var result MembersSet
+	lost := make(map[ctid.Group]ctview.LostLogs, len(c.Lost))
+	for _, logs := range c.Lost {
+		if logs.Term != r.Groups[logs.Group].Term {
+			continue
+		}
+		lost[logs.Group] = logs
+		if !logs.Equal(r.Lost[logs.Group]) {
+			result.Lost = append(result.Lost, logs)
+		}
+	}
+	r.Lost = lost
+	return result
+}
+
 // setQuotaMarks replaces the map, which a leader may still read.
 func (r *Register) setQuotaMarks(c SetQuotaMarks) Result {
 	marks := maps.Clone(r.QuotaMarks)
@@ -146,6 +169,7 @@
 			continue
 		}
 		delete(r.Groups, name)
+		delete(r.Lost, name)
 		if !group.Requester.IsZero() {
 			if r.UndeclaredRequesters == nil {
 				r.UndeclaredRequesters = make(map[ctid.Group]ctview.Requester)
@@ -208,6 +232,9 @@
 	}
 	delete(r.Undeclared, name)
 	delete(r.UndeclaredRequesters, name)
+	if group.Term != current.Term {
+		delete(r.Lost, name)
+	}
 	r.Groups[name] = group
 	r.AuditLog = append(r.AuditLog, AuditEntry{At: c.At, Reason: c.Reason, Group: group})
 	if len(r.AuditLog) > maxAuditEntries {
--- a/internal/decide/ctregister/register_test.go
+++ b/internal/decide/ctregister/register_test.go
@@ -9,6 +9,7 @@
 	"github.com/cherviltrestle/cherviltrestle/internal/decide/ctregister"
 	"github.com/cherviltrestle/cherviltrestle/internal/model/ctconfig"
 	"github.com/cherviltrestle/cherviltrestle/internal/model/ctid"
+	"github.com/cherviltrestle/cherviltrestle/internal/model/ctposition"
 	"github.com/cherviltrestle/cherviltrestle/internal/model/ctview"
 )
 
@@ -89,3 +90,47 @@
 		assert.Equal(t, r.Apply(setGroup(ctview.Group{Name: "g", Term: 1})), ctregister.GroupSet{Name: "g"})
 	})
 }
+
+// TestLostLogs guards against acknowledged commits that are lost, or a group that waits without
+// need: the register forgets lost logs in their term, or keeps them in a later one.
+func TestLostLogs(t *testing.T) {
+	lost := func(term ctposition.Term) []ctview.LostLogs {
+		return []ctview.LostLogs{{Group: "g", Term: term, Uncovered: []ctview.LostLog{{Member: "b"}}}}
+	}
+	begin := func() *ctregister.Register {
+		r := &ctregister.Register{}
+		document := ctconfig.Document{Groups: []ctconfig.Group{{Name: "g"}}}
+		r.Apply(ctregister.Configure{Change: ctconfig.Change{ID: "first", Document: document}})
+		r.Apply(ctregister.SetGroup{Group: ctview.Group{Name: "g", Term: 3, Primary: "a"}})
+		r.Apply(ctregister.SetMembers{Lost: lost(3)})
+		return r
+	}
+	set := func(group ctview.Group, fence ctposition.Term) ctregister.SetGroup {
+		return ctregister.SetGroup{Group: group, BaseTerm: 3, BaseFence: fence}
+	}
+	t.Run("stay while the primary is replaced", func(t *testing.T) {
+		r := begin()
+		r.Apply(set(ctview.Group{Name: "g", Term: 3, Primary: "a", Fence: 4}, 0))
+		assert.Equal(t, len(r.Lost), 1)
+	})
+	t.Run("end with the term", func(t *testing.T) {
+		r := begin()
+		r.Apply(set(ctview.Group{Name: "g", Term: 4, Primary: "b"}, 0))
+		assert.Equal(t, len(r.Lost), 0)
+	})
+	t.Run("stay if the change of term has no effect", func(t *testing.T) {
+		r := begin()
+		r.Apply(set(ctview.Group{Name: "g", Term: 4, Primary: "b"}, 9))
+		assert.Equal(t, len(r.Lost), 1)
+	})
+	t.Run("of an earlier term are not taken", func(t *testing.T) {
+		r := begin()
+		r.Apply(ctregister.SetMembers{Lost: lost(2)})
+		assert.Equal(t, len(r.Lost), 0)
+	})
+	t.Run("stay as they are under a leader of the version before", func(t *testing.T) {
+		r := begin()
+		r.Apply(ctregister.SetMembers{})
+		assert.Equal(t, len(r.Lost), 1)
+	})
+}
--- a/internal/decide/ctsuccession/change.go
+++ b/internal/decide/ctsuccession/change.go
@@ -224,7 +224,7 @@
 // after the leader started, while a member is silent, and if a log was lost that may have had
 // more.
 func (m *Machine) noneAhead(now time.Time, group ctview.Group, received ctposition.Point) bool {
-	lostAhead := !m.lost.includedIn(received) && !m.goneFor(now, group.Primary, memberTTL)
+	lostAhead := !m.lost.includedIn(received, group.Primary) && !m.goneFor(now, group.Primary, memberTTL)
 	if lostAhead || now.Sub(m.startedAt) < discoveryWindow {
 		return false
 	}
--- a/internal/decide/ctsuccession/decide.go
+++ b/internal/decide/ctsuccession/decide.go
@@ -14,6 +14,7 @@
 // and records their results.
 func (m *Machine) Decide(now time.Time, group ctview.Group) []Action {
 	m.expire(now)
+	m.lost.enter(group.Term)
 	if release, expired := m.expireRequester(now, group); expired {
 		return []Action{release}
 	}
@@ -58,7 +59,6 @@
 	group.Term, group.Primary = term, name
 	group.Fence, group.RetiringTerm, group.Candidate = 0, 0, ""
 	group.CandidatePoint = ctposition.Point{}
-	m.lost = lostLogs{}
 	return SetGroup{Group: group, Reason: reason, Basis: basis}, true
 }
 
@@ -67,7 +67,7 @@
 func (m *Machine) expire(now time.Time) {
 	for name, member := range m.members {
 		if now.Sub(member.announcedAt) > memberTTL && member.failures > 0 {
-			m.silent[name] = member.announcement
+			m.silent[name] = silentMember{announcement: member.announcement, since: member.announcedAt}
 			delete(m.members, name)
 		}
 	}
@@ -95,7 +95,12 @@
 // a replacement is available.
 func (m *Machine) watch(now time.Time, group ctview.Group) []Action {
 	m.current = changeState{}
-	actions := m.probeAll(now, m.scaled(primaryProbeInterval), m.scaled(replicaProbeInterval), group.Primary)
+	primaryInterval := m.scaled(primaryProbeInterval)
+	if !m.lost.covered(group.Primary) {
+		// While a lost log is uncovered, the loss of the primary would leave the group without one.
+		primaryInterval = changeInterval
+	}
+	actions := m.probeAll(now, primaryInterval, m.scaled(replicaProbeInterval), group.Primary)
 	reason, due := m.changeDue(now, group)
 	if !due || !m.hasReplacement(now, group) {
 		return append(actions, m.resumeReplicas(now, group)...)
--- /dev/null
+++ b/internal/decide/ctsuccession/lostlogs_test.go
@@ -0,0 +1,235 @@
+package ctsuccession_test
+
+import (
+	"net/netip"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/cherviltrestle/cherviltrestle/internal/decide/ctsuccession"
+	"github.com/cherviltrestle/cherviltrestle/internal/model/ctid"
+	"github.com/cherviltrestle/cherviltrestle/internal/model/ctquery"
+	"github.com/cherviltrestle/cherviltrestle/internal/model/ctserver"
+)
+
+// ending is a way in which the replica b loses its log.
+type ending struct {
+	name string
+	run  func(e *environment)
+}
+
+// endings are the ways in which a log is lost.
+var endings = []ending{
+	{"started again under its id", func(e *environment) {
+		e.restartEmpty("b")
+		e.members["b"].unresponsive = false
+	}},
+	{"deregistered", func(e *environment) {
+		delete(e.members, "b")
+		e.machine.DeregisterMember(e.now, "b")
+	}},
+	{"replaced at its address by a member of its group", func(e *environment) {
+		delete(e.members, "b")
+		e.members["d"] = &memberServer{status: ctquery.Status{Role: ctserver.RoleReplica}, restarts: 1, address: 'b'}
+	}},
+	{"replaced at its address by a member of another group", func(e *environment) {
+		delete(e.members, "b")
+		e.machine.ReleaseAddress(e.now, ctserver.Announcement{
+			Group: "h", Member: "x", Incarnation: 9, Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, 'b'}), 1),
+		})
+	}},
+	{"deregistered, and replaced at its address", func(e *environment) {
+		delete(e.members, "b")
+		e.machine.DeregisterMember(e.now, "b")
+		e.members["d"] = &memberServer{status: ctquery.Status{Role: ctserver.RoleReplica}, restarts: 1, address: 'b'}
+	}},
+}
+
+// beginOnlyCopy lets only the primary and b receive the last acknowledged commit. The proxies
+// have restarted since, so that nobody can report what was acknowledged.
+func beginOnlyCopy() *environment {
+	e := newEnvironment()
+	e.members["a"].status.Received = point(101)
+	e.members["b"].status.Received = point(101)
+	e.run(3 * time.Second)
+	e.incarnation++
+	return e
+}
+
+// assertWaitsForPrimary loses the primary and asserts that nobody is promoted until it is back,
+// and that the waits say so.
+func assertWaitsForPrimary(t *testing.T, e *environment, reason ctsuccession.Reason) {
+	t.Helper()
+	e.losePrimary()
+	e.run(15 * time.Second)
+	assertNoRequest(t, e)
+	waits := e.machine.Waits(e.now, e.group)
+	assert.Assert(t, len(waits) > 0, "nothing is said to be waited for")
+	assert.Equal(t, waits[0].Reason, reason)
+	e.members["a"].down = false
+	e.run(5 * time.Second)
+	assertPrimary(t, e, "a", 2)
+	assert.Equal(t, len(e.machine.Waits(e.now, e.group)), 0)
+}
+
+// TestLostReplicaLogLosesCommits covers callers whose acknowledged writes were gone: the only
+// replica that held them had lost its log, and the other one was promoted as the one that
+// has received most.
+func TestLostReplicaLogLosesCommits(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		// before leads up to the loss, and after follows it.
+		before, after func(e *environment)
+		reason        ctsuccession.Reason
+	}{
+		{"long before", nil, pause(11 * time.Second), ctsuccession.ReasonPrimaryAhead},
+		{"in the same second", nil, nil, ctsuccession.ReasonLogLost},
+		{"known from the register alone", changeLeader, nil, ctsuccession.ReasonLogLost},
+		{"after it had fallen silent", fallSilent, nil, ctsuccession.ReasonLogLost},
+		{"after it was silent under the last leader", func(e *environment) {
+			fallSilent(e)
+			e.changeLeader()
+		}, nil, ctsuccession.ReasonLogLost},
+		{"under an earlier leader, in the same second", nil, changeLeader, ctsuccession.ReasonLogLost},
+		{"under an earlier leader, long before", nil, func(e *environment) {
+			e.run(5 * time.Second)
+			e.changeLeader()
+		}, ctsuccession.ReasonPrimaryAhead},
+		{"under the second of three leaders", changeLeader, changeLeader, ctsuccession.ReasonLogLost},
+		{"in a change, before there is a candidate", beginChange, confirmFence, ctsuccession.ReasonLogLost},
+		{"in a change, under an earlier leader", beginChange, func(e *environment) {
+			e.changeLeader()
+			confirmFence(e)
+		}, ctsuccession.ReasonLogLost},
+		{"after it was chosen", chooseCandidate, nil, ctsuccession.ReasonLogLost},
+		{"after it was chosen, under an earlier leader", chooseCandidate, changeLeader, ctsuccession.ReasonLogLost},
+	} {
+		for _, ending := range endings {
+			t.Run(ending.name+", "+c.name, func(t *testing.T) {
+				e := beginOnlyCopy()
+				if c.before != nil {
+					c.before(e)
+				}
+				ending.run(e)
+				e.announce()
+				e.requests = nil
+				if c.after != nil {
+					c.after(e)
+				}
+				assertWaitsForPrimary(t, e, c.reason)
+			})
+		}
+	}
+}
+
+func changeLeader(e *environment) { e.changeLeader() }
+
+// pause returns a function that runs the environment for a while.
+func pause(d time.Duration) func(e *environment) {
+	return func(e *environment) { e.run(d) }
+}
+
+// fallSilent makes b silent.
+func fallSilent(e *environment) {
+	e.members["b"].unresponsive = true
+	e.run(15 * time.Second)
+}
+
+// beginChange loses the primary, and proxies don't confirm the fence.
+func beginChange(e *environment) {
+	e.losePrimary()
+	e.fenced = false
+	e.run(time.Second)
+}
+
+func confirmFence(e *environment) { e.fenced = true }
+
+// chooseCandidate loses the primary until the promotion of b is requested, which has no effect.
+func chooseCandidate(e *environment) {
+	e.losePrimary()
+	e.ignores = map[ctid.Member]bool{"b": true}
+	for len(e.requests) == 0 {
+		e.run(stepInterval)
+	}
+}
+
+// TestLostLogWaitsWithoutNeed guards against a group without a primary although no acknowledged
+// commit can be missing: a new leader takes a lost log for one that nothing has covered.
+func TestLostLogWaitsWithoutNeed(t *testing.T) {
+	t.Run("no log was lost, and the leader and the primary are lost together", func(t *testing.T) {
+		e := newEnvironment()
+		e.losePrimary()
+		e.incarnation++
+		e.changeLeader()
+		e.run(8 * time.Second)
+		assertPrimary(t, e, "b", 2)
+	})
+	for _, ending := range endings {
+		t.Run("the other replica has all that the primary had since, "+ending.name, func(t *testing.T) {
+			e := beginOnlyCopy()
+			ending.run(e)
+			e.run(time.Second)
+			e.members["c"].status.Received = point(101)
+			e.run(time.Second)
+			e.losePrimary()
+			e.changeLeader()
+			e.run(8 * time.Second)
+			assertPrimary(t, e, "c", 2)
+		})
+	}
+	t.Run("only the primary has started again", func(t *testing.T) {
+		e := newEnvironment()
+		e.losePrimary()
+		e.members["a"].restarts++
+		e.incarnation++
+		e.machine.ApplyAnnouncement(e.now, ctserver.Announcement{Group: "g", Member: "a", Incarnation: 2})
+		e.changeLeader()
+		e.run(8 * time.Second)
+		assertPrimary(t, e, "b", 2)
+	})
+	t.Run("an earlier leader learned that the primary is gone, too", func(t *testing.T) {
+		e := beginOnlyCopy()
+		delete(e.members, "b")
+		e.machine.DeregisterMember(e.now, "b")
+		e.losePrimary()
+		e.machine.DeregisterMember(e.now, "a")
+		e.changeLeader()
+		e.run(15 * time.Second)
+		assertPrimary(t, e, "c", 2)
+	})
+	t.Run("it was lost in an earlier term", func(t *testing.T) {
+		e := beginOnlyCopy()
+		e.restartEmpty("b")
+		e.run(time.Second)
+		e.members["c"].status.Received = point(101)
+		e.losePrimary()
+		for e.group.Term == 1 {
+			e.run(stepInterval)
+		}
+		assertPrimary(t, e, "c", 2)
+		_, lost := e.machine.LostLogs("g")
+		assert.Assert(t, !lost)
+	})
+}
+
+// TestLossDuringAdoption covers a lost log that was forgotten: the leader knew of it before the
+// group's next term, which it had proposed, was durable.
+func TestLossDuringAdoption(t *testing.T) {
+	e := newEnvironment()
+	e.machine.DeregisterMember(e.now, "c")
+	delete(e.members, "c")
+	e.members["a"].hung = true
+	e.members["b"].status.Role, e.members["b"].status.Term = ctserver.RolePrimary, 2
+	proposed := e.group
+	proposed.Term, proposed.Primary = 2, "b"
+	for _, action := range e.machine.Decide(e.now.Add(stepInterval), e.group) {
+		_, isSet := action.(ctsuccession.SetGroup)
+		assert.Assert(t, !isSet || !e.group.ChangingPrimary())
+	}
+	_, lost := e.machine.LostLogs("g")
+	assert.Assert(t, lost, "forgotten before the new term is durable")
+	e.machine.ApplyGroup(proposed)
+	_, lost = e.machine.LostLogs("g")
+	assert.Assert(t, !lost, "kept in the new term")
+}
--- a/internal/decide/ctsuccession/machine.go
+++ b/internal/decide/ctsuccession/machine.go
@@ -92,7 +92,7 @@
 	members   map[ctid.Member]*memberState
 	// silent are members that are neither heard nor known to be gone. Their logs may have
 	// acknowledged commits that no other log has.
-	silent  map[ctid.Member]ctserver.Announcement
+	silent  map[ctid.Member]silentMember
 	proxies *ProxyTracker
 	// reports are the proxies' latest reports on the group.
 	reports map[ctid.Proxy]*proxyReport
@@ -106,7 +106,7 @@
 	unreachableSince time.Time
 	// lastChangeAt is when this leader last completed a change.
 	lastChangeAt time.Time
-	// lost is the state of the members' logs that were lost in the present term.
+	// lost is the state of the members' logs that were lost in the group's term.
 	lost lostLogs
 	// gone holds the members that were deregistered or replaced at their address, and have not
 	// been heard again, with the times.
@@ -192,7 +192,7 @@
 		IntervalFactor: m.IntervalFactor,
 		startedAt:      now,
 		members:        make(map[ctid.Member]*memberState),
-		silent:         make(map[ctid.Member]ctserver.Announcement),
+		silent:         make(map[ctid.Member]silentMember),
 		gone:           make(map[ctid.Member]time.Time),
 		ended:          make(map[ctview.Promotion]time.Time),
 		proxies:        proxies,
@@ -201,36 +201,58 @@
 	}
 }
 
-// ApplyAnnouncement applies a member's announcement. It removes members of earlier
-// incarnations at the same address. The caller filters out announcements that are out of
-// date.
+// ApplyGroup applies the durable state of the group. It has to be called after Begin and with
+// each change of that state.
+func (m *Machine) ApplyGroup(group ctview.Group) {
+	m.lost.enter(group.Term)
+}
+
+// ApplyAnnouncement applies a member's announcement, unless it is of an earlier run than the
+// latest known one. It removes members of earlier incarnations at the same address.
 func (m *Machine) ApplyAnnouncement(now time.Time, announcement ctserver.Announcement) {
+	latest, known := m.latestRun(announcement.Member)
+	if known && announcement.Incarnation < latest {
+		return
+	}
+	if known && announcement.Incarnation > latest {
+		m.lost.record(now, announcement.Member)
+		delete(m.members, announcement.Member)
+	}
+	delete(m.silent, announcement.Member)
+	delete(m.gone, announcement.Member)
 	member, ok := m.members[announcement.Member]
-	if !ok || announcement.Incarnation > member.announcement.Incarnation {
-		if ok {
-			m.lost.record(now)
-		}
+	if !ok {
 		member = &memberState{heardAt: now}
 		m.members[announcement.Member] = member
 	}
 	member.announcement = announcement
 	member.announcedAt = now
-	delete(m.gone, announcement.Member)
-	for name, other := range m.members {
-		if name != announcement.Member && other.announcement.Address == announcement.Address &&
-			other.announcement.Incarnation < announcement.Incarnation {
-			m.remove(now, name)
-		}
-	}
-	delete(m.silent, announcement.Member)
 	m.ReleaseAddress(now, announcement)
 }
 
-// ReleaseAddress removes the silent members whose address the member in an announcement has
-// taken over. The announcement may be of another group.
+// latestRun returns the incarnation of a member that is heard or silent, and whether there is one.
+func (m *Machine) latestRun(name ctid.Member) (ctid.Incarnation, bool) {
+	if member, heard := m.members[name]; heard {
+		return member.announcement.Incarnation, true
+	}
+	silent, ok := m.silent[name]
+	return silent.announcement.Incarnation, ok
+}
+
+// ReleaseAddress removes the members whose address the member in an announcement has taken
+// over. The announcement may be of another group.
 func (m *Machine) ReleaseAddress(now time.Time, announcement ctserver.Announcement) {
+	replaced := func(earlier ctserver.Announcement) bool {
+		return earlier.Member != announcement.Member && earlier.Address == announcement.Address &&
+			earlier.Incarnation < announcement.Incarnation
+	}
+	for name, member := range m.members {
+		if replaced(member.announcement) {
+			m.remove(now, name)
+		}
+	}
 	for name, silent := range m.silent {
-		if silent.Address == announcement.Address && silent.Incarnation < announcement.Incarnation {
+		if replaced(silent.announcement) {
 			m.remove(now, name)
 		}
 	}
@@ -245,16 +267,15 @@
 // DeregisterMember removes a member that has ended, also a silent one, and reports whether
 // it was known.
 func (m *Machine) DeregisterMember(now time.Time, name ctid.Member) bool {
-	_, heard := m.members[name]
-	_, silent := m.silent[name]
+	_, known := m.latestRun(name)
 	m.remove(now, name)
-	return heard || silent
+	return known
 }
 
 // remove removes a member that is gone with its log.
 func (m *Machine) remove(now time.Time, name ctid.Member) {
-	if _, heard := m.members[name]; heard {
-		m.lost.record(now)
+	if _, known := m.latestRun(name); known {
+		m.lost.record(now, name)
 	}
 	delete(m.members, name)
 	delete(m.silent, name)
--- a/internal/lab/ctmodel/control.go
+++ b/internal/lab/ctmodel/control.go
@@ -186,6 +186,7 @@
 // updateLeader tells the leader that a command was committed.
 func (w *world) updateLeader(c *control, command ctregister.Command) {
 	c.group = w.decided()
+	c.machine.ApplyGroup(c.group)
 	switch command.(type) {
 	case ctregister.SetGroup, ctregister.SettlePromotions, ctregister.ReleaseRequester:
 		c.proposedAt = time.Time{}
--- a/internal/link/ctrecord/record_test.go
+++ b/internal/link/ctrecord/record_test.go
@@ -62,6 +62,29 @@
 	assert.Equal(t, set.Members[0], good)
 }
 
+// TestLostLogsOfEarlierVersions guards against lost logs that a command of a version without them
+// erases: whether they are given at all has to survive the encoding.
+func TestLostLogsOfEarlierVersions(t *testing.T) {
+	for _, lost := range [][]ctview.LostLogs{nil, {}, {{Group: "g", Term: 2, Uncovered: []ctview.LostLog{{
+		Member: "m", At: time.Unix(1_000_000, 0).UTC(), Gone: true,
+	}}}}} {
+		data, err := ctrecord.EncodeCommand(ctregister.SetMembers{Lost: lost})
+		assert.NilError(t, err)
+		command, err := ctrecord.DecodeCommand(data)
+		assert.NilError(t, err)
+		set, ok := command.(ctregister.SetMembers)
+		assert.Assert(t, ok)
+		assert.DeepEqual(t, set.Lost, lost)
+	}
+	t.Run("a command without the field has none", func(t *testing.T) {
+		command, err := ctrecord.DecodeCommand(append([]byte{4}, []byte("\xa1gmembers\x80")...))
+		assert.NilError(t, err)
+		set, ok := command.(ctregister.SetMembers)
+		assert.Assert(t, ok)
+		assert.Assert(t, set.Lost == nil)
+	})
+}
+
 func FuzzDecodeCommand(f *testing.F) {
 	for _, command := range commands() {
 		data, err := ctrecord.EncodeCommand(command)
--- a/internal/program/ctcontrol/control.go
+++ b/internal/program/ctcontrol/control.go
@@ -88,6 +88,8 @@
 	proposer Proposer
 	state    cttable.Cell[leaderState]
 	tasks    ctpool.Pool[memberTask]
+	// memberSaves makes what is known of the members durable, for calls that wait for that.
+	memberSaves *batcher[struct{}, struct{}]
 }
 
 // New returns a control process that does not lead. SetProposer must be called before
@@ -97,6 +99,7 @@
 		options.Metrics = ctmetric.NewControl(prometheus.NewRegistry())
 	}
 	c := &Control{Options: options, state: cttable.Cell[leaderState]{Rank: ctlock.RankLeader}}
+	c.memberSaves = newBatcher(options.Clock, forwardTimeout, c.saveMembers)
 	var held ctlock.Held
 	c.state.With(&held, func(l *leaderState) {
 		l.self = options.Name
@@ -118,6 +121,7 @@
 	c.tasks = ctpool.Pool[memberTask]{Workers: taskWorkers, Handle: c.runTask}
 	c.tasks.Start()
 	defer c.tasks.Stop()
+	go c.memberSaves.run(ctx)
 	for {
 		select {
 		case <-ctx.Done():
--- a/internal/program/ctcontrol/leader.go
+++ b/internal/program/ctcontrol/leader.go
@@ -1,8 +1,6 @@
 package ctcontrol
 
 import (
-	"cmp"
-	"slices"
 	"time"
 
 	"github.com/cherviltrestle/cherviltrestle/internal/decide/ctfailover"
@@ -13,7 +11,6 @@
 	"github.com/cherviltrestle/cherviltrestle/internal/fleet/ctroster"
 	"github.com/cherviltrestle/cherviltrestle/internal/model/ctconfig"
 	"github.com/cherviltrestle/cherviltrestle/internal/model/ctid"
-	"github.com/cherviltrestle/cherviltrestle/internal/model/ctserver"
 	"github.com/cherviltrestle/cherviltrestle/internal/model/ctview"
 )
 
@@ -67,9 +64,9 @@
 	notifyPending bool
 	// recentConfigs lists the most recently accepted configurations, the newest last.
 	recentConfigs []recordedConfig
-	// membersComparedAt is when the roster's members were last compared with those in the
-	// register.
-	membersComparedAt time.Time
+	savedMembers
+	// waits holds what the changes of primaries wait for, as logged last.
+	waits map[ctid.Group][]ctsuccession.Wait
 	quotaState
 }
 
@@ -119,6 +116,8 @@
 		l.roster.ApplyAnnouncement(now, &l.register.Members[i])
 	}
 	l.membersComparedAt = now
+	l.indexSavedRuns()
+	l.waits = make(map[ctid.Group][]ctsuccession.Wait)
 	for _, r := range l.recentConfigs {
 		l.roster.RetainConfig(r.config)
 	}
@@ -167,34 +166,6 @@
 // leader.
 const maxRecentConfigs = 8
 
-// saveMembersInterval is the least interval between two SetMembers commands. Each further
-// membersPerSaveInterval members add the same again, because a command contains all
-// members.
-const (
-	saveMembersInterval    = time.Second
-	membersPerSaveInterval = 200
-)
-
-// unsavedMembers returns the roster's members and the silent ones, and whether they must be
-// saved because they differ from those in the register. It compares them at most once per
-// interval.
-func (l *leaderState) unsavedMembers(now time.Time) (ctregister.SetMembers, bool) {
-	interval := saveMembersInterval * time.Duration(1+len(l.register.Members)/membersPerSaveInterval)
-	if len(l.successions) == 0 || now.Sub(l.membersComparedAt) < interval {
-		return ctregister.SetMembers{}, false
-	}
-	l.membersComparedAt = now
-	current := ctregister.SetMembers{Members: l.roster.Members()}
-	for _, machine := range l.successions {
-		current.Silent = append(current.Silent, machine.Silent()...)
-	}
-	byName := func(a, b ctserver.Announcement) int { return cmp.Compare(a.Member, b.Member) }
-	slices.SortFunc(current.Members, byName)
-	slices.SortFunc(current.Silent, byName)
-	changed := !slices.Equal(current.Members, l.register.Members) || !slices.Equal(current.Silent, l.register.Silent)
-	return current, changed
-}
-
 // memberTTL returns how long a member stays in the view after its last announcement.
 func (l *leaderState) memberTTL() time.Duration {
 	if len(l.successions) > 0 {
@@ -255,6 +226,7 @@
 		LastNumber: ctview.PromotionNumber(l.machinesStarted * numbersPerMachine),
 	}
 	machine.Begin(now, l.proxies)
+	machine.ApplyGroup(l.group(name))
 	for _, announcement := range l.roster.Members() {
 		if announcement.Group == name {
 			machine.ApplyAnnouncement(now, announcement)
@@ -265,6 +237,9 @@
 			machine.AddSilent(announcement)
 		}
 	}
+	if logs, ok := l.register.Lost[name]; ok {
+		machine.RestoreLostLogs(logs)
+	}
 	l.successions[name] = machine
 }
 
--- a/internal/program/ctcontrol/machine.go
+++ b/internal/program/ctcontrol/machine.go
@@ -69,6 +69,9 @@
 			return
 		}
 		l.roster.SetGroup(l.register.Groups[r.Name])
+		if machine, ok := l.successions[r.Name]; ok {
+			machine.ApplyGroup(l.register.Groups[r.Name])
+		}
 		l.notifyWatchers()
 		c.logGroup(set.Reason, l.register.Groups[r.Name])
 	case ctregister.PromotionsSettled:
@@ -81,6 +84,9 @@
 		l.roster.SetGroup(group)
 		l.notifyWatchers()
 		c.logSettled(r, settle.Reason)
+	case ctregister.MembersSet:
+		l.indexSavedRuns()
+		c.logLost(r.Lost)
 	case ctregister.QuotaMarksSet:
 		l.quotaLedger.SetMarks(l.register.QuotaMarks)
 	case ctregister.RequesterReleased:
--- a/internal/program/ctcontrol/release.go
+++ b/internal/program/ctcontrol/release.go
@@ -68,24 +68,38 @@
 	return release, source, err
 }
 
-// ApplyAnnouncement applies a member's announcement, or its deregistration.
-func (c *Control) ApplyAnnouncement(held *ctlock.Held, announced *ctframe.Heard) error {
-	return c.withAuthority(held, func(now time.Time, l *leaderState) {
-		if announced.Deregistered {
-			c.deregisterMember(l, announced.Announcement.Member)
-			return
-		}
-		c.recordAnnouncement(now, l, announced.Announcement)
+// ApplyAnnouncement applies a member's announcement, or its deregistration. It returns once
+// the member's run, or its end, is durable.
+func (c *Control) ApplyAnnouncement(ctx context.Context, held *ctlock.Held, announced *ctframe.Heard) error {
+	if !announced.Deregistered {
+		return c.ApplyAnnouncements(ctx, held, []ctserver.Announcement{announced.Announcement})
+	}
+	unsaved := false
+	err := c.withAuthority(held, func(_ time.Time, l *leaderState) {
+		unsaved = c.deregisterMember(l, announced.Announcement.Member)
 	})
+	if err != nil || !unsaved {
+		return err
+	}
+	return c.awaitSaved(ctx, held)
 }
 
-// ApplyAnnouncements applies a batch of members' announcements.
-func (c *Control) ApplyAnnouncements(held *ctlock.Held, announcements []ctserver.Announcement) error {
-	return c.withAuthority(held, func(now time.Time, l *leaderState) {
+// ApplyAnnouncements applies a batch of members' announcements. It returns once the members'
+// runs are durable: the next leader has to know whose logs may have commits.
+func (c *Control) ApplyAnnouncements(
+	ctx context.Context, held *ctlock.Held, announcements []ctserver.Announcement,
+) error {
+	unsaved := false
+	err := c.withAuthority(held, func(now time.Time, l *leaderState) {
 		for _, a := range announcements {
-			c.recordAnnouncement(now, l, a)
+			accepted := c.recordAnnouncement(now, l, a)
+			unsaved = unsaved || (accepted && len(l.successions) > 0 && l.savedRuns[a.Member] != a.Incarnation)
 		}
 	})
+	if err != nil || !unsaved {
+		return err
+	}
+	return c.awaitSaved(ctx, held)
 }
 
 // withAuthority calls apply under the lock if this process has authority as the leader,
@@ -105,8 +119,9 @@
 
 // recordAnnouncement applies a member's announcement to the roster and to its group's
 // succession. A limit of connections in the group's configuration overrides that of the
-// member, but is raised to what the member's slots and the status queries need.
-func (c *Control) recordAnnouncement(now time.Time, l *leaderState, announcement ctserver.Announcement) {
+// member, but is raised to what the member's slots and the status queries need. It reports
+// whether the announcement is not out of date.
+func (c *Control) recordAnnouncement(now time.Time, l *leaderState, announcement ctserver.Announcement) bool {
 	document := l.register.CurrentConfig().Change.Document
 	if group, ok := document.Group(announcement.Group); ok && group.Connections > 0 {
 		needed := announcement.Slots + ctserver.ReservedConnections
@@ -118,7 +133,7 @@
 		if machine, ok := l.successions[announcement.Group]; ok {
 			machine.HearMember(announcement.Member)
 		}
-		return
+		return false
 	}
 	for name, machine := range l.successions {
 		if name == announcement.Group {
@@ -136,22 +151,26 @@
 			Stringer("address", announcement.Address).Str("role", string(announcement.Role)).
 			Str("state", string(announcement.State)).Uint64("sequence", announcement.Sequence).Send()
 	}
+	return true
 }
 
-// deregisterMember removes a member whose process has ended. An operator may send that for a
-// member that is gone without a word.
-func (c *Control) deregisterMember(l *leaderState, name ctid.Member) {
+// deregisterMember removes a member whose process has ended, and reports whether that is yet to be
+// made durable. An operator may send that for a member that is gone without a word.
+func (c *Control) deregisterMember(l *leaderState, name ctid.Member) (unsaved bool) {
+	_, saved := l.savedRuns[name]
 	known := l.roster.DeregisterMember(name)
 	now := c.Clock.Now()
 	for _, machine := range l.successions {
 		known = machine.DeregisterMember(now, name) || known
 	}
+	unsaved = (known || saved) && len(l.successions) > 0
 	if !known {
-		return
+		return unsaved
 	}
 	l.notifyThrottled(now)
 	c.Logger.Info().Str("event", "decision").Str("decision", "drop_member").
 		Str("member", string(name)).Str("why", "ended").Send()
+	return unsaved
 }
 
 // Leader returns the leader that this process knows of, empty if none, and whether this
--- a/internal/program/ctcontrol/service.go
+++ b/internal/program/ctcontrol/service.go
@@ -273,7 +273,8 @@
 		release, source, err := s.control.CurrentConfig(held)
 		return replyOrError(err, &ctframe.RecallReply{Release: release, Source: source})
 	case *ctframe.Heard:
-		return replyOrError(s.control.ApplyAnnouncement(held, f), &ctframe.Ack{})
+		from.releaseSlot()
+		return replyOrError(s.control.ApplyAnnouncement(ctx, held, f), &ctframe.Ack{})
 	case *ctframe.Settled:
 		reply, err := s.control.ApplySettled(held, f)
 		return replyOrError(err, reply)
@@ -284,7 +285,8 @@
 		s.control.ReportOffer(held, f)
 		return &ctframe.Ack{}
 	case *ctframe.Gathered:
-		return replyOrError(s.control.ApplyAnnouncements(held, f.Announcements), &ctframe.Ack{})
+		from.releaseSlot()
+		return replyOrError(s.control.ApplyAnnouncements(ctx, held, f.Announcements), &ctframe.Ack{})
 	}
 	return &ctframe.ErrorReply{Kind: cterror.Invalid.String(), Message: "control does not serve this frame"}
 }
--- a/internal/program/ctcontrol/succession.go
+++ b/internal/program/ctcontrol/succession.go
@@ -261,6 +261,7 @@
 			c.proposeRelease(l, name, a)
 		}
 	}
+	c.logWaits(l, name, machine.Waits(now, group))
 }
 
 // enqueueTask queues a task in the current epoch. Tasks for the same member run in order.
