ctsuccession: only the primary of the present term covers a lost log

Cause: a lost log counted as covered by a primary whose term is not below the last one that this leader had heard. A new leader had heard none, so that the replaced primary's status passed.

Change: the status has to be of the group's term in the register, asked for after the loss.

Why it works: every commit that a lost log can have had and that was acknowledged in the present term is in the log of that term's primary when the command is sent after the loss, and in no other primary's.

--- a/internal/decide/ctsuccession/lost.go
+++ b/internal/decide/ctsuccession/lost.go
@@ -60,8 +60,13 @@
 	delete(l.uncovered, oldest)
 }
 
-// cover records the end of the primary's log in the answer to a command sent at sentAt.
-func (l *lostLogs) cover(sentAt time.Time, point ctposition.Point) {
+// cover records the end of a primary's log in the answer to a command sent at sentAt. Only the
+// primary of the group's term has all that the lost logs had: one of an earlier term lacks the
+// commits that were acknowledged since.
+func (l *lostLogs) cover(sentAt time.Time, term ctposition.Term, point ctposition.Point) {
+	if term != l.term {
+		return
+	}
 	for name, log := range l.uncovered {
 		if !sentAt.Before(log.coveredFrom) {
 			delete(l.uncovered, name)
--- a/internal/decide/ctsuccession/lostlogs_test.go
+++ b/internal/decide/ctsuccession/lostlogs_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/cherviltrestle/cherviltrestle/internal/decide/ctsuccession"
 	"github.com/cherviltrestle/cherviltrestle/internal/model/ctid"
+	"github.com/cherviltrestle/cherviltrestle/internal/model/ctposition"
 	"github.com/cherviltrestle/cherviltrestle/internal/model/ctquery"
 	"github.com/cherviltrestle/cherviltrestle/internal/model/ctserver"
 )
@@ -213,6 +214,68 @@
 	})
 }
 
+// TestPrimaryThatCoversNoLostLog covers acknowledged writes that were gone: a lost log had them,
+// and a primary that lacks them was taken for one that has all that the lost log had.
+func TestPrimaryThatCoversNoLostLog(t *testing.T) {
+	covered := func(e *environment) bool {
+		logs, _ := e.machine.LostLogs("g")
+		return len(logs.Uncovered) == 0
+	}
+	record := func(e *environment, sentAt time.Time, name ctid.Member, term ctposition.Term) {
+		e.machine.RecordStatus(e.now, sentAt, name, ctsuccession.Probe{}, ctquery.Status{
+			Role: ctserver.RolePrimary, Term: term, Received: ctposition.Point{Term: term, Position: 90},
+		})
+	}
+	// begin makes b the primary of term 4 after a of term 3, and loses the log of c.
+	begin := func() *environment {
+		e := newEnvironment()
+		e.group.Term, e.group.Primary = 4, "b"
+		e.members["b"].status.Role, e.members["b"].status.Term = ctserver.RolePrimary, 4
+		e.members["a"].hung, e.members["b"].hung = true, true
+		e.run(stepInterval)
+		e.machine.DeregisterMember(e.now, "c")
+		delete(e.members, "c")
+		return e
+	}
+	t.Run("of an earlier term", func(t *testing.T) {
+		e := begin()
+		record(e, e.now, "a", 3)
+		assert.Assert(t, !covered(e))
+	})
+	t.Run("of an earlier term, under a leader that has not heard the present one", func(t *testing.T) {
+		e := begin()
+		e.changeLeader()
+		record(e, e.now, "a", 3)
+		assert.Assert(t, !covered(e))
+	})
+	t.Run("asked before the loss", func(t *testing.T) {
+		e := begin()
+		record(e, e.now.Add(-stepInterval), "b", 4)
+		assert.Assert(t, !covered(e))
+	})
+	t.Run("asked by an earlier leader", func(t *testing.T) {
+		e := begin()
+		sentAt := e.now
+		e.now = e.now.Add(stepInterval)
+		e.changeLeader()
+		record(e, sentAt, "b", 4)
+		assert.Assert(t, !covered(e))
+	})
+	t.Run("of a term that the group has left", func(t *testing.T) {
+		e := begin()
+		e.group.Term, e.group.Primary = 5, "a"
+		e.machine.ApplyGroup(e.group)
+		e.machine.DeregisterMember(e.now, "b")
+		record(e, e.now, "a", 4)
+		assert.Assert(t, !covered(e))
+	})
+	t.Run("the primary of the present term, asked after the loss, does", func(t *testing.T) {
+		e := begin()
+		record(e, e.now, "b", 4)
+		assert.Assert(t, covered(e))
+	})
+}
+
 // TestLossDuringAdoption covers a lost log that was forgotten: the leader knew of it before the
 // group's next term, which it had proposed, was durable.
 func TestLossDuringAdoption(t *testing.T) {
--- a/internal/decide/ctsuccession/machine.go
+++ b/internal/decide/ctsuccession/machine.go
@@ -321,8 +321,8 @@
 	member.failures = 0
 	member.status, member.answeredAt, member.statusSentAt = status, now, sentAt
 	m.recordCoveredPoint(member)
-	if status.Role == ctserver.RolePrimary && status.Term >= m.coveredTerm {
-		m.lost.cover(sentAt, status.Received)
+	if status.Role == ctserver.RolePrimary {
+		m.lost.cover(sentAt, status.Term, status.Received)
 	}
 	switch c := command.(type) {
 	case Pause:
