ctquorum: a refusal counts for its own request, and committed entries are accepted

The same two messages followed without end, and the follower counted as alive.

Change: a refusal counts only if the refused request has the entry before it that the leader still tries, and a hint may be above it.

Why it works: what is committed agrees with the log of every later leader, so that a confirmation at the committed index is true, and the leader goes on after it. Either half ends the loop, also between two versions.

--- a/internal/decide/ctquorum/cluster_test.go
+++ b/internal/decide/ctquorum/cluster_test.go
@@ -24,6 +24,9 @@
 	dropped func(a, b ctid.Control) bool
 	// delay returns for how long packets between two processes are on their way; nil for none.
 	delay func(a, b ctid.Control) time.Duration
+	// keeps is how many packets from one process to another are kept while that is away. They are
+	// delivered when it is back. If it is 0, a stopped process loses its packets.
+	keeps int
 	// firstApplied holds, by index, the entry as the first process applied it.
 	firstApplied map[ctquorum.Index]string
 	leaders      map[ctquorum.Epoch]ctquorum.Peer
@@ -43,6 +46,8 @@
 	node    *ctquorum.Node
 	applied []string
 	leading bool
+	// away reports that the process does nothing, because it is stopped or frozen.
+	away bool
 }
 
 type packet struct {
@@ -114,7 +119,7 @@
 
 // step sends an event to a process, unless it is stopped, and performs the effects.
 func (c *cluster) step(m *process, event ctquorum.Event) {
-	if m.node == nil {
+	if m.node == nil || m.away {
 		return
 	}
 	for _, effect := range m.node.Step(c.now, event) {
@@ -132,7 +137,9 @@
 		if c.delay != nil {
 			p.arrivesAt = c.now.Add(c.delay(m.peer.Name, e.To.Name))
 		}
-		c.packets = append(c.packets, p)
+		if !c.keptFor(e.To.Name) || c.waiting(p) < c.keeps {
+			c.packets = append(c.packets, p)
+		}
 	case ctquorum.Apply:
 		for _, entry := range e.Entries {
 			c.apply(m, entry)
@@ -218,7 +225,9 @@
 
 // deliverNext delivers the first packet that has arrived. It returns false if there is none.
 func (c *cluster) deliverNext() bool {
-	i := slices.IndexFunc(c.packets, func(p packet) bool { return !p.arrivesAt.After(c.now) })
+	i := slices.IndexFunc(c.packets, func(p packet) bool {
+		return !p.arrivesAt.After(c.now) && !c.keptFor(p.to.Name)
+	})
 	if i < 0 {
 		return false
 	}
@@ -226,6 +235,24 @@
 	return true
 }
 
+// keptFor reports whether packets to a process are kept until it is back.
+func (c *cluster) keptFor(name ctid.Control) bool {
+	return c.keeps > 0 && slices.ContainsFunc(c.processes, func(m *process) bool {
+		return m.away && m.peer.Name == name
+	})
+}
+
+// waiting returns how many packets are on the way between the processes of a packet.
+func (c *cluster) waiting(p packet) int {
+	count := 0
+	for _, other := range c.packets {
+		if other.from.Name == p.from.Name && other.to.Name == p.to.Name {
+			count++
+		}
+	}
+	return count
+}
+
 // leader returns the leader that has authority, or nil.
 func (c *cluster) leader() *process {
 	for _, m := range c.processes {
--- a/internal/decide/ctquorum/election.go
+++ b/internal/decide/ctquorum/election.go
@@ -233,6 +233,8 @@
 		return
 	}
 	if _, ok := n.followers[peer]; !ok {
-		n.followers[peer] = &follower{nextIndex: nextIndex, sent: make(map[Round]sentRound), lastSeen: now}
+		n.followers[peer] = &follower{
+			nextIndex: nextIndex, sent: make(map[Round]sentRound), lastSeen: now, lastProgress: now,
+		}
 	}
 }
--- a/internal/decide/ctquorum/log.go
+++ b/internal/decide/ctquorum/log.go
@@ -61,7 +61,7 @@
 	n.round++
 	for _, peer := range n.sortedFollowers() {
 		f := n.followers[peer]
-		f.sent[n.round] = sentRound{at: now, commitIndex: n.commitIndex}
+		f.sent[n.round] = sentRound{at: now, commitIndex: n.commitIndex, prevIndex: f.nextIndex - 1}
 		delete(f.sent, n.round-min(n.round, maxUnansweredRounds))
 		n.sendLog(peer, f)
 	}
@@ -109,19 +109,19 @@
 }
 
 // handleAppendRequest appends the leader's entries if this log agrees with the
-// leader's up to the entry before them.
+// leader's up to the entry before them. The committed part of this log always agrees, also
+// where a snapshot has replaced the entries.
 func (n *Node) handleAppendRequest(now time.Time, from Peer, m AppendRequest) {
 	if m.Epoch < n.state.Epoch {
 		n.send(from, AppendReply{Epoch: n.state.Epoch, Round: m.Round})
 		return
 	}
 	n.recordLeaderContact(now, from, m.Epoch)
+	if m.PrevIndex < n.commitIndex {
+		m = n.withoutCommitted(m)
+	}
 	last, _ := n.state.last()
 	epoch, ok := n.state.epochAt(m.PrevIndex)
-	if m.PrevIndex < n.state.Snapshot.Index {
-		n.send(from, AppendReply{Epoch: m.Epoch, Round: m.Round, MatchIndex: n.state.Snapshot.Index})
-		return
-	}
 	if !ok || epoch != m.PrevEpoch {
 		n.send(from, AppendReply{Epoch: m.Epoch, Round: m.Round, MatchIndex: min(last, m.PrevIndex-1)})
 		return
@@ -132,6 +132,15 @@
 	n.send(from, AppendReply{Epoch: m.Epoch, Round: m.Round, OK: true, MatchIndex: match})
 }
 
+// withoutCommitted returns a request without the entries that are committed here.
+func (n *Node) withoutCommitted(m AppendRequest) AppendRequest {
+	committed := int(n.commitIndex - m.PrevIndex)
+	m.Entries = m.Entries[min(committed, len(m.Entries)):]
+	m.PrevIndex = n.commitIndex
+	m.PrevEpoch, _ = n.state.epochAt(n.commitIndex)
+	return m
+}
+
 // recordLeaderContact records a message from the leader of the epoch, and makes the
 // process its follower.
 func (n *Node) recordLeaderContact(now time.Time, from Peer, epoch Epoch) {
@@ -162,7 +171,8 @@
 }
 
 // handleInstallSnapshot replaces the log and the applied state with the leader's
-// snapshot if it is ahead of this process's commit index.
+// snapshot if it is ahead of this process's commit index. Otherwise this log agrees with the
+// leader's up to that index.
 func (n *Node) handleInstallSnapshot(now time.Time, from Peer, m InstallSnapshot) {
 	if m.Epoch < n.state.Epoch {
 		n.send(from, AppendReply{Epoch: n.state.Epoch, Round: m.Round})
@@ -179,7 +189,7 @@
 		})
 		n.emit(Restore{Snapshot: snapshot})
 	}
-	n.send(from, AppendReply{Epoch: m.Epoch, Round: m.Round, OK: true, MatchIndex: m.Snapshot.Index})
+	n.send(from, AppendReply{Epoch: m.Epoch, Round: m.Round, OK: true, MatchIndex: n.commitIndex})
 }
 
 // handleAppendReply records up to which index a follower's log agrees with the
@@ -194,24 +204,25 @@
 		return
 	}
 	f.lastSeen = now
-	f.recordReply(m.Round)
+	sent, known := f.recordReply(m.Round)
 	if !m.OK {
-		f.nextIndex = max(f.matchIndex+1, min(f.nextIndex-1, m.MatchIndex+1))
+		if known {
+			f.recordRefusal(sent, m.MatchIndex)
+		}
 		return
 	}
-	f.matchIndex = max(f.matchIndex, m.MatchIndex)
-	f.nextIndex = max(f.nextIndex, f.matchIndex+1)
+	f.recordMatch(now, m.MatchIndex)
 	n.advanceCommitIndex(now)
 	n.reviseVoters(now)
 	n.removeUnreachableLearners(now)
 }
 
-// recordReply records that a round was answered. The records of this round and of
-// earlier ones are discarded.
-func (f *follower) recordReply(round Round) {
-	sent, ok := f.sent[round]
-	if !ok {
-		return
+// recordReply records that a round was answered, and returns the round if its record is still
+// there. The records of this round and of earlier ones are discarded.
+func (f *follower) recordReply(round Round) (sent sentRound, known bool) {
+	sent, known = f.sent[round]
+	if !known {
+		return sent, false
 	}
 	if sent.at.After(f.lastAnswered.at) {
 		f.lastAnswered = sent
@@ -221,6 +232,26 @@
 			delete(f.sent, r)
 		}
 	}
+	return sent, true
+}
+
+// recordRefusal moves nextIndex to the entry after the hint in a refusal. Many requests with
+// the same entry before them may have been sent before the first was answered, and only one
+// refusal of it counts. The hint of an earlier version may be above the refused request:
+// everything up to its snapshot is committed.
+func (f *follower) recordRefusal(sent sentRound, hint Index) {
+	if sent.prevIndex == f.nextIndex-1 {
+		f.nextIndex = max(f.matchIndex, hint) + 1
+	}
+}
+
+// recordMatch records up to which index the follower's log agrees with the leader's.
+func (f *follower) recordMatch(now time.Time, match Index) {
+	if match > f.matchIndex || match >= f.lastAnswered.commitIndex {
+		f.lastProgress = now
+	}
+	f.matchIndex = max(f.matchIndex, match)
+	f.nextIndex = max(f.nextIndex, f.matchIndex+1)
 }
 
 // advanceCommitIndex commits the entries that a majority of the voters has. As in
--- a/internal/decide/ctquorum/node.go
+++ b/internal/decide/ctquorum/node.go
@@ -115,6 +115,9 @@
 	// lastSeen is when the last reply or request to join was received, or when the
 	// follower was added.
 	lastSeen time.Time
+	// lastProgress is when an answer last showed new entries, or all those that were committed
+	// when the round was sent. At first it is when the follower was added.
+	lastProgress time.Time
 }
 
 // sentRound is the leader's record of a round that it sent to a follower.
@@ -122,6 +125,8 @@
 	at time.Time
 	// commitIndex is the leader's commit index at that time.
 	commitIndex Index
+	// prevIndex is the index before the first entry that was sent.
+	prevIndex Index
 }
 
 // New returns the node of a process that starts with the state read from its disk.
--- a/internal/decide/ctquorum/status.go
+++ b/internal/decide/ctquorum/status.go
@@ -58,6 +58,9 @@
 	LossSilent Loss = "silent"
 	// LossReplaced means that a later incarnation of the voter's name has joined.
 	LossReplaced Loss = "replaced"
+	// LossStalled means that the voter answers, but has taken no entry that it lacks for longer
+	// than voterTimeout. Commands don't become durable on it.
+	LossStalled Loss = "stalled"
 )
 
 // PeerStatus is what a leader knows of a process.
@@ -67,6 +70,8 @@
 	Silence time.Duration
 	// Behind is how many entries of the leader's log the process is not known to have.
 	Behind Index
+	// Stalled is the time since it last took entries or had all committed ones, if it lacks some.
+	Stalled time.Duration
 	// Loss is NotLost for learners.
 	Loss Loss
 }
@@ -92,6 +97,8 @@
 			voter.Loss = LossReplaced
 		case voter.Silence > voterTimeout:
 			voter.Loss = LossSilent
+		case voter.Stalled > voterTimeout:
+			voter.Loss = LossStalled
 		}
 		status.Voters = append(status.Voters, voter)
 	}
@@ -109,7 +116,11 @@
 		return PeerStatus{Peer: peer}
 	}
 	last, _ := n.state.last()
-	return PeerStatus{Peer: peer, Silence: now.Sub(f.lastSeen), Behind: last - min(last, f.matchIndex)}
+	status := PeerStatus{Peer: peer, Silence: now.Sub(f.lastSeen), Behind: last - min(last, f.matchIndex)}
+	if f.matchIndex < n.commitIndex {
+		status.Stalled = now.Sub(f.lastProgress)
+	}
+	return status
 }
 
 // Margin is how far a leader's voters are from the loss of their majority.
--- a/internal/program/ctcommand/status.go
+++ b/internal/program/ctcommand/status.go
@@ -139,6 +139,9 @@
 func printPeer(command *cobra.Command, role string, p ctcontrol.PeerProgress) {
 	command.Printf("  %s %s (disk %x): %d entries behind, silent for %s", role, p.Name, uint64(p.Incarnation),
 		p.Behind, time.Duration(p.Silent))
+	if p.Stalled > 0 {
+		command.Printf(", took the last ones %s ago", time.Duration(p.Stalled))
+	}
 	if p.Lost != ctquorum.NotLost {
 		command.Printf(", lost: %s", p.Lost)
 	}
--- a/internal/program/ctcontrol/quorummetrics.go
+++ b/internal/program/ctcontrol/quorummetrics.go
@@ -48,6 +48,7 @@
 func (w *quorumWatch) setLeaderMetrics(s ctquorum.Leading) {
 	voters := map[string]int{
 		voterReachable: 0, string(ctquorum.LossSilent): 0, string(ctquorum.LossReplaced): 0,
+		string(ctquorum.LossStalled): 0,
 	}
 	for _, v := range s.Voters {
 		state := voterReachable
--- a/internal/program/ctcontrol/status.go
+++ b/internal/program/ctcontrol/status.go
@@ -76,9 +76,11 @@
 type PeerProgress struct {
 	Name        ctid.Control     `json:"name"`
 	Incarnation ctid.Incarnation `json:"incarnation"`
-	// Silent is the time since its last message, and Behind how many entries it lacks.
-	Silent ctconfig.Duration `json:"silent"`
-	Behind ctquorum.Index    `json:"behind"`
+	// Silent is the time since its last message, Behind how many entries it lacks, and Stalled
+	// the time since it last took some, if committed ones are among them.
+	Silent  ctconfig.Duration `json:"silent"`
+	Behind  ctquorum.Index    `json:"behind"`
+	Stalled ctconfig.Duration `json:"stalled,omitempty"`
 	// Lost says why a voter counts as lost. It is empty for the others.
 	Lost ctquorum.Loss `json:"lost,omitempty"`
 }
@@ -125,7 +127,7 @@
 	for _, p := range peers {
 		progress = append(progress, PeerProgress{
 			Name: p.Peer.Name, Incarnation: p.Peer.Incarnation,
-			Silent: roundedDuration(p.Silence), Behind: p.Behind, Lost: p.Loss,
+			Silent: roundedDuration(p.Silence), Behind: p.Behind, Stalled: roundedDuration(p.Stalled), Lost: p.Loss,
 		})
 	}
 	return progress
