ctcontrol: a late end of an attempt takes no record from a process that was heard

Cause: the goroutine of an outbox that was closed records the end of its attempt late. That made a new record of a process whose own had been evicted, in the place of one that was heard from.

Change: the record of an attempt makes room for itself only among processes that were never heard from, and is left out if there is none.

--- a/internal/program/ctcontrol/links.go
+++ b/internal/program/ctcontrol/links.go
@@ -51,14 +51,17 @@
 	table cttable.Table[ctid.Control, link]
 }
 
-// update changes the record of a process. The one that was heard from longest ago makes room for it.
-func (l *links) update(name ctid.Control, change func(k *link)) {
+// update changes the record of a process, and creates it if there is room.
+func (l *links) update(name ctid.Control, makeRoom func(rows map[ctid.Control]*link), change func(k *link)) {
 	var held ctlock.Held
 	l.table.With(&held, func(rows map[ctid.Control]*link) {
 		k, ok := rows[name]
 		if !ok {
 			if len(rows) >= maxLinks {
-				evictOldest(rows)
+				makeRoom(rows)
+			}
+			if len(rows) >= maxLinks {
+				return
 			}
 			k = &link{}
 			rows[name] = k
@@ -69,24 +72,38 @@
 
 // evictOldest removes the record of the process that was heard from longest ago.
 func evictOldest(rows map[ctid.Control]*link) {
-	delete(rows, slices.MinFunc(slices.Collect(maps.Keys(rows)), func(a, b ctid.Control) int {
+	delete(rows, oldest(rows))
+}
+
+// evictUnheard removes the record of a process that was never heard from, if there is one. An
+// attempt to reach a process, which may end when its outbox is closed already, takes no record
+// from one that was heard from.
+func evictUnheard(rows map[ctid.Control]*link) {
+	if name := oldest(rows); rows[name].receivedAt.IsZero() {
+		delete(rows, name)
+	}
+}
+
+// oldest returns the process that was heard from longest ago, or never.
+func oldest(rows map[ctid.Control]*link) ctid.Control {
+	return slices.MinFunc(slices.Collect(maps.Keys(rows)), func(a, b ctid.Control) int {
 		return rows[a].receivedAt.Compare(rows[b].receivedAt)
-	}))
+	})
 }
 
 // setOpen records that the stream to a process was opened.
 func (l *links) setOpen(name ctid.Control) {
-	l.update(name, func(k *link) { k.open, k.lastError = true, "" })
+	l.update(name, evictUnheard, func(k *link) { k.open, k.lastError = true, "" })
 }
 
 // setClosed records that the stream to a process could not be opened or was closed.
 func (l *links) setClosed(name ctid.Control, err error) {
-	l.update(name, func(k *link) { k.open, k.lastError = false, err.Error() })
+	l.update(name, evictUnheard, func(k *link) { k.open, k.lastError = false, err.Error() })
 }
 
 // addReceived records a message from a process, and whether it was discarded.
 func (l *links) addReceived(now time.Time, name ctid.Control, message ctquorum.Message, discarded bool) {
-	l.update(name, func(k *link) {
+	l.update(name, evictOldest, func(k *link) {
 		k.received, k.receivedAt = messageName(message), now
 		if discarded {
 			k.discarded++
--- a/internal/program/ctcontrol/outbox_test.go
+++ b/internal/program/ctcontrol/outbox_test.go
@@ -174,4 +174,10 @@
 		assert.Equal(t, len(senders), maxLinks)
 		assert.Assert(t, slices.Contains(senders, last))
 	})
+	t.Run("leave the records of those that were heard when an attempt to reach one ends late", func(t *testing.T) {
+		var held ctlock.Held
+		r.links.setClosed("10.1.0.0", errors.New("no route"))
+		r.links.setOpen("10.1.0.1")
+		assert.Equal(t, len(r.links.senders(&held)), maxLinks)
+	})
 }
