ctsuccession: a log that is lost before its member says so counts as lost

An acknowledged write could disappear where a replica starts again without its log and answers control before its first report arrives: its empty log was taken for that of its earlier run, which "had received no more", and another replica was promoted.

Cause: STATUS doesn't say which run answers. What was known of the earlier run, its point and its pause, stood beside the answer of the later one; and a new leader counted members from the register that it had not heard itself.

Change: a status behind the last one of its term counts as the loss of the log, and a pause only as long as the status shows it. Under a new leader a member must have been heard since its start before "none has received more" holds. `wait` lines name members that answer and don't report.

--- a/internal/decide/ctsuccession/change.go
+++ b/internal/decide/ctsuccession/change.go
@@ -221,7 +221,7 @@
 
 // noneAhead reports whether every member but the primary has confirmed the fence and
 // none has received more than a point. It is false while logs may be unknown: shortly
-// after the leader started, while a member is silent, and if a log was lost that may have had
+// after the leader started, while a member is silent or unheard by this leader, and if a log was lost that may have had
 // more.
 func (m *Machine) noneAhead(now time.Time, group ctview.Group, received ctposition.Point) bool {
 	lostAhead := !m.lost.includedIn(received, group.Primary) && !m.goneFor(now, group.Primary, memberTTL)
@@ -237,7 +237,7 @@
 		if name == group.Primary {
 			continue
 		}
-		if member.confirmedFence < group.Fence || comparePoints(member.status.Received, received) > 0 {
+		if member.unheard || member.confirmedFence < group.Fence || comparePoints(member.status.Received, received) > 0 {
 			return false
 		}
 	}
--- a/internal/decide/ctsuccession/machine.go
+++ b/internal/decide/ctsuccession/machine.go
@@ -151,8 +151,10 @@
 type memberState struct {
 	announcement ctserver.Announcement
 	announcedAt  time.Time
-	// heardAt is when the member's present run was first heard.
+	// heardAt is when the member's present run was first heard, and unheard reports that this
+	// leader knows the run from an earlier leader alone. Another run may answer meanwhile.
 	heardAt time.Time
+	unheard bool
 	// status is the member's last answer, and answeredAt when it was received.
 	status     ctquery.Status
 	answeredAt time.Time
@@ -227,9 +229,18 @@
 	}
 	member.announcement = announcement
 	member.announcedAt = now
+	member.unheard = false
 	m.ReleaseAddress(now, announcement)
 }
 
+// AddMember adds a member that an earlier leader has heard.
+func (m *Machine) AddMember(now time.Time, announcement ctserver.Announcement) {
+	m.ApplyAnnouncement(now, announcement)
+	if member, ok := m.members[announcement.Member]; ok {
+		member.unheard = true
+	}
+}
+
 // latestRun returns the incarnation of a member that is heard or silent, and whether there is one.
 func (m *Machine) latestRun(name ctid.Member) (ctid.Incarnation, bool) {
 	if member, heard := m.members[name]; heard {
@@ -319,6 +330,10 @@
 	}
 	member.pending = false
 	member.failures = 0
+	if member.lostLog(status) {
+		m.lost.record(now, name)
+	}
+	member.confirmedFence = min(member.confirmedFence, status.PausedBelow)
 	member.status, member.answeredAt, member.statusSentAt = status, now, sentAt
 	m.recordCoveredPoint(member)
 	if status.Role == ctserver.RolePrimary {
@@ -336,6 +351,12 @@
 	}
 }
 
+// lostLog reports whether a status shows that the member has started again without its log,
+// before it has said so. A log that another primary has rolled back is of a later term.
+func (m *memberState) lostLog(status ctquery.Status) bool {
+	return status.Term <= m.status.Term && comparePoints(status.Received, m.status.Received) < 0
+}
+
 // endsLog reports whether the answer to StepDown is the first that gives the end of the log of
 // the primary's term. The log of another member, or of a primary that started again without
 // its log, may lack acknowledged commits, and so may one that ends before the covered point of
--- a/internal/decide/ctsuccession/wait.go
+++ b/internal/decide/ctsuccession/wait.go
@@ -1,7 +1,7 @@
 package ctsuccession
 
 import (
-	"maps"
+	"cmp"
 	"slices"
 	"time"
 
@@ -34,7 +34,7 @@
 // waitReportDelay is how long a change goes on before what it waits for is reported.
 const waitReportDelay = catchUpTimeout
 
-// Waits returns what the change in progress waits for, ordered by name. It is empty while the
+// Waits returns what the change in progress waits for, ordered by reason and name. It is empty while the
 // change has a candidate that still runs with its log, or has just begun.
 func (m *Machine) Waits(now time.Time, group ctview.Group) []Wait {
 	begun := m.current.fence == group.Fence && now.Sub(m.current.startedAt) >= waitReportDelay
@@ -42,18 +42,7 @@
 	if !group.ChangingPrimary() || hasCandidate || !begun {
 		return nil
 	}
-	var waits []Wait
-	for _, name := range slices.Sorted(maps.Keys(m.lost.uncovered)) {
-		if name != group.Primary {
-			waits = append(waits, Wait{Member: name, Since: m.lost.uncovered[name].at, Reason: ReasonLogLost})
-		}
-	}
-	for _, name := range slices.Sorted(maps.Keys(m.silent)) {
-		if name != group.Primary {
-			waits = append(waits, Wait{Member: name, Since: m.silent[name].since, Reason: ReasonSilent})
-		}
-	}
-	if len(waits) > 0 {
+	if waits := m.missingLogs(group.Primary); len(waits) > 0 {
 		return waits
 	}
 	for _, member := range m.members {
@@ -63,3 +52,25 @@
 	}
 	return []Wait{{Member: group.Primary, Since: m.current.startedAt, Reason: ReasonPrimaryAhead}}
 }
+
+// missingLogs returns the logs, but for the primary's, that are lost and uncovered or of members
+// that this leader doesn't hear.
+func (m *Machine) missingLogs(primary ctid.Member) []Wait {
+	var waits []Wait
+	for name, lost := range m.lost.uncovered {
+		waits = append(waits, Wait{Member: name, Since: lost.at, Reason: ReasonLogLost})
+	}
+	for name, member := range m.members {
+		if member.unheard {
+			waits = append(waits, Wait{Member: name, Since: m.startedAt, Reason: ReasonSilent})
+		}
+	}
+	for name, silent := range m.silent {
+		waits = append(waits, Wait{Member: name, Since: silent.since, Reason: ReasonSilent})
+	}
+	waits = slices.DeleteFunc(waits, func(w Wait) bool { return w.Member == primary })
+	slices.SortFunc(waits, func(a, b Wait) int {
+		return cmp.Or(cmp.Compare(a.Reason, b.Reason), cmp.Compare(a.Member, b.Member))
+	})
+	return waits
+}
--- a/internal/lab/ctmodel/control.go
+++ b/internal/lab/ctmodel/control.go
@@ -59,6 +59,8 @@
 	// roster holds the members that the leader lists, and heardAt when each was heard.
 	roster  map[ctid.Member]ctserver.Announcement
 	heardAt map[ctid.Member]time.Time
+	// ended holds the runs of the members that were deregistered.
+	ended map[ctid.Member]ctid.Incarnation
 	// proposedAt is when a decision was proposed that is not committed yet, or zero.
 	proposedAt                time.Time
 	saveAt, settleAt, fetchAt time.Time
@@ -112,11 +114,12 @@
 	c.group = w.decided()
 	c.roster = make(map[ctid.Member]ctserver.Announcement)
 	c.heardAt = make(map[ctid.Member]time.Time)
+	c.ended = nil
 	c.tracker = ctsuccession.NewProxyTracker(w.now)
 	w.startMachine(c)
 	for _, announcement := range w.register.Members {
 		c.roster[announcement.Member], c.heardAt[announcement.Member] = announcement, w.now
-		c.machine.ApplyAnnouncement(w.now, announcement)
+		c.machine.AddMember(w.now, announcement)
 	}
 }
 
@@ -186,7 +189,9 @@
 // updateLeader tells the leader that a command was committed.
 func (w *world) updateLeader(c *control, command ctregister.Command) {
 	c.group = w.decided()
-	c.machine.ApplyGroup(c.group)
+	if c.machine != nil {
+		c.machine.ApplyGroup(c.group)
+	}
 	switch command.(type) {
 	case ctregister.SetGroup, ctregister.SettlePromotions, ctregister.ReleaseRequester:
 		c.proposedAt = time.Time{}
@@ -254,6 +259,10 @@
 	if !c.hasAuthority(w.now) {
 		return
 	}
+	if run, ended := c.ended[announcement.Member]; ended && announcement.Incarnation <= run {
+		c.machine.HearMember(announcement.Member)
+		return
+	}
 	c.roster[announcement.Member], c.heardAt[announcement.Member] = announcement, w.now
 	c.machine.ApplyAnnouncement(w.now, announcement)
 }
--- a/internal/lab/ctmodel/plan.go
+++ b/internal/lab/ctmodel/plan.go
@@ -13,6 +13,8 @@
 	// them have ended.
 	Faults   time.Duration
 	Recovery time.Duration
+	// LostLogs lets replicas lose their logs, too.
+	LostLogs bool
 }
 
 // Duration of the phases of a run.
--- a/internal/lab/ctmodel/world.go
+++ b/internal/lab/ctmodel/world.go
@@ -56,6 +56,7 @@
 	group    groupState
 	requests requestJudge
 	reader   reader
+	losses   losses
 	// acknowledgedAt is when the last commit was acknowledged.
 	acknowledgedAt time.Time
 	report         Report
@@ -77,6 +78,7 @@
 	w := newWorld(plan)
 	w.schedule(0, w.tick)
 	w.schedule(settleTime, w.nextFault)
+	w.scheduleLosses()
 	end := w.start.Add(plan.Faults + plan.Recovery)
 	for len(w.queue) > 0 {
 		next, ok := heap.Pop(&w.queue).(event)
--- a/internal/program/ctcontrol/leader.go
+++ b/internal/program/ctcontrol/leader.go
@@ -229,7 +229,7 @@
 	machine.ApplyGroup(l.group(name))
 	for _, announcement := range l.roster.Members() {
 		if announcement.Group == name {
-			machine.ApplyAnnouncement(now, announcement)
+			machine.AddMember(now, announcement)
 		}
 	}
 	for _, announcement := range l.register.Silent {
