--- a/internal/decide/ctsuccession/change.go
+++ b/internal/decide/ctsuccession/change.go
@@ -221,8 +221,8 @@
 
 // noneAhead reports whether every member but the primary has confirmed the fence and
 // none has received more than a point. It is false while logs may be unknown: shortly
-// after the leader started, while a member is silent or unheard by this leader, and if a log was lost that may have had
-// more.
+// after the leader started, while a member is silent or was not heard by this leader, and if
+// a log was lost that may have had more.
 func (m *Machine) noneAhead(now time.Time, group ctview.Group, received ctposition.Point) bool {
 	lostAhead := !m.lost.includedIn(received, group.Primary) && !m.goneFor(now, group.Primary, memberTTL)
 	if lostAhead || now.Sub(m.startedAt) < discoveryWindow {
--- a/internal/decide/ctsuccession/wait.go
+++ b/internal/decide/ctsuccession/wait.go
@@ -34,8 +34,8 @@
 // waitReportDelay is how long a change goes on before what it waits for is reported.
 const waitReportDelay = catchUpTimeout
 
-// Waits returns what the change in progress waits for, ordered by reason and name. It is empty while the
-// change has a candidate that still runs with its log, or has just begun.
+// Waits returns what the change in progress waits for, ordered by reason and name. It is empty
+// while the change has a candidate that still runs with its log, or has just begun.
 func (m *Machine) Waits(now time.Time, group ctview.Group) []Wait {
 	begun := m.current.fence == group.Fence && now.Sub(m.current.startedAt) >= waitReportDelay
 	hasCandidate := group.Candidate != "" && !m.candidateLost(now, group)
