--- a/internal/decide/ctquorum/doc.go
+++ b/internal/decide/ctquorum/doc.go
@@ -18,6 +18,11 @@
 startup vote, which asks the other voters whether they have just started too. If
 all of them have, no leader is left, and an election starts at once.
 
+A follower accepts what precedes its committed index, although a snapshot may have
+replaced it: that part of its log agrees with every later leader's. A refusal counts only
+for the request that it answers, as many with the same entry before them may be on their
+way. A follower that answers without taking entries counts as stalled; see Status.
+
 # Authority
 
 A leader has authority while a majority of the voters has answered its recent
--- a/internal/decide/ctregister/doc.go
+++ b/internal/decide/ctregister/doc.go
@@ -1,7 +1,8 @@
 /*
 Package ctregister is the replicated state machine of control. It holds the
 accepted configurations, the primaries and terms of the groups, the audit log of
-decisions on groups, and the members that a new leader starts with.
+decisions on groups, the members that a new leader starts with, and the logs that
+members have lost.
 
 # Commands
 
--- a/internal/decide/ctsuccession/doc.go
+++ b/internal/decide/ctsuccession/doc.go
@@ -36,6 +36,14 @@
 sufficient for a promotion. After that, a candidate must have received that point
 besides all that the proxies reported.
 
+# Lost logs
+
+A member that starts again without its log, is deregistered or is replaced may have had the only
+log of a replica with an acknowledged commit. That no member has received more is then no proof.
+The loss is recorded for the group's term, durably, so that later leaders know it too, until the
+primary of that term has reported its log in answer to a later command. A candidate must have
+received that point. Until then, the change waits for the primary; Waits says for whom and why.
+
 # Promotion requests
 
 The service compares no epochs. So only one control process at a time sends requests for a
@@ -56,6 +64,7 @@
 
 	proxies := ctsuccession.NewProxyTracker(now)
 	machine.Begin(now, proxies)
+	machine.ApplyGroup(group)
 	proxies.ApplyReport(now, report, ctsuccession.AuthorityExpiry(now))
 	machine.ApplyReport(now, group, report)
 	machine.ApplyAnnouncement(now, announcement)
