--- a/internal/decide/ctquorum/progress_test.go
+++ b/internal/decide/ctquorum/progress_test.go
@@ -28,8 +28,8 @@
 	maxAbsences = 4
 )
 
-// disturbance stops and freezes processes, and compacts their logs at different entries.
-type disturbance struct {
+// faultyCluster stops and freezes processes, and compacts their logs at different entries.
+type faultyCluster struct {
 	*cluster
 	// backAt is when each process that is away comes back.
 	backAt map[*process]time.Time
@@ -37,9 +37,9 @@
 	compactAt map[*process]int
 }
 
-// newDisturbance returns a cluster with late and repeated packets.
-func newDisturbance(seed uint64, size, voterCount int) *disturbance {
-	d := &disturbance{
+// newFaultyCluster returns a cluster with late and repeated packets.
+func newFaultyCluster(seed uint64, size, voterCount int) *faultyCluster {
+	d := &faultyCluster{
 		cluster: newClusterOf(seed, size, voterCount),
 		backAt:  make(map[*process]time.Time), compactAt: make(map[*process]int),
 	}
@@ -56,7 +56,7 @@
 
 // runUnderLoad runs the cluster with commands at an interval, compactions, repeated packets and
 // returns.
-func (d *disturbance) runUnderLoad(duration, interval time.Duration) {
+func (d *faultyCluster) runUnderLoad(duration, interval time.Duration) {
 	proposeAt := d.now
 	for until := d.now.Add(duration); d.now.Before(until); {
 		if leader := d.leader(); leader != nil && !d.now.Before(proposeAt) {
@@ -75,7 +75,7 @@
 	}
 }
 
-func (d *disturbance) returnIfDue(m *process) {
+func (d *faultyCluster) returnIfDue(m *process) {
 	if !m.away || d.now.Before(d.backAt[m]) {
 		return
 	}
@@ -86,7 +86,7 @@
 }
 
 // compact compacts a process's log when it has reached a length that changes each time.
-func (d *disturbance) compact(m *process) {
+func (d *faultyCluster) compact(m *process) {
 	if m.node == nil || m.away || m.node.LogLength() <= d.compactAt[m] {
 		return
 	}
@@ -95,7 +95,7 @@
 }
 
 // disturb stops or freezes a process for a while.
-func (d *disturbance) disturb() {
+func (d *faultyCluster) disturb() {
 	m := d.processes[d.random.IntN(len(d.processes))]
 	if m.away {
 		return
@@ -108,13 +108,13 @@
 }
 
 // upTo returns a random duration below a bound.
-func (d *disturbance) upTo(bound time.Duration) time.Duration {
+func (d *faultyCluster) upTo(bound time.Duration) time.Duration {
 	return time.Duration(d.random.Int64N(int64(bound)))
 }
 
 // playEpisode stops and freezes processes, lets them come back, and returns a process that does not
 // take an entry recoveryDuration later, or nothing.
-func (d *disturbance) playEpisode() string {
+func (d *faultyCluster) playEpisode() string {
 	for range 1 + d.random.IntN(maxAbsences) {
 		d.disturb()
 		d.runUnderLoad(d.upTo(maxAbsence/2), d.upTo(busyInterval))
@@ -143,7 +143,7 @@
 	} {
 		t.Run(fmt.Sprintf("%d processes, %d voters", c.size, c.voters), func(t *testing.T) {
 			for seed := range c.seeds {
-				d := newDisturbance(uint64(seed), c.size, c.voters)
+				d := newFaultyCluster(uint64(seed), c.size, c.voters)
 				for episode := range episodes {
 					assert.Equal(t, d.playEpisode(), "", "seed %d, episode %d", seed, episode)
 				}
